--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,61 @@
+import headers from 'eslint-plugin-headers';
+import jsdoc from 'eslint-plugin-jsdoc';
+import simpleImportSort from 'eslint-plugin-simple-import-sort';
+import tseslint from 'typescript-eslint';
+
+const LICENCE =
+  'Copyright (c) the puffinturn authors.\n\nThis source code is licensed under the Apache License 2.0 found in the\nLICENSE file in the root directory of this source tree.';
+
+export default tseslint.config(
+  {ignores: ['**/dist/**', '**/node_modules/**', 'reports/**']},
+  ...tseslint.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: {headers, jsdoc, 'simple-import-sort': simpleImportSort},
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-import-type-side-effects': 'error',
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {
+          argsIgnorePattern: '^_',
+          ignoreRestSiblings: true,
+          varsIgnorePattern: '^_',
+        },
+      ],
+      '@typescript-eslint/only-throw-error': 'error',
+      eqeqeq: 'error',
+      'headers/header-format': [
+        'error',
+        {content: LICENCE, source: 'string', style: 'jsdoc'},
+      ],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration'],
+          enableFixer: false,
+          publicOnly: true,
+          require: {ClassDeclaration: true, FunctionDeclaration: true},
+        },
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {message: 'Use a constant object.', selector: 'TSEnumDeclaration'},
+        {
+          message: 'Failures are typed, never bare strings.',
+          selector: "CallExpression[callee.name='err'] > Literal",
+        },
+      ],
+      'prefer-const': 'error',
+      'simple-import-sort/exports': 'error',
+      'simple-import-sort/imports': 'error',
+    },
+  },
+);
--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,21 @@
+export default {
+  extensionsToTreatAsEsm: ['.ts'],
+  moduleNameMapper: {
+    '^shared$': '<rootDir>/packages/shared/src/index.ts',
+    '^(puffinturn-[a-z-]+)$': '<rootDir>/packages/$1/src/index.ts',
+  },
+  testMatch: ['<rootDir>/packages/*/src/__tests__/**/*.test.ts'],
+  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      {
+        jsc: {
+          parser: {explicitResourceManagement: true, syntax: 'typescript'},
+          target: 'es2022',
+        },
+        module: {type: 'es6'},
+      },
+    ],
+  },
+};
--- /dev/null
+++ b/packages/puffinturn-daemon/src/OperatorHttp.ts
@@ -0,0 +1,125 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** The operators' HTTP interface; needs an operator's key. */
+import type {HttpBindings} from '@hono/node-server';
+import type {Context, Next} from 'hono';
+import {Hono} from 'hono';
+import type {GatewayMetrics} from 'puffinturn-gateway';
+import type {HashedKey} from 'puffinturn-settings';
+import {checkValue, DeclarationSchema, findKey} from 'puffinturn-settings';
+
+import type {OperatorApi, OperatorFailure} from './OperatorApi';
+
+/** What the interface needs. */
+export interface OperatorHttpParts {
+  readonly api: OperatorApi;
+  readonly keys: readonly HashedKey[];
+  readonly metrics: GatewayMetrics;
+  readonly refreshMetrics: () => void;
+}
+
+interface Variables {
+  /** Name of the key that the operator used. */
+  operator: string;
+}
+
+type Environment = {Bindings: HttpBindings; Variables: Variables};
+
+const STATUS_BY_FAILURE = {
+  invalid: 400,
+  'region-unreachable': 503,
+  'unknown-region': 404,
+} as const;
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** The application; serve it with a Node server. */
+export function operatorHttp(parts: OperatorHttpParts): Hono<Environment> {
+  const {api, metrics} = parts;
+  const app = new Hono<Environment>();
+
+  app.get('/healthz', (context) => context.text('ok'));
+  app.use('/v1/*', (context, next) => authenticate(parts, context, next));
+  app.get('/metrics', async (context) => {
+    parts.refreshMetrics();
+    const text = await metrics.registry.metrics();
+    return context.text(text, 200, {
+      'content-type': metrics.registry.contentType,
+    });
+  });
+  app.get('/v1/status', async (context) => context.json(await api.status()));
+  app.get('/v1/config', async (context) => {
+    const config = await api.config();
+    return config.match(
+      (entries) => context.json({entries}),
+      (failure) => refuse(context, failure),
+    );
+  });
+  app.post('/v1/declarations', (context) => declare(parts, context));
+  app.get('/v1/timeline', async (context) => {
+    const {box, budget, request, since} = context.req.query();
+    const sinceMs = since === undefined ? undefined : Number(since);
+    const filter = {box, budget, request, since: sinceMs};
+    return context.json({events: await api.timeline(filter)});
+  });
+  return app;
+}
+
+async function authenticate(
+  {keys}: OperatorHttpParts,
+  context: Context<Environment>,
+  next: Next,
+): Promise<Response | undefined> {
+  const header = context.req.header('authorization') ?? '';
+  const key = findKey(keys, header.replace(/^bearer /i, ''));
+  if (key === undefined) {
+    const message = 'an operator key is needed';
+    return context.json({error: {kind: 'invalid-key', message}}, 401);
+  }
+  context.set('operator', key.name);
+  await next();
+  return undefined;
+}
+
+async function declare(
+  {api}: OperatorHttpParts,
+  context: Context<Environment>,
+): Promise<Response> {
+  if (Number(context.req.header('content-length') ?? 0) > MAX_BODY_BYTES) {
+    const message = `at most ${MAX_BODY_BYTES} bytes are taken`;
+    return context.json({error: {kind: 'too-large', message}}, 413);
+  }
+  const body: unknown = await context.req.json().catch(() => undefined);
+  const checked = checkValue(DeclarationSchema, body, 'request');
+  if (checked.isErr()) {
+    return refuse(context, checked.error);
+  }
+  const reply = await api.declare(checked.value, context.get('operator'));
+  return reply.match(
+    (value) => context.json(value, statusOf(value.outcome.kind)),
+    (failure) => refuse(context, failure),
+  );
+}
+
+function statusOf(kind: string): 200 | 409 | 422 {
+  switch (kind) {
+    case 'accepted':
+      return 200;
+    case 'rejected':
+      return 422;
+    default:
+      return 409;
+  }
+}
+
+function refuse(
+  context: Context<Environment>,
+  failure: OperatorFailure,
+): Response {
+  return context.json({error: failure}, STATUS_BY_FAILURE[failure.kind]);
+}
--- /dev/null
+++ b/packages/puffinturn-daemon/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A box as a process, and as a part for tests. */
+export type {BoxBreakage, BoxParts, FleetPlace} from './Box';
+export {Box} from './Box';
+export type {StartFailure} from './Daemon';
+export {Daemon, waitReady} from './Daemon';
+export {makeLog} from './Logs';
+export type {FleetStatus, OperatorFailure} from './OperatorApi';
+export {OperatorApi} from './OperatorApi';
--- /dev/null
+++ b/packages/puffinturn-gateway/src/CompletionStream.ts
@@ -0,0 +1,89 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Reads the event stream of a completion. */
+import type {EventSourceMessage} from 'eventsource-parser';
+import {createParser} from 'eventsource-parser';
+
+/** Tokens that an upstream counted. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+}
+
+/** What one event of the stream carries. */
+export type StreamEvent =
+  | {readonly kind: 'done'}
+  | {readonly kind: 'text'; readonly data: string; readonly text: string}
+  | {readonly kind: 'usage'; readonly usage: Usage};
+
+interface ChunkBody {
+  readonly choices?: readonly {
+    readonly delta?: {readonly content?: string | null};
+    readonly text?: string;
+  }[];
+  readonly usage?: {
+    readonly completion_tokens?: number;
+    readonly prompt_tokens?: number;
+  } | null;
+}
+
+const DONE = '[DONE]';
+
+/** Tokens from a `usage` object; undefined when it is not one. */
+export function readUsage(body: ChunkBody): Usage | undefined {
+  const {completion_tokens: completion, prompt_tokens: prompt} =
+    body.usage ?? {};
+  return Number.isSafeInteger(completion) && Number.isSafeInteger(prompt)
+    ? {completionTokens: completion ?? 0, promptTokens: prompt ?? 0}
+    : undefined;
+}
+
+/** Turns bytes into events. */
+export class CompletionStream {
+  private readonly decoder = new TextDecoder();
+  private events: StreamEvent[] = [];
+  private readonly parser = createParser({
+    onEvent: (message) => this.note(message),
+  });
+
+  /** Adds bytes; returns the events that are now whole. */
+  push(bytes: Uint8Array): StreamEvent[] {
+    this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+    const {events} = this;
+    this.events = [];
+    return events;
+  }
+
+  private note({data}: EventSourceMessage): void {
+    if (data === DONE) {
+      this.events.push({kind: 'done'});
+      return;
+    }
+    const body = parseChunk(data);
+    if (body === undefined) {
+      return;
+    }
+    const usage = readUsage(body);
+    if (usage !== undefined) {
+      this.events.push({kind: 'usage', usage});
+    }
+    const choice = body.choices?.[0];
+    if (choice !== undefined) {
+      const text = choice.delta?.content ?? choice.text ?? '';
+      this.events.push({data, kind: 'text', text});
+    }
+  }
+}
+
+function parseChunk(data: string): ChunkBody | undefined {
+  try {
+    return JSON.parse(data) as ChunkBody;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-gateway/src/index.ts
@@ -0,0 +1,29 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Serves callers: admission, running, answers and retries across boxes. */
+export type {AnswerEnd, AnswerHead} from './Answer';
+export {Answer} from './Answer';
+export type {CallerHttpParts} from './CallerHttp';
+export {callerHttp} from './CallerHttp';
+export type {CompletionBody} from './CompletionBody';
+export {checkCompletion} from './CompletionBody';
+export type {CallerAnswer, GatewayParts} from './Gateway';
+export {Gateway} from './Gateway';
+export {CALLER_TIMEOUT_MS} from './GatewayConstants';
+export type {FailureCode, GatewayFailure, Outcome} from './GatewayFailure';
+export {FAILURE, OUTCOME} from './GatewayFailure';
+export {GatewayMetrics} from './GatewayMetrics';
+export {HttpUpstreamClient} from './HttpUpstreamClient';
+export type {CallerRequest} from './Plan';
+export {Pools} from './Pools';
+export type {
+  UpstreamAnswer,
+  UpstreamFailure,
+  UpstreamRequest,
+} from './UpstreamClient';
+export {UpstreamClient} from './UpstreamClient';
--- /dev/null
+++ b/packages/puffinturn-ledger/src/index.ts
@@ -0,0 +1,47 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Budgets, requests and declarations of a region, kept by its log. */
+export type {BoxEntry} from './BoxTable';
+export type {BudgetState} from './BudgetAccount';
+export {allotted, available, committed, grantedOut} from './BudgetAccount';
+export type {ControlClientParts, SubmitLimits} from './ControlClient';
+export {ControlClient} from './ControlClient';
+export type {
+  BudgetReport,
+  ConfigReply,
+  ControlFailure,
+  ControlReply,
+  ControlRequest,
+  DeclareReply,
+  RegionReport,
+} from './ControlMessages';
+export {CONTROL_SERVICE} from './ControlMessages';
+export type {ControlServiceParts} from './ControlService';
+export {ControlService} from './ControlService';
+export type {DeclarationEntry} from './DeclarationTable';
+export type {SplitSide} from './GrantSplit';
+export {equalShare, targetFor} from './GrantSplit';
+export type {LedgerBreakage} from './Ledger';
+export {Ledger} from './Ledger';
+export {MAX_KEPT_ANSWER_BYTES, ORPHAN_MS} from './LedgerConstants';
+export type {
+  AdmitOutcome,
+  AttemptOutcome,
+  DeclareOutcome,
+  LedgerOutcome,
+  RequestView,
+} from './LedgerOutcomes';
+export type {
+  AdmitRecord,
+  AttemptId,
+  KeptAnswer,
+  LedgerRecord,
+  RequestState,
+} from './LedgerRecords';
+export {REQUEST_STATE} from './LedgerRecords';
+export type {RequestEntry} from './RequestTable';
--- /dev/null
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -0,0 +1,1061 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * One replica of the log: elections with pre-vote, replication with group
+ * commit, snapshots, and membership changes of one replica at a time. One task
+ * runs elections, one flushes to disk, one applies, and a leader has one task
+ * for each peer. Everything that must not overlap with a disk write runs under
+ * one mutex.
+ */
+import {err, ok, okAsync, ResultAsync} from 'neverthrow';
+import type {Clock, Failure, Random} from 'shared';
+import {Condition, invariant, Mutex, TaskGroup} from 'shared';
+
+import type {Disk} from './Disk';
+import {EntryList} from './EntryList';
+import type {ReplicaTiming} from './LogConstants';
+import {
+  CAUGHT_UP_ENTRIES,
+  MAX_APPEND_ENTRIES,
+  SNAPSHOT_EVERY_ENTRIES,
+  SNAPSHOT_PART_BYTES,
+  TRAILING_ENTRIES,
+} from './LogConstants';
+import type {LogLink, Machine} from './LogLink';
+import type {
+  AppendReply,
+  AppendRequest,
+  Entry,
+  EntryBody,
+  FoundRequest,
+  IdentityReply,
+  LogRequest,
+  Members,
+  ProposalFailure,
+  ReplicaId,
+  SnapshotReply,
+  SnapshotRequest,
+  VoteReply,
+  VoteRequest,
+} from './LogMessages';
+import {boxOf, replicaIdOf} from './LogMessages';
+import type {Snapshot, StorageFailure, StoredLog} from './LogStorage';
+import {LogStorage} from './LogStorage';
+import {SnapshotAssembly} from './SnapshotAssembly';
+
+/** What a replica is at the moment. */
+export const ROLE = {
+  candidate: 'candidate',
+  follower: 'follower',
+  leader: 'leader',
+} as const;
+
+/** One of ROLE. */
+export type Role = (typeof ROLE)[keyof typeof ROLE];
+
+/** What a replica is made of. */
+export interface ReplicaParts {
+  readonly box: string;
+  /** A fresh name for this life of the disk, used when the disk is empty. */
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly disk: Disk;
+  readonly link: LogLink;
+  readonly machine: Machine;
+  readonly random: Random;
+  readonly timing: ReplicaTiming;
+  /** Applied entries between snapshots. */
+  readonly snapshotEvery?: number;
+  /** Told of every change of role or leader. */
+  readonly onRole?: (role: Role, term: number, leader?: string) => void;
+  /** Deliberate breakages; the fuzzer checks that each one is found. */
+  readonly breakage?: ReplicaBreakage;
+}
+
+/** Faults in the algorithm itself, for showing that the tests can fail. */
+export interface ReplicaBreakage {
+  /** Votes without comparing logs. */
+  readonly voteWithoutLogCheck?: boolean;
+  /** Commits as soon as the leader alone has the entry. */
+  readonly commitWithoutQuorum?: boolean;
+}
+
+interface Peer {
+  readonly id: ReplicaId;
+  nextIndex: number;
+  matchIndex: number;
+  /** When the newest message that it answered was sent. */
+  ackedAt: number;
+}
+
+interface Waiter {
+  readonly term: number;
+  readonly settle: (outcome: Outcome) => void;
+}
+
+type Outcome =
+  | {readonly kind: 'applied'; readonly value: unknown}
+  | {readonly kind: 'failed'; readonly failure: ProposalFailure};
+
+const NO_MEMBERS: Members = {learners: [], voters: []};
+
+/** A member of a replicated log. Dispose it to stop its tasks. */
+export class Replica implements AsyncDisposable {
+  /** The id of this replica. */
+  readonly id: ReplicaId;
+  private role: Role = ROLE.follower;
+  private term: number;
+  private votedFor: ReplicaId | null;
+  private readonly log: EntryList;
+  private snapshot: Snapshot | undefined;
+  private members: Members = NO_MEMBERS;
+  private membersIndex = 0;
+  private syncedIndex: number;
+  private commitIndex: number;
+  private appliedIndex: number;
+  private leader: ReplicaId | undefined;
+  private heardAt: number;
+  private readonly peers = new Map<ReplicaId, Peer>();
+  private readonly waiters = new Map<number, Waiter>();
+  private readonly mutex = new Mutex();
+  private readonly grown = new Condition();
+  private readonly committed = new Condition();
+  private readonly acknowledged = new Condition();
+  private readonly assembly = new SnapshotAssembly();
+  private readonly tasks = new TaskGroup();
+
+  private constructor(
+    private readonly parts: ReplicaParts,
+    private readonly storage: LogStorage,
+    stored: StoredLog,
+  ) {
+    const {snapshot, entries} = stored;
+    this.id =
+      stored.state?.replica ?? replicaIdOf(parts.box, parts.incarnation);
+    this.term = stored.state?.term ?? 0;
+    this.votedFor = stored.state?.votedFor ?? null;
+    this.snapshot = snapshot;
+    const first = entries[0];
+    const beforeEntries =
+      first === undefined || first.index === (snapshot?.lastIndex ?? 0) + 1;
+    this.log = new EntryList(
+      beforeEntries ? (snapshot?.lastIndex ?? 0) : first.index - 1,
+      beforeEntries ? (snapshot?.lastTerm ?? 0) : first.term,
+      entries,
+    );
+    this.syncedIndex = this.log.lastIndex;
+    this.commitIndex = snapshot?.lastIndex ?? 0;
+    this.appliedIndex = this.commitIndex;
+    this.heardAt = parts.clock.now();
+    if (snapshot !== undefined) {
+      parts.machine.restore(snapshot.bytes);
+    }
+    this.refreshMembers();
+  }
+
+  /** Reads the disk and starts the tasks. */
+  static open(parts: ReplicaParts): ResultAsync<Replica, StorageFailure> {
+    const storage = new LogStorage(parts.disk);
+    return storage
+      .load()
+      .andThen((stored) => {
+        const replica = new Replica(parts, storage, stored);
+        return stored.state === undefined
+          ? storage.writeState(replica.stateToStore()).map(() => replica)
+          : okAsync<Replica, StorageFailure>(replica);
+      })
+      .map((replica) => {
+        replica.tasks.start((signal) => replica.runElections(signal));
+        replica.tasks.start((signal) => replica.runFlush(signal));
+        replica.tasks.start((signal) => replica.runApply(signal));
+        return replica;
+      });
+  }
+
+  /** True once this replica knows a member list. */
+  get founded(): boolean {
+    return this.members.voters.length > 0;
+  }
+
+  /** True while this replica believes itself the leader. */
+  get isLeader(): boolean {
+    return this.role === ROLE.leader;
+  }
+
+  /** The box of the current leader, if known. */
+  get leaderBox(): string | undefined {
+    return this.leader === undefined ? undefined : boxOf(this.leader);
+  }
+
+  /** Figures for status pages and metrics. */
+  status() {
+    return {
+      appliedIndex: this.appliedIndex,
+      commitIndex: this.commitIndex,
+      founded: this.founded,
+      lastIndex: this.log.lastIndex,
+      leader: this.leader,
+      members: this.members,
+      replica: this.id,
+      role: this.role,
+      term: this.term,
+    };
+  }
+
+  /** Proposes a record; resolves with what `Machine.apply` returned for it. */
+  propose(record: unknown): ResultAsync<unknown, ProposalFailure> {
+    return this.append({kind: 'record', record});
+  }
+
+  /**
+   * Waits until this replica has shown, by a round of answers from a quorum
+   * sent after the call, that it still leads, and has applied all that was
+   * committed before. After it the machine may be read.
+   */
+  barrier(): ResultAsync<void, ProposalFailure> {
+    return new ResultAsync(this.waitBarrier());
+  }
+
+  /** Proposes another member list; one replica may differ from the last. */
+  changeMembers(members: Members): ResultAsync<unknown, ProposalFailure> {
+    return this.append({kind: 'members', members});
+  }
+
+  /** Replaces the earlier life of a box, or adds it, as its disk was lost. */
+  join(newcomer: ReplicaId): ResultAsync<void, ProposalFailure> {
+    return new ResultAsync(this.admitReplica(newcomer));
+  }
+
+  /** Hands leadership on by ceasing to lead; the others elect at once. */
+  stepDown(): void {
+    if (this.role === ROLE.leader) {
+      this.becomeFollower(this.term, undefined);
+      this.heardAt = this.parts.clock.now() + this.parts.timing.electionMs;
+    }
+  }
+
+  /** Answers a message from another replica. */
+  async handle(request: LogRequest): Promise<unknown> {
+    switch (request.kind) {
+      case 'vote':
+        return this.mutex.run(() => this.handleVote(request));
+      case 'append':
+        return this.mutex.run(() => this.handleAppend(request));
+      case 'snapshot':
+        return this.mutex.run(() => this.handleSnapshot(request));
+      case 'identity':
+        return {founded: this.founded, replica: this.id};
+      case 'found':
+        return this.mutex.run(() => this.handleFound(request));
+      case 'join':
+        return this.join(request.from).match(
+          () => ({joined: true}),
+          () => ({joined: false}),
+        );
+    }
+  }
+
+  /**
+   * Founds a new group when every given box is blank, or asks the leader of an
+   * existing one to take this replica in. Repeats until it is a member.
+   */
+  async takePart(boxes: readonly string[]): Promise<void> {
+    const {clock, timing} = this.parts;
+    while (!this.tasks.ended && !this.isMember()) {
+      const identities = await this.askIdentities(boxes);
+      const founded = identities.some((identity) => identity.founded);
+      const first = [...boxes].sort()[0] === this.parts.box;
+      if (!founded && first && identities.length === boxes.length) {
+        await this.foundGroup(identities.map((identity) => identity.replica));
+      } else if (founded) {
+        await this.askToJoin(identities);
+      }
+      await clock.sleep(timing.electionMs, this.tasks.signal);
+    }
+  }
+
+  /** Stops all tasks; proposals still waiting fail as `stopped`. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.tasks.abort();
+    this.grown.notify();
+    this.committed.notify();
+    this.acknowledged.notify();
+    this.failWaiters({kind: 'stopped', message: 'the replica is stopping'});
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  // Proposals
+
+  private append(body: EntryBody): ResultAsync<unknown, ProposalFailure> {
+    if (this.tasks.ended) {
+      return new ResultAsync(
+        Promise.resolve(err({kind: 'stopped', message: 'stopped'})),
+      );
+    }
+    if (this.role !== ROLE.leader) {
+      return new ResultAsync(Promise.resolve(err(this.notLeader())));
+    }
+    const {index} = this.push(body);
+    const settled = new Promise<Outcome>((settle) =>
+      this.waiters.set(index, {settle, term: this.term}),
+    );
+    return new ResultAsync(
+      settled.then((outcome) =>
+        outcome.kind === 'applied' ? ok(outcome.value) : err(outcome.failure),
+      ),
+    );
+  }
+
+  private push(body: EntryBody): Entry {
+    const entry = {body, index: this.log.lastIndex + 1, term: this.term};
+    this.log.push(entry);
+    if (body.kind === 'members') {
+      this.refreshMembers();
+    }
+    this.grown.notify();
+    return entry;
+  }
+
+  private notLeader(): ProposalFailure {
+    return {
+      kind: 'not-leader',
+      leader: this.leaderBox,
+      message: `${this.parts.box} does not lead`,
+    };
+  }
+
+  private async waitBarrier() {
+    const asked = this.parts.clock.now();
+    const {term} = this;
+    while (this.isLeader && this.term === term && !this.tasks.ended) {
+      const ownTerm = this.log.termAt(this.commitIndex) === term;
+      const current = this.appliedIndex === this.commitIndex;
+      if (ownTerm && current && this.quorumAckedAt() >= asked) {
+        return ok<void, ProposalFailure>(undefined);
+      }
+      this.grown.notify();
+      await this.acknowledged.wait();
+    }
+    return err<void, ProposalFailure>(this.notLeader());
+  }
+
+  private failWaiters(failure: ProposalFailure): void {
+    for (const waiter of this.waiters.values()) {
+      waiter.settle({failure, kind: 'failed'});
+    }
+    this.waiters.clear();
+  }
+
+  // Disk
+
+  private stateToStore() {
+    return {replica: this.id, term: this.term, votedFor: this.votedFor};
+  }
+
+  private async saveState(): Promise<boolean> {
+    const written = await this.storage.writeState(this.stateToStore());
+    return written.isOk();
+  }
+
+  /** Syncs all entries not yet synced. Runs under the mutex. */
+  private async flush(): Promise<boolean> {
+    const pending = this.log.from(this.syncedIndex + 1);
+    if (pending.length === 0) {
+      return true;
+    }
+    const written = await this.storage.append(pending);
+    if (written.isErr()) {
+      return false;
+    }
+    this.syncedIndex = pending.at(-1)?.index ?? this.syncedIndex;
+    return true;
+  }
+
+  private async runFlush(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.syncedIndex >= this.log.lastIndex) {
+        await this.grown.wait();
+        continue;
+      }
+      const flushed = await this.mutex.run(() => this.flush());
+      if (!flushed) {
+        // A leader that cannot write must not hold the group up.
+        this.stepDown();
+        await this.parts.clock.sleep(this.parts.timing.heartbeatMs, signal);
+      }
+      this.advanceCommit();
+    }
+  }
+
+  // Applying
+
+  private async runApply(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.appliedIndex >= this.commitIndex) {
+        await this.committed.wait();
+        continue;
+      }
+      const entry = this.log.at(this.appliedIndex + 1);
+      invariant(entry !== undefined, 'a committed entry is missing');
+      this.applyEntry(entry);
+      if (this.appliedIndex === this.commitIndex) {
+        this.acknowledged.notify();
+      }
+      if (this.snapshotDue()) {
+        await this.mutex.run(() => this.takeSnapshot());
+      }
+    }
+  }
+
+  private applyEntry(entry: Entry): void {
+    const value =
+      entry.body.kind === 'record'
+        ? this.parts.machine.apply(entry.body.record, entry.index)
+        : undefined;
+    this.appliedIndex = entry.index;
+    const waiter = this.waiters.get(entry.index);
+    if (waiter === undefined) {
+      return;
+    }
+    this.waiters.delete(entry.index);
+    waiter.settle(
+      waiter.term === entry.term
+        ? {kind: 'applied', value}
+        : {failure: leadershipLost(), kind: 'failed'},
+    );
+  }
+
+  private snapshotDue(): boolean {
+    const every = this.parts.snapshotEvery ?? SNAPSHOT_EVERY_ENTRIES;
+    return this.appliedIndex - (this.snapshot?.lastIndex ?? 0) >= every;
+  }
+
+  private async takeSnapshot(): Promise<void> {
+    const lastIndex = this.appliedIndex;
+    const lastTerm = this.log.termAt(lastIndex);
+    if (lastTerm === undefined) {
+      return;
+    }
+    const bytes = this.parts.machine.snapshot();
+    const members = this.membersAt(lastIndex);
+    await this.flush();
+    const snapshot = {bytes, lastIndex, lastTerm, members};
+    const trailing = Math.min(
+      TRAILING_ENTRIES,
+      this.parts.snapshotEvery ?? TRAILING_ENTRIES,
+    );
+    const keepAfter = Math.max(this.log.firstBase, lastIndex - trailing);
+    const written = await this.storage.compact(
+      snapshot,
+      this.log.from(keepAfter + 1),
+    );
+    if (written.isOk()) {
+      this.snapshot = snapshot;
+      this.log.dropThrough(keepAfter);
+    }
+  }
+
+  // Members
+
+  private refreshMembers(): void {
+    const newest = this.log.newestMembers();
+    this.members = newest?.members ?? this.snapshot?.members ?? NO_MEMBERS;
+    this.membersIndex = newest?.index ?? this.snapshot?.lastIndex ?? 0;
+    if (this.isLeader) {
+      this.refreshPeers();
+    }
+  }
+
+  private membersAt(index: number): Members {
+    for (let at = index; at > this.log.firstBase; at -= 1) {
+      const body = this.log.at(at)?.body;
+      if (body?.kind === 'members') {
+        return body.members;
+      }
+    }
+    return this.snapshot?.members ?? NO_MEMBERS;
+  }
+
+  private isVoter(): boolean {
+    return this.members.voters.includes(this.id);
+  }
+
+  private isMember(): boolean {
+    return this.isVoter() || this.members.learners.includes(this.id);
+  }
+
+  private refreshPeers(): void {
+    const wanted = [...this.members.voters, ...this.members.learners];
+    for (const id of this.peers.keys()) {
+      if (!wanted.includes(id)) {
+        this.peers.delete(id);
+      }
+    }
+    for (const id of wanted) {
+      if (id !== this.id && !this.peers.has(id)) {
+        const peer = {
+          ackedAt: -Infinity,
+          id,
+          matchIndex: 0,
+          nextIndex: this.log.lastIndex + 1,
+        };
+        this.peers.set(id, peer);
+        const {term} = this;
+        this.tasks.start((signal) => this.runPeer(peer, term, signal));
+      }
+    }
+  }
+
+  private async admitReplica(newcomer: ReplicaId) {
+    const steps: Array<(members: Members) => Members | undefined> = [
+      (members) => withLearner(members, newcomer),
+      (members) => withoutFormerLives(members, newcomer),
+      (members) => withVoter(members, newcomer),
+    ];
+    for (const step of steps) {
+      if (!this.isLeader) {
+        return err<void, ProposalFailure>(this.notLeader());
+      }
+      if (step === steps[2]) {
+        await this.waitCaughtUp(newcomer);
+      }
+      const barrier = await this.barrier();
+      const next = step(this.members);
+      if (barrier.isOk() && next !== undefined) {
+        const changed = await this.changeMembers(next);
+        if (changed.isErr()) {
+          return err<void, ProposalFailure>(changed.error);
+        }
+      }
+    }
+    return ok<void, ProposalFailure>(undefined);
+  }
+
+  private async waitCaughtUp(id: ReplicaId): Promise<void> {
+    const behind = (): number =>
+      this.commitIndex - (this.peers.get(id)?.matchIndex ?? 0);
+    while (this.isLeader && !this.tasks.ended && behind() > CAUGHT_UP_ENTRIES) {
+      await this.acknowledged.wait();
+    }
+  }
+
+  private async askIdentities(
+    boxes: readonly string[],
+  ): Promise<IdentityReply[]> {
+    const {link, timing} = this.parts;
+    const calls = boxes.map(async (box): Promise<IdentityReply | undefined> => {
+      if (box === this.parts.box) {
+        return {founded: this.founded, replica: this.id};
+      }
+      const to = replicaIdOf(box, '');
+      const answer = await link.call(to, {kind: 'identity'}, timing.callMs);
+      return answer.isOk() ? (answer.value as IdentityReply) : undefined;
+    });
+    const replies = await Promise.all(calls);
+    return replies.filter((reply) => reply !== undefined);
+  }
+
+  private async foundGroup(voters: readonly ReplicaId[]): Promise<void> {
+    const members = {learners: [], voters};
+    const {link, timing} = this.parts;
+    await this.handleFound({kind: 'found', members, to: this.id});
+    const others = voters.filter((voter) => voter !== this.id);
+    await Promise.all(
+      others.map((to) =>
+        link.call(to, {kind: 'found', members, to}, timing.callMs),
+      ),
+    );
+  }
+
+  private async handleFound(request: FoundRequest) {
+    if (this.founded || request.to !== this.id) {
+      return {founded: false};
+    }
+    const body = {kind: 'members', members: request.members} as const;
+    this.log.push({body, index: 1, term: 0});
+    this.refreshMembers();
+    return {founded: await this.flush()};
+  }
+
+  private async askToJoin(identities: readonly IdentityReply[]): Promise<void> {
+    const {link, timing} = this.parts;
+    for (const {founded, replica} of identities) {
+      if (founded && replica !== this.id) {
+        const request = {from: this.id, kind: 'join'} as const;
+        await link.call(replica, request, timing.callMs);
+      }
+    }
+  }
+
+  // Elections
+
+  private async runElections(signal: AbortSignal): Promise<void> {
+    const {clock, random, timing} = this.parts;
+    while (!signal.aborted) {
+      if (this.isLeader) {
+        await clock.sleep(timing.heartbeatMs, signal);
+        this.checkQuorum();
+        continue;
+      }
+      const patience = random.integer(timing.electionMs, 2 * timing.electionMs);
+      await clock.sleep(patience, signal);
+      const silent = clock.now() - this.heardAt >= timing.electionMs;
+      if (!signal.aborted && !this.isLeader && silent && this.isVoter()) {
+        await this.stand();
+      }
+    }
+  }
+
+  /** A leader that a quorum has not answered for a while stops by itself. */
+  private checkQuorum(): void {
+    const silence = this.parts.clock.now() - this.quorumAckedAt();
+    if (this.isLeader && silence > 2 * this.parts.timing.electionMs) {
+      this.becomeFollower(this.term, undefined);
+    }
+  }
+
+  private async stand(): Promise<void> {
+    const {term} = this;
+    if (!(await this.collectVotes(term + 1, true)) || this.term !== term) {
+      return;
+    }
+    const standing = await this.mutex.run(async () => {
+      if (this.term !== term) {
+        return false;
+      }
+      this.term += 1;
+      this.votedFor = this.id;
+      this.role = ROLE.candidate;
+      this.leader = undefined;
+      return this.saveState();
+    });
+    if (standing && (await this.collectVotes(term + 1, false))) {
+      this.becomeLeader(term + 1);
+    }
+  }
+
+  private async collectVotes(term: number, preVote: boolean): Promise<boolean> {
+    const {link, timing} = this.parts;
+    const {voters} = this.members;
+    const request = {
+      from: this.id,
+      kind: 'vote',
+      lastIndex: this.log.lastIndex,
+      lastTerm: this.log.lastTerm,
+      preVote,
+      term,
+    } as const;
+    const others = voters.filter((voter) => voter !== this.id);
+    const needed = quorumOf(voters) - 1;
+    let granted = 0;
+    return new Promise((resolve) => {
+      let open = others.length;
+      const count = (reply: VoteReply | undefined): void => {
+        open -= 1;
+        granted += reply?.granted === true ? 1 : 0;
+        if (reply !== undefined && reply.term > this.term && !preVote) {
+          void this.mutex.run(() => this.adoptTerm(reply.term));
+        }
+        if (granted >= needed || open === 0) {
+          resolve(granted >= needed);
+        }
+      };
+      if (needed === 0) {
+        resolve(true);
+      }
+      for (const to of others) {
+        void link.call(to, {...request, to}, timing.callMs).match(
+          (reply) => count(reply as VoteReply),
+          () => count(undefined),
+        );
+      }
+    });
+  }
+
+  private async handleVote(request: VoteRequest): Promise<VoteReply> {
+    const refuse = {granted: false, term: this.term};
+    if (request.to !== this.id) {
+      return refuse;
+    }
+    const {clock, timing} = this.parts;
+    const heard = clock.now() - this.heardAt < timing.electionMs;
+    const served = this.isLeader || (this.leader !== undefined && heard);
+    if (request.term < this.term || served) {
+      return refuse;
+    }
+    const upToDate =
+      this.parts.breakage?.voteWithoutLogCheck === true ||
+      request.lastTerm > this.log.lastTerm ||
+      (request.lastTerm === this.log.lastTerm &&
+        request.lastIndex >= this.log.lastIndex);
+    if (request.preVote) {
+      return {granted: upToDate, term: this.term};
+    }
+    if (request.term > this.term) {
+      await this.adoptTerm(request.term);
+    }
+    const free = this.votedFor === null || this.votedFor === request.from;
+    if (!upToDate || !free) {
+      return {granted: false, term: this.term};
+    }
+    this.votedFor = request.from;
+    this.heardAt = clock.now();
+    return {granted: await this.saveState(), term: this.term};
+  }
+
+  /** Takes over a higher term and syncs it. Runs under the mutex. */
+  private async adoptTerm(term: number): Promise<void> {
+    if (term > this.term) {
+      this.votedFor = null;
+      this.becomeFollower(term, undefined);
+      await this.saveState();
+    }
+  }
+
+  private becomeLeader(term: number): void {
+    if (this.term !== term || this.role !== ROLE.candidate) {
+      return;
+    }
+    this.role = ROLE.leader;
+    this.leader = this.id;
+    this.peers.clear();
+    this.push({kind: 'noop'});
+    this.refreshPeers();
+    for (const peer of this.peers.values()) {
+      peer.ackedAt = this.parts.clock.now();
+    }
+    this.parts.onRole?.(ROLE.leader, term, this.parts.box);
+  }
+
+  private becomeFollower(term: number, leader: ReplicaId | undefined): void {
+    const changed = this.isLeader || this.leader !== leader;
+    this.term = term;
+    this.role = ROLE.follower;
+    this.leader = leader;
+    this.peers.clear();
+    this.failWaiters(leadershipLost());
+    this.grown.notify();
+    this.acknowledged.notify();
+    if (changed) {
+      this.parts.onRole?.(ROLE.follower, term, this.leaderBox);
+    }
+  }
+
+  // Leading
+
+  private leads(peer: Peer, term: number): boolean {
+    return (
+      this.isLeader && this.term === term && this.peers.get(peer.id) === peer
+    );
+  }
+
+  private async runPeer(
+    peer: Peer,
+    term: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, timing} = this.parts;
+    while (!signal.aborted && this.leads(peer, term)) {
+      const sentAt = clock.now();
+      const progressed =
+        peer.nextIndex <= this.log.firstBase
+          ? await this.sendSnapshot(peer, term)
+          : await this.sendEntries(peer, term);
+      if (!this.leads(peer, term)) {
+        return;
+      }
+      if (progressed) {
+        peer.ackedAt = sentAt;
+        this.acknowledged.notify();
+      } else {
+        await clock.sleep(timing.heartbeatMs / 2, signal);
+      }
+      if (progressed && peer.nextIndex > this.log.lastIndex) {
+        await this.waitForWork(timing.heartbeatMs, signal);
+      }
+    }
+  }
+
+  /** Waits for new entries, at most `ms`. */
+  private async waitForWork(ms: number, signal: AbortSignal): Promise<void> {
+    const stop = new AbortController();
+    const cancel = (): void => stop.abort();
+    signal.addEventListener('abort', cancel, {once: true});
+    await Promise.race([
+      this.grown.wait(),
+      this.parts.clock.sleep(ms, stop.signal),
+    ]);
+    stop.abort();
+    signal.removeEventListener('abort', cancel);
+  }
+
+  private async sendEntries(peer: Peer, term: number): Promise<boolean> {
+    const previousIndex = peer.nextIndex - 1;
+    const previousTerm = this.log.termAt(previousIndex);
+    invariant(previousTerm !== undefined, 'entries to send are not held');
+    const entries = this.log.from(peer.nextIndex, MAX_APPEND_ENTRIES);
+    const request: AppendRequest = {
+      commitIndex: this.commitIndex,
+      entries,
+      from: this.id,
+      kind: 'append',
+      previousIndex,
+      previousTerm,
+      term,
+      to: peer.id,
+    };
+    const answer = await this.parts.link.call(
+      peer.id,
+      request,
+      this.parts.timing.callMs,
+    );
+    if (answer.isErr()) {
+      return false;
+    }
+    const reply = answer.value as AppendReply;
+    if (!(await this.acceptsReply(reply.term)) || !this.leads(peer, term)) {
+      return false;
+    }
+    if (!reply.success) {
+      peer.nextIndex = Math.max(
+        1,
+        Math.min(reply.matchIndex + 1, previousIndex),
+      );
+      return true;
+    }
+    peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
+    peer.nextIndex = peer.matchIndex + 1;
+    this.advanceCommit();
+    return true;
+  }
+
+  private async sendSnapshot(peer: Peer, term: number): Promise<boolean> {
+    const {snapshot} = this;
+    invariant(snapshot !== undefined, 'entries are gone without a snapshot');
+    let offset = 0;
+    while (this.leads(peer, term)) {
+      const end = Math.min(snapshot.bytes.length, offset + SNAPSHOT_PART_BYTES);
+      const request: SnapshotRequest = {
+        bytes: snapshot.bytes.subarray(offset, end),
+        done: end === snapshot.bytes.length,
+        from: this.id,
+        kind: 'snapshot',
+        lastIndex: snapshot.lastIndex,
+        lastTerm: snapshot.lastTerm,
+        members: snapshot.members,
+        offset,
+        term,
+        to: peer.id,
+      };
+      const answer = await this.parts.link.call(
+        peer.id,
+        request,
+        this.parts.timing.callMs,
+      );
+      if (answer.isErr()) {
+        return false;
+      }
+      const reply = answer.value as SnapshotReply;
+      if (!(await this.acceptsReply(reply.term))) {
+        return false;
+      }
+      if (request.done && reply.nextOffset === end) {
+        peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
+        peer.nextIndex = peer.matchIndex + 1;
+        return true;
+      }
+      offset = reply.nextOffset;
+    }
+    return false;
+  }
+
+  private async acceptsReply(term: number): Promise<boolean> {
+    if (term > this.term) {
+      await this.mutex.run(() => this.adoptTerm(term));
+      return false;
+    }
+    return term === this.term;
+  }
+
+  /** The newest time at which a quorum had been reached. */
+  private quorumAckedAt(): number {
+    const now = this.parts.clock.now();
+    const times = this.members.voters.map((voter) =>
+      voter === this.id ? now : (this.peers.get(voter)?.ackedAt ?? -Infinity),
+    );
+    times.sort((a, b) => b - a);
+    return times[quorumOf(this.members.voters) - 1] ?? -Infinity;
+  }
+
+  private advanceCommit(): void {
+    if (!this.isLeader) {
+      return;
+    }
+    const {voters} = this.members;
+    const matches = voters.map((voter) =>
+      voter === this.id
+        ? this.syncedIndex
+        : (this.peers.get(voter)?.matchIndex ?? 0),
+    );
+    matches.sort((a, b) => b - a);
+    const index =
+      this.parts.breakage?.commitWithoutQuorum === true
+        ? this.syncedIndex
+        : (matches[quorumOf(voters) - 1] ?? 0);
+    // Entries of former terms count only once one of this term does.
+    if (index > this.commitIndex && this.log.termAt(index) === this.term) {
+      this.commitIndex = index;
+      this.committed.notify();
+      this.acknowledged.notify();
+      this.leaveIfRemoved();
+    }
+  }
+
+  private leaveIfRemoved(): void {
+    if (!this.isVoter() && this.commitIndex >= this.membersIndex) {
+      this.becomeFollower(this.term, undefined);
+    }
+  }
+
+  // Following
+
+  private async handleAppend(request: AppendRequest): Promise<AppendReply> {
+    const refuse = (): AppendReply => ({
+      matchIndex: Math.min(this.commitIndex, this.syncedIndex),
+      success: false,
+      term: this.term,
+    });
+    if (request.to !== this.id || request.term < this.term) {
+      return refuse();
+    }
+    await this.follow(request.term, request.from);
+    const {previousIndex} = request;
+    const term = this.log.termAt(previousIndex);
+    if (previousIndex > this.log.firstBase && term !== request.previousTerm) {
+      return refuse();
+    }
+    if (previousIndex <= this.log.firstBase && term === undefined) {
+      return this.matched(request, this.log.firstBase);
+    }
+    this.mergeEntries(request.entries);
+    if (!(await this.flush())) {
+      return refuse();
+    }
+    return this.matched(request, previousIndex + request.entries.length);
+  }
+
+  private matched(request: AppendRequest, matchIndex: number): AppendReply {
+    const commitIndex = Math.min(request.commitIndex, matchIndex);
+    if (commitIndex > this.commitIndex) {
+      this.commitIndex = commitIndex;
+      this.committed.notify();
+    }
+    return {matchIndex, success: true, term: this.term};
+  }
+
+  private mergeEntries(entries: readonly Entry[]): void {
+    for (const entry of entries) {
+      const held = this.log.termAt(entry.index);
+      if (entry.index <= this.log.firstBase || held === entry.term) {
+        continue;
+      }
+      if (held !== undefined) {
+        invariant(entry.index > this.commitIndex, 'a committed entry changed');
+        this.log.truncateFrom(entry.index);
+        this.syncedIndex = Math.min(this.syncedIndex, entry.index - 1);
+      }
+      this.log.push(entry);
+    }
+    this.refreshMembers();
+  }
+
+  private async follow(term: number, leader: ReplicaId): Promise<void> {
+    await this.adoptTerm(term);
+    this.heardAt = this.parts.clock.now();
+    if (this.leader !== leader || this.role !== ROLE.follower) {
+      this.becomeFollower(term, leader);
+    }
+  }
+
+  private async handleSnapshot(
+    request: SnapshotRequest,
+  ): Promise<SnapshotReply> {
+    if (request.to !== this.id || request.term < this.term) {
+      return {nextOffset: 0, term: this.term};
+    }
+    await this.follow(request.term, request.from);
+    const nextOffset = this.assembly.add(request);
+    if (request.done && nextOffset === request.offset + request.bytes.length) {
+      const installed = await this.install(request, this.assembly.take());
+      return {nextOffset: installed ? nextOffset : 0, term: this.term};
+    }
+    return {nextOffset, term: this.term};
+  }
+
+  private async install(
+    request: SnapshotRequest,
+    bytes: Uint8Array,
+  ): Promise<boolean> {
+    const {lastIndex, lastTerm, members} = request;
+    if (lastIndex <= this.commitIndex) {
+      return true;
+    }
+    const snapshot = {bytes, lastIndex, lastTerm, members};
+    const written = await this.storage.compact(snapshot, []);
+    if (written.isErr()) {
+      return false;
+    }
+    this.parts.machine.restore(bytes);
+    this.snapshot = snapshot;
+    this.log.reset(lastIndex, lastTerm);
+    this.syncedIndex = lastIndex;
+    this.commitIndex = lastIndex;
+    this.appliedIndex = lastIndex;
+    this.refreshMembers();
+    return true;
+  }
+}
+
+/** The number of voters that make a quorum. */
+export function quorumOf(voters: readonly ReplicaId[]): number {
+  return Math.floor(voters.length / 2) + 1;
+}
+
+function leadershipLost(): Failure<'leadership-lost'> {
+  return {kind: 'leadership-lost', message: 'another replica may lead now'};
+}
+
+function withLearner(members: Members, id: ReplicaId): Members | undefined {
+  return members.learners.includes(id) || members.voters.includes(id)
+    ? undefined
+    : {...members, learners: [...members.learners, id]};
+}
+
+/** Drops earlier lives of the same box: their disk is gone for good. */
+function withoutFormerLives(
+  members: Members,
+  id: ReplicaId,
+): Members | undefined {
+  const stays = (other: ReplicaId): boolean =>
+    other === id || boxOf(other) !== boxOf(id);
+  const voters = members.voters.filter(stays);
+  const learners = members.learners.filter(stays);
+  const same =
+    voters.length === members.voters.length &&
+    learners.length === members.learners.length;
+  return same || voters.length === 0 ? undefined : {learners, voters};
+}
+
+function withVoter(members: Members, id: ReplicaId): Members | undefined {
+  return members.voters.includes(id)
+    ? undefined
+    : {
+        learners: members.learners.filter((learner) => learner !== id),
+        voters: [...members.voters, id],
+      };
+}
--- /dev/null
+++ b/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
@@ -0,0 +1,155 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A group of replicas in one process, on a manual clock. */
+import type {Link} from 'puffinturn-wire';
+import {MemoryNetwork} from 'puffinturn-wire';
+import {invariant, ManualClock, Random, TaskGroup} from 'shared';
+
+import type {LogRequest, ReplicaBreakage, ReplicaId} from '../../index';
+import {
+  boxOf,
+  DEFAULT_TIMING,
+  LogLink,
+  Machine,
+  MemoryDisk,
+  Replica,
+} from '../../index';
+
+/** Keeps the records that were applied. */
+export class ListMachine extends Machine {
+  records: unknown[] = [];
+
+  override apply(record: unknown): unknown {
+    this.records.push(record);
+    return this.records.length;
+  }
+
+  override snapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.records));
+  }
+
+  override restore(bytes: Uint8Array): void {
+    this.records = JSON.parse(Buffer.from(bytes).toString());
+  }
+}
+
+class FixtureLink extends LogLink {
+  constructor(private readonly link: Link) {
+    super();
+  }
+
+  override call(to: ReplicaId, request: LogRequest, timeoutMs: number) {
+    return this.link
+      .call(boxOf(to), 'log', request, timeoutMs)
+      .mapErr(({message}) => ({kind: 'unreachable', message}) as const);
+  }
+}
+
+/** One running replica. */
+export interface Member {
+  readonly replica: Replica;
+  readonly machine: ListMachine;
+  readonly tasks: TaskGroup;
+}
+
+/** Boxes a, b, c, ... with one replica each. */
+export class ReplicaGroup {
+  readonly clock = new ManualClock();
+  readonly network: MemoryNetwork;
+  readonly disks = new Map<string, MemoryDisk>();
+  readonly members = new Map<string, Member>();
+  private lives = 0;
+
+  constructor(
+    readonly boxes: readonly string[],
+    private readonly snapshotEvery = 1_000,
+    private readonly breakage?: ReplicaBreakage,
+  ) {
+    this.network = new MemoryNetwork(this.clock, new Random(7));
+  }
+
+  async start(box: string): Promise<void> {
+    const disk = this.disks.get(box) ?? new MemoryDisk();
+    this.disks.set(box, disk);
+    const link = this.network.connect(box);
+    const machine = new ListMachine();
+    this.lives += 1;
+    const opened = await Replica.open({
+      box,
+      breakage: this.breakage,
+      clock: this.clock,
+      disk,
+      incarnation: String(this.lives),
+      link: new FixtureLink(link),
+      machine,
+      random: new Random(100 + this.lives),
+      snapshotEvery: this.snapshotEvery,
+      timing: DEFAULT_TIMING,
+    });
+    invariant(opened.isOk(), 'the replica must open');
+    const replica = opened.value;
+    link.register('log', (body) => replica.handle(body as LogRequest));
+    const tasks = new TaskGroup();
+    tasks.start(() => replica.takePart(this.boxes));
+    this.members.set(box, {machine, replica, tasks});
+  }
+
+  async startAll(): Promise<void> {
+    for (const box of this.boxes) {
+      await this.start(box);
+    }
+    await this.clock.advance(5_000);
+  }
+
+  /** Ends a box at once; what was not synced is lost. */
+  kill(box: string): void {
+    this.network.disconnect(box);
+    this.disks.get(box)?.crash();
+    void this.members.get(box)?.replica[Symbol.asyncDispose]();
+    this.members.delete(box);
+  }
+
+  async stopAll(): Promise<void> {
+    for (const box of [...this.members.keys()]) {
+      this.kill(box);
+    }
+    await this.clock.advance(5_000);
+  }
+
+  member(box: string): Member {
+    const member = this.members.get(box);
+    invariant(member !== undefined, `${box} is not running`);
+    return member;
+  }
+
+  /** The box that leads with the highest term. */
+  leader(): string {
+    const leaders = [...this.members.entries()]
+      .filter(([, {replica}]) => replica.isLeader)
+      .sort(
+        ([, a], [, b]) => b.replica.status().term - a.replica.status().term,
+      );
+    invariant(leaders[0] !== undefined, 'no box leads');
+    return leaders[0][0];
+  }
+
+  /** Proposes at the leader and drives time until there is an outcome. */
+  async propose(record: unknown, box = this.leader()): Promise<boolean> {
+    let done: boolean | undefined;
+    void this.member(box)
+      .replica.propose(record)
+      .match(
+        () => (done = true),
+        () => (done = false),
+      );
+    for (let turn = 0; turn < 100 && done === undefined; turn += 1) {
+      await this.clock.advance(50);
+    }
+    return done ?? false;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-log/src/index.ts
@@ -0,0 +1,25 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** The replicated log of a region's control boxes. */
+export type {DiskFailure, DiskFault} from './Disk';
+export {Disk, FolderDisk, MemoryDisk} from './Disk';
+export type {ReplicaTiming} from './LogConstants';
+export {DEFAULT_TIMING} from './LogConstants';
+export type {LogLinkFailure} from './LogLink';
+export {LogLink, Machine} from './LogLink';
+export type {
+  LogRequest,
+  Members,
+  ProposalFailure,
+  ReplicaId,
+} from './LogMessages';
+export {boxOf, replicaIdOf} from './LogMessages';
+export type {CorruptionFailure, StorageFailure} from './LogStorage';
+export {LogStorage} from './LogStorage';
+export type {ReplicaBreakage, ReplicaParts, Role} from './Replica';
+export {quorumOf, Replica, ROLE} from './Replica';
--- /dev/null
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -0,0 +1,206 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * A box's own side of membership: registers its process, tells the leader of
+ * itself, and takes over the configuration that comes back.
+ */
+import type {ControlClient} from 'puffinturn-ledger';
+import type {Timeline} from 'puffinturn-timeline';
+import {EVENT_KIND} from 'puffinturn-timeline';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+import {Condition, TaskGroup} from 'shared';
+
+import {FleetConfig} from './FleetConfig';
+import type {
+  BoxNews,
+  Heartbeat,
+  HeartbeatReply,
+  MemberReply,
+  UpstreamCount,
+} from './MemberMessages';
+import {MEMBER_SERVICE} from './MemberMessages';
+import {
+  CONFIG_LEASE_MS,
+  HEARTBEAT_CALL_MS,
+  HEARTBEAT_MS,
+} from './MembershipConstants';
+import {OpenAdmissions} from './OpenAdmissions';
+
+const REGISTER_TIMEOUT_MS = 5_000;
+
+/** What a member needs. */
+export interface BoxMemberParts {
+  readonly box: string;
+  readonly hall: string;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly control: ControlClient;
+  readonly controlBoxes: readonly string[];
+  readonly timeline: Timeline;
+  /** A name that no process of this box has had. */
+  readonly newIncarnation: () => string;
+  /** What this box has in flight to upstreams. */
+  readonly inFlight: () => readonly UpstreamCount[];
+  /** Upstreams that told this box that they are leaving. */
+  readonly leaving: () => readonly string[];
+  /** Takes over what all other boxes report. */
+  readonly onNews: (news: HeartbeatReply) => void;
+  /** Ignores the lease, to show that the tests find it. */
+  readonly ignoreLease?: boolean;
+}
+
+/** See the module comment. */
+export class BoxMember implements AsyncDisposable {
+  /** The process's name in the ledger; changes when it was fenced. */
+  incarnation: string;
+  /** Admissions of this incarnation that are open. */
+  admissions = new OpenAdmissions();
+  /** The configuration in force as far as this box knows. */
+  config = FleetConfig.empty;
+  /** Other boxes of the region. */
+  boxes: readonly BoxNews[] = [];
+  private stopping = false;
+  private registered = false;
+  private currentUntil = -Infinity;
+  private leader: string | undefined;
+  private turn = 0;
+  private readonly changed = new Condition();
+  private readonly tasks = new TaskGroup();
+
+  constructor(private readonly parts: BoxMemberParts) {
+    this.incarnation = parts.newIncarnation();
+    this.tasks.start((signal) => this.run(signal));
+  }
+
+  /**
+   * Whether this box may start new work: registered, and its configuration
+   * was proved current a short while ago.
+   */
+  get isReady(): boolean {
+    const current =
+      this.parts.clock.now() < this.currentUntil ||
+      this.parts.ignoreLease === true;
+    return this.registered && current && this.config.index > 0;
+  }
+
+  /** Waits until the configuration is at least at `index`. */
+  async waitForConfig(index: number, timeoutMs: number): Promise<boolean> {
+    const {clock} = this.parts;
+    const end = clock.now() + timeoutMs;
+    while (this.config.index < index && clock.now() < end) {
+      await this.beat();
+      if (this.config.index < index) {
+        await clock.sleep(HEARTBEAT_MS / 10);
+      }
+    }
+    return this.config.index >= index;
+  }
+
+  /** Tells the others at once that this box takes no new work. */
+  async announceStop(): Promise<void> {
+    this.stopping = true;
+    await this.beat();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.tasks[Symbol.asyncDispose]();
+    this.changed.notify();
+  }
+
+  private async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (!this.registered) {
+        await this.register();
+      }
+      await this.beat();
+      await this.parts.clock.sleep(HEARTBEAT_MS, signal);
+    }
+  }
+
+  private async register(): Promise<void> {
+    const {box, clock, control, hall, timeline} = this.parts;
+    const {incarnation} = this;
+    const outcome = await control.submit(
+      {at: clock.wallTime(), box, hall, incarnation, kind: 'register'},
+      {timeoutMs: REGISTER_TIMEOUT_MS},
+    );
+    if (outcome.isErr()) {
+      return;
+    }
+    if (outcome.value.kind === 'noted') {
+      this.registered = true;
+      timeline.note(EVENT_KIND.boxRegistered, {detail: incarnation});
+    } else {
+      this.renew();
+    }
+  }
+
+  /** Goes on as a new process after this one was fenced. */
+  private renew(): void {
+    this.registered = false;
+    this.incarnation = this.parts.newIncarnation();
+    this.admissions = new OpenAdmissions();
+  }
+
+  private async beat(): Promise<void> {
+    const {clock, link, timeline} = this.parts;
+    const sentAt = clock.now();
+    const {incarnation} = this;
+    const answer = await link.call(
+      this.target(),
+      MEMBER_SERVICE,
+      this.heartbeat(),
+      HEARTBEAT_CALL_MS,
+    );
+    const reply = answer.isOk() ? (answer.value as MemberReply) : undefined;
+    if (reply?.kind !== 'heartbeat') {
+      this.turn += 1;
+      this.leader = reply?.leader;
+      return;
+    }
+    timeline.clock.observe(reply.stamp);
+    this.currentUntil = Math.max(this.currentUntil, sentAt + CONFIG_LEASE_MS);
+    this.adopt(reply);
+    if (reply.fenced && this.registered && this.incarnation === incarnation) {
+      this.renew();
+    }
+  }
+
+  private heartbeat(): Heartbeat {
+    const {box, inFlight, leaving, timeline} = this.parts;
+    return {
+      box,
+      configIndex: this.config.index,
+      floor: this.admissions.floor,
+      inFlight: inFlight(),
+      incarnation: this.incarnation,
+      kind: 'heartbeat',
+      leaving: leaving(),
+      stamp: timeline.clock.tick(),
+      stopping: this.stopping,
+    };
+  }
+
+  private target(): string {
+    const {box, controlBoxes} = this.parts;
+    return this.leader ?? controlBoxes[this.turn % controlBoxes.length] ?? box;
+  }
+
+  private adopt(reply: HeartbeatReply): void {
+    const former = this.config;
+    this.config = former.with(reply.entries, reply.configIndex);
+    this.boxes = reply.boxes;
+    this.parts.onNews(reply);
+    if (this.config !== former) {
+      const detail = `index ${this.config.index}`;
+      this.parts.timeline.note(EVENT_KIND.configChanged, {detail});
+      this.changed.notify();
+    }
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-membership/src/MemberMessages.ts
@@ -0,0 +1,63 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Messages between boxes and the leader about membership. */
+import type {DeclarationEntry} from 'puffinturn-ledger';
+import type {Stamp} from 'puffinturn-timeline';
+
+/** The service name on the link. */
+export const MEMBER_SERVICE = 'member';
+
+/** Requests in flight to one upstream. */
+export interface UpstreamCount {
+  readonly pool: string;
+  readonly upstream: string;
+  readonly count: number;
+}
+
+/** What a box tells of itself. */
+export interface Heartbeat {
+  readonly kind: 'heartbeat';
+  readonly box: string;
+  readonly incarnation: string;
+  readonly configIndex: number;
+  /** Lowest serial of an admission that is still open. */
+  readonly floor: number;
+  readonly stopping: boolean;
+  readonly inFlight: readonly UpstreamCount[];
+  /** Upstreams that told this box that they are leaving. */
+  readonly leaving: readonly string[];
+  readonly stamp: Stamp;
+}
+
+/** A box as the others see it. */
+export interface BoxNews {
+  readonly box: string;
+  readonly incarnation: string;
+  readonly stopping: boolean;
+}
+
+/** What the leader answers. */
+export interface HeartbeatReply {
+  readonly kind: 'heartbeat';
+  /** True when this process is fenced and must register anew. */
+  readonly fenced: boolean;
+  readonly configIndex: number;
+  /** Changes after the index that the box has. */
+  readonly entries: readonly DeclarationEntry[];
+  readonly boxes: readonly BoxNews[];
+  /** In flight from all other boxes. */
+  readonly inFlight: readonly UpstreamCount[];
+  /** Upstreams that any box knows to be leaving. */
+  readonly leaving: readonly string[];
+  readonly stamp: Stamp;
+}
+
+/** Every answer to a heartbeat. */
+export type MemberReply =
+  | HeartbeatReply
+  | {readonly kind: 'not-leader'; readonly leader: string | undefined};
--- /dev/null
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -0,0 +1,302 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Gives requests a place on an upstream of their pool: at once when there is
+ * room, else in the order of the queue, or not at all when the deadline cannot
+ * be met. A place ends when its lease is disposed.
+ */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {UpstreamSpec} from 'puffinturn-settings';
+import type {Clock, Failure} from 'shared';
+
+import type {Choice} from './Choice';
+import {Circuit} from './Circuit';
+import type {Limit} from './Limit';
+import {MAX_EJECTED_SHARE, MAX_WAITING} from './RoutingConstants';
+import {Upstream} from './Upstream';
+import type {WaitingQueue, WaitingRequest} from './WaitingQueue';
+
+/** A request for a place. */
+export interface PlaceRequest extends WaitingRequest {
+  readonly prefix: readonly string[];
+  /** Upstreams that this request has tried. */
+  readonly avoid: ReadonlySet<string>;
+  /** Aborted when the caller has gone. */
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** Why there is no place. Nothing was sent anywhere. */
+export type PlaceFailure =
+  | (Failure<'overloaded'> & {readonly retryAfterMs: number})
+  | Failure<'caller-gone'>
+  | Failure<'no-upstream'>;
+
+/** What a router is made of. */
+export interface RouterParts {
+  readonly pool: string;
+  readonly clock: Clock;
+  readonly choice: Choice;
+  readonly limit: Limit;
+  readonly queue: WaitingQueue<Waiter>;
+  /** First-token target, ms. */
+  readonly targetMs: number;
+  /** Whether a request that cannot meet its deadline is refused early. */
+  readonly refusesEarly?: boolean;
+}
+
+interface Waiter extends WaitingRequest {
+  readonly request: PlaceRequest;
+  readonly settle: (result: Result<Place, PlaceFailure>) => void;
+}
+
+interface Member {
+  readonly upstream: Upstream;
+  readonly circuit: Circuit;
+}
+
+const THROUGHPUT_SMOOTHING = 0.05;
+
+/** A place on an upstream. */
+export class Place implements Disposable {
+  private ended = false;
+
+  constructor(
+    readonly upstream: Upstream,
+    private readonly circuit: Circuit,
+    private readonly limit: Limit,
+    private readonly targetMs: number,
+    private readonly onEnd: () => void,
+  ) {
+    upstream.inFlight += 1;
+    upstream.sentSinceReport += 1;
+    circuit.sent();
+  }
+
+  /** Whether the upstream takes no new work any more. */
+  get isLeaving(): boolean {
+    return this.upstream.leaving;
+  }
+
+  /** Notes the time to the first token or answer. */
+  answered(firstTokenMs: number): void {
+    this.circuit.succeeded();
+    this.upstream.observe(firstTokenMs);
+    this.limit.observe(this.upstream, firstTokenMs, this.targetMs);
+  }
+
+  /** Notes that the upstream failed. */
+  failed(): void {
+    this.circuit.failed();
+  }
+
+  [Symbol.dispose](): void {
+    if (!this.ended) {
+      this.ended = true;
+      this.upstream.inFlight -= 1;
+      this.onEnd();
+    }
+  }
+}
+
+/** See the module comment. */
+export class Router {
+  private readonly members = new Map<string, Member>();
+  /** Moving average of the time between two places that end, ms. */
+  private endIntervalMs: number | undefined;
+  private lastEnd = 0;
+
+  constructor(private readonly parts: RouterParts) {}
+
+  /** Upstreams that are known. */
+  get upstreams(): Upstream[] {
+    return [...this.members.values()].map(({upstream}) => upstream);
+  }
+
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.parts.queue.size;
+  }
+
+  /** Takes over the declared upstreams; state of those that stay is kept. */
+  declare(specs: readonly UpstreamSpec[]): void {
+    const names = new Set(specs.map(({name}) => name));
+    for (const name of this.members.keys()) {
+      if (!names.has(name)) {
+        this.members.delete(name);
+      }
+    }
+    for (const spec of specs) {
+      const known = this.members.get(spec.name);
+      if (known !== undefined) {
+        known.upstream.spec = spec;
+        continue;
+      }
+      const upstream = new Upstream(this.parts.pool, spec);
+      const circuit = new Circuit(this.parts.clock);
+      this.members.set(spec.name, {circuit, upstream});
+    }
+    this.serveWaiting();
+  }
+
+  /** Marks upstreams as leaving or not, by name. */
+  markLeaving(isLeaving: (name: string) => boolean): void {
+    for (const {upstream} of this.members.values()) {
+      upstream.leaving = isLeaving(upstream.name);
+    }
+    this.serveWaiting();
+  }
+
+  /** A place, at once or after a wait. */
+  acquire(request: PlaceRequest): Promise<Result<Place, PlaceFailure>> {
+    const usable = this.usable();
+    if (usable.length === 0) {
+      const message = `no upstream of ${this.parts.pool} takes work`;
+      return Promise.resolve(err({kind: 'no-upstream', message}));
+    }
+    const place = this.parts.queue.size === 0 ? this.place(request) : undefined;
+    if (place !== undefined) {
+      return Promise.resolve(ok(place));
+    }
+    const refusal = this.earlyRefusal(request);
+    return refusal === undefined
+      ? this.wait(request)
+      : Promise.resolve(err(refusal));
+  }
+
+  /** Gives free places to waiting requests. */
+  serveWaiting(): void {
+    const {clock, queue} = this.parts;
+    while (queue.size > 0 && this.hasRoom()) {
+      const waiter = queue.pop();
+      if (waiter === undefined) {
+        return;
+      }
+      if (waiter.deadline <= clock.now()) {
+        waiter.settle(err(this.overloaded('the deadline has passed')));
+        continue;
+      }
+      const place =
+        this.place(waiter.request) ?? this.place(waiter.request, true);
+      if (place === undefined) {
+        queue.push(waiter);
+        return;
+      }
+      waiter.settle(ok(place));
+    }
+  }
+
+  /** Refuses waiting requests whose deadline has passed. */
+  expireWaiting(): void {
+    if (this.usable().length > 0) {
+      this.serveWaiting();
+    }
+  }
+
+  private wait(request: PlaceRequest): Promise<Result<Place, PlaceFailure>> {
+    const {clock, queue} = this.parts;
+    return new Promise((resolve) => {
+      const done = new AbortController();
+      const {cost, deadline, priority, signal, team, weight} = request;
+      const settle = (result: Result<Place, PlaceFailure>): void => {
+        done.abort();
+        signal?.removeEventListener('abort', giveUp);
+        resolve(result);
+      };
+      const waiter = {cost, deadline, priority, request, settle, team, weight};
+      const giveUp = (): void => {
+        queue.remove(waiter);
+        settle(err({kind: 'caller-gone', message: 'the caller has gone'}));
+      };
+      signal?.addEventListener('abort', giveUp, {once: true});
+      queue.push(waiter);
+      void clock.sleep(deadline - clock.now(), done.signal).then(() => {
+        if (queue.remove(waiter)) {
+          settle(err(this.overloaded('no upstream came free in time')));
+        }
+      });
+    });
+  }
+
+  private earlyRefusal(request: PlaceRequest): PlaceFailure | undefined {
+    const {clock, queue, refusesEarly} = this.parts;
+    if (refusesEarly === false) {
+      return undefined;
+    }
+    if (queue.size >= MAX_WAITING) {
+      const shed = queue.shed(request.priority);
+      if (shed === undefined) {
+        return this.overloaded('too many requests wait');
+      }
+      shed.settle(err(this.overloaded('a more urgent request came')));
+    }
+    const waitMs = queue.size * (this.endIntervalMs ?? 0);
+    // The estimate is rough: only a clear miss is refused ahead of time, and
+    // an urgent request does not wait behind the whole queue.
+    const hopeless = clock.now() + waitMs / 2 > request.deadline;
+    return hopeless && request.priority > 0
+      ? this.overloaded('the deadline cannot be met')
+      : undefined;
+  }
+
+  private overloaded(message: string): PlaceFailure {
+    const drainMs = this.parts.queue.size * (this.endIntervalMs ?? 100);
+    const retryAfterMs = Math.min(30_000, Math.max(1_000, drainMs));
+    return {kind: 'overloaded', message, retryAfterMs};
+  }
+
+  private place(request: PlaceRequest, again = false): Place | undefined {
+    const free = this.usable().filter(({upstream}) => this.isFree(upstream));
+    const untried = free.filter(
+      ({upstream}) => again || !request.avoid.has(upstream.name),
+    );
+    if (untried.length === 0) {
+      return undefined;
+    }
+    const context = {now: this.parts.clock.now(), prefix: request.prefix};
+    const upstreams = untried.map(({upstream}) => upstream);
+    const chosen = this.parts.choice.choose(upstreams, context);
+    const member = untried.find(({upstream}) => upstream === chosen);
+    return member && this.placeOn(member);
+  }
+
+  private placeOn({circuit, upstream}: Member): Place {
+    const {limit, targetMs} = this.parts;
+    return new Place(upstream, circuit, limit, targetMs, () => this.onEnd());
+  }
+
+  private onEnd(): void {
+    const now = this.parts.clock.now();
+    const interval = now - this.lastEnd;
+    this.lastEnd = now;
+    this.endIntervalMs =
+      this.endIntervalMs === undefined
+        ? interval
+        : this.endIntervalMs +
+          THROUGHPUT_SMOOTHING * (interval - this.endIntervalMs);
+    this.serveWaiting();
+  }
+
+  private hasRoom(): boolean {
+    return this.usable().some(({upstream}) => this.isFree(upstream));
+  }
+
+  private isFree(upstream: Upstream): boolean {
+    return upstream.inFlight < this.parts.limit.allowed(upstream);
+  }
+
+  /** Upstreams that take work. Circuits never take out more than a share. */
+  private usable(): Member[] {
+    const staying = [...this.members.values()].filter(
+      ({upstream}) => !upstream.leaving,
+    );
+    const closed = staying.filter(({circuit}) => circuit.admits);
+    const fewest = Math.ceil(staying.length * (1 - MAX_EJECTED_SHARE));
+    return closed.length >= fewest ? closed : staying;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -0,0 +1,161 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * A network in memory for tests: delays, lost messages and one-way cuts, all
+ * by a Clock that the test drives.
+ */
+import {Decoder, Encoder} from 'cbor-x';
+import type {ResultAsync} from 'neverthrow';
+import {err, ok, ResultAsync as Async} from 'neverthrow';
+import type {Clock, Random} from 'shared';
+import {describeError} from 'shared';
+
+import type {LinkFailure} from './Link';
+import {Link} from './Link';
+
+const encoder = new Encoder({useRecords: false});
+const decoder = new Decoder({useRecords: false});
+
+/** How long a message takes. */
+export interface Delay {
+  readonly lowMs: number;
+  readonly highMs: number;
+}
+
+/** All links of a test. */
+export class MemoryNetwork {
+  /** Delay of each message, drawn anew, so that messages overtake. */
+  delay: Delay = {highMs: 2, lowMs: 1};
+  private readonly links = new Map<string, MemoryLink>();
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  /** Connects a box; a later link of the same name takes its place. */
+  connect(box: string): MemoryLink {
+    const link = new MemoryLink(box, this);
+    this.links.set(box, link);
+    return link;
+  }
+
+  /** Stops a box from receiving or sending anything. */
+  disconnect(box: string): void {
+    this.links.delete(box);
+  }
+
+  /** Loses every message from one box to another until healed. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts every pair between two sides, in both directions. */
+  partition(left: readonly string[], right: readonly string[]): void {
+    for (const a of left) {
+      for (const b of right) {
+        this.cut(a, b);
+        this.cut(b, a);
+      }
+    }
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  /** Carries one call; used by MemoryLink. */
+  async carry(
+    link: MemoryLink,
+    to: string,
+    service: string,
+    body: unknown,
+    timeoutMs: number,
+  ) {
+    const deadline = this.clock.sleep(timeoutMs).then(() => undefined);
+    const answer = await Promise.race([
+      this.roundTrip(link, to, service, encoder.encode(body)),
+      deadline,
+    ]);
+    if (answer === undefined) {
+      const message = `${to} did not answer`;
+      return err<unknown, LinkFailure>({kind: 'no-answer', message});
+    }
+    return answer;
+  }
+
+  private async roundTrip(
+    link: MemoryLink,
+    to: string,
+    service: string,
+    bytes: Buffer,
+  ) {
+    const from = link.box;
+    if (!(await this.travel(from, to)) || this.links.get(from) !== link) {
+      return undefined;
+    }
+    const target = this.links.get(to);
+    if (target === undefined) {
+      return undefined;
+    }
+    const running = target.receive(service, decoder.decode(bytes), from);
+    const answer = await running.then(
+      (value) =>
+        ok<unknown, LinkFailure>(decoder.decode(encoder.encode(value))),
+      (error) =>
+        err<unknown, LinkFailure>({
+          kind: 'peer-failed',
+          message: describeError(error),
+        }),
+    );
+    if (this.links.get(to) !== target) {
+      return undefined;
+    }
+    const arrived = await this.travel(to, from);
+    return arrived && this.links.get(from) === link ? answer : undefined;
+  }
+
+  private async travel(from: string, to: string): Promise<boolean> {
+    if (from === to) {
+      return true;
+    }
+    const {highMs, lowMs} = this.delay;
+    const share = this.random.fraction();
+    await this.clock.sleep(lowMs + share * (highMs - lowMs));
+    return !this.cuts.has(`${from}>${to}`);
+  }
+}
+
+/** The link of one box in a MemoryNetwork. */
+export class MemoryLink extends Link {
+  constructor(
+    readonly box: string,
+    private readonly network: MemoryNetwork,
+  ) {
+    super();
+  }
+
+  override call(
+    box: string,
+    service: string,
+    body: unknown,
+    timeoutMs: number,
+  ): ResultAsync<unknown, LinkFailure> {
+    return new Async(this.network.carry(this, box, service, body, timeoutMs));
+  }
+
+  /** Runs the handler of a service for a message that has arrived. */
+  receive(service: string, body: unknown, from: string): Promise<unknown> {
+    return (
+      this.dispatch(service, body, from) ??
+      Promise.reject(new Error(`no service ${service}`))
+    );
+  }
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,21 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Basics that every package uses. */
+export {
+  Clock,
+  ManualClock,
+  ScaledClock,
+  settleTasks,
+  SystemClock,
+} from './Clock';
+export {digestBytes, digestValue} from './Digest';
+export type {Failure} from './Failure';
+export {describeError} from './Failure';
+export {invariant, InvariantError} from './Invariant';
+export {Random} from './Random';
+export {Condition, DisposableList, Mutex, TaskGroup} from './Task';
--- /dev/null
+++ b/scripts/quickstart.mjs
@@ -0,0 +1,139 @@
+/**
+ * Starts one box with two stand-in engines and a stand-in service on loopback
+ * and prints a request to try. Everything lives in .data/quickstart.
+ */
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+import {Daemon, makeLog, waitReady} from 'puffinturn-daemon';
+import {checkValue, DeclarationSchema, readSettings} from 'puffinturn-settings';
+import {Engine, PlainService} from 'puffinturn-stand-in';
+import {digestBytes} from 'shared';
+import {request} from 'undici';
+
+const FOLDER = join('.data', 'quickstart');
+const CALLER_PORT = 7080;
+const OPERATOR_PORT = 7081;
+const LINK_PORT = 7082;
+const READY_MS = 20_000;
+const TEAM_KEY = 'pt-quickstart-team';
+const OPERATOR_KEY = 'pt-quickstart-operator';
+
+function fail(message) {
+  process.stderr.write(`${message}\n`);
+  process.exit(1);
+}
+
+function unwrap(result) {
+  return result.isOk() ? result.value : fail(result.error.message);
+}
+
+function writeSettings() {
+  mkdirSync(FOLDER, {mode: 0o700, recursive: true});
+  const fleetKey = join(FOLDER, 'fleet.key');
+  writeFileSync(fleetKey, 'quickstart-only-'.repeat(4), {mode: 0o600});
+  writeFileSync(join(FOLDER, 'operator.key'), OPERATOR_KEY, {mode: 0o600});
+  const file = join(FOLDER, 'settings.json');
+  const settings = {
+    box: 'box-1',
+    callers: {host: '127.0.0.1', port: CALLER_PORT},
+    dataFolder: 'data',
+    fleet: {
+      boxes: [
+        {
+          control: true,
+          hall: 'hall-1',
+          host: '127.0.0.1',
+          name: 'box-1',
+          port: LINK_PORT,
+          region: 'local',
+        },
+      ],
+      keyFile: 'fleet.key',
+      primaryRegion: 'local',
+    },
+    limits: {drainNoticeMs: 0},
+    logs: {format: 'pretty', level: 'warn'},
+    operators: {
+      host: '127.0.0.1',
+      keys: [{name: 'quickstart', sha256: digestBytes(OPERATOR_KEY)}],
+      port: OPERATOR_PORT,
+    },
+  };
+  writeFileSync(file, JSON.stringify(settings, null, 2));
+  return file;
+}
+
+function declarations(engines, service) {
+  const template = readFileSync(
+    'examples/quickstart/declarations.json',
+    'utf8',
+  );
+  const text = template
+    .replace('ENGINE_1', engines[0].url)
+    .replace('ENGINE_2', engines[1].url)
+    .replace('SERVICE_1', service.url)
+    .replace('TEAM_KEY_SHA256', digestBytes(TEAM_KEY));
+  return JSON.parse(text);
+}
+
+/** Sends each declaration with the number after the one in force. */
+async function apply(list) {
+  const headers = {
+    authorization: `Bearer ${OPERATOR_KEY}`,
+    'content-type': 'application/json',
+  };
+  const base = `http://127.0.0.1:${OPERATOR_PORT}`;
+  const config = await request(`${base}/v1/config`, {headers});
+  const {entries} = await config.body.json();
+  for (const item of list) {
+    const known = entries.find(
+      ({declaration: {kind, name}}) => kind === item.kind && name === item.name,
+    );
+    const number = (known?.declaration.number ?? 0) + 1;
+    const body = unwrap(
+      checkValue(DeclarationSchema, {...item, number}, 'quickstart'),
+    );
+    const answer = await request(`${base}/v1/declarations`, {
+      body: JSON.stringify(body),
+      headers,
+      method: 'POST',
+    });
+    if (answer.statusCode !== 200) {
+      fail(await answer.body.text());
+    }
+    await answer.body.dump();
+  }
+}
+
+const engines = [await new Engine().listen(), await new Engine().listen()];
+const service = await new PlainService().listen();
+const settings = unwrap(await readSettings(writeSettings()));
+const daemon = unwrap(await Daemon.start(settings, makeLog(settings)));
+const stopped = new Promise((resolve) => {
+  process.once('SIGINT', resolve);
+  process.once('SIGTERM', resolve);
+});
+await apply(declarations(engines, service));
+unwrap(await waitReady(daemon, READY_MS));
+
+process.stdout.write(`
+puffinturn is ready: callers on 127.0.0.1:${CALLER_PORT}, operators on 127.0.0.1:${OPERATOR_PORT}
+
+  curl -N http://127.0.0.1:${CALLER_PORT}/v1/chat/completions \\
+    -H 'Authorization: Bearer ${TEAM_KEY}' -H 'Content-Type: application/json' \\
+    -d '{"model":"demo","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+
+  npx puffinturn budget --key-file ${join(FOLDER, 'operator.key')}
+
+Ctrl-C stops everything.
+`);
+
+await stopped;
+await daemon.stop(new AbortController().signal);
+await daemon[Symbol.asyncDispose]();
+for (const server of [...engines, service]) {
+  await server[Symbol.asyncDispose]();
+}
+process.stdout.write('stopped\n');
+process.exit(0);
