Fuzz whole fleets in one process and keep never-repeated keys at home

Change: never-repeated requests are forwarded to the home region of their budget, which alone keeps their keys. Repeatable ones run where they arrive; a region reports what it billed to the home region, which lets the first claim stand and has any other taken back. A home region that cannot be reached refuses never-repeated requests of other regions as not run.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -140,6 +140,8 @@
     });
     this.gateway = new Gateway({
       box: self.name,
+      boxesOf: (name) =>
+        namesOf(place.boxes.filter((box) => box.region === name)),
       client: parts.client,
       clock,
       control: this.client,
@@ -151,6 +153,7 @@
       newKey: parts.newName,
       pools: this.pools,
       random,
+      region: self.region,
       timeline,
     });
     this.registration = link.register(TIMELINE_SERVICE, async () =>
--- /dev/null
+++ b/packages/puffinturn-fuzz/src/Step.ts
@@ -0,0 +1,153 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** What a fuzzing run can do to a fleet. */
+import fc from 'fast-check';
+
+import type {Mode} from './UpstreamWorld';
+
+import {FUZZ_BOXES} from './FuzzFleet';
+import {MODE} from './UpstreamWorld';
+
+/** Requests: few names, so that retries and racing keys are common. */
+export const REQUEST_NAMES = [
+  'o1',
+  'o2',
+  'o3',
+  'o4',
+  'o5',
+  'o6',
+  'o7',
+  'o8',
+] as const;
+
+/** Kinds of requests. */
+export const REQUEST_KIND = {
+  /** Never-repeated, with a business key. */
+  marked: 'marked',
+  /** Repeatable, streamed, with the caller's key. */
+  stream: 'stream',
+  /** Repeatable, without a key. */
+  unkeyed: 'unkeyed',
+} as const;
+
+/** One of REQUEST_KIND. */
+export type RequestKind = (typeof REQUEST_KIND)[keyof typeof REQUEST_KIND];
+
+/** One step; `afterMs` passes before the next one. */
+export type Step = {readonly afterMs: number} & (
+  | {
+      readonly kind: 'request';
+      readonly box: string;
+      readonly name: string;
+      readonly request: RequestKind;
+      readonly leavesAfterMs: number | null;
+    }
+  | {readonly kind: 'kill' | 'lose-disk' | 'start'; readonly box: string}
+  | {readonly kind: 'freeze' | 'thaw'; readonly box: string}
+  | {readonly kind: 'isolate'; readonly box: string}
+  | {readonly kind: 'one-way-cut'; readonly from: string; readonly to: string}
+  | {readonly kind: 'part-regions'}
+  | {readonly kind: 'heal'}
+  | {readonly kind: 'delay'; readonly highMs: number}
+  | {readonly kind: 'upstream'; readonly url: string; readonly mode: Mode}
+  | {readonly kind: 'price'; readonly box: string}
+  | {readonly kind: 'racing-price'; readonly boxes: readonly [string, string]}
+  | {readonly kind: 'top-up'; readonly box: string}
+  | {readonly kind: 'drain'; readonly box: string; readonly on: boolean}
+);
+
+/** Addresses of the fake upstreams of the service and of the pool. */
+export const SERVICE_URLS = ['http://service-1', 'http://service-2'] as const;
+/** Addresses of the fake engines. */
+export const ENGINE_URLS = ['http://engine-1', 'http://engine-2'] as const;
+
+const boxName = fc.constantFrom(...FUZZ_BOXES.map(({name}) => name));
+const afterMs = fc.oneof(
+  {arbitrary: fc.integer({max: 60, min: 0}), weight: 3},
+  {arbitrary: fc.integer({max: 3_000, min: 100}), weight: 2},
+);
+
+const request = fc.record({
+  afterMs,
+  box: boxName,
+  kind: fc.constant('request' as const),
+  leavesAfterMs: fc.oneof(
+    {arbitrary: fc.constant(null), weight: 9},
+    {arbitrary: fc.integer({max: 200, min: 0}), weight: 1},
+  ),
+  name: fc.constantFrom(...REQUEST_NAMES),
+  request: fc.constantFrom(...Object.values(REQUEST_KIND)),
+});
+
+const fault = fc.oneof(
+  fc.record({
+    afterMs,
+    box: boxName,
+    kind: fc.constantFrom(
+      'kill' as const,
+      'kill' as const,
+      'start' as const,
+      'start' as const,
+      'lose-disk' as const,
+      'isolate' as const,
+      'freeze' as const,
+      'thaw' as const,
+    ),
+  }),
+  fc.record({
+    afterMs,
+    from: boxName,
+    kind: fc.constant('one-way-cut' as const),
+    to: boxName,
+  }),
+  fc.record({
+    afterMs,
+    kind: fc.constantFrom(
+      'part-regions' as const,
+      'heal' as const,
+      'heal' as const,
+    ),
+  }),
+  fc.record({
+    afterMs,
+    highMs: fc.constantFrom(2, 20, 150),
+    kind: fc.constant('delay' as const),
+  }),
+  fc.record({
+    afterMs,
+    kind: fc.constant('upstream' as const),
+    mode: fc.constantFrom(...Object.values(MODE)),
+    url: fc.constantFrom(...SERVICE_URLS, ...ENGINE_URLS),
+  }),
+);
+
+const change = fc.oneof(
+  fc.record({
+    afterMs,
+    box: boxName,
+    kind: fc.constantFrom('price' as const, 'top-up' as const),
+  }),
+  fc.record({
+    afterMs,
+    boxes: fc.tuple(boxName, boxName),
+    kind: fc.constant('racing-price' as const),
+  }),
+  fc.record({
+    afterMs,
+    box: boxName,
+    kind: fc.constant('drain' as const),
+    on: fc.boolean(),
+  }),
+);
+
+/** One random step. */
+export const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {arbitrary: request, weight: 6},
+  {arbitrary: fault, weight: 4},
+  {arbitrary: change, weight: 1},
+);
--- /dev/null
+++ b/packages/puffinturn-fuzz/src/UpstreamWorld.ts
@@ -0,0 +1,211 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Upstreams in memory that count what they really execute. */
+import type {ResultAsync} from 'neverthrow';
+import type {
+  UpstreamAnswer,
+  UpstreamFailure,
+  UpstreamRequest,
+} from 'puffinturn-gateway';
+import type {Clock} from 'shared';
+
+import {err, ok, ResultAsync as Async} from 'neverthrow';
+import {UpstreamClient} from 'puffinturn-gateway';
+
+/** How an upstream behaves. */
+export const MODE = {
+  /** Executes, then the connection ends in the middle of the answer. */
+  breakAfter: 'break-after',
+  /** Executes, then the connection ends before the answer. */
+  breakBefore: 'break-before',
+  /** Executes and never answers. */
+  hang: 'hang',
+  /** Says that it is leaving and executes nothing. */
+  leaving: 'leaving',
+  ok: 'ok',
+  /** Takes no connections. */
+  refuse: 'refuse',
+  slow: 'slow',
+} as const;
+
+/** One of MODE. */
+export type Mode = (typeof MODE)[keyof typeof MODE];
+
+/** One execution at an upstream. */
+export interface Execution {
+  readonly url: string;
+  /** What the request's body names itself. */
+  readonly name: string;
+  readonly at: number;
+}
+
+const LATENCY_MS = 20;
+const SLOW_MS = 2_500;
+const encoder = new TextEncoder();
+
+/** All upstreams of a run. */
+export class UpstreamWorld {
+  /** Every execution, in order. */
+  readonly executions: Execution[] = [];
+  private readonly modes = new Map<string, Mode>();
+
+  constructor(readonly clock: Clock) {}
+
+  /** Changes how an upstream behaves. */
+  setMode(url: string, mode: Mode): void {
+    this.modes.set(url, mode);
+  }
+
+  /** How an upstream behaves. */
+  modeOf(url: string): Mode {
+    return this.modes.get(url) ?? MODE.ok;
+  }
+
+  /** All upstreams work again. */
+  repair(): void {
+    this.modes.clear();
+  }
+
+  /** Executions by name. */
+  countOf(name: string): number {
+    return this.executions.filter((one) => one.name === name).length;
+  }
+}
+
+/** The client of one life of one box. */
+export class WorldClient extends UpstreamClient {
+  private readonly ended = new AbortController();
+
+  constructor(
+    private readonly world: UpstreamWorld,
+    /** Stops a frozen box from sending. */
+    private readonly gate: () => Promise<void>,
+  ) {
+    super();
+  }
+
+  override send(
+    request: UpstreamRequest,
+  ): ResultAsync<UpstreamAnswer, UpstreamFailure> {
+    return new Async(this.exchange(request));
+  }
+
+  override async [Symbol.asyncDispose](): Promise<void> {
+    this.ended.abort();
+  }
+
+  private async exchange(request: UpstreamRequest) {
+    const {clock} = this.world;
+    await this.gate();
+    if (this.ended.signal.aborted) {
+      return err<UpstreamAnswer, UpstreamFailure>(failure('not-sent'));
+    }
+    const mode = this.world.modeOf(request.url);
+    if (mode === MODE.refuse) {
+      return err<UpstreamAnswer, UpstreamFailure>(failure('not-sent'));
+    }
+    await clock.sleep(LATENCY_MS / 2);
+    if (mode === MODE.leaving) {
+      const headers = {
+        'puffinturn-leaving': 'true',
+        'puffinturn-not-run': 'true',
+      };
+      return ok<UpstreamAnswer, UpstreamFailure>({
+        body: bodyOf([]),
+        headers,
+        status: 503,
+      });
+    }
+    const body = JSON.parse(String(Buffer.from(request.body ?? '{}')));
+    this.execute(request.url, nameIn(body));
+    await clock.sleep(mode === MODE.slow ? SLOW_MS : LATENCY_MS / 2);
+    if (mode === MODE.hang) {
+      await untilAborted(request.signal, clock);
+    }
+    if (mode === MODE.breakBefore || request.signal.aborted) {
+      return err<UpstreamAnswer, UpstreamFailure>(failure('broken'));
+    }
+    return ok<UpstreamAnswer, UpstreamFailure>({
+      body: this.answerBody(body, mode),
+      headers: {'content-type': 'application/json'},
+      status: 200,
+    });
+  }
+
+  private execute(url: string, name: string): void {
+    const at = this.world.clock.now();
+    this.world.executions.push({at, name, url});
+  }
+
+  private answerBody(
+    body: Record<string, unknown>,
+    mode: Mode,
+  ): AsyncIterable<Uint8Array> {
+    const parts =
+      body.stream === true
+        ? streamParts(body)
+        : [encoder.encode(JSON.stringify({echo: nameIn(body)}))];
+    return mode === MODE.breakAfter
+      ? brokenBody(parts.slice(0, Math.floor(parts.length / 2)))
+      : bodyOf(parts);
+  }
+}
+
+function failure(kind: 'broken' | 'not-sent'): UpstreamFailure {
+  return {kind, message: kind};
+}
+
+/** Time after which a client gives up on an upstream that hangs, ms. */
+const CLIENT_TIMEOUT_MS = 20_000;
+
+async function untilAborted(signal: AbortSignal, clock: Clock): Promise<void> {
+  await clock.sleep(CLIENT_TIMEOUT_MS, signal);
+}
+
+/** The name that a body gives its request. */
+export function nameIn(body: Record<string, unknown>): string {
+  const messages = body.messages as {content: string}[] | undefined;
+  return String(body.order ?? messages?.[0]?.content ?? '');
+}
+
+/** Tokens that every stream has. */
+export const STREAM_TOKENS = 6;
+
+function streamParts(body: Record<string, unknown>): Uint8Array[] {
+  const messages = body.messages as {content: string; role: string}[];
+  const last = messages.at(-1);
+  const continues = body.continue_final_message === true;
+  const made = continues
+    ? (last?.content.split(' ').filter(Boolean).length ?? 0)
+    : 0;
+  const parts: string[] = [];
+  for (let token = made; token < STREAM_TOKENS; token += 1) {
+    const choices = [{delta: {content: `${nameIn(body)}.${token} `}}];
+    parts.push(`data: ${JSON.stringify({choices})}\n\n`);
+  }
+  const usage = {
+    completion_tokens: STREAM_TOKENS - made,
+    prompt_tokens: 5,
+  };
+  parts.push(`data: ${JSON.stringify({choices: [], usage})}\n\n`);
+  parts.push('data: [DONE]\n\n');
+  return parts.map((part) => encoder.encode(part));
+}
+
+async function* bodyOf(
+  parts: readonly Uint8Array[],
+): AsyncGenerator<Uint8Array> {
+  yield* parts;
+}
+
+async function* brokenBody(
+  parts: readonly Uint8Array[],
+): AsyncGenerator<Uint8Array> {
+  yield* parts;
+  throw new Error('the connection ended');
+}
--- /dev/null
+++ b/packages/puffinturn-fuzz/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Stateful fuzzing of whole fleets in one process. */
+export type {FuzzOptions, FuzzReport} from './Fuzz';
+export {BREAKAGES, fuzz} from './Fuzz';
+export {FuzzFleet} from './FuzzFleet';
+export type {FuzzBreakage, RunReport} from './FuzzRun';
+export {FuzzRun} from './FuzzRun';
+export type {Step} from './Step';
--- a/packages/puffinturn-gateway/src/Admission.ts
+++ b/packages/puffinturn-gateway/src/Admission.ts
@@ -37,14 +37,20 @@
   readonly view: RequestView;
 }
 
-/** Either may run here, or runs or ran elsewhere. */
+/** May run here, is known already, or is another region's to admit. */
 export type Admitted =
+  | {
+      readonly kind: 'elsewhere';
+      readonly plan: Plan;
+      readonly region: string;
+    }
   | {readonly kind: 'attempt'; readonly attempt: Attempt}
   | {readonly kind: 'known'; readonly known: Known};
 
 /** What admission needs. */
 export interface AdmissionParts {
   readonly box: string;
+  readonly region: string;
   readonly clock: Clock;
   readonly control: ControlClient;
   readonly member: BoxMember;
@@ -78,6 +84,10 @@
       if (plan.isErr()) {
         return err(plan.error);
       }
+      const home = this.homeElsewhere(plan.value);
+      if (home !== undefined) {
+        return ok({kind: 'elsewhere', plan: plan.value, region: home});
+      }
       const step = await this.tryOnce(plan.value, startedAt);
       if (step.kind === 'end') {
         return step.result;
@@ -86,6 +96,16 @@
     return err(notReady());
   }
 
+  /**
+   * The keys of never-repeated requests are kept by the home region of their
+   * budget alone, so that no second region can run the same one.
+   */
+  private homeElsewhere({decision}: Plan): string | undefined {
+    const {member, region} = this.parts;
+    const home = member.config.budgetHome(decision.budget);
+    return decision.marked && home !== region ? home : undefined;
+  }
+
   private async tryOnce(plan: Plan, startedAt: number): Promise<Step> {
     const {clock, control, member} = this.parts;
     const {admissions} = member;
--- a/packages/puffinturn-gateway/src/AnswerStore.ts
+++ b/packages/puffinturn-gateway/src/AnswerStore.ts
@@ -54,6 +54,13 @@
     this.running.set(idOf(id), answer);
   }
 
+  /** Keeps an answer that was made elsewhere, unless one is here. */
+  keep(id: RequestId, answer: Answer): void {
+    if (this.find(id, answer.attempt) === undefined) {
+      this.kept.set(idOf(id), answer);
+    }
+  }
+
   /** Gives up every answer that is being made, as when the process ends. */
   abandonAll(): void {
     for (const answer of this.running.values()) {
--- a/packages/puffinturn-gateway/src/Gateway.ts
+++ b/packages/puffinturn-gateway/src/Gateway.ts
@@ -24,6 +24,7 @@
 import {AnswerStore} from './AnswerStore';
 import {FOLLOW_PAUSE_MS} from './GatewayConstants';
 import type {GatewayFailure} from './GatewayFailure';
+import {Forwarding} from './Forwarding';
 import {gatewayFailure, OUTCOME} from './GatewayFailure';
 import type {GatewayMetrics} from './GatewayMetrics';
 import type {CallerRequest, PlanParts} from './Plan';
@@ -37,10 +38,13 @@
 /** What a gateway is made of. */
 export interface GatewayParts {
   readonly box: string;
+  readonly region: string;
   readonly client: UpstreamClient;
   readonly clock: Clock;
   readonly control: ControlClient;
   readonly link: Link;
+  /** Boxes of another region that take requests. */
+  readonly boxesOf: (region: string) => readonly string[];
   readonly member: BoxMember;
   readonly metrics: GatewayMetrics;
   readonly newKey: () => string;
@@ -66,6 +70,7 @@
   readonly store: AnswerStore;
   private readonly admission: Admission;
   private readonly exchange: AnswerExchange;
+  private readonly forwarding: Forwarding;
   private readonly settlement: Settlement;
   private readonly budgets = new Map<string, bigint>();
   private readonly runs = new TaskGroup();
@@ -85,6 +90,7 @@
       control,
       keepMs: (marked) => (marked ? parts.keepMarkedMs : parts.keepAnswerMs),
       member,
+      region: parts.region,
       onAvailable: (budget, available) =>
         this.budgets.set(budget, BigInt(available)),
     });
@@ -95,6 +101,16 @@
       pools,
       wallTime: () => clock.wallTime(),
     };
+    this.forwarding = new Forwarding({
+      boxesOf: parts.boxesOf,
+      clock,
+      exchange: this.exchange,
+      handle: (request) => this.handle(request),
+      link,
+      member,
+      random: parts.random,
+      store: this.store,
+    });
     this.runParts = {...parts, settlement: this.settlement};
   }
 
@@ -136,6 +152,12 @@
         metrics.admission.observe((clock.now() - startedAt) / 1_000);
         return ok(this.start(admitted.value.attempt));
       }
+      if (admitted.value.kind === 'elsewhere') {
+        return this.forwarding.forward(
+          admitted.value.region,
+          admitted.value.plan,
+        );
+      }
       const {known} = admitted.value;
       const followed = await this.follow(known);
       if (followed !== undefined) {
@@ -165,6 +187,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.exchange[Symbol.dispose]();
+    this.forwarding[Symbol.dispose]();
     this.runs.abort();
     this.store.abandonAll();
     await this.runs[Symbol.asyncDispose]();
--- a/packages/puffinturn-gateway/src/GatewayFailure.ts
+++ b/packages/puffinturn-gateway/src/GatewayFailure.ts
@@ -43,6 +43,7 @@
   overloaded: {outcome: OUTCOME.notRun, status: 503},
   policy_failed: {outcome: OUTCOME.notRun, status: 403},
   policy_refused: {outcome: OUTCOME.notRun, status: 403},
+  region_unreachable: {outcome: OUTCOME.notRun, status: 503},
   still_running: {outcome: OUTCOME.unknown, status: 504},
   stopping: {outcome: OUTCOME.notRun, status: 503},
   upstream_broke_off: {outcome: OUTCOME.ran, status: 502},
--- a/packages/puffinturn-ledger/src/ControlMessages.ts
+++ b/packages/puffinturn-ledger/src/ControlMessages.ts
@@ -67,6 +67,27 @@
   readonly amount: number;
 }
 
+/** A request with the caller's key that a region has billed. */
+export interface BilledRequest {
+  readonly team: string;
+  readonly key: string;
+  readonly attempt: number;
+  readonly budget: string;
+  readonly digest: string;
+  readonly box: string;
+  readonly incarnation: string;
+  readonly keepMs: number;
+}
+
+/** The home region's answer to a BilledRequest. */
+export interface BilledVerdict {
+  readonly team: string;
+  readonly key: string;
+  readonly attempt: number;
+  /** True when another region bills it. */
+  readonly duplicate: boolean;
+}
+
 /** One round between the leaders of two regions. */
 export interface ExchangeRequest {
   readonly kind: 'exchange';
@@ -75,6 +96,7 @@
   readonly sequence: number;
   readonly needs: readonly BudgetNeed[];
   readonly returns: readonly BudgetReturn[];
+  readonly billed: readonly BilledRequest[];
 }
 
 /** What the home region answers about one budget. */
@@ -96,6 +118,7 @@
   readonly changes: readonly DeclarationEntry[];
   readonly grants: readonly BudgetGrant[];
   readonly acceptedReturns: readonly BudgetReturn[];
+  readonly verdicts: readonly BilledVerdict[];
   /** Budgets that the home region wants to hear about in the next round. */
   readonly queries: readonly string[];
 }
--- a/packages/puffinturn-ledger/src/Ledger.ts
+++ b/packages/puffinturn-ledger/src/Ledger.ts
@@ -35,6 +35,7 @@
 import type {
   AdmitOutcome,
   AttemptOutcome,
+  ClaimOutcome,
   DeclareOutcome,
   LedgerOutcome,
   RequestView,
@@ -43,11 +44,13 @@
 import type {
   AdmitRecord,
   AttemptId,
+  ClaimRecord,
   DeclareRecord,
   DispatchRecord,
   FloorRecord,
   ImportRecord,
   LedgerRecord,
+  ReportedRecord,
   RequestState,
   SettleRecord,
   VoidRecord,
@@ -183,6 +186,10 @@
         return {kind: 'noted'};
       case 'floor':
         return this.raiseFloor(record);
+      case 'claim':
+        return this.claim(record);
+      case 'reported':
+        return this.noteReported(record);
       case 'sweep':
         return this.sweep(record.at);
       default:
@@ -316,7 +323,10 @@
       return found.outcome;
     }
     const {entry} = found;
-    const charge = Math.max(0, Math.min(record.charge, entry.reserve));
+    const claimed = entry.claimedBy !== undefined;
+    const charge = claimed
+      ? 0
+      : Math.max(0, Math.min(record.charge, entry.reserve));
     entry.answer = entry.marked ? record.answer : undefined;
     this.close(entry, record.outcome, charge, record.at);
     return {budget: entry.budget, charge, kind: 'done'};
@@ -352,6 +362,43 @@
       entry.generatedKey = true;
     }
     this.requests.close(entry, state, charge, at);
+    const mustReport = !budget.home && !entry.marked && !entry.generatedKey;
+    if (mustReport && charge > 0) {
+      this.requests.setUnreported(entry, true);
+    }
+  }
+
+  // Requests that several regions may have billed
+
+  private claim(record: ClaimRecord): ClaimOutcome {
+    const {region, team} = record;
+    const known = this.requests.get(team, record.key);
+    if (known === undefined || known.state === REQUEST_STATE.void) {
+      this.requests.put(claimedEntry(record));
+      return {kind: 'claimed'};
+    }
+    if (known.claimedBy === region || known.digest !== record.digest) {
+      return {kind: 'claimed'};
+    }
+    if (known.claimedBy === undefined && isOpen(known)) {
+      known.claimedBy = region;
+      return {kind: 'claimed'};
+    }
+    return {kind: 'duplicate'};
+  }
+
+  private noteReported(record: ReportedRecord): LedgerOutcome {
+    const entry = this.requests.get(record.team, record.key);
+    if (entry?.unreported !== true || entry.attempt !== record.attempt) {
+      return {kind: 'noted'};
+    }
+    this.requests.setUnreported(entry, false);
+    const budget = this.budgets.get(entry.budget);
+    if (record.duplicate && budget !== undefined) {
+      budget.settled -= entry.charge;
+      entry.charge = 0;
+    }
+    return {kind: 'noted'};
   }
 
   private raiseFloor(record: FloorRecord): LedgerOutcome {
@@ -515,6 +562,29 @@
   };
 }
 
+function claimedEntry(record: ClaimRecord): RequestEntry {
+  const {at, attempt, box, budget, digest, incarnation} = record;
+  const {keepMs, key, region, team} = record;
+  return {
+    attempt,
+    box,
+    budget,
+    charge: 0,
+    claimedBy: region,
+    digest,
+    expiresAt: at + keepMs,
+    generatedKey: false,
+    incarnation,
+    keepMs,
+    key,
+    marked: false,
+    reserve: 0,
+    serial: 0,
+    state: REQUEST_STATE.settled,
+    team,
+  };
+}
+
 function rejected(reason: string): DeclareOutcome {
   return {kind: 'rejected', reason};
 }
--- a/packages/puffinturn-ledger/src/LedgerConstants.ts
+++ b/packages/puffinturn-ledger/src/LedgerConstants.ts
@@ -60,3 +60,6 @@
 
 /** Longest wait of an admission within one call, ms. */
 export const WAIT_SLICE_MS = 1_500;
+
+/** Billed requests in one round between two regions at most. */
+export const MAX_REPORTS = 500;
--- a/packages/puffinturn-ledger/src/LedgerOutcomes.ts
+++ b/packages/puffinturn-ledger/src/LedgerOutcomes.ts
@@ -93,6 +93,11 @@
   readonly amount: number;
 }
 
+/** Answer to a claim of another region. */
+export interface ClaimOutcome {
+  readonly kind: 'claimed' | 'duplicate';
+}
+
 /** Answer to records that only note something. */
 export interface NotedOutcome {
   readonly kind: 'noted';
@@ -102,6 +107,7 @@
 export type LedgerOutcome =
   | AdmitOutcome
   | AttemptOutcome
+  | ClaimOutcome
   | DeclareOutcome
   | NotedOutcome
   | TransferOutcome;
--- a/packages/puffinturn-ledger/src/LedgerRecords.ts
+++ b/packages/puffinturn-ledger/src/LedgerRecords.ts
@@ -174,10 +174,33 @@
   readonly amount: number;
 }
 
+/**
+ * At home: another region has billed a request with the caller's key. Of two
+ * regions that billed the same one, the first to claim it keeps its charge.
+ */
+export interface ClaimRecord extends AttemptId {
+  readonly kind: 'claim';
+  readonly region: string;
+  readonly budget: string;
+  readonly digest: string;
+  readonly box: string;
+  readonly incarnation: string;
+  readonly keepMs: number;
+  readonly at: number;
+}
+
+/** At the region that billed a request: the home region's answer. */
+export interface ReportedRecord extends AttemptId {
+  readonly kind: 'reported';
+  /** True when another region bills it; the charge here is taken back. */
+  readonly duplicate: boolean;
+}
+
 /** Every record. */
 export type LedgerRecord =
   | AcceptReturnRecord
   | AdmitRecord
+  | ClaimRecord
   | DeclareRecord
   | DispatchRecord
   | FenceRecord
@@ -186,6 +209,7 @@
   | ImportRecord
   | ReceiveRecord
   | RegisterRecord
+  | ReportedRecord
   | ReturnRecord
   | SettleRecord
   | SweepRecord
--- a/packages/puffinturn-ledger/src/RegionExchange.ts
+++ b/packages/puffinturn-ledger/src/RegionExchange.ts
@@ -16,6 +16,8 @@
 import type {BudgetState} from './BudgetAccount';
 import {available} from './BudgetAccount';
 import type {
+  BilledRequest,
+  BilledVerdict,
   BudgetGrant,
   BudgetNeed,
   BudgetReturn,
@@ -26,7 +28,12 @@
 import type {SplitSide} from './GrantSplit';
 import {targetFor} from './GrantSplit';
 import type {Ledger} from './Ledger';
-import {EXCHANGE_FRESH_MS, MAX_NEEDS, REFILL_SHARE} from './LedgerConstants';
+import {
+  EXCHANGE_FRESH_MS,
+  MAX_NEEDS,
+  MAX_REPORTS,
+  REFILL_SHARE,
+} from './LedgerConstants';
 import type {LedgerOutcome, TransferOutcome} from './LedgerOutcomes';
 import type {LedgerRecord} from './LedgerRecords';
 
@@ -104,7 +111,14 @@
     needs.sort((a, b) => b.lacking - a.lacking);
     needs.length = Math.min(needs.length, MAX_NEEDS);
     const sequence = ledger.declarations.globalSequence;
-    return {kind: 'exchange', needs, region: ledger.region, returns, sequence};
+    return {
+      billed: this.billedFor(region),
+      kind: 'exchange',
+      needs,
+      region: ledger.region,
+      returns,
+      sequence,
+    };
   }
 
   /** Commits what the other region answered. */
@@ -128,6 +142,11 @@
       this.outlooks.set(grant.budget, {at: now, units: grant.outlook});
       await this.acceptGrant(grant);
     }
+    await Promise.all(
+      reply.verdicts.map((verdict) =>
+        this.parts.commit({...verdict, kind: 'reported'}),
+      ),
+    );
     for (const budget of reply.queries) {
       this.queried.add(budget);
     }
@@ -161,7 +180,58 @@
         ? ledger.declarations.sinceSequence(request.sequence)
         : [];
     const queries = this.queriesFor(request.region);
-    return {acceptedReturns, changes, grants, kind: 'exchange', queries};
+    const verdicts = await this.judge(request);
+    return {
+      acceptedReturns,
+      changes,
+      grants,
+      kind: 'exchange',
+      queries,
+      verdicts,
+    };
+  }
+
+  private billedFor(region: string): BilledRequest[] {
+    const {ledger} = this.parts;
+    const billed: BilledRequest[] = [];
+    for (const entry of ledger.requests.unreported) {
+      if (billed.length >= MAX_REPORTS) {
+        break;
+      }
+      if (ledger.budgets.get(entry.budget)?.homeRegion === region) {
+        const {attempt, box, budget, digest, incarnation} = entry;
+        const {keepMs, key, team} = entry;
+        billed.push({
+          attempt,
+          box,
+          budget,
+          digest,
+          incarnation,
+          keepMs,
+          key,
+          team,
+        });
+      }
+    }
+    return billed;
+  }
+
+  /** Decides for each reported request whether it was billed before. */
+  private async judge(request: ExchangeRequest): Promise<BilledVerdict[]> {
+    const at = this.parts.clock.wallTime();
+    const verdicts = request.billed.map(async (billed) => {
+      const {attempt, key, team} = billed;
+      const outcome = await this.parts.commit({
+        ...billed,
+        at,
+        kind: 'claim',
+        region: request.region,
+      });
+      const duplicate = outcome?.kind === 'duplicate';
+      return outcome && {attempt, duplicate, key, team};
+    });
+    const known = await Promise.all(verdicts);
+    return known.filter((verdict) => verdict !== undefined);
   }
 
   private needOf(budget: BudgetState): BudgetNeed | undefined {
--- a/packages/puffinturn-ledger/src/RequestTable.ts
+++ b/packages/puffinturn-ledger/src/RequestTable.ts
@@ -29,6 +29,10 @@
   /** When a closed request is forgotten; 0 while open. */
   expiresAt: number;
   answer?: KeptAnswer | undefined;
+  /** Another region that bills this request. */
+  claimedBy?: string | undefined;
+  /** Billed here, and the home region has not been told. */
+  unreported?: boolean | undefined;
 }
 
 /** Whether the request may still run or be running. */
@@ -51,6 +55,7 @@
 export class RequestTable {
   private readonly entries = new Map<string, RequestEntry>();
   private readonly open = new Map<string, Map<number, RequestEntry>>();
+  private readonly untold = new Set<RequestEntry>();
   private readonly expiring = new Map<number, Set<RequestEntry>>();
 
   /** Requests known, open and closed. */
@@ -63,7 +68,7 @@
     return this.entries.get(idOf(team, key));
   }
 
-  /** Adds or replaces an open request. */
+  /** Adds or replaces a request. */
   put(entry: RequestEntry): void {
     const former = this.get(entry.team, entry.key);
     if (former !== undefined) {
@@ -97,6 +102,21 @@
     return owned === undefined ? [] : [...owned.values()];
   }
 
+  /** Billed requests of which the home region has not been told. */
+  get unreported(): ReadonlySet<RequestEntry> {
+    return this.untold;
+  }
+
+  /** Notes whether the home region must be told of a request. */
+  setUnreported(entry: RequestEntry, unreported: boolean): void {
+    entry.unreported = unreported;
+    if (unreported) {
+      this.untold.add(entry);
+    } else {
+      this.untold.delete(entry);
+    }
+  }
+
   /** Forgets closed requests whose time is up. */
   expire(at: number): void {
     for (const [bucket, entries] of this.expiring) {
@@ -106,6 +126,7 @@
       this.expiring.delete(bucket);
       for (const entry of entries) {
         this.entries.delete(idOf(entry.team, entry.key));
+        this.untold.delete(entry);
       }
     }
   }
@@ -114,6 +135,7 @@
   clear(): void {
     this.entries.clear();
     this.open.clear();
+    this.untold.clear();
     this.expiring.clear();
   }
 
@@ -129,12 +151,16 @@
       this.open.set(owner, owned.set(entry.serial, entry));
       return;
     }
+    if (entry.unreported === true) {
+      this.untold.add(entry);
+    }
     const bucket = Math.floor(entry.expiresAt / EXPIRY_BUCKET_MS);
     const expiring = this.expiring.get(bucket) ?? new Set();
     this.expiring.set(bucket, expiring.add(entry));
   }
 
   private unindex(entry: RequestEntry): void {
+    this.untold.delete(entry);
     const owner = ownerOf(entry.box, entry.incarnation);
     const owned = this.open.get(owner);
     owned?.delete(entry.serial);
--- a/packages/puffinturn-membership/src/FleetConfig.ts
+++ b/packages/puffinturn-membership/src/FleetConfig.ts
@@ -96,6 +96,12 @@
     return this.targets.get(name);
   }
 
+  /** The region that keeps a budget and the keys of what it pays for. */
+  budgetHome(name: string): string | undefined {
+    const declaration = this.find('budget', name);
+    return declaration?.kind === 'budget' ? declaration.spec?.home : undefined;
+  }
+
   /** All pools and services. */
   allTargets(): Target[] {
     return [...this.targets.values()];
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -39,9 +39,15 @@
     private readonly random: Random,
   ) {}
 
-  /** Connects a box; a later link of the same name takes its place. */
-  connect(box: string): MemoryLink {
-    const link = new MemoryLink(box, this);
+  /**
+   * Connects a box; a later link of the same name takes its place. Messages
+   * are held back until `whileRunning` resolves, as for a frozen process.
+   */
+  connect(
+    box: string,
+    whileRunning: () => Promise<void> = () => Promise.resolve(),
+  ): MemoryLink {
+    const link = new MemoryLink(box, this, whileRunning);
     this.links.set(box, link);
     return link;
   }
@@ -105,6 +111,10 @@
     if (target === undefined) {
       return undefined;
     }
+    await target.whileRunning();
+    if (this.links.get(to) !== target) {
+      return undefined;
+    }
     const running = target.receive(service, decoder.decode(bytes), from);
     const answer = await running.then(
       (value) =>
@@ -119,6 +129,7 @@
       return undefined;
     }
     const arrived = await this.travel(to, from);
+    await link.whileRunning();
     return arrived && this.links.get(from) === link ? answer : undefined;
   }
 
@@ -138,6 +149,7 @@
   constructor(
     readonly box: string,
     private readonly network: MemoryNetwork,
+    readonly whileRunning: () => Promise<void>,
   ) {
     super();
   }
--- a/scripts/licence.mjs
+++ b/scripts/licence.mjs
@@ -15,8 +15,9 @@
     if (!file.endsWith('.ts')) continue;
     const path = join(root, file);
     const text = readFileSync(path, 'utf8');
-    if (!text.startsWith('/**\n * Copyright')) {
-      writeFileSync(path, `${HEADER}\n${text}`);
+    if (!/^(#!.*\n+)?\/\*\*\n \* Copyright/.test(text)) {
+      const [, shebang = '', rest] = /^(#!.*\n+)?([^]*)$/.exec(text);
+      writeFileSync(path, `${shebang}${HEADER}\n${rest}`);
     }
   }
 }
