--- a/packages/puffinturn-fuzz/src/Fuzz.ts
+++ b/packages/puffinturn-fuzz/src/Fuzz.ts
@@ -10,10 +10,9 @@
 import {invariant} from 'shared';
 
 import type {Counts, FuzzBreakage} from './FuzzRun';
+import {FuzzRun} from './FuzzRun';
 import type {Breach} from './Oracle';
 import type {Step} from './Step';
-
-import {FuzzRun} from './FuzzRun';
 import {stepArbitrary} from './Step';
 
 /** Deliberate breakages; each must be found. */
--- a/packages/puffinturn-fuzz/src/FuzzDeclarations.ts
+++ b/packages/puffinturn-fuzz/src/FuzzDeclarations.ts
@@ -7,7 +7,6 @@
 
 /** The declarations that every run starts with. */
 import type {Declaration} from 'puffinturn-settings';
-
 import {checkValue, DeclarationSchema} from 'puffinturn-settings';
 import {digestBytes, invariant} from 'shared';
 
--- a/packages/puffinturn-fuzz/src/FuzzFleet.ts
+++ b/packages/puffinturn-fuzz/src/FuzzFleet.ts
@@ -7,15 +7,14 @@
 
 /** Real boxes of two regions in one process, over fakes for all outside. */
 import type {ResultAsync} from 'neverthrow';
-import type {BoxBreakage, FleetPlace} from 'puffinturn-daemon';
-import type {Ledger} from 'puffinturn-ledger';
-import type {DiskFailure} from 'puffinturn-log';
-import type {Declaration, FleetBox} from 'puffinturn-settings';
-
 import {errAsync, ResultAsync as Async} from 'neverthrow';
+import type {BoxBreakage, FleetPlace} from 'puffinturn-daemon';
 import {Box, OperatorApi} from 'puffinturn-daemon';
 import {GatewayMetrics} from 'puffinturn-gateway';
+import type {Ledger} from 'puffinturn-ledger';
+import type {DiskFailure} from 'puffinturn-log';
 import {MemoryDisk} from 'puffinturn-log';
+import type {Declaration, FleetBox} from 'puffinturn-settings';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random, ScaledClock} from 'shared';
 
--- a/packages/puffinturn-fuzz/src/FuzzRun.ts
+++ b/packages/puffinturn-fuzz/src/FuzzRun.ts
@@ -6,21 +6,17 @@
  */
 
 /** Runs a list of steps against a fleet and checks the promises. */
-import type {CallerRequest, Gateway} from 'puffinturn-gateway';
 import type {BoxBreakage} from 'puffinturn-daemon';
-import type {DeclareReply} from 'puffinturn-ledger';
-import type {Declaration} from 'puffinturn-settings';
-
+import type {CallerRequest, Gateway} from 'puffinturn-gateway';
 import {checkCompletion} from 'puffinturn-gateway';
+import type {DeclareReply} from 'puffinturn-ledger';
 import {allotted, grantedOut} from 'puffinturn-ledger';
+import type {Declaration} from 'puffinturn-settings';
 import {invariant} from 'shared';
 
-import type {Breach, CallerTry} from './Oracle';
-import type {Step} from './Step';
-
 import {
-  budget,
   BUDGET,
+  budget,
   drainFirst,
   FIRST_LIMIT,
   FIRST_PRICE,
@@ -31,7 +27,9 @@
   TEAM_KEY,
 } from './FuzzDeclarations';
 import {FUZZ_BOXES, FuzzFleet} from './FuzzFleet';
+import type {Breach, CallerTry} from './Oracle';
 import {Oracle} from './Oracle';
+import type {Step} from './Step';
 import {REQUEST_KIND, SERVICE_URLS} from './Step';
 
 /** Breakages that the fuzzer can switch on. */
--- a/packages/puffinturn-fuzz/src/Step.ts
+++ b/packages/puffinturn-fuzz/src/Step.ts
@@ -8,9 +8,8 @@
 /** What a fuzzing run can do to a fleet. */
 import fc from 'fast-check';
 
-import type {Mode} from './UpstreamWorld';
-
 import {FUZZ_BOXES} from './FuzzFleet';
+import type {Mode} from './UpstreamWorld';
 import {MODE} from './UpstreamWorld';
 
 /** Requests: few names, so that retries and racing keys are common. */
--- a/packages/puffinturn-fuzz/src/UpstreamWorld.ts
+++ b/packages/puffinturn-fuzz/src/UpstreamWorld.ts
@@ -7,15 +7,14 @@
 
 /** Upstreams in memory that count what they really execute. */
 import type {ResultAsync} from 'neverthrow';
+import {err, ok, ResultAsync as Async} from 'neverthrow';
 import type {
   UpstreamAnswer,
   UpstreamFailure,
   UpstreamRequest,
 } from 'puffinturn-gateway';
-import type {Clock} from 'shared';
-
-import {err, ok, ResultAsync as Async} from 'neverthrow';
 import {UpstreamClient} from 'puffinturn-gateway';
+import type {Clock} from 'shared';
 
 /** How an upstream behaves. */
 export const MODE = {
--- a/packages/puffinturn-fuzz/src/main.ts
+++ b/packages/puffinturn-fuzz/src/main.ts
@@ -17,6 +17,7 @@
   .option('--runs <n>', 'Runs', {default: 20})
   .option('--steps <n>', 'Steps of a run at most', {default: 60})
   .option('--break <name>', `Breakage: ${Object.keys(BREAKAGES).join(', ')}`)
+  .option('--fast', 'Stop at the first failure without shrinking it')
   .option('--json', 'Print JSON');
 cli.help();
 
@@ -26,6 +27,7 @@
     breakage: options.break,
     runs: Number(options.runs),
     seed: Number(options.seed),
+    shrinks: options.fast !== true,
     steps: Number(options.steps),
   });
   process.stdout.write(
--- a/packages/puffinturn-gateway/src/Forwarding.ts
+++ b/packages/puffinturn-gateway/src/Forwarding.ts
@@ -11,20 +11,18 @@
  * that cannot be reached means that nothing ran, or that nobody knows.
  */
 import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import type {BoxMember} from 'puffinturn-membership';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
 
-import {err, ok} from 'neverthrow';
-
 import type {AnswerExchange} from './AnswerExchange';
 import type {AnswerStore} from './AnswerStore';
 import type {CallerAnswer} from './Gateway';
-import type {GatewayFailure} from './GatewayFailure';
-import type {CallerRequest, Plan} from './Plan';
-
 import {FOLLOW_PAUSE_MS} from './GatewayConstants';
+import type {GatewayFailure} from './GatewayFailure';
 import {gatewayFailure, OUTCOME} from './GatewayFailure';
+import type {CallerRequest, Plan} from './Plan';
 
 const FORWARD_SERVICE = 'forward';
 
