Charge nothing for an orphan that another region bills; sessions over HTTP

Looking into both ledgers showed the home region's entry closed as 'unknown' with its whole reserve although the other region's claim was on it: closing orphans went around the check in settlement. Ruled out: a claim that was lost (it is on the entry). Change: the check stands where every request is closed. Golden sessions over HTTP (chat, order retried, answer lost, budget running out, racing changes), bad input, properties of routing.

--- /dev/null
+++ b/packages/puffinturn-daemon/src/__tests__/unit/Session.test.ts
@@ -0,0 +1,198 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Whole sessions over HTTP; golden but for ids and times. */
+import fc from 'fast-check';
+
+import type {TextAnswer} from '../utils/DaemonFixture';
+import {DaemonFixture} from '../utils/DaemonFixture';
+
+const CHAT = {
+  max_tokens: 4,
+  messages: [{content: 'hello', role: 'user'}],
+  model: 'model-1',
+};
+
+function golden({headers, status, text}: TextAnswer): string {
+  const shown = Object.entries(headers)
+    .filter(([name]) => name.startsWith('puffinturn') || name === 'retry-after')
+    .map(([name, value]) => `${name}: ${value}`)
+    .sort();
+  const body = text.replaceAll(/[0-9a-f]{8}-[0-9a-f-]{27}/g, 'ID');
+  return [status, ...shown, '', body]
+    .join('\n')
+    .replaceAll(/[0-9a-f]{8}-[0-9a-f-]{27}/g, 'ID');
+}
+
+let fixture: DaemonFixture;
+beforeAll(async () => {
+  fixture = await DaemonFixture.open();
+}, 30_000);
+afterAll(async () => {
+  await fixture[Symbol.asyncDispose]();
+});
+
+describe('sessions', () => {
+  test('a streamed chat', async () => {
+    const body = {
+      ...CHAT,
+      stream: true,
+      stream_options: {include_usage: true},
+    };
+    const answer = await fixture.call(
+      '/v1/chat/completions',
+      JSON.stringify(body),
+    );
+    expect(golden(answer)).toMatchSnapshot();
+  });
+
+  test('a chat with a key is answered twice and billed once', async () => {
+    const headers = {'idempotency-key': 'chat-1'};
+    const before = await fixture.spent();
+    const body = JSON.stringify(CHAT);
+    const first = await fixture.call('/v1/chat/completions', body, headers);
+    const second = await fixture.call('/v1/chat/completions', body, headers);
+    const after = await fixture.spent();
+    expect(second.text).toBe(first.text);
+    expect(after.settled - before.settled).toBe(
+      Number(first.headers['puffinturn-billed']),
+    );
+    expect(golden(first)).toMatchSnapshot();
+  });
+
+  test('an order placed and retried runs once', async () => {
+    const body = JSON.stringify({order: 'A-1'});
+    const answers = [
+      await fixture.call('/services/orders/place', body),
+      await fixture.call('/services/orders/place', body),
+      await fixture.call(
+        '/services/orders/place',
+        JSON.stringify({count: 2, order: 'A-1'}),
+      ),
+    ];
+    expect(answers.map(golden).join('\n\n')).toMatchSnapshot();
+    expect(fixture.service.executions.get('A-1')).toBe(1);
+  });
+
+  test('an order whose answer was lost is never run again', async () => {
+    fixture.service.faults.dropAfter = 1;
+    const body = JSON.stringify({order: 'A-2'});
+    const first = await fixture.call('/services/orders/place', body);
+    fixture.service.faults.dropAfter = 0;
+    const second = await fixture.call('/services/orders/place', body);
+    expect([first, second].map(golden).join('\n\n')).toMatchSnapshot();
+    expect(fixture.service.executions.get('A-2')).toBe(1);
+  });
+
+  test('a stream that its engine drops goes on without a gap', async () => {
+    fixture.engine.faults.dropAfter = 1;
+    const pending = fixture.call(
+      '/v1/chat/completions',
+      JSON.stringify({...CHAT, max_tokens: 6, stream: true}),
+    );
+    while (fixture.engine.tokens < 20 && fixture.engine.started < 4) {
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+    fixture.engine.faults.dropAfter = 0;
+    const {text} = await pending;
+    const tokens = [...text.matchAll(/"content":"(t\d+) "/g)].map(
+      ([, token]) => token,
+    );
+    expect(tokens).toEqual(['t0', 't1', 't2', 't3', 't4', 't5']);
+    expect(text).toContain('[DONE]');
+  });
+
+  test('racing changes over HTTP: one wins and the loser is told', async () => {
+    const change = (limit: number) => ({
+      kind: 'budget',
+      name: 'budget-1',
+      number: 2,
+      spec: {home: 'local', limit, team: 'team-1'},
+    });
+    const first = await fixture.operate('/v1/declarations', change(20_000));
+    const second = await fixture.operate('/v1/declarations', change(30_000));
+    const repeated = await fixture.operate('/v1/declarations', change(20_000));
+    expect([first.status, second.status, repeated.status]).toEqual([
+      200, 409, 200,
+    ]);
+    expect(repeated.text).toBe(first.text);
+    expect(JSON.parse(second.text).outcome).toMatchObject({
+      kind: 'conflict',
+      winner: {number: 2, operator: 'tester'},
+    });
+  });
+
+  test('a budget that runs out refuses as not run', async () => {
+    await using small = await DaemonFixture.open(25);
+    const answers: string[] = [];
+    for (const order of ['B-1', 'B-2', 'B-3']) {
+      const body = JSON.stringify({order});
+      answers.push(golden(await small.call('/services/orders/place', body)));
+    }
+    expect(answers.join('\n\n')).toMatchSnapshot();
+    expect(small.service.total).toBe(2);
+  }, 30_000);
+});
+
+describe('bad input', () => {
+  test('is refused, costs nothing and leaves the box working', async () => {
+    const before = await fixture.spent();
+    const big = JSON.stringify({...CHAT, pad: 'x'.repeat(5_000)});
+    const cases: [string | Uint8Array, Record<string, string | string[]>][] = [
+      ['{', {}],
+      [Buffer.from([0x22, 0xff, 0xfe, 0x22]), {}],
+      [big, {}],
+      [JSON.stringify({...CHAT, max_tokens: -1}), {}],
+      [JSON.stringify({...CHAT, max_tokens: 1e300}), {}],
+      [JSON.stringify({...CHAT, n: 5}), {}],
+      [JSON.stringify({...CHAT, model: 'unknown'}), {}],
+      [JSON.stringify({...CHAT, messages: []}), {}],
+      [JSON.stringify(CHAT), {authorization: 'Bearer wrong'}],
+      [JSON.stringify(CHAT), {authorization: ''}],
+      [JSON.stringify(CHAT), {'idempotency-key': ['a', 'b']}],
+      [JSON.stringify(CHAT), {'idempotency-key': 'k'.repeat(300)}],
+    ];
+    const statuses: number[] = [];
+    for (const [body, headers] of cases) {
+      const {headers: answered, status} = await fixture.call(
+        '/v1/chat/completions',
+        body,
+        headers,
+      );
+      statuses.push(status);
+      expect(answered['puffinturn-outcome']).toBe('not-run');
+    }
+    expect(statuses).toEqual([
+      400, 400, 413, 400, 400, 400, 403, 400, 401, 401, 400, 400,
+    ]);
+    expect(await fixture.spent()).toEqual(before);
+  });
+
+  test('any JSON body gets an answer', async () => {
+    const before = await fixture.spent();
+    await fc.assert(
+      fc.asyncProperty(fc.jsonValue(), async (value) => {
+        const {status} = await fixture.call(
+          '/v1/chat/completions',
+          JSON.stringify(value),
+        );
+        expect([400, 413]).toContain(status);
+      }),
+      {numRuns: 50, seed: 1},
+    );
+    expect(await fixture.spent()).toEqual(before);
+  });
+
+  test('operators without a valid key are refused', async () => {
+    expect((await fixture.operate('/v1/status', undefined, 'x')).status).toBe(
+      401,
+    );
+    expect((await fixture.operate('/v1/declarations', {}, 'x')).status).toBe(
+      401,
+    );
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-daemon/src/__tests__/utils/DaemonFixture.ts
@@ -0,0 +1,246 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A daemon with stand-ins on ephemeral ports of loopback. */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import type {Declaration} from 'puffinturn-settings';
+import {
+  checkValue,
+  DeclarationSchema,
+  SettingsSchema,
+} from 'puffinturn-settings';
+import {Engine, PlainService} from 'puffinturn-stand-in';
+import {digestBytes, invariant} from 'shared';
+import {request} from 'undici';
+
+import {Daemon, makeLog, waitReady} from '../../index';
+
+export const TEAM_KEY = 'team-key';
+export const OPERATOR_KEY = 'operator-key';
+
+const FAST_ENGINE = {
+  cacheBlocks: 100,
+  checksFences: true,
+  loadLagMs: 0,
+  prefillMsPerToken: 0,
+  slots: 8,
+  stepMs: 1,
+  stepPerRequestMs: 0,
+};
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const address = server.address();
+  await new Promise((resolve) => server.close(resolve));
+  return typeof address === 'object' ? (address?.port ?? 0) : 0;
+}
+
+/** An answer with its body read. */
+export interface TextAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly text: string;
+}
+
+/** See the module comment. */
+export class DaemonFixture implements AsyncDisposable {
+  private constructor(
+    readonly daemon: Daemon,
+    readonly engine: Engine,
+    readonly service: PlainService,
+    private readonly folder: string,
+  ) {}
+
+  static async open(budgetLimit = 10_000): Promise<DaemonFixture> {
+    const folder = await mkdtemp(join(tmpdir(), 'box-'));
+    const keyFile = join(folder, 'fleet.key');
+    await writeFile(keyFile, 'k'.repeat(40), {mode: 0o600});
+    const engine = await new Engine(FAST_ENGINE).listen();
+    const service = await new PlainService(0).listen();
+    const settings = checkValue(
+      SettingsSchema,
+      {
+        box: 'box-1',
+        callers: {host: '127.0.0.1', port: 0},
+        dataFolder: join(folder, 'data'),
+        fleet: {
+          boxes: [
+            {
+              control: true,
+              hall: 'hall-1',
+              host: '127.0.0.1',
+              name: 'box-1',
+              port: await freePort(),
+              region: 'local',
+            },
+          ],
+          keyFile,
+          primaryRegion: 'local',
+        },
+        limits: {bodyBytes: 4_096, drainNoticeMs: 0},
+        logs: {level: 'error'},
+        operators: {
+          host: '127.0.0.1',
+          keys: [{name: 'tester', sha256: digestBytes(OPERATOR_KEY)}],
+          port: 0,
+        },
+      },
+      'settings',
+    );
+    invariant(settings.isOk(), 'the settings must be valid');
+    const daemon = await Daemon.start(settings.value, makeLog(settings.value));
+    invariant(daemon.isOk(), 'the daemon must start');
+    const fixture = new DaemonFixture(daemon.value, engine, service, folder);
+    await fixture.declareAll(budgetLimit);
+    const ready = await waitReady(daemon.value, 20_000);
+    invariant(ready.isOk(), 'the box must become ready');
+    const {text} = await fixture.operate('/v1/status');
+    const {configIndex} = JSON.parse(text).regions[0];
+    const {member} = fixture.daemon.box;
+    const current = await member.waitForConfig(configIndex, 20_000);
+    invariant(current, 'the box must know the newest configuration');
+    return fixture;
+  }
+
+  /** A caller's request. */
+  async call(
+    path: string,
+    body: string | Uint8Array,
+    headers: Record<string, string | string[]> = {},
+  ): Promise<TextAnswer> {
+    const port = this.daemon.callerPort;
+    const answer = await request(`http://127.0.0.1:${port}${path}`, {
+      body,
+      headers: {
+        authorization: `Bearer ${TEAM_KEY}`,
+        'content-type': 'application/json',
+        ...headers,
+      },
+      method: 'POST',
+    });
+    return {
+      headers: answer.headers,
+      status: answer.statusCode,
+      text: await answer.body.text(),
+    };
+  }
+
+  /** An operator's request. */
+  async operate(
+    path: string,
+    body?: unknown,
+    key = OPERATOR_KEY,
+  ): Promise<TextAnswer> {
+    const port = this.daemon.operatorPort;
+    const answer = await request(`http://127.0.0.1:${port}${path}`, {
+      body: body === undefined ? null : JSON.stringify(body),
+      headers: {authorization: `Bearer ${key}`},
+      method: body === undefined ? 'GET' : 'POST',
+    });
+    return {
+      headers: answer.headers,
+      status: answer.statusCode,
+      text: await answer.body.text(),
+    };
+  }
+
+  /** Units of the budget that are settled and reserved. */
+  async spent(): Promise<{settled: number; reserved: number}> {
+    const {text} = await this.operate('/v1/status');
+    const [budget] = JSON.parse(text).regions[0].budgets;
+    return {reserved: budget.reserved, settled: budget.settled};
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.daemon[Symbol.asyncDispose]();
+    await this.engine[Symbol.asyncDispose]();
+    await this.service[Symbol.asyncDispose]();
+    await rm(this.folder, {recursive: true});
+  }
+
+  private async declareAll(limit: number): Promise<void> {
+    const upstream = (name: string, url: string) => [
+      {hall: 'hall-1', name, slots: 8, url},
+    ];
+    const declarations = [
+      {
+        kind: 'team',
+        name: 'team-1',
+        spec: {keys: [{name: 'k', sha256: digestBytes(TEAM_KEY)}]},
+      },
+      {
+        kind: 'budget',
+        name: 'budget-1',
+        spec: {home: 'local', limit, team: 'team-1'},
+      },
+      {
+        kind: 'pool',
+        name: 'models',
+        spec: {
+          models: ['model-1'],
+          price: {completion: 2, prompt: 1},
+          upstreams: upstream('engine-1', this.engine.url),
+        },
+      },
+      {
+        kind: 'service',
+        name: 'orders',
+        spec: {callPrice: 10, upstreams: upstream('s-1', this.service.url)},
+      },
+      {
+        kind: 'policy',
+        name: 'all',
+        spec: {
+          rules: [
+            {
+              action: 'allow',
+              budget: "'budget-1'",
+              key: 'request.body.order',
+              name: 'orders',
+              pool: 'orders',
+              repeat: 'never',
+              when: "request.service == 'orders'",
+            },
+            {
+              action: 'allow',
+              budget: "'budget-1'",
+              name: 'models',
+              pool: 'models',
+              when: "request.model == 'model-1'",
+            },
+          ],
+        },
+      },
+    ];
+    for (const value of declarations) {
+      const declaration = checkValue(
+        DeclarationSchema,
+        {...value, number: 1},
+        'fixture',
+      );
+      invariant(declaration.isOk(), 'the declarations must be valid');
+      await this.declare(declaration.value);
+    }
+  }
+
+  private async declare(declaration: Declaration): Promise<void> {
+    for (;;) {
+      const {status} = await this.operate('/v1/declarations', declaration);
+      if (status === 200) {
+        return;
+      }
+      invariant(status === 503, `declaring answered ${status}`);
+    }
+  }
+}
--- a/packages/puffinturn-ledger/src/Ledger.ts
+++ b/packages/puffinturn-ledger/src/Ledger.ts
@@ -323,12 +323,9 @@
       return found.outcome;
     }
     const {entry} = found;
-    const claimed = entry.claimedBy !== undefined;
-    const charge = claimed
-      ? 0
-      : Math.max(0, Math.min(record.charge, entry.reserve));
     entry.answer = entry.marked ? record.answer : undefined;
-    this.close(entry, record.outcome, charge, record.at);
+    this.close(entry, record.outcome, record.charge, record.at);
+    const {charge} = entry;
     return {budget: entry.budget, charge, kind: 'done'};
   }
 
@@ -349,12 +346,15 @@
     return {budget: found.entry.budget, charge: 0, kind: 'done'};
   }
 
+  /** Closes an open request; one that another region bills costs nothing. */
   private close(
     entry: RequestEntry,
     state: RequestState,
-    charge: number,
+    cost: number,
     at: number,
   ): void {
+    const billedHere = entry.claimedBy === undefined;
+    const charge = billedHere ? Math.max(0, Math.min(cost, entry.reserve)) : 0;
     const budget = this.budgets.get(entry.budget);
     invariant(budget !== undefined, 'an open request without a budget');
     settle(budget, entry.reserve, charge);
--- a/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
+++ b/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
@@ -231,6 +231,25 @@
     expect(fixture.budget).toMatchObject({reserved: 0, settled: 0});
   });
 
+  test('an orphan that another region bills costs nothing', () => {
+    const fixture = new Fixture();
+    fixture.apply(admit('k', 1));
+    fixture.apply({
+      ...ID,
+      at: 0,
+      box: 's',
+      budget: BUDGET,
+      digest: 'k',
+      incarnation: 's',
+      keepMs: 1_000,
+      kind: 'claim',
+      region: 'south',
+    });
+    fixture.apply({at: 0, box: 'box', incarnation: 'i1', kind: 'fence'});
+    fixture.apply({at: ORPHAN_MS + 1, kind: 'sweep'});
+    expect(fixture.budget).toMatchObject({reserved: 0, settled: 0});
+  });
+
   test('any records keep the budget and survive a snapshot', () => {
     const key = fc.constantFrom('k1', 'k2', 'k3');
     const serial = fc.integer({max: 6, min: 1});
