Relay to the own region only, and say nothing of a bill made elsewhere

Both ledgers held it, the southern one under a northern box: the operators' client for the other region had registered the relay service over the box's own, so that a relayed admission reached the wrong region's leader. Ruled out: a missing home of the budget and an old configuration. Change: serving relays is asked for explicitly and only by the box's own client; a record names the region that it is meant for and a leader of another region refuses it; a bill that another attempt makes is not given as 0.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -31,7 +31,7 @@
 import {EVENT_KIND, Timeline} from 'puffinturn-timeline';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {invariant, Random, TaskGroup} from 'shared';
+import {DisposableList, invariant, Random, TaskGroup} from 'shared';
 
 const LOG_SERVICE = 'log';
 const TIMELINE_SERVICE = 'timeline';
@@ -99,7 +99,7 @@
   readonly pools: Pools;
   readonly gateway: Gateway;
   private readonly tasks = new TaskGroup();
-  private readonly registration: Disposable;
+  private readonly registrations = new DisposableList();
 
   private constructor(
     private readonly parts: BoxParts,
@@ -118,6 +118,7 @@
       clock,
       controlBoxes,
       link,
+      region: self.region,
       relayBoxes: namesOf(region).filter((name) => name !== self.name),
     });
     this.pools = new Pools(clock, random);
@@ -156,8 +157,9 @@
       region: self.region,
       timeline,
     });
-    this.registration = link.register(TIMELINE_SERVICE, async () =>
-      timeline.events(),
+    this.registrations.add(this.client.serveRelay());
+    this.registrations.add(
+      link.register(TIMELINE_SERVICE, async () => timeline.events()),
     );
     if (control !== undefined) {
       this.tasks.start(() => control.replica.takePart(controlBoxes));
@@ -202,7 +204,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.registration[Symbol.dispose]();
+    this.registrations[Symbol.dispose]();
     this.tasks.abort();
     await Promise.all([
       this.gateway[Symbol.asyncDispose](),
@@ -211,7 +213,6 @@
       this.control?.monitor[Symbol.asyncDispose](),
       this.control?.replica[Symbol.asyncDispose](),
     ]);
-    this.client[Symbol.dispose]();
     await this.tasks[Symbol.asyncDispose]();
   }
 }
--- a/packages/puffinturn-daemon/src/OperatorApi.ts
+++ b/packages/puffinturn-daemon/src/OperatorApi.ts
@@ -67,6 +67,7 @@
               clock,
               controlBoxes,
               link,
+              region,
               relayBoxes: [],
             }),
       );
--- a/packages/puffinturn-gateway/src/Settlement.ts
+++ b/packages/puffinturn-gateway/src/Settlement.ts
@@ -49,13 +49,16 @@
     return this.open;
   }
 
-  /** Bills an attempt once; resolves with what was billed. */
+  /**
+   * Bills an attempt once; resolves with what was billed, or undefined when
+   * this attempt no longer holds the request and it is billed otherwise.
+   */
   async settle(
     attempt: Attempt,
     outcome: 'settled' | 'unknown',
     charge: number,
     answer?: KeptAnswer,
-  ): Promise<number> {
+  ): Promise<number | undefined> {
     const at = this.parts.clock.wallTime();
     const id = attemptId(attempt);
     const done = await this.close(attempt, {
@@ -66,10 +69,10 @@
       kind: 'settle',
       outcome,
     });
-    const billed = done.kind === 'superseded' ? 0 : done.charge;
+    const billed = done.kind === 'superseded' ? undefined : done.charge;
     this.parts.timeline.note(EVENT_KIND.settled, {
       budget: attempt.plan.decision.budget,
-      detail: `${outcome} ${billed}`,
+      detail: `${outcome} ${billed ?? 'elsewhere'}`,
       request: id.key,
       team: id.team,
     });
--- a/packages/puffinturn-ledger/src/ControlClient.ts
+++ b/packages/puffinturn-ledger/src/ControlClient.ts
@@ -38,6 +38,8 @@
 /** What the client needs. */
 export interface ControlClientParts {
   readonly box: string;
+  /** The region whose leader is asked. */
+  readonly region: string;
   readonly clock: Clock;
   readonly link: Link;
   /** Control boxes of the region. */
@@ -54,14 +56,19 @@
 }
 
 /** See the module comment. */
-export class ControlClient implements Disposable {
+export class ControlClient {
   private leader: string | undefined;
   private next = 0;
   private failures = 0;
-  private readonly registration: Disposable;
 
-  constructor(private readonly parts: ControlClientParts) {
-    this.registration = parts.link.register(RELAY_SERVICE, (body) =>
+  constructor(private readonly parts: ControlClientParts) {}
+
+  /**
+   * Passes requests on for boxes that cannot reach the leader, until the
+   * result is disposed. One client of a box may do so: that of its own region.
+   */
+  serveRelay(): Disposable {
+    return this.parts.link.register(RELAY_SERVICE, (body) =>
       this.relay(body as ControlRequest),
     );
   }
@@ -83,10 +90,6 @@
     return new ResultAsync(this.askUntil(request, timeoutMs, callMs));
   }
 
-  [Symbol.dispose](): void {
-    this.registration[Symbol.dispose]();
-  }
-
   /**
    * An admission waits in short calls, so that it does not hang on a leader
    * that is cut off; it keeps its place by the time it has waited.
@@ -101,7 +104,14 @@
       const waitedMs = clock.now() - start;
       const slice = Math.max(0, Math.min(waitMs - waitedMs, WAIT_SLICE_MS));
       const reply = await this.ask(
-        {kind: 'submit', priority, record, waitMs: slice, waitedMs},
+        {
+          kind: 'submit',
+          priority,
+          record,
+          region: this.parts.region,
+          waitMs: slice,
+          waitedMs,
+        },
         Math.max(1, timeoutMs - waitedMs),
         slice + ADMIT_GRACE_MS,
       );
--- a/packages/puffinturn-ledger/src/ControlMessages.ts
+++ b/packages/puffinturn-ledger/src/ControlMessages.ts
@@ -19,6 +19,8 @@
 /** Commits one record; an admission may wait for units to come free. */
 export interface SubmitRequest {
   readonly kind: 'submit';
+  /** The region that the record is meant for. */
+  readonly region: string;
   readonly record: LedgerRecord;
   /** How long an admission may wait, ms. */
   readonly waitMs: number;
--- a/packages/puffinturn-ledger/src/ControlService.ts
+++ b/packages/puffinturn-ledger/src/ControlService.ts
@@ -155,7 +155,10 @@
 
   private async submit(request: SubmitRequest): Promise<ControlReply> {
     const {clock, neverWait, replica} = this.parts;
-    const {priority, record, waitedMs} = request;
+    const {priority, record, region, waitedMs} = request;
+    if (region !== this.parts.ledger.region) {
+      return {kind: 'failed', reason: `a record for region ${region}`};
+    }
     const waitMs = neverWait ? 0 : request.waitMs;
     const answer =
       record.kind === 'admit'
