Send prompts where all boxes agree they are cached; shed a standing queue

At 150% load the queue stood at its 5 s deadline and nothing met the 1.1 s target. Change: where nothing is known the first three engines by rendezvous hashing of the prompt's start are presumed to hold it, on every box alike. A queue that is long for 1 s is cut to 0.2 of the target, lowest priority and longest team lane first. Limits fall by 0.85 at most every 400 ms. A box may retry 50 requests at once (before 5) so that a lost hall is retried.

--- a/packages/puffinturn-bench/src/RoutingExperiment.ts
+++ b/packages/puffinturn-bench/src/RoutingExperiment.ts
@@ -228,7 +228,7 @@
 
   private makeLimit(boxes: number): Limit {
     return this.decisions.limit === 'adaptive'
-      ? new AdaptiveLimit(() => boxes)
+      ? new AdaptiveLimit(() => boxes, this.clock)
       : new StaticLimit(() => boxes);
   }
 
@@ -282,6 +282,7 @@
       deadline,
       prefix: demand.prefix,
       priority: demand.priority,
+      since: this.clock.now(),
       team: demand.team,
       weight: 1,
     });
--- a/packages/puffinturn-gateway/src/Pools.ts
+++ b/packages/puffinturn-gateway/src/Pools.ts
@@ -171,7 +171,7 @@
       router: new Router({
         choice: new ExpectedTimeChoice(this.random, prefixes),
         clock: this.clock,
-        limit: new AdaptiveLimit(() => this.liveBoxes),
+        limit: new AdaptiveLimit(() => this.liveBoxes, this.clock),
         pool: target.name,
         queue: new FairQueue(this.clock),
         targetMs,
--- a/packages/puffinturn-routing/src/Choice.ts
+++ b/packages/puffinturn-routing/src/Choice.ts
@@ -114,13 +114,12 @@
         sampled.add(one);
       }
     }
-    let holder: Upstream | undefined;
     for (const [upstream, share] of cached) {
-      if (share > (cached.get(holder as Upstream) ?? 0)) {
-        holder = upstream;
+      if (share > 0) {
+        sampled.add(upstream);
       }
     }
-    return holder === undefined ? sampled : sampled.add(holder);
+    return sampled;
   }
 }
 
--- a/packages/puffinturn-routing/src/Limit.ts
+++ b/packages/puffinturn-routing/src/Limit.ts
@@ -6,7 +6,15 @@
  */
 
 /** How many requests of this box may run on an upstream at once. */
-import {LIMIT_HEADROOM, MIN_LIMIT_SHARE} from './RoutingConstants';
+import type {Clock} from 'shared';
+
+import {
+  LIMIT_DECREASE,
+  LIMIT_HEADROOM,
+  LIMIT_PAUSE_MS,
+  LIMIT_TARGET_SHARE,
+  MIN_LIMIT_SHARE,
+} from './RoutingConstants';
 import type {Upstream} from './Upstream';
 
 /** Live boxes that share the upstreams, this one included. */
@@ -45,8 +53,12 @@
  */
 export class AdaptiveLimit extends Limit {
   private readonly limits = new Map<Upstream, number>();
+  private readonly loweredAt = new Map<Upstream, number>();
 
-  constructor(private readonly boxes: BoxCount) {
+  constructor(
+    private readonly boxes: BoxCount,
+    private readonly clock: Clock,
+  ) {
     super();
   }
 
@@ -63,8 +75,10 @@
   ): void {
     const {slots} = upstream.spec;
     const limit = this.fleetLimit(upstream);
-    const next =
-      firstTokenMs > targetMs ? limit * 0.97 : limit + 0.1 * (slots / limit);
+    const late = firstTokenMs > targetMs * LIMIT_TARGET_SHARE;
+    const next = late
+      ? this.lowered(upstream, limit)
+      : limit + slots / limit / 4;
     const lowest = Math.max(1, slots * MIN_LIMIT_SHARE);
     this.limits.set(
       upstream,
@@ -72,6 +86,17 @@
     );
   }
 
+  /** Lowers at most once in a while, as answers in flight are late together. */
+  private lowered(upstream: Upstream, limit: number): number {
+    const now = this.clock.now();
+    const last = this.loweredAt.get(upstream) ?? -Infinity;
+    if (now - last < LIMIT_PAUSE_MS) {
+      return limit;
+    }
+    this.loweredAt.set(upstream, now);
+    return limit * LIMIT_DECREASE;
+  }
+
   private fleetLimit(upstream: Upstream): number {
     return this.limits.get(upstream) ?? upstream.spec.slots;
   }
--- a/packages/puffinturn-routing/src/PrefixIndex.ts
+++ b/packages/puffinturn-routing/src/PrefixIndex.ts
@@ -16,6 +16,8 @@
   MAX_PREFIX_BLOCKS,
   PREFIX_BLOCK_BYTES,
   PREFIX_INDEX_BLOCKS,
+  PRESUMED_SHARES,
+  RENDEZVOUS_BLOCK,
 } from './RoutingConstants';
 import type {Upstream} from './Upstream';
 
@@ -35,6 +37,19 @@
   return blocks;
 }
 
+/** The first upstreams by a hash of prompt start and name. */
+function presumedHolders(
+  candidates: readonly Upstream[],
+  prefix: readonly string[],
+): Upstream[] {
+  const start = prefix[Math.min(RENDEZVOUS_BLOCK, prefix.length - 1)] ?? '';
+  return candidates
+    .map((upstream) => ({hash: h64ToString(start + upstream.name), upstream}))
+    .sort((a, b) => (a.hash < b.hash ? -1 : 1))
+    .slice(0, PRESUMED_SHARES.length)
+    .map(({upstream}) => upstream);
+}
+
 /** See the module comment. */
 export class PrefixIndex {
   private readonly holders: LRUCache<string, Set<string>>;
@@ -44,7 +59,11 @@
     this.holders = new LRUCache({max: capacity});
   }
 
-  /** Share of a prompt that each candidate probably has cached. */
+  /**
+   * Share of a prompt that each candidate probably has cached. Where nothing
+   * is known, all boxes presume the same few upstreams, by rendezvous hashing
+   * of the prompt's start, so that they need not tell each other.
+   */
   cachedShare(
     candidates: readonly Upstream[],
     prefix: readonly string[],
@@ -53,13 +72,17 @@
     if (prefix.length === 0) {
       return shares;
     }
+    presumedHolders(candidates, prefix).forEach((upstream, rank) =>
+      shares.set(upstream, PRESUMED_SHARES[rank] ?? 0),
+    );
     const found = prefix.map((block) => this.holders.get(block));
     for (const candidate of candidates) {
       const {name} = candidate;
       const missing = found.findIndex((names) => names?.has(name) !== true);
       const held = missing === -1 ? prefix.length : missing;
-      if (held > 0) {
-        shares.set(candidate, held / prefix.length);
+      const share = held / prefix.length;
+      if (share > (shares.get(candidate) ?? 0)) {
+        shares.set(candidate, share);
       }
     }
     return shares;
--- a/packages/puffinturn-routing/src/RetryBudget.ts
+++ b/packages/puffinturn-routing/src/RetryBudget.ts
@@ -37,7 +37,7 @@
   }
 
   override earn(): void {
-    this.tokens = Math.min(this.reserve * 4, this.tokens + this.share);
+    this.tokens = Math.min(this.reserve, this.tokens + this.share);
   }
 
   override spend(): boolean {
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -18,7 +18,12 @@
 import type {Choice} from './Choice';
 import {Circuit} from './Circuit';
 import type {Limit} from './Limit';
-import {MAX_EJECTED_SHARE, MAX_WAITING} from './RoutingConstants';
+import {
+  MAX_EJECTED_SHARE,
+  MAX_WAITING,
+  STANDING_MS,
+  STANDING_WAIT_SHARE,
+} from './RoutingConstants';
 import {Upstream} from './Upstream';
 import type {WaitingQueue, WaitingRequest} from './WaitingQueue';
 
@@ -110,6 +115,8 @@
   /** Moving average of the time between two places that end, ms. */
   private endIntervalMs: number | undefined;
   private lastEnd = 0;
+  /** Since when the queue has been long without a break. */
+  private longSince: number | undefined;
 
   constructor(private readonly parts: RouterParts) {}
 
@@ -171,18 +178,14 @@
 
   /** Gives free places to waiting requests. */
   serveWaiting(): void {
-    const {clock, queue} = this.parts;
+    const {queue} = this.parts;
     while (queue.size > 0 && this.hasRoom()) {
-      const waiter = queue.pop();
+      const waiter = this.popInTime();
       if (waiter === undefined) {
         return;
       }
-      if (waiter.deadline <= clock.now()) {
-        waiter.settle(err(this.overloaded('the deadline has passed')));
-        continue;
-      }
-      const place =
-        this.place(waiter.request) ?? this.place(waiter.request, true);
+      const {request} = waiter;
+      const place = this.place(request) ?? this.place(request, true);
       if (place === undefined) {
         queue.push(waiter);
         return;
@@ -191,6 +194,18 @@
     }
   }
 
+  /** The next waiting request; refuses those whose deadline has passed. */
+  private popInTime(): Waiter | undefined {
+    const {clock, queue} = this.parts;
+    for (;;) {
+      const waiter = queue.pop();
+      if (waiter === undefined || waiter.deadline > clock.now()) {
+        return waiter;
+      }
+      waiter.settle(err(this.overloaded('the deadline has passed')));
+    }
+  }
+
   /** Refuses waiting requests whose deadline has passed. */
   expireWaiting(): void {
     if (this.usable().length > 0) {
@@ -208,7 +223,16 @@
         signal?.removeEventListener('abort', giveUp);
         resolve(result);
       };
-      const waiter = {cost, deadline, priority, request, settle, team, weight};
+      const waiter = {
+        cost,
+        deadline,
+        priority,
+        request,
+        settle,
+        since: request.since,
+        team,
+        weight,
+      };
       const giveUp = (): void => {
         queue.remove(waiter);
         settle(err({kind: 'caller-gone', message: 'the caller has gone'}));
@@ -229,19 +253,45 @@
       return undefined;
     }
     if (queue.size >= MAX_WAITING) {
-      const shed = queue.shed(request.priority);
-      if (shed === undefined) {
-        return this.overloaded('too many requests wait');
+      const message = 'too many requests wait';
+      if (!this.makeRoom(request, message)) {
+        return this.overloaded(message);
       }
-      shed.settle(err(this.overloaded('a more urgent request came')));
     }
+    if (request.priority === 0) {
+      return undefined;
+    }
+    // The estimate is rough: only a clear miss is refused ahead of time.
     const waitMs = queue.size * (this.endIntervalMs ?? 0);
-    // The estimate is rough: only a clear miss is refused ahead of time, and
-    // an urgent request does not wait behind the whole queue.
-    const hopeless = clock.now() + waitMs / 2 > request.deadline;
-    return hopeless && request.priority > 0
-      ? this.overloaded('the deadline cannot be met')
-      : undefined;
+    if (clock.now() + waitMs / 2 > request.deadline) {
+      return this.overloaded('the deadline cannot be met');
+    }
+    const message = 'more comes than the pool can serve';
+    if (!this.stands(waitMs) || this.makeRoom(request, message)) {
+      return undefined;
+    }
+    return this.overloaded(message);
+  }
+
+  /**
+   * Whether the queue has been long for a while. A burst may queue up to its
+   * deadlines, but a queue that stands only makes everything late.
+   */
+  private stands(waitMs: number): boolean {
+    const now = this.parts.clock.now();
+    if (waitMs < this.parts.targetMs * STANDING_WAIT_SHARE) {
+      this.longSince = undefined;
+      return false;
+    }
+    this.longSince ??= now;
+    return now - this.longSince > STANDING_MS;
+  }
+
+  /** Sheds a waiting request that matters less than a new one. */
+  private makeRoom(request: PlaceRequest, message: string): boolean {
+    const shed = this.parts.queue.shed(request);
+    shed?.settle(err(this.overloaded(message)));
+    return shed !== undefined;
   }
 
   private overloaded(message: string): PlaceFailure {
--- a/packages/puffinturn-routing/src/RoutingConstants.ts
+++ b/packages/puffinturn-routing/src/RoutingConstants.ts
@@ -46,8 +46,11 @@
 /** Retries as a share of requests. */
 export const RETRY_SHARE = 0.1;
 
-/** Retries that are always possible in a quiet time. */
-export const RETRY_RESERVE = 5;
+/**
+ * Retries that are possible at once after a quiet time: about what one box
+ * has in flight, so that the loss of a hall can be retried once.
+ */
+export const RETRY_RESERVE = 50;
 
 /** Hedges as a share of requests. */
 export const HEDGE_SHARE = 0.02;
@@ -69,3 +72,24 @@
 
 /** Requests beyond the slots that an upstream may queue itself. */
 export const LIMIT_HEADROOM = 1.25;
+
+/** A queue that waits longer than this share of the target stands. */
+export const STANDING_WAIT_SHARE = 0.2;
+
+/** A queue that stands for this long is cut to what meets the target, ms. */
+export const STANDING_MS = 1_000;
+
+/** Shares presumed for the first upstreams by rendezvous hashing. */
+export const PRESUMED_SHARES: readonly number[] = [0.6, 0.4, 0.2];
+
+/** Prompts that are equal up to this block are kept together. */
+export const RENDEZVOUS_BLOCK = 3;
+
+/** A first token later than this share of the target lowers the limit. */
+export const LIMIT_TARGET_SHARE = 0.5;
+
+/** Factor by which a limit is lowered. */
+export const LIMIT_DECREASE = 0.85;
+
+/** A limit is lowered at most this often, ms. */
+export const LIMIT_PAUSE_MS = 400;
--- a/packages/puffinturn-routing/src/WaitingQueue.ts
+++ b/packages/puffinturn-routing/src/WaitingQueue.ts
@@ -22,6 +22,8 @@
   readonly deadline: number;
   /** Work that it brings, in any unit that is the same for all. */
   readonly cost: number;
+  /** When it began to wait, ms of the box's clock. */
+  readonly since: number;
 }
 
 /** Requests that wait for one pool. */
@@ -38,8 +40,11 @@
   /** Removes a request that has given up. */
   abstract remove(item: Item): boolean;
 
-  /** Takes the request that matters least, to make room for another. */
-  abstract shed(priority: number): Item | undefined;
+  /**
+   * Takes a request that matters less than `newcomer`: of a lower priority, or
+   * of a team that has more waiting for its weight.
+   */
+  abstract shed(newcomer: WaitingRequest): Item | undefined;
 }
 
 /** Baseline: in order of arrival. */
@@ -71,12 +76,7 @@
 interface Lane<Item> {
   readonly team: string;
   readonly priority: number;
-  readonly items: Heap<Held<Item>>;
-}
-
-interface Held<Item> {
-  readonly item: Item;
-  readonly since: number;
+  readonly items: Heap<Item>;
 }
 
 /**
@@ -102,12 +102,12 @@
   override push(item: Item): void {
     const id = `${item.priority} ${item.team}`;
     const lane = this.lanes.get(id) ?? {
-      items: new Heap<Held<Item>>((a, b) => a.item.deadline - b.item.deadline),
+      items: new Heap<Item>((a, b) => a.deadline - b.deadline),
       priority: item.priority,
       team: item.team,
     };
     this.lanes.set(id, lane);
-    lane.items.push({item, since: this.clock.now()});
+    lane.items.push(item);
     this.count += 1;
     // A team that was idle has no claim on the past.
     const served = this.served.get(item.team) ?? 0;
@@ -116,45 +116,50 @@
 
   override pop(): Item | undefined {
     const lane = this.nextLane();
-    const held = lane?.items.pop();
-    if (lane === undefined || held === undefined) {
+    const item = lane?.items.pop();
+    if (lane === undefined || item === undefined) {
       return undefined;
     }
     this.dropIfEmpty(lane);
     this.count -= 1;
-    const {cost, team, weight} = held.item;
+    const {cost, team, weight} = item;
     const before = this.served.get(team) ?? 0;
     this.floor = Math.max(this.floor, before);
     this.served.set(team, before + cost / weight);
     this.forgetIdle();
-    return held.item;
+    return item;
   }
 
   override remove(item: Item): boolean {
     const lane = this.lanes.get(`${item.priority} ${item.team}`);
-    const held = lane?.items.toArray().find((one) => one.item === item);
-    if (lane === undefined || held === undefined) {
+    if (lane === undefined || !lane.items.remove(item, Object.is)) {
       return false;
     }
-    lane.items.remove(held, (a, b) => a === b);
     this.dropIfEmpty(lane);
     this.count -= 1;
     return true;
   }
 
-  override shed(priority: number): Item | undefined {
+  override shed(newcomer: WaitingRequest): Item | undefined {
+    const own = this.lanes.get(`${newcomer.priority} ${newcomer.team}`);
+    const ownLength = ((own?.items.size() ?? 0) + 1) / newcomer.weight;
     let worst: Lane<Item> | undefined;
+    let worstLength = ownLength;
     for (const lane of this.lanes.values()) {
-      if (lane.priority > (worst?.priority ?? priority)) {
+      const length = lane.items.size() / (lane.items.peek()?.weight ?? 1);
+      const level = worst?.priority ?? newcomer.priority;
+      const lower = lane.priority > level;
+      if (lower || (lane.priority === level && length > worstLength)) {
         worst = lane;
+        worstLength = length;
       }
     }
-    const [last] = worst?.items.toArray().slice(-1) ?? [];
+    const last = worst?.items.toArray().at(-1);
     if (last === undefined) {
       return undefined;
     }
-    this.remove(last.item);
-    return last.item;
+    this.remove(last);
+    return last;
   }
 
   private nextLane(): Lane<Item> | undefined {
