Order models onto engines; examples, a tested tool, process benches

Cause: no orders to engines; the tool's calls failed with 'The client is destroyed', since a disposed client was returned from before its promise had settled; the settings had whenCutOff, which nothing reads. Change: a controller on the leader logs each order, whose log index is its fence, keeps wanted copies spread over halls within the weight store's rate and never unloads a last holder; where engines check no fence it waits out the former leader. The tool awaits its client (a lint rule holds that) and is tested against a box. Benches of path, faults and ledger over processes. whenCutOff is gone until it is built. After a freeze an admission waited a second longer than it needed to; admissions now ask once without waiting, to be measured next.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -31,6 +31,7 @@
         },
       ],
       '@typescript-eslint/only-throw-error': 'error',
+      '@typescript-eslint/return-await': ['error', 'in-try-catch'],
       eqeqeq: 'error',
       'headers/header-format': [
         'error',
--- a/packages/puffinturn-bench/src/main.ts
+++ b/packages/puffinturn-bench/src/main.ts
@@ -10,6 +10,9 @@
 import {cac} from 'cac';
 import Table from 'cli-table3';
 
+import {benchFaults} from './FaultsBench';
+import {benchLedger} from './LedgerBench';
+import {benchPath} from './PathBench';
 import type {RoutingRow} from './RoutingBench';
 import {benchOverload, benchRouting} from './RoutingBench';
 
@@ -84,6 +87,16 @@
   show(o.json === true ? rows : routingTable(rows), o);
 });
 
+command('path', 'What one box adds and carries', async (o) => {
+  show(await benchPath(Math.min(10, Number(o.seconds))), o);
+});
+command('faults', 'Time without admissions after faults', async (o) => {
+  show(await benchFaults(Math.ceil(Number(o.seconds) / 12)), o);
+});
+command('ledger', 'Admissions and settlements of a group', async (o) => {
+  show(await benchLedger(Math.min(10, Number(o.seconds))), o);
+});
+
 cli.help();
 cli.parse(process.argv, {run: false});
 await cli.runMatchedCommand();
--- /dev/null
+++ b/packages/puffinturn-cli/src/Tool.ts
@@ -0,0 +1,202 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** The command-line tool `puffinturn`. */
+import type {CAC} from 'cac';
+import {cac} from 'cac';
+import {readSecret} from 'puffinturn-settings';
+import {describeError} from 'shared';
+
+import {apply, check, diff} from './ApplyCommand';
+import type {ExitCode} from './ExitCodes';
+import {EXIT} from './ExitCodes';
+import {budgets, drain, get, makeKey, status, timeline} from './FleetCommands';
+import {OperatorClient} from './OperatorClient';
+import {Output} from './Output';
+
+interface Options {
+  readonly box?: string;
+  readonly budget?: string;
+  readonly caFile?: string;
+  readonly file?: string;
+  readonly json?: boolean;
+  readonly keyFile?: string;
+  readonly prune?: boolean;
+  readonly request?: string;
+  readonly settings?: string;
+  readonly since?: string;
+  readonly trace?: string;
+  readonly upstream?: string;
+  readonly url?: string;
+}
+
+const DEFAULT_URL = 'http://127.0.0.1:7081';
+const VERSION = '0.1.0';
+
+/** The parser with all commands. */
+function makeCli(): CAC {
+  const cli = cac('puffinturn');
+  addOptions(cli);
+  addFileCommands(cli);
+  addFleetCommands(cli);
+  cli.help();
+  cli.version(VERSION);
+  return cli;
+}
+
+function addOptions(cli: CAC): void {
+  cli
+    .option('--url <url>', `Operators' address of any box (${DEFAULT_URL})`)
+    .option('--key-file <file>', 'File with the operator key (PUFFINTURN_KEY)')
+    .option('--ca-file <file>', "Authority of the boxes' certificates")
+    .option('--json', 'Print JSON for programs');
+}
+
+async function readKey(options: Options, output: Output): Promise<string> {
+  if (options.keyFile === undefined) {
+    return process.env.PUFFINTURN_KEY ?? '';
+  }
+  const secret = await readSecret(options.keyFile);
+  return secret.match(
+    (content) => content.toString('utf8').trim(),
+    (failure) => {
+      output.problem(failure.message);
+      return '';
+    },
+  );
+}
+
+async function withClient(
+  options: Options,
+  run: (client: OperatorClient, output: Output) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const output = new Output(options.json === true);
+  const key = await readKey(options, output);
+  if (key === '') {
+    output.problem('give a key by --key-file or PUFFINTURN_KEY');
+    return EXIT.usage;
+  }
+  const opened = await OperatorClient.open({
+    caFile: options.caFile,
+    key,
+    url: options.url ?? process.env.PUFFINTURN_URL ?? DEFAULT_URL,
+  });
+  if (opened.isErr()) {
+    output.problem(opened.error.message);
+    return EXIT.usage;
+  }
+  await using client = opened.value;
+  return await run(client, output);
+}
+
+function fileOf(options: Options): string {
+  return options.file ?? '.';
+}
+
+function addFileCommands(cli: CAC): void {
+  cli
+    .command('apply', 'Send the changes of a folder of declarations')
+    .option('-f, --file <path>', 'Folder or file of declarations (.)')
+    .option('--prune', 'Also remove what no file declares')
+    .example('puffinturn apply -f examples/cascadia/declarations')
+    .action((options: Options) =>
+      withClient(options, (client, output) =>
+        apply(client, fileOf(options), options.prune === true, output),
+      ),
+    );
+
+  cli
+    .command('diff', 'Show what apply would change')
+    .option('-f, --file <path>', 'Folder or file of declarations (.)')
+    .action((options: Options) =>
+      withClient(options, (client, output) =>
+        diff(client, fileOf(options), output),
+      ),
+    );
+
+  cli
+    .command('check', 'Check files without a fleet')
+    .option('-f, --file <path>', 'Folder or file of declarations')
+    .option('--settings <file>', 'Settings of a box')
+    .action((options: Options) =>
+      check(options.file, options.settings, new Output(options.json === true)),
+    );
+}
+
+function addFleetCommands(cli: CAC): void {
+  cli
+    .command('get [kind] [name]', 'Show declarations in force')
+    .example('puffinturn get budget clinics-north')
+    .action((kind: string | undefined, name: string | undefined, options) =>
+      withClient(options as Options, (client, output) =>
+        get(client, kind, name, output),
+      ),
+    );
+
+  cli
+    .command('status', 'Show boxes and control groups')
+    .action((options: Options) => withClient(options, status));
+
+  cli
+    .command('budget [name]', 'Show budgets in all regions')
+    .action((name: string | undefined, options: Options) =>
+      withClient(options, (client, output) => budgets(client, name, output)),
+    );
+
+  for (const on of [true, false]) {
+    cli
+      .command(
+        on ? 'drain' : 'undrain',
+        on ? 'Send no new work to a box or upstream' : 'End a drain',
+      )
+      .option('--box <box>', 'The box')
+      .option('--upstream <pool/upstream>', 'The upstream')
+      .action((options: Options) =>
+        withClient(options, (client, output) =>
+          drain(client, options, on, output),
+        ),
+      );
+  }
+
+  cli
+    .command('timeline', 'Show events of all boxes in order')
+    .option('--box <box>', 'Only this box')
+    .option('--budget <budget>', 'Only this budget')
+    .option('--request <request>', 'Only this request')
+    .option('--since <ms>', 'Only from this time on, ms since the epoch')
+    .option('--trace <file>', 'Write the Chrome trace format')
+    .action((options: Options) =>
+      withClient(options, (client, output) =>
+        timeline(client, options, options.trace, output),
+      ),
+    );
+
+  cli
+    .command('key', 'Make a key and its digest')
+    .action(async (options: Options) =>
+      makeKey(new Output(options.json === true)),
+    );
+}
+
+/** Runs the tool with a process's arguments and returns its exit code. */
+export async function runTool(argv: readonly string[]): Promise<ExitCode> {
+  const cli = makeCli();
+  try {
+    cli.parse([...argv], {run: false});
+    if (cli.options.help === true || cli.options.version === true) {
+      return EXIT.ok;
+    }
+    if (cli.matchedCommand === undefined) {
+      cli.outputHelp();
+      return EXIT.usage;
+    }
+    return (await cli.runMatchedCommand()) as ExitCode;
+  } catch (error) {
+    process.stderr.write(`puffinturn: ${describeError(error)}\n`);
+    return EXIT.usage;
+  }
+}
--- a/packages/puffinturn-cli/src/index.ts
+++ b/packages/puffinturn-cli/src/index.ts
@@ -9,3 +9,4 @@
 export type {Comparison, Difference} from './Comparison';
 export {compareAll, DIFFERENCE} from './Comparison';
 export {EXIT} from './ExitCodes';
+export {runTool} from './Tool';
--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -26,6 +26,8 @@
 } from 'puffinturn-log';
 import {boxOf, DEFAULT_TIMING, LogLink, Replica} from 'puffinturn-log';
 import {BoxMember, HeartbeatMonitor} from 'puffinturn-membership';
+import type {EngineClient} from 'puffinturn-orders';
+import {OrderController} from 'puffinturn-orders';
 import type {FleetBox} from 'puffinturn-settings';
 import type {TimelineEvent} from 'puffinturn-timeline';
 import {EVENT_KIND, Timeline} from 'puffinturn-timeline';
@@ -53,6 +55,8 @@
 export interface BoxParts {
   readonly place: FleetPlace;
   readonly client: UpstreamClient;
+  /** How orders reach engines; absent where none are sent. */
+  readonly engines?: EngineClient;
   readonly clock: Clock;
   readonly disk: Disk;
   readonly link: Link;
@@ -76,6 +80,8 @@
   readonly ledger: Ledger;
   readonly service: ControlService;
   readonly monitor: HeartbeatMonitor;
+  /** Absent when this fleet orders nothing from engines. */
+  readonly orders: OrderController | undefined;
 }
 
 class BoxLogLink extends LogLink {
@@ -211,6 +217,7 @@
       this.member[Symbol.asyncDispose](),
       this.control?.service[Symbol.asyncDispose](),
       this.control?.monitor[Symbol.asyncDispose](),
+      this.control?.orders?.[Symbol.asyncDispose](),
       this.control?.replica[Symbol.asyncDispose](),
     ]);
     await this.tasks[Symbol.asyncDispose]();
@@ -248,8 +255,21 @@
       : {snapshotEvery: parts.snapshotEvery}),
   }).map((replica) => {
     link.register(LOG_SERVICE, (body) => replica.handle(body as LogRequest));
+    const timing = parts.timing ?? DEFAULT_TIMING;
     return {
       ledger,
+      orders:
+        parts.engines &&
+        new OrderController({
+          client: parts.engines,
+          clock,
+          // A leader steps down after two election times without a quorum;
+          // twice as long leaves room for clocks that run differently.
+          handoverMs: 4 * timing.electionMs + timing.callMs,
+          ledger,
+          replica,
+          timeline,
+        }),
       monitor: new HeartbeatMonitor({
         clock,
         ledger,
--- a/packages/puffinturn-daemon/src/Daemon.ts
+++ b/packages/puffinturn-daemon/src/Daemon.ts
@@ -16,6 +16,7 @@
   HttpUpstreamClient,
 } from 'puffinturn-gateway';
 import {FolderDisk} from 'puffinturn-log';
+import {HttpEngineClient} from 'puffinturn-orders';
 import type {Settings} from 'puffinturn-settings';
 import {readFleetKey} from 'puffinturn-settings';
 import {TcpLink} from 'puffinturn-wire';
@@ -140,6 +141,7 @@
     client,
     clock,
     disk,
+    engines: new HttpEngineClient(),
     isListedGone: (name) => listed.list?.isGone(name) === true,
     keepAnswerMs: limits.keepAnswerMs,
     keepMarkedMs: limits.keepMarkedMs,
--- a/packages/puffinturn-daemon/src/__tests__/utils/DaemonFixture.ts
+++ b/packages/puffinturn-daemon/src/__tests__/utils/DaemonFixture.ts
@@ -105,11 +105,7 @@
     await fixture.declareAll(budgetLimit);
     const ready = await waitReady(daemon.value, 20_000);
     invariant(ready.isOk(), 'the box must become ready');
-    const {text} = await fixture.operate('/v1/status');
-    const {configIndex} = JSON.parse(text).regions[0];
-    const {member} = fixture.daemon.box;
-    const current = await member.waitForConfig(configIndex, 20_000);
-    invariant(current, 'the box must know the newest configuration');
+    await fixture.settleConfig();
     return fixture;
   }
 
@@ -155,6 +151,15 @@
     };
   }
 
+  /** Waits until the box works by the newest configuration. */
+  async settleConfig(): Promise<void> {
+    const {text} = await this.operate('/v1/status');
+    const {configIndex} = JSON.parse(text).regions[0];
+    const {member} = this.daemon.box;
+    const current = await member.waitForConfig(configIndex, 20_000);
+    invariant(current, 'the box must know the newest configuration');
+  }
+
   /** Units of the budget that are settled and reserved. */
   async spent(): Promise<{settled: number; reserved: number}> {
     const {text} = await this.operate('/v1/status');
--- a/packages/puffinturn-ledger/src/AdmissionQueue.ts
+++ b/packages/puffinturn-ledger/src/AdmissionQueue.ts
@@ -89,14 +89,17 @@
   async admit(record: AdmitRecord, patience: Patience): Promise<Answer> {
     const {priority, waitMs} = patience;
     const behind = this.isBehind(record.budget, priority);
-    if (behind && waitMs > 0 && !this.parts.isKnown(record)) {
-      return this.wait(record, patience, this.refusal(record));
-    }
-    const answer = await this.parts.propose(record);
+    const queued = behind && !this.parts.isKnown(record);
+    const answer = queued
+      ? this.refusal(record)
+      : await this.parts.propose(record);
     const lacking = answer.isOk() && answer.value.kind === 'insufficient';
-    return lacking && waitMs > 0 && this.hasHope(record)
+    if (!lacking || !this.hasHope(record)) {
+      return answer;
+    }
+    return waitMs > 0
       ? this.wait(record, patience, answer)
-      : answer;
+      : answer.map((outcome) => ({...outcome, mayWait: true}));
   }
 
   /** Admits waiters of a budget as far as its units go. */
--- a/packages/puffinturn-ledger/src/ControlClient.ts
+++ b/packages/puffinturn-ledger/src/ControlClient.ts
@@ -100,9 +100,13 @@
   ): Promise<Result<LedgerOutcome, ControlFailure>> {
     const {clock} = this.parts;
     const start = clock.now();
+    let first = true;
     for (;;) {
       const waitedMs = clock.now() - start;
-      const slice = Math.max(0, Math.min(waitMs - waitedMs, WAIT_SLICE_MS));
+      // The first call does not wait, so that it soon shows a silent leader.
+      const longest = first ? 0 : WAIT_SLICE_MS;
+      const slice = Math.max(0, Math.min(waitMs - waitedMs, longest));
+      first = false;
       const reply = await this.ask(
         {
           kind: 'submit',
--- a/packages/puffinturn-ledger/src/Ledger.ts
+++ b/packages/puffinturn-ledger/src/Ledger.ts
@@ -38,6 +38,8 @@
   ClaimOutcome,
   DeclareOutcome,
   LedgerOutcome,
+  OpenOrder,
+  OrderOutcome,
   RequestView,
   TransferOutcome,
 } from './LedgerOutcomes';
@@ -50,6 +52,7 @@
   FloorRecord,
   ImportRecord,
   LedgerRecord,
+  OrderRecord,
   ReportedRecord,
   RequestState,
   SettleRecord,
@@ -91,6 +94,7 @@
   readonly requests: readonly RequestEntry[];
   readonly boxes: readonly BoxEntry[];
   readonly fenced: readonly FencedEntry[];
+  readonly orders: readonly OpenOrder[];
 }
 
 /** See the module comment. */
@@ -101,6 +105,8 @@
   readonly budgets = new Map<string, BudgetState>();
   /** Requests known. */
   readonly requests = new RequestTable();
+  /** Orders to engines that are not answered, by `POOL/UPSTREAM`. */
+  readonly orders = new Map<string, OpenOrder>();
   /** Processes known. */
   readonly boxes = new BoxTable();
   private readonly listeners = new Set<AppliedListener>();
@@ -138,6 +144,7 @@
       declarations: this.declarations.all(),
       fenced: this.boxes.allFenced(),
       globalSequence: this.declarations.globalSequence,
+      orders: [...this.orders.values()],
       requests: this.requests.all(),
     };
     return encoder.encode(state);
@@ -152,6 +159,10 @@
     for (const budget of state.budgets) {
       this.budgets.set(budget.name, budget);
     }
+    this.orders.clear();
+    for (const order of state.orders) {
+      this.orders.set(order.upstream, order);
+    }
     this.requests.clear();
     for (const entry of state.requests) {
       this.requests.put(entry);
@@ -190,6 +201,13 @@
         return this.claim(record);
       case 'reported':
         return this.noteReported(record);
+      case 'order':
+        return this.order(record, index);
+      case 'order-done':
+        if (this.orders.get(record.upstream)?.fence === record.fence) {
+          this.orders.delete(record.upstream);
+        }
+        return {kind: 'noted'};
       case 'sweep':
         return this.sweep(record.at);
       default:
@@ -507,6 +525,19 @@
     this.budgets.set(name, budget);
   }
 
+  // Orders
+
+  /** One order at a time for each engine; the log index is its fence. */
+  private order(record: OrderRecord, index: number): OrderOutcome {
+    const {action, at, model, upstream} = record;
+    const open = this.orders.get(upstream);
+    if (open !== undefined) {
+      return {kind: 'busy', open};
+    }
+    this.orders.set(upstream, {action, at, fence: index, model, upstream});
+    return {fence: index, kind: 'ordered'};
+  }
+
   // Transfers between regions
 
   private transfer(
--- a/packages/puffinturn-ledger/src/LedgerConstants.ts
+++ b/packages/puffinturn-ledger/src/LedgerConstants.ts
@@ -56,7 +56,7 @@
 export const MAX_NEEDS = 1_000;
 
 /** Wait for the leader's answer beyond an admission's own wait, ms. */
-export const ADMIT_GRACE_MS = 1_000;
+export const ADMIT_GRACE_MS = 500;
 
 /** Longest wait of an admission within one call, ms. */
 export const WAIT_SLICE_MS = 1_500;
--- a/packages/puffinturn-ledger/src/LedgerOutcomes.ts
+++ b/packages/puffinturn-ledger/src/LedgerOutcomes.ts
@@ -98,6 +98,25 @@
   readonly kind: 'claimed' | 'duplicate';
 }
 
+/** Answer to an order. */
+export type OrderOutcome =
+  | {
+      readonly kind: 'ordered';
+      /** Grows with every order of the region. */
+      readonly fence: number;
+    }
+  /** The engine has an order that is not answered. */
+  | {readonly kind: 'busy'; readonly open: OpenOrder};
+
+/** An order that is not answered. */
+export interface OpenOrder {
+  readonly upstream: string;
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly fence: number;
+  readonly at: number;
+}
+
 /** Answer to records that only note something. */
 export interface NotedOutcome {
   readonly kind: 'noted';
@@ -110,4 +129,5 @@
   | ClaimOutcome
   | DeclareOutcome
   | NotedOutcome
+  | OrderOutcome
   | TransferOutcome;
--- a/packages/puffinturn-ledger/src/LedgerRecords.ts
+++ b/packages/puffinturn-ledger/src/LedgerRecords.ts
@@ -196,6 +196,23 @@
   readonly duplicate: boolean;
 }
 
+/** An engine is about to be ordered to do something. */
+export interface OrderRecord {
+  readonly kind: 'order';
+  /** `POOL/UPSTREAM`. */
+  readonly upstream: string;
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly at: number;
+}
+
+/** An order has been answered, or is given up. */
+export interface OrderDoneRecord {
+  readonly kind: 'order-done';
+  readonly upstream: string;
+  readonly fence: number;
+}
+
 /** Every record. */
 export type LedgerRecord =
   | AcceptReturnRecord
@@ -207,6 +224,8 @@
   | FloorRecord
   | GrantRecord
   | ImportRecord
+  | OrderDoneRecord
+  | OrderRecord
   | ReceiveRecord
   | RegisterRecord
   | ReportedRecord
--- a/packages/puffinturn-ledger/src/index.ts
+++ b/packages/puffinturn-ledger/src/index.ts
@@ -34,6 +34,8 @@
   AttemptOutcome,
   DeclareOutcome,
   LedgerOutcome,
+  OpenOrder,
+  OrderOutcome,
   RequestView,
 } from './LedgerOutcomes';
 export type {
--- a/packages/puffinturn-membership/src/MembershipConstants.ts
+++ b/packages/puffinturn-membership/src/MembershipConstants.ts
@@ -29,4 +29,4 @@
 export const MONITOR_EVERY_MS = 200;
 
 /** Limit for one heartbeat, ms. */
-export const HEARTBEAT_CALL_MS = 1_000;
+export const HEARTBEAT_CALL_MS = 500;
--- a/packages/puffinturn-settings/src/DeclarationSchema.ts
+++ b/packages/puffinturn-settings/src/DeclarationSchema.ts
@@ -67,12 +67,30 @@
   team: NameSchema,
 });
 
+const OrdersSchema = z.strictObject({
+  /** Whether the engines refuse orders with an old fence. */
+  checksFences: z.boolean().default(true),
+  /** Loads at once, as the weight store allows. */
+  loadsAtOnce: PositiveSchema.max(100).default(1),
+  /** How many engines shall hold each model. */
+  placements: z
+    .array(
+      z.strictObject({
+        copies: PositiveSchema.max(MAX_LIST),
+        model: z.string().min(1).max(200),
+      }),
+    )
+    .max(MAX_LIST),
+});
+
 const PoolSpecSchema = z.strictObject({
   /** Tokens of prompt and completion together at most. */
   contextTokens: PositiveSchema.default(32_768),
   /** Completion tokens for callers that give no maximum. */
   defaultMaxTokens: PositiveSchema.default(1_024),
   models: z.array(z.string().min(1).max(200)).min(1).max(MAX_LIST),
+  /** Absent when nobody orders engines to load models. */
+  orders: OrdersSchema.optional(),
   /** Budget units for one token. */
   price: z.strictObject({completion: CountSchema, prompt: CountSchema}),
   target: z
--- a/packages/puffinturn-settings/src/SettingsSchema.ts
+++ b/packages/puffinturn-settings/src/SettingsSchema.ts
@@ -76,8 +76,6 @@
     operators: ListenSchema.extend({keys: z.array(HashedKeySchema).min(1)}),
     /** The platform's list of live and leaving boxes, if there is one. */
     platformList: z.url({protocol: /^https?$/}).optional(),
-    /** What a box does when no quorum of its region can be reached. */
-    whenCutOff: z.enum(['refuse', 'serve']).default('refuse'),
   })
   .refine(
     ({box, fleet}) => fleet.boxes.some(({name}) => name === box),
