--- a/packages/puffinturn-orders/src/__tests__/unit/Orders.test.ts
+++ b/packages/puffinturn-orders/src/__tests__/unit/Orders.test.ts
@@ -26,18 +26,16 @@
     models: fc.option(fc.subarray(MODELS), {nil: undefined}),
     name: fc.uuid(),
   });
-  const placements = fc
-    .subarray(MODELS)
-    .chain((models) =>
-      fc.tuple(
-        ...models.map((model) =>
-          fc.record({
-            copies: fc.integer({max: 4, min: 1}),
-            model: fc.constant(model),
-          }),
-        ),
+  const placements = fc.subarray(MODELS).chain((models) =>
+    fc.tuple(
+      ...models.map((model) =>
+        fc.record({
+          copies: fc.integer({max: 4, min: 1}),
+          model: fc.constant(model),
+        }),
       ),
-    );
+    ),
+  );
 
   test('never drops a last holder, one order an engine, loads within the rate', () => {
     fc.assert(
