Measure false refusals and overspend of two regions against a fixed share

Change: bench budgets: seven real boxes of two regions in virtual time spend one budget to its end in five situations, with ours and with a fixed equal share that refuses at once.

--- a/packages/puffinturn-bench/src/main.ts
+++ b/packages/puffinturn-bench/src/main.ts
@@ -10,6 +10,7 @@
 import {cac} from 'cac';
 import Table from 'cli-table3';
 
+import {benchBudgets} from './BudgetsBench';
 import {benchFaults} from './FaultsBench';
 import {benchLedger} from './LedgerBench';
 import {benchPath} from './PathBench';
@@ -87,6 +88,9 @@
   show(o.json === true ? rows : routingTable(rows), o);
 });
 
+command('budgets', 'False refusals and overspend of two regions', async (o) => {
+  show(await benchBudgets(Number(o.seed)), o);
+});
 command('path', 'What one box adds and carries', async (o) => {
   show(await benchPath(Math.min(10, Number(o.seconds))), o);
 });
--- a/packages/puffinturn-fuzz/src/FuzzDeclarations.ts
+++ b/packages/puffinturn-fuzz/src/FuzzDeclarations.ts
@@ -60,7 +60,7 @@
 }
 
 /** Everything that does not change in a run. */
-export function firstDeclarations(): Declaration[] {
+export function firstDeclarations(limit = FIRST_LIMIT): Declaration[] {
   const sha256 = digestBytes(TEAM_KEY);
   const upstreams = ENGINE_URLS.map((url, at) => ({
     hall: 'hall-1',
@@ -76,7 +76,7 @@
       number: 1,
       spec: {keys: [{name: 'k', sha256}]},
     }),
-    budget(1, FIRST_LIMIT),
+    budget(1, limit),
     service(1, FIRST_PRICE),
     declaration({
       kind: 'pool',
--- a/packages/puffinturn-fuzz/src/FuzzFleet.ts
+++ b/packages/puffinturn-fuzz/src/FuzzFleet.ts
@@ -11,7 +11,7 @@
 import type {BoxBreakage, FleetPlace} from 'puffinturn-daemon';
 import {Box, OperatorApi} from 'puffinturn-daemon';
 import {GatewayMetrics} from 'puffinturn-gateway';
-import type {Ledger} from 'puffinturn-ledger';
+import type {Ledger, SplitSide} from 'puffinturn-ledger';
 import type {DiskFailure} from 'puffinturn-log';
 import {MemoryDisk} from 'puffinturn-log';
 import type {Declaration, FleetBox} from 'puffinturn-settings';
@@ -50,6 +50,15 @@
   return {control, hall, host: '127.0.0.1', name, port: 1, region};
 }
 
+/** What a fleet does otherwise than in production. */
+export interface FleetOptions {
+  readonly breakage?: BoxBreakage & {readonly skipSync?: boolean};
+  /** How budgets are split between regions. */
+  readonly split?: (home: SplitSide, other: SplitSide) => number;
+  /** Refuses at once near the end of a budget. */
+  readonly neverWait?: boolean;
+}
+
 /** One life of one box. */
 export interface Life {
   readonly box: Box;
@@ -112,7 +121,7 @@
 
   constructor(
     seed: number,
-    private readonly breakage: BoxBreakage & {readonly skipSync?: boolean},
+    private readonly options: FleetOptions = {},
     readonly boxes: readonly FleetBox[] = FUZZ_BOXES,
   ) {
     this.random = new Random(seed);
@@ -134,7 +143,7 @@
       return;
     }
     const real = this.disks.get(name) ?? new MemoryDisk();
-    real.fault.skipSync = this.breakage.skipSync === true;
+    real.fault.skipSync = this.options.breakage?.skipSync === true;
     this.disks.set(name, real);
     const position = this.boxes.findIndex((box) => box.name === name);
     const rate = CLOCK_RATES[position % CLOCK_RATES.length] ?? 1;
@@ -148,8 +157,9 @@
       boxes: this.boxes,
       primaryRegion: this.boxes[0]?.region ?? '',
     };
+    const {breakage = {}, neverWait, split} = this.options;
     const started = await Box.start({
-      breakage: this.breakage,
+      breakage,
       client,
       clock,
       disk,
@@ -161,6 +171,8 @@
       place,
       random: new Random(this.random.integer(0, 1_000_000)),
       snapshotEvery: SNAPSHOT_EVERY,
+      ...(neverWait === undefined ? {} : {neverWait}),
+      ...(split === undefined ? {} : {split}),
     });
     invariant(started.isOk(), `${name} must start`);
     const box = started.value;
--- a/packages/puffinturn-fuzz/src/FuzzRun.ts
+++ b/packages/puffinturn-fuzz/src/FuzzRun.ts
@@ -8,13 +8,13 @@
 /** Runs a list of steps against a fleet and checks the promises. */
 import type {BoxBreakage} from 'puffinturn-daemon';
 import type {CallerRequest, Gateway} from 'puffinturn-gateway';
-import {checkCompletion} from 'puffinturn-gateway';
 import type {DeclareReply} from 'puffinturn-ledger';
 import {allotted, grantedOut} from 'puffinturn-ledger';
 import type {Declaration} from 'puffinturn-settings';
 import type {TimelineEvent} from 'puffinturn-timeline';
 import {invariant} from 'shared';
 
+import {callerRequest} from './CallerRequests';
 import {
   BUDGET,
   budget,
@@ -22,10 +22,7 @@
   FIRST_LIMIT,
   FIRST_PRICE,
   firstDeclarations,
-  MODEL,
-  SERVICE,
   service,
-  TEAM_KEY,
 } from './FuzzDeclarations';
 import {FUZZ_BOXES, FuzzFleet} from './FuzzFleet';
 import type {Breach, CallerTry} from './Oracle';
@@ -69,7 +66,7 @@
   private drainedSince: number | undefined;
 
   private constructor(seed: number, breakage: FuzzBreakage) {
-    this.fleet = new FuzzFleet(seed, breakage);
+    this.fleet = new FuzzFleet(seed, {breakage});
     this.oracle = new Oracle(this.fleet.world);
     this.oracle.highestLimit = FIRST_LIMIT;
   }
@@ -200,7 +197,8 @@
     step: Extract<Step, {kind: 'request'}>,
     one: CallerTry,
   ): Promise<void> {
-    const request = callerRequest(gateway, this.fleet, step.box, one);
+    const member = this.fleet.lives.get(step.box)?.box.member;
+    const request = member && callerRequest(member, one.kind, one.name);
     if (request === undefined) {
       one.outcome = 'not-run';
       one.code = 'invalid_key';
@@ -437,44 +435,6 @@
   );
 }
 
-function callerRequest(
-  gateway: Gateway,
-  fleet: FuzzFleet,
-  box: string,
-  one: CallerTry,
-): CallerRequest | undefined {
-  const member = fleet.lives.get(box)?.box.member;
-  const team = member?.config.teamOf(TEAM_KEY);
-  if (team === undefined) {
-    return undefined;
-  }
-  const streams = one.kind === REQUEST_KIND.stream;
-  const json = streams
-    ? {
-        max_tokens: 10,
-        messages: [{content: one.name, role: 'user'}],
-        model: MODEL,
-        stream: true,
-      }
-    : {order: one.name};
-  const completion = streams ? checkCompletion(json, 'chat') : undefined;
-  return {
-    body: Buffer.from(JSON.stringify(json)),
-    completion: completion?.unwrapOr(undefined as never),
-    headers: {'content-type': 'application/json'},
-    json,
-    key: streams ? one.name : '',
-    method: 'POST',
-    path: streams
-      ? '/v1/chat/completions'
-      : one.kind === REQUEST_KIND.marked
-        ? '/place'
-        : '/look-up',
-    service: streams ? '' : SERVICE,
-    team,
-  };
-}
-
 /** The text of a stream's events; other bodies as they are. */
 function textOf(body: string, {kind}: CallerTry): string {
   if (kind !== REQUEST_KIND.stream) {
--- a/packages/puffinturn-fuzz/src/index.ts
+++ b/packages/puffinturn-fuzz/src/index.ts
@@ -6,8 +6,11 @@
  */
 
 /** Stateful fuzzing of whole fleets in one process. */
+export {callerRequest} from './CallerRequests';
 export type {FuzzOptions, FuzzReport} from './Fuzz';
 export {BREAKAGES, fuzz} from './Fuzz';
+export {BUDGET, FIRST_PRICE, firstDeclarations} from './FuzzDeclarations';
+export type {FleetOptions} from './FuzzFleet';
 export {FuzzFleet} from './FuzzFleet';
 export type {FuzzBreakage, RunReport} from './FuzzRun';
 export {FuzzRun} from './FuzzRun';
