Release what a fenced process has given up instead of billing it

Ruled out: a request that ran (no execution carries its name). Change: heartbeats carry the floors of earlier incarnations of the same process, and the ledger releases below them also for fenced ones.

--- a/packages/puffinturn-ledger/src/Ledger.ts
+++ b/packages/puffinturn-ledger/src/Ledger.ts
@@ -419,15 +419,19 @@
     return {kind: 'noted'};
   }
 
+  /**
+   * Releases what a process has given up. A fenced process may still say so,
+   * if it goes on under another incarnation; what it gave up has not run.
+   */
   private raiseFloor(record: FloorRecord): LedgerOutcome {
-    const box = this.boxes.current(record.box, record.incarnation);
-    if (box === undefined) {
-      return {kind: 'fenced'};
-    }
-    box.floor = Math.max(box.floor, record.serial);
-    for (const entry of this.requests.openOf(record.box, record.incarnation)) {
-      if (entry.serial < box.floor) {
-        this.close(entry, REQUEST_STATE.void, 0, record.at);
+    const {at, incarnation, serial} = record;
+    const box = this.boxes.current(record.box, incarnation);
+    if (box !== undefined) {
+      box.floor = Math.max(box.floor, serial);
+    }
+    for (const entry of this.requests.openOf(record.box, incarnation)) {
+      if (entry.serial < serial) {
+        this.close(entry, REQUEST_STATE.void, 0, at);
       }
     }
     return {kind: 'noted'};
--- a/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
+++ b/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
@@ -123,6 +123,21 @@
     expect(fixture.budget.reserved).toBe(0);
   });
 
+  test('a fenced process still releases what it gave up, unbilled', () => {
+    const fixture = new Fixture();
+    fixture.apply(admit('k', 1, {generatedKey: true}));
+    fixture.apply({at: 0, box: 'box', incarnation: 'i1', kind: 'fence'});
+    fixture.apply({
+      at: 0,
+      box: 'box',
+      incarnation: 'i1',
+      kind: 'floor',
+      serial: 2,
+    });
+    fixture.apply({at: ORPHAN_MS + 1, kind: 'sweep'});
+    expect(fixture.budget).toMatchObject({reserved: 0, settled: 0});
+  });
+
   test('a decision under an older configuration is refused', () => {
     const fixture = new Fixture();
     fixture.apply(declareBudget(2, 200));
--- a/packages/puffinturn-membership/src/BoxMember.ts
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -34,6 +34,14 @@
 
 const REGISTER_TIMEOUT_MS = 5_000;
 
+/** Fenced incarnations whose admissions are still reported. */
+const MAX_FORMER = 5;
+
+interface Former {
+  readonly incarnation: string;
+  readonly admissions: OpenAdmissions;
+}
+
 /** What a member needs. */
 export interface BoxMemberParts {
   readonly box: string;
@@ -65,6 +73,7 @@
   config = FleetConfig.empty;
   /** Other boxes of the region. */
   boxes: readonly BoxNews[] = [];
+  private former: readonly Former[] = [];
   private stopping = false;
   private registered = false;
   private currentUntil = -Infinity;
@@ -144,6 +153,10 @@
   /** Goes on as a new process after this one was fenced. */
   private renew(): void {
     this.registered = false;
+    const {admissions, incarnation} = this;
+    this.former = [...this.former, {admissions, incarnation}].slice(
+      -MAX_FORMER,
+    );
     this.incarnation = this.parts.newIncarnation();
     this.admissions = new OpenAdmissions();
   }
@@ -178,6 +191,10 @@
       box,
       configIndex: this.config.index,
       floor: this.admissions.floor,
+      former: this.former.map(({admissions, incarnation}) => ({
+        floor: admissions.floor,
+        incarnation,
+      })),
       inFlight: inFlight(),
       incarnation: this.incarnation,
       kind: 'heartbeat',
--- a/packages/puffinturn-membership/src/HeartbeatMonitor.ts
+++ b/packages/puffinturn-membership/src/HeartbeatMonitor.ts
@@ -74,6 +74,9 @@
     if (known) {
       this.note(heartbeat);
     }
+    for (const former of heartbeat.former) {
+      this.releaseBelow(box, former.incarnation, former.floor);
+    }
     return this.reply(heartbeat, !known);
   }
 
@@ -83,6 +86,11 @@
     const watched = this.watchedOf(box, now);
     watched.suspicion.heard(now);
     watched.newest = heartbeat;
+    this.releaseBelow(box, incarnation, floor);
+  }
+
+  /** Releases admissions that their own process has given up. */
+  private releaseBelow(box: string, incarnation: string, floor: number): void {
     const [oldest] = this.parts.ledger.requests.openOf(box, incarnation);
     if (oldest !== undefined && oldest.serial < floor) {
       const at = this.parts.clock.wallTime();
--- a/packages/puffinturn-membership/src/MemberMessages.ts
+++ b/packages/puffinturn-membership/src/MemberMessages.ts
@@ -19,6 +19,13 @@
   readonly count: number;
 }
 
+/** A fenced incarnation whose process goes on under another name. */
+export interface FormerIncarnation {
+  readonly incarnation: string;
+  /** Lowest serial of an admission that is still open. */
+  readonly floor: number;
+}
+
 /** What a box tells of itself. */
 export interface Heartbeat {
   readonly kind: 'heartbeat';
@@ -27,6 +34,8 @@
   readonly configIndex: number;
   /** Lowest serial of an admission that is still open. */
   readonly floor: number;
+  /** Earlier incarnations of the same process, which were fenced. */
+  readonly former: readonly FormerIncarnation[];
   readonly stopping: boolean;
   readonly inFlight: readonly UpstreamCount[];
   /** Upstreams that told this box that they are leaving. */
