--- a/packages/puffinturn-ledger/src/ControlService.ts
+++ b/packages/puffinturn-ledger/src/ControlService.ts
@@ -13,7 +13,12 @@
 import type {ProposalFailure, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {Condition, DisposableList, TaskGroup} from 'shared';
+import {
+  Condition,
+  DisposableList,
+  sleepUnlessNotified,
+  TaskGroup,
+} from 'shared';
 
 import {AdmissionQueue} from './AdmissionQueue';
 import type {BudgetState} from './BudgetAccount';
@@ -328,13 +333,8 @@
   /** Waits for the next round, less when an admission has begun to wait. */
   private async pauseExchange(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
-    const stop = new AbortController();
     await clock.sleep(EXCHANGE_EVERY_MS / 10, signal);
-    await Promise.race([
-      clock.sleep(EXCHANGE_EVERY_MS, AbortSignal.any([signal, stop.signal])),
-      this.hurry.wait(),
-    ]);
-    stop.abort();
+    await sleepUnlessNotified(clock, this.hurry, EXCHANGE_EVERY_MS, signal);
   }
 
   private async exchangeOnce(region: string): Promise<void> {
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -14,16 +14,24 @@
  */
 import {err, ok, okAsync, ResultAsync} from 'neverthrow';
 import type {Clock, Failure, Random} from 'shared';
-import {Condition, invariant, Mutex, TaskGroup} from 'shared';
-
+import {
+  Condition,
+  invariant,
+  Mutex,
+  sleepUnlessNotified,
+  TaskGroup,
+} from 'shared';
+
+import {collectVotes} from './Ballot';
 import type {Disk} from './Disk';
 import {EntryList} from './EntryList';
+import type {FoundingParts} from './Founding';
+import {tryToTakePart} from './Founding';
 import type {ReplicaTiming} from './LogConstants';
 import {
   CAUGHT_UP_ENTRIES,
   MAX_APPEND_ENTRIES,
   SNAPSHOT_EVERY_ENTRIES,
-  SNAPSHOT_PART_BYTES,
   TRAILING_ENTRIES,
 } from './LogConstants';
 import type {LogLink, Machine} from './LogLink';
@@ -33,7 +41,6 @@
   Entry,
   EntryBody,
   FoundRequest,
-  IdentityReply,
   LogRequest,
   Members,
   ProposalFailure,
@@ -46,7 +53,15 @@
 import {boxOf, replicaIdOf} from './LogMessages';
 import type {Snapshot, StorageFailure, StoredLog} from './LogStorage';
 import {LogStorage} from './LogStorage';
+import type {MemberChange} from './MemberChanges';
+import {
+  quorumOf,
+  withLearner,
+  withoutFormerLives,
+  withVoter,
+} from './MemberChanges';
 import {SnapshotAssembly} from './SnapshotAssembly';
+import {sendSnapshot} from './SnapshotTransfer';
 
 /** What a replica is at the moment. */
 export const ROLE = {
@@ -265,16 +280,17 @@
    * existing one to take this replica in. Repeats until it is a member.
    */
   async takePart(boxes: readonly string[]): Promise<void> {
-    const {clock, timing} = this.parts;
+    const {box, clock, link, timing} = this.parts;
+    const parts: FoundingParts = {
+      box,
+      found: (request) => this.mutex.run(() => this.handleFound(request)),
+      id: this.id,
+      isFounded: () => this.founded,
+      link,
+      timing,
+    };
     while (!this.tasks.ended && !this.isMember()) {
-      const identities = await this.askIdentities(boxes);
-      const founded = identities.some((identity) => identity.founded);
-      const first = [...boxes].sort()[0] === this.parts.box;
-      if (!founded && first && identities.length === boxes.length) {
-        await this.foundGroup(identities.map((identity) => identity.replica));
-      } else if (founded) {
-        await this.askToJoin(identities);
-      }
+      await tryToTakePart(parts, boxes);
       await clock.sleep(timing.electionMs, this.tasks.signal);
     }
   }
@@ -512,7 +528,7 @@
   }
 
   private async admitReplica(newcomer: ReplicaId) {
-    const steps: Array<(members: Members) => Members | undefined> = [
+    const steps: readonly MemberChange[] = [
       (members) => withLearner(members, newcomer),
       (members) => withoutFormerLives(members, newcomer),
       (members) => withVoter(members, newcomer),
@@ -544,34 +560,6 @@
     }
   }
 
-  private async askIdentities(
-    boxes: readonly string[],
-  ): Promise<IdentityReply[]> {
-    const {link, timing} = this.parts;
-    const calls = boxes.map(async (box): Promise<IdentityReply | undefined> => {
-      if (box === this.parts.box) {
-        return {founded: this.founded, replica: this.id};
-      }
-      const to = replicaIdOf(box, '');
-      const answer = await link.call(to, {kind: 'identity'}, timing.callMs);
-      return answer.isOk() ? (answer.value as IdentityReply) : undefined;
-    });
-    const replies = await Promise.all(calls);
-    return replies.filter((reply) => reply !== undefined);
-  }
-
-  private async foundGroup(voters: readonly ReplicaId[]): Promise<void> {
-    const members = {learners: [], voters};
-    const {link, timing} = this.parts;
-    await this.handleFound({kind: 'found', members, to: this.id});
-    const others = voters.filter((voter) => voter !== this.id);
-    await Promise.all(
-      others.map((to) =>
-        link.call(to, {kind: 'found', members, to}, timing.callMs),
-      ),
-    );
-  }
-
   private async handleFound(request: FoundRequest) {
     if (this.founded || request.to !== this.id) {
       return {founded: false};
@@ -582,16 +570,6 @@
     return {founded: await this.flush()};
   }
 
-  private async askToJoin(identities: readonly IdentityReply[]): Promise<void> {
-    const {link, timing} = this.parts;
-    for (const {founded, replica} of identities) {
-      if (founded && replica !== this.id) {
-        const request = {from: this.id, kind: 'join'} as const;
-        await link.call(replica, request, timing.callMs);
-      }
-    }
-  }
-
   // Elections
 
   private async runElections(signal: AbortSignal): Promise<void> {
@@ -621,7 +599,7 @@
 
   private async stand(): Promise<void> {
     const {term} = this;
-    if (!(await this.collectVotes(term + 1, true)) || this.term !== term) {
+    if (!(await this.askForVotes(term + 1, true)) || this.term !== term) {
       return;
     }
     const standing = await this.mutex.run(async () => {
@@ -634,46 +612,29 @@
       this.leader = undefined;
       return this.saveState();
     });
-    if (standing && (await this.collectVotes(term + 1, false))) {
+    if (standing && (await this.askForVotes(term + 1, false))) {
       this.becomeLeader(term + 1);
     }
   }
 
-  private async collectVotes(term: number, preVote: boolean): Promise<boolean> {
-    const {link, timing} = this.parts;
-    const {voters} = this.members;
-    const request = {
-      from: this.id,
-      kind: 'vote',
-      lastIndex: this.log.lastIndex,
-      lastTerm: this.log.lastTerm,
-      preVote,
-      term,
-    } as const;
-    const others = voters.filter((voter) => voter !== this.id);
-    const needed = quorumOf(voters) - 1;
-    let granted = 0;
-    return new Promise((resolve) => {
-      let open = others.length;
-      const count = (reply: VoteReply | undefined): void => {
-        open -= 1;
-        granted += reply?.granted === true ? 1 : 0;
-        if (reply !== undefined && reply.term > this.term && !preVote) {
-          void this.mutex.run(() => this.adoptTerm(reply.term));
-        }
-        if (granted >= needed || open === 0) {
-          resolve(granted >= needed);
+  private askForVotes(term: number, preVote: boolean): Promise<boolean> {
+    return collectVotes({
+      callMs: this.parts.timing.callMs,
+      link: this.parts.link,
+      onTerm: (answered) => {
+        if (answered > this.term && !preVote) {
+          void this.mutex.run(() => this.adoptTerm(answered));
         }
-      };
-      if (needed === 0) {
-        resolve(true);
-      }
-      for (const to of others) {
-        void link.call(to, {...request, to}, timing.callMs).match(
-          (reply) => count(reply as VoteReply),
-          () => count(undefined),
-        );
-      }
+      },
+      request: {
+        from: this.id,
+        kind: 'vote',
+        lastIndex: this.log.lastIndex,
+        lastTerm: this.log.lastTerm,
+        preVote,
+        term,
+      },
+      voters: this.members.voters,
     });
   }
 
@@ -776,24 +737,16 @@
         await clock.sleep(timing.heartbeatMs / 2, signal);
       }
       if (progressed && peer.nextIndex > this.log.lastIndex) {
-        await this.waitForWork(timing.heartbeatMs, signal);
+        await sleepUnlessNotified(
+          clock,
+          this.grown,
+          timing.heartbeatMs,
+          signal,
+        );
       }
     }
   }
 
-  /** Waits for new entries, at most `ms`. */
-  private async waitForWork(ms: number, signal: AbortSignal): Promise<void> {
-    const stop = new AbortController();
-    const cancel = (): void => stop.abort();
-    signal.addEventListener('abort', cancel, {once: true});
-    await Promise.race([
-      this.grown.wait(),
-      this.parts.clock.sleep(ms, stop.signal),
-    ]);
-    stop.abort();
-    signal.removeEventListener('abort', cancel);
-  }
-
   private async sendEntries(peer: Peer, term: number): Promise<boolean> {
     const previousIndex = peer.nextIndex - 1;
     const previousTerm = this.log.termAt(previousIndex);
@@ -837,41 +790,21 @@
   private async sendSnapshot(peer: Peer, term: number): Promise<boolean> {
     const {snapshot} = this;
     invariant(snapshot !== undefined, 'entries are gone without a snapshot');
-    let offset = 0;
-    while (this.leads(peer, term)) {
-      const end = Math.min(snapshot.bytes.length, offset + SNAPSHOT_PART_BYTES);
-      const request: SnapshotRequest = {
-        bytes: snapshot.bytes.subarray(offset, end),
-        done: end === snapshot.bytes.length,
-        from: this.id,
-        kind: 'snapshot',
-        lastIndex: snapshot.lastIndex,
-        lastTerm: snapshot.lastTerm,
-        members: snapshot.members,
-        offset,
-        term,
-        to: peer.id,
-      };
-      const answer = await this.parts.link.call(
-        peer.id,
-        request,
-        this.parts.timing.callMs,
-      );
-      if (answer.isErr()) {
-        return false;
-      }
-      const reply = answer.value as SnapshotReply;
-      if (!(await this.acceptsReply(reply.term))) {
-        return false;
-      }
-      if (request.done && reply.nextOffset === end) {
-        peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
-        peer.nextIndex = peer.matchIndex + 1;
-        return true;
-      }
-      offset = reply.nextOffset;
+    const installed = await sendSnapshot({
+      acceptsTerm: (answered) => this.acceptsReply(answered),
+      callMs: this.parts.timing.callMs,
+      from: this.id,
+      goesOn: () => this.leads(peer, term),
+      link: this.parts.link,
+      snapshot,
+      term,
+      to: peer.id,
+    });
+    if (installed) {
+      peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
+      peer.nextIndex = peer.matchIndex + 1;
     }
-    return false;
+    return installed;
   }
 
   private async acceptsReply(term: number): Promise<boolean> {
@@ -1021,41 +954,6 @@
   }
 }
 
-/** The number of voters that make a quorum. */
-export function quorumOf(voters: readonly ReplicaId[]): number {
-  return Math.floor(voters.length / 2) + 1;
-}
-
 function leadershipLost(): Failure<'leadership-lost'> {
   return {kind: 'leadership-lost', message: 'another replica may lead now'};
 }
-
-function withLearner(members: Members, id: ReplicaId): Members | undefined {
-  return members.learners.includes(id) || members.voters.includes(id)
-    ? undefined
-    : {...members, learners: [...members.learners, id]};
-}
-
-/** Drops earlier lives of the same box: their disk is gone for good. */
-function withoutFormerLives(
-  members: Members,
-  id: ReplicaId,
-): Members | undefined {
-  const stays = (other: ReplicaId): boolean =>
-    other === id || boxOf(other) !== boxOf(id);
-  const voters = members.voters.filter(stays);
-  const learners = members.learners.filter(stays);
-  const same =
-    voters.length === members.voters.length &&
-    learners.length === members.learners.length;
-  return same || voters.length === 0 ? undefined : {learners, voters};
-}
-
-function withVoter(members: Members, id: ReplicaId): Members | undefined {
-  return members.voters.includes(id)
-    ? undefined
-    : {
-        learners: members.learners.filter((learner) => learner !== id),
-        voters: [...members.voters, id],
-      };
-}
--- a/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
@@ -24,6 +24,7 @@
   const clock = new ManualClock();
   const machine = new ListMachine();
   const disk = (await FolderDisk.open(folder))._unsafeUnwrap();
+  disks.push(disk);
   const opened = await Replica.open({
     box: 'a',
     clock,
@@ -48,11 +49,15 @@
   return {machine, replica};
 }
 
+const disks: FolderDisk[] = [];
 let folder: string;
 beforeEach(async () => {
   folder = await mkdtemp(join(tmpdir(), 'disk-'));
 });
 afterEach(async () => {
+  for (const disk of disks.splice(0)) {
+    await disk[Symbol.asyncDispose]();
+  }
   await rm(folder, {force: true, recursive: true});
 });
 
--- a/packages/puffinturn-log/src/index.ts
+++ b/packages/puffinturn-log/src/index.ts
@@ -21,5 +21,6 @@
 export {boxOf, replicaIdOf} from './LogMessages';
 export type {CorruptionFailure, StorageFailure} from './LogStorage';
 export {LogStorage} from './LogStorage';
+export {quorumOf} from './MemberChanges';
 export type {ReplicaBreakage, ReplicaParts, Role} from './Replica';
-export {quorumOf, Replica, ROLE} from './Replica';
+export {Replica, ROLE} from './Replica';
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -7,6 +7,8 @@
 
 /** Small helpers for tasks: a mutex, a condition and a background task group. */
 
+import type {Clock} from './Clock';
+
 /** Lets one task at a time into a section, in order of arrival. */
 export class Mutex {
   private tail: Promise<unknown> = Promise.resolve();
@@ -38,6 +40,21 @@
   }
 }
 
+/** Sleeps, but returns early when the condition is notified. */
+export async function sleepUnlessNotified(
+  clock: Clock,
+  condition: Condition,
+  ms: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const stop = new AbortController();
+  const cancel = (): void => stop.abort();
+  signal.addEventListener('abort', cancel, {once: true});
+  await Promise.race([condition.wait(), clock.sleep(ms, stop.signal)]);
+  stop.abort();
+  signal.removeEventListener('abort', cancel);
+}
+
 /** Background tasks that end together: disposing aborts and awaits them. */
 export class TaskGroup implements AsyncDisposable {
   private readonly controller = new AbortController();
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -18,4 +18,10 @@
 export {describeError} from './Failure';
 export {invariant, InvariantError} from './Invariant';
 export {Random} from './Random';
-export {Condition, DisposableList, Mutex, TaskGroup} from './Task';
+export {
+  Condition,
+  DisposableList,
+  Mutex,
+  sleepUnlessNotified,
+  TaskGroup,
+} from './Task';
