Let a box drain turn its health check red; note refusals; count tests last

Change: the health check looks at drains; the gateway notes refusals; an answer carries what was billed.

--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -4,6 +4,7 @@
     '^shared$': '<rootDir>/packages/shared/src/index.ts',
     '^(puffinturn-[a-z-]+)$': '<rootDir>/packages/$1/src/index.ts',
   },
+  reporters: ['default', '<rootDir>/scripts/countReporter.mjs'],
   testMatch: ['<rootDir>/packages/*/src/__tests__/**/*.test.ts'],
   testPathIgnorePatterns: ['/node_modules/', '/dist/'],
   transform: {
--- a/packages/puffinturn-cli/src/__tests__/unit/Tool.test.ts
+++ b/packages/puffinturn-cli/src/__tests__/unit/Tool.test.ts
@@ -111,6 +111,21 @@
     expect(fixture.service.executions.get('T-1')).toBe(1);
   });
 
+  test('a drained box turns its health check red and still serves', async () => {
+    const port = fixture.daemon.callerPort;
+    const health = async () =>
+      (await fetch(`http://127.0.0.1:${port}/healthz`)).status;
+    expect(await run('drain', '--box', 'box-1')).toBe(EXIT.ok);
+    await fixture.settleConfig();
+    expect(await health()).toBe(503);
+    const order = JSON.stringify({order: 'T-2'});
+    const served = await fixture.call('/services/orders/place', order);
+    expect(served.status).toBe(200);
+    expect(await run('undrain', '--box', 'box-1')).toBe(EXIT.ok);
+    await fixture.settleConfig();
+    expect(await health()).toBe(200);
+  });
+
   test('status, get and timeline answer; wrong use is told', async () => {
     expect(await run('status')).toBe(EXIT.ok);
     expect(printed).toContain('leader');
--- a/packages/puffinturn-daemon/src/Daemon.ts
+++ b/packages/puffinturn-daemon/src/Daemon.ts
@@ -163,7 +163,8 @@
     callerHttp({
       bodyBytes: limits.bodyBytes,
       gateway: box.gateway,
-      isHealthy: () => health.green,
+      isHealthy: () =>
+        health.green && !box.member.config.isBoxDrained(settings.box),
       member: box.member,
       metrics,
     }),
--- a/packages/puffinturn-gateway/src/Answer.ts
+++ b/packages/puffinturn-gateway/src/Answer.ts
@@ -46,6 +46,8 @@
   private dropped = 0;
   /** Bytes in all. */
   bytes = 0;
+  /** Units billed; undefined while not known. */
+  billed: number | undefined;
 
   constructor(
     readonly attempt: number,
--- a/packages/puffinturn-gateway/src/Gateway.ts
+++ b/packages/puffinturn-gateway/src/Gateway.ts
@@ -132,6 +132,20 @@
   /** Serves one request. */
   async handle(
     request: CallerRequest,
+  ): Promise<Result<CallerAnswer, GatewayFailure>> {
+    const served = await this.serve(request);
+    if (served.isErr()) {
+      const {kind, outcome} = served.error;
+      this.parts.timeline.note(EVENT_KIND.refused, {
+        detail: `${kind}, ${outcome}`,
+        team: request.team.name,
+      });
+    }
+    return served;
+  }
+
+  private async serve(
+    request: CallerRequest,
   ): Promise<Result<CallerAnswer, GatewayFailure>> {
     if (this.refusing) {
       const message = 'this box is stopping; another one will answer';
@@ -221,7 +235,7 @@
     return {answer, requestId: key};
   }
 
-  private count(attempt: Attempt, {end, head}: Answer): void {
+  private count(attempt: Attempt, {billed = 0, end}: Answer): void {
     const failed = end?.kind === 'failed' ? end.failure : undefined;
     const {metrics} = this.parts;
     const {budget, pool} = attempt.plan.decision;
@@ -230,7 +244,7 @@
       outcome: failed?.outcome ?? OUTCOME.ran,
       target: pool,
     });
-    metrics.billed.inc({budget}, head?.billed ?? 0);
+    metrics.billed.inc({budget}, billed);
   }
 
   /** The answer that another attempt makes or made; undefined to ask again. */
--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -339,6 +339,7 @@
       this.chargeFor(status, body),
       keeps ? {body, contentType, status} : undefined,
     );
+    this.answer.billed = billed;
     const head = {billed, contentType, outcome: OUTCOME.ran, status};
     this.answer.start(head);
     void this.answer.append(body);
@@ -396,6 +397,7 @@
     const usage = this.usage();
     const charge = this.price(usage.promptTokens, usage.completionTokens);
     const billed = await this.parts.settlement.settleSoon(this.attempt, charge);
+    this.answer.billed = billed;
     this.startStream();
     let output = '';
     if (completion?.includeUsage === true) {
--- a/packages/puffinturn-timeline/src/Timeline.ts
+++ b/packages/puffinturn-timeline/src/Timeline.ts
@@ -28,7 +28,6 @@
   started: 'started',
   stopping: 'stopping',
   takenOver: 'taken-over',
-  transferred: 'transferred',
   upstreamLeaving: 'upstream-leaving',
   voided: 'voided',
 } as const;
