--- a/packages/puffinturn-daemon/src/__tests__/unit/Session.test.ts
+++ b/packages/puffinturn-daemon/src/__tests__/unit/Session.test.ts
@@ -7,6 +7,7 @@
 
 /** Whole sessions over HTTP; golden but for ids and times. */
 import fc from 'fast-check';
+import {digestBytes} from 'shared';
 
 import type {TextAnswer} from '../utils/DaemonFixture';
 import {DaemonFixture} from '../utils/DaemonFixture';
@@ -126,6 +127,36 @@
     });
   });
 
+  test('a key and a rule hold from the moment that they are accepted', async () => {
+    await using fresh = await DaemonFixture.open();
+    const sha256 = digestBytes('newer-key');
+    const team = {
+      kind: 'team',
+      name: 'team-2',
+      number: 1,
+      spec: {keys: [{name: 'k', sha256}]},
+    };
+    const rule = {
+      action: 'allow',
+      budget: "'budget-1'",
+      name: 'look-ups',
+      pool: 'orders',
+      when: "request.team == 'team-2' && request.method == 'POST'",
+    };
+    const policy = {
+      kind: 'policy',
+      name: 'second',
+      number: 1,
+      spec: {order: 1, rules: [rule]},
+    };
+    expect((await fresh.operate('/v1/declarations', team)).status).toBe(200);
+    expect((await fresh.operate('/v1/declarations', policy)).status).toBe(200);
+    const answer = await fresh.call('/services/orders/look-up', '{}', {
+      authorization: 'Bearer newer-key',
+    });
+    expect(answer.status).toBe(200);
+  }, 30_000);
+
   test('a budget that runs out refuses as not run', async () => {
     await using small = await DaemonFixture.open(25);
     const answers: string[] = [];
--- a/packages/puffinturn-gateway/src/Admission.ts
+++ b/packages/puffinturn-gateway/src/Admission.ts
@@ -82,6 +82,10 @@
       }
       const plan = planner();
       if (plan.isErr()) {
+        // A refusal must not rest on a configuration that has been replaced.
+        if (turn === 0 && (await this.parts.member.refresh())) {
+          continue;
+        }
         return err(plan.error);
       }
       const home = this.homeElsewhere(plan.value);
--- a/packages/puffinturn-gateway/src/CallerHttp.ts
+++ b/packages/puffinturn-gateway/src/CallerHttp.ts
@@ -71,8 +71,8 @@
       ? context.text('ready')
       : context.text('not ready', 503),
   );
-  app.get('/v1/models', (context) =>
-    authenticate(parts, context).match(
+  app.get('/v1/models', async (context) =>
+    (await authenticate(parts, context)).match(
       () => context.json(listModels(member)),
       refuse,
     ),
@@ -104,10 +104,10 @@
   };
 }
 
-function authenticate(
+async function authenticate(
   {member}: CallerHttpParts,
   context: HttpContext,
-): Result<Team, GatewayFailure> {
+): Promise<Result<Team, GatewayFailure>> {
   const repeated = repeatedHeader(context.env.incoming.rawHeaders);
   if (repeated !== undefined) {
     const message = `the header ${repeated} came more than once`;
@@ -119,6 +119,13 @@
   if (team !== undefined) {
     return ok(team);
   }
+  // A key may be newer than the configuration that this box has.
+  if (bearer !== undefined && (await member.refresh())) {
+    const added = member.config.teamOf(bearer);
+    if (added !== undefined) {
+      return ok(added);
+    }
+  }
   return member.isReady
     ? err(gatewayFailure('invalid_key', 'a valid bearer key is needed'))
     : err(gatewayFailure('not_ready', 'this box is not up to date', 1_000));
@@ -189,7 +196,7 @@
   context: HttpContext,
   kind: 'chat' | 'text',
 ): Promise<Response> {
-  const team = authenticate(parts, context);
+  const team = await authenticate(parts, context);
   if (team.isErr()) {
     return refuse(team.error);
   }
@@ -220,7 +227,7 @@
   parts: CallerHttpParts,
   context: HttpContext,
 ): Promise<Response> {
-  const team = authenticate(parts, context);
+  const team = await authenticate(parts, context);
   if (team.isErr()) {
     return refuse(team.error);
   }
--- a/packages/puffinturn-membership/src/BoxMember.ts
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -74,6 +74,7 @@
   /** Other boxes of the region. */
   boxes: readonly BoxNews[] = [];
   private former: readonly Former[] = [];
+  private refreshing: Promise<void> | undefined;
   private stopping = false;
   private registered = false;
   private currentUntil = -Infinity;
@@ -98,6 +99,19 @@
     return this.registered && current && this.config.index > 0;
   }
 
+  /**
+   * Asks the leader for the configuration now; true when it has changed.
+   * Callers at the same time share one question.
+   */
+  async refresh(): Promise<boolean> {
+    const {index} = this.config;
+    this.refreshing ??= this.beat().finally(() => {
+      this.refreshing = undefined;
+    });
+    await this.refreshing;
+    return this.config.index > index;
+  }
+
   /** Waits until the configuration is at least at `index`. */
   async waitForConfig(index: number, timeoutMs: number): Promise<boolean> {
     const {clock} = this.parts;
