--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -20,8 +20,10 @@
 
 import type {Attempt} from './Admission';
 import type {Answer} from './Answer';
+import {Bill} from './Bill';
 import {continuationBody, upstreamBody} from './CompletionBody';
-import {CompletionStream, readUsage} from './CompletionStream';
+import type {Usage} from './CompletionStream';
+import {CompletionStream} from './CompletionStream';
 import {
   ADMIT_TIMEOUT_MS,
   MAX_ANSWER_BYTES,
@@ -60,14 +62,6 @@
 const STREAM_TYPE = 'text/event-stream';
 const encoder = new TextEncoder();
 
-/** What a broken stream had delivered. */
-interface Delivered {
-  text: string;
-  chunks: number;
-  promptTokens: number | undefined;
-  completionTokens: number;
-}
-
 type CallOutcome =
   | Call
   | {readonly kind: 'no-place'; readonly failure: GatewayFailure}
@@ -81,12 +75,7 @@
   /** Whether any upstream may have seen the request. */
   private mayHaveRun = false;
   private dispatched = false;
-  private readonly delivered: Delivered = {
-    chunks: 0,
-    completionTokens: 0,
-    promptTokens: undefined,
-    text: '',
-  };
+  private readonly bill: Bill;
 
   constructor(
     private readonly parts: RunParts,
@@ -94,6 +83,7 @@
     private readonly answer: Answer,
   ) {
     this.pool = parts.pools.of(attempt.plan.target);
+    this.bill = new Bill(attempt.plan, this.pool.promptBound);
     this.callParts = {
       client: parts.client,
       clock: parts.clock,
@@ -261,7 +251,7 @@
         path,
       };
     }
-    const {chunks, text} = this.delivered;
+    const {chunks, text} = this.bill;
     const left = Math.max(1, maxTokens - chunks);
     const body =
       chunks === 0
@@ -336,7 +326,7 @@
     const billed = await this.parts.settlement.settle(
       this.attempt,
       'settled',
-      this.chargeFor(status, body),
+      this.bill.chargeForBody(status, body),
       keeps ? {body, contentType, status} : undefined,
     );
     this.answer.billed = billed;
@@ -356,14 +346,10 @@
         let output = '';
         for (const event of stream.push(bytes)) {
           if (event.kind === 'text') {
-            this.delivered.chunks += event.text === '' ? 0 : 1;
-            this.delivered.text += event.text;
+            this.bill.addText(event.text);
             output += `data: ${event.data}\n\n`;
           } else if (event.kind === 'usage') {
-            this.noteUsage(
-              event.usage.promptTokens,
-              event.usage.completionTokens,
-            );
+            this.bill.addUsage(event.usage);
           } else {
             done = true;
           }
@@ -394,8 +380,8 @@
 
   private async endStream(): Promise<void> {
     const {completion} = this.attempt.plan.request;
-    const usage = this.usage();
-    const charge = this.price(usage.promptTokens, usage.completionTokens);
+    const usage = this.bill.usage();
+    const charge = this.bill.charge();
     const billed = await this.parts.settlement.settleSoon(this.attempt, charge);
     this.answer.billed = billed;
     this.startStream();
@@ -408,53 +394,6 @@
     this.answer.finish({kind: 'whole'});
   }
 
-  // Billing
-
-  private noteUsage(promptTokens: number, completionTokens: number): void {
-    const {delivered} = this;
-    // A continuation counts the text before it as prompt; the first call's
-    // prompt is what was asked.
-    delivered.promptTokens ??= promptTokens;
-    delivered.completionTokens = Math.max(delivered.chunks, completionTokens);
-    const bytes = this.attempt.plan.request.completion?.promptBytes ?? 0;
-    this.pool.promptBound.observe(bytes, delivered.promptTokens);
-  }
-
-  /** Tokens used as far as known: bounds where nothing was counted. */
-  private usage() {
-    const {chunks, completionTokens, promptTokens} = this.delivered;
-    return {
-      completionTokens: Math.max(chunks, completionTokens),
-      promptTokens: promptTokens ?? this.attempt.plan.promptTokens,
-    };
-  }
-
-  private price(promptTokens: number, completionTokens: number): number {
-    const {reserve, target} = this.attempt.plan;
-    if (target.kind === 'service') {
-      return target.spec.callPrice;
-    }
-    const {completion, prompt} = target.spec.price;
-    const cost = promptTokens * prompt + completionTokens * completion;
-    return Math.max(0, Math.min(reserve, cost));
-  }
-
-  private chargeFor(status: number, body: Buffer): number {
-    const {reserve, target} = this.attempt.plan;
-    if (target.kind === 'service') {
-      return target.spec.callPrice;
-    }
-    if (status !== 200) {
-      return 0;
-    }
-    const usage = parseUsage(body);
-    if (usage === undefined) {
-      return reserve;
-    }
-    this.noteUsage(usage.promptTokens, usage.completionTokens);
-    return this.price(usage.promptTokens, usage.completionTokens);
-  }
-
   // Ending without a whole answer
 
   /** Notes a failed call; true when another try is safe. */
@@ -475,7 +414,7 @@
       return this.closeUnknown();
     }
     const message = call?.message ?? 'no upstream gave a whole answer';
-    if (this.delivered.chunks > 0) {
+    if (this.bill.chunks > 0) {
       // An unkeyed answer cannot be asked for again: bill what was delivered.
       await (generatedKey
         ? this.closeAbandoned()
@@ -493,7 +432,7 @@
       const code = 'control_unavailable';
       return this.releaseAndFail(gatewayFailure(code, message, 1_000));
     }
-    if (this.mayHaveRun || this.delivered.chunks > 0) {
+    if (this.mayHaveRun || this.bill.chunks > 0) {
       return this.closeFailed(undefined);
     }
     return this.releaseAndFail(call.failure);
@@ -529,9 +468,8 @@
 
   /** Bills what an answer that nobody reads any more has used. */
   private async closeAbandoned(): Promise<void> {
-    const {completionTokens, promptTokens} = this.usage();
     if (this.mayHaveRun) {
-      const charge = this.price(promptTokens, completionTokens);
+      const charge = this.bill.charge();
       await this.parts.settlement.settle(this.attempt, 'settled', charge);
     } else {
       await this.parts.settlement.release(this.attempt);
@@ -567,18 +505,7 @@
   call.place[Symbol.dispose]();
 }
 
-function parseUsage(body: Buffer) {
-  try {
-    return readUsage(JSON.parse(body.toString()));
-  } catch {
-    return undefined;
-  }
-}
-
-function usageChunk(
-  model: string,
-  usage: {promptTokens: number; completionTokens: number},
-): string {
+function usageChunk(model: string, usage: Usage): string {
   const {completionTokens, promptTokens} = usage;
   return JSON.stringify({
     choices: [],
--- a/packages/puffinturn-membership/src/BoxMember.ts
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -14,7 +14,7 @@
 import {EVENT_KIND} from 'puffinturn-timeline';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {Condition, TaskGroup} from 'shared';
+import {TaskGroup} from 'shared';
 
 import {FleetConfig} from './FleetConfig';
 import type {
@@ -80,7 +80,6 @@
   private currentUntil = -Infinity;
   private leader: string | undefined;
   private turn = 0;
-  private readonly changed = new Condition();
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: BoxMemberParts) {
@@ -133,7 +132,6 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     await this.tasks[Symbol.asyncDispose]();
-    this.changed.notify();
   }
 
   private async run(signal: AbortSignal): Promise<void> {
@@ -231,7 +229,6 @@
     if (this.config !== former) {
       const detail = `index ${this.config.index}`;
       this.parts.timeline.note(EVENT_KIND.configChanged, {detail});
-      this.changed.notify();
     }
   }
 }
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -206,13 +206,6 @@
     }
   }
 
-  /** Refuses waiting requests whose deadline has passed. */
-  expireWaiting(): void {
-    if (this.usable().length > 0) {
-      this.serveWaiting();
-    }
-  }
-
   private wait(request: PlaceRequest): Promise<Result<Place, PlaceFailure>> {
     const {clock, queue} = this.parts;
     return new Promise((resolve) => {
