--- /dev/null
+++ b/packages/puffinturn-membership/src/__tests__/unit/Membership.test.ts
@@ -0,0 +1,112 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import fc from 'fast-check';
+import type {DeclarationEntry} from 'puffinturn-ledger';
+import {checkValue, DeclarationSchema} from 'puffinturn-settings';
+import {digestBytes} from 'shared';
+
+import {FleetConfig, OpenAdmissions, Suspicion} from '../../index';
+
+function drain(index: number, on: boolean): DeclarationEntry {
+  const value = {
+    kind: 'drain',
+    name: 'd',
+    number: index,
+    spec: {on, target: {pool: 'p', upstream: 'u'}},
+  };
+  const checked = checkValue(DeclarationSchema, value, 'test');
+  const declaration = checked._unsafeUnwrap();
+  return {declaration, digest: '', index, operator: 'o', sequence: index};
+}
+
+describe('FleetConfig', () => {
+  test('never goes back, in whatever order news arrives', () => {
+    const indices = fc.uniqueArray(fc.integer({max: 50, min: 1}), {
+      minLength: 1,
+    });
+    fc.assert(
+      fc.property(indices, (list) => {
+        let config = FleetConfig.empty;
+        let highest = 0;
+        for (const index of list) {
+          config = config.with([drain(index, index % 2 === 0)], index);
+          highest = Math.max(highest, index);
+          expect(config.index).toBe(highest);
+          expect(config.isUpstreamDrained('p', 'u')).toBe(highest % 2 === 0);
+        }
+      }),
+      {seed: 1},
+    );
+  });
+
+  test('finds a team by either key while one is being replaced', () => {
+    const keys = ['old', 'new'].map((name) => ({
+      name,
+      sha256: digestBytes(name),
+    }));
+    const value = {kind: 'team', name: 't', number: 1, spec: {keys}};
+    const declaration = checkValue(
+      DeclarationSchema,
+      value,
+      'test',
+    )._unsafeUnwrap();
+    const entry = {
+      declaration,
+      digest: '',
+      index: 1,
+      operator: '',
+      sequence: 1,
+    };
+    const config = FleetConfig.empty.with([entry], 1);
+    expect(config.teamOf('old')?.name).toBe('t');
+    expect(config.teamOf('new')?.name).toBe('t');
+    expect(config.teamOf('none')).toBeUndefined();
+  });
+});
+
+describe('OpenAdmissions', () => {
+  test('the floor is never above an open serial and never falls', () => {
+    const steps = fc.array(fc.option(fc.nat(20), {nil: undefined}));
+    fc.assert(
+      fc.property(steps, (list) => {
+        const admissions = new OpenAdmissions();
+        const open = new Set<number>();
+        let floor = 0;
+        for (const closed of list) {
+          if (closed === undefined) {
+            open.add(admissions.next());
+          } else {
+            admissions.close(closed);
+            open.delete(closed);
+          }
+          expect(admissions.floor).toBeGreaterThanOrEqual(floor);
+          floor = admissions.floor;
+          expect(Math.min(floor, ...open)).toBe(floor);
+          expect(admissions.size).toBe(open.size);
+        }
+      }),
+      {seed: 2},
+    );
+  });
+});
+
+describe('Suspicion', () => {
+  test('is more patient with a box whose heartbeats are irregular', () => {
+    const regular = new Suspicion(0);
+    const irregular = new Suspicion(0);
+    let now = 0;
+    for (let beat = 1; beat <= 60; beat += 1) {
+      regular.heard(beat * 300);
+      now += beat % 2 === 0 ? 100 : 900;
+      irregular.heard(now);
+    }
+    expect(regular.patienceMs).toBe(1_500);
+    expect(irregular.patienceMs).toBeGreaterThan(2_500);
+    expect(irregular.patienceMs).toBeLessThanOrEqual(10_000);
+  });
+});
