--- a/packages/puffinturn-cli/src/ApplyCommand.ts
+++ b/packages/puffinturn-cli/src/ApplyCommand.ts
@@ -111,8 +111,7 @@
   }
   const entries = await client.config();
   if (entries.isErr()) {
-    output.problem(entries.error.message);
-    return EXIT.failed;
+    return output.fail(entries.error.message);
   }
   return compareAll(files, entries.value);
 }
@@ -145,8 +144,7 @@
   for (const comparison of wanted) {
     const reply = await client.declare(comparison.declaration);
     if (reply.isErr()) {
-      output.problem(reply.error.message);
-      return EXIT.failed;
+      return output.fail(reply.error.message);
     }
     applied.push({comparison, reply: reply.value});
   }
--- a/packages/puffinturn-cli/src/FleetCommands.ts
+++ b/packages/puffinturn-cli/src/FleetCommands.ts
@@ -35,8 +35,7 @@
 ): Promise<ExitCode> {
   const answer = await client.status();
   if (answer.isErr()) {
-    output.problem(answer.error.message);
-    return EXIT.failed;
+    return output.fail(answer.error.message);
   }
   const {regions, unreachable} = answer.value;
   const rows = regions.flatMap((region) =>
@@ -61,8 +60,7 @@
 ): Promise<ExitCode> {
   const answer = await client.status();
   if (answer.isErr()) {
-    output.problem(answer.error.message);
-    return EXIT.failed;
+    return output.fail(answer.error.message);
   }
   const found = answer.value.regions.flatMap(({budgets: all, region}) =>
     all
@@ -102,8 +100,7 @@
 ): Promise<ExitCode> {
   const entries = await client.config();
   if (entries.isErr()) {
-    output.problem(entries.error.message);
-    return EXIT.failed;
+    return output.fail(entries.error.message);
   }
   const found = entries.value
     .filter(({declaration}) => kind === undefined || declaration.kind === kind)
@@ -160,8 +157,7 @@
   }
   const entries = await client.config();
   if (entries.isErr()) {
-    output.problem(entries.error.message);
-    return EXIT.failed;
+    return output.fail(entries.error.message);
   }
   const current = entries.value.find(
     ({declaration}) =>
@@ -173,8 +169,7 @@
   const number = (current?.number ?? 0) + (same ? 0 : 1);
   const reply = await client.declare({...content, number});
   if (reply.isErr()) {
-    output.problem(reply.error.message);
-    return EXIT.failed;
+    return output.fail(reply.error.message);
   }
   output.show(
     reply.value,
@@ -193,8 +188,7 @@
 ): Promise<ExitCode> {
   const events = await client.timeline(query);
   if (events.isErr()) {
-    output.problem(events.error.message);
-    return EXIT.failed;
+    return output.fail(events.error.message);
   }
   if (traceFile !== undefined) {
     await writeFile(traceFile, JSON.stringify(toChromeTrace(events.value)));
--- a/packages/puffinturn-cli/src/Output.ts
+++ b/packages/puffinturn-cli/src/Output.ts
@@ -9,6 +9,9 @@
 import Table from 'cli-table3';
 import stringify from 'safe-stable-stringify';
 
+import type {ExitCode} from './ExitCodes';
+import {EXIT} from './ExitCodes';
+
 const PLAIN_BORDERS = {
   bottom: '',
   'bottom-left': '',
@@ -60,6 +63,12 @@
     process.stderr.write(`${text}\n`);
   }
 
+  /** Prints why a command failed and gives its exit code. */
+  fail(message: string): ExitCode {
+    this.problem(message);
+    return EXIT.failed;
+  }
+
   private line(text: string): void {
     process.stdout.write(`${text}\n`);
   }
--- a/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
+++ b/packages/puffinturn-ledger/src/__tests__/unit/Ledger.test.ts
@@ -75,6 +75,21 @@
 
 const ID = {attempt: 1, key: 'k', team: 't'};
 
+/** Another region has billed the request of ID. */
+function claimBy(region: string): LedgerRecord {
+  return {
+    ...ID,
+    at: 0,
+    box: 's',
+    budget: BUDGET,
+    digest: 'k',
+    incarnation: 's',
+    keepMs: 1_000,
+    kind: 'claim',
+    region,
+  };
+}
+
 describe('Ledger', () => {
   test('an admission that is sent again reserves once', () => {
     const fixture = new Fixture();
@@ -202,19 +217,9 @@
 
   test('of two regions that billed one request the second takes it back', () => {
     const fixture = new Fixture();
-    const claim = {
-      ...ID,
-      at: 0,
-      box: 's',
-      budget: BUDGET,
-      digest: 'k',
-      incarnation: 's',
-      keepMs: 1_000,
-      kind: 'claim',
-    } as const;
-    expect(fixture.apply({...claim, region: 'south'}).kind).toBe('claimed');
-    expect(fixture.apply({...claim, region: 'south'}).kind).toBe('claimed');
-    expect(fixture.apply({...claim, region: 'west'}).kind).toBe('duplicate');
+    expect(fixture.apply(claimBy('south')).kind).toBe('claimed');
+    expect(fixture.apply(claimBy('south')).kind).toBe('claimed');
+    expect(fixture.apply(claimBy('west')).kind).toBe('duplicate');
     expect(fixture.apply(admit('k', 1)).kind).toBe('present');
   });
 
@@ -222,17 +227,7 @@
     const fixture = new Fixture();
     fixture.register('other', 'i2');
     fixture.apply(admit('k', 1));
-    fixture.apply({
-      ...ID,
-      at: 0,
-      box: 's',
-      budget: BUDGET,
-      digest: 'k',
-      incarnation: 's',
-      keepMs: 1_000,
-      kind: 'claim',
-      region: 'south',
-    });
+    fixture.apply(claimBy('south'));
     fixture.apply({at: 0, box: 'box', incarnation: 'i1', kind: 'fence'});
     fixture.apply(admit('k', 1, {box: 'other', incarnation: 'i2'}));
     fixture.apply({
@@ -249,17 +244,7 @@
   test('an orphan that another region bills costs nothing', () => {
     const fixture = new Fixture();
     fixture.apply(admit('k', 1));
-    fixture.apply({
-      ...ID,
-      at: 0,
-      box: 's',
-      budget: BUDGET,
-      digest: 'k',
-      incarnation: 's',
-      keepMs: 1_000,
-      kind: 'claim',
-      region: 'south',
-    });
+    fixture.apply(claimBy('south'));
     fixture.apply({at: 0, box: 'box', incarnation: 'i1', kind: 'fence'});
     fixture.apply({at: ORPHAN_MS + 1, kind: 'sweep'});
     expect(fixture.budget).toMatchObject({reserved: 0, settled: 0});
