--- a/packages/puffinturn-bench/src/FaultsBench.ts
+++ b/packages/puffinturn-bench/src/FaultsBench.ts
@@ -10,7 +10,7 @@
 
 import {placeOrder} from './Load';
 import type {BoxPlan, BoxProcess} from './ProcessFleet';
-import {benchDeclarations, pause, ProcessFleet} from './ProcessFleet';
+import {pause, ProcessFleet} from './ProcessFleet';
 import {Quantiles} from './Quantiles';
 
 /** Figures of one kind of fault. */
@@ -41,23 +41,25 @@
   {control: false, hall: 'hall-3', name: 'e3', region: 'north'},
 ];
 const LIMIT = 1_000_000;
+const SLOTS = 16;
 const PACE_MS = 10;
 
-type Fault = (fleet: ProcessFleet, leader: BoxProcess) => BoxProcess[];
+/** Strikes, and returns what mends it. */
+type Fault = (fleet: ProcessFleet, leader: BoxProcess) => () => void;
 
 const FAULTS: Readonly<Record<string, Fault>> = {
   'leader killed': (fleet, leader) => {
     fleet.kill(leader);
-    return [leader];
+    return () => fleet.start(leader);
   },
   'leader frozen': (fleet, leader) => {
     fleet.kill(leader, 'SIGSTOP');
-    return [leader];
+    return () => fleet.kill(leader, 'SIGCONT');
   },
   'hall of the leader lost': (fleet, leader) => {
     const lost = fleet.boxes.filter(({hall}) => hall === leader.hall);
     lost.forEach((box) => fleet.kill(box));
-    return lost;
+    return () => lost.forEach((box) => fleet.start(box));
   },
 };
 
@@ -66,10 +68,12 @@
   const rows: FaultRow[] = [];
   for (const [name, fault] of Object.entries(FAULTS)) {
     const engines = [await new Engine().listen()];
-    await using fleet = await ProcessFleet.open(PLANS, engines);
-    await fleet.declare(benchDeclarations(fleet, LIMIT, 16));
-    await fleet.ready();
-    await pause(1_000);
+    await using fleet = await ProcessFleet.openReady(
+      PLANS,
+      engines,
+      LIMIT,
+      SLOTS,
+    );
     rows.push(await repeatFault(name, fault, fleet, runs));
   }
   return rows;
@@ -91,16 +95,10 @@
     }
     const stop = orders.start(leader.hall);
     await pause(1_000);
-    const hit = fault(fleet, leader);
+    const mend = fault(fleet, leader);
     await pause(5_000);
     gaps.add(await stop());
-    for (const box of hit) {
-      if (name === 'leader frozen') {
-        box.child?.kill('SIGCONT');
-      } else {
-        fleet.start(box);
-      }
-    }
+    mend();
     await fleet.ready();
     await pause(1_500);
   }
--- a/packages/puffinturn-bench/src/LedgerBench.ts
+++ b/packages/puffinturn-bench/src/LedgerBench.ts
@@ -10,8 +10,8 @@
 
 import {placeOrder} from './Load';
 import type {BoxPlan, BoxProcess} from './ProcessFleet';
-import {benchDeclarations, pause, ProcessFleet} from './ProcessFleet';
-import {Quantiles} from './Quantiles';
+import {ProcessFleet} from './ProcessFleet';
+import {Quantiles, roundHundredths} from './Quantiles';
 
 /** Figures of one group at one load. */
 export interface LedgerRow {
@@ -31,6 +31,8 @@
   readonly bytesPerOrder: number;
 }
 
+const LIMIT = 1_000_000_000;
+const SLOTS = 16;
 const CPU = 'process_cpu_seconds_total';
 const HEAP = 'nodejs_heap_size_used_bytes';
 
@@ -55,10 +57,12 @@
   const rows: LedgerRow[] = [];
   for (const voters of [3, 5]) {
     const engines = [await new Engine().listen()];
-    await using fleet = await ProcessFleet.open(plans(voters), engines);
-    await fleet.declare(benchDeclarations(fleet, 1_000_000_000, 16));
-    await fleet.ready();
-    await pause(1_000);
+    await using fleet = await ProcessFleet.openReady(
+      plans(voters),
+      engines,
+      LIMIT,
+      SLOTS,
+    );
     for (const callers of [4, 64]) {
       rows.push(await measure(fleet, voters, callers, seconds));
     }
@@ -105,8 +109,8 @@
     followerMicrosPerRecord: Math.round((used[1] ?? NaN) / records),
     leaderMicrosPerRecord: Math.round((used[0] ?? NaN) / records),
     ordersPerSecond: Math.round(orders / took),
-    p50: Math.round(times.at(50) * 100) / 100,
-    p99: Math.round(times.at(99) * 100) / 100,
+    p50: roundHundredths(times.at(50)),
+    p99: roundHundredths(times.at(99)),
     recordsPerSecond: Math.round(records / took),
     voters,
   };
--- a/packages/puffinturn-bench/src/PathBench.ts
+++ b/packages/puffinturn-bench/src/PathBench.ts
@@ -10,8 +10,8 @@
 
 import {oneStream, runStreams, smallRequest} from './Load';
 import type {BoxProcess} from './ProcessFleet';
-import {benchDeclarations, pause, ProcessFleet} from './ProcessFleet';
-import {Quantiles} from './Quantiles';
+import {pause, ProcessFleet} from './ProcessFleet';
+import {Quantiles, roundHundredths} from './Quantiles';
 
 /** One measured figure. */
 export interface PathRow {
@@ -34,20 +34,18 @@
 const CPU_SECONDS = 'process_cpu_seconds_total';
 const MEMORY = 'process_resident_memory_bytes';
 
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
 /** Runs all measurements of one box. */
 export async function benchPath(seconds: number): Promise<PathRow[]> {
   const engines = await Promise.all(
     Array.from({length: ENGINES}, () => new Engine(FAST_ENGINE).listen()),
   );
   const plan = {control: true, hall: 'hall-1', name: 'box-1', region: 'north'};
-  await using fleet = await ProcessFleet.open([plan], engines);
-  await fleet.declare(benchDeclarations(fleet, LIMIT, SLOTS));
-  await fleet.ready();
-  await pause(1_000);
+  await using fleet = await ProcessFleet.openReady(
+    [plan],
+    engines,
+    LIMIT,
+    SLOTS,
+  );
   const box = fleet.boxes[0] as BoxProcess;
   const direct = engines[0]?.url ?? '';
   // Memory goes first, while the heap has no slack from other loads.
@@ -74,9 +72,9 @@
       const before = raw.firstToken.at(percent);
       const after = through.firstToken.at(percent);
       rows.push({
-        added: round(after - before),
-        box: round(after),
-        direct: round(before),
+        added: roundHundredths(after - before),
+        box: roundHundredths(after),
+        direct: roundHundredths(before),
         measure: `first token p${percent}, ${atOnce} streams, ms`,
       });
     }
@@ -103,7 +101,7 @@
   const took = (performance.now() - started) / 1_000;
   const used = (await fleet.metric(box, CPU_SECONDS)) - cpu;
   return {
-    added: `${round(used / took)} cores used`,
+    added: `${roundHundredths(used / took)} cores used`,
     box: Math.round(count / used),
     direct: '',
     measure: 'small requests a second and core (entry and control in one)',
@@ -119,7 +117,7 @@
   const figures = await runStreams(box.callerUrl, 200, 200, seconds);
   const used = (await fleet.metric(box, CPU_SECONDS)) - cpu;
   return {
-    added: `${round(used / figures.seconds)} cores used`,
+    added: `${roundHundredths(used / figures.seconds)} cores used`,
     box: Math.round(figures.tokens / used),
     direct: '',
     measure: 'streamed tokens a second and core, 200 streams',
@@ -141,7 +139,7 @@
   await Promise.all(open);
   return {
     added: '',
-    box: round((during - before) / streams / 1_024),
+    box: roundHundredths((during - before) / streams / 1_024),
     direct: '',
     measure: 'memory an open stream, KB (1,000 streams)',
   };
--- a/packages/puffinturn-bench/src/ProcessFleet.ts
+++ b/packages/puffinturn-bench/src/ProcessFleet.ts
@@ -24,6 +24,8 @@
   'main.js',
 );
 const READY_LIMIT_MS = 30_000;
+/** For all boxes to have heard of all declarations. */
+const SETTLE_MS = 1_000;
 
 /** The team's key in all measurements. */
 export const TEAM_KEY = 'bench-team-key';
@@ -78,7 +80,7 @@
   ) {}
 
   /** Writes all settings and starts all boxes. */
-  static async open(
+  private static async open(
     plans: readonly BoxPlan[],
     engines: readonly Engine[],
   ): Promise<ProcessFleet> {
@@ -107,6 +109,20 @@
     return fleet;
   }
 
+  /** Starts all boxes, declares a budget and upstreams, waits until ready. */
+  static async openReady(
+    plans: readonly BoxPlan[],
+    engines: readonly Engine[],
+    limit: number,
+    slots: number,
+  ): Promise<ProcessFleet> {
+    const fleet = await ProcessFleet.open(plans, engines);
+    await fleet.declare(benchDeclarations(fleet, limit, slots));
+    await fleet.ready();
+    await pause(SETTLE_MS);
+    return fleet;
+  }
+
   /** Starts the process of a box. */
   start(box: BoxProcess): void {
     box.child = spawn(process.execPath, [DAEMON, box.settingsFile], {
@@ -251,7 +267,7 @@
 }
 
 /** A team, a budget, a pool, a service and a policy for measuring. */
-export function benchDeclarations(
+function benchDeclarations(
   fleet: ProcessFleet,
   limit: number,
   slots: number,
--- a/packages/puffinturn-bench/src/Quantiles.ts
+++ b/packages/puffinturn-bench/src/Quantiles.ts
@@ -12,6 +12,11 @@
 const MICROSECONDS = 1_000;
 const HIGHEST_US = 600_000_000;
 
+/** Rounds to hundredths. */
+export function roundHundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 /** Times in ms with a resolution of a microsecond. */
 export class Quantiles {
   private readonly histogram: Histogram = build({
@@ -38,12 +43,11 @@
 
   /** The usual three, rounded to hundredths of a ms. */
   summary(): {p50: number; p95: number; p99: number; count: number} {
-    const round = (value: number): number => Math.round(value * 100) / 100;
     return {
       count: this.count,
-      p50: round(this.at(50)),
-      p95: round(this.at(95)),
-      p99: round(this.at(99)),
+      p50: roundHundredths(this.at(50)),
+      p95: roundHundredths(this.at(95)),
+      p99: roundHundredths(this.at(99)),
     };
   }
 }
--- a/packages/puffinturn-bench/src/RoutingExperiment.ts
+++ b/packages/puffinturn-bench/src/RoutingExperiment.ts
@@ -282,7 +282,6 @@
       deadline,
       prefix: demand.prefix,
       priority: demand.priority,
-      since: this.clock.now(),
       team: demand.team,
       weight: 1,
     });
--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -40,9 +40,7 @@
 const MAX_SEED = 0x7fff_ffff;
 
 /** Deliberate breakages of any part; the fuzzer must find each. */
-export interface BoxBreakage extends LedgerBreakage, ReplicaBreakage {
-  readonly ignoreLease?: boolean;
-}
+export type BoxBreakage = LedgerBreakage & ReplicaBreakage;
 
 /** Where a box stands in its fleet. */
 export interface FleetPlace {
@@ -134,7 +132,6 @@
       control: this.client,
       controlBoxes,
       hall: self.hall,
-      ignoreLease: parts.breakage?.ignoreLease === true,
       inFlight: () => this.pools.inFlight(),
       leaving: () => this.pools.leaving(),
       link,
--- a/packages/puffinturn-fuzz/src/FuzzRun.ts
+++ b/packages/puffinturn-fuzz/src/FuzzRun.ts
@@ -117,6 +117,7 @@
   private async finish(): Promise<void> {
     await this.fleet.repair(SETTLE_MS);
     await this.fleet.drive(Promise.all(this.open));
+    this.endDrain();
     this.checkBudgets();
     this.checkClosed();
     this.breaches.push(...this.oracle.checkCallers());
@@ -184,7 +185,6 @@
       name: `${step.request}-${step.name}${suffix}`,
       priceAtStart: this.oracle.acceptedPrice,
       region: FUZZ_BOXES.find(({name}) => name === step.box)?.region ?? '',
-      startedAt: this.fleet.clock.now(),
     };
     this.oracle.tries.push(one);
     const served = this.serve(gateway, step, one);
--- a/packages/puffinturn-fuzz/src/Oracle.ts
+++ b/packages/puffinturn-fuzz/src/Oracle.ts
@@ -23,7 +23,6 @@
   /** Unique by what is asked; retries have the same. */
   readonly name: string;
   readonly region: string;
-  readonly startedAt: number;
   /** Price of the newest change accepted before the try. */
   readonly priceAtStart: number;
   readonly left: boolean;
--- a/packages/puffinturn-gateway/src/Bill.ts
+++ b/packages/puffinturn-gateway/src/Bill.ts
@@ -7,7 +7,7 @@
 
 /** Counts what one request has used and prices it. */
 import type {Usage} from './CompletionStream';
-import {readUsage} from './CompletionStream';
+import {parseUsage} from './CompletionStream';
 import type {Plan} from './Plan';
 import type {PromptBound} from './PromptBound';
 
@@ -71,7 +71,7 @@
     if (status !== HTTP_OK) {
       return 0;
     }
-    const usage = parseUsage(body);
+    const usage = parseUsage(body.toString());
     if (usage === undefined) {
       return this.plan.reserve;
     }
@@ -79,11 +79,3 @@
     return this.charge();
   }
 }
-
-function parseUsage(body: Buffer): Usage | undefined {
-  try {
-    return readUsage(JSON.parse(body.toString()));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/puffinturn-gateway/src/CompletionStream.ts
+++ b/packages/puffinturn-gateway/src/CompletionStream.ts
@@ -35,7 +35,7 @@
 const DONE = '[DONE]';
 
 /** Tokens from a `usage` object; undefined when it is not one. */
-export function readUsage(body: ChunkBody): Usage | undefined {
+function readUsage(body: ChunkBody): Usage | undefined {
   const {completion_tokens: completion, prompt_tokens: prompt} =
     body.usage ?? {};
   return Number.isSafeInteger(completion) && Number.isSafeInteger(prompt)
@@ -43,6 +43,12 @@
     : undefined;
 }
 
+/** Tokens from the text of a body; undefined when it names none. */
+export function parseUsage(text: string): Usage | undefined {
+  const body = parseChunk(text);
+  return body && readUsage(body);
+}
+
 /** Turns bytes into events. */
 export class CompletionStream {
   private readonly decoder = new TextDecoder();
--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -156,7 +156,6 @@
       prefix: prefixBlocks(request.completion?.prompt ?? ''),
       priority: decision.priority,
       signal: answer.abandoned.signal,
-      since: this.parts.clock.now(),
       team: request.team.name,
       weight: request.team.spec.weight,
     });
--- a/packages/puffinturn-ledger/src/GrantSplit.ts
+++ b/packages/puffinturn-ledger/src/GrantSplit.ts
@@ -29,8 +29,3 @@
   const weight = homeWeight + otherWeight;
   return weight === 0 ? 0 : Math.floor((total * otherWeight) / weight);
 }
-
-/** Plain baseline: every region holds the same share, whatever it spends. */
-export function equalShare(home: SplitSide, other: SplitSide): number {
-  return Math.floor((home.available + other.available) / 2);
-}
--- a/packages/puffinturn-ledger/src/index.ts
+++ b/packages/puffinturn-ledger/src/index.ts
@@ -25,7 +25,7 @@
 export {ControlService} from './ControlService';
 export type {DeclarationEntry} from './DeclarationTable';
 export type {SplitSide} from './GrantSplit';
-export {equalShare, targetFor} from './GrantSplit';
+export {targetFor} from './GrantSplit';
 export type {LedgerBreakage} from './Ledger';
 export {Ledger} from './Ledger';
 export {MAX_KEPT_ANSWER_BYTES, ORPHAN_MS} from './LedgerConstants';
--- a/packages/puffinturn-membership/src/BoxMember.ts
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -59,8 +59,6 @@
   readonly leaving: () => readonly string[];
   /** Takes over what all other boxes report. */
   readonly onNews: (news: HeartbeatReply) => void;
-  /** Ignores the lease, to show that the tests find it. */
-  readonly ignoreLease?: boolean;
 }
 
 /** See the module comment. */
@@ -92,9 +90,7 @@
    * was proved current a short while ago.
    */
   get isReady(): boolean {
-    const current =
-      this.parts.clock.now() < this.currentUntil ||
-      this.parts.ignoreLease === true;
+    const current = this.parts.clock.now() < this.currentUntil;
     return this.registered && current && this.config.index > 0;
   }
 
@@ -116,7 +112,7 @@
     const {clock} = this.parts;
     const end = clock.now() + timeoutMs;
     while (this.config.index < index && clock.now() < end) {
-      await this.beat();
+      await this.refresh();
       if (this.config.index < index) {
         await clock.sleep(HEARTBEAT_MS / 10);
       }
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -28,7 +28,7 @@
 import type {WaitingQueue, WaitingRequest} from './WaitingQueue';
 
 /** A request for a place. */
-export interface PlaceRequest extends WaitingRequest {
+export interface PlaceRequest extends Omit<WaitingRequest, 'since'> {
   readonly prefix: readonly string[];
   /** Upstreams that this request has tried. */
   readonly avoid: ReadonlySet<string>;
@@ -222,7 +222,7 @@
         priority,
         request,
         settle,
-        since: request.since,
+        since: clock.now(),
         team,
         weight,
       };
--- a/packages/puffinturn-routing/src/WaitingQueue.ts
+++ b/packages/puffinturn-routing/src/WaitingQueue.ts
@@ -26,6 +26,9 @@
   readonly since: number;
 }
 
+/** A request that would wait, as far as shedding looks at it. */
+export type Newcomer = Pick<WaitingRequest, 'priority' | 'team' | 'weight'>;
+
 /** Requests that wait for one pool. */
 export abstract class WaitingQueue<Item extends WaitingRequest> {
   /** Requests that wait. */
@@ -44,7 +47,7 @@
    * Takes a request that matters less than `newcomer`: of a lower priority, or
    * of a team that has more waiting for its weight.
    */
-  abstract shed(newcomer: WaitingRequest): Item | undefined;
+  abstract shed(newcomer: Newcomer): Item | undefined;
 }
 
 /** Baseline: in order of arrival. */
@@ -140,7 +143,7 @@
     return true;
   }
 
-  override shed(newcomer: WaitingRequest): Item | undefined {
+  override shed(newcomer: Newcomer): Item | undefined {
     const own = this.lanes.get(`${newcomer.priority} ${newcomer.team}`);
     const ownLength = ((own?.items.size() ?? 0) + 1) / newcomer.weight;
     let worst: Lane<Item> | undefined;
--- a/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
+++ b/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
@@ -9,7 +9,7 @@
 import type {UpstreamSpec} from 'puffinturn-settings';
 import {ManualClock, Random, settleTasks} from 'shared';
 
-import type {PlaceRequest} from '../../index';
+import type {PlaceRequest, WaitingRequest} from '../../index';
 import {
   AdaptiveLimit,
   Circuit,
@@ -28,7 +28,9 @@
   return {hall: 'h', name, slots, url: `http://${name}`};
 }
 
-function placeRequest(change: Partial<PlaceRequest> = {}): PlaceRequest {
+function placeRequest(
+  change: Partial<PlaceRequest & WaitingRequest> = {},
+): PlaceRequest & WaitingRequest {
   return {
     avoid: new Set(),
     cost: 1,
