Let a group found itself from seeds, cap its voters and replace silent ones

Cause: a group formed only when every box of a static list was there, a member change could be proposed before the last one was committed (two joins at once), a failed write left half a frame before the next good one (read as damage at the next start), and a connection across a healed cut hung until TCP gave up. Change: takePart takes the seeds as they stand and founds only on a first start; a joiner asks every voter that the seeds name; member changes run one at a time; with maxVoters set, a voter silent for three election times gives its place to a learner that is up to date; FolderDisk cuts a failed write off before the next; TcpLink drops a connection on which nothing came while a call timed out. Ruled out: removing a silent voter before its successor votes, as that would narrow the quorum meanwhile.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -165,7 +165,7 @@
       link.register(TIMELINE_SERVICE, async () => timeline.events()),
     );
     if (control !== undefined) {
-      this.tasks.start(() => control.replica.takePart(controlBoxes));
+      this.tasks.start(() => control.replica.takePart(() => controlBoxes));
     }
     timeline.note(EVENT_KIND.started);
   }
--- a/packages/puffinturn-log/src/Disk.ts
+++ b/packages/puffinturn-log/src/Disk.ts
@@ -49,9 +49,17 @@
   await handle.sync();
 }
 
+interface OpenFile {
+  readonly handle: FileHandle;
+  /** Bytes up to the end of the last write that was synced. */
+  length: number;
+  /** False from the start of a write until it is synced. */
+  clean: boolean;
+}
+
 /** A folder of the operating system. */
 export class FolderDisk extends Disk {
-  private readonly handles = new Map<string, FileHandle>();
+  private readonly files = new Map<string, OpenFile>();
 
   private constructor(private readonly folder: string) {
     super();
@@ -112,26 +120,42 @@
   }
 
   override async [Symbol.asyncDispose](): Promise<void> {
-    for (const name of [...this.handles.keys()]) {
+    for (const name of [...this.files.keys()]) {
       await this.close(name);
     }
   }
 
   private async write(name: string, bytes: Buffer): Promise<void> {
-    let handle = this.handles.get(name);
-    if (handle === undefined) {
-      handle = await open(join(this.folder, name), 'a', 0o600);
-      this.handles.set(name, handle);
-      await syncFolder(this.folder);
+    const file = await this.openFile(name);
+    if (!file.clean) {
+      // Half of a failed write must not stand before the next one.
+      await file.handle.truncate(file.length);
+      file.clean = true;
     }
-    await handle.appendFile(bytes);
-    await handle.datasync();
+    file.clean = false;
+    await file.handle.appendFile(bytes);
+    await file.handle.datasync();
+    file.length += bytes.length;
+    file.clean = true;
+  }
+
+  private async openFile(name: string): Promise<OpenFile> {
+    const known = this.files.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const handle = await open(join(this.folder, name), 'a', 0o600);
+    const {size: length} = await handle.stat();
+    const file = {clean: true, handle, length};
+    this.files.set(name, file);
+    await syncFolder(this.folder);
+    return file;
   }
 
   private async close(name: string): Promise<void> {
-    const handle = this.handles.get(name);
-    this.handles.delete(name);
-    await handle?.close();
+    const file = this.files.get(name);
+    this.files.delete(name);
+    await file?.handle.close();
   }
 }
 
--- a/packages/puffinturn-log/src/Founding.ts
+++ b/packages/puffinturn-log/src/Founding.ts
@@ -17,11 +17,10 @@
 /** What founding needs of a replica. */
 export interface FoundingParts {
   readonly box: string;
-  readonly id: ReplicaId;
   readonly link: LogLink;
   readonly timing: ReplicaTiming;
-  /** Whether this replica knows a member list. */
-  readonly isFounded: () => boolean;
+  /** What this replica would answer to an identity request. */
+  readonly identity: () => IdentityReply;
   /** Makes this replica itself a founding member. */
   readonly found: (request: FoundRequest) => Promise<unknown>;
 }
@@ -30,14 +29,16 @@
 export async function tryToTakePart(
   parts: FoundingParts,
   boxes: readonly string[],
+  mayFound: boolean,
 ): Promise<void> {
   const identities = await askIdentities(parts, boxes);
-  if (identities.some(({founded}) => founded)) {
-    await askToJoin(parts, identities);
+  const members = identities.filter(({founded}) => founded);
+  if (members.length > 0) {
+    await askToJoin(parts, members);
     return;
   }
   const isFirst = [...boxes].sort()[0] === parts.box;
-  if (isFirst && identities.length === boxes.length) {
+  if (mayFound && isFirst && identities.length === boxes.length) {
     await foundGroup(
       parts,
       identities.map(({replica}) => replica),
@@ -46,12 +47,12 @@
 }
 
 async function askIdentities(
-  {box: own, id, isFounded, link, timing}: FoundingParts,
+  {box: own, identity, link, timing}: FoundingParts,
   boxes: readonly string[],
 ): Promise<IdentityReply[]> {
   const calls = boxes.map(async (box): Promise<IdentityReply | undefined> => {
     if (box === own) {
-      return {founded: isFounded(), replica: id};
+      return identity();
     }
     const to = replicaIdOf(box, '');
     const answer = await link.call(to, {kind: 'identity'}, timing.callMs);
@@ -62,9 +63,10 @@
 }
 
 async function foundGroup(
-  {found, id, link, timing}: FoundingParts,
+  {found, identity, link, timing}: FoundingParts,
   voters: readonly ReplicaId[],
 ): Promise<void> {
+  const {replica: id} = identity();
   const members = {learners: [], voters};
   await found({kind: 'found', members, to: id});
   const others = voters.filter((voter) => voter !== id);
@@ -75,13 +77,19 @@
   );
 }
 
+/** Asks all who may lead; only the leader takes a replica in. */
 async function askToJoin(
-  {id, link, timing}: FoundingParts,
-  identities: readonly IdentityReply[],
+  {identity, link, timing}: FoundingParts,
+  members: readonly IdentityReply[],
 ): Promise<void> {
-  for (const {founded, replica} of identities) {
-    if (founded && replica !== id) {
-      await link.call(replica, {from: id, kind: 'join'}, timing.callMs);
-    }
-  }
+  const {replica: id} = identity();
+  const asked = new Set(
+    members.flatMap(({replica, voters}) => [replica, ...voters]),
+  );
+  asked.delete(id);
+  await Promise.all(
+    [...asked].map((to) =>
+      link.call(to, {from: id, kind: 'join'}, timing.callMs),
+    ),
+  );
 }
--- a/packages/puffinturn-log/src/LogConstants.ts
+++ b/packages/puffinturn-log/src/LogConstants.ts
@@ -38,3 +38,13 @@
 
 /** A learner this close to the leader's log may become a voter. */
 export const CAUGHT_UP_ENTRIES = 100;
+
+/**
+ * A voter silent for this many election times gives its place to a learner
+ * that is up to date. Short, since a machine that replaces a lost one must
+ * carry its share of the group's tolerance within seconds.
+ */
+export const REPLACE_ELECTIONS = 3;
+
+/** A replica that heard no leader for this many election times asks to join. */
+export const REJOIN_ELECTIONS = 4;
--- a/packages/puffinturn-log/src/LogMessages.ts
+++ b/packages/puffinturn-log/src/LogMessages.ts
@@ -99,6 +99,8 @@
 export interface IdentityReply {
   readonly replica: ReplicaId;
   readonly founded: boolean;
+  /** The voters it knows of; one of them may lead. */
+  readonly voters: readonly ReplicaId[];
 }
 
 /** Makes a blank replica a founding member. */
--- a/packages/puffinturn-log/src/MemberChanges.ts
+++ b/packages/puffinturn-log/src/MemberChanges.ts
@@ -54,3 +54,15 @@
         voters: [...members.voters, id],
       };
 }
+
+/** Drops one replica. */
+export function withoutReplica(
+  members: Members,
+  id: ReplicaId,
+): Members | undefined {
+  const stays = (other: ReplicaId): boolean => other !== id;
+  const voters = members.voters.filter(stays);
+  return voters.length === members.voters.length || voters.length === 0
+    ? undefined
+    : {...members, voters};
+}
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -12,6 +12,7 @@
  * for each peer. Everything that must not overlap with a disk write runs under
  * one mutex.
  */
+import type {Result} from 'neverthrow';
 import {err, ok, okAsync, ResultAsync} from 'neverthrow';
 import type {Clock, Failure, Random} from 'shared';
 import {
@@ -31,6 +32,8 @@
 import {
   CAUGHT_UP_ENTRIES,
   MAX_APPEND_ENTRIES,
+  REJOIN_ELECTIONS,
+  REPLACE_ELECTIONS,
   SNAPSHOT_EVERY_ENTRIES,
   TRAILING_ENTRIES,
 } from './LogConstants';
@@ -41,6 +44,7 @@
   Entry,
   EntryBody,
   FoundRequest,
+  IdentityReply,
   LogRequest,
   Members,
   ProposalFailure,
@@ -58,6 +62,7 @@
   quorumOf,
   withLearner,
   withoutFormerLives,
+  withoutReplica,
   withVoter,
 } from './MemberChanges';
 import {SnapshotAssembly} from './SnapshotAssembly';
@@ -86,6 +91,8 @@
   readonly timing: ReplicaTiming;
   /** Applied entries between snapshots. */
   readonly snapshotEvery?: number;
+  /** Most voters; further replicas stay learners until one is replaced. */
+  readonly maxVoters?: number;
   /** Told of every change of role or leader. */
   readonly onRole?: (role: Role, term: number, leader?: string) => void;
   /** Deliberate breakages; the fuzzer checks that each one is found. */
@@ -106,6 +113,7 @@
   matchIndex: number;
   /** When the newest message that it answered was sent. */
   ackedAt: number;
+  readonly addedAt: number;
 }
 
 interface Waiter {
@@ -138,6 +146,8 @@
   private readonly peers = new Map<ReplicaId, Peer>();
   private readonly waiters = new Map<number, Waiter>();
   private readonly mutex = new Mutex();
+  /** One member change at a time, each committed before the next. */
+  private readonly membersMutex = new Mutex();
   private readonly grown = new Condition();
   private readonly committed = new Condition();
   private readonly acknowledged = new Condition();
@@ -188,6 +198,7 @@
         replica.tasks.start((signal) => replica.runElections(signal));
         replica.tasks.start((signal) => replica.runFlush(signal));
         replica.tasks.start((signal) => replica.runApply(signal));
+        replica.tasks.start((signal) => replica.runMembers(signal));
         return replica;
       });
   }
@@ -243,7 +254,9 @@
 
   /** Replaces the earlier life of a box, or adds it, as its disk was lost. */
   join(newcomer: ReplicaId): ResultAsync<void, ProposalFailure> {
-    return new ResultAsync(this.admitReplica(newcomer));
+    return new ResultAsync(
+      this.membersMutex.run(() => this.admitReplica(newcomer)),
+    );
   }
 
   /** Hands leadership on by ceasing to lead; the others elect at once. */
@@ -264,7 +277,7 @@
       case 'snapshot':
         return this.mutex.run(() => this.handleSnapshot(request));
       case 'identity':
-        return {founded: this.founded, replica: this.id};
+        return this.identity();
       case 'found':
         return this.mutex.run(() => this.handleFound(request));
       case 'join':
@@ -276,23 +289,23 @@
   }
 
   /**
-   * Founds a new group when every given box is blank, or asks the leader of an
-   * existing one to take this replica in. Repeats until it is a member.
+   * Founds a new group when `mayFound` holds and every given box is blank, or
+   * asks the leader of an existing one to take this replica in. Goes on for
+   * the replica's life, since the group may drop a replica that was away; the
+   * first call to end is the one that finds this replica a member.
    */
-  async takePart(boxes: readonly string[]): Promise<void> {
-    const {box, clock, link, timing} = this.parts;
-    const parts: FoundingParts = {
-      box,
-      found: (request) => this.mutex.run(() => this.handleFound(request)),
-      id: this.id,
-      isFounded: () => this.founded,
-      link,
-      timing,
-    };
+  async takePart(
+    boxes: () => readonly string[],
+    mayFound = true,
+  ): Promise<void> {
     while (!this.tasks.ended && !this.isMember()) {
-      await tryToTakePart(parts, boxes);
-      await clock.sleep(timing.electionMs, this.tasks.signal);
+      await tryToTakePart(this.foundingParts(), boxes(), mayFound);
+      await this.parts.clock.sleep(
+        this.parts.timing.electionMs,
+        this.tasks.signal,
+      );
     }
+    this.tasks.start((signal) => this.rejoin(boxes, signal));
   }
 
   /** Stops all tasks; proposals still waiting fail as `stopped`. */
@@ -305,6 +318,40 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
+  /** Asks to be taken in again whenever no leader has been heard for long. */
+  private async rejoin(
+    boxes: () => readonly string[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, timing} = this.parts;
+    while (!signal.aborted) {
+      await clock.sleep(2 * timing.electionMs, signal);
+      const silence = clock.now() - this.heardAt;
+      if (!this.isLeader && silence > REJOIN_ELECTIONS * timing.electionMs) {
+        await tryToTakePart(this.foundingParts(), boxes(), false);
+      }
+    }
+  }
+
+  private identity(): IdentityReply {
+    return {
+      founded: this.founded,
+      replica: this.id,
+      voters: this.members.voters,
+    };
+  }
+
+  private foundingParts(): FoundingParts {
+    const {box, link, timing} = this.parts;
+    return {
+      box,
+      found: (request) => this.mutex.run(() => this.handleFound(request)),
+      identity: () => this.identity(),
+      link,
+      timing,
+    };
+  }
+
   // Proposals
 
   private append(body: EntryBody): ResultAsync<unknown, ProposalFailure> {
@@ -516,6 +563,7 @@
       if (id !== this.id && !this.peers.has(id)) {
         const peer = {
           ackedAt: -Infinity,
+          addedAt: this.parts.clock.now(),
           id,
           matchIndex: 0,
           nextIndex: this.log.lastIndex + 1,
@@ -527,35 +575,98 @@
     }
   }
 
-  private async admitReplica(newcomer: ReplicaId) {
-    const steps: readonly MemberChange[] = [
-      (members) => withLearner(members, newcomer),
-      (members) => withoutFormerLives(members, newcomer),
-      (members) => withVoter(members, newcomer),
-    ];
-    for (const step of steps) {
-      if (!this.isLeader) {
-        return err<void, ProposalFailure>(this.notLeader());
-      }
-      if (step === steps[2]) {
-        await this.waitCaughtUp(newcomer);
-      }
-      const barrier = await this.barrier();
-      const next = step(this.members);
-      if (barrier.isOk() && next !== undefined) {
-        const changed = await this.changeMembers(next);
-        if (changed.isErr()) {
-          return err<void, ProposalFailure>(changed.error);
-        }
+  private async admitReplica(
+    newcomer: ReplicaId,
+  ): Promise<Result<void, ProposalFailure>> {
+    const asLearner = await this.stepMembers((members) =>
+      withLearner(members, newcomer),
+    );
+    if (asLearner.isErr()) {
+      return asLearner;
+    }
+    const alone = await this.stepMembers((members) =>
+      withoutFormerLives(members, newcomer),
+    );
+    if (alone.isErr() || this.votersFull()) {
+      return alone;
+    }
+    await this.waitCaughtUp(newcomer);
+    return this.stepMembers((members) => withVoter(members, newcomer));
+  }
+
+  /** One change of members, committed; runs under the members' mutex. */
+  private async stepMembers(
+    step: MemberChange,
+  ): Promise<Result<void, ProposalFailure>> {
+    const barrier = await this.barrier();
+    if (barrier.isErr()) {
+      return err(barrier.error);
+    }
+    const next = step(this.members);
+    if (next === undefined) {
+      return ok(undefined);
+    }
+    const changed = await this.changeMembers(next);
+    return changed.map(() => undefined);
+  }
+
+  private votersFull(): boolean {
+    const {maxVoters} = this.parts;
+    return maxVoters !== undefined && this.members.voters.length >= maxVoters;
+  }
+
+  private silentFor(id: ReplicaId): number {
+    const peer = this.peers.get(id);
+    return peer === undefined
+      ? 0
+      : this.parts.clock.now() - Math.max(peer.ackedAt, peer.addedAt);
+  }
+
+  /** While leading, replaces a voter that fell silent by a learner. */
+  private async runMembers(signal: AbortSignal): Promise<void> {
+    const {clock, timing} = this.parts;
+    while (!signal.aborted) {
+      await clock.sleep(timing.electionMs, signal);
+      if (this.isLeader && !signal.aborted) {
+        await this.membersMutex.run(() => this.replaceSilentVoter());
       }
     }
-    return ok<void, ProposalFailure>(undefined);
+  }
+
+  private async replaceSilentVoter(): Promise<void> {
+    const limit = REPLACE_ELECTIONS * this.parts.timing.electionMs;
+    const {learners, voters} = this.members;
+    const ready = learners.find(
+      (id) =>
+        this.silentFor(id) < this.parts.timing.electionMs &&
+        this.commitIndex - (this.peers.get(id)?.matchIndex ?? 0) <=
+          CAUGHT_UP_ENTRIES,
+    );
+    const silent = voters.find(
+      (id) => id !== this.id && this.silentFor(id) > limit,
+    );
+    if (ready === undefined || (silent === undefined && this.votersFull())) {
+      return;
+    }
+    const added = await this.stepMembers((members) =>
+      withVoter(members, ready),
+    );
+    if (added.isOk() && silent !== undefined && this.votersFull()) {
+      await this.stepMembers((members) => withoutReplica(members, silent));
+    }
   }
 
   private async waitCaughtUp(id: ReplicaId): Promise<void> {
     const behind = (): number =>
       this.commitIndex - (this.peers.get(id)?.matchIndex ?? 0);
-    while (this.isLeader && !this.tasks.ended && behind() > CAUGHT_UP_ENTRIES) {
+    const reachable = (): boolean =>
+      this.silentFor(id) < 2 * this.parts.timing.electionMs;
+    while (
+      this.isLeader &&
+      !this.tasks.ended &&
+      reachable() &&
+      behind() > CAUGHT_UP_ENTRIES
+    ) {
       await this.acknowledged.wait();
     }
   }
--- a/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
@@ -42,7 +42,7 @@
 async function lead(folder: string, snapshotEvery?: number) {
   const {clock, machine, opened} = await open(folder, snapshotEvery);
   const replica = opened._unsafeUnwrap();
-  void replica.takePart(['a']);
+  void replica.takePart(() => ['a']);
   while (!replica.isLeader) {
     await clock.advance(100);
   }
--- a/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
+++ b/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
@@ -95,7 +95,7 @@
     const replica = opened.value;
     link.register('log', (body) => replica.handle(body as LogRequest));
     const tasks = new TaskGroup();
-    tasks.start(() => replica.takePart(this.boxes));
+    tasks.start(() => replica.takePart(() => this.boxes));
     this.members.set(box, {machine, replica, tasks});
   }
 
--- a/packages/puffinturn-orders/src/__tests__/unit/Orders.test.ts
+++ b/packages/puffinturn-orders/src/__tests__/unit/Orders.test.ts
@@ -153,7 +153,7 @@
       timing: DEFAULT_TIMING,
     })
   )._unsafeUnwrap();
-  void replica.takePart(['c1']);
+  void replica.takePart(() => ['c1']);
   await clock.advance(3_000);
   void replica.propose({
     at: 0,
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -66,6 +66,8 @@
 interface Outgoing {
   readonly connection: Connection;
   readonly open: Map<number, Answer>;
+  /** Frames received so far; a peer that sends none may be cut off. */
+  received: number;
 }
 
 function notSent(message: string): LinkFailure {
@@ -178,7 +180,14 @@
       open.delete(id);
       return err<unknown, LinkFailure>(notSent(sent.error.message));
     }
-    const timer = setTimeout(() => open.get(id)?.(undefined), timeoutMs);
+    const {received} = outgoing;
+    const timer = setTimeout(() => {
+      open.get(id)?.(undefined);
+      if (outgoing.received === received) {
+        // Silence: a connection across a healed cut may hang for long.
+        connection.socket.destroy();
+      }
+    }, timeoutMs);
     const frame = await answered;
     clearTimeout(timer);
     open.delete(id);
@@ -226,7 +235,11 @@
       socket.destroy();
       return undefined;
     }
-    const outgoing: Outgoing = {connection, open: new Map()};
+    const outgoing: Outgoing = {
+      connection,
+      open: new Map(),
+      received: 0,
+    };
     void this.readAnswers(box, outgoing);
     return outgoing;
   }
@@ -246,10 +259,13 @@
       if (frame === undefined) {
         break;
       }
+      outgoing.received += 1;
       open.get(frame.id)?.(frame);
     }
     connection.socket.destroy();
-    this.outgoing.delete(box);
+    if ((await this.outgoing.get(box)) === outgoing) {
+      this.outgoing.delete(box);
+    }
     for (const answer of [...open.values()]) {
       answer(undefined);
     }
