--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,10 +7,10 @@
   'Copyright (c) the puffinturn authors.\n\nThis source code is licensed under the Apache License 2.0 found in the\nLICENSE file in the root directory of this source tree.';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'reports/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', 'target/**']},
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -5,8 +5,11 @@
     '^(puffinturn-[a-z-]+)$': '<rootDir>/packages/$1/src/index.ts',
   },
   reporters: ['default', '<rootDir>/scripts/countReporter.mjs'],
-  testMatch: ['<rootDir>/packages/*/src/__tests__/**/*.test.ts'],
-  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  testMatch: [
+    '<rootDir>/packages/*/src/__tests__/**/*.test.ts',
+    '<rootDir>/platform/__tests__/**/*.test.ts',
+  ],
+  testPathIgnorePatterns: ['/node_modules/', '/dist/', '/target/'],
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
--- /dev/null
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -0,0 +1,131 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Every kind of line that a process writes. A line names the request it is
+ * about, what was known when the decision fell, how old or which version that
+ * was, and what came of it. Times are milliseconds.
+ */
+
+interface RequestDecision {
+  /** The request's id as the caller sent it. */
+  readonly request: string;
+  /** The version of the configuration that the decision rests on. */
+  readonly configuration: number;
+}
+
+/** The last decision about a request: what its caller was told. */
+export interface RequestEnded extends RequestDecision {
+  readonly event: 'request-ended';
+  readonly route: string;
+  readonly tenant: string | undefined;
+  readonly status: number;
+  /** Why, in one word; `served` for a runner's own answer. */
+  readonly cause: string;
+  readonly runner: string | undefined;
+  readonly attempts: number;
+  readonly tookMs: number;
+  readonly events: number;
+  /** Tokens charged to the tenant. */
+  readonly charged: number;
+}
+
+/** One attempt at a runner that did not end in an answer. */
+export interface AttemptFailed extends RequestDecision {
+  readonly event: 'attempt-failed';
+  readonly runner: string;
+  readonly cause: string;
+  /** Whether the runner may have begun work. */
+  readonly mayHaveRun: boolean;
+  readonly retry: boolean;
+  /** Requests of this edge at that runner. */
+  readonly inFlight: number;
+}
+
+/** A runner was taken out of choice, or taken in again. */
+export interface RunnerJudged {
+  readonly event: 'runner-judged';
+  readonly runner: string;
+  readonly usable: boolean;
+  readonly cause: string;
+  readonly failures: number;
+}
+
+/** A tenant's tokens moved into or out of this edge. */
+export interface AllowanceMoved {
+  readonly event: 'allowance-moved';
+  readonly tenant: string;
+  readonly source: string;
+  readonly amount: number;
+  readonly held: number;
+  readonly reserved: number;
+  /** Tokens that the core could still grant, as of the last exchange. */
+  readonly left: number | undefined;
+}
+
+/** Another configuration is in force in this process. */
+export interface ConfigurationAdopted {
+  readonly event: 'configuration-adopted';
+  readonly version: number;
+  readonly former: number | undefined;
+  readonly source: string;
+}
+
+/** An operator's change was taken, or not. */
+export interface ChangeDecided {
+  readonly event: 'change-decided';
+  readonly version: number | undefined;
+  readonly held: number | undefined;
+  readonly outcome: string;
+}
+
+/** A runner's registration changed. */
+export interface RunnerChanged {
+  readonly event: 'runner-changed';
+  readonly runner: string;
+  readonly service: string;
+  readonly address: string;
+  readonly state: string;
+  readonly sequence: number;
+  readonly source: string;
+}
+
+/** A box that this one depends on was lost or came back. */
+export interface DependencyChanged {
+  readonly event: 'dependency-changed';
+  readonly box: string;
+  readonly reachable: boolean;
+  readonly lastAnswerAgeMs: number | undefined;
+}
+
+/** This replica's part in the log changed. */
+export interface RoleChanged {
+  readonly event: 'role-changed';
+  readonly role: string;
+  readonly term: number;
+  readonly leader: string | undefined;
+}
+
+/** Start, stop, reload and readiness of the process itself. */
+export interface ProcessChanged {
+  readonly event: 'process-changed';
+  readonly phase: string;
+  readonly detail: string;
+}
+
+/** Any line. */
+export type Decision =
+  | AllowanceMoved
+  | AttemptFailed
+  | ChangeDecided
+  | ConfigurationAdopted
+  | DependencyChanged
+  | ProcessChanged
+  | RequestEnded
+  | RoleChanged
+  | RunnerChanged
+  | RunnerJudged;
--- /dev/null
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Structured log lines, one for each decision of a process. */
+export type {Decision} from './Decision';
+export type {DecisionLogParts} from './DecisionLog';
+export {DecisionLog, JsonDecisionLog, SilentDecisionLog} from './DecisionLog';
--- /dev/null
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -0,0 +1,429 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Prepaid tokens in the hands of one edge. A request reserves the most that it
+ * can cost and is settled at what it did cost. Tokens come from the core, which
+ * counts them as spent from then on, or from another edge; they are held for
+ * some seconds of demand, so that a cut from the core stops no request.
+ */
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {
+  AllowanceAsk,
+  AllowanceGrant,
+  AllowanceReply,
+  AllowanceRequest,
+  BorrowReply,
+  BorrowRequest,
+  Tenant,
+} from 'puffinturn-fleet';
+import {FLEET_SERVICE} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
+
+import {
+  ALLOWANCE_FLOOR_SHARE,
+  ALLOWANCE_SECONDS,
+  ALLOWANCE_TICK_MS,
+  ALLOWANCE_WAIT_MS,
+  BORROW_MS,
+  DEMAND_WINDOW_MS,
+  EXCHANGE_MS,
+  EXHAUSTED_MS,
+} from './EdgeConstants';
+
+/** What came of asking for tokens. */
+export const RESERVE = {
+  /** The tokens are set aside. */
+  held: 'held',
+  /** The request does not fit into what is left of the budget. */
+  exhausted: 'exhausted',
+  /** Who could tell can't be reached. */
+  unavailable: 'unavailable',
+} as const;
+
+/** One of RESERVE. */
+export type ReserveOutcome = (typeof RESERVE)[keyof typeof RESERVE];
+
+/** What Allowances is made of. */
+export interface AllowancesParts {
+  /** One life of this edge. */
+  readonly holder: string;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  /** Control boxes, the one to ask first at the front. */
+  readonly controls: () => readonly string[];
+  /** The other edges. */
+  readonly peers: () => readonly string[];
+}
+
+/** Tokens of one tenant here. */
+class Account {
+  /** Tokens here, reserved ones included. */
+  held = 0;
+  reserved = 0;
+  prepaid = 0;
+  /** Tokens a second, as measured. */
+  rate = 0;
+  largest = 0;
+  /** What the core had left at the last exchange. */
+  left: number | undefined;
+  exhaustedUntil = -Infinity;
+  exhaustedNeed = Infinity;
+  /** Whether all that is free must go back to the core. */
+  recalled = false;
+  /** The most that a waiting request needs. */
+  need = 0;
+
+  constructor(readonly tenant: string) {}
+
+  get free(): number {
+    return this.held - this.reserved;
+  }
+}
+
+/** Longest sleep of a waiting request between looks, ms. */
+const LOOK_MS = 50;
+
+/** See the module comment. */
+export class Allowances implements AsyncDisposable {
+  private readonly accounts = new Map<string, Account>();
+  private readonly tasks = new TaskGroup();
+  private readonly wanted = new Condition();
+  private readonly moved = new Condition();
+  private readonly registration: Disposable;
+  private sequence = 0;
+  private measuredAt: number;
+  private exchanges = 0;
+  private coreAnswers = true;
+
+  constructor(private readonly parts: AllowancesParts) {
+    this.measuredAt = parts.clock.now();
+    this.registration = parts.link.register(
+      FLEET_SERVICE.borrow,
+      async (body) => this.lend(body as BorrowRequest),
+    );
+    this.tasks.start((signal) => this.runExchanges(signal));
+  }
+
+  /** Takes over what a configuration says of budgets. */
+  configure(tenants: readonly Tenant[]): void {
+    for (const {name, prepaidTokens = 0} of tenants) {
+      const account = this.accountOf(name);
+      if (prepaidTokens !== account.prepaid) {
+        // What is free goes back first where the budget was lowered.
+        account.recalled ||= prepaidTokens < account.prepaid;
+        account.exhaustedUntil = -Infinity;
+        account.left = undefined;
+        account.prepaid = prepaidTokens;
+      }
+    }
+    this.wanted.notify();
+  }
+
+  /** Figures for metrics. */
+  status(): readonly {tenant: string; held: number; reserved: number}[] {
+    return [...this.accounts.values()].map(({held, reserved, tenant}) => ({
+      held,
+      reserved,
+      tenant,
+    }));
+  }
+
+  /** Sets tokens aside; waits a moment for more where there are too few. */
+  async reserve(tenant: string, tokens: number): Promise<ReserveOutcome> {
+    const account = this.accountOf(tenant);
+    account.largest = Math.max(account.largest, tokens);
+    if (this.take(account, tokens)) {
+      return RESERVE.held;
+    }
+    const {clock} = this.parts;
+    if (this.knownExhausted(account, tokens)) {
+      return RESERVE.exhausted;
+    }
+    const until = clock.now() + ALLOWANCE_WAIT_MS;
+    const borrowing = this.coreAnswers
+      ? undefined
+      : this.borrow(account, tokens);
+    account.need = Math.max(account.need, tokens);
+    const asked = this.exchanges;
+    this.wanted.notify();
+    while (clock.now() < until && !this.tasks.ended) {
+      await sleepUnlessNotified(clock, this.moved, LOOK_MS, this.tasks.signal);
+      if (this.take(account, tokens)) {
+        return RESERVE.held;
+      }
+      if (this.exchanges > asked && (account.left ?? 0) < tokens) {
+        break;
+      }
+    }
+    return this.decide(account, tokens, this.exchanges > asked, borrowing);
+  }
+
+  /** Ends a reservation; the rest is free again. */
+  settle(tenant: string, reserved: number, spent: number): void {
+    const account = this.accountOf(tenant);
+    account.reserved -= reserved;
+    account.held -= spent;
+    account.rate += (spent * 1_000) / DEMAND_WINDOW_MS;
+    this.moved.notify();
+  }
+
+  /** Hands all free tokens back, as this edge stops. */
+  async close(): Promise<void> {
+    const asks = [...this.accounts.values()]
+      .filter(({free}) => free > 0)
+      .map((account) => this.askFor(account, 0, 0, account.free));
+    await this.tasks[Symbol.asyncDispose]();
+    if (asks.length > 0) {
+      this.sequence += 1;
+      await this.exchange(asks);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.registration[Symbol.dispose]();
+    this.tasks.abort();
+    this.wanted.notify();
+    this.moved.notify();
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  private accountOf(tenant: string): Account {
+    const known = this.accounts.get(tenant);
+    if (known !== undefined) {
+      return known;
+    }
+    const account = new Account(tenant);
+    this.accounts.set(tenant, account);
+    return account;
+  }
+
+  private take(account: Account, tokens: number): boolean {
+    if (account.free < tokens) {
+      return false;
+    }
+    account.reserved += tokens;
+    if (account.free < this.wantOf(account) / 2) {
+      this.wanted.notify();
+    }
+    return true;
+  }
+
+  private knownExhausted(account: Account, tokens: number): boolean {
+    return (
+      this.parts.clock.now() < account.exhaustedUntil &&
+      tokens >= account.exhaustedNeed
+    );
+  }
+
+  private async decide(
+    account: Account,
+    tokens: number,
+    coreAnswered: boolean,
+    borrowing: Promise<boolean> | undefined,
+  ): Promise<ReserveOutcome> {
+    const peersAnswered = await (borrowing ?? this.borrow(account, tokens));
+    if (this.take(account, tokens)) {
+      return RESERVE.held;
+    }
+    if (!coreAnswered || !peersAnswered) {
+      return RESERVE.unavailable;
+    }
+    account.exhaustedUntil = this.parts.clock.now() + EXHAUSTED_MS;
+    account.exhaustedNeed = tokens;
+    return RESERVE.exhausted;
+  }
+
+  // Other edges
+
+  /** Asks every other edge in turn; true when all of them answered. */
+  private async borrow(account: Account, tokens: number): Promise<boolean> {
+    let allAnswered = true;
+    const peers = [...this.parts.peers()];
+    while (peers.length > 0 && account.free < tokens) {
+      const round = peers.splice(0, 3);
+      const need = Math.ceil((tokens - account.free) / round.length);
+      const answers = await Promise.all(
+        round.map((peer) => this.borrowFrom(peer, account, need)),
+      );
+      allAnswered &&= answers.every((answered) => answered);
+    }
+    this.moved.notify();
+    return allAnswered;
+  }
+
+  private async borrowFrom(
+    peer: string,
+    account: Account,
+    need: number,
+  ): Promise<boolean> {
+    const {tenant} = account;
+    const request: BorrowRequest = {need, tenant};
+    const answer = await this.parts.link.call(
+      peer,
+      FLEET_SERVICE.borrow,
+      request,
+      BORROW_MS,
+    );
+    if (answer.isErr()) {
+      return false;
+    }
+    const {given} = answer.value as BorrowReply;
+    if (given > 0) {
+      account.held += given;
+      this.noteMove(account, peer, given);
+    }
+    return true;
+  }
+
+  private lend({need, tenant}: BorrowRequest): BorrowReply {
+    const account = this.accounts.get(tenant);
+    const given = Math.max(0, Math.min(need, account?.free ?? 0));
+    if (account !== undefined && given > 0) {
+      account.held -= given;
+      this.noteMove(account, 'lent', -given);
+    }
+    return {given};
+  }
+
+  // The core
+
+  private async runExchanges(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      await sleepUnlessNotified(clock, this.wanted, ALLOWANCE_TICK_MS, signal);
+      this.measure();
+      const asks = this.compose();
+      if (asks.length > 0 && !signal.aborted) {
+        this.sequence += 1;
+        await this.exchangeUntilAnswered(asks, signal);
+      }
+    }
+  }
+
+  private measure(): void {
+    const now = this.parts.clock.now();
+    const decay = Math.exp((this.measuredAt - now) / DEMAND_WINDOW_MS);
+    this.measuredAt = now;
+    for (const account of this.accounts.values()) {
+      account.rate *= decay;
+    }
+  }
+
+  private wantOf(account: Account): number {
+    const edges = this.parts.peers().length + 1;
+    const floor = (account.prepaid * ALLOWANCE_FLOOR_SHARE) / edges;
+    const demand = account.rate * ALLOWANCE_SECONDS + account.largest;
+    return Math.ceil(Math.max(floor, demand));
+  }
+
+  private compose(): AllowanceAsk[] {
+    const asks: AllowanceAsk[] = [];
+    for (const account of this.accounts.values()) {
+      const want = this.wantOf(account);
+      const need = Math.max(0, account.need - account.free);
+      account.need = 0;
+      if (account.recalled) {
+        account.recalled = false;
+        const back = Math.max(0, account.free);
+        asks.push(this.askFor(account, need, want, back));
+        continue;
+      }
+      const dry = account.left !== undefined && account.left <= 0;
+      if (need > 0 || (account.free < want / 2 && !dry)) {
+        const more = Math.max(need, Math.ceil(want - account.free));
+        asks.push(this.askFor(account, need, more, 0));
+      } else if (account.free > 2 * want) {
+        const back = Math.floor(account.free - want);
+        asks.push(this.askFor(account, 0, 0, back));
+      }
+    }
+    return asks;
+  }
+
+  private askFor(
+    account: Account,
+    need: number,
+    want: number,
+    back: number,
+  ): AllowanceAsk {
+    account.held -= back;
+    if (back > 0) {
+      this.noteMove(account, 'returned', -back);
+    }
+    return {back, need, tenant: account.tenant, want};
+  }
+
+  /** An exchange whose answer was lost is sent again under its number. */
+  private async exchangeUntilAnswered(
+    asks: readonly AllowanceAsk[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      const grants = await this.exchange(asks);
+      this.coreAnswers = grants !== undefined;
+      if (grants !== undefined) {
+        this.credit(grants);
+        return;
+      }
+      await this.parts.clock.sleep(ALLOWANCE_TICK_MS / 2, signal);
+    }
+  }
+
+  private async exchange(
+    asks: readonly AllowanceAsk[],
+  ): Promise<readonly AllowanceGrant[] | undefined> {
+    const {controls, holder, link} = this.parts;
+    const request: AllowanceRequest = {asks, holder, sequence: this.sequence};
+    for (const control of controls().slice(0, 3)) {
+      const answer = await link.call(
+        control,
+        FLEET_SERVICE.allowance,
+        request,
+        EXCHANGE_MS,
+      );
+      if (answer.isOk()) {
+        const {grants} = answer.value as AllowanceReply;
+        if (grants !== undefined && grants !== null) {
+          return grants;
+        }
+      } else {
+        this.coreAnswers = false;
+      }
+    }
+    return undefined;
+  }
+
+  private credit(grants: readonly AllowanceGrant[]): void {
+    this.exchanges += 1;
+    for (const {granted, left, tenant} of grants) {
+      const account = this.accountOf(tenant);
+      account.held += granted;
+      account.left = left;
+      if (granted > 0) {
+        this.noteMove(account, 'core', granted);
+      }
+    }
+    this.moved.notify();
+  }
+
+  private noteMove(account: Account, source: string, amount: number): void {
+    const {held, left, reserved, tenant} = account;
+    this.parts.log.note({
+      amount,
+      event: 'allowance-moved',
+      held,
+      left,
+      reserved,
+      source,
+      tenant,
+    });
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/CallerRequest.ts
@@ -0,0 +1,150 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** One request of a caller: its facts, and the one answer that it gets. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Failure} from 'shared';
+
+import type {HeaderNames} from './CallerDialect';
+
+/** The body could not be read. */
+export type BodyFailure = Failure<'body-broken'> | Failure<'body-too-large'>;
+
+/** Headers that concern one connection only, in lower case. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** True for a header that is passed on. */
+export function passesOn(
+  name: string,
+  connectionHeader: string | undefined,
+): boolean {
+  const lower = name.toLowerCase();
+  if (HOP_HEADERS.has(lower)) {
+    return false;
+  }
+  return (
+    connectionHeader === undefined ||
+    !connectionHeader
+      .toLowerCase()
+      .split(',')
+      .some((token) => token.trim() === lower)
+  );
+}
+
+/** See the module comment. */
+export class CallerRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query as they came. */
+  readonly path: string;
+  /** When its head was read, monotonic ms. */
+  readonly startedAt: number;
+  /** Whether the connection ends with this answer. */
+  closing = false;
+
+  constructor(
+    readonly incoming: IncomingMessage,
+    readonly response: ServerResponse,
+    private readonly names: HeaderNames,
+    now: number,
+  ) {
+    this.method = incoming.method ?? 'GET';
+    this.path = incoming.url ?? '/';
+    this.startedAt = now;
+    this.id = this.header(names.requestId) ?? '';
+  }
+
+  /** The value of a header, by its name in lower case. */
+  header(name: string): string | undefined {
+    const value = this.incoming.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  }
+
+  /** How long the caller waits, ms; undefined where it does not say. */
+  get deadlineMs(): number | undefined {
+    const value = Number(this.header(this.names.deadline));
+    return Number.isFinite(value) && value > 0 ? value : undefined;
+  }
+
+  /** True once the caller has gone without its whole answer. */
+  get abandoned(): boolean {
+    return this.response.destroyed && !this.response.writableFinished;
+  }
+
+  /** Reads the whole body. */
+  async readBody(maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
+    const {incoming} = this;
+    const stated = Number(incoming.headers['content-length'] ?? 0);
+    if (stated > maxBytes) {
+      return err(tooLarge(maxBytes));
+    }
+    const hasBody =
+      stated > 0 || incoming.headers['transfer-encoding'] !== undefined;
+    if (!hasBody) {
+      return ok(Buffer.alloc(0));
+    }
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const chunk of incoming) {
+        length += (chunk as Buffer).length;
+        if (length > maxBytes) {
+          return err(tooLarge(maxBytes));
+        }
+        chunks.push(chunk as Buffer);
+      }
+    } catch {
+      return err({kind: 'body-broken', message: 'the body broke off'});
+    }
+    return ok(
+      chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks),
+    );
+  }
+
+  /** Answers with a failure of the edge's own. */
+  refuse(status: number, cause: string, retryAfterS?: number): void {
+    const {response} = this;
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    const body = JSON.stringify({error: cause});
+    response.statusCode = status;
+    response.setHeader('Content-Type', 'application/json');
+    response.setHeader('Content-Length', Buffer.byteLength(body));
+    if (retryAfterS !== undefined) {
+      response.setHeader(this.names.retryAfter, String(retryAfterS));
+    }
+    if (this.id !== '') {
+      response.setHeader(this.names.requestId, this.id);
+    }
+    if (!this.incoming.complete || this.closing) {
+      response.setHeader('Connection', 'close');
+    }
+    response.end(body);
+  }
+}
+
+function tooLarge(maxBytes: number): BodyFailure {
+  return {
+    kind: 'body-too-large',
+    message: `a body of more than ${maxBytes} bytes`,
+  };
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -0,0 +1,312 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * An edge: takes callers' requests and serves them from the configuration, the
+ * runners and the allowances that it holds, however long the core is away.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {ResultAsync} from 'neverthrow';
+import {ok, safeTry} from 'neverthrow';
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {
+  BoxRecord,
+  FleetConfiguration,
+  RunnerRecord,
+} from 'puffinturn-fleet';
+import {BOX_ROLE, FleetNews, FleetWatch} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock, Random} from 'shared';
+
+import {Allowances} from './Allowances';
+import type {CallerDialect} from './CallerDialect';
+import {CallerRequest} from './CallerRequest';
+import {RETRY_AFTER_MISSING_S} from './EdgeConstants';
+import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
+import {headerBytes, HttpListener} from './EdgeHttp';
+import {EdgeMetrics} from './EdgeMetrics';
+import type {ForwardingParts} from './Forwarding';
+import {Forwarding} from './Forwarding';
+import type {RetryBound} from './RetryBudgets';
+import {RetryBudgets} from './RetryBudgets';
+import {RouteTable} from './RouteTable';
+import {FreeSlots, PrefixRendezvous} from './RunnerChoice';
+import {RunnerPool} from './RunnerPool';
+
+/** What an edge is made of. */
+export interface EdgeParts {
+  readonly self: BoxRecord;
+  readonly seeds: () => readonly string[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  readonly dialect: CallerDialect;
+  readonly retryBound: RetryBound;
+  readonly callers: HttpAddress;
+  readonly ready: HttpAddress & {readonly path: string};
+  readonly metrics: HttpAddress & {readonly path: string};
+}
+
+/** Without an answer by barrier, an edge is ready after this time, ms. */
+const SETTLE_MS = 2_500;
+
+/** Least time that a stopping edge goes on taking requests, ms. */
+const LINGER_MS = 3_200;
+
+/** A stopping edge that had no request for this long has nothing to do, ms. */
+const QUIET_MS = 700;
+
+/** How often a stopping edge looks whether it is done, ms. */
+const LOOK_MS = 50;
+
+/** Time of the grace that is left for giving allowances back, ms. */
+const CLOSING_MS = 700;
+
+class EdgeNews extends FleetNews {
+  constructor(private readonly edge: Edge) {
+    super();
+  }
+
+  override get configurationVersion(): number {
+    return this.edge.configurationVersion;
+  }
+
+  override configuration(found: FleetConfiguration, source: string): void {
+    this.edge.configure(found, source);
+  }
+
+  override runners(records: readonly RunnerRecord[], source: string): void {
+    this.edge.pool.merge(records, source);
+  }
+
+  override boxes(records: readonly BoxRecord[]): void {
+    this.edge.learnBoxes(records);
+  }
+}
+
+/** See the module comment. */
+export class Edge implements AsyncDisposable {
+  readonly metrics = new EdgeMetrics();
+  readonly pool: RunnerPool;
+  private readonly allowances: Allowances;
+  private readonly watch: FleetWatch;
+  private readonly forwarding: ForwardingParts;
+  private readonly listeners: HttpListener[] = [];
+  private readonly startedAt: number;
+  private peers: string[] = [];
+  private table: RouteTable | undefined;
+  private open = 0;
+  private lastRequestAt: number;
+  private stopping = false;
+  private wasReady = false;
+
+  private constructor(private readonly parts: EdgeParts) {
+    const {clock, link, log, random, self} = parts;
+    this.startedAt = clock.now();
+    this.lastRequestAt = this.startedAt;
+    this.pool = new RunnerPool(clock, log);
+    this.watch = new FleetWatch({
+      clock,
+      link,
+      log,
+      news: new EdgeNews(this),
+      seeds: parts.seeds,
+      self,
+    });
+    this.allowances = new Allowances({
+      clock,
+      controls: () => this.controls(),
+      holder: `${self.box} ${self.incarnation}`,
+      link,
+      log,
+      peers: () => this.peers,
+    });
+    this.forwarding = {
+      allowances: this.allowances,
+      clock,
+      dialect: parts.dialect,
+      engineChoice: new PrefixRendezvous(),
+      log,
+      metrics: this.metrics,
+      plainChoice: new FreeSlots(random),
+      pool: this.pool,
+      random,
+      retryBudgets: new RetryBudgets(
+        parts.retryBound,
+        () => this.peers.length + 1,
+      ),
+      zone: self.zone,
+    };
+  }
+
+  /** Starts to listen and to follow the fleet. */
+  static open(parts: EdgeParts): ResultAsync<Edge, HttpListenFailure> {
+    const edge = new Edge(parts);
+    return safeTry(async function* () {
+      edge.listeners.push(
+        yield* HttpListener.open(parts.callers, (request, response) =>
+          edge.take(request, response),
+        ),
+        yield* HttpListener.open(parts.ready, (request, response) =>
+          edge.answerReady(request, response),
+        ),
+        yield* HttpListener.open(parts.metrics, (request, response) =>
+          edge.answerMetrics(request, response),
+        ),
+      );
+      return ok<Edge, HttpListenFailure>(edge);
+    });
+  }
+
+  /** The version in force here, or -Infinity. */
+  get configurationVersion(): number {
+    return this.table?.version ?? -Infinity;
+  }
+
+  /** Whether this edge should get new connections. */
+  get ready(): boolean {
+    if (this.stopping || this.table === undefined) {
+      return false;
+    }
+    const settled = this.parts.clock.now() - this.startedAt > SETTLE_MS;
+    return this.watch.current || (settled && this.watch.answered > 0);
+  }
+
+  /** Puts a configuration in force, unless a newer one is. */
+  configure(configuration: FleetConfiguration, source: string): void {
+    const former = this.table?.version;
+    if (former !== undefined && configuration.version <= former) {
+      return;
+    }
+    this.table = new RouteTable(configuration);
+    this.allowances.configure(configuration.tenants ?? []);
+    this.listeners[0]?.limit(configuration.limits);
+    this.metrics.configurationVersion.set(configuration.version);
+    this.parts.log.note({
+      event: 'configuration-adopted',
+      former,
+      source,
+      version: configuration.version,
+    });
+  }
+
+  /** Takes over who else is alive. */
+  learnBoxes(records: readonly BoxRecord[]): void {
+    this.peers = records
+      .filter(({box, role}) => {
+        return role === BOX_ROLE.edge && box !== this.parts.self.box;
+      })
+      .map(({box}) => box);
+  }
+
+  /**
+   * Stops within the grace: not ready at once, goes on serving until callers
+   * were sent elsewhere and nothing is open, then hands its allowances back.
+   */
+  async drain(graceMs: number): Promise<void> {
+    const {clock, log} = this.parts;
+    const began = clock.now();
+    const until = began + graceMs - CLOSING_MS;
+    this.stopping = true;
+    const detail = `${this.open} open`;
+    log.note({detail, event: 'process-changed', phase: 'draining'});
+    while (clock.now() < until) {
+      const now = clock.now();
+      const lingered = now - began >= LINGER_MS;
+      const quiet = now - this.lastRequestAt >= QUIET_MS;
+      if (this.open === 0 && lingered && quiet) {
+        break;
+      }
+      await clock.sleep(LOOK_MS);
+    }
+    await Promise.race([this.allowances.close(), clock.sleep(CLOSING_MS / 2)]);
+    const cut = `${this.open} cut`;
+    log.note({detail: cut, event: 'process-changed', phase: 'stopped'});
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(
+      this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
+    );
+    await this.allowances[Symbol.asyncDispose]();
+    await this.watch[Symbol.asyncDispose]();
+    this.pool[Symbol.dispose]();
+  }
+
+  private controls(): string[] {
+    const {controls, leader} = this.watch;
+    return leader === undefined || !controls.includes(leader)
+      ? controls
+      : [leader, ...controls.filter((box) => box !== leader)];
+  }
+
+  private take(request: IncomingMessage, response: ServerResponse): void {
+    const {clock, dialect} = this.parts;
+    const now = clock.now();
+    this.lastRequestAt = now;
+    const caller = new CallerRequest(request, response, dialect.headers, now);
+    caller.closing = this.stopping;
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    if (this.table === undefined) {
+      request.resume();
+      caller.refuse(503, 'no-configuration', RETRY_AFTER_MISSING_S);
+      return;
+    }
+    const {maxHeaderBytes} = this.table.configuration.limits;
+    if (headerBytes(request) > maxHeaderBytes) {
+      request.resume();
+      caller.refuse(431, 'headers-too-large');
+      return;
+    }
+    this.open += 1;
+    void new Forwarding(this.forwarding, this.table, caller)
+      .run()
+      .finally(() => (this.open -= 1));
+  }
+
+  private answerReady(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {log, ready} = this.parts;
+    if (request.url !== ready.path) {
+      response.writeHead(404).end();
+      return;
+    }
+    if (this.ready !== this.wasReady) {
+      this.wasReady = this.ready;
+      const phase = this.ready ? 'ready' : 'not-ready';
+      const detail = `configuration ${this.configurationVersion}`;
+      log.note({detail, event: 'process-changed', phase});
+    }
+    response.writeHead(this.ready ? 200 : 503).end();
+  }
+
+  private answerMetrics(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {allowance, inTouch, open, registry} = this.metrics;
+    if (request.url !== this.parts.metrics.path) {
+      response.writeHead(404).end();
+      return;
+    }
+    open.set(this.open);
+    inTouch.set(this.watch.inTouch ? 1 : 0);
+    for (const {held, reserved, tenant} of this.allowances.status()) {
+      allowance.set({state: 'held', tenant}, held);
+      allowance.set({state: 'reserved', tenant}, reserved);
+    }
+    void registry.metrics().then((text) => {
+      response.setHeader('Content-Type', registry.contentType);
+      response.end(text);
+    });
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -0,0 +1,65 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Figures of the edge, with unit and reason. */
+
+/** Time for a connection to a runner to come up, ms; a dark one never does. */
+export const CONNECT_MS = 400;
+
+/** Connections that never came up before a request is given up. */
+export const MAX_UNSENT = 4;
+
+/** Answers up to this many bytes are checked whole before they are passed on. */
+export const WHOLE_ANSWER_BYTES = 256 * 1024;
+
+/** Idle connections to runners are closed after this time, ms. */
+export const IDLE_CONNECTION_MS = 4_000;
+
+/** First pause of a runner that can't be reached, ms; doubles each time. */
+export const FIRST_PAUSE_MS = 250;
+
+/** Longest pause of a runner that can't be reached, ms. */
+export const LONGEST_PAUSE_MS = 2_000;
+
+/** Broken answers in a row after which a runner pauses. */
+export const BROKEN_BEFORE_PAUSE = 2;
+
+/** Pause after a runner said that it is full, ms. */
+export const FULL_PAUSE_MS = 60;
+
+/** `Retry-After` of a request for which there was no room, s. */
+export const RETRY_AFTER_BUSY_S = 0.3;
+
+/** `Retry-After` while a dependency is missing, s. */
+export const RETRY_AFTER_MISSING_S = 1;
+
+/** Requests to one engine beyond this share of the mean go elsewhere. */
+export const BOUNDED_LOAD = 1.25;
+
+/** Time that tokens held for a tenant should last, s; longer than most cuts. */
+export const ALLOWANCE_SECONDS = 10;
+
+/** Share of a tenant's prepaid tokens that all edges hold before any demand. */
+export const ALLOWANCE_FLOOR_SHARE = 0.12;
+
+/** How often allowances are weighed, ms. */
+export const ALLOWANCE_TICK_MS = 250;
+
+/** Time constant of the measured demand, ms. */
+export const DEMAND_WINDOW_MS = 6_000;
+
+/** Longest time a request waits for tokens, ms. */
+export const ALLOWANCE_WAIT_MS = 400;
+
+/** Longest time for one exchange with the core, ms. */
+export const EXCHANGE_MS = 1_500;
+
+/** Longest time for another edge to lend tokens, ms. */
+export const BORROW_MS = 250;
+
+/** How long a budget found exhausted is taken to stay so, ms. */
+export const EXHAUSTED_MS = 800;
--- /dev/null
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -0,0 +1,59 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Counters and histograms of an edge. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Bounds of latency buckets, s. */
+const LATENCY_BUCKETS_S = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15,
+];
+
+/** See the module comment. */
+export class EdgeMetrics {
+  readonly registry = new Registry();
+  readonly answers = new Counter({
+    help: 'Answers to callers by route, status and cause',
+    labelNames: ['route', 'status', 'cause'],
+    name: 'puffinturn_edge_answers_total',
+    registers: [this.registry],
+  });
+  readonly attempts = new Counter({
+    help: 'Attempts at runners by service and outcome',
+    labelNames: ['service', 'outcome'],
+    name: 'puffinturn_edge_attempts_total',
+    registers: [this.registry],
+  });
+  readonly firstByte = new Histogram({
+    buckets: LATENCY_BUCKETS_S,
+    help: 'Time to the first byte of an answer by route, s',
+    labelNames: ['route'],
+    name: 'puffinturn_edge_first_byte_seconds',
+    registers: [this.registry],
+  });
+  readonly open = new Gauge({
+    help: 'Requests being served',
+    name: 'puffinturn_edge_open_requests',
+    registers: [this.registry],
+  });
+  readonly configurationVersion = new Gauge({
+    help: 'Version of the configuration in force',
+    name: 'puffinturn_edge_configuration_version',
+    registers: [this.registry],
+  });
+  readonly allowance = new Gauge({
+    help: 'Prepaid tokens held here by tenant and state',
+    labelNames: ['tenant', 'state'],
+    name: 'puffinturn_edge_allowance_tokens',
+    registers: [this.registry],
+  });
+  readonly inTouch = new Gauge({
+    help: '1 while some control box answers',
+    name: 'puffinturn_edge_in_touch',
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/EdgeRunner.ts
@@ -0,0 +1,130 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** One runner as an edge sees it: its record, own load and health. */
+import {createHash} from 'node:crypto';
+import {Agent} from 'node:http';
+
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {RunnerRecord} from 'puffinturn-fleet';
+import {RUNNER_STATE} from 'puffinturn-fleet';
+import type {Clock} from 'shared';
+
+import {
+  BROKEN_BEFORE_PAUSE,
+  FIRST_PAUSE_MS,
+  FULL_PAUSE_MS,
+  IDLE_CONNECTION_MS,
+  LONGEST_PAUSE_MS,
+} from './EdgeConstants';
+
+/** A 32-bit hash of a text. */
+export function hashOf(text: string): number {
+  return createHash('md5').update(text).digest().readUInt32LE(0);
+}
+
+/** See the module comment. Dispose it to close its idle connections. */
+export class EdgeRunner implements Disposable {
+  /** Requests of this edge that are open at the runner. */
+  inFlight = 0;
+  /** Tokens of prompts that this edge has sent and that no event answers yet. */
+  pendingTokens = 0;
+  /** Connections to the runner; idle ones are used again. */
+  readonly agent: Agent;
+  /** Hash of the id, for rendezvous. */
+  readonly hash: number;
+  readonly host: string;
+  readonly port: number;
+  private failures = 0;
+  private pausedUntil = -Infinity;
+  private replaced = false;
+
+  constructor(
+    /** What the runner said of itself last. */
+    public record: RunnerRecord,
+    private readonly clock: Clock,
+    private readonly log: DecisionLog,
+  ) {
+    this.hash = hashOf(record.id);
+    const at = record.address.lastIndexOf(':');
+    this.host = record.address.slice(0, at);
+    this.port = Number(record.address.slice(at + 1));
+    this.agent = new Agent({
+      keepAlive: true,
+      maxFreeSockets: record.slots,
+      scheduling: 'lifo',
+      timeout: IDLE_CONNECTION_MS,
+    });
+  }
+
+  get id(): string {
+    return this.record.id;
+  }
+
+  /** Whether new requests may go there at all. */
+  get serves(): boolean {
+    return this.record.state === RUNNER_STATE.ready && !this.replaced;
+  }
+
+  /** Whether it is out of choice for the moment. */
+  get paused(): boolean {
+    return this.clock.now() < this.pausedUntil;
+  }
+
+  /** Notes a whole answer. */
+  succeeded(): void {
+    if (this.failures >= BROKEN_BEFORE_PAUSE) {
+      this.judge(true, 'answered');
+    }
+    this.failures = 0;
+    this.pausedUntil = -Infinity;
+  }
+
+  /** Notes a connection that did not come up. */
+  unreachable(): void {
+    this.failures = Math.max(BROKEN_BEFORE_PAUSE, this.failures + 1);
+    this.pause('unreachable');
+  }
+
+  /** Notes an answer that broke off, was spoiled or was an error. */
+  broke(cause: string): void {
+    this.failures += 1;
+    if (this.failures >= BROKEN_BEFORE_PAUSE) {
+      this.pause(cause);
+    }
+  }
+
+  /** Notes that the runner had no room. */
+  full(): void {
+    this.pausedUntil = Math.max(
+      this.pausedUntil,
+      this.clock.now() + FULL_PAUSE_MS,
+    );
+  }
+
+  /** Notes that another runner answers at this address. */
+  isReplaced(): void {
+    this.replaced = true;
+    this.judge(false, 'replaced');
+  }
+
+  [Symbol.dispose](): void {
+    this.agent.destroy();
+  }
+
+  private pause(cause: string): void {
+    const doubled = FIRST_PAUSE_MS * 2 ** (this.failures - BROKEN_BEFORE_PAUSE);
+    const pause = Math.min(LONGEST_PAUSE_MS, doubled);
+    this.pausedUntil = this.clock.now() + pause;
+    this.judge(false, cause);
+  }
+
+  private judge(usable: boolean, cause: string): void {
+    const {failures, id: runner} = this;
+    this.log.note({cause, event: 'runner-judged', failures, runner, usable});
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -0,0 +1,532 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Serves one request: finds its route, tenant and service, reserves tokens,
+ * and sends it to runners until one has answered or no further try is allowed.
+ * A request that may not be repeated is sent again only where the first runner
+ * surely did not run it.
+ */
+import type {IncomingMessage} from 'node:http';
+
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {Route, Service, Tenant} from 'puffinturn-fleet';
+import {REPETITION} from 'puffinturn-fleet';
+import type {Clock, Random} from 'shared';
+
+import type {Allowances} from './Allowances';
+import {RESERVE} from './Allowances';
+import type {AnswerRelay} from './AnswerRelay';
+import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
+import type {CallerDialect, PromptPart, TokenBounds} from './CallerDialect';
+import type {CallerRequest} from './CallerRequest';
+import {passesOn} from './CallerRequest';
+import {
+  MAX_UNSENT,
+  RETRY_AFTER_BUSY_S,
+  RETRY_AFTER_MISSING_S,
+} from './EdgeConstants';
+import type {EdgeMetrics} from './EdgeMetrics';
+import type {EdgeRunner} from './EdgeRunner';
+import type {ExchangeOutcome} from './Exchange';
+import {Exchange} from './Exchange';
+import type {RetryBudgets} from './RetryBudgets';
+import type {RouteTable} from './RouteTable';
+import type {RunnerChoice} from './RunnerChoice';
+import type {RunnerPool} from './RunnerPool';
+
+/** What serving needs of the edge. */
+export interface ForwardingParts {
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: DecisionLog;
+  readonly metrics: EdgeMetrics;
+  readonly dialect: CallerDialect;
+  readonly allowances: Allowances;
+  readonly pool: RunnerPool;
+  readonly retryBudgets: RetryBudgets;
+  readonly engineChoice: RunnerChoice;
+  readonly plainChoice: RunnerChoice;
+}
+
+/** Time after a deadline at which the final answer is sent, ms. */
+const FINAL_GRACE_MS = 20;
+
+/** Least time left with which a request is sent to a runner, ms. */
+const LEAST_LEFT_MS = 10;
+
+/** Events a runner may have made that did not arrive before a break. */
+const UNSEEN_EVENTS = 2;
+
+/** What a request is about, once its route is known. */
+interface Plan {
+  readonly route: Route;
+  readonly tenant: Tenant | undefined;
+  readonly service: Service;
+  readonly tokens: TokenBounds | undefined;
+  readonly parts: readonly PromptPart[];
+}
+
+/** See the module comment. */
+export class Forwarding {
+  private plan: Plan | undefined;
+  private body: Buffer = Buffer.alloc(0);
+  private exchange: Exchange | undefined;
+  private relay: AnswerRelay | undefined;
+  private runner: EdgeRunner | undefined;
+  private readonly tried = new Set<EdgeRunner>();
+  private attempts = 0;
+  private unsent = 0;
+  private mayHaveRun = false;
+  private ended = false;
+  private cause = '';
+  private reserved = 0;
+
+  constructor(
+    private readonly parts: ForwardingParts,
+    private readonly table: RouteTable,
+    private readonly caller: CallerRequest,
+  ) {}
+
+  /** Serves the request to its end. */
+  async run(): Promise<void> {
+    const plan = this.makePlan();
+    if (plan === undefined) {
+      this.caller.incoming.resume();
+      this.note();
+      return;
+    }
+    this.plan = plan;
+    this.caller.response.once('close', () => this.callerClosed());
+    const timer = setTimeout(
+      () => this.expire(),
+      this.leftMs(plan.route) + FINAL_GRACE_MS,
+    );
+    try {
+      if ((await this.readBody()) && (await this.reserve(plan))) {
+        await this.forward(plan);
+      }
+    } finally {
+      clearTimeout(timer);
+      const charged = this.settle(plan);
+      this.note(charged);
+    }
+  }
+
+  private makePlan(): Plan | undefined {
+    const {caller, table} = this;
+    const {dialect, random} = this.parts;
+    const host = (caller.header('host') ?? '').replace(/:\d+$/, '');
+    const route = table.find(host, caller.path);
+    if (route === undefined) {
+      return this.refuse(404, 'no-route');
+    }
+    const tenant = table.tenantOf(caller.header(dialect.headers.key));
+    if (tenant === undefined && table.needsKey(route)) {
+      return this.refuse(401, 'unknown-key');
+    }
+    const service = table.serviceFor(route, random.fraction());
+    if (service === undefined) {
+      return this.refuse(503, 'no-service', RETRY_AFTER_MISSING_S);
+    }
+    const header = (name: string) => caller.header(name);
+    return {
+      parts: dialect.partsOf(header),
+      route,
+      service,
+      tenant,
+      tokens: dialect.tokensOf(header),
+    };
+  }
+
+  private leftMs({timeoutMs}: Route): number {
+    const limit = Math.min(timeoutMs, this.caller.deadlineMs ?? Infinity);
+    return limit - (this.parts.clock.now() - this.caller.startedAt);
+  }
+
+  private async readBody(): Promise<boolean> {
+    const {maxBodyBytes} = this.table.configuration.limits;
+    const body = await this.caller.readBody(maxBodyBytes);
+    if (body.isErr()) {
+      if (body.error.kind === 'body-too-large') {
+        this.refuse(413, body.error.kind);
+      } else {
+        this.end(body.error.kind);
+        this.caller.response.destroy();
+      }
+      return false;
+    }
+    this.body = body.value;
+    return !this.ended;
+  }
+
+  // Tokens
+
+  private async reserve(plan: Plan): Promise<boolean> {
+    const {service, tenant, tokens} = plan;
+    const counted =
+      service.engine !== undefined && tenant?.prepaidTokens !== undefined;
+    if (!counted || tokens === undefined) {
+      return true;
+    }
+    const most = tokens.prompt + tokens.most;
+    const outcome = await this.parts.allowances.reserve(tenant.name, most);
+    if (outcome === RESERVE.held) {
+      this.reserved = most;
+      return !this.ended;
+    }
+    if (!this.ended) {
+      const exhausted = outcome === RESERVE.exhausted;
+      this.refuse(
+        exhausted ? 402 : 503,
+        exhausted ? 'budget-exhausted' : 'budget-unreachable',
+        exhausted ? undefined : RETRY_AFTER_MISSING_S,
+      );
+    }
+    return false;
+  }
+
+  private settle(plan: Plan): number {
+    if (this.reserved === 0 || plan.tenant === undefined) {
+      return 0;
+    }
+    const charged = Math.min(this.reserved, this.cost(plan));
+    this.parts.allowances.settle(plan.tenant.name, this.reserved, charged);
+    return charged;
+  }
+
+  private cost({service, tokens}: Plan): number {
+    if (!this.mayHaveRun || tokens === undefined) {
+      return 0;
+    }
+    const whole = this.cause === 'served';
+    const events = (this.relay?.events ?? 0) + (whole ? 0 : UNSEEN_EVENTS);
+    const out = events * (service.engine?.tokensPerEvent ?? 1);
+    return tokens.prompt + Math.min(tokens.most, out);
+  }
+
+  // Attempts
+
+  private async forward(plan: Plan): Promise<void> {
+    while (!this.ended) {
+      const runner = this.choose(plan);
+      if (runner === undefined) {
+        this.giveUp('no-runner');
+        return;
+      }
+      if (this.leftMs(plan.route) < LEAST_LEFT_MS) {
+        this.giveUp('no-time-left');
+        return;
+      }
+      if (!this.mayArrive(plan)) {
+        this.giveUp('retry-budget');
+        return;
+      }
+      const outcome = await this.attempt(plan, runner);
+      const done = await this.take(plan, runner, outcome);
+      if (done) {
+        return;
+      }
+    }
+  }
+
+  private choose(plan: Plan): EdgeRunner | undefined {
+    const {engineChoice, plainChoice, pool, zone} = this.parts;
+    const {parts, service} = plan;
+    const untried = pool
+      .serving(service.name)
+      .filter((runner) => !this.tried.has(runner));
+    const calm = untried.filter(({paused}) => !paused);
+    const candidates = calm.length > 0 ? calm : untried;
+    const choice = service.engine === undefined ? plainChoice : engineChoice;
+    return choice.choose(candidates, {parts, service, zone});
+  }
+
+  /** Whether one more arrival at the service is within the shared budget. */
+  private mayArrive({service}: Plan): boolean {
+    const {retryBudgets} = this.parts;
+    if (this.attempts === 0) {
+      if (this.unsent === 0) {
+        retryBudgets.earn(service.name);
+      }
+      return true;
+    }
+    return retryBudgets.spend(service.name);
+  }
+
+  private async attempt(
+    plan: Plan,
+    runner: EdgeRunner,
+  ): Promise<ExchangeOutcome> {
+    const {dialect} = this.parts;
+    this.runner = runner;
+    this.tried.add(runner);
+    this.attempts += 1;
+    runner.inFlight += 1;
+    const exchange = new Exchange({
+      body: this.body,
+      headers: this.headersFor(plan, runner),
+      method: this.caller.method,
+      names: dialect.headers,
+      path: this.caller.path,
+      requestId: this.caller.id,
+      runner,
+    });
+    this.exchange = exchange;
+    const outcome = await exchange.outcome;
+    if (outcome.kind !== 'answer') {
+      runner.inFlight -= 1;
+    }
+    this.parts.metrics.attempts.inc({
+      outcome: outcome.kind,
+      service: plan.service.name,
+    });
+    return outcome;
+  }
+
+  private headersFor(plan: Plan, runner: EdgeRunner): string[] {
+    const {dialect} = this.parts;
+    const {headers: names} = dialect;
+    const {rawHeaders, headers} = this.caller.incoming;
+    const replaced = new Set<string>([
+      'content-length',
+      'expect',
+      names.deadline,
+      names.expectedRunner,
+      names.key,
+      names.priority,
+      names.tenant,
+      ...names.reserved,
+    ]);
+    const resumeAt = this.relay?.lastEventId;
+    if (resumeAt !== undefined) {
+      replaced.add(names.lastEvent);
+    }
+    const sent: string[] = [];
+    for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
+      const name = rawHeaders[at] ?? '';
+      const kept =
+        !replaced.has(name.toLowerCase()) && passesOn(name, headers.connection);
+      if (kept) {
+        sent.push(name, rawHeaders[at + 1] ?? '');
+      }
+    }
+    const left = Math.max(1, Math.floor(this.leftMs(plan.route)));
+    sent.push(names.deadline, String(left));
+    sent.push(names.expectedRunner, runner.id);
+    if (plan.tenant !== undefined) {
+      sent.push(names.tenant, plan.tenant.name);
+    }
+    if (plan.service.engine !== undefined) {
+      const rank = dialect.priorityOf(
+        plan.tenant?.priority ?? 0,
+        plan.route.priority,
+      );
+      sent.push(names.priority, String(rank));
+    }
+    if (resumeAt !== undefined) {
+      sent.push(names.lastEvent, resumeAt);
+    }
+    const hadBody =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+    if (hadBody) {
+      sent.push('Content-Length', String(this.body.length));
+    }
+    sent.push('Connection', 'keep-alive');
+    return sent;
+  }
+
+  /** Acts on an outcome; true when the request has come to its end. */
+  private async take(
+    plan: Plan,
+    runner: EdgeRunner,
+    outcome: ExchangeOutcome,
+  ): Promise<boolean> {
+    switch (outcome.kind) {
+      case 'answer':
+        this.mayHaveRun = true;
+        return this.pass(plan, runner, outcome.answer);
+      case 'rejected':
+        if (outcome.status === 421) {
+          runner.isReplaced();
+        } else {
+          runner.full();
+        }
+        return this.again(plan, runner, `rejected-${outcome.status}`, true);
+      case 'unsent':
+        this.attempts -= 1;
+        this.unsent += 1;
+        if (!this.ended) {
+          runner.unreachable();
+        }
+        return this.again(plan, runner, outcome.cause, true);
+      case 'broken':
+        this.mayHaveRun = true;
+        if (!this.ended) {
+          runner.broke(outcome.cause);
+        }
+        return this.again(plan, runner, outcome.cause, false);
+    }
+  }
+
+  /** Whether to try again; where not, the final answer is sent at once. */
+  private again(
+    {route}: Plan,
+    runner: EdgeRunner,
+    cause: string,
+    notRun: boolean,
+  ): boolean {
+    const allowed = notRun || route.repetition !== REPETITION.never;
+    const retry =
+      !this.ended &&
+      allowed &&
+      this.attempts < route.maxAttempts &&
+      this.unsent < MAX_UNSENT;
+    this.parts.log.note({
+      cause,
+      configuration: this.table.version,
+      event: 'attempt-failed',
+      inFlight: runner.inFlight,
+      mayHaveRun: !notRun,
+      request: this.caller.id,
+      retry,
+      runner: runner.id,
+    });
+    if (!retry && !this.ended) {
+      this.giveUp(cause);
+    }
+    return !retry;
+  }
+
+  private async pass(
+    plan: Plan,
+    runner: EdgeRunner,
+    answer: IncomingMessage,
+  ): Promise<boolean> {
+    const relay = this.relayFor(plan, answer);
+    const status = answer.statusCode ?? 0;
+    const ended = await relay
+      .pass(answer, this.retriesError(plan, status))
+      .finally(() => (runner.inFlight -= 1));
+    switch (ended) {
+      case RELAY.whole:
+        if (status < 500) {
+          runner.succeeded();
+        } else {
+          runner.broke(`status-${status}`);
+        }
+        this.end('served');
+        return true;
+      case RELAY.stopped:
+        return true;
+      case RELAY.broken:
+        this.exchange?.abort('broken');
+        runner.broke('broke-off');
+        return this.again(plan, runner, 'broke-off', false);
+    }
+  }
+
+  private retriesError({route}: Plan, status: number): boolean {
+    return (
+      status >= 500 &&
+      status !== 504 &&
+      route.repetition !== REPETITION.never &&
+      this.attempts < route.maxAttempts
+    );
+  }
+
+  private relayFor({route}: Plan, answer: IncomingMessage): AnswerRelay {
+    if (this.relay !== undefined) {
+      return this.relay;
+    }
+    const firstByte = (): void => {
+      const took = this.parts.clock.now() - this.caller.startedAt;
+      this.parts.metrics.firstByte.observe({route: route.name}, took / 1_000);
+    };
+    const isStream =
+      answer.headers['content-type']?.startsWith('text/event-stream');
+    this.relay =
+      isStream === true && answer.statusCode === 200
+        ? new StreamRelay(this.caller, firstByte)
+        : new WholeRelay(this.caller, firstByte);
+    return this.relay;
+  }
+
+  // Ends
+
+  private giveUp(cause: string): void {
+    if (this.caller.response.headersSent) {
+      this.end(cause);
+      this.caller.response.destroy();
+      return;
+    }
+    if (this.mayHaveRun) {
+      this.refuse(502, cause);
+    } else {
+      this.refuse(503, cause, RETRY_AFTER_BUSY_S);
+    }
+  }
+
+  private expire(): void {
+    if (this.ended) {
+      return;
+    }
+    const sent = this.mayHaveRun || this.exchange !== undefined;
+    this.refuse(sent ? 504 : 503, 'timeout', sent ? undefined : 1);
+    this.relay?.stop();
+    this.exchange?.abort('timeout');
+  }
+
+  private callerClosed(): void {
+    if (!this.ended && this.caller.abandoned) {
+      this.end('caller-left');
+      this.relay?.stop();
+      this.exchange?.abort('caller-left');
+    }
+  }
+
+  private refuse(
+    status: number,
+    cause: string,
+    retryAfterS?: number,
+  ): undefined {
+    this.end(cause);
+    this.caller.refuse(status, cause, retryAfterS);
+    return undefined;
+  }
+
+  private end(cause: string): void {
+    if (!this.ended) {
+      this.ended = true;
+      this.cause = cause;
+    }
+  }
+
+  private note(charged = 0): void {
+    const {attempts, caller, cause, plan, relay, runner, table} = this;
+    const {clock, log, metrics} = this.parts;
+    const status = caller.response.headersSent ? caller.response.statusCode : 0;
+    const route = plan?.route.name ?? '';
+    metrics.answers.inc({cause, route, status: String(status)});
+    log.note({
+      attempts,
+      cause,
+      charged,
+      configuration: table.version,
+      event: 'request-ended',
+      events: relay?.events ?? 0,
+      request: caller.id,
+      route,
+      runner: runner?.id,
+      status,
+      tenant: plan?.tenant?.name,
+      tookMs: Math.round(clock.now() - caller.startedAt),
+    });
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/RouteTable.ts
@@ -0,0 +1,79 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Looks up routes by host and path, and tenants by key. */
+import type {
+  FleetConfiguration,
+  Route,
+  Service,
+  Tenant,
+} from 'puffinturn-fleet';
+
+/** One configuration, prepared for look-ups. */
+export class RouteTable {
+  /** The version in force. */
+  readonly version: number;
+  private readonly byHost = new Map<string, Route[]>();
+  private readonly byKey = new Map<string, Tenant>();
+  private readonly byName = new Map<string, Service>();
+
+  constructor(readonly configuration: FleetConfiguration) {
+    this.version = configuration.version;
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.byHost.get(host) ?? [];
+      routes.push(route);
+      this.byHost.set(host, routes);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const tenant of configuration.tenants ?? []) {
+      for (const key of tenant.keys) {
+        this.byKey.set(key, tenant);
+      }
+    }
+    for (const service of configuration.services) {
+      this.byName.set(service.name, service);
+    }
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  find(host: string, path: string): Route | undefined {
+    return this.byHost
+      .get(host.toLowerCase())
+      ?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+  }
+
+  /** Whether a request of this route must carry a key. */
+  needsKey(route: Route): boolean {
+    return this.configuration.tenants !== undefined && !route.anonymous;
+  }
+
+  /** The tenant that holds a key. */
+  tenantOf(key: string | undefined): Tenant | undefined {
+    return key === undefined ? undefined : this.byKey.get(key);
+  }
+
+  /** A service by its name. */
+  service(name: string): Service | undefined {
+    return this.byName.get(name);
+  }
+
+  /** The service of a route, drawn by weight with `fraction` in [0, 1). */
+  serviceFor({targets}: Route, fraction: number): Service | undefined {
+    const sum = targets.reduce((total, {weight}) => total + weight, 0);
+    let rest = fraction * sum;
+    for (const {service, weight} of targets) {
+      rest -= weight;
+      if (rest < 0) {
+        return this.service(service);
+      }
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-fleet/src/Configuration.ts
@@ -0,0 +1,165 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * The configuration of a fleet as one whole document: routes, services, limits
+ * and tenants under one version. The highest version that a quorum holds is
+ * the one in force.
+ */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Failure} from 'shared';
+
+/** How often a request of a route may run. */
+export const REPETITION = {
+  /** At most once. */
+  never: 'never',
+  /** Any number of times. */
+  repeatable: 'repeatable',
+  /** Any number of times, each run going on behind the last event. */
+  resumable: 'resumable',
+} as const;
+
+/** One of REPETITION. */
+export type Repetition = (typeof REPETITION)[keyof typeof REPETITION];
+
+/** A service that a route sends to, and its share. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Requests of one host whose path begins with a prefix. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly repetition: Repetition;
+  /** Whether answers are streams of events. */
+  readonly streams: boolean;
+  /** Longest time a request is held, ms. */
+  readonly timeoutMs: number;
+  /** Time to the first byte that earns full credit, ms. */
+  readonly objectiveMs: number;
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+  /** Most runners that one request may be sent to. */
+  readonly maxAttempts: number;
+  /** Whether requests need no key. */
+  readonly anonymous: boolean;
+}
+
+/** What is known of a service's model engines. */
+export interface EngineProfile {
+  readonly slots: number;
+  readonly memoryTokens: number;
+  readonly tokensPerEvent: number;
+}
+
+/** A pool of runners. */
+export interface Service {
+  readonly name: string;
+  readonly maxConnections: number;
+  readonly engine: EngineProfile | undefined;
+}
+
+/** What a caller may send, and how long it may take over it. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** A customer with keys and a prepaid budget. */
+export interface Tenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority: number;
+  /** Tokens paid for; undefined where none are counted. */
+  readonly prepaidTokens: number | undefined;
+}
+
+/** One version of everything that operators declare. */
+export interface FleetConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly Service[];
+  readonly limits: CallerLimits;
+  /** Undefined where requests need no key. */
+  readonly tenants: readonly Tenant[] | undefined;
+}
+
+/** Why a configuration can't be in force. */
+export type ConfigurationFailure = Failure<'invalid-configuration'> & {
+  /** Where in the document, as `routes.3.timeoutMs`. */
+  readonly path: string;
+};
+
+function invalid(path: string, message: string): ConfigurationFailure {
+  return {kind: 'invalid-configuration', message, path};
+}
+
+/** Checks what a schema can't: references, duplicates and shared keys. */
+export function checkConfiguration(
+  configuration: FleetConfiguration,
+): Result<FleetConfiguration, ConfigurationFailure> {
+  const failure =
+    findRouteFailure(configuration) ?? findTenantFailure(configuration);
+  return failure === undefined ? ok(configuration) : err(failure);
+}
+
+function findRouteFailure({
+  routes,
+  services,
+}: FleetConfiguration): ConfigurationFailure | undefined {
+  const names = new Set(services.map(({name}) => name));
+  const places = new Set<string>();
+  for (const [index, route] of routes.entries()) {
+    const path = `routes.${index}`;
+    const place = `${route.host.toLowerCase()} ${route.pathPrefix}`;
+    if (places.has(place)) {
+      return invalid(path, `a second route for ${place}`);
+    }
+    places.add(place);
+    if (route.timeoutMs <= 0) {
+      return invalid(`${path}.timeoutMs`, 'must be above 0');
+    }
+    const unknown = route.targets.find(({service}) => !names.has(service));
+    if (unknown !== undefined) {
+      return invalid(path, `no service ${unknown.service}`);
+    }
+    const negative = route.targets.some(({weight}) => weight < 0);
+    const sum = route.targets.reduce((total, {weight}) => total + weight, 0);
+    if (negative || sum <= 0) {
+      return invalid(path, 'the weights must add up to more than 0');
+    }
+  }
+  return undefined;
+}
+
+function findTenantFailure({
+  tenants = [],
+}: FleetConfiguration): ConfigurationFailure | undefined {
+  const names = new Set<string>();
+  const owners = new Map<string, string>();
+  for (const [index, {keys, name}] of tenants.entries()) {
+    if (names.has(name)) {
+      return invalid(`tenants.${index}`, `a second tenant ${name}`);
+    }
+    names.add(name);
+    for (const key of keys) {
+      const owner = owners.get(key);
+      if (owner !== undefined && owner !== name) {
+        return invalid(`tenants.${index}`, `${owner} has the same key`);
+      }
+      owners.set(key, name);
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -0,0 +1,323 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * The control side of a fleet: takes changes and heartbeats, answers watching
+ * boxes, and exchanges allowances through the replicated log. Any control box
+ * takes any call; what only the leader can do is passed on to it.
+ */
+import type {Result} from 'neverthrow';
+import {err, ResultAsync} from 'neverthrow';
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {ProposalFailure, Replica} from 'puffinturn-log';
+import type {Link} from 'puffinturn-wire';
+import type {Clock,   Condition,Failure} from 'shared';
+import {
+  DisposableList,
+  sleepUnlessNotified,
+  TaskGroup,
+} from 'shared';
+
+import {BoxTable} from './Boxes';
+import type {
+  AllowanceOutcome,
+  ConfigurationOutcome,
+  FleetMachine,
+  FleetRecord,
+  StoredConfiguration,
+} from './FleetMachine';
+import type {
+  AllowanceReply,
+  AllowanceRequest,
+  BoxRecord,
+  ChangeReply,
+  ReadReply,
+  WatchReply,
+  WatchRequest,
+} from './FleetMessages';
+import {FLEET_SERVICE} from './FleetMessages';
+import type {RunnerRecord} from './Runners';
+import {RunnerTable} from './Runners';
+
+/** Longest time that a proposal or barrier is waited for, ms. */
+const LEADER_CALL_MS = 1_500;
+
+/** How often silent boxes and runners are looked for, ms. */
+const EXPIRE_EVERY_MS = 1_000;
+
+/** Why control could not decide. */
+type FleetFailure = Failure<'no-quorum'> | ProposalFailure;
+
+/** What a FleetControl is made of. */
+export interface FleetControlParts {
+  readonly self: BoxRecord;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly replica: Replica;
+  readonly machine: FleetMachine;
+  /** Notified by the machine on every configuration that came into force. */
+  readonly changed: Condition;
+  readonly log: DecisionLog;
+}
+
+/** See the module comment. */
+export class FleetControl implements AsyncDisposable {
+  /** Runners known to this box. */
+  readonly runners = new RunnerTable();
+  /** Boxes that watch this one. */
+  readonly boxes = new BoxTable();
+  private readonly tasks = new TaskGroup();
+  private readonly handlers = new DisposableList();
+
+  constructor(private readonly parts: FleetControlParts) {
+    const {link} = parts;
+    this.handlers.add(
+      link.register(FLEET_SERVICE.watch, (body) =>
+        this.watch(body as WatchRequest),
+      ),
+    );
+    this.handlers.add(
+      link.register(FLEET_SERVICE.allowance, (body) =>
+        this.exchange(body as AllowanceRequest),
+      ),
+    );
+    this.handlers.add(
+      link.register(FLEET_SERVICE.change, (body) =>
+        this.changeHere(body as StoredConfiguration),
+      ),
+    );
+    this.handlers.add(link.register(FLEET_SERVICE.read, () => this.readHere()));
+    this.tasks.start((signal) => this.runExpiry(signal));
+  }
+
+  /** Puts a checked configuration in force; true once a quorum holds it. */
+  async change(stored: StoredConfiguration): Promise<ChangeReply> {
+    const {leaderBox} = this.parts.replica;
+    return this.parts.replica.isLeader || leaderBox === undefined
+      ? this.changeHere(stored)
+      : this.askLeader<ChangeReply>(leaderBox, FLEET_SERVICE.change, stored, {
+          accepted: false,
+          heldVersion: undefined,
+        });
+  }
+
+  /** The document in force, as a barrier of the log shows it. */
+  async read(): Promise<ReadReply> {
+    const {leaderBox} = this.parts.replica;
+    return this.parts.replica.isLeader || leaderBox === undefined
+      ? this.readHere()
+      : this.askLeader<ReadReply>(leaderBox, FLEET_SERVICE.read, null, {
+          current: false,
+          document: undefined,
+        });
+  }
+
+  /** Takes a heartbeat in. */
+  hearRunner(record: RunnerRecord, source = 'heartbeat'): void {
+    const {changed, clock} = this.parts;
+    if (this.runners.merge(record, clock.now())) {
+      this.noteRunner(record, source);
+      changed.notify();
+    }
+  }
+
+  /** Takes note that a runner leaves for good. */
+  removeRunner(id: string): void {
+    const {changed, clock} = this.parts;
+    if (this.runners.remove(id, clock.now())) {
+      const record = this.runners.get(id);
+      if (record !== undefined) {
+        this.noteRunner(record, 'leave');
+      }
+      changed.notify();
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.handlers[Symbol.dispose]();
+    this.tasks.abort();
+    this.parts.changed.notify();
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  private async watch(request: WatchRequest): Promise<WatchReply> {
+    const {changed, clock} = this.parts;
+    if (this.boxes.hear(request.from, clock.now())) {
+      changed.notify();
+    }
+    const current = request.current ? (await this.readHere()).current : false;
+    const until = clock.now() + request.waitMs;
+    while (!this.hasNews(request) && clock.now() < until && !this.tasks.ended) {
+      await sleepUnlessNotified(
+        clock,
+        changed,
+        until - clock.now(),
+        this.tasks.signal,
+      );
+    }
+    return this.newsFor(request, current);
+  }
+
+  private hasNews(request: WatchRequest): boolean {
+    const {machine, self} = this.parts;
+    const version = machine.stored?.configuration.version ?? -Infinity;
+    return (
+      request.incarnation !== self.incarnation ||
+      version > request.configurationVersion ||
+      this.runners.revision > request.runnersRevision ||
+      this.boxes.revision > request.boxesRevision
+    );
+  }
+
+  private newsFor(request: WatchRequest, current: boolean): WatchReply {
+    const {machine, replica, self} = this.parts;
+    const same = request.incarnation === self.incarnation;
+    const runnersRevision = same ? request.runnersRevision : 0;
+    const boxesRevision = same ? request.boxesRevision : -1;
+    const configuration = machine.stored?.configuration;
+    const newer =
+      configuration !== undefined &&
+      configuration.version > request.configurationVersion;
+    return {
+      boxes:
+        this.boxes.revision > boxesRevision
+          ? [self, ...this.boxes.records()]
+          : undefined,
+      boxesRevision: this.boxes.revision,
+      configuration: newer ? configuration : undefined,
+      current,
+      incarnation: self.incarnation,
+      leader: replica.leaderBox,
+      runners: this.runners.changedSince(runnersRevision),
+      runnersRevision: this.runners.revision,
+    };
+  }
+
+  private async changeHere(stored: StoredConfiguration): Promise<ChangeReply> {
+    const {version} = stored.configuration;
+    const outcome = await this.propose<ConfigurationOutcome>({
+      kind: 'configuration',
+      stored,
+    });
+    return outcome.match(
+      ({adopted, heldVersion}) => {
+        this.noteChange(version, heldVersion, adopted ? 'adopted' : 'older');
+        return {accepted: true, heldVersion};
+      },
+      ({kind}) => {
+        this.noteChange(version, undefined, kind);
+        return {accepted: false, heldVersion: undefined};
+      },
+    );
+  }
+
+  private noteChange(
+    version: number,
+    held: number | undefined,
+    outcome: string,
+  ): void {
+    this.parts.log.note({event: 'change-decided', held, outcome, version});
+  }
+
+  private noteRunner(record: RunnerRecord, source: string): void {
+    const {address, id, sequence, service, state} = record;
+    this.parts.log.note({
+      address,
+      event: 'runner-changed',
+      runner: id,
+      sequence,
+      service,
+      source,
+      state,
+    });
+  }
+
+  private async readHere(): Promise<ReadReply> {
+    const {clock, machine, replica} = this.parts;
+    const passed = await within(clock, replica.barrier());
+    return passed.match(
+      () => ({current: true, document: machine.stored?.document}),
+      () => ({current: false, document: undefined}),
+    );
+  }
+
+  private async exchange(request: AllowanceRequest): Promise<AllowanceReply> {
+    const {replica} = this.parts;
+    const {leaderBox} = replica;
+    if (!replica.isLeader && leaderBox !== undefined) {
+      return this.askLeader<AllowanceReply>(
+        leaderBox,
+        FLEET_SERVICE.allowance,
+        request,
+        {grants: undefined},
+      );
+    }
+    const outcome = await this.propose<AllowanceOutcome>({
+      ...request,
+      kind: 'allowance',
+    });
+    return outcome.match(
+      ({grants}) => ({grants}),
+      () => ({grants: undefined}),
+    );
+  }
+
+  private propose<Outcome>(
+    record: FleetRecord,
+  ): ResultAsync<Outcome, FleetFailure> {
+    const {clock, replica} = this.parts;
+    return within(clock, replica.propose(record)).map(
+      (value) => value as Outcome,
+    );
+  }
+
+  private async askLeader<Reply>(
+    leader: string,
+    service: string,
+    body: unknown,
+    without: Reply,
+  ): Promise<Reply> {
+    const {link, self} = this.parts;
+    if (leader === self.box) {
+      return without;
+    }
+    const answer = await link.call(leader, service, body, LEADER_CALL_MS);
+    return answer.match(
+      (reply) => reply as Reply,
+      () => without,
+    );
+  }
+
+  private async runExpiry(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      await clock.sleep(EXPIRE_EVERY_MS, signal);
+      this.runners.expire(clock.now());
+      this.boxes.expire(clock.now());
+    }
+  }
+}
+
+/** The result, or a failure once the leader's time is over. */
+function within<Value>(
+  clock: Clock,
+  result: ResultAsync<Value, ProposalFailure>,
+): ResultAsync<Value, FleetFailure> {
+  const stop = new AbortController();
+  const late = clock
+    .sleep(LEADER_CALL_MS, stop.signal)
+    .then(() => err<Value, FleetFailure>(noQuorum()));
+  const settled = Promise.resolve(result).then((outcome) => {
+    stop.abort();
+    return outcome as Result<Value, FleetFailure>;
+  });
+  return new ResultAsync(Promise.race([settled, late]));
+}
+
+function noQuorum(): FleetFailure {
+  return {kind: 'no-quorum', message: 'no quorum answered in time'};
+}
--- /dev/null
+++ b/packages/puffinturn-fleet/src/Runners.ts
@@ -0,0 +1,135 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * The runners of all services as soft state. Every control box takes
+ * heartbeats and passes on what changed; records of one incarnation are
+ * ordered by their sequence, and one that is gone never comes back.
+ */
+
+/** What a runner said of itself last. */
+export const RUNNER_STATE = {
+  draining: 'draining',
+  gone: 'gone',
+  ready: 'ready',
+} as const;
+
+/** One of RUNNER_STATE. */
+export type RunnerState = (typeof RUNNER_STATE)[keyof typeof RUNNER_STATE];
+
+/** One incarnation of a runner. */
+export interface RunnerRecord {
+  readonly id: string;
+  readonly service: string;
+  /** IP address and port. */
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly state: RunnerState;
+  /** How much longer the runner stays slow after its start, ms. */
+  readonly coldMs: number;
+  /** Grows with every call of the runner. */
+  readonly sequence: number;
+}
+
+interface Slot {
+  record: RunnerRecord;
+  revision: number;
+  heardAt: number;
+}
+
+/** Runners not heard from for this long are forgotten, ms. */
+const FORGET_AFTER_MS = 60_000;
+
+/** All runners known to one process, with a revision for each change. */
+export class RunnerTable {
+  private readonly slots = new Map<string, Slot>();
+  private current = 0;
+
+  /** The revision of the newest change. */
+  get revision(): number {
+    return this.current;
+  }
+
+  /** Every record. */
+  records(): RunnerRecord[] {
+    return [...this.slots.values()].map(({record}) => record);
+  }
+
+  /** The record of one incarnation. */
+  get(id: string): RunnerRecord | undefined {
+    return this.slots.get(id)?.record;
+  }
+
+  /** Records that changed after a revision. */
+  changedSince(revision: number): RunnerRecord[] {
+    const changed: RunnerRecord[] = [];
+    for (const slot of this.slots.values()) {
+      if (slot.revision > revision) {
+        changed.push(slot.record);
+      }
+    }
+    return changed;
+  }
+
+  /** Takes a record in; true when it changed what others must know. */
+  merge(record: RunnerRecord, now: number): boolean {
+    const known = this.slots.get(record.id);
+    if (known === undefined) {
+      this.current += 1;
+      this.slots.set(record.id, {
+        heardAt: now,
+        record,
+        revision: this.current,
+      });
+      return true;
+    }
+    const {record: held} = known;
+    const gone = held.state === RUNNER_STATE.gone;
+    const goes = record.state === RUNNER_STATE.gone;
+    if (gone || (record.sequence <= held.sequence && !goes)) {
+      return false;
+    }
+    known.heardAt = now;
+    known.record = record;
+    const changed =
+      held.state !== record.state ||
+      held.address !== record.address ||
+      held.service !== record.service ||
+      held.coldMs > 0 !== record.coldMs > 0;
+    if (changed) {
+      this.current += 1;
+      known.revision = this.current;
+    }
+    return changed;
+  }
+
+  /** Marks an incarnation as gone; an unknown one is remembered as such. */
+  remove(id: string, now: number): boolean {
+    const held = this.slots.get(id)?.record;
+    const record: RunnerRecord = {
+      address: held?.address ?? '',
+      coldMs: 0,
+      id,
+      sequence: held?.sequence ?? 0,
+      service: held?.service ?? '',
+      slots: held?.slots ?? 0,
+      state: RUNNER_STATE.gone,
+      zone: held?.zone ?? '',
+    };
+    return this.merge(record, now);
+  }
+
+  /** Forgets incarnations not heard from for long. */
+  expire(now: number): void {
+    for (const [id, slot] of this.slots) {
+      if (now - slot.heardAt > FORGET_AFTER_MS) {
+        this.slots.delete(id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -0,0 +1,50 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Configuration, runners and allowances of a fleet, and how they spread. */
+export {BoxTable} from './Boxes';
+export type {
+  CallerLimits,
+  ConfigurationFailure,
+  EngineProfile,
+  FleetConfiguration,
+  Repetition,
+  Route,
+  RouteTarget,
+  Service,
+  Tenant,
+} from './Configuration';
+export {checkConfiguration, REPETITION} from './Configuration';
+export type {FleetControlParts} from './FleetControl';
+export {FleetControl} from './FleetControl';
+export type {
+  AllowanceAsk,
+  AllowanceGrant,
+  AllowanceOutcome,
+  ConfigurationOutcome,
+  FleetRecord,
+  StoredConfiguration,
+} from './FleetMachine';
+export {FleetMachine} from './FleetMachine';
+export type {
+  AllowanceReply,
+  AllowanceRequest,
+  BorrowReply,
+  BorrowRequest,
+  BoxRecord,
+  BoxRole,
+  ChangeReply,
+  ReadReply,
+  WatchReply,
+  WatchRequest,
+} from './FleetMessages';
+export {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+export type {FleetWatchParts} from './FleetWatch';
+export {FleetNews, FleetWatch} from './FleetWatch';
+export {linkOfReplicas} from './ReplicaLink';
+export type {RunnerRecord, RunnerState} from './Runners';
+export {RUNNER_STATE, RunnerTable} from './Runners';
