Hold more tokens at the edges from the start and borrow at once

Ruled out: the core (no exchange failed outside the cuts). Change: floor of 35% of the prepaid tokens over all edges, each peer asked for the whole need at once, wait of 150 ms.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -89,7 +89,10 @@
 }
 
 /** Longest sleep of a waiting request between looks, ms. */
-const LOOK_MS = 50;
+const LOOK_MS = 40;
+
+/** Edges asked for tokens at the same time. */
+const BORROW_AT_ONCE = 3;
 
 /** See the module comment. */
 export class Allowances implements AsyncDisposable {
@@ -148,20 +151,20 @@
       return RESERVE.exhausted;
     }
     const until = clock.now() + ALLOWANCE_WAIT_MS;
-    const borrowing = this.coreAnswers
-      ? undefined
-      : this.borrow(account, tokens);
     account.need = Math.max(account.need, tokens);
     const asked = this.exchanges;
     this.wanted.notify();
+    let borrowing = this.coreAnswers ? undefined : this.borrow(account, tokens);
     while (clock.now() < until && !this.tasks.ended) {
       await sleepUnlessNotified(clock, this.moved, LOOK_MS, this.tasks.signal);
       if (this.take(account, tokens)) {
         return RESERVE.held;
       }
-      if (this.exchanges > asked && (account.left ?? 0) < tokens) {
+      const answered = this.exchanges > asked;
+      if (answered && (account.left ?? 0) < tokens) {
         break;
       }
+      borrowing ??= answered ? undefined : this.borrow(account, tokens);
     }
     return this.decide(account, tokens, this.exchanges > asked, borrowing);
   }
@@ -243,13 +246,13 @@
 
   // Other edges
 
-  /** Asks every other edge in turn; true when all of them answered. */
+  /** Asks the other edges, a few at a time; true when all of them answered. */
   private async borrow(account: Account, tokens: number): Promise<boolean> {
     let allAnswered = true;
     const peers = [...this.parts.peers()];
     while (peers.length > 0 && account.free < tokens) {
-      const round = peers.splice(0, 3);
-      const need = Math.ceil((tokens - account.free) / round.length);
+      const round = peers.splice(0, BORROW_AT_ONCE);
+      const need = tokens - account.free;
       const answers = await Promise.all(
         round.map((peer) => this.borrowFrom(peer, account, need)),
       );
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -44,7 +44,7 @@
 export const ALLOWANCE_SECONDS = 10;
 
 /** Share of a tenant's prepaid tokens that all edges hold before any demand. */
-export const ALLOWANCE_FLOOR_SHARE = 0.12;
+export const ALLOWANCE_FLOOR_SHARE = 0.35;
 
 /** How often allowances are weighed, ms. */
 export const ALLOWANCE_TICK_MS = 250;
@@ -53,13 +53,13 @@
 export const DEMAND_WINDOW_MS = 6_000;
 
 /** Longest time a request waits for tokens, ms. */
-export const ALLOWANCE_WAIT_MS = 400;
+export const ALLOWANCE_WAIT_MS = 150;
 
 /** Longest time for one exchange with the core, ms. */
 export const EXCHANGE_MS = 1_500;
 
 /** Longest time for another edge to lend tokens, ms. */
-export const BORROW_MS = 250;
+export const BORROW_MS = 100;
 
 /** How long a budget found exhausted is taken to stay so, ms. */
 export const EXHAUSTED_MS = 800;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -426,12 +426,17 @@
       case RELAY.stopped:
         return true;
       case RELAY.broken:
-        this.exchange?.abort('broken');
-        runner.broke('broke-off');
-        return this.again(plan, runner, 'broke-off', false);
+        return this.afterBreak(plan, runner, status);
     }
   }
 
+  private afterBreak(plan: Plan, runner: EdgeRunner, status: number): boolean {
+    const cause = status >= 500 ? `status-${status}` : 'broke-off';
+    this.exchange?.abort(cause);
+    runner.broke(cause);
+    return this.again(plan, runner, cause, false);
+  }
+
   private retriesError({route}: Plan, status: number): boolean {
     return (
       status >= 500 &&
