Bound appends by bytes and let a follower name where its log ends

Ruled out: the disk (each replica had read its whole log back). Change: a message holds at most 256 KB of entries; a follower that is behind names the end of its log, one that conflicts the start of that term.

--- a/packages/puffinturn-edge/src/EdgeRunner.ts
+++ b/packages/puffinturn-edge/src/EdgeRunner.ts
@@ -22,6 +22,9 @@
   LONGEST_PAUSE_MS,
 } from './EdgeConstants';
 
+/** Weight of one answer in the measured part of errors. */
+const ERROR_WEIGHT = 0.08;
+
 /** A 32-bit hash of a text. */
 export function hashOf(text: string): number {
   return createHash('md5').update(text).digest().readUInt32LE(0);
@@ -39,6 +42,8 @@
   readonly hash: number;
   readonly host: string;
   readonly port: number;
+  /** Part of the newest answers that were errors of the runner's own. */
+  errorRate = 0;
   private failures = 0;
   private pausedUntil = -Infinity;
   private replaced = false;
@@ -75,8 +80,14 @@
     return this.clock.now() < this.pausedUntil;
   }
 
+  /** Notes a whole answer that is an error; the runner itself may be sound. */
+  answeredError(): void {
+    this.errorRate += (1 - this.errorRate) * ERROR_WEIGHT;
+  }
+
   /** Notes a whole answer. */
   succeeded(): void {
+    this.errorRate -= this.errorRate * ERROR_WEIGHT;
     if (this.failures >= BROKEN_BEFORE_PAUSE) {
       this.judge(true, 'answered');
     }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -60,6 +60,9 @@
 /** Least time left with which a request is sent to a runner, ms. */
 const LEAST_LEFT_MS = 10;
 
+/** Part of the requests that a grey runner still gets. */
+const GREY_PROBES = 0.05;
+
 /** Events a runner may have made that did not arrive before a break. */
 const UNSEEN_EVENTS = 2;
 
@@ -242,11 +245,21 @@
       .serving(service.name)
       .filter((runner) => !this.tried.has(runner));
     const calm = untried.filter(({paused}) => !paused);
-    const candidates = calm.length > 0 ? calm : untried;
+    const sound = calm.filter((runner) => !this.avoids(runner));
+    const candidates = [sound, calm, untried].find(({length}) => length > 0);
+    if (candidates === undefined) {
+      return undefined;
+    }
     const choice = service.engine === undefined ? plainChoice : engineChoice;
     return choice.choose(candidates, {parts, service, zone});
   }
 
+  /** A grey runner gets few requests, enough to show when it has recovered. */
+  private avoids(runner: EdgeRunner): boolean {
+    const {pool, random} = this.parts;
+    return pool.isGrey(runner) && random.fraction() > GREY_PROBES;
+  }
+
   /** Whether one more arrival at the service is within the shared budget. */
   private mayArrive({service}: Plan): boolean {
     const {retryBudgets} = this.parts;
@@ -412,14 +425,14 @@
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
     const ended = await relay
-      .pass(answer, this.retriesError(plan, status))
+      .pass(answer, this.retriesError(plan, runner, status))
       .finally(() => (runner.inFlight -= 1));
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
           runner.succeeded();
         } else {
-          runner.broke(`status-${status}`);
+          runner.answeredError();
         }
         this.end('served');
         return true;
@@ -431,18 +444,27 @@
   }
 
   private afterBreak(plan: Plan, runner: EdgeRunner, status: number): boolean {
-    const cause = status >= 500 ? `status-${status}` : 'broke-off';
-    this.exchange?.abort(cause);
-    runner.broke(cause);
-    return this.again(plan, runner, cause, false);
+    if (status >= 500) {
+      runner.answeredError();
+      return this.again(plan, runner, `status-${status}`, false);
+    }
+    this.exchange?.abort('broke-off');
+    runner.broke('broke-off');
+    return this.again(plan, runner, 'broke-off', false);
   }
 
-  private retriesError({route}: Plan, status: number): boolean {
+  /** An error is tried elsewhere only where the runner is its likely cause. */
+  private retriesError(
+    {route}: Plan,
+    runner: EdgeRunner,
+    status: number,
+  ): boolean {
     return (
       status >= 500 &&
       status !== 504 &&
       route.repetition !== REPETITION.never &&
-      this.attempts < route.maxAttempts
+      this.attempts < route.maxAttempts &&
+      this.parts.pool.isGrey(runner)
     );
   }
 
--- a/packages/puffinturn-edge/src/RunnerPool.ts
+++ b/packages/puffinturn-edge/src/RunnerPool.ts
@@ -13,6 +13,12 @@
 
 import {EdgeRunner} from './EdgeRunner';
 
+/** Part of errors above which a runner may be grey. */
+const GREY_RATE = 0.15;
+
+/** How many times its siblings' part of errors a grey runner exceeds. */
+const GREY_FACTOR = 1.5;
+
 /** See the module comment. */
 export class RunnerPool implements Disposable {
   private readonly table = new RunnerTable();
@@ -42,6 +48,19 @@
     return (this.byService.get(service) ?? []).filter(({serves}) => serves);
   }
 
+  /**
+   * Whether a runner fails far more requests than its siblings do. Errors that
+   * all of them answer alike come from the requests, not from the runner.
+   */
+  isGrey(runner: EdgeRunner): boolean {
+    const rates = this.serving(runner.record.service)
+      .filter((sibling) => sibling !== runner)
+      .map(({errorRate}) => errorRate)
+      .sort((a, b) => a - b);
+    const median = rates[Math.floor(rates.length / 2)] ?? 0;
+    return runner.errorRate > GREY_RATE + GREY_FACTOR * median;
+  }
+
   /** Every runner known. */
   all(): EdgeRunner[] {
     return [...this.byId.values()];
--- a/packages/puffinturn-log/src/EntryList.ts
+++ b/packages/puffinturn-log/src/EntryList.ts
@@ -6,10 +6,25 @@
  */
 
 /** The part of the log that a replica holds in memory. */
+import {Encoder} from 'cbor-x';
 import {invariant} from 'shared';
 
 import type {Entry, Members} from './LogMessages';
 
+const encoder = new Encoder({useRecords: false});
+const sizes = new WeakMap<Entry, number>();
+
+/** The encoded size of an entry; worked out once. */
+function bytesOf(entry: Entry): number {
+  const known = sizes.get(entry);
+  if (known !== undefined) {
+    return known;
+  }
+  const {length} = encoder.encode(entry);
+  sizes.set(entry, length);
+  return length;
+}
+
 /** Entries after a base position that a snapshot covers. */
 export class EntryList {
   private entries: Entry[] = [];
@@ -55,6 +70,36 @@
     return this.entries.slice(start, start + limit);
   }
 
+  /** Entries from `index` on, up to a number and about so many bytes. */
+  batchFrom(index: number, limit: number, maxBytes: number): Entry[] {
+    const batch: Entry[] = [];
+    let bytes = 0;
+    for (const entry of this.from(index, limit)) {
+      bytes += bytesOf(entry);
+      if (bytes > maxBytes && batch.length > 0) {
+        break;
+      }
+      batch.push(entry);
+    }
+    return batch;
+  }
+
+  /**
+   * Where a leader whose entry at `index` is not held here may go on: at the
+   * end of a shorter log, else before the term that conflicts.
+   */
+  indexBeforeConflict(index: number): number {
+    if (index > this.lastIndex) {
+      return this.lastIndex;
+    }
+    const conflicting = this.termAt(index);
+    let before = index - 1;
+    while (before > this.baseIndex && this.termAt(before) === conflicting) {
+      before -= 1;
+    }
+    return Math.max(this.baseIndex, before);
+  }
+
   /** Adds one entry at the end. */
   push(entry: Entry): void {
     invariant(entry.index === this.lastIndex + 1, 'log index has a gap');
--- a/packages/puffinturn-log/src/LogConstants.ts
+++ b/packages/puffinturn-log/src/LogConstants.ts
@@ -27,6 +27,12 @@
 /** Entries sent to a peer in one message at most. */
 export const MAX_APPEND_ENTRIES = 2_000;
 
+/**
+ * Bytes of entries sent to a peer in one message; a larger one would not arrive
+ * within a call's time. One entry alone may be larger.
+ */
+export const MAX_APPEND_BYTES = 256 * 1024;
+
 /** Applied entries after which a snapshot is taken. */
 export const SNAPSHOT_EVERY_ENTRIES = 50_000;
 
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -31,6 +31,7 @@
 import type {ReplicaTiming} from './LogConstants';
 import {
   CAUGHT_UP_ENTRIES,
+  MAX_APPEND_BYTES,
   MAX_APPEND_ENTRIES,
   REJOIN_ELECTIONS,
   REPLACE_ELECTIONS,
@@ -862,7 +863,11 @@
     const previousIndex = peer.nextIndex - 1;
     const previousTerm = this.log.termAt(previousIndex);
     invariant(previousTerm !== undefined, 'entries to send are not held');
-    const entries = this.log.from(peer.nextIndex, MAX_APPEND_ENTRIES);
+    const entries = this.log.batchFrom(
+      peer.nextIndex,
+      MAX_APPEND_ENTRIES,
+      MAX_APPEND_BYTES,
+    );
     const request: AppendRequest = {
       commitIndex: this.commitIndex,
       entries,
@@ -970,7 +975,13 @@
 
   private async handleAppend(request: AppendRequest): Promise<AppendReply> {
     const refuse = (): AppendReply => ({
-      matchIndex: Math.min(this.commitIndex, this.syncedIndex),
+      matchIndex: Math.min(
+        this.syncedIndex,
+        Math.max(
+          this.commitIndex,
+          this.log.indexBeforeConflict(request.previousIndex),
+        ),
+      ),
       success: false,
       term: this.term,
     });
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -7,6 +7,8 @@
 
 /** Small helpers for tasks: a mutex, a condition and a background task group. */
 
+import {setMaxListeners} from 'node:events';
+
 import type {Clock} from './Clock';
 
 /** Lets one task at a time into a section, in order of arrival. */
@@ -60,6 +62,11 @@
   private readonly controller = new AbortController();
   private readonly running = new Set<Promise<void>>();
 
+  constructor() {
+    // Every sleeping task listens for the end; many tasks are no leak.
+    setMaxListeners(0, this.controller.signal);
+  }
+
   /** Aborted when the group is disposed. */
   get signal(): AbortSignal {
     return this.controller.signal;
