Let the core bound what all edges hold, and report spending to it

Ruled out: giving a dead edge's tokens back, as the core can't tell an edge that died at once from one that was cut off, spent and died later, without trusting the time of day. Change: edges tell what they spent and lent; the core grants so that all holders of a tenant together hold a part of its unspent tokens that falls from 60% to 30% as the budget is used; 421 no longer counts as an attempt, since the runner that was meant got nothing.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -52,6 +52,7 @@
 
 /** What Allowances is made of. */
 export interface AllowancesParts {
+  readonly box: string;
   /** One life of this edge. */
   readonly holder: string;
   readonly clock: Clock;
@@ -72,6 +73,12 @@
   /** Tokens a second, as measured. */
   rate = 0;
   largest = 0;
+  /** When the first request was counted, ms. */
+  since = Infinity;
+  /** Tokens spent since the last exchange. */
+  spent = 0;
+  /** Tokens lent, less those borrowed, since the last exchange. */
+  lent = 0;
   /** What the core had left at the last exchange. */
   left: number | undefined;
   exhaustedUntil = -Infinity;
@@ -91,6 +98,18 @@
 /** Longest sleep of a waiting request between looks, ms. */
 const LOOK_MS = 40;
 
+/** More is asked for below this part of what is to be held. */
+const REFILL_BELOW = 0.7;
+
+/** Tokens go back above this multiple of what is to be held. */
+const RETURN_ABOVE = 1.5;
+
+/** Spending is told to the core above this part of what is to be held. */
+const REPORT_ABOVE = 0.1;
+
+/** Least part of the window that a demand must have been measured for. */
+const LEAST_MEASURED = 0.15;
+
 /** Edges asked for tokens at the same time. */
 const BORROW_AT_ONCE = 3;
 
@@ -174,6 +193,8 @@
     const account = this.accountOf(tenant);
     account.reserved -= reserved;
     account.held -= spent;
+    account.spent += spent;
+    account.since = Math.min(account.since, this.parts.clock.now());
     account.rate += (spent * 1_000) / DEMAND_WINDOW_MS;
     this.moved.notify();
   }
@@ -213,7 +234,7 @@
       return false;
     }
     account.reserved += tokens;
-    if (account.free < this.wantOf(account) / 2) {
+    if (account.free < this.wantOf(account) * REFILL_BELOW) {
       this.wanted.notify();
     }
     return true;
@@ -281,6 +302,7 @@
     const {given} = answer.value as BorrowReply;
     if (given > 0) {
       account.held += given;
+      account.lent -= given;
       this.noteMove(account, peer, given);
     }
     return true;
@@ -291,6 +313,7 @@
     const given = Math.max(0, Math.min(need, account?.free ?? 0));
     if (account !== undefined && given > 0) {
       account.held -= given;
+      account.lent += given;
       this.noteMove(account, 'lent', -given);
     }
     return {given};
@@ -320,10 +343,14 @@
     }
   }
 
+  /** Tokens to hold: some seconds of demand, or a little for the first. */
   private wantOf(account: Account): number {
     const edges = this.parts.peers().length + 1;
     const floor = (account.prepaid * ALLOWANCE_FLOOR_SHARE) / edges;
-    const demand = account.rate * ALLOWANCE_SECONDS + account.largest;
+    const now = this.parts.clock.now();
+    const measured = 1 - Math.exp((account.since - now) / DEMAND_WINDOW_MS);
+    const rate = account.rate / Math.max(LEAST_MEASURED, measured);
+    const demand = rate * ALLOWANCE_SECONDS + account.largest;
     return Math.ceil(Math.max(floor, demand));
   }
 
@@ -340,12 +367,14 @@
         continue;
       }
       const dry = account.left !== undefined && account.left <= 0;
-      if (need > 0 || (account.free < want / 2 && !dry)) {
+      if (need > 0 || (account.free < want * REFILL_BELOW && !dry)) {
         const more = Math.max(need, Math.ceil(want - account.free));
         asks.push(this.askFor(account, need, more, 0));
-      } else if (account.free > 2 * want) {
+      } else if (account.free > want * RETURN_ABOVE) {
         const back = Math.floor(account.free - want);
         asks.push(this.askFor(account, 0, 0, back));
+      } else if (account.spent > want * REPORT_ABOVE) {
+        asks.push(this.askFor(account, 0, 0, 0));
       }
     }
     return asks;
@@ -361,7 +390,10 @@
     if (back > 0) {
       this.noteMove(account, 'returned', -back);
     }
-    return {back, need, tenant: account.tenant, want};
+    const {lent, spent, tenant} = account;
+    account.lent = 0;
+    account.spent = 0;
+    return {back, lent, need, spent, tenant, want};
   }
 
   /** An exchange whose answer was lost is sent again under its number. */
@@ -383,8 +415,9 @@
   private async exchange(
     asks: readonly AllowanceAsk[],
   ): Promise<readonly AllowanceGrant[] | undefined> {
-    const {controls, holder, link} = this.parts;
-    const request: AllowanceRequest = {asks, holder, sequence: this.sequence};
+    const {box, controls, holder, link} = this.parts;
+    const {sequence} = this;
+    const request: AllowanceRequest = {asks, box, holder, sequence};
     for (const control of controls().slice(0, 3)) {
       const answer = await link.call(
         control,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -120,6 +120,7 @@
       self,
     });
     this.allowances = new Allowances({
+      box: self.box,
       clock,
       controls: () => this.controls(),
       holder: `${self.box} ${self.incarnation}`,
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -44,7 +44,7 @@
 export const ALLOWANCE_SECONDS = 10;
 
 /** Share of a tenant's prepaid tokens that all edges hold before any demand. */
-export const ALLOWANCE_FLOOR_SHARE = 0.35;
+export const ALLOWANCE_FLOOR_SHARE = 0.15;
 
 /** How often allowances are weighed, ms. */
 export const ALLOWANCE_TICK_MS = 250;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -63,6 +63,9 @@
 /** Part of the requests that a grey runner still gets. */
 const GREY_PROBES = 0.05;
 
+/** Status of a runner that is not the one that was meant. */
+const MISDIRECTED = 421;
+
 /** Events a runner may have made that did not arrive before a break. */
 const UNSEEN_EVENTS = 2;
 
@@ -366,7 +369,10 @@
         this.mayHaveRun = true;
         return this.pass(plan, runner, outcome.answer);
       case 'rejected':
-        if (outcome.status === 421) {
+        if (outcome.status === MISDIRECTED) {
+          // Another runner answered; the one that was meant got nothing.
+          this.attempts -= 1;
+          this.unsent += 1;
           runner.isReplaced();
         } else {
           runner.full();
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -15,12 +15,8 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {ProposalFailure, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
-import type {Clock,   Condition,Failure} from 'shared';
-import {
-  DisposableList,
-  sleepUnlessNotified,
-  TaskGroup,
-} from 'shared';
+import type {Clock, Condition, Failure} from 'shared';
+import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import {BoxTable} from './Boxes';
 import type {
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -22,10 +22,16 @@
 const MAX_HOLDERS = 2_000;
 
 /**
- * The part of what is left that one ask may take when the budget runs low, so
- * that one busy edge does not leave nothing for the others.
+ * The part of a tenant's unspent tokens that all holders together may hold. A
+ * holder that is killed takes what it holds with it, so the part falls from
+ * the sum of both figures for an untouched budget to the first for a spent one.
+ * A request that needs more still gets it while there is any.
  */
-const SHARE_OF_REST = 1 / 8;
+const LEAST_PART_HELD = 0.3;
+const MORE_WHILE_FULL = 0.3;
+
+/** The part of what may still be granted that one ask gets at most. */
+const PART_OF_ROOM = 1 / 2;
 
 /** A configuration together with the text that it was read from. */
 export interface StoredConfiguration {
@@ -49,12 +55,18 @@
   readonly want: number;
   /** Tokens handed back. */
   readonly back: number;
+  /** Tokens spent since the last exchange. */
+  readonly spent: number;
+  /** Tokens lent to (below 0: borrowed from) other edges since then. */
+  readonly lent: number;
 }
 
 /** Exchanges allowances with one holder. */
 export interface AllowanceRecord {
   readonly kind: 'allowance';
-  /** One life of an edge. */
+  /** The box of an edge. */
+  readonly box: string;
+  /** One life of that edge. */
   readonly holder: string;
   /** Grows by 1; an exchange sent again under its number is done once. */
   readonly sequence: number;
@@ -86,8 +98,11 @@
 }
 
 interface Holder {
+  holder: string;
   sequence: number;
   grants: readonly AllowanceGrant[];
+  /** Tokens in its hands, by tenant. */
+  held: Map<string, number>;
 }
 
 interface Image {
@@ -159,15 +174,19 @@
   }
 
   private applyAllowance(record: AllowanceRecord): AllowanceOutcome {
-    const {asks, holder, sequence} = record;
-    const known = this.holders.get(holder);
-    if (known !== undefined && sequence <= known.sequence) {
+    const {asks, box, holder, sequence} = record;
+    const known = this.holders.get(box);
+    const sameLife = known?.holder === holder;
+    if (sameLife && sequence <= known.sequence) {
       const grants = sequence === known.sequence ? known.grants : [];
       return {grants, kind: 'allowance'};
     }
-    const grants = asks.map((ask) => this.grant(ask));
-    this.holders.delete(holder);
-    this.holders.set(holder, {grants, sequence});
+    // What a former life held can't be told from what it spent.
+    const held = sameLife ? known.held : new Map<string, number>();
+    this.holders.delete(box);
+    this.holders.set(box, {grants: [], held, holder, sequence});
+    const grants = asks.map((ask) => this.grant(ask, held));
+    this.holders.set(box, {grants, held, holder, sequence});
     const [oldest] = this.holders.keys();
     if (this.holders.size > MAX_HOLDERS && oldest !== undefined) {
       this.holders.delete(oldest);
@@ -175,20 +194,35 @@
     return {grants, kind: 'allowance'};
   }
 
-  private grant({back, need, tenant, want}: AllowanceAsk): AllowanceGrant {
-    const held = Math.max(0, this.grantedTo(tenant) - back);
-    const left = this.prepaidOf(tenant) - held;
-    const granted =
-      left <= 0
-        ? 0
-        : Math.min(
-            left,
-            Math.max(need, Math.min(want, Math.floor(left * SHARE_OF_REST))),
-          );
-    this.granted.set(tenant, held + granted);
+  private grant(ask: AllowanceAsk, held: Map<string, number>): AllowanceGrant {
+    const {back, lent, need, spent, tenant, want} = ask;
+    const former = held.get(tenant) ?? 0;
+    held.set(tenant, former - back - spent - lent);
+    const out = Math.max(0, this.grantedTo(tenant) - back);
+    const left = Math.max(0, this.prepaidOf(tenant) - out);
+    const heldByAll = this.heldByAll(tenant);
+    const unspent = left + heldByAll;
+    const room = Math.max(0, this.mostHeld(tenant, unspent) - heldByAll);
+    const calm = Math.min(want, Math.floor(room * PART_OF_ROOM));
+    const granted = Math.min(left, Math.max(need, calm));
+    this.granted.set(tenant, out + granted);
+    held.set(tenant, (held.get(tenant) ?? 0) + granted);
     return {granted, left: left - granted, tenant};
   }
 
+  private mostHeld(tenant: string, unspent: number): number {
+    const full = unspent / Math.max(1, this.prepaidOf(tenant));
+    return unspent * (LEAST_PART_HELD + MORE_WHILE_FULL * Math.min(1, full));
+  }
+
+  private heldByAll(tenant: string): number {
+    let sum = 0;
+    for (const {held} of this.holders.values()) {
+      sum += held.get(tenant) ?? 0;
+    }
+    return Math.max(0, sum);
+  }
+
   private prepaidOf(tenant: string): number {
     const found = this.held?.configuration.tenants?.find(
       ({name}) => name === tenant,
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -64,6 +64,7 @@
 
 /** Asks the leader, through any control box, for an exchange of allowances. */
 export interface AllowanceRequest {
+  readonly box: string;
   readonly holder: string;
   readonly sequence: number;
   readonly asks: readonly AllowanceAsk[];
