Ask the core for a waiting request at once, and test fleet and edge

Cause, found by the first test of Allowances: a request that came to wait while an exchange was under way was taken for asked when that exchange ended (402 although 900 of 1000 tokens were left), its wake-up was lost (up to 250 ms, longer than it waits: 503), and a closing edge dropped the answer of an exchange under way. Change: an answer counts for a request only if the exchange was composed after it; the loop looks for waiting requests before it sleeps; closing waits for the exchange.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -122,8 +122,11 @@
   private readonly registration: Disposable;
   private sequence = 0;
   private measuredAt: number;
-  private exchanges = 0;
+  /** The newest exchange that was answered. */
+  private answeredSequence = 0;
   private coreAnswers = true;
+  private closing = false;
+  private exchanging: Promise<void> = Promise.resolve();
 
   constructor(private readonly parts: AllowancesParts) {
     this.measuredAt = parts.clock.now();
@@ -131,7 +134,10 @@
       FLEET_SERVICE.borrow,
       async (body) => this.lend(body as BorrowRequest),
     );
-    this.tasks.start((signal) => this.runExchanges(signal));
+    this.tasks.start((signal) => {
+      this.exchanging = this.runExchanges(signal);
+      return this.exchanging;
+    });
   }
 
   /** Takes over what a configuration says of budgets. */
@@ -171,7 +177,8 @@
     }
     const until = clock.now() + ALLOWANCE_WAIT_MS;
     account.need = Math.max(account.need, tokens);
-    const asked = this.exchanges;
+    // An exchange that is under way does not ask for this request yet.
+    const before = this.sequence;
     this.wanted.notify();
     let borrowing = this.coreAnswers ? undefined : this.borrow(account, tokens);
     while (clock.now() < until && !this.tasks.ended) {
@@ -179,13 +186,14 @@
       if (this.take(account, tokens)) {
         return RESERVE.held;
       }
-      const answered = this.exchanges > asked;
+      const answered = this.answeredSequence > before;
       if (answered && (account.left ?? 0) < tokens) {
         break;
       }
       borrowing ??= answered ? undefined : this.borrow(account, tokens);
     }
-    return this.decide(account, tokens, this.exchanges > asked, borrowing);
+    const coreAnswered = this.answeredSequence > before;
+    return this.decide(account, tokens, coreAnswered, borrowing);
   }
 
   /** Ends a reservation; the rest is free again. */
@@ -201,10 +209,13 @@
 
   /** Hands all free tokens back, as this edge stops. */
   async close(): Promise<void> {
+    this.closing = true;
+    this.wanted.notify();
+    // An exchange under way may still bring tokens.
+    await this.exchanging;
     const asks = [...this.accounts.values()]
       .filter(({free}) => free > 0)
       .map((account) => this.askFor(account, 0, 0, account.free));
-    await this.tasks[Symbol.asyncDispose]();
     if (asks.length > 0) {
       this.sequence += 1;
       await this.exchange(asks);
@@ -323,8 +334,18 @@
 
   private async runExchanges(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
-    while (!signal.aborted) {
-      await sleepUnlessNotified(clock, this.wanted, ALLOWANCE_TICK_MS, signal);
+    while (!signal.aborted && !this.closing) {
+      if (!this.someoneWaits()) {
+        await sleepUnlessNotified(
+          clock,
+          this.wanted,
+          ALLOWANCE_TICK_MS,
+          signal,
+        );
+      }
+      if (this.closing) {
+        return;
+      }
       this.measure();
       const asks = this.compose();
       if (asks.length > 0 && !signal.aborted) {
@@ -334,6 +355,11 @@
     }
   }
 
+  /** Whether a request came to wait while an exchange was under way. */
+  private someoneWaits(): boolean {
+    return [...this.accounts.values()].some(({need}) => need > 0);
+  }
+
   private measure(): void {
     const now = this.parts.clock.now();
     const decay = Math.exp((this.measuredAt - now) / DEMAND_WINDOW_MS);
@@ -438,7 +464,7 @@
   }
 
   private credit(grants: readonly AllowanceGrant[]): void {
-    this.exchanges += 1;
+    this.answeredSequence = this.sequence;
     for (const {granted, left, tenant} of grants) {
       const account = this.accountOf(tenant);
       account.held += granted;
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -0,0 +1,162 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {SilentDecisionLog} from 'puffinturn-decisions';
+import type {AllowanceOutcome, AllowanceRequest} from 'puffinturn-fleet';
+import {FLEET_SERVICE, FleetMachine, REPETITION} from 'puffinturn-fleet';
+import {MemoryNetwork} from 'puffinturn-wire';
+import {invariant, ManualClock, Random} from 'shared';
+
+import {Allowances, RESERVE} from '../../index';
+
+const CORE = 'c';
+
+class Fleet {
+  readonly clock = new ManualClock();
+  readonly network = new MemoryNetwork(this.clock, new Random(2));
+  readonly machine = new FleetMachine();
+  private version = 0;
+  private readonly edges: Allowances[] = [];
+
+  constructor(prepaid: number) {
+    this.topUp(prepaid);
+    this.network
+      .connect(CORE)
+      .register(FLEET_SERVICE.allowance, async (body) => {
+        const outcome = this.machine.apply({
+          ...(body as AllowanceRequest),
+          kind: 'allowance',
+        }) as AllowanceOutcome;
+        return {grants: outcome.grants};
+      });
+  }
+
+  topUp(prepaidTokens: number): void {
+    this.version += 1;
+    const tenant = {keys: ['k'], name: 't', prepaidTokens, priority: 0};
+    this.machine.apply({
+      kind: 'configuration',
+      stored: {
+        configuration: {
+          limits: {
+            headerTimeoutMs: 1,
+            idleTimeoutMs: 1,
+            maxBodyBytes: 1,
+            maxHeaderBytes: 1,
+          },
+          routes: [],
+          services: [],
+          tenants: [tenant],
+          version: this.version,
+        },
+        document: REPETITION.never,
+      },
+    });
+    for (const edge of this.edges) {
+      edge.configure([tenant]);
+    }
+  }
+
+  async start(box: string, peers: readonly string[]): Promise<Allowances> {
+    const edge = new Allowances({
+      box,
+      clock: this.clock,
+      controls: () => [CORE],
+      holder: `${box} 1`,
+      link: this.network.connect(box),
+      log: new SilentDecisionLog(),
+      peers: () => peers,
+    });
+    this.edges.push(edge);
+    const prepaidTokens =
+      this.machine.stored?.configuration.tenants?.[0]?.prepaidTokens;
+    edge.configure([{keys: [], name: 't', prepaidTokens, priority: 0}]);
+    await this.clock.advance(1_000);
+    return edge;
+  }
+
+  async settled<Value>(asked: Promise<Value>): Promise<Value> {
+    let value: {readonly value: Value} | undefined;
+    void asked.then((found) => (value = {value: found}));
+    for (let turn = 0; turn < 400 && value === undefined; turn += 1) {
+      await this.clock.advance(5);
+    }
+    invariant(value !== undefined, 'settles');
+    return value.value;
+  }
+}
+
+describe('Allowances', () => {
+  test('reserve the most and settle what was spent', async () => {
+    const fleet = new Fleet(1_000);
+    const edge = await fleet.start('e', []);
+    expect(await fleet.settled(edge.reserve('t', 400))).toBe(RESERVE.held);
+    edge.settle('t', 400, 100);
+    expect(await fleet.settled(edge.reserve('t', 900))).toBe(RESERVE.held);
+    edge.settle('t', 900, 900);
+    expect(await fleet.settled(edge.reserve('t', 1))).toBe(RESERVE.exhausted);
+  });
+
+  test('go on from what is held while the core is away', async () => {
+    const fleet = new Fleet(10_000);
+    const edge = await fleet.start('e', []);
+    for (let turn = 0; turn < 20; turn += 1) {
+      expect(await fleet.settled(edge.reserve('t', 50))).toBe(RESERVE.held);
+      edge.settle('t', 50, 50);
+      await fleet.clock.advance(100);
+    }
+    fleet.network.partition(['e'], [CORE]);
+    await fleet.clock.advance(2_000);
+    expect(await fleet.settled(edge.reserve('t', 50))).toBe(RESERVE.held);
+    expect(await fleet.settled(edge.reserve('t', 9_000))).toBe(
+      RESERVE.unavailable,
+    );
+  });
+
+  test('borrow from another edge while the core is away', async () => {
+    const fleet = new Fleet(10_000);
+    const edge = await fleet.start('e', ['f']);
+    const other = await fleet.start('f', ['e']);
+    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
+    fleet.network.partition(['e', 'f'], [CORE]);
+    const both = held(edge) + held(other);
+    const need = held(edge) + 100;
+    expect(need).toBeLessThan(both);
+    expect(await fleet.settled(edge.reserve('t', need))).toBe(RESERVE.held);
+    expect(held(edge) + held(other)).toBe(both);
+  });
+
+  test('say exhausted only once core and edges have all answered', async () => {
+    const fleet = new Fleet(1_000);
+    const edge = await fleet.start('e', ['f']);
+    const other = await fleet.start('f', ['e']);
+    expect(await fleet.settled(other.reserve('t', 900))).toBe(RESERVE.held);
+    expect(await fleet.settled(edge.reserve('t', 500))).toBe(RESERVE.exhausted);
+    await fleet.clock.advance(2_000);
+    fleet.network.partition(['e'], ['f']);
+    expect(await fleet.settled(edge.reserve('t', 500))).toBe(
+      RESERVE.unavailable,
+    );
+  });
+
+  test('take a raised budget up at once', async () => {
+    const fleet = new Fleet(100);
+    const edge = await fleet.start('e', []);
+    expect(await fleet.settled(edge.reserve('t', 500))).toBe(RESERVE.exhausted);
+    fleet.topUp(2_000);
+    expect(await fleet.settled(edge.reserve('t', 500))).toBe(RESERVE.held);
+  });
+
+  test('hand everything free back when they close', async () => {
+    const fleet = new Fleet(1_000);
+    const edge = await fleet.start('e', []);
+    expect(await fleet.settled(edge.reserve('t', 300))).toBe(RESERVE.held);
+    edge.settle('t', 300, 200);
+    await fleet.settled(edge.close());
+    expect(fleet.machine.grantedTo('t')).toBe(200);
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -0,0 +1,77 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import type {FleetConfiguration, Route} from 'puffinturn-fleet';
+import {REPETITION} from 'puffinturn-fleet';
+
+import {RouteTable} from '../../index';
+
+function route(name: string, pathPrefix: string, weights: number[]): Route {
+  return {
+    anonymous: name === 'open',
+    host: 'Host.example',
+    maxAttempts: 1,
+    name,
+    objectiveMs: 1,
+    pathPrefix,
+    priority: 0,
+    repetition: REPETITION.never,
+    streams: false,
+    targets: weights.map((weight, at) => ({service: `s${at}`, weight})),
+    timeoutMs: 1,
+  };
+}
+
+const CONFIGURATION: FleetConfiguration = {
+  limits: {
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+    maxBodyBytes: 1,
+    maxHeaderBytes: 1,
+  },
+  routes: [
+    route('short', '/a/', [1]),
+    route('long', '/a/b/', [1, 3]),
+    route('open', '/o/', [1]),
+  ],
+  services: ['s0', 's1'].map((name) => ({
+    engine: undefined,
+    maxConnections: 1,
+    name,
+  })),
+  tenants: [{keys: ['k'], name: 't', prepaidTokens: 1, priority: 0}],
+  version: 1,
+};
+
+describe('RouteTable', () => {
+  const table = new RouteTable(CONFIGURATION);
+
+  test('takes the longest prefix, whatever the case of the host', () => {
+    expect(table.find('host.EXAMPLE', '/a/b/c')?.name).toBe('long');
+    expect(table.find('host.example', '/a/bc')?.name).toBe('short');
+    expect(table.find('host.example', '/b/')).toBeUndefined();
+    expect(table.find('other.example', '/a/')).toBeUndefined();
+  });
+
+  test('draws a service by weight', () => {
+    const long = table.find('host.example', '/a/b/');
+    expect(long && table.serviceFor(long, 0)?.name).toBe('s0');
+    expect(long && table.serviceFor(long, 0.24)?.name).toBe('s0');
+    expect(long && table.serviceFor(long, 0.26)?.name).toBe('s1');
+    expect(long && table.serviceFor(long, 0.999)?.name).toBe('s1');
+  });
+
+  test('wants a key but on open routes', () => {
+    const short = table.find('host.example', '/a/');
+    const open = table.find('host.example', '/o/');
+    expect(short && table.needsKey(short)).toBe(true);
+    expect(open && table.needsKey(open)).toBe(false);
+    expect(table.tenantOf('k')?.name).toBe('t');
+    expect(table.tenantOf('x')).toBeUndefined();
+    expect(table.tenantOf(undefined)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -0,0 +1,149 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import fc from 'fast-check';
+
+import type {AllowanceAsk, AllowanceOutcome} from '../../index';
+import {FleetMachine} from '../../index';
+import {configurationOf, tenantOf} from '../utils/FleetFixture';
+
+function machineWith(prepaidTokens: number, version = 1): FleetMachine {
+  const machine = new FleetMachine();
+  put(machine, prepaidTokens, version);
+  return machine;
+}
+
+function put(machine: FleetMachine, prepaidTokens: number, version: number) {
+  const configuration = configurationOf(version, {
+    tenants: [tenantOf({prepaidTokens})],
+  });
+  return machine.apply({
+    kind: 'configuration',
+    stored: {configuration, document: `document ${version}`},
+  });
+}
+
+function ask(fields: Partial<AllowanceAsk>): AllowanceAsk {
+  return {back: 0, lent: 0, need: 0, spent: 0, tenant: 't', want: 0, ...fields};
+}
+
+function exchange(
+  machine: FleetMachine,
+  box: string,
+  sequence: number,
+  asked: AllowanceAsk,
+  life = '1',
+): number {
+  const outcome = machine.apply({
+    asks: [asked],
+    box,
+    holder: `${box} ${life}`,
+    kind: 'allowance',
+    sequence,
+  }) as AllowanceOutcome;
+  return outcome.grants[0]?.granted ?? 0;
+}
+
+describe('FleetMachine', () => {
+  test('keeps the highest version and acknowledges lower ones', () => {
+    const machine = machineWith(100, 5);
+    expect(put(machine, 200, 4)).toMatchObject({
+      adopted: false,
+      heldVersion: 5,
+    });
+    expect(put(machine, 200, 5)).toMatchObject({
+      adopted: false,
+      heldVersion: 5,
+    });
+    expect(machine.stored?.document).toBe('document 5');
+    expect(put(machine, 200, 9)).toMatchObject({adopted: true, heldVersion: 9});
+  });
+
+  test('does an exchange that is sent again once', () => {
+    const machine = machineWith(1_000);
+    const first = exchange(machine, 'e', 1, ask({need: 100}));
+    expect(exchange(machine, 'e', 1, ask({need: 100}))).toBe(first);
+    expect(machine.grantedTo('t')).toBe(first);
+  });
+
+  test('leaves what a former life held counted as spent', () => {
+    const machine = machineWith(1_000);
+    exchange(machine, 'e', 1, ask({need: 700}));
+    expect(exchange(machine, 'e', 1, ask({need: 700}), '2')).toBe(300);
+    expect(machine.grantedTo('t')).toBe(1_000);
+  });
+
+  test('grants nothing more while a lowered budget is overdrawn', () => {
+    const machine = machineWith(1_000);
+    exchange(machine, 'e', 1, ask({need: 600}));
+    put(machine, 500, 2);
+    expect(exchange(machine, 'f', 1, ask({need: 50}))).toBe(0);
+    exchange(machine, 'e', 2, ask({back: 300}));
+    expect(exchange(machine, 'f', 2, ask({need: 50, want: 50}))).toBe(50);
+  });
+
+  test('holds back a part of the budget from what is only wanted', () => {
+    const machine = machineWith(1_000);
+    let held = 0;
+    for (let turn = 1; turn < 30; turn += 1) {
+      held += exchange(machine, `e${turn}`, 1, ask({want: 500}));
+    }
+    expect(held).toBeLessThanOrEqual(620);
+    expect(exchange(machine, 'late', 1, ask({need: 300}))).toBe(300);
+  });
+
+  test('never grants more than was paid for, whatever comes back', () => {
+    const step = fc.record({
+      back: fc.nat(100),
+      box: fc.constantFrom('e', 'f', 'g'),
+      life: fc.constantFrom('1', '2'),
+      need: fc.nat(400),
+      resend: fc.boolean(),
+      spend: fc.nat(100),
+      want: fc.nat(400),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 60}), (steps) => {
+        const machine = machineWith(1_000);
+        const held = new Map<string, number>();
+        const spentBy = new Map<string, number>();
+        let sequence = 0;
+        let spent = 0;
+        for (const {back, box, life, need, resend, spend, want} of steps) {
+          const holder = `${box} ${life}`;
+          const has = held.get(holder) ?? 0;
+          const returned = Math.min(back, has);
+          const used = Math.min(spend, has - returned);
+          spent += used;
+          sequence += 1;
+          const asked = ask({back: returned, need, spent: used, want});
+          const granted = exchange(machine, box, sequence, asked, life);
+          if (resend) {
+            exchange(machine, box, sequence, asked, life);
+          }
+          held.set(holder, has - returned - used + granted);
+          spentBy.set(holder, (spentBy.get(holder) ?? 0) + used);
+        }
+        const inHands = [...held.values()].reduce((sum, has) => sum + has, 0);
+        expect(spent + inHands).toBeLessThanOrEqual(1_000);
+        expect(machine.grantedTo('t')).toBeLessThanOrEqual(1_000);
+      }),
+      {seed: 11},
+    );
+  });
+
+  test('comes back whole from a snapshot', () => {
+    const machine = machineWith(1_000, 3);
+    exchange(machine, 'e', 1, ask({need: 100}));
+    const copy = new FleetMachine();
+    copy.restore(machine.snapshot());
+    expect(copy.stored?.document).toBe('document 3');
+    expect(copy.grantedTo('t')).toBe(100);
+    expect(exchange(copy, 'e', 1, ask({need: 100}))).toBe(100);
+    expect(copy.grantedTo('t')).toBe(100);
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -0,0 +1,178 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {SilentDecisionLog} from 'puffinturn-decisions';
+import type {LogRequest} from 'puffinturn-log';
+import {DEFAULT_TIMING, MemoryDisk, Replica} from 'puffinturn-log';
+import {MemoryNetwork} from 'puffinturn-wire';
+import {Condition, invariant, ManualClock, Random} from 'shared';
+
+import type {BoxRecord, FleetConfiguration, RunnerRecord} from '../../index';
+import {
+  BOX_ROLE,
+  FleetControl,
+  FleetMachine,
+  FleetNews,
+  FleetWatch,
+  linkOfReplicas,
+  RUNNER_STATE,
+} from '../../index';
+import {configurationOf} from '../utils/FleetFixture';
+
+const CONTROLS = ['c1:1', 'c2:1', 'c3:1'];
+
+class Notes extends FleetNews {
+  held: FleetConfiguration | undefined;
+  found: RunnerRecord[] = [];
+  others: BoxRecord[] = [];
+
+  override get configurationVersion(): number {
+    return this.held?.version ?? -Infinity;
+  }
+
+  override configuration(configuration: FleetConfiguration): void {
+    this.held = configuration;
+  }
+
+  override runners(records: readonly RunnerRecord[]): void {
+    this.found.push(...records);
+  }
+
+  override boxes(records: readonly BoxRecord[]): void {
+    this.others = [...records];
+  }
+}
+
+async function startFleet() {
+  const clock = new ManualClock();
+  const network = new MemoryNetwork(clock, new Random(3));
+  const controls = new Map<string, FleetControl>();
+  for (const box of CONTROLS) {
+    const link = network.connect(box);
+    const changed = new Condition();
+    const machine = new FleetMachine(() => changed.notify());
+    const {logLink, serve} = linkOfReplicas(link);
+    const opened = await Replica.open({
+      box,
+      clock,
+      disk: new MemoryDisk(),
+      incarnation: '1',
+      link: logLink,
+      machine,
+      random: new Random(box.length + box.charCodeAt(1)),
+      timing: DEFAULT_TIMING,
+    });
+    invariant(opened.isOk(), 'opens');
+    const replica = opened.value;
+    serve((request: LogRequest) => replica.handle(request));
+    void replica.takePart(() => CONTROLS);
+    const self = {box, incarnation: '1', role: BOX_ROLE.control, zone: 'z'};
+    const log = new SilentDecisionLog();
+    controls.set(
+      box,
+      new FleetControl({changed, clock, link, log, machine, replica, self}),
+    );
+  }
+  await clock.advance(4_000);
+  const watchFrom = (box: string) => {
+    const news = new Notes();
+    const watch = new FleetWatch({
+      clock,
+      link: network.connect(box),
+      log: new SilentDecisionLog(),
+      news,
+      seeds: () => CONTROLS,
+      self: {box, incarnation: '1', role: BOX_ROLE.edge, zone: 'z'},
+    });
+    return {news, watch};
+  };
+  const control = (box: string): FleetControl => {
+    const found = controls.get(box);
+    invariant(found !== undefined, 'known');
+    return found;
+  };
+  return {clock, control, network, watchFrom};
+}
+
+async function settle<Value>(clock: ManualClock, asked: Promise<Value>) {
+  let value: {readonly value: Value} | undefined;
+  void asked.then((settled) => (value = {value: settled}));
+  for (let turn = 0; turn < 100 && value === undefined; turn += 1) {
+    await clock.advance(50);
+  }
+  invariant(value !== undefined, 'settles');
+  return value.value;
+}
+
+const RUNNER: RunnerRecord = {
+  address: '10.0.0.1:80',
+  coldMs: 0,
+  id: 'i-1',
+  sequence: 1,
+  service: 's',
+  slots: 4,
+  state: RUNNER_STATE.ready,
+  zone: 'z',
+};
+
+describe('A fleet', () => {
+  test('takes a change at any control box and brings it to edges at once', async () => {
+    const {clock, control, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1');
+    await clock.advance(1_500);
+    const stored = {configuration: configurationOf(7), document: 'seven'};
+    for (const box of CONTROLS) {
+      const reply = await settle(clock, control(box).change(stored));
+      expect(reply).toEqual({accepted: true, heldVersion: 7});
+    }
+    await clock.advance(200);
+    expect(news.held?.version).toBe(7);
+    const read = await settle(clock, control('c2:1').read());
+    expect(read).toEqual({current: true, document: 'seven'});
+  });
+
+  test('neither takes nor reads a change without a quorum', async () => {
+    const {clock, control, network} = await startFleet();
+    const stored = {configuration: configurationOf(7), document: 'seven'};
+    await settle(clock, control('c1:1').change(stored));
+    network.partition(['c1:1'], ['c2:1', 'c3:1']);
+    network.partition(['c2:1'], ['c3:1']);
+    const later = {configuration: configurationOf(8), document: 'eight'};
+    const reply = await settle(clock, control('c1:1').change(later));
+    expect(reply.accepted).toBe(false);
+    const read = await settle(clock, control('c1:1').read());
+    expect(read.current).toBe(false);
+  });
+
+  test('brings a runner that one control box heard of to every edge', async () => {
+    const {clock, control, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1');
+    await clock.advance(1_500);
+    control('c3:1').hearRunner(RUNNER);
+    await clock.advance(100);
+    expect(news.found.map(({id}) => id)).toContain('i-1');
+    control('c1:1').removeRunner('i-1');
+    await clock.advance(100);
+    expect(news.found.at(-1)?.state).toBe(RUNNER_STATE.gone);
+  });
+
+  test('goes on telling an edge after a cut that it was away for', async () => {
+    const {clock, control, network, watchFrom} = await startFleet();
+    const {news, watch} = watchFrom('e1:1');
+    await clock.advance(1_500);
+    expect(watch.inTouch).toBe(true);
+    expect(watch.current).toBe(true);
+    network.partition(['e1:1'], CONTROLS);
+    await clock.advance(4_000);
+    expect(watch.inTouch).toBe(false);
+    const stored = {configuration: configurationOf(9), document: 'nine'};
+    await settle(clock, control('c1:1').change(stored));
+    network.heal();
+    await clock.advance(2_500);
+    expect(news.held?.version).toBe(9);
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/utils/FleetFixture.ts
@@ -0,0 +1,58 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import type {FleetConfiguration, Route, Tenant} from '../../index';
+import {REPETITION} from '../../index';
+
+/** A route with defaults. */
+export function routeOf(fields: Partial<Route> = {}): Route {
+  return {
+    anonymous: false,
+    host: 'a.example',
+    maxAttempts: 2,
+    name: 'r',
+    objectiveMs: 500,
+    pathPrefix: '/a/',
+    priority: 0,
+    repetition: REPETITION.repeatable,
+    streams: false,
+    targets: [{service: 's', weight: 1}],
+    timeoutMs: 1_000,
+    ...fields,
+  };
+}
+
+/** A tenant with defaults. */
+export function tenantOf(fields: Partial<Tenant> = {}): Tenant {
+  return {
+    keys: ['key-1'],
+    name: 't',
+    prepaidTokens: 1_000,
+    priority: 0,
+    ...fields,
+  };
+}
+
+/** A configuration with one route, service and tenant. */
+export function configurationOf(
+  version: number,
+  fields: Partial<FleetConfiguration> = {},
+): FleetConfiguration {
+  return {
+    limits: {
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+      maxBodyBytes: 10_000,
+      maxHeaderBytes: 4_000,
+    },
+    routes: [routeOf()],
+    services: [{engine: undefined, maxConnections: 10, name: 's'}],
+    tenants: [tenantOf()],
+    version,
+    ...fields,
+  };
+}
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -93,7 +93,7 @@
   /** Applied entries between snapshots. */
   readonly snapshotEvery?: number;
   /** Most voters; further replicas stay learners until one is replaced. */
-  readonly maxVoters?: number;
+  readonly maxVoters?: number | undefined;
   /** Told of every change of role or leader. */
   readonly onRole?: (role: Role, term: number, leader?: string) => void;
   /** Deliberate breakages; the fuzzer checks that each one is found. */
--- /dev/null
+++ b/packages/puffinturn-log/src/__tests__/unit/Seeds.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {ReplicaGroup} from '../utils/ReplicaFixture';
+
+const BOXES = ['a', 'b', 'c', 'd', 'e'];
+const SEEDS = ['a', 'b', 'c'];
+
+function voterBoxes(group: ReplicaGroup): string[] {
+  const {members} = group.member(group.leader()).replica.status();
+  return members.voters.map((id) => id.slice(0, id.lastIndexOf('~'))).sort();
+}
+
+describe('A group that knows seeds only', () => {
+  test('is founded by the seeds and takes the others in as voters', async () => {
+    const group = new ReplicaGroup(BOXES, 1_000, undefined, SEEDS, 5);
+    await group.startAll();
+    expect(voterBoxes(group)).toEqual(BOXES);
+    await group.stopAll();
+  });
+
+  test('is not founded without the first start', async () => {
+    const group = new ReplicaGroup(SEEDS, 1_000, undefined, SEEDS, 5);
+    for (const box of SEEDS) {
+      await group.start(box, false);
+    }
+    await group.clock.advance(10_000);
+    for (const box of SEEDS) {
+      expect(group.member(box).replica.founded).toBe(false);
+    }
+    await group.stopAll();
+  });
+
+  test("gives a silent voter's place to a learner", async () => {
+    const boxes = [...BOXES, 'f'];
+    const group = new ReplicaGroup(boxes, 1_000, undefined, SEEDS, 5);
+    await group.startAll();
+    const before = voterBoxes(group);
+    expect(before).toHaveLength(5);
+    const lost = before.find((box) => box !== group.leader()) ?? '';
+    group.kill(lost);
+    await group.clock.advance(6_000);
+    const after = voterBoxes(group);
+    expect(after).toHaveLength(5);
+    expect(after).not.toContain(lost);
+    expect(await group.propose('x')).toBe(true);
+    await group.stopAll();
+  });
+
+  test('keeps everything when two disks are lost at once', async () => {
+    const group = new ReplicaGroup(BOXES, 1_000, undefined, SEEDS, 5);
+    await group.startAll();
+    expect(await group.propose('x')).toBe(true);
+    for (const box of ['a', group.leader() === 'b' ? 'c' : 'b']) {
+      group.kill(box);
+      group.disks.delete(box);
+      await group.start(box, false);
+    }
+    await group.clock.advance(8_000);
+    expect(await group.propose('y')).toBe(true);
+    await group.clock.advance(3_000);
+    for (const box of BOXES) {
+      expect(group.member(box).machine.records).toEqual(['x', 'y']);
+    }
+    expect(voterBoxes(group)).toEqual(BOXES);
+    await group.stopAll();
+  });
+
+  test('takes in two boxes that join at the same moment', async () => {
+    const group = new ReplicaGroup(BOXES, 1_000, undefined, SEEDS, 5);
+    for (const box of SEEDS) {
+      await group.start(box);
+    }
+    await group.clock.advance(5_000);
+    await group.start('d');
+    await group.start('e');
+    await group.clock.advance(5_000);
+    expect(voterBoxes(group)).toEqual(BOXES);
+    await group.stopAll();
+  });
+
+  test('catches up after all crashed with more than one message of entries', async () => {
+    const group = new ReplicaGroup(SEEDS, 1_000, undefined, SEEDS, 5);
+    await group.startAll();
+    const large = 'x'.repeat(100_000);
+    for (let count = 0; count < 20; count += 1) {
+      expect(await group.propose(`${count} ${large}`)).toBe(true);
+    }
+    for (const box of SEEDS) {
+      group.kill(box);
+    }
+    for (const box of SEEDS) {
+      await group.start(box, false);
+    }
+    await group.clock.advance(8_000);
+    expect(await group.propose('last')).toBe(true);
+    await group.clock.advance(1_000);
+    for (const box of SEEDS) {
+      expect(group.member(box).machine.records).toHaveLength(21);
+    }
+    await group.stopAll();
+  });
+});
--- a/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
+++ b/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
@@ -69,11 +69,14 @@
     readonly boxes: readonly string[],
     private readonly snapshotEvery = 1_000,
     private readonly breakage?: ReplicaBreakage,
+    /** The boxes that every box is told of; all of them by default. */
+    private readonly seeds: readonly string[] = boxes,
+    private readonly maxVoters?: number,
   ) {
     this.network = new MemoryNetwork(this.clock, new Random(7));
   }
 
-  async start(box: string): Promise<void> {
+  async start(box: string, mayFound = true): Promise<void> {
     const disk = this.disks.get(box) ?? new MemoryDisk();
     this.disks.set(box, disk);
     const link = this.network.connect(box);
@@ -87,6 +90,7 @@
       incarnation: String(this.lives),
       link: new FixtureLink(link),
       machine,
+      maxVoters: this.maxVoters,
       random: new Random(100 + this.lives),
       snapshotEvery: this.snapshotEvery,
       timing: DEFAULT_TIMING,
@@ -95,7 +99,7 @@
     const replica = opened.value;
     link.register('log', (body) => replica.handle(body as LogRequest));
     const tasks = new TaskGroup();
-    tasks.start(() => replica.takePart(() => this.boxes));
+    tasks.start(() => replica.takePart(() => this.seeds, mayFound));
     this.members.set(box, {machine, replica, tasks});
   }
 
