--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,6 +6,21 @@
 const LICENCE =
   'Copyright (c) the puffinturn authors.\n\nThis source code is licensed under the Apache License 2.0 found in the\nLICENSE file in the root directory of this source tree.';
 
+const PLATFORM_NAMES = [
+  'attempt-id',
+  'deadline-ms',
+  'expect-instance',
+  'not-executed',
+  'prompt-prefix',
+  'puffinturn_settings',
+  'request-priority',
+  'server-seal',
+  'token-usage',
+  'api.instances',
+  'api.config',
+  'api.readyz',
+].join('|');
+
 export default tseslint.config(
   {ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', 'target/**']},
   ...tseslint.configs.recommended,
@@ -59,4 +74,25 @@
       'simple-import-sort/imports': 'error',
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {patterns: [{group: ['**/platform/**'], message: 'It depends on us.'}]},
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {message: 'Use a constant object.', selector: 'TSEnumDeclaration'},
+        {
+          message: 'Failures are typed, never bare strings.',
+          selector: "CallExpression[callee.name='err'] > Literal",
+        },
+        {
+          message: 'Names of the platform stay in platform/.',
+          selector: `Literal[value=/${PLATFORM_NAMES}/i]`,
+        },
+      ],
+    },
+  },
 );
