Choose the engine where the first token is expected soonest

Change: expected time from the tokens still to be read there, the parts that the runner keeps, and a speed learned from answers, which holds the load of other edges; rendezvous only says where a prompt is taken to be kept. The former choice stays as the baseline. Ruled out: more refusals at the door (runners were not full).

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -35,7 +35,7 @@
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
-import {FreeSlots, PrefixRendezvous} from './RunnerChoice';
+import {ExpectedTime, FreeSlots} from './RunnerChoice';
 import {RunnerPool} from './RunnerPool';
 
 /** What an edge is made of. */
@@ -132,7 +132,7 @@
       allowances: this.allowances,
       clock,
       dialect: parts.dialect,
-      engineChoice: new PrefixRendezvous(),
+      engineChoice: new ExpectedTime(),
       log,
       metrics: this.metrics,
       plainChoice: new FreeSlots(random),
--- a/packages/puffinturn-edge/src/EdgeRunner.ts
+++ b/packages/puffinturn-edge/src/EdgeRunner.ts
@@ -21,6 +21,8 @@
   IDLE_CONNECTION_MS,
   LONGEST_PAUSE_MS,
 } from './EdgeConstants';
+import {KeptPrefixes} from './KeptPrefixes';
+import {ReadingSpeed} from './ReadingSpeed';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
@@ -40,6 +42,10 @@
   readonly agent: Agent;
   /** Hash of the id, for rendezvous. */
   readonly hash: number;
+  /** Parts of prompts that it is taken to keep. */
+  readonly prefixes = new KeptPrefixes();
+  /** How fast it reads prompts, other callers' load included. */
+  readonly speed: ReadingSpeed;
   readonly host: string;
   readonly port: number;
   /** Part of the newest answers that were errors of the runner's own. */
@@ -55,6 +61,7 @@
     private readonly log: DecisionLog,
   ) {
     this.hash = hashOf(record.id);
+    this.speed = new ReadingSpeed(clock);
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -78,6 +78,14 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** A prompt that a runner reads. */
+interface Reading {
+  readonly at: number;
+  /** Tokens of this edge's prompts before it. */
+  readonly ahead: number;
+  readonly tokens: number;
+}
+
 /** See the module comment. */
 export class Forwarding {
   private plan: Plan | undefined;
@@ -284,6 +292,7 @@
     this.tried.add(runner);
     this.attempts += 1;
     runner.inFlight += 1;
+    const reading = this.startReading(plan, runner);
     const exchange = new Exchange({
       body: this.body,
       headers: this.headersFor(plan, runner),
@@ -295,6 +304,7 @@
     });
     this.exchange = exchange;
     const outcome = await exchange.outcome;
+    this.endReading(runner, reading, outcome);
     if (outcome.kind !== 'answer') {
       runner.inFlight -= 1;
     }
@@ -305,6 +315,27 @@
     return outcome;
   }
 
+  /** Tokens that the runner must read before the first event. */
+  private startReading({parts}: Plan, runner: EdgeRunner): Reading {
+    const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+    const tokens = Math.max(0, all - runner.prefixes.keptOf(parts));
+    const ahead = runner.pendingTokens;
+    runner.pendingTokens += tokens;
+    return {ahead, at: this.parts.clock.now(), tokens};
+  }
+
+  private endReading(
+    runner: EdgeRunner,
+    {ahead, at, tokens}: Reading,
+    outcome: ExchangeOutcome,
+  ): void {
+    runner.pendingTokens -= tokens;
+    if (outcome.kind === 'answer' && this.plan !== undefined) {
+      runner.speed.measured(ahead + tokens, this.parts.clock.now() - at);
+      runner.prefixes.sent(this.plan.parts);
+    }
+  }
+
   private headersFor(plan: Plan, runner: EdgeRunner): string[] {
     const {dialect} = this.parts;
     const {headers: names} = dialect;
--- a/packages/puffinturn-edge/src/RunnerChoice.ts
+++ b/packages/puffinturn-edge/src/RunnerChoice.ts
@@ -67,31 +67,73 @@
   }
 }
 
-/** How much more a runner of the own zone weighs in the rendezvous. */
-const OWN_ZONE_WEIGHT = 1;
-
 /**
- * For model engines: rendezvous of the shared parts of the prompt over the
- * runners, so that all edges agree where a prompt is cached, with the load of
- * each runner bounded by the mean.
+ * Baseline for model engines: rendezvous of the shared parts of the prompt over
+ * the runners, with the number of own requests at each bounded by the mean.
  */
 export class PrefixRendezvous extends RunnerChoice {
   override choose(
     candidates: readonly EdgeRunner[],
-    {parts, zone}: ChoiceFacts,
+    {parts}: ChoiceFacts,
   ): EdgeRunner | undefined {
-    const shared = parts.length > 1 ? parts.slice(0, -1) : parts;
-    const key = hashOf(shared.map(({id}) => id).join(','));
+    const key = hashOf(sharedKey(parts));
     const total = candidates.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const bound = (total / Math.max(1, candidates.length)) * BOUNDED_LOAD + 1;
     const withRoom = candidates.filter(({inFlight}) => inFlight <= bound);
-    return lowest(withRoom, ({hash, record}) => {
-      const weight = record.zone === zone ? OWN_ZONE_WEIGHT : 1;
-      return -Math.log((mix(hash, key) + 1) / 2 ** 32) / weight;
+    return lowest(withRoom, ({hash}) => -mix(hash, key));
+  }
+}
+
+/** What a runner of another zone must be ahead by, ms. */
+const OTHER_ZONE_MS = 4;
+
+/** What each open request at a runner adds to the time of another one, ms. */
+const OPEN_REQUEST_MS = 0.6;
+
+/**
+ * For model engines: the runner where the first token is expected soonest.
+ * What must be read is the prompt without the parts that the runner keeps, and
+ * the prompts before it that no event has answered; how fast is learned from
+ * answers and so holds the load that other edges put on the runner. The shared
+ * parts are taken to be kept where this edge sent them lately, and at the
+ * runner that all edges agree on by rendezvous.
+ */
+export class ExpectedTime extends RunnerChoice {
+  override choose(
+    candidates: readonly EdgeRunner[],
+    {parts, zone}: ChoiceFacts,
+  ): EdgeRunner | undefined {
+    const key = hashOf(sharedKey(parts));
+    const agreed = lowest(candidates, ({hash}) => -mix(hash, key));
+    const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+    return lowest(candidates, (runner) => {
+      const assumed = runner === agreed ? sharedTokens(parts) : 0;
+      const kept = Math.max(assumed, runner.prefixes.keptOf(parts));
+      const toRead = Math.max(0, all - kept) + runner.pendingTokens;
+      const away = runner.record.zone === zone ? 0 : OTHER_ZONE_MS;
+      const open = runner.inFlight * OPEN_REQUEST_MS;
+      return toRead / runner.speed.tokensPerMs + open + away;
     });
   }
 }
 
+/** The parts of a prompt that other requests share. */
+function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
+  return parts.length > 1 ? parts.slice(0, -1) : parts;
+}
+
+function sharedKey(parts: readonly PromptPart[]): string {
+  return sharedParts(parts)
+    .map(({id}) => id)
+    .join(',');
+}
+
+function sharedTokens(parts: readonly PromptPart[]): number {
+  return parts.length > 1
+    ? sharedParts(parts).reduce((sum, {tokens}) => sum + tokens, 0)
+    : 0;
+}
+
 function lowest(
   runners: readonly EdgeRunner[],
   costOf: (runner: EdgeRunner) => number,
