--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -19,6 +19,8 @@
   AllowanceRequest,
   BorrowReply,
   BorrowRequest,
+  Gift,
+  GiveRequest,
   Tenant,
 } from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
@@ -120,6 +122,7 @@
   private readonly wanted = new Condition();
   private readonly moved = new Condition();
   private readonly registration: Disposable;
+  private readonly gifts: Disposable;
   private sequence = 0;
   private measuredAt: number;
   /** The newest exchange that was answered. */
@@ -134,6 +137,9 @@
       FLEET_SERVICE.borrow,
       async (body) => this.lend(body as BorrowRequest),
     );
+    this.gifts = parts.link.register(FLEET_SERVICE.give, async (body) =>
+      this.receive(body as GiveRequest),
+    );
     this.tasks.start((signal) => {
       this.exchanging = this.runExchanges(signal);
       return this.exchanging;
@@ -207,10 +213,17 @@
     this.moved.notify();
   }
 
-  /** Hands all free tokens back, as this edge stops. */
+  /**
+   * Hands all free tokens on, as this edge stops: to the core, or to another
+   * edge while the core does not answer. What neither takes is lost.
+   */
   async close(): Promise<void> {
     this.closing = true;
     this.wanted.notify();
+    if (!this.coreAnswers) {
+      await this.giveAway();
+      return;
+    }
     // An exchange under way may still bring tokens.
     await this.exchanging;
     const asks = [...this.accounts.values()]
@@ -222,8 +235,37 @@
     }
   }
 
+  /** Each gift is sent once: one that may have arrived is not sent again. */
+  private async giveAway(): Promise<void> {
+    const gifts = [...this.accounts.values()]
+      .filter(({free}) => free > 0)
+      .map((account): Gift => {
+        const amount = account.free;
+        account.held -= amount;
+        account.lent += amount;
+        this.noteMove(account, 'given', -amount);
+        return {amount, tenant: account.tenant};
+      });
+    const {link, peers} = this.parts;
+    for (const peer of peers()) {
+      if (gifts.length === 0) {
+        return;
+      }
+      const answer = await link.call(
+        peer,
+        FLEET_SERVICE.give,
+        {gifts} satisfies GiveRequest,
+        BORROW_MS,
+      );
+      if (answer.isOk() || answer.error.kind !== 'not-sent') {
+        return;
+      }
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.registration[Symbol.dispose]();
+    this.gifts[Symbol.dispose]();
     this.tasks.abort();
     this.wanted.notify();
     this.moved.notify();
@@ -330,6 +372,17 @@
     return {given};
   }
 
+  private receive({gifts}: GiveRequest): null {
+    for (const {amount, tenant} of gifts) {
+      const account = this.accountOf(tenant);
+      account.held += amount;
+      account.lent -= amount;
+      this.noteMove(account, 'gift', amount);
+    }
+    this.moved.notify();
+    return null;
+  }
+
   // The core
 
   private async runExchanges(signal: AbortSignal): Promise<void> {
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -37,6 +37,9 @@
 /** `Retry-After` while a dependency is missing, s. */
 export const RETRY_AFTER_MISSING_S = 1;
 
+/** `Retry-After` while tokens can't be had; most cuts last for seconds, s. */
+export const RETRY_AFTER_TOKENS_S = 3;
+
 /** Requests to one engine beyond this share of the mean go elsewhere. */
 export const BOUNDED_LOAD = 1.25;
 
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -29,6 +29,7 @@
   MAX_UNSENT,
   RETRY_AFTER_BUSY_S,
   RETRY_AFTER_MISSING_S,
+  RETRY_AFTER_TOKENS_S,
 } from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeRunner} from './EdgeRunner';
@@ -199,7 +200,7 @@
       this.refuse(
         exhausted ? 402 : 503,
         exhausted ? 'budget-exhausted' : 'budget-unreachable',
-        exhausted ? undefined : RETRY_AFTER_MISSING_S,
+        exhausted ? undefined : RETRY_AFTER_TOKENS_S,
       );
     }
     return false;
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -159,4 +159,18 @@
     await fleet.settled(edge.close());
     expect(fleet.machine.grantedTo('t')).toBe(200);
   });
+
+  test('hand everything free to another edge when the core is away', async () => {
+    const fleet = new Fleet(10_000);
+    const edge = await fleet.start('e', ['f']);
+    const other = await fleet.start('f', ['e']);
+    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
+    const both = held(edge) + held(other);
+    fleet.network.partition(['e', 'f'], [CORE]);
+    void edge.reserve('t', 9_999);
+    await fleet.clock.advance(4_000);
+    await fleet.settled(edge.close());
+    expect(held(edge)).toBe(0);
+    expect(held(other)).toBe(both);
+  });
 });
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -15,6 +15,7 @@
   allowance: 'fleet-allowance',
   borrow: 'fleet-borrow',
   change: 'fleet-change',
+  give: 'fleet-give',
   read: 'fleet-read',
   watch: 'fleet-watch',
 } as const;
@@ -86,6 +87,17 @@
   readonly given: number;
 }
 
+/** Tokens of one tenant that an edge hands on as it stops. */
+export interface Gift {
+  readonly tenant: string;
+  readonly amount: number;
+}
+
+/** Hands tokens on to another edge. */
+export interface GiveRequest {
+  readonly gifts: readonly Gift[];
+}
+
 /** What became of a change of the configuration. */
 export interface ChangeReply {
   readonly accepted: boolean;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -38,6 +38,8 @@
   BoxRecord,
   BoxRole,
   ChangeReply,
+  Gift,
+  GiveRequest,
   ReadReply,
   WatchReply,
   WatchRequest,
