Add puffinturn explain: one request's history out of all logs

Cause: getting from an id to its cause took a grep for each kind of line, and dependency-changed named two boxes under one name.

--- a/packages/puffinturn-cli/src/Tool.ts
+++ b/packages/puffinturn-cli/src/Tool.ts
@@ -14,6 +14,7 @@
 import {apply, check, diff} from './ApplyCommand';
 import type {ExitCode} from './ExitCodes';
 import {EXIT} from './ExitCodes';
+import {explainRequest} from './ExplainCommand';
 import {budgets, drain, get, makeKey, status, timeline} from './FleetCommands';
 import {OperatorClient} from './OperatorClient';
 import {Output} from './Output';
@@ -25,6 +26,7 @@
   readonly file?: string;
   readonly json?: boolean;
   readonly keyFile?: string;
+  readonly logs?: string;
   readonly prune?: boolean;
   readonly request?: string;
   readonly settings?: string;
@@ -43,6 +45,7 @@
   addOptions(cli);
   addFileCommands(cli);
   addFleetCommands(cli);
+  addLogCommands(cli);
   cli.help();
   cli.version(VERSION);
   return cli;
@@ -127,6 +130,20 @@
     );
 }
 
+function addLogCommands(cli: CAC): void {
+  cli
+    .command('explain <request>', 'Tell what became of a request, from logs')
+    .option('--logs <folder>', 'Folder with the output of every process (.)')
+    .example('puffinturn explain 9c41d07be2a35f68 --logs logs')
+    .action((request: string, options: Options) =>
+      explainRequest(
+        String(request),
+        options.logs ?? '.',
+        new Output(options.json === true),
+      ),
+    );
+}
+
 function addFleetCommands(cli: CAC): void {
   cli
     .command('get [kind] [name]', 'Show declarations in force')
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -97,7 +97,8 @@
 /** A box that this one depends on was lost or came back. */
 export interface DependencyChanged {
   readonly event: 'dependency-changed';
-  readonly box: string;
+  /** The box that was lost or came back. */
+  readonly peer: string;
   readonly reachable: boolean;
   readonly lastAnswerAgeMs: number | undefined;
 }
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -185,9 +185,9 @@
     const {clock, log, news} = this.parts;
     if (!watched.reachable) {
       log.note({
-        box: watched.box,
         event: 'dependency-changed',
         lastAnswerAgeMs: this.ageOf(watched),
+        peer: watched.box,
         reachable: true,
       });
     }
@@ -222,9 +222,9 @@
     if (watched.reachable) {
       watched.reachable = false;
       this.parts.log.note({
-        box: watched.box,
         event: 'dependency-changed',
         lastAnswerAgeMs: this.ageOf(watched),
+        peer: watched.box,
         reachable: false,
       });
     }
