Cut nothing off that a leaving runner or a stopping edge still serves

Now an answer is whole only if its connection did not fail. - LOST (Cascadia mix): a runner's deregistration ended the connections on which its last streams ran. Now it ends 0.25 s before the grace does, ends idle connections after 3 s and refuses what still comes, to be sent again at once. Ruled out: the configuration change beside the first LOST (the same cut at every change of the runners).

--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -16,6 +16,7 @@
 import {passesOn} from './CallerRequest';
 import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
 import {EventCutter} from './EventStream';
+import type {Exchange} from './Exchange';
 
 /** How passing an answer on has ended. */
 export const RELAY = {
@@ -47,7 +48,11 @@
   }
 
   /** Passes one answer on; one to be retried is read and dropped. */
-  abstract pass(answer: IncomingMessage, drop: boolean): Promise<RelayEnd>;
+  abstract pass(
+    answer: IncomingMessage,
+    exchange: Exchange,
+    drop: boolean,
+  ): Promise<RelayEnd>;
 
   /** Ends passing on, since the request has ended. */
   stop(): void {
@@ -79,6 +84,7 @@
 export class WholeRelay extends AnswerRelay {
   override async pass(
     answer: IncomingMessage,
+    exchange: Exchange,
     drop: boolean,
   ): Promise<RelayEnd> {
     const chunks: Buffer[] = [];
@@ -107,7 +113,7 @@
     if (this.stopped) {
       return RELAY.stopped;
     }
-    if (!answer.complete || drop) {
+    if (!answer.complete || exchange.broken || drop) {
       return RELAY.broken;
     }
     if (flowing) {
@@ -129,7 +135,10 @@
     return this.headSent ? this.cutter.lastId : undefined;
   }
 
-  override pass(answer: IncomingMessage): Promise<RelayEnd> {
+  override pass(
+    answer: IncomingMessage,
+    exchange: Exchange,
+  ): Promise<RelayEnd> {
     // Half an event of a former runner is not for this one to complete.
     this.cutter.takeRest();
     const isStream =
@@ -141,7 +150,7 @@
     }
     return new Promise((resolve) => {
       answer.on('data', (chunk: Buffer) => this.take(answer, chunk));
-      answer.on('end', () => resolve(this.finish(answer)));
+      answer.on('end', () => resolve(this.finish(answer, exchange)));
       answer.on('close', () =>
         resolve(this.stopped ? RELAY.stopped : RELAY.broken),
       );
@@ -165,11 +174,11 @@
     }
   }
 
-  private finish(answer: IncomingMessage): RelayEnd {
+  private finish(answer: IncomingMessage, exchange: Exchange): RelayEnd {
     if (this.stopped) {
       return RELAY.stopped;
     }
-    if (!answer.complete) {
+    if (!answer.complete || exchange.broken) {
       return RELAY.broken;
     }
     this.sendHead(answer);
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -26,7 +26,7 @@
 import {Allowances} from './Allowances';
 import type {CallerDialect} from './CallerDialect';
 import {CallerRequest} from './CallerRequest';
-import {RETRY_AFTER_MISSING_S} from './EdgeConstants';
+import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
 import {headerBytes, HttpListener} from './EdgeHttp';
 import {EdgeMetrics} from './EdgeMetrics';
@@ -57,7 +57,7 @@
 const SETTLE_MS = 2_500;
 
 /** Least time that a stopping edge goes on taking requests, ms. */
-const LINGER_MS = 3_200;
+const LINGER_MS = 3_000;
 
 /** A stopping edge that had no request for this long has nothing to do, ms. */
 const QUIET_MS = 700;
@@ -65,8 +65,8 @@
 /** How often a stopping edge looks whether it is done, ms. */
 const LOOK_MS = 50;
 
-/** Time of the grace that is left for giving allowances back, ms. */
-const CLOSING_MS = 700;
+/** Time of the grace that is left unused, ms. */
+const CLOSING_MS = 250;
 
 class EdgeNews extends FleetNews {
   constructor(private readonly edge: Edge) {
@@ -104,6 +104,8 @@
   private open = 0;
   private lastRequestAt: number;
   private stopping = false;
+  /** Whether callers have had time to go elsewhere since the stop began. */
+  private lingering = false;
   private wasReady = false;
 
   private constructor(private readonly parts: EdgeParts) {
@@ -217,16 +219,18 @@
     this.stopping = true;
     const detail = `${this.open} open`;
     log.note({detail, event: 'process-changed', phase: 'draining'});
+    await clock.sleep(Math.min(LINGER_MS, graceMs / 2));
+    this.lingering = true;
+    this.listeners[0]?.closeIdle();
+    const returned = this.allowances.close();
     while (clock.now() < until) {
-      const now = clock.now();
-      const lingered = now - began >= LINGER_MS;
-      const quiet = now - this.lastRequestAt >= QUIET_MS;
-      if (this.open === 0 && lingered && quiet) {
+      const quiet = clock.now() - this.lastRequestAt >= QUIET_MS;
+      if (this.open === 0 && quiet) {
         break;
       }
       await clock.sleep(LOOK_MS);
     }
-    await Promise.race([this.allowances.close(), clock.sleep(CLOSING_MS / 2)]);
+    await Promise.race([returned, clock.sleep(CLOSING_MS / 2)]);
     const cut = `${this.open} cut`;
     log.note({detail: cut, event: 'process-changed', phase: 'stopped'});
   }
@@ -266,6 +270,11 @@
       caller.refuse(431, 'headers-too-large');
       return;
     }
+    if (this.lingering) {
+      request.resume();
+      caller.refuse(503, 'stopping', RETRY_AFTER_STOPPING_S);
+      return;
+    }
     this.open += 1;
     void new Forwarding(this.forwarding, this.table, caller)
       .run()
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -34,6 +34,9 @@
 /** `Retry-After` of a request for which there was no room, s. */
 export const RETRY_AFTER_BUSY_S = 0.3;
 
+/** `Retry-After` of a request that came to an edge about to end, s. */
+export const RETRY_AFTER_STOPPING_S = 0.05;
+
 /** `Retry-After` while a dependency is missing, s. */
 export const RETRY_AFTER_MISSING_S = 1;
 
--- a/packages/puffinturn-edge/src/EdgeHttp.ts
+++ b/packages/puffinturn-edge/src/EdgeHttp.ts
@@ -75,6 +75,11 @@
     this.server.requestTimeout = 0;
   }
 
+  /** Ends connections on which no request is open. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise((resolve) => this.server.close(resolve));
     this.server.closeAllConnections();
--- a/packages/puffinturn-edge/src/EdgeRunner.ts
+++ b/packages/puffinturn-edge/src/EdgeRunner.ts
@@ -32,7 +32,7 @@
   return createHash('md5').update(text).digest().readUInt32LE(0);
 }
 
-/** See the module comment. Dispose it to close its idle connections. */
+/** See the module comment. Disposing it ends all its connections. */
 export class EdgeRunner implements Disposable {
   /** Requests of this edge that are open at the runner. */
   inFlight = 0;
@@ -130,6 +130,16 @@
     this.judge(false, 'replaced');
   }
 
+  /** Ends idle connections; open requests go on to their end. */
+  retire(): void {
+    this.agent.maxFreeSockets = 0;
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      for (const socket of sockets ?? []) {
+        socket.destroy();
+      }
+    }
+  }
+
   [Symbol.dispose](): void {
     this.agent.destroy();
   }
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -17,10 +17,16 @@
 import {CONNECT_MS} from './EdgeConstants';
 import type {EdgeRunner} from './EdgeRunner';
 
+/** The head of the runner's own answer is there. */
+export interface AnswerOutcome {
+  readonly kind: 'answer';
+  readonly answer: IncomingMessage;
+  readonly exchange: Exchange;
+}
+
 /** How an attempt went. */
 export type ExchangeOutcome =
-  /** The head of the runner's own answer is there. */
-  | {readonly kind: 'answer'; readonly answer: IncomingMessage}
+  | AnswerOutcome
   /** The runner said that it did not run the request. */
   | {readonly kind: 'rejected'; readonly status: number}
   /** No connection came up: nothing was sent. */
@@ -47,6 +53,7 @@
   private readonly request: ClientRequest;
   private connected = false;
   private aborted: string | undefined;
+  private harmed = false;
 
   constructor(private readonly parts: ExchangeParts) {
     const {body, headers, method, path, runner} = parts;
@@ -64,6 +71,14 @@
     this.request.end(body);
   }
 
+  /**
+   * Whether the connection failed after the head. An answer without a length
+   * then looks whole to the parser, and is not.
+   */
+  get broken(): boolean {
+    return this.harmed;
+  }
+
   /** Ends the attempt and its connection. */
   abort(cause: string): void {
     this.aborted = cause;
@@ -85,13 +100,15 @@
     });
     this.request.on('error', (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
+      this.harmed = true;
       const cause = this.aborted ?? error.code ?? error.message;
       resolve({cause, kind: this.connected ? 'broken' : 'unsent'});
     });
     this.request.on('response', (answer) => {
       clearTimeout(timer);
       // A break after the head shows on the answer itself.
-      answer.on('error', () => undefined);
+      answer.on('error', () => (this.harmed = true));
+      answer.socket.on('error', () => (this.harmed = true));
       resolve(this.judge(answer));
     });
     this.request.on('close', () => {
@@ -122,7 +139,7 @@
     if (success && id === undefined) {
       return this.spoiled('no-id');
     }
-    return {answer, kind: 'answer'};
+    return {answer, exchange: this, kind: 'answer'};
   }
 
   private spoiled(cause: string): ExchangeOutcome {
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -33,7 +33,7 @@
 } from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeRunner} from './EdgeRunner';
-import type {ExchangeOutcome} from './Exchange';
+import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
@@ -399,7 +399,7 @@
     switch (outcome.kind) {
       case 'answer':
         this.mayHaveRun = true;
-        return this.pass(plan, runner, outcome.answer);
+        return this.pass(plan, runner, outcome);
       case 'rejected':
         if (outcome.status === MISDIRECTED) {
           // Another runner answered; the one that was meant got nothing.
@@ -458,12 +458,12 @@
   private async pass(
     plan: Plan,
     runner: EdgeRunner,
-    answer: IncomingMessage,
+    {answer, exchange}: AnswerOutcome,
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
     const ended = await relay
-      .pass(answer, this.retriesError(plan, runner, status))
+      .pass(answer, exchange, this.retriesError(plan, runner, status))
       .finally(() => (runner.inFlight -= 1));
     switch (ended) {
       case RELAY.whole:
--- a/packages/puffinturn-edge/src/RunnerPool.ts
+++ b/packages/puffinturn-edge/src/RunnerPool.ts
@@ -103,7 +103,7 @@
       siblings.filter((sibling) => sibling !== runner),
     );
     runner.record = {...runner.record, state: RUNNER_STATE.gone};
-    runner[Symbol.dispose]();
+    runner.retire();
   }
 
   private note(record: RunnerRecord, source: string): void {
