Tell a reset from an end where both come with the last bytes

A log of the order of events on a scratch copy shows an end of the stream and no error: libuv reports a hang-up after a partial read as an end, and the reset is lost. Change: at the end of a connection to a runner the edge asks for the peer's address; the operating system knows none once the connection was reset. Measured: the test freezes the edge until answer and reset are both there; it failed before (200 for 502) and passes now.

--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -108,7 +108,7 @@
       clearTimeout(timer);
       // A break after the head shows on the answer itself.
       answer.on('error', () => (this.harmed = true));
-      answer.socket.on('error', () => (this.harmed = true));
+      this.watchForReset(answer.socket);
       resolve(this.judge(answer));
     });
     this.request.on('close', () => {
@@ -118,6 +118,19 @@
     });
   }
 
+  /**
+   * A reset that arrives together with the last bytes reaches Node as an end
+   * of the stream, since libuv reports a hang-up as an end after a partial
+   * read. The operating system knows no peer for a socket that was reset, but
+   * still one for a socket whose peer has ended in order.
+   */
+  private watchForReset(socket: Socket): void {
+    socket.on('error', () => (this.harmed = true));
+    socket.prependOnceListener('end', () => {
+      this.harmed ||= socket.remoteAddress === undefined;
+    });
+  }
+
   private judge(answer: IncomingMessage): ExchangeOutcome {
     const {names, requestId} = this.parts;
     const {headers, statusCode: status = 0} = answer;
