--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -10,6 +10,8 @@
     '<rootDir>/platform/__tests__/**/*.test.ts',
   ],
   testPathIgnorePatterns: ['/node_modules/', '/dist/', '/target/'],
+  // A guard against hanging only: a busy machine must not change the verdict.
+  testTimeout: 300_000,
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
