--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -12,19 +12,18 @@
  */
 import type {ResultAsync as Async, ResultAsync} from 'neverthrow';
 import {okAsync} from 'neverthrow';
+import {linkOfReplicas} from 'puffinturn-fleet';
 import type {GatewayMetrics, UpstreamClient} from 'puffinturn-gateway';
 import {Gateway, Pools} from 'puffinturn-gateway';
 import type {LedgerBreakage, SplitSide} from 'puffinturn-ledger';
 import {ControlClient, ControlService, Ledger} from 'puffinturn-ledger';
 import type {
   Disk,
-  LogRequest,
   ReplicaBreakage,
-  ReplicaId,
   ReplicaTiming,
   StorageFailure,
 } from 'puffinturn-log';
-import {boxOf, DEFAULT_TIMING, LogLink, Replica} from 'puffinturn-log';
+import {DEFAULT_TIMING, Replica} from 'puffinturn-log';
 import {BoxMember, HeartbeatMonitor} from 'puffinturn-membership';
 import type {EngineClient} from 'puffinturn-orders';
 import {OrderController} from 'puffinturn-orders';
@@ -35,7 +34,6 @@
 import type {Clock} from 'shared';
 import {DisposableList, invariant, Random, TaskGroup} from 'shared';
 
-const LOG_SERVICE = 'log';
 const TIMELINE_SERVICE = 'timeline';
 const MAX_SEED = 0x7fff_ffff;
 
@@ -82,18 +80,6 @@
   readonly orders: OrderController | undefined;
 }
 
-class BoxLogLink extends LogLink {
-  constructor(private readonly link: Link) {
-    super();
-  }
-
-  override call(to: ReplicaId, request: LogRequest, timeoutMs: number) {
-    return this.link
-      .call(boxOf(to), LOG_SERVICE, request, timeoutMs)
-      .mapErr(({message}) => ({kind: 'unreachable', message}) as const);
-  }
-}
-
 /** See the module comment. */
 export class Box implements AsyncDisposable {
   /** This box's events. */
@@ -233,12 +219,13 @@
   const {breakage, clock, disk, link, place, random} = parts;
   const primary = self.region === place.primaryRegion;
   const ledger = new Ledger(self.region, primary, breakage);
+  const {logLink, serve} = linkOfReplicas(link);
   return Replica.open({
     box: self.name,
     clock,
     disk,
     incarnation: parts.newName(),
-    link: new BoxLogLink(link),
+    link: logLink,
     machine: ledger,
     onRole: (role, term) =>
       timeline.note(EVENT_KIND.leaderChanged, {
@@ -251,7 +238,7 @@
       ? {}
       : {snapshotEvery: parts.snapshotEvery}),
   }).map((replica) => {
-    link.register(LOG_SERVICE, (body) => replica.handle(body as LogRequest));
+    serve((request) => replica.handle(request));
     const timing = parts.timing ?? DEFAULT_TIMING;
     return {
       ledger,
