Copy kept prompts between engines; ask two control boxes and send changes

Every edge asked all five control boxes, and each of them sent every new configuration whole and every change of the list of boxes at once, so 87 edges decoded each five times. Judging whether runners are grey sorted all siblings once for each of 98 runners a request. Change: an edge asks two control boxes and the others stand by; a control box sends the change from the version an edge holds; lists of boxes ride with the next answer; control boxes tell each other which boxes watch them; the bound for grey runners is worked out once a choice. A request that does not go to the runner that keeps its prompt names that one to copy from.

--- a/packages/puffinturn-edge/src/CallerDialect.ts
+++ b/packages/puffinturn-edge/src/CallerDialect.ts
@@ -20,6 +20,8 @@
   readonly expectedRunner: string;
   readonly priority: string;
   readonly lastEvent: string;
+  /** Address of a runner to copy the kept start of the prompt from. */
+  readonly prefixSource: string;
   /** The runner's signature of an answer. */
   readonly seal: string;
   /** Present where a runner did not run the request. */
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -16,10 +16,11 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {
   BoxRecord,
+  ConfigurationChange,
   FleetConfiguration,
   RunnerRecord,
 } from 'puffinturn-fleet';
-import {BOX_ROLE, FleetNews, FleetWatch} from 'puffinturn-fleet';
+import {applyChange, BOX_ROLE, FleetNews, FleetWatch} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
 
@@ -56,6 +57,9 @@
 /** Without an answer by barrier, an edge is ready after this time, ms. */
 const SETTLE_MS = 2_500;
 
+/** Control boxes asked for news at a time; the others stand by. */
+const CONTROLS_ASKED = 2;
+
 /** Least time that a stopping edge goes on taking requests, ms. */
 const LINGER_MS = 3_000;
 
@@ -81,6 +85,13 @@
     this.edge.configure(found, source);
   }
 
+  override configurationChange(
+    change: ConfigurationChange,
+    source: string,
+  ): void {
+    this.edge.change(change, source);
+  }
+
   override runners(records: readonly RunnerRecord[], source: string): void {
     this.edge.pool.merge(records, source);
   }
@@ -114,6 +125,7 @@
     this.lastRequestAt = this.startedAt;
     this.pool = new RunnerPool(clock, log);
     this.watch = new FleetWatch({
+      askedAtOnce: CONTROLS_ASKED,
       clock,
       link,
       log,
@@ -199,6 +211,14 @@
     });
   }
 
+  /** Puts a change in force where its base is; else a later answer brings it. */
+  change(change: ConfigurationChange, source: string): void {
+    const held = this.table?.configuration;
+    if (held?.version === change.base) {
+      this.configure(applyChange(held, change), source);
+    }
+  }
+
   /** Takes over who else is alive. */
   learnBoxes(records: readonly BoxRecord[]): void {
     this.peers = records
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -37,7 +37,7 @@
 import {Exchange} from './Exchange';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
-import type {RunnerChoice} from './RunnerChoice';
+import type {Placement, RunnerChoice} from './RunnerChoice';
 import type {RunnerPool} from './RunnerPool';
 
 /** What serving needs of the edge. */
@@ -229,8 +229,8 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.ended) {
-      const runner = this.choose(plan);
-      if (runner === undefined) {
+      const placement = this.choose(plan);
+      if (placement === undefined) {
         this.giveUp('no-runner');
         return;
       }
@@ -242,34 +242,34 @@
         this.giveUp('retry-budget');
         return;
       }
-      const outcome = await this.attempt(plan, runner);
-      const done = await this.take(plan, runner, outcome);
+      const outcome = await this.attempt(plan, placement);
+      const done = await this.take(plan, placement.runner, outcome);
       if (done) {
         return;
       }
     }
   }
 
-  private choose(plan: Plan): EdgeRunner | undefined {
+  private choose(plan: Plan): Placement | undefined {
     const {engineChoice, plainChoice, pool, zone} = this.parts;
     const {parts, service} = plan;
     const untried = pool
       .serving(service.name)
       .filter((runner) => !this.tried.has(runner));
     const calm = untried.filter(({paused}) => !paused);
-    const sound = calm.filter((runner) => !this.avoids(runner));
+    const greyAbove = pool.greyErrorRate(service.name);
+    const sound = calm.filter((runner) => !this.avoids(runner, greyAbove));
     const candidates = [sound, calm, untried].find(({length}) => length > 0);
     if (candidates === undefined) {
       return undefined;
     }
     const choice = service.engine === undefined ? plainChoice : engineChoice;
-    return choice.choose(candidates, {parts, service, zone});
+    return choice.place(candidates, {parts, service, zone});
   }
 
   /** A grey runner gets few requests, enough to show when it has recovered. */
-  private avoids(runner: EdgeRunner): boolean {
-    const {pool, random} = this.parts;
-    return pool.isGrey(runner) && random.fraction() > GREY_PROBES;
+  private avoids({errorRate}: EdgeRunner, greyAbove: number): boolean {
+    return errorRate > greyAbove && this.parts.random.fraction() > GREY_PROBES;
   }
 
   /** Whether one more arrival at the service is within the shared budget. */
@@ -286,17 +286,18 @@
 
   private async attempt(
     plan: Plan,
-    runner: EdgeRunner,
+    placement: Placement,
   ): Promise<ExchangeOutcome> {
     const {dialect} = this.parts;
+    const {runner} = placement;
     this.runner = runner;
     this.tried.add(runner);
     this.attempts += 1;
     runner.inFlight += 1;
-    const reading = this.startReading(plan, runner);
+    const reading = this.startReading(plan, placement);
     const exchange = new Exchange({
       body: this.body,
-      headers: this.headersFor(plan, runner),
+      headers: this.headersFor(plan, placement),
       method: this.caller.method,
       names: dialect.headers,
       path: this.caller.path,
@@ -317,9 +318,13 @@
   }
 
   /** Tokens that the runner must read before the first event. */
-  private startReading({parts}: Plan, runner: EdgeRunner): Reading {
+  private startReading(
+    {parts}: Plan,
+    {copiedTokens, runner}: Placement,
+  ): Reading {
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-    const tokens = Math.max(0, all - runner.prefixes.keptOf(parts));
+    const kept = runner.prefixes.keptOf(parts) + copiedTokens;
+    const tokens = Math.max(0, all - kept);
     const ahead = runner.pendingTokens;
     runner.pendingTokens += tokens;
     return {ahead, at: this.parts.clock.now(), tokens};
@@ -337,7 +342,7 @@
     }
   }
 
-  private headersFor(plan: Plan, runner: EdgeRunner): string[] {
+  private headersFor(plan: Plan, {prefixSource, runner}: Placement): string[] {
     const {dialect} = this.parts;
     const {headers: names} = dialect;
     const {rawHeaders, headers} = this.caller.incoming;
@@ -347,6 +352,7 @@
       names.deadline,
       names.expectedRunner,
       names.key,
+      names.prefixSource,
       names.priority,
       names.tenant,
       ...names.reserved,
@@ -377,6 +383,9 @@
       );
       sent.push(names.priority, String(rank));
     }
+    if (prefixSource !== undefined) {
+      sent.push(names.prefixSource, prefixSource.record.address);
+    }
     if (resumeAt !== undefined) {
       sent.push(names.lastEvent, resumeAt);
     }
--- a/packages/puffinturn-edge/src/RunnerChoice.ts
+++ b/packages/puffinturn-edge/src/RunnerChoice.ts
@@ -21,12 +21,33 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** Where a request goes. */
+export interface Placement {
+  readonly runner: EdgeRunner;
+  /** A runner to copy the start of the prompt from, instead of reading it. */
+  readonly prefixSource: EdgeRunner | undefined;
+  /** Tokens that the runner copies from there. */
+  readonly copiedTokens: number;
+}
+
 /** Picks one of several runners, all of which would take the request. */
 export abstract class RunnerChoice {
+  /** The runner; undefined where there is no candidate. */
   abstract choose(
     candidates: readonly EdgeRunner[],
     facts: ChoiceFacts,
   ): EdgeRunner | undefined;
+
+  /** The runner, and where it should copy a kept prompt from. */
+  place(
+    candidates: readonly EdgeRunner[],
+    facts: ChoiceFacts,
+  ): Placement | undefined {
+    const runner = this.choose(candidates, facts);
+    return runner === undefined
+      ? undefined
+      : {copiedTokens: 0, prefixSource: undefined, runner};
+  }
 }
 
 /** Baseline: the runner with the fewest own requests. */
@@ -90,33 +111,87 @@
 /** What each open request at a runner adds to the time of another one, ms. */
 const OPEN_REQUEST_MS = 0.6;
 
+/** Time to set one copy up, ms; engines name no figure for it. */
+const COPY_SETUP_MS = 10;
+
+/** Copies of fewer tokens than this are not worth their set-up. */
+const LEAST_COPIED_TOKENS = 256;
+
+/** How much of a prompt one runner keeps, and another one lacks. */
+interface Keeper {
+  readonly runner: EdgeRunner;
+  readonly tokens: number;
+}
+
 /**
  * For model engines: the runner where the first token is expected soonest.
  * What must be read is the prompt without the parts that the runner keeps, and
  * the prompts before it that no event has answered; how fast is learned from
  * answers and so holds the load that other edges put on the runner. The shared
  * parts are taken to be kept where this edge sent them lately, and at the
- * runner that all edges agree on by rendezvous.
+ * runner that all edges agree on by rendezvous. Where engines copy from each
+ * other, another runner may copy what the best keeper has.
  */
 export class ExpectedTime extends RunnerChoice {
   override choose(
     candidates: readonly EdgeRunner[],
-    {parts, zone}: ChoiceFacts,
+    facts: ChoiceFacts,
   ): EdgeRunner | undefined {
+    return this.place(candidates, facts)?.runner;
+  }
+
+  override place(
+    candidates: readonly EdgeRunner[],
+    {parts, service, zone}: ChoiceFacts,
+  ): Placement | undefined {
     const key = hashOf(sharedKey(parts));
     const agreed = lowest(candidates, ({hash}) => -mix(hash, key));
+    const shared = sharedTokens(parts);
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-    return lowest(candidates, (runner) => {
-      const assumed = runner === agreed ? sharedTokens(parts) : 0;
-      const kept = Math.max(assumed, runner.prefixes.keptOf(parts));
-      const toRead = Math.max(0, all - kept) + runner.pendingTokens;
-      const away = runner.record.zone === zone ? 0 : OTHER_ZONE_MS;
-      const open = runner.inFlight * OPEN_REQUEST_MS;
-      return toRead / runner.speed.tokensPerMs + open + away;
+    const keptBy = (runner: EdgeRunner): number =>
+      Math.max(runner === agreed ? shared : 0, runner.prefixes.keptOf(parts));
+    const copyMs = service.engine?.copyMsPerToken;
+    const keeper =
+      copyMs === undefined ? undefined : bestKeeper(candidates, keptBy);
+    const runner = lowest(candidates, (candidate) => {
+      const kept = keptBy(candidate);
+      const copied = copiedTokens(candidate, kept, keeper);
+      const copy = copied === 0 ? 0 : COPY_SETUP_MS + copied * (copyMs ?? 0);
+      const toRead = Math.max(0, all - kept - copied) + candidate.pendingTokens;
+      const away = candidate.record.zone === zone ? 0 : OTHER_ZONE_MS;
+      const open = candidate.inFlight * OPEN_REQUEST_MS;
+      return toRead / candidate.speed.tokensPerMs + copy + open + away;
     });
+    if (runner === undefined) {
+      return undefined;
+    }
+    const copied = copiedTokens(runner, keptBy(runner), keeper);
+    const prefixSource = copied === 0 ? undefined : keeper?.runner;
+    return {copiedTokens: copied, prefixSource, runner};
   }
 }
 
+/** The runner that keeps most of a prompt. */
+function bestKeeper(
+  candidates: readonly EdgeRunner[],
+  keptBy: (runner: EdgeRunner) => number,
+): Keeper | undefined {
+  const runner = lowest(candidates, (candidate) => -keptBy(candidate));
+  return runner === undefined ? undefined : {runner, tokens: keptBy(runner)};
+}
+
+/** Tokens that a runner would copy from the keeper. */
+function copiedTokens(
+  runner: EdgeRunner,
+  kept: number,
+  keeper: Keeper | undefined,
+): number {
+  const lacking = (keeper?.tokens ?? 0) - kept;
+  return keeper?.runner === runner || lacking < LEAST_COPIED_TOKENS
+    ? 0
+    : lacking;
+}
+
 /** The parts of a prompt that other requests share. */
 function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
   return parts.length > 1 ? parts.slice(0, -1) : parts;
--- a/packages/puffinturn-edge/src/RunnerPool.ts
+++ b/packages/puffinturn-edge/src/RunnerPool.ts
@@ -49,16 +49,21 @@
   }
 
   /**
-   * Whether a runner fails far more requests than its siblings do. Errors that
-   * all of them answer alike come from the requests, not from the runner.
+   * The part of errors above which a runner of a service fails far more
+   * requests than its siblings do. Errors that all of them answer alike come
+   * from the requests, not from a runner.
    */
-  isGrey(runner: EdgeRunner): boolean {
-    const rates = this.serving(runner.record.service)
-      .filter((sibling) => sibling !== runner)
+  greyErrorRate(service: string): number {
+    const rates = this.serving(service)
       .map(({errorRate}) => errorRate)
       .sort((a, b) => a - b);
-    const median = rates[Math.floor(rates.length / 2)] ?? 0;
-    return runner.errorRate > GREY_RATE + GREY_FACTOR * median;
+    const median = rates[Math.floor((rates.length - 1) / 2)] ?? 0;
+    return GREY_RATE + GREY_FACTOR * median;
+  }
+
+  /** Whether a runner fails far more requests than its siblings do. */
+  isGrey({errorRate, record}: EdgeRunner): boolean {
+    return errorRate > this.greyErrorRate(record.service);
   }
 
   /** Every runner known. */
--- a/packages/puffinturn-fleet/src/Configuration.ts
+++ b/packages/puffinturn-fleet/src/Configuration.ts
@@ -59,6 +59,16 @@
   readonly slots: number;
   readonly memoryTokens: number;
   readonly tokensPerEvent: number;
+  /**
+   * Time to copy the memory of one token from another engine, ms; undefined
+   * where engines do not copy.
+   */
+  readonly copyMsPerToken: number | undefined;
+}
+
+/** What no two routes of a configuration share. */
+export function routePlace({host, pathPrefix}: Route): string {
+  return `${host.toLowerCase()} ${pathPrefix}`;
 }
 
 /** A pool of runners. */
@@ -122,7 +132,7 @@
   const places = new Set<string>();
   for (const [index, route] of routes.entries()) {
     const path = `routes.${index}`;
-    const place = `${route.host.toLowerCase()} ${route.pathPrefix}`;
+    const place = routePlace(route);
     if (places.has(place)) {
       return invalid(path, `a second route for ${place}`);
     }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -19,6 +19,7 @@
 import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import {BoxTable} from './Boxes';
+import {ConfigurationHistory} from './ConfigurationHistory';
 import type {
   AllowanceOutcome,
   ConfigurationOutcome,
@@ -35,7 +36,8 @@
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
-import {FLEET_SERVICE} from './FleetMessages';
+import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+import {FleetNews, FleetWatch} from './FleetWatch';
 import type {RunnerRecord} from './Runners';
 import {RunnerTable} from './Runners';
 
@@ -51,6 +53,8 @@
 /** What a FleetControl is made of. */
 export interface FleetControlParts {
   readonly self: BoxRecord;
+  /** Addresses between boxes of the first control boxes to ask. */
+  readonly seeds: () => readonly string[];
   readonly clock: Clock;
   readonly link: Link;
   readonly replica: Replica;
@@ -60,12 +64,43 @@
   readonly log: DecisionLog;
 }
 
+/** Takes over what the other control boxes heard from runners and edges. */
+class ControlNews extends FleetNews {
+  constructor(private readonly control: FleetControl) {
+    super();
+  }
+
+  /** The log brings the configuration; none is wanted from others. */
+  override get configurationVersion(): number {
+    return Infinity;
+  }
+
+  override configuration(): void {}
+
+  override configurationChange(): void {}
+
+  override runners(records: readonly RunnerRecord[], source: string): void {
+    for (const record of records) {
+      this.control.hearRunner(record, source);
+    }
+  }
+
+  override boxes(records: readonly BoxRecord[], source: string): void {
+    this.control.hearBoxes(records, source);
+  }
+}
+
 /** See the module comment. */
 export class FleetControl implements AsyncDisposable {
   /** Runners known to this box. */
   readonly runners = new RunnerTable();
   /** Boxes that watch this one. */
   readonly boxes = new BoxTable();
+  /** Boxes that watch the other control boxes, by control box. */
+  private readonly boxesOfOthers = new Map<string, readonly BoxRecord[]>();
+  private othersRevision = 0;
+  private readonly history = new ConfigurationHistory();
+  private readonly others: FleetWatch;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
@@ -87,6 +122,11 @@
       ),
     );
     this.handlers.add(link.register(FLEET_SERVICE.read, () => this.readHere()));
+    this.others = new FleetWatch({
+      ...parts,
+      askedAtOnce: Infinity,
+      news: new ControlNews(this),
+    });
     this.tasks.start((signal) => this.runExpiry(signal));
   }
 
@@ -133,7 +173,14 @@
     }
   }
 
+  /** Takes over which boxes watch another control box. */
+  hearBoxes(records: readonly BoxRecord[], source: string): void {
+    this.boxesOfOthers.set(source, records);
+    this.othersRevision += 1;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.others[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
     this.tasks.abort();
     this.parts.changed.notify();
@@ -142,9 +189,7 @@
 
   private async watch(request: WatchRequest): Promise<WatchReply> {
     const {changed, clock} = this.parts;
-    if (this.boxes.hear(request.from, clock.now())) {
-      changed.notify();
-    }
+    this.boxes.hear(request.from, clock.now());
     const current = request.current ? (await this.readHere()).current : false;
     const until = clock.now() + request.waitMs;
     while (!this.hasNews(request) && clock.now() < until && !this.tasks.ended) {
@@ -158,33 +203,43 @@
     return this.newsFor(request, current);
   }
 
+  /** What can't wait; news of boxes go with the next answer. */
   private hasNews(request: WatchRequest): boolean {
     const {machine, self} = this.parts;
     const version = machine.stored?.configuration.version ?? -Infinity;
     return (
       request.incarnation !== self.incarnation ||
       version > request.configurationVersion ||
-      this.runners.revision > request.runnersRevision ||
-      this.boxes.revision > request.boxesRevision
+      this.runners.revision > request.runnersRevision
     );
   }
 
+  private get boxesRevision(): number {
+    return this.boxes.revision + this.othersRevision;
+  }
+
+  private boxesFor({role}: BoxRecord): readonly BoxRecord[] {
+    const own = [this.parts.self, ...this.boxes.records()];
+    if (role === BOX_ROLE.control) {
+      return own;
+    }
+    const all = [...this.boxesOfOthers.values()].flat().concat(own);
+    return [...new Map(all.map((record) => [record.box, record])).values()];
+  }
+
   private newsFor(request: WatchRequest, current: boolean): WatchReply {
-    const {machine, replica, self} = this.parts;
+    const {replica, self} = this.parts;
     const same = request.incarnation === self.incarnation;
     const runnersRevision = same ? request.runnersRevision : 0;
     const boxesRevision = same ? request.boxesRevision : -1;
-    const configuration = machine.stored?.configuration;
-    const newer =
-      configuration !== undefined &&
-      configuration.version > request.configurationVersion;
+    const news = this.configurationFor(request.configurationVersion);
     return {
+      ...news,
       boxes:
-        this.boxes.revision > boxesRevision
-          ? [self, ...this.boxes.records()]
+        this.boxesRevision > boxesRevision
+          ? this.boxesFor(request.from)
           : undefined,
-      boxesRevision: this.boxes.revision,
-      configuration: newer ? configuration : undefined,
+      boxesRevision: this.boxesRevision,
       current,
       incarnation: self.incarnation,
       leader: replica.leaderBox,
@@ -193,6 +248,20 @@
     };
   }
 
+  private configurationFor(
+    version: number,
+  ): Pick<WatchReply, 'configuration' | 'configurationChange'> {
+    const configuration = this.parts.machine.stored?.configuration;
+    if (configuration === undefined || configuration.version <= version) {
+      return {configuration: undefined, configurationChange: undefined};
+    }
+    this.history.add(configuration);
+    const configurationChange = this.history.changeSince(version);
+    return configurationChange === undefined
+      ? {configuration, configurationChange: undefined}
+      : {configuration: undefined, configurationChange};
+  }
+
   private async changeHere(stored: StoredConfiguration): Promise<ChangeReply> {
     const {version} = stored.configuration;
     const outcome = await this.propose<ConfigurationOutcome>({
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -7,6 +7,7 @@
 
 /** Messages between control boxes and edges. */
 import type {FleetConfiguration} from './Configuration';
+import type {ConfigurationChange} from './ConfigurationChange';
 import type {AllowanceAsk, AllowanceGrant} from './FleetMachine';
 import type {RunnerRecord} from './Runners';
 
@@ -53,10 +54,16 @@
 export interface WatchReply {
   readonly incarnation: string;
   readonly leader: string | undefined;
+  /** A newer configuration, unless the change to it is sent instead. */
   readonly configuration: FleetConfiguration | undefined;
+  /** What leads from the asking box's configuration to a newer one. */
+  readonly configurationChange: ConfigurationChange | undefined;
   readonly runners: readonly RunnerRecord[];
   readonly runnersRevision: number;
-  /** All live boxes, where that list has changed. */
+  /**
+   * Live boxes, where that list has changed: all of them for an edge, those
+   * that watch the answering box itself for another control box.
+   */
   readonly boxes: readonly BoxRecord[] | undefined;
   readonly boxesRevision: number;
   /** Whether a barrier was passed, where one was asked for. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -8,15 +8,20 @@
 /**
  * Keeps one box up to date: one task for each control box asks it for news and
  * is answered as soon as there are some. Control boxes are found from the
- * seeds, then from the answers. A silent one is asked again and again; nothing
- * learned is forgotten because control is silent.
+ * seeds, then from the answers. A box of a large fleet asks only a few of them
+ * at a time; the others stand by until one of these falls silent. A silent one
+ * is asked again and again; nothing learned is forgotten because control is
+ * silent.
  */
+import {createHash} from 'node:crypto';
+
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {TaskGroup} from 'shared';
+import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {FleetConfiguration} from './Configuration';
+import type {ConfigurationChange} from './ConfigurationChange';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import type {RunnerRecord} from './Runners';
@@ -44,8 +49,13 @@
     configuration: FleetConfiguration,
     source: string,
   ): void;
+  /** A change of the configuration held; ignored where another one is. */
+  abstract configurationChange(
+    change: ConfigurationChange,
+    source: string,
+  ): void;
   abstract runners(records: readonly RunnerRecord[], source: string): void;
-  abstract boxes(records: readonly BoxRecord[]): void;
+  abstract boxes(records: readonly BoxRecord[], source: string): void;
 }
 
 /** What a FleetWatch is made of. */
@@ -57,6 +67,8 @@
   readonly link: Link;
   readonly log: DecisionLog;
   readonly news: FleetNews;
+  /** Control boxes asked at a time once up to date; Infinity for all. */
+  readonly askedAtOnce: number;
 }
 
 interface Watched {
@@ -68,12 +80,18 @@
   reachable: boolean;
   /** Whether one answer rested on a barrier of the log. */
   current: boolean;
+  /** Whether the last call to it failed. */
+  silent: boolean;
+  /** Place in this box's order of control boxes; the lowest are asked. */
+  readonly rank: number;
 }
 
 /** See the module comment. */
 export class FleetWatch implements AsyncDisposable {
   private readonly watched = new Map<string, Watched>();
   private readonly tasks = new TaskGroup();
+  /** Notified when another control box may have to be asked. */
+  private readonly roles = new Condition();
   private leaderBox: string | undefined;
 
   constructor(private readonly parts: FleetWatchParts) {
@@ -132,8 +150,10 @@
       boxesRevision: -1,
       current: false,
       incarnation: '',
+      rank: rankOf(this.parts.self.box, box),
       reachable: false,
       runnersRevision: 0,
+      silent: false,
     };
     this.watched.set(box, watched);
     this.tasks.start((signal) => this.watch(watched, signal));
@@ -143,6 +163,10 @@
     const {clock, link} = this.parts;
     const startedAt = clock.now();
     while (!signal.aborted) {
+      if (!this.isAsked(watched)) {
+        await sleepUnlessNotified(clock, this.roles, WAIT_MS, signal);
+        continue;
+      }
       const answer = await link.call(
         watched.box,
         FLEET_SERVICE.watch,
@@ -168,6 +192,20 @@
     }
   }
 
+  /**
+   * Whether a control box is asked or stands by. Silent ones are asked too, so
+   * that their return shows; until one answer was current, all are asked.
+   */
+  private isAsked(watched: Watched): boolean {
+    if (watched.silent || !this.current) {
+      return true;
+    }
+    const ahead = [...this.watched.values()].filter(
+      ({rank, silent}) => !silent && rank < watched.rank,
+    );
+    return ahead.length < this.parts.askedAtOnce;
+  }
+
   private question(watched: Watched): WatchRequest {
     const {news, self} = this.parts;
     return {
@@ -192,6 +230,7 @@
       });
     }
     watched.reachable = true;
+    this.setSilent(watched, false);
     watched.answeredAt = clock.now();
     watched.incarnation = reply.incarnation;
     watched.runnersRevision = reply.runnersRevision;
@@ -200,25 +239,37 @@
     if (reply.configuration !== undefined && reply.configuration !== null) {
       news.configuration(reply.configuration, watched.box);
     }
+    const change = reply.configurationChange;
+    if (change !== undefined && change !== null) {
+      news.configurationChange(change, watched.box);
+    }
     if (reply.runners.length > 0) {
       news.runners(reply.runners, watched.box);
     }
     if (reply.boxes !== undefined && reply.boxes !== null) {
-      this.takeBoxes(reply.boxes);
+      this.takeBoxes(reply.boxes, watched.box);
     }
     watched.current ||= reply.current;
   }
 
-  private takeBoxes(boxes: readonly BoxRecord[]): void {
+  private takeBoxes(boxes: readonly BoxRecord[], source: string): void {
     for (const {box, role} of boxes) {
       if (role === BOX_ROLE.control) {
         this.add(box);
       }
     }
-    this.parts.news.boxes(boxes);
+    this.parts.news.boxes(boxes, source);
+  }
+
+  private setSilent(watched: Watched, silent: boolean): void {
+    if (watched.silent !== silent) {
+      watched.silent = silent;
+      this.roles.notify();
+    }
   }
 
   private lose(watched: Watched): void {
+    this.setSilent(watched, true);
     if (watched.reachable) {
       watched.reachable = false;
       this.parts.log.note({
@@ -236,3 +287,9 @@
       : Math.round(this.parts.clock.now() - answeredAt);
   }
 }
+
+/** Spreads boxes evenly over the control boxes that they ask. */
+function rankOf(asking: string, asked: string): number {
+  const text = `${asking} ${asked}`;
+  return createHash('md5').update(text).digest().readUInt32LE(0);
+}
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -11,8 +11,14 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {Condition, invariant, ManualClock, Random} from 'shared';
 
-import type {BoxRecord, FleetConfiguration, RunnerRecord} from '../../index';
+import type {
+  BoxRecord,
+  ConfigurationChange,
+  FleetConfiguration,
+  RunnerRecord,
+} from '../../index';
 import {
+  applyChange,
   BOX_ROLE,
   FleetControl,
   FleetMachine,
@@ -27,6 +33,7 @@
 
 class Notes extends FleetNews {
   held: FleetConfiguration | undefined;
+  changes = 0;
   found: RunnerRecord[] = [];
   others: BoxRecord[] = [];
 
@@ -38,6 +45,13 @@
     this.held = configuration;
   }
 
+  override configurationChange(change: ConfigurationChange): void {
+    if (this.held?.version === change.base) {
+      this.held = applyChange(this.held, change);
+      this.changes += 1;
+    }
+  }
+
   override runners(records: readonly RunnerRecord[]): void {
     this.found.push(...records);
   }
@@ -74,13 +88,23 @@
     const log = new SilentDecisionLog();
     controls.set(
       box,
-      new FleetControl({changed, clock, link, log, machine, replica, self}),
+      new FleetControl({
+        changed,
+        clock,
+        link,
+        log,
+        machine,
+        replica,
+        seeds: () => CONTROLS,
+        self,
+      }),
     );
   }
   await clock.advance(4_000);
   const watchFrom = (box: string) => {
     const news = new Notes();
     const watch = new FleetWatch({
+      askedAtOnce: 2,
       clock,
       link: network.connect(box),
       log: new SilentDecisionLog(),
@@ -175,4 +199,46 @@
     await clock.advance(2_500);
     expect(news.held?.version).toBe(9);
   });
+
+  test('sends an edge the change from the version that it holds', async () => {
+    const {clock, control, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1');
+    await clock.advance(1_500);
+    for (const version of [7, 9, 12]) {
+      const configuration = configurationOf(version);
+      const stored = {configuration, document: String(version)};
+      await settle(clock, control('c1:1').change(stored));
+      await clock.advance(200);
+      expect(news.held).toEqual(configuration);
+    }
+    expect(news.changes).toBe(2);
+  });
+
+  test('tells every edge of all others, whichever control they ask', async () => {
+    const {clock, watchFrom} = await startFleet();
+    const edges = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1'];
+    const watches = edges.map((box) => watchFrom(box));
+    await clock.advance(5_000);
+    for (const {news} of watches) {
+      const known = news.others.map(({box}) => box);
+      expect(known.sort()).toEqual([...CONTROLS, ...edges].sort());
+    }
+  });
+
+  test('asks another control box where one that it asked falls silent', async () => {
+    const {clock, control, network, watchFrom} = await startFleet();
+    const {news, watch} = watchFrom('e1:1');
+    await clock.advance(5_000);
+    for (const [at, box] of CONTROLS.entries()) {
+      network.partition(['e1:1'], [box]);
+      await clock.advance(3_000);
+      expect(watch.inTouch).toBe(true);
+      const configuration = configurationOf(20 + at);
+      const stored = {configuration, document: 'changed'};
+      await settle(clock, control(box).change(stored));
+      await clock.advance(300);
+      expect(news.held?.version).toBe(20 + at);
+      network.heal();
+    }
+  });
 });
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -19,6 +19,9 @@
   Tenant,
 } from './Configuration';
 export {checkConfiguration, REPETITION} from './Configuration';
+export type {ConfigurationChange} from './ConfigurationChange';
+export {applyChange, changeBetween} from './ConfigurationChange';
+export {ConfigurationHistory} from './ConfigurationHistory';
 export type {FleetControlParts} from './FleetControl';
 export {FleetControl} from './FleetControl';
 export type {
