--- a/packages/puffinturn-edge/src/CallerDialect.ts
+++ b/packages/puffinturn-edge/src/CallerDialect.ts
@@ -11,6 +11,8 @@
  * knows no name of any platform.
  */
 
+import type {LoadReport} from './RunnerLoad';
+
 /** Names of headers, in lower case. */
 export interface HeaderNames {
   readonly requestId: string;
@@ -58,6 +60,12 @@
     header: (name: string) => string | undefined,
   ): readonly PromptPart[];
 
+  /** Path of an engine's report of its load. */
+  abstract readonly reportPath: string;
+
+  /** The load that a report shows; undefined where it can't be read. */
+  abstract reportOf(this: void, body: string): LoadReport | undefined;
+
   /** The value of the priority header: 0 is the most urgent. */
   abstract priorityOf(tenant: number, route: number): number;
 }
--- a/packages/puffinturn-edge/src/EdgeRunner.ts
+++ b/packages/puffinturn-edge/src/EdgeRunner.ts
@@ -23,6 +23,7 @@
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
+import {RunnerLoad} from './RunnerLoad';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
@@ -46,6 +47,8 @@
   readonly prefixes = new KeptPrefixes();
   /** How fast it reads prompts, other callers' load included. */
   readonly speed: ReadingSpeed;
+  /** What it says of its load. */
+  readonly load: RunnerLoad;
   readonly host: string;
   readonly port: number;
   /** Part of the newest answers that were errors of the runner's own. */
@@ -62,6 +65,7 @@
   ) {
     this.hash = hashOf(record.id);
     this.speed = new ReadingSpeed(clock);
+    this.load = new RunnerLoad(clock);
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -35,6 +35,7 @@
 import type {EdgeRunner} from './EdgeRunner';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
+import {probeLoad} from './LoadProbe';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 import type {Placement, RunnerChoice} from './RunnerChoice';
@@ -61,6 +62,9 @@
 /** Least time left with which a request is sent to a runner, ms. */
 const LEAST_LEFT_MS = 10;
 
+/** Engines that are asked for their load before one request is sent. */
+const MAX_PROBES = 2;
+
 /** Part of the requests that a grey runner still gets. */
 const GREY_PROBES = 0.05;
 
@@ -229,7 +233,10 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.ended) {
-      const placement = this.choose(plan);
+      const placement = await this.place(plan);
+      if (this.ended) {
+        return;
+      }
       if (placement === undefined) {
         this.giveUp('no-runner');
         return;
@@ -250,6 +257,28 @@
     }
   }
 
+  /**
+   * Chooses a runner. An engine whose load this edge has not heard of lately is
+   * asked first, as all other edges send there too; the choice falls anew then.
+   */
+  private async place(plan: Plan): Promise<Placement | undefined> {
+    let placement = this.choose(plan);
+    if (plan.service.engine === undefined) {
+      return placement;
+    }
+    for (let probes = 0; probes < MAX_PROBES; probes += 1) {
+      if (placement === undefined || placement.runner.load.fresh) {
+        return placement;
+      }
+      await probeLoad(placement.runner, this.parts.dialect);
+      if (this.ended) {
+        return undefined;
+      }
+      placement = this.choose(plan);
+    }
+    return placement;
+  }
+
   private choose(plan: Plan): Placement | undefined {
     const {engineChoice, plainChoice, pool, zone} = this.parts;
     const {parts, service} = plan;
--- a/packages/puffinturn-edge/src/RunnerChoice.ts
+++ b/packages/puffinturn-edge/src/RunnerChoice.ts
@@ -157,10 +157,13 @@
       const kept = keptBy(candidate);
       const copied = copiedTokens(candidate, kept, keeper);
       const copy = copied === 0 ? 0 : COPY_SETUP_MS + copied * (copyMs ?? 0);
-      const toRead = Math.max(0, all - kept - copied) + candidate.pendingTokens;
-      const away = candidate.record.zone === zone ? 0 : OTHER_ZONE_MS;
-      const open = candidate.inFlight * OPEN_REQUEST_MS;
-      return toRead / candidate.speed.tokensPerMs + copy + open + away;
+      const {load, pendingTokens, record, speed} = candidate;
+      const ahead = Math.max(pendingTokens, load.backlogTokens);
+      const toRead = Math.max(0, all - kept - copied) + ahead;
+      const away = record.zone === zone ? 0 : OTHER_ZONE_MS;
+      const active = Math.max(candidate.inFlight, load.active);
+      const open = active * OPEN_REQUEST_MS + load.waitMs(record.slots);
+      return toRead / speed.tokensPerMs + copy + open + away;
     });
     if (runner === undefined) {
       return undefined;
--- a/packages/puffinturn-edge/src/__tests__/unit/RunnerChoice.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RunnerChoice.test.ts
@@ -78,6 +78,46 @@
   });
 });
 
+describe('ExpectedTime where engines copy from each other', () => {
+  const choice = new ExpectedTime();
+  const service = {
+    engine: {
+      copyMsPerToken: 0.001,
+      memoryTokens: 1,
+      slots: 4,
+      tokensPerEvent: 1,
+    },
+    maxConnections: 1,
+    name: 's',
+  };
+
+  test('copies a kept prompt where its keeper is busy', () => {
+    const runners = runnersOf(5);
+    const first = choice.place(runners, {...facts(), service});
+    expect(first?.prefixSource).toBeUndefined();
+    first!.runner.prefixes.sent(PARTS);
+    first!.runner.load.reported({active: 4, queued: 6, reading: 4});
+    const second = choice.place(runners, {...facts(), service});
+    expect(second?.runner).not.toBe(first?.runner);
+    expect(second?.prefixSource).toBe(first?.runner);
+    expect(second?.copiedTokens).toBe(6_000);
+  });
+
+  test('copies nothing that is soon read', () => {
+    const runners = runnersOf(2);
+    const parts = [
+      {id: 'cc', tokens: 100},
+      {id: 'dd', tokens: 100},
+    ];
+    const first = choice.place(runners, {...facts(parts), service});
+    first!.runner.prefixes.sent(parts);
+    first!.runner.load.reported({active: 4, queued: 6, reading: 4});
+    const second = choice.place(runners, {...facts(parts), service});
+    expect(second?.runner).not.toBe(first?.runner);
+    expect(second?.prefixSource).toBeUndefined();
+  });
+});
+
 describe('PrefixRendezvous', () => {
   test('bounds the load of one runner by the mean', () => {
     const runners = runnersOf(4);
