--- a/packages/puffinturn-cli/src/Explanation.ts
+++ b/packages/puffinturn-cli/src/Explanation.ts
@@ -7,8 +7,8 @@
 
 /**
  * Joins the decision lines of all processes into the history of one request:
- * its own lines, and what was decided shortly before about the runners that it
- * was sent to, its tenant's tokens, and the box that served it.
+ * its own lines, and what was decided shortly before about the upstreams that it
+ * was sent to, its team's tokens, and the box that served it.
  */
 import {readdir, readFile} from 'node:fs/promises';
 import {join} from 'node:path';
@@ -25,8 +25,8 @@
   readonly box: string;
   readonly event: string;
   readonly request?: string;
-  readonly runner?: string;
-  readonly tenant?: string;
+  readonly upstream?: string;
+  readonly team?: string;
 }
 
 /** Why there is no history. */
@@ -89,12 +89,12 @@
     return err({kind: 'no-such-request', message});
   }
   const end = Math.max(...own.map(({time}) => time));
-  const runners = new Set(own.flatMap(({runner}) => runner ?? []));
-  const tenants = new Set(own.flatMap(({tenant}) => tenant ?? []));
+  const upstreams = new Set(own.flatMap(({upstream}) => upstream ?? []));
+  const teams = new Set(own.flatMap(({team}) => team ?? []));
   const concerns = (line: LogLine): boolean =>
-    (line.runner !== undefined && runners.has(line.runner)) ||
-    (line.tenant !== undefined &&
-      tenants.has(line.tenant) &&
+    (line.upstream !== undefined && upstreams.has(line.upstream)) ||
+    (line.team !== undefined &&
+      teams.has(line.team) &&
       line.box === first.box) ||
     (line.box === first.box && BOX_EVENTS.has(line.event));
   const around = lines.filter((line) => {
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -22,43 +22,43 @@
 export interface RequestEnded extends RequestDecision {
   readonly event: 'request-ended';
   readonly route: string;
-  readonly tenant: string | undefined;
+  readonly team: string | undefined;
   readonly status: number;
-  /** Why, in one word; `served` for a runner's own answer. */
+  /** Why, in one word; `served` for an upstream's own answer. */
   readonly cause: string;
-  readonly runner: string | undefined;
+  readonly upstream: string | undefined;
   readonly attempts: number;
   readonly tookMs: number;
   readonly events: number;
-  /** Tokens charged to the tenant. */
+  /** Tokens charged to the team. */
   readonly charged: number;
 }
 
-/** One attempt at a runner that did not end in an answer. */
+/** One attempt at an upstream that did not end in an answer. */
 export interface AttemptFailed extends RequestDecision {
   readonly event: 'attempt-failed';
-  readonly runner: string;
+  readonly upstream: string;
   readonly cause: string;
-  /** Whether the runner may have begun work. */
+  /** Whether the upstream may have begun work. */
   readonly mayHaveRun: boolean;
   readonly retry: boolean;
-  /** Requests of this edge at that runner. */
+  /** Requests of this edge at that upstream. */
   readonly inFlight: number;
 }
 
-/** A runner was taken out of choice, or taken in again. */
-export interface RunnerJudged {
-  readonly event: 'runner-judged';
-  readonly runner: string;
+/** An upstream was taken out of choice, or taken in again. */
+export interface UpstreamJudged {
+  readonly event: 'upstream-judged';
+  readonly upstream: string;
   readonly usable: boolean;
   readonly cause: string;
   readonly failures: number;
 }
 
-/** A tenant's tokens moved into or out of this edge. */
+/** A team's tokens moved into or out of this edge. */
 export interface AllowanceMoved {
   readonly event: 'allowance-moved';
-  readonly tenant: string;
+  readonly team: string;
   readonly source: string;
   readonly amount: number;
   readonly held: number;
@@ -83,10 +83,10 @@
   readonly outcome: string;
 }
 
-/** A runner's registration changed. */
-export interface RunnerChanged {
-  readonly event: 'runner-changed';
-  readonly runner: string;
+/** An upstream's registration changed. */
+export interface UpstreamChanged {
+  readonly event: 'upstream-changed';
+  readonly upstream: string;
   readonly service: string;
   readonly address: string;
   readonly state: string;
@@ -128,5 +128,5 @@
   | ProcessChanged
   | RequestEnded
   | RoleChanged
-  | RunnerChanged
-  | RunnerJudged;
+  | UpstreamChanged
+  | UpstreamJudged;
--- a/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
+++ b/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
@@ -18,9 +18,9 @@
     events: 0,
     request: 'r',
     route: 'a',
-    runner: 'i',
+    upstream: 'i',
     status: 200,
-    tenant: 't',
+    team: 't',
     tookMs: 1,
     ...fields,
   };
@@ -44,9 +44,9 @@
     const {lines, log} = logWith(1_000, 10);
     for (let count = 0; count < 100; count += 1) {
       log.note(ended());
-      log.note(ended({cause: 'no-runner', request: `f${count}`}));
+      log.note(ended({cause: 'no-upstream', request: `f${count}`}));
     }
-    const failures = lines.filter(({cause}) => cause === 'no-runner');
+    const failures = lines.filter(({cause}) => cause === 'no-upstream');
     expect(failures).toHaveLength(100);
     expect(lines).toHaveLength(110);
     expect(lines[0]).toMatchObject({event: 'request-ended', request: 'r'});
--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -21,7 +21,7 @@
   BorrowRequest,
   Gift,
   GiveRequest,
-  Tenant,
+  Team,
 } from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
@@ -45,6 +45,8 @@
   held: 'held',
   /** The request does not fit into what is left of the budget. */
   exhausted: 'exhausted',
+  /** What is left is kept for more urgent requests. */
+  keptBack: 'kept-back',
   /** Who could tell can't be reached. */
   unavailable: 'unavailable',
 } as const;
@@ -66,7 +68,7 @@
   readonly peers: () => readonly string[];
 }
 
-/** Tokens of one tenant here. */
+/** Tokens of one team here. */
 class Account {
   /** Tokens here, reserved ones included. */
   held = 0;
@@ -90,7 +92,7 @@
   /** The most that a waiting request needs. */
   need = 0;
 
-  constructor(readonly tenant: string) {}
+  constructor(readonly team: string) {}
 
   get free(): number {
     return this.held - this.reserved;
@@ -112,6 +114,9 @@
 /** Least part of the window that a demand must have been measured for. */
 const LEAST_MEASURED = 0.15;
 
+/** Part of what is to be held that the least urgent requests must leave. */
+const KEPT_BACK = 0.25;
+
 /** Edges asked for tokens at the same time. */
 const BORROW_AT_ONCE = 3;
 
@@ -147,8 +152,8 @@
   }
 
   /** Takes over what a configuration says of budgets. */
-  configure(tenants: readonly Tenant[]): void {
-    for (const {name, prepaidTokens = 0} of tenants) {
+  configure(teams: readonly Team[]): void {
+    for (const {name, prepaidTokens = 0} of teams) {
       const account = this.accountOf(name);
       if (prepaidTokens !== account.prepaid) {
         // What is free goes back first where the budget was lowered.
@@ -162,17 +167,28 @@
   }
 
   /** Figures for metrics. */
-  status(): readonly {tenant: string; held: number; reserved: number}[] {
-    return [...this.accounts.values()].map(({held, reserved, tenant}) => ({
+  status(): readonly {team: string; held: number; reserved: number}[] {
+    return [...this.accounts.values()].map(({held, reserved, team}) => ({
       held,
       reserved,
-      tenant,
+      team,
     }));
   }
 
-  /** Sets tokens aside; waits a moment for more where there are too few. */
-  async reserve(tenant: string, tokens: number): Promise<ReserveOutcome> {
-    const account = this.accountOf(tenant);
+  /**
+   * Sets tokens aside; waits a moment for more where there are too few. While
+   * no more can be had from the core, a part of what is held is kept for
+   * requests that are more urgent: `rank` is 0 for the most urgent ones.
+   */
+  async reserve(
+    team: string,
+    tokens: number,
+    rank = 0,
+  ): Promise<ReserveOutcome> {
+    const account = this.accountOf(team);
+    if (this.isKeptBack(account, tokens, rank)) {
+      return RESERVE.keptBack;
+    }
     account.largest = Math.max(account.largest, tokens);
     if (this.take(account, tokens)) {
       return RESERVE.held;
@@ -203,8 +219,8 @@
   }
 
   /** Ends a reservation; the rest is free again. */
-  settle(tenant: string, reserved: number, spent: number): void {
-    const account = this.accountOf(tenant);
+  settle(team: string, reserved: number, spent: number): void {
+    const account = this.accountOf(team);
     account.reserved -= reserved;
     account.held -= spent;
     account.spent += spent;
@@ -244,7 +260,7 @@
         account.held -= amount;
         account.lent += amount;
         this.noteMove(account, 'given', -amount);
-        return {amount, tenant: account.tenant};
+        return {amount, team: account.team};
       });
     const {link, peers} = this.parts;
     for (const peer of peers()) {
@@ -272,16 +288,30 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
-  private accountOf(tenant: string): Account {
-    const known = this.accounts.get(tenant);
+  private accountOf(team: string): Account {
+    const known = this.accounts.get(team);
     if (known !== undefined) {
       return known;
     }
-    const account = new Account(tenant);
-    this.accounts.set(tenant, account);
+    const account = new Account(team);
+    this.accounts.set(team, account);
     return account;
   }
 
+  /**
+   * Whether tokens are kept for more urgent requests. One that does not fit at
+   * all goes on to be told so, as long as the core can tell.
+   */
+  private isKeptBack(account: Account, tokens: number, rank: number): boolean {
+    const dry = account.left !== undefined && account.left <= 0;
+    if (rank <= 0 || (!dry && this.coreAnswers)) {
+      return false;
+    }
+    const rest = account.free - tokens;
+    const kept = this.wantOf(account) * Math.min(1, rank) * KEPT_BACK;
+    return rest < kept && (rest >= 0 || !this.coreAnswers);
+  }
+
   private take(account: Account, tokens: number): boolean {
     if (account.free < tokens) {
       return false;
@@ -341,8 +371,8 @@
     account: Account,
     need: number,
   ): Promise<boolean> {
-    const {tenant} = account;
-    const request: BorrowRequest = {need, tenant};
+    const {team} = account;
+    const request: BorrowRequest = {need, team};
     const answer = await this.parts.link.call(
       peer,
       FLEET_SERVICE.borrow,
@@ -361,8 +391,8 @@
     return true;
   }
 
-  private lend({need, tenant}: BorrowRequest): BorrowReply {
-    const account = this.accounts.get(tenant);
+  private lend({need, team}: BorrowRequest): BorrowReply {
+    const account = this.accounts.get(team);
     const given = Math.max(0, Math.min(need, account?.free ?? 0));
     if (account !== undefined && given > 0) {
       account.held -= given;
@@ -373,8 +403,8 @@
   }
 
   private receive({gifts}: GiveRequest): null {
-    for (const {amount, tenant} of gifts) {
-      const account = this.accountOf(tenant);
+    for (const {amount, team} of gifts) {
+      const account = this.accountOf(team);
       account.held += amount;
       account.lent -= amount;
       this.noteMove(account, 'gift', amount);
@@ -469,10 +499,10 @@
     if (back > 0) {
       this.noteMove(account, 'returned', -back);
     }
-    const {lent, spent, tenant} = account;
+    const {lent, spent, team} = account;
     account.lent = 0;
     account.spent = 0;
-    return {back, lent, need, spent, tenant, want};
+    return {back, lent, need, spent, team, want};
   }
 
   /** An exchange whose answer was lost is sent again under its number. */
@@ -518,8 +548,8 @@
 
   private credit(grants: readonly AllowanceGrant[]): void {
     this.answeredSequence = this.sequence;
-    for (const {granted, left, tenant} of grants) {
-      const account = this.accountOf(tenant);
+    for (const {granted, left, team} of grants) {
+      const account = this.accountOf(team);
       account.held += granted;
       account.left = left;
       if (granted > 0) {
@@ -530,7 +560,7 @@
   }
 
   private noteMove(account: Account, source: string, amount: number): void {
-    const {held, left, reserved, tenant} = account;
+    const {held, left, reserved, team} = account;
     this.parts.log.note({
       amount,
       event: 'allowance-moved',
@@ -538,7 +568,7 @@
       left,
       reserved,
       source,
-      tenant,
+      team,
     });
   }
 }
--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -6,8 +6,8 @@
  */
 
 /**
- * Passes a runner's answer on to the caller. Short answers are checked whole
- * first; streams pass event by event and may go on with another runner's
+ * Passes an upstream's answer on to the caller. Short answers are checked whole
+ * first; streams pass event by event and may go on with another upstream's
  * answer under the head of the first.
  */
 import type {IncomingMessage} from 'node:http';
@@ -20,7 +20,7 @@
 
 /** How passing an answer on has ended. */
 export const RELAY = {
-  /** The runner broke off; nothing that looks complete was sent. */
+  /** The upstream broke off; nothing that looks complete was sent. */
   broken: 'broken',
   /** The request had ended by other means. */
   stopped: 'stopped',
@@ -42,7 +42,7 @@
     protected readonly onFirstByte: () => void,
   ) {}
 
-  /** The event after which another runner may go on. */
+  /** The event after which another upstream may go on. */
   get lastEventId(): string | undefined {
     return undefined;
   }
@@ -139,7 +139,7 @@
     answer: IncomingMessage,
     exchange: Exchange,
   ): Promise<RelayEnd> {
-    // Half an event of a former runner is not for this one to complete.
+    // Half an event of a former upstream is not for this one to complete.
     this.cutter.takeRest();
     const isStream =
       answer.statusCode === 200 &&
--- a/packages/puffinturn-edge/src/CallerDialect.ts
+++ b/packages/puffinturn-edge/src/CallerDialect.ts
@@ -7,29 +7,27 @@
 
 /**
  * What an edge needs to know of the protocol between callers, itself and
- * runners: names of headers, and facts read from a request. The edge itself
+ * upstreams: names of headers, and facts read from a request. The edge itself
  * knows no name of any platform.
  */
 
-import type {LoadReport} from './RunnerLoad';
-
 /** Names of headers, in lower case. */
 export interface HeaderNames {
   readonly requestId: string;
   readonly deadline: string;
   readonly key: string;
-  readonly tenant: string;
-  readonly expectedRunner: string;
+  readonly team: string;
+  readonly expectedUpstream: string;
   readonly priority: string;
   readonly lastEvent: string;
-  /** Address of a runner to copy the kept start of the prompt from. */
+  /** Address of an upstream to copy the kept start of the prompt from. */
   readonly prefixSource: string;
-  /** The runner's signature of an answer. */
+  /** The upstream's signature of an answer. */
   readonly seal: string;
-  /** Present where a runner did not run the request. */
+  /** Present where an upstream did not run the request. */
   readonly notRun: string;
   readonly retryAfter: string;
-  /** Further ones that only the edge may set towards runners. */
+  /** Further ones that only the edge may set towards upstreams. */
   readonly reserved: readonly string[];
 }
 
@@ -60,12 +58,6 @@
     header: (name: string) => string | undefined,
   ): readonly PromptPart[];
 
-  /** Path of an engine's report of its load. */
-  abstract readonly reportPath: string;
-
-  /** The load that a report shows; undefined where it can't be read. */
-  abstract reportOf(this: void, body: string): LoadReport | undefined;
-
   /** The value of the priority header: 0 is the most urgent. */
-  abstract priorityOf(tenant: number, route: number): number;
+  abstract priorityOf(team: number, route: number): number;
 }
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -7,7 +7,7 @@
 
 /**
  * An edge: takes callers' requests and serves them from the configuration, the
- * runners and the allowances that it holds, however long the core is away.
+ * upstreams and the allowances that it holds, however long the core is away.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
@@ -18,7 +18,7 @@
   BoxRecord,
   ConfigurationChange,
   FleetConfiguration,
-  RunnerRecord,
+  UpstreamRecord,
 } from 'puffinturn-fleet';
 import {applyChange, BOX_ROLE, FleetNews, FleetWatch} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
@@ -36,8 +36,8 @@
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
-import {ExpectedTime, FreeSlots} from './RunnerChoice';
-import {RunnerPool} from './RunnerPool';
+import {ExpectedTime, FreeSlots} from './UpstreamChoice';
+import {UpstreamPool} from './UpstreamPool';
 
 /** What an edge is made of. */
 export interface EdgeParts {
@@ -92,7 +92,7 @@
     this.edge.change(change, source);
   }
 
-  override runners(records: readonly RunnerRecord[], source: string): void {
+  override upstreams(records: readonly UpstreamRecord[], source: string): void {
     this.edge.pool.merge(records, source);
   }
 
@@ -104,7 +104,7 @@
 /** See the module comment. */
 export class Edge implements AsyncDisposable {
   readonly metrics = new EdgeMetrics();
-  readonly pool: RunnerPool;
+  readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
   private readonly watch: FleetWatch;
   private readonly forwarding: ForwardingParts;
@@ -123,7 +123,7 @@
     const {clock, link, log, random, self} = parts;
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
-    this.pool = new RunnerPool(clock, log);
+    this.pool = new UpstreamPool(clock, log);
     this.watch = new FleetWatch({
       askedAtOnce: CONTROLS_ASKED,
       clock,
@@ -156,7 +156,7 @@
         parts.retryBound,
         () => this.peers.length + 1,
       ),
-      zone: self.zone,
+      hall: self.hall,
     };
   }
 
@@ -200,7 +200,7 @@
       return;
     }
     this.table = new RouteTable(configuration);
-    this.allowances.configure(configuration.tenants ?? []);
+    this.allowances.configure(configuration.teams ?? []);
     this.listeners[0]?.limit(configuration.limits);
     this.metrics.configurationVersion.set(configuration.version);
     this.parts.log.note({
@@ -330,9 +330,9 @@
     }
     open.set(this.open);
     inTouch.set(this.watch.inTouch ? 1 : 0);
-    for (const {held, reserved, tenant} of this.allowances.status()) {
-      allowance.set({state: 'held', tenant}, held);
-      allowance.set({state: 'reserved', tenant}, reserved);
+    for (const {held, reserved, team} of this.allowances.status()) {
+      allowance.set({state: 'held', team}, held);
+      allowance.set({state: 'reserved', team}, reserved);
     }
     void registry.metrics().then((text) => {
       response.setHeader('Content-Type', registry.contentType);
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -7,7 +7,7 @@
 
 /** Figures of the edge, with unit and reason. */
 
-/** Time for a connection to a runner to come up, ms; a dark one never does. */
+/** Time for a connection to an upstream to come up, ms; a dark one never does. */
 export const CONNECT_MS = 400;
 
 /** Connections that never came up before a request is given up. */
@@ -16,19 +16,19 @@
 /** Answers up to this many bytes are checked whole before they are passed on. */
 export const WHOLE_ANSWER_BYTES = 256 * 1024;
 
-/** Idle connections to runners are closed after this time, ms. */
+/** Idle connections to upstreams are closed after this time, ms. */
 export const IDLE_CONNECTION_MS = 4_000;
 
-/** First pause of a runner that can't be reached, ms; doubles each time. */
+/** First pause of an upstream that can't be reached, ms; doubles each time. */
 export const FIRST_PAUSE_MS = 250;
 
-/** Longest pause of a runner that can't be reached, ms. */
+/** Longest pause of an upstream that can't be reached, ms. */
 export const LONGEST_PAUSE_MS = 2_000;
 
-/** Broken answers in a row after which a runner pauses. */
+/** Broken answers in a row after which an upstream pauses. */
 export const BROKEN_BEFORE_PAUSE = 2;
 
-/** Pause after a runner said that it is full, ms. */
+/** Pause after an upstream said that it is full, ms. */
 export const FULL_PAUSE_MS = 60;
 
 /** `Retry-After` of a request for which there was no room, s. */
@@ -46,10 +46,10 @@
 /** Requests to one engine beyond this share of the mean go elsewhere. */
 export const BOUNDED_LOAD = 1.25;
 
-/** Time that tokens held for a tenant should last, s; longer than most cuts. */
+/** Time that tokens held for a team should last, s; longer than most cuts. */
 export const ALLOWANCE_SECONDS = 10;
 
-/** Share of a tenant's prepaid tokens that all edges hold before any demand. */
+/** Share of a team's prepaid tokens that all edges hold before any demand. */
 export const ALLOWANCE_FLOOR_SHARE = 0.15;
 
 /** How often allowances are weighed, ms. */
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -23,7 +23,7 @@
     registers: [this.registry],
   });
   readonly attempts = new Counter({
-    help: 'Attempts at runners by service and outcome',
+    help: 'Attempts at upstreams by service and outcome',
     labelNames: ['service', 'outcome'],
     name: 'puffinturn_edge_attempts_total',
     registers: [this.registry],
@@ -46,8 +46,8 @@
     registers: [this.registry],
   });
   readonly allowance = new Gauge({
-    help: 'Prepaid tokens held here by tenant and state',
-    labelNames: ['tenant', 'state'],
+    help: 'Prepaid tokens held here by team and state',
+    labelNames: ['team', 'state'],
     name: 'puffinturn_edge_allowance_tokens',
     registers: [this.registry],
   });
--- a/packages/puffinturn-edge/src/EdgeRunner.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -5,13 +5,13 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** One runner as an edge sees it: its record, own load and health. */
+/** One upstream as an edge sees it: its record, own load and health. */
 import {createHash} from 'node:crypto';
 import {Agent} from 'node:http';
 
 import type {DecisionLog} from 'puffinturn-decisions';
-import type {RunnerRecord} from 'puffinturn-fleet';
-import {RUNNER_STATE} from 'puffinturn-fleet';
+import type {UpstreamRecord} from 'puffinturn-fleet';
+import {UPSTREAM_STATE} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 import {
@@ -23,7 +23,6 @@
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
-import {RunnerLoad} from './RunnerLoad';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
@@ -34,12 +33,12 @@
 }
 
 /** See the module comment. Disposing it ends all its connections. */
-export class EdgeRunner implements Disposable {
-  /** Requests of this edge that are open at the runner. */
+export class EdgeUpstream implements Disposable {
+  /** Requests of this edge that are open at the upstream. */
   inFlight = 0;
   /** Tokens of prompts that this edge has sent and that no event answers yet. */
   pendingTokens = 0;
-  /** Connections to the runner; idle ones are used again. */
+  /** Connections to the upstream; idle ones are used again. */
   readonly agent: Agent;
   /** Hash of the id, for rendezvous. */
   readonly hash: number;
@@ -47,25 +46,22 @@
   readonly prefixes = new KeptPrefixes();
   /** How fast it reads prompts, other callers' load included. */
   readonly speed: ReadingSpeed;
-  /** What it says of its load. */
-  readonly load: RunnerLoad;
   readonly host: string;
   readonly port: number;
-  /** Part of the newest answers that were errors of the runner's own. */
+  /** Part of the newest answers that were errors of the upstream's own. */
   errorRate = 0;
   private failures = 0;
   private pausedUntil = -Infinity;
   private replaced = false;
 
   constructor(
-    /** What the runner said of itself last. */
-    public record: RunnerRecord,
+    /** What the upstream said of itself last. */
+    public record: UpstreamRecord,
     private readonly clock: Clock,
     private readonly log: DecisionLog,
   ) {
     this.hash = hashOf(record.id);
     this.speed = new ReadingSpeed(clock);
-    this.load = new RunnerLoad(clock);
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
@@ -83,7 +79,7 @@
 
   /** Whether new requests may go there at all. */
   get serves(): boolean {
-    return this.record.state === RUNNER_STATE.ready && !this.replaced;
+    return this.record.state === UPSTREAM_STATE.ready && !this.replaced;
   }
 
   /** Whether it is out of choice for the moment. */
@@ -91,7 +87,7 @@
     return this.clock.now() < this.pausedUntil;
   }
 
-  /** Notes a whole answer that is an error; the runner itself may be sound. */
+  /** Notes a whole answer that is an error; the upstream itself may be sound. */
   answeredError(): void {
     this.errorRate += (1 - this.errorRate) * ERROR_WEIGHT;
   }
@@ -120,7 +116,7 @@
     }
   }
 
-  /** Notes that the runner had no room. */
+  /** Notes that the upstream had no room. */
   full(): void {
     this.pausedUntil = Math.max(
       this.pausedUntil,
@@ -128,7 +124,7 @@
     );
   }
 
-  /** Notes that another runner answers at this address. */
+  /** Notes that another upstream answers at this address. */
   isReplaced(): void {
     this.replaced = true;
     this.judge(false, 'replaced');
@@ -156,7 +152,13 @@
   }
 
   private judge(usable: boolean, cause: string): void {
-    const {failures, id: runner} = this;
-    this.log.note({cause, event: 'runner-judged', failures, runner, usable});
+    const {failures, id: upstream} = this;
+    this.log.note({
+      cause,
+      event: 'upstream-judged',
+      failures,
+      upstream,
+      usable,
+    });
   }
 }
--- a/packages/puffinturn-edge/src/EventStream.ts
+++ b/packages/puffinturn-edge/src/EventStream.ts
@@ -7,7 +7,7 @@
 
 /**
  * Cuts a stream of events after whole events, so that a stream that breaks in
- * the middle of one can go on at another runner. Bytes pass unchanged.
+ * the middle of one can go on at another upstream. Bytes pass unchanged.
  */
 
 const LINE_FEED = 0x0a;
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -6,8 +6,8 @@
  */
 
 /**
- * One attempt at one runner, up to the head of its answer. What can't be the
- * runner's answer to this very request is never passed on.
+ * One attempt at one upstream, up to the head of its answer. What can't be the
+ * upstream's answer to this very request is never passed on.
  */
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import {request as sendRequest} from 'node:http';
@@ -15,9 +15,11 @@
 
 import type {HeaderNames} from './CallerDialect';
 import {CONNECT_MS} from './EdgeConstants';
-import type {EdgeRunner} from './EdgeRunner';
+import type {EdgeUpstream} from './EdgeUpstream';
+import type {UpstreamConnection} from './UpstreamConnection';
+import {connectionOf} from './UpstreamConnection';
 
-/** The head of the runner's own answer is there. */
+/** The head of the upstream's own answer is there. */
 export interface AnswerOutcome {
   readonly kind: 'answer';
   readonly answer: IncomingMessage;
@@ -27,7 +29,7 @@
 /** How an attempt went. */
 export type ExchangeOutcome =
   | AnswerOutcome
-  /** The runner said that it did not run the request. */
+  /** The upstream said that it did not run the request. */
   | {readonly kind: 'rejected'; readonly status: number}
   /** No connection came up: nothing was sent. */
   | {readonly kind: 'unsent'; readonly cause: string}
@@ -36,7 +38,7 @@
 
 /** What is sent. */
 export interface ExchangeParts {
-  readonly runner: EdgeRunner;
+  readonly upstream: EdgeUpstream;
   readonly names: HeaderNames;
   readonly requestId: string;
   readonly method: string;
@@ -54,17 +56,18 @@
   private connected = false;
   private aborted: string | undefined;
   private harmed = false;
+  private connection: UpstreamConnection | undefined;
 
   constructor(private readonly parts: ExchangeParts) {
-    const {body, headers, method, path, runner} = parts;
+    const {body, headers, method, path, upstream} = parts;
     this.request = sendRequest({
-      agent: runner.agent,
+      agent: upstream.agent,
       // Node takes a flat list of names and values; its types know only maps.
       headers: headers as never,
-      host: runner.host,
+      host: upstream.host,
       method,
       path,
-      port: runner.port,
+      port: upstream.port,
       setHost: false,
     });
     this.outcome = new Promise((resolve) => this.follow(resolve));
@@ -76,7 +79,7 @@
    * then looks whole to the parser, and is not.
    */
   get broken(): boolean {
-    return this.harmed;
+    return this.harmed || this.connection?.harmed === true;
   }
 
   /** Ends the attempt and its connection. */
@@ -108,7 +111,7 @@
       clearTimeout(timer);
       // A break after the head shows on the answer itself.
       answer.on('error', () => (this.harmed = true));
-      this.watchForReset(answer.socket);
+      this.connection = connectionOf(answer.socket);
       resolve(this.judge(answer));
     });
     this.request.on('close', () => {
@@ -118,19 +121,6 @@
     });
   }
 
-  /**
-   * A reset that arrives together with the last bytes reaches Node as an end
-   * of the stream, since libuv reports a hang-up as an end after a partial
-   * read. The operating system knows no peer for a socket that was reset, but
-   * still one for a socket whose peer has ended in order.
-   */
-  private watchForReset(socket: Socket): void {
-    socket.on('error', () => (this.harmed = true));
-    socket.prependOnceListener('end', () => {
-      this.harmed ||= socket.remoteAddress === undefined;
-    });
-  }
-
   private judge(answer: IncomingMessage): ExchangeOutcome {
     const {names, requestId} = this.parts;
     const {headers, statusCode: status = 0} = answer;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -6,19 +6,19 @@
  */
 
 /**
- * Serves one request: finds its route, tenant and service, reserves tokens,
- * and sends it to runners until one has answered or no further try is allowed.
- * A request that may not be repeated is sent again only where the first runner
+ * Serves one request: finds its route, team and service, reserves tokens,
+ * and sends it to upstreams until one has answered or no further try is allowed.
+ * A request that may not be repeated is sent again only where the first upstream
  * surely did not run it.
  */
 import type {IncomingMessage} from 'node:http';
 
 import type {DecisionLog} from 'puffinturn-decisions';
-import type {Route, Service, Tenant} from 'puffinturn-fleet';
+import type {Route, Service, Team} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
 
-import type {Allowances} from './Allowances';
+import type {Allowances, ReserveOutcome} from './Allowances';
 import {RESERVE} from './Allowances';
 import type {AnswerRelay} from './AnswerRelay';
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
@@ -32,58 +32,54 @@
   RETRY_AFTER_TOKENS_S,
 } from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
-import type {EdgeRunner} from './EdgeRunner';
+import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
-import {probeLoad} from './LoadProbe';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
-import type {Placement, RunnerChoice} from './RunnerChoice';
-import type {RunnerPool} from './RunnerPool';
+import type {Placement, UpstreamChoice} from './UpstreamChoice';
+import type {UpstreamPool} from './UpstreamPool';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts {
-  readonly zone: string;
+  readonly hall: string;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: DecisionLog;
   readonly metrics: EdgeMetrics;
   readonly dialect: CallerDialect;
   readonly allowances: Allowances;
-  readonly pool: RunnerPool;
+  readonly pool: UpstreamPool;
   readonly retryBudgets: RetryBudgets;
-  readonly engineChoice: RunnerChoice;
-  readonly plainChoice: RunnerChoice;
+  readonly engineChoice: UpstreamChoice;
+  readonly plainChoice: UpstreamChoice;
 }
 
 /** Time after a deadline at which the final answer is sent, ms. */
 const FINAL_GRACE_MS = 20;
 
-/** Least time left with which a request is sent to a runner, ms. */
+/** Least time left with which a request is sent to an upstream, ms. */
 const LEAST_LEFT_MS = 10;
 
-/** Engines that are asked for their load before one request is sent. */
-const MAX_PROBES = 2;
-
-/** Part of the requests that a grey runner still gets. */
+/** Part of the requests that a grey upstream still gets. */
 const GREY_PROBES = 0.05;
 
-/** Status of a runner that is not the one that was meant. */
+/** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
 
-/** Events a runner may have made that did not arrive before a break. */
+/** Events an upstream may have made that did not arrive before a break. */
 const UNSEEN_EVENTS = 2;
 
 /** What a request is about, once its route is known. */
 interface Plan {
   readonly route: Route;
-  readonly tenant: Tenant | undefined;
+  readonly team: Team | undefined;
   readonly service: Service;
   readonly tokens: TokenBounds | undefined;
   readonly parts: readonly PromptPart[];
 }
 
-/** A prompt that a runner reads. */
+/** A prompt that an upstream reads. */
 interface Reading {
   readonly at: number;
   /** Tokens of this edge's prompts before it. */
@@ -97,8 +93,8 @@
   private body: Buffer = Buffer.alloc(0);
   private exchange: Exchange | undefined;
   private relay: AnswerRelay | undefined;
-  private runner: EdgeRunner | undefined;
-  private readonly tried = new Set<EdgeRunner>();
+  private upstream: EdgeUpstream | undefined;
+  private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
   private mayHaveRun = false;
@@ -145,8 +141,8 @@
     if (route === undefined) {
       return this.refuse(404, 'no-route');
     }
-    const tenant = table.tenantOf(caller.header(dialect.headers.key));
-    if (tenant === undefined && table.needsKey(route)) {
+    const team = table.teamOf(caller.header(dialect.headers.key));
+    if (team === undefined && table.needsKey(route)) {
       return this.refuse(401, 'unknown-key');
     }
     const service = table.serviceFor(route, random.fraction());
@@ -158,7 +154,7 @@
       parts: dialect.partsOf(header),
       route,
       service,
-      tenant,
+      team,
       tokens: dialect.tokensOf(header),
     };
   }
@@ -187,35 +183,49 @@
   // Tokens
 
   private async reserve(plan: Plan): Promise<boolean> {
-    const {service, tenant, tokens} = plan;
+    const {service, team, tokens} = plan;
     const counted =
-      service.engine !== undefined && tenant?.prepaidTokens !== undefined;
+      service.engine !== undefined && team?.prepaidTokens !== undefined;
     if (!counted || tokens === undefined) {
       return true;
     }
     const most = tokens.prompt + tokens.most;
-    const outcome = await this.parts.allowances.reserve(tenant.name, most);
+    const outcome = await this.parts.allowances.reserve(
+      team.name,
+      most,
+      this.table.rankOf(plan.route),
+    );
     if (outcome === RESERVE.held) {
       this.reserved = most;
       return !this.ended;
     }
     if (!this.ended) {
-      const exhausted = outcome === RESERVE.exhausted;
-      this.refuse(
-        exhausted ? 402 : 503,
-        exhausted ? 'budget-exhausted' : 'budget-unreachable',
-        exhausted ? undefined : RETRY_AFTER_TOKENS_S,
-      );
+      this.refuseTokens(outcome);
     }
     return false;
   }
 
+  private refuseTokens(
+    outcome: Exclude<ReserveOutcome, typeof RESERVE.held>,
+  ): void {
+    switch (outcome) {
+      case RESERVE.exhausted:
+        this.refuse(402, 'budget-exhausted');
+        return;
+      case RESERVE.keptBack:
+        this.refuse(503, 'budget-kept-back', RETRY_AFTER_TOKENS_S);
+        return;
+      case RESERVE.unavailable:
+        this.refuse(503, 'budget-unreachable', RETRY_AFTER_TOKENS_S);
+    }
+  }
+
   private settle(plan: Plan): number {
-    if (this.reserved === 0 || plan.tenant === undefined) {
+    if (this.reserved === 0 || plan.team === undefined) {
       return 0;
     }
     const charged = Math.min(this.reserved, this.cost(plan));
-    this.parts.allowances.settle(plan.tenant.name, this.reserved, charged);
+    this.parts.allowances.settle(plan.team.name, this.reserved, charged);
     return charged;
   }
 
@@ -233,12 +243,9 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.ended) {
-      const placement = await this.place(plan);
-      if (this.ended) {
-        return;
-      }
+      const placement = this.choose(plan);
       if (placement === undefined) {
-        this.giveUp('no-runner');
+        this.giveUp('no-upstream');
         return;
       }
       if (this.leftMs(plan.route) < LEAST_LEFT_MS) {
@@ -250,54 +257,32 @@
         return;
       }
       const outcome = await this.attempt(plan, placement);
-      const done = await this.take(plan, placement.runner, outcome);
+      const done = await this.take(plan, placement.upstream, outcome);
       if (done) {
         return;
       }
     }
   }
 
-  /**
-   * Chooses a runner. An engine whose load this edge has not heard of lately is
-   * asked first, as all other edges send there too; the choice falls anew then.
-   */
-  private async place(plan: Plan): Promise<Placement | undefined> {
-    let placement = this.choose(plan);
-    if (plan.service.engine === undefined) {
-      return placement;
-    }
-    for (let probes = 0; probes < MAX_PROBES; probes += 1) {
-      if (placement === undefined || placement.runner.load.fresh) {
-        return placement;
-      }
-      await probeLoad(placement.runner, this.parts.dialect);
-      if (this.ended) {
-        return undefined;
-      }
-      placement = this.choose(plan);
-    }
-    return placement;
-  }
-
   private choose(plan: Plan): Placement | undefined {
-    const {engineChoice, plainChoice, pool, zone} = this.parts;
+    const {engineChoice, plainChoice, pool, hall} = this.parts;
     const {parts, service} = plan;
     const untried = pool
       .serving(service.name)
-      .filter((runner) => !this.tried.has(runner));
+      .filter((upstream) => !this.tried.has(upstream));
     const calm = untried.filter(({paused}) => !paused);
     const greyAbove = pool.greyErrorRate(service.name);
-    const sound = calm.filter((runner) => !this.avoids(runner, greyAbove));
+    const sound = calm.filter((upstream) => !this.avoids(upstream, greyAbove));
     const candidates = [sound, calm, untried].find(({length}) => length > 0);
     if (candidates === undefined) {
       return undefined;
     }
     const choice = service.engine === undefined ? plainChoice : engineChoice;
-    return choice.place(candidates, {parts, service, zone});
+    return choice.place(candidates, {parts, service, hall});
   }
 
-  /** A grey runner gets few requests, enough to show when it has recovered. */
-  private avoids({errorRate}: EdgeRunner, greyAbove: number): boolean {
+  /** A grey upstream gets few requests, enough to show when it has recovered. */
+  private avoids({errorRate}: EdgeUpstream, greyAbove: number): boolean {
     return errorRate > greyAbove && this.parts.random.fraction() > GREY_PROBES;
   }
 
@@ -318,11 +303,11 @@
     placement: Placement,
   ): Promise<ExchangeOutcome> {
     const {dialect} = this.parts;
-    const {runner} = placement;
-    this.runner = runner;
-    this.tried.add(runner);
+    const {upstream} = placement;
+    this.upstream = upstream;
+    this.tried.add(upstream);
     this.attempts += 1;
-    runner.inFlight += 1;
+    upstream.inFlight += 1;
     const reading = this.startReading(plan, placement);
     const exchange = new Exchange({
       body: this.body,
@@ -331,13 +316,13 @@
       names: dialect.headers,
       path: this.caller.path,
       requestId: this.caller.id,
-      runner,
+      upstream,
     });
     this.exchange = exchange;
     const outcome = await exchange.outcome;
-    this.endReading(runner, reading, outcome);
+    this.endReading(upstream, reading, outcome);
     if (outcome.kind !== 'answer') {
-      runner.inFlight -= 1;
+      upstream.inFlight -= 1;
     }
     this.parts.metrics.attempts.inc({
       outcome: outcome.kind,
@@ -346,32 +331,35 @@
     return outcome;
   }
 
-  /** Tokens that the runner must read before the first event. */
+  /** Tokens that the upstream must read before the first event. */
   private startReading(
     {parts}: Plan,
-    {copiedTokens, runner}: Placement,
+    {copiedTokens, upstream}: Placement,
   ): Reading {
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-    const kept = runner.prefixes.keptOf(parts) + copiedTokens;
+    const kept = upstream.prefixes.keptOf(parts) + copiedTokens;
     const tokens = Math.max(0, all - kept);
-    const ahead = runner.pendingTokens;
-    runner.pendingTokens += tokens;
+    const ahead = upstream.pendingTokens;
+    upstream.pendingTokens += tokens;
     return {ahead, at: this.parts.clock.now(), tokens};
   }
 
   private endReading(
-    runner: EdgeRunner,
+    upstream: EdgeUpstream,
     {ahead, at, tokens}: Reading,
     outcome: ExchangeOutcome,
   ): void {
-    runner.pendingTokens -= tokens;
+    upstream.pendingTokens -= tokens;
     if (outcome.kind === 'answer' && this.plan !== undefined) {
-      runner.speed.measured(ahead + tokens, this.parts.clock.now() - at);
-      runner.prefixes.sent(this.plan.parts);
+      upstream.speed.measured(ahead + tokens, this.parts.clock.now() - at);
+      upstream.prefixes.sent(this.plan.parts);
     }
   }
 
-  private headersFor(plan: Plan, {prefixSource, runner}: Placement): string[] {
+  private headersFor(
+    plan: Plan,
+    {prefixSource, upstream}: Placement,
+  ): string[] {
     const {dialect} = this.parts;
     const {headers: names} = dialect;
     const {rawHeaders, headers} = this.caller.incoming;
@@ -379,11 +367,11 @@
       'content-length',
       'expect',
       names.deadline,
-      names.expectedRunner,
+      names.expectedUpstream,
       names.key,
       names.prefixSource,
       names.priority,
-      names.tenant,
+      names.team,
       ...names.reserved,
     ]);
     const resumeAt = this.relay?.lastEventId;
@@ -401,13 +389,13 @@
     }
     const left = Math.max(1, Math.floor(this.leftMs(plan.route)));
     sent.push(names.deadline, String(left));
-    sent.push(names.expectedRunner, runner.id);
-    if (plan.tenant !== undefined) {
-      sent.push(names.tenant, plan.tenant.name);
+    sent.push(names.expectedUpstream, upstream.id);
+    if (plan.team !== undefined) {
+      sent.push(names.team, plan.team.name);
     }
     if (plan.service.engine !== undefined) {
       const rank = dialect.priorityOf(
-        plan.tenant?.priority ?? 0,
+        plan.team?.priority ?? 0,
         plan.route.priority,
       );
       sent.push(names.priority, String(rank));
@@ -431,43 +419,43 @@
   /** Acts on an outcome; true when the request has come to its end. */
   private async take(
     plan: Plan,
-    runner: EdgeRunner,
+    upstream: EdgeUpstream,
     outcome: ExchangeOutcome,
   ): Promise<boolean> {
     switch (outcome.kind) {
       case 'answer':
         this.mayHaveRun = true;
-        return this.pass(plan, runner, outcome);
+        return this.pass(plan, upstream, outcome);
       case 'rejected':
         if (outcome.status === MISDIRECTED) {
-          // Another runner answered; the one that was meant got nothing.
+          // Another upstream answered; the one that was meant got nothing.
           this.attempts -= 1;
           this.unsent += 1;
-          runner.isReplaced();
+          upstream.isReplaced();
         } else {
-          runner.full();
+          upstream.full();
         }
-        return this.again(plan, runner, `rejected-${outcome.status}`, true);
+        return this.again(plan, upstream, `rejected-${outcome.status}`, true);
       case 'unsent':
         this.attempts -= 1;
         this.unsent += 1;
         if (!this.ended) {
-          runner.unreachable();
+          upstream.unreachable();
         }
-        return this.again(plan, runner, outcome.cause, true);
+        return this.again(plan, upstream, outcome.cause, true);
       case 'broken':
         this.mayHaveRun = true;
         if (!this.ended) {
-          runner.broke(outcome.cause);
+          upstream.broke(outcome.cause);
         }
-        return this.again(plan, runner, outcome.cause, false);
+        return this.again(plan, upstream, outcome.cause, false);
     }
   }
 
   /** Whether to try again; where not, the final answer is sent at once. */
   private again(
     {route}: Plan,
-    runner: EdgeRunner,
+    upstream: EdgeUpstream,
     cause: string,
     notRun: boolean,
   ): boolean {
@@ -481,11 +469,11 @@
       cause,
       configuration: this.table.version,
       event: 'attempt-failed',
-      inFlight: runner.inFlight,
+      inFlight: upstream.inFlight,
       mayHaveRun: !notRun,
       request: this.caller.id,
       retry,
-      runner: runner.id,
+      upstream: upstream.id,
     });
     if (!retry && !this.ended) {
       this.giveUp(cause);
@@ -495,44 +483,48 @@
 
   private async pass(
     plan: Plan,
-    runner: EdgeRunner,
+    upstream: EdgeUpstream,
     {answer, exchange}: AnswerOutcome,
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
     const ended = await relay
-      .pass(answer, exchange, this.retriesError(plan, runner, status))
-      .finally(() => (runner.inFlight -= 1));
+      .pass(answer, exchange, this.retriesError(plan, upstream, status))
+      .finally(() => (upstream.inFlight -= 1));
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
-          runner.succeeded();
+          upstream.succeeded();
         } else {
-          runner.answeredError();
+          upstream.answeredError();
         }
         this.end('served');
         return true;
       case RELAY.stopped:
         return true;
       case RELAY.broken:
-        return this.afterBreak(plan, runner, status);
+        return this.afterBreak(plan, upstream, status);
     }
   }
 
-  private afterBreak(plan: Plan, runner: EdgeRunner, status: number): boolean {
+  private afterBreak(
+    plan: Plan,
+    upstream: EdgeUpstream,
+    status: number,
+  ): boolean {
     if (status >= 500) {
-      runner.answeredError();
-      return this.again(plan, runner, `status-${status}`, false);
+      upstream.answeredError();
+      return this.again(plan, upstream, `status-${status}`, false);
     }
     this.exchange?.abort('broke-off');
-    runner.broke('broke-off');
-    return this.again(plan, runner, 'broke-off', false);
+    upstream.broke('broke-off');
+    return this.again(plan, upstream, 'broke-off', false);
   }
 
-  /** An error is tried elsewhere only where the runner is its likely cause. */
+  /** An error is tried elsewhere only where the upstream is its likely cause. */
   private retriesError(
     {route}: Plan,
-    runner: EdgeRunner,
+    upstream: EdgeUpstream,
     status: number,
   ): boolean {
     return (
@@ -540,7 +532,7 @@
       status !== 504 &&
       route.repetition !== REPETITION.never &&
       this.attempts < route.maxAttempts &&
-      this.parts.pool.isGrey(runner)
+      this.parts.pool.isGrey(upstream)
     );
   }
 
@@ -612,7 +604,7 @@
   }
 
   private note(charged = 0): void {
-    const {attempts, caller, cause, plan, relay, runner, table} = this;
+    const {attempts, caller, cause, plan, relay, upstream, table} = this;
     const {clock, log, metrics} = this.parts;
     const status = caller.response.headersSent ? caller.response.statusCode : 0;
     const route = plan?.route.name ?? '';
@@ -626,9 +618,9 @@
       events: relay?.events ?? 0,
       request: caller.id,
       route,
-      runner: runner?.id,
+      upstream: upstream?.id,
       status,
-      tenant: plan?.tenant?.name,
+      team: plan?.team?.name,
       tookMs: Math.round(clock.now() - caller.startedAt),
     });
   }
--- a/packages/puffinturn-edge/src/KeptPrefixes.ts
+++ b/packages/puffinturn-edge/src/KeptPrefixes.ts
@@ -6,14 +6,14 @@
  */
 
 /**
- * The parts of prompts that one runner is taken to keep in its memory, since
+ * The parts of prompts that one upstream is taken to keep in its memory, since
  * this edge sent them there lately. A part counts only behind the same parts.
  */
 import {LRUCache} from 'lru-cache';
 
 import type {PromptPart} from './CallerDialect';
 
-/** Chains remembered for each runner. */
+/** Chains remembered for each upstream. */
 const MAX_CHAINS = 512;
 
 /** See the module comment. */
--- a/packages/puffinturn-edge/src/ReadingSpeed.ts
+++ b/packages/puffinturn-edge/src/ReadingSpeed.ts
@@ -6,10 +6,10 @@
  */
 
 /**
- * How fast a runner reads prompts, as the time to first tokens shows it. The
+ * How fast an upstream reads prompts, as the time to first tokens shows it. The
  * time holds what other callers put before the request, so the figure is the
  * speed that the next request may expect. Without news it goes back to the
- * usual, so that a runner that was slow is tried again.
+ * usual, so that an upstream that was slow is tried again.
  */
 import type {Clock} from 'shared';
 
--- a/packages/puffinturn-edge/src/RouteTable.ts
+++ b/packages/puffinturn-edge/src/RouteTable.ts
@@ -5,21 +5,23 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Looks up routes by host and path, and tenants by key. */
-import type {
-  FleetConfiguration,
-  Route,
-  Service,
-  Tenant,
-} from 'puffinturn-fleet';
+/** Looks up routes by host and path, and teams by key. */
+import type {FleetConfiguration, Route, Service, Team} from 'puffinturn-fleet';
+
+/** Priorities of the routes of one service. */
+interface PriorityRange {
+  readonly most: number;
+  readonly least: number;
+}
 
 /** One configuration, prepared for look-ups. */
 export class RouteTable {
   /** The version in force. */
   readonly version: number;
   private readonly byHost = new Map<string, Route[]>();
-  private readonly byKey = new Map<string, Tenant>();
+  private readonly byKey = new Map<string, Team>();
   private readonly byName = new Map<string, Service>();
+  private readonly priorities = new Map<string, PriorityRange>();
 
   constructor(readonly configuration: FleetConfiguration) {
     this.version = configuration.version;
@@ -28,13 +30,14 @@
       const routes = this.byHost.get(host) ?? [];
       routes.push(route);
       this.byHost.set(host, routes);
+      this.widenPriorities(route);
     }
     for (const routes of this.byHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    for (const tenant of configuration.tenants ?? []) {
-      for (const key of tenant.keys) {
-        this.byKey.set(key, tenant);
+    for (const team of configuration.teams ?? []) {
+      for (const key of team.keys) {
+        this.byKey.set(key, team);
       }
     }
     for (const service of configuration.services) {
@@ -49,13 +52,24 @@
       ?.find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
 
+  /**
+   * How urgent a route is among the routes of its first service: 0 for the most
+   * urgent, 1 for the least urgent ones.
+   */
+  rankOf({priority, targets}: Route): number {
+    const range = this.priorities.get(targets[0]?.service ?? '');
+    return range === undefined || range.least === range.most
+      ? 0
+      : (priority - range.most) / (range.least - range.most);
+  }
+
   /** Whether a request of this route must carry a key. */
   needsKey(route: Route): boolean {
-    return this.configuration.tenants !== undefined && !route.anonymous;
+    return this.configuration.teams !== undefined && !route.anonymous;
   }
 
-  /** The tenant that holds a key. */
-  tenantOf(key: string | undefined): Tenant | undefined {
+  /** The team that holds a key. */
+  teamOf(key: string | undefined): Team | undefined {
     return key === undefined ? undefined : this.byKey.get(key);
   }
 
@@ -76,4 +90,14 @@
     }
     return undefined;
   }
+
+  private widenPriorities({priority, targets}: Route): void {
+    for (const {service} of targets) {
+      const known = this.priorities.get(service);
+      this.priorities.set(service, {
+        least: Math.max(priority, known?.least ?? priority),
+        most: Math.min(priority, known?.most ?? priority),
+      });
+    }
+  }
 }
--- a/packages/puffinturn-edge/src/RunnerChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -5,58 +5,60 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Which runner a request goes to. */
+/** Which upstream a request goes to. */
 import type {Service} from 'puffinturn-fleet';
 import type {Random} from 'shared';
 
 import type {PromptPart} from './CallerDialect';
 import {BOUNDED_LOAD} from './EdgeConstants';
-import type {EdgeRunner} from './EdgeRunner';
-import {hashOf} from './EdgeRunner';
+import type {EdgeUpstream} from './EdgeUpstream';
+import {hashOf} from './EdgeUpstream';
 
 /** What a choice may look at. */
 export interface ChoiceFacts {
   readonly service: Service;
-  readonly zone: string;
+  readonly hall: string;
   readonly parts: readonly PromptPart[];
 }
 
 /** Where a request goes. */
 export interface Placement {
-  readonly runner: EdgeRunner;
-  /** A runner to copy the start of the prompt from, instead of reading it. */
-  readonly prefixSource: EdgeRunner | undefined;
-  /** Tokens that the runner copies from there. */
+  readonly upstream: EdgeUpstream;
+  /** An upstream to copy the start of the prompt from, instead of reading it. */
+  readonly prefixSource: EdgeUpstream | undefined;
+  /** Tokens that the upstream copies from there. */
   readonly copiedTokens: number;
 }
 
-/** Picks one of several runners, all of which would take the request. */
-export abstract class RunnerChoice {
-  /** The runner; undefined where there is no candidate. */
+/** Picks one of several upstreams, all of which would take the request. */
+export abstract class UpstreamChoice {
+  /** The upstream; undefined where there is no candidate. */
   abstract choose(
-    candidates: readonly EdgeRunner[],
+    candidates: readonly EdgeUpstream[],
     facts: ChoiceFacts,
-  ): EdgeRunner | undefined;
+  ): EdgeUpstream | undefined;
 
-  /** The runner, and where it should copy a kept prompt from. */
+  /** The upstream, and where it should copy a kept prompt from. */
   place(
-    candidates: readonly EdgeRunner[],
+    candidates: readonly EdgeUpstream[],
     facts: ChoiceFacts,
   ): Placement | undefined {
-    const runner = this.choose(candidates, facts);
-    return runner === undefined
+    const upstream = this.choose(candidates, facts);
+    return upstream === undefined
       ? undefined
-      : {copiedTokens: 0, prefixSource: undefined, runner};
+      : {copiedTokens: 0, prefixSource: undefined, upstream};
   }
 }
 
-/** Baseline: the runner with the fewest own requests. */
-export class LeastInFlight extends RunnerChoice {
+/** Baseline: the upstream with the fewest own requests. */
+export class LeastInFlight extends UpstreamChoice {
   constructor(private readonly random: Random) {
     super();
   }
 
-  override choose(candidates: readonly EdgeRunner[]): EdgeRunner | undefined {
+  override choose(
+    candidates: readonly EdgeUpstream[],
+  ): EdgeUpstream | undefined {
     return lowest(
       candidates,
       ({inFlight}) => inFlight + this.random.fraction() / 2,
@@ -64,24 +66,24 @@
   }
 }
 
-/** What a runner of another zone must be ahead by, in requests a slot. */
-const OTHER_ZONE_SLOTS = 0.34;
+/** What an upstream of another hall must be ahead by, in requests a slot. */
+const OTHER_HALL_SLOTS = 0.34;
 
 /**
- * For services with few slots: the lowest load for the slots there are, runners
- * of the own zone first while they have room.
+ * For services with few slots: the lowest load for the slots there are, upstreams
+ * of the own hall first while they have room.
  */
-export class FreeSlots extends RunnerChoice {
+export class FreeSlots extends UpstreamChoice {
   constructor(private readonly random: Random) {
     super();
   }
 
   override choose(
-    candidates: readonly EdgeRunner[],
-    {zone}: ChoiceFacts,
-  ): EdgeRunner | undefined {
+    candidates: readonly EdgeUpstream[],
+    {hall}: ChoiceFacts,
+  ): EdgeUpstream | undefined {
     return lowest(candidates, ({inFlight, record}) => {
-      const away = record.zone === zone ? 0 : OTHER_ZONE_SLOTS;
+      const away = record.hall === hall ? 0 : OTHER_HALL_SLOTS;
       const load = inFlight / Math.max(1, record.slots);
       return load + away + this.random.fraction() / 100;
     });
@@ -90,13 +92,13 @@
 
 /**
  * Baseline for model engines: rendezvous of the shared parts of the prompt over
- * the runners, with the number of own requests at each bounded by the mean.
+ * the upstreams, with the number of own requests at each bounded by the mean.
  */
-export class PrefixRendezvous extends RunnerChoice {
+export class PrefixRendezvous extends UpstreamChoice {
   override choose(
-    candidates: readonly EdgeRunner[],
+    candidates: readonly EdgeUpstream[],
     {parts}: ChoiceFacts,
-  ): EdgeRunner | undefined {
+  ): EdgeUpstream | undefined {
     const key = hashOf(sharedKey(parts));
     const total = candidates.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const bound = (total / Math.max(1, candidates.length)) * BOUNDED_LOAD + 1;
@@ -105,10 +107,10 @@
   }
 }
 
-/** What a runner of another zone must be ahead by, ms. */
-const OTHER_ZONE_MS = 4;
+/** What an upstream of another hall must be ahead by, ms. */
+const OTHER_HALL_MS = 4;
 
-/** What each open request at a runner adds to the time of another one, ms. */
+/** What each open request at an upstream adds to the time of another one, ms. */
 const OPEN_REQUEST_MS = 0.6;
 
 /** Time to set one copy up, ms; engines name no figure for it. */
@@ -117,80 +119,83 @@
 /** Copies of fewer tokens than this are not worth their set-up. */
 const LEAST_COPIED_TOKENS = 256;
 
-/** How much of a prompt one runner keeps, and another one lacks. */
+/** How much of a prompt one upstream keeps, and another one lacks. */
 interface Keeper {
-  readonly runner: EdgeRunner;
+  readonly upstream: EdgeUpstream;
   readonly tokens: number;
 }
 
 /**
- * For model engines: the runner where the first token is expected soonest.
- * What must be read is the prompt without the parts that the runner keeps, and
+ * For model engines: the upstream where the first token is expected soonest.
+ * What must be read is the prompt without the parts that the upstream keeps, and
  * the prompts before it that no event has answered; how fast is learned from
- * answers and so holds the load that other edges put on the runner. The shared
+ * answers and so holds the load that other edges put on the upstream. The shared
  * parts are taken to be kept where this edge sent them lately, and at the
- * runner that all edges agree on by rendezvous. Where engines copy from each
- * other, another runner may copy what the best keeper has.
+ * upstream that all edges agree on by rendezvous. Where engines copy from each
+ * other, another upstream may copy what the best keeper has.
  */
-export class ExpectedTime extends RunnerChoice {
+export class ExpectedTime extends UpstreamChoice {
   override choose(
-    candidates: readonly EdgeRunner[],
+    candidates: readonly EdgeUpstream[],
     facts: ChoiceFacts,
-  ): EdgeRunner | undefined {
-    return this.place(candidates, facts)?.runner;
+  ): EdgeUpstream | undefined {
+    return this.place(candidates, facts)?.upstream;
   }
 
   override place(
-    candidates: readonly EdgeRunner[],
-    {parts, service, zone}: ChoiceFacts,
+    candidates: readonly EdgeUpstream[],
+    {parts, service, hall}: ChoiceFacts,
   ): Placement | undefined {
     const key = hashOf(sharedKey(parts));
     const agreed = lowest(candidates, ({hash}) => -mix(hash, key));
     const shared = sharedTokens(parts);
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-    const keptBy = (runner: EdgeRunner): number =>
-      Math.max(runner === agreed ? shared : 0, runner.prefixes.keptOf(parts));
+    const keptBy = (upstream: EdgeUpstream): number =>
+      Math.max(
+        upstream === agreed ? shared : 0,
+        upstream.prefixes.keptOf(parts),
+      );
     const copyMs = service.engine?.copyMsPerToken;
     const keeper =
       copyMs === undefined ? undefined : bestKeeper(candidates, keptBy);
-    const runner = lowest(candidates, (candidate) => {
+    const upstream = lowest(candidates, (candidate) => {
       const kept = keptBy(candidate);
       const copied = copiedTokens(candidate, kept, keeper);
       const copy = copied === 0 ? 0 : COPY_SETUP_MS + copied * (copyMs ?? 0);
-      const {load, pendingTokens, record, speed} = candidate;
-      const ahead = Math.max(pendingTokens, load.backlogTokens);
-      const toRead = Math.max(0, all - kept - copied) + ahead;
-      const away = record.zone === zone ? 0 : OTHER_ZONE_MS;
-      const active = Math.max(candidate.inFlight, load.active);
-      const open = active * OPEN_REQUEST_MS + load.waitMs(record.slots);
+      const {inFlight, pendingTokens, record, speed} = candidate;
+      const toRead = Math.max(0, all - kept - copied) + pendingTokens;
+      const away = record.hall === hall ? 0 : OTHER_HALL_MS;
+      const open = inFlight * OPEN_REQUEST_MS;
       return toRead / speed.tokensPerMs + copy + open + away;
     });
-    if (runner === undefined) {
+    if (upstream === undefined) {
       return undefined;
     }
-    const copied = copiedTokens(runner, keptBy(runner), keeper);
-    const prefixSource = copied === 0 ? undefined : keeper?.runner;
-    return {copiedTokens: copied, prefixSource, runner};
+    const copied = copiedTokens(upstream, keptBy(upstream), keeper);
+    const prefixSource = copied === 0 ? undefined : keeper?.upstream;
+    return {copiedTokens: copied, prefixSource, upstream};
   }
 }
 
-/** The runner that keeps most of a prompt. */
+/** The upstream that keeps most of a prompt. */
 function bestKeeper(
-  candidates: readonly EdgeRunner[],
-  keptBy: (runner: EdgeRunner) => number,
+  candidates: readonly EdgeUpstream[],
+  keptBy: (upstream: EdgeUpstream) => number,
 ): Keeper | undefined {
-  const runner = lowest(candidates, (candidate) => -keptBy(candidate));
-  return runner === undefined ? undefined : {runner, tokens: keptBy(runner)};
+  const upstream = lowest(candidates, (candidate) => -keptBy(candidate));
+  return upstream === undefined
+    ? undefined
+    : {upstream, tokens: keptBy(upstream)};
 }
 
-/** Tokens that a runner would copy from the keeper. */
+/** Tokens that an upstream would copy from the keeper. */
 function copiedTokens(
-  runner: EdgeRunner,
+  upstream: EdgeUpstream,
   kept: number,
   keeper: Keeper | undefined,
 ): number {
   const lacking = (keeper?.tokens ?? 0) - kept;
-  return keeper?.runner === runner || lacking < LEAST_COPIED_TOKENS
+  return keeper?.upstream === upstream || lacking < LEAST_COPIED_TOKENS
     ? 0
     : lacking;
 }
@@ -213,15 +218,15 @@
 }
 
 function lowest(
-  runners: readonly EdgeRunner[],
-  costOf: (runner: EdgeRunner) => number,
-): EdgeRunner | undefined {
-  let best: EdgeRunner | undefined;
+  upstreams: readonly EdgeUpstream[],
+  costOf: (upstream: EdgeUpstream) => number,
+): EdgeUpstream | undefined {
+  let best: EdgeUpstream | undefined;
   let bestCost = Infinity;
-  for (const runner of runners) {
-    const cost = costOf(runner);
+  for (const upstream of upstreams) {
+    const cost = costOf(upstream);
     if (cost < bestCost) {
-      best = runner;
+      best = upstream;
       bestCost = cost;
     }
   }
--- a/packages/puffinturn-edge/src/RunnerPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -5,25 +5,25 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** All runners that an edge may send to, by service. */
+/** All upstreams that an edge may send to, by service. */
 import type {DecisionLog} from 'puffinturn-decisions';
-import type {RunnerRecord} from 'puffinturn-fleet';
-import {RUNNER_STATE, RunnerTable} from 'puffinturn-fleet';
+import type {UpstreamRecord} from 'puffinturn-fleet';
+import {UPSTREAM_STATE, UpstreamTable} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
-import {EdgeRunner} from './EdgeRunner';
+import {EdgeUpstream} from './EdgeUpstream';
 
-/** Part of errors above which a runner may be grey. */
+/** Part of errors above which an upstream may be grey. */
 const GREY_RATE = 0.15;
 
-/** How many times its siblings' part of errors a grey runner exceeds. */
+/** How many times its siblings' part of errors a grey upstream exceeds. */
 const GREY_FACTOR = 1.5;
 
 /** See the module comment. */
-export class RunnerPool implements Disposable {
-  private readonly table = new RunnerTable();
-  private readonly byId = new Map<string, EdgeRunner>();
-  private readonly byService = new Map<string, EdgeRunner[]>();
+export class UpstreamPool implements Disposable {
+  private readonly table = new UpstreamTable();
+  private readonly byId = new Map<string, EdgeUpstream>();
+  private readonly byService = new Map<string, EdgeUpstream[]>();
 
   constructor(
     private readonly clock: Clock,
@@ -31,7 +31,7 @@
   ) {}
 
   /** Takes records in that some control box passed on. */
-  merge(records: readonly RunnerRecord[], source: string): void {
+  merge(records: readonly UpstreamRecord[], source: string): void {
     for (const record of records) {
       if (this.table.merge(record, this.clock.now())) {
         this.note(record, source);
@@ -43,15 +43,15 @@
     }
   }
 
-  /** Runners of a service that take new requests. */
-  serving(service: string): EdgeRunner[] {
+  /** Upstreams of a service that take new requests. */
+  serving(service: string): EdgeUpstream[] {
     return (this.byService.get(service) ?? []).filter(({serves}) => serves);
   }
 
   /**
-   * The part of errors above which a runner of a service fails far more
+   * The part of errors above which an upstream of a service fails far more
    * requests than its siblings do. Errors that all of them answer alike come
-   * from the requests, not from a runner.
+   * from the requests, not from an upstream.
    */
   greyErrorRate(service: string): number {
     const rates = this.serving(service)
@@ -61,25 +61,25 @@
     return GREY_RATE + GREY_FACTOR * median;
   }
 
-  /** Whether a runner fails far more requests than its siblings do. */
-  isGrey({errorRate, record}: EdgeRunner): boolean {
+  /** Whether an upstream fails far more requests than its siblings do. */
+  isGrey({errorRate, record}: EdgeUpstream): boolean {
     return errorRate > this.greyErrorRate(record.service);
   }
 
-  /** Every runner known. */
-  all(): EdgeRunner[] {
+  /** Every upstream known. */
+  all(): EdgeUpstream[] {
     return [...this.byId.values()];
   }
 
   [Symbol.dispose](): void {
-    for (const runner of this.byId.values()) {
-      runner[Symbol.dispose]();
+    for (const upstream of this.byId.values()) {
+      upstream[Symbol.dispose]();
     }
   }
 
-  private take(record: RunnerRecord): void {
+  private take(record: UpstreamRecord): void {
     const known = this.byId.get(record.id);
-    if (record.state === RUNNER_STATE.gone) {
+    if (record.state === UPSTREAM_STATE.gone) {
       this.drop(record.id);
       return;
     }
@@ -88,35 +88,35 @@
       return;
     }
     this.drop(record.id);
-    const runner = new EdgeRunner(record, this.clock, this.log);
-    this.byId.set(record.id, runner);
+    const upstream = new EdgeUpstream(record, this.clock, this.log);
+    this.byId.set(record.id, upstream);
     const siblings = this.byService.get(record.service) ?? [];
-    siblings.push(runner);
+    siblings.push(upstream);
     this.byService.set(record.service, siblings);
   }
 
   private drop(id: string): void {
-    const runner = this.byId.get(id);
-    if (runner === undefined) {
+    const upstream = this.byId.get(id);
+    if (upstream === undefined) {
       return;
     }
     this.byId.delete(id);
-    const {service} = runner.record;
+    const {service} = upstream.record;
     const siblings = this.byService.get(service) ?? [];
     this.byService.set(
       service,
-      siblings.filter((sibling) => sibling !== runner),
+      siblings.filter((sibling) => sibling !== upstream),
     );
-    runner.record = {...runner.record, state: RUNNER_STATE.gone};
-    runner.retire();
+    upstream.record = {...upstream.record, state: UPSTREAM_STATE.gone};
+    upstream.retire();
   }
 
-  private note(record: RunnerRecord, source: string): void {
-    const {address, id: runner, sequence, service, state} = record;
+  private note(record: UpstreamRecord, source: string): void {
+    const {address, id: upstream, sequence, service, state} = record;
     this.log.note({
       address,
-      event: 'runner-changed',
-      runner,
+      event: 'upstream-changed',
+      upstream,
       sequence,
       service,
       source,
--- a/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -43,7 +43,7 @@
     maxConnections: 1,
     name,
   })),
-  tenants: [{keys: ['k'], name: 't', prepaidTokens: 1, priority: 0}],
+  teams: [{keys: ['k'], name: 't', prepaidTokens: 1, priority: 0}],
   version: 1,
 };
 
@@ -65,13 +65,25 @@
     expect(long && table.serviceFor(long, 0.999)?.name).toBe('s1');
   });
 
+  test('ranks routes of one service by their priority', () => {
+    const routes = [0, 1, 3].map((priority) => ({
+      ...route(`r${priority}`, `/${priority}/`, [1]),
+      priority,
+    }));
+    const ranked = new RouteTable({...CONFIGURATION, routes});
+    const ranks = routes.map((found) => ranked.rankOf(found));
+    expect(ranks).toEqual([0, 1 / 3, 1]);
+    const [only] = CONFIGURATION.routes;
+    expect(only && table.rankOf(only)).toBe(0);
+  });
+
   test('wants a key but on open routes', () => {
     const short = table.find('host.example', '/a/');
     const open = table.find('host.example', '/o/');
     expect(short && table.needsKey(short)).toBe(true);
     expect(open && table.needsKey(open)).toBe(false);
-    expect(table.tenantOf('k')?.name).toBe('t');
-    expect(table.tenantOf('x')).toBeUndefined();
-    expect(table.tenantOf(undefined)).toBeUndefined();
+    expect(table.teamOf('k')?.name).toBe('t');
+    expect(table.teamOf('x')).toBeUndefined();
+    expect(table.teamOf(undefined)).toBeUndefined();
   });
 });
--- a/packages/puffinturn-edge/src/index.ts
+++ b/packages/puffinturn-edge/src/index.ts
@@ -18,4 +18,3 @@
 export {EventCutter} from './EventStream';
 export type {RetryBound} from './RetryBudgets';
 export {RouteTable} from './RouteTable';
-export type {LoadReport} from './RunnerLoad';
--- a/packages/puffinturn-fleet/src/Configuration.ts
+++ b/packages/puffinturn-fleet/src/Configuration.ts
@@ -7,7 +7,7 @@
 
 /**
  * The configuration of a fleet as one whole document: routes, services, limits
- * and tenants under one version. The highest version that a quorum holds is
+ * and teams under one version. The highest version that a quorum holds is
  * the one in force.
  */
 import type {Result} from 'neverthrow';
@@ -48,7 +48,7 @@
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
-  /** Most runners that one request may be sent to. */
+  /** Most upstreams that one request may be sent to. */
   readonly maxAttempts: number;
   /** Whether requests need no key. */
   readonly anonymous: boolean;
@@ -71,7 +71,7 @@
   return `${host.toLowerCase()} ${pathPrefix}`;
 }
 
-/** A pool of runners. */
+/** A pool of upstreams. */
 export interface Service {
   readonly name: string;
   readonly maxConnections: number;
@@ -87,7 +87,7 @@
 }
 
 /** A customer with keys and a prepaid budget. */
-export interface Tenant {
+export interface Team {
   readonly name: string;
   readonly keys: readonly string[];
   readonly priority: number;
@@ -102,7 +102,7 @@
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
   /** Undefined where requests need no key. */
-  readonly tenants: readonly Tenant[] | undefined;
+  readonly teams: readonly Team[] | undefined;
 }
 
 /** Why a configuration can't be in force. */
@@ -120,7 +120,7 @@
   configuration: FleetConfiguration,
 ): Result<FleetConfiguration, ConfigurationFailure> {
   const failure =
-    findRouteFailure(configuration) ?? findTenantFailure(configuration);
+    findRouteFailure(configuration) ?? findTeamFailure(configuration);
   return failure === undefined ? ok(configuration) : err(failure);
 }
 
@@ -153,20 +153,20 @@
   return undefined;
 }
 
-function findTenantFailure({
-  tenants = [],
+function findTeamFailure({
+  teams = [],
 }: FleetConfiguration): ConfigurationFailure | undefined {
   const names = new Set<string>();
   const owners = new Map<string, string>();
-  for (const [index, {keys, name}] of tenants.entries()) {
+  for (const [index, {keys, name}] of teams.entries()) {
     if (names.has(name)) {
-      return invalid(`tenants.${index}`, `a second tenant ${name}`);
+      return invalid(`teams.${index}`, `a second team ${name}`);
     }
     names.add(name);
     for (const key of keys) {
       const owner = owners.get(key);
       if (owner !== undefined && owner !== name) {
-        return invalid(`tenants.${index}`, `${owner} has the same key`);
+        return invalid(`teams.${index}`, `${owner} has the same key`);
       }
       owners.set(key, name);
     }
--- a/packages/puffinturn-fleet/src/ConfigurationChange.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationChange.ts
@@ -7,7 +7,7 @@
 
 /**
  * What differs between two versions of a configuration. Most versions change a
- * route or a tenant out of hundreds, so boxes that hold the former version get
+ * route or a team out of hundreds, so boxes that hold the former version get
  * the difference and not the whole.
  */
 import type {
@@ -15,7 +15,7 @@
   FleetConfiguration,
   Route,
   Service,
-  Tenant,
+  Team,
 } from './Configuration';
 import {routePlace} from './Configuration';
 
@@ -27,9 +27,9 @@
   readonly routes: readonly Route[];
   /** Places of routes that are gone, as `routePlace` gives them. */
   readonly removedRoutes: readonly string[];
-  /** Tenants that were added or changed; undefined where no key is needed. */
-  readonly tenants: readonly Tenant[] | undefined;
-  readonly removedTenants: readonly string[];
+  /** Teams that were added or changed; undefined where no key is needed. */
+  readonly teams: readonly Team[] | undefined;
+  readonly removedTeams: readonly string[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
 }
@@ -39,7 +39,7 @@
   readonly removed: readonly string[];
 }
 
-function tenantName({name}: Tenant): string {
+function teamName({name}: Team): string {
   return name;
 }
 
@@ -49,19 +49,15 @@
   next: FleetConfiguration,
 ): ConfigurationChange {
   const routes = differenceOf(base.routes, next.routes, routePlace);
-  const tenants = differenceOf(
-    base.tenants ?? [],
-    next.tenants ?? [],
-    tenantName,
-  );
+  const teams = differenceOf(base.teams ?? [], next.teams ?? [], teamName);
   return {
     base: base.version,
     limits: next.limits,
     removedRoutes: routes.removed,
-    removedTenants: tenants.removed,
+    removedTeams: teams.removed,
     routes: routes.changed,
     services: next.services,
-    tenants: next.tenants === undefined ? undefined : tenants.changed,
+    teams: next.teams === undefined ? undefined : teams.changed,
     version: next.version,
   };
 }
@@ -71,7 +67,7 @@
   base: FleetConfiguration,
   change: ConfigurationChange,
 ): FleetConfiguration {
-  const {limits, services, tenants, version} = change;
+  const {limits, services, teams, version} = change;
   return {
     limits,
     routes: merged(
@@ -81,15 +77,10 @@
       routePlace,
     ),
     services,
-    tenants:
-      tenants === undefined || tenants === null
+    teams:
+      teams === undefined || teams === null
         ? undefined
-        : merged(
-            base.tenants ?? [],
-            tenants,
-            change.removedTenants,
-            tenantName,
-          ),
+        : merged(base.teams ?? [], teams, change.removedTeams, teamName),
     version,
   };
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -38,13 +38,13 @@
 } from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import {FleetNews, FleetWatch} from './FleetWatch';
-import type {RunnerRecord} from './Runners';
-import {RunnerTable} from './Runners';
+import type {UpstreamRecord} from './Upstreams';
+import {UpstreamTable} from './Upstreams';
 
 /** Longest time that a proposal or barrier is waited for, ms. */
 const LEADER_CALL_MS = 1_500;
 
-/** How often silent boxes and runners are looked for, ms. */
+/** How often silent boxes and upstreams are looked for, ms. */
 const EXPIRE_EVERY_MS = 1_000;
 
 /** Why control could not decide. */
@@ -64,7 +64,7 @@
   readonly log: DecisionLog;
 }
 
-/** Takes over what the other control boxes heard from runners and edges. */
+/** Takes over what the other control boxes heard from upstreams and edges. */
 class ControlNews extends FleetNews {
   constructor(private readonly control: FleetControl) {
     super();
@@ -79,9 +79,9 @@
 
   override configurationChange(): void {}
 
-  override runners(records: readonly RunnerRecord[], source: string): void {
+  override upstreams(records: readonly UpstreamRecord[], source: string): void {
     for (const record of records) {
-      this.control.hearRunner(record, source);
+      this.control.hearUpstream(record, source);
     }
   }
 
@@ -92,8 +92,8 @@
 
 /** See the module comment. */
 export class FleetControl implements AsyncDisposable {
-  /** Runners known to this box. */
-  readonly runners = new RunnerTable();
+  /** Upstreams known to this box. */
+  readonly upstreams = new UpstreamTable();
   /** Boxes that watch this one. */
   readonly boxes = new BoxTable();
   /** Boxes that watch the other control boxes, by control box. */
@@ -153,21 +153,21 @@
   }
 
   /** Takes a heartbeat in. */
-  hearRunner(record: RunnerRecord, source = 'heartbeat'): void {
+  hearUpstream(record: UpstreamRecord, source = 'heartbeat'): void {
     const {changed, clock} = this.parts;
-    if (this.runners.merge(record, clock.now())) {
-      this.noteRunner(record, source);
+    if (this.upstreams.merge(record, clock.now())) {
+      this.noteUpstream(record, source);
       changed.notify();
     }
   }
 
-  /** Takes note that a runner leaves for good. */
-  removeRunner(id: string): void {
+  /** Takes note that an upstream leaves for good. */
+  removeUpstream(id: string): void {
     const {changed, clock} = this.parts;
-    if (this.runners.remove(id, clock.now())) {
-      const record = this.runners.get(id);
+    if (this.upstreams.remove(id, clock.now())) {
+      const record = this.upstreams.get(id);
       if (record !== undefined) {
-        this.noteRunner(record, 'leave');
+        this.noteUpstream(record, 'leave');
       }
       changed.notify();
     }
@@ -210,7 +210,7 @@
     return (
       request.incarnation !== self.incarnation ||
       version > request.configurationVersion ||
-      this.runners.revision > request.runnersRevision
+      this.upstreams.revision > request.upstreamsRevision
     );
   }
 
@@ -230,7 +230,7 @@
   private newsFor(request: WatchRequest, current: boolean): WatchReply {
     const {replica, self} = this.parts;
     const same = request.incarnation === self.incarnation;
-    const runnersRevision = same ? request.runnersRevision : 0;
+    const upstreamsRevision = same ? request.upstreamsRevision : 0;
     const boxesRevision = same ? request.boxesRevision : -1;
     const news = this.configurationFor(request.configurationVersion);
     return {
@@ -243,8 +243,8 @@
       current,
       incarnation: self.incarnation,
       leader: replica.leaderBox,
-      runners: this.runners.changedSince(runnersRevision),
-      runnersRevision: this.runners.revision,
+      upstreams: this.upstreams.changedSince(upstreamsRevision),
+      upstreamsRevision: this.upstreams.revision,
     };
   }
 
@@ -288,12 +288,12 @@
     this.parts.log.note({event: 'change-decided', held, outcome, version});
   }
 
-  private noteRunner(record: RunnerRecord, source: string): void {
+  private noteUpstream(record: UpstreamRecord, source: string): void {
     const {address, id, sequence, service, state} = record;
     this.parts.log.note({
       address,
-      event: 'runner-changed',
-      runner: id,
+      event: 'upstream-changed',
+      upstream: id,
       sequence,
       service,
       source,
@@ -361,7 +361,7 @@
     const {clock} = this.parts;
     while (!signal.aborted) {
       await clock.sleep(EXPIRE_EVERY_MS, signal);
-      this.runners.expire(clock.now());
+      this.upstreams.expire(clock.now());
       this.boxes.expire(clock.now());
     }
   }
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -7,7 +7,7 @@
 
 /**
  * The replicated state of a fleet: the configuration in force and how much of
- * each tenant's prepaid budget was handed to edges. Tokens count as spent from
+ * each team's prepaid budget was handed to edges. Tokens count as spent from
  * the moment they are granted; only a returned grant makes them free again.
  */
 import {Decoder, Encoder} from 'cbor-x';
@@ -22,7 +22,7 @@
 const MAX_HOLDERS = 2_000;
 
 /**
- * The part of a tenant's unspent tokens that all holders together may hold. A
+ * The part of a team's unspent tokens that all holders together may hold. A
  * holder that is killed takes what it holds with it, so the part falls from
  * the sum of both figures for an untouched budget to the first for a spent one.
  * A request that needs more still gets it while there is any.
@@ -46,9 +46,9 @@
   readonly stored: StoredConfiguration;
 }
 
-/** One tenant's part of an allowance exchange; tokens. */
+/** One team's part of an allowance exchange; tokens. */
 export interface AllowanceAsk {
-  readonly tenant: string;
+  readonly team: string;
   /** Tokens without which a waiting request can't run. */
   readonly need: number;
   /** Tokens that would be held in all calm. */
@@ -73,9 +73,9 @@
   readonly asks: readonly AllowanceAsk[];
 }
 
-/** What one tenant got; tokens. */
+/** What one team got; tokens. */
 export interface AllowanceGrant {
-  readonly tenant: string;
+  readonly team: string;
   readonly granted: number;
   /** Tokens that the core can still grant afterwards; below 0 if overdrawn. */
   readonly left: number;
@@ -101,7 +101,7 @@
   holder: string;
   sequence: number;
   grants: readonly AllowanceGrant[];
-  /** Tokens in its hands, by tenant. */
+  /** Tokens in its hands, by team. */
   held: Map<string, number>;
 }
 
@@ -127,9 +127,9 @@
     return this.held;
   }
 
-  /** Tokens of a tenant that are in the hands of edges or spent. */
-  grantedTo(tenant: string): number {
-    return this.granted.get(tenant) ?? 0;
+  /** Tokens of a team that are in the hands of edges or spent. */
+  grantedTo(team: string): number {
+    return this.granted.get(team) ?? 0;
   }
 
   override apply(record: unknown): AllowanceOutcome | ConfigurationOutcome {
@@ -195,37 +195,37 @@
   }
 
   private grant(ask: AllowanceAsk, held: Map<string, number>): AllowanceGrant {
-    const {back, lent, need, spent, tenant, want} = ask;
-    const former = held.get(tenant) ?? 0;
-    held.set(tenant, former - back - spent - lent);
-    const out = Math.max(0, this.grantedTo(tenant) - back);
-    const left = Math.max(0, this.prepaidOf(tenant) - out);
-    const heldByAll = this.heldByAll(tenant);
+    const {back, lent, need, spent, team, want} = ask;
+    const former = held.get(team) ?? 0;
+    held.set(team, former - back - spent - lent);
+    const out = Math.max(0, this.grantedTo(team) - back);
+    const left = Math.max(0, this.prepaidOf(team) - out);
+    const heldByAll = this.heldByAll(team);
     const unspent = left + heldByAll;
-    const room = Math.max(0, this.mostHeld(tenant, unspent) - heldByAll);
+    const room = Math.max(0, this.mostHeld(team, unspent) - heldByAll);
     const calm = Math.min(want, Math.floor(room * PART_OF_ROOM));
     const granted = Math.min(left, Math.max(need, calm));
-    this.granted.set(tenant, out + granted);
-    held.set(tenant, (held.get(tenant) ?? 0) + granted);
-    return {granted, left: left - granted, tenant};
+    this.granted.set(team, out + granted);
+    held.set(team, (held.get(team) ?? 0) + granted);
+    return {granted, left: left - granted, team};
   }
 
-  private mostHeld(tenant: string, unspent: number): number {
-    const full = unspent / Math.max(1, this.prepaidOf(tenant));
+  private mostHeld(team: string, unspent: number): number {
+    const full = unspent / Math.max(1, this.prepaidOf(team));
     return unspent * (LEAST_PART_HELD + MORE_WHILE_FULL * Math.min(1, full));
   }
 
-  private heldByAll(tenant: string): number {
+  private heldByAll(team: string): number {
     let sum = 0;
     for (const {held} of this.holders.values()) {
-      sum += held.get(tenant) ?? 0;
+      sum += held.get(team) ?? 0;
     }
     return Math.max(0, sum);
   }
 
-  private prepaidOf(tenant: string): number {
-    const found = this.held?.configuration.tenants?.find(
-      ({name}) => name === tenant,
+  private prepaidOf(team: string): number {
+    const found = this.held?.configuration.teams?.find(
+      ({name}) => name === team,
     );
     return found?.prepaidTokens ?? 0;
   }
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -9,7 +9,7 @@
 import type {FleetConfiguration} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {AllowanceAsk, AllowanceGrant} from './FleetMachine';
-import type {RunnerRecord} from './Runners';
+import type {UpstreamRecord} from './Upstreams';
 
 /** Names of the services on the link between boxes. */
 export const FLEET_SERVICE = {
@@ -32,7 +32,7 @@
   /** Address between boxes, IP:PORT. */
   readonly box: string;
   readonly role: BoxRole;
-  readonly zone: string;
+  readonly hall: string;
   /** One life of the process. */
   readonly incarnation: string;
 }
@@ -41,9 +41,9 @@
 export interface WatchRequest {
   readonly from: BoxRecord;
   readonly configurationVersion: number;
-  /** The incarnation of the asked box that `runnersRevision` belongs to. */
+  /** The incarnation of the asked box that `upstreamsRevision` belongs to. */
   readonly incarnation: string;
-  readonly runnersRevision: number;
+  readonly upstreamsRevision: number;
   readonly boxesRevision: number;
   readonly waitMs: number;
   /** Whether the answer must rest on a barrier of the log. */
@@ -58,8 +58,8 @@
   readonly configuration: FleetConfiguration | undefined;
   /** What leads from the asking box's configuration to a newer one. */
   readonly configurationChange: ConfigurationChange | undefined;
-  readonly runners: readonly RunnerRecord[];
-  readonly runnersRevision: number;
+  readonly upstreams: readonly UpstreamRecord[];
+  readonly upstreamsRevision: number;
   /**
    * Live boxes, where that list has changed: all of them for an edge, those
    * that watch the answering box itself for another control box.
@@ -85,7 +85,7 @@
 
 /** Asks another edge for tokens it can spare. */
 export interface BorrowRequest {
-  readonly tenant: string;
+  readonly team: string;
   readonly need: number;
 }
 
@@ -94,9 +94,9 @@
   readonly given: number;
 }
 
-/** Tokens of one tenant that an edge hands on as it stops. */
+/** Tokens of one team that an edge hands on as it stops. */
 export interface Gift {
-  readonly tenant: string;
+  readonly team: string;
   readonly amount: number;
 }
 
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -24,7 +24,7 @@
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
-import type {RunnerRecord} from './Runners';
+import type {UpstreamRecord} from './Upstreams';
 
 /** How long a control box may hold a question back, ms. */
 const WAIT_MS = 1_000;
@@ -54,7 +54,7 @@
     change: ConfigurationChange,
     source: string,
   ): void;
-  abstract runners(records: readonly RunnerRecord[], source: string): void;
+  abstract upstreams(records: readonly UpstreamRecord[], source: string): void;
   abstract boxes(records: readonly BoxRecord[], source: string): void;
 }
 
@@ -74,7 +74,7 @@
 interface Watched {
   readonly box: string;
   incarnation: string;
-  runnersRevision: number;
+  upstreamsRevision: number;
   boxesRevision: number;
   answeredAt: number | undefined;
   reachable: boolean;
@@ -152,7 +152,7 @@
       incarnation: '',
       rank: rankOf(this.parts.self.box, box),
       reachable: false,
-      runnersRevision: 0,
+      upstreamsRevision: 0,
       silent: false,
     };
     this.watched.set(box, watched);
@@ -214,7 +214,7 @@
       current: !this.current,
       from: self,
       incarnation: watched.incarnation,
-      runnersRevision: watched.runnersRevision,
+      upstreamsRevision: watched.upstreamsRevision,
       waitMs: WAIT_MS,
     };
   }
@@ -233,7 +233,7 @@
     this.setSilent(watched, false);
     watched.answeredAt = clock.now();
     watched.incarnation = reply.incarnation;
-    watched.runnersRevision = reply.runnersRevision;
+    watched.upstreamsRevision = reply.upstreamsRevision;
     watched.boxesRevision = reply.boxesRevision;
     this.leaderBox = reply.leader ?? this.leaderBox;
     if (reply.configuration !== undefined && reply.configuration !== null) {
@@ -243,8 +243,8 @@
     if (change !== undefined && change !== null) {
       news.configurationChange(change, watched.box);
     }
-    if (reply.runners.length > 0) {
-      news.runners(reply.runners, watched.box);
+    if (reply.upstreams.length > 0) {
+      news.upstreams(reply.upstreams, watched.box);
     }
     if (reply.boxes !== undefined && reply.boxes !== null) {
       this.takeBoxes(reply.boxes, watched.box);
--- a/packages/puffinturn-fleet/src/Runners.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -6,47 +6,48 @@
  */
 
 /**
- * The runners of all services as soft state. Every control box takes
+ * The upstreams of all services as soft state. Every control box takes
  * heartbeats and passes on what changed; records of one incarnation are
  * ordered by their sequence, and one that is gone never comes back.
  */
 
-/** What a runner said of itself last. */
-export const RUNNER_STATE = {
+/** What an upstream said of itself last. */
+export const UPSTREAM_STATE = {
   draining: 'draining',
   gone: 'gone',
   ready: 'ready',
 } as const;
 
-/** One of RUNNER_STATE. */
-export type RunnerState = (typeof RUNNER_STATE)[keyof typeof RUNNER_STATE];
+/** One of UPSTREAM_STATE. */
+export type UpstreamState =
+  (typeof UPSTREAM_STATE)[keyof typeof UPSTREAM_STATE];
 
-/** One incarnation of a runner. */
-export interface RunnerRecord {
+/** One incarnation of an upstream. */
+export interface UpstreamRecord {
   readonly id: string;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
-  readonly zone: string;
+  readonly hall: string;
   readonly slots: number;
-  readonly state: RunnerState;
-  /** How much longer the runner stays slow after its start, ms. */
+  readonly state: UpstreamState;
+  /** How much longer the upstream stays slow after its start, ms. */
   readonly coldMs: number;
-  /** Grows with every call of the runner. */
+  /** Grows with every call of the upstream. */
   readonly sequence: number;
 }
 
 interface Slot {
-  record: RunnerRecord;
+  record: UpstreamRecord;
   revision: number;
   heardAt: number;
 }
 
-/** Runners not heard from for this long are forgotten, ms. */
+/** Upstreams not heard from for this long are forgotten, ms. */
 const FORGET_AFTER_MS = 60_000;
 
-/** All runners known to one process, with a revision for each change. */
-export class RunnerTable {
+/** All upstreams known to one process, with a revision for each change. */
+export class UpstreamTable {
   private readonly slots = new Map<string, Slot>();
   private current = 0;
 
@@ -56,18 +57,18 @@
   }
 
   /** Every record. */
-  records(): RunnerRecord[] {
+  records(): UpstreamRecord[] {
     return [...this.slots.values()].map(({record}) => record);
   }
 
   /** The record of one incarnation. */
-  get(id: string): RunnerRecord | undefined {
+  get(id: string): UpstreamRecord | undefined {
     return this.slots.get(id)?.record;
   }
 
   /** Records that changed after a revision. */
-  changedSince(revision: number): RunnerRecord[] {
-    const changed: RunnerRecord[] = [];
+  changedSince(revision: number): UpstreamRecord[] {
+    const changed: UpstreamRecord[] = [];
     for (const slot of this.slots.values()) {
       if (slot.revision > revision) {
         changed.push(slot.record);
@@ -77,7 +78,7 @@
   }
 
   /** Takes a record in; true when it changed what others must know. */
-  merge(record: RunnerRecord, now: number): boolean {
+  merge(record: UpstreamRecord, now: number): boolean {
     const known = this.slots.get(record.id);
     if (known === undefined) {
       this.current += 1;
@@ -89,8 +90,8 @@
       return true;
     }
     const {record: held} = known;
-    const gone = held.state === RUNNER_STATE.gone;
-    const goes = record.state === RUNNER_STATE.gone;
+    const gone = held.state === UPSTREAM_STATE.gone;
+    const goes = record.state === UPSTREAM_STATE.gone;
     if (gone || (record.sequence <= held.sequence && !goes)) {
       return false;
     }
@@ -111,15 +112,15 @@
   /** Marks an incarnation as gone; an unknown one is remembered as such. */
   remove(id: string, now: number): boolean {
     const held = this.slots.get(id)?.record;
-    const record: RunnerRecord = {
+    const record: UpstreamRecord = {
       address: held?.address ?? '',
       coldMs: 0,
       id,
       sequence: held?.sequence ?? 0,
       service: held?.service ?? '',
       slots: held?.slots ?? 0,
-      state: RUNNER_STATE.gone,
-      zone: held?.zone ?? '',
+      state: UPSTREAM_STATE.gone,
+      hall: held?.hall ?? '',
     };
     return this.merge(record, now);
   }
--- a/packages/puffinturn-fleet/src/__tests__/unit/Configuration.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Configuration.test.ts
@@ -6,7 +6,7 @@
  */
 
 import {checkConfiguration} from '../../index';
-import {configurationOf, routeOf, tenantOf} from '../utils/FleetFixture';
+import {configurationOf, routeOf, teamOf} from '../utils/FleetFixture';
 
 describe('checkConfiguration', () => {
   test('takes a sound configuration', () => {
@@ -41,11 +41,11 @@
       },
     ],
     ['a time-out of 0', {routes: [routeOf({timeoutMs: 0})]}],
-    ['a shared key', {tenants: [tenantOf(), tenantOf({name: 'u'})]}],
-    ['a tenant twice', {tenants: [tenantOf(), tenantOf({keys: ['other']})]}],
+    ['a shared key', {teams: [teamOf(), teamOf({name: 'u'})]}],
+    ['a team twice', {teams: [teamOf(), teamOf({keys: ['other']})]}],
   ])('refuses %s and says where', (_, fields) => {
     const checked = checkConfiguration(configurationOf(1, fields));
     expect(checked._unsafeUnwrapErr().kind).toBe('invalid-configuration');
-    expect(checked._unsafeUnwrapErr().path).toMatch(/^(routes|tenants)\.\d/);
+    expect(checked._unsafeUnwrapErr().path).toMatch(/^(routes|teams)\.\d/);
   });
 });
--- a/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
@@ -7,7 +7,7 @@
 
 import fc from 'fast-check';
 
-import type {FleetConfiguration, Route, Tenant} from '../../index';
+import type {FleetConfiguration, Route, Team} from '../../index';
 import {
   applyChange,
   changeBetween,
@@ -30,7 +30,7 @@
   timeoutMs,
 });
 
-const tenant = (at: number, prepaidTokens: number): Tenant => ({
+const team = (at: number, prepaidTokens: number): Team => ({
   keys: [`k-${at}`],
   name: `t-${at}`,
   prepaidTokens,
@@ -40,19 +40,18 @@
 const anyConfiguration = fc
   .record({
     routes: fc.dictionary(fc.constantFrom('1', '2', '3'), fc.nat(2)),
-    tenants: fc.option(
-      fc.dictionary(fc.constantFrom('1', '2', '3'), fc.nat(2)),
-      {nil: undefined},
-    ),
+    teams: fc.option(fc.dictionary(fc.constantFrom('1', '2', '3'), fc.nat(2)), {
+      nil: undefined,
+    }),
     version: fc.nat(50),
   })
-  .map(({routes, tenants, version}): FleetConfiguration => {
+  .map(({routes, teams, version}): FleetConfiguration => {
     return {
       ...configurationOf(version),
       routes: Object.entries(routes).map(([at, ms]) => route(Number(at), ms)),
-      tenants:
-        tenants &&
-        Object.entries(tenants).map(([at, paid]) => tenant(Number(at), paid)),
+      teams:
+        teams &&
+        Object.entries(teams).map(([at, paid]) => team(Number(at), paid)),
     };
   });
 
@@ -64,8 +63,8 @@
         const byName = (found: FleetConfiguration) => ({
           ...found,
           routes: [...found.routes].sort((a, b) => (a.name < b.name ? -1 : 1)),
-          tenants: found.tenants
-            ? [...found.tenants].sort((a, b) => (a.name < b.name ? -1 : 1))
+          teams: found.teams
+            ? [...found.teams].sort((a, b) => (a.name < b.name ? -1 : 1))
             : undefined,
         });
         expect(byName(reached)).toEqual(byName(next));
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -9,7 +9,7 @@
 
 import type {AllowanceAsk, AllowanceOutcome} from '../../index';
 import {FleetMachine} from '../../index';
-import {configurationOf, tenantOf} from '../utils/FleetFixture';
+import {configurationOf, teamOf} from '../utils/FleetFixture';
 
 function machineWith(prepaidTokens: number, version = 1): FleetMachine {
   const machine = new FleetMachine();
@@ -19,7 +19,7 @@
 
 function put(machine: FleetMachine, prepaidTokens: number, version: number) {
   const configuration = configurationOf(version, {
-    tenants: [tenantOf({prepaidTokens})],
+    teams: [teamOf({prepaidTokens})],
   });
   return machine.apply({
     kind: 'configuration',
@@ -28,7 +28,7 @@
 }
 
 function ask(fields: Partial<AllowanceAsk>): AllowanceAsk {
-  return {back: 0, lent: 0, need: 0, spent: 0, tenant: 't', want: 0, ...fields};
+  return {back: 0, lent: 0, need: 0, spent: 0, team: 't', want: 0, ...fields};
 }
 
 function exchange(
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -15,7 +15,7 @@
   BoxRecord,
   ConfigurationChange,
   FleetConfiguration,
-  RunnerRecord,
+  UpstreamRecord,
 } from '../../index';
 import {
   applyChange,
@@ -25,7 +25,7 @@
   FleetNews,
   FleetWatch,
   linkOfReplicas,
-  RUNNER_STATE,
+  UPSTREAM_STATE,
 } from '../../index';
 import {configurationOf} from '../utils/FleetFixture';
 
@@ -34,7 +34,7 @@
 class Notes extends FleetNews {
   held: FleetConfiguration | undefined;
   changes = 0;
-  found: RunnerRecord[] = [];
+  found: UpstreamRecord[] = [];
   others: BoxRecord[] = [];
 
   override get configurationVersion(): number {
@@ -52,7 +52,7 @@
     }
   }
 
-  override runners(records: readonly RunnerRecord[]): void {
+  override upstreams(records: readonly UpstreamRecord[]): void {
     this.found.push(...records);
   }
 
@@ -84,7 +84,7 @@
     const replica = opened.value;
     serve((request: LogRequest) => replica.handle(request));
     void replica.takePart(() => CONTROLS);
-    const self = {box, incarnation: '1', role: BOX_ROLE.control, zone: 'z'};
+    const self = {box, incarnation: '1', role: BOX_ROLE.control, hall: 'z'};
     const log = new SilentDecisionLog();
     controls.set(
       box,
@@ -110,7 +110,7 @@
       log: new SilentDecisionLog(),
       news,
       seeds: () => CONTROLS,
-      self: {box, incarnation: '1', role: BOX_ROLE.edge, zone: 'z'},
+      self: {box, incarnation: '1', role: BOX_ROLE.edge, hall: 'z'},
     });
     return {news, watch};
   };
@@ -132,15 +132,15 @@
   return value.value;
 }
 
-const RUNNER: RunnerRecord = {
+const UPSTREAM: UpstreamRecord = {
   address: '10.0.0.1:80',
   coldMs: 0,
   id: 'i-1',
   sequence: 1,
   service: 's',
   slots: 4,
-  state: RUNNER_STATE.ready,
-  zone: 'z',
+  state: UPSTREAM_STATE.ready,
+  hall: 'z',
 };
 
 describe('A fleet', () => {
@@ -172,16 +172,16 @@
     expect(read.current).toBe(false);
   });
 
-  test('brings a runner that one control box heard of to every edge', async () => {
+  test('brings an upstream that one control box heard of to every edge', async () => {
     const {clock, control, watchFrom} = await startFleet();
     const {news} = watchFrom('e1:1');
     await clock.advance(1_500);
-    control('c3:1').hearRunner(RUNNER);
+    control('c3:1').hearUpstream(UPSTREAM);
     await clock.advance(100);
     expect(news.found.map(({id}) => id)).toContain('i-1');
-    control('c1:1').removeRunner('i-1');
+    control('c1:1').removeUpstream('i-1');
     await clock.advance(100);
-    expect(news.found.at(-1)?.state).toBe(RUNNER_STATE.gone);
+    expect(news.found.at(-1)?.state).toBe(UPSTREAM_STATE.gone);
   });
 
   test('goes on telling an edge after a cut that it was away for', async () => {
--- a/packages/puffinturn-fleet/src/__tests__/utils/FleetFixture.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/FleetFixture.ts
@@ -5,7 +5,7 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {FleetConfiguration, Route, Tenant} from '../../index';
+import type {FleetConfiguration, Route, Team} from '../../index';
 import {REPETITION} from '../../index';
 
 /** A route with defaults. */
@@ -26,8 +26,8 @@
   };
 }
 
-/** A tenant with defaults. */
-export function tenantOf(fields: Partial<Tenant> = {}): Tenant {
+/** A team with defaults. */
+export function teamOf(fields: Partial<Team> = {}): Team {
   return {
     keys: ['key-1'],
     name: 't',
@@ -37,7 +37,7 @@
   };
 }
 
-/** A configuration with one route, service and tenant. */
+/** A configuration with one route, service and team. */
 export function configurationOf(
   version: number,
   fields: Partial<FleetConfiguration> = {},
@@ -51,7 +51,7 @@
     },
     routes: [routeOf()],
     services: [{engine: undefined, maxConnections: 10, name: 's'}],
-    tenants: [tenantOf()],
+    teams: [teamOf()],
     version,
     ...fields,
   };
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -5,7 +5,7 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Configuration, runners and allowances of a fleet, and how they spread. */
+/** Configuration, upstreams and allowances of a fleet, and how they spread. */
 export {BoxTable} from './Boxes';
 export type {
   CallerLimits,
@@ -16,7 +16,7 @@
   Route,
   RouteTarget,
   Service,
-  Tenant,
+  Team,
 } from './Configuration';
 export {checkConfiguration, REPETITION} from './Configuration';
 export type {ConfigurationChange} from './ConfigurationChange';
@@ -51,5 +51,5 @@
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetNews, FleetWatch} from './FleetWatch';
 export {linkOfReplicas} from './ReplicaLink';
-export type {RunnerRecord, RunnerState} from './Runners';
-export {RUNNER_STATE, RunnerTable} from './Runners';
+export type {UpstreamRecord, UpstreamState} from './Upstreams';
+export {UPSTREAM_STATE, UpstreamTable} from './Upstreams';
