--- a/packages/puffinturn-decisions/src/DecisionLog.ts
+++ b/packages/puffinturn-decisions/src/DecisionLog.ts
@@ -70,8 +70,9 @@
 
   override note(decision: Decision): void {
     if (isPlainSuccess(decision)) {
+      const isSampled = this.successes % this.parts.successSample === 0;
       this.successes += 1;
-      if (this.successes % this.parts.successSample !== 1) {
+      if (!isSampled) {
         return;
       }
     }
--- a/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
+++ b/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
@@ -52,6 +52,14 @@
     expect(lines[0]).toMatchObject({event: 'request-ended', request: 'r'});
   });
 
+  test('writes every success where one in one is sampled', () => {
+    const {lines, log} = logWith(1_000, 1);
+    for (let count = 0; count < 10; count += 1) {
+      log.note(ended());
+    }
+    expect(lines).toHaveLength(10);
+  });
+
   test('holds its limit and says how many lines were left out', () => {
     const {lines, log, time} = logWith(5, 1);
     for (let count = 0; count < 12; count += 1) {
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -14,7 +14,7 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {DecisionLog} from 'puffinturn-decisions';
-import type {Route, Service, Team} from 'puffinturn-fleet';
+import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
 
@@ -22,22 +22,23 @@
 import {RESERVE} from './Allowances';
 import type {AnswerRelay} from './AnswerRelay';
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
-import type {CallerDialect, PromptPart, TokenBounds} from './CallerDialect';
+import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
-import {passesOn} from './CallerRequest';
 import {
   MAX_UNSENT,
   RETRY_AFTER_BUSY_S,
-  RETRY_AFTER_MISSING_S,
   RETRY_AFTER_TOKENS_S,
 } from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
+import type {Plan} from './RequestPlan';
+import {planFor} from './RequestPlan';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 import type {Placement, UpstreamChoice} from './UpstreamChoice';
+import {headersFor} from './UpstreamHeaders';
 import type {UpstreamPool} from './UpstreamPool';
 
 /** What serving needs of the edge. */
@@ -70,15 +71,6 @@
 /** Events an upstream may have made that did not arrive before a break. */
 const UNSEEN_EVENTS = 2;
 
-/** What a request is about, once its route is known. */
-interface Plan {
-  readonly route: Route;
-  readonly team: Team | undefined;
-  readonly service: Service;
-  readonly tokens: TokenBounds | undefined;
-  readonly parts: readonly PromptPart[];
-}
-
 /** A prompt that an upstream reads. */
 interface Reading {
   readonly at: number;
@@ -134,29 +126,12 @@
   }
 
   private makePlan(): Plan | undefined {
-    const {caller, table} = this;
     const {dialect, random} = this.parts;
-    const host = (caller.header('host') ?? '').replace(/:\d+$/, '');
-    const route = table.find(host, caller.path);
-    if (route === undefined) {
-      return this.refuse(404, 'no-route');
-    }
-    const team = table.teamOf(caller.header(dialect.headers.key));
-    if (team === undefined && table.needsKey(route)) {
-      return this.refuse(401, 'unknown-key');
-    }
-    const service = table.serviceFor(route, random.fraction());
-    if (service === undefined) {
-      return this.refuse(503, 'no-service', RETRY_AFTER_MISSING_S);
-    }
-    const header = (name: string) => caller.header(name);
-    return {
-      parts: dialect.partsOf(header),
-      route,
-      service,
-      team,
-      tokens: dialect.tokensOf(header),
-    };
+    const fraction = random.fraction();
+    return planFor(this.caller, this.table, dialect, fraction).match(
+      (plan) => plan,
+      ({cause, retryAfterS, status}) => this.refuse(status, cause, retryAfterS),
+    );
   }
 
   private leftMs({timeoutMs}: Route): number {
@@ -311,7 +286,15 @@
     const reading = this.startReading(plan, placement);
     const exchange = new Exchange({
       body: this.body,
-      headers: this.headersFor(plan, placement),
+      headers: headersFor({
+        bodyLength: this.body.length,
+        caller: this.caller,
+        dialect,
+        leftMs: this.leftMs(plan.route),
+        placement,
+        plan,
+        resumeAt: this.relay?.lastEventId,
+      }),
       method: this.caller.method,
       names: dialect.headers,
       path: this.caller.path,
@@ -356,66 +339,6 @@
     }
   }
 
-  private headersFor(
-    plan: Plan,
-    {prefixSource, upstream}: Placement,
-  ): string[] {
-    const {dialect} = this.parts;
-    const {headers: names} = dialect;
-    const {rawHeaders, headers} = this.caller.incoming;
-    const replaced = new Set<string>([
-      'content-length',
-      'expect',
-      names.deadline,
-      names.expectedUpstream,
-      names.key,
-      names.prefixSource,
-      names.priority,
-      names.team,
-      ...names.reserved,
-    ]);
-    const resumeAt = this.relay?.lastEventId;
-    if (resumeAt !== undefined) {
-      replaced.add(names.lastEvent);
-    }
-    const sent: string[] = [];
-    for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-      const name = rawHeaders[at] ?? '';
-      const kept =
-        !replaced.has(name.toLowerCase()) && passesOn(name, headers.connection);
-      if (kept) {
-        sent.push(name, rawHeaders[at + 1] ?? '');
-      }
-    }
-    const left = Math.max(1, Math.floor(this.leftMs(plan.route)));
-    sent.push(names.deadline, String(left));
-    sent.push(names.expectedUpstream, upstream.id);
-    if (plan.team !== undefined) {
-      sent.push(names.team, plan.team.name);
-    }
-    if (plan.service.engine !== undefined) {
-      const rank = dialect.priorityOf(
-        plan.team?.priority ?? 0,
-        plan.route.priority,
-      );
-      sent.push(names.priority, String(rank));
-    }
-    if (prefixSource !== undefined) {
-      sent.push(names.prefixSource, prefixSource.record.address);
-    }
-    if (resumeAt !== undefined) {
-      sent.push(names.lastEvent, resumeAt);
-    }
-    const hadBody =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    if (hadBody) {
-      sent.push('Content-Length', String(this.body.length));
-    }
-    sent.push('Connection', 'keep-alive');
-    return sent;
-  }
-
   /** Acts on an outcome; true when the request has come to its end. */
   private async take(
     plan: Plan,
--- /dev/null
+++ b/packages/puffinturn-edge/src/RequestPlan.ts
@@ -0,0 +1,65 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** What a request is about: its route, team, service and tokens. */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Route, Service, Team} from 'puffinturn-fleet';
+
+import type {CallerDialect, PromptPart, TokenBounds} from './CallerDialect';
+import type {CallerRequest} from './CallerRequest';
+import {RETRY_AFTER_MISSING_S} from './EdgeConstants';
+import type {RouteTable} from './RouteTable';
+
+/** What is known of a request before it is sent anywhere. */
+export interface Plan {
+  readonly route: Route;
+  readonly team: Team | undefined;
+  readonly service: Service;
+  readonly tokens: TokenBounds | undefined;
+  readonly parts: readonly PromptPart[];
+}
+
+/** Why a request is answered without being sent. */
+export interface Refusal {
+  readonly status: number;
+  readonly cause: 'no-route' | 'no-service' | 'unknown-key';
+  readonly retryAfterS: number | undefined;
+}
+
+/** Plans a request; `fraction` in [0, 1) draws the service of a split route. */
+export function planFor(
+  caller: CallerRequest,
+  table: RouteTable,
+  dialect: CallerDialect,
+  fraction: number,
+): Result<Plan, Refusal> {
+  const host = (caller.header('host') ?? '').replace(/:\d+$/, '');
+  const route = table.find(host, caller.path);
+  if (route === undefined) {
+    return refusal(404, 'no-route');
+  }
+  const team = table.teamOf(caller.header(dialect.headers.key));
+  if (team === undefined && table.needsKey(route)) {
+    return refusal(401, 'unknown-key');
+  }
+  const service = table.serviceFor(route, fraction);
+  if (service === undefined) {
+    return refusal(503, 'no-service', RETRY_AFTER_MISSING_S);
+  }
+  const header = (name: string) => caller.header(name);
+  const parts = dialect.partsOf(header);
+  return ok({parts, route, service, team, tokens: dialect.tokensOf(header)});
+}
+
+function refusal(
+  status: number,
+  cause: Refusal['cause'],
+  retryAfterS?: number,
+): Result<Plan, Refusal> {
+  return err({cause, retryAfterS, status});
+}
