--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -45,8 +45,6 @@
   held: 'held',
   /** The request does not fit into what is left of the budget. */
   exhausted: 'exhausted',
-  /** What is left is kept for more urgent requests. */
-  keptBack: 'kept-back',
   /** Who could tell can't be reached. */
   unavailable: 'unavailable',
 } as const;
@@ -114,9 +112,6 @@
 /** Least part of the window that a demand must have been measured for. */
 const LEAST_MEASURED = 0.15;
 
-/** Part of what is to be held that the least urgent requests must leave. */
-const KEPT_BACK = 0.25;
-
 /** Edges asked for tokens at the same time. */
 const BORROW_AT_ONCE = 3;
 
@@ -175,20 +170,9 @@
     }));
   }
 
-  /**
-   * Sets tokens aside; waits a moment for more where there are too few. While
-   * no more can be had from the core, a part of what is held is kept for
-   * requests that are more urgent: `rank` is 0 for the most urgent ones.
-   */
-  async reserve(
-    team: string,
-    tokens: number,
-    rank = 0,
-  ): Promise<ReserveOutcome> {
+  /** Sets tokens aside; waits a moment for more where there are too few. */
+  async reserve(team: string, tokens: number): Promise<ReserveOutcome> {
     const account = this.accountOf(team);
-    if (this.isKeptBack(account, tokens, rank)) {
-      return RESERVE.keptBack;
-    }
     account.largest = Math.max(account.largest, tokens);
     if (this.take(account, tokens)) {
       return RESERVE.held;
@@ -298,20 +282,6 @@
     return account;
   }
 
-  /**
-   * Whether tokens are kept for more urgent requests. One that does not fit at
-   * all goes on to be told so, as long as the core can tell.
-   */
-  private isKeptBack(account: Account, tokens: number, rank: number): boolean {
-    const dry = account.left !== undefined && account.left <= 0;
-    if (rank <= 0 || (!dry && this.coreAnswers)) {
-      return false;
-    }
-    const rest = account.free - tokens;
-    const kept = this.wantOf(account) * Math.min(1, rank) * KEPT_BACK;
-    return rest < kept && (rest >= 0 || !this.coreAnswers);
-  }
-
   private take(account: Account, tokens: number): boolean {
     if (account.free < tokens) {
       return false;
@@ -456,13 +426,18 @@
   private wantOf(account: Account): number {
     const edges = this.parts.peers().length + 1;
     const floor = (account.prepaid * ALLOWANCE_FLOOR_SHARE) / edges;
-    const now = this.parts.clock.now();
-    const measured = 1 - Math.exp((account.since - now) / DEMAND_WINDOW_MS);
-    const rate = account.rate / Math.max(LEAST_MEASURED, measured);
+    const rate = this.rateOf(account);
     const demand = rate * ALLOWANCE_SECONDS + account.largest;
     return Math.ceil(Math.max(floor, demand));
   }
 
+  /** Tokens that requests spend here, a second. */
+  private rateOf(account: Account): number {
+    const now = this.parts.clock.now();
+    const measured = 1 - Math.exp((account.since - now) / DEMAND_WINDOW_MS);
+    return account.rate / Math.max(LEAST_MEASURED, measured);
+  }
+
   private compose(): AllowanceAsk[] {
     const asks: AllowanceAsk[] = [];
     for (const account of this.accounts.values()) {
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -165,11 +165,7 @@
       return true;
     }
     const most = tokens.prompt + tokens.most;
-    const outcome = await this.parts.allowances.reserve(
-      team.name,
-      most,
-      this.table.rankOf(plan.route),
-    );
+    const outcome = await this.parts.allowances.reserve(team.name, most);
     if (outcome === RESERVE.held) {
       this.reserved = most;
       return !this.ended;
@@ -187,9 +183,6 @@
       case RESERVE.exhausted:
         this.refuse(402, 'budget-exhausted');
         return;
-      case RESERVE.keptBack:
-        this.refuse(503, 'budget-kept-back', RETRY_AFTER_TOKENS_S);
-        return;
       case RESERVE.unavailable:
         this.refuse(503, 'budget-unreachable', RETRY_AFTER_TOKENS_S);
     }
--- a/packages/puffinturn-edge/src/RouteTable.ts
+++ b/packages/puffinturn-edge/src/RouteTable.ts
@@ -8,12 +8,6 @@
 /** Looks up routes by host and path, and teams by key. */
 import type {FleetConfiguration, Route, Service, Team} from 'puffinturn-fleet';
 
-/** Priorities of the routes of one service. */
-interface PriorityRange {
-  readonly most: number;
-  readonly least: number;
-}
-
 /** One configuration, prepared for look-ups. */
 export class RouteTable {
   /** The version in force. */
@@ -21,7 +15,6 @@
   private readonly byHost = new Map<string, Route[]>();
   private readonly byKey = new Map<string, Team>();
   private readonly byName = new Map<string, Service>();
-  private readonly priorities = new Map<string, PriorityRange>();
 
   constructor(readonly configuration: FleetConfiguration) {
     this.version = configuration.version;
@@ -30,7 +23,6 @@
       const routes = this.byHost.get(host) ?? [];
       routes.push(route);
       this.byHost.set(host, routes);
-      this.widenPriorities(route);
     }
     for (const routes of this.byHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
@@ -52,17 +44,6 @@
       ?.find(({pathPrefix}) => path.startsWith(pathPrefix));
   }
 
-  /**
-   * How urgent a route is among the routes of its first service: 0 for the most
-   * urgent, 1 for the least urgent ones.
-   */
-  rankOf({priority, targets}: Route): number {
-    const range = this.priorities.get(targets[0]?.service ?? '');
-    return range === undefined || range.least === range.most
-      ? 0
-      : (priority - range.most) / (range.least - range.most);
-  }
-
   /** Whether a request of this route must carry a key. */
   needsKey(route: Route): boolean {
     return this.configuration.teams !== undefined && !route.anonymous;
@@ -90,14 +71,4 @@
     }
     return undefined;
   }
-
-  private widenPriorities({priority, targets}: Route): void {
-    for (const {service} of targets) {
-      const known = this.priorities.get(service);
-      this.priorities.set(service, {
-        least: Math.max(priority, known?.least ?? priority),
-        most: Math.min(priority, known?.most ?? priority),
-      });
-    }
-  }
 }
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -101,34 +101,6 @@
     expect(await fleet.settled(edge.reserve('t', 1))).toBe(RESERVE.exhausted);
   });
 
-  test('keep a part for urgent requests while no more can be had', async () => {
-    const fleet = new Fleet(10_000);
-    const edge = await fleet.start('e', []);
-    const reserved = (rank: number) =>
-      fleet.settled(edge.reserve('t', 100, rank));
-    expect(await reserved(1)).toBe(RESERVE.held);
-    edge.settle('t', 100, 100);
-    fleet.network.partition(['e'], [CORE]);
-    let urgent = 0;
-    let kept = 0;
-    for (let turn = 0; turn < 200; turn += 1) {
-      if ((await reserved(1)) === RESERVE.held) {
-        edge.settle('t', 100, 100);
-      } else {
-        kept += 1;
-      }
-      if ((await reserved(0)) === RESERVE.held) {
-        edge.settle('t', 100, 100);
-        urgent += kept > 0 ? 1 : 0;
-      }
-    }
-    expect(kept).toBeGreaterThan(0);
-    expect(urgent).toBeGreaterThan(0);
-    fleet.network.heal();
-    await fleet.clock.advance(3_000);
-    expect(await reserved(1)).toBe(RESERVE.held);
-  });
-
   test('go on from what is held while the core is away', async () => {
     const fleet = new Fleet(10_000);
     const edge = await fleet.start('e', []);
--- a/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -65,18 +65,6 @@
     expect(long && table.serviceFor(long, 0.999)?.name).toBe('s1');
   });
 
-  test('ranks routes of one service by their priority', () => {
-    const routes = [0, 1, 3].map((priority) => ({
-      ...route(`r${priority}`, `/${priority}/`, [1]),
-      priority,
-    }));
-    const ranked = new RouteTable({...CONFIGURATION, routes});
-    const ranks = routes.map((found) => ranked.rankOf(found));
-    expect(ranks).toEqual([0, 1 / 3, 1]);
-    const [only] = CONFIGURATION.routes;
-    expect(only && table.rankOf(only)).toBe(0);
-  });
-
   test('wants a key but on open routes', () => {
     const short = table.find('host.example', '/a/');
     const open = table.find('host.example', '/o/');
