--- a/packages/puffinturn-edge/src/KeptPrefixes.ts
+++ b/packages/puffinturn-edge/src/KeptPrefixes.ts
@@ -13,33 +13,56 @@
 
 import type {PromptPart} from './CallerDialect';
 
-/** Chains remembered for each upstream. */
-const MAX_CHAINS = 512;
+/** Prefixes remembered for each upstream. */
+const MAX_PREFIXES = 512;
+
+/** The start of a prompt up to and with one of its parts. */
+interface Prefix {
+  /** The ids of its parts. */
+  readonly key: string;
+  /** Tokens of all its parts. */
+  readonly tokens: number;
+}
+
+/** Prefixes of prompts that were asked for, so that they are built once. */
+const prefixesOfParts = new WeakMap<readonly PromptPart[], readonly Prefix[]>();
 
 /** See the module comment. */
 export class KeptPrefixes {
-  private readonly chains = new LRUCache<string, true>({max: MAX_CHAINS});
+  private readonly kept = new LRUCache<string, true>({max: MAX_PREFIXES});
 
   /** Notes that a prompt was read. */
   sent(parts: readonly PromptPart[]): void {
-    let chain = '';
-    for (const {id} of parts) {
-      chain += `,${id}`;
-      this.chains.set(chain, true);
+    for (const {key} of prefixesOf(parts)) {
+      this.kept.set(key, true);
     }
   }
 
   /** Tokens at the start of a prompt that need not be read again. */
   keptOf(parts: readonly PromptPart[]): number {
-    let chain = '';
-    let tokens = 0;
-    for (const part of parts) {
-      chain += `,${part.id}`;
-      if (!this.chains.has(chain)) {
+    let kept = 0;
+    for (const {key, tokens} of prefixesOf(parts)) {
+      if (!this.kept.has(key)) {
         break;
       }
-      tokens += part.tokens;
+      kept = tokens;
     }
-    return tokens;
+    return kept;
+  }
+}
+
+function prefixesOf(parts: readonly PromptPart[]): readonly Prefix[] {
+  const known = prefixesOfParts.get(parts);
+  if (known !== undefined) {
+    return known;
   }
+  const ids: string[] = [];
+  let tokens = 0;
+  const prefixes = parts.map((part): Prefix => {
+    ids.push(part.id);
+    tokens += part.tokens;
+    return {key: ids.join(','), tokens};
+  });
+  prefixesOfParts.set(parts, prefixes);
+  return prefixes;
 }
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -119,7 +119,7 @@
 /** Copies of fewer tokens than this are not worth their set-up. */
 const LEAST_COPIED_TOKENS = 256;
 
-/** How much of a prompt one upstream keeps, and another one lacks. */
+/** How many tokens of a prompt one upstream keeps. */
 interface Keeper {
   readonly upstream: EdgeUpstream;
   readonly tokens: number;
@@ -149,53 +149,44 @@
     const key = hashOf(sharedKey(parts));
     const agreed = lowest(candidates, ({hash}) => -mix(hash, key));
     const shared = sharedTokens(parts);
+    const keepers = candidates.map((upstream): Keeper => {
+      const assumed = upstream === agreed ? shared : 0;
+      const tokens = Math.max(assumed, upstream.prefixes.keptOf(parts));
+      return {tokens, upstream};
+    });
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-    const keptBy = (upstream: EdgeUpstream): number =>
-      Math.max(
-        upstream === agreed ? shared : 0,
-        upstream.prefixes.keptOf(parts),
-      );
     const copyMs = service.engine?.copyMsPerToken;
-    const keeper =
-      copyMs === undefined ? undefined : bestKeeper(candidates, keptBy);
-    const upstream = lowest(candidates, (candidate) => {
-      const kept = keptBy(candidate);
-      const copied = copiedTokens(candidate, kept, keeper);
+    const source = copyMs === undefined ? undefined : bestKeeper(keepers);
+    const chosen = lowest(keepers, (keeper) => {
+      const {inFlight, pendingTokens, record, speed} = keeper.upstream;
+      const copied = copiedTokens(keeper, source);
       const copy = copied === 0 ? 0 : COPY_SETUP_MS + copied * (copyMs ?? 0);
-      const {inFlight, pendingTokens, record, speed} = candidate;
-      const toRead = Math.max(0, all - kept - copied) + pendingTokens;
+      const unread = Math.max(0, all - keeper.tokens - copied);
+      const read = (unread + pendingTokens) / speed.tokensPerMs;
       const away = record.hall === hall ? 0 : OTHER_HALL_MS;
-      const open = inFlight * OPEN_REQUEST_MS;
-      return toRead / speed.tokensPerMs + copy + open + away;
+      return read + copy + inFlight * OPEN_REQUEST_MS + away;
     });
-    if (upstream === undefined) {
+    if (chosen === undefined) {
       return undefined;
     }
-    const copied = copiedTokens(upstream, keptBy(upstream), keeper);
-    const prefixSource = copied === 0 ? undefined : keeper?.upstream;
-    return {copiedTokens: copied, prefixSource, upstream};
+    const copied = copiedTokens(chosen, source);
+    const prefixSource = copied === 0 ? undefined : source?.upstream;
+    return {copiedTokens: copied, prefixSource, upstream: chosen.upstream};
   }
 }
 
 /** The upstream that keeps most of a prompt. */
-function bestKeeper(
-  candidates: readonly EdgeUpstream[],
-  keptBy: (upstream: EdgeUpstream) => number,
-): Keeper | undefined {
-  const upstream = lowest(candidates, (candidate) => -keptBy(candidate));
-  return upstream === undefined
-    ? undefined
-    : {upstream, tokens: keptBy(upstream)};
+function bestKeeper(keepers: readonly Keeper[]): Keeper | undefined {
+  return lowest(keepers, ({tokens}) => -tokens);
 }
 
-/** Tokens that an upstream would copy from the keeper. */
+/** Tokens that an upstream would copy from the one that keeps most. */
 function copiedTokens(
-  upstream: EdgeUpstream,
-  kept: number,
-  keeper: Keeper | undefined,
+  {tokens, upstream}: Keeper,
+  source: Keeper | undefined,
 ): number {
-  const lacking = (keeper?.tokens ?? 0) - kept;
-  return keeper?.upstream === upstream || lacking < LEAST_COPIED_TOKENS
+  const lacking = (source?.tokens ?? 0) - tokens;
+  return source?.upstream === upstream || lacking < LEAST_COPIED_TOKENS
     ? 0
     : lacking;
 }
@@ -217,16 +208,16 @@
     : 0;
 }
 
-function lowest(
-  upstreams: readonly EdgeUpstream[],
-  costOf: (upstream: EdgeUpstream) => number,
-): EdgeUpstream | undefined {
-  let best: EdgeUpstream | undefined;
+function lowest<Item>(
+  items: readonly Item[],
+  costOf: (item: Item) => number,
+): Item | undefined {
+  let best: Item | undefined;
   let bestCost = Infinity;
-  for (const upstream of upstreams) {
-    const cost = costOf(upstream);
+  for (const item of items) {
+    const cost = costOf(item);
     if (cost < bestCost) {
-      best = upstream;
+      best = item;
       bestCost = cost;
     }
   }
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -54,9 +54,11 @@
    * from the requests, not from an upstream.
    */
   greyErrorRate(service: string): number {
-    const rates = this.serving(service)
-      .map(({errorRate}) => errorRate)
-      .sort((a, b) => a - b);
+    const serving = this.serving(service);
+    if (serving.every(({errorRate}) => errorRate <= GREY_RATE)) {
+      return GREY_RATE;
+    }
+    const rates = serving.map(({errorRate}) => errorRate).sort((a, b) => a - b);
     const median = rates[Math.floor((rates.length - 1) / 2)] ?? 0;
     return GREY_RATE + GREY_FACTOR * median;
   }
