Do not rest on a control box that has lost the quorum

Cause: an edge asks two control boxes; in a cut of the core both can be in the part without a quorum, and the edge would keep an old configuration for as long as the cut lasts. Found by reading; the test failed first. A control box names its leader only while it hears of it, and one that names none does not count among the two.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -242,7 +242,7 @@
       boxesRevision: this.boxesRevision,
       current,
       incarnation: self.incarnation,
-      leader: replica.leaderBox,
+      leader: replica.heardLeaderBox,
       upstreams: this.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.upstreams.revision,
     };
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -9,7 +9,7 @@
  * Keeps one box up to date: one task for each control box asks it for news and
  * is answered as soon as there are some. Control boxes are found from the
  * seeds, then from the answers. A box of a large fleet asks only a few of them
- * at a time; the others stand by until one of these falls silent. A silent one
+ * at a time; the others stand by until one of these falls silent or knows no leader. A silent one
  * is asked again and again; nothing learned is forgotten because control is
  * silent.
  */
@@ -80,8 +80,11 @@
   reachable: boolean;
   /** Whether one answer rested on a barrier of the log. */
   current: boolean;
-  /** Whether the last call to it failed. */
-  silent: boolean;
+  /**
+   * Whether the last call to it failed, or its answer named no leader: then it
+   * may be cut off from the quorum, and its news may be old.
+   */
+  unfit: boolean;
   /** Place in this box's order of control boxes; the lowest are asked. */
   readonly rank: number;
 }
@@ -153,7 +156,7 @@
       rank: rankOf(this.parts.self.box, box),
       reachable: false,
       upstreamsRevision: 0,
-      silent: false,
+      unfit: false,
     };
     this.watched.set(box, watched);
     this.tasks.start((signal) => this.watch(watched, signal));
@@ -193,15 +196,15 @@
   }
 
   /**
-   * Whether a control box is asked or stands by. Silent ones are asked too, so
+   * Whether a control box is asked or stands by. Unfit ones are asked too, so
    * that their return shows; until one answer was current, all are asked.
    */
   private isAsked(watched: Watched): boolean {
-    if (watched.silent || !this.current) {
+    if (watched.unfit || !this.current) {
       return true;
     }
     const ahead = [...this.watched.values()].filter(
-      ({rank, silent}) => !silent && rank < watched.rank,
+      ({rank, unfit}) => !unfit && rank < watched.rank,
     );
     return ahead.length < this.parts.askedAtOnce;
   }
@@ -230,7 +233,7 @@
       });
     }
     watched.reachable = true;
-    this.setSilent(watched, false);
+    this.setUnfit(watched, (reply.leader ?? undefined) === undefined);
     watched.answeredAt = clock.now();
     watched.incarnation = reply.incarnation;
     watched.upstreamsRevision = reply.upstreamsRevision;
@@ -261,15 +264,15 @@
     this.parts.news.boxes(boxes, source);
   }
 
-  private setSilent(watched: Watched, silent: boolean): void {
-    if (watched.silent !== silent) {
-      watched.silent = silent;
+  private setUnfit(watched: Watched, unfit: boolean): void {
+    if (watched.unfit !== unfit) {
+      watched.unfit = unfit;
       this.roles.notify();
     }
   }
 
   private lose(watched: Watched): void {
-    this.setSilent(watched, true);
+    this.setUnfit(watched, true);
     if (watched.reachable) {
       watched.reachable = false;
       this.parts.log.note({
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -101,10 +101,10 @@
     );
   }
   await clock.advance(4_000);
-  const watchFrom = (box: string) => {
+  const watchFrom = (box: string, askedAtOnce = 2) => {
     const news = new Notes();
     const watch = new FleetWatch({
-      askedAtOnce: 2,
+      askedAtOnce,
       clock,
       link: network.connect(box),
       log: new SilentDecisionLog(),
@@ -241,4 +241,24 @@
       network.heal();
     }
   });
+
+  test('does not rest on a control box that is cut off from the others', async () => {
+    const {clock, control, network, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1', 1);
+    await clock.advance(5_000);
+    for (const [at, box] of CONTROLS.entries()) {
+      const others = CONTROLS.filter((other) => other !== box);
+      network.partition([box], others);
+      await clock.advance(3_000);
+      const configuration = configurationOf(30 + at);
+      const stored = {configuration, document: 'changed'};
+      const [taker = ''] = others;
+      const reply = await settle(clock, control(taker).change(stored));
+      expect(reply.accepted).toBe(true);
+      await clock.advance(500);
+      expect(news.held?.version).toBe(30 + at);
+      network.heal();
+      await clock.advance(3_000);
+    }
+  });
 });
--- a/packages/puffinturn-log/src/LogConstants.ts
+++ b/packages/puffinturn-log/src/LogConstants.ts
@@ -54,3 +54,6 @@
 
 /** A replica that heard no leader for this many election times asks to join. */
 export const REJOIN_ELECTIONS = 4;
+
+/** Election time-outs without a word after which a leader counts as lost. */
+export const LOST_AFTER_ELECTIONS = 2;
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -31,6 +31,7 @@
 import type {ReplicaTiming} from './LogConstants';
 import {
   CAUGHT_UP_ENTRIES,
+  LOST_AFTER_ELECTIONS,
   MAX_APPEND_BYTES,
   MAX_APPEND_ENTRIES,
   REJOIN_ELECTIONS,
@@ -219,6 +220,18 @@
     return this.leader === undefined ? undefined : boxOf(this.leader);
   }
 
+  /**
+   * The box of the leader while it is heard from; undefined where this replica
+   * may be cut off, and what it has applied may be old.
+   */
+  get heardLeaderBox(): string | undefined {
+    const {clock, timing} = this.parts;
+    const silence = clock.now() - this.heardAt;
+    const heard =
+      this.isLeader || silence < LOST_AFTER_ELECTIONS * timing.electionMs;
+    return heard ? this.leaderBox : undefined;
+  }
+
   /** Figures for status pages and metrics. */
   status() {
     return {
