--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -214,8 +214,11 @@
     );
   }
 
-  private get boxesRevision(): number {
-    return this.boxes.revision + this.othersRevision;
+  /** The revision of what `boxesFor` gives the same box. */
+  private boxesRevisionFor({role}: BoxRecord): number {
+    return role === BOX_ROLE.control
+      ? this.boxes.revision
+      : this.boxes.revision + this.othersRevision;
   }
 
   private boxesFor({role}: BoxRecord): readonly BoxRecord[] {
@@ -233,13 +236,11 @@
     const upstreamsRevision = same ? request.upstreamsRevision : 0;
     const boxesRevision = same ? request.boxesRevision : -1;
     const news = this.configurationFor(request.configurationVersion);
+    const revision = this.boxesRevisionFor(request.from);
     return {
       ...news,
-      boxes:
-        this.boxesRevision > boxesRevision
-          ? this.boxesFor(request.from)
-          : undefined,
-      boxesRevision: this.boxesRevision,
+      boxes: revision > boxesRevision ? this.boxesFor(request.from) : undefined,
+      boxesRevision: revision,
       current,
       incarnation: self.incarnation,
       leader: replica.heardLeaderBox,
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -9,9 +9,9 @@
  * Keeps one box up to date: one task for each control box asks it for news and
  * is answered as soon as there are some. Control boxes are found from the
  * seeds, then from the answers. A box of a large fleet asks only a few of them
- * at a time; the others stand by until one of these falls silent or knows no leader. A silent one
- * is asked again and again; nothing learned is forgotten because control is
- * silent.
+ * at a time; the others stand by until one of these falls silent or knows no
+ * leader. A silent one is asked again and again; nothing learned is forgotten
+ * because control is silent.
  */
 import {createHash} from 'node:crypto';
 
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -34,6 +34,7 @@
 class Notes extends FleetNews {
   held: FleetConfiguration | undefined;
   changes = 0;
+  lists = 0;
   found: UpstreamRecord[] = [];
   others: BoxRecord[] = [];
 
@@ -58,6 +59,7 @@
 
   override boxes(records: readonly BoxRecord[]): void {
     this.others = [...records];
+    this.lists += 1;
   }
 }
 
@@ -261,4 +263,14 @@
       await clock.advance(3_000);
     }
   });
+
+  test('tells of boxes only where some have changed', async () => {
+    const {clock, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1');
+    // The control box that is asked no more forgets this edge after 8 s.
+    await clock.advance(12_000);
+    const before = news.lists;
+    await clock.advance(10_000);
+    expect(news.lists).toBe(before);
+  });
 });
