--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -18,6 +18,7 @@
   BoxRecord,
   ConfigurationChange,
   FleetConfiguration,
+  HandOver,
   UpstreamRecord,
 } from 'puffinturn-fleet';
 import {applyChange, BOX_ROLE, FleetNews, FleetWatch} from 'puffinturn-fleet';
@@ -33,6 +34,7 @@
 import {EdgeMetrics} from './EdgeMetrics';
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
+import {Neighbours} from './Neighbours';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
@@ -57,6 +59,12 @@
 /** Without an answer by barrier, an edge is ready after this time, ms. */
 const SETTLE_MS = 2_500;
 
+/**
+ * Without an answer of the core for this time after its start, an edge takes
+ * what it serves from from other edges, ms; the core answers sooner in all calm.
+ */
+const NEEDS_STATE_MS = 400;
+
 /** Control boxes asked for news at a time; the others stand by. */
 const CONTROLS_ASKED = 2;
 
@@ -107,10 +115,16 @@
   readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
   private readonly watch: FleetWatch;
+  private readonly neighbours: Neighbours;
   private readonly forwarding: ForwardingParts;
   private readonly listeners: HttpListener[] = [];
   private readonly startedAt: number;
-  private peers: string[] = [];
+  /** The other edges. */
+  private peers: readonly BoxRecord[] = [];
+  /** All boxes as last told. */
+  private boxes: readonly BoxRecord[] = [];
+  /** Whether another edge handed over what is served from. */
+  private handedOver = false;
   private table: RouteTable | undefined;
   private open = 0;
   private lastRequestAt: number;
@@ -137,11 +151,21 @@
       box: self.box,
       clock,
       controls: () => this.controls(),
+      hall: self.hall,
       holder: `${self.box} ${self.incarnation}`,
       link,
       log,
       peers: () => this.peers,
     });
+    this.neighbours = new Neighbours({
+      clock,
+      edges: () => this.peers,
+      link,
+      needsState: () => this.needsState,
+      self,
+      state: () => this.state(),
+      take: (state, source) => this.takeOver(state, source),
+    });
     this.forwarding = {
       allowances: this.allowances,
       clock,
@@ -190,7 +214,11 @@
       return false;
     }
     const settled = this.parts.clock.now() - this.startedAt > SETTLE_MS;
-    return this.watch.current || (settled && this.watch.answered > 0);
+    return (
+      this.watch.current ||
+      (this.handedOver && !this.watch.inTouch) ||
+      (settled && this.watch.answered > 0)
+    );
   }
 
   /** Puts a configuration in force, unless a newer one is. */
@@ -221,11 +249,10 @@
 
   /** Takes over who else is alive. */
   learnBoxes(records: readonly BoxRecord[]): void {
-    this.peers = records
-      .filter(({box, role}) => {
-        return role === BOX_ROLE.edge && box !== this.parts.self.box;
-      })
-      .map(({box}) => box);
+    this.boxes = records;
+    this.peers = records.filter(({box, role}) => {
+      return role === BOX_ROLE.edge && box !== this.parts.self.box;
+    });
   }
 
   /**
@@ -260,10 +287,36 @@
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
     await this.allowances[Symbol.asyncDispose]();
+    await this.neighbours[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
     this.pool[Symbol.dispose]();
   }
 
+  private get needsState(): boolean {
+    const age = this.parts.clock.now() - this.startedAt;
+    return (
+      this.table === undefined &&
+      this.watch.answered === 0 &&
+      age > NEEDS_STATE_MS &&
+      !this.stopping
+    );
+  }
+
+  private state(): HandOver | undefined {
+    const configuration = this.table?.configuration;
+    return configuration === undefined
+      ? undefined
+      : {boxes: this.boxes, configuration, upstreams: this.pool.records()};
+  }
+
+  private takeOver(state: HandOver, source: string): void {
+    this.learnBoxes(state.boxes);
+    this.watch.learn(state.boxes);
+    this.pool.merge(state.upstreams, source);
+    this.configure(state.configuration, source);
+    this.handedOver = true;
+  }
+
   private controls(): string[] {
     const {controls, leader} = this.watch;
     return leader === undefined || !controls.includes(leader)
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -49,8 +49,23 @@
 /** Time that tokens held for a team should last, s; longer than most cuts. */
 export const ALLOWANCE_SECONDS = 10;
 
-/** Share of a team's prepaid tokens that all edges hold before any demand. */
-export const ALLOWANCE_FLOOR_SHARE = 0.15;
+/**
+ * Share of a team's prepaid tokens that all halls would hold before any demand;
+ * the core bounds it further as the budget is spent.
+ */
+export const ALLOWANCE_FLOOR_SHARE = 0.4;
+
+/** Demand that an edge keeps tokens for which is not its hall's holder, s. */
+export const FLOAT_SECONDS = 2;
+
+/** More tokens are asked for below this part of what is to be held. */
+export const REFILL_BELOW = 0.7;
+
+/** Tokens go back to the core above this multiple of what is to be held. */
+export const RETURN_ABOVE = 1.5;
+
+/** Time after its start from which an edge holds tokens for its hall, ms. */
+export const HOLD_AFTER_MS = 800;
 
 /** How often allowances are weighed, ms. */
 export const ALLOWANCE_TICK_MS = 250;
@@ -64,8 +79,11 @@
 /** Longest time for one exchange with the core, ms. */
 export const EXCHANGE_MS = 1_500;
 
-/** Longest time for another edge to lend tokens, ms. */
-export const BORROW_MS = 100;
+/** Longest time for another edge to lend what it has, ms; busy ones take 100. */
+export const BORROW_MS = 200;
+
+/** Longest time for the holder of the hall to lend, asking others first, ms. */
+export const GATHER_MS = 500;
 
 /** How long a budget found exhausted is taken to stay so, ms. */
 export const EXHAUSTED_MS = 800;
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -6,7 +6,6 @@
  */
 
 /** One upstream as an edge sees it: its record, own load and health. */
-import {createHash} from 'node:crypto';
 import {Agent} from 'node:http';
 
 import type {DecisionLog} from 'puffinturn-decisions';
@@ -23,15 +22,11 @@
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
+import {hashOf} from './Rendezvous';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
 
-/** A 32-bit hash of a text. */
-export function hashOf(text: string): number {
-  return createHash('md5').update(text).digest().readUInt32LE(0);
-}
-
 /** See the module comment. Disposing it ends all its connections. */
 export class EdgeUpstream implements Disposable {
   /** Requests of this edge that are open at the upstream. */
--- /dev/null
+++ b/packages/puffinturn-edge/src/Neighbours.ts
@@ -0,0 +1,115 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Edges look after the next ones in a ring over all edges, hall by hall. One
+ * that was restarted while the core can't be reached knows nothing to serve
+ * from; its neighbours notice and hand it the configuration, the upstreams and
+ * the list of boxes. Costs two short calls a turn, whatever the fleet's size.
+ */
+import type {
+  BoxRecord,
+  GreetReply,
+  GreetRequest,
+  HandOver,
+} from 'puffinturn-fleet';
+import {FLEET_SERVICE} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+import {DisposableList, TaskGroup} from 'shared';
+
+/** How often the neighbours are greeted, ms: a small part of a restart's time. */
+const GREET_EVERY_MS = 400;
+
+/** Longest time for the answer to a greeting, ms. */
+const GREET_MS = 150;
+
+/** Longest time for a hand-over, ms; it can be some hundred kilobytes. */
+const HAND_OVER_MS = 1_000;
+
+/** Edges that each one looks after; two, so that one may be down as well. */
+const NEIGHBOURS = 2;
+
+/** What Neighbours are made of. */
+export interface NeighboursParts {
+  readonly self: BoxRecord;
+  readonly clock: Clock;
+  readonly link: Link;
+  /** The other edges. */
+  readonly edges: () => readonly BoxRecord[];
+  /** Whether this edge has nothing to serve from and can't reach the core. */
+  readonly needsState: () => boolean;
+  /** What to hand over; undefined while there is nothing. */
+  readonly state: () => HandOver | undefined;
+  readonly take: (state: HandOver, source: string) => void;
+}
+
+/** See the module comment. */
+export class Neighbours implements AsyncDisposable {
+  private readonly tasks = new TaskGroup();
+  private readonly handlers = new DisposableList();
+
+  constructor(private readonly parts: NeighboursParts) {
+    const {link, needsState, take} = parts;
+    this.handlers.add(
+      link.register(FLEET_SERVICE.greet, async (): Promise<GreetReply> => ({
+        needsState: needsState(),
+      })),
+    );
+    this.handlers.add(
+      link.register(FLEET_SERVICE.handOver, async (body, from) => {
+        if (needsState()) {
+          take(body as HandOver, from);
+        }
+        return null;
+      }),
+    );
+    this.tasks.start((signal) => this.greet(signal));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.handlers[Symbol.dispose]();
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  private async greet(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.parts.clock.sleep(GREET_EVERY_MS, signal);
+      if (signal.aborted || this.parts.needsState()) {
+        continue;
+      }
+      await Promise.all(this.next().map((box) => this.lookAfter(box)));
+    }
+  }
+
+  private async lookAfter(box: string): Promise<void> {
+    const {link, self, state} = this.parts;
+    const request: GreetRequest = {from: self.box};
+    const answer = await link.call(box, FLEET_SERVICE.greet, request, GREET_MS);
+    const found = state();
+    if (answer.isErr() || found === undefined) {
+      return;
+    }
+    if ((answer.value as GreetReply).needsState) {
+      await link.call(box, FLEET_SERVICE.handOver, found, HAND_OVER_MS);
+    }
+  }
+
+  /** The edges that follow this one in the ring. */
+  private next(): readonly string[] {
+    const {edges, self} = this.parts;
+    const ring = [...edges(), self].sort(byPlace);
+    const at = ring.indexOf(self);
+    const following = [...ring.slice(at + 1), ...ring.slice(0, at)];
+    return following.slice(0, NEIGHBOURS).map(({box}) => box);
+  }
+}
+
+function byPlace(a: BoxRecord, b: BoxRecord): number {
+  const placeOf = ({box, hall}: BoxRecord): string => `${hall} ${box}`;
+  return placeOf(a) < placeOf(b) ? -1 : 1;
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/Rendezvous.ts
@@ -0,0 +1,25 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Rendezvous hashing: every box that knows the same nodes ranks them alike for
+ * a key, and a node that comes or goes moves only the keys that it wins.
+ */
+import {createHash} from 'node:crypto';
+
+/** A 32-bit hash of a text. */
+export function hashOf(text: string): number {
+  return createHash('md5').update(text).digest().readUInt32LE(0);
+}
+
+/** The weight of a node for a key, from both hashes; the highest one wins. */
+export function rendezvousWeight(nodeHash: number, keyHash: number): number {
+  let mixed = Math.imul(nodeHash ^ keyHash, 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 15), 0x85ebca77);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae3d);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/TokenLoans.ts
@@ -0,0 +1,187 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Loans of tokens between edges. Each has a number in its borrower's life. One
+ * whose answer does not come in time may have been granted, so the borrower
+ * asks for its outcome until the lender tells it: nothing is lost on the way,
+ * and since only the borrower credits it, nothing can count twice.
+ */
+import {LRUCache} from 'lru-cache';
+import type {BorrowReply, BorrowRequest} from 'puffinturn-fleet';
+import {FLEET_SERVICE, LOAN} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+import {TaskGroup} from 'shared';
+
+import {BORROW_MS, GATHER_MS} from './EdgeConstants';
+import type {TokenAccount} from './TokenAccount';
+import type {TokenBook} from './TokenBook';
+import type {TokenHolders} from './TokenHolders';
+
+/** Edges asked for tokens at the same time. */
+const BORROW_AT_ONCE = 3;
+
+/** Outcomes of loans that a lender remembers; some seconds' worth of them. */
+const MAX_OUTCOMES = 2_000;
+
+/** Pause before the outcome of a loan is asked for again, ms. */
+const OUTCOME_EVERY_MS = 400;
+
+/** How often it is asked for; a lender that is silent for longer is dead. */
+const OUTCOME_TRIES = 12;
+
+/** Decides on a loan at the lender. */
+export type Lend = (request: BorrowRequest) => Promise<BorrowReply>;
+
+/** What TokenLoans are made of. */
+export interface TokenLoansParts {
+  /** One life of this edge. */
+  readonly life: string;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly book: TokenBook;
+  readonly holders: TokenHolders;
+  readonly lend: Lend;
+}
+
+/** See the module comment. */
+export class TokenLoans implements AsyncDisposable {
+  private readonly outcomes = new LRUCache<string, Promise<BorrowReply>>({
+    max: MAX_OUTCOMES,
+  });
+  private readonly tasks = new TaskGroup();
+  private readonly registration: Disposable;
+  private number = 0;
+
+  constructor(private readonly parts: TokenLoansParts) {
+    this.registration = parts.link.register(FLEET_SERVICE.borrow, (body) =>
+      this.answer(body as BorrowRequest),
+    );
+  }
+
+  /**
+   * Asks one edge for tokens that a request lacks; undefined when it does not
+   * answer. With `gather`, that edge may ask the core and the other halls.
+   */
+  async borrowFrom(
+    lender: string,
+    account: TokenAccount,
+    tokens: number,
+    gather: boolean,
+  ): Promise<BorrowReply | undefined> {
+    const {book, holders, life, link} = this.parts;
+    const need = Math.max(0, tokens - account.free);
+    this.number += 1;
+    const request: BorrowRequest = {
+      borrower: life,
+      gather,
+      need,
+      number: this.number,
+      outcomeOnly: false,
+      team: account.team,
+      want: gather ? need + book.wantOf(account) : need,
+    };
+    const timeoutMs = gather ? GATHER_MS : BORROW_MS;
+    const answer = await link.call(
+      lender,
+      FLEET_SERVICE.borrow,
+      request,
+      timeoutMs,
+    );
+    if (answer.isErr()) {
+      holders.suspect(lender);
+      if (answer.error.kind !== 'not-sent') {
+        this.tasks.start((signal) =>
+          this.askForOutcome(lender, account, request, signal),
+        );
+      }
+      return undefined;
+    }
+    const reply = answer.value as BorrowReply;
+    this.credit(lender, account, reply);
+    if (reply.outcome === LOAN.closing) {
+      holders.suspect(lender);
+      return undefined;
+    }
+    return reply;
+  }
+
+  /** Asks the holders elsewhere, a few at a time; true when all answered. */
+  async borrowElsewhere(
+    account: TokenAccount,
+    tokens: number,
+  ): Promise<boolean> {
+    let allAnswered = true;
+    const lenders = [...this.parts.holders.elsewhere(account.team)];
+    while (lenders.length > 0 && account.free < tokens) {
+      const round = lenders.splice(0, BORROW_AT_ONCE);
+      const replies = await Promise.all(
+        round.map((lender) => this.borrowFrom(lender, account, tokens, false)),
+      );
+      allAnswered &&= replies.every((reply) => reply !== undefined);
+    }
+    return allAnswered;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.registration[Symbol.dispose]();
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  /** A loan that is asked for again has the outcome that it had. */
+  private answer(request: BorrowRequest): Promise<BorrowReply> {
+    const key = `${request.borrower} ${request.number}`;
+    const known = this.outcomes.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const outcome = request.outcomeOnly
+      ? Promise.resolve<BorrowReply>({given: 0, outcome: LOAN.unavailable})
+      : this.parts.lend(request);
+    this.outcomes.set(key, outcome);
+    return outcome;
+  }
+
+  private async askForOutcome(
+    lender: string,
+    account: TokenAccount,
+    request: BorrowRequest,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, link} = this.parts;
+    for (let tries = 0; tries < OUTCOME_TRIES; tries += 1) {
+      await clock.sleep(OUTCOME_EVERY_MS, signal);
+      if (signal.aborted) {
+        return;
+      }
+      const answer = await link.call(
+        lender,
+        FLEET_SERVICE.borrow,
+        {...request, outcomeOnly: true} satisfies BorrowRequest,
+        GATHER_MS,
+      );
+      if (answer.isOk()) {
+        this.credit(lender, account, answer.value as BorrowReply);
+        return;
+      }
+    }
+    this.parts.book.noteMove(account, 'loan-unknown', 0);
+  }
+
+  private credit(
+    lender: string,
+    account: TokenAccount,
+    {given}: BorrowReply,
+  ): void {
+    if (given > 0) {
+      account.borrow(given);
+      this.parts.book.noteMove(account, lender, given);
+      this.parts.book.moved.notify();
+    }
+  }
+}
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -12,7 +12,7 @@
 import type {PromptPart} from './CallerDialect';
 import {BOUNDED_LOAD} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
-import {hashOf} from './EdgeUpstream';
+import {hashOf, rendezvousWeight} from './Rendezvous';
 
 /** What a choice may look at. */
 export interface ChoiceFacts {
@@ -103,7 +103,7 @@
     const total = candidates.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const bound = (total / Math.max(1, candidates.length)) * BOUNDED_LOAD + 1;
     const withRoom = candidates.filter(({inFlight}) => inFlight <= bound);
-    return lowest(withRoom, ({hash}) => -mix(hash, key));
+    return lowest(withRoom, ({hash}) => -rendezvousWeight(hash, key));
   }
 }
 
@@ -147,7 +147,7 @@
     {parts, service, hall}: ChoiceFacts,
   ): Placement | undefined {
     const key = hashOf(sharedKey(parts));
-    const agreed = lowest(candidates, ({hash}) => -mix(hash, key));
+    const agreed = lowest(candidates, ({hash}) => -rendezvousWeight(hash, key));
     const shared = sharedTokens(parts);
     const keepers = candidates.map((upstream): Keeper => {
       const assumed = upstream === agreed ? shared : 0;
@@ -223,11 +223,3 @@
   }
   return best;
 }
-
-/** Mixes two 32-bit hashes into one. */
-function mix(a: number, b: number): number {
-  let mixed = Math.imul(a ^ b, 0x9e3779b1);
-  mixed = Math.imul(mixed ^ (mixed >>> 15), 0x85ebca77);
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae3d);
-  return (mixed ^ (mixed >>> 16)) >>> 0;
-}
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -43,6 +43,11 @@
     }
   }
 
+  /** Every record, also of incarnations that are gone. */
+  records(): UpstreamRecord[] {
+    return this.table.records();
+  }
+
   /** Upstreams of a service that take new requests. */
   serving(service: string): EdgeUpstream[] {
     return (this.byService.get(service) ?? []).filter(({serves}) => serves);
--- a/packages/puffinturn-fleet/src/Boxes.ts
+++ b/packages/puffinturn-fleet/src/Boxes.ts
@@ -8,17 +8,31 @@
 /** The boxes that are alive, as soft state learned from their own calls. */
 import type {BoxRecord} from './FleetMessages';
 
-/** A box that has not called for this long is dropped, ms. */
-const DROP_AFTER_MS = 8_000;
+/**
+ * A box that has not called for this long is dropped, ms. Longer than the cuts
+ * of some 8 s that take all edges from the core at once: after one the list
+ * still names them.
+ */
+const DROP_AFTER_MS = 15_000;
+
+/** Boxes that are gone and still told of; the oldest are forgotten first. */
+const MAX_GONE = 1_000;
 
-interface Slot {
-  record: BoxRecord;
-  heardAt: number;
+/** What differs between two revisions of a list of boxes. */
+export interface BoxChanges {
+  /** Boxes that are new or were started again. */
+  readonly changed: readonly BoxRecord[];
+  /** Addresses between boxes of those that are gone. */
+  readonly gone: readonly string[];
 }
 
-/** Live boxes with a revision for each change. */
-export class BoxTable {
-  private readonly slots = new Map<string, Slot>();
+/** A list of boxes with a revision for each change. */
+export class BoxList {
+  private readonly slots = new Map<
+    string,
+    {readonly record: BoxRecord; readonly revision: number}
+  >();
+  private readonly gone = new Map<string, number>();
   private current = 0;
 
   /** The revision of the newest change. */
@@ -26,28 +40,79 @@
     return this.current;
   }
 
-  /** Every live box. */
+  /** Every box. */
   records(): BoxRecord[] {
     return [...this.slots.values()].map(({record}) => record);
   }
 
-  /** Notes a call of a box; true when it is new or started again. */
-  hear(record: BoxRecord, now: number): boolean {
-    const known = this.slots.get(record.box);
-    const changed = known?.record.incarnation !== record.incarnation;
-    this.slots.set(record.box, {heardAt: now, record});
-    if (changed) {
-      this.current += 1;
+  /** Takes a box in; true when it is new or was started again. */
+  put(record: BoxRecord): boolean {
+    const {box, incarnation} = record;
+    if (this.slots.get(box)?.record.incarnation === incarnation) {
+      return false;
+    }
+    this.current += 1;
+    this.slots.set(box, {record, revision: this.current});
+    this.gone.delete(box);
+    return true;
+  }
+
+  /** Takes a box out. */
+  remove(box: string): void {
+    if (!this.slots.delete(box)) {
+      return;
+    }
+    this.current += 1;
+    this.gone.set(box, this.current);
+    const [oldest] = this.gone.keys();
+    if (this.gone.size > MAX_GONE && oldest !== undefined) {
+      this.gone.delete(oldest);
+    }
+  }
+
+  /** Makes the list name just these boxes. */
+  replace(records: readonly BoxRecord[]): void {
+    const named = new Set(records.map(({box}) => box));
+    for (const box of [...this.slots.keys()]) {
+      if (!named.has(box)) {
+        this.remove(box);
+      }
+    }
+    for (const record of records) {
+      this.put(record);
     }
-    return changed;
+  }
+
+  /** What has changed after a revision. */
+  changedSince(revision: number): BoxChanges {
+    const changed = [...this.slots.values()]
+      .filter((slot) => slot.revision > revision)
+      .map(({record}) => record);
+    const gone = [...this.gone]
+      .filter(([, removedAt]) => removedAt > revision)
+      .map(([box]) => box);
+    return {changed, gone};
+  }
+}
+
+/** The boxes that call this one; they are dropped once they are silent. */
+export class BoxTable {
+  /** Live boxes. */
+  readonly list = new BoxList();
+  private readonly heardAt = new Map<string, number>();
+
+  /** Notes a call of a box; true when it is new or was started again. */
+  hear(record: BoxRecord, now: number): boolean {
+    this.heardAt.set(record.box, now);
+    return this.list.put(record);
   }
 
   /** Drops boxes that have not called for long. */
   expire(now: number): void {
-    for (const [box, {heardAt}] of this.slots) {
+    for (const [box, heardAt] of this.heardAt) {
       if (now - heardAt > DROP_AFTER_MS) {
-        this.slots.delete(box);
-        this.current += 1;
+        this.heardAt.delete(box);
+        this.list.remove(box);
       }
     }
   }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -18,7 +18,7 @@
 import type {Clock, Condition, Failure} from 'shared';
 import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import {BoxTable} from './Boxes';
+import {BoxList, BoxTable} from './Boxes';
 import {ConfigurationHistory} from './ConfigurationHistory';
 import type {
   AllowanceOutcome,
@@ -47,6 +47,11 @@
 /** How often silent boxes and upstreams are looked for, ms. */
 const EXPIRE_EVERY_MS = 1_000;
 
+const NO_CONFIGURATION = {
+  configuration: undefined,
+  configurationChange: undefined,
+} as const;
+
 /** Why control could not decide. */
 type FleetFailure = Failure<'no-quorum'> | ProposalFailure;
 
@@ -98,7 +103,8 @@
   readonly boxes = new BoxTable();
   /** Boxes that watch the other control boxes, by control box. */
   private readonly boxesOfOthers = new Map<string, readonly BoxRecord[]>();
-  private othersRevision = 0;
+  /** All boxes that any control box knows of, as edges are told. */
+  private readonly everyBox = new BoxList();
   private readonly history = new ConfigurationHistory();
   private readonly others: FleetWatch;
   private readonly tasks = new TaskGroup();
@@ -176,7 +182,7 @@
   /** Takes over which boxes watch another control box. */
   hearBoxes(records: readonly BoxRecord[], source: string): void {
     this.boxesOfOthers.set(source, records);
-    this.othersRevision += 1;
+    this.gatherBoxes();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -189,7 +195,9 @@
 
   private async watch(request: WatchRequest): Promise<WatchReply> {
     const {changed, clock} = this.parts;
-    this.boxes.hear(request.from, clock.now());
+    if (this.boxes.hear(request.from, clock.now())) {
+      this.gatherBoxes();
+    }
     const current = request.current ? (await this.readHere()).current : false;
     const until = clock.now() + request.waitMs;
     while (!this.hasNews(request) && clock.now() < until && !this.tasks.ended) {
@@ -214,34 +222,33 @@
     );
   }
 
-  /** The revision of what `boxesFor` gives the same box. */
-  private boxesRevisionFor({role}: BoxRecord): number {
-    return role === BOX_ROLE.control
-      ? this.boxes.revision
-      : this.boxes.revision + this.othersRevision;
-  }
-
-  private boxesFor({role}: BoxRecord): readonly BoxRecord[] {
-    const own = [this.parts.self, ...this.boxes.records()];
-    if (role === BOX_ROLE.control) {
-      return own;
-    }
-    const all = [...this.boxesOfOthers.values()].flat().concat(own);
-    return [...new Map(all.map((record) => [record.box, record])).values()];
+  /** Own list of boxes and those of the other control boxes in one. */
+  private gatherBoxes(): void {
+    const others = [...this.boxesOfOthers.values()].flat();
+    const own = [this.parts.self, ...this.boxes.list.records()];
+    const byBox = new Map(
+      [...others, ...own].map((record) => [record.box, record]),
+    );
+    this.everyBox.replace([...byBox.values()]);
   }
 
   private newsFor(request: WatchRequest, current: boolean): WatchReply {
-    const {replica, self} = this.parts;
+    const {machine, replica, self} = this.parts;
     const same = request.incarnation === self.incarnation;
     const upstreamsRevision = same ? request.upstreamsRevision : 0;
     const boxesRevision = same ? request.boxesRevision : -1;
-    const news = this.configurationFor(request.configurationVersion);
-    const revision = this.boxesRevisionFor(request.from);
+    const list =
+      request.from.role === BOX_ROLE.control ? this.boxes.list : this.everyBox;
+    const tellsBoxes = !request.brief && list.revision > boxesRevision;
+    const configuration = request.brief
+      ? NO_CONFIGURATION
+      : this.configurationFor(request.configurationVersion);
     return {
-      ...news,
-      boxes: revision > boxesRevision ? this.boxesFor(request.from) : undefined,
-      boxesRevision: revision,
+      ...configuration,
+      boxes: tellsBoxes ? list.changedSince(boxesRevision) : undefined,
+      boxesRevision: request.brief ? boxesRevision : list.revision,
       current,
+      heldVersion: machine.stored?.configuration.version ?? -Infinity,
       incarnation: self.incarnation,
       leader: replica.heardLeaderBox,
       upstreams: this.upstreams.changedSince(upstreamsRevision),
@@ -254,7 +261,7 @@
   ): Pick<WatchReply, 'configuration' | 'configurationChange'> {
     const configuration = this.parts.machine.stored?.configuration;
     if (configuration === undefined || configuration.version <= version) {
-      return {configuration: undefined, configurationChange: undefined};
+      return NO_CONFIGURATION;
     }
     this.history.add(configuration);
     const configurationChange = this.history.changeSince(version);
@@ -364,6 +371,7 @@
       await clock.sleep(EXPIRE_EVERY_MS, signal);
       this.upstreams.expire(clock.now());
       this.boxes.expire(clock.now());
+      this.gatherBoxes();
     }
   }
 }
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -79,6 +79,11 @@
   readonly granted: number;
   /** Tokens that the core can still grant afterwards; below 0 if overdrawn. */
   readonly left: number;
+  /**
+   * The most that this holder should go on holding, reserved tokens included,
+   * where all holders together hold too much.
+   */
+  readonly mostHeld?: number | undefined;
 }
 
 /** Every record of the fleet's log. */
@@ -202,12 +207,20 @@
     const left = Math.max(0, this.prepaidOf(team) - out);
     const heldByAll = this.heldByAll(team);
     const unspent = left + heldByAll;
-    const room = Math.max(0, this.mostHeld(team, unspent) - heldByAll);
+    const most = this.mostHeld(team, unspent);
+    const room = Math.max(0, most - heldByAll);
     const calm = Math.min(want, Math.floor(room * PART_OF_ROOM));
     const granted = Math.min(left, Math.max(need, calm));
     this.granted.set(team, out + granted);
-    held.set(team, (held.get(team) ?? 0) + granted);
-    return {granted, left: left - granted, team};
+    const holds = (held.get(team) ?? 0) + granted;
+    held.set(team, holds);
+    const share = most / Math.max(1, heldByAll + granted);
+    return {
+      granted,
+      left: left - granted,
+      mostHeld: share < 1 ? Math.floor(Math.max(0, holds) * share) : undefined,
+      team,
+    };
   }
 
   private mostHeld(team: string, unspent: number): number {
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -6,6 +6,7 @@
  */
 
 /** Messages between control boxes and edges. */
+import type {BoxChanges} from './Boxes';
 import type {FleetConfiguration} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {AllowanceAsk, AllowanceGrant} from './FleetMachine';
@@ -17,6 +18,8 @@
   borrow: 'fleet-borrow',
   change: 'fleet-change',
   give: 'fleet-give',
+  greet: 'fleet-greet',
+  handOver: 'fleet-hand-over',
   read: 'fleet-read',
   watch: 'fleet-watch',
 } as const;
@@ -48,6 +51,11 @@
   readonly waitMs: number;
   /** Whether the answer must rest on a barrier of the log. */
   readonly current: boolean;
+  /**
+   * Whether another control box brings configurations and boxes: then the
+   * answer only names the version that the asked box holds.
+   */
+  readonly brief: boolean;
 }
 
 /** What is new since the last answer. */
@@ -60,11 +68,13 @@
   readonly configurationChange: ConfigurationChange | undefined;
   readonly upstreams: readonly UpstreamRecord[];
   readonly upstreamsRevision: number;
+  /** The version that the answering box holds, or -Infinity. */
+  readonly heldVersion: number;
   /**
-   * Live boxes, where that list has changed: all of them for an edge, those
-   * that watch the answering box itself for another control box.
+   * What has changed among the live boxes, where anything has: all boxes for an
+   * edge, those that call the answering box itself for another control box.
    */
-  readonly boxes: readonly BoxRecord[] | undefined;
+  readonly boxes: BoxChanges | undefined;
   readonly boxesRevision: number;
   /** Whether a barrier was passed, where one was asked for. */
   readonly current: boolean;
@@ -83,18 +93,47 @@
   readonly grants: readonly AllowanceGrant[] | undefined;
 }
 
-/** Asks another edge for tokens it can spare. */
+/** Asks another edge for tokens. */
 export interface BorrowRequest {
+  /** One life of the asking edge; with the number it names the loan. */
+  readonly borrower: string;
+  readonly number: number;
+  /** Whether only the outcome of that loan is asked for, as no answer came. */
+  readonly outcomeOnly: boolean;
   readonly team: string;
+  /** Tokens that a request lacks. */
   readonly need: number;
+  /** Tokens that would be of use; at least those needed. */
+  readonly want: number;
+  /**
+   * Whether the asked edge, as the holder of the hall, may ask the core and the
+   * other halls for what it lacks. Then it lends all that is needed or nothing.
+   */
+  readonly gather: boolean;
 }
 
+/** What came of asking another edge for tokens. */
+export const LOAN = {
+  /** It lent what it could spare. */
+  lent: 'lent',
+  /** The core and the other halls together have too few. */
+  exhausted: 'exhausted',
+  /** It has too few, and not all that could have more answered. */
+  unavailable: 'unavailable',
+  /** It is stopping; the next edge of the hall is the holder. */
+  closing: 'closing',
+} as const;
+
+/** One of LOAN. */
+export type LoanOutcome = (typeof LOAN)[keyof typeof LOAN];
+
 /** Tokens that the asked edge has given up. */
 export interface BorrowReply {
   readonly given: number;
+  readonly outcome: LoanOutcome;
 }
 
-/** Tokens of one team that an edge hands on as it stops. */
+/** Tokens of one team that an edge hands on. */
 export interface Gift {
   readonly team: string;
   readonly amount: number;
@@ -102,9 +141,37 @@
 
 /** Hands tokens on to another edge. */
 export interface GiveRequest {
+  /** One life of the giving edge. */
+  readonly giver: string;
+  /** Grows with each gift of that life; one sent again counts once. */
+  readonly number: number;
   readonly gifts: readonly Gift[];
 }
 
+/** Whether the asked edge took the tokens; one that is stopping does not. */
+export interface GiveReply {
+  readonly taken: boolean;
+}
+
+/** Asks another edge whether it knows what it must to serve. */
+export interface GreetRequest {
+  readonly from: string;
+}
+
+/** What an edge lacks. */
+export interface GreetReply {
+  /** Whether it has no configuration and has not reached the core. */
+  readonly needsState: boolean;
+}
+
+/** What an edge serves from, handed to one that can't reach the core. */
+export interface HandOver {
+  readonly configuration: FleetConfiguration;
+  readonly upstreams: readonly UpstreamRecord[];
+  /** All boxes known, the receiver included. */
+  readonly boxes: readonly BoxRecord[];
+}
+
 /** What became of a change of the configuration. */
 export interface ChangeReply {
   readonly accepted: boolean;
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -20,6 +20,7 @@
 import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
+import type {BoxChanges} from './Boxes';
 import type {FleetConfiguration} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
@@ -38,6 +39,12 @@
 /** Least time between two questions to one box, so that news are gathered. */
 const GATHER_MS = 25;
 
+/**
+ * How long a version that one control box holds may be on its way from another
+ * one before it is asked for everywhere, ms; a change takes some 20 ms.
+ */
+const OVERDUE_MS = 250;
+
 /** A box that is no seed is given up after this much silence, ms. */
 const GIVE_UP_MS = 20_000;
 
@@ -73,6 +80,10 @@
 
 interface Watched {
   readonly box: string;
+  /** Where it stands; undefined until some list has named it. */
+  hall: string | undefined;
+  /** Boxes that it has told of, by address. */
+  readonly boxes: Map<string, BoxRecord>;
   incarnation: string;
   upstreamsRevision: number;
   boxesRevision: number;
@@ -85,7 +96,7 @@
    * may be cut off from the quorum, and its news may be old.
    */
   unfit: boolean;
-  /** Place in this box's order of control boxes; the lowest are asked. */
+  /** Orders control boxes of one hall, and those of all others; see `before`. */
   readonly rank: number;
 }
 
@@ -96,6 +107,10 @@
   /** Notified when another control box may have to be asked. */
   private readonly roles = new Condition();
   private leaderBox: string | undefined;
+  /** The control box whose list of boxes was taken over last. */
+  private boxesFrom: string | undefined;
+  /** The highest version that any control box has named, and since when. */
+  private named = {at: -Infinity, version: -Infinity};
 
   constructor(private readonly parts: FleetWatchParts) {
     this.tasks.start((signal) => this.followSeeds(signal));
@@ -150,8 +165,10 @@
     const watched: Watched = {
       answeredAt: undefined,
       box,
+      boxes: new Map(),
       boxesRevision: -1,
       current: false,
+      hall: undefined,
       incarnation: '',
       rank: rankOf(this.parts.self.box, box),
       reachable: false,
@@ -203,17 +220,44 @@
     if (watched.unfit || !this.current) {
       return true;
     }
+    return this.aheadOf(watched) < this.parts.askedAtOnce;
+  }
+
+  /** How many fit control boxes are asked before this one. */
+  private aheadOf(watched: Watched): number {
     const ahead = [...this.watched.values()].filter(
-      ({rank, unfit}) => !unfit && rank < watched.rank,
+      (other) => !other.unfit && this.before(other, watched),
     );
-    return ahead.length < this.parts.askedAtOnce;
+    return ahead.length;
+  }
+
+  /** Control boxes of the own hall come first, then a hash spreads the load. */
+  private before(a: Watched, b: Watched): boolean {
+    const {hall} = this.parts.self;
+    const away = Number(a.hall !== hall) - Number(b.hall !== hall);
+    return away === 0 ? a.rank < b.rank : away < 0;
+  }
+
+  /**
+   * One control box brings configurations and boxes; the others that are asked
+   * only show that it is not behind. An overdue version is asked for everywhere.
+   */
+  private isBrief(watched: Watched): boolean {
+    const {askedAtOnce, clock, news} = this.parts;
+    const overdue =
+      this.named.version > news.configurationVersion &&
+      clock.now() - this.named.at > OVERDUE_MS;
+    return askedAtOnce < Infinity && !overdue && this.aheadOf(watched) > 0;
   }
 
   private question(watched: Watched): WatchRequest {
     const {news, self} = this.parts;
+    const brief = this.isBrief(watched);
+    const held = news.configurationVersion;
     return {
       boxesRevision: watched.boxesRevision,
-      configurationVersion: news.configurationVersion,
+      brief,
+      configurationVersion: brief ? Math.max(held, this.named.version) : held,
       current: !this.current,
       from: self,
       incarnation: watched.incarnation,
@@ -235,10 +279,16 @@
     watched.reachable = true;
     this.setUnfit(watched, (reply.leader ?? undefined) === undefined);
     watched.answeredAt = clock.now();
+    if (watched.incarnation !== reply.incarnation) {
+      watched.boxes.clear();
+    }
     watched.incarnation = reply.incarnation;
     watched.upstreamsRevision = reply.upstreamsRevision;
     watched.boxesRevision = reply.boxesRevision;
     this.leaderBox = reply.leader ?? this.leaderBox;
+    if (reply.heldVersion > this.named.version) {
+      this.named = {at: clock.now(), version: reply.heldVersion};
+    }
     if (reply.configuration !== undefined && reply.configuration !== null) {
       news.configuration(reply.configuration, watched.box);
     }
@@ -249,19 +299,39 @@
     if (reply.upstreams.length > 0) {
       news.upstreams(reply.upstreams, watched.box);
     }
-    if (reply.boxes !== undefined && reply.boxes !== null) {
-      this.takeBoxes(reply.boxes, watched.box);
-    }
+    this.takeBoxes(watched, reply.boxes ?? undefined);
     watched.current ||= reply.current;
   }
 
-  private takeBoxes(boxes: readonly BoxRecord[], source: string): void {
-    for (const {box, role} of boxes) {
+  /** Takes over control boxes that another edge knows. */
+  learn(records: readonly BoxRecord[]): void {
+    for (const {box, hall, role} of records) {
       if (role === BOX_ROLE.control) {
         this.add(box);
+        const known = this.watched.get(box);
+        if (known !== undefined) {
+          known.hall = hall;
+        }
       }
     }
-    this.parts.news.boxes(boxes, source);
+  }
+
+  /** Only the list of the first control box counts where one is told of all. */
+  private takeBoxes(watched: Watched, changes: BoxChanges | undefined): void {
+    for (const record of changes?.changed ?? []) {
+      watched.boxes.set(record.box, record);
+    }
+    for (const box of changes?.gone ?? []) {
+      watched.boxes.delete(box);
+    }
+    this.learn(changes?.changed ?? []);
+    const counts =
+      this.parts.askedAtOnce === Infinity || this.aheadOf(watched) === 0;
+    const isNew = changes !== undefined || this.boxesFrom !== watched.box;
+    if (counts && isNew && watched.boxes.size > 0) {
+      this.boxesFrom = watched.box;
+      this.parts.news.boxes([...watched.boxes.values()], watched.box);
+    }
   }
 
   private setUnfit(watched: Watched, unfit: boolean): void {
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetMachine.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetMachine.test.ts
@@ -96,6 +96,28 @@
     expect(exchange(machine, 'late', 1, ask({need: 300}))).toBe(300);
   });
 
+  test('says how much to hold on to once all hold too much of what is left', () => {
+    const machine = machineWith(1_000);
+    const mostHeld = (box: string, sequence: number, asked: AllowanceAsk) => {
+      const outcome = machine.apply({
+        asks: [asked],
+        box,
+        holder: `${box} 1`,
+        kind: 'allowance',
+        sequence,
+      }) as AllowanceOutcome;
+      return outcome.grants[0]?.mostHeld;
+    };
+    expect(mostHeld('e', 1, ask({need: 100}))).toBeUndefined();
+    expect(mostHeld('f', 1, ask({need: 300}))).toBeUndefined();
+    // 800 are spent; 200 remain, all of them in the hands of e and f.
+    mostHeld('g', 1, ask({need: 600}));
+    const most = mostHeld('g', 2, ask({spent: 600}));
+    const after = mostHeld('f', 2, ask({spent: 200}));
+    expect(most).toBe(0);
+    expect(after).toBeLessThan(50);
+  });
+
   test('never grants more than was paid for, whatever comes back', () => {
     const step = fc.record({
       back: fc.nat(100),
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -6,7 +6,8 @@
  */
 
 /** Configuration, upstreams and allowances of a fleet, and how they spread. */
-export {BoxTable} from './Boxes';
+export type {BoxChanges} from './Boxes';
+export {BoxList, BoxTable} from './Boxes';
 export type {
   CallerLimits,
   ConfigurationFailure,
@@ -42,12 +43,17 @@
   BoxRole,
   ChangeReply,
   Gift,
+  GiveReply,
   GiveRequest,
+  GreetReply,
+  GreetRequest,
+  HandOver,
+  LoanOutcome,
   ReadReply,
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
-export {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+export {BOX_ROLE, FLEET_SERVICE, LOAN} from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetNews, FleetWatch} from './FleetWatch';
 export {linkOfReplicas} from './ReplicaLink';
--- a/packages/shared/src/Clock.ts
+++ b/packages/shared/src/Clock.ts
@@ -9,8 +9,6 @@
  * Time as seen by one box. All waiting in the project goes through a Clock, so
  * that tests drive time themselves.
  */
-import {setTimeout as systemSleep} from 'node:timers/promises';
-
 import {Heap} from 'heap-js';
 
 /** A source of time and the only way to wait. */
@@ -35,8 +33,20 @@
     return Date.now();
   }
 
-  override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await systemSleep(ms, undefined, {signal}).catch(() => undefined);
+  override sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
+    }
+    // Not the sleep of node:timers, which makes an error at each abort.
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, ms);
+      signal?.addEventListener('abort', wake, {once: true});
+    });
   }
 }
 
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -25,17 +25,28 @@
 
 /** Wakes every task that waits for something to change. */
 export class Condition {
-  private waiters: Array<() => void> = [];
+  private waiters = new Set<() => void>();
+
+  /** How many tasks wait. */
+  get waiting(): number {
+    return this.waiters.size;
+  }
 
   /** Resolves at the next `notify`. */
   wait(): Promise<void> {
-    return new Promise((resolve) => this.waiters.push(resolve));
+    return new Promise((resolve) => void this.onNext(resolve));
+  }
+
+  /** Calls `wake` at the next `notify`, unless disposed before. */
+  onNext(wake: () => void): Disposable {
+    this.waiters.add(wake);
+    return {[Symbol.dispose]: () => void this.waiters.delete(wake)};
   }
 
   /** Wakes all waiting tasks. */
   notify(): void {
-    const waiters = this.waiters;
-    this.waiters = [];
+    const {waiters} = this;
+    this.waiters = new Set();
     for (const wake of waiters) {
       wake();
     }
@@ -52,7 +63,13 @@
   const stop = new AbortController();
   const cancel = (): void => stop.abort();
   signal.addEventListener('abort', cancel, {once: true});
-  await Promise.race([condition.wait(), clock.sleep(ms, stop.signal)]);
+  let waiter: Disposable | undefined;
+  const notified = new Promise<void>((resolve) => {
+    waiter = condition.onNext(resolve);
+  });
+  await Promise.race([notified, clock.sleep(ms, stop.signal)]);
+  // A condition that is never notified must not gather those that slept.
+  waiter?.[Symbol.dispose]();
   stop.abort();
   signal.removeEventListener('abort', cancel);
 }
