--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -25,7 +25,11 @@
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
 import {CoreExchange} from './CoreExchange';
-import {ALLOWANCE_TICK_MS, ALLOWANCE_WAIT_MS} from './EdgeConstants';
+import {
+  ALLOWANCE_TICK_MS,
+  ALLOWANCE_WAIT_MS,
+  HAND_ON_AFTER_MS,
+} from './EdgeConstants';
 import type {TokenAccount} from './TokenAccount';
 import {TokenBook} from './TokenBook';
 import {TokenGifts} from './TokenGifts';
@@ -103,6 +107,7 @@
       this.book.accountOf(name).budget(prepaidTokens);
     }
     this.book.wanted.notify();
+    this.book.freed.notify();
   }
 
   /** Figures for metrics. */
@@ -135,6 +140,7 @@
     const account = this.book.accountOf(team);
     account.settle(reserved, spent, this.parts.clock.now());
     this.book.moved.notify();
+    this.book.freed.notify();
   }
 
   /**
@@ -271,8 +277,11 @@
   }
 
   private async handSurplusOn(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
     while (!signal.aborted && !this.closing) {
-      await this.parts.clock.sleep(ALLOWANCE_TICK_MS, signal);
+      const {freed} = this.book;
+      await sleepUnlessNotified(clock, freed, ALLOWANCE_TICK_MS, signal);
+      await clock.sleep(HAND_ON_AFTER_MS, signal);
       if (!signal.aborted && !this.closing) {
         await this.gifts.handSurplusOn();
       }
--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/CoreExchange.ts
@@ -23,6 +23,7 @@
 
 import {
   ALLOWANCE_TICK_MS,
+  EXCHANGE_AGAIN_MS,
   EXCHANGE_MS,
   HOLD_AFTER_MS,
   REFILL_BELOW,
@@ -216,7 +217,7 @@
         this.credit(grants);
         return;
       }
-      await this.parts.clock.sleep(ALLOWANCE_TICK_MS / 2, signal);
+      await this.parts.clock.sleep(EXCHANGE_AGAIN_MS, signal);
     }
   }
 
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -160,6 +160,7 @@
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
+      inTouch: () => this.watch.inTouch,
       link,
       needsState: () => this.needsState,
       self,
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -67,8 +67,14 @@
 /** Time after its start from which an edge holds tokens for its hall, ms. */
 export const HOLD_AFTER_MS = 800;
 
-/** How often allowances are weighed, ms. */
-export const ALLOWANCE_TICK_MS = 250;
+/** How often allowances are weighed where nothing calls for it, ms. */
+export const ALLOWANCE_TICK_MS = 1_000;
+
+/** Pause before an exchange with the core that had no answer goes out again, ms. */
+export const EXCHANGE_AGAIN_MS = 125;
+
+/** Time in which tokens that became free are gathered to be handed on, ms. */
+export const HAND_ON_AFTER_MS = 250;
 
 /** Time constant of the measured demand, ms. */
 export const DEMAND_WINDOW_MS = 6_000;
--- a/packages/puffinturn-edge/src/Neighbours.ts
+++ b/packages/puffinturn-edge/src/Neighbours.ts
@@ -22,8 +22,17 @@
 import type {Clock} from 'shared';
 import {DisposableList, TaskGroup} from 'shared';
 
-/** How often the neighbours are greeted, ms: a small part of a restart's time. */
-const GREET_EVERY_MS = 400;
+/**
+ * How often the neighbours are greeted while the core can't be reached, ms: a
+ * small part of the time that a restart takes.
+ */
+const GREET_EVERY_MS = 300;
+
+/** The same in all calm, ms; a restarted edge then has all from the core. */
+const GREET_CALM_MS = 2_000;
+
+/** How often to look which of both holds, ms. */
+const LOOK_MS = 500;
 
 /** Longest time for the answer to a greeting, ms. */
 const GREET_MS = 150;
@@ -41,6 +50,8 @@
   readonly link: Link;
   /** The other edges. */
   readonly edges: () => readonly BoxRecord[];
+  /** Whether the core can be reached. */
+  readonly inTouch: () => boolean;
   /** Whether this edge has nothing to serve from and can't reach the core. */
   readonly needsState: () => boolean;
   /** What to hand over; undefined while there is nothing. */
@@ -77,11 +88,15 @@
   }
 
   private async greet(signal: AbortSignal): Promise<void> {
+    const {clock, inTouch, needsState} = this.parts;
+    let greetedAt = clock.now();
     while (!signal.aborted) {
-      await this.parts.clock.sleep(GREET_EVERY_MS, signal);
-      if (signal.aborted || this.parts.needsState()) {
+      await clock.sleep(inTouch() ? LOOK_MS : GREET_EVERY_MS, signal);
+      const calm = inTouch() && clock.now() - greetedAt < GREET_CALM_MS;
+      if (signal.aborted || calm || needsState()) {
         continue;
       }
+      greetedAt = clock.now();
       await Promise.all(this.next().map((box) => this.lookAfter(box)));
     }
   }
--- a/packages/puffinturn-edge/src/TokenBook.ts
+++ b/packages/puffinturn-edge/src/TokenBook.ts
@@ -25,6 +25,8 @@
   readonly wanted = new Condition();
   /** Notified when tokens have come in or have become free. */
   readonly moved = new Condition();
+  /** Notified when an account may hold more than is wanted. */
+  readonly freed = new Condition();
   private readonly accounts = new Map<string, TokenAccount>();
 
   constructor(
--- a/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
@@ -44,6 +44,7 @@
     new Neighbours({
       clock: this.clock,
       edges: () => (held === undefined ? [] : others),
+      inTouch: () => false,
       link: this.network.connect(box),
       needsState: () => held === undefined,
       self: edgeOf(box),
