Say what a refusal for tokens rested on

A 402 named its team and nothing else: to see why it fell one had to put the movements of all edges together. The last line of a request that was refused for tokens now holds what its edge held and had reserved, who the holder of its hall is, what the core had left, how old that is, and whether the core answers. Test: Allowances, tells what a refusal rested on. docs/OPERATIONS.md leads on from there.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -18,6 +18,21 @@
   readonly configuration: number;
 }
 
+/** What one edge knew of a team's tokens; amounts in tokens. */
+export interface TokenFacts {
+  /** Tokens here, reserved ones included. */
+  readonly held: number;
+  readonly reserved: number;
+  /** The edge that holds the team's tokens for this hall. */
+  readonly holder: string;
+  /** What the core could still grant at this edge's last exchange. */
+  readonly left: number | undefined;
+  /** The age of that answer. */
+  readonly leftAgeMs: number | undefined;
+  /** Whether the last exchange that was tried had an answer. */
+  readonly coreAnswers: boolean;
+}
+
 /** The last decision about a request: what its caller was told. */
 export interface RequestEnded extends RequestDecision {
   readonly event: 'request-ended';
@@ -32,6 +47,8 @@
   readonly events: number;
   /** Tokens charged to the team. */
   readonly charged: number;
+  /** What a refusal for want of tokens rested on. */
+  readonly tokens?: TokenFacts | undefined;
 }
 
 /** One attempt at an upstream that did not end in an answer. */
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -6,6 +6,6 @@
  */
 
 /** Structured log lines, one for each decision of a process. */
-export type {Decision} from './Decision';
+export type {Decision, TokenFacts} from './Decision';
 export type {DecisionLogParts} from './DecisionLog';
 export {DecisionLog, JsonDecisionLog, SilentDecisionLog} from './DecisionLog';
--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -12,7 +12,7 @@
  * a cut from the core stops no request and the death of an edge loses little.
  * The others ask it for what a request lacks and hand back what is over.
  */
-import type {DecisionLog} from 'puffinturn-decisions';
+import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
 import type {
   BorrowReply,
   BorrowRequest,
@@ -117,6 +117,21 @@
       .map(({held, reserved, team}) => ({held, reserved, team}));
   }
 
+  /** What is known here of a team's tokens, for the line of a refusal. */
+  factsOf(team: string): TokenFacts {
+    const {held, left, leftAt, reserved} = this.book.accountOf(team);
+    const age =
+      leftAt === undefined ? undefined : this.parts.clock.now() - leftAt;
+    return {
+      coreAnswers: this.core.answers,
+      held,
+      holder: this.holders.ahead(team)[0] ?? this.parts.box,
+      left,
+      leftAgeMs: age === undefined ? undefined : Math.round(age),
+      reserved,
+    };
+  }
+
   /** Sets tokens aside; waits a moment for more where there are too few. */
   async reserve(team: string, tokens: number): Promise<ReserveOutcome> {
     const account = this.book.accountOf(team);
--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/CoreExchange.ts
@@ -247,12 +247,13 @@
   }
 
   private credit(grants: readonly AllowanceGrant[]): void {
-    const {book} = this.parts;
+    const {book, clock} = this.parts;
     this.answeredSequence = this.sequence;
     for (const {granted, left, mostHeld, team} of grants) {
       const account = book.accountOf(team);
       account.held += granted;
       account.left = left;
+      account.leftAt = clock.now();
       account.mostHeld = mostHeld ?? Infinity;
       if (granted > 0) {
         book.noteMove(account, 'core', granted);
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -13,7 +13,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 
-import type {DecisionLog} from 'puffinturn-decisions';
+import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
@@ -93,6 +93,7 @@
   private ended = false;
   private cause = '';
   private reserved = 0;
+  private refusedForTokens = false;
 
   constructor(
     private readonly parts: ForwardingParts,
@@ -171,6 +172,7 @@
       return !this.ended;
     }
     if (!this.ended) {
+      this.refusedForTokens = true;
       this.refuseTokens(outcome);
     }
     return false;
@@ -519,6 +521,14 @@
     }
   }
 
+  /** What a refusal for tokens rested on. */
+  private tokenFacts(): TokenFacts | undefined {
+    const team = this.plan?.team?.name;
+    return team === undefined || !this.refusedForTokens
+      ? undefined
+      : this.parts.allowances.factsOf(team);
+  }
+
   private note(charged = 0): void {
     const {attempts, caller, cause, plan, relay, upstream, table} = this;
     const {clock, log, metrics} = this.parts;
@@ -537,6 +547,7 @@
       upstream: upstream?.id,
       status,
       team: plan?.team?.name,
+      tokens: this.tokenFacts(),
       tookMs: Math.round(clock.now() - caller.startedAt),
     });
   }
--- a/packages/puffinturn-edge/src/TokenAccount.ts
+++ b/packages/puffinturn-edge/src/TokenAccount.ts
@@ -25,6 +25,8 @@
   lent = 0;
   /** What the core had left at the last exchange. */
   left: number | undefined;
+  /** When that exchange was answered. */
+  leftAt: number | undefined;
   /** The most that the core wants held here, reserved tokens included. */
   mostHeld = Infinity;
   /** Whether all that is free must go back to the core. */
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -161,6 +161,22 @@
     );
   });
 
+  test('tell what a refusal rested on, and how old that is', async () => {
+    const fleet = new Fleet(1_000);
+    const edge = await fleet.start('e', []);
+    expect(await fleet.settled(edge.reserve('t', 5_000))).toBe(
+      RESERVE.exhausted,
+    );
+    // The exchange that was under way has been answered by then.
+    await fleet.clock.advance(20);
+    const before = edge.factsOf('t').leftAgeMs ?? NaN;
+    await fleet.clock.advance(100);
+    const facts = edge.factsOf('t');
+    expect(facts).toMatchObject({coreAnswers: true, holder: 'e', left: 0});
+    expect(facts.held).toBe(1_000);
+    expect(facts.leftAgeMs).toBe(before + 100);
+  });
+
   test('take a raised budget up at once', async () => {
     const fleet = new Fleet(100);
     const edge = await fleet.start('e', []);
