--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -25,11 +25,7 @@
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
 import {CoreExchange} from './CoreExchange';
-import {
-  ALLOWANCE_TICK_MS,
-  ALLOWANCE_WAIT_MS,
-  HAND_ON_AFTER_MS,
-} from './EdgeConstants';
+import {ALLOWANCE_WAIT_MS, HAND_ON_AFTER_MS} from './EdgeConstants';
 import type {TokenAccount} from './TokenAccount';
 import {TokenBook} from './TokenBook';
 import {TokenGifts} from './TokenGifts';
@@ -64,6 +60,9 @@
   readonly peers: () => readonly BoxRecord[];
 }
 
+/** How often surplus is looked for where no request has ended, ms. */
+const SURPLUS_TICK_MS = 4_000;
+
 /** Longest sleep of a waiting request between looks, ms. */
 const LOOK_MS = 40;
 
@@ -295,7 +294,7 @@
     const {clock} = this.parts;
     while (!signal.aborted && !this.closing) {
       const {freed} = this.book;
-      await sleepUnlessNotified(clock, freed, ALLOWANCE_TICK_MS, signal);
+      await sleepUnlessNotified(clock, freed, SURPLUS_TICK_MS, signal);
       await clock.sleep(HAND_ON_AFTER_MS, signal);
       if (!signal.aborted && !this.closing) {
         await this.gifts.handSurplusOn();
--- a/packages/puffinturn-edge/src/EdgeHttp.ts
+++ b/packages/puffinturn-edge/src/EdgeHttp.ts
@@ -31,7 +31,7 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 
 /** How often slow senders are looked for, ms. */
-const CHECK_MS = 500;
+const CHECK_MS = 1_000;
 
 /** A listening server. Disposing it closes it with all connections. */
 export class HttpListener implements AsyncDisposable {
--- a/packages/puffinturn-edge/src/Neighbours.ts
+++ b/packages/puffinturn-edge/src/Neighbours.ts
@@ -26,13 +26,13 @@
  * How often the neighbours are greeted while the core can't be reached, ms: a
  * small part of the time that a restart takes.
  */
-const GREET_EVERY_MS = 300;
+const GREET_EVERY_MS = 500;
 
 /** The same in all calm, ms; a restarted edge then has all from the core. */
-const GREET_CALM_MS = 2_000;
+const GREET_CALM_MS = 4_000;
 
 /** How often to look which of both holds, ms. */
-const LOOK_MS = 500;
+const LOOK_MS = 1_000;
 
 /** Longest time for the answer to a greeting, ms. */
 const GREET_MS = 150;
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -27,15 +27,25 @@
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import type {UpstreamRecord} from './Upstreams';
 
-/** How long a control box may hold a question back, ms. */
-const WAIT_MS = 1_000;
+/**
+ * How long a control box may hold a question back, ms. A question costs both
+ * sides some wake-ups; hundreds of boxes have little else to do in all calm.
+ * That the first control box is behind shows sooner, see `isBrief`.
+ */
+const WAIT_MS = 2_000;
+
+/** How often the seeds are looked at, and a box that stands by its turn, ms. */
+const LOOK_MS = 1_000;
 
 /** Longest time for an answer after that, ms. */
 const ANSWER_MS = 700;
 
-/** Pause after a failed call, ms. */
+/** Pause after a failed call, ms; twice as long after each further one. */
 const RETRY_MS = 150;
 
+/** Longest pause after failed calls, ms. */
+const LONGEST_RETRY_MS = 600;
+
 /** Least time between two questions to one box, so that news are gathered. */
 const GATHER_MS = 25;
 
@@ -154,7 +164,7 @@
       for (const box of this.parts.seeds()) {
         this.add(box);
       }
-      await this.parts.clock.sleep(WAIT_MS, signal);
+      await this.parts.clock.sleep(LOOK_MS, signal);
     }
   }
 
@@ -182,9 +192,10 @@
   private async watch(watched: Watched, signal: AbortSignal): Promise<void> {
     const {clock, link} = this.parts;
     const startedAt = clock.now();
+    let pauseMs = RETRY_MS;
     while (!signal.aborted) {
       if (!this.isAsked(watched)) {
-        await sleepUnlessNotified(clock, this.roles, WAIT_MS, signal);
+        await sleepUnlessNotified(clock, this.roles, LOOK_MS, signal);
         continue;
       }
       const answer = await link.call(
@@ -198,6 +209,7 @@
       }
       if (answer.isOk()) {
         this.take(watched, answer.value as WatchReply);
+        pauseMs = RETRY_MS;
         await clock.sleep(GATHER_MS, signal);
         continue;
       }
@@ -208,7 +220,8 @@
         this.watched.delete(watched.box);
         return;
       }
-      await clock.sleep(RETRY_MS, signal);
+      await clock.sleep(pauseMs, signal);
+      pauseMs = Math.min(LONGEST_RETRY_MS, pauseMs * 2);
     }
   }
 
