Wait for two holders at most, and for a connection no longer than for a call

Cause (read, while looking at requests that took seconds after all power was lost): an edge that holds no tokens asked every edge ranked before it in its hall, half a second each, and a call to a box without power waited a second for the connection whatever its time-out. In a hall of forty that is longer than a request lives. Change: two edges are asked, then this one acts as the holder; a call whose connection is not up at its time-out ends as not sent. Tests, both failed first: Allowances, waits for few edges of a hall that has gone dark; TcpLink, a call ends at its time-out where the connection does not come up.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -63,6 +63,12 @@
 /** How often surplus is looked for where no request has ended, ms. */
 const SURPLUS_TICK_MS = 4_000;
 
+/**
+ * Edges of the hall that are asked before this one acts as the holder. In a hall
+ * of forty a request must not wait for each one that has lost power.
+ */
+const HOLDERS_ASKED = 2;
+
 /** Longest sleep of a waiting request between looks, ms. */
 const LOOK_MS = 40;
 
@@ -186,7 +192,8 @@
     tokens: number,
     claim: Claim,
   ): Promise<ReserveOutcome> {
-    for (const box of this.holders.ahead(account.team)) {
+    const ahead = this.holders.ahead(account.team).slice(0, HOLDERS_ASKED);
+    for (const box of ahead) {
       const reply = await this.loans.borrowFrom(box, account, tokens, true);
       if (claim()) {
         return RESERVE.held;
--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/CoreExchange.ts
@@ -45,6 +45,9 @@
 /** Control boxes that one exchange is offered to before a pause. */
 const CONTROLS_TRIED = 3;
 
+/** Least time between two looks at the accounts while requests wait, ms. */
+const LEAST_PAUSE_MS = 5;
+
 /** What a CoreExchange is made of. */
 export interface CoreExchangeParts {
   readonly box: string;
@@ -262,6 +265,3 @@
     book.moved.notify();
   }
 }
-
-/** Least time between two looks at the accounts, ms. */
-const LEAST_PAUSE_MS = 5;
--- a/packages/puffinturn-edge/src/TokenBook.ts
+++ b/packages/puffinturn-edge/src/TokenBook.ts
@@ -19,6 +19,12 @@
 import {TokenAccount} from './TokenAccount';
 import type {TokenHolders} from './TokenHolders';
 
+/**
+ * Part of what is free that is lent beyond what was needed, so that the next
+ * request of the borrower finds some; several edges draw on one holder.
+ */
+const MOST_LENT_UNASKED = 0.25;
+
 /** See the module comment. */
 export class TokenBook {
   /** Notified when an account may have to be filled up. */
@@ -113,6 +119,3 @@
     }
   }
 }
-
-/** Part of what is free that is lent beyond what was needed. */
-const MOST_LENT_UNASKED = 0.25;
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -16,6 +16,7 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random} from 'shared';
 
+import type {ReserveOutcome} from '../../index';
 import {Allowances, RESERVE} from '../../index';
 
 const CORE = 'c';
@@ -248,6 +249,25 @@
     }
   });
 
+  test('wait for few edges of a hall that has gone dark', async () => {
+    const dark = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6', 'h7', 'h8'];
+    // Whatever place among them a hash gives to the one that is alive.
+    for (const name of ['h9', 'h10', 'h11', 'h12']) {
+      const fleet = new Fleet(10_000);
+      for (const other of dark) {
+        const never = new Promise(() => undefined);
+        fleet.network
+          .connect(other)
+          .register(FLEET_SERVICE.borrow, () => never);
+      }
+      const edge = await fleet.start(name, dark);
+      let outcome: ReserveOutcome | undefined;
+      void edge.reserve('t', 400).then((found) => (outcome = found));
+      await fleet.clock.advance(1_400);
+      expect(outcome).toBe(RESERVE.held);
+    }
+  });
+
   test('serve all that wait while the core has enough', async () => {
     const fleet = new Fleet(100_000);
     const edge = await fleet.start('e', []);
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -160,7 +160,7 @@
     body: unknown,
     timeoutMs: number,
   ) {
-    const outgoing = await this.outgoingTo(box);
+    const outgoing = await withinMs(timeoutMs, this.outgoingTo(box));
     if (outgoing === undefined) {
       return err<unknown, LinkFailure>(notSent(`${box} cannot be reached`));
     }
@@ -307,6 +307,20 @@
   }
 }
 
+/** The value, or undefined if it takes longer; a dark peer takes a second. */
+async function withinMs<Value>(
+  ms: number,
+  value: Promise<Value>,
+): Promise<Value | undefined> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<undefined>((resolve) => {
+    timer = setTimeout(() => resolve(undefined), ms);
+  });
+  const first = await Promise.race([value, late]);
+  clearTimeout(timer);
+  return first;
+}
+
 function readAnswer(box: string, frame: AnswerFrame | undefined) {
   if (frame === undefined) {
     const message = `${box} did not answer`;
--- a/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
+++ b/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
@@ -7,7 +7,8 @@
 
 import {createSecretKey} from 'node:crypto';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {connect, createServer} from 'node:net';
 
 import {invariant, SystemClock} from 'shared';
 
@@ -55,6 +56,25 @@
     expect(calls).toBe(0);
   });
 
+  test('a call ends at its time-out where the connection does not come up', async () => {
+    const mute = createServer();
+    mute.listen(0, '127.0.0.1');
+    await once(mute, 'listening');
+    const {port} = mute.address() as AddressInfo;
+    const addresses = new Map([['mute', {host: '127.0.0.1', port}]]);
+    await using a = await open('a', addresses);
+    const ended: string[] = [];
+    const call = async (name: string, timeoutMs: number): Promise<void> => {
+      const answer = await a.call('mute', 'echo', {}, timeoutMs);
+      expect(answer._unsafeUnwrapErr().kind).toBe('not-sent');
+      ended.push(name);
+    };
+    // Both wait for one connection, which is given up after a second.
+    await Promise.all([call('patient', 30_000), call('hasty', 50)]);
+    expect(ended).toEqual(['hasty', 'patient']);
+    mute.close();
+  });
+
   test('a handler that throws is a failure of that call alone', async () => {
     const addresses = new Map<string, Address>();
     await using a = await open('a', addresses);
