--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -93,6 +93,16 @@
     return edge;
   }
 
+  /** Starts several edges that know of each other. */
+  async startAll(names: readonly string[]): Promise<Allowances[]> {
+    const started: Allowances[] = [];
+    for (const name of names) {
+      const peers = names.filter((other) => other !== name);
+      started.push(await this.start(name, peers));
+    }
+    return started;
+  }
+
   async settled<Value>(asked: Promise<Value>): Promise<Value> {
     let value: {readonly value: Value} | undefined;
     void asked.then((found) => (value = {value: found}));
@@ -212,11 +222,7 @@
   test('draw on the holder of the hall and hand back what is over', async () => {
     const fleet = new Fleet(10_000);
     const names = ['h1', 'h2', 'h3'];
-    const edges: Allowances[] = [];
-    for (const name of names) {
-      const peers = names.filter((other) => other !== name);
-      edges.push(await fleet.start(name, peers));
-    }
+    const edges = await fleet.startAll(names);
     await fleet.clock.advance(1_000);
     const held = (edge: Allowances): number => edge.status()[0]?.held ?? 0;
     const holding = edges.filter((edge) => held(edge) > 0);
@@ -234,11 +240,7 @@
   test('pass over a holder that does not answer', async () => {
     const fleet = new Fleet(10_000);
     const names = ['h1', 'h2', 'h3'];
-    const edges: Allowances[] = [];
-    for (const name of names) {
-      const peers = names.filter((other) => other !== name);
-      edges.push(await fleet.start(name, peers));
-    }
+    const edges = await fleet.startAll(names);
     await fleet.clock.advance(1_000);
     const at = edges.findIndex((edge) => (edge.status()[0]?.held ?? 0) > 0);
     const dead = names[at] ?? '';
@@ -323,11 +325,7 @@
       // Slower than the time-outs now and then, so that answers are missed.
       fleet.network.delay = {highMs: 160, lowMs: 1};
       const names = ['g1', 'g2', 'g3', 'h1', 'h2'];
-      const edges: Allowances[] = [];
-      for (const name of names) {
-        const peers = names.filter((other) => other !== name);
-        edges.push(await fleet.start(name, peers));
-      }
+      const edges = await fleet.startAll(names);
       const held = (): number =>
         edges.reduce((sum, edge) => sum + (edge.status()[0]?.held ?? 0), 0);
       let spent = 0;
