Read the change again: say once what stood twice, drop what nothing needs

Written again: the text hash stood in FleetWatch and in Rendezvous, now once in shared (hashOf); an edge that lends went through the same steps as one that reserves (claim, known to be exhausted, find, remember), now Allowances.secure; the line of a loan is written where tokens are lent; limits, upstreams and what an edge holds stood several times in tests, now in fixtures. Too much: the pause of 5 ms after each look at the accounts that had nothing to ask for could never serve a waiting request, since one that waits always asks, and cost every idle edge a timer; a greeting's body, which nobody read; one life of an edge was called holder in some places, a word that now means the edge that holds a hall's tokens. Twice or in the wrong place: every control box put its list of all boxes together each second, now where one was dropped; suspects of TokenHolders were kept for good where nobody looked again, and filtered also where there are none; the ring of neighbours built two texts for each comparison.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -50,7 +50,7 @@
   readonly box: string;
   readonly hall: string;
   /** One life of this edge. */
-  readonly holder: string;
+  readonly life: string;
   readonly clock: Clock;
   readonly link: Link;
   readonly log: DecisionLog;
@@ -93,7 +93,7 @@
       book: this.book,
       clock,
       holders: this.holders,
-      life: parts.holder,
+      life: parts.life,
       link,
     };
     this.core = new CoreExchange({...parts, ...shared});
@@ -142,17 +142,9 @@
     const account = this.book.accountOf(team);
     account.largest = Math.max(account.largest, tokens);
     const claim = (): boolean => this.book.take(account, tokens);
-    if (claim()) {
-      return RESERVE.held;
-    }
-    if (account.knownExhausted(tokens, this.parts.clock.now())) {
-      return RESERVE.exhausted;
-    }
-    const outcome = await this.obtain(account, tokens, claim);
-    if (outcome === RESERVE.exhausted) {
-      account.exhausted(tokens, this.parts.clock.now());
-    }
-    return outcome;
+    return this.secure(account, tokens, claim, () =>
+      this.obtain(account, tokens, claim),
+    );
   }
 
   /** Ends a reservation; the rest is free again. */
@@ -186,6 +178,27 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
+  /** Claims tokens, or finds some first where that is not known to be vain. */
+  private async secure(
+    account: TokenAccount,
+    tokens: number,
+    claim: Claim,
+    find: () => Promise<ReserveOutcome>,
+  ): Promise<ReserveOutcome> {
+    const {clock} = this.parts;
+    if (claim()) {
+      return RESERVE.held;
+    }
+    if (account.knownExhausted(tokens, clock.now())) {
+      return RESERVE.exhausted;
+    }
+    const outcome = await find();
+    if (outcome === RESERVE.exhausted) {
+      account.exhausted(tokens, clock.now());
+    }
+    return outcome;
+  }
+
   /** Asks the holder of the hall; without one that answers, acts as one. */
   private async obtain(
     account: TokenAccount,
@@ -265,7 +278,6 @@
     if (!gather) {
       const amount = Math.max(0, Math.min(need, account.spare));
       const given = this.book.lend(account, amount, amount);
-      this.noteLoan(account, given);
       return {given, outcome: LOAN.lent};
     }
     let given = 0;
@@ -273,28 +285,13 @@
       given = this.book.lend(account, need, want);
       return given > 0 || need === 0;
     };
-    const known = account.knownExhausted(need, this.parts.clock.now());
-    const outcome = claim()
-      ? RESERVE.held
-      : known
-        ? RESERVE.exhausted
-        : await this.gather(account, need, claim);
-    this.noteLoan(account, given);
-    switch (outcome) {
-      case RESERVE.held:
-        return {given, outcome: LOAN.lent};
-      case RESERVE.exhausted:
-        account.exhausted(need, this.parts.clock.now());
-        return {given, outcome: LOAN.exhausted};
-      case RESERVE.unavailable:
-        return {given, outcome: LOAN.unavailable};
-    }
-  }
-
-  private noteLoan(account: TokenAccount, given: number): void {
-    if (given > 0) {
-      this.book.noteMove(account, 'lent', -given);
-    }
+    const outcome = await this.secure(account, need, claim, () =>
+      this.gather(account, need, claim),
+    );
+    return {
+      given,
+      outcome: outcome === RESERVE.held ? LOAN.lent : LOAN[outcome],
+    };
   }
 
   private async handSurplusOn(signal: AbortSignal): Promise<void> {
--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/CoreExchange.ts
@@ -45,14 +45,11 @@
 /** Control boxes that one exchange is offered to before a pause. */
 const CONTROLS_TRIED = 3;
 
-/** Least time between two looks at the accounts while requests wait, ms. */
-const LEAST_PAUSE_MS = 5;
-
 /** What a CoreExchange is made of. */
 export interface CoreExchangeParts {
   readonly box: string;
   /** One life of this edge. */
-  readonly holder: string;
+  readonly life: string;
   readonly clock: Clock;
   readonly link: Link;
   /** Control boxes, the one to ask first at the front. */
@@ -129,10 +126,7 @@
       }
       this.fade();
       const asks = this.compose();
-      if (asks.length === 0) {
-        // Those that wait are served by what is free, or by an answer to come.
-        await clock.sleep(LEAST_PAUSE_MS, signal);
-      } else if (!signal.aborted) {
+      if (asks.length > 0 && !signal.aborted) {
         this.sequence += 1;
         await this.exchangeUntilAnswered(asks, signal);
       }
@@ -227,9 +221,9 @@
   private async exchange(
     asks: readonly AllowanceAsk[],
   ): Promise<readonly AllowanceGrant[] | undefined> {
-    const {box, controls, holder, link} = this.parts;
+    const {box, controls, life, link} = this.parts;
     const {sequence} = this;
-    const request: AllowanceRequest = {asks, box, holder, sequence};
+    const request: AllowanceRequest = {asks, box, holder: life, sequence};
     for (const control of controls().slice(0, CONTROLS_TRIED)) {
       const answer = await link.call(
         control,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -152,7 +152,7 @@
       clock,
       controls: () => this.controls(),
       hall: self.hall,
-      holder: `${self.box} ${self.incarnation}`,
+      life: `${self.box} ${self.incarnation}`,
       link,
       log,
       peers: () => this.peers,
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -12,6 +12,7 @@
 import type {UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
+import {hashOf} from 'shared';
 
 import {
   BROKEN_BEFORE_PAUSE,
@@ -22,7 +23,6 @@
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
-import {hashOf} from './Rendezvous';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
--- a/packages/puffinturn-edge/src/Neighbours.ts
+++ b/packages/puffinturn-edge/src/Neighbours.ts
@@ -11,12 +11,7 @@
  * from; its neighbours notice and hand it the configuration, the upstreams and
  * the list of boxes. Costs two short calls a turn, whatever the fleet's size.
  */
-import type {
-  BoxRecord,
-  GreetReply,
-  GreetRequest,
-  HandOver,
-} from 'puffinturn-fleet';
+import type {BoxRecord, GreetReply, HandOver} from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
@@ -102,9 +97,8 @@
   }
 
   private async lookAfter(box: string): Promise<void> {
-    const {link, self, state} = this.parts;
-    const request: GreetRequest = {from: self.box};
-    const answer = await link.call(box, FLEET_SERVICE.greet, request, GREET_MS);
+    const {link, state} = this.parts;
+    const answer = await link.call(box, FLEET_SERVICE.greet, null, GREET_MS);
     const found = state();
     if (answer.isErr() || found === undefined) {
       return;
@@ -117,14 +111,20 @@
   /** The edges that follow this one in the ring. */
   private next(): readonly string[] {
     const {edges, self} = this.parts;
-    const ring = [...edges(), self].sort(byPlace);
-    const at = ring.indexOf(self);
-    const following = [...ring.slice(at + 1), ...ring.slice(0, at)];
-    return following.slice(0, NEIGHBOURS).map(({box}) => box);
+    const boxes = new Map(edges().map((edge) => [placeOf(edge), edge.box]));
+    const ring = [...boxes.keys()].sort();
+    const own = placeOf(self);
+    const following = [
+      ...ring.filter((place) => place > own),
+      ...ring.filter((place) => place < own),
+    ];
+    return following
+      .slice(0, NEIGHBOURS)
+      .flatMap((place) => boxes.get(place) ?? []);
   }
 }
 
-function byPlace(a: BoxRecord, b: BoxRecord): number {
-  const placeOf = ({box, hall}: BoxRecord): string => `${hall} ${box}`;
-  return placeOf(a) < placeOf(b) ? -1 : 1;
+/** Orders edges hall by hall. */
+function placeOf({box, hall}: BoxRecord): string {
+  return `${hall} ${box}`;
 }
--- a/packages/puffinturn-edge/src/Rendezvous.ts
+++ b/packages/puffinturn-edge/src/Rendezvous.ts
@@ -9,13 +9,6 @@
  * Rendezvous hashing: every box that knows the same nodes ranks them alike for
  * a key, and a node that comes or goes moves only the keys that it wins.
  */
-import {createHash} from 'node:crypto';
-
-/** A 32-bit hash of a text. */
-export function hashOf(text: string): number {
-  return createHash('md5').update(text).digest().readUInt32LE(0);
-}
-
 /** The weight of a node for a key, from both hashes; the highest one wins. */
 export function rendezvousWeight(nodeHash: number, keyHash: number): number {
   let mixed = Math.imul(nodeHash ^ keyHash, 0x9e3779b1);
--- a/packages/puffinturn-edge/src/TokenBook.ts
+++ b/packages/puffinturn-edge/src/TokenBook.ts
@@ -75,6 +75,9 @@
     const spare = Math.floor(account.free * MOST_LENT_UNASKED);
     const given = Math.max(need, Math.min(want, spare));
     account.lend(given, this.clock.now());
+    if (given > 0) {
+      this.noteMove(account, 'lent', -given);
+    }
     this.lookAfter(account);
     return given;
   }
--- a/packages/puffinturn-edge/src/TokenGifts.ts
+++ b/packages/puffinturn-edge/src/TokenGifts.ts
@@ -90,9 +90,11 @@
     const gifts = new Map<string, Gift[]>();
     for (const account of book.all()) {
       const [holder] = holders.ahead(account.team);
-      const free = holder !== undefined && !this.receivers.has(holder);
-      const amount = free ? surplusOf(account, book.wantOf(account)) : 0;
-      if (free && amount > 0) {
+      if (holder === undefined || this.receivers.has(holder)) {
+        continue;
+      }
+      const amount = surplusOf(account, book.wantOf(account));
+      if (amount > 0) {
         const some = gifts.get(holder) ?? [];
         gifts.set(holder, [...some, this.takeOut(account, amount)]);
       }
--- a/packages/puffinturn-edge/src/TokenHolders.ts
+++ b/packages/puffinturn-edge/src/TokenHolders.ts
@@ -12,8 +12,9 @@
  */
 import type {BoxRecord} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
+import {hashOf} from 'shared';
 
-import {hashOf, rendezvousWeight} from './Rendezvous';
+import {rendezvousWeight} from './Rendezvous';
 
 /** How long an edge that did not answer is passed over, ms. */
 const SUSPECT_MS = 1_500;
@@ -72,7 +73,13 @@
 
   /** Passes over an edge that did not answer, for a while. */
   suspect(box: string): void {
-    this.suspects.set(box, this.clock.now() + SUSPECT_MS);
+    const now = this.clock.now();
+    for (const [other, until] of this.suspects) {
+      if (until <= now) {
+        this.suspects.delete(other);
+      }
+    }
+    this.suspects.set(box, now + SUSPECT_MS);
   }
 
   private otherHalls(): string[] {
@@ -89,7 +96,9 @@
       boxes = this.rank(team, hall);
       this.ranks.set(key, boxes);
     }
-    return boxes.filter((box) => !this.isSuspect(box));
+    return this.suspects.size === 0
+      ? boxes
+      : boxes.filter((box) => !this.isSuspect(box));
   }
 
   private rank(team: string, hall: string): readonly string[] {
@@ -102,12 +111,7 @@
   }
 
   private isSuspect(box: string): boolean {
-    const until = this.suspects.get(box);
-    if (until !== undefined && until <= this.clock.now()) {
-      this.suspects.delete(box);
-      return false;
-    }
-    return until !== undefined;
+    return (this.suspects.get(box) ?? -Infinity) > this.clock.now();
   }
 
   /** Groups the edges by hall again where the list has changed. */
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -8,11 +8,12 @@
 /** Which upstream a request goes to. */
 import type {Service} from 'puffinturn-fleet';
 import type {Random} from 'shared';
+import {hashOf} from 'shared';
 
 import type {PromptPart} from './CallerDialect';
 import {BOUNDED_LOAD} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
-import {hashOf, rendezvousWeight} from './Rendezvous';
+import {rendezvousWeight} from './Rendezvous';
 
 /** What a choice may look at. */
 export interface ChoiceFacts {
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -7,17 +7,13 @@
 
 import {SilentDecisionLog} from 'puffinturn-decisions';
 import type {AllowanceOutcome, AllowanceRequest} from 'puffinturn-fleet';
-import {
-  BOX_ROLE,
-  FLEET_SERVICE,
-  FleetMachine,
-  REPETITION,
-} from 'puffinturn-fleet';
+import {BOX_ROLE, FLEET_SERVICE, FleetMachine} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random} from 'shared';
 
 import type {ReserveOutcome} from '../../index';
 import {Allowances, RESERVE} from '../../index';
+import {configurationOf} from '../utils/EdgeFixture';
 
 const CORE = 'c';
 
@@ -44,23 +40,10 @@
   topUp(prepaidTokens: number): void {
     this.version += 1;
     const team = {keys: ['k'], name: 't', prepaidTokens, priority: 0};
+    const configuration = configurationOf(this.version, {teams: [team]});
     this.machine.apply({
       kind: 'configuration',
-      stored: {
-        configuration: {
-          limits: {
-            headerTimeoutMs: 1,
-            idleTimeoutMs: 1,
-            maxBodyBytes: 1,
-            maxHeaderBytes: 1,
-          },
-          routes: [],
-          services: [],
-          teams: [team],
-          version: this.version,
-        },
-        document: REPETITION.never,
-      },
+      stored: {configuration, document: 'not read here'},
     });
     for (const edge of this.edges) {
       edge.configure([team]);
@@ -80,7 +63,7 @@
       clock: this.clock,
       controls: () => [CORE],
       hall: hallOf(box),
-      holder: `${box} 1`,
+      life: `${box} 1`,
       link: this.network.connect(box),
       log: new SilentDecisionLog(),
       peers: () => records,
@@ -114,6 +97,11 @@
   }
 }
 
+/** Tokens of the one team that an edge holds. */
+function held(edge: Allowances): number {
+  return edge.status()[0]?.held ?? 0;
+}
+
 /** Boxes whose names begin alike are in one hall. */
 function hallOf(box: string): string {
   return box.slice(0, 1);
@@ -150,7 +138,6 @@
     const fleet = new Fleet(10_000);
     const edge = await fleet.start('e', ['f']);
     const other = await fleet.start('f', ['e']);
-    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
     fleet.network.partition(['e', 'f'], [CORE]);
     const both = held(edge) + held(other);
     const need = held(edge) + 100;
@@ -209,7 +196,6 @@
     const fleet = new Fleet(10_000);
     const edge = await fleet.start('e', ['f']);
     const other = await fleet.start('f', ['e']);
-    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
     const both = held(edge) + held(other);
     fleet.network.partition(['e', 'f'], [CORE]);
     void edge.reserve('t', 9_999);
@@ -224,7 +210,6 @@
     const names = ['h1', 'h2', 'h3'];
     const edges = await fleet.startAll(names);
     await fleet.clock.advance(1_000);
-    const held = (edge: Allowances): number => edge.status()[0]?.held ?? 0;
     const holding = edges.filter((edge) => held(edge) > 0);
     expect(holding).toHaveLength(1);
     const others = edges.filter((edge) => !holding.includes(edge));
@@ -242,7 +227,7 @@
     const names = ['h1', 'h2', 'h3'];
     const edges = await fleet.startAll(names);
     await fleet.clock.advance(1_000);
-    const at = edges.findIndex((edge) => (edge.status()[0]?.held ?? 0) > 0);
+    const at = edges.findIndex((edge) => held(edge) > 0);
     const dead = names[at] ?? '';
     const rest = names.filter((name) => name !== dead);
     fleet.network.partition([dead], [...rest, CORE]);
@@ -282,7 +267,6 @@
     const fleet = new Fleet(1_000);
     const edge = await fleet.start('e', ['f']);
     const other = await fleet.start('f', ['e']);
-    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
     fleet.network.partition(['e', 'f'], [CORE]);
     const before = held(edge);
     expect(before).toBeGreaterThan(0);
@@ -299,7 +283,6 @@
     const fleet = new Fleet(10_000);
     const edge = await fleet.start('e', ['f']);
     const other = await fleet.start('f', ['e']);
-    const held = (from: Allowances): number => from.status()[0]?.held ?? 0;
     fleet.network.partition(['e', 'f'], [CORE]);
     const both = held(edge) + held(other);
     const need = held(edge) + 100;
@@ -326,8 +309,8 @@
       fleet.network.delay = {highMs: 160, lowMs: 1};
       const names = ['g1', 'g2', 'g3', 'h1', 'h2'];
       const edges = await fleet.startAll(names);
-      const held = (): number =>
-        edges.reduce((sum, edge) => sum + (edge.status()[0]?.held ?? 0), 0);
+      const heldByAll = (): number =>
+        edges.reduce((sum, edge) => sum + held(edge), 0);
       let spent = 0;
       const serve = async (edge: Allowances): Promise<void> => {
         const most = 100 + below(3_000);
@@ -352,13 +335,13 @@
         invariant(edge !== undefined, 'drawn');
         requests.push(serve(edge));
         await fleet.clock.advance(below(160));
-        expect(spent + held()).toBeLessThanOrEqual(prepaid);
+        expect(spent + heldByAll()).toBeLessThanOrEqual(prepaid);
       }
       fleet.network.heal();
       await fleet.settled(Promise.all(requests));
       await fleet.clock.advance(12_000);
       const left = prepaid - fleet.machine.grantedTo('t');
-      expect(spent + held() + left).toBe(prepaid);
+      expect(spent + heldByAll() + left).toBe(prepaid);
     },
   );
 });
--- a/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
@@ -11,6 +11,7 @@
 import {ManualClock, Random} from 'shared';
 
 import {Neighbours} from '../../Neighbours';
+import {configurationOf} from '../utils/EdgeFixture';
 
 function edgeOf(box: string): BoxRecord {
   return {box, hall: 'z', incarnation: '1', role: BOX_ROLE.edge};
@@ -18,18 +19,7 @@
 
 const STATE: HandOver = {
   boxes: ['a', 'b', 'c', 'd'].map(edgeOf),
-  configuration: {
-    limits: {
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-      maxBodyBytes: 1,
-      maxHeaderBytes: 1,
-    },
-    routes: [],
-    services: [],
-    teams: undefined,
-    version: 4,
-  },
+  configuration: configurationOf(4),
   upstreams: [],
 };
 
--- a/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -5,10 +5,11 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {FleetConfiguration, Route} from 'puffinturn-fleet';
+import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
 
 import {RouteTable} from '../../index';
+import {configurationOf} from '../utils/EdgeFixture';
 
 function route(name: string, pathPrefix: string, weights: number[]): Route {
   return {
@@ -26,13 +27,7 @@
   };
 }
 
-const CONFIGURATION: FleetConfiguration = {
-  limits: {
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-    maxBodyBytes: 1,
-    maxHeaderBytes: 1,
-  },
+const CONFIGURATION = configurationOf(1, {
   routes: [
     route('short', '/a/', [1]),
     route('long', '/a/b/', [1, 3]),
@@ -44,8 +39,7 @@
     name,
   })),
   teams: [{keys: ['k'], name: 't', prepaidTokens: 1, priority: 0}],
-  version: 1,
-};
+});
 
 describe('RouteTable', () => {
   const table = new RouteTable(CONFIGURATION);
--- a/packages/puffinturn-fleet/src/Boxes.ts
+++ b/packages/puffinturn-fleet/src/Boxes.ts
@@ -57,10 +57,10 @@
     return true;
   }
 
-  /** Takes a box out. */
-  remove(box: string): void {
+  /** Takes a box out; true when it was named. */
+  remove(box: string): boolean {
     if (!this.slots.delete(box)) {
-      return;
+      return false;
     }
     this.current += 1;
     this.gone.set(box, this.current);
@@ -68,6 +68,7 @@
     if (this.gone.size > MAX_GONE && oldest !== undefined) {
       this.gone.delete(oldest);
     }
+    return true;
   }
 
   /** Makes the list name just these boxes. */
@@ -107,13 +108,15 @@
     return this.list.put(record);
   }
 
-  /** Drops boxes that have not called for long. */
-  expire(now: number): void {
+  /** Drops boxes that have not called for long; true when there were any. */
+  expire(now: number): boolean {
+    let dropped = false;
     for (const [box, heardAt] of this.heardAt) {
       if (now - heardAt > DROP_AFTER_MS) {
         this.heardAt.delete(box);
-        this.list.remove(box);
+        dropped = this.list.remove(box) || dropped;
       }
     }
+    return dropped;
   }
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -217,13 +217,16 @@
     return this.newsFor(request, current);
   }
 
+  /** The version in force here, or -Infinity. */
+  private get heldVersion(): number {
+    return this.parts.machine.stored?.configuration.version ?? -Infinity;
+  }
+
   /** What can't wait; news of boxes go with the next answer. */
   private hasNews(request: WatchRequest): boolean {
-    const {machine, self} = this.parts;
-    const version = machine.stored?.configuration.version ?? -Infinity;
     return (
-      request.incarnation !== self.incarnation ||
-      version > request.configurationVersion ||
+      request.incarnation !== this.parts.self.incarnation ||
+      this.heldVersion > request.configurationVersion ||
       this.upstreams.revision > request.upstreamsRevision
     );
   }
@@ -239,7 +242,7 @@
   }
 
   private newsFor(request: WatchRequest, current: boolean): WatchReply {
-    const {machine, replica, self} = this.parts;
+    const {replica, self} = this.parts;
     const same = request.incarnation === self.incarnation;
     const upstreamsRevision = same ? request.upstreamsRevision : 0;
     const boxesRevision = same ? request.boxesRevision : -1;
@@ -254,7 +257,7 @@
       boxes: tellsBoxes ? list.changedSince(boxesRevision) : undefined,
       boxesRevision: request.brief ? boxesRevision : list.revision,
       current,
-      heldVersion: machine.stored?.configuration.version ?? -Infinity,
+      heldVersion: this.heldVersion,
       incarnation: self.incarnation,
       leader: replica.heardLeaderBox,
       upstreams: this.upstreams.changedSince(upstreamsRevision),
@@ -378,8 +381,9 @@
     while (!signal.aborted) {
       await clock.sleep(EXPIRE_EVERY_MS, signal);
       this.upstreams.expire(clock.now());
-      this.boxes.expire(clock.now());
-      this.gatherBoxes();
+      if (this.boxes.expire(clock.now())) {
+        this.gatherBoxes();
+      }
     }
   }
 }
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -153,12 +153,7 @@
   readonly taken: boolean;
 }
 
-/** Asks another edge whether it knows what it must to serve. */
-export interface GreetRequest {
-  readonly from: string;
-}
-
-/** What an edge lacks. */
+/** What an edge lacks; asked for by an empty question. */
 export interface GreetReply {
   /** Whether it has no configuration and has not reached the core. */
   readonly needsState: boolean;
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -13,12 +13,10 @@
  * leader. A silent one is asked again and again; nothing learned is forgotten
  * because control is silent.
  */
-import {createHash} from 'node:crypto';
-
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
+import {Condition, hashOf, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {BoxChanges} from './Boxes';
 import type {FleetConfiguration} from './Configuration';
@@ -180,7 +178,8 @@
       current: false,
       hall: undefined,
       incarnation: '',
-      rank: rankOf(this.parts.self.box, box),
+      // Spreads boxes evenly over the control boxes that they ask.
+      rank: hashOf(`${this.parts.self.box} ${box}`),
       reachable: false,
       upstreamsRevision: 0,
       unfit: false,
@@ -373,9 +372,3 @@
       : Math.round(this.parts.clock.now() - answeredAt);
   }
 }
-
-/** Spreads boxes evenly over the control boxes that they ask. */
-function rankOf(asking: string, asked: string): number {
-  const text = `${asking} ${asked}`;
-  return createHash('md5').update(text).digest().readUInt32LE(0);
-}
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -30,7 +30,7 @@
   linkOfReplicas,
   UPSTREAM_STATE,
 } from '../../index';
-import {configurationOf} from '../utils/FleetFixture';
+import {configurationOf, upstreamOf} from '../utils/FleetFixture';
 
 const CONTROLS = ['c1:1', 'c2:1', 'c3:1'];
 
@@ -137,17 +137,6 @@
   return value.value;
 }
 
-const UPSTREAM: UpstreamRecord = {
-  address: '10.0.0.1:80',
-  coldMs: 0,
-  id: 'i-1',
-  sequence: 1,
-  service: 's',
-  slots: 4,
-  state: UPSTREAM_STATE.ready,
-  hall: 'z',
-};
-
 describe('A fleet', () => {
   test('takes a change at any control box and brings it to edges at once', async () => {
     const {clock, control, watchFrom} = await startFleet();
@@ -181,7 +170,7 @@
     const {clock, control, watchFrom} = await startFleet();
     const {news} = watchFrom('e1:1');
     await clock.advance(1_500);
-    control('c3:1').hearUpstream(UPSTREAM);
+    control('c3:1').hearUpstream(upstreamOf());
     await clock.advance(100);
     expect(news.found.map(({id}) => id)).toContain('i-1');
     control('c1:1').removeUpstream('i-1');
--- a/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
@@ -5,52 +5,38 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {UpstreamRecord} from '../../index';
 import {UPSTREAM_STATE, UpstreamTable} from '../../index';
-
-function record(fields: Partial<UpstreamRecord> = {}): UpstreamRecord {
-  return {
-    address: '10.0.0.1:80',
-    coldMs: 0,
-    id: 'i-1',
-    sequence: 1,
-    service: 's',
-    slots: 4,
-    state: UPSTREAM_STATE.ready,
-    hall: 'z',
-    ...fields,
-  };
-}
+import {upstreamOf} from '../utils/FleetFixture';
 
 describe('UpstreamTable', () => {
   test('tells what changed after a revision, and no plain heartbeat', () => {
     const table = new UpstreamTable();
-    expect(table.merge(record(), 0)).toBe(true);
+    expect(table.merge(upstreamOf(), 0)).toBe(true);
     const {revision} = table;
-    expect(table.merge(record({sequence: 2}), 1)).toBe(false);
+    expect(table.merge(upstreamOf({sequence: 2}), 1)).toBe(false);
     expect(table.changedSince(revision)).toEqual([]);
-    const draining = record({sequence: 3, state: UPSTREAM_STATE.draining});
+    const draining = upstreamOf({sequence: 3, state: UPSTREAM_STATE.draining});
     expect(table.merge(draining, 2)).toBe(true);
     expect(table.changedSince(revision)).toEqual([draining]);
   });
 
   test('does not go back for a heartbeat that comes late', () => {
     const table = new UpstreamTable();
-    table.merge(record({sequence: 5, state: UPSTREAM_STATE.draining}), 0);
-    expect(table.merge(record({sequence: 4}), 1)).toBe(false);
+    table.merge(upstreamOf({sequence: 5, state: UPSTREAM_STATE.draining}), 0);
+    expect(table.merge(upstreamOf({sequence: 4}), 1)).toBe(false);
     expect(table.get('i-1')?.state).toBe(UPSTREAM_STATE.draining);
   });
 
   test('remembers an upstream that left before it was known', () => {
     const table = new UpstreamTable();
     expect(table.remove('i-1', 0)).toBe(true);
-    expect(table.merge(record({sequence: 9}), 1)).toBe(false);
+    expect(table.merge(upstreamOf({sequence: 9}), 1)).toBe(false);
     expect(table.get('i-1')?.state).toBe(UPSTREAM_STATE.gone);
   });
 
   test('forgets what has long been silent', () => {
     const table = new UpstreamTable();
-    table.merge(record(), 0);
+    table.merge(upstreamOf(), 0);
     table.expire(61_000);
     expect(table.records()).toEqual([]);
   });
--- a/packages/puffinturn-fleet/src/__tests__/utils/FleetFixture.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/FleetFixture.ts
@@ -5,8 +5,13 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {FleetConfiguration, Route, Team} from '../../index';
-import {REPETITION} from '../../index';
+import type {
+  FleetConfiguration,
+  Route,
+  Team,
+  UpstreamRecord,
+} from '../../index';
+import {REPETITION, UPSTREAM_STATE} from '../../index';
 
 /** A route with defaults. */
 export function routeOf(fields: Partial<Route> = {}): Route {
@@ -56,3 +61,20 @@
     ...fields,
   };
 }
+
+/** An upstream with defaults. */
+export function upstreamOf(
+  fields: Partial<UpstreamRecord> = {},
+): UpstreamRecord {
+  return {
+    address: '10.0.0.1:80',
+    coldMs: 0,
+    id: 'i-1',
+    sequence: 1,
+    service: 's',
+    slots: 4,
+    state: UPSTREAM_STATE.ready,
+    hall: 'z',
+    ...fields,
+  };
+}
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -46,7 +46,6 @@
   GiveReply,
   GiveRequest,
   GreetReply,
-  GreetRequest,
   HandOver,
   LoanOutcome,
   ReadReply,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -16,6 +16,7 @@
 export {digestBytes, digestValue} from './Digest';
 export type {Failure} from './Failure';
 export {describeError} from './Failure';
+export {hashOf} from './Hash';
 export {invariant, InvariantError} from './Invariant';
 export {Random} from './Random';
 export {
