--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -35,6 +35,7 @@
 import {Exchange} from './Exchange';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
+import {RequestTokens} from './RequestTokens';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 import type {Totals} from './Totals';
@@ -70,9 +71,6 @@
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
 
-/** Events an upstream may have made that did not arrive before a break. */
-const UNSEEN_EVENTS = 2;
-
 /** A prompt that an upstream reads. */
 interface Reading {
   readonly at: number;
@@ -94,8 +92,6 @@
   private mayHaveRun = false;
   private ended = false;
   private cause = '';
-  private reserved = 0;
-  private refusedForTokens = false;
 
   constructor(
     private readonly parts: ForwardingParts,
@@ -112,19 +108,24 @@
       return;
     }
     this.plan = plan;
+    const tokens = new RequestTokens(this.parts.allowances, plan);
     this.caller.response.once('close', () => this.callerClosed());
     const timer = setTimeout(
       () => this.expire(),
       this.leftMs(plan.route) + FINAL_GRACE_MS,
     );
     try {
-      if ((await this.readBody()) && (await this.reserve(plan))) {
+      if ((await this.readBody()) && (await this.reserve(tokens))) {
         await this.forward(plan);
       }
     } finally {
       clearTimeout(timer);
-      const charged = this.settle(plan);
-      this.note(charged);
+      const charged = tokens.settle({
+        events: this.relay?.events ?? 0,
+        mayHaveRun: this.mayHaveRun,
+        whole: this.cause === 'served',
+      });
+      this.note(charged, tokens.facts);
     }
   }
 
@@ -160,24 +161,12 @@
 
   // Tokens
 
-  private async reserve(plan: Plan): Promise<boolean> {
-    const {service, team, tokens} = plan;
-    const counted =
-      service.engine !== undefined && team?.prepaidTokens !== undefined;
-    if (!counted || tokens === undefined) {
-      return true;
-    }
-    const most = tokens.prompt + tokens.most;
-    const outcome = await this.parts.allowances.reserve(team.name, most);
-    if (outcome === RESERVE.held) {
-      this.reserved = most;
-      return !this.ended;
-    }
-    if (!this.ended) {
-      this.refusedForTokens = true;
+  private async reserve(tokens: RequestTokens): Promise<boolean> {
+    const outcome = await tokens.reserve();
+    if (!this.ended && outcome !== RESERVE.held) {
       this.refuseTokens(outcome);
     }
-    return false;
+    return !this.ended;
   }
 
   private refuseTokens(
@@ -192,25 +181,6 @@
     }
   }
 
-  private settle(plan: Plan): number {
-    if (this.reserved === 0 || plan.team === undefined) {
-      return 0;
-    }
-    const charged = Math.min(this.reserved, this.cost(plan));
-    this.parts.allowances.settle(plan.team.name, this.reserved, charged);
-    return charged;
-  }
-
-  private cost({service, tokens}: Plan): number {
-    if (!this.mayHaveRun || tokens === undefined) {
-      return 0;
-    }
-    const whole = this.cause === 'served';
-    const events = (this.relay?.events ?? 0) + (whole ? 0 : UNSEEN_EVENTS);
-    const out = events * (service.engine?.tokensPerEvent ?? 1);
-    return tokens.prompt + Math.min(tokens.most, out);
-  }
-
   // Attempts
 
   private async forward(plan: Plan): Promise<void> {
@@ -523,15 +493,7 @@
     }
   }
 
-  /** What a refusal for tokens rested on. */
-  private tokenFacts(): TokenFacts | undefined {
-    const team = this.plan?.team?.name;
-    return team === undefined || !this.refusedForTokens
-      ? undefined
-      : this.parts.allowances.factsOf(team);
-  }
-
-  private note(charged = 0): void {
+  private note(charged = 0, facts?: TokenFacts): void {
     const {attempts, caller, cause, plan, relay, upstream, table} = this;
     const {clock, log, metrics, totals} = this.parts;
     const status = caller.response.headersSent ? caller.response.statusCode : 0;
@@ -550,7 +512,7 @@
       upstream: upstream?.id,
       status,
       team: plan?.team?.name,
-      tokens: this.tokenFacts(),
+      tokens: facts,
       tookMs: Math.round(clock.now() - caller.startedAt),
     });
   }
