Tell a starting box at once that it is current

Cause: after the return of all processes edges were ready 1.7 s after they had all they needed: the answer that rests on a barrier was held back for news, up to a second, and news there were none.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -209,7 +209,13 @@
     }
     const current = request.current ? (await this.readHere()).current : false;
     const until = clock.now() + request.waitMs;
-    while (!this.hasNews(request) && clock.now() < until && !this.tasks.ended) {
+    // A box that starts waits for this alone once it has all the news.
+    while (
+      !current &&
+      !this.hasNews(request) &&
+      clock.now() < until &&
+      !this.tasks.ended
+    ) {
       await sleepUnlessNotified(
         clock,
         changed,
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -256,6 +256,39 @@
     }
   });
 
+  test('says at once that it is current, also without any news', async () => {
+    const {clock, network} = await startFleet();
+    const link = network.connect('e1:1');
+    const self = {box: 'e1:1', hall: 'z', incarnation: '1'};
+    const ask = async (
+      box: string,
+      fields: Partial<WatchRequest>,
+    ): Promise<WatchReply> => {
+      const request: WatchRequest = {
+        boxesRevision: -1,
+        brief: false,
+        configurationVersion: -Infinity,
+        current: false,
+        from: {...self, role: BOX_ROLE.edge},
+        incarnation: '',
+        upstreamsRevision: 0,
+        waitMs: 0,
+        ...fields,
+      };
+      const asked = link.call(box, FLEET_SERVICE.watch, request, 20_000);
+      const answer = await settle(clock, Promise.resolve(asked));
+      invariant(answer.isOk(), 'answers');
+      return answer.value as WatchReply;
+    };
+    const leader = (await ask('c1:1', {})).leader ?? '';
+    const {incarnation, upstreamsRevision} = await ask(leader, {});
+    const before = clock.now();
+    const news = {incarnation, upstreamsRevision, waitMs: 3_000};
+    const reply = await ask(leader, {...news, current: true});
+    expect(reply.current).toBe(true);
+    expect(clock.now() - before).toBeLessThan(500);
+  });
+
   test('tells of boxes only where some have changed', async () => {
     const {clock, watchFrom} = await startFleet();
     const {news} = watchFrom('e1:1');
