--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -391,14 +391,16 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {allowance, inTouch, open, registry} = this.metrics;
+    const {allowance, charged, inTouch, open, registry} = this.metrics;
     if (request.url !== this.parts.metrics.path) {
       response.writeHead(404).end();
       return;
     }
     open.set(this.open);
     inTouch.set(this.watch.inTouch ? 1 : 0);
-    for (const {held, reserved, team} of this.allowances.status()) {
+    for (const tokens of this.allowances.status()) {
+      const {held, reserved, team} = tokens;
+      charged.set({team}, tokens.charged);
       allowance.set({state: 'held', team}, held);
       allowance.set({state: 'reserved', team}, reserved);
     }
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -51,6 +51,12 @@
     name: 'puffinturn_edge_allowance_tokens',
     registers: [this.registry],
   });
+  readonly charged = new Gauge({
+    help: 'Tokens charged here by team since the start',
+    labelNames: ['team'],
+    name: 'puffinturn_edge_charged_tokens',
+    registers: [this.registry],
+  });
   readonly inTouch = new Gauge({
     help: '1 while some control box answers',
     name: 'puffinturn_edge_in_touch',
