--- a/packages/puffinturn-edge/src/Totals.ts
+++ b/packages/puffinturn-edge/src/Totals.ts
@@ -10,14 +10,18 @@
  * answer, also those that had no line of their own, and the tokens at hand.
  */
 import type {AnswerCount, DecisionLog, TeamTokens} from 'puffinturn-decisions';
+import {MAX_TEAMS_NOTED} from 'puffinturn-decisions';
 import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
 
 /** Time over which answers are counted, ms. */
 const TOTALS_EVERY_MS = 1_000;
 
-/** Teams named in a line, those with most tokens; there may be thousands. */
-const MAX_TEAMS = 12;
+/** Kinds of answers that a line tells apart; any other cause is `other`. */
+const MAX_KINDS = 24;
+
+/** The cause of answers beyond those kinds. */
+const OTHER = 'other';
 
 /** See the module comment. */
 export class Totals implements AsyncDisposable {
@@ -35,9 +39,11 @@
     if (this.answers.size === 0) {
       this.tasks.start((signal) => this.writeLater(signal));
     }
-    const key = `${status} ${cause}`;
+    const isKnown = this.answers.has(keyOf(status, cause));
+    const named = isKnown || this.answers.size < MAX_KINDS ? cause : OTHER;
+    const key = keyOf(status, named);
     const count = (this.answers.get(key)?.count ?? 0) + 1;
-    this.answers.set(key, {cause, count, status});
+    this.answers.set(key, {cause: named, count, status});
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -62,6 +68,10 @@
   }
 }
 
+function keyOf(status: number, cause: string): string {
+  return `${status} ${cause}`;
+}
+
 function sumOf(
   all: readonly TeamTokens[],
   amountOf: (tokens: TeamTokens) => number,
@@ -72,5 +82,5 @@
 function largestOf(all: readonly TeamTokens[]): TeamTokens[] {
   return [...all]
     .sort((a, b) => b.held + b.charged - (a.held + a.charged))
-    .slice(0, MAX_TEAMS);
+    .slice(0, MAX_TEAMS_NOTED);
 }
--- a/packages/puffinturn-edge/src/__tests__/unit/Totals.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Totals.test.ts
@@ -50,6 +50,20 @@
     ]);
   });
 
+  test('tell few kinds of answers apart, and count all', async () => {
+    const clock = new ManualClock();
+    const log = new KeptLog();
+    await using totals = new Totals(clock, log, () => []);
+    for (let count = 0; count < 1_000; count += 1) {
+      totals.count(502, `cause ${count}`);
+    }
+    await clock.advance(1_000);
+    const [line] = log.lines;
+    const answers = line?.event === 'answers-counted' ? line.answers : [];
+    expect(answers.length).toBeLessThanOrEqual(25);
+    expect(answers.reduce((sum, {count}) => sum + count, 0)).toBe(1_000);
+  });
+
   test('add up the tokens of all teams and name those with most', async () => {
     const clock = new ManualClock();
     const log = new KeptLog();
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -13,6 +13,7 @@
 import type {Result} from 'neverthrow';
 import {err, ResultAsync} from 'neverthrow';
 import type {DecisionLog, TeamAmount} from 'puffinturn-decisions';
+import {MAX_TEAMS_NOTED} from 'puffinturn-decisions';
 import type {ProposalFailure, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition, Failure} from 'shared';
@@ -49,9 +50,6 @@
 /** How often silent boxes and upstreams are looked for, ms. */
 const EXPIRE_EVERY_MS = 1_000;
 
-/** Teams named in a line about tokens, those with most; there may be thousands. */
-const MAX_TEAMS_NOTED = 12;
-
 const NO_CONFIGURATION = {
   configuration: undefined,
   configurationChange: undefined,
