Choose the teams that a line names in one place

The edge's totals and the core's line on written-off tokens sorted and cut their lists each for itself; both call largestTeams now.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -97,9 +97,6 @@
   readonly answers: readonly AnswerCount[];
 }
 
-/** Teams that a line about tokens names, those with most; there may be thousands. */
-export const MAX_TEAMS_NOTED = 12;
-
 /** What one edge did with a team's tokens; amounts in tokens. */
 export interface TeamTokens {
   readonly team: string;
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -13,6 +13,6 @@
   TeamTokens,
   TokenFacts,
 } from './Decision';
-export {MAX_TEAMS_NOTED} from './Decision';
 export type {DecisionLogParts} from './DecisionLog';
 export {DecisionLog, JsonDecisionLog, SilentDecisionLog} from './DecisionLog';
+export {largestTeams} from './largestTeams';
--- a/packages/puffinturn-edge/src/Totals.ts
+++ b/packages/puffinturn-edge/src/Totals.ts
@@ -10,7 +10,7 @@
  * answer, also those that had no line of their own, and the tokens at hand.
  */
 import type {AnswerCount, DecisionLog, TeamTokens} from 'puffinturn-decisions';
-import {MAX_TEAMS_NOTED} from 'puffinturn-decisions';
+import {largestTeams} from 'puffinturn-decisions';
 import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
 
@@ -62,7 +62,7 @@
         event: 'tokens-counted',
         held: sumOf(all, ({held}) => held),
         reserved: sumOf(all, ({reserved}) => reserved),
-        teams: largestOf(all),
+        teams: largestTeams(all, ({charged, held}) => held + charged),
       });
     }
   }
@@ -78,9 +78,3 @@
 ): number {
   return all.reduce((sum, tokens) => sum + amountOf(tokens), 0);
 }
-
-function largestOf(all: readonly TeamTokens[]): TeamTokens[] {
-  return [...all]
-    .sort((a, b) => b.held + b.charged - (a.held + a.charged))
-    .slice(0, MAX_TEAMS_NOTED);
-}
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -214,8 +214,6 @@
       fleet.network.delay = {highMs: 160, lowMs: 1};
       const names = ['g1', 'g2', 'g3', 'h1', 'h2'];
       const edges = await fleet.startAll(names);
-      const heldByAll = (): number =>
-        edges.reduce((sum, edge) => sum + held(edge), 0);
       let spent = 0;
       const serve = async (edge: Allowances): Promise<void> => {
         const most = 100 + below(3_000);
@@ -240,7 +238,7 @@
         invariant(edge !== undefined, 'drawn');
         requests.push(serve(edge));
         await fleet.clock.advance(below(160));
-        expect(spent + heldByAll()).toBeLessThanOrEqual(prepaid);
+        expect(spent + fleet.heldByAll).toBeLessThanOrEqual(prepaid);
       }
       fleet.network.heal();
       await fleet.settled(Promise.all(requests));
@@ -248,7 +246,7 @@
       // Tokens on their way back to the core are in nobody's hands for a moment.
       const sums: number[] = [];
       for (let count = 0; count < 20; count += 1) {
-        sums.push(spent + heldByAll() + fleet.left);
+        sums.push(spent + fleet.heldByAll + fleet.left);
         await fleet.clock.advance(250);
       }
       expect(Math.max(...sums)).toBe(prepaid);
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -13,7 +13,7 @@
 import type {Result} from 'neverthrow';
 import {err, ResultAsync} from 'neverthrow';
 import type {DecisionLog, TeamAmount} from 'puffinturn-decisions';
-import {MAX_TEAMS_NOTED} from 'puffinturn-decisions';
+import {largestTeams} from 'puffinturn-decisions';
 import type {ProposalFailure, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition, Failure} from 'shared';
@@ -363,9 +363,7 @@
   private noteWrittenOff(edge: string, all: readonly TeamAmount[]): void {
     if (all.length > 0) {
       const amount = all.reduce((sum, team) => sum + team.amount, 0);
-      const teams = [...all]
-        .sort((a, b) => b.amount - a.amount)
-        .slice(0, MAX_TEAMS_NOTED);
+      const teams = largestTeams(all, (team) => team.amount);
       this.parts.log.note({amount, edge, event: 'tokens-written-off', teams});
     }
   }
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -244,7 +244,7 @@
     this.granted.set(team, out + granted);
     const holds = kept + granted;
     held.set(team, holds);
-    const excess = Math.max(1, (heldByAll + granted) / Math.max(1, most));
+    const excess = (heldByAll + granted) / Math.max(1, most);
     const mostHeld =
       excess > 1 ? Math.min(fair, Math.max(0, holds) / excess) : fair;
     return {
