Show in logs what tells the incident's hypotheses apart

Cause: lines could not tell an edge that lacks a named version from one that was never told, nor a control box that has lost its leader; tokens counted twice on their way left no line that adds up. No decision has changed.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -82,6 +82,8 @@
   readonly reserved: number;
   /** Tokens that the core could still grant, as of the last exchange. */
   readonly left: number | undefined;
+  /** The life of the other edge, where the tokens were a gift. */
+  readonly peer?: string | undefined;
 }
 
 /** Answers of one kind within a second. */
@@ -122,6 +124,22 @@
   readonly amount: number;
 }
 
+/** What the core has granted of a team's budget; amounts in tokens. */
+export interface TeamGrants {
+  readonly team: string;
+  readonly prepaid: number;
+  /** In the hands of edges, or spent. */
+  readonly granted: number;
+  /** Of that, in the hands of edges and in no request. */
+  readonly held: number;
+}
+
+/** What the core has granted, of those teams that asked last. */
+export interface GrantsCounted {
+  readonly event: 'grants-counted';
+  readonly teams: readonly TeamGrants[];
+}
+
 /** An edge has started anew: what its former life held stays spent. */
 export interface TokensWrittenOff {
   readonly event: 'tokens-written-off';
@@ -140,6 +158,27 @@
   readonly source: string;
 }
 
+/** A control box has named a version that this process still lacks. */
+export interface ConfigurationOverdue {
+  readonly event: 'configuration-overdue';
+  readonly version: number;
+  /** The version in force here; none at first. */
+  readonly held: number | undefined;
+  /** How long ago a version that is lacking was named first. */
+  readonly behindMs: number;
+  /** The control box that has named it. */
+  readonly source: string;
+}
+
+/** A control box that is asked for news lost its leader, or has one again. */
+export interface LeaderHeard {
+  readonly event: 'leader-heard';
+  /** The control box. */
+  readonly peer: string;
+  /** The leader that it hears; none where it may be cut off from the quorum. */
+  readonly leader: string | undefined;
+}
+
 /** An operator's change was taken, or not. */
 export interface ChangeDecided {
   readonly event: 'change-decided';
@@ -211,9 +250,12 @@
   | AttemptFailed
   | ChangeDecided
   | ConfigurationAdopted
+  | ConfigurationOverdue
   | DependencyChanged
   | EvacuationDecided
   | EvacuationsAdopted
+  | GrantsCounted
+  | LeaderHeard
   | ProcessChanged
   | RequestEnded
   | RoleChanged
--- a/packages/puffinturn-decisions/src/DecisionLog.ts
+++ b/packages/puffinturn-decisions/src/DecisionLog.ts
@@ -43,6 +43,15 @@
   override note(): void {}
 }
 
+/** Keeps every decision, for tests. */
+export class KeptDecisionLog extends DecisionLog {
+  readonly lines: Decision[] = [];
+
+  override note(decision: Decision): void {
+    this.lines.push(decision);
+  }
+}
+
 /** See the module comment. */
 export class JsonDecisionLog extends DecisionLog {
   private readonly logger: Logger;
@@ -110,5 +119,9 @@
 
 /** Whether a line sums up what others tell; its writer writes one a second. */
 function isTotal({event}: Decision): boolean {
-  return event === 'answers-counted' || event === 'tokens-counted';
+  return (
+    event === 'answers-counted' ||
+    event === 'grants-counted' ||
+    event === 'tokens-counted'
+  );
 }
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -10,9 +10,15 @@
   AnswerCount,
   Decision,
   TeamAmount,
+  TeamGrants,
   TeamTokens,
   TokenFacts,
 } from './Decision';
 export type {DecisionLogParts} from './DecisionLog';
-export {DecisionLog, JsonDecisionLog, SilentDecisionLog} from './DecisionLog';
+export {
+  DecisionLog,
+  JsonDecisionLog,
+  KeptDecisionLog,
+  SilentDecisionLog,
+} from './DecisionLog';
 export {largestTeams} from './largestTeams';
--- a/packages/puffinturn-edge/src/TokenBook.ts
+++ b/packages/puffinturn-edge/src/TokenBook.ts
@@ -116,12 +116,14 @@
     {held, left, reserved, team}: TokenAccount,
     source: string,
     amount: number,
+    peer?: string,
   ): void {
     this.log.note({
       amount,
       event: 'allowance-moved',
       held,
       left,
+      peer,
       reserved,
       source,
       team,
--- a/packages/puffinturn-edge/src/TokenGifts.ts
+++ b/packages/puffinturn-edge/src/TokenGifts.ts
@@ -184,7 +184,7 @@
     for (const {amount, team} of gifts) {
       const account = book.accountOf(team);
       account.receive(amount, clock.now());
-      book.noteMove(account, 'gift', amount);
+      book.noteMove(account, 'gift', amount, giver);
     }
     book.moved.notify();
     return true;
--- a/packages/puffinturn-edge/src/__tests__/unit/Totals.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Totals.test.ts
@@ -5,20 +5,12 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {Decision, TeamTokens} from 'puffinturn-decisions';
-import {DecisionLog} from 'puffinturn-decisions';
+import type {TeamTokens} from 'puffinturn-decisions';
+import {KeptDecisionLog} from 'puffinturn-decisions';
 import {ManualClock} from 'shared';
 
 import {Totals} from '../../Totals';
 
-class KeptLog extends DecisionLog {
-  readonly lines: Decision[] = [];
-
-  override note(decision: Decision): void {
-    this.lines.push(decision);
-  }
-}
-
 function tokensOf(team: string, held: number): TeamTokens {
   return {charged: 1, held, reserved: 2, team};
 }
@@ -26,7 +18,7 @@
 describe('Totals', () => {
   test('count every answer of a second once, and nothing in a pause', async () => {
     const clock = new ManualClock();
-    const log = new KeptLog();
+    const log = new KeptDecisionLog();
     await using totals = new Totals(clock, log, () => []);
     for (let count = 0; count < 3; count += 1) {
       totals.count(402, 'budget-exhausted');
@@ -52,7 +44,7 @@
 
   test('tell few kinds of answers apart, and count all', async () => {
     const clock = new ManualClock();
-    const log = new KeptLog();
+    const log = new KeptDecisionLog();
     await using totals = new Totals(clock, log, () => []);
     for (let count = 0; count < 1_000; count += 1) {
       totals.count(502, `cause ${count}`);
@@ -66,7 +58,7 @@
 
   test('add up the tokens of all teams and name those with most', async () => {
     const clock = new ManualClock();
-    const log = new KeptLog();
+    const log = new KeptDecisionLog();
     const teams = Array.from({length: 40}, (_, at) => tokensOf(`t${at}`, at));
     await using totals = new Totals(clock, log, () => teams);
     totals.count(200, 'served');
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -44,6 +44,7 @@
 } from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import {FleetNews, FleetWatch} from './FleetWatch';
+import {GrantTotals} from './GrantTotals';
 import {packConfiguration} from './PackedConfiguration';
 import type {UpstreamRecord} from './Upstreams';
 import {UpstreamTable} from './Upstreams';
@@ -121,11 +122,13 @@
   private readonly everyBox = new BoxList();
   private readonly history = new ConfigurationHistory();
   private readonly others: FleetWatch;
+  private readonly grantTotals: GrantTotals;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
   constructor(private readonly parts: FleetControlParts) {
-    const {link} = parts;
+    const {clock, link, log, machine} = parts;
+    this.grantTotals = new GrantTotals(clock, log, machine);
     this.handlers.add(
       link.register(FLEET_SERVICE.watch, (body) =>
         this.watch(body as WatchRequest),
@@ -213,6 +216,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     await this.others[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
+    await this.grantTotals[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.changed.notify();
     await this.tasks[Symbol.asyncDispose]();
@@ -400,6 +404,7 @@
     return outcome.match(
       ({grants, writtenOff}) => {
         this.noteWrittenOff(request.box, writtenOff ?? []);
+        this.grantTotals.count(request.asks.map(({team}) => team));
         return {grants};
       },
       () => ({grants: undefined}),
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -12,7 +12,7 @@
  * them free again.
  */
 import {Decoder, Encoder} from 'cbor-x';
-import type {TeamAmount} from 'puffinturn-decisions';
+import type {TeamAmount, TeamGrants} from 'puffinturn-decisions';
 import {Machine} from 'puffinturn-log';
 
 import type {FleetConfiguration} from './Configuration';
@@ -194,6 +194,16 @@
     return this.granted.get(team) ?? 0;
   }
 
+  /** The same with what there is in all, and what is in the hands of edges. */
+  grantsOf(team: string): TeamGrants {
+    return {
+      granted: this.grantedTo(team),
+      held: this.heldByAll(team),
+      prepaid: this.prepaidOf(team),
+      team,
+    };
+  }
+
   override apply(record: unknown): FleetOutcome {
     const fleetRecord = record as FleetRecord;
     switch (fleetRecord.kind) {
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -123,6 +123,8 @@
   private boxesFrom: string | undefined;
   /** The highest version that any control box has named, and since when. */
   private named = {at: -Infinity, version: -Infinity};
+  /** The newest version that was written down as overdue. */
+  private notedOverdue = -Infinity;
 
   constructor(private readonly parts: FleetWatchParts) {
     this.tasks.start((signal) => this.followSeeds(signal));
@@ -294,7 +296,7 @@
       });
     }
     watched.reachable = true;
-    this.setUnfit(watched, (reply.leader ?? undefined) === undefined);
+    this.hearLeader(watched, reply.leader ?? undefined);
     watched.answeredAt = clock.now();
     if (watched.incarnation !== reply.incarnation) {
       watched.boxes.clear();
@@ -322,6 +324,39 @@
     }
     this.takeBoxes(watched, reply.boxes ?? undefined);
     watched.current ||= reply.current;
+    this.noteOverdue(watched);
+  }
+
+  /** Writes down, once for each version, that a named one has not come. */
+  private noteOverdue({box}: Watched): void {
+    const {clock, log, news} = this.parts;
+    const {at, version} = this.named;
+    const held = news.configurationVersion;
+    const behindMs = Math.round(clock.now() - at);
+    if (
+      version > held &&
+      behindMs > OVERDUE_MS &&
+      version > this.notedOverdue
+    ) {
+      this.notedOverdue = version;
+      log.note({
+        behindMs,
+        event: 'configuration-overdue',
+        held: held === -Infinity ? undefined : held,
+        source: box,
+        version,
+      });
+    }
+  }
+
+  /** A control box that hears no leader may be cut off from the quorum. */
+  private hearLeader(watched: Watched, leader: string | undefined): void {
+    const unfit = leader === undefined;
+    if (unfit !== watched.unfit) {
+      const {box} = watched;
+      this.parts.log.note({event: 'leader-heard', leader, peer: box});
+    }
+    this.setUnfit(watched, unfit);
   }
 
   /** Takes over control boxes that another edge knows. */
