Hand tokens on to one life of an edge, and never to its next one unasked

Cause: a gift without an answer was sent again to an address. Change: a gift names the life that it is for, and answers name theirs. Another life refuses it; its giver offers it to that life anew only if nothing sent before can have arrived, else counts it as gone (gift-unknown in the log). Ruled out: loans (the borrower alone credits, and a new life answers that nothing was lent); late copies within one life (numbers).

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -25,6 +25,7 @@
   applyChange,
   BOX_ROLE,
   FleetWatch,
+  lifeOf,
   NO_EVACUATIONS,
 } from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
@@ -134,7 +135,7 @@
       clock,
       controls: () => this.controls(),
       hall: self.hall,
-      life: `${self.box} ${self.incarnation}`,
+      life: lifeOf(self),
       link,
       log,
       peers: () => this.peers,
--- a/packages/puffinturn-edge/src/TokenGifts.ts
+++ b/packages/puffinturn-edge/src/TokenGifts.ts
@@ -9,7 +9,8 @@
  * Tokens that an edge hands on: what it does not need to the holders of its
  * hall, and all of it as it stops. Gifts of one edge to another are numbered
  * and sent one after the other, each until it is answered; the receiver takes
- * each number once, so that a gift sent again does not count twice.
+ * each number once, so that a gift sent again does not count twice. A gift is for
+ * one life of its receiver: the next one can't know what that took, and spent.
  */
 import {LRUCache} from 'lru-cache';
 import type {Gift, GiveReply, GiveRequest} from 'puffinturn-fleet';
@@ -43,15 +44,21 @@
  */
 const MAX_GIVERS = 10_000;
 
-/** What became of a gift offered to one edge. */
+/** What became of a gift offered to one life of an edge. */
 const OFFER = {
   taken: 'taken',
   refused: 'refused',
+  /** That life is over, and the gift has not reached it. */
+  restarted: 'restarted',
   /** It may have been taken; nobody will say. */
   unknown: 'unknown',
 } as const;
 
-type OfferOutcome = (typeof OFFER)[keyof typeof OFFER];
+interface Offer {
+  readonly outcome: (typeof OFFER)[keyof typeof OFFER];
+  /** The life that has answered. */
+  readonly receiver?: string | undefined;
+}
 
 /** What TokenGifts are made of. */
 export interface TokenGiftsParts {
@@ -79,6 +86,7 @@
     this.registration = parts.link.register(
       FLEET_SERVICE.give,
       async (body): Promise<GiveReply> => ({
+        receiver: parts.life,
         taken: this.receive(body as GiveRequest),
       }),
     );
@@ -130,7 +138,10 @@
   ): Promise<void> {
     for (const box of boxes) {
       const outcome = await this.offer(box, gifts);
-      if (outcome !== OFFER.refused) {
+      if (outcome === OFFER.unknown) {
+        this.noteLost(box, gifts);
+      }
+      if (outcome === OFFER.taken || outcome === OFFER.unknown) {
         return;
       }
       this.parts.holders.suspect(box);
@@ -142,15 +153,34 @@
     }
   }
 
+  /** Offers a gift to an edge; to its next life if it was restarted unnoticed. */
   private async offer(
     box: string,
     gifts: readonly Gift[],
-  ): Promise<OfferOutcome> {
-    const {clock, life, link} = this.parts;
-    this.number += 1;
-    const request: GiveRequest = {gifts, giver: life, number: this.number};
+  ): Promise<Offer['outcome']> {
     this.receivers.add(box);
     using _done = {[Symbol.dispose]: () => void this.receivers.delete(box)};
+    const known = this.parts.holders.lifeOf(box);
+    const {outcome, receiver} = await this.offerTo(box, known ?? '', gifts);
+    if (outcome !== OFFER.restarted || receiver === undefined) {
+      return outcome;
+    }
+    return (await this.offerTo(box, receiver, gifts)).outcome;
+  }
+
+  private async offerTo(
+    box: string,
+    receiver: string,
+    gifts: readonly Gift[],
+  ): Promise<Offer> {
+    const {clock, life, link} = this.parts;
+    this.number += 1;
+    const request: GiveRequest = {
+      gifts,
+      giver: life,
+      number: this.number,
+      receiver,
+    };
     let mayHaveArrived = false;
     for (let sent = 0; sent < MOST_SENT; sent += 1) {
       const answer = await link.call(
@@ -160,20 +190,33 @@
         BORROW_MS,
       );
       if (answer.isOk()) {
-        const {taken} = answer.value as GiveReply;
-        return taken ? OFFER.taken : OFFER.refused;
+        return offerAnswered(
+          request,
+          answer.value as GiveReply,
+          mayHaveArrived,
+        );
       }
       mayHaveArrived ||= answer.error.kind !== 'not-sent';
       if (!mayHaveArrived) {
-        return OFFER.refused;
+        return {outcome: OFFER.refused};
       }
       await clock.sleep(AGAIN_EVERY_MS);
     }
-    return OFFER.unknown;
+    return {outcome: OFFER.unknown};
   }
 
-  private receive({gifts, giver, number}: GiveRequest): boolean {
-    const {book, clock, refuses} = this.parts;
+  private noteLost(box: string, gifts: readonly Gift[]): void {
+    const {book} = this.parts;
+    for (const {amount, team} of gifts) {
+      book.noteMove(book.accountOf(team), 'gift-unknown', amount, box);
+    }
+  }
+
+  private receive({gifts, giver, number, receiver}: GiveRequest): boolean {
+    const {book, clock, life, refuses} = this.parts;
+    if (receiver !== undefined && receiver !== life) {
+      return false;
+    }
     if (number <= (this.lastNumbers.get(giver) ?? 0)) {
       return true;
     }
@@ -198,6 +241,24 @@
   }
 }
 
+function offerAnswered(
+  {receiver: addressed}: GiveRequest,
+  {receiver, taken}: GiveReply,
+  mayHaveArrived: boolean,
+): Offer {
+  if (taken) {
+    return {outcome: OFFER.taken};
+  }
+  if (receiver === addressed) {
+    return {outcome: OFFER.refused};
+  }
+  // The life that it was for may have taken an earlier copy, and spent it: kept
+  // here as well, tokens would count twice.
+  return mayHaveArrived
+    ? {outcome: OFFER.unknown}
+    : {outcome: OFFER.restarted, receiver};
+}
+
 function surplusOf(account: TokenAccount, want: number): number {
   if (account.need > 0) {
     return 0;
--- a/packages/puffinturn-edge/src/TokenHolders.ts
+++ b/packages/puffinturn-edge/src/TokenHolders.ts
@@ -11,6 +11,7 @@
  * agree; where they don't, tokens are lent by whoever has some.
  */
 import type {BoxRecord} from 'puffinturn-fleet';
+import {lifeOf} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 import {hashOf} from 'shared';
 
@@ -70,6 +71,13 @@
     return [...own, ...away].filter((box) => box !== this.self.box);
   }
 
+  /** The life of another edge, as the list of boxes has it. */
+  lifeOf(box: string): string | undefined {
+    this.refresh();
+    const found = this.others?.find((other) => other.box === box);
+    return found === undefined ? undefined : lifeOf(found);
+  }
+
   /** The holders in all other halls, and the next ones in the own hall. */
   elsewhere(team: string): readonly string[] {
     const own = this.ranked(team, this.self.hall).slice(0, 2);
--- a/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Allowances.test.ts
@@ -11,7 +11,46 @@
 
 import type {Allowances, ReserveOutcome} from '../../index';
 import {RESERVE} from '../../index';
-import {CORE, held, TEAM, TokenFleet} from '../utils/TokenFleet';
+import {CORE, held, namesBut, TEAM, TokenFleet} from '../utils/TokenFleet';
+
+/** Edges stop, die and are started again while the core is away. */
+async function handOnThroughRestarts(random: Random): Promise<void> {
+  const below = (most: number): number => random.integer(0, most - 1);
+  const draw = (from: readonly string[]): string =>
+    from[below(from.length)] ?? '';
+  const fleet = new TokenFleet(60_000);
+  const names = ['g1', 'g2', 'g3', 'h1', 'h2'];
+  const edges = new Map<string, Allowances>();
+  for (const [at, edge] of (await fleet.startAll(names)).entries()) {
+    edges.set(names[at] ?? '', edge);
+  }
+  fleet.network.partition(names, [CORE]);
+  void edges.get('g1')?.reserve('t', 59_999);
+  await fleet.clock.advance(4_000);
+  // Without the core, what is about can only become less.
+  const all = fleet.heldByAll;
+  let gone = 0;
+  for (let step = 0; step < 30; step += 1) {
+    const box = draw(names);
+    fleet.network.stall(box, draw(namesBut(box, names)));
+    if (below(20) === 0) {
+      fleet.network.heal();
+      fleet.network.partition(names, [CORE]);
+    }
+    if (below(3) === 0) {
+      void edges.get(draw(names))?.close();
+    }
+    await fleet.clock.advance(below(400));
+    if (below(3) === 0) {
+      const dies = draw(names);
+      gone += fleet.heldBy(dies);
+      fleet.kill(dies);
+      fleet.tellsRestarts = below(2) === 0;
+      edges.set(dies, fleet.open(dies, namesBut(dies, names)));
+    }
+    expect(gone + fleet.heldByAll).toBeLessThanOrEqual(all);
+  }
+}
 
 describe('Allowances', () => {
   test('reserve the most and settle what was spent', async () => {
@@ -136,6 +175,22 @@
     expect(held(giver) + held(next)).toBe(0);
   });
 
+  test('give tokens to an edge that was restarted unnoticed', async () => {
+    const fleet = new TokenFleet(10_000);
+    const [giver] = await fleet.startAll(['e', 'f']);
+    invariant(giver !== undefined, 'is started');
+    fleet.network.partition(['e', 'f'], [CORE]);
+    void giver.reserve('t', 9_999);
+    await fleet.clock.advance(4_000);
+    const before = held(giver);
+    fleet.tellsRestarts = false;
+    fleet.kill('f');
+    const next = fleet.open('f', ['e']);
+    await fleet.settled(giver.close());
+    expect(held(giver)).toBe(0);
+    expect(held(next)).toBe(before);
+  });
+
   test('draw on the holder of the hall and hand back what is over', async () => {
     const fleet = new TokenFleet(10_000);
     const names = ['h1', 'h2', 'h3'];
@@ -305,4 +360,14 @@
       expect(sums.filter((sum) => sum < prepaid).length).toBeLessThan(5);
     },
   );
+
+  test.each([1, 2, 3, 4, 5, 6, 7, 8, 9, 10])(
+    'hand on no token twice through late answers and restarts, seed %i',
+    async (seed) => {
+      const random = new Random(seed);
+      for (let episode = 0; episode < 10; episode += 1) {
+        await handOnThroughRestarts(random);
+      }
+    },
+  );
 });
--- a/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
@@ -10,8 +10,12 @@
  * memory. Edges can die and start anew; the core's record lives on.
  */
 import {SilentDecisionLog} from 'puffinturn-decisions';
-import type {AllowanceOutcome, AllowanceRequest} from 'puffinturn-fleet';
-import {BOX_ROLE, FLEET_SERVICE, FleetMachine} from 'puffinturn-fleet';
+import type {
+  AllowanceOutcome,
+  AllowanceRequest,
+  BoxRecord,
+} from 'puffinturn-fleet';
+import {BOX_ROLE, FLEET_SERVICE, FleetMachine, lifeOf} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random} from 'shared';
 
@@ -32,6 +36,11 @@
   private version = 0;
   private lives = 0;
   private readonly edges = new Map<string, Allowances>();
+  private readonly incarnations = new Map<string, string>();
+  /** The other edges as each edge knows them. */
+  private readonly peers = new Map<string, readonly BoxRecord[]>();
+  /** Whether edges hear at once that another one was started again. */
+  tellsRestarts = true;
 
   constructor(prepaid: number) {
     this.topUp(prepaid);
@@ -48,6 +57,12 @@
     return [...this.edges.values()].reduce((sum, edge) => sum + held(edge), 0);
   }
 
+  /** Tokens in the hands of one edge; 0 for one that is not alive. */
+  heldBy(box: string): number {
+    const edge = this.edges.get(box);
+    return edge === undefined ? 0 : held(edge);
+  }
+
   topUp(prepaidTokens: number): void {
     this.version += 1;
     const team = {keys: ['k'], name: TEAM, prepaidTokens, priority: 0};
@@ -92,22 +107,22 @@
 
   /** Starts an edge among peers and does not wait. */
   open(box: string, peers: readonly string[]): Allowances {
-    const records = peers.map((peer) => ({
-      box: peer,
-      hall: hallOf(peer),
-      incarnation: '1',
-      role: BOX_ROLE.edge,
-    }));
     this.lives += 1;
+    const incarnation = String(this.lives);
+    this.incarnations.set(box, incarnation);
+    this.peers.set(box, this.recordsOf(peers));
+    if (this.tellsRestarts) {
+      this.tellRestarts();
+    }
     const edge = new Allowances({
       box,
       clock: this.clock,
       controls: () => [CORE],
       hall: hallOf(box),
-      life: `${box} ${this.lives}`,
+      life: lifeOf({box, incarnation}),
       link: this.network.connect(box),
       log: new SilentDecisionLog(),
-      peers: () => records,
+      peers: () => this.peers.get(box) ?? [],
     });
     this.edges.set(box, edge);
     edge.configure([
@@ -116,6 +131,13 @@
     return edge;
   }
 
+  /** Every edge hears of the newest life of each other one. */
+  tellRestarts(): void {
+    for (const [box, known] of this.peers) {
+      this.peers.set(box, this.recordsOf(known.map((other) => other.box)));
+    }
+  }
+
   /** An edge loses power: nothing that it holds is handed on. */
   kill(box: string): void {
     const edge = this.edges.get(box);
@@ -135,6 +157,15 @@
     return value.value;
   }
 
+  private recordsOf(boxes: readonly string[]): readonly BoxRecord[] {
+    return boxes.map((box) => ({
+      box,
+      hall: hallOf(box),
+      incarnation: this.incarnations.get(box) ?? '',
+      role: BOX_ROLE.edge,
+    }));
+  }
+
   private get prepaid(): number {
     const [team] = this.machine.stored?.configuration.teams ?? [];
     return team?.prepaidTokens ?? 0;
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -42,6 +42,14 @@
   readonly incarnation: string;
 }
 
+/** The name of one life of a box, as messages about tokens carry it. */
+export function lifeOf({
+  box,
+  incarnation,
+}: Pick<BoxRecord, 'box' | 'incarnation'>): string {
+  return `${box} ${incarnation}`;
+}
+
 /** Asks for all that is new; held back until there is something. */
 export interface WatchRequest {
   readonly from: BoxRecord;
@@ -159,14 +167,24 @@
 export interface GiveRequest {
   /** One life of the giving edge. */
   readonly giver: string;
+  /**
+   * The life of the asked edge that may take the gift; another one can't know
+   * whether it was taken. Missing in gifts of a former version.
+   */
+  readonly receiver?: string | undefined;
   /** Grows with each gift of that life; one sent again counts once. */
   readonly number: number;
   readonly gifts: readonly Gift[];
 }
 
-/** Whether the asked edge took the tokens; one that is stopping does not. */
+/**
+ * Whether the asked edge took the tokens; one that is stopping does not, nor does
+ * another life than the one that they are for.
+ */
 export interface GiveReply {
   readonly taken: boolean;
+  /** The life that answers; missing in answers of a former version. */
+  readonly receiver?: string | undefined;
 }
 
 /** What an edge lacks; asked for by an empty question. */
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -58,7 +58,7 @@
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
-export {BOX_ROLE, FLEET_SERVICE, LOAN} from './FleetMessages';
+export {BOX_ROLE, FLEET_SERVICE, lifeOf, LOAN} from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetNews, FleetWatch} from './FleetWatch';
 export {linkOfReplicas} from './ReplicaLink';
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -6,14 +6,14 @@
  */
 
 /**
- * A network in memory for tests: delays, lost messages and one-way cuts, all
- * by a Clock that the test drives.
+ * A network in memory for tests: delays, lost or late messages and one-way cuts,
+ * all by a Clock that the test drives.
  */
 import {Decoder, Encoder} from 'cbor-x';
 import type {ResultAsync} from 'neverthrow';
 import {err, ok, ResultAsync as Async} from 'neverthrow';
 import type {Clock, Random} from 'shared';
-import {describeError} from 'shared';
+import {Condition, describeError} from 'shared';
 
 import type {LinkFailure} from './Link';
 import {Link} from './Link';
@@ -33,6 +33,8 @@
   delay: Delay = {highMs: 2, lowMs: 1};
   private readonly links = new Map<string, MemoryLink>();
   private readonly cuts = new Set<string>();
+  private readonly stalls = new Set<string>();
+  private readonly healed = new Condition();
 
   constructor(
     private readonly clock: Clock,
@@ -72,9 +74,19 @@
     }
   }
 
-  /** Ends all cuts. */
+  /**
+   * Holds every message from one box to another back until healed, also if its
+   * sender is gone by then, as TCP does with what it has sent into a cut.
+   */
+  stall(from: string, to: string): void {
+    this.stalls.add(`${from}>${to}`);
+  }
+
+  /** Ends all cuts and stalls. */
   heal(): void {
     this.cuts.clear();
+    this.stalls.clear();
+    this.healed.notify();
   }
 
   /** Carries one call; used by MemoryLink. */
@@ -104,7 +116,7 @@
     bytes: Buffer,
   ) {
     const from = link.box;
-    if (!(await this.travel(from, to)) || this.links.get(from) !== link) {
+    if (this.links.get(from) !== link || !(await this.travel(from, to))) {
       return undefined;
     }
     const target = this.links.get(to);
@@ -133,13 +145,21 @@
     return arrived && this.links.get(from) === link ? answer : undefined;
   }
 
+  private async pass(): Promise<void> {
+    const {highMs, lowMs} = this.delay;
+    const share = this.random.fraction();
+    await this.clock.sleep(lowMs + share * (highMs - lowMs));
+  }
+
   private async travel(from: string, to: string): Promise<boolean> {
     if (from === to) {
       return true;
     }
-    const {highMs, lowMs} = this.delay;
-    const share = this.random.fraction();
-    await this.clock.sleep(lowMs + share * (highMs - lowMs));
+    await this.pass();
+    while (this.stalls.has(`${from}>${to}`)) {
+      await this.healed.wait();
+      await this.pass();
+    }
     return !this.cuts.has(`${from}>${to}`);
   }
 }
