--- a/packages/puffinturn-edge/src/__tests__/unit/RequestTokens.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestTokens.test.ts
@@ -26,6 +26,18 @@
 }
 
 describe('RequestTokens', () => {
+  // An upstream ran requests to their end and the answers were lost on their way.
+  // Such a run was charged two events beyond those seen: with none seen 10 of the
+  // 50 tokens put out, so a team could get more than it had paid for.
+  test('charge all that a run may have put out where its answer was lost', async () => {
+    const fleet = new TokenFleet(1_000);
+    const edge = await fleet.start('e', []);
+    const tokens = new RequestTokens(edge, planOf(ENGINE));
+    expect(await fleet.settled(tokens.reserve())).toBe(RESERVE.held);
+    const lost = {events: 0, mayHaveRun: true, whole: false};
+    expect(tokens.settle(lost)).toBe(150);
+  });
+
   test.each([
     ['a whole answer', {events: 4, mayHaveRun: true, whole: true}, 120],
     ['one that broke off', {events: 4, mayHaveRun: true, whole: false}, 130],
