Charge all that a run may have put out where it broke off or its answer was lost

Cause: a broken run was charged two events more than were seen, and not at all where another run answered whole after it. What an upstream made over a connection that went silent, or in a run whose whole answer was lost, is unbounded by what was seen. Change: each run that did not end whole is charged at its most; the tokens for it are set aside before a further run starts, which is given up (budget-for-retry) where they can't be had. The prompt counts once.

--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -72,7 +72,8 @@
   private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
-  private mayHaveRun = false;
+  /** Attempts on which an upstream may have begun work. */
+  private runs = 0;
   private readonly final: FinalAnswer;
 
   constructor(
@@ -101,19 +102,23 @@
     );
     try {
       if ((await this.readBody()) && (await this.reserve(tokens))) {
-        await this.forward(plan);
+        await this.forward(plan, tokens);
       }
     } finally {
       clearTimeout(timer);
       const charged = tokens.settle({
         events: this.relay?.events ?? 0,
-        mayHaveRun: this.mayHaveRun,
+        runs: this.runs,
         whole: this.final.cause === 'served',
       });
       this.note(charged, tokens.facts);
     }
   }
 
+  private get mayHaveRun(): boolean {
+    return this.runs > 0;
+  }
+
   private makePlan(): Plan | undefined {
     const {dialect, random} = this.parts;
     const fraction = random.fraction();
@@ -171,8 +176,15 @@
 
   // Attempts
 
-  private async forward(plan: Plan): Promise<void> {
+  private async forward(plan: Plan, tokens: RequestTokens): Promise<void> {
     while (!this.final.ended) {
+      if ((await tokens.reserveRuns(this.runs + 1)) !== RESERVE.held) {
+        this.final.giveUp('budget-for-retry', this.mayHaveRun);
+        return;
+      }
+      if (this.final.ended) {
+        return;
+      }
       const placement = selectUpstream(this.parts, plan, this.tried);
       if (placement === undefined) {
         this.final.giveUp('no-upstream', this.mayHaveRun);
@@ -258,7 +270,7 @@
   ): Promise<boolean> {
     switch (outcome.kind) {
       case 'answer':
-        this.mayHaveRun = true;
+        this.runs += 1;
         return this.pass(plan, upstream, outcome);
       case 'rejected':
         if (outcome.status === MISDIRECTED) {
@@ -278,7 +290,7 @@
         }
         return this.again(plan, upstream, outcome.cause, true);
       case 'broken':
-        this.mayHaveRun = true;
+        this.runs += 1;
         if (!this.final.ended) {
           upstream.broke(outcome.cause);
         }
