--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -72,8 +72,7 @@
   private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
-  /** Attempts on which an upstream may have begun work. */
-  private runs = 0;
+  private mayHaveRun = false;
   private readonly final: FinalAnswer;
 
   constructor(
@@ -102,23 +101,19 @@
     );
     try {
       if ((await this.readBody()) && (await this.reserve(tokens))) {
-        await this.forward(plan, tokens);
+        await this.forward(plan);
       }
     } finally {
       clearTimeout(timer);
       const charged = tokens.settle({
         events: this.relay?.events ?? 0,
-        runs: this.runs,
+        mayHaveRun: this.mayHaveRun,
         whole: this.final.cause === 'served',
       });
       this.note(charged, tokens.facts);
     }
   }
 
-  private get mayHaveRun(): boolean {
-    return this.runs > 0;
-  }
-
   private makePlan(): Plan | undefined {
     const {dialect, random} = this.parts;
     const fraction = random.fraction();
@@ -176,15 +171,8 @@
 
   // Attempts
 
-  private async forward(plan: Plan, tokens: RequestTokens): Promise<void> {
+  private async forward(plan: Plan): Promise<void> {
     while (!this.final.ended) {
-      if ((await tokens.reserveRuns(this.runs + 1)) !== RESERVE.held) {
-        this.final.giveUp('budget-for-retry', this.mayHaveRun);
-        return;
-      }
-      if (this.final.ended) {
-        return;
-      }
       const placement = selectUpstream(this.parts, plan, this.tried);
       if (placement === undefined) {
         this.final.giveUp('no-upstream', this.mayHaveRun);
@@ -270,7 +258,7 @@
   ): Promise<boolean> {
     switch (outcome.kind) {
       case 'answer':
-        this.runs += 1;
+        this.mayHaveRun = true;
         return this.pass(plan, upstream, outcome);
       case 'rejected':
         if (outcome.status === MISDIRECTED) {
@@ -290,7 +278,7 @@
         }
         return this.again(plan, upstream, outcome.cause, true);
       case 'broken':
-        this.runs += 1;
+        this.mayHaveRun = true;
         if (!this.final.ended) {
           upstream.broke(outcome.cause);
         }
--- a/packages/puffinturn-edge/src/RequestTokens.ts
+++ b/packages/puffinturn-edge/src/RequestTokens.ts
@@ -17,14 +17,17 @@
 
 /** What is known of a request's cost as it ends. */
 export interface RequestCost {
-  /** Attempts on which an upstream may have begun work. */
-  readonly runs: number;
-  /** Whether the whole answer of the last one was passed on. */
+  /** Whether an upstream may have begun work on it. */
+  readonly mayHaveRun: boolean;
+  /** Whether the whole answer was passed on. */
   readonly whole: boolean;
   /** Events passed on. */
   readonly events: number;
 }
 
+/** Events an upstream may have made that did not arrive before a break. */
+const UNSEEN_EVENTS = 2;
+
 /** See the module comment. */
 export class RequestTokens {
   private reserved = 0;
@@ -53,20 +56,18 @@
     if (!counted || tokens === undefined) {
       return RESERVE.held;
     }
-    return this.setAside(team.name, tokens.prompt + tokens.most);
-  }
-
-  /**
-   * Sets aside what so many runs can put out: one that broke off may have put out
-   * all that it may, unseen. The prompt counts once, and the first run is covered.
-   */
-  async reserveRuns(runs: number): Promise<ReserveOutcome> {
-    const {team, tokens} = this.plan;
-    if (this.reserved === 0 || team === undefined || tokens === undefined) {
-      return RESERVE.held;
+    const most = tokens.prompt + tokens.most;
+    const outcome = await this.allowances.reserve(
+      team.name,
+      most,
+      this.givesWay,
+    );
+    if (outcome === RESERVE.held) {
+      this.reserved = most;
+    } else {
+      this.refused = true;
     }
-    const lacking = tokens.prompt + runs * tokens.most - this.reserved;
-    return lacking > 0 ? this.setAside(team.name, lacking) : RESERVE.held;
+    return outcome;
   }
 
   /** Ends the reservation; returns the tokens charged. */
@@ -80,25 +81,13 @@
     return charged;
   }
 
-  private async setAside(team: string, most: number): Promise<ReserveOutcome> {
-    const outcome = await this.allowances.reserve(team, most, this.givesWay);
-    if (outcome === RESERVE.held) {
-      this.reserved += most;
-    } else {
-      this.refused = true;
-    }
-    return outcome;
-  }
-
-  private charge({events, runs, whole}: RequestCost): number {
+  private charge({events, mayHaveRun, whole}: RequestCost): number {
     const {service, tokens} = this.plan;
-    if (runs === 0 || tokens === undefined) {
+    if (!mayHaveRun || tokens === undefined) {
       return 0;
     }
-    // What a run made before it broke off, or its answer was lost, can't be told
-    // from what was seen of it; charged less, a team got more than it had paid for.
-    const broken = whole ? runs - 1 : runs;
-    const seen = whole ? events * (service.engine?.tokensPerEvent ?? 1) : 0;
-    return tokens.prompt + broken * tokens.most + Math.min(tokens.most, seen);
+    const made = events + (whole ? 0 : UNSEEN_EVENTS);
+    const out = made * (service.engine?.tokensPerEvent ?? 1);
+    return tokens.prompt + Math.min(tokens.most, out);
   }
 }
