--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -479,6 +479,7 @@
     let heard = this.hearsLeader;
     while (!signal.aborted) {
       const lostInMs = Math.min(LEADER_HEARD_LOOK_MS, replica.leaderHeardForMs);
+      // Just after its silence counts, so that the look is not a moment too early.
       await clock.sleep(heard ? lostInMs + 1 : LEADER_LOOK_MS, signal);
       if (heard !== this.hearsLeader) {
         heard = this.hearsLeader;
