Agree on the interfaces of roll-outs, regions and lives of upstreams

Types and messages only; nothing uses them yet.

Ruled out: exposure as a fixed part by hash (nobody bounds what a cut-off edge goes on sending), versions in the configuration (an order is no change of it).

--- a/packages/puffinturn-fleet/src/Configuration.ts
+++ b/packages/puffinturn-fleet/src/Configuration.ts
@@ -52,6 +52,8 @@
   readonly maxAttempts: number;
   /** Whether requests need no key. */
   readonly anonymous: boolean;
+  /** Regions that may serve and keep its requests; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** What is known of a service's model engines. */
@@ -103,6 +105,8 @@
   readonly priority: number;
   /** Tokens paid for; undefined where none are counted. */
   readonly prepaidTokens: number | undefined;
+  /** Regions that may serve and keep its requests; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** One version of everything that operators declare. */
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -11,18 +11,22 @@
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {Evacuations} from './Evacuations';
 import type {AllowanceAsk, AllowanceGrant} from './FleetMachine';
+import type {Rollouts} from './Rollouts';
 import type {UpstreamRecord} from './Upstreams';
 
 /** Names of the services on the link between boxes. */
 export const FLEET_SERVICE = {
   allowance: 'fleet-allowance',
+  beginRollout: 'fleet-begin-rollout',
   borrow: 'fleet-borrow',
   change: 'fleet-change',
   evacuate: 'fleet-evacuate',
+  exposure: 'fleet-exposure',
   give: 'fleet-give',
   greet: 'fleet-greet',
   handOver: 'fleet-hand-over',
   read: 'fleet-read',
+  readRollout: 'fleet-read-rollout',
   watch: 'fleet-watch',
 } as const;
 
@@ -38,6 +42,8 @@
   readonly box: string;
   readonly role: BoxRole;
   readonly hall: string;
+  /** The region of the hall; missing where a former version tells. */
+  readonly region?: string | undefined;
   /** One life of the process. */
   readonly incarnation: string;
 }
@@ -56,6 +62,8 @@
   readonly configurationVersion: number;
   /** The revision of the evacuations held. */
   readonly evacuationRevision: number;
+  /** The revision of the roll-outs held; missing where a former version asks. */
+  readonly rolloutRevision?: number | undefined;
   /** The incarnation of the asked box that `upstreamsRevision` belongs to. */
   readonly incarnation: string;
   readonly upstreamsRevision: number;
@@ -85,6 +93,8 @@
   readonly configurationChange: ConfigurationChange | undefined;
   /** Evacuations newer than those that the asking box holds. */
   readonly evacuations: Evacuations | undefined;
+  /** Roll-outs newer than those that the asking box holds. */
+  readonly rollouts?: Rollouts | undefined;
   readonly upstreams: readonly UpstreamRecord[];
   readonly upstreamsRevision: number;
   /** The version that the answering box holds, or -Infinity. */
@@ -199,6 +209,8 @@
   readonly upstreams: readonly UpstreamRecord[];
   /** Missing in what an edge of a former version hands over. */
   readonly evacuations?: Evacuations | undefined;
+  /** Missing in what an edge of a former version hands over. */
+  readonly rollouts?: Rollouts | undefined;
   /** All boxes known, the receiver included. */
   readonly boxes: readonly BoxRecord[];
 }
--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -29,6 +29,10 @@
   /** IP address and port. */
   readonly address: string;
   readonly hall: string;
+  /** The version of its software; undefined where it names none. */
+  readonly version?: string | undefined;
+  /** When this life began by its own time of day, Unix ms; undefined where untold. */
+  readonly bornAt?: number | undefined;
   readonly slots: number;
   readonly state: UpstreamState;
   /** How much longer the upstream bears only few requests, ms; 0 when warm. */
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -61,6 +61,29 @@
 export {BOX_ROLE, FLEET_SERVICE, lifeOf, LOAN} from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetNews, FleetWatch} from './FleetWatch';
+export {Regions} from './Regions';
 export {linkOfReplicas} from './ReplicaLink';
+export type {
+  ExposureBound,
+  ExposureGrant,
+  ExposureReply,
+  ExposureReport,
+  ExposureRequest,
+  Rollout,
+  RolloutOrder,
+  RolloutOrderOutcome,
+  RolloutOrderReply,
+  RolloutReadReply,
+  Rollouts,
+  RolloutState,
+  ServiceVersions,
+  VersionTally,
+} from './Rollouts';
+export {
+  NO_ROLLOUTS,
+  ROLLOUT_ORDER,
+  ROLLOUT_STATE,
+  TIME_RATIO_BOUNDS,
+} from './Rollouts';
 export type {UpstreamRecord, UpstreamState} from './Upstreams';
 export {UPSTREAM_STATE, UpstreamTable} from './Upstreams';
