--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -35,6 +35,8 @@
 export abstract class AnswerRelay {
   /** Events passed on so far. */
   events = 0;
+  /** Whether the head of an answer was passed on. */
+  begun = false;
   protected stopped = false;
 
   constructor(
@@ -75,6 +77,7 @@
     if (this.caller.closing) {
       kept.push('Connection', 'close');
     }
+    this.begun = true;
     this.onFirstByte();
     this.caller.response.writeHead(answer.statusCode ?? 502, kept as never);
   }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -107,7 +107,7 @@
       clearTimeout(timer);
       const charged = tokens.settle({
         events: this.relay?.events ?? 0,
-        mayHaveRun: this.mayHaveRun,
+        passedOn: this.relay?.begun ?? false,
         whole: this.final.cause === 'served',
       });
       this.note(charged, tokens.facts);
--- a/packages/puffinturn-edge/src/RequestTokens.ts
+++ b/packages/puffinturn-edge/src/RequestTokens.ts
@@ -17,8 +17,8 @@
 
 /** What is known of a request's cost as it ends. */
 export interface RequestCost {
-  /** Whether an upstream may have begun work on it. */
-  readonly mayHaveRun: boolean;
+  /** Whether any part of an upstream's answer went on to the caller. */
+  readonly passedOn: boolean;
   /** Whether the whole answer was passed on. */
   readonly whole: boolean;
   /** Events passed on. */
@@ -81,9 +81,14 @@
     return charged;
   }
 
-  private charge({events, mayHaveRun, whole}: RequestCost): number {
+  /**
+   * A team pays for what its callers receive. Where an answer was lost or the
+   * caller left before its first word, nothing was received: charged all the same,
+   * such requests would use a budget up early and turn later callers away.
+   */
+  private charge({events, passedOn, whole}: RequestCost): number {
     const {service, tokens} = this.plan;
-    if (!mayHaveRun || tokens === undefined) {
+    if (!passedOn || tokens === undefined) {
       return 0;
     }
     const made = events + (whole ? 0 : UNSEEN_EVENTS);
