Send nothing on before its caller's close would be seen

A turn of the event loop makes one read of each connection, so a close that came with a request is read in the next one; Node tells of the closed answer only two turns later, after it has ended its own side. The end of the connection itself is known by the second turn, so two turns are waited before tokens are set aside.

--- a/packages/puffinturn-edge/src/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/CallerRequest.ts
@@ -13,10 +13,18 @@
 import type {Failure} from 'shared';
 
 import type {HeaderNames} from './CallerDialect';
+import {eventLoopTurns} from './EventLoopTurns';
 
 /** The body could not be read. */
 export type BodyFailure = Failure<'body-broken'> | Failure<'body-too-large'>;
 
+/**
+ * Turns of the event loop after which the end of a connection that came together
+ * with a request is known: one turn makes one read of a connection, and the first
+ * of these is the turn that read the request.
+ */
+const TURNS_TO_END = 2;
+
 /** Headers that concern one connection only, in lower case. */
 const HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -88,6 +96,16 @@
     return this.response.destroyed && !this.response.writableFinished;
   }
 
+  /**
+   * Whether the caller still waits, judged once all that it sent together with
+   * its request has been read. A busy edge finds a request and its caller's close
+   * at once; what is sent on then is work for nobody.
+   */
+  async stays(): Promise<boolean> {
+    await eventLoopTurns(TURNS_TO_END);
+    return !this.abandoned && !this.incoming.socket.readableEnded;
+  }
+
   /** Reads the whole body. */
   async readBody(maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
     const {incoming} = this;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -100,7 +100,8 @@
       this.leftMs(plan.route) + FINAL_GRACE_MS,
     );
     try {
-      if ((await this.readBody()) && (await this.reserve(tokens))) {
+      const isWanted = (await this.readBody()) && (await this.callerStays());
+      if (isWanted && (await this.reserve(tokens))) {
         await this.forward(plan);
       }
     } finally {
@@ -147,6 +148,13 @@
     return !this.final.ended;
   }
 
+  private async callerStays(): Promise<boolean> {
+    if (!(await this.caller.stays())) {
+      this.final.end('caller-left');
+    }
+    return !this.final.ended;
+  }
+
   // Tokens
 
   private async reserve(tokens: RequestTokens): Promise<boolean> {
