Tell lives of one upstream apart, and refuse words that are not whole

A later life counts from its first word though its sequence starts anew; no word of a former life changes anything, and what an edge had with one is closed. An edge also follows a service that one life changes.

Ruled out: ending whichever life is heard of after a leaving that names none (an id that starts again would be lost).

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -215,10 +215,38 @@
   readonly service: string;
   readonly address: string;
   readonly state: string;
+  /** When its life began by its own time of day; none where untold. */
+  readonly bornAt?: number | undefined;
   readonly sequence: number;
   readonly source: string;
 }
 
+/** An upstream has started again: what this edge had with its former life is void. */
+export interface UpstreamRestarted {
+  readonly event: 'upstream-restarted';
+  readonly upstream: string;
+  readonly bornAt: number | undefined;
+  readonly former: number | undefined;
+  /** Requests of this edge that were open at the former life. */
+  readonly open: number;
+}
+
+/** Words of upstreams that were refused for one cause. */
+export interface RefusalCount {
+  readonly cause: string;
+  readonly count: number;
+}
+
+/** Words that can't be used came within a second; nothing known has changed. */
+export interface UpstreamsRefused {
+  readonly event: 'upstreams-refused';
+  readonly causes: readonly RefusalCount[];
+  /** The id that the newest of them named, cut where it is long. */
+  readonly upstream: string;
+  /** How many were refused since the process started. */
+  readonly total: number;
+}
+
 /** A box that this one depends on was lost or came back. */
 export interface DependencyChanged {
   readonly event: 'dependency-changed';
@@ -262,4 +290,6 @@
   | TokensCounted
   | TokensWrittenOff
   | UpstreamChanged
-  | UpstreamJudged;
+  | UpstreamJudged
+  | UpstreamRestarted
+  | UpstreamsRefused;
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -5,7 +5,11 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** One upstream as an edge sees it: its record, own load and health. */
+/**
+ * One life of an upstream as an edge sees it: its record, own load and health, and
+ * its connections. A later life is another EdgeUpstream, so that no request goes
+ * out over a connection to a former one.
+ */
 import {Agent} from 'node:http';
 
 import type {DecisionLog} from 'puffinturn-decisions';
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -8,7 +8,12 @@
 /** All upstreams that an edge may send to, by service. */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Evacuations, UpstreamRecord} from 'puffinturn-fleet';
-import {NO_EVACUATIONS, UPSTREAM_STATE, UpstreamTable} from 'puffinturn-fleet';
+import {
+  compareLives,
+  NO_EVACUATIONS,
+  UPSTREAM_STATE,
+  UpstreamTable,
+} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 import {EdgeUpstream} from './EdgeUpstream';
@@ -38,8 +43,10 @@
   private readonly table = new UpstreamTable();
   private readonly byId = new Map<string, EdgeUpstream>();
   private readonly byService = new Map<string, EdgeUpstream[]>();
-  /** Incarnations at each address, the one that was heard of last at the end. */
+  /** Upstreams at each address, the one that was heard of last at the end. */
   private readonly byAddress = new Map<string, EdgeUpstream[]>();
+  /** Those that are gone and may have requests open. */
+  private readonly retired = new Set<EdgeUpstream>();
   private evacuated = NO_EVACUATIONS;
 
   constructor(
@@ -60,7 +67,7 @@
     }
   }
 
-  /** Every record, also of incarnations that are gone. */
+  /** Every record, also of upstreams that are gone. */
   records(): UpstreamRecord[] {
     return this.table.records();
   }
@@ -136,26 +143,59 @@
   }
 
   [Symbol.dispose](): void {
-    for (const upstream of this.byId.values()) {
+    for (const upstream of [...this.byId.values(), ...this.retired]) {
       upstream[Symbol.dispose]();
     }
   }
 
   private take(record: UpstreamRecord): void {
     const known = this.byId.get(record.id);
-    if (record.state === UPSTREAM_STATE.gone) {
+    this.endFormerLives(record);
+    if (known !== undefined && compareLives(record, known.record) !== 0) {
+      this.replace(known, record);
+    } else if (record.state === UPSTREAM_STATE.gone) {
       this.drop(record.id);
-      return;
-    }
-    const coldUntil = this.table.coldUntil(record.id);
-    if (known !== undefined && known.record.address === record.address) {
+    } else if (known !== undefined && isSamePlace(known.record, record)) {
       known.record = record;
-      known.turnsCold(coldUntil);
-      return;
+      known.turnsCold(this.table.coldUntil(record.id));
+    } else {
+      this.drop(record.id);
+      this.add(record);
     }
+  }
+
+  private replace(former: EdgeUpstream, record: UpstreamRecord): void {
+    this.log.note({
+      bornAt: record.bornAt,
+      event: 'upstream-restarted',
+      former: former.record.bornAt,
+      open: former.inFlight,
+      upstream: record.id,
+    });
     this.drop(record.id);
+    this.endFormerLives(record);
+    if (record.state !== UPSTREAM_STATE.gone) {
+      this.add(record);
+    }
+  }
+
+  /**
+   * Ends all that this edge has open with former lives: their connections lead to
+   * processes that are over, and may be silent for good.
+   */
+  private endFormerLives(record: UpstreamRecord): void {
+    for (const upstream of this.retired) {
+      const {id, record: former} = upstream;
+      if (id === record.id && compareLives(former, record) < 0) {
+        this.retired.delete(upstream);
+        upstream[Symbol.dispose]();
+      }
+    }
+  }
+
+  private add(record: UpstreamRecord): void {
     const upstream = new EdgeUpstream(record, this.clock, this.log);
-    upstream.turnsCold(coldUntil);
+    upstream.turnsCold(this.table.coldUntil(record.id));
     this.byId.set(record.id, upstream);
     addTo(this.byService, record.service, upstream);
     addTo(this.byAddress, record.address, upstream);
@@ -171,12 +211,23 @@
     removeFrom(this.byAddress, upstream.record.address, upstream);
     upstream.record = {...upstream.record, state: UPSTREAM_STATE.gone};
     upstream.retire();
+    this.forgetEnded();
+    this.retired.add(upstream);
+  }
+
+  private forgetEnded(): void {
+    for (const upstream of this.retired) {
+      if (upstream.inFlight === 0) {
+        this.retired.delete(upstream);
+      }
+    }
   }
 
   private note(record: UpstreamRecord, source: string): void {
-    const {address, id: upstream, sequence, service, state} = record;
+    const {address, bornAt, id: upstream, sequence, service, state} = record;
     this.log.note({
       address,
+      bornAt,
       event: 'upstream-changed',
       upstream,
       sequence,
@@ -187,6 +238,11 @@
   }
 }
 
+/** Whether one life still serves the same service where it did. */
+function isSamePlace(a: UpstreamRecord, b: UpstreamRecord): boolean {
+  return a.address === b.address && a.service === b.service;
+}
+
 function addTo(
   lists: Map<string, EdgeUpstream[]>,
   key: string,
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -46,6 +46,7 @@
 import {FleetNews, FleetWatch} from './FleetWatch';
 import {GrantTotals} from './GrantTotals';
 import {packConfiguration} from './PackedConfiguration';
+import {UpstreamRefusals} from './UpstreamRefusals';
 import type {UpstreamRecord} from './Upstreams';
 import {UpstreamTable} from './Upstreams';
 
@@ -129,12 +130,14 @@
   private readonly history = new ConfigurationHistory();
   private readonly others: FleetWatch;
   private readonly grantTotals: GrantTotals;
+  private readonly refusals: UpstreamRefusals;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
   constructor(private readonly parts: FleetControlParts) {
     const {clock, link, log, machine} = parts;
     this.grantTotals = new GrantTotals(clock, log, machine);
+    this.refusals = new UpstreamRefusals(clock, log);
     this.handlers.add(
       link.register(FLEET_SERVICE.watch, (body) =>
         this.watch(body as WatchRequest),
@@ -196,16 +199,19 @@
   /** Takes a heartbeat in. */
   hearUpstream(record: UpstreamRecord, source = 'heartbeat'): void {
     const {changed, clock} = this.parts;
+    const {revision} = this.upstreams;
     if (this.upstreams.merge(record, clock.now())) {
       this.noteUpstream(record, source);
+    }
+    if (this.upstreams.revision > revision) {
       changed.notify();
     }
   }
 
-  /** Takes note that an upstream leaves for good. */
-  removeUpstream(id: string): void {
+  /** Takes note that a life of an upstream is over, the known one if none is named. */
+  removeUpstream(id: string, bornAt?: number): void {
     const {changed, clock} = this.parts;
-    if (this.upstreams.remove(id, clock.now())) {
+    if (this.upstreams.remove(id, clock.now(), bornAt)) {
       const record = this.upstreams.get(id);
       if (record !== undefined) {
         this.noteUpstream(record, 'leave');
@@ -214,6 +220,11 @@
     }
   }
 
+  /** Counts a word that names no upstream to use; nothing that is known changes. */
+  refuseUpstream(id: string, cause: string): void {
+    this.refusals.count(id, cause);
+  }
+
   /** Takes over which boxes watch another control box. */
   hearBoxes(records: readonly BoxRecord[], source: string): void {
     this.boxesOfOthers.set(source, records);
@@ -224,6 +235,7 @@
     await this.others[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
     await this.grantTotals[Symbol.asyncDispose]();
+    await this.refusals[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.changed.notify();
     await this.tasks[Symbol.asyncDispose]();
@@ -381,9 +393,10 @@
   }
 
   private noteUpstream(record: UpstreamRecord, source: string): void {
-    const {address, id, sequence, service, state} = record;
+    const {address, bornAt, id, sequence, service, state} = record;
     this.parts.log.note({
       address,
+      bornAt,
       event: 'upstream-changed',
       upstream: id,
       sequence,
--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -7,8 +7,10 @@
 
 /**
  * The upstreams of all services as soft state. Every control box takes
- * heartbeats and passes on what changed; records of one incarnation are
- * ordered by their sequence, and one that is gone never comes back.
+ * heartbeats and passes on what changed. An upstream may start again under its
+ * id: records of a later life replace those of a former one, whatever these say.
+ * Records of one life are ordered by their sequence, and a life that is gone
+ * never comes back.
  */
 
 /** What an upstream said of itself last. */
@@ -22,7 +24,7 @@
 export type UpstreamState =
   (typeof UPSTREAM_STATE)[keyof typeof UPSTREAM_STATE];
 
-/** One incarnation of an upstream. */
+/** What one life of an upstream said of itself. */
 export interface UpstreamRecord {
   readonly id: string;
   readonly service: string;
@@ -37,10 +39,23 @@
   readonly state: UpstreamState;
   /** How much longer the upstream bears only few requests, ms; 0 when warm. */
   readonly coldMs: number;
-  /** Grows with every call of the upstream. */
+  /** Grows with every call of one life of the upstream. */
   readonly sequence: number;
 }
 
+/** The part of a record that tells lives of one id apart. */
+export type UpstreamLife = Pick<UpstreamRecord, 'bornAt'>;
+
+/**
+ * Orders lives of one id: positive where the first one is the later. A life that
+ * names no start is older than any that does.
+ */
+export function compareLives(a: UpstreamLife, b: UpstreamLife): number {
+  const first = a.bornAt ?? -Infinity;
+  const second = b.bornAt ?? -Infinity;
+  return first === second ? 0 : first - second;
+}
+
 interface Slot {
   record: UpstreamRecord;
   revision: number;
@@ -55,6 +70,15 @@
 /** Others are told of a cold time that ends later than known by this much, ms. */
 const COLD_NEWS_MS = 250;
 
+/** What is told of a life that left before anything else was heard of it. */
+const NOTHING_KNOWN = {
+  address: '',
+  hall: '',
+  sequence: 0,
+  service: '',
+  slots: 0,
+} as const;
+
 /** All upstreams known to one process, with a revision for each change. */
 export class UpstreamTable {
   private readonly slots = new Map<string, Slot>();
@@ -70,12 +94,12 @@
     return [...this.slots.values()].map(({record}) => record);
   }
 
-  /** The record of one incarnation. */
+  /** What is known of an id: the newest word of its newest life. */
   get(id: string): UpstreamRecord | undefined {
     return this.slots.get(id)?.record;
   }
 
-  /** When an incarnation has warmed up, by the clock that records came with. */
+  /** When an upstream has warmed up, by the clock that records came with. */
   coldUntil(id: string): number {
     return this.slots.get(id)?.coldUntil ?? -Infinity;
   }
@@ -95,29 +119,28 @@
   merge(record: UpstreamRecord, now: number): boolean {
     const known = this.slots.get(record.id);
     if (known === undefined) {
-      this.current += 1;
-      this.slots.set(record.id, {
-        coldUntil: coldUntilOf(record, now),
-        heardAt: now,
-        record,
-        revision: this.current,
-      });
+      this.keep(record, now);
       return true;
     }
     const {record: held} = known;
+    const life = compareLives(record, held);
+    if (life > 0) {
+      // A new life: nothing of the former one holds, its cold time included.
+      this.keep(record, now);
+      return true;
+    }
     const gone = held.state === UPSTREAM_STATE.gone;
     const goes = record.state === UPSTREAM_STATE.gone;
-    if (gone || (record.sequence <= held.sequence && !goes)) {
+    const isLate = record.sequence <= held.sequence && !goes;
+    if (life < 0 || gone || isLate) {
+      this.tellAgain(known, record);
       return false;
     }
     known.heardAt = now;
     known.record = record;
     const coldUntil = coldUntilOf(record, now);
     const changed =
-      held.state !== record.state ||
-      held.address !== record.address ||
-      held.service !== record.service ||
-      coldUntil > known.coldUntil + COLD_NEWS_MS;
+      differs(record, held) || coldUntil > known.coldUntil + COLD_NEWS_MS;
     known.coldUntil = Math.max(known.coldUntil, coldUntil);
     if (changed) {
       this.current += 1;
@@ -126,23 +149,21 @@
     return changed;
   }
 
-  /** Marks an incarnation as gone; an unknown one is remembered as such. */
-  remove(id: string, now: number): boolean {
+  /**
+   * Marks a life as gone, the one known here where none is named; an unknown id
+   * is remembered as such.
+   */
+  remove(id: string, now: number, bornAt?: number): boolean {
     const held = this.slots.get(id)?.record;
-    const record: UpstreamRecord = {
-      address: held?.address ?? '',
-      coldMs: 0,
-      id,
-      sequence: held?.sequence ?? 0,
-      service: held?.service ?? '',
-      slots: held?.slots ?? 0,
-      state: UPSTREAM_STATE.gone,
-      hall: held?.hall ?? '',
-    };
-    return this.merge(record, now);
+    const life = bornAt ?? held?.bornAt;
+    const isHeld =
+      held !== undefined && compareLives({bornAt: life}, held) === 0;
+    const known = isHeld ? held : NOTHING_KNOWN;
+    const state = UPSTREAM_STATE.gone;
+    return this.merge({...known, bornAt: life, coldMs: 0, id, state}, now);
   }
 
-  /** Forgets incarnations not heard from for long. */
+  /** Forgets upstreams not heard from for long. */
   expire(now: number): void {
     for (const [id, slot] of this.slots) {
       if (now - slot.heardAt > FORGET_AFTER_MS) {
@@ -150,6 +171,44 @@
       }
     }
   }
+
+  /**
+   * Passes the held record on once more where an earlier word of its life says
+   * otherwise: plain heartbeats aren't passed on, so its sender may lack them.
+   */
+  private tellAgain(slot: Slot, late: UpstreamRecord): void {
+    const {record: held} = slot;
+    const isEarlier =
+      compareLives(late, held) === 0 && late.sequence < held.sequence;
+    if (
+      isEarlier &&
+      held.state !== UPSTREAM_STATE.gone &&
+      differs(late, held)
+    ) {
+      this.current += 1;
+      slot.revision = this.current;
+    }
+  }
+
+  private keep(record: UpstreamRecord, now: number): void {
+    this.current += 1;
+    this.slots.set(record.id, {
+      coldUntil: coldUntilOf(record, now),
+      heardAt: now,
+      record,
+      revision: this.current,
+    });
+  }
+}
+
+/** Whether two records of one life say different things that others must know. */
+function differs(a: UpstreamRecord, b: UpstreamRecord): boolean {
+  return (
+    a.state !== b.state ||
+    a.address !== b.address ||
+    a.service !== b.service ||
+    (a.version ?? undefined) !== (b.version ?? undefined)
+  );
 }
 
 function coldUntilOf({coldMs}: UpstreamRecord, now: number): number {
--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/unit/UpstreamRefusals.test.ts
@@ -0,0 +1,42 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {KeptDecisionLog} from 'puffinturn-decisions';
+import {ManualClock} from 'shared';
+
+import {UpstreamRefusals} from '../../index';
+
+describe('UpstreamRefusals', () => {
+  test('come to one line a second, whatever comes', async () => {
+    const clock = new ManualClock();
+    const log = new KeptDecisionLog();
+    await using refusals = new UpstreamRefusals(clock, log);
+    for (let at = 0; at < 500; at += 1) {
+      refusals.count('i'.repeat(500), at < 20 ? `cause-${at}` : 'zone');
+    }
+    await clock.advance(1_001);
+    expect(log.lines).toHaveLength(1);
+    expect(log.lines[0]).toMatchObject({
+      event: 'upstreams-refused',
+      total: 500,
+      upstream: 'i'.repeat(64),
+    });
+    const [line] = log.lines;
+    const causes = line?.event === 'upstreams-refused' ? line.causes : [];
+    expect(causes).toHaveLength(13);
+    expect(causes.reduce((sum, {count}) => sum + count, 0)).toBe(500);
+    await clock.advance(5_000);
+    expect(log.lines).toHaveLength(1);
+    refusals.count('i-1', 'born');
+    await clock.advance(1_001);
+    expect(log.lines[1]).toMatchObject({
+      causes: [{cause: 'born', count: 1}],
+      total: 501,
+      upstream: 'i-1',
+    });
+  });
+});
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -85,5 +85,6 @@
   ROLLOUT_STATE,
   TIME_RATIO_BOUNDS,
 } from './Rollouts';
-export type {UpstreamRecord, UpstreamState} from './Upstreams';
-export {UPSTREAM_STATE, UpstreamTable} from './Upstreams';
+export {UpstreamRefusals} from './UpstreamRefusals';
+export type {UpstreamLife, UpstreamRecord, UpstreamState} from './Upstreams';
+export {compareLives, UPSTREAM_STATE, UpstreamTable} from './Upstreams';
