--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -0,0 +1,236 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Serves requests over loopback from a pool that tests fill themselves. */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Agent, createServer, request} from 'node:http';
+
+import {KeptDecisionLog} from 'puffinturn-decisions';
+import type {Route, UpstreamRecord} from 'puffinturn-fleet';
+import {REPETITION} from 'puffinturn-fleet';
+import {Random, SystemClock} from 'shared';
+
+import type {Allowances} from '../../Allowances';
+import {CallerDialect} from '../../CallerDialect';
+import {CallerRequest} from '../../CallerRequest';
+import {UnboundedColdStarts} from '../../ColdStarts';
+import {EdgeMetrics} from '../../EdgeMetrics';
+import type {ForwardingParts} from '../../Forwarding';
+import {Forwarding} from '../../Forwarding';
+import {RetryBudgets} from '../../RetryBudgets';
+import {RouteTable} from '../../RouteTable';
+import {Totals} from '../../Totals';
+import {LeastInFlight} from '../../UpstreamChoice';
+import {UpstreamPool} from '../../UpstreamPool';
+import {configurationOf, upstreamOf} from './EdgeFixture';
+
+const HOST = '127.0.0.1';
+
+/** Names of headers, and no tokens. */
+export class TestDialect extends CallerDialect {
+  override readonly headers = {
+    deadline: 'x-deadline',
+    expectedUpstream: 'x-expected',
+    key: 'x-key',
+    lastEvent: 'x-last-event',
+    notRun: 'x-not-run',
+    prefixSource: 'x-prefix-source',
+    priority: 'x-priority',
+    requestId: 'x-request',
+    reserved: [],
+    retryAfter: 'retry-after',
+    seal: 'x-seal',
+    team: 'x-team',
+  };
+
+  override tokensOf(): undefined {
+    return undefined;
+  }
+
+  override partsOf(): [] {
+    return [];
+  }
+
+  override priorityOf(): number {
+    return 0;
+  }
+}
+
+/** A route below a path of its name. */
+export function servingRoute(name: string, fields: Partial<Route> = {}): Route {
+  return {
+    anonymous: true,
+    host: HOST,
+    maxAttempts: 3,
+    name,
+    objectiveMs: 500,
+    pathPrefix: `/${name}/`,
+    priority: 0,
+    repetition: REPETITION.repeatable,
+    streams: false,
+    targets: [{service: 's', weight: 1}],
+    timeoutMs: 20_000,
+    ...fields,
+  };
+}
+
+/** A process that plays an upstream. */
+export class TestUpstream implements AsyncDisposable {
+  /** Paths of the requests that reached it. */
+  readonly seen: string[] = [];
+  /** Answers a request; holds it open for good where it does nothing. */
+  answer = (_: IncomingMessage, response: ServerResponse): void => {
+    response.end(this.name);
+  };
+
+  private constructor(
+    readonly name: string,
+    private readonly server: Server,
+  ) {}
+
+  static async start(name: string): Promise<TestUpstream> {
+    const server = createServer((incoming, response) => {
+      upstream.seen.push(incoming.url ?? '');
+      response.setHeader('x-request', String(incoming.headers['x-request']));
+      response.setHeader('x-seal', 'seal');
+      upstream.answer(incoming, response);
+    });
+    const upstream = new TestUpstream(name, server);
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    return upstream;
+  }
+
+  get address(): string {
+    const address = this.server.address();
+    const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+    return `${HOST}:${port}`;
+  }
+
+  /** What it says of itself. */
+  record(fields: Partial<UpstreamRecord> = {}): UpstreamRecord {
+    return upstreamOf(this.name, {address: this.address, ...fields});
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise((resolve) => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+  }
+}
+
+/** What a caller got. */
+export interface Got {
+  readonly status: number;
+  readonly body: string;
+  /** Whether the whole answer came. */
+  readonly whole: boolean;
+}
+
+/** Serves callers as an edge does, without a fleet around it. */
+export class ServingFixture implements AsyncDisposable {
+  readonly clock = new SystemClock();
+  readonly log = new KeptDecisionLog();
+  readonly metrics = new EdgeMetrics();
+  readonly pool = new UpstreamPool(this.clock, this.log);
+  private readonly random = new Random(5);
+  private readonly totals = new Totals(this.clock, this.log, () => []);
+  private readonly agent = new Agent();
+  private readonly server: Server;
+  private requests = 0;
+
+  private constructor(
+    routes: readonly Route[],
+    more: (fixture: ServingFixture) => Partial<ForwardingParts>,
+  ) {
+    const services = [{engine: undefined, maxConnections: 10, name: 's'}];
+    const limits = {
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+      maxBodyBytes: 10_000,
+      maxHeaderBytes: 4_000,
+    };
+    const configuration = configurationOf(1, {limits, routes, services});
+    const table = new RouteTable(configuration);
+    const choice = new LeastInFlight(this.random);
+    const parts: ForwardingParts = {
+      allowances: {} as Allowances,
+      clock: this.clock,
+      coldAdmission: new UnboundedColdStarts(),
+      dialect: new TestDialect(),
+      engineChoice: choice,
+      hall: 'a',
+      log: this.log,
+      metrics: this.metrics,
+      plainChoice: choice,
+      pool: this.pool,
+      random: this.random,
+      retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
+      totals: this.totals,
+      ...more(this),
+    };
+    this.server = createServer((incoming, response) => {
+      const names = parts.dialect.headers;
+      const now = this.clock.now();
+      const caller = new CallerRequest(incoming, response, names, now);
+      void new Forwarding(parts, table, caller).run();
+    });
+  }
+
+  static async start(
+    routes: readonly Route[],
+    more: (fixture: ServingFixture) => Partial<ForwardingParts> = () => ({}),
+  ): Promise<ServingFixture> {
+    const fixture = new ServingFixture(routes, more);
+    await new Promise<void>((resolve) =>
+      fixture.server.listen(0, HOST, resolve),
+    );
+    return fixture;
+  }
+
+  /** One request of a route. */
+  ask(route: string): Promise<Got> {
+    const address = this.server.address();
+    const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+    this.requests += 1;
+    const headers = {'x-request': `q-${this.requests}`};
+    const {agent} = this;
+    const path = `/${route}/${this.requests}`;
+    return new Promise((resolve, reject) => {
+      const sent = request({agent, headers, host: HOST, path, port});
+      sent.on('error', reject);
+      sent.on('response', (answer) => {
+        const chunks: Buffer[] = [];
+        answer.on('error', () => undefined);
+        answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+        answer.on('close', () =>
+          resolve({
+            body: Buffer.concat(chunks).toString(),
+            status: answer.statusCode ?? 0,
+            whole: answer.complete,
+          }),
+        );
+      });
+      sent.end();
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise((resolve) => this.server.close(resolve));
+    this.server.closeAllConnections();
+    this.agent.destroy();
+    this.pool[Symbol.dispose]();
+    await this.totals[Symbol.asyncDispose]();
+    await closed;
+  }
+}
+
+/** Waits until something is so. */
+export async function until(isSo: () => boolean): Promise<void> {
+  while (!isSo()) {
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+}
