--- a/packages/puffinturn-edge/src/EdgeNews.ts
+++ b/packages/puffinturn-edge/src/EdgeNews.ts
@@ -46,6 +46,13 @@
     this.edge.evacuate(found, source);
   }
 
+  /** Edges do not tell versions apart yet. */
+  override get rolloutRevision(): number {
+    return Infinity;
+  }
+
+  override rollouts(): void {}
+
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     this.edge.pool.merge(records, source);
   }
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -16,6 +16,7 @@
   ConfigurationChange,
   Evacuations,
   FleetConfiguration,
+  Rollouts,
   UpstreamRecord,
   WatchReply,
   WatchRequest,
@@ -30,6 +31,7 @@
   FleetWatch,
   linkOfReplicas,
   NO_EVACUATIONS,
+  NO_ROLLOUTS,
   UPSTREAM_STATE,
 } from '../../index';
 import {configurationOf, upstreamOf} from '../utils/FleetFixture';
@@ -41,6 +43,7 @@
   changes = 0;
   lists = 0;
   evacuated = NO_EVACUATIONS;
+  rolledOut = NO_ROLLOUTS;
   found: UpstreamRecord[] = [];
   others: BoxRecord[] = [];
 
@@ -67,6 +70,14 @@
     this.evacuated = found;
   }
 
+  override get rolloutRevision(): number {
+    return this.rolledOut.revision;
+  }
+
+  override rollouts(found: Rollouts): void {
+    this.rolledOut = found;
+  }
+
   override upstreams(records: readonly UpstreamRecord[]): void {
     this.found.push(...records);
   }
