--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -10,26 +10,21 @@
  * boxes, and exchanges allowances through the replicated log. Any control box
  * takes any call; what only the leader can do is passed on to it.
  */
-import type {Result} from 'neverthrow';
-import {err, ResultAsync} from 'neverthrow';
 import type {DecisionLog, TeamAmount} from 'puffinturn-decisions';
 import {largestTeams} from 'puffinturn-decisions';
-import type {ProposalFailure, Replica} from 'puffinturn-log';
+import type {Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
-import type {Clock, Condition, Failure} from 'shared';
+import type {Clock, Condition} from 'shared';
 import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
+import type {AllowanceOutcome} from './AllowanceLedger';
 import {BoxList, BoxTable} from './Boxes';
-import {ConfigurationHistory} from './ConfigurationHistory';
-import type {Evacuations} from './Evacuations';
 import type {
-  AllowanceOutcome,
   ConfigurationOutcome,
-  EvacuationOutcome,
-  FleetMachine,
-  FleetRecord,
   StoredConfiguration,
-} from './FleetMachine';
+} from './ConfigurationRegister';
+import type {EvacuationOutcome} from './EvacuationRegister';
+import type {FleetMachine} from './FleetMachine';
 import type {
   AllowanceReply,
   AllowanceRequest,
@@ -42,15 +37,14 @@
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
-import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+import {FLEET_SERVICE} from './FleetMessages';
 import {FleetNews, FleetWatch} from './FleetWatch';
 import {GrantTotals} from './GrantTotals';
+import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
 import type {UpstreamRecord} from './Upstreams';
 import {UpstreamTable} from './Upstreams';
-
-/** Longest time that a proposal or barrier is waited for, ms. */
-const LEADER_CALL_MS = 1_500;
+import {WatchAnswers} from './WatchAnswers';
 
 /** How often silent boxes and upstreams are looked for, ms. */
 const EXPIRE_EVERY_MS = 1_000;
@@ -61,14 +55,6 @@
 /** Longest time between two looks whether one is still heard, ms. */
 const LEADER_HEARD_LOOK_MS = 1_000;
 
-const NO_CONFIGURATION = {
-  configuration: undefined,
-  configurationChange: undefined,
-} as const;
-
-/** Why control could not decide. */
-type FleetFailure = Failure<'no-quorum'> | ProposalFailure;
-
 /** What a FleetControl is made of. */
 export interface FleetControlParts {
   readonly self: BoxRecord;
@@ -133,7 +119,8 @@
   private readonly boxesOfOthers = new Map<string, readonly BoxRecord[]>();
   /** All boxes that any control box knows of, as edges are told. */
   private readonly everyBox = new BoxList();
-  private readonly history = new ConfigurationHistory();
+  private readonly answers: WatchAnswers;
+  private readonly leader: LeaderCalls;
   private readonly others: FleetWatch;
   private readonly grantTotals: GrantTotals;
   private readonly tasks = new TaskGroup();
@@ -142,6 +129,13 @@
   constructor(private readonly parts: FleetControlParts) {
     const {clock, link, log, machine} = parts;
     this.grantTotals = new GrantTotals(clock, log, machine);
+    this.leader = new LeaderCalls(parts);
+    this.answers = new WatchAnswers({
+      ...parts,
+      everyBox: this.everyBox,
+      ownBoxes: this.boxes.list,
+      upstreams: this.upstreams,
+    });
     this.handlers.add(
       link.register(FLEET_SERVICE.watch, (body) =>
         this.watch(body as WatchRequest),
@@ -179,7 +173,7 @@
       version: stored.configuration.version,
     };
     const without = {accepted: false, heldVersion: undefined};
-    return this.atLeader(FLEET_SERVICE.change, request, without, () =>
+    return this.leader.atLeader(FLEET_SERVICE.change, request, without, () =>
       this.changeHere(request),
     );
   }
@@ -187,7 +181,7 @@
   /** Evacuates a hall or ends that; accepted once a quorum holds it. */
   async evacuate(request: EvacuateRequest): Promise<EvacuateReply> {
     const without = {accepted: false};
-    return this.atLeader(FLEET_SERVICE.evacuate, request, without, () =>
+    return this.leader.atLeader(FLEET_SERVICE.evacuate, request, without, () =>
       this.evacuateHere(request),
     );
   }
@@ -195,7 +189,7 @@
   /** The document in force, as a barrier of the log shows it. */
   async read(): Promise<ReadReply> {
     const without = {current: false, document: undefined};
-    return this.atLeader(FLEET_SERVICE.read, null, without, () =>
+    return this.leader.atLeader(FLEET_SERVICE.read, null, without, () =>
       this.readHere(),
     );
   }
@@ -246,7 +240,7 @@
     // A box that starts waits for this alone once it has all the news.
     while (
       !current &&
-      !this.hasNews(request) &&
+      !this.answers.hasNews(request) &&
       clock.now() < until &&
       !this.tasks.ended
     ) {
@@ -257,37 +251,7 @@
         this.tasks.signal,
       );
     }
-    return this.newsFor(request, current);
-  }
-
-  /** Whether what is applied here may be taken for what a quorum has. */
-  private get hearsLeader(): boolean {
-    return this.parts.replica.heardLeaderBox !== undefined;
-  }
-
-  /** The version in force here, or -Infinity. */
-  private get heldVersion(): number {
-    return this.parts.machine.stored?.configuration.version ?? -Infinity;
-  }
-
-  /** What can't wait; news of boxes go with the next answer. */
-  private hasNews(request: WatchRequest): boolean {
-    const {hearsLeader = this.hearsLeader} = request;
-    return (
-      request.incarnation !== this.parts.self.incarnation ||
-      // A box that is cut off from the quorum has no news and must not be waited for.
-      hearsLeader !== this.hearsLeader ||
-      this.heldVersion > request.configurationVersion ||
-      this.newEvacuations(request) !== undefined ||
-      this.upstreams.revision > request.upstreamsRevision
-    );
-  }
-
-  private newEvacuations({
-    evacuationRevision,
-  }: WatchRequest): Evacuations | undefined {
-    const {evacuations} = this.parts.machine;
-    return evacuations.revision > evacuationRevision ? evacuations : undefined;
+    return this.answers.newsFor(request, current);
   }
 
   /** Own list of boxes and those of the other control boxes in one. */
@@ -300,50 +264,11 @@
     this.everyBox.replace([...byBox.values()]);
   }
 
-  private newsFor(request: WatchRequest, current: boolean): WatchReply {
-    const {replica, self} = this.parts;
-    const same = request.incarnation === self.incarnation;
-    const upstreamsRevision = same ? request.upstreamsRevision : 0;
-    const boxesRevision = same ? request.boxesRevision : -1;
-    const list =
-      request.from.role === BOX_ROLE.control ? this.boxes.list : this.everyBox;
-    const tellsBoxes = !request.brief && list.revision > boxesRevision;
-    const configuration = request.brief
-      ? NO_CONFIGURATION
-      : this.configurationFor(request.configurationVersion);
-    return {
-      ...configuration,
-      boxes: tellsBoxes ? list.changedSince(boxesRevision) : undefined,
-      boxesRevision: request.brief ? boxesRevision : list.revision,
-      current,
-      evacuations: this.newEvacuations(request),
-      heldVersion: this.heldVersion,
-      incarnation: self.incarnation,
-      leader: replica.heardLeaderBox,
-      upstreams: this.upstreams.changedSince(upstreamsRevision),
-      upstreamsRevision: this.upstreams.revision,
-    };
-  }
-
-  private configurationFor(
-    version: number,
-  ): Pick<WatchReply, 'configuration' | 'configurationChange'> {
-    const configuration = this.parts.machine.stored?.configuration;
-    if (configuration === undefined || configuration.version <= version) {
-      return NO_CONFIGURATION;
-    }
-    this.history.add(configuration);
-    const configurationChange = this.history.changeSince(version);
-    return configurationChange === undefined
-      ? {configuration, configurationChange: undefined}
-      : {configuration: undefined, configurationChange};
-  }
-
   private async changeHere({
     packed,
     version,
   }: ChangeRequest): Promise<ChangeReply> {
-    const outcome = await this.propose<ConfigurationOutcome>({
+    const outcome = await this.leader.propose<ConfigurationOutcome>({
       kind: 'packed-configuration',
       packed,
     });
@@ -363,7 +288,7 @@
     evacuated,
     hall,
   }: EvacuateRequest): Promise<EvacuateReply> {
-    const outcome = await this.propose<EvacuationOutcome>({
+    const outcome = await this.leader.propose<EvacuationOutcome>({
       evacuated,
       hall,
       kind: 'evacuation',
@@ -401,17 +326,14 @@
   }
 
   private async readHere(): Promise<ReadReply> {
-    const {clock, machine, replica} = this.parts;
-    const passed = await within(clock, replica.barrier());
-    return passed.match(
-      () => ({current: true, document: machine.stored?.document}),
-      () => ({current: false, document: undefined}),
-    );
+    const current = await this.leader.isCurrent();
+    const document = this.parts.machine.stored?.document;
+    return {current, document: current ? document : undefined};
   }
 
   private exchange(request: AllowanceRequest): Promise<AllowanceReply> {
     const without = {grants: undefined};
-    return this.atLeader(FLEET_SERVICE.allowance, request, without, () =>
+    return this.leader.atLeader(FLEET_SERVICE.allowance, request, without, () =>
       this.exchangeHere(request),
     );
   }
@@ -419,7 +341,7 @@
   private async exchangeHere(
     request: AllowanceRequest,
   ): Promise<AllowanceReply> {
-    const outcome = await this.propose<AllowanceOutcome>({
+    const outcome = await this.leader.propose<AllowanceOutcome>({
       ...request,
       kind: 'allowance',
     });
@@ -441,55 +363,16 @@
     }
   }
 
-  private propose<Outcome>(
-    record: FleetRecord,
-  ): ResultAsync<Outcome, FleetFailure> {
-    const {clock, replica} = this.parts;
-    return within(clock, replica.propose(record)).map(
-      (value) => value as Outcome,
-    );
-  }
-
-  /** Does what only the leader can do: here, or at the box that leads. */
-  private atLeader<Reply>(
-    service: string,
-    body: unknown,
-    without: Reply,
-    here: () => Promise<Reply>,
-  ): Promise<Reply> {
-    const {isLeader, leaderBox} = this.parts.replica;
-    return isLeader || leaderBox === undefined
-      ? here()
-      : this.askLeader(leaderBox, service, body, without);
-  }
-
-  private async askLeader<Reply>(
-    leader: string,
-    service: string,
-    body: unknown,
-    without: Reply,
-  ): Promise<Reply> {
-    const {link, self} = this.parts;
-    if (leader === self.box) {
-      return without;
-    }
-    const answer = await link.call(leader, service, body, LEADER_CALL_MS);
-    return answer.match(
-      (reply) => reply as Reply,
-      () => without,
-    );
-  }
-
   /** Wakes up the questions that wait once a leader is lost or heard again. */
   private async followLeader(signal: AbortSignal): Promise<void> {
     const {changed, clock, replica} = this.parts;
-    let heard = this.hearsLeader;
+    let heard = this.answers.hearsLeader;
     while (!signal.aborted) {
       const lostInMs = Math.min(LEADER_HEARD_LOOK_MS, replica.leaderHeardForMs);
       // Just after its silence counts, so that the look is not a moment too early.
       await clock.sleep(heard ? lostInMs + 1 : LEADER_LOOK_MS, signal);
-      if (heard !== this.hearsLeader) {
-        heard = this.hearsLeader;
+      if (heard !== this.answers.hearsLeader) {
+        heard = this.answers.hearsLeader;
         changed.notify();
       }
     }
@@ -506,23 +389,3 @@
     }
   }
 }
-
-/** The result, or a failure once the leader's time is over. */
-function within<Value>(
-  clock: Clock,
-  result: ResultAsync<Value, ProposalFailure>,
-): ResultAsync<Value, FleetFailure> {
-  const stop = new AbortController();
-  const late = clock
-    .sleep(LEADER_CALL_MS, stop.signal)
-    .then(() => err<Value, FleetFailure>(noQuorum()));
-  const settled = Promise.resolve(result).then((outcome) => {
-    stop.abort();
-    return outcome as Result<Value, FleetFailure>;
-  });
-  return new ResultAsync(Promise.race([settled, late]));
-}
-
-function noQuorum(): FleetFailure {
-  return {kind: 'no-quorum', message: 'no quorum answered in time'};
-}
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -6,11 +6,11 @@
  */
 
 /** Messages between control boxes and edges. */
+import type {AllowanceAsk, AllowanceGrant} from './AllowanceLedger';
 import type {BoxChanges} from './Boxes';
 import type {FleetConfiguration} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {Evacuations} from './Evacuations';
-import type {AllowanceAsk, AllowanceGrant} from './FleetMachine';
 import type {Rollouts} from './Rollouts';
 import type {UpstreamRecord} from './Upstreams';
 
--- a/packages/puffinturn-fleet/src/PackedConfiguration.ts
+++ b/packages/puffinturn-fleet/src/PackedConfiguration.ts
@@ -14,7 +14,7 @@
 
 import {Decoder, Encoder} from 'cbor-x';
 
-import type {StoredConfiguration} from './FleetMachine';
+import type {StoredConfiguration} from './ConfigurationRegister';
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -6,6 +6,11 @@
  */
 
 /** Configuration, upstreams and allowances of a fleet, and how they spread. */
+export type {
+  AllowanceAsk,
+  AllowanceGrant,
+  AllowanceOutcome,
+} from './AllowanceLedger';
 export type {BoxChanges} from './Boxes';
 export {BoxList, BoxTable} from './Boxes';
 export type {
@@ -24,19 +29,16 @@
 export type {ConfigurationChange} from './ConfigurationChange';
 export {applyChange, changeBetween} from './ConfigurationChange';
 export {ConfigurationHistory} from './ConfigurationHistory';
+export type {
+  ConfigurationOutcome,
+  StoredConfiguration,
+} from './ConfigurationRegister';
+export type {EvacuationOutcome} from './EvacuationRegister';
 export type {Evacuations} from './Evacuations';
 export {NO_EVACUATIONS} from './Evacuations';
 export type {FleetControlParts} from './FleetControl';
 export {FleetControl} from './FleetControl';
-export type {
-  AllowanceAsk,
-  AllowanceGrant,
-  AllowanceOutcome,
-  ConfigurationOutcome,
-  EvacuationOutcome,
-  FleetRecord,
-  StoredConfiguration,
-} from './FleetMachine';
+export type {FleetRecord} from './FleetMachine';
 export {FleetMachine} from './FleetMachine';
 export type {
   AllowanceReply,
