--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -208,6 +208,57 @@
   readonly source: string;
 }
 
+/** An operator's order to roll a version out was taken, or not. */
+export interface RolloutDecided {
+  readonly event: 'rollout-decided';
+  readonly service: string;
+  readonly targetVersion: string;
+  /** `accepted` once a quorum holds it, else why not. */
+  readonly outcome: string;
+  /** The number of the newest order for the service. */
+  readonly number: number | undefined;
+}
+
+/** Answers of one version of a service on one route; `*` for all routes. */
+export interface VersionAnswers {
+  readonly route: string;
+  readonly version: string;
+  readonly answers: number;
+  readonly failures: number;
+  /** Answers that took much longer than expected. */
+  readonly slow: number;
+}
+
+/** A roll-out moves on or ends, by the leader's judgement. */
+export interface RolloutJudged {
+  readonly event: 'rollout-judged';
+  readonly service: string;
+  readonly targetVersion: string;
+  readonly number: number;
+  readonly state: string;
+  readonly cause: string;
+  /** Time since the order. */
+  readonly elapsedMs: number;
+  readonly figures: readonly VersionAnswers[];
+  /** `accepted` once a quorum holds it, else why it could not be written. */
+  readonly outcome: string;
+}
+
+/** What a roll-out under way has risked, as the leader knows it; in requests. */
+export interface ExposureCounted {
+  readonly event: 'exposure-counted';
+  readonly service: string;
+  readonly number: number;
+  /** Requests of the service since the order. */
+  readonly requests: number;
+  /** Of these, requests sent to the new version. */
+  readonly exposed: number;
+  /** Requests that edges were allowed to send to it. */
+  readonly granted: number;
+  /** Requests that they may be allowed by now. */
+  readonly budget: number;
+}
+
 /** An upstream's registration changed. */
 export interface UpstreamChanged {
   readonly event: 'upstream-changed';
@@ -254,11 +305,14 @@
   | DependencyChanged
   | EvacuationDecided
   | EvacuationsAdopted
+  | ExposureCounted
   | GrantsCounted
   | LeaderHeard
   | ProcessChanged
   | RequestEnded
   | RoleChanged
+  | RolloutDecided
+  | RolloutJudged
   | TokensCounted
   | TokensWrittenOff
   | UpstreamChanged
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -13,6 +13,7 @@
   TeamGrants,
   TeamTokens,
   TokenFacts,
+  VersionAnswers,
 } from './Decision';
 export type {DecisionLogParts} from './DecisionLog';
 export {
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -32,6 +32,14 @@
 import type {Evacuations} from './Evacuations';
 import {NO_EVACUATIONS} from './Evacuations';
 import {unpackConfiguration} from './PackedConfiguration';
+import type {
+  RolloutImage,
+  RolloutProgress,
+  RolloutRecord,
+  RolloutRecordOutcome,
+} from './RolloutRegister';
+import {NO_ROLLOUT_IMAGE, RolloutRegister} from './RolloutRegister';
+import type {Rollouts, ServiceVersions} from './Rollouts';
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
@@ -41,15 +49,21 @@
   | AllowanceRecord
   | ConfigurationRecord
   | EvacuationRecord
-  | PackedConfigurationRecord;
+  | PackedConfigurationRecord
+  | RolloutRecord;
 
 /** What applying any record did. */
 export type FleetOutcome =
-  AllowanceOutcome | ConfigurationOutcome | EvacuationOutcome;
+  | AllowanceOutcome
+  | ConfigurationOutcome
+  | EvacuationOutcome
+  | RolloutRecordOutcome;
 
 interface Image extends AllowanceImage {
   /** Missing in snapshots from before there were evacuations. */
   readonly evacuations?: Evacuations | undefined;
+  /** Missing in snapshots from before there were roll-outs. */
+  readonly rollouts?: RolloutImage | undefined;
   readonly stored: StoredConfiguration | undefined;
 }
 
@@ -57,6 +71,7 @@
 export class FleetMachine extends Machine {
   private readonly configuration: ConfigurationRegister;
   private readonly evacuated: EvacuationRegister;
+  private readonly rolledOut: RolloutRegister;
   private readonly allowances = new AllowanceLedger((team) =>
     this.prepaidOf(team),
   );
@@ -66,6 +81,9 @@
     super();
     this.configuration = new ConfigurationRegister(onChange);
     this.evacuated = new EvacuationRegister(onChange);
+    this.rolledOut = new RolloutRegister(onChange, (service) =>
+      this.isService(service),
+    );
   }
 
   /** The configuration in force. */
@@ -78,6 +96,27 @@
     return this.evacuated.evacuations;
   }
 
+  /** The versions that may serve. */
+  get rollouts(): Rollouts {
+    return this.rolledOut.rollouts;
+  }
+
+  /** The versions of one service. */
+  versionsOf(service: string): ServiceVersions | undefined {
+    return this.rolledOut.versionsOf(service);
+  }
+
+  /** What the log knows besides of the newest order for a service. */
+  rolloutProgressOf(service: string): RolloutProgress | undefined {
+    return this.rolledOut.progressOf(service);
+  }
+
+  /** Whether the configuration in force names a service. */
+  isService(service: string): boolean {
+    const services = this.stored?.configuration.services ?? [];
+    return services.some(({name}) => name === service);
+  }
+
   /** Tokens of a team that are in the hands of edges or spent. */
   grantedTo(team: string): number {
     return this.allowances.grantedTo(team);
@@ -101,6 +140,11 @@
         return this.configuration.apply(
           unpackConfiguration(fleetRecord.packed),
         );
+      case 'exposure-block':
+      case 'rollout-order':
+      case 'rollout-verdict':
+      case 'stable-version':
+        return this.rolledOut.apply(fleetRecord);
     }
   }
 
@@ -108,6 +152,7 @@
     const image: Image = {
       ...this.allowances.image(),
       evacuations: this.evacuations,
+      rollouts: this.rolledOut.image(),
       stored: this.stored,
     };
     return encoder.encode(image);
@@ -118,6 +163,7 @@
     this.configuration.restore(image.stored ?? undefined);
     this.allowances.restore(image);
     this.evacuated.restore(image.evacuations ?? NO_EVACUATIONS);
+    this.rolledOut.restore(image.rollouts ?? NO_ROLLOUT_IMAGE);
     this.onChange();
   }
 
--- a/packages/puffinturn-fleet/src/Rollouts.ts
+++ b/packages/puffinturn-fleet/src/Rollouts.ts
@@ -133,6 +133,8 @@
   accepted: 'accepted',
   /** Another roll-out of the service is under way. */
   conflict: 'conflict',
+  /** Roll-outs are not switched on at the box that decides. */
+  disabled: 'disabled',
   /** Without a quorum: nothing was changed, or the change may still come. */
   unavailable: 'unavailable',
   /** The configuration in force names no such service. */
@@ -146,6 +148,8 @@
 /** Outcome of an order. */
 export interface RolloutOrderReply {
   readonly outcome: RolloutOrderOutcome;
+  /** The target of the roll-out that is under way, where that is the conflict. */
+  readonly underWay?: string | undefined;
 }
 
 /** The versions of a service, as one barrier of the log found them. */
--- a/packages/puffinturn-fleet/src/WatchAnswers.ts
+++ b/packages/puffinturn-fleet/src/WatchAnswers.ts
@@ -17,6 +17,7 @@
 import type {FleetMachine} from './FleetMachine';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE} from './FleetMessages';
+import type {Rollouts} from './Rollouts';
 import type {UpstreamTable} from './Upstreams';
 
 const NO_CONFIGURATION = {
@@ -61,6 +62,7 @@
       hearsLeader !== this.hearsLeader ||
       this.heldVersion > request.configurationVersion ||
       this.newEvacuations(request) !== undefined ||
+      this.newRollouts(request) !== undefined ||
       this.parts.upstreams.revision > request.upstreamsRevision
     );
   }
@@ -72,6 +74,14 @@
     return evacuations.revision > evacuationRevision ? evacuations : undefined;
   }
 
+  /** A box of a former version wants none. */
+  private newRollouts({
+    rolloutRevision = Infinity,
+  }: WatchRequest): Rollouts | undefined {
+    const {rollouts} = this.parts.machine;
+    return rollouts.revision > rolloutRevision ? rollouts : undefined;
+  }
+
   /** All that is new. */
   newsFor(request: WatchRequest, current: boolean): WatchReply {
     const {replica, self} = this.parts;
@@ -95,6 +105,7 @@
       heldVersion: this.heldVersion,
       incarnation: self.incarnation,
       leader: replica.heardLeaderBox,
+      rollouts: this.newRollouts(request),
       upstreams: this.parts.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.parts.upstreams.revision,
     };
