--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -42,6 +42,13 @@
 import {GrantTotals} from './GrantTotals';
 import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
+import {RolloutControl} from './RolloutControl';
+import type {
+  ExposureBound,
+  RolloutOrder,
+  RolloutOrderReply,
+  RolloutReadReply,
+} from './Rollouts';
 import type {UpstreamRecord} from './Upstreams';
 import {UpstreamTable} from './Upstreams';
 import {WatchAnswers} from './WatchAnswers';
@@ -67,6 +74,8 @@
   /** Notified by the machine on every configuration that came into force. */
   readonly changed: Condition;
   readonly log: DecisionLog;
+  /** What new versions may risk; undefined where there are no roll-outs. */
+  readonly exposure?: ExposureBound | undefined;
 }
 
 /** Takes over what the other control boxes heard from upstreams and edges. */
@@ -121,6 +130,7 @@
   private readonly everyBox = new BoxList();
   private readonly answers: WatchAnswers;
   private readonly leader: LeaderCalls;
+  private readonly rollouts: RolloutControl;
   private readonly others: FleetWatch;
   private readonly grantTotals: GrantTotals;
   private readonly tasks = new TaskGroup();
@@ -162,6 +172,11 @@
       askedAtOnce: Infinity,
       news: new ControlNews(this),
     });
+    this.rollouts = new RolloutControl({
+      ...parts,
+      leader: this.leader,
+      upstreams: this.upstreams,
+    });
     this.tasks.start((signal) => this.runExpiry(signal));
     this.tasks.start((signal) => this.followLeader(signal));
   }
@@ -186,6 +201,16 @@
     );
   }
 
+  /** Orders a roll-out; accepted once a quorum holds it. */
+  beginRollout(order: RolloutOrder): Promise<RolloutOrderReply> {
+    return this.rollouts.begin(order);
+  }
+
+  /** The versions of a service, as a barrier of the log shows them. */
+  readRollout(service: string): Promise<RolloutReadReply> {
+    return this.rollouts.read(service);
+  }
+
   /** The document in force, as a barrier of the log shows it. */
   async read(): Promise<ReadReply> {
     const without = {current: false, document: undefined};
@@ -223,6 +248,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     await this.others[Symbol.asyncDispose]();
+    await this.rollouts[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
     await this.grantTotals[Symbol.asyncDispose]();
     this.tasks.abort();
--- /dev/null
+++ b/packages/puffinturn-fleet/src/RolloutCourse.ts
@@ -0,0 +1,92 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * One roll-out as one leader sees it: what edges have told and were granted, and the
+ * comparison of the versions. Does nothing by itself.
+ */
+import type {VersionAnswers} from 'puffinturn-decisions';
+
+import type {ExposureBase} from './ExposureLedger';
+import {ExposureLedger} from './ExposureLedger';
+import {MAIN_ROUTE_PART, REPORTED_LATELY_MS} from './RolloutConstants';
+import type {ExposureBound, Rollout, ServiceVersions} from './Rollouts';
+import {ROLLOUT_STATE} from './Rollouts';
+import type {RolloutVerdict} from './RolloutVerdict';
+import {verdictOn} from './RolloutVerdict';
+import {slotsOf} from './ServiceUpstreams';
+import type {UpstreamRecord} from './Upstreams';
+import {VersionComparison} from './VersionComparison';
+
+/** What a course is judged by besides the reports of edges. */
+export interface CourseSight {
+  /** By the steady clock, ms. */
+  readonly now: number;
+  /** Time since the order, ms. */
+  readonly elapsedMs: number;
+  readonly rollout: Rollout;
+  readonly upstreams: readonly UpstreamRecord[];
+}
+
+/** See the module comment. */
+export class RolloutCourse {
+  readonly number: number;
+  readonly ledger: ExposureLedger;
+  private readonly comparison: VersionComparison;
+  private shiftingSince: number | undefined;
+
+  constructor(
+    private readonly versions: ServiceVersions & {readonly rollout: Rollout},
+    bound: ExposureBound,
+    base: ExposureBase,
+  ) {
+    const {rollout, stableVersion} = versions;
+    this.number = rollout.number;
+    this.ledger = new ExposureLedger(bound, base);
+    this.comparison = new VersionComparison(
+      stableVersion,
+      rollout.targetVersion,
+    );
+  }
+
+  /** Compares what was reported since the last look; the verdict, if there is one. */
+  judge(sight: CourseSight): RolloutVerdict | undefined {
+    const {elapsedMs, now, rollout, upstreams} = sight;
+    const {service, stableVersion} = this.versions;
+    const {durationMs, state, targetVersion} = rollout;
+    if (state === ROLLOUT_STATE.shifting) {
+      this.shiftingSince ??= now;
+    }
+    this.comparison.take(this.ledger.tallies());
+    return verdictOn({
+      answers: this.comparison.targetAnswers,
+      bad: this.comparison.cause,
+      durationMs,
+      elapsedMs,
+      isShifted: this.isShifted(now),
+      isSuspect: this.comparison.isSuspect,
+      routeAnswers: this.comparison.fewestOnMainRoute(MAIN_ROUTE_PART),
+      shiftingMs: now - (this.shiftingSince ?? now),
+      stableSlots: slotsOf(upstreams, service, stableVersion),
+      state,
+      targetSlots: slotsOf(upstreams, service, targetVersion),
+    });
+  }
+
+  /** What a verdict rests on. */
+  figures(): VersionAnswers[] {
+    return this.comparison.figures();
+  }
+
+  private isShifted(now: number): boolean {
+    const reports = this.ledger.reportsSince(now - REPORTED_LATELY_MS);
+    return (
+      reports.length > 0 &&
+      reports.every(({openAtFormer, shifted}) => shifted && openAtFormer === 0)
+    );
+  }
+}
