--- a/packages/puffinturn-fleet/src/ExposureLedger.ts
+++ b/packages/puffinturn-fleet/src/ExposureLedger.ts
@@ -11,6 +11,7 @@
  * twice, late, or of lives that are over do no harm. What was granted stays used, also
  * by a life that is over.
  */
+import {AnswerTotals, differenceOf, NO_ANSWERS, tallyKey} from './AnswerTotals';
 import {
   GRANTED_PART,
   LEAST_UNUSED_GRANTS,
@@ -20,7 +21,7 @@
 
 interface Life {
   readonly report: ExposureReport;
-  readonly tallies: ReadonlyMap<string, VersionTally>;
+  readonly tallies: Map<string, VersionTally>;
   readonly heardAt: number;
   /** Granted to it in all, by this leader and those before. */
   readonly granted: number;
@@ -37,8 +38,12 @@
 /** See the module comment. */
 export class ExposureLedger {
   private readonly lives = new Map<string, Life>();
+  private readonly answers = new AnswerTotals();
   /** Granted by this leader. */
   private ownGrants = 0;
+  /** Of all lives together. */
+  private reported = 0;
+  private exposedByAll = 0;
 
   constructor(
     private readonly bound: ExposureBound,
@@ -47,13 +52,12 @@
 
   /** Requests of the service since the order that are known of. */
   get requests(): number {
-    const reported = this.sumOf(({requests}) => requests);
-    return Math.max(this.base.counted, reported);
+    return Math.max(this.base.counted, this.reported);
   }
 
   /** Requests that went to the new version, as far as edges have told. */
   get exposed(): number {
-    return this.sumOf(({exposed}) => exposed);
+    return this.exposedByAll;
   }
 
   /** All that may have been granted, by any leader. */
@@ -70,11 +74,16 @@
   /** Takes a report in. */
   take(life: string, report: ExposureReport, now: number): void {
     const known = this.lives.get(life);
+    const newest = newestOf(known?.report, report);
+    this.reported += newest.requests - (known?.report.requests ?? 0);
+    this.exposedByAll += newest.exposed - (known?.report.exposed ?? 0);
+    const tallies = known?.tallies ?? new Map<string, VersionTally>();
+    this.takeTallies(tallies, report.tallies);
     this.lives.set(life, {
       granted: Math.max(known?.granted ?? 0, report.granted),
       heardAt: now,
-      report: newestOf(known?.report, report),
-      tallies: talliesAfter(known?.tallies, report.tallies),
+      report: newest,
+      tallies,
     });
   }
 
@@ -91,11 +100,9 @@
     return granted;
   }
 
-  /** All answers, of all lives together. */
-  tallies(): VersionTally[] {
-    return [...this.lives.values()].flatMap(({tallies}) => [
-      ...tallies.values(),
-    ]);
+  /** All answers, of all lives together, by route and version. */
+  get tallies(): VersionTally[] {
+    return this.answers.tallies;
   }
 
   /** Reports of the lives that were heard of since then. */
@@ -112,19 +119,25 @@
   /** What a life lacks to its fair part, unless it has enough unused. */
   private lackOf({granted, report}: Life): number {
     const {exposed, requests} = report;
-    const all = this.sumOf((other) => other.requests);
-    const fair = (this.budget * requests) / Math.max(1, all);
+    const fair = (this.budget * requests) / Math.max(1, this.reported);
     const usable = Math.max(LEAST_UNUSED_GRANTS, requests * UNUSED_GRANTS_PART);
     const unused = Math.max(0, granted - exposed);
     return Math.ceil(Math.min(fair - granted, usable - unused));
   }
 
-  private sumOf(countOf: (report: ExposureReport) => number): number {
-    let sum = 0;
-    for (const {report} of this.lives.values()) {
-      sum += countOf(report);
+  /** Counts of answers only grow, so that the one with more is the newer. */
+  private takeTallies(
+    known: Map<string, VersionTally>,
+    reported: readonly VersionTally[],
+  ): void {
+    for (const tally of reported) {
+      const key = tallyKey(tally.route, tally.version);
+      const held = known.get(key) ?? NO_ANSWERS;
+      if (tally.answers > held.answers) {
+        this.answers.add(tally, differenceOf(tally, held));
+        known.set(key, tally);
+      }
     }
-    return sum;
   }
 }
 
@@ -148,18 +161,3 @@
 function answersOf({tallies}: ExposureReport): number {
   return tallies.reduce((sum, {answers}) => sum + answers, 0);
 }
-
-function talliesAfter(
-  known: ReadonlyMap<string, VersionTally> = new Map(),
-  reported: readonly VersionTally[],
-): Map<string, VersionTally> {
-  const after = new Map(known);
-  for (const tally of reported) {
-    const key = JSON.stringify([tally.route, tally.version]);
-    const held = after.get(key);
-    if (held === undefined || tally.answers >= held.answers) {
-      after.set(key, tally);
-    }
-  }
-  return after;
-}
--- a/packages/puffinturn-fleet/src/RolloutConstants.ts
+++ b/packages/puffinturn-fleet/src/RolloutConstants.ts
@@ -56,6 +56,21 @@
 /** From this part of the time on less evidence is enough, as time runs out. */
 export const LATE_TRIAL_PART = 0.8;
 
+/**
+ * The part of the new version's requests that are answered, over that of the stable
+ * one, before it counts as good: the answers of a slow one are still to come.
+ */
+export const LEAST_ANSWERED_PART = 0.6;
+
+/**
+ * The part of its time after which a version is tried though no upstream of it is warm
+ * yet: cold ones are slow and show little, but so does no trial.
+ */
+export const COLD_WAIT_PART = 0.25;
+
+/** Routes that a verdict gives figures of, so that its record stays small. */
+export const FIGURED_ROUTES = 8;
+
 /** Answers of the new version before it counts as good. */
 export const LEAST_ANSWERS = 25;
 
--- a/packages/puffinturn-fleet/src/RolloutCourse.ts
+++ b/packages/puffinturn-fleet/src/RolloutCourse.ts
@@ -13,7 +13,11 @@
 
 import type {ExposureBase} from './ExposureLedger';
 import {ExposureLedger} from './ExposureLedger';
-import {MAIN_ROUTE_PART, REPORTED_LATELY_MS} from './RolloutConstants';
+import {
+  COLD_WAIT_PART,
+  MAIN_ROUTE_PART,
+  REPORTED_LATELY_MS,
+} from './RolloutConstants';
 import type {ExposureBound, Rollout, ServiceVersions} from './Rollouts';
 import {ROLLOUT_STATE} from './Rollouts';
 import type {RolloutVerdict} from './RolloutVerdict';
@@ -61,7 +65,7 @@
     if (state === ROLLOUT_STATE.shifting) {
       this.shiftingSince ??= now;
     }
-    this.comparison.take(this.ledger.tallies());
+    this.comparison.take(this.ledger.tallies);
     return verdictOn({
       answers: this.comparison.targetAnswers,
       bad: this.comparison.cause,
@@ -70,6 +74,7 @@
       isShifted: this.isShifted(now),
       isSuspect: this.comparison.isSuspect,
       routeAnswers: this.comparison.fewestOnMainRoute(MAIN_ROUTE_PART),
+      ...this.answeredParts(),
       shiftingMs: now - (this.shiftingSince ?? now),
       stableSlots: slotsOf(upstreams, service, stableVersion),
       state,
@@ -77,11 +82,30 @@
     });
   }
 
+  /**
+   * Whether edges may be granted exposure: not before there is a warm upstream, as cold
+   * ones are slow whatever their version, unless that takes too long.
+   */
+  mayExpose(elapsedMs: number, hasWarmUpstream: boolean): boolean {
+    const {durationMs} = this.versions.rollout;
+    return hasWarmUpstream || elapsedMs >= COLD_WAIT_PART * durationMs;
+  }
+
   /** What a verdict rests on. */
   figures(): VersionAnswers[] {
     return this.comparison.figures();
   }
 
+  /** Answers to requests from before the order may make a part too large. */
+  private answeredParts() {
+    const {exposed, requests} = this.ledger;
+    const {stableAnswers, targetAnswers} = this.comparison;
+    return {
+      stableAnswered: partOf(stableAnswers, requests - exposed),
+      targetAnswered: partOf(targetAnswers, exposed),
+    };
+  }
+
   private isShifted(now: number): boolean {
     const reports = this.ledger.reportsSince(now - REPORTED_LATELY_MS);
     return (
@@ -90,3 +114,7 @@
     );
   }
 }
+
+function partOf(answers: number, requests: number): number {
+  return Math.min(1, answers / Math.max(1, requests));
+}
--- a/packages/puffinturn-fleet/src/RolloutLeader.ts
+++ b/packages/puffinturn-fleet/src/RolloutLeader.ts
@@ -35,7 +35,7 @@
 } from './Rollouts';
 import {ROLLOUT_STATE} from './Rollouts';
 import type {RolloutVerdict} from './RolloutVerdict';
-import {prevalentVersion} from './ServiceUpstreams';
+import {prevalentVersion, readyOf, versionOf} from './ServiceUpstreams';
 import type {UpstreamTable} from './Upstreams';
 
 /** What a RolloutLeader is made of. */
@@ -57,6 +57,8 @@
   block: number;
   /** The record of the next block, while it is on its way. */
   taking: Promise<boolean> | undefined;
+  /** Whether exposure may be granted, as of the last look. */
+  mayExpose: boolean;
   lineAt: number;
 }
 
@@ -131,12 +133,12 @@
     }
     const {ledger} = led.course;
     ledger.take(life, report, this.parts.clock.now());
-    if (versions?.rollout?.state !== ROLLOUT_STATE.exposing) {
+    if (versions?.rollout?.state !== ROLLOUT_STATE.exposing || !led.mayExpose) {
       return report.granted;
     }
     const granted = ledger.grant(life);
     const {term} = this;
-    const holds = await this.holdsBlock(versions.service, led);
+    const holds = await this.holdsBlock(report.service, led);
     return holds && this.isLeaderOf(term) ? granted : undefined;
   }
 
@@ -226,6 +228,7 @@
       rollout: versions.rollout,
       upstreams: this.parts.upstreams.records(),
     });
+    led.mayExpose = led.course.mayExpose(elapsedMs, this.isWarm(versions));
     this.noteExposure(versions, led);
     if (verdict !== undefined) {
       await this.decide(versions, led, verdict, elapsedMs);
@@ -234,6 +237,16 @@
     }
   }
 
+  /** Whether any upstream of the new version has warmed up. */
+  private isWarm({rollout, service}: OrderedVersions): boolean {
+    const {clock, upstreams} = this.parts;
+    return readyOf(upstreams.records(), service).some(
+      (record) =>
+        versionOf(record) === rollout.targetVersion &&
+        upstreams.coldUntil(record.id) <= clock.now(),
+    );
+  }
+
   private async decide(
     {rollout, service}: OrderedVersions,
     {course}: Led,
@@ -313,6 +326,7 @@
       block: granted,
       course,
       lineAt: -Infinity,
+      mayExpose: false,
       taking: undefined,
     };
     this.led.set(service, led);
--- a/packages/puffinturn-fleet/src/RolloutVerdict.ts
+++ b/packages/puffinturn-fleet/src/RolloutVerdict.ts
@@ -8,6 +8,7 @@
 /** What becomes of a roll-out, from what its leader knows. */
 import {
   LATE_TRIAL_PART,
+  LEAST_ANSWERED_PART,
   LEAST_ANSWERS,
   LEAST_LATE_ANSWERS,
   LEAST_ROUTE_ANSWERS,
@@ -54,7 +55,10 @@
   readonly isSuspect: boolean;
   /** Answers of the new version. */
   readonly answers: number;
-  /** The same on the main route that has fewest. */
+  /** The part of each version's requests that were answered. */
+  readonly targetAnswered: number;
+  readonly stableAnswered: number;
+  /** The same as `answers` on the main route that has fewest. */
   readonly routeAnswers: number;
   /** Slots of ready upstreams of both versions. */
   readonly targetSlots: number;
@@ -124,6 +128,10 @@
 
 function hasEvidence(facts: RolloutFacts): boolean {
   const {answers, durationMs, elapsedMs, routeAnswers} = facts;
+  const {stableAnswered, targetAnswered} = facts;
+  if (targetAnswered < LEAST_ANSWERED_PART * stableAnswered) {
+    return false;
+  }
   const isLate = elapsedMs >= LATE_TRIAL_PART * durationMs;
   return isLate
     ? answers >= LEAST_LATE_ANSWERS
--- a/packages/puffinturn-fleet/src/ServiceUpstreams.ts
+++ b/packages/puffinturn-fleet/src/ServiceUpstreams.ts
@@ -52,7 +52,8 @@
   return [...counts.keys()].find((version) => counts.get(version) === most);
 }
 
-function readyOf(
+/** The ready upstreams of a service. */
+export function readyOf(
   records: readonly UpstreamRecord[],
   wanted: string,
 ): UpstreamRecord[] {
--- a/packages/puffinturn-fleet/src/VersionComparison.ts
+++ b/packages/puffinturn-fleet/src/VersionComparison.ts
@@ -12,9 +12,12 @@
  */
 import type {VersionAnswers} from 'puffinturn-decisions';
 
+import type {AnswerCounts} from './AnswerTotals';
+import {differenceOf, NO_ANSWERS, sumOf} from './AnswerTotals';
 import {
   BAD_FAILURES_LIFT,
   BAD_SLOW_LIFT,
+  FIGURED_ROUTES,
   HOPELESS_RATE,
   LEAST_SLOW_RATIO,
   NORMAL_FAILURES,
@@ -36,28 +39,19 @@
 /** One of BAD_CAUSE. */
 export type BadCause = (typeof BAD_CAUSE)[keyof typeof BAD_CAUSE];
 
-/** Counts of answers; those of a step, or all so far. */
-interface Counts {
-  readonly answers: number;
-  readonly failures: number;
-  readonly times: readonly number[];
-}
-
-const NO_COUNTS: Counts = {answers: 0, failures: 0, times: []};
-
 /** The comparison on one route. */
 class RouteComparison {
   private readonly failures = new SequentialTest();
   private readonly slow = new SequentialTest();
   /** Of the stable version, the newest steps that have any. */
-  private readonly stableSteps: Counts[] = [];
-  private stable = NO_COUNTS;
-  private target = NO_COUNTS;
+  private readonly stableSteps: AnswerCounts[] = [];
+  private stable: AnswerCounts = NO_ANSWERS;
+  private target: AnswerCounts = NO_ANSWERS;
 
   /** Takes all counts so far. */
-  take(stable: Counts, target: Counts): void {
-    this.takeStable(difference(stable, this.stable));
-    this.takeTarget(difference(target, this.target));
+  take(stable: AnswerCounts, target: AnswerCounts): void {
+    this.takeStable(differenceOf(stable, this.stable));
+    this.takeTarget(differenceOf(target, this.target));
     this.stable = stable;
     this.target = target;
   }
@@ -80,6 +74,11 @@
     return this.target.answers;
   }
 
+  /** Answers of the stable version. */
+  get stableAnswers(): number {
+    return this.stable.answers;
+  }
+
   /** Answers of both versions. */
   get answers(): number {
     return this.stable.answers + this.target.answers;
@@ -96,7 +95,7 @@
     return {answers, failures, route, slow: sumFrom(times, bucket), version};
   }
 
-  private takeStable(step: Counts): void {
+  private takeStable(step: AnswerCounts): void {
     if (step.answers > 0) {
       this.stableSteps.push(step);
     }
@@ -105,7 +104,7 @@
     }
   }
 
-  private takeTarget(step: Counts): void {
+  private takeTarget(step: AnswerCounts): void {
     if (step.answers === 0) {
       return;
     }
@@ -129,7 +128,7 @@
   /** The rate of the stable version lately, and never below the usual one. */
   private normalRate(
     usual: number,
-    hitsOf: (counts: Counts) => number,
+    hitsOf: (counts: AnswerCounts) => number,
   ): number {
     const hits = this.sumOfStable(hitsOf);
     const answers = this.sumOfStable((counts) => counts.answers);
@@ -153,7 +152,7 @@
     return undefined;
   }
 
-  private sumOfStable(countOf: (counts: Counts) => number): number {
+  private sumOfStable(countOf: (counts: AnswerCounts) => number): number {
     return this.stableSteps.reduce((sum, step) => sum + countOf(step), 0);
   }
 }
@@ -195,6 +194,11 @@
     return this.routes.get(ALL_ROUTES)?.targetAnswers ?? 0;
   }
 
+  /** Answers of the stable version on all routes. */
+  get stableAnswers(): number {
+    return this.routes.get(ALL_ROUTES)?.stableAnswers ?? 0;
+  }
+
   /** Answers of the new version on the main route that has fewest of them. */
   fewestOnMainRoute(mainPart: number): number {
     const all = this.routes.get(ALL_ROUTES)?.answers ?? 0;
@@ -204,19 +208,28 @@
     return Math.min(...main.map(({targetAnswers}) => targetAnswers));
   }
 
-  /** What a verdict rests on. */
+  /** What a verdict rests on: the routes that are bad first, then the busiest ones. */
   figures(): VersionAnswers[] {
-    return [...this.routes].flatMap(([route, comparison]) => [
-      comparison.figures(route, this.stableVersion, 'stable'),
-      comparison.figures(route, this.targetVersion, 'target'),
-    ]);
+    const routes = [...this.routes].sort(
+      ([, a], [, b]) =>
+        Number(b.cause !== undefined) - Number(a.cause !== undefined) ||
+        b.answers - a.answers,
+    );
+    return routes
+      .slice(0, FIGURED_ROUTES)
+      .flatMap(([route, comparison]) => [
+        comparison.figures(route, this.stableVersion, 'stable'),
+        comparison.figures(route, this.targetVersion, 'target'),
+      ]);
   }
 
   private takeRoute(name: string, tallies: readonly VersionTally[]): void {
     const known = this.routes.get(name) ?? new RouteComparison();
     this.routes.set(name, known);
-    const countsOf = (wanted: string): Counts =>
-      tallies.filter(({version}) => version === wanted).reduce(sum, NO_COUNTS);
+    const countsOf = (wanted: string): AnswerCounts =>
+      tallies
+        .filter(({version}) => version === wanted)
+        .reduce(sumOf, NO_ANSWERS);
     known.take(countsOf(this.stableVersion), countsOf(this.targetVersion));
   }
 }
@@ -234,30 +247,6 @@
   }
 }
 
-function sum(a: Counts, b: Counts): Counts {
-  return {
-    answers: a.answers + b.answers,
-    failures: a.failures + b.failures,
-    times: bucketsOf(a, b).map((at) => timeAt(a, at) + timeAt(b, at)),
-  };
-}
-
-function difference(a: Counts, b: Counts): Counts {
-  return {
-    answers: a.answers - b.answers,
-    failures: a.failures - b.failures,
-    times: bucketsOf(a, b).map((at) => timeAt(a, at) - timeAt(b, at)),
-  };
-}
-
-function bucketsOf(a: Counts, b: Counts): number[] {
-  return [...Array(Math.max(a.times.length, b.times.length)).keys()];
-}
-
-function timeAt({times}: Counts, at: number): number {
-  return times[at] ?? 0;
-}
-
 function sumFrom(times: readonly number[], first: number): number {
   return times.slice(first).reduce((total, count) => total + count, 0);
 }
