--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
@@ -146,6 +146,19 @@
     expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
   });
 
+  test('is not tried before an upstream is warm, unless that takes long', async () => {
+    const fleet = await RolloutFleet.start();
+    fleet.addEdges(10);
+    fleet.addUpstreams('v2', 4, {coldMs: 60_000});
+    await fleet.order();
+    await fleet.run(2_500);
+    expect(fleet.sent.exposed).toBe(0);
+    await fleet.run(1_500);
+    expect(fleet.sent.exposed).toBeGreaterThan(0);
+    await runToOutcome(fleet);
+    expect(fleet.state()).toBe(ROLLOUT_STATE.completed);
+  });
+
   test('that nobody sends requests to is rolled back at its deadline', async () => {
     const fleet = await ordered(0);
     await runToOutcome(fleet);
@@ -160,7 +173,7 @@
     await fleet.settle(fleet.control().evacuate(evacuation));
     await fleet.run(1_000);
     fleet.removeUpstreams('v1', 2);
-    fleet.addUpstreams('v1-next', 0);
+    fleet.addUpstreams('v1', 1, {id: 'replacement'});
     await runToOutcome(fleet);
     expect(fleet.state()).toBe(ROLLOUT_STATE.completed);
     expect(fleet.machine().evacuations.halls).toEqual(['y']);
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -23,6 +23,7 @@
   RolloutOrder,
   RolloutOrderReply,
   RolloutReadReply,
+  UpstreamRecord,
   VersionTally,
 } from '../../index';
 import {
@@ -175,12 +176,17 @@
   }
 
   /** Upstreams of a version register; four of them. */
-  addUpstreams(version: string, count = 4): void {
+  addUpstreams(
+    version: string,
+    count = 4,
+    fields: Partial<UpstreamRecord> = {},
+  ): void {
     for (let at = 0; at < count; at += 1) {
       const record = upstreamOf({
         address: `10.0.1.${at}:80`,
         id: `${version}-${at}`,
         version,
+        ...fields,
       });
       this.control().hearUpstream(record);
     }
