Read regions from the settings and allowed regions from documents

Each process knows the region of each hall, as last read, and boxes name their own.

Ruled out: refusing a name that no hall has. Settings are read by each box at its own time, and a document that one control box takes and another refuses would be worse; such a name allows nothing.

--- a/packages/puffinturn-edge/src/RequestPlan.ts
+++ b/packages/puffinturn-edge/src/RequestPlan.ts
@@ -9,6 +9,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Route, Service, Team} from 'puffinturn-fleet';
+import {regionsInBoth} from 'puffinturn-fleet';
 
 import type {CallerDialect, PromptPart, TokenBounds} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
@@ -22,6 +23,8 @@
   readonly service: Service;
   readonly tokens: TokenBounds | undefined;
   readonly parts: readonly PromptPart[];
+  /** Regions that may serve it, by its route and its team; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Why a request is answered without being sent. */
@@ -53,7 +56,14 @@
   }
   const header = (name: string) => caller.header(name);
   const parts = dialect.partsOf(header);
-  return ok({parts, route, service, team, tokens: dialect.tokensOf(header)});
+  return ok({
+    allowedRegions: regionsInBoth(route.allowedRegions, team?.allowedRegions),
+    parts,
+    route,
+    service,
+    team,
+    tokens: dialect.tokensOf(header),
+  });
 }
 
 function refusal(
--- a/packages/puffinturn-edge/src/RouteTable.ts
+++ b/packages/puffinturn-edge/src/RouteTable.ts
@@ -7,6 +7,7 @@
 
 /** Looks up routes by host and path, and teams by key. */
 import type {FleetConfiguration, Route, Service, Team} from 'puffinturn-fleet';
+import {regionsInBoth, routePlace} from 'puffinturn-fleet';
 import {drawByWeight} from 'shared';
 
 /** One configuration, prepared for look-ups. */
@@ -16,6 +17,8 @@
   private readonly byHost = new Map<string, Route[]>();
   private readonly byKey = new Map<string, Team>();
   private readonly byName = new Map<string, Service>();
+  private readonly regionsByPlace = new Map<string, readonly string[]>();
+  private readonly regionsByTeam = new Map<string, readonly string[]>();
   /** Ranks of the most and the least urgent routes to engines. */
   private readonly ranks: {readonly first: number; readonly last: number};
 
@@ -26,11 +29,17 @@
       const routes = this.byHost.get(host) ?? [];
       routes.push(route);
       this.byHost.set(host, routes);
+      if (route.allowedRegions !== undefined) {
+        this.regionsByPlace.set(routePlace(route), route.allowedRegions);
+      }
     }
     for (const routes of this.byHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
     for (const team of configuration.teams ?? []) {
+      if (team.allowedRegions !== undefined) {
+        this.regionsByTeam.set(team.name, team.allowedRegions);
+      }
       for (const key of team.keys) {
         this.byKey.set(key, team);
       }
@@ -70,6 +79,20 @@
     return key === undefined ? undefined : this.byKey.get(key);
   }
 
+  /**
+   * The regions that this configuration allows a request of a route and a team
+   * of another version; undefined for all.
+   */
+  allowedRegions(
+    route: Route,
+    team: Team | undefined,
+  ): readonly string[] | undefined {
+    return regionsInBoth(
+      this.regionsByPlace.get(routePlace(route)),
+      team === undefined ? undefined : this.regionsByTeam.get(team.name),
+    );
+  }
+
   /** A service by its name. */
   service(name: string): Service | undefined {
     return this.byName.get(name);
--- a/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -59,6 +59,24 @@
     expect(long && table.serviceFor(long, 0.999)?.name).toBe('s1');
   });
 
+  test('allows a route and a team of another version what both may now', () => {
+    const [short] = CONFIGURATION.routes;
+    const [team] = CONFIGURATION.teams ?? [];
+    const allowedBy = (ofRoute?: string[], ofTeam?: string[]) =>
+      new RouteTable({
+        ...CONFIGURATION,
+        routes: [{...short!, allowedRegions: ofRoute}],
+        teams: [{...team!, allowedRegions: ofTeam}],
+      }).allowedRegions(short!, team);
+    expect(allowedBy()).toBeUndefined();
+    expect(allowedBy(['east'])).toEqual(['east']);
+    expect(allowedBy(undefined, ['west'])).toEqual(['west']);
+    expect(allowedBy(['east', 'west'], ['west'])).toEqual(['west']);
+    expect(allowedBy(['east'], ['west'])).toEqual([]);
+    const gone = new RouteTable(configurationOf(2));
+    expect(gone.allowedRegions(short!, team)).toBeUndefined();
+  });
+
   test('wants a key but on open routes', () => {
     const short = table.find('host.example', '/a/');
     const open = table.find('host.example', '/o/');
--- a/packages/puffinturn-fleet/src/Regions.ts
+++ b/packages/puffinturn-fleet/src/Regions.ts
@@ -12,11 +12,23 @@
 
 /** Which region each hall is in. */
 export class Regions {
-  private readonly byHall: ReadonlyMap<string, string>;
+  private byHall: ReadonlyMap<string, string> = new Map();
+  private severalKnown = false;
 
   /** `byHall` maps halls to regions; a hall that it lacks is a region of its own. */
   constructor(byHall: Readonly<Record<string, string>> = {}) {
+    this.learn(byHall);
+  }
+
+  /** Takes over which region each hall is in, in place of what was known. */
+  learn(byHall: Readonly<Record<string, string>>): void {
     this.byHall = new Map(Object.entries(byHall));
+    this.severalKnown = new Set(this.byHall.values()).size > 1;
+  }
+
+  /** Whether there is more than one region; else all halls are together. */
+  get several(): boolean {
+    return this.severalKnown;
   }
 
   /** The region of a hall. */
@@ -26,7 +38,7 @@
 
   /** Whether two halls are in one region. */
   areTogether(hall: string, other: string): boolean {
-    return this.regionOf(hall) === this.regionOf(other);
+    return !this.severalKnown || this.regionOf(hall) === this.regionOf(other);
   }
 
   /** Whether a hall is in one of the regions; no list allows every hall. */
@@ -34,3 +46,14 @@
     return allowed === undefined || allowed.includes(this.regionOf(hall));
   }
 }
+
+/** The regions in both lists; no list names all regions. */
+export function regionsInBoth(
+  first: readonly string[] | undefined,
+  second: readonly string[] | undefined,
+): readonly string[] | undefined {
+  if (first === undefined || second === undefined) {
+    return first ?? second;
+  }
+  return first.filter((region) => second.includes(region));
+}
--- a/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
@@ -56,6 +56,29 @@
   });
 
 describe('A change of a configuration', () => {
+  test('carries allowed regions that come, change and go', () => {
+    const lists = [undefined, ['east'], ['east', 'west'], ['west'], undefined];
+    const versions = lists.map((allowedRegions, at): FleetConfiguration => ({
+      ...configurationOf(at),
+      routes: [{...route(1, 100), allowedRegions}, route(2, 100)],
+      teams: [{...team(1, 9), allowedRegions}, team(2, 9)],
+    }));
+    let held = versions[0]!;
+    for (const next of versions.slice(1)) {
+      const change = changeBetween(held, next);
+      expect(change.routes).toHaveLength(1);
+      expect(change.teams).toHaveLength(1);
+      const sent = JSON.parse(JSON.stringify(change)) as typeof change;
+      held = applyChange(held, sent);
+      expect(held.routes[0]?.allowedRegions).toEqual(
+        next.routes[0]?.allowedRegions,
+      );
+      expect(held.teams?.[0]?.allowedRegions).toEqual(
+        next.teams?.[0]?.allowedRegions,
+      );
+    }
+  });
+
   test('leads from any configuration to any other', () => {
     fc.assert(
       fc.property(anyConfiguration, anyConfiguration, (base, next) => {
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -20,7 +20,7 @@
   Service,
   Team,
 } from './Configuration';
-export {checkConfiguration, REPETITION} from './Configuration';
+export {checkConfiguration, REPETITION, routePlace} from './Configuration';
 export type {ConfigurationChange} from './ConfigurationChange';
 export {applyChange, changeBetween} from './ConfigurationChange';
 export {ConfigurationHistory} from './ConfigurationHistory';
@@ -61,7 +61,7 @@
 export {BOX_ROLE, FLEET_SERVICE, lifeOf, LOAN} from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetNews, FleetWatch} from './FleetWatch';
-export {Regions} from './Regions';
+export {Regions, regionsInBoth} from './Regions';
 export {linkOfReplicas} from './ReplicaLink';
 export type {
   ExposureBound,
