Serve requests in allowed regions only, and in the own region first

Upstreams outside the allowed regions of a request's route or team are no candidates, for any attempt, resumption or copy; the version that it came under and the newest one both bind. Another region is taken where the wait at home is longer than the way, and never for a prompt that is kept there. Each edge has its part of half the link for that, the urgent requests longest.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -20,6 +20,7 @@
   Evacuations,
   FleetConfiguration,
   HandOver,
+  Regions,
 } from 'puffinturn-fleet';
 import {
   applyChange,
@@ -44,6 +45,7 @@
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
 import {Neighbours} from './Neighbours';
+import {RegionCrossing} from './RegionCrossing';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
@@ -65,6 +67,8 @@
   readonly callers: HttpAddress;
   readonly ready: HttpAddress & {readonly path: string};
   readonly metrics: HttpAddress & {readonly path: string};
+  /** The region of each hall; they may change. */
+  readonly regions: Regions;
 }
 
 /** Without an answer by barrier, an edge is ready after this time, ms. */
@@ -117,7 +121,7 @@
   private wasReady = false;
 
   private constructor(private readonly parts: EdgeParts) {
-    const {clock, link, log, random, self} = parts;
+    const {clock, link, log, random, regions, self} = parts;
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
     this.pool = new UpstreamPool(clock, log);
@@ -160,13 +164,21 @@
         peers: () => this.peers,
         tolerance: parts.coldTolerance,
       }),
+      crossing: new RegionCrossing({
+        clock,
+        edges: () => this.edgesOfRegion,
+        hall: self.hall,
+        regions,
+      }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
       log,
       metrics: this.metrics,
+      newestRegions: (route, team) => this.table?.allowedRegions(route, team),
       plainChoice: new ShorterWait(random),
       pool: this.pool,
       random,
+      regions,
       retryBudgets: new RetryBudgets(
         parts.retryBound,
         () => this.peers.length + 1,
@@ -323,6 +335,15 @@
     this.handedOver = true;
   }
 
+  /** How many edges the own region has, this one included. */
+  private get edgesOfRegion(): number {
+    const {regions, self} = this.parts;
+    const near = this.peers.filter(({hall}) =>
+      regions.areTogether(self.hall, hall),
+    );
+    return near.length + 1;
+  }
+
   private controls(): string[] {
     const {controls, leader} = this.watch;
     return leader === undefined || !controls.includes(leader)
--- a/packages/puffinturn-edge/src/FinalAnswer.ts
+++ b/packages/puffinturn-edge/src/FinalAnswer.ts
@@ -40,14 +40,18 @@
    * No further try is allowed or possible. A caller is told when to come back
    * only where the request surely has not run.
    */
-  giveUp(cause: string, mayHaveRun: boolean): void {
+  giveUp(
+    cause: string,
+    mayHaveRun: boolean,
+    retryAfterS = RETRY_AFTER_BUSY_S,
+  ): void {
     if (this.caller.response.headersSent) {
       this.end(cause);
       this.caller.response.destroy();
     } else if (mayHaveRun) {
       this.refuse(502, cause);
     } else {
-      this.refuse(503, cause, RETRY_AFTER_BUSY_S);
+      this.refuse(503, cause, retryAfterS);
     }
   }
 }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -39,8 +39,8 @@
 import type {Totals} from './Totals';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
-import type {SelectionParts} from './UpstreamSelection';
-import {selectUpstream} from './UpstreamSelection';
+import type {SelectionParts, Sending} from './UpstreamSelection';
+import {lackOf, selectUpstream} from './UpstreamSelection';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts extends SelectionParts {
@@ -173,9 +173,15 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.final.ended) {
-      const placement = selectUpstream(this.parts, plan, this.tried);
+      const sending: Sending = {
+        bodyBytes: this.body.length,
+        givesWay: this.table.givesWay(plan.route),
+      };
+      const {parts, tried} = this;
+      const placement = selectUpstream(parts, plan, tried, sending);
       if (placement === undefined) {
-        this.final.giveUp('no-upstream', this.mayHaveRun);
+        const {cause, retryAfterS} = lackOf(parts, plan, sending);
+        this.final.giveUp(cause, this.mayHaveRun, retryAfterS);
         return;
       }
       if (this.leftMs(plan.route) < LEAST_LEFT_MS) {
@@ -219,6 +225,9 @@
     if (upstream.cold) {
       this.parts.coldAdmission.sent(upstream);
     }
+    if (this.parts.crossing.isAway(upstream.record.hall)) {
+      this.parts.crossing.sent(plan, this.body.length);
+    }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
     const exchange = new Exchange({
       body: this.body,
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -13,6 +13,7 @@
 import type {PromptPart} from './CallerDialect';
 import {BOUNDED_LOAD} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
+import {MOST_SPEED_AWAY, UNMEASURED_ANSWER_MS} from './RegionConstants';
 import {rendezvousWeight} from './Rendezvous';
 
 /** What a choice may look at. */
@@ -20,6 +21,16 @@
   readonly service: Service;
   readonly hall: string;
   readonly parts: readonly PromptPart[];
+  /** The way to upstreams of other regions; undefined where there are none. */
+  readonly way?: RegionWay | undefined;
+}
+
+/** The way to upstreams of other regions. */
+export interface RegionWay {
+  /** Whether an upstream is in another region. */
+  readonly isAway: (upstream: EdgeUpstream) => boolean;
+  /** What the way adds to the time of the request, ms. */
+  readonly addsMs: number;
 }
 
 /** Where a request goes. */
@@ -113,17 +124,21 @@
 
   override choose(
     candidates: readonly EdgeUpstream[],
-    {hall}: ChoiceFacts,
+    facts: ChoiceFacts,
   ): EdgeUpstream | undefined {
+    const {away, home} = byRegion(candidates, facts.way);
+    const drawn = [...this.drawTwo(home), ...this.drawTwo(away)];
+    return lowest(drawn, (upstream) => expectedAnswerMs(upstream, facts));
+  }
+
+  private drawTwo(candidates: readonly EdgeUpstream[]): EdgeUpstream[] {
+    if (candidates.length === 0) {
+      return [];
+    }
     const first = this.draw(candidates);
     const others = candidates.filter((upstream) => upstream !== first);
     const second = this.draw(others);
-    const drawn = [first, second].filter((upstream) => upstream !== undefined);
-    return lowest(drawn, (upstream) => {
-      const away = upstream.record.hall === hall ? 0 : OTHER_HALL_ANSWER_MS;
-      const load = 1 + upstream.inFlight / slotsOf(upstream);
-      return (BASE_ANSWER_MS + upstream.answerTime.ms) * load + away;
-    });
+    return [first, second].filter((upstream) => upstream !== undefined);
   }
 
   private draw(candidates: readonly EdgeUpstream[]): EdgeUpstream | undefined {
@@ -131,6 +146,21 @@
   }
 }
 
+/** How long a plain upstream is expected to take to answer, with the way, ms. */
+function expectedAnswerMs(
+  upstream: EdgeUpstream,
+  {hall, way}: ChoiceFacts,
+): number {
+  const {answerTime, inFlight, record} = upstream;
+  const load = 1 + inFlight / slotsOf(upstream);
+  if (way?.isAway(upstream) === true) {
+    const taken = Math.max(UNMEASURED_ANSWER_MS, answerTime.ms);
+    return (BASE_ANSWER_MS + taken) * load + way.addsMs;
+  }
+  const otherHall = record.hall === hall ? 0 : OTHER_HALL_ANSWER_MS;
+  return (BASE_ANSWER_MS + answerTime.ms) * load + otherHall;
+}
+
 /**
  * Baseline for model engines: rendezvous of the shared parts of the prompt over
  * the upstreams, with the number of own requests at each bounded by the mean.
@@ -173,7 +203,9 @@
  * answers and so holds the load that other edges put on the upstream. The shared
  * parts are taken to be kept where this edge sent them lately, and at the
  * upstream that all edges agree on by rendezvous. Where engines copy from each
- * other, another upstream may copy what the best keeper has.
+ * other, another upstream may copy what the best keeper has. Both hold for each
+ * region by itself: an upstream of another region is taken only where the wait here
+ * is longer than the way, and never for a prompt that it keeps.
  */
 export class ExpectedTime extends UpstreamChoice {
   override choose(
@@ -185,8 +217,30 @@
 
   override place(
     candidates: readonly EdgeUpstream[],
-    {parts, service, hall}: ChoiceFacts,
+    facts: ChoiceFacts,
   ): Placement | undefined {
+    const {way} = facts;
+    const {away, home} = byRegion(candidates, way);
+    const near = this.soonest(home, facts, 0);
+    if (way === undefined || away.length === 0) {
+      return near?.placement;
+    }
+    const far = this.soonest(away, facts, near?.unreadTokens ?? 0);
+    const crosses =
+      far !== undefined &&
+      (near === undefined || far.costMs + way.addsMs < near.costMs);
+    return crosses ? far.placement : near?.placement;
+  }
+
+  /**
+   * The best of some upstreams that may copy from each other; at least
+   * `leastUnread` tokens are taken to be unread there.
+   */
+  private soonest(
+    candidates: readonly EdgeUpstream[],
+    {hall, parts, service, way}: ChoiceFacts,
+    leastUnread: number,
+  ): Expectation | undefined {
     const key = hashOf(sharedKey(parts));
     const agreed = lowest(candidates, ({hash}) => -rendezvousWeight(hash, key));
     const shared = sharedTokens(parts);
@@ -198,22 +252,53 @@
     const all = parts.reduce((sum, {tokens}) => sum + tokens, 0);
     const copyMs = service.engine?.copyMsPerToken;
     const source = copyMs === undefined ? undefined : bestKeeper(keepers);
-    const chosen = lowest(keepers, (keeper) => {
-      const {inFlight, pendingTokens, record, speed} = keeper.upstream;
+    const expectations = keepers.map((keeper): Expectation => {
+      const {upstream} = keeper;
+      const {inFlight, pendingTokens, record, speed} = upstream;
+      const isAway = way?.isAway(upstream) === true;
+      const tokensPerMs = isAway
+        ? Math.min(MOST_SPEED_AWAY, speed.tokensPerMs)
+        : speed.tokensPerMs;
       const copied = copiedTokens(keeper, source);
       const copy = copied === 0 ? 0 : COPY_SETUP_MS + copied * (copyMs ?? 0);
-      const unread = Math.max(0, all - keeper.tokens - copied);
-      const read = (unread + pendingTokens) / speed.tokensPerMs;
-      const away = record.hall === hall ? 0 : OTHER_HALL_MS;
-      return read + copy + inFlight * OPEN_REQUEST_MS + away;
+      const unread = Math.max(leastUnread, all - keeper.tokens - copied);
+      const read = (unread + pendingTokens) / tokensPerMs;
+      const otherHall = record.hall === hall || isAway ? 0 : OTHER_HALL_MS;
+      const prefixSource = copied === 0 ? undefined : source?.upstream;
+      return {
+        costMs: read + copy + inFlight * OPEN_REQUEST_MS + otherHall,
+        placement: {copiedTokens: copied, prefixSource, upstream},
+        unreadTokens: unread,
+      };
     });
-    if (chosen === undefined) {
-      return undefined;
-    }
-    const copied = copiedTokens(chosen, source);
-    const prefixSource = copied === 0 ? undefined : source?.upstream;
-    return {copiedTokens: copied, prefixSource, upstream: chosen.upstream};
+    return lowest(expectations, ({costMs}) => costMs);
+  }
+}
+
+/** What is expected of a request at one upstream. */
+interface Expectation {
+  readonly placement: Placement;
+  /** Time to the first token without the way to another region, ms. */
+  readonly costMs: number;
+  /** Tokens of the prompt that it would have to read. */
+  readonly unreadTokens: number;
+}
+
+/** Upstreams of the own region, and those of others. */
+function byRegion(
+  candidates: readonly EdgeUpstream[],
+  way: RegionWay | undefined,
+): {
+  readonly away: readonly EdgeUpstream[];
+  readonly home: readonly EdgeUpstream[];
+} {
+  if (way === undefined) {
+    return {away: [], home: candidates};
   }
+  return {
+    away: candidates.filter((upstream) => way.isAway(upstream)),
+    home: candidates.filter((upstream) => !way.isAway(upstream)),
+  };
 }
 
 /** Slots of an upstream; one that names none has one. */
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -10,12 +10,15 @@
  * bear it, sound ones before grey ones and those that pause, then by the choice of
  * the service's kind. It looks at facts only and sends nothing.
  */
+import type {Regions, Route, Team} from 'puffinturn-fleet';
 import type {Random} from 'shared';
 
 import type {ColdAdmission} from './ColdStarts';
+import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
+import type {RegionCrossing} from './RegionCrossing';
 import type {Plan} from './RequestPlan';
-import type {Placement, UpstreamChoice} from './UpstreamChoice';
+import type {Placement, RegionWay, UpstreamChoice} from './UpstreamChoice';
 import type {UpstreamPool} from './UpstreamPool';
 import {greyErrorRate} from './UpstreamPool';
 
@@ -27,6 +30,26 @@
   readonly engineChoice: UpstreamChoice;
   readonly plainChoice: UpstreamChoice;
   readonly coldAdmission: ColdAdmission;
+  readonly regions: Regions;
+  readonly crossing: RegionCrossing;
+  /** Regions that the newest configuration allows; undefined for all. */
+  readonly newestRegions: (
+    route: Route,
+    team: Team | undefined,
+  ) => readonly string[] | undefined;
+}
+
+/** What is to be sent. */
+export interface Sending {
+  readonly bodyBytes: number;
+  /** Whether it is among the least urgent requests. */
+  readonly givesWay: boolean;
+}
+
+/** Why there is no upstream for a request, and when to come back. */
+export interface Lack {
+  readonly cause: 'no-upstream' | 'no-upstream-in-region' | 'region-link-full';
+  readonly retryAfterS: number;
 }
 
 /** Part of the requests that a grey upstream still gets. */
@@ -37,11 +60,13 @@
   parts: SelectionParts,
   plan: Plan,
   tried: ReadonlySet<EdgeUpstream>,
+  sending: Sending,
 ): Placement | undefined {
   const {engineChoice, hall, plainChoice, pool} = parts;
   const {parts: prompt, service} = plan;
   const serving = pool.serving(service.name);
-  const untried = serving
+  const allowed = allowedOf(parts, plan, serving);
+  const untried = inReach(parts, allowed, sending)
     .filter((upstream) => !tried.has(upstream))
     .filter((upstream) => mayBear(parts, plan, upstream));
   const calm = untried.filter(({paused}) => !paused);
@@ -52,7 +77,75 @@
     return undefined;
   }
   const choice = service.engine === undefined ? plainChoice : engineChoice;
-  return choice.place(candidates, {hall, parts: prompt, service});
+  return choice.place(candidates, {
+    hall,
+    parts: prompt,
+    service,
+    way: wayFor(parts, plan, sending),
+  });
+}
+
+/** Why `selectUpstream` found none. */
+export function lackOf(
+  parts: SelectionParts,
+  plan: Plan,
+  sending: Sending,
+): Lack {
+  const serving = parts.pool.serving(plan.service.name);
+  const allowed = allowedOf(parts, plan, serving);
+  const retryAfterS =
+    allowed.length === 0 ? RETRY_AFTER_MISSING_S : RETRY_AFTER_BUSY_S;
+  if (allowed.length < serving.length) {
+    return {cause: 'no-upstream-in-region', retryAfterS};
+  }
+  const heldBack = inReach(parts, allowed, sending).length < allowed.length;
+  return heldBack
+    ? {cause: 'region-link-full', retryAfterS}
+    : {cause: 'no-upstream', retryAfterS: RETRY_AFTER_BUSY_S};
+}
+
+/**
+ * Upstreams in regions where the request may be served. Both the version that it
+ * came under and the newest one bind, so that regions taken away bind a retry too.
+ */
+function allowedOf(
+  {newestRegions, regions}: SelectionParts,
+  {allowedRegions, route, team}: Plan,
+  serving: readonly EdgeUpstream[],
+): readonly EdgeUpstream[] {
+  const newest = newestRegions(route, team);
+  if (allowedRegions === undefined && newest === undefined) {
+    return serving;
+  }
+  return serving.filter(
+    ({record: {hall}}) =>
+      regions.allows(allowedRegions, hall) && regions.allows(newest, hall),
+  );
+}
+
+/** Those of the own region, and of others while the link between bears more. */
+function inReach(
+  {crossing, regions}: SelectionParts,
+  upstreams: readonly EdgeUpstream[],
+  {givesWay}: Sending,
+): readonly EdgeUpstream[] {
+  return !regions.several || crossing.allows(givesWay)
+    ? upstreams
+    : upstreams.filter(({record: {hall}}) => !crossing.isAway(hall));
+}
+
+/** What a choice needs to know of other regions; undefined where there are none. */
+function wayFor(
+  {crossing, regions}: SelectionParts,
+  plan: Plan,
+  {bodyBytes}: Sending,
+): RegionWay | undefined {
+  return regions.several
+    ? {
+        addsMs: crossing.wayMs(plan, bodyBytes),
+        isAway: ({record: {hall}}) => crossing.isAway(hall),
+      }
+    : undefined;
 }
 
 /** Whether an upstream is warm, or cold and bears one more request. */
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
@@ -0,0 +1,46 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A dialect with short names, for edges that serve over loopback. */
+import type {HeaderNames, PromptPart, TokenBounds} from '../../CallerDialect';
+import {CallerDialect} from '../../CallerDialect';
+
+type HeaderLookup = (name: string) => string | undefined;
+
+/** See the module comment. Parts are given as `id:tokens,id:tokens`. */
+export class PlainDialect extends CallerDialect {
+  override readonly headers: HeaderNames = {
+    deadline: 'x-deadline',
+    expectedUpstream: 'x-upstream',
+    key: 'x-key',
+    lastEvent: 'last-event-id',
+    notRun: 'x-not-run',
+    prefixSource: 'x-copy-from',
+    priority: 'x-priority',
+    requestId: 'x-id',
+    reserved: [],
+    retryAfter: 'retry-after',
+    seal: 'x-seal',
+    team: 'x-team',
+  };
+
+  override tokensOf(): TokenBounds | undefined {
+    return undefined;
+  }
+
+  override partsOf(header: HeaderLookup): readonly PromptPart[] {
+    const text = header('x-parts');
+    return (text?.split(',') ?? []).map((part) => {
+      const [id = '', tokens = '0'] = part.split(':');
+      return {id, tokens: Number(tokens)};
+    });
+  }
+
+  override priorityOf(team: number, route: number): number {
+    return team + route;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -0,0 +1,173 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** An edge of one region of two, with upstreams whose load a test sets. */
+import {SilentDecisionLog} from 'puffinturn-decisions';
+import type {Route, Service, Team} from 'puffinturn-fleet';
+import {Regions, REPETITION} from 'puffinturn-fleet';
+import {ManualClock, Random} from 'shared';
+
+import type {PromptPart} from '../../CallerDialect';
+import {PacedColdStarts} from '../../ColdStarts';
+import type {EdgeUpstream} from '../../EdgeUpstream';
+import {RegionCrossing} from '../../RegionCrossing';
+import type {Plan} from '../../RequestPlan';
+import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
+import {UpstreamPool} from '../../UpstreamPool';
+import type {Lack, SelectionParts, Sending} from '../../UpstreamSelection';
+import {lackOf, selectUpstream} from '../../UpstreamSelection';
+import {upstreamOf} from './EdgeFixture';
+
+/** Two halls in each of two regions. */
+export const TWO_REGIONS = {
+  e1: 'east',
+  e2: 'east',
+  w1: 'west',
+  w2: 'west',
+} as const;
+
+/** A plain service. */
+export const PLAIN: Service = {
+  engine: undefined,
+  maxConnections: 9,
+  name: 's',
+};
+
+/** A service of engines that copy prompts from each other. */
+export const ENGINES: Service = {
+  engine: {
+    copyMsPerToken: 0.0004,
+    memoryTokens: 1,
+    slots: 4,
+    tokensPerEvent: 1,
+  },
+  maxConnections: 9,
+  name: 's',
+};
+
+const ROUTE: Route = {
+  anonymous: true,
+  host: 'h',
+  maxAttempts: 3,
+  name: 'r',
+  objectiveMs: 300,
+  pathPrefix: '/',
+  priority: 0,
+  repetition: REPETITION.repeatable,
+  streams: false,
+  targets: [{service: 's', weight: 1}],
+  timeoutMs: 3_000,
+};
+
+const URGENT: Sending = {bodyBytes: 1_000, givesWay: false};
+
+/** See the module comment. It stands in hall `e1`. */
+export class RegionEdge {
+  readonly clock = new ManualClock();
+  readonly random = new Random(7);
+  readonly pool: UpstreamPool;
+  readonly crossing: RegionCrossing;
+  /** What the newest configuration allows. */
+  newest: readonly string[] | undefined;
+  private readonly parts: SelectionParts;
+
+  constructor(
+    byHall: Readonly<Record<string, string>> = TWO_REGIONS,
+    edges = 38,
+  ) {
+    const {clock, random} = this;
+    const regions = new Regions(byHall);
+    this.pool = new UpstreamPool(clock, new SilentDecisionLog());
+    this.crossing = new RegionCrossing({
+      clock,
+      edges: () => edges,
+      hall: 'e1',
+      regions,
+    });
+    this.parts = {
+      coldAdmission: new PacedColdStarts({
+        box: 'b',
+        clock,
+        peers: () => [],
+        tolerance: {extra: 0, overage: 1},
+      }),
+      crossing: this.crossing,
+      engineChoice: new ExpectedTime(),
+      hall: 'e1',
+      newestRegions: () => this.newest,
+      plainChoice: new ShorterWait(random),
+      pool: this.pool,
+      random,
+      regions,
+    };
+  }
+
+  /** Adds an upstream; its id says its hall. */
+  add(id: string, service = 's'): EdgeUpstream {
+    const hall = id.slice(0, 2);
+    const address = `10.0.0.${this.pool.all().length}:80`;
+    const record = upstreamOf(id, {address, hall, service, slots: 6});
+    this.pool.merge([record], 'test');
+    return this.upstream(id);
+  }
+
+  upstream(id: string): EdgeUpstream {
+    const found = this.pool.all().find((upstream) => upstream.id === id);
+    if (found === undefined) {
+      throw new Error(`no upstream ${id}`);
+    }
+    return found;
+  }
+
+  plan(fields: Partial<Plan> = {}): Plan {
+    return {
+      parts: [],
+      route: ROUTE,
+      service: PLAIN,
+      team: undefined,
+      tokens: undefined,
+      ...fields,
+    };
+  }
+
+  enginePlan(parts: readonly PromptPart[], fields: Partial<Plan> = {}): Plan {
+    return this.plan({parts, service: ENGINES, ...fields});
+  }
+
+  place(plan: Plan, tried: readonly EdgeUpstream[] = [], sending = URGENT) {
+    return selectUpstream(this.parts, plan, new Set(tried), sending);
+  }
+
+  lack(plan: Plan, sending = URGENT): Lack {
+    return lackOf(this.parts, plan, sending);
+  }
+
+  /** Ids of the upstreams that so many requests in a row would go to. */
+  drawn(plan: Plan, count: number, sending = URGENT): ReadonlySet<string> {
+    const ids = Array.from(
+      {length: count},
+      () => this.place(plan, [], sending)?.upstream.id ?? 'none',
+    );
+    return new Set(ids);
+  }
+}
+
+/** A team that may be served in some regions. */
+export function teamIn(allowedRegions?: readonly string[]): Team {
+  return {
+    allowedRegions,
+    keys: ['k'],
+    name: 't',
+    prepaidTokens: undefined,
+    priority: 0,
+  };
+}
+
+/** A route that may be served in some regions. */
+export function routeIn(allowedRegions?: readonly string[]): Route {
+  return {...ROUTE, allowedRegions};
+}
