Ask the own region first for news, tokens and a hand-over

An edge asks two control boxes of its own region while they are fit, and holders of tokens in the halls of its region before those of the other one, each round of loans within one region. The ring of edges runs region by region: three greetings in two directions cross, where every second one did with mixed names of halls.

A request that has its tokens no longer draws on another region: rounds under way went on and moved 3,400 tokens over for a request that lacked 100.

--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -18,6 +18,7 @@
   BorrowReply,
   BorrowRequest,
   BoxRecord,
+  Regions,
   Team,
 } from 'puffinturn-fleet';
 import {LOAN} from 'puffinturn-fleet';
@@ -35,6 +36,7 @@
 import {TokenBook} from './TokenBook';
 import {TokenGifts} from './TokenGifts';
 import {TokenHolders} from './TokenHolders';
+import type {BorrowedElsewhere} from './TokenLoans';
 import {TokenLoans} from './TokenLoans';
 
 /** What came of asking for tokens. */
@@ -63,6 +65,8 @@
   readonly controls: () => readonly string[];
   /** The other edges; a new array where the list has changed. */
   readonly peers: () => readonly BoxRecord[];
+  /** The region of each hall; without them all halls are together. */
+  readonly regions?: Regions | undefined;
 }
 
 /** How often surplus is looked for where no request has ended, ms. */
@@ -107,7 +111,7 @@
 
   constructor(private readonly parts: AllowancesParts) {
     const {clock, link, log, peers} = parts;
-    this.holders = new TokenHolders(parts, clock, peers);
+    this.holders = new TokenHolders(parts, clock, peers, parts.regions);
     this.book = new TokenBook(clock, log, this.holders);
     const shared = {
       book: this.book,
@@ -301,12 +305,15 @@
       return this.claimFromPlenty(demand);
     }
     using _waiting = account.waitFor(tokens);
+    // Another region is asked for nothing once the request has its tokens.
+    let waits = true;
+    using _ended = {[Symbol.dispose]: () => void (waits = false)};
+    const borrow = (): Promise<BorrowedElsewhere> =>
+      this.loans.borrowElsewhere(account, tokens, keepPart, () => waits);
     const mark = this.core.mark;
     const until = clock.now() + ALLOWANCE_WAIT_MS;
     this.book.wanted.notify();
-    let borrowing = this.core.answers
-      ? undefined
-      : this.loans.borrowElsewhere(account, tokens, keepPart);
+    let borrowing = this.core.answers ? undefined : borrow();
     while (clock.now() < until && !this.tasks.ended) {
       await sleepUnlessNotified(
         clock,
@@ -321,13 +328,10 @@
       if (answered && this.lacksMore(account, tokens)) {
         break;
       }
-      borrowing ??= answered
-        ? undefined
-        : this.loans.borrowElsewhere(account, tokens, keepPart);
+      borrowing ??= answered ? undefined : borrow();
     }
     const coreAnswered = this.core.answeredSince(mark);
-    const {allAnswered} = await (borrowing ??
-      this.loans.borrowElsewhere(account, tokens, keepPart));
+    const {allAnswered} = await (borrowing ?? borrow());
     if (this.claims(demand)) {
       return RESERVE.held;
     }
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -131,6 +131,7 @@
       link,
       log,
       news: new EdgeNews(this),
+      regions,
       seeds: parts.seeds,
       self,
     });
@@ -143,6 +144,7 @@
       link,
       log,
       peers: () => this.peers,
+      regions,
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.neighbours = new Neighbours({
@@ -151,6 +153,7 @@
       inTouch: () => this.watch.inTouch,
       link,
       needsState: () => this.needsState,
+      regions,
       self,
       state: () => this.state(),
       take: (state, source) => this.takeOver(state, source),
--- a/packages/puffinturn-edge/src/Neighbours.ts
+++ b/packages/puffinturn-edge/src/Neighbours.ts
@@ -6,12 +6,14 @@
  */
 
 /**
- * Edges look after the next ones in a ring over all edges, hall by hall. One
- * that was restarted while the core can't be reached knows nothing to serve
- * from; its neighbours notice and hand it the configuration, the upstreams and
- * the list of boxes. Costs two short calls a turn, whatever the fleet's size.
+ * Edges look after the next ones in a ring over all edges, region by region and
+ * hall by hall, so that few greetings cross between regions, and a region that has
+ * lost all it knew is still reached. One that was restarted while the core can't be
+ * reached knows nothing to serve from; its neighbours notice and hand it the
+ * configuration, the upstreams and the list of boxes. Costs two short calls a turn,
+ * whatever the fleet's size.
  */
-import type {BoxRecord, GreetReply, HandOver} from 'puffinturn-fleet';
+import type {BoxRecord, GreetReply, HandOver, Regions} from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
@@ -41,6 +43,7 @@
 /** What Neighbours are made of. */
 export interface NeighboursParts {
   readonly self: BoxRecord;
+  readonly regions: Regions;
   readonly clock: Clock;
   readonly link: Link;
   /** The other edges. */
@@ -110,10 +113,12 @@
 
   /** The edges that follow this one in the ring. */
   private next(): readonly string[] {
-    const {edges, self} = this.parts;
-    const boxes = new Map(edges().map((edge) => [placeOf(edge), edge.box]));
+    const {edges, regions, self} = this.parts;
+    const boxes = new Map(
+      edges().map((edge) => [placeOf(edge, regions), edge.box]),
+    );
     const ring = [...boxes.keys()].sort();
-    const own = placeOf(self);
+    const own = placeOf(self, regions);
     const following = [
       ...ring.filter((place) => place > own),
       ...ring.filter((place) => place < own),
@@ -124,7 +129,8 @@
   }
 }
 
-/** Orders edges hall by hall. */
-function placeOf({box, hall}: BoxRecord): string {
-  return `${hall} ${box}`;
+/** Orders edges region by region and hall by hall. */
+function placeOf({box, hall}: BoxRecord, regions: Regions): string {
+  const region = regions.several ? `${regions.regionOf(hall)} ` : '';
+  return `${region}${hall} ${box}`;
 }
--- a/packages/puffinturn-edge/src/TokenHolders.ts
+++ b/packages/puffinturn-edge/src/TokenHolders.ts
@@ -8,10 +8,11 @@
 /**
  * Which edge of a hall holds a team's tokens for all edges of that hall: the
  * first by rendezvous among those that answer. Edges that know the same boxes
- * agree; where they don't, tokens are lent by whoever has some.
+ * agree; where they don't, tokens are lent by whoever has some. Edges of other halls
+ * are named the own region first: the way to the others is long and thin.
  */
 import type {BoxRecord} from 'puffinturn-fleet';
-import {lifeOf} from 'puffinturn-fleet';
+import {lifeOf, Regions} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 import {hashOf} from 'shared';
 
@@ -37,6 +38,7 @@
     private readonly clock: Clock,
     /** The other edges; a new list is a new array. */
     private readonly edges: () => readonly BoxRecord[],
+    private readonly regions = new Regions(),
   ) {}
 
   /** How many halls have edges. */
@@ -87,6 +89,13 @@
     return [...own, ...away].filter((box) => box !== this.self.box);
   }
 
+  /** Whether an edge is in another region than this one. */
+  isAway(box: string): boolean {
+    this.refresh();
+    const found = this.others?.find((other) => other.box === box);
+    return found !== undefined && this.isFar(found.hall);
+  }
+
   /** Passes over an edge that did not answer, for a while. */
   suspect(box: string): void {
     const now = this.clock.now();
@@ -100,7 +109,15 @@
 
   private otherHalls(): string[] {
     this.refresh();
-    return [...this.halls.keys()].filter((hall) => hall !== this.self.hall);
+    const others = [...this.halls.keys()].filter(
+      (hall) => hall !== this.self.hall,
+    );
+    const near = others.filter((hall) => !this.isFar(hall));
+    return [...near, ...others.filter((hall) => this.isFar(hall))];
+  }
+
+  private isFar(hall: string): boolean {
+    return !this.regions.areTogether(this.self.hall, hall);
   }
 
   /** Edges of a hall, the holder first, without those that did not answer. */
--- a/packages/puffinturn-edge/src/TokenLoans.ts
+++ b/packages/puffinturn-edge/src/TokenLoans.ts
@@ -124,18 +124,26 @@
     return reply;
   }
 
-  /** Asks the holders elsewhere, a few at a time, until enough is free here. */
+  /**
+   * Asks the holders elsewhere, a few at a time, until enough is free here; those of
+   * other regions only once the own region has none, and while they are wanted.
+   */
   async borrowElsewhere(
     account: TokenAccount,
     tokens: number,
     keepPart: number,
+    isWanted: () => boolean = () => true,
   ): Promise<BorrowedElsewhere> {
     let allAnswered = true;
     let borrowed = 0;
     const terms: LoanTerms = {gather: false, keepPart};
     const lenders = [...this.parts.holders.elsewhere(account.team)];
     while (lenders.length > 0 && account.free < tokens) {
-      const round = lenders.splice(0, BORROW_AT_ONCE);
+      const round = this.nextRound(lenders);
+      const [first = ''] = round;
+      if (this.parts.holders.isAway(first) && !isWanted()) {
+        break;
+      }
       const replies = await Promise.all(
         round.map((lender) => this.borrowFrom(lender, account, tokens, terms)),
       );
@@ -145,6 +153,16 @@
     return {allAnswered, borrowed};
   }
 
+  /** Takes the next lenders out of a list: a few, all of them near or all away. */
+  private nextRound(lenders: string[]): readonly string[] {
+    const {holders} = this.parts;
+    const [first = ''] = lenders;
+    const isAway = holders.isAway(first);
+    const change = lenders.findIndex((box) => holders.isAway(box) !== isAway);
+    const alike = change < 0 ? lenders.length : change;
+    return lenders.splice(0, Math.min(alike, BORROW_AT_ONCE));
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.registration[Symbol.dispose]();
     await this.tasks[Symbol.asyncDispose]();
--- a/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Neighbours.test.ts
@@ -6,7 +6,7 @@
  */
 
 import type {BoxRecord, HandOver} from 'puffinturn-fleet';
-import {BOX_ROLE, NO_EVACUATIONS} from 'puffinturn-fleet';
+import {BOX_ROLE, NO_EVACUATIONS, Regions} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {ManualClock, Random} from 'shared';
 
@@ -38,6 +38,7 @@
       inTouch: () => false,
       link: this.network.connect(box),
       needsState: () => held === undefined,
+      regions: new Regions(),
       self: edgeOf(box),
       state: () => held,
       take: (handed, source) => {
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/NeighboursInRegions.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** The ring of edges over two regions whose halls take turns in the alphabet. */
+import type {BoxRecord, HandOver} from 'puffinturn-fleet';
+import {
+  BOX_ROLE,
+  FLEET_SERVICE,
+  NO_EVACUATIONS,
+  Regions,
+} from 'puffinturn-fleet';
+import {MemoryNetwork} from 'puffinturn-wire';
+import {ManualClock, Random} from 'shared';
+
+import {Neighbours} from '../../Neighbours';
+import {configurationOf} from '../utils/EdgeFixture';
+
+const HALLS = {a: 'west', b: 'east', c: 'west', d: 'east'} as const;
+const EDGES = Object.keys(HALLS).flatMap((hall) =>
+  [1, 2, 3].map((at): BoxRecord => ({
+    box: `${hall}${at}`,
+    hall,
+    incarnation: '1',
+    role: BOX_ROLE.edge,
+  })),
+);
+const STATE: HandOver = {
+  boxes: EDGES,
+  configuration: configurationOf(4),
+  evacuations: NO_EVACUATIONS,
+  upstreams: [],
+};
+
+class RegionRing {
+  readonly clock = new ManualClock();
+  readonly network = new MemoryNetwork(this.clock, new Random(5));
+  readonly regions = new Regions(HALLS);
+  /** Who greeted whom, each pair once. */
+  readonly greetings = new Set<string>();
+  private readonly held = new Map<string, HandOver>();
+
+  start(self: BoxRecord, state: HandOver | undefined): void {
+    const {box} = self;
+    const link = this.network.connect(box);
+    const others = EDGES.filter((other) => other.box !== box);
+    if (state !== undefined) {
+      this.held.set(box, state);
+    }
+    new Neighbours({
+      clock: this.clock,
+      edges: () => (this.knows(box) ? others : []),
+      inTouch: () => false,
+      link,
+      needsState: () => !this.knows(box),
+      regions: this.regions,
+      self,
+      state: () => this.held.get(box),
+      take: (handed) => void this.held.set(box, handed),
+    });
+    link.register(FLEET_SERVICE.greet, async (_, from) => {
+      this.greetings.add(`${from}>${box}`);
+      return {needsState: !this.knows(box)};
+    });
+  }
+
+  knows(box: string): boolean {
+    return this.held.has(box);
+  }
+
+  /** Greetings from one region to the other. */
+  get crossings(): number {
+    const crossing = [...this.greetings].filter((pair) => {
+      const [from = '', to = ''] = pair.split('>');
+      return !this.regions.areTogether(from.slice(0, 1), to.slice(0, 1));
+    });
+    return crossing.length;
+  }
+}
+
+describe('Neighbours in two regions', () => {
+  test('greet within their region but for the ends of the ring', async () => {
+    const ring = new RegionRing();
+    for (const edge of EDGES) {
+      ring.start(edge, STATE);
+    }
+    await ring.clock.advance(6_000);
+    expect(ring.greetings.size).toBe(2 * EDGES.length);
+    expect(ring.crossings).toBe(6);
+  });
+
+  test('bring a region that knows nothing back, over the link', async () => {
+    const ring = new RegionRing();
+    for (const edge of EDGES) {
+      const isWest = ring.regions.regionOf(edge.hall) === 'west';
+      ring.start(edge, isWest ? undefined : STATE);
+    }
+    await ring.clock.advance(6_000);
+    expect(EDGES.every(({box}) => ring.knows(box))).toBe(true);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
@@ -15,7 +15,13 @@
   AllowanceRequest,
   BoxRecord,
 } from 'puffinturn-fleet';
-import {BOX_ROLE, FLEET_SERVICE, FleetMachine, lifeOf} from 'puffinturn-fleet';
+import {
+  BOX_ROLE,
+  FLEET_SERVICE,
+  FleetMachine,
+  lifeOf,
+  Regions,
+} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random} from 'shared';
 
@@ -42,7 +48,10 @@
   /** Whether edges hear at once that another one was started again. */
   tellsRestarts = true;
 
-  constructor(prepaid: number) {
+  constructor(
+    prepaid: number,
+    private readonly regions = new Regions(),
+  ) {
     this.topUp(prepaid);
     this.startCore();
   }
@@ -57,6 +66,13 @@
     return [...this.edges.values()].reduce((sum, edge) => sum + held(edge), 0);
   }
 
+  /** An edge that is alive. */
+  edge(box: string): Allowances {
+    const found = this.edges.get(box);
+    invariant(found !== undefined, 'an edge that was started');
+    return found;
+  }
+
   /** Tokens in the hands of one edge; 0 for one that is not alive. */
   heldBy(box: string): number {
     const edge = this.edges.get(box);
@@ -123,6 +139,7 @@
       link: this.network.connect(box),
       log: new SilentDecisionLog(),
       peers: () => this.peers.get(box) ?? [],
+      regions: this.regions,
     });
     this.edges.set(box, edge);
     edge.configure([
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -25,6 +25,7 @@
 import type {Evacuations} from './Evacuations';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+import {Regions} from './Regions';
 import type {UpstreamRecord} from './Upstreams';
 
 /**
@@ -54,6 +55,9 @@
 /** A box that is no seed is given up after this much silence, ms. */
 const GIVE_UP_MS = 20_000;
 
+/** How far control boxes are; the nearest ones are asked first. */
+const DISTANCE = {ownHall: 0, ownRegion: 1, otherRegion: 2} as const;
+
 /** Takes what a watch has learned. */
 export abstract class FleetNews {
   /** The version held, or -Infinity. */
@@ -85,6 +89,8 @@
   readonly news: FleetNews;
   /** Control boxes asked at a time once up to date; Infinity for all. */
   readonly askedAtOnce: number;
+  /** The region of each hall; without them all halls are together. */
+  readonly regions?: Regions | undefined;
 }
 
 interface Watched {
@@ -119,8 +125,10 @@
   /** The control box whose list of boxes was taken over last. */
   private boxesFrom: string | undefined;
   private readonly lag: ConfigurationLag;
+  private readonly regions: Regions;
 
   constructor(private readonly parts: FleetWatchParts) {
+    this.regions = parts.regions ?? new Regions();
     const {clock, log, news} = parts;
     this.lag = new ConfigurationLag(
       clock,
@@ -249,13 +257,27 @@
     return ahead.length;
   }
 
-  /** Control boxes of the own hall come first, then a hash spreads the load. */
+  /**
+   * Control boxes of the own hall come first, then those of the own region; a hash
+   * spreads the load. So news cross between regions only where no control box of
+   * the own region is fit.
+   */
   private before(a: Watched, b: Watched): boolean {
-    const {hall} = this.parts.self;
-    const away = Number(a.hall !== hall) - Number(b.hall !== hall);
+    const away = this.distanceTo(a.hall) - this.distanceTo(b.hall);
     return away === 0 ? a.rank < b.rank : away < 0;
   }
 
+  private distanceTo(hall: string | undefined): number {
+    const {hall: own} = this.parts.self;
+    if (hall === own) {
+      return DISTANCE.ownHall;
+    }
+    const isNear =
+      !this.regions.several ||
+      (hall !== undefined && this.regions.areTogether(own, hall));
+    return isNear ? DISTANCE.ownRegion : DISTANCE.otherRegion;
+  }
+
   /**
    * One control box brings configurations and boxes; the others that are asked
    * only show that it is not behind. An overdue version is asked for everywhere.
