Count what goes to other regions, and note when that begins and ends

Bytes of requests and answers come from the connections' own counts at the end of an answer, bytes of calls between boxes when metrics are read: nothing is counted for each piece. Two lines mark the time in which requests of a service went over, however many they were.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -208,6 +208,15 @@
   readonly source: string;
 }
 
+/** Requests of a service began to go to another region, or have ceased to. */
+export interface CrossingChanged {
+  readonly event: 'crossing-changed';
+  readonly service: string;
+  readonly crossing: boolean;
+  /** Requests that went over since it began. */
+  readonly requests: number;
+}
+
 /** An upstream's registration changed. */
 export interface UpstreamChanged {
   readonly event: 'upstream-changed';
@@ -251,6 +260,7 @@
   | ChangeDecided
   | ConfigurationAdopted
   | ConfigurationOverdue
+  | CrossingChanged
   | DependencyChanged
   | EvacuationDecided
   | EvacuationsAdopted
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -37,6 +37,7 @@
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
 import {PacedColdStarts} from './ColdStarts';
+import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
 import {headerBytes, HttpListener} from './EdgeHttp';
@@ -46,6 +47,7 @@
 import {Forwarding} from './Forwarding';
 import {Neighbours} from './Neighbours';
 import {RegionCrossing} from './RegionCrossing';
+import {RegionTraffic} from './RegionTraffic';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
@@ -101,6 +103,7 @@
   readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
   private readonly totals: Totals;
+  private readonly episodes: CrossingEpisodes;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
   private readonly forwarding: ForwardingParts;
@@ -147,6 +150,7 @@
       regions,
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
+    this.episodes = new CrossingEpisodes(clock, log);
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
@@ -170,6 +174,7 @@
       crossing: new RegionCrossing({
         clock,
         edges: () => this.edgesOfRegion,
+        episodes: this.episodes,
         hall: self.hall,
         regions,
       }),
@@ -181,6 +186,7 @@
       plainChoice: new ShorterWait(random),
       pool: this.pool,
       random,
+      regionTraffic: new RegionTraffic(this.metrics),
       regions,
       retryBudgets: new RetryBudgets(
         parts.retryBound,
@@ -301,6 +307,7 @@
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
     await this.totals[Symbol.asyncDispose]();
+    await this.episodes[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
@@ -347,6 +354,16 @@
     return near.length + 1;
   }
 
+  /** Bytes of calls, and of answers to calls, to boxes of other regions. */
+  private get bytesToOtherRegions(): number {
+    const {link, regions, self} = this.parts;
+    const away = this.boxes.filter(
+      ({hall}) => !regions.areTogether(self.hall, hall),
+    );
+    const sent = link.sentByPeer();
+    return away.reduce((sum, {box}) => sum + (sent.get(box) ?? 0), 0);
+  }
+
   private controls(): string[] {
     const {controls, leader} = this.watch;
     return leader === undefined || !controls.includes(leader)
@@ -415,12 +432,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {allowance, charged, inTouch, open, registry} = this.metrics;
+    const {allowance, charged, inTouch, open, regionCalls, registry} =
+      this.metrics;
     if (request.url !== this.parts.metrics.path) {
       response.writeHead(404).end();
       return;
     }
     open.set(this.open);
+    regionCalls.set(this.bytesToOtherRegions);
     inTouch.set(this.watch.inTouch ? 1 : 0);
     for (const tokens of this.allowances.status()) {
       const {held, reserved, team} = tokens;
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -40,6 +40,23 @@
     name: 'puffinturn_edge_open_requests',
     registers: [this.registry],
   });
+  readonly regionBytes = new Counter({
+    help: 'Bytes to and from upstreams of other regions by cause',
+    labelNames: ['cause'],
+    name: 'puffinturn_edge_region_bytes_total',
+    registers: [this.registry],
+  });
+  readonly regionCalls = new Gauge({
+    help: 'Bytes of calls sent to boxes of other regions since the start',
+    name: 'puffinturn_edge_region_call_bytes',
+    registers: [this.registry],
+  });
+  readonly regionRequests = new Counter({
+    help: 'Attempts at upstreams of other regions by service',
+    labelNames: ['service'],
+    name: 'puffinturn_edge_region_attempts_total',
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     help: 'Version of the configuration in force',
     name: 'puffinturn_edge_configuration_version',
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -31,6 +31,7 @@
 import {Exchange} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
 import {PromptReading} from './PromptReading';
+import type {RegionTraffic} from './RegionTraffic';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
 import {RequestTokens} from './RequestTokens';
@@ -51,6 +52,7 @@
   readonly dialect: CallerDialect;
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
+  readonly regionTraffic: RegionTraffic;
 }
 
 /** Time after a deadline at which the final answer is sent, ms. */
@@ -227,6 +229,7 @@
     }
     if (this.parts.crossing.isAway(upstream.record.hall)) {
       this.parts.crossing.sent(plan, this.body.length);
+      this.parts.metrics.regionRequests.inc({service: plan.service.name});
     }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
     const exchange = new Exchange({
@@ -331,9 +334,13 @@
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
+    const {socket} = answer;
     const ended = await relay
       .pass(answer, exchange, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
+    if (this.parts.crossing.isAway(upstream.record.hall)) {
+      this.parts.regionTraffic.count(socket);
+    }
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
--- a/packages/puffinturn-edge/src/RegionConstants.ts
+++ b/packages/puffinturn-edge/src/RegionConstants.ts
@@ -25,6 +25,9 @@
 /** Time whose bytes an edge may send at once, ms: callers come in clumps. */
 export const LINK_STORE_MS = 2_000;
 
+/** Without a request to another region for this long, that has ended, ms. */
+export const CROSSING_QUIET_MS = 5_000;
+
 /** Bytes of an answer of a plain service, heads included. */
 export const ANSWER_BYTES = 1_200;
 
--- a/packages/puffinturn-edge/src/RegionCrossing.ts
+++ b/packages/puffinturn-edge/src/RegionCrossing.ts
@@ -14,6 +14,7 @@
 import type {Regions} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
+import type {CrossingEpisodes} from './CrossingEpisodes';
 import {
   ANSWER_BYTES,
   LEAST_LINK_LEFT,
@@ -31,6 +32,7 @@
   readonly hall: string;
   readonly regions: Regions;
   readonly clock: Clock;
+  readonly episodes: CrossingEpisodes;
   /** Edges of the own region, this one included. */
   readonly edges: () => number;
 }
@@ -66,6 +68,7 @@
   sent(plan: Plan, bodyBytes: number): void {
     this.settle();
     this.used += bytesOf(plan, bodyBytes);
+    this.parts.episodes.sent(plan.service.name);
   }
 
   /** The part of this edge's store that is left; below 0 after a large request. */
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrossingEpisodes.test.ts
@@ -0,0 +1,45 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {KeptDecisionLog} from 'puffinturn-decisions';
+import {ManualClock} from 'shared';
+
+import {CrossingEpisodes} from '../../CrossingEpisodes';
+
+describe('CrossingEpisodes', () => {
+  test('are noted as they begin and end, not for each request', async () => {
+    const clock = new ManualClock();
+    const log = new KeptDecisionLog();
+    await using episodes = new CrossingEpisodes(clock, log);
+    for (let count = 0; count < 200; count += 1) {
+      episodes.sent('s');
+      await clock.advance(100);
+    }
+    episodes.sent('other');
+    expect(log.lines).toEqual([
+      {crossing: true, event: 'crossing-changed', requests: 1, service: 's'},
+      {
+        crossing: true,
+        event: 'crossing-changed',
+        requests: 1,
+        service: 'other',
+      },
+    ]);
+    await clock.advance(6_000);
+    expect(log.lines.slice(2)).toEqual([
+      {crossing: false, event: 'crossing-changed', requests: 200, service: 's'},
+      {
+        crossing: false,
+        event: 'crossing-changed',
+        requests: 1,
+        service: 'other',
+      },
+    ]);
+    episodes.sent('s');
+    expect(log.lines).toHaveLength(5);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/unit/RequestsInRegions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestsInRegions.test.ts
@@ -121,6 +121,36 @@
     expect(serving.causes).toEqual(['no-upstream-in-region']);
   });
 
+  test('is counted where it goes to another region, and only there', async () => {
+    await using serving = await edgeWith({'e1-a': serves, 'w1-a': serves});
+    const count = async () => {
+      const {regionBytes, regionRequests} = serving.edge.metrics;
+      const bytes = (await regionBytes.get()).values;
+      const [requests] = (await regionRequests.get()).values;
+      const of = (cause: string) =>
+        bytes.find(({labels}) => labels.cause === cause)?.value ?? 0;
+      return [requests?.value ?? 0, of('requests'), of('answers')];
+    };
+    serving.configure({allowedRegions: ['east']});
+    await serving.ask(SECRET);
+    expect(await count()).toEqual([0, 0, 0]);
+    serving.configure({allowedRegions: ['west']});
+    await serving.ask(SECRET);
+    const [, requestBytes = 0, answerBytes = 0] = await count();
+    expect(requestBytes).toBeGreaterThan(SECRET.length);
+    expect(requestBytes).toBeLessThan(1_000);
+    expect(answerBytes).toBeGreaterThan('done'.length);
+    await serving.ask(SECRET);
+    const [requests, both = 0, answers = 0] = await count();
+    expect(requests).toBe(2);
+    expect(both / requestBytes).toBeCloseTo(2, 1);
+    expect(answers / answerBytes).toBeCloseTo(2, 1);
+    const noted = serving.log.lines.filter(
+      ({event}) => event === 'crossing-changed',
+    );
+    expect(noted).toHaveLength(1);
+  });
+
   test('is neither sent to another box nor written to the log', async () => {
     await using serving = await edgeWith({
       'e1-a': isFull,
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -6,13 +6,14 @@
  */
 
 /** An edge of one region of two, with upstreams whose load a test sets. */
-import {SilentDecisionLog} from 'puffinturn-decisions';
+import {KeptDecisionLog} from 'puffinturn-decisions';
 import type {Route, Service, Team} from 'puffinturn-fleet';
 import {Regions, REPETITION} from 'puffinturn-fleet';
 import {ManualClock, Random} from 'shared';
 
 import type {PromptPart} from '../../CallerDialect';
 import {PacedColdStarts} from '../../ColdStarts';
+import {CrossingEpisodes} from '../../CrossingEpisodes';
 import type {EdgeUpstream} from '../../EdgeUpstream';
 import {RegionCrossing} from '../../RegionCrossing';
 import type {Plan} from '../../RequestPlan';
@@ -70,6 +71,7 @@
   readonly clock = new ManualClock();
   readonly random = new Random(7);
   readonly pool: UpstreamPool;
+  readonly log = new KeptDecisionLog();
   readonly crossing: RegionCrossing;
   /** What the newest configuration allows. */
   newest: readonly string[] | undefined;
@@ -81,10 +83,11 @@
   ) {
     const {clock, random} = this;
     const regions = new Regions(byHall);
-    this.pool = new UpstreamPool(clock, new SilentDecisionLog());
+    this.pool = new UpstreamPool(clock, this.log);
     this.crossing = new RegionCrossing({
       clock,
       edges: () => edges,
+      episodes: new CrossingEpisodes(clock, this.log),
       hall: 'e1',
       regions,
     });
--- a/packages/puffinturn-wire/src/Link.ts
+++ b/packages/puffinturn-wire/src/Link.ts
@@ -39,6 +39,11 @@
     return {[Symbol.dispose]: () => void this.handlers.delete(service)};
   }
 
+  /** Bytes sent to each box since the start, where the link counts them. */
+  sentByPeer(): ReadonlyMap<string, number> {
+    return new Map();
+  }
+
   /** Runs the handler of a service; undefined when there is none. */
   protected dispatch(
     service: string,
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -83,6 +83,9 @@
 export class TcpLink extends Link implements AsyncDisposable {
   private readonly outgoing = new Map<string, Promise<Outgoing | undefined>>();
   private readonly sockets = new Set<Socket>();
+  private readonly connections = new Set<Connection>();
+  /** Bytes sent over connections that have ended, by peer. */
+  private readonly sentBefore = new Map<string, number>();
   private nextId = 1;
   private ended = false;
 
@@ -137,6 +140,14 @@
     return new Async(this.callPeer(box, service, body, timeoutMs));
   }
 
+  override sentByPeer(): ReadonlyMap<string, number> {
+    const sent = new Map(this.sentBefore);
+    for (const connection of this.connections) {
+      addSent(sent, connection);
+    }
+    return sent;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.ended = true;
     const closed = new Promise((resolve) => this.server.close(resolve));
@@ -259,12 +270,18 @@
 
   private adopt(socket: Socket): Connection {
     this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
+    const connection = new Connection(socket);
+    this.connections.add(connection);
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.connections.delete(connection);
+      addSent(this.sentBefore, connection);
+    });
     socket.on('error', () => socket.destroy());
     socket.setTimeout(CONNECT_MS, () => socket.destroy());
     // The caller finds a silent connection by its calls; the other end only so.
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
-    return new Connection(socket);
+    return connection;
   }
 
   private async readAnswers(box: string, outgoing: Outgoing): Promise<void> {
@@ -319,6 +336,13 @@
   }
 }
 
+/** Adds what a connection has sent; one whose peer never proved its name is left out. */
+function addSent(sent: Map<string, number>, {peer, socket}: Connection): void {
+  if (peer !== '') {
+    sent.set(peer, (sent.get(peer) ?? 0) + socket.bytesWritten);
+  }
+}
+
 /** The value, or undefined if it takes longer; a dark peer takes a second. */
 async function withinMs<Value>(
   ms: number,
--- a/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
+++ b/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
@@ -74,6 +74,22 @@
 }
 
 describe('TcpLink', () => {
+  test('counts what it has sent to each box, calls and answers', async () => {
+    const addresses = new Map<string, Address>();
+    await using b = await open('b', addresses);
+    b.register('echo', async (body) => body);
+    await using a = await open('a', addresses);
+    const text = 'x'.repeat(10_000);
+    await a.call('b', 'echo', text, 10_000);
+    for (const sent of [a.sentByPeer().get('b'), b.sentByPeer().get('a')]) {
+      expect(sent).toBeGreaterThan(10_000);
+      expect(sent).toBeLessThan(11_000);
+    }
+    const before = a.sentByPeer().get('b') ?? 0;
+    await a[Symbol.asyncDispose]();
+    expect(a.sentByPeer().get('b')).toBe(before);
+  });
+
   test('a connection that went silent for good costs one call its time-out', async () => {
     const addresses = new Map<string, Address>();
     await using b = await open('b', addresses);
