Try dark upstreams at home rarely while another region serves

With dozens of dark engines at home nearly each request tried one whose pause was over, for 400 ms. Now each edge tries one every two seconds, and all once one has answered; behind a full link a request is refused rather than held up by them.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -45,6 +45,7 @@
 import {EdgeNews} from './EdgeNews';
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
+import {HomeProbes} from './HomeProbes';
 import {Neighbours} from './Neighbours';
 import {RegionCrossing} from './RegionCrossing';
 import {RegionTraffic} from './RegionTraffic';
@@ -180,6 +181,7 @@
       }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
+      homeProbes: new HomeProbes(clock),
       log,
       metrics: this.metrics,
       newestRegions: (route, team) => this.table?.allowedRegions(route, team),
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -97,6 +97,11 @@
     return this.clock.now() < this.pausedUntil;
   }
 
+  /** Whether it failed last, several times in a row, and has not answered since. */
+  get doubtful(): boolean {
+    return this.failures >= BROKEN_BEFORE_PAUSE;
+  }
+
   /** Notes a whole answer that is an error; the upstream itself may be sound. */
   answeredError(): void {
     this.errorRate += (1 - this.errorRate) * ERROR_WEIGHT;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -231,6 +231,10 @@
       this.parts.crossing.sent(plan, this.body.length);
       this.parts.metrics.regionRequests.inc({service: plan.service.name});
     }
+    const {doubtful} = upstream;
+    if (doubtful) {
+      this.parts.homeProbes.sent();
+    }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
     const exchange = new Exchange({
       body: this.body,
@@ -252,6 +256,9 @@
     this.exchange = exchange;
     const outcome = await exchange.outcome;
     reading.end(outcome.kind === 'answer');
+    if (doubtful && outcome.kind === 'answer') {
+      this.parts.homeProbes.answered();
+    }
     if (outcome.kind !== 'answer') {
       upstream.inFlight -= 1;
     }
--- a/packages/puffinturn-edge/src/RegionConstants.ts
+++ b/packages/puffinturn-edge/src/RegionConstants.ts
@@ -25,6 +25,13 @@
 /** Time whose bytes an edge may send at once, ms: callers come in clumps. */
 export const LINK_STORE_MS = 2_000;
 
+/**
+ * How often each edge tries an upstream that failed last while another region serves
+ * its requests, ms. A try may hold a request up for 400 ms; the return of a region
+ * shows within this time.
+ */
+export const HOME_PROBE_EVERY_MS = 2_000;
+
 /** Without a request to another region for this long, that has ended, ms. */
 export const CROSSING_QUIET_MS = 5_000;
 
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -16,6 +16,7 @@
 import type {ColdAdmission} from './ColdStarts';
 import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
+import type {HomeProbes} from './HomeProbes';
 import type {RegionCrossing} from './RegionCrossing';
 import type {Plan} from './RequestPlan';
 import type {Placement, RegionWay, UpstreamChoice} from './UpstreamChoice';
@@ -32,6 +33,7 @@
   readonly coldAdmission: ColdAdmission;
   readonly regions: Regions;
   readonly crossing: RegionCrossing;
+  readonly homeProbes: HomeProbes;
   /** Regions that the newest configuration allows; undefined for all. */
   readonly newestRegions: (
     route: Route,
@@ -66,13 +68,21 @@
   const {parts: prompt, service} = plan;
   const serving = pool.serving(service.name);
   const allowed = allowedOf(parts, plan, serving);
-  const untried = inReach(parts, allowed, sending)
+  const reached = inReach(parts, allowed, sending);
+  const untried = reached
     .filter((upstream) => !tried.has(upstream))
     .filter((upstream) => mayBear(parts, plan, upstream));
   const calm = untried.filter(({paused}) => !paused);
   const greyAbove = greyErrorRate(serving);
-  const sound = calm.filter((upstream) => !avoids(parts, upstream, greyAbove));
-  const candidates = [sound, calm, untried].find(({length}) => length > 0);
+  const trusted = calm.filter((upstream) => !mistrusts(parts, upstream));
+  const sound = trusted.filter(
+    (upstream) => !avoids(parts, upstream, greyAbove),
+  );
+  // With sound ones behind a full link, a request is refused at once rather than
+  // held up by upstreams that pause.
+  const isHeldBack = reached.length < allowed.length;
+  const rest = isHeldBack ? [] : [calm, untried];
+  const candidates = [sound, trusted, ...rest].find(({length}) => length > 0);
   if (candidates === undefined) {
     return undefined;
   }
@@ -161,6 +171,14 @@
   );
 }
 
+/** Whether it is too early to try one that failed last; see HomeProbes. */
+function mistrusts(
+  {homeProbes, regions}: SelectionParts,
+  {doubtful}: EdgeUpstream,
+): boolean {
+  return regions.several && doubtful && !homeProbes.allowed;
+}
+
 /** A grey upstream gets few requests, enough to show when it has recovered. */
 function avoids(
   {random}: SelectionParts,
--- a/packages/puffinturn-edge/src/__tests__/unit/AllowedRegions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/AllowedRegions.test.ts
@@ -62,11 +62,11 @@
   test('bind also in a fleet of one region, or where none is known', () => {
     const few: Record<string, string>[] = [{}, {e1: 'east', e2: 'east'}];
     for (const byHall of few) {
-      const edge = new RegionEdge(byHall);
+      const edge = new RegionEdge({byHall});
       edge.add('e1-a');
       expect(edge.place(edge.plan({allowedRegions: ['west']}))).toBeUndefined();
     }
-    const edge = new RegionEdge({e1: 'east', e2: 'east'});
+    const edge = new RegionEdge({byHall: {e1: 'east', e2: 'east'}});
     edge.add('e1-a');
     const plan = edge.plan({allowedRegions: ['east']});
     expect(edge.place(plan)?.upstream.id).toBe('e1-a');
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
@@ -183,6 +183,51 @@
   });
 });
 
+describe('Upstreams of the own region that failed last', () => {
+  function edgeWithDarkHome(): RegionEdge {
+    const edge = new RegionEdge();
+    for (const id of ['e1-a', 'e1-b', 'e2-a']) {
+      edge.add(id).unreachable();
+    }
+    edge.add('w1-a');
+    return edge;
+  }
+
+  test('are tried one at a time, and rarely', async () => {
+    const edge = edgeWithDarkHome();
+    await edge.clock.advance(300);
+    expect(edge.place(edge.plan())?.upstream.id.startsWith('e')).toBe(true);
+    edge.homeProbes.sent();
+    expect(edge.place(edge.plan())?.upstream.id).toBe('w1-a');
+    await edge.clock.advance(2_000);
+    expect(edge.place(edge.plan())?.upstream.id.startsWith('e')).toBe(true);
+  });
+
+  test('are all tried again once one of them has answered', async () => {
+    const edge = edgeWithDarkHome();
+    await edge.clock.advance(300);
+    edge.homeProbes.sent();
+    edge.homeProbes.answered();
+    const drawn = edge.drawn(edge.plan(), 60);
+    expect([...drawn].every((id) => id.startsWith('e'))).toBe(true);
+  });
+
+  test('hold no request up while the link is full', () => {
+    const edge = edgeWithDarkHome();
+    const plan = edge.plan();
+    edge.crossing.sent(plan, 200_000);
+    expect(edge.place(plan)).toBeUndefined();
+    expect(edge.lack(plan).cause).toBe('region-link-full');
+  });
+
+  test('are tried where no other region is allowed', () => {
+    const edge = edgeWithDarkHome();
+    edge.homeProbes.sent();
+    const plan = edge.plan({allowedRegions: ['east']});
+    expect(edge.place(plan)?.upstream.id.startsWith('e')).toBe(true);
+  });
+});
+
 describe('A fleet of one region', () => {
   const REGIONS: Record<string, string>[] = [
     {},
@@ -191,7 +236,7 @@
   ];
 
   test.each(REGIONS)('chooses plain upstreams alike (%j)', (byHall) => {
-    const edge = new RegionEdge(byHall);
+    const edge = new RegionEdge({byHall});
     const random = new Random(3);
     const reference = new Random(7);
     for (const hall of [...HALLS, ...HALLS.slice(1)]) {
@@ -205,7 +250,7 @@
   });
 
   test.each(REGIONS)('chooses engines and copies alike (%j)', (byHall) => {
-    const edge = new RegionEdge(byHall);
+    const edge = new RegionEdge({byHall});
     const random = new Random(5);
     for (const hall of [...HALLS, ...HALLS.slice(1)]) {
       edge.add(`${hall}-${edge.pool.all().length}`);
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -15,6 +15,8 @@
 import {PacedColdStarts} from '../../ColdStarts';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import type {EdgeUpstream} from '../../EdgeUpstream';
+import {HomeProbes} from '../../HomeProbes';
+import type {RegionCrossingParts} from '../../RegionCrossing';
 import {RegionCrossing} from '../../RegionCrossing';
 import type {Plan} from '../../RequestPlan';
 import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
@@ -66,31 +68,52 @@
 
 const URGENT: Sending = {bodyBytes: 1_000, givesWay: false};
 
-/** See the module comment. It stands in hall `e1`. */
+/** Makes the crossing of an edge; a test may put another one in its place. */
+export type CrossingOf = (parts: RegionCrossingParts) => RegionCrossing;
+
+/** What several edges of one test share, and where one of them stands. */
+export interface RegionEdgeFields {
+  readonly byHall: Readonly<Record<string, string>>;
+  readonly clock: ManualClock;
+  readonly hall: string;
+  readonly random: Random;
+  /** Edges of its region. */
+  readonly edges: number;
+  readonly crossingOf: CrossingOf;
+}
+
+/** See the module comment. It stands in hall `e1` unless said otherwise. */
 export class RegionEdge {
-  readonly clock = new ManualClock();
-  readonly random = new Random(7);
+  readonly clock: ManualClock;
+  readonly random: Random;
   readonly pool: UpstreamPool;
   readonly log = new KeptDecisionLog();
   readonly crossing: RegionCrossing;
+  readonly homeProbes: HomeProbes;
   /** What the newest configuration allows. */
   newest: readonly string[] | undefined;
   private readonly parts: SelectionParts;
 
-  constructor(
-    byHall: Readonly<Record<string, string>> = TWO_REGIONS,
+  constructor({
+    byHall = TWO_REGIONS,
+    clock = new ManualClock(),
+    crossingOf = (parts) => new RegionCrossing(parts),
     edges = 38,
-  ) {
-    const {clock, random} = this;
+    hall = 'e1',
+    random = new Random(7),
+  }: Partial<RegionEdgeFields> = {}) {
+    this.clock = clock;
+    this.random = random;
     const regions = new Regions(byHall);
     this.pool = new UpstreamPool(clock, this.log);
-    this.crossing = new RegionCrossing({
+    this.crossing = crossingOf({
       clock,
       edges: () => edges,
       episodes: new CrossingEpisodes(clock, this.log),
-      hall: 'e1',
+      hall,
       regions,
     });
+    this.homeProbes = new HomeProbes(clock);
     this.parts = {
       coldAdmission: new PacedColdStarts({
         box: 'b',
@@ -100,7 +123,8 @@
       }),
       crossing: this.crossing,
       engineChoice: new ExpectedTime(),
-      hall: 'e1',
+      hall,
+      homeProbes: this.homeProbes,
       newestRegions: () => this.newest,
       plainChoice: new ShorterWait(random),
       pool: this.pool,
