--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -20,6 +20,7 @@
   Evacuations,
   FleetConfiguration,
   HandOver,
+  Regions,
 } from 'puffinturn-fleet';
 import {
   applyChange,
@@ -36,6 +37,7 @@
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
 import {PacedColdStarts} from './ColdStarts';
+import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
 import {headerBytes, HttpListener} from './EdgeHttp';
@@ -43,7 +45,10 @@
 import {EdgeNews} from './EdgeNews';
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
+import {HomeProbes} from './HomeProbes';
 import {Neighbours} from './Neighbours';
+import {RegionCrossing} from './RegionCrossing';
+import {RegionTraffic} from './RegionTraffic';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
@@ -65,6 +70,8 @@
   readonly callers: HttpAddress;
   readonly ready: HttpAddress & {readonly path: string};
   readonly metrics: HttpAddress & {readonly path: string};
+  /** The region of each hall; they may change. */
+  readonly regions: Regions;
 }
 
 /** Without an answer by barrier, an edge is ready after this time, ms. */
@@ -97,6 +104,7 @@
   readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
   private readonly totals: Totals;
+  private readonly episodes: CrossingEpisodes;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
   private readonly forwarding: ForwardingParts;
@@ -117,7 +125,7 @@
   private wasReady = false;
 
   private constructor(private readonly parts: EdgeParts) {
-    const {clock, link, log, random, self} = parts;
+    const {clock, link, log, random, regions, self} = parts;
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
     this.pool = new UpstreamPool(clock, log);
@@ -127,6 +135,7 @@
       link,
       log,
       news: new EdgeNews(this),
+      regions,
       seeds: parts.seeds,
       self,
     });
@@ -139,14 +148,17 @@
       link,
       log,
       peers: () => this.peers,
+      regions,
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
+    this.episodes = new CrossingEpisodes(clock, log);
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
       inTouch: () => this.watch.inTouch,
       link,
       needsState: () => this.needsState,
+      regions,
       self,
       state: () => this.state(),
       take: (state, source) => this.takeOver(state, source),
@@ -160,13 +172,24 @@
         peers: () => this.peers,
         tolerance: parts.coldTolerance,
       }),
+      crossing: new RegionCrossing({
+        clock,
+        edges: () => this.edgesOfRegion,
+        episodes: this.episodes,
+        hall: self.hall,
+        regions,
+      }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
+      homeProbes: new HomeProbes(clock),
       log,
       metrics: this.metrics,
+      newestRegions: (route, team) => this.table?.allowedRegions(route, team),
       plainChoice: new ShorterWait(random),
       pool: this.pool,
       random,
+      regionTraffic: new RegionTraffic(this.metrics),
+      regions,
       retryBudgets: new RetryBudgets(
         parts.retryBound,
         () => this.peers.length + 1,
@@ -286,6 +309,7 @@
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
     await this.totals[Symbol.asyncDispose]();
+    await this.episodes[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
@@ -323,6 +347,25 @@
     this.handedOver = true;
   }
 
+  /** How many edges the own region has, this one included. */
+  private get edgesOfRegion(): number {
+    const {regions, self} = this.parts;
+    const near = this.peers.filter(({hall}) =>
+      regions.areTogether(self.hall, hall),
+    );
+    return near.length + 1;
+  }
+
+  /** Bytes of calls, and of answers to calls, to boxes of other regions. */
+  private get bytesToOtherRegions(): number {
+    const {link, regions, self} = this.parts;
+    const away = this.boxes.filter(
+      ({hall}) => !regions.areTogether(self.hall, hall),
+    );
+    const sent = link.sentByPeer();
+    return away.reduce((sum, {box}) => sum + (sent.get(box) ?? 0), 0);
+  }
+
   private controls(): string[] {
     const {controls, leader} = this.watch;
     return leader === undefined || !controls.includes(leader)
@@ -391,12 +434,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {allowance, charged, inTouch, open, registry} = this.metrics;
+    const {allowance, charged, inTouch, open, regionCalls, registry} =
+      this.metrics;
     if (request.url !== this.parts.metrics.path) {
       response.writeHead(404).end();
       return;
     }
     open.set(this.open);
+    regionCalls.set(this.bytesToOtherRegions);
     inTouch.set(this.watch.inTouch ? 1 : 0);
     for (const tokens of this.allowances.status()) {
       const {held, reserved, team} = tokens;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -31,6 +31,7 @@
 import {Exchange} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
 import {PromptReading} from './PromptReading';
+import type {RegionTraffic} from './RegionTraffic';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
 import {RequestTokens} from './RequestTokens';
@@ -39,8 +40,8 @@
 import type {Totals} from './Totals';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
-import type {SelectionParts} from './UpstreamSelection';
-import {selectUpstream} from './UpstreamSelection';
+import type {SelectionParts, Sending} from './UpstreamSelection';
+import {lackOf, selectUpstream} from './UpstreamSelection';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts extends SelectionParts {
@@ -51,6 +52,7 @@
   readonly dialect: CallerDialect;
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
+  readonly regionTraffic: RegionTraffic;
 }
 
 /** Time after a deadline at which the final answer is sent, ms. */
@@ -181,9 +183,15 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.final.ended) {
-      const placement = selectUpstream(this.parts, plan, this.tried);
+      const sending: Sending = {
+        bodyBytes: this.body.length,
+        givesWay: this.table.givesWay(plan.route),
+      };
+      const {parts, tried} = this;
+      const placement = selectUpstream(parts, plan, tried, sending);
       if (placement === undefined) {
-        this.final.giveUp('no-upstream', this.mayHaveRun);
+        const {cause, retryAfterS} = lackOf(parts, plan, sending);
+        this.final.giveUp(cause, this.mayHaveRun, retryAfterS);
         return;
       }
       if (this.leftMs(plan.route) < LEAST_LEFT_MS) {
@@ -227,6 +235,14 @@
     if (upstream.cold) {
       this.parts.coldAdmission.sent(upstream);
     }
+    if (this.parts.crossing.isAway(upstream.record.hall)) {
+      this.parts.crossing.sent(plan, this.body.length);
+      this.parts.metrics.regionRequests.inc({service: plan.service.name});
+    }
+    const {doubtful} = upstream;
+    if (doubtful) {
+      this.parts.homeProbes.sent();
+    }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
     const exchange = new Exchange({
       body: this.body,
@@ -248,6 +264,9 @@
     this.exchange = exchange;
     const outcome = await exchange.outcome;
     reading.end(outcome.kind === 'answer');
+    if (doubtful && outcome.kind === 'answer') {
+      this.parts.homeProbes.answered();
+    }
     if (outcome.kind !== 'answer') {
       upstream.inFlight -= 1;
     }
@@ -330,9 +349,13 @@
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
+    const {socket} = answer;
     const ended = await relay
       .pass(answer, exchange, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
+    if (this.parts.crossing.isAway(upstream.record.hall)) {
+      this.parts.regionTraffic.count(socket);
+    }
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
