--- a/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
@@ -228,6 +228,34 @@
   });
 });
 
+describe('A region that returns cold', () => {
+  test('serves what it bears, and the other one the rest', async () => {
+    const coldStart = {durationMs: 3_000, requestsPerSecond: 9.9};
+    const edge = new RegionEdge();
+    const home = edge.add('e1-a');
+    edge.add('w1-a');
+    const plan = edge.plan({service: {...PLAIN, coldStart}});
+    const sentIn = async (ms: number) => {
+      const counts = {away: 0, home: 0};
+      for (let at = 0; at < ms; at += 20) {
+        const upstream = edge.place(plan)?.upstream;
+        if (upstream?.cold === true) {
+          edge.coldAdmission.sent(upstream);
+        }
+        counts[upstream === home ? 'home' : 'away'] += 1;
+        await edge.clock.advance(20);
+      }
+      return counts;
+    };
+    home.turnsCold(edge.clock.now() + coldStart.durationMs);
+    const cold = await sentIn(3_000);
+    expect(cold.home).toBeGreaterThan(0);
+    expect(cold.home).toBeLessThan(35);
+    expect(cold.away).toBeGreaterThan(100);
+    expect((await sentIn(1_000)).away).toBe(0);
+  });
+});
+
 describe('A fleet of one region', () => {
   const REGIONS: Record<string, string>[] = [
     {},
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -90,6 +90,7 @@
   readonly log = new KeptDecisionLog();
   readonly crossing: RegionCrossing;
   readonly homeProbes: HomeProbes;
+  readonly coldAdmission: PacedColdStarts;
   /** What the newest configuration allows. */
   newest: readonly string[] | undefined;
   private readonly parts: SelectionParts;
@@ -114,13 +115,14 @@
       regions,
     });
     this.homeProbes = new HomeProbes(clock);
+    this.coldAdmission = new PacedColdStarts({
+      box: 'b',
+      clock,
+      peers: () => [],
+      tolerance: {extra: 0, overage: 1},
+    });
     this.parts = {
-      coldAdmission: new PacedColdStarts({
-        box: 'b',
-        clock,
-        peers: () => [],
-        tolerance: {extra: 0, overage: 1},
-      }),
+      coldAdmission: this.coldAdmission,
       crossing: this.crossing,
       engineChoice: new ExpectedTime(),
       hall,
