--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -11,16 +11,20 @@
 
 import {KeptDecisionLog} from 'puffinturn-decisions';
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
-import {REPETITION} from 'puffinturn-fleet';
+import {Regions, REPETITION} from 'puffinturn-fleet';
 import {Random, SystemClock} from 'shared';
 
 import type {Allowances} from '../../Allowances';
 import {CallerDialect} from '../../CallerDialect';
 import {CallerRequest} from '../../CallerRequest';
 import {UnboundedColdStarts} from '../../ColdStarts';
+import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import type {ForwardingParts} from '../../Forwarding';
 import {Forwarding} from '../../Forwarding';
+import {HomeProbes} from '../../HomeProbes';
+import {RegionCrossing} from '../../RegionCrossing';
+import {RegionTraffic} from '../../RegionTraffic';
 import {RetryBudgets} from '../../RetryBudgets';
 import {RouteTable} from '../../RouteTable';
 import {Totals} from '../../Totals';
@@ -160,14 +164,25 @@
       allowances: {} as Allowances,
       clock: this.clock,
       coldAdmission: new UnboundedColdStarts(),
+      crossing: new RegionCrossing({
+        clock: this.clock,
+        edges: () => 1,
+        episodes: new CrossingEpisodes(this.clock, this.log),
+        hall: 'a',
+        regions: new Regions(),
+      }),
       dialect: new TestDialect(),
       engineChoice: choice,
       hall: 'a',
+      homeProbes: new HomeProbes(this.clock),
       log: this.log,
       metrics: this.metrics,
+      newestRegions: () => undefined,
       plainChoice: choice,
       pool: this.pool,
       random: this.random,
+      regionTraffic: new RegionTraffic(this.metrics),
+      regions: new Regions(),
       retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
       totals: this.totals,
       ...more(this),
--- a/packages/puffinturn-fleet/src/__tests__/unit/NewsInRegions.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/NewsInRegions.test.ts
@@ -39,6 +39,10 @@
   override configuration(): void {}
   override configurationChange(): void {}
   override evacuations(): void {}
+  override get rolloutRevision(): number {
+    return 0;
+  }
+  override rollouts(): void {}
   override upstreams(): void {}
   override boxes(): void {}
 }
