Carry roll-outs out at an edge

Which versions get requests by the state of the order, exposure out of grants that only grow, answers measured by the stable version's own, reports to the leader some times a second. News and hand-overs bring roll-outs; a lower revision changes nothing.

Ruled out: the first requests after each grant (bursts, and no rare route); a stop for good by one edge's own judgement (one broken upstream would keep a good version from being judged).

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -208,6 +208,30 @@
   readonly source: string;
 }
 
+/** Other versions of services may get requests, as this process knows it. */
+export interface RolloutsAdopted {
+  readonly event: 'rollouts-adopted';
+  readonly revision: number;
+  readonly former: number;
+  /** Each service with its versions and how far its roll-out is; some of many. */
+  readonly services: readonly string[];
+  /** The box that told. */
+  readonly source: string;
+}
+
+/** This edge sends nothing more to a new version, by what it has seen itself. */
+export interface ExposureStopped {
+  readonly event: 'exposure-stopped';
+  readonly service: string;
+  /** The number of the order. */
+  readonly number: number;
+  readonly version: string;
+  /** `run` for bad answers in a row, `share` for too many of them. */
+  readonly cause: string | undefined;
+  /** Requests that it had sent to that version. */
+  readonly exposed: number;
+}
+
 /** An upstream's registration changed. */
 export interface UpstreamChanged {
   readonly event: 'upstream-changed';
@@ -282,11 +306,13 @@
   | DependencyChanged
   | EvacuationDecided
   | EvacuationsAdopted
+  | ExposureStopped
   | GrantsCounted
   | LeaderHeard
   | ProcessChanged
   | RequestEnded
   | RoleChanged
+  | RolloutsAdopted
   | TokensCounted
   | TokensWrittenOff
   | UpstreamChanged
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -20,6 +20,7 @@
   Evacuations,
   FleetConfiguration,
   HandOver,
+  Rollouts,
 } from 'puffinturn-fleet';
 import {
   applyChange,
@@ -27,6 +28,7 @@
   FleetWatch,
   lifeOf,
   NO_EVACUATIONS,
+  NO_ROLLOUTS,
 } from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
@@ -41,6 +43,8 @@
 import {headerBytes, HttpListener} from './EdgeHttp';
 import {EdgeMetrics} from './EdgeMetrics';
 import {EdgeNews} from './EdgeNews';
+import {ExposureExchange} from './ExposureExchange';
+import {Exposures} from './Exposures';
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
 import {Neighbours} from './Neighbours';
@@ -96,6 +100,8 @@
   readonly metrics = new EdgeMetrics();
   readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
+  private readonly exposures: Exposures;
+  private readonly exposureExchange: ExposureExchange;
   private readonly totals: Totals;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
@@ -140,6 +146,21 @@
       log,
       peers: () => this.peers,
     });
+    this.exposures = new Exposures({
+      clock,
+      log,
+      metrics: this.metrics,
+      pool: this.pool,
+      random,
+    });
+    this.exposureExchange = new ExposureExchange({
+      box: self.box,
+      clock,
+      controls: () => this.controls(),
+      exposures: this.exposures,
+      life: lifeOf(self),
+      link,
+    });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.neighbours = new Neighbours({
       clock,
@@ -162,6 +183,7 @@
       }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
+      exposures: this.exposures,
       log,
       metrics: this.metrics,
       plainChoice: new ShorterWait(random),
@@ -246,6 +268,16 @@
     });
   }
 
+  /** The revision of the roll-outs in force here. */
+  get rolloutRevision(): number {
+    return this.exposures.rollouts.revision;
+  }
+
+  /** Puts roll-outs in force, unless newer ones are. */
+  rollOut(found: Rollouts, source: string): void {
+    this.exposures.adopt(found, source);
+  }
+
   /** Takes over who else is alive. */
   learnBoxes(records: readonly BoxRecord[]): void {
     this.boxes = records;
@@ -287,6 +319,7 @@
     );
     await this.totals[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
+    await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
     this.pool[Symbol.dispose]();
@@ -310,6 +343,7 @@
           boxes: this.boxes,
           configuration,
           evacuations: this.pool.evacuations,
+          rollouts: this.exposures.rollouts,
           upstreams: this.pool.records(),
         };
   }
@@ -317,6 +351,7 @@
   private takeOver(state: HandOver, source: string): void {
     this.learnBoxes(state.boxes);
     this.watch.learn(state.boxes);
+    this.rollOut(state.rollouts ?? NO_ROLLOUTS, source);
     this.pool.merge(state.upstreams, source);
     this.configure(state.configuration, source);
     this.evacuate(state.evacuations ?? NO_EVACUATIONS, source);
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -28,6 +28,18 @@
     name: 'puffinturn_edge_attempts_total',
     registers: [this.registry],
   });
+  readonly exposed = new Counter({
+    help: 'Requests sent to a version that a roll-out moves to, by service',
+    labelNames: ['service'],
+    name: 'puffinturn_edge_exposed_total',
+    registers: [this.registry],
+  });
+  readonly exposureGranted = new Gauge({
+    help: 'Requests that the newest roll-out of a service may expose here, in all',
+    labelNames: ['service'],
+    name: 'puffinturn_edge_exposure_granted',
+    registers: [this.registry],
+  });
   readonly firstByte = new Histogram({
     buckets: LATENCY_BUCKETS_S,
     help: 'Time to the first byte of an answer by route, s',
--- a/packages/puffinturn-edge/src/EdgeNews.ts
+++ b/packages/puffinturn-edge/src/EdgeNews.ts
@@ -11,6 +11,7 @@
   ConfigurationChange,
   Evacuations,
   FleetConfiguration,
+  Rollouts,
   UpstreamRecord,
 } from 'puffinturn-fleet';
 import {FleetNews} from 'puffinturn-fleet';
@@ -46,6 +47,14 @@
     this.edge.evacuate(found, source);
   }
 
+  override get rolloutRevision(): number {
+    return this.edge.rolloutRevision;
+  }
+
+  override rollouts(found: Rollouts, source: string): void {
+    this.edge.rollOut(found, source);
+  }
+
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     this.edge.pool.merge(records, source);
   }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -30,6 +30,7 @@
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
+import type {Observation} from './Observation';
 import {PromptReading} from './PromptReading';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
@@ -69,6 +70,7 @@
   private exchange: Exchange | undefined;
   private relay: AnswerRelay | undefined;
   private upstream: EdgeUpstream | undefined;
+  private observation: Observation | undefined;
   private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
@@ -220,6 +222,9 @@
       this.parts.coldAdmission.sent(upstream);
     }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
+    const {exposures} = this.parts;
+    const observation = exposures.sent(plan, upstream, reading.unread);
+    this.observation = observation;
     const exchange = new Exchange({
       body: this.body,
       headers: headersFor({
@@ -240,6 +245,7 @@
     this.exchange = exchange;
     const outcome = await exchange.outcome;
     reading.end(outcome.kind === 'answer');
+    observation.began(outcome);
     if (outcome.kind !== 'answer') {
       upstream.inFlight -= 1;
     }
@@ -322,9 +328,16 @@
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
+    const {events: eventsBefore} = relay;
     const ended = await relay
       .pass(answer, exchange, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
+    this.observation?.ended({
+      end: ended,
+      events: relay.events - eventsBefore,
+      status,
+      timedOut: this.final.cause === 'timeout',
+    });
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
--- a/packages/puffinturn-edge/src/PromptReading.ts
+++ b/packages/puffinturn-edge/src/PromptReading.ts
@@ -36,6 +36,11 @@
     upstream.pendingTokens += this.tokens;
   }
 
+  /** Tokens to be read before the first word, those of prompts ahead included. */
+  get unread(): number {
+    return this.ahead + this.tokens;
+  }
+
   /** Ends it; an upstream that answered has shown how fast it is. */
   end(answered: boolean): void {
     const {upstream} = this.placement;
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -137,6 +137,15 @@
     return errorRate > greyErrorRate(this.serving(record.service));
   }
 
+  /** Requests of this edge open at upstreams of any version but the given one. */
+  openBesides(service: string, version: string): number {
+    const upstreams = [...(this.byService.get(service) ?? []), ...this.retired];
+    return upstreams
+      .filter(({record}) => record.service === service)
+      .filter(({record}) => record.version !== version)
+      .reduce((sum, {inFlight}) => sum + inFlight, 0);
+  }
+
   /** Every upstream known. */
   all(): EdgeUpstream[] {
     return [...this.byId.values()];
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -14,6 +14,7 @@
 
 import type {ColdAdmission} from './ColdStarts';
 import type {EdgeUpstream} from './EdgeUpstream';
+import type {Exposures} from './Exposures';
 import type {Plan} from './RequestPlan';
 import type {Placement, UpstreamChoice} from './UpstreamChoice';
 import type {UpstreamPool} from './UpstreamPool';
@@ -27,6 +28,7 @@
   readonly engineChoice: UpstreamChoice;
   readonly plainChoice: UpstreamChoice;
   readonly coldAdmission: ColdAdmission;
+  readonly exposures: Exposures;
 }
 
 /** Part of the requests that a grey upstream still gets. */
@@ -38,9 +40,25 @@
   plan: Plan,
   tried: ReadonlySet<EdgeUpstream>,
 ): Placement | undefined {
-  const {engineChoice, hall, plainChoice, pool} = parts;
+  const serving = parts.pool.serving(plan.service.name);
+  const isFirst = tried.size === 0;
+  for (const group of parts.exposures.groupsFor(plan, serving, isFirst)) {
+    const placement = selectFrom(parts, plan, tried, group);
+    if (placement !== undefined) {
+      return placement;
+    }
+  }
+  return undefined;
+}
+
+function selectFrom(
+  parts: SelectionParts,
+  plan: Plan,
+  tried: ReadonlySet<EdgeUpstream>,
+  serving: readonly EdgeUpstream[],
+): Placement | undefined {
+  const {engineChoice, hall, plainChoice} = parts;
   const {parts: prompt, service} = plan;
-  const serving = pool.serving(service.name);
   const untried = serving
     .filter((upstream) => !tried.has(upstream))
     .filter((upstream) => mayBear(parts, plan, upstream));
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -19,6 +19,7 @@
 import {CallerRequest} from '../../CallerRequest';
 import {UnboundedColdStarts} from '../../ColdStarts';
 import {EdgeMetrics} from '../../EdgeMetrics';
+import {Exposures} from '../../Exposures';
 import type {ForwardingParts} from '../../Forwarding';
 import {Forwarding} from '../../Forwarding';
 import {RetryBudgets} from '../../RetryBudgets';
@@ -137,6 +138,13 @@
   readonly metrics = new EdgeMetrics();
   readonly pool = new UpstreamPool(this.clock, this.log);
   private readonly random = new Random(5);
+  readonly exposures = new Exposures({
+    clock: this.clock,
+    log: this.log,
+    metrics: this.metrics,
+    pool: this.pool,
+    random: this.random,
+  });
   private readonly totals = new Totals(this.clock, this.log, () => []);
   private readonly agent = new Agent();
   private readonly server: Server;
@@ -162,6 +170,7 @@
       coldAdmission: new UnboundedColdStarts(),
       dialect: new TestDialect(),
       engineChoice: choice,
+      exposures: this.exposures,
       hall: 'a',
       log: this.log,
       metrics: this.metrics,
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -106,6 +106,13 @@
 
   override evacuations(): void {}
 
+  /** The log brings roll-outs too. */
+  override get rolloutRevision(): number {
+    return Infinity;
+  }
+
+  override rollouts(): void {}
+
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     for (const record of records) {
       this.control.hearUpstream(record, source);
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -25,6 +25,7 @@
 import type {Evacuations} from './Evacuations';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+import type {Rollouts} from './Rollouts';
 import type {UpstreamRecord} from './Upstreams';
 
 /**
@@ -70,6 +71,9 @@
   /** The revision of the evacuations held. */
   abstract get evacuationRevision(): number;
   abstract evacuations(found: Evacuations, source: string): void;
+  /** The revision of the roll-outs held. */
+  abstract get rolloutRevision(): number;
+  abstract rollouts(found: Rollouts, source: string): void;
   abstract upstreams(records: readonly UpstreamRecord[], source: string): void;
   abstract boxes(records: readonly BoxRecord[], source: string): void;
 }
@@ -280,6 +284,7 @@
       from: self,
       hearsLeader: !watched.unfit,
       incarnation: watched.incarnation,
+      rolloutRevision: news.rolloutRevision,
       upstreamsRevision: watched.upstreamsRevision,
       // Held back for longer, it would keep an overdue version from being asked
       // for: changes came up to 3.2 s late while the first control box was cut off.
@@ -318,6 +323,10 @@
     if (evacuations !== undefined && evacuations !== null) {
       news.evacuations(evacuations, watched.box);
     }
+    const {rollouts} = reply;
+    if (rollouts !== undefined && rollouts !== null) {
+      news.rollouts(rollouts, watched.box);
+    }
     if (reply.upstreams.length > 0) {
       news.upstreams(reply.upstreams, watched.box);
     }
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -67,6 +67,12 @@
     this.evacuated = found;
   }
 
+  override get rolloutRevision(): number {
+    return 0;
+  }
+
+  override rollouts(): void {}
+
   override upstreams(records: readonly UpstreamRecord[]): void {
     this.found.push(...records);
   }
