Make an edge's roll-outs before it asks for news

The watch asks at once which revision is held; the commit before did not start as a process. A test opens a whole edge over a network in memory.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -127,6 +127,14 @@
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
     this.pool = new UpstreamPool(clock, log);
+    // The watch asks at once which roll-outs are held.
+    this.exposures = new Exposures({
+      clock,
+      log,
+      metrics: this.metrics,
+      pool: this.pool,
+      random,
+    });
     this.watch = new FleetWatch({
       askedAtOnce: CONTROLS_ASKED,
       clock,
@@ -146,13 +154,6 @@
       log,
       peers: () => this.peers,
     });
-    this.exposures = new Exposures({
-      clock,
-      log,
-      metrics: this.metrics,
-      pool: this.pool,
-      random,
-    });
     this.exposureExchange = new ExposureExchange({
       box: self.box,
       clock,
