Let former upstreams serve what new ones don't bear until an edge has shifted

While shifting, new upstreams that are cold bear few requests; the others were refused though the former upstreams still run. From 500 ms without need on the edge says that it has shifted and takes them only where no new one serves.

--- a/packages/puffinturn-edge/src/ExposureAccount.ts
+++ b/packages/puffinturn-edge/src/ExposureAccount.ts
@@ -50,6 +50,12 @@
  */
 const FIRST_STOP_MS = 2_000;
 
+/**
+ * An edge has shifted once no request had to go to the former version for this time,
+ * ms: some reports in a row, so that a gap between two requests is not taken for it.
+ */
+const SHIFT_SETTLE_MS = 500;
+
 /** Time in which what is granted should be used, ms: two reports or so. */
 const USE_WITHIN_MS = 500;
 
@@ -149,6 +155,8 @@
   private arrived = 0;
   private stop: ExposureStop | undefined;
   private stops = 0;
+  private reserveAt = -Infinity;
+  private shifted = false;
   private stoppedUntil = -Infinity;
   private readonly routes = new Map<string, ExposedRoute>();
   private readonly tallies = new Map<string, Tally>();
@@ -218,6 +226,22 @@
     this.requests += 1;
   }
 
+  /** Whether no new request goes to the former version as long as the new one serves. */
+  get hasShifted(): boolean {
+    return this.shifted;
+  }
+
+  /** Notes that while shifting a request had to go to the former version. */
+  sentToReserve(): void {
+    this.reserveAt = this.clock.now();
+  }
+
+  /** Shifts for good once the former version was not needed for a while. */
+  settleShift(): boolean {
+    this.shifted ||= this.clock.now() - this.reserveAt >= SHIFT_SETTLE_MS;
+    return this.shifted;
+  }
+
   /** Counts a request that reached another version. */
   reachedOther(): void {
     this.requests += 1;
--- a/packages/puffinturn-edge/src/Exposures.ts
+++ b/packages/puffinturn-edge/src/Exposures.ts
@@ -121,6 +121,10 @@
     }
     const {account, use} = exposed;
     const usual = servedBy(use, serving);
+    if (use.reserve !== undefined && account?.hasShifted === false) {
+      // The former upstreams still run: better there than refused, as by cold ones.
+      return [usual, ofVersion(serving, use.reserve)];
+    }
     if (use.trial === undefined || account === undefined || !isFirst) {
       return [usual];
     }
@@ -140,7 +144,10 @@
     if (exposed === undefined || version === undefined) {
       return SILENT;
     }
-    const {account, expectations, versions} = exposed;
+    const {account, expectations, use, versions} = exposed;
+    if (version === use.reserve) {
+      account?.sentToReserve();
+    }
     if (account?.targetVersion === version) {
       account.sentToTarget();
       this.parts.metrics.exposed.inc({service: service.name});
@@ -165,11 +172,14 @@
       if (account !== undefined) {
         const {pool} = this.parts;
         const target = ofVersion(pool.serving(service), account.targetVersion);
-        const shifts = use.main === account.targetVersion;
+        const shifts =
+          use.main === account.targetVersion &&
+          target.length > 0 &&
+          account.settleShift();
         reports.push(
           account.report({
             openAtFormer: pool.openBesides(service, account.targetVersion),
-            shifted: shifts && target.length > 0,
+            shifted: shifts,
           }),
         );
       }
--- a/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
@@ -256,6 +256,9 @@
     expect(exposures.reports()[0]).toMatchObject({shifted: false});
     pool.merge(upstreams(5, 'v2'), 'c1');
     expect(await versions(50)).toEqual(['v2']);
+    // The former version was needed within the last 500 ms.
+    expect(exposures.reports()[0]).toMatchObject({shifted: false});
+    expect(await versions(60)).toEqual(['v2']);
     const [former] = pool.serving('s');
     if (former !== undefined) {
       former.inFlight += 2;
@@ -269,6 +272,27 @@
     expect(exposures.active).toBe(false);
   });
 
+  test('while new upstreams bear few requests, the former ones serve the others', async () => {
+    const cold = upstreams(1, 'v2').map((record) => {
+      return {...record, coldMs: 3_000};
+    });
+    const {clock, exposures, pool, versions} = start([
+      ...upstreams(5, 'v1'),
+      ...cold,
+    ]);
+    const shifted = () => exposures.reports()[0]?.shifted;
+    exposures.adopt(rolloutsOf(2, 'shifting'), 'c1');
+    expect(await versions(200)).toEqual(['v1', 'v2']);
+    expect(shifted()).toBe(false);
+    await clock.advance(3_000);
+    expect(await versions(50)).toEqual(['v2']);
+    expect(shifted()).toBe(true);
+    // From then on the former ones may stop at any time.
+    const again = cold.map((record) => ({...record, sequence: 2}));
+    pool.merge(again, 'c1');
+    expect(await versions(50)).toEqual(['v2', undefined]);
+  });
+
   test('a former upstream that left still counts while requests are open there', async () => {
     const {exposures, pool} = start(BOTH);
     exposures.adopt(rolloutsOf(2, 'shifting'), 'c1');
