--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -31,6 +31,7 @@
   linkOfReplicas,
   NO_EVACUATIONS,
   UPSTREAM_STATE,
+  UpstreamTable,
 } from '../../index';
 import {configurationOf, upstreamOf} from '../utils/FleetFixture';
 
@@ -302,6 +303,34 @@
     expect(news.held?.version).toBe(9);
   });
 
+  test('ends with the newest life of an upstream, whoever hears which words', async () => {
+    const {clock, control, network, watchFrom} = await startFleet();
+    const {news} = watchFrom('e1:1');
+    await clock.advance(1_000);
+    const former = upstreamOf({bornAt: 1_000, sequence: 70});
+    const next = upstreamOf({bornAt: 2_000, sequence: 1, version: 'v2'});
+    control('c1:1').hearUpstream(former);
+    await clock.advance(500);
+    // The new life is heard of on one side of a cut, late words on the other one.
+    network.partition(['c3:1'], ['c1:1', 'c2:1']);
+    control('c1:1').hearUpstream(next);
+    control('c3:1').hearUpstream({...former, sequence: 71});
+    control('c3:1').removeUpstream('i-1', 1_000);
+    await clock.advance(1_000);
+    network.heal();
+    control('c2:1').hearUpstream({...former, sequence: 72});
+    control('c2:1').removeUpstream('i-1', 1_000);
+    await clock.advance(5_000);
+    const edge = new UpstreamTable();
+    for (const record of news.found) {
+      edge.merge(record, 0);
+    }
+    for (const box of CONTROLS) {
+      expect(control(box).upstreams.get('i-1')).toMatchObject(next);
+    }
+    expect(edge.get('i-1')).toMatchObject(next);
+  });
+
   test('sends an edge the change from the version that it holds', async () => {
     const {clock, control, watchFrom} = await startFleet();
     const {news} = watchFrom('e1:1');
