--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamLives.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamLives.test.ts
@@ -169,9 +169,8 @@
     second.answer = stream('id: 2\ndata: b\n\n', true);
     serving.pool.merge([first.record({bornAt: 1_000})], 'c1');
     const answer = serving.ask('chat');
-    await until(() => first.seen.length === 1);
     // The event is passed on before the new life is heard of.
-    await new Promise((resolve) => setTimeout(resolve, 100));
+    await until(() => serving.received > 0);
     const gone = {bornAt: 2_000, state: UPSTREAM_STATE.gone};
     serving.pool.merge([second.record(), first.record(gone)], 'c1');
     expect(await answer).toEqual({
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -137,6 +137,8 @@
   readonly log = new KeptDecisionLog();
   readonly metrics = new EdgeMetrics();
   readonly pool = new UpstreamPool(this.clock, this.log);
+  /** Bytes of answers that callers have got. */
+  received = 0;
   private readonly random = new Random(5);
   readonly exposures = new Exposures({
     clock: this.clock,
@@ -214,7 +216,10 @@
       sent.on('response', (answer) => {
         const chunks: Buffer[] = [];
         answer.on('error', () => undefined);
-        answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+        answer.on('data', (chunk: Buffer) => {
+          this.received += chunk.length;
+          chunks.push(chunk);
+        });
         answer.on('close', () =>
           resolve({
             body: Buffer.concat(chunks).toString(),
