--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -21,6 +21,7 @@
   FleetConfiguration,
   HandOver,
   Regions,
+  Rollouts,
 } from 'puffinturn-fleet';
 import {
   applyChange,
@@ -28,6 +29,7 @@
   FleetWatch,
   lifeOf,
   NO_EVACUATIONS,
+  NO_ROLLOUTS,
 } from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
@@ -43,6 +45,8 @@
 import {headerBytes, HttpListener} from './EdgeHttp';
 import {EdgeMetrics} from './EdgeMetrics';
 import {EdgeNews} from './EdgeNews';
+import {ExposureExchange} from './ExposureExchange';
+import {Exposures} from './Exposures';
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
 import {HomeProbes} from './HomeProbes';
@@ -103,6 +107,8 @@
   readonly metrics = new EdgeMetrics();
   readonly pool: UpstreamPool;
   private readonly allowances: Allowances;
+  private readonly exposures: Exposures;
+  private readonly exposureExchange: ExposureExchange;
   private readonly totals: Totals;
   private readonly episodes: CrossingEpisodes;
   private readonly watch: FleetWatch;
@@ -129,6 +135,14 @@
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
     this.pool = new UpstreamPool(clock, log);
+    // The watch asks at once which roll-outs are held.
+    this.exposures = new Exposures({
+      clock,
+      log,
+      metrics: this.metrics,
+      pool: this.pool,
+      random,
+    });
     this.watch = new FleetWatch({
       askedAtOnce: CONTROLS_ASKED,
       clock,
@@ -150,6 +164,14 @@
       peers: () => this.peers,
       regions,
     });
+    this.exposureExchange = new ExposureExchange({
+      box: self.box,
+      clock,
+      controls: () => this.controls(),
+      exposures: this.exposures,
+      life: lifeOf(self),
+      link,
+    });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.episodes = new CrossingEpisodes(clock, log);
     this.neighbours = new Neighbours({
@@ -182,6 +204,7 @@
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
       homeProbes: new HomeProbes(clock),
+      exposures: this.exposures,
       log,
       metrics: this.metrics,
       newestRegions: (route, team) => this.table?.allowedRegions(route, team),
@@ -269,6 +292,16 @@
     });
   }
 
+  /** The revision of the roll-outs in force here. */
+  get rolloutRevision(): number {
+    return this.exposures.rollouts.revision;
+  }
+
+  /** Puts roll-outs in force, unless newer ones are. */
+  rollOut(found: Rollouts, source: string): void {
+    this.exposures.adopt(found, source);
+  }
+
   /** Takes over who else is alive. */
   learnBoxes(records: readonly BoxRecord[]): void {
     this.boxes = records;
@@ -311,6 +344,7 @@
     await this.totals[Symbol.asyncDispose]();
     await this.episodes[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
+    await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
     this.pool[Symbol.dispose]();
@@ -334,6 +368,7 @@
           boxes: this.boxes,
           configuration,
           evacuations: this.pool.evacuations,
+          rollouts: this.exposures.rollouts,
           upstreams: this.pool.records(),
         };
   }
@@ -341,6 +376,7 @@
   private takeOver(state: HandOver, source: string): void {
     this.learnBoxes(state.boxes);
     this.watch.learn(state.boxes);
+    this.rollOut(state.rollouts ?? NO_ROLLOUTS, source);
     this.pool.merge(state.upstreams, source);
     this.configure(state.configuration, source);
     this.evacuate(state.evacuations ?? NO_EVACUATIONS, source);
--- a/packages/puffinturn-edge/src/EdgeNews.ts
+++ b/packages/puffinturn-edge/src/EdgeNews.ts
@@ -11,6 +11,7 @@
   ConfigurationChange,
   Evacuations,
   FleetConfiguration,
+  Rollouts,
   UpstreamRecord,
 } from 'puffinturn-fleet';
 import {FleetNews} from 'puffinturn-fleet';
@@ -46,12 +47,13 @@
     this.edge.evacuate(found, source);
   }
 
-  /** Edges do not tell versions apart yet. */
   override get rolloutRevision(): number {
-    return Infinity;
+    return this.edge.rolloutRevision;
   }
 
-  override rollouts(): void {}
+  override rollouts(found: Rollouts, source: string): void {
+    this.edge.rollOut(found, source);
+  }
 
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     this.edge.pool.merge(records, source);
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -30,6 +30,7 @@
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
+import type {Observation} from './Observation';
 import {PromptReading} from './PromptReading';
 import type {RegionTraffic} from './RegionTraffic';
 import type {Plan} from './RequestPlan';
@@ -71,6 +72,7 @@
   private exchange: Exchange | undefined;
   private relay: AnswerRelay | undefined;
   private upstream: EdgeUpstream | undefined;
+  private observation: Observation | undefined;
   private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
@@ -244,6 +246,9 @@
       this.parts.homeProbes.sent();
     }
     const reading = new PromptReading(this.parts.clock, placement, plan.parts);
+    const {exposures} = this.parts;
+    const observation = exposures.sent(plan, upstream, reading.unread);
+    this.observation = observation;
     const exchange = new Exchange({
       body: this.body,
       headers: headersFor({
@@ -267,6 +272,7 @@
     if (doubtful && outcome.kind === 'answer') {
       this.parts.homeProbes.answered();
     }
+    observation.began(outcome);
     if (outcome.kind !== 'answer') {
       upstream.inFlight -= 1;
     }
@@ -350,12 +356,19 @@
     const relay = this.relayFor(plan, answer);
     const status = answer.statusCode ?? 0;
     const {socket} = answer;
+    const {events: eventsBefore} = relay;
     const ended = await relay
       .pass(answer, exchange, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
     if (this.parts.crossing.isAway(upstream.record.hall)) {
       this.parts.regionTraffic.count(socket);
     }
+    this.observation?.ended({
+      end: ended,
+      events: relay.events - eventsBefore,
+      status,
+      timedOut: this.final.cause === 'timeout',
+    });
     switch (ended) {
       case RELAY.whole:
         if (status < 500) {
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -16,6 +16,7 @@
 import type {ColdAdmission} from './ColdStarts';
 import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
+import type {Exposures} from './Exposures';
 import type {HomeProbes} from './HomeProbes';
 import type {RegionCrossing} from './RegionCrossing';
 import type {Plan} from './RequestPlan';
@@ -31,6 +32,7 @@
   readonly engineChoice: UpstreamChoice;
   readonly plainChoice: UpstreamChoice;
   readonly coldAdmission: ColdAdmission;
+  readonly exposures: Exposures;
   readonly regions: Regions;
   readonly crossing: RegionCrossing;
   readonly homeProbes: HomeProbes;
@@ -64,9 +66,26 @@
   tried: ReadonlySet<EdgeUpstream>,
   sending: Sending,
 ): Placement | undefined {
-  const {engineChoice, hall, plainChoice, pool} = parts;
+  const serving = parts.pool.serving(plan.service.name);
+  const isFirst = tried.size === 0;
+  for (const group of parts.exposures.groupsFor(plan, serving, isFirst)) {
+    const placement = selectFrom(parts, plan, tried, sending, group);
+    if (placement !== undefined) {
+      return placement;
+    }
+  }
+  return undefined;
+}
+
+function selectFrom(
+  parts: SelectionParts,
+  plan: Plan,
+  tried: ReadonlySet<EdgeUpstream>,
+  sending: Sending,
+  serving: readonly EdgeUpstream[],
+): Placement | undefined {
+  const {engineChoice, hall, plainChoice} = parts;
   const {parts: prompt, service} = plan;
-  const serving = pool.serving(service.name);
   const allowed = allowedOf(parts, plan, serving);
   const reached = inReach(parts, allowed, sending);
   const untried = reached
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -14,7 +14,9 @@
 import type {PromptPart} from '../../CallerDialect';
 import {PacedColdStarts} from '../../ColdStarts';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
+import {EdgeMetrics} from '../../EdgeMetrics';
 import type {EdgeUpstream} from '../../EdgeUpstream';
+import {Exposures} from '../../Exposures';
 import {HomeProbes} from '../../HomeProbes';
 import type {RegionCrossingParts} from '../../RegionCrossing';
 import {RegionCrossing} from '../../RegionCrossing';
@@ -125,6 +127,13 @@
       coldAdmission: this.coldAdmission,
       crossing: this.crossing,
       engineChoice: new ExpectedTime(),
+      exposures: new Exposures({
+        clock,
+        log: this.log,
+        metrics: new EdgeMetrics(),
+        pool: this.pool,
+        random,
+      }),
       hall,
       homeProbes: this.homeProbes,
       newestRegions: () => this.newest,
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -20,6 +20,7 @@
 import {UnboundedColdStarts} from '../../ColdStarts';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
+import {Exposures} from '../../Exposures';
 import type {ForwardingParts} from '../../Forwarding';
 import {Forwarding} from '../../Forwarding';
 import {HomeProbes} from '../../HomeProbes';
@@ -140,7 +141,16 @@
   readonly log = new KeptDecisionLog();
   readonly metrics = new EdgeMetrics();
   readonly pool = new UpstreamPool(this.clock, this.log);
+  /** Bytes of answers that callers have got. */
+  received = 0;
   private readonly random = new Random(5);
+  readonly exposures = new Exposures({
+    clock: this.clock,
+    log: this.log,
+    metrics: this.metrics,
+    pool: this.pool,
+    random: this.random,
+  });
   private readonly totals = new Totals(this.clock, this.log, () => []);
   private readonly agent = new Agent();
   private readonly server: Server;
@@ -173,6 +183,7 @@
       }),
       dialect: new TestDialect(),
       engineChoice: choice,
+      exposures: this.exposures,
       hall: 'a',
       homeProbes: new HomeProbes(this.clock),
       log: this.log,
@@ -220,7 +231,10 @@
       sent.on('response', (answer) => {
         const chunks: Buffer[] = [];
         answer.on('error', () => undefined);
-        answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+        answer.on('data', (chunk: Buffer) => {
+          this.received += chunk.length;
+          chunks.push(chunk);
+        });
         answer.on('close', () =>
           resolve({
             body: Buffer.concat(chunks).toString(),
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -101,7 +101,7 @@
 
   override evacuations(): void {}
 
-  /** And roll-outs. */
+  /** The log brings roll-outs too. */
   override get rolloutRevision(): number {
     return Infinity;
   }
