Count a request's time from when it came, and refuse one that is read too late

The presumed arrival is a request's start: deadline, time-out, the time that upstreams are told of. One with less than half of its time left is refused before any work: 503, read-late, Connection: close.

--- a/packages/puffinturn-edge/src/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/CallerRequest.ts
@@ -62,8 +62,6 @@
   readonly method: string;
   /** Path and query as they came. */
   readonly path: string;
-  /** When its head was read, monotonic ms. */
-  readonly startedAt: number;
   /** Whether the connection ends with this answer. */
   closing = false;
 
@@ -71,11 +69,11 @@
     readonly incoming: IncomingMessage,
     readonly response: ServerResponse,
     private readonly names: HeaderNames,
-    now: number,
+    /** When it presumably came, monotonic ms; a busy edge reads it later. */
+    readonly startedAt: number,
   ) {
     this.method = incoming.method ?? 'GET';
     this.path = incoming.url ?? '/';
-    this.startedAt = now;
     this.id = this.header(names.requestId) ?? '';
   }
 
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -32,6 +32,7 @@
 import type {Clock, Random} from 'shared';
 
 import {Allowances} from './Allowances';
+import type {BacklogWatch} from './BacklogWatch';
 import type {CallerDialect} from './CallerDialect';
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
@@ -101,6 +102,8 @@
   private readonly neighbours: Neighbours;
   private readonly forwarding: ForwardingParts;
   private readonly listeners: HttpListener[] = [];
+  /** How long callers wait to be read; nothing is known before all listen. */
+  private backlog: BacklogWatch | undefined;
   private readonly startedAt: number;
   /** The other edges. */
   private peers: readonly BoxRecord[] = [];
@@ -191,6 +194,7 @@
           edge.answerMetrics(request, response),
         ),
       );
+      edge.backlog = edge.listeners[0]?.watchBacklog(parts.clock);
       return ok<Edge, HttpListenFailure>(edge);
     });
   }
@@ -282,6 +286,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.backlog?.[Symbol.dispose]();
     await Promise.all(
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
@@ -334,7 +339,8 @@
     const {clock, dialect} = this.parts;
     const now = clock.now();
     this.lastRequestAt = now;
-    const caller = new CallerRequest(request, response, dialect.headers, now);
+    const came = this.backlog?.arrivalOf(request.socket) ?? now;
+    const caller = new CallerRequest(request, response, dialect.headers, came);
     caller.closing = this.stopping;
     request.on('error', () => undefined);
     response.on('error', () => undefined);
@@ -391,12 +397,14 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {allowance, charged, inTouch, open, registry} = this.metrics;
+    const {allowance, backlogAge, charged, inTouch, open, registry} =
+      this.metrics;
     if (request.url !== this.parts.metrics.path) {
       response.writeHead(404).end();
       return;
     }
     open.set(this.open);
+    backlogAge.set((this.backlog?.ageMs ?? 0) / 1_000);
     inTouch.set(this.watch.inTouch ? 1 : 0);
     for (const tokens of this.allowances.status()) {
       const {held, reserved, team} = tokens;
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -37,6 +37,12 @@
 /** `Retry-After` of a request that came to an edge about to end, s. */
 export const RETRY_AFTER_STOPPING_S = 0.05;
 
+/**
+ * `Retry-After` of a request that was read too late, s. Its next try goes to
+ * another edge, and has little time.
+ */
+export const RETRY_AFTER_READ_LATE_S = 0.05;
+
 /** `Retry-After` while a dependency is missing, s. */
 export const RETRY_AFTER_MISSING_S = 1;
 
--- a/packages/puffinturn-edge/src/EdgeHttp.ts
+++ b/packages/puffinturn-edge/src/EdgeHttp.ts
@@ -12,9 +12,11 @@
 import type {ResultAsync} from 'neverthrow';
 import {ResultAsync as Async} from 'neverthrow';
 import type {CallerLimits} from 'puffinturn-fleet';
-import type {Failure} from 'shared';
+import type {Clock, Failure} from 'shared';
 import {describeError} from 'shared';
 
+import {BacklogWatch} from './BacklogWatch';
+
 /** An IP address and port. */
 export interface HttpAddress {
   readonly host: string;
@@ -75,6 +77,11 @@
     this.server.requestTimeout = 0;
   }
 
+  /** Follows how long connections wait here before they are accepted. */
+  watchBacklog(clock: Clock): BacklogWatch {
+    return new BacklogWatch(this.server, clock);
+  }
+
   /** Ends connections on which no request is open. */
   closeIdle(): void {
     this.server.closeIdleConnections();
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -40,6 +40,11 @@
     name: 'puffinturn_edge_open_requests',
     registers: [this.registry],
   });
+  readonly backlogAge = new Gauge({
+    help: 'Longest time that a connection accepted now has waited, s',
+    name: 'puffinturn_edge_backlog_age_seconds',
+    registers: [this.registry],
+  });
   readonly configurationVersion = new Gauge({
     help: 'Version of the configuration in force',
     name: 'puffinturn_edge_configuration_version',
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -24,7 +24,11 @@
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
-import {MAX_UNSENT, RETRY_AFTER_TOKENS_S} from './EdgeConstants';
+import {
+  MAX_UNSENT,
+  RETRY_AFTER_READ_LATE_S,
+  RETRY_AFTER_TOKENS_S,
+} from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
@@ -59,6 +63,12 @@
 /** Least time left with which a request is sent to an upstream, ms. */
 const LEAST_LEFT_MS = 10;
 
+/**
+ * Least part of the time a request may take that must be left as it is read. With
+ * less its caller is better off with a refusal now and another edge.
+ */
+const LEAST_LEFT_PART = 0.5;
+
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
 
@@ -91,7 +101,6 @@
       this.note();
       return;
     }
-    this.plan = plan;
     const givesWay = this.table.givesWay(plan.route);
     const tokens = new RequestTokens(this.parts.allowances, plan, givesWay);
     this.caller.response.once('close', () => this.callerClosed());
@@ -124,12 +133,27 @@
       this.final.refuse(status, cause, retryAfterS);
       return undefined;
     }
+    this.plan = plan.value;
+    if (this.isReadLate(plan.value.route)) {
+      this.caller.closing = true;
+      this.final.refuse(503, 'read-late', RETRY_AFTER_READ_LATE_S);
+      return undefined;
+    }
     return plan.value;
   }
 
-  private leftMs({timeoutMs}: Route): number {
-    const limit = Math.min(timeoutMs, this.caller.deadlineMs ?? Infinity);
-    return limit - (this.parts.clock.now() - this.caller.startedAt);
+  /** Whether too much of its time went by before the request was read. */
+  private isReadLate(route: Route): boolean {
+    return this.leftMs(route) < this.limitMs(route) * LEAST_LEFT_PART;
+  }
+
+  private leftMs(route: Route): number {
+    const passed = this.parts.clock.now() - this.caller.startedAt;
+    return this.limitMs(route) - passed;
+  }
+
+  private limitMs({timeoutMs}: Route): number {
+    return Math.min(timeoutMs, this.caller.deadlineMs ?? Infinity);
   }
 
   private async readBody(): Promise<boolean> {
