--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -236,6 +236,28 @@
   readonly leader: string | undefined;
 }
 
+/** An edge reads requests late, or does so no more. */
+export interface BacklogChanged {
+  readonly event: 'backlog-changed';
+  /** `behind` or `caught-up`. */
+  readonly phase: string;
+  /** The greatest time that a connection accepted now has waited. */
+  readonly ageMs: number;
+  /** Requests being served. */
+  readonly open: number;
+}
+
+/** An edge leaves new connections to the others of its hall, or may not. */
+export interface StepAsideDecided {
+  readonly event: 'step-aside-decided';
+  /** `aside`, `refused` by the others, or `back`. */
+  readonly outcome: string;
+  readonly ageMs: number;
+  /** How many of the others agreed, and how many were asked. */
+  readonly agreed: number;
+  readonly asked: number;
+}
+
 /** Start, stop, reload and readiness of the process itself. */
 export interface ProcessChanged {
   readonly event: 'process-changed';
@@ -248,6 +270,7 @@
   | AllowanceMoved
   | AnswersCounted
   | AttemptFailed
+  | BacklogChanged
   | ChangeDecided
   | ConfigurationAdopted
   | ConfigurationOverdue
@@ -259,6 +282,7 @@
   | ProcessChanged
   | RequestEnded
   | RoleChanged
+  | StepAsideDecided
   | TokensCounted
   | TokensWrittenOff
   | UpstreamChanged
--- a/packages/puffinturn-edge/src/BacklogWatch.ts
+++ b/packages/puffinturn-edge/src/BacklogWatch.ts
@@ -49,6 +49,8 @@
   constructor(
     private readonly server: Server,
     private readonly clock: Clock,
+    /** Told the greatest age after each turn that is looked at. */
+    private readonly observe: (ageMs: number) => void,
   ) {
     this.backlog = new AcceptBacklog(clock);
     server.on('connection', this.accept);
@@ -103,6 +105,7 @@
     if (this.backlog.turned()) {
       this.look();
     }
+    this.observe(this.ageMs);
     const pausing = this.clock.now() - this.markedAt < MARK_EVERY_MS;
     if (this.ageMs > 0 && !pausing && this.marks.length < MAX_MARKS) {
       this.makeMark();
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -32,6 +32,7 @@
 import type {Clock, Random} from 'shared';
 
 import {Allowances} from './Allowances';
+import {BacklogLines} from './BacklogLines';
 import type {BacklogWatch} from './BacklogWatch';
 import type {CallerDialect} from './CallerDialect';
 import {CallerRequest} from './CallerRequest';
@@ -48,6 +49,7 @@
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
+import {StepAside} from './StepAside';
 import {Totals} from './Totals';
 import {ExpectedTime, ShorterWait} from './UpstreamChoice';
 import {UpstreamPool} from './UpstreamPool';
@@ -100,6 +102,7 @@
   private readonly totals: Totals;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
+  private readonly stepAside: StepAside;
   private readonly forwarding: ForwardingParts;
   private readonly listeners: HttpListener[] = [];
   /** How long callers wait to be read; nothing is known before all listen. */
@@ -154,6 +157,15 @@
       state: () => this.state(),
       take: (state, source) => this.takeOver(state, source),
     });
+    this.stepAside = new StepAside({
+      ageMs: () => this.backlog?.ageMs ?? 0,
+      clock,
+      edges: () => this.peers,
+      link,
+      log,
+      ready: () => this.serves,
+      self,
+    });
     this.forwarding = {
       allowances: this.allowances,
       clock,
@@ -194,7 +206,10 @@
           edge.answerMetrics(request, response),
         ),
       );
-      edge.backlog = edge.listeners[0]?.watchBacklog(parts.clock);
+      const lines = new BacklogLines(parts.log);
+      edge.backlog = edge.listeners[0]?.watchBacklog(parts.clock, (ageMs) =>
+        lines.update(ageMs, edge.open),
+      );
       return ok<Edge, HttpListenFailure>(edge);
     });
   }
@@ -206,6 +221,11 @@
 
   /** Whether this edge should get new connections. */
   get ready(): boolean {
+    return this.serves && !this.stepAside.aside;
+  }
+
+  /** Whether this edge can serve and means to go on. */
+  private get serves(): boolean {
     if (this.stopping || this.table === undefined) {
       return false;
     }
@@ -293,6 +313,7 @@
     await this.totals[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
+    await this.stepAside[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
     this.pool[Symbol.dispose]();
   }
--- a/packages/puffinturn-edge/src/EdgeHttp.ts
+++ b/packages/puffinturn-edge/src/EdgeHttp.ts
@@ -77,9 +77,15 @@
     this.server.requestTimeout = 0;
   }
 
-  /** Follows how long connections wait here before they are accepted. */
-  watchBacklog(clock: Clock): BacklogWatch {
-    return new BacklogWatch(this.server, clock);
+  /**
+   * Follows how long connections wait here before they are accepted; `observe`
+   * is told the age of the oldest after each turn that is looked at.
+   */
+  watchBacklog(
+    clock: Clock,
+    observe: (ageMs: number) => void = () => undefined,
+  ): BacklogWatch {
+    return new BacklogWatch(this.server, clock, observe);
   }
 
   /** Ends connections on which no request is open. */
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -23,6 +23,7 @@
   greet: 'fleet-greet',
   handOver: 'fleet-hand-over',
   read: 'fleet-read',
+  stepAside: 'fleet-step-aside',
   watch: 'fleet-watch',
 } as const;
 
@@ -193,6 +194,14 @@
   readonly needsState: boolean;
 }
 
+/**
+ * Whether the asking edge, which is behind, may leave new connections to the others
+ * of its hall for a while; asked for by an empty question.
+ */
+export interface StepAsideReply {
+  readonly agreed: boolean;
+}
+
 /** What an edge serves from, handed to one that can't reach the core. */
 export interface HandOver {
   readonly configuration: FleetConfiguration;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -55,6 +55,7 @@
   HandOver,
   LoanOutcome,
   ReadReply,
+  StepAsideReply,
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
