--- a/packages/puffinturn-cli/src/Explanation.ts
+++ b/packages/puffinturn-cli/src/Explanation.ts
@@ -37,9 +37,11 @@
 
 /** Events about the box that served the request. */
 const BOX_EVENTS: ReadonlySet<string> = new Set([
+  'backlog-changed',
   'configuration-adopted',
   'dependency-changed',
   'process-changed',
+  'step-aside-decided',
 ]);
 
 /** Reads the lines of every file in a folder. */
--- a/packages/puffinturn-edge/src/AcceptBacklog.ts
+++ b/packages/puffinturn-edge/src/AcceptBacklog.ts
@@ -34,6 +34,12 @@
  */
 export const NEGLIGIBLE_AGE_MS = 150;
 
+/** Least time between two marks, ms; one costs a turn that would accept a caller. */
+export const MARK_EVERY_MS = 200;
+
+/** How finely ages are known, ms: a small part of any deadline. */
+export const TOLD_APART_MS = NEGLIGIBLE_AGE_MS + MARK_EVERY_MS;
+
 /** See the module comment. */
 export class AcceptBacklog {
   /** What is accepted from now on came no earlier. */
--- a/packages/puffinturn-edge/src/BacklogWatch.ts
+++ b/packages/puffinturn-edge/src/BacklogWatch.ts
@@ -16,17 +16,11 @@
 import type {Clock} from 'shared';
 
 import type {Arrival, BacklogMark} from './AcceptBacklog';
-import {AcceptBacklog} from './AcceptBacklog';
+import {AcceptBacklog, MARK_EVERY_MS} from './AcceptBacklog';
 
 /** How often the loop is looked at where no connection calls for it, ms. */
 const LOOK_MS = 50;
 
-/**
- * Least time between two marks, ms: how finely ages are told apart, a small part
- * of any deadline. A mark costs a turn that would accept a caller.
- */
-const MARK_EVERY_MS = 200;
-
 /** Marks that wait at a time; more would say nothing new of so long a queue. */
 const MAX_MARKS = 64;
 
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -35,6 +35,7 @@
 import {Exchange} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
 import {PromptReading} from './PromptReading';
+import {isReadLate} from './ReadLateness';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
 import {RequestTokens} from './RequestTokens';
@@ -63,12 +64,6 @@
 /** Least time left with which a request is sent to an upstream, ms. */
 const LEAST_LEFT_MS = 10;
 
-/**
- * Least part of the time a request may take that must be left as it is read. With
- * less its caller is better off with a refusal now and another edge.
- */
-const LEAST_LEFT_PART = 0.5;
-
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
 
@@ -144,7 +139,8 @@
 
   /** Whether too much of its time went by before the request was read. */
   private isReadLate(route: Route): boolean {
-    return this.leftMs(route) < this.limitMs(route) * LEAST_LEFT_PART;
+    const limitMs = this.limitMs(route);
+    return isReadLate(limitMs - this.leftMs(route), limitMs, route);
   }
 
   private leftMs(route: Route): number {
