--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -35,6 +35,8 @@
 import type {Clock, Random} from 'shared';
 
 import {Allowances} from './Allowances';
+import {BacklogLines} from './BacklogLines';
+import type {BacklogWatch} from './BacklogWatch';
 import type {CallerDialect} from './CallerDialect';
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
@@ -56,6 +58,7 @@
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
+import {StepAside} from './StepAside';
 import {Totals} from './Totals';
 import {ExpectedTime, ShorterWait} from './UpstreamChoice';
 import {UpstreamPool} from './UpstreamPool';
@@ -113,8 +116,11 @@
   private readonly episodes: CrossingEpisodes;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
+  private readonly stepAside: StepAside;
   private readonly forwarding: ForwardingParts;
   private readonly listeners: HttpListener[] = [];
+  /** How long callers wait to be read; nothing is known before all listen. */
+  private backlog: BacklogWatch | undefined;
   private readonly startedAt: number;
   /** The other edges. */
   private peers: readonly BoxRecord[] = [];
@@ -185,6 +191,15 @@
       state: () => this.state(),
       take: (state, source) => this.takeOver(state, source),
     });
+    this.stepAside = new StepAside({
+      ageMs: () => this.backlog?.ageMs ?? 0,
+      clock,
+      edges: () => this.peers,
+      link,
+      log,
+      ready: () => this.serves,
+      self,
+    });
     this.forwarding = {
       allowances: this.allowances,
       clock,
@@ -237,6 +252,10 @@
           edge.answerMetrics(request, response),
         ),
       );
+      const lines = new BacklogLines(parts.log);
+      edge.backlog = edge.listeners[0]?.watchBacklog(parts.clock, (ageMs) =>
+        lines.update(ageMs, edge.open),
+      );
       return ok<Edge, HttpListenFailure>(edge);
     });
   }
@@ -248,6 +267,11 @@
 
   /** Whether this edge should get new connections. */
   get ready(): boolean {
+    return this.serves && !this.stepAside.aside;
+  }
+
+  /** Whether this edge can serve and means to go on. */
+  private get serves(): boolean {
     if (this.stopping || this.table === undefined) {
       return false;
     }
@@ -338,6 +362,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.backlog?.[Symbol.dispose]();
     await Promise.all(
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
@@ -346,6 +371,7 @@
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
+    await this.stepAside[Symbol.asyncDispose]();
     await this.watch[Symbol.asyncDispose]();
     this.pool[Symbol.dispose]();
   }
@@ -413,7 +439,8 @@
     const {clock, dialect} = this.parts;
     const now = clock.now();
     this.lastRequestAt = now;
-    const caller = new CallerRequest(request, response, dialect.headers, now);
+    const came = this.backlog?.arrivalOf(request.socket) ?? now;
+    const caller = new CallerRequest(request, response, dialect.headers, came);
     caller.closing = this.stopping;
     request.on('error', () => undefined);
     response.on('error', () => undefined);
@@ -470,14 +497,22 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const {allowance, charged, inTouch, open, regionCalls, registry} =
-      this.metrics;
+    const {
+      allowance,
+      backlogAge,
+      charged,
+      inTouch,
+      open,
+      regionCalls,
+      registry,
+    } = this.metrics;
     if (request.url !== this.parts.metrics.path) {
       response.writeHead(404).end();
       return;
     }
     open.set(this.open);
     regionCalls.set(this.bytesToOtherRegions);
+    backlogAge.set((this.backlog?.ageMs ?? 0) / 1_000);
     inTouch.set(this.watch.inTouch ? 1 : 0);
     for (const tokens of this.allowances.status()) {
       const {held, reserved, team} = tokens;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -24,7 +24,11 @@
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
-import {MAX_UNSENT, RETRY_AFTER_TOKENS_S} from './EdgeConstants';
+import {
+  MAX_UNSENT,
+  RETRY_AFTER_READ_LATE_S,
+  RETRY_AFTER_TOKENS_S,
+} from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
@@ -32,6 +36,7 @@
 import {FinalAnswer} from './FinalAnswer';
 import type {Observation} from './Observation';
 import {PromptReading} from './PromptReading';
+import {isReadLate} from './ReadLateness';
 import type {RegionTraffic} from './RegionTraffic';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
@@ -95,7 +100,6 @@
       this.note();
       return;
     }
-    this.plan = plan;
     const givesWay = this.table.givesWay(plan.route);
     const tokens = new RequestTokens(this.parts.allowances, plan, givesWay);
     this.caller.response.once('close', () => this.callerClosed());
@@ -128,12 +132,28 @@
       this.final.refuse(status, cause, retryAfterS);
       return undefined;
     }
+    this.plan = plan.value;
+    if (this.isReadLate(plan.value.route)) {
+      this.caller.closing = true;
+      this.final.refuse(503, 'read-late', RETRY_AFTER_READ_LATE_S);
+      return undefined;
+    }
     return plan.value;
   }
 
-  private leftMs({timeoutMs}: Route): number {
-    const limit = Math.min(timeoutMs, this.caller.deadlineMs ?? Infinity);
-    return limit - (this.parts.clock.now() - this.caller.startedAt);
+  /** Whether too much of its time went by before the request was read. */
+  private isReadLate(route: Route): boolean {
+    const limitMs = this.limitMs(route);
+    return isReadLate(limitMs - this.leftMs(route), limitMs, route);
+  }
+
+  private leftMs(route: Route): number {
+    const passed = this.parts.clock.now() - this.caller.startedAt;
+    return this.limitMs(route) - passed;
+  }
+
+  private limitMs({timeoutMs}: Route): number {
+    return Math.min(timeoutMs, this.caller.deadlineMs ?? Infinity);
   }
 
   private async readBody(): Promise<boolean> {
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -27,6 +27,7 @@
   handOver: 'fleet-hand-over',
   read: 'fleet-read',
   readRollout: 'fleet-read-rollout',
+  stepAside: 'fleet-step-aside',
   watch: 'fleet-watch',
 } as const;
 
@@ -203,6 +204,14 @@
   readonly needsState: boolean;
 }
 
+/**
+ * Whether the asking edge, which is behind, may leave new connections to the others
+ * of its hall for a while; asked for by an empty question.
+ */
+export interface StepAsideReply {
+  readonly agreed: boolean;
+}
+
 /** What an edge serves from, handed to one that can't reach the core. */
 export interface HandOver {
   readonly configuration: FleetConfiguration;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -57,6 +57,7 @@
   HandOver,
   LoanOutcome,
   ReadReply,
+  StepAsideReply,
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
