Leave time to shift, and let a new leader hear edges before it completes

The test that loses leaders again and again let 3 s pass without requests at each start, and so ended long after the deadline; it now keeps requests going and asks for the outcome before the deadline.

--- a/packages/puffinturn-fleet/src/RolloutConstants.ts
+++ b/packages/puffinturn-fleet/src/RolloutConstants.ts
@@ -107,6 +107,18 @@
  */
 export const LEAST_SHIFT_PART = 0.2;
 
+/**
+ * The part of its time that must be left for a shift, so that edges hear of it and what
+ * is open at the former version can end: it stops as the roll-out is completed.
+ */
+export const LEAST_TIME_TO_SHIFT_PART = 0.1;
+
+/**
+ * How long a new leader hears edges before it completes a roll-out whose time is over,
+ * ms: two reports of an edge, so that it does not complete what has turned bad.
+ */
+export const LEARN_MS = 500;
+
 /** An edge that has not reported for this long is not waited for, ms. */
 export const REPORTED_LATELY_MS = 1_500;
 
--- a/packages/puffinturn-fleet/src/RolloutCourse.ts
+++ b/packages/puffinturn-fleet/src/RolloutCourse.ts
@@ -42,6 +42,7 @@
   readonly ledger: ExposureLedger;
   private readonly comparison: VersionComparison;
   private shiftingSince: number | undefined;
+  private ledSince: number | undefined;
 
   constructor(
     private readonly versions: ServiceVersions & {readonly rollout: Rollout},
@@ -65,6 +66,7 @@
     if (state === ROLLOUT_STATE.shifting) {
       this.shiftingSince ??= now;
     }
+    this.ledSince ??= now;
     this.comparison.take(this.ledger.tallies);
     return verdictOn({
       answers: this.comparison.targetAnswers,
@@ -73,6 +75,7 @@
       elapsedMs,
       isShifted: this.isShifted(now),
       isSuspect: this.comparison.isSuspect,
+      ledMs: now - this.ledSince,
       routeAnswers: this.comparison.fewestOnMainRoute(MAIN_ROUTE_PART),
       ...this.answeredParts(),
       shiftingMs: now - (this.shiftingSince ?? now),
--- a/packages/puffinturn-fleet/src/RolloutVerdict.ts
+++ b/packages/puffinturn-fleet/src/RolloutVerdict.ts
@@ -8,6 +8,7 @@
 /** What becomes of a roll-out, from what its leader knows. */
 import {
   LATE_TRIAL_PART,
+  LEARN_MS,
   LEAST_ANSWERED_PART,
   LEAST_ANSWERS,
   LEAST_LATE_ANSWERS,
@@ -15,6 +16,7 @@
   LEAST_ROUTE_ANSWERS,
   LEAST_SHIFT_PART,
   LEAST_SLOTS_PART,
+  LEAST_TIME_TO_SHIFT_PART,
   TRIAL_PART,
   VERDICT_BEFORE_DEADLINE_MS,
 } from './RolloutConstants';
@@ -48,6 +50,8 @@
   readonly durationMs: number;
   /** Time since the order, ms. */
   readonly elapsedMs: number;
+  /** Time since this leader took the roll-out over, ms. */
+  readonly ledMs: number;
   /** Time since all requests were shifted, ms; 0 before. */
   readonly shiftingMs: number;
   /** Why the new version is bad, if it is. */
@@ -104,7 +108,7 @@
   if (isShifted && isTried && !isSuspect) {
     return {cause: VERDICT_CAUSE.shifted, state: ROLLOUT_STATE.completed};
   }
-  if (!isTimeOver(facts)) {
+  if (!isTimeOver(facts) || facts.ledMs < LEARN_MS) {
     return undefined;
   }
   // A bad version that serves on harms more than a good one that is ordered again.
@@ -116,8 +120,11 @@
 function isGood(facts: RolloutFacts): boolean {
   const {durationMs, elapsedMs, isSuspect} = facts;
   const isTried = elapsedMs >= TRIAL_PART * durationMs;
-  // Without time to shift it would only be half done at the deadline.
-  const isTooLate = isTimeOver(facts);
+  const timeToShiftMs = LEAST_TIME_TO_SHIFT_PART * durationMs;
+  const isTooLate = isTimeOver({
+    ...facts,
+    elapsedMs: elapsedMs + timeToShiftMs,
+  });
   return (
     isTried &&
     !isTooLate &&
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
@@ -5,7 +5,8 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import {ROLLOUT_STATE} from '../../index';
+import type {WatchReply, WatchRequest} from '../../index';
+import {BOX_ROLE, FLEET_SERVICE, ROLLOUT_STATE} from '../../index';
 import {
   BOUND,
   CONTROLS,
@@ -320,15 +321,18 @@
 
   test('ends by its deadline as leaders are lost again and again', async () => {
     const fleet = await ordered();
-    for (let at = 0; at < 5; at += 1) {
+    const before = fleet.clock.now();
+    for (let at = 0; at < 4; at += 1) {
       await fleet.run(1_500);
       const leader = fleet.leader();
       fleet.kill([leader]);
-      await fleet.run(600);
-      await fleet.startControls([leader]);
+      await fleet.run(500);
+      await fleet.startControls([leader], 0);
+      await fleet.run(500);
       expect(fleet.grantedBesidesLog).toBeLessThanOrEqual(0);
     }
-    await fleet.run(1_500);
+    await runToOutcome(fleet);
+    expect(fleet.clock.now() - before).toBeLessThan(DURATION_MS);
     expect(fleet.state()).toBe(ROLLOUT_STATE.completed);
     expect(fleet.overshoot).toBeLessThanOrEqual(0);
   });
@@ -371,6 +375,76 @@
   });
 });
 
+describe('A roll-out that all use, without a quorum at its deadline', () => {
+  test.each([
+    ['good', GOOD, ROLLOUT_STATE.completed],
+    ['bad', FAILING, ROLLOUT_STATE.rolledBack],
+  ] as const)(
+    'has an outcome later, where it is %s',
+    async (_, then, outcome) => {
+      const fleet = await ordered();
+      await fleet.run(7_800);
+      expect(fleet.state()).toBe(ROLLOUT_STATE.shifting);
+      fleet.behaviourOf = (version) => (version === 'v2' ? then : GOOD);
+      const leader = fleet.leader();
+      fleet.kill(CONTROLS.filter((box) => box !== leader));
+      await fleet.run(6_000);
+      expect(fleet.state()).toBe(ROLLOUT_STATE.shifting);
+      fleet.kill();
+      await fleet.run(100);
+      await fleet.startControls();
+      await fleet.run(3_000);
+      expect(fleet.state()).toBe(outcome);
+    },
+  );
+});
+
+describe('News of roll-outs', () => {
+  async function asked(fleet: RolloutFleet, fields: Partial<WatchRequest>) {
+    const request: WatchRequest = {
+      boxesRevision: -1,
+      brief: false,
+      configurationVersion: Infinity,
+      current: false,
+      evacuationRevision: Infinity,
+      from: {box: 'x:1', hall: 'z', incarnation: '1', role: BOX_ROLE.edge},
+      incarnation: '',
+      upstreamsRevision: 0,
+      waitMs: 0,
+      ...fields,
+    };
+    const link = fleet.network.connect('x:1');
+    const answer = await link.call('c1:1', FLEET_SERVICE.watch, request, 5_000);
+    return answer._unsafeUnwrap() as WatchReply;
+  }
+
+  test('reach a box that waits for them at once, and each once', async () => {
+    const fleet = await RolloutFleet.start();
+    const {incarnation, rollouts, upstreamsRevision} = await fleet.settle(
+      asked(fleet, {rolloutRevision: 0}),
+    );
+    expect(rollouts?.services[0]?.stableVersion).toBe('v1');
+    const waiting = asked(fleet, {
+      incarnation,
+      rolloutRevision: rollouts?.revision,
+      upstreamsRevision,
+      waitMs: 3_000,
+    });
+    await fleet.clock.advance(500);
+    const before = fleet.clock.now();
+    await fleet.order();
+    const news = await fleet.settle(waiting);
+    expect(fleet.clock.now() - before).toBeLessThan(500);
+    expect(news.rollouts?.services[0]?.rollout?.targetVersion).toBe('v2');
+  });
+
+  test('are not sent to a box of a former version', async () => {
+    const fleet = await RolloutFleet.start();
+    const reply = await fleet.settle(asked(fleet, {}));
+    expect(reply.rollouts ?? undefined).toBeUndefined();
+  });
+});
+
 describe('A roll-out after all power was lost', () => {
   test.each([
     ['exposing', 1_000, 1_000, ROLLOUT_STATE.completed],
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutVerdict.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutVerdict.test.ts
@@ -19,6 +19,7 @@
   elapsedMs: 7_500,
   isShifted: false,
   isSuspect: false,
+  ledMs: 7_000,
   routeAnswers: 20,
   shiftingMs: 0,
   stableAnswered: 1,
@@ -48,6 +49,7 @@
     ['with few answers', {answers: 20}],
     ['with few answers on a route', {routeAnswers: 3}],
     ['with most answers to come', {targetAnswered: 0.4}],
+    ['with too little time to shift', {elapsedMs: 10_200}],
     ['that is suspect', {isSuspect: true}],
     ['without upstreams', {targetSlots: 0}],
     ['without upstreams of either version', {stableSlots: 0, targetSlots: 0}],
@@ -98,6 +100,12 @@
     expect(over).toEqual({cause: 'time-over', state: completed});
   });
 
+  test('is open after the deadline until a new leader has heard edges', () => {
+    const unheard = {...SHIFTED, ...OVER, isShifted: false, ledMs: 250};
+    expect(verdictOn(unheard)).toBeUndefined();
+    expect(verdictOn({...unheard, ledMs: 600})?.state).toBe(completed);
+  });
+
   test('is open while it is suspect, and to roll back at the deadline', () => {
     const suspect = {...SHIFTED, isSuspect: true};
     expect(verdictOn(suspect)).toBeUndefined();
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -157,11 +157,14 @@
   }
 
   /** Starts the control boxes that are not running, from their disks. */
-  async startControls(boxes: readonly string[] = CONTROLS): Promise<void> {
+  async startControls(
+    boxes: readonly string[] = CONTROLS,
+    settleMs = 3_000,
+  ): Promise<void> {
     for (const box of boxes) {
       await this.startControl(box);
     }
-    await this.clock.advance(3_000);
+    await this.clock.advance(settleMs);
   }
 
   /** Ends control boxes at once; what they have not synced is lost. */
