--- /dev/null
+++ b/packages/puffinturn-fleet/src/AllowanceControl.ts
@@ -0,0 +1,82 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Exchanges of allowances at a control box: at the leader, through the log. */
+import type {DecisionLog, TeamAmount} from 'puffinturn-decisions';
+import {largestTeams} from 'puffinturn-decisions';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+
+import type {AllowanceOutcome} from './AllowanceLedger';
+import type {FleetMachine} from './FleetMachine';
+import type {AllowanceReply, AllowanceRequest} from './FleetMessages';
+import {FLEET_SERVICE} from './FleetMessages';
+import {GrantTotals} from './GrantTotals';
+import type {LeaderCalls} from './LeaderCalls';
+
+/** What an AllowanceControl is made of. */
+export interface AllowanceControlParts {
+  readonly clock: Clock;
+  readonly leader: LeaderCalls;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  readonly machine: FleetMachine;
+}
+
+/** See the module comment. */
+export class AllowanceControl implements AsyncDisposable {
+  private readonly grantTotals: GrantTotals;
+  private readonly handler: Disposable;
+
+  constructor(private readonly parts: AllowanceControlParts) {
+    const {clock, link, log, machine} = parts;
+    this.grantTotals = new GrantTotals(clock, log, machine);
+    this.handler = link.register(FLEET_SERVICE.allowance, (body) =>
+      this.exchange(body as AllowanceRequest),
+    );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.handler[Symbol.dispose]();
+    await this.grantTotals[Symbol.asyncDispose]();
+  }
+
+  private exchange(request: AllowanceRequest): Promise<AllowanceReply> {
+    const without = {grants: undefined};
+    return this.parts.leader.atLeader(
+      FLEET_SERVICE.allowance,
+      request,
+      without,
+      () => this.exchangeHere(request),
+    );
+  }
+
+  private async exchangeHere(
+    request: AllowanceRequest,
+  ): Promise<AllowanceReply> {
+    const outcome = await this.parts.leader.propose<AllowanceOutcome>({
+      ...request,
+      kind: 'allowance',
+    });
+    return outcome.match(
+      ({grants, writtenOff}) => {
+        this.noteWrittenOff(request.box, writtenOff ?? []);
+        this.grantTotals.count(request.asks.map(({team}) => team));
+        return {grants};
+      },
+      () => ({grants: undefined}),
+    );
+  }
+
+  private noteWrittenOff(edge: string, all: readonly TeamAmount[]): void {
+    if (all.length > 0) {
+      const amount = all.reduce((sum, team) => sum + team.amount, 0);
+      const teams = largestTeams(all, (team) => team.amount);
+      this.parts.log.note({amount, edge, event: 'tokens-written-off', teams});
+    }
+  }
+}
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -10,14 +10,13 @@
  * boxes, and exchanges allowances through the replicated log. Any control box
  * takes any call; what only the leader can do is passed on to it.
  */
-import type {DecisionLog, TeamAmount} from 'puffinturn-decisions';
-import {largestTeams} from 'puffinturn-decisions';
+import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition} from 'shared';
 import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import type {AllowanceOutcome} from './AllowanceLedger';
+import {AllowanceControl} from './AllowanceControl';
 import {BoxList, BoxTable} from './Boxes';
 import type {
   ConfigurationOutcome,
@@ -26,8 +25,6 @@
 import type {EvacuationOutcome} from './EvacuationRegister';
 import type {FleetMachine} from './FleetMachine';
 import type {
-  AllowanceReply,
-  AllowanceRequest,
   BoxRecord,
   ChangeReply,
   ChangeRequest,
@@ -39,7 +36,6 @@
 } from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
 import {FleetNews, FleetWatch} from './FleetWatch';
-import {GrantTotals} from './GrantTotals';
 import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
 import {RolloutControl} from './RolloutControl';
@@ -132,14 +128,14 @@
   private readonly leader: LeaderCalls;
   private readonly rollouts: RolloutControl;
   private readonly others: FleetWatch;
-  private readonly grantTotals: GrantTotals;
+  private readonly allowances: AllowanceControl;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
   constructor(private readonly parts: FleetControlParts) {
-    const {clock, link, log, machine} = parts;
-    this.grantTotals = new GrantTotals(clock, log, machine);
+    const {link} = parts;
     this.leader = new LeaderCalls(parts);
+    this.allowances = new AllowanceControl({...parts, leader: this.leader});
     this.answers = new WatchAnswers({
       ...parts,
       everyBox: this.everyBox,
@@ -151,11 +147,6 @@
         this.watch(body as WatchRequest),
       ),
     );
-    this.handlers.add(
-      link.register(FLEET_SERVICE.allowance, (body) =>
-        this.exchange(body as AllowanceRequest),
-      ),
-    );
     this.handlers.add(
       link.register(FLEET_SERVICE.change, (body) =>
         this.changeHere(body as ChangeRequest),
@@ -250,7 +241,7 @@
     await this.others[Symbol.asyncDispose]();
     await this.rollouts[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
-    await this.grantTotals[Symbol.asyncDispose]();
+    await this.allowances[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.changed.notify();
     await this.tasks[Symbol.asyncDispose]();
@@ -357,38 +348,6 @@
     return {current, document: current ? document : undefined};
   }
 
-  private exchange(request: AllowanceRequest): Promise<AllowanceReply> {
-    const without = {grants: undefined};
-    return this.leader.atLeader(FLEET_SERVICE.allowance, request, without, () =>
-      this.exchangeHere(request),
-    );
-  }
-
-  private async exchangeHere(
-    request: AllowanceRequest,
-  ): Promise<AllowanceReply> {
-    const outcome = await this.leader.propose<AllowanceOutcome>({
-      ...request,
-      kind: 'allowance',
-    });
-    return outcome.match(
-      ({grants, writtenOff}) => {
-        this.noteWrittenOff(request.box, writtenOff ?? []);
-        this.grantTotals.count(request.asks.map(({team}) => team));
-        return {grants};
-      },
-      () => ({grants: undefined}),
-    );
-  }
-
-  private noteWrittenOff(edge: string, all: readonly TeamAmount[]): void {
-    if (all.length > 0) {
-      const amount = all.reduce((sum, team) => sum + team.amount, 0);
-      const teams = largestTeams(all, (team) => team.amount);
-      this.parts.log.note({amount, edge, event: 'tokens-written-off', teams});
-    }
-  }
-
   /** Wakes up the questions that wait once a leader is lost or heard again. */
   private async followLeader(signal: AbortSignal): Promise<void> {
     const {changed, clock, replica} = this.parts;
--- a/packages/puffinturn-fleet/src/RolloutLeader.ts
+++ b/packages/puffinturn-fleet/src/RolloutLeader.ts
@@ -14,11 +14,11 @@
 import type {Replica} from 'puffinturn-log';
 import type {Clock} from 'shared';
 
+import {ExposureBlocks} from './ExposureBlocks';
 import type {FleetMachine} from './FleetMachine';
 import type {LeaderCalls} from './LeaderCalls';
 import type {RolloutClock} from './RolloutClock';
 import {
-  BLOCK_REQUESTS,
   ELAPSED_NOTE_MS,
   EXPOSURE_LINE_MS,
   STABLE_GATHER_MS,
@@ -53,10 +53,7 @@
 /** A course with what this leader has taken out of the log for it. */
 interface Led {
   readonly course: RolloutCourse;
-  /** The most that may be granted. */
-  block: number;
-  /** The record of the next block, while it is on its way. */
-  taking: Promise<boolean> | undefined;
+  readonly blocks: ExposureBlocks;
   /** Whether exposure may be granted, as of the last look. */
   mayExpose: boolean;
   lineAt: number;
@@ -138,50 +135,10 @@
     }
     const granted = ledger.grant(life);
     const {term} = this;
-    const holds = await this.holdsBlock(report.service, led);
+    const holds = await led.blocks.hold(ledger.granted);
     return holds && this.isLeaderOf(term) ? granted : undefined;
   }
 
-  /** Whether the log holds all that was granted, once the record is written. */
-  private async holdsBlock(service: string, led: Led): Promise<boolean> {
-    const needed = led.course.ledger.granted;
-    while (led.block < needed) {
-      led.taking ??= this.takeBlock(service, led);
-      if (!(await led.taking)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private async takeBlock(service: string, led: Led): Promise<boolean> {
-    const {budget, granted} = led.course.ledger;
-    const wanted = Math.max(
-      granted,
-      Math.min(budget, granted + BLOCK_REQUESTS),
-    );
-    const isHeld = await this.proposeProgress(service, led, wanted);
-    led.block = isHeld ? Math.max(led.block, wanted) : led.block;
-    led.taking = undefined;
-    return isHeld;
-  }
-
-  private async proposeProgress(
-    service: string,
-    {course}: Led,
-    granted: number,
-  ): Promise<boolean> {
-    const held = await this.parts.leader.propose({
-      counted: course.ledger.requests,
-      elapsedMs: this.parts.elapsed.elapsedOf(service) ?? 0,
-      granted,
-      kind: 'exposure-block',
-      number: course.number,
-      service,
-    });
-    return held.isOk();
-  }
-
   private isLeaderOf(term: number): boolean {
     const {replica} = this.parts;
     return replica.isLeader && replica.status().term === term;
@@ -286,7 +243,7 @@
   ): Promise<void> {
     const progress = this.parts.machine.rolloutProgressOf(service);
     if (elapsedMs - (progress?.elapsedMs ?? 0) >= ELAPSED_NOTE_MS) {
-      await this.proposeProgress(service, led, led.block);
+      await led.blocks.note();
     }
   }
 
@@ -320,15 +277,17 @@
     }
     const {counted = 0, granted = 0} =
       this.parts.machine.rolloutProgressOf(service) ?? {};
-    const base = {counted, granted};
-    const course = new RolloutCourse(versions, this.parts.bound, base);
-    const led: Led = {
-      block: granted,
-      course,
-      lineAt: -Infinity,
-      mayExpose: false,
-      taking: undefined,
-    };
+    const {bound, elapsed, leader} = this.parts;
+    const course = new RolloutCourse(versions, bound, {counted, granted});
+    const blocks = new ExposureBlocks({
+      elapsed,
+      granted,
+      leader,
+      ledger: course.ledger,
+      number: course.number,
+      service,
+    });
+    const led = {blocks, course, lineAt: -Infinity, mayExpose: false};
     this.led.set(service, led);
     return led;
   }
