--- a/packages/puffinturn-fleet/src/ExposureLedger.ts
+++ b/packages/puffinturn-fleet/src/ExposureLedger.ts
@@ -60,6 +60,11 @@
     return this.exposedByAll;
   }
 
+  /** Whether any edge has told this leader of its requests. */
+  get hasReports(): boolean {
+    return this.lives.size > 0;
+  }
+
   /** All that may have been granted, by any leader. */
   get granted(): number {
     return this.base.granted + this.ownGrants;
@@ -71,6 +76,13 @@
     return Math.floor(GRANTED_PART * (share * this.requests + extra));
   }
 
+  /** Whether this many further requests may all be exposed within the bound. */
+  mayExposeAll(further: number): boolean {
+    const {extra, share} = this.bound;
+    const exposed = this.granted + further;
+    return exposed <= share * (this.requests + further) + extra;
+  }
+
   /** Takes a report in. */
   take(life: string, report: ExposureReport, now: number): void {
     const known = this.lives.get(life);
--- a/packages/puffinturn-fleet/src/RolloutConstants.ts
+++ b/packages/puffinturn-fleet/src/RolloutConstants.ts
@@ -9,10 +9,10 @@
 
 /**
  * The part of the bounded share, and of the requests beyond it, that edges may be
- * granted while a version is tried. The rest is for what is sent between the first bad
- * answers and the verdict once all requests go to it.
+ * granted while a version is tried. The rest of the bound is for the shift, in which all
+ * requests go to the new version until it shows to be bad.
  */
-export const GRANTED_PART = 0.6;
+export const GRANTED_PART = 0.35;
 
 /** Grants that an edge may hold unused: enough for one exchange of a quiet edge. */
 export const LEAST_UNUSED_GRANTS = 4;
@@ -26,8 +26,11 @@
  */
 export const BLOCK_REQUESTS = 16;
 
-/** How often a leader looks at the roll-outs under way, ms. */
-export const STEP_MS = 250;
+/**
+ * How often a leader looks at the roll-outs under way, ms: a part of the time within
+ * which a version that fails under load must be found, as all requests go to it then.
+ */
+export const STEP_MS = 100;
 
 /** How often a box looks whether there are any, where nothing wakes it, ms. */
 export const IDLE_LOOK_MS = 1_000;
@@ -96,22 +99,27 @@
 export const LEAST_LATE_SLOTS_PART = 0.5;
 
 /**
- * A verdict falls this long before the deadline at the latest, ms: a record has to be
- * written and the operator has to read it in time, also beside one lost leader call.
+ * An outcome falls this long before the deadline at the latest, ms: a record has to be
+ * written and the operator has to read it in time.
  */
-export const VERDICT_BEFORE_DEADLINE_MS = 700;
+export const VERDICT_BEFORE_DEADLINE_MS = 500;
 
 /**
- * The part of its time that a version serves all requests for at least before it is
- * completed, as some fail under load only. Its former upstreams are there until then.
+ * A shift begins this long before the deadline where the bound leaves no time for an
+ * earlier one, ms: one second for a version that fails under load to be found, in which
+ * about the rest of the bound is used. What is open at the former version for longer
+ * breaks off.
  */
-export const LEAST_SHIFT_PART = 0.2;
+export const SHIFT_BEFORE_DEADLINE_MS = 1_500;
+
+/** Later than this before the deadline no shift begins, ms: edges have to hear of it. */
+export const LAST_SHIFT_BEFORE_DEADLINE_MS = 750;
 
 /**
- * The part of its time that must be left for a shift, so that edges hear of it and what
- * is open at the former version can end: it stops as the roll-out is completed.
+ * The part of its time that a version serves all requests for at least before it is
+ * completed early, as some fail under load only.
  */
-export const LEAST_TIME_TO_SHIFT_PART = 0.1;
+export const LEAST_SHIFT_PART = 0.1;
 
 /**
  * How long a new leader hears edges before it completes a roll-out whose time is over,
@@ -119,6 +127,9 @@
  */
 export const LEARN_MS = 500;
 
+/** How long it waits for the first of them, ms: edges may have started anew as well. */
+export const LEARN_WITHOUT_REPORTS_MS = 3_000;
+
 /** An edge that has not reported for this long is not waited for, ms. */
 export const REPORTED_LATELY_MS = 1_500;
 
@@ -147,7 +158,7 @@
 export const LEAST_SLOW_RATIO = 2;
 
 /** Steps with answers of the stable version that its rates are taken from. */
-export const STABLE_STEPS = 20;
+export const STABLE_STEPS = 50;
 
 /**
  * Log likelihood ratio from which on a version is bad. A good version with the normal
@@ -162,4 +173,4 @@
  * The most that one step adds, so that one upstream that breaks off all that it has at
  * once does not decide about its version.
  */
-export const MOST_PER_STEP = BAD_FROM / 2.5;
+export const MOST_PER_STEP = BAD_FROM * 0.6;
--- a/packages/puffinturn-fleet/src/RolloutCourse.ts
+++ b/packages/puffinturn-fleet/src/RolloutCourse.ts
@@ -15,6 +15,8 @@
 import {ExposureLedger} from './ExposureLedger';
 import {
   COLD_WAIT_PART,
+  LEARN_MS,
+  LEARN_WITHOUT_REPORTS_MS,
   MAIN_ROUTE_PART,
   REPORTED_LATELY_MS,
 } from './RolloutConstants';
@@ -43,6 +45,7 @@
   private readonly comparison: VersionComparison;
   private shiftingSince: number | undefined;
   private ledSince: number | undefined;
+  private heardSince: number | undefined;
 
   constructor(
     private readonly versions: ServiceVersions & {readonly rollout: Rollout},
@@ -67,6 +70,9 @@
       this.shiftingSince ??= now;
     }
     this.ledSince ??= now;
+    if (this.ledger.hasReports) {
+      this.heardSince ??= now;
+    }
     this.comparison.take(this.ledger.tallies);
     return verdictOn({
       answers: this.comparison.targetAnswers,
@@ -75,7 +81,8 @@
       elapsedMs,
       isShifted: this.isShifted(now),
       isSuspect: this.comparison.isSuspect,
-      ledMs: now - this.ledSince,
+      hasHeardEdges: this.hasHeardEdges(now),
+      restFits: this.restFits(elapsedMs),
       routeAnswers: this.comparison.fewestOnMainRoute(MAIN_ROUTE_PART),
       ...this.answeredParts(),
       shiftingMs: now - (this.shiftingSince ?? now),
@@ -99,6 +106,13 @@
     return this.comparison.figures();
   }
 
+  /** Whether all requests until the deadline, at the rate so far, may be exposed. */
+  private restFits(elapsedMs: number): boolean {
+    const leftMs = this.versions.rollout.durationMs - elapsedMs;
+    const rate = this.ledger.requests / Math.max(1, elapsedMs);
+    return this.ledger.mayExposeAll(rate * Math.max(0, leftMs));
+  }
+
   /** Answers to requests from before the order may make a part too large. */
   private answeredParts() {
     const {exposed, requests} = this.ledger;
@@ -109,6 +123,13 @@
     };
   }
 
+  private hasHeardEdges(now: number): boolean {
+    const {heardSince = Infinity, ledSince = Infinity} = this;
+    return (
+      now - heardSince >= LEARN_MS || now - ledSince >= LEARN_WITHOUT_REPORTS_MS
+    );
+  }
+
   private isShifted(now: number): boolean {
     const reports = this.ledger.reportsSince(now - REPORTED_LATELY_MS);
     return (
--- a/packages/puffinturn-fleet/src/RolloutVerdict.ts
+++ b/packages/puffinturn-fleet/src/RolloutVerdict.ts
@@ -7,8 +7,8 @@
 
 /** What becomes of a roll-out, from what its leader knows. */
 import {
+  LAST_SHIFT_BEFORE_DEADLINE_MS,
   LATE_TRIAL_PART,
-  LEARN_MS,
   LEAST_ANSWERED_PART,
   LEAST_ANSWERS,
   LEAST_LATE_ANSWERS,
@@ -16,7 +16,7 @@
   LEAST_ROUTE_ANSWERS,
   LEAST_SHIFT_PART,
   LEAST_SLOTS_PART,
-  LEAST_TIME_TO_SHIFT_PART,
+  SHIFT_BEFORE_DEADLINE_MS,
   TRIAL_PART,
   VERDICT_BEFORE_DEADLINE_MS,
 } from './RolloutConstants';
@@ -50,8 +50,8 @@
   readonly durationMs: number;
   /** Time since the order, ms. */
   readonly elapsedMs: number;
-  /** Time since this leader took the roll-out over, ms. */
-  readonly ledMs: number;
+  /** Whether this leader has had the time to hear edges. */
+  readonly hasHeardEdges: boolean;
   /** Time since all requests were shifted, ms; 0 before. */
   readonly shiftingMs: number;
   /** Why the new version is bad, if it is. */
@@ -65,6 +65,8 @@
   readonly stableAnswered: number;
   /** The same as `answers` on the main route that has fewest. */
   readonly routeAnswers: number;
+  /** Whether all requests until the deadline may be exposed within the bound. */
+  readonly restFits: boolean;
   /** Slots of ready upstreams of both versions. */
   readonly targetSlots: number;
   readonly stableSlots: number;
@@ -108,7 +110,7 @@
   if (isShifted && isTried && !isSuspect) {
     return {cause: VERDICT_CAUSE.shifted, state: ROLLOUT_STATE.completed};
   }
-  if (!isTimeOver(facts) || facts.ledMs < LEARN_MS) {
+  if (!isTimeOver(facts) || !facts.hasHeardEdges) {
     return undefined;
   }
   // A bad version that serves on harms more than a good one that is ordered again.
@@ -118,22 +120,24 @@
 }
 
 function isGood(facts: RolloutFacts): boolean {
-  const {durationMs, elapsedMs, isSuspect} = facts;
-  const isTried = elapsedMs >= TRIAL_PART * durationMs;
-  const timeToShiftMs = LEAST_TIME_TO_SHIFT_PART * durationMs;
-  const isTooLate = isTimeOver({
-    ...facts,
-    elapsedMs: elapsedMs + timeToShiftMs,
-  });
   return (
-    isTried &&
-    !isTooLate &&
-    !isSuspect &&
+    isTimeToShift(facts) &&
+    !facts.isSuspect &&
     hasEvidence(facts) &&
     bearsLoad(facts)
   );
 }
 
+/** A version that turns bad as all use it has to stay within the bound as well. */
+function isTimeToShift(facts: RolloutFacts): boolean {
+  const {durationMs, elapsedMs, restFits} = facts;
+  const leftMs = durationMs - elapsedMs;
+  const isTried = elapsedMs >= TRIAL_PART * durationMs;
+  const isLast = leftMs <= SHIFT_BEFORE_DEADLINE_MS;
+  const isTooLate = leftMs < LAST_SHIFT_BEFORE_DEADLINE_MS;
+  return isTried && (restFits || isLast) && !isTooLate;
+}
+
 function hasEvidence(facts: RolloutFacts): boolean {
   const {answers, routeAnswers} = facts;
   const {stableAnswered, targetAnswered} = facts;
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
@@ -35,6 +35,10 @@
   );
 }
 
+function isShifting(fleet: RolloutFleet): boolean {
+  return fleet.state() === ROLLOUT_STATE.shifting;
+}
+
 /** Runs until there is an outcome; the time since the order, ms. */
 async function runToOutcome(fleet: RolloutFleet): Promise<number> {
   const before = fleet.clock.now();
@@ -79,7 +83,7 @@
       await runToOutcome(fleet);
       expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
       expect(fleet.bad).toBeLessThan(50);
-      await fleet.run(DURATION_MS);
+      await fleet.runToDeadline();
       expectExposureInBounds(fleet);
     },
   );
@@ -97,7 +101,7 @@
       version === 'v2' && route === 'seldom' ? FAILING : GOOD;
     await runToOutcome(fleet);
     expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
-    await fleet.run(DURATION_MS);
+    await fleet.runToDeadline();
     expectExposureInBounds(fleet);
   });
 
@@ -110,7 +114,7 @@
         version === 'v2' && now >= badFrom ? FAILING : GOOD;
       await runToOutcome(fleet);
       expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
-      await fleet.run(DURATION_MS);
+      await fleet.runToDeadline();
       expectExposureInBounds(fleet);
     },
   );
@@ -123,7 +127,7 @@
         : GOOD;
     await runToOutcome(fleet);
     expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
-    await fleet.run(DURATION_MS);
+    await fleet.runToDeadline();
     expectExposureInBounds(fleet);
   });
 
@@ -288,7 +292,15 @@
 });
 
 describe('A roll-out without its leader', () => {
-  test.each([100, 1_000, 5_000, 7_400, 7_700])(
+  test('is completed soon, where its leader is lost right after the shift', async () => {
+    const fleet = await ordered();
+    await fleet.run(DURATION_MS, () => isShifting(fleet));
+    fleet.kill([fleet.leader()]);
+    await fleet.run(4_000, () => isOver(fleet));
+    expect(fleet.state()).toBe(ROLLOUT_STATE.completed);
+  });
+
+  test.each([100, 1_000, 5_000, 7_400])(
     'goes on as its leader is lost after %d ms',
     async (afterMs) => {
       const fleet = await ordered();
@@ -299,7 +311,7 @@
     },
   );
 
-  test.each([100, 1_000, 5_000, 7_700])(
+  test.each([100, 1_000, 5_000, 8_500])(
     'rolls a bad version back as its leader is lost after %d ms',
     async (afterMs) => {
       const fleet = await ordered();
@@ -311,7 +323,7 @@
       fleet.kill([fleet.leader()]);
       await fleet.run(DURATION_MS - afterMs, () => isOver(fleet));
       expect(fleet.state()).toBe(ROLLOUT_STATE.rolledBack);
-      await fleet.run(DURATION_MS);
+      await fleet.runToDeadline();
       // Edges that have shifted go on meanwhile: nobody can tell them otherwise.
       if (state === ROLLOUT_STATE.exposing) {
         expectExposureInBounds(fleet);
@@ -383,7 +395,7 @@
     'has an outcome later, where it is %s',
     async (_, then, outcome) => {
       const fleet = await ordered();
-      await fleet.run(7_800);
+      await fleet.run(DURATION_MS, () => isShifting(fleet));
       expect(fleet.state()).toBe(ROLLOUT_STATE.shifting);
       fleet.behaviourOf = (version) => (version === 'v2' ? then : GOOD);
       const leader = fleet.leader();
@@ -449,10 +461,10 @@
   test.each([
     ['exposing', 1_000, 1_000, ROLLOUT_STATE.completed],
     ['exposing, past its deadline', 1_000, 12_000, ROLLOUT_STATE.rolledBack],
-    ['shifting', 7_600, 500, ROLLOUT_STATE.completed],
+    ['shifting', DURATION_MS, 500, ROLLOUT_STATE.completed],
   ] as const)('while %s goes on', async (_, afterMs, offMs, outcome) => {
     const fleet = await ordered();
-    await fleet.run(afterMs);
+    await fleet.run(afterMs, () => isShifting(fleet));
     const before = fleet.machine().rolloutProgressOf('s');
     fleet.kill();
     await fleet.run(offMs);
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutVerdict.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutVerdict.test.ts
@@ -17,9 +17,10 @@
   bad: undefined,
   durationMs: 12_000,
   elapsedMs: 7_500,
+  hasHeardEdges: true,
   isShifted: false,
   isSuspect: false,
-  ledMs: 7_000,
+  restFits: true,
   routeAnswers: 20,
   shiftingMs: 0,
   stableAnswered: 1,
@@ -37,7 +38,7 @@
   state: shifting,
 };
 
-const OVER = {elapsedMs: 11_500};
+const OVER = {elapsedMs: 11_600};
 
 describe('The verdict on a version that is tried', () => {
   test('is to shift once it has shown to be good', () => {
@@ -49,7 +50,8 @@
     ['with few answers', {answers: 20}],
     ['with few answers on a route', {routeAnswers: 3}],
     ['with most answers to come', {targetAnswered: 0.4}],
-    ['with too little time to shift', {elapsedMs: 10_200}],
+    ['with too little time to shift', {elapsedMs: 11_300}],
+    ['while the rest of the requests is too much', {restFits: false}],
     ['that is suspect', {isSuspect: true}],
     ['without upstreams', {targetSlots: 0}],
     ['without upstreams of either version', {stableSlots: 0, targetSlots: 0}],
@@ -67,6 +69,11 @@
     expect(verdictOn(late)?.state).toBe(shifting);
   });
 
+  test('is to shift in the end, however much the rest is', () => {
+    const late = {...TRIED, elapsedMs: 10_850, restFits: false};
+    expect(verdictOn(late)?.state).toBe(shifting);
+  });
+
   test('rests on less as time runs out', () => {
     const few = {answers: 10, elapsedMs: 9_700, routeAnswers: 0};
     expect(verdictOn({...TRIED, ...few})?.state).toBe(shifting);
@@ -101,9 +108,14 @@
   });
 
   test('is open after the deadline until a new leader has heard edges', () => {
-    const unheard = {...SHIFTED, ...OVER, isShifted: false, ledMs: 250};
+    const unheard = {
+      ...SHIFTED,
+      ...OVER,
+      hasHeardEdges: false,
+      isShifted: false,
+    };
     expect(verdictOn(unheard)).toBeUndefined();
-    expect(verdictOn({...unheard, ledMs: 600})?.state).toBe(completed);
+    expect(verdictOn({...unheard, hasHeardEdges: true})?.state).toBe(completed);
   });
 
   test('is open while it is suspect, and to roll back at the deadline', () => {
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -49,6 +49,9 @@
 /** Time between two steps of the edges, ms. */
 const STEP_MS = 25;
 
+/** Requests that the load of a version is told from. */
+const LATEST_REQUESTS = 60;
+
 /** How long an answer takes, ms. */
 const ANSWER_MS = 300;
 
@@ -130,6 +133,8 @@
   private lives = 0;
   private reportAt = 0;
   private due = 0;
+  private orderedAt: number | undefined;
+  private readonly latest: boolean[] = [];
   private grantedToGone = 0;
   private requestsInAll = 0;
   private exposedInAll = 0;
@@ -254,6 +259,7 @@
       targetVersion,
       ...fields,
     };
+    this.orderedAt ??= this.clock.now();
     return this.settle(this.control(box).beginRollout(order));
   }
 
@@ -287,6 +293,18 @@
       .filter((line) => line.event === event);
   }
 
+  /** The part of the latest requests that went to the new version. */
+  get targetLoad(): number {
+    const {latest} = this;
+    return latest.filter(Boolean).length / Math.max(1, latest.length);
+  }
+
+  /** Lets time pass until the deadline of the first order. */
+  async runToDeadline(durationMs = 12_000): Promise<void> {
+    const deadline = (this.orderedAt ?? 0) + durationMs;
+    await this.run(deadline - this.clock.now());
+  }
+
   /** Lets time pass while edges send, answer and report. */
   async run(ms: number, stopAt?: () => boolean): Promise<void> {
     const until = this.clock.now() + ms;
@@ -402,6 +420,8 @@
     } else {
       edge.openAtFormer += 1;
     }
+    this.latest.push(goesTo);
+    this.latest.splice(0, this.latest.length - LATEST_REQUESTS);
     const at = this.clock.now() + ANSWER_MS;
     const version = goesTo ? target : 'v1';
     edge.open.push({at, route: this.drawRoute(), version});
