--- a/packages/puffinturn-fleet/src/AnswerTotals.ts
+++ b/packages/puffinturn-fleet/src/AnswerTotals.ts
@@ -14,26 +14,48 @@
 /** No answers. */
 export const NO_ANSWERS: AnswerCounts = {answers: 0, failures: 0, times: []};
 
+/** Counts that grow in place, as many edges report many routes. */
+interface Total {
+  readonly route: string;
+  readonly version: string;
+  readonly times: number[];
+  answers: number;
+  failures: number;
+}
+
 /** See the module comment. */
 export class AnswerTotals {
-  private readonly totals = new Map<string, VersionTally>();
+  private readonly totals = new Map<string, Total>();
 
   /** All tallies, one for each route and version. */
   get tallies(): VersionTally[] {
-    return [...this.totals.values()];
+    return [...this.totals.values()].map((total) => ({
+      ...total,
+      times: [...total.times],
+    }));
   }
 
   /** Takes in what one edge counts more than before. */
-  add({route, version}: VersionTally, more: AnswerCounts): void {
-    const key = tallyKey(route, version);
-    const held = this.totals.get(key) ?? NO_ANSWERS;
-    this.totals.set(key, {...sumOf(held, more), route, version});
+  add(key: string, now: VersionTally, before: AnswerCounts): void {
+    const total = this.totals.get(key) ?? noneOf(now);
+    this.totals.set(key, total);
+    total.answers += now.answers - before.answers;
+    total.failures += now.failures - before.failures;
+    for (const [at, count] of now.times.entries()) {
+      total.times[at] =
+        (total.times[at] ?? 0) + count - (before.times[at] ?? 0);
+    }
   }
 }
 
+function noneOf({route, version}: VersionTally): Total {
+  return {answers: 0, failures: 0, route, times: [], version};
+}
+
 /** Tells the tallies of one edge apart. */
 export function tallyKey(route: string, version: string): string {
-  return JSON.stringify([route, version]);
+  // The length keeps apart what would be the same put together.
+  return `${route.length} ${route} ${version}`;
 }
 
 /** Both together. */
--- a/packages/puffinturn-fleet/src/ExposureLedger.ts
+++ b/packages/puffinturn-fleet/src/ExposureLedger.ts
@@ -11,7 +11,7 @@
  * twice, late, or of lives that are over do no harm. What was granted stays used, also
  * by a life that is over.
  */
-import {AnswerTotals, differenceOf, NO_ANSWERS, tallyKey} from './AnswerTotals';
+import {AnswerTotals, NO_ANSWERS, tallyKey} from './AnswerTotals';
 import {
   GRANTED_PART,
   LEAST_UNUSED_GRANTS,
@@ -146,7 +146,7 @@
       const key = tallyKey(tally.route, tally.version);
       const held = known.get(key) ?? NO_ANSWERS;
       if (tally.answers > held.answers) {
-        this.answers.add(tally, differenceOf(tally, held));
+        this.answers.add(key, tally, held);
         known.set(key, tally);
       }
     }
