--- a/packages/puffinturn-fleet/src/ExposureLedger.ts
+++ b/packages/puffinturn-fleet/src/ExposureLedger.ts
@@ -11,7 +11,7 @@
  * twice, late, or of lives that are over do no harm. What was granted stays used, also
  * by a life that is over.
  */
-import {AnswerTotals, differenceOf, NO_ANSWERS, tallyKey} from './AnswerTotals';
+import {AnswerTotals, NO_ANSWERS, tallyKey} from './AnswerTotals';
 import {
   GRANTED_PART,
   LEAST_UNUSED_GRANTS,
@@ -60,6 +60,11 @@
     return this.exposedByAll;
   }
 
+  /** Whether any edge has told this leader of its requests. */
+  get hasReports(): boolean {
+    return this.lives.size > 0;
+  }
+
   /** All that may have been granted, by any leader. */
   get granted(): number {
     return this.base.granted + this.ownGrants;
@@ -71,6 +76,13 @@
     return Math.floor(GRANTED_PART * (share * this.requests + extra));
   }
 
+  /** Whether this many further requests may all be exposed within the bound. */
+  mayExposeAll(further: number): boolean {
+    const {extra, share} = this.bound;
+    const exposed = this.granted + further;
+    return exposed <= share * (this.requests + further) + extra;
+  }
+
   /** Takes a report in. */
   take(life: string, report: ExposureReport, now: number): void {
     const known = this.lives.get(life);
@@ -134,7 +146,7 @@
       const key = tallyKey(tally.route, tally.version);
       const held = known.get(key) ?? NO_ANSWERS;
       if (tally.answers > held.answers) {
-        this.answers.add(tally, differenceOf(tally, held));
+        this.answers.add(key, tally, held);
         known.set(key, tally);
       }
     }
--- a/packages/puffinturn-fleet/src/RolloutVerdict.ts
+++ b/packages/puffinturn-fleet/src/RolloutVerdict.ts
@@ -7,13 +7,16 @@
 
 /** What becomes of a roll-out, from what its leader knows. */
 import {
+  LAST_SHIFT_BEFORE_DEADLINE_MS,
   LATE_TRIAL_PART,
   LEAST_ANSWERED_PART,
   LEAST_ANSWERS,
   LEAST_LATE_ANSWERS,
+  LEAST_LATE_SLOTS_PART,
   LEAST_ROUTE_ANSWERS,
   LEAST_SHIFT_PART,
   LEAST_SLOTS_PART,
+  SHIFT_BEFORE_DEADLINE_MS,
   TRIAL_PART,
   VERDICT_BEFORE_DEADLINE_MS,
 } from './RolloutConstants';
@@ -47,6 +50,8 @@
   readonly durationMs: number;
   /** Time since the order, ms. */
   readonly elapsedMs: number;
+  /** Whether this leader has had the time to hear edges. */
+  readonly hasHeardEdges: boolean;
   /** Time since all requests were shifted, ms; 0 before. */
   readonly shiftingMs: number;
   /** Why the new version is bad, if it is. */
@@ -60,6 +65,8 @@
   readonly stableAnswered: number;
   /** The same as `answers` on the main route that has fewest. */
   readonly routeAnswers: number;
+  /** Whether all requests until the deadline may be exposed within the bound. */
+  readonly restFits: boolean;
   /** Slots of ready upstreams of both versions. */
   readonly targetSlots: number;
   readonly stableSlots: number;
@@ -103,7 +110,7 @@
   if (isShifted && isTried && !isSuspect) {
     return {cause: VERDICT_CAUSE.shifted, state: ROLLOUT_STATE.completed};
   }
-  if (!isTimeOver(facts)) {
+  if (!isTimeOver(facts) || !facts.hasHeardEdges) {
     return undefined;
   }
   // A bad version that serves on harms more than a good one that is ordered again.
@@ -113,33 +120,43 @@
 }
 
 function isGood(facts: RolloutFacts): boolean {
-  const {durationMs, elapsedMs, isSuspect} = facts;
-  const isTried = elapsedMs >= TRIAL_PART * durationMs;
-  // Without time to shift it would only be half done at the deadline.
-  const isTooLate = isTimeOver(facts);
   return (
-    isTried &&
-    !isTooLate &&
-    !isSuspect &&
+    isTimeToShift(facts) &&
+    !facts.isSuspect &&
     hasEvidence(facts) &&
     bearsLoad(facts)
   );
 }
 
+/** A version that turns bad as all use it has to stay within the bound as well. */
+function isTimeToShift(facts: RolloutFacts): boolean {
+  const {durationMs, elapsedMs, restFits} = facts;
+  const leftMs = durationMs - elapsedMs;
+  const isTried = elapsedMs >= TRIAL_PART * durationMs;
+  const isLast = leftMs <= SHIFT_BEFORE_DEADLINE_MS;
+  const isTooLate = leftMs < LAST_SHIFT_BEFORE_DEADLINE_MS;
+  return isTried && (restFits || isLast) && !isTooLate;
+}
+
 function hasEvidence(facts: RolloutFacts): boolean {
-  const {answers, durationMs, elapsedMs, routeAnswers} = facts;
+  const {answers, routeAnswers} = facts;
   const {stableAnswered, targetAnswered} = facts;
   if (targetAnswered < LEAST_ANSWERED_PART * stableAnswered) {
     return false;
   }
-  const isLate = elapsedMs >= LATE_TRIAL_PART * durationMs;
-  return isLate
+  return isLate(facts)
     ? answers >= LEAST_LATE_ANSWERS
     : answers >= LEAST_ANSWERS && routeAnswers >= LEAST_ROUTE_ANSWERS;
 }
 
-function bearsLoad({stableSlots, targetSlots}: RolloutFacts): boolean {
-  return targetSlots > 0 && targetSlots >= LEAST_SLOTS_PART * stableSlots;
+function bearsLoad(facts: RolloutFacts): boolean {
+  const {stableSlots, targetSlots} = facts;
+  const part = isLate(facts) ? LEAST_LATE_SLOTS_PART : LEAST_SLOTS_PART;
+  return targetSlots > 0 && targetSlots >= part * stableSlots;
+}
+
+function isLate({durationMs, elapsedMs}: RolloutFacts): boolean {
+  return elapsedMs >= LATE_TRIAL_PART * durationMs;
 }
 
 function isTimeOver({durationMs, elapsedMs}: RolloutFacts): boolean {
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -49,8 +49,8 @@
 /** Time between two steps of the edges, ms. */
 const STEP_MS = 25;
 
-/** How long an answer takes, ms. */
-const ANSWER_MS = 300;
+/** Requests that the load of a version is told from. */
+const LATEST_REQUESTS = 60;
 
 /** How one version answers on one route, at a time since the start, ms. */
 export interface Behaviour {
@@ -118,6 +118,8 @@
   readonly network: MemoryNetwork;
   readonly logs = new Map<string, KeptDecisionLog>();
   readonly random = new Random(5);
+  /** How long an answer takes, ms. */
+  answerMs = 300;
   behaviourOf: BehaviourOf = () => GOOD;
   traffic: Traffic = {perSecond: 200, routes: [['r', 1]]};
   /** Bad answers of the new version so far. */
@@ -130,6 +132,9 @@
   private lives = 0;
   private reportAt = 0;
   private due = 0;
+  private orderedAt: number | undefined;
+  private readonly latest: boolean[] = [];
+  private grantedToGone = 0;
   private requestsInAll = 0;
   private exposedInAll = 0;
   /** Edges go on with what they knew while no control box runs. */
@@ -156,11 +161,14 @@
   }
 
   /** Starts the control boxes that are not running, from their disks. */
-  async startControls(boxes: readonly string[] = CONTROLS): Promise<void> {
+  async startControls(
+    boxes: readonly string[] = CONTROLS,
+    settleMs = 3_000,
+  ): Promise<void> {
     for (const box of boxes) {
       await this.startControl(box);
     }
-    await this.clock.advance(3_000);
+    await this.clock.advance(settleMs);
   }
 
   /** Ends control boxes at once; what they have not synced is lost. */
@@ -183,7 +191,7 @@
   ): void {
     for (let at = 0; at < count; at += 1) {
       const record = upstreamOf({
-        address: `10.0.1.${at}:80`,
+        address: `${version}.example:${80 + at}`,
         id: `${version}-${at}`,
         version,
         ...fields,
@@ -210,6 +218,7 @@
     const [edge] = this.edges.splice(at, 1);
     invariant(edge !== undefined, 'known');
     this.network.disconnect(edge.box);
+    this.grantedToGone += edge.granted;
     this.addEdge(edge.box);
   }
 
@@ -249,6 +258,7 @@
       targetVersion,
       ...fields,
     };
+    this.orderedAt ??= this.clock.now();
     return this.settle(this.control(box).beginRollout(order));
   }
 
@@ -266,6 +276,15 @@
     return {exposed: this.exposedInAll, requests: this.requestsInAll};
   }
 
+  /** What edges were granted more in all than the log knows; above 0 is a fault. */
+  get grantedBesidesLog(): number {
+    const held = [...this.controls.values()].map(
+      ({machine}) => machine.rolloutProgressOf('s')?.granted ?? 0,
+    );
+    const granted = this.edges.reduce((sum, edge) => sum + edge.granted, 0);
+    return granted + this.grantedToGone - Math.max(...held);
+  }
+
   /** Lines of a kind that any control box has written. */
   lines(event: string) {
     return [...this.logs.values()]
@@ -273,6 +292,18 @@
       .filter((line) => line.event === event);
   }
 
+  /** The part of the latest requests that went to the new version. */
+  get targetLoad(): number {
+    const {latest} = this;
+    return latest.filter(Boolean).length / Math.max(1, latest.length);
+  }
+
+  /** Lets time pass until the deadline of the first order. */
+  async runToDeadline(durationMs = 12_000): Promise<void> {
+    const deadline = (this.orderedAt ?? 0) + durationMs;
+    await this.run(deadline - this.clock.now());
+  }
+
   /** Lets time pass while edges send, answer and report. */
   async run(ms: number, stopAt?: () => boolean): Promise<void> {
     const until = this.clock.now() + ms;
@@ -388,7 +419,9 @@
     } else {
       edge.openAtFormer += 1;
     }
-    const at = this.clock.now() + ANSWER_MS;
+    this.latest.push(goesTo);
+    this.latest.splice(0, this.latest.length - LATEST_REQUESTS);
+    const at = this.clock.now() + this.answerMs;
     const version = goesTo ? target : 'v1';
     edge.open.push({at, route: this.drawRoute(), version});
   }
