--- a/packages/puffinturn-bench/src/main.ts
+++ b/packages/puffinturn-bench/src/main.ts
@@ -11,6 +11,8 @@
 import Table from 'cli-table3';
 
 import {benchBudgets} from './BudgetsBench';
+import {benchEdge} from './EdgeBench';
+import {runEdgeProcess} from './EdgeProcess';
 import {benchFaults} from './FaultsBench';
 import {benchLedger} from './LedgerBench';
 import {benchPath} from './PathBench';
@@ -92,7 +94,11 @@
   show(await benchBudgets(Number(o.seed)), o);
 });
 command('path', 'What one box adds and carries', async (o) => {
-  show(await benchPath(Math.min(10, Number(o.seconds))), o);
+  const seconds = Math.min(10, Number(o.seconds));
+  show([...(await benchPath(seconds)), ...(await benchEdge(seconds))], o);
+});
+command('edge', 'Processor time that requests cost an edge', async (o) => {
+  show(await benchEdge(Math.min(10, Number(o.seconds))), o);
 });
 command('faults', 'Time without admissions after faults', async (o) => {
   show(await benchFaults(Math.ceil(Number(o.seconds) / 12)), o);
@@ -101,6 +107,10 @@
   show(await benchLedger(Math.min(10, Number(o.seconds))), o);
 });
 
+cli
+  .command('edge-process <settings>', 'The edge that `edge` measures')
+  .action(runEdgeProcess);
+
 cli.help();
 cli.parse(process.argv, {run: false});
 await cli.runMatchedCommand();
