--- a/packages/puffinturn-bench/src/EdgeBench.ts
+++ b/packages/puffinturn-bench/src/EdgeBench.ts
@@ -168,9 +168,11 @@
       upstreams,
     };
     const program = process.argv[1] ?? '';
+    // Options of this process, such as a profiler's, hold for the edge too.
+    const options = [...process.execArgv, ...EDGE_OPTIONS];
     const child = spawn(
       process.execPath,
-      [...EDGE_OPTIONS, program, 'edge-process', JSON.stringify(settings)],
+      [...options, program, 'edge-process', JSON.stringify(settings)],
       {stdio: ['ignore', 'ignore', 'inherit', 'ipc']},
     );
     while (!(await isListening(readyPort))) {
