--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -10,13 +10,13 @@
  * first; streams pass event by event and may go on with another upstream's
  * answer under the head of the first.
  */
-import type {IncomingMessage} from 'node:http';
+import type {ServerResponse} from 'node:http';
 
 import type {CallerRequest} from './CallerRequest';
 import {passesOn} from './CallerRequest';
 import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
 import {EventCutter} from './EventStream';
-import type {Exchange} from './Exchange';
+import type {UpstreamAnswer} from './UpstreamAnswer';
 
 /** How passing an answer on has ended. */
 export const RELAY = {
@@ -48,18 +48,14 @@
   }
 
   /** Passes one answer on; one to be retried is read and dropped. */
-  abstract pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-    drop: boolean,
-  ): Promise<RelayEnd>;
+  abstract pass(answer: UpstreamAnswer, drop: boolean): Promise<RelayEnd>;
 
   /** Ends passing on, since the request has ended. */
   stop(): void {
     this.stopped = true;
   }
 
-  protected head(answer: IncomingMessage, length?: number): void {
+  protected head(answer: UpstreamAnswer, length?: number): void {
     const {rawHeaders, headers} = answer;
     const kept: string[] = [];
     for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
@@ -76,53 +72,73 @@
       kept.push('Connection', 'close');
     }
     this.onFirstByte();
-    this.caller.response.writeHead(answer.statusCode ?? 502, kept as never);
+    this.caller.response.writeHead(answer.statusCode, kept as never);
   }
 }
 
 /** Checks an answer whole; a long one is passed on as it comes. */
 export class WholeRelay extends AnswerRelay {
-  override async pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-    drop: boolean,
-  ): Promise<RelayEnd> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let flowing = false;
-    const {response} = this.caller;
-    try {
-      for await (const chunk of answer) {
-        length += (chunk as Buffer).length;
-        if (flowing) {
-          if (!response.write(chunk)) {
-            await drained(this.caller);
+  override pass(answer: UpstreamAnswer, drop: boolean): Promise<RelayEnd> {
+    return new Promise((resolve) => {
+      const reader = new WholeReader(answer, this.caller, (length) =>
+        this.head(answer, length),
+      );
+      answer.read({
+        ended: (whole) => {
+          if (this.stopped) {
+            resolve(RELAY.stopped);
+          } else if (!whole || drop) {
+            resolve(RELAY.broken);
+          } else {
+            reader.finish();
+            resolve(RELAY.whole);
           }
-          continue;
-        }
-        chunks.push(chunk as Buffer);
-        if (length > WHOLE_ANSWER_BYTES && !drop && !this.stopped) {
-          flowing = true;
-          this.head(answer);
-          response.write(Buffer.concat(chunks));
-        }
-      }
-    } catch {
-      return this.stopped ? RELAY.stopped : RELAY.broken;
-    }
-    if (this.stopped) {
-      return RELAY.stopped;
+        },
+        take: (chunk) => reader.take(chunk, !drop && !this.stopped),
+      });
+    });
+  }
+}
+
+/** The body of one answer: kept until it is whole or too long for that. */
+class WholeReader {
+  private readonly writer: AnswerWriter;
+  private chunks: Buffer[] = [];
+  private length = 0;
+  private flowing = false;
+
+  constructor(
+    answer: UpstreamAnswer,
+    private readonly caller: CallerRequest,
+    private readonly sendHead: (length?: number) => void,
+  ) {
+    this.writer = new AnswerWriter(answer, caller.response);
+  }
+
+  take(chunk: Buffer, mayFlow: boolean): void {
+    if (this.flowing) {
+      this.writer.write(chunk);
+      return;
     }
-    if (!answer.complete || exchange.broken || drop) {
-      return RELAY.broken;
+    this.length += chunk.length;
+    this.chunks.push(chunk);
+    if (this.length > WHOLE_ANSWER_BYTES && mayFlow) {
+      this.flowing = true;
+      this.sendHead();
+      this.writer.write(Buffer.concat(this.chunks));
+      this.chunks = [];
     }
-    if (flowing) {
+  }
+
+  finish(): void {
+    const {response} = this.caller;
+    if (this.flowing) {
       response.end();
-    } else {
-      this.head(answer, length);
-      response.end(Buffer.concat(chunks));
+      return;
     }
-    return RELAY.whole;
+    this.sendHead(this.length);
+    const [first] = this.chunks;
+    response.end(this.chunks.length === 1 ? first : Buffer.concat(this.chunks));
   }
 }
 
@@ -135,29 +151,30 @@
     return this.headSent ? this.cutter.lastId : undefined;
   }
 
-  override pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-  ): Promise<RelayEnd> {
+  override pass(answer: UpstreamAnswer): Promise<RelayEnd> {
     // Half an event of a former upstream is not for this one to complete.
     this.cutter.takeRest();
     const isStream =
       answer.statusCode === 200 &&
       answer.headers['content-type']?.startsWith('text/event-stream') === true;
     if (!isStream) {
-      answer.resume();
+      answer.drop();
       return Promise.resolve(RELAY.broken);
     }
+    const writer = new AnswerWriter(answer, this.caller.response);
     return new Promise((resolve) => {
-      answer.on('data', (chunk: Buffer) => this.take(answer, chunk));
-      answer.on('end', () => resolve(this.finish(answer, exchange)));
-      answer.on('close', () =>
-        resolve(this.stopped ? RELAY.stopped : RELAY.broken),
-      );
+      answer.read({
+        ended: (whole) => resolve(this.finish(answer, whole)),
+        take: (chunk) => this.take(answer, writer, chunk),
+      });
     });
   }
 
-  private take(answer: IncomingMessage, chunk: Buffer): void {
+  private take(
+    answer: UpstreamAnswer,
+    writer: AnswerWriter,
+    chunk: Buffer,
+  ): void {
     if (this.stopped) {
       return;
     }
@@ -167,18 +184,14 @@
     }
     this.events += events;
     this.sendHead(answer);
-    const {response} = this.caller;
-    if (!response.write(bytes)) {
-      answer.pause();
-      response.once('drain', () => answer.resume());
-    }
+    writer.write(bytes);
   }
 
-  private finish(answer: IncomingMessage, exchange: Exchange): RelayEnd {
+  private finish(answer: UpstreamAnswer, whole: boolean): RelayEnd {
     if (this.stopped) {
       return RELAY.stopped;
     }
-    if (!answer.complete || exchange.broken) {
+    if (!whole) {
       return RELAY.broken;
     }
     this.sendHead(answer);
@@ -186,7 +199,7 @@
     return RELAY.whole;
   }
 
-  private sendHead(answer: IncomingMessage): void {
+  private sendHead(answer: UpstreamAnswer): void {
     if (!this.headSent) {
       this.headSent = true;
       this.head(answer);
@@ -194,14 +207,24 @@
   }
 }
 
-function drained({response}: CallerRequest): Promise<void> {
-  return new Promise((resolve) => {
-    const done = (): void => {
-      response.off('drain', done);
-      response.off('close', done);
-      resolve();
-    };
-    response.once('drain', done);
-    response.once('close', done);
-  });
+/** Writes an answer's body, which waits while the caller does not read. */
+class AnswerWriter {
+  private waiting = false;
+
+  constructor(
+    private readonly answer: UpstreamAnswer,
+    private readonly response: ServerResponse,
+  ) {}
+
+  write(bytes: Buffer): void {
+    if (this.response.write(bytes) || this.waiting) {
+      return;
+    }
+    this.waiting = true;
+    this.answer.pause();
+    this.response.once('drain', () => {
+      this.waiting = false;
+      this.answer.resume();
+    });
+  }
 }
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -6,8 +6,6 @@
  */
 
 /** One upstream as an edge sees it: its record, own load and health. */
-import {Agent} from 'node:http';
-
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
@@ -15,11 +13,11 @@
 import {hashOf} from 'shared';
 
 import {AnswerTime} from './AnswerTime';
+import {ConnectionPool} from './ConnectionPool';
 import {
   BROKEN_BEFORE_PAUSE,
   FIRST_PAUSE_MS,
   FULL_PAUSE_MS,
-  IDLE_CONNECTION_MS,
   LONGEST_PAUSE_MS,
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
@@ -34,8 +32,7 @@
   inFlight = 0;
   /** Tokens of prompts that this edge has sent and that no event answers yet. */
   pendingTokens = 0;
-  /** Connections to the upstream; idle ones are used again. */
-  readonly agent: Agent;
+  readonly connections: ConnectionPool;
   /** Hash of the id, for rendezvous. */
   readonly hash: number;
   /** Parts of prompts that it is taken to keep. */
@@ -65,11 +62,11 @@
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
-    this.agent = new Agent({
-      keepAlive: true,
-      maxFreeSockets: record.slots,
-      scheduling: 'lifo',
-      timeout: IDLE_CONNECTION_MS,
+    this.connections = new ConnectionPool({
+      clock,
+      host: this.host,
+      maxIdle: record.slots,
+      port: this.port,
     });
   }
 
@@ -143,16 +140,11 @@
 
   /** Ends idle connections; open requests go on to their end. */
   retire(): void {
-    this.agent.maxFreeSockets = 0;
-    for (const sockets of Object.values(this.agent.freeSockets)) {
-      for (const socket of sockets ?? []) {
-        socket.destroy();
-      }
-    }
+    this.connections.retire();
   }
 
   [Symbol.dispose](): void {
-    this.agent.destroy();
+    this.connections[Symbol.dispose]();
   }
 
   private pause(cause: string): void {
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -9,21 +9,17 @@
  * One attempt at one upstream, up to the head of its answer. What can't be the
  * upstream's answer to this very request is never passed on.
  */
-import type {ClientRequest, IncomingMessage} from 'node:http';
-import {request as sendRequest} from 'node:http';
-import type {Socket} from 'node:net';
-
 import type {HeaderNames} from './CallerDialect';
 import {CONNECT_MS} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
-import type {UpstreamConnection} from './UpstreamConnection';
-import {connectionOf} from './UpstreamConnection';
+import type {ConnectionUser, HttpConnection} from './HttpConnection';
+import {requestHead} from './RequestHead';
+import type {UpstreamAnswer} from './UpstreamAnswer';
 
 /** The head of the upstream's own answer is there. */
 export interface AnswerOutcome {
   readonly kind: 'answer';
-  readonly answer: IncomingMessage;
-  readonly exchange: Exchange;
+  readonly answer: UpstreamAnswer;
 }
 
 /** How an attempt went. */
@@ -49,87 +45,69 @@
 }
 
 /** See the module comment. */
-export class Exchange {
+export class Exchange implements ConnectionUser {
   /** Resolves once it is known how the attempt went. */
   readonly outcome: Promise<ExchangeOutcome>;
-  private readonly request: ClientRequest;
-  private connected = false;
+  private connection: HttpConnection | undefined;
+  private isConnected = false;
   private aborted: string | undefined;
-  private harmed = false;
-  private connection: UpstreamConnection | undefined;
+  private answer: UpstreamAnswer | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private resolve!: (outcome: ExchangeOutcome) => void;
 
   constructor(private readonly parts: ExchangeParts) {
     const {body, headers, method, path, upstream} = parts;
-    this.request = sendRequest({
-      agent: upstream.agent,
-      // Node takes a flat list of names and values; its types know only maps.
-      headers: headers as never,
-      host: upstream.host,
-      method,
-      path,
-      port: upstream.port,
-      setHost: false,
-    });
-    this.outcome = new Promise((resolve) => this.follow(resolve));
-    this.request.end(body);
-  }
-
-  /**
-   * Whether the connection failed after the head. An answer without a length
-   * then looks whole to the parser, and is not.
-   */
-  get broken(): boolean {
-    return this.harmed || this.connection?.harmed === true;
+    this.outcome = new Promise((resolve) => (this.resolve = resolve));
+    const head = requestHead(method, path, headers);
+    if (head === undefined) {
+      this.resolve({cause: 'invalid-header', kind: 'broken'});
+      return;
+    }
+    this.connection = upstream.connections.take();
+    this.connection.send({body, head, method}, this);
+    if (!this.isConnected) {
+      this.timer = setTimeout(() => this.abort('connect-timeout'), CONNECT_MS);
+    }
   }
 
-  /** Ends the attempt and its connection. */
+  /** Ends the attempt, and its connection unless the answer is whole. */
   abort(cause: string): void {
     this.aborted = cause;
-    this.request.destroy();
+    if (this.answer?.ended !== true) {
+      this.connection?.[Symbol.dispose]();
+    }
   }
 
-  private follow(resolve: (outcome: ExchangeOutcome) => void): void {
-    const timer = setTimeout(() => {
-      if (!this.connected) {
-        this.abort('connect-timeout');
-      }
-    }, CONNECT_MS);
-    this.request.on('socket', (socket: Socket) => {
-      if (this.request.reusedSocket || !socket.connecting) {
-        this.connected = true;
-      } else {
-        socket.once('connect', () => (this.connected = true));
-      }
-    });
-    this.request.on('error', (error: NodeJS.ErrnoException) => {
-      clearTimeout(timer);
-      this.harmed = true;
-      const cause = this.aborted ?? error.code ?? error.message;
-      resolve({cause, kind: this.connected ? 'broken' : 'unsent'});
-    });
-    this.request.on('response', (answer) => {
-      clearTimeout(timer);
-      // A break after the head shows on the answer itself.
-      answer.on('error', () => (this.harmed = true));
-      this.connection = connectionOf(answer.socket);
-      resolve(this.judge(answer));
-    });
-    this.request.on('close', () => {
-      clearTimeout(timer);
-      const cause = this.aborted ?? 'closed';
-      resolve({cause, kind: this.connected ? 'broken' : 'unsent'});
+  connected(): void {
+    this.isConnected = true;
+    clearTimeout(this.timer);
+  }
+
+  answered(answer: UpstreamAnswer): void {
+    this.answer = answer;
+    this.resolve(this.judge(answer));
+  }
+
+  failed(cause: string): void {
+    clearTimeout(this.timer);
+    this.resolve({
+      cause: this.aborted ?? cause,
+      kind: this.isConnected ? 'broken' : 'unsent',
     });
   }
 
-  private judge(answer: IncomingMessage): ExchangeOutcome {
+  private judge(answer: UpstreamAnswer): ExchangeOutcome {
     const {names, requestId} = this.parts;
-    const {headers, statusCode: status = 0} = answer;
+    const {headers, statusCode: status} = answer;
+    if (status < 200) {
+      return this.spoiled('no-final-answer');
+    }
     const id = headers[names.requestId];
     if (id !== undefined && id !== requestId) {
       return this.spoiled('answer-of-another-request');
     }
     if (headers[names.notRun] !== undefined || status === 421) {
-      answer.resume();
+      answer.drop();
       return {kind: 'rejected', status};
     }
     if (headers['content-encoding'] !== undefined) {
@@ -142,11 +120,11 @@
     if (success && id === undefined) {
       return this.spoiled('no-id');
     }
-    return {answer, exchange: this, kind: 'answer'};
+    return {answer, kind: 'answer'};
   }
 
   private spoiled(cause: string): ExchangeOutcome {
-    this.request.destroy();
+    this.connection?.[Symbol.dispose]();
     return {cause, kind: 'broken'};
   }
 }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -11,8 +11,6 @@
  * A request that may not be repeated is sent again only where the first upstream
  * surely did not run it.
  */
-import type {IncomingMessage} from 'node:http';
-
 import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
@@ -37,6 +35,7 @@
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 import type {Totals} from './Totals';
+import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
 import type {SelectionParts} from './UpstreamSelection';
@@ -318,12 +317,12 @@
   private async pass(
     plan: Plan,
     upstream: EdgeUpstream,
-    {answer, exchange}: AnswerOutcome,
+    {answer}: AnswerOutcome,
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
-    const status = answer.statusCode ?? 0;
+    const status = answer.statusCode;
     const ended = await relay
-      .pass(answer, exchange, this.retriesError(plan, upstream, status))
+      .pass(answer, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
     switch (ended) {
       case RELAY.whole:
@@ -370,7 +369,7 @@
     );
   }
 
-  private relayFor({route}: Plan, answer: IncomingMessage): AnswerRelay {
+  private relayFor({route}: Plan, answer: UpstreamAnswer): AnswerRelay {
     if (this.relay !== undefined) {
       return this.relay;
     }
