--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -10,8 +10,7 @@
  * first; streams pass event by event and may go on with another upstream's
  * answer under the head of the first.
  */
-import type {ServerResponse} from 'node:http';
-
+import {CallerBody} from './CallerBody';
 import type {CallerRequest} from './CallerRequest';
 import {passesOn} from './CallerRequest';
 import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
@@ -36,11 +35,14 @@
   /** Events passed on so far. */
   events = 0;
   protected stopped = false;
+  protected readonly body: CallerBody;
 
   constructor(
     protected readonly caller: CallerRequest,
-    protected readonly onFirstByte: () => void,
-  ) {}
+    private readonly onFirstByte: () => void,
+  ) {
+    this.body = new CallerBody(caller.response);
+  }
 
   /** The event after which another upstream may go on. */
   get lastEventId(): string | undefined {
@@ -72,7 +74,7 @@
       kept.push('Connection', 'close');
     }
     this.onFirstByte();
-    this.caller.response.writeHead(answer.statusCode, kept as never);
+    this.body.begin(answer.statusCode, kept);
   }
 }
 
@@ -80,7 +82,7 @@
 export class WholeRelay extends AnswerRelay {
   override pass(answer: UpstreamAnswer, drop: boolean): Promise<RelayEnd> {
     return new Promise((resolve) => {
-      const reader = new WholeReader(answer, this.caller, (length) =>
+      const reader = new WholeReader(answer, this.body, (length) =>
         this.head(answer, length),
       );
       answer.read({
@@ -102,22 +104,19 @@
 
 /** The body of one answer: kept until it is whole or too long for that. */
 class WholeReader {
-  private readonly writer: AnswerWriter;
   private chunks: Buffer[] = [];
   private length = 0;
   private flowing = false;
 
   constructor(
-    answer: UpstreamAnswer,
-    private readonly caller: CallerRequest,
+    private readonly answer: UpstreamAnswer,
+    private readonly body: CallerBody,
     private readonly sendHead: (length?: number) => void,
-  ) {
-    this.writer = new AnswerWriter(answer, caller.response);
-  }
+  ) {}
 
   take(chunk: Buffer, mayFlow: boolean): void {
     if (this.flowing) {
-      this.writer.write(chunk);
+      this.body.write(chunk, this.answer);
       return;
     }
     this.length += chunk.length;
@@ -125,20 +124,19 @@
     if (this.length > WHOLE_ANSWER_BYTES && mayFlow) {
       this.flowing = true;
       this.sendHead();
-      this.writer.write(Buffer.concat(this.chunks));
+      this.body.write(Buffer.concat(this.chunks), this.answer);
       this.chunks = [];
     }
   }
 
   finish(): void {
-    const {response} = this.caller;
-    if (this.flowing) {
-      response.end();
-      return;
+    if (!this.flowing) {
+      this.sendHead(this.length);
     }
-    this.sendHead(this.length);
     const [first] = this.chunks;
-    response.end(this.chunks.length === 1 ? first : Buffer.concat(this.chunks));
+    const rest =
+      this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
+    this.body.end(rest);
   }
 }
 
@@ -161,20 +159,15 @@
       answer.drop();
       return Promise.resolve(RELAY.broken);
     }
-    const writer = new AnswerWriter(answer, this.caller.response);
     return new Promise((resolve) => {
       answer.read({
         ended: (whole) => resolve(this.finish(answer, whole)),
-        take: (chunk) => this.take(answer, writer, chunk),
+        take: (chunk) => this.take(answer, chunk),
       });
     });
   }
 
-  private take(
-    answer: UpstreamAnswer,
-    writer: AnswerWriter,
-    chunk: Buffer,
-  ): void {
+  private take(answer: UpstreamAnswer, chunk: Buffer): void {
     if (this.stopped) {
       return;
     }
@@ -184,7 +177,7 @@
     }
     this.events += events;
     this.sendHead(answer);
-    writer.write(bytes);
+    this.body.write(bytes, answer);
   }
 
   private finish(answer: UpstreamAnswer, whole: boolean): RelayEnd {
@@ -195,7 +188,7 @@
       return RELAY.broken;
     }
     this.sendHead(answer);
-    this.caller.response.end(this.cutter.takeRest());
+    this.body.end(this.cutter.takeRest());
     return RELAY.whole;
   }
 
@@ -206,25 +199,3 @@
     }
   }
 }
-
-/** Writes an answer's body, which waits while the caller does not read. */
-class AnswerWriter {
-  private waiting = false;
-
-  constructor(
-    private readonly answer: UpstreamAnswer,
-    private readonly response: ServerResponse,
-  ) {}
-
-  write(bytes: Buffer): void {
-    if (this.response.write(bytes) || this.waiting) {
-      return;
-    }
-    this.waiting = true;
-    this.answer.pause();
-    this.response.once('drain', () => {
-      this.waiting = false;
-      this.answer.resume();
-    });
-  }
-}
