--- a/packages/puffinturn-edge/src/EventStream.ts
+++ b/packages/puffinturn-edge/src/EventStream.ts
@@ -51,7 +51,8 @@
       lineStart = at + 1;
     }
     this.rest = start === all.length ? EMPTY : all.subarray(start);
-    return {bytes: all.subarray(0, start), events};
+    const bytes = start === all.length ? all : all.subarray(0, start);
+    return {bytes, events};
   }
 
   /** Bytes after the last whole event. */
@@ -62,9 +63,16 @@
   }
 
   private noteId(all: Buffer, from: number, to: number): void {
-    const field = all.subarray(from, from + ID_FIELD.length);
-    if (field.equals(ID_FIELD)) {
-      this.pendingId = all.toString('latin1', from + 3, to).trim();
+    // Compared byte by byte, as a view of each line costs more than the rest.
+    const isId =
+      to - from >= ID_FIELD.length &&
+      all[from] === ID_FIELD[0] &&
+      all[from + 1] === ID_FIELD[1] &&
+      all[from + 2] === ID_FIELD[2];
+    if (isId) {
+      this.pendingId = all
+        .toString('latin1', from + ID_FIELD.length, to)
+        .trim();
     }
   }
 }
