--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -55,6 +55,8 @@
     public record: UpstreamRecord,
     private readonly clock: Clock,
     private readonly log: DecisionLog,
+    /** Called when it no longer serves though its record says so. */
+    private readonly stopped: () => void = () => undefined,
   ) {
     this.hash = hashOf(record.id);
     this.answerTime = new AnswerTime(clock);
@@ -135,6 +137,7 @@
   /** Notes that another upstream answers at this address. */
   isReplaced(): void {
     this.replaced = true;
+    this.stopped();
     this.judge(false, 'replaced');
   }
 
--- a/packages/puffinturn-edge/src/UpstreamHeaders.ts
+++ b/packages/puffinturn-edge/src/UpstreamHeaders.ts
@@ -44,11 +44,26 @@
   return sent;
 }
 
+/** Headers of a caller's that are not passed on as they came. */
+interface ReplacedNames {
+  readonly first: ReadonlySet<string>;
+  /** Where a stream goes on at another upstream. */
+  readonly resumed: ReadonlySet<string>;
+}
+
+/** By the names that they are made of, so that they are made once. */
+const replacedByNames = new WeakMap<HeaderNames, ReplacedNames>();
+
 function replacedNames(
   names: HeaderNames,
   resumeAt: string | undefined,
 ): ReadonlySet<string> {
-  const replaced = new Set<string>([
+  const known = replacedByNames.get(names) ?? makeReplaced(names);
+  return resumeAt === undefined ? known.first : known.resumed;
+}
+
+function makeReplaced(names: HeaderNames): ReplacedNames {
+  const first = new Set<string>([
     'content-length',
     'expect',
     names.deadline,
@@ -59,10 +74,9 @@
     names.team,
     ...names.reserved,
   ]);
-  if (resumeAt !== undefined) {
-    replaced.add(names.lastEvent);
-  }
-  return replaced;
+  const made = {first, resumed: new Set([...first, names.lastEvent])};
+  replacedByNames.set(names, made);
+  return made;
 }
 
 function keptHeaders(
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -40,6 +40,8 @@
   private readonly byService = new Map<string, EdgeUpstream[]>();
   /** Incarnations at each address, the one that was heard of last at the end. */
   private readonly byAddress = new Map<string, EdgeUpstream[]>();
+  /** Upstreams that take new requests, kept until any upstream changes. */
+  private readonly servingLists = new Map<string, readonly EdgeUpstream[]>();
   private evacuated = NO_EVACUATIONS;
 
   constructor(
@@ -85,6 +87,7 @@
       return;
     }
     this.evacuated = found;
+    this.servingLists.clear();
     const returned = halls.filter((hall) => !found.halls.includes(hall));
     const now = this.clock.now();
     for (const upstream of this.byId.values()) {
@@ -102,7 +105,17 @@
   }
 
   /** Upstreams of a service that take new requests. */
-  serving(service: string): EdgeUpstream[] {
+  serving(service: string): readonly EdgeUpstream[] {
+    const known = this.servingLists.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const found = this.findServing(service);
+    this.servingLists.set(service, found);
+    return found;
+  }
+
+  private findServing(service: string): readonly EdgeUpstream[] {
     const {halls} = this.evacuated;
     return (this.byService.get(service) ?? []).filter(
       (upstream) =>
@@ -149,13 +162,20 @@
     }
     const coldUntil = this.table.coldUntil(record.id);
     if (known !== undefined && known.record.address === record.address) {
+      const {hall, state} = known.record;
+      if (hall !== record.hall || state !== record.state) {
+        this.servingLists.clear();
+      }
       known.record = record;
       known.turnsCold(coldUntil);
       return;
     }
     this.drop(record.id);
-    const upstream = new EdgeUpstream(record, this.clock, this.log);
+    const upstream = new EdgeUpstream(record, this.clock, this.log, () =>
+      this.servingLists.clear(),
+    );
     upstream.turnsCold(coldUntil);
+    this.servingLists.clear();
     this.byId.set(record.id, upstream);
     addTo(this.byService, record.service, upstream);
     addTo(this.byAddress, record.address, upstream);
@@ -167,6 +187,7 @@
       return;
     }
     this.byId.delete(id);
+    this.servingLists.clear();
     removeFrom(this.byService, upstream.record.service, upstream);
     removeFrom(this.byAddress, upstream.record.address, upstream);
     upstream.record = {...upstream.record, state: UPSTREAM_STATE.gone};
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
@@ -60,6 +60,21 @@
   });
 });
 
+describe('Upstreams that serve', () => {
+  test('are those that say so, as of their last word', () => {
+    const first = upstreamOf('i-1', {address: '10.0.0.1:1'});
+    const {pool, serving} = poolOf(first);
+    expect(serving()).toEqual(['i-1']);
+    pool.merge([upstreamOf('i-2', {address: '10.0.0.1:2'})], 'c1');
+    expect(serving()).toEqual(['i-1', 'i-2']);
+    const {draining} = UPSTREAM_STATE;
+    pool.merge([{...first, sequence: 2, state: draining}], 'c1');
+    expect(serving()).toEqual(['i-2']);
+    pool.merge([{...first, sequence: 3}], 'c1');
+    expect(serving()).toEqual(['i-1', 'i-2']);
+  });
+});
+
 /**
  * Symptom: an upstream crashes and another process takes its address; a heartbeat
  * of the former one arrives late.
@@ -99,6 +114,17 @@
     expect(serving()).toEqual([]);
   });
 
+  test('the former serves on where the next of another service is turned away', () => {
+    const {pool, serving} = poolOf(former);
+    pool.merge([{...next, service: 'other'}], 'c1');
+    expect(serving()).toEqual([]);
+    pool
+      .all()
+      .find(({id}) => id === 'i-2')
+      ?.isReplaced();
+    expect(serving()).toEqual(['i-1']);
+  });
+
   test('the former serves on where the next is gone', () => {
     const {pool, serving} = poolOf(former);
     pool.merge([next], 'c1');
