--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -10,13 +10,12 @@
  * first; streams pass event by event and may go on with another upstream's
  * answer under the head of the first.
  */
-import type {IncomingMessage} from 'node:http';
-
+import {CallerBody} from './CallerBody';
 import type {CallerRequest} from './CallerRequest';
 import {passesOn} from './CallerRequest';
 import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
 import {EventCutter} from './EventStream';
-import type {Exchange} from './Exchange';
+import type {UpstreamAnswer} from './UpstreamAnswer';
 
 /** How passing an answer on has ended. */
 export const RELAY = {
@@ -38,11 +37,14 @@
   /** Whether the head of an answer was passed on. */
   begun = false;
   protected stopped = false;
+  protected readonly body: CallerBody;
 
   constructor(
     protected readonly caller: CallerRequest,
-    protected readonly onFirstByte: () => void,
-  ) {}
+    private readonly onFirstByte: () => void,
+  ) {
+    this.body = new CallerBody(caller.response);
+  }
 
   /** The event after which another upstream may go on. */
   get lastEventId(): string | undefined {
@@ -50,18 +52,14 @@
   }
 
   /** Passes one answer on; one to be retried is read and dropped. */
-  abstract pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-    drop: boolean,
-  ): Promise<RelayEnd>;
+  abstract pass(answer: UpstreamAnswer, drop: boolean): Promise<RelayEnd>;
 
   /** Ends passing on, since the request has ended. */
   stop(): void {
     this.stopped = true;
   }
 
-  protected head(answer: IncomingMessage, length?: number): void {
+  protected head(answer: UpstreamAnswer, length?: number): void {
     const {rawHeaders, headers} = answer;
     const kept: string[] = [];
     for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
@@ -79,53 +77,69 @@
     }
     this.begun = true;
     this.onFirstByte();
-    this.caller.response.writeHead(answer.statusCode ?? 502, kept as never);
+    this.body.begin(answer.statusCode, kept);
   }
 }
 
 /** Checks an answer whole; a long one is passed on as it comes. */
 export class WholeRelay extends AnswerRelay {
-  override async pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-    drop: boolean,
-  ): Promise<RelayEnd> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let flowing = false;
-    const {response} = this.caller;
-    try {
-      for await (const chunk of answer) {
-        length += (chunk as Buffer).length;
-        if (flowing) {
-          if (!response.write(chunk)) {
-            await drained(this.caller);
+  override pass(answer: UpstreamAnswer, drop: boolean): Promise<RelayEnd> {
+    return new Promise((resolve) => {
+      const reader = new WholeReader(answer, this.body, (length) =>
+        this.head(answer, length),
+      );
+      answer.read({
+        ended: (whole) => {
+          if (this.stopped) {
+            resolve(RELAY.stopped);
+          } else if (!whole || drop) {
+            resolve(RELAY.broken);
+          } else {
+            reader.finish();
+            resolve(RELAY.whole);
           }
-          continue;
-        }
-        chunks.push(chunk as Buffer);
-        if (length > WHOLE_ANSWER_BYTES && !drop && !this.stopped) {
-          flowing = true;
-          this.head(answer);
-          response.write(Buffer.concat(chunks));
-        }
-      }
-    } catch {
-      return this.stopped ? RELAY.stopped : RELAY.broken;
-    }
-    if (this.stopped) {
-      return RELAY.stopped;
+        },
+        take: (chunk) => reader.take(chunk, !drop && !this.stopped),
+      });
+    });
+  }
+}
+
+/** The body of one answer: kept until it is whole or too long for that. */
+class WholeReader {
+  private chunks: Buffer[] = [];
+  private length = 0;
+  private flowing = false;
+
+  constructor(
+    private readonly answer: UpstreamAnswer,
+    private readonly body: CallerBody,
+    private readonly sendHead: (length?: number) => void,
+  ) {}
+
+  take(chunk: Buffer, mayFlow: boolean): void {
+    if (this.flowing) {
+      this.body.write(chunk, this.answer);
+      return;
     }
-    if (!answer.complete || exchange.broken || drop) {
-      return RELAY.broken;
+    this.length += chunk.length;
+    this.chunks.push(chunk);
+    if (this.length > WHOLE_ANSWER_BYTES && mayFlow) {
+      this.flowing = true;
+      this.sendHead();
+      this.body.write(Buffer.concat(this.chunks), this.answer);
+      this.chunks = [];
     }
-    if (flowing) {
-      response.end();
-    } else {
-      this.head(answer, length);
-      response.end(Buffer.concat(chunks));
+  }
+
+  finish(): void {
+    if (!this.flowing) {
+      this.sendHead(this.length);
     }
-    return RELAY.whole;
+    const [first] = this.chunks;
+    const rest =
+      this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
+    this.body.end(rest);
   }
 }
 
@@ -138,29 +152,25 @@
     return this.headSent ? this.cutter.lastId : undefined;
   }
 
-  override pass(
-    answer: IncomingMessage,
-    exchange: Exchange,
-  ): Promise<RelayEnd> {
+  override pass(answer: UpstreamAnswer): Promise<RelayEnd> {
     // Half an event of a former upstream is not for this one to complete.
     this.cutter.takeRest();
     const isStream =
       answer.statusCode === 200 &&
       answer.headers['content-type']?.startsWith('text/event-stream') === true;
     if (!isStream) {
-      answer.resume();
+      answer.drop();
       return Promise.resolve(RELAY.broken);
     }
     return new Promise((resolve) => {
-      answer.on('data', (chunk: Buffer) => this.take(answer, chunk));
-      answer.on('end', () => resolve(this.finish(answer, exchange)));
-      answer.on('close', () =>
-        resolve(this.stopped ? RELAY.stopped : RELAY.broken),
-      );
+      answer.read({
+        ended: (whole) => resolve(this.finish(answer, whole)),
+        take: (chunk) => this.take(answer, chunk),
+      });
     });
   }
 
-  private take(answer: IncomingMessage, chunk: Buffer): void {
+  private take(answer: UpstreamAnswer, chunk: Buffer): void {
     if (this.stopped) {
       return;
     }
@@ -170,41 +180,25 @@
     }
     this.events += events;
     this.sendHead(answer);
-    const {response} = this.caller;
-    if (!response.write(bytes)) {
-      answer.pause();
-      response.once('drain', () => answer.resume());
-    }
+    this.body.write(bytes, answer);
   }
 
-  private finish(answer: IncomingMessage, exchange: Exchange): RelayEnd {
+  private finish(answer: UpstreamAnswer, whole: boolean): RelayEnd {
     if (this.stopped) {
       return RELAY.stopped;
     }
-    if (!answer.complete || exchange.broken) {
+    if (!whole) {
       return RELAY.broken;
     }
     this.sendHead(answer);
-    this.caller.response.end(this.cutter.takeRest());
+    this.body.end(this.cutter.takeRest());
     return RELAY.whole;
   }
 
-  private sendHead(answer: IncomingMessage): void {
+  private sendHead(answer: UpstreamAnswer): void {
     if (!this.headSent) {
       this.headSent = true;
       this.head(answer);
     }
   }
 }
-
-function drained({response}: CallerRequest): Promise<void> {
-  return new Promise((resolve) => {
-    const done = (): void => {
-      response.off('drain', done);
-      response.off('close', done);
-      resolve();
-    };
-    response.once('drain', done);
-    response.once('close', done);
-  });
-}
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -10,8 +10,6 @@
  * its connections. A later life is another EdgeUpstream, so that no request goes
  * out over a connection to a former one.
  */
-import {Agent} from 'node:http';
-
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
@@ -19,11 +17,11 @@
 import {hashOf} from 'shared';
 
 import {AnswerTime} from './AnswerTime';
+import {ConnectionPool} from './ConnectionPool';
 import {
   BROKEN_BEFORE_PAUSE,
   FIRST_PAUSE_MS,
   FULL_PAUSE_MS,
-  IDLE_CONNECTION_MS,
   LONGEST_PAUSE_MS,
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
@@ -38,8 +36,7 @@
   inFlight = 0;
   /** Tokens of prompts that this edge has sent and that no event answers yet. */
   pendingTokens = 0;
-  /** Connections to the upstream; idle ones are used again. */
-  readonly agent: Agent;
+  readonly connections: ConnectionPool;
   /** Hash of the id, for rendezvous. */
   readonly hash: number;
   /** Parts of prompts that it is taken to keep. */
@@ -62,6 +59,8 @@
     public record: UpstreamRecord,
     private readonly clock: Clock,
     private readonly log: DecisionLog,
+    /** Called when it no longer serves though its record says so. */
+    private readonly stopped: () => void = () => undefined,
   ) {
     this.hash = hashOf(record.id);
     this.answerTime = new AnswerTime(clock);
@@ -69,11 +68,11 @@
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
-    this.agent = new Agent({
-      keepAlive: true,
-      maxFreeSockets: record.slots,
-      scheduling: 'lifo',
-      timeout: IDLE_CONNECTION_MS,
+    this.connections = new ConnectionPool({
+      clock,
+      host: this.host,
+      maxIdle: record.slots,
+      port: this.port,
     });
   }
 
@@ -147,21 +146,17 @@
   /** Notes that another upstream answers at this address. */
   isReplaced(): void {
     this.replaced = true;
+    this.stopped();
     this.judge(false, 'replaced');
   }
 
   /** Ends idle connections; open requests go on to their end. */
   retire(): void {
-    this.agent.maxFreeSockets = 0;
-    for (const sockets of Object.values(this.agent.freeSockets)) {
-      for (const socket of sockets ?? []) {
-        socket.destroy();
-      }
-    }
+    this.connections.retire();
   }
 
   [Symbol.dispose](): void {
-    this.agent.destroy();
+    this.connections[Symbol.dispose]();
   }
 
   private pause(cause: string): void {
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -11,8 +11,6 @@
  * A request that may not be repeated is sent again only where the first upstream
  * surely did not run it.
  */
-import type {IncomingMessage} from 'node:http';
-
 import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
@@ -44,6 +42,7 @@
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 import type {Totals} from './Totals';
+import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
 import type {SelectionParts, Sending} from './UpstreamSelection';
@@ -371,14 +370,14 @@
   private async pass(
     plan: Plan,
     upstream: EdgeUpstream,
-    {answer, exchange}: AnswerOutcome,
+    {answer}: AnswerOutcome,
   ): Promise<boolean> {
     const relay = this.relayFor(plan, answer);
-    const status = answer.statusCode ?? 0;
+    const status = answer.statusCode;
     const {socket} = answer;
     const {events: eventsBefore} = relay;
     const ended = await relay
-      .pass(answer, exchange, this.retriesError(plan, upstream, status))
+      .pass(answer, this.retriesError(plan, upstream, status))
       .finally(() => (upstream.inFlight -= 1));
     if (this.parts.crossing.isAway(upstream.record.hall)) {
       this.parts.regionTraffic.count(socket);
@@ -434,7 +433,7 @@
     );
   }
 
-  private relayFor({route}: Plan, answer: IncomingMessage): AnswerRelay {
+  private relayFor({route}: Plan, answer: UpstreamAnswer): AnswerRelay {
     if (this.relay !== undefined) {
       return this.relay;
     }
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -47,6 +47,8 @@
   private readonly byAddress = new Map<string, EdgeUpstream[]>();
   /** Those that are gone and may have requests open. */
   private readonly retired = new Set<EdgeUpstream>();
+  /** Upstreams that take new requests, kept until any upstream changes. */
+  private readonly servingLists = new Map<string, readonly EdgeUpstream[]>();
   private evacuated = NO_EVACUATIONS;
 
   constructor(
@@ -92,6 +94,7 @@
       return;
     }
     this.evacuated = found;
+    this.servingLists.clear();
     const returned = halls.filter((hall) => !found.halls.includes(hall));
     const now = this.clock.now();
     for (const upstream of this.byId.values()) {
@@ -109,7 +112,17 @@
   }
 
   /** Upstreams of a service that take new requests. */
-  serving(service: string): EdgeUpstream[] {
+  serving(service: string): readonly EdgeUpstream[] {
+    const known = this.servingLists.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const found = this.findServing(service);
+    this.servingLists.set(service, found);
+    return found;
+  }
+
+  private findServing(service: string): readonly EdgeUpstream[] {
     const {halls} = this.evacuated;
     return (this.byService.get(service) ?? []).filter(
       (upstream) =>
@@ -165,6 +178,9 @@
     } else if (record.state === UPSTREAM_STATE.gone) {
       this.drop(record.id);
     } else if (known !== undefined && isSamePlace(known.record, record)) {
+      if (isListedOtherwise(known.record, record)) {
+        this.servingLists.clear();
+      }
       known.record = record;
       known.turnsCold(this.table.coldUntil(record.id));
     } else {
@@ -203,8 +219,11 @@
   }
 
   private add(record: UpstreamRecord): void {
-    const upstream = new EdgeUpstream(record, this.clock, this.log);
+    const upstream = new EdgeUpstream(record, this.clock, this.log, () =>
+      this.servingLists.clear(),
+    );
     upstream.turnsCold(this.table.coldUntil(record.id));
+    this.servingLists.clear();
     this.byId.set(record.id, upstream);
     addTo(this.byService, record.service, upstream);
     addTo(this.byAddress, record.address, upstream);
@@ -216,6 +235,7 @@
       return;
     }
     this.byId.delete(id);
+    this.servingLists.clear();
     removeFrom(this.byService, upstream.record.service, upstream);
     removeFrom(this.byAddress, upstream.record.address, upstream);
     upstream.record = {...upstream.record, state: UPSTREAM_STATE.gone};
@@ -252,6 +272,11 @@
   return a.address === b.address && a.service === b.service;
 }
 
+/** Whether lists of upstreams that take new requests may differ with a record. */
+function isListedOtherwise(a: UpstreamRecord, b: UpstreamRecord): boolean {
+  return a.hall !== b.hall || a.state !== b.state;
+}
+
 function addTo(
   lists: Map<string, EdgeUpstream[]>,
   key: string,
