Ask to step aside after two seconds of waiting, and always say that an edge is behind

With late requests refused the wait stays at 0.2 to 0.7 s, so an age of a second was hardly ever reached. Lines about it were dropped behind the refusals that they explain.

--- a/packages/puffinturn-decisions/src/DecisionLog.ts
+++ b/packages/puffinturn-decisions/src/DecisionLog.ts
@@ -117,11 +117,16 @@
   );
 }
 
-/** Whether a line sums up what others tell; its writer writes one a second. */
+/**
+ * Whether a line sums up what others tell, or why there are so many of them; its
+ * writer writes a few a second at most.
+ */
 function isTotal({event}: Decision): boolean {
   return (
     event === 'answers-counted' ||
+    event === 'backlog-changed' ||
     event === 'grants-counted' ||
+    event === 'step-aside-decided' ||
     event === 'tokens-counted'
   );
 }
--- a/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
+++ b/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
@@ -62,6 +62,15 @@
     expect(lines[1]).toMatchObject({event: 'answers-counted', leftOut: 4});
   });
 
+  test('says that an edge is behind also once the limit is reached', () => {
+    const {lines, log} = logWith(1, 1);
+    for (let count = 0; count < 5; count += 1) {
+      log.note(ended({cause: 'read-late'}));
+    }
+    log.note({ageMs: 600, event: 'backlog-changed', open: 9, phase: 'behind'});
+    expect(lines.at(-1)).toMatchObject({event: 'backlog-changed', leftOut: 4});
+  });
+
   test('writes every success where one in one is sampled', () => {
     const {lines, log} = logWith(1_000, 1);
     for (let count = 0; count < 10; count += 1) {
--- a/packages/puffinturn-edge/src/StepAside.ts
+++ b/packages/puffinturn-edge/src/StepAside.ts
@@ -17,6 +17,8 @@
 import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
 
+import {TOLD_APART_MS} from './AcceptBacklog';
+
 /** What StepAside is made of. */
 export interface StepAsideParts {
   readonly self: BoxRecord;
@@ -31,8 +33,11 @@
   readonly ageMs: () => number;
 }
 
-/** Age from which callers are better off elsewhere, ms; they wait for seconds. */
-const BEHIND_AGE_MS = 1_000;
+/**
+ * Looks in a row that find connections waiting before an edge asks. Two seconds of
+ * it are no pause of the process, and callers have been refused meanwhile.
+ */
+const BEHIND_LOOKS = 8;
 
 /** Age below which an edge has caught up, ms. */
 const CAUGHT_UP_AGE_MS = 250;
@@ -47,7 +52,7 @@
 const MOST_ASIDE_MS = 8_000;
 
 /** Least time from a return to the next question, ms: most of its time it serves. */
-const LEAST_IN_MS = 20_000;
+const LEAST_IN_MS = 30_000;
 
 /** Time from a refusal to the next question, ms. */
 const ASK_AGAIN_MS = 3_000;
@@ -69,8 +74,8 @@
   private readonly agreedUntil = new Map<string, number>();
   private asideAt: number | undefined;
   private askAt = -Infinity;
-  /** Whether the last look found this edge behind; once may be a mere pause. */
-  private wasBehind = false;
+  /** Looks in a row that found connections waiting. */
+  private behindLooks = 0;
 
   constructor(private readonly parts: StepAsideParts) {
     this.handler = parts.link.register(
@@ -104,10 +109,11 @@
 
   private async askIfBehind(): Promise<void> {
     const {ageMs, clock, ready} = this.parts;
-    const {wasBehind} = this;
-    this.wasBehind = ageMs() >= BEHIND_AGE_MS;
+    this.behindLooks = ageMs() > 0 ? this.behindLooks + 1 : 0;
+    const isBehind =
+      this.behindLooks >= BEHIND_LOOKS && ageMs() >= TOLD_APART_MS;
     const mayAsk = ready() && this.mostAside() > 0 && clock.now() >= this.askAt;
-    if (!wasBehind || !this.wasBehind || !mayAsk) {
+    if (!isBehind || !mayAsk) {
       return;
     }
     const others = this.others();
