Tell upstreams again before other control boxes forget them

Cause: plain heartbeats aren't passed on, and a control box forgets what it has not heard of for 60 s; an upstream that calls one box only was lost to all others after a minute, and to edges that started then. A roll-out's leader could miss its target.

Test: another box does not forget an upstream that calls only this one; it failed before. Cost: a record of some 200 bytes an upstream each 18 s to each watching box.

--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -60,6 +60,8 @@
   record: UpstreamRecord;
   revision: number;
   heardAt: number;
+  /** When others were told last. */
+  toldAt: number;
   /** The latest end of its cold time that any record named. */
   coldUntil: number;
 }
@@ -67,6 +69,13 @@
 /** Upstreams not heard from for this long are forgotten, ms. */
 const FORGET_AFTER_MS = 60_000;
 
+/**
+ * A record is told again after this time though nothing in it has changed, ms. An
+ * upstream may call only one control box for as long as that answers, and the others
+ * would take it for silent; two words lost in a row are made good by a third.
+ */
+const TELL_AGAIN_MS = 18_000;
+
 /** Others are told of a cold time that ends later than known by this much, ms. */
 const COLD_NEWS_MS = 250;
 
@@ -133,7 +142,7 @@
     const goes = record.state === UPSTREAM_STATE.gone;
     const isLate = record.sequence <= held.sequence && !goes;
     if (life < 0 || gone || isLate) {
-      this.tellAgain(known, record);
+      this.tellAgain(known, record, now);
       return false;
     }
     known.heardAt = now;
@@ -142,9 +151,8 @@
     const changed =
       differs(record, held) || coldUntil > known.coldUntil + COLD_NEWS_MS;
     known.coldUntil = Math.max(known.coldUntil, coldUntil);
-    if (changed) {
-      this.current += 1;
-      known.revision = this.current;
+    if (changed || now - known.toldAt > TELL_AGAIN_MS) {
+      this.tell(known, now);
     }
     return changed;
   }
@@ -176,7 +184,7 @@
    * Passes the held record on once more where an earlier word of its life says
    * otherwise: plain heartbeats aren't passed on, so its sender may lack them.
    */
-  private tellAgain(slot: Slot, late: UpstreamRecord): void {
+  private tellAgain(slot: Slot, late: UpstreamRecord, now: number): void {
     const {record: held} = slot;
     const isEarlier =
       compareLives(late, held) === 0 && late.sequence < held.sequence;
@@ -185,11 +193,16 @@
       held.state !== UPSTREAM_STATE.gone &&
       differs(late, held)
     ) {
-      this.current += 1;
-      slot.revision = this.current;
+      this.tell(slot, now);
     }
   }
 
+  private tell(slot: Slot, now: number): void {
+    this.current += 1;
+    slot.revision = this.current;
+    slot.toldAt = now;
+  }
+
   private keep(record: UpstreamRecord, now: number): void {
     this.current += 1;
     this.slots.set(record.id, {
@@ -197,6 +210,7 @@
       heardAt: now,
       record,
       revision: this.current,
+      toldAt: now,
     });
   }
 }
--- a/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
@@ -61,6 +61,22 @@
     expect(table.coldUntil('i-1')).toBe(3_000);
   });
 
+  test('another box does not forget an upstream that calls only this one', () => {
+    const called = new UpstreamTable();
+    const told = new UpstreamTable();
+    let revision = 0;
+    for (let at = 0; at <= 180_000; at += 1_200) {
+      called.merge(upstreamOf({sequence: at + 1}), at);
+      for (const record of called.changedSince(revision)) {
+        told.merge(record, at);
+      }
+      revision = called.revision;
+      told.expire(at);
+    }
+    expect(told.get('i-1')?.state).toBe(UPSTREAM_STATE.ready);
+    expect(revision).toBeLessThan(12);
+  });
+
   test('forgets what has long been silent', () => {
     const table = new UpstreamTable();
     table.merge(upstreamOf(), 0);
