Hash in one call

One hash of a short text takes 3.0 us of processor time, 4.6 before (200,000 in a loop, Node 20.20); the values are the same. Each request to an engine makes one.

--- a/packages/shared/src/Hash.ts
+++ b/packages/shared/src/Hash.ts
@@ -6,9 +6,9 @@
  */
 
 /** Hashes that spread things evenly; they prove nothing. */
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 
 /** A 32-bit hash of a text, the same in every process. */
 export function hashOf(text: string): number {
-  return createHash('md5').update(text).digest().readUInt32LE(0);
+  return hash('md5', text, 'buffer').readUInt32LE(0);
 }
