--- a/packages/puffinturn-bench/src/EdgeBench.ts
+++ b/packages/puffinturn-bench/src/EdgeBench.ts
@@ -59,7 +59,8 @@
 const CALLERS = 40;
 const EVENTS = 30;
 const EVENT_PAUSE_MS = 5;
-const WARM_SECONDS = 2;
+/** Time for the compiler to settle; streams come at some 200 a second. */
+const WARM_SECONDS = 5;
 const READY_POLL_MS = 50;
 /** One tick of `/proc/PID/stat`, ms. */
 const TICK_MS = 10;
