--- a/packages/puffinturn-edge/src/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/HttpConnection.ts
@@ -204,7 +204,9 @@
     // A request that is not all sent yet goes out before the connection ends.
     const isSent = socket.writableLength === 0;
     // The reader of the answer may have held it back.
-    socket.resume();
+    if (socket.isPaused()) {
+      socket.resume();
+    }
     if (!this.usable || !isSent || !this.keeper.takeBack(this, idleMs)) {
       this.last = true;
       socket.destroySoon();
