Ask to step aside after three quarters of a second, and wait a second for answers

Cause: an edge that is behind reads answers half a second late, so one of four counted, and by the time it asked again the load was over.

Ruled out: that the others were behind too (none of them said so in its log).

Change: 3 looks in place of 8, answers waited for 1 s, asked again after 1 s.

--- a/packages/puffinturn-edge/src/StepAside.ts
+++ b/packages/puffinturn-edge/src/StepAside.ts
@@ -34,10 +34,11 @@
 }
 
 /**
- * Looks in a row that find connections waiting before an edge asks. Two seconds of
- * it are no pause of the process, and callers have been refused meanwhile.
+ * Looks in a row that find connections waiting before an edge asks. A pause of the
+ * process is worked off sooner; and what spreads callers needs two seconds more to
+ * notice, in which those of this edge go on being refused.
  */
-const BEHIND_LOOKS = 8;
+const BEHIND_LOOKS = 3;
 
 /** Age below which an edge has caught up, ms. */
 const CAUGHT_UP_AGE_MS = 250;
@@ -54,11 +55,14 @@
 /** Least time from a return to the next question, ms: most of its time it serves. */
 const LEAST_IN_MS = 30_000;
 
-/** Time from a refusal to the next question, ms. */
-const ASK_AGAIN_MS = 3_000;
+/** Time from a refusal to the next question, ms: others may have caught up by then. */
+const ASK_AGAIN_MS = 1_000;
 
-/** Longest time for the answer of another edge, ms; a well one takes a few. */
-const ANSWER_MS = 500;
+/**
+ * Longest time for the answer of another edge, ms. A well one takes a few; this edge
+ * takes half a second to read it while it is behind.
+ */
+const ANSWER_MS = 1_000;
 
 /** The part of a hall that may be aside, as each of its edges knows it. */
 const MOST_ASIDE_PART = 0.25;
