Mend what the review of roll-outs found at the seam of its two sides

- Upstreams that name no version were refused for good once roll-outs are enabled.
- An edge said that it had shifted before any request had tried the new version; the test that pinned it now wants 'not yet' at once and 'shifted' after the settle time.
- The leader kept an edge's 'shifted' though the edge took it back.
- A box whose time of day is ahead took a new order for older than it was.
- A route of one region never tried the new version where its few trial upstreams stood in another region.

--- a/packages/puffinturn-edge/src/AcceptBacklog.ts
+++ b/packages/puffinturn-edge/src/AcceptBacklog.ts
@@ -92,7 +92,9 @@
     this.acceptedInTurn = 0;
     this.turnedBefore = this.turnedAt;
     this.turnedAt = this.clock.now();
-    return !isEmpty;
+    // What comes after a long turn is to be dated by its end.
+    const wasLong = this.turnedAt - this.turnedBefore >= NEGLIGIBLE_AGE_MS;
+    return !isEmpty || wasLong;
   }
 
   /**
--- a/packages/puffinturn-edge/src/BacklogWatch.ts
+++ b/packages/puffinturn-edge/src/BacklogWatch.ts
@@ -74,7 +74,10 @@
 
   private readonly accept = (socket: Socket): void => {
     const made = this.marks.find(
-      (mark) => mark.socket.localPort === socket.remotePort,
+      (mark) =>
+        socket.remotePort !== undefined &&
+        mark.socket.localPort === socket.remotePort &&
+        mark.socket.localAddress === socket.remoteAddress,
     );
     if (made === undefined) {
       this.arrivals.set(socket, this.backlog.accepted());
@@ -115,7 +118,8 @@
     const mark = this.backlog.mark();
     const socket = connect({host: address.address, port: address.port});
     const made = {mark, socket};
-    socket.on('error', () => this.forget(made));
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.forget(made));
     this.marks = [...this.marks, made];
   }
 
--- a/packages/puffinturn-edge/src/ExposureAccount.ts
+++ b/packages/puffinturn-edge/src/ExposureAccount.ts
@@ -155,7 +155,7 @@
   private arrived = 0;
   private stop: ExposureStop | undefined;
   private stops = 0;
-  private reserveAt = -Infinity;
+  private reserveAt: number | undefined;
   private shifted = false;
   private stoppedUntil = -Infinity;
   private readonly routes = new Map<string, ExposedRoute>();
@@ -238,6 +238,7 @@
 
   /** Shifts for good once the former version was not needed for a while. */
   settleShift(): boolean {
+    this.reserveAt ??= this.clock.now();
     this.shifted ||= this.clock.now() - this.reserveAt >= SHIFT_SETTLE_MS;
     return this.shifted;
   }
--- a/packages/puffinturn-edge/src/Exposures.ts
+++ b/packages/puffinturn-edge/src/Exposures.ts
@@ -16,7 +16,7 @@
   Rollouts,
   ServiceVersions,
 } from 'puffinturn-fleet';
-import {NO_ROLLOUTS, ROLLOUT_STATE} from 'puffinturn-fleet';
+import {NO_ROLLOUTS, ROLLOUT_STATE, UNNAMED_VERSION} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
 import {Condition, hashOf} from 'shared';
 
@@ -140,8 +140,8 @@
     tokens: number,
   ): Observation {
     const exposed = this.services.get(service.name);
-    const version = record.version ?? undefined;
-    if (exposed === undefined || version === undefined) {
+    const version = record.version ?? UNNAMED_VERSION;
+    if (exposed === undefined) {
       return SILENT;
     }
     const {account, expectations, use, versions} = exposed;
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -66,7 +66,9 @@
   tried: ReadonlySet<EdgeUpstream>,
   sending: Sending,
 ): Placement | undefined {
-  const serving = parts.pool.serving(plan.service.name);
+  const all = parts.pool.serving(plan.service.name);
+  // Trials of a new version are drawn from upstreams that may serve the request.
+  const serving = allowedOf(parts, plan, all);
   const isFirst = tried.size === 0;
   for (const group of parts.exposures.groupsFor(plan, serving, isFirst)) {
     const placement = selectFrom(parts, plan, tried, sending, group);
--- a/packages/puffinturn-edge/src/VersionGate.ts
+++ b/packages/puffinturn-edge/src/VersionGate.ts
@@ -10,7 +10,7 @@
  * service's roll-out only; how many requests try a new version is decided elsewhere.
  */
 import type {ServiceVersions, UpstreamRecord} from 'puffinturn-fleet';
-import {ROLLOUT_STATE} from 'puffinturn-fleet';
+import {ROLLOUT_STATE, UNNAMED_VERSION} from 'puffinturn-fleet';
 
 /** What has a version: an upstream. */
 export interface Versioned {
@@ -76,10 +76,12 @@
     : found;
 }
 
-/** The upstreams of one version; one that names none has no version. */
+/** The upstreams of one version; those that name none are one version too. */
 export function ofVersion<Upstream extends Versioned>(
   upstreams: readonly Upstream[],
   version: string,
 ): readonly Upstream[] {
-  return upstreams.filter(({record}) => record.version === version);
+  return upstreams.filter(
+    ({record}) => (record.version ?? UNNAMED_VERSION) === version,
+  );
 }
--- a/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
@@ -11,6 +11,7 @@
   NO_ROLLOUTS,
   Regions,
   REPETITION,
+  UNNAMED_VERSION,
   UPSTREAM_STATE,
 } from 'puffinturn-fleet';
 import {ManualClock, Random} from 'shared';
@@ -151,6 +152,18 @@
     expect(await versions(400)).toEqual(['v1', 'v2']);
   });
 
+  test('upstreams that name no version serve as the version that they are', async () => {
+    const unnamed = Array.from({length: 3}, (_, at) =>
+      upstreamOf(`old-${at}`, {address: `10.0.9.${at}:80`}),
+    );
+    const {exposures, send} = start(unnamed);
+    const services = [
+      {rollout: undefined, service: 's', stableVersion: UNNAMED_VERSION},
+    ];
+    exposures.adopt({revision: 1, services}, 'c1');
+    expect([...(await send(30)).keys()]).not.toContain(undefined);
+  });
+
   test('a version that no order allows gets nothing though it is ready', async () => {
     const {exposures, grant, versions} = start(upstreams(5, 'v3'));
     exposures.adopt(rolloutsOf(1, undefined), 'c1');
@@ -483,6 +496,8 @@
     const open = serving.ask('order');
     await until(() => former.seen.length === 1);
     serving.exposures.adopt(rolloutsOf(2, 'shifting', 2), 'c1');
+    expect(served.reportOf()).toMatchObject({openAtFormer: 1, shifted: false});
+    await until(() => served.reportOf()?.shifted === true);
     expect(served.reportOf()).toMatchObject({openAtFormer: 1, shifted: true});
     expect((await serving.ask('order')).body).toBe('new');
     finish();
--- a/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
@@ -68,7 +68,7 @@
     },
   );
 
-  test('an upstream that names no version is of none', () => {
+  test('an upstream that names no version is of no named one', () => {
     expect(ofVersion(upstreams(undefined, ''), 'v1')).toEqual([]);
   });
 
--- a/packages/puffinturn-fleet/src/ExposureLedger.ts
+++ b/packages/puffinturn-fleet/src/ExposureLedger.ts
@@ -165,8 +165,7 @@
   return (
     report.requests < known.requests ||
     report.exposed < known.exposed ||
-    answersOf(report) < answersOf(known) ||
-    (known.shifted && !report.shifted)
+    answersOf(report) < answersOf(known)
   );
 }
 
--- a/packages/puffinturn-fleet/src/RolloutClock.ts
+++ b/packages/puffinturn-fleet/src/RolloutClock.ts
@@ -25,6 +25,7 @@
 /** See the module comment. */
 export class RolloutClock {
   private readonly beginnings = new Map<string, Beginning>();
+  private lookedAt: number | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -33,10 +34,12 @@
 
   /** Takes note of orders and times that were applied since the last look. */
   look(): void {
+    const lookedAt = this.lookedAt ?? -Infinity;
+    this.lookedAt = this.clock.now();
     for (const {service} of this.machine.rollouts.services) {
       const progress = this.machine.rolloutProgressOf(service);
       if (progress !== undefined) {
-        this.note(service, progress);
+        this.note(service, progress, lookedAt);
       }
     }
   }
@@ -48,14 +51,26 @@
     return beginning && this.clock.now() - beginning.at;
   }
 
-  private note(service: string, progress: RolloutProgress): void {
+  /**
+   * An order that came since the last look is no older than that look, whatever the
+   * time of day says: boxes' times of day differ, and may step by seconds.
+   */
+  private note(
+    service: string,
+    progress: RolloutProgress,
+    lookedAt: number,
+  ): void {
     const {elapsedMs, number, orderedAt} = progress;
     const now = this.clock.now();
     const known = this.beginnings.get(service);
     const at =
       known?.number === number
         ? Math.min(known.at, now - elapsedMs)
-        : now - Math.max(elapsedMs, this.clock.wallTime() - orderedAt);
+        : now -
+          Math.max(
+            elapsedMs,
+            Math.min(this.clock.wallTime() - orderedAt, now - lookedAt),
+          );
     this.beginnings.set(service, {at, number});
   }
 }
--- a/packages/puffinturn-fleet/src/__tests__/unit/ExposureLedger.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/ExposureLedger.test.ts
@@ -43,6 +43,15 @@
     expect(ledger.tallies).toEqual([tallyOf(9)]);
   });
 
+  test('believes an edge that takes its shift back', () => {
+    const ledger = new ExposureLedger(BOUND, NOTHING);
+    ledger.take('e1', reportOf({requests: 10, shifted: true}), 0);
+    ledger.take('e1', reportOf({openAtFormer: 5, requests: 40}), 1);
+    expect(ledger.reportsSince(0)).toEqual([
+      reportOf({openAtFormer: 5, requests: 40}),
+    ]);
+  });
+
   test('adds up the lives of an edge', () => {
     const ledger = new ExposureLedger(BOUND, NOTHING);
     ledger.take('e1', reportOf({requests: 30, tallies: [tallyOf(9)]}), 0);
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutClock.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutClock.test.ts
@@ -15,16 +15,20 @@
   const machine = new FleetMachine();
   const stored = {configuration: configurationOf(1), document: 'one'};
   machine.apply({kind: 'configuration', stored});
+  order(machine, clock.wallTime());
+  return machine;
+}
+
+function order(machine: FleetMachine, at: number): void {
   machine.apply({
     durationMs: 12_000,
     kind: 'rollout-order',
     knownNumber: 0,
-    orderedAt: clock.wallTime(),
+    orderedAt: at,
     service: 's',
     stableVersion: 'v1',
     targetVersion: 'v2',
   });
-  return machine;
 }
 
 function noteElapsed(machine: FleetMachine, elapsedMs: number): void {
@@ -70,6 +74,18 @@
     expect(new RolloutClock(clock, machine).elapsedOf('s')).toBe(9_000);
   });
 
+  test('takes an order that came since the last look for no older than that', async () => {
+    const machine = new FleetMachine();
+    const clock = new ManualClock();
+    const elapsed = new RolloutClock(clock, machine);
+    elapsed.look();
+    await clock.advance(500);
+    const stored = {configuration: configurationOf(1), document: 'one'};
+    machine.apply({kind: 'configuration', stored});
+    order(machine, clock.wallTime() - 5_000);
+    expect(elapsed.elapsedOf('s')).toBe(500);
+  });
+
   test('does not go back with a time of day that does', () => {
     const machine = orderedAt(new ManualClock());
     noteElapsed(machine, 2_000);
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -88,6 +88,7 @@
   ROLLOUT_STATE,
   TIME_RATIO_BOUNDS,
 } from './Rollouts';
+export {UNNAMED_VERSION} from './ServiceUpstreams';
 export {UpstreamRefusals} from './UpstreamRefusals';
 export type {UpstreamLife, UpstreamRecord, UpstreamState} from './Upstreams';
 export {compareLives, UPSTREAM_STATE, UpstreamTable} from './Upstreams';
