Mend what the review of the request path found

- A stream after a dropped error was held back whole, and charged no events.
- A long answer that broke off after its first part made a second one end the process.
- A rejection whose body never ends held its connection for good.
- An upstream was blamed for a header that no upstream can be sent.

--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -10,6 +10,12 @@
 /** Time for a connection to an upstream to come up, ms; a dark one never does. */
 export const CONNECT_MS = 400;
 
+/**
+ * Time for the rest of an answer that says that it did not run the request, ms; its
+ * connection would be held for good by one whose body never ends.
+ */
+export const REJECTION_BODY_MS = 400;
+
 /** Connections that never came up before a request is given up. */
 export const MAX_UNSENT = 4;
 
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -10,7 +10,7 @@
  * upstream's answer to this very request is never passed on.
  */
 import type {HeaderNames} from './CallerDialect';
-import {CONNECT_MS} from './EdgeConstants';
+import {CONNECT_MS, REJECTION_BODY_MS} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {ConnectionUser, HttpConnection} from './HttpConnection';
 import {requestHead} from './RequestHead';
@@ -32,6 +32,9 @@
   /** Sent, and nothing usable came back: the request may have run. */
   | {readonly kind: 'broken'; readonly cause: string};
 
+/** A header can't be sent on to any upstream: the fault is the request's. */
+export const INVALID_HEADER = 'invalid-header';
+
 /** What is sent. */
 export interface ExchangeParts {
   readonly upstream: EdgeUpstream;
@@ -60,7 +63,7 @@
     this.outcome = new Promise((resolve) => (this.resolve = resolve));
     const head = requestHead(method, path, headers);
     if (head === undefined) {
-      this.resolve({cause: 'invalid-header', kind: 'broken'});
+      this.resolve({cause: INVALID_HEADER, kind: 'broken'});
       return;
     }
     this.connection = upstream.connections.take();
@@ -108,6 +111,7 @@
     }
     if (headers[names.notRun] !== undefined || status === 421) {
       answer.drop();
+      setTimeout(() => this.abort('slow-rejection'), REJECTION_BODY_MS).unref();
       return {kind: 'rejected', status};
     }
     if (headers['content-encoding'] !== undefined) {
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -30,7 +30,7 @@
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
-import {Exchange} from './Exchange';
+import {Exchange, INVALID_HEADER} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
 import type {Observation} from './Observation';
 import {PromptReading} from './PromptReading';
@@ -331,7 +331,7 @@
         return this.again(plan, upstream, outcome.cause, true);
       case 'broken':
         this.mayHaveRun = true;
-        if (!this.final.ended) {
+        if (!this.final.ended && outcome.cause !== INVALID_HEADER) {
           upstream.broke(outcome.cause);
         }
         return this.again(plan, upstream, outcome.cause, false);
@@ -349,6 +349,7 @@
     const retry =
       !this.final.ended &&
       allowed &&
+      this.mayGoOn(route) &&
       this.attempts < route.maxAttempts &&
       this.unsent < MAX_UNSENT;
     this.parts.log.note({
@@ -367,6 +368,14 @@
     return !retry;
   }
 
+  /** Whether another answer could follow what was passed on already. */
+  private mayGoOn({repetition}: Route): boolean {
+    const {relay} = this;
+    const isResumable =
+      repetition === REPETITION.resumable && relay?.lastEventId !== undefined;
+    return relay?.begun !== true || isResumable;
+  }
+
   private async pass(
     plan: Plan,
     upstream: EdgeUpstream,
@@ -434,7 +443,7 @@
   }
 
   private relayFor({route}: Plan, answer: UpstreamAnswer): AnswerRelay {
-    if (this.relay !== undefined) {
+    if (this.relay?.begun === true) {
       return this.relay;
     }
     const firstByte = (): void => {
--- a/packages/puffinturn-edge/src/__tests__/unit/AcceptBacklog.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/AcceptBacklog.test.ts
@@ -46,6 +46,16 @@
     expect(loop.backlog.ageMs).toBe(0);
   });
 
+  test('what comes after a pause is not taken to have come before it', async () => {
+    const loop = new Loop();
+    await loop.turn();
+    expect(await loop.turn(10 * TURN_MS)).toBe(true);
+    await loop.turn(0);
+    await loop.clock.advance(TURN_MS);
+    expect(loop.age()).toBe(0);
+    expect(loop.age(loop.backlog.accepted())).toBe(0);
+  });
+
   test('a queue that was never empty is as old as its first wait', async () => {
     const loop = new Loop();
     await loop.turn();
