--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/Allowances.ts
@@ -171,14 +171,14 @@
   async reserve(
     team: string,
     tokens: number,
-    givesWay = false,
+    isLeastUrgent = false,
   ): Promise<ReserveOutcome> {
     const account = this.book.accountOf(team);
     account.largest = Math.max(account.largest, tokens);
     const demand: Demand = {
       account,
       claim: (kept) => this.book.take(account, tokens, kept),
-      keepPart: givesWay ? URGENT_PART : 0,
+      keepPart: isLeastUrgent ? URGENT_PART : 0,
       tokens,
     };
     return this.secure(demand, () => this.obtain(demand));
--- a/packages/puffinturn-edge/src/AnswerExpectations.ts
+++ b/packages/puffinturn-edge/src/AnswerExpectations.ts
@@ -35,17 +35,17 @@
 /** Added to each time, ms: below this a difference is chance. */
 const GRAIN_MS = 5;
 
-/** Cost of a request apart from its prompt, ms. */
+/** Cost of a request apart from its prompt, ms; typical of an engine. */
 const BASE_MS = 40;
 
-/** How fast a prompt is read, tokens a ms; only the parts in a mix depend on it. */
+/** How fast a prompt is read, tokens a ms; typical of an engine, and it cancels out for prompts alike. */
 const TOKENS_PER_MS = 45;
 
 /** Fewer events than this say nothing of the time between them. */
 const LEAST_EVENTS = 4;
 
-/** The middle of times of which some are very long: a mean of their logarithms. */
-class LogarithmicMean {
+/** Exponentially weighted geometric mean: a few very long times move it little. */
+class GeometricMean {
   private mean = 0;
   private count = 0;
 
@@ -62,18 +62,18 @@
 }
 
 /** What is expected of one route. */
-interface Usual {
+interface RouteTimes {
   /** Time until the first byte over what the prompt costs. */
-  readonly first: LogarithmicMean;
+  readonly first: GeometricMean;
   /** Time of a whole answer of few events over what the prompt costs. */
-  readonly whole: LogarithmicMean;
+  readonly whole: GeometricMean;
   /** Time for each event after the first byte. */
-  readonly event: LogarithmicMean;
+  readonly event: GeometricMean;
 }
 
 /** See the module comment. */
 export class AnswerExpectations {
-  private readonly routes = new LRUCache<string, Usual>({max: MAX_ROUTES});
+  private readonly routes = new LRUCache<string, RouteTimes>({max: MAX_ROUTES});
 
   /** Takes an answer of the stable version in. */
   learn(route: string, sample: AnswerSample): void {
@@ -99,15 +99,15 @@
       : Math.max(firstRatio, eventRatio);
   }
 
-  private usualOf(route: string): Usual {
+  private usualOf(route: string): RouteTimes {
     const known = this.routes.get(route);
     if (known !== undefined) {
       return known;
     }
     const usual = {
-      event: new LogarithmicMean(),
-      first: new LogarithmicMean(),
-      whole: new LogarithmicMean(),
+      event: new GeometricMean(),
+      first: new GeometricMean(),
+      whole: new GeometricMean(),
     };
     this.routes.set(route, usual);
     return usual;
--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/AnswerRelay.ts
@@ -12,7 +12,7 @@
  */
 import {CallerBody} from './CallerBody';
 import type {CallerRequest} from './CallerRequest';
-import {passesOn} from './CallerRequest';
+import {joined, passesOn} from './CallerRequest';
 import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
 import {EventCutter} from './EventStream';
 import type {UpstreamAnswer} from './UpstreamAnswer';
@@ -136,10 +136,7 @@
     if (!this.flowing) {
       this.sendHead(this.length);
     }
-    const [first] = this.chunks;
-    const rest =
-      this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
-    this.body.end(rest);
+    this.body.end(joined(this.chunks));
   }
 }
 
--- a/packages/puffinturn-edge/src/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/CallerRequest.ts
@@ -162,7 +162,8 @@
   }
 }
 
-function joined(chunks: readonly Buffer[]): Buffer {
+/** All chunks as one; a single one is not copied. */
+export function joined(chunks: readonly Buffer[]): Buffer {
   const [first] = chunks;
   return chunks.length === 1 && first ? first : Buffer.concat(chunks);
 }
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -118,3 +118,12 @@
 
 /** How long a budget found exhausted is taken to stay so, ms. */
 export const EXHAUSTED_MS = 800;
+
+/** Status of an upstream that is not the one that was meant. */
+export const MISDIRECTED = 421;
+
+/** Statuses from here on are errors of the upstream's own. */
+export const FIRST_ERROR_STATUS = 500;
+
+/** Cause of an attempt or a request that ended as its caller left. */
+export const CALLER_LEFT = 'caller-left';
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -10,7 +10,7 @@
  * upstream's answer to this very request is never passed on.
  */
 import type {HeaderNames} from './CallerDialect';
-import {CONNECT_MS, REJECTION_BODY_MS} from './EdgeConstants';
+import {CONNECT_MS, MISDIRECTED, REJECTION_BODY_MS} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {ConnectionUser, HttpConnection} from './HttpConnection';
 import {requestHead} from './RequestHead';
@@ -109,7 +109,7 @@
     if (id !== undefined && id !== requestId) {
       return this.spoiled('answer-of-another-request');
     }
-    if (headers[names.notRun] !== undefined || status === 421) {
+    if (headers[names.notRun] !== undefined || status === MISDIRECTED) {
       answer.drop();
       setTimeout(() => this.abort('slow-rejection'), REJECTION_BODY_MS).unref();
       return {kind: 'rejected', status};
--- a/packages/puffinturn-edge/src/ExposureAccount.ts
+++ b/packages/puffinturn-edge/src/ExposureAccount.ts
@@ -11,7 +11,7 @@
  * order and only grow, so that a report that is late or comes twice does no harm.
  */
 import type {ExposureReport, Rollout, VersionTally} from 'puffinturn-fleet';
-import {TIME_RATIO_BOUNDS} from 'puffinturn-fleet';
+import {tallyKey, TIME_RATIO_BOUNDS} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
 
 /** Why an edge stopped exposing by itself. */
@@ -153,9 +153,9 @@
   private exposed = 0;
   private requests = 0;
   private arrived = 0;
-  private stop: ExposureStop | undefined;
+  private stopCause: ExposureStop | undefined;
   private stops = 0;
-  private reserveAt: number | undefined;
+  private fallbackUsedAt: number | undefined;
   private shifted = false;
   private stoppedUntil = -Infinity;
   private readonly routes = new Map<string, ExposedRoute>();
@@ -185,9 +185,9 @@
     return this.exposed;
   }
 
-  /** Why this edge has stopped by itself last; undefined before it has. */
-  get stopped(): ExposureStop | undefined {
-    return this.stop;
+  /** Why this edge last stopped; kept after it has resumed, undefined before. */
+  get lastStop(): ExposureStop | undefined {
+    return this.stopCause;
   }
 
   /** Takes a grant in; one that was overtaken changes nothing. */
@@ -232,14 +232,14 @@
   }
 
   /** Notes that while shifting a request had to go to the former version. */
-  sentToReserve(): void {
-    this.reserveAt = this.clock.now();
+  sentToFallback(): void {
+    this.fallbackUsedAt = this.clock.now();
   }
 
   /** Shifts for good once the former version was not needed for a while. */
   settleShift(): boolean {
-    this.reserveAt ??= this.clock.now();
-    this.shifted ||= this.clock.now() - this.reserveAt >= SHIFT_SETTLE_MS;
+    this.fallbackUsedAt ??= this.clock.now();
+    this.shifted ||= this.clock.now() - this.fallbackUsedAt >= SHIFT_SETTLE_MS;
     return this.shifted;
   }
 
@@ -251,7 +251,7 @@
   /** Takes an answer in; true where this edge stops exposing because of it. */
   judge(answer: AnswerJudgement): boolean {
     const {failed, ratio = 0, route, version} = answer;
-    const key = JSON.stringify([route, version]);
+    const key = tallyKey(route, version);
     const tally = this.tallies.get(key) ?? new Tally(route, version);
     this.tallies.set(key, tally);
     tally.add(answer);
@@ -262,7 +262,7 @@
     if (reason === undefined) {
       return false;
     }
-    this.stop = reason;
+    this.stopCause = reason;
     this.stoppedUntil = this.clock.now() + FIRST_STOP_MS * 2 ** this.stops;
     this.stops += 1;
     this.target.badInRow = 0;
--- a/packages/puffinturn-edge/src/Exposures.ts
+++ b/packages/puffinturn-edge/src/Exposures.ts
@@ -121,9 +121,9 @@
     }
     const {account, use} = exposed;
     const usual = servedBy(use, serving);
-    if (use.reserve !== undefined && account?.hasShifted === false) {
+    if (use.fallback !== undefined && account?.hasShifted === false) {
       // The former upstreams still run: better there than refused, as by cold ones.
-      return [usual, ofVersion(serving, use.reserve)];
+      return [usual, ofVersion(serving, use.fallback)];
     }
     if (use.trial === undefined || account === undefined || !isFirst) {
       return [usual];
@@ -145,8 +145,8 @@
       return SILENT;
     }
     const {account, expectations, use, versions} = exposed;
-    if (version === use.reserve) {
-      account?.sentToReserve();
+    if (version === use.fallback) {
+      account?.sentToFallback();
     }
     if (account?.targetVersion === version) {
       account.sentToTarget();
@@ -240,7 +240,7 @@
 
   private noteStop(service: string, account: ExposureAccount): void {
     this.parts.log.note({
-      cause: account.stopped,
+      cause: account.lastStop,
       event: 'exposure-stopped',
       exposed: account.used,
       number: account.number,
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -23,7 +23,10 @@
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
 import {
+  CALLER_LEFT,
+  FIRST_ERROR_STATUS,
   MAX_UNSENT,
+  MISDIRECTED,
   RETRY_AFTER_READ_LATE_S,
   RETRY_AFTER_TOKENS_S,
 } from './EdgeConstants';
@@ -45,7 +48,7 @@
 import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
-import type {SelectionParts, Sending} from './UpstreamSelection';
+import type {RequestSize, SelectionParts} from './UpstreamSelection';
 import {lackOf, selectUpstream} from './UpstreamSelection';
 
 /** What serving needs of the edge. */
@@ -66,9 +69,6 @@
 /** Least time left with which a request is sent to an upstream, ms. */
 const LEAST_LEFT_MS = 10;
 
-/** Status of an upstream that is not the one that was meant. */
-const MISDIRECTED = 421;
-
 /** See the module comment. */
 export class Forwarding {
   private plan: Plan | undefined;
@@ -99,8 +99,12 @@
       this.note();
       return;
     }
-    const givesWay = this.table.givesWay(plan.route);
-    const tokens = new RequestTokens(this.parts.allowances, plan, givesWay);
+    const isLeastUrgent = this.table.isLeastUrgent(plan.route);
+    const tokens = new RequestTokens(
+      this.parts.allowances,
+      plan,
+      isLeastUrgent,
+    );
     this.caller.response.once('close', () => this.callerClosed());
     const timer = setTimeout(
       () => this.expire(),
@@ -173,7 +177,7 @@
 
   private async callerStays(): Promise<boolean> {
     if (!(await this.caller.stays())) {
-      this.final.end('caller-left');
+      this.final.end(CALLER_LEFT);
     }
     return !this.final.ended;
   }
@@ -204,9 +208,9 @@
 
   private async forward(plan: Plan): Promise<void> {
     while (!this.final.ended) {
-      const sending: Sending = {
+      const sending: RequestSize = {
         bodyBytes: this.body.length,
-        givesWay: this.table.givesWay(plan.route),
+        isLeastUrgent: this.table.isLeastUrgent(plan.route),
       };
       const {parts, tried} = this;
       const placement = selectUpstream(parts, plan, tried, sending);
@@ -399,7 +403,7 @@
     });
     switch (ended) {
       case RELAY.whole:
-        if (status < 500) {
+        if (status < FIRST_ERROR_STATUS) {
           upstream.succeeded();
         } else {
           upstream.answeredError();
@@ -418,7 +422,7 @@
     upstream: EdgeUpstream,
     status: number,
   ): boolean {
-    if (status >= 500) {
+    if (status >= FIRST_ERROR_STATUS) {
       upstream.answeredError();
       return this.again(plan, upstream, `status-${status}`, false);
     }
@@ -434,7 +438,7 @@
     status: number,
   ): boolean {
     return (
-      status >= 500 &&
+      status >= FIRST_ERROR_STATUS &&
       status !== 504 &&
       route.repetition !== REPETITION.never &&
       this.attempts < route.maxAttempts &&
@@ -473,9 +477,9 @@
 
   private callerClosed(): void {
     if (!this.final.ended && this.caller.abandoned) {
-      this.final.end('caller-left');
+      this.final.end(CALLER_LEFT);
       this.relay?.stop();
-      this.exchange?.abort('caller-left');
+      this.exchange?.abort(CALLER_LEFT);
     }
   }
 
--- a/packages/puffinturn-edge/src/Observation.ts
+++ b/packages/puffinturn-edge/src/Observation.ts
@@ -14,6 +14,7 @@
 import type {AnswerExpectations, AnswerSample} from './AnswerExpectations';
 import type {RelayEnd} from './AnswerRelay';
 import {RELAY} from './AnswerRelay';
+import {CALLER_LEFT, FIRST_ERROR_STATUS, MISDIRECTED} from './EdgeConstants';
 import type {ExchangeOutcome} from './Exchange';
 import type {AnswerJudgement, ExposureAccount} from './ExposureAccount';
 
@@ -60,15 +61,6 @@
   readonly stopped: (account: ExposureAccount) => void;
 }
 
-/** The causes of a break that say nothing of the upstream. */
-const CALLER_LEFT = 'caller-left';
-
-/** The status of an upstream that is not the one that was meant. */
-const MISDIRECTED = 421;
-
-/** Statuses from here on are errors of the upstream's own. */
-const FIRST_ERROR_STATUS = 500;
-
 /** See the module comment. */
 export class VersionObservation extends Observation {
   private readonly startedAt: number;
--- a/packages/puffinturn-edge/src/ReadLateness.ts
+++ b/packages/puffinturn-edge/src/ReadLateness.ts
@@ -11,12 +11,9 @@
 import {TOLD_APART_MS} from './AcceptBacklog';
 
 /**
- * Part of the time in which its first byte is due that a request may have waited.
- * There is time left then for another edge to answer within it, and what waits here
- * behind it is answered in time as well. At 600 requests a second for six seconds
- * at an edge that bears some 300, 4,660 of 4,660 had their first byte within a
- * second, 1,619 of 4,652 without a bound (processes stopped for 68 of each 100 ms,
- * a neighbour with room, one run each).
+ * Part of the time in which its first byte is due that a request may have waited: the
+ * rest is enough for another edge to answer in time, and the queue here stays short
+ * (docs/design/accept-backlog.md has the measurement).
  */
 const MOST_WAITED_PART = 0.5;
 
--- a/packages/puffinturn-edge/src/RegionConstants.ts
+++ b/packages/puffinturn-edge/src/RegionConstants.ts
@@ -16,18 +16,18 @@
 /** Part of the link for requests; the log, news and tokens need the rest. */
 export const LINK_PART_FOR_REQUESTS = 0.5;
 
-/** Part of an edge's store that its least urgent requests leave to the others. */
+/** Part of an edge's token bucket that its least urgent requests leave to the others. */
 export const LINK_PART_LEFT_BY_LEAST_URGENT = 0.5;
 
-/** Part of the link that is reckoned with when it is used up: a way has a cost. */
+/** Least part of the link's rate that a transfer is reckoned with, so that its time stays finite. */
 export const LEAST_LINK_LEFT = 0.1;
 
-/** Time whose bytes an edge may send at once, ms: callers come in clumps. */
-export const LINK_STORE_MS = 2_000;
+/** Depth of an edge's token bucket, as time at its rate, ms: requests come in bursts. */
+export const LINK_BURST_MS = 2_000;
 
 /**
  * How often each edge tries an upstream that failed last while another region serves
- * its requests, ms. A try may hold a request up for 400 ms; the return of a region
+ * its requests, ms. A try may hold a request up for CONNECT_MS; the return of a region
  * shows within this time.
  */
 export const HOME_PROBE_EVERY_MS = 2_000;
--- a/packages/puffinturn-edge/src/RegionCrossing.ts
+++ b/packages/puffinturn-edge/src/RegionCrossing.ts
@@ -18,11 +18,11 @@
 import {
   ANSWER_BYTES,
   LEAST_LINK_LEFT,
+  LINK_BURST_MS,
   LINK_BYTES_PER_MS,
   LINK_DELAY_MS,
   LINK_PART_FOR_REQUESTS,
   LINK_PART_LEFT_BY_LEAST_URGENT,
-  LINK_STORE_MS,
   STREAM_ANSWER_BYTES,
 } from './RegionConstants';
 import type {Plan} from './RequestPlan';
@@ -53,13 +53,13 @@
   }
 
   /** Whether one more request fits; the least urgent leave a part to others. */
-  allows(givesWay: boolean): boolean {
-    const kept = givesWay ? LINK_PART_LEFT_BY_LEAST_URGENT : 0;
+  allows(isLeastUrgent: boolean): boolean {
+    const kept = isLeastUrgent ? LINK_PART_LEFT_BY_LEAST_URGENT : 0;
     return this.left > kept;
   }
 
   /** What the way adds to the time of a request, ms. */
-  wayMs(plan: Plan, bodyBytes: number): number {
+  transferMs(plan: Plan, bodyBytes: number): number {
     const left = LINK_BYTES_PER_MS * Math.max(LEAST_LINK_LEFT, this.left);
     return 2 * LINK_DELAY_MS + bytesOf(plan, bodyBytes) / left;
   }
@@ -74,7 +74,7 @@
   /** The part of this edge's store that is left; below 0 after a large request. */
   private get left(): number {
     this.settle();
-    return 1 - this.used / (this.bytesPerMs * LINK_STORE_MS);
+    return 1 - this.used / (this.bytesPerMs * LINK_BURST_MS);
   }
 
   private get bytesPerMs(): number {
--- a/packages/puffinturn-edge/src/RegionTraffic.ts
+++ b/packages/puffinturn-edge/src/RegionTraffic.ts
@@ -13,17 +13,17 @@
 
 import type {EdgeMetrics} from './EdgeMetrics';
 
-interface Counted {
+interface ByteCounts {
   readonly read: number;
   readonly written: number;
 }
 
-const NOTHING: Counted = {read: 0, written: 0};
+const NOTHING: ByteCounts = {read: 0, written: 0};
 
 /** See the module comment. */
 export class RegionTraffic {
   /** What was counted of connections that are used again. */
-  private readonly counted = new WeakMap<Socket, Counted>();
+  private readonly counted = new WeakMap<Socket, ByteCounts>();
 
   constructor(private readonly metrics: Pick<EdgeMetrics, 'regionBytes'>) {}
 
@@ -31,7 +31,7 @@
   count(socket: Socket): void {
     const {regionBytes} = this.metrics;
     const before = this.counted.get(socket) ?? NOTHING;
-    const now: Counted = {
+    const now: ByteCounts = {
       read: socket.bytesRead,
       written: socket.bytesWritten,
     };
--- a/packages/puffinturn-edge/src/RequestTokens.ts
+++ b/packages/puffinturn-edge/src/RequestTokens.ts
@@ -37,7 +37,7 @@
     private readonly allowances: Allowances,
     private readonly plan: Plan,
     /** Whether it is among the least urgent requests that need tokens. */
-    private readonly givesWay = false,
+    private readonly isLeastUrgent = false,
   ) {}
 
   /** What a refusal for tokens rested on; undefined without one. */
@@ -60,7 +60,7 @@
     const outcome = await this.allowances.reserve(
       team.name,
       most,
-      this.givesWay,
+      this.isLeastUrgent,
     );
     if (outcome === RESERVE.held) {
       this.reserved = most;
--- a/packages/puffinturn-edge/src/RouteTable.ts
+++ b/packages/puffinturn-edge/src/RouteTable.ts
@@ -57,7 +57,7 @@
    * Whether requests of a route give way where tokens run short: those of the
    * least urgent rank, if there is a more urgent one.
    */
-  givesWay({priority}: Route): boolean {
+  isLeastUrgent({priority}: Route): boolean {
     const {first, last} = this.ranks;
     return priority === last && first < last;
   }
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -22,15 +22,15 @@
   readonly hall: string;
   readonly parts: readonly PromptPart[];
   /** The way to upstreams of other regions; undefined where there are none. */
-  readonly way?: RegionWay | undefined;
+  readonly way?: RegionLink | undefined;
 }
 
 /** The way to upstreams of other regions. */
-export interface RegionWay {
+export interface RegionLink {
   /** Whether an upstream is in another region. */
   readonly isAway: (upstream: EdgeUpstream) => boolean;
   /** What the way adds to the time of the request, ms. */
-  readonly addsMs: number;
+  readonly addedMs: number;
 }
 
 /** Where a request goes. */
@@ -155,7 +155,7 @@
   const load = 1 + inFlight / slotsOf(upstream);
   if (way?.isAway(upstream) === true) {
     const taken = Math.max(UNMEASURED_ANSWER_MS, answerTime.ms);
-    return (BASE_ANSWER_MS + taken) * load + way.addsMs;
+    return (BASE_ANSWER_MS + taken) * load + way.addedMs;
   }
   const otherHall = record.hall === hall ? 0 : OTHER_HALL_ANSWER_MS;
   return (BASE_ANSWER_MS + answerTime.ms) * load + otherHall;
@@ -228,7 +228,7 @@
     const far = this.soonest(away, facts, near?.unreadTokens ?? 0);
     const crosses =
       far !== undefined &&
-      (near === undefined || far.costMs + way.addsMs < near.costMs);
+      (near === undefined || far.costMs + way.addedMs < near.costMs);
     return crosses ? far.placement : near?.placement;
   }
 
@@ -287,7 +287,7 @@
 /** Upstreams of the own region, and those of others. */
 function byRegion(
   candidates: readonly EdgeUpstream[],
-  way: RegionWay | undefined,
+  way: RegionLink | undefined,
 ): {
   readonly away: readonly EdgeUpstream[];
   readonly home: readonly EdgeUpstream[];
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -20,7 +20,7 @@
 import type {HomeProbes} from './HomeProbes';
 import type {RegionCrossing} from './RegionCrossing';
 import type {Plan} from './RequestPlan';
-import type {Placement, RegionWay, UpstreamChoice} from './UpstreamChoice';
+import type {Placement, RegionLink, UpstreamChoice} from './UpstreamChoice';
 import type {UpstreamPool} from './UpstreamPool';
 import {greyErrorRate} from './UpstreamPool';
 
@@ -44,10 +44,10 @@
 }
 
 /** What is to be sent. */
-export interface Sending {
+export interface RequestSize {
   readonly bodyBytes: number;
   /** Whether it is among the least urgent requests. */
-  readonly givesWay: boolean;
+  readonly isLeastUrgent: boolean;
 }
 
 /** Why there is no upstream for a request, and when to come back. */
@@ -64,7 +64,7 @@
   parts: SelectionParts,
   plan: Plan,
   tried: ReadonlySet<EdgeUpstream>,
-  sending: Sending,
+  sending: RequestSize,
 ): Placement | undefined {
   const all = parts.pool.serving(plan.service.name);
   // Trials of a new version are drawn from upstreams that may serve the request.
@@ -83,7 +83,7 @@
   parts: SelectionParts,
   plan: Plan,
   tried: ReadonlySet<EdgeUpstream>,
-  sending: Sending,
+  sending: RequestSize,
   serving: readonly EdgeUpstream[],
 ): Placement | undefined {
   const {engineChoice, hall, plainChoice} = parts;
@@ -120,7 +120,7 @@
 export function lackOf(
   parts: SelectionParts,
   plan: Plan,
-  sending: Sending,
+  sending: RequestSize,
 ): Lack {
   const serving = parts.pool.serving(plan.service.name);
   const allowed = allowedOf(parts, plan, serving);
@@ -158,9 +158,9 @@
 function inReach(
   {crossing, regions}: SelectionParts,
   upstreams: readonly EdgeUpstream[],
-  {givesWay}: Sending,
+  {isLeastUrgent}: RequestSize,
 ): readonly EdgeUpstream[] {
-  return !regions.several || crossing.allows(givesWay)
+  return !regions.several || crossing.allows(isLeastUrgent)
     ? upstreams
     : upstreams.filter(({record: {hall}}) => !crossing.isAway(hall));
 }
@@ -169,11 +169,11 @@
 function wayFor(
   {crossing, regions}: SelectionParts,
   plan: Plan,
-  {bodyBytes}: Sending,
-): RegionWay | undefined {
+  {bodyBytes}: RequestSize,
+): RegionLink | undefined {
   return regions.several
     ? {
-        addsMs: crossing.wayMs(plan, bodyBytes),
+        addedMs: crossing.transferMs(plan, bodyBytes),
         isAway: ({record: {hall}}) => crossing.isAway(hall),
       }
     : undefined;
@@ -195,9 +195,7 @@
 /**
  * Whether an upstream that can't be reached has held the request up already. Where
  * none is sound in any region, a request is then refused rather than held up by one
- * after the other: refusals came after 590 to 601 ms instead of 1,107 to 1,131, and as
- * many requests were served (RegionLoad test with a dark region behind a cut link,
- * virtual time, three seeds).
+ * after the other, each for CONNECT_MS (docs/design/regions.md has the measurement).
  */
 function wasHeldUp(
   {regions}: SelectionParts,
--- a/packages/puffinturn-edge/src/VersionGate.ts
+++ b/packages/puffinturn-edge/src/VersionGate.ts
@@ -13,7 +13,7 @@
 import {ROLLOUT_STATE, UNNAMED_VERSION} from 'puffinturn-fleet';
 
 /** What has a version: an upstream. */
-export interface Versioned {
+export interface VersionSource {
   readonly record: Pick<UpstreamRecord, 'version'>;
 }
 
@@ -24,12 +24,12 @@
   /** Gets requests out of granted exposure only. */
   readonly trial: string | undefined;
   /** Gets the requests only while no upstream of the main one serves. */
-  readonly reserve: string | undefined;
+  readonly fallback: string | undefined;
 }
 
 const ANY_VERSION: VersionUse = {
   main: undefined,
-  reserve: undefined,
+  fallback: undefined,
   trial: undefined,
 };
 
@@ -51,7 +51,7 @@
       return {
         ...ANY_VERSION,
         main: rollout.targetVersion,
-        reserve: versions.stableVersion,
+        fallback: versions.stableVersion,
       };
     default:
       return stable;
@@ -63,21 +63,21 @@
  * shifts, the former version stands in where none of the new one serves: its
  * upstreams run on until all edges say that they have shifted.
  */
-export function servedBy<Upstream extends Versioned>(
-  {main, reserve}: VersionUse,
+export function servedBy<Upstream extends VersionSource>(
+  {main, fallback}: VersionUse,
   upstreams: readonly Upstream[],
 ): readonly Upstream[] {
   if (main === undefined) {
     return upstreams;
   }
   const found = ofVersion(upstreams, main);
-  return found.length === 0 && reserve !== undefined
-    ? ofVersion(upstreams, reserve)
+  return found.length === 0 && fallback !== undefined
+    ? ofVersion(upstreams, fallback)
     : found;
 }
 
 /** The upstreams of one version; those that name none are one version too. */
-export function ofVersion<Upstream extends Versioned>(
+export function ofVersion<Upstream extends VersionSource>(
   upstreams: readonly Upstream[],
   version: string,
 ): readonly Upstream[] {
--- a/packages/puffinturn-edge/src/__tests__/unit/ExposureAccount.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ExposureAccount.test.ts
@@ -147,7 +147,7 @@
     const stops = [1, 2, 3, 4, 5, 6].map(() => answer(bad));
     expect(stops).toEqual([false, false, false, false, false, true]);
     expect(account.left).toBe(0);
-    expect(account.stopped).toBe(EXPOSURE_STOP.run);
+    expect(account.lastStop).toBe(EXPOSURE_STOP.run);
   });
 
   test('stops where far more answers are bad than the stable version has', () => {
@@ -156,7 +156,7 @@
     for (let count = 0; count < 30 && account.left > 0; count += 1) {
       answer({failed: count % 2 === 0});
     }
-    expect(account.stopped).toBe(EXPOSURE_STOP.share);
+    expect(account.lastStop).toBe(EXPOSURE_STOP.share);
   });
 
   test('goes on where the stable version answers alike', () => {
@@ -166,7 +166,7 @@
       answer({failed: count % 2 === 0, version: 'v1'});
       answer({failed: count % 2 === 0});
     }
-    expect(account.stopped).toBeUndefined();
+    expect(account.lastStop).toBeUndefined();
   });
 
   test('goes on while a few answers of a good version fail', () => {
@@ -176,7 +176,7 @@
     for (let count = 0; count < 1_000; count += 1) {
       answer({failed: random.fraction() < 0.05, ratio: 1 + random.fraction()});
     }
-    expect(account.stopped).toBeUndefined();
+    expect(account.lastStop).toBeUndefined();
   });
 
   test('tries again after a while, and for longer and longer stops', async () => {
--- a/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
@@ -26,7 +26,7 @@
 import type {Plan} from '../../RequestPlan';
 import {LeastInFlight} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
-import type {Sending} from '../../UpstreamSelection';
+import type {RequestSize} from '../../UpstreamSelection';
 import {selectUpstream} from '../../UpstreamSelection';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {
@@ -71,7 +71,7 @@
   tokens: undefined,
 };
 
-const SENDING: Sending = {bodyBytes: 0, givesWay: false};
+const SENDING: RequestSize = {bodyBytes: 0, isLeastUrgent: false};
 
 /** Time between two requests, ms. */
 const REQUEST_EVERY_MS = 5;
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
@@ -111,7 +111,7 @@
 
 /** Another region is taken where there is no engine at home, and only then. */
 class LastResort extends RegionCrossing {
-  override wayMs(): number {
+  override transferMs(): number {
     return 1e9;
   }
 }
@@ -235,11 +235,11 @@
     const from = random.pick(this.edges)!;
     const parts = this.promptOf();
     const plan = from.edge.enginePlan(parts);
-    const givesWay = random.fraction() < LEAST_URGENT_PART;
+    const isLeastUrgent = random.fraction() < LEAST_URGENT_PART;
     const began = clock.now();
     const stretch = this.stretchAt(began);
-    const tally = givesWay ? stretch.least : stretch.urgent;
-    const sending = {bodyBytes: BODY_BYTES, givesWay};
+    const tally = isLeastUrgent ? stretch.least : stretch.urgent;
+    const sending = {bodyBytes: BODY_BYTES, isLeastUrgent};
     const tried: EdgeUpstream[] = [];
     while (tried.length < MOST_TRIES) {
       const placed = from.edge.place(plan, tried, sending);
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
@@ -137,8 +137,8 @@
 });
 
 describe('The link between regions', () => {
-  const LEAST = {bodyBytes: 20_000, givesWay: true};
-  const MORE = {bodyBytes: 20_000, givesWay: false};
+  const LEAST = {bodyBytes: 20_000, isLeastUrgent: true};
+  const MORE = {bodyBytes: 20_000, isLeastUrgent: false};
 
   test('carries a bounded part of the requests, the urgent ones longest', () => {
     const edge = new RegionEdge();
--- a/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RouteTable.test.ts
@@ -111,8 +111,10 @@
         }),
       );
     const mixed = tableOf(0, 1, 2);
-    const givesWay = [0, 1, 2].map((rank) => mixed.givesWay(toEngine(rank)));
-    expect(givesWay).toEqual([false, false, true]);
-    expect(tableOf(1, 1).givesWay(toEngine(1))).toBe(false);
+    const isLeastUrgent = [0, 1, 2].map((rank) =>
+      mixed.isLeastUrgent(toEngine(rank)),
+    );
+    expect(isLeastUrgent).toEqual([false, false, true]);
+    expect(tableOf(1, 1).isLeastUrgent(toEngine(1))).toBe(false);
   });
 });
--- a/packages/puffinturn-edge/src/__tests__/unit/TokenUrgency.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/TokenUrgency.test.ts
@@ -35,7 +35,7 @@
   readonly others: Tally;
 }
 
-async function cut(seed: number, givesWay: boolean): Promise<Served> {
+async function cut(seed: number, isLeastUrgent: boolean): Promise<Served> {
   const fleet = new TokenFleet(BUDGET);
   const random = new Random(seed);
   const edges = EDGES.map((name) => fleet.open(name, namesBut(name, EDGES)));
@@ -44,7 +44,7 @@
   const ask = async (edge: Allowances, counts: boolean): Promise<void> => {
     const isUrgent = random.fraction() > 1 / 3;
     const tally = isUrgent ? served.urgent : served.others;
-    const outcome = await edge.reserve(TEAM, COST, givesWay && !isUrgent);
+    const outcome = await edge.reserve(TEAM, COST, isLeastUrgent && !isUrgent);
     const isHeld = outcome === RESERVE.held;
     tally.asked += counts ? 1 : 0;
     tally.held += counts && isHeld ? 1 : 0;
--- a/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
@@ -8,7 +8,7 @@
 import type {Rollout, RolloutState, ServiceVersions} from 'puffinturn-fleet';
 import {ROLLOUT_STATE} from 'puffinturn-fleet';
 
-import type {Versioned} from '../../VersionGate';
+import type {VersionSource} from '../../VersionGate';
 import {ofVersion, servedBy, useOfVersions} from '../../VersionGate';
 
 function versionsOf(state?: RolloutState): ServiceVersions {
@@ -19,7 +19,7 @@
   return {rollout, service: 's', stableVersion: 'v1'};
 }
 
-function upstreams(...versions: (string | undefined)[]): Versioned[] {
+function upstreams(...versions: (string | undefined)[]): VersionSource[] {
   return versions.map((version) => ({record: {version}}));
 }
 
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -23,7 +23,7 @@
 import type {Plan} from '../../RequestPlan';
 import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
-import type {Lack, SelectionParts, Sending} from '../../UpstreamSelection';
+import type {Lack, RequestSize, SelectionParts} from '../../UpstreamSelection';
 import {lackOf, selectUpstream} from '../../UpstreamSelection';
 import {upstreamOf} from './EdgeFixture';
 
@@ -68,7 +68,7 @@
   timeoutMs: 3_000,
 };
 
-const URGENT: Sending = {bodyBytes: 1_000, givesWay: false};
+const URGENT: RequestSize = {bodyBytes: 1_000, isLeastUrgent: false};
 
 /** Makes the crossing of an edge; a test may put another one in its place. */
 export type CrossingOf = (parts: RegionCrossingParts) => RegionCrossing;
--- a/packages/puffinturn-fleet/src/AllowanceLedger.ts
+++ b/packages/puffinturn-fleet/src/AllowanceLedger.ts
@@ -22,20 +22,23 @@
  * part of the budget that is unspent beyond SCARCE_PART, and its bounds. What is
  * held is lost as its holders die, and what is not held is missing in a cut. A
  * budget that is nearly used up serves no more callers for being held, as what a
- * cut refuses is served later. A request that needs more still gets it. Served with
- * this, and with 0.7 of the unspent part, 0.05 to 0.45: 78.5 and 77.1 in 100 requests
- * of five days with failures, 75.4 and 75.2 on another deployment; 0.3 to 0.9 in 100
- * fewer on quiet days (docs/design/shifted-work.md).
+ * cut refuses is served later. A request that needs more still gets it
+ * (docs/design/shifted-work.md has the measurement).
  */
 const PART_HELD_BY_UNSPENT = 1.2;
+
+/** Unspent part of a budget below which holding more serves nobody. */
 const SCARCE_PART = 0.2;
+
+/** Least part held of what is unspent: a cut finds some tokens. */
 const LEAST_PART_HELD = 0.02;
+
+/** Most part held of what is unspent: the loss of all edges leaves as much again. */
 const MOST_PART_HELD = 0.45;
 
 /**
  * A holder may hold this multiple of its edges' share of all edges, so that one
- * that serves a busy hall alone does not hold most tokens; holders lend. Gain: 4
- * in 100 of a budget not lost with such an edge (as above).
+ * that serves a busy hall alone does not hold most tokens; holders lend.
  */
 const FAIR_SHARES_HELD = 1.5;
 
--- a/packages/puffinturn-fleet/src/RolloutConstants.ts
+++ b/packages/puffinturn-fleet/src/RolloutConstants.ts
@@ -133,25 +133,25 @@
 /** An edge that has not reported for this long is not waited for, ms. */
 export const REPORTED_LATELY_MS = 1_500;
 
-/** Error rate that any good version may have. */
+/** Error rate that no test takes for raised: a service without any errors would be judged by one. */
 export const NORMAL_FAILURES = 0.02;
 
-/** How far above the normal error rate a bad version's is. */
+/** A bad version's error rate lies this much above the normal one; less can't be told within a trial. */
 export const BAD_FAILURES_LIFT = 0.1;
 
-/** Part of slow answers that any good version may have. */
+/** Part of slow answers that no test takes for raised: its prompts are not kept yet. */
 export const NORMAL_SLOW = 0.05;
 
 /** How far above the normal part of slow answers a bad version's is. */
 export const BAD_SLOW_LIFT = 0.25;
 
-/** The stable version's rate may be this much above what was seen of it. */
+/** Factor on the rate seen of the stable version, which is known from few answers. */
 export const NORMAL_MARGIN = 1.5;
 
 /** Answers that the normal rate counts for beside those of the stable version. */
 export const PRIOR_ANSWERS = 50;
 
-/** A rate that no version can be told from by this test. */
+/** No test is made of a rate this high: good and bad look alike then. */
 export const HOPELESS_RATE = 0.9;
 
 /** Time over the expected one from which on an answer may count as slow. */
--- a/packages/puffinturn-fleet/src/RolloutControl.ts
+++ b/packages/puffinturn-fleet/src/RolloutControl.ts
@@ -59,14 +59,14 @@
 /** See the module comment. */
 export class RolloutControl implements AsyncDisposable {
   private readonly elapsed: RolloutClock;
-  private readonly led: RolloutLeader | undefined;
+  private readonly rolloutLeader: RolloutLeader | undefined;
   private readonly handlers = new DisposableList();
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: RolloutControlParts) {
     const {clock, exposure, link, machine} = parts;
     this.elapsed = new RolloutClock(clock, machine);
-    this.led =
+    this.rolloutLeader =
       exposure &&
       new RolloutLeader({...parts, bound: exposure, elapsed: this.elapsed});
     this.handlers.add(
@@ -84,9 +84,9 @@
         this.exchange(body as ExposureRequest),
       ),
     );
-    if (this.led !== undefined) {
-      const {led} = this;
-      this.tasks.start((signal) => this.run(led, signal));
+    if (this.rolloutLeader !== undefined) {
+      const {rolloutLeader} = this;
+      this.tasks.start((signal) => this.run(rolloutLeader, signal));
     }
   }
 
@@ -121,7 +121,7 @@
       FLEET_SERVICE.exposure,
       request,
       NO_GRANTS,
-      async () => ({grants: await this.led?.exchange(request)}),
+      async () => ({grants: await this.rolloutLeader?.exchange(request)}),
     );
   }
 
@@ -146,16 +146,19 @@
   }
 
   private async takeOrder(order: RolloutOrder): Promise<RolloutOrderReply> {
-    if (this.led === undefined) {
+    if (this.rolloutLeader === undefined) {
       return {outcome: ROLLOUT_ORDER.disabled};
     }
-    const {led} = this;
-    if (!(await led.beginTerm()) || !(await this.parts.leader.isCurrent())) {
+    const {rolloutLeader} = this;
+    if (
+      !(await rolloutLeader.beginTerm()) ||
+      !(await this.parts.leader.isCurrent())
+    ) {
       return UNAVAILABLE;
     }
     const known = this.knownOutcome(order);
     return known === undefined
-      ? this.proposeOrder(order, led)
+      ? this.proposeOrder(order, rolloutLeader)
       : this.replyOf(order, known);
   }
 
@@ -180,13 +183,14 @@
 
   private async proposeOrder(
     order: RolloutOrder,
-    led: RolloutLeader,
+    rolloutLeader: RolloutLeader,
   ): Promise<RolloutOrderReply> {
     const {clock, leader, machine} = this.parts;
     const {service, targetVersion} = order;
     const held = machine.versionsOf(service);
     const stableVersion =
-      held?.stableVersion ?? led.stableVersionOf(service, targetVersion);
+      held?.stableVersion ??
+      rolloutLeader.stableVersionOf(service, targetVersion);
     // Without any upstream it can't be told which version serves.
     if (stableVersion === undefined) {
       return UNAVAILABLE;
@@ -216,12 +220,15 @@
   }
 
   /** Every box looks at the time of orders; the leader moves them on. */
-  private async run(led: RolloutLeader, signal: AbortSignal): Promise<void> {
+  private async run(
+    rolloutLeader: RolloutLeader,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {changed, clock, replica} = this.parts;
     while (!signal.aborted) {
       this.elapsed.look();
       if (replica.isLeader) {
-        await led.step();
+        await rolloutLeader.step();
       }
       await (this.anyUnderWay
         ? clock.sleep(STEP_MS, signal)
--- a/packages/puffinturn-fleet/src/RolloutLeader.ts
+++ b/packages/puffinturn-fleet/src/RolloutLeader.ts
@@ -51,7 +51,7 @@
 }
 
 /** A course with what this leader has taken out of the log for it. */
-interface Led {
+interface LedCourse {
   readonly course: RolloutCourse;
   readonly blocks: ExposureBlocks;
   /** Whether exposure may be granted, as of the last look. */
@@ -65,7 +65,7 @@
 export class RolloutLeader {
   /** The term that all below belongs to. */
   private term = -1;
-  private readonly led = new Map<string, Led>();
+  private readonly courses = new Map<string, LedCourse>();
   /** When the first upstream of a service without a stable version was seen. */
   private readonly gatheredSince = new Map<string, number>();
 
@@ -124,7 +124,7 @@
     report: ExposureReport,
   ): Promise<number | undefined> {
     const versions = this.parts.machine.versionsOf(report.service);
-    const led = versions && this.ledFor(versions);
+    const led = versions && this.courseFor(versions);
     if (led === undefined || led.course.number !== report.number) {
       return report.granted;
     }
@@ -157,7 +157,7 @@
     if (this.term !== term) {
       this.term = term;
       this.gatheredSince.clear();
-      this.led.clear();
+      this.courses.clear();
     }
     return true;
   }
@@ -174,7 +174,7 @@
   }
 
   private async stepService(versions: ServiceVersions): Promise<void> {
-    const led = this.ledFor(versions);
+    const led = this.courseFor(versions);
     if (led === undefined || !hasOrder(versions)) {
       return;
     }
@@ -206,7 +206,7 @@
 
   private async decide(
     {rollout, service}: OrderedVersions,
-    {course}: Led,
+    {course}: LedCourse,
     {cause, state}: RolloutVerdict,
     elapsedMs: number,
   ): Promise<void> {
@@ -238,7 +238,7 @@
   /** Keeps the time since the order in the log, for a start of all boxes. */
   private async noteElapsed(
     {service}: ServiceVersions,
-    led: Led,
+    led: LedCourse,
     elapsedMs: number,
   ): Promise<void> {
     const progress = this.parts.machine.rolloutProgressOf(service);
@@ -247,7 +247,10 @@
     }
   }
 
-  private noteExposure({rollout, service}: OrderedVersions, led: Led): void {
+  private noteExposure(
+    {rollout, service}: OrderedVersions,
+    led: LedCourse,
+  ): void {
     const {clock, log} = this.parts;
     if (clock.now() - led.lineAt < EXPOSURE_LINE_MS) {
       return;
@@ -265,13 +268,13 @@
     });
   }
 
-  private ledFor(versions: ServiceVersions): Led | undefined {
+  private courseFor(versions: ServiceVersions): LedCourse | undefined {
     const {service} = versions;
     if (!hasOrder(versions) || !isUnderWay(versions.rollout)) {
-      this.led.delete(service);
+      this.courses.delete(service);
       return undefined;
     }
-    const known = this.led.get(service);
+    const known = this.courses.get(service);
     if (known?.course.number === versions.rollout.number) {
       return known;
     }
@@ -288,7 +291,7 @@
       service,
     });
     const led = {blocks, course, lineAt: -Infinity, mayExpose: false};
-    this.led.set(service, led);
+    this.courses.set(service, led);
     return led;
   }
 }
--- a/packages/puffinturn-fleet/src/RolloutRegister.ts
+++ b/packages/puffinturn-fleet/src/RolloutRegister.ts
@@ -102,7 +102,7 @@
   readonly verdict: RolloutVerdictRecord | undefined;
 }
 
-interface Held {
+interface ServiceEntry {
   readonly versions: ServiceVersions;
   readonly progress: RolloutProgress | undefined;
 }
@@ -110,7 +110,7 @@
 /** Its part of a snapshot. */
 export interface RolloutImage {
   readonly revision: number;
-  readonly services: readonly Held[];
+  readonly services: readonly ServiceEntry[];
 }
 
 /** The image before the first record; also that of snapshots without any. */
@@ -133,7 +133,7 @@
 
 /** See the module comment. */
 export class RolloutRegister {
-  private readonly held = new Map<string, Held>();
+  private readonly held = new Map<string, ServiceEntry>();
   private revision = 0;
   private told: Rollouts | undefined;
 
@@ -292,7 +292,7 @@
     });
   }
 
-  private put(held: Held): void {
+  private put(held: ServiceEntry): void {
     this.held.set(held.versions.service, held);
     this.revision += 1;
     this.told = undefined;
--- a/packages/puffinturn-fleet/src/Rollouts.ts
+++ b/packages/puffinturn-fleet/src/Rollouts.ts
@@ -61,7 +61,10 @@
   readonly share: number;
   /** Requests beyond that. */
   readonly extra: number;
-  /** Time from its 50th bad answer on until it must get no more requests, ms. */
+  /**
+   * Time from its 50th bad answer on until it must get no more requests, ms. Verdicts
+   * come within a fraction of it, so nothing waits for it.
+   */
   readonly rollbackMs: number;
 }
 
--- a/packages/puffinturn-fleet/src/UpstreamRefusals.ts
+++ b/packages/puffinturn-fleet/src/UpstreamRefusals.ts
@@ -6,8 +6,8 @@
  */
 
 /**
- * Words of upstreams that were refused since they can't be used, for the log: one
- * line a second at most, however many come.
+ * Heartbeats and leave calls that were refused as unusable, for the log: one line a
+ * second at most, however many come.
  */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Clock} from 'shared';
--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -72,7 +72,7 @@
 /**
  * A record is told again after this time though nothing in it has changed, ms. An
  * upstream may call only one control box for as long as that answers, and the others
- * would take it for silent; two words lost in a row are made good by a third.
+ * would take it for silent; two messages lost in a row are made good by a third.
  */
 const TELL_AGAIN_MS = 18_000;
 
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -11,6 +11,7 @@
   AllowanceGrant,
   AllowanceOutcome,
 } from './AllowanceLedger';
+export {tallyKey} from './AnswerTotals';
 export type {BoxChanges} from './Boxes';
 export {BoxList, BoxTable} from './Boxes';
 export type {
