Ask for grants in one place, and filter allowed upstreams once

CoreExchange and ExposureExchange offered a question to control boxes in the same loop; GrantQuestions does it for both. Upstreams were filtered by region twice for each request, and what is to be sent was made anew for each try.

--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/CoreExchange.ts
@@ -13,7 +13,6 @@
 import type {
   AllowanceAsk,
   AllowanceGrant,
-  AllowanceReply,
   AllowanceRequest,
 } from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
@@ -29,6 +28,7 @@
   REFILL_BELOW,
   RETURN_ABOVE,
 } from './EdgeConstants';
+import {askForGrants} from './GrantQuestions';
 import type {TokenAccount} from './TokenAccount';
 import type {TokenBook} from './TokenBook';
 import type {TokenHolders} from './TokenHolders';
@@ -42,9 +42,6 @@
 /** Less than this part of the whole budget is not worth handing back. */
 const LEAST_RETURNED = 0.002;
 
-/** Control boxes that one exchange is offered to before a pause. */
-const CONTROLS_TRIED = 3;
-
 /** What a CoreExchange is made of. */
 export interface CoreExchangeParts {
   readonly box: string;
@@ -232,23 +229,12 @@
     const {box, controls, life, link} = this.parts;
     const {sequence} = this;
     const request: AllowanceRequest = {asks, box, holder: life, sequence};
-    for (const control of controls().slice(0, CONTROLS_TRIED)) {
-      const answer = await link.call(
-        control,
-        FLEET_SERVICE.allowance,
-        request,
-        EXCHANGE_MS,
-      );
-      if (answer.isOk()) {
-        const {grants} = answer.value as AllowanceReply;
-        if (grants !== undefined && grants !== null) {
-          return grants;
-        }
-      } else {
-        this.answering = false;
-      }
-    }
-    return undefined;
+    return askForGrants<readonly AllowanceGrant[]>(link, controls(), {
+      answerMs: EXCHANGE_MS,
+      onSilent: () => (this.answering = false),
+      request,
+      service: FLEET_SERVICE.allowance,
+    });
   }
 
   private credit(grants: readonly AllowanceGrant[]): void {
--- a/packages/puffinturn-edge/src/ExposureExchange.ts
+++ b/packages/puffinturn-edge/src/ExposureExchange.ts
@@ -10,13 +10,14 @@
  * control box, and takes in what it may do. Counts are whole and only grow, so a
  * message that is lost is made good by the next one.
  */
-import type {ExposureReply, ExposureRequest} from 'puffinturn-fleet';
+import type {ExposureGrant, ExposureRequest} from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {Exposures} from './Exposures';
+import {askForGrants} from './GrantQuestions';
 
 /** How often the leader is told while there is something to tell, ms. */
 const TELL_EVERY_MS = 250;
@@ -27,9 +28,6 @@
 /** Longest time for an answer of one control box, ms. */
 const ANSWER_MS = 500;
 
-/** Control boxes that a message is offered to before a pause. */
-const CONTROLS_TRIED = 3;
-
 /** How often to look whether there is a roll-out, where nothing told of one, ms. */
 const IDLE_MS = 60_000;
 
@@ -73,39 +71,23 @@
   }
 
   private async tell(): Promise<void> {
-    const {box, clock, exposures, life} = this.parts;
+    const {box, clock, controls, exposures, life, link} = this.parts;
     const reports = exposures.reports();
     const text = JSON.stringify(reports);
     const isDue = clock.now() - this.toldAt >= TELL_AGAIN_MS;
     if (text === this.told && !isDue) {
       return;
     }
-    const grants = await this.ask({box, life, reports});
+    const request: ExposureRequest = {box, life, reports};
+    const grants = await askForGrants<readonly ExposureGrant[]>(
+      link,
+      controls(),
+      {answerMs: ANSWER_MS, request, service: FLEET_SERVICE.exposure},
+    );
     if (grants !== undefined) {
       this.told = text;
       this.toldAt = clock.now();
       exposures.grant(grants);
     }
   }
-
-  private async ask(
-    request: ExposureRequest,
-  ): Promise<ExposureReply['grants']> {
-    const {controls, link} = this.parts;
-    for (const control of controls().slice(0, CONTROLS_TRIED)) {
-      const answer = await link.call(
-        control,
-        FLEET_SERVICE.exposure,
-        request,
-        ANSWER_MS,
-      );
-      const grants = answer.isOk()
-        ? (answer.value as ExposureReply).grants
-        : undefined;
-      if (grants !== undefined && grants !== null) {
-        return grants;
-      }
-    }
-    return undefined;
-  }
 }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -207,12 +207,12 @@
   // Attempts
 
   private async forward(plan: Plan): Promise<void> {
+    const {parts, tried} = this;
+    const sending: RequestSize = {
+      bodyBytes: this.body.length,
+      isLeastUrgent: this.table.isLeastUrgent(plan.route),
+    };
     while (!this.final.ended) {
-      const sending: RequestSize = {
-        bodyBytes: this.body.length,
-        isLeastUrgent: this.table.isLeastUrgent(plan.route),
-      };
-      const {parts, tried} = this;
       const placement = selectUpstream(parts, plan, tried, sending);
       if (placement === undefined) {
         const {cause, retryAfterS} = lackOf(parts, plan, sending);
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -68,9 +68,9 @@
 ): Placement | undefined {
   const all = parts.pool.serving(plan.service.name);
   // Trials of a new version are drawn from upstreams that may serve the request.
-  const serving = allowedOf(parts, plan, all);
+  const allowed = allowedOf(parts, plan, all);
   const isFirst = tried.size === 0;
-  for (const group of parts.exposures.groupsFor(plan, serving, isFirst)) {
+  for (const group of parts.exposures.groupsFor(plan, allowed, isFirst)) {
     const placement = selectFrom(parts, plan, tried, sending, group);
     if (placement !== undefined) {
       return placement;
@@ -84,17 +84,16 @@
   plan: Plan,
   tried: ReadonlySet<EdgeUpstream>,
   sending: RequestSize,
-  serving: readonly EdgeUpstream[],
+  allowed: readonly EdgeUpstream[],
 ): Placement | undefined {
   const {engineChoice, hall, plainChoice} = parts;
   const {parts: prompt, service} = plan;
-  const allowed = allowedOf(parts, plan, serving);
   const reached = inReach(parts, allowed, sending);
   const untried = reached
     .filter((upstream) => !tried.has(upstream))
     .filter((upstream) => mayBear(parts, plan, upstream));
   const calm = untried.filter(({paused}) => !paused);
-  const greyAbove = greyErrorRate(serving);
+  const greyAbove = greyErrorRate(allowed);
   const trusted = calm.filter((upstream) => !mistrusts(parts, upstream));
   const sound = trusted.filter(
     (upstream) => !avoids(parts, upstream, greyAbove),
