--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -61,6 +61,19 @@
   readonly retry: boolean;
   /** Requests of this edge at that upstream. */
   readonly inFlight: number;
+  /** The same for all copies of a request; named where it may have run. */
+  readonly fingerprint?: string | undefined;
+}
+
+/** A life of an upstream ended unplanned while requests of this edge were there. */
+export interface UpstreamCrashed {
+  readonly event: 'upstream-crashed';
+  readonly upstream: string;
+  readonly bornAt: number | undefined;
+  /** Different requests of this edge that were there. */
+  readonly count: number;
+  /** The first fingerprints of these. */
+  readonly fingerprints: readonly string[];
 }
 
 /** An upstream was taken out of choice, or taken in again. */
@@ -404,6 +417,7 @@
   | TokensCounted
   | TokensWrittenOff
   | UpstreamChanged
+  | UpstreamCrashed
   | UpstreamJudged
   | UpstreamRestarted
   | UpstreamsRefused;
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -41,6 +41,7 @@
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
 import {PacedColdStarts} from './ColdStarts';
+import {CrashWatch} from './CrashWatch';
 import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
@@ -114,6 +115,7 @@
   private readonly exposureExchange: ExposureExchange;
   private readonly totals: Totals;
   private readonly episodes: CrossingEpisodes;
+  private readonly crashWatch: CrashWatch;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
   private readonly stepAside: StepAside;
@@ -180,6 +182,7 @@
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.episodes = new CrossingEpisodes(clock, log);
+    this.crashWatch = new CrashWatch({clock, crashed: () => undefined, log});
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
@@ -218,6 +221,7 @@
       }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
+      crashWatch: this.crashWatch,
       homeProbes: new HomeProbes(clock),
       exposures: this.exposures,
       log,
@@ -368,6 +372,7 @@
     );
     await this.totals[Symbol.asyncDispose]();
     await this.episodes[Symbol.asyncDispose]();
+    await this.crashWatch[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -53,6 +53,7 @@
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private replaced = false;
+  private supplantedUnplanned = false;
 
   constructor(
     /** What the upstream said of itself last. */
@@ -143,9 +144,20 @@
     );
   }
 
+  /** Whether another life took its place though it never said that it would leave. */
+  get supplanted(): boolean {
+    return this.supplantedUnplanned;
+  }
+
+  /** Notes that another life is in its place. */
+  isSupplanted(): void {
+    this.supplantedUnplanned ||= this.record.state === UPSTREAM_STATE.ready;
+  }
+
   /** Notes that another upstream answers at this address. */
   isReplaced(): void {
     this.replaced = true;
+    this.isSupplanted();
     this.stopped();
     this.judge(false, 'replaced');
   }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -14,6 +14,7 @@
 import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
+import {fingerprintOf} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 
 import type {Allowances, ReserveOutcome} from './Allowances';
@@ -22,6 +23,7 @@
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
+import type {CrashWatch} from './CrashWatch';
 import {
   CALLER_LEFT,
   FIRST_ERROR_STATUS,
@@ -60,6 +62,7 @@
   readonly dialect: CallerDialect;
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
+  readonly crashWatch: CrashWatch;
   readonly regionTraffic: RegionTraffic;
 }
 
@@ -81,6 +84,7 @@
   private attempts = 0;
   private unsent = 0;
   private mayHaveRun = false;
+  private knownFingerprint: string | undefined;
   private readonly final: FinalAnswer;
 
   constructor(
@@ -336,19 +340,37 @@
       case 'broken':
         this.mayHaveRun = true;
         if (!this.final.ended && outcome.cause !== INVALID_HEADER) {
-          upstream.broke(outcome.cause);
+          this.brokeAt(plan, upstream, outcome.cause);
         }
         return this.again(plan, upstream, outcome.cause, false);
     }
   }
 
+  private brokeAt(plan: Plan, upstream: EdgeUpstream, cause: string): void {
+    upstream.broke(cause);
+    this.parts.crashWatch.broke(upstream, this.fingerprint(plan));
+  }
+
+  private fingerprint({team}: Plan): string {
+    const {body, caller} = this;
+    this.knownFingerprint ??= fingerprintOf({
+      body,
+      caller: team?.name ?? '',
+      host: caller.header('host') ?? '',
+      method: caller.method,
+      path: caller.path,
+    });
+    return this.knownFingerprint;
+  }
+
   /** Whether to try again; where not, the final answer is sent at once. */
   private again(
-    {route}: Plan,
+    plan: Plan,
     upstream: EdgeUpstream,
     cause: string,
     notRun: boolean,
   ): boolean {
+    const {route} = plan;
     const allowed = notRun || route.repetition !== REPETITION.never;
     const retry =
       !this.final.ended &&
@@ -360,6 +382,7 @@
       cause,
       configuration: this.table.version,
       event: 'attempt-failed',
+      fingerprint: notRun ? undefined : this.fingerprint(plan),
       inFlight: upstream.inFlight,
       mayHaveRun: !notRun,
       request: this.caller.id,
@@ -427,7 +450,7 @@
       return this.again(plan, upstream, `status-${status}`, false);
     }
     this.exchange?.abort('broke-off');
-    upstream.broke('broke-off');
+    this.brokeAt(plan, upstream, 'broke-off');
     return this.again(plan, upstream, 'broke-off', false);
   }
 
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -197,6 +197,7 @@
       open: former.inFlight,
       upstream: record.id,
     });
+    former.isSupplanted();
     this.drop(record.id);
     this.endFormerLives(record);
     if (record.state !== UPSTREAM_STATE.gone) {
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrashWatch.test.ts
@@ -0,0 +1,99 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {KeptDecisionLog} from 'puffinturn-decisions';
+import {UPSTREAM_STATE} from 'puffinturn-fleet';
+import {ManualClock, settleTasks} from 'shared';
+
+import type {Crash} from '../../CrashWatch';
+import {CrashWatch} from '../../CrashWatch';
+import type {ListenerState} from '../../ListenerProbe';
+import {LISTENER, probeListener} from '../../ListenerProbe';
+import {UpstreamPool} from '../../UpstreamPool';
+import {upstreamOf} from '../utils/EdgeFixture';
+import {TestUpstream} from '../utils/ServingFixture';
+
+const RECORD = upstreamOf('i-1', {bornAt: 1_000});
+
+function watchOf(state: ListenerState) {
+  const clock = new ManualClock();
+  const log = new KeptDecisionLog();
+  const pool = new UpstreamPool(clock, log);
+  pool.merge([RECORD], 'c1');
+  const [upstream] = pool.all();
+  if (upstream === undefined) {
+    throw new Error('no upstream');
+  }
+  const crashes: Crash[] = [];
+  let probes = 0;
+  const watch = new CrashWatch({
+    clock,
+    crashed: (crash) => crashes.push(crash),
+    log,
+    probe: async () => {
+      probes += 1;
+      return state;
+    },
+  });
+  async function examine() {
+    await settleTasks();
+    await clock.advance(60);
+    await settleTasks();
+    return {crashes, probes};
+  }
+  return {clock, examine, log, pool, upstream, watch};
+}
+
+describe('A watch over crashes', () => {
+  test('tells one crash with every request that was there', async () => {
+    const {examine, log, upstream, watch} = watchOf(LISTENER.refused);
+    watch.broke(upstream, 'f1');
+    watch.broke(upstream, 'f2');
+    watch.broke(upstream, 'f1');
+    const {crashes, probes} = await examine();
+    expect(probes).toBe(1);
+    expect(crashes).toEqual([{fingerprints: ['f1', 'f2'], life: 'i-1 1000'}]);
+    const line = log.lines.find(({event}) => event === 'upstream-crashed');
+    expect(line).toMatchObject({bornAt: 1_000, count: 2, upstream: 'i-1'});
+  });
+
+  test.each([LISTENER.listens, LISTENER.unknown])(
+    'tells none where the probe says %s: a reset, a lost answer or a cut',
+    async (state) => {
+      const {examine, upstream, watch} = watchOf(state);
+      watch.broke(upstream, 'f1');
+      expect((await examine()).crashes).toEqual([]);
+    },
+  );
+
+  test.each([UPSTREAM_STATE.draining, UPSTREAM_STATE.gone])(
+    'tells none of an upstream that said it is %s',
+    async (state) => {
+      const {examine, pool, upstream, watch} = watchOf(LISTENER.refused);
+      pool.merge([{...RECORD, sequence: 2, state}], 'c1');
+      watch.broke(upstream, 'f1');
+      expect((await examine()).crashes).toEqual([]);
+    },
+  );
+
+  test('tells a crash of which the next life is heard before the probe', async () => {
+    const {examine, pool, upstream, watch} = watchOf(LISTENER.listens);
+    watch.broke(upstream, 'f1');
+    pool.merge([{...RECORD, bornAt: 2_000, sequence: 1}], 'c1');
+    expect((await examine()).crashes).toEqual([
+      {fingerprints: ['f1'], life: 'i-1 1000'},
+    ]);
+  });
+
+  test('probes with a connection', async () => {
+    const live = await TestUpstream.start('i-2');
+    const [host = '', port = '0'] = live.address.split(':');
+    expect(await probeListener(host, Number(port))).toBe(LISTENER.listens);
+    await live[Symbol.asyncDispose]();
+    expect(await probeListener(host, Number(port))).toBe(LISTENER.refused);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -18,6 +18,7 @@
 import {CallerDialect} from '../../CallerDialect';
 import {CallerRequest} from '../../CallerRequest';
 import {UnboundedColdStarts} from '../../ColdStarts';
+import {CrashWatch} from '../../CrashWatch';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {Exposures} from '../../Exposures';
@@ -181,6 +182,11 @@
         hall: 'a',
         regions: new Regions(),
       }),
+      crashWatch: new CrashWatch({
+        clock: this.clock,
+        crashed: () => undefined,
+        log: this.log,
+      }),
       dialect: new TestDialect(),
       engineChoice: choice,
       exposures: this.exposures,
--- /dev/null
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Requests that crash the upstreams that run them. */
+export type {RequestContent} from './Fingerprint';
+export {fingerprintOf} from './Fingerprint';
