Quarantine a request that three upstreams have crashed under, fleet-wide and in the log

Cause: a break was put down to the upstream alone, so nothing connected the crashes of one request. An edge now proves a crash (nothing listens, or another life is there), names the requests that were open by what stays the same in each copy, and tells the core; the log counts, every edge refuses. A whole answer clears a request, and upstreams that end at one moment count once.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -47,6 +47,8 @@
   readonly events: number;
   /** Tokens charged to the team. */
   readonly charged: number;
+  /** The same for all copies of a request; named where it was looked up. */
+  readonly fingerprint?: string | undefined;
   /** What a refusal for want of tokens rested on. */
   readonly tokens?: TokenFacts | undefined;
 }
@@ -192,6 +194,33 @@
   readonly leader: string | undefined;
 }
 
+/** What an edge told of crashes was taken by the log, or not. */
+export interface CrashesReported {
+  readonly event: 'crashes-reported';
+  /** The edge that told, or the leader where it ends a quarantine. */
+  readonly edge: string;
+  /** Lives of upstreams that have ended. */
+  readonly crashes: readonly string[];
+  /** How many suspects got a whole answer. */
+  readonly answered: number;
+  /** `accepted` once a quorum holds it, else why it could not be decided. */
+  readonly outcome: string;
+  /** How many requests are quarantined after it. */
+  readonly quarantined: number | undefined;
+}
+
+/** Other requests are quarantined, as this process knows it. */
+export interface QuarantineAdopted {
+  readonly event: 'quarantine-adopted';
+  readonly revision: number;
+  readonly former: number;
+  readonly count: number;
+  /** The fingerprint that came last. */
+  readonly newest: string | undefined;
+  /** The box that told. */
+  readonly source: string;
+}
+
 /** An operator's change was taken, or not. */
 export interface ChangeDecided {
   readonly event: 'change-decided';
@@ -399,6 +428,7 @@
   | ChangeDecided
   | ConfigurationAdopted
   | ConfigurationOverdue
+  | CrashesReported
   | CrossingChanged
   | DependencyChanged
   | EvacuationDecided
@@ -408,6 +438,7 @@
   | GrantsCounted
   | LeaderHeard
   | ProcessChanged
+  | QuarantineAdopted
   | RequestEnded
   | RoleChanged
   | RolloutDecided
--- a/packages/puffinturn-edge/src/CrashWatch.ts
+++ b/packages/puffinturn-edge/src/CrashWatch.ts
@@ -14,6 +14,7 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
+import type {Crash} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
 
@@ -30,14 +31,6 @@
 /** Fingerprints named in one line of the log; the count tells of the others. */
 const LOGGED_AT_MOST = 16;
 
-/** One life of an upstream has ended unplanned. */
-export interface Crash {
-  /** Names that life among all lives of all upstreams. */
-  readonly life: string;
-  /** Fingerprints of the requests of this edge that were there. */
-  readonly fingerprints: readonly string[];
-}
-
 /** What a CrashWatch is made of. */
 export interface CrashWatchParts {
   readonly clock: Clock;
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -31,6 +31,7 @@
   NO_EVACUATIONS,
   NO_ROLLOUTS,
 } from 'puffinturn-fleet';
+import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
 
@@ -41,6 +42,7 @@
 import {CallerRequest} from './CallerRequest';
 import type {ColdTolerance} from './ColdStarts';
 import {PacedColdStarts} from './ColdStarts';
+import {CrashingRequests} from './CrashingRequests';
 import {CrashWatch} from './CrashWatch';
 import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
@@ -110,6 +112,8 @@
 export class Edge implements AsyncDisposable {
   readonly metrics = new EdgeMetrics();
   readonly pool: UpstreamPool;
+  /** Requests that must not be run. */
+  readonly crashing: CrashingRequests;
   private readonly allowances: Allowances;
   private readonly exposures: Exposures;
   private readonly exposureExchange: ExposureExchange;
@@ -151,6 +155,13 @@
       pool: this.pool,
       random,
     });
+    this.crashing = new CrashingRequests({
+      box: self.box,
+      clock,
+      controls: () => this.controls(),
+      link,
+      log,
+    });
     this.watch = new FleetWatch({
       askedAtOnce: CONTROLS_ASKED,
       clock,
@@ -182,7 +193,11 @@
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.episodes = new CrossingEpisodes(clock, log);
-    this.crashWatch = new CrashWatch({clock, crashed: () => undefined, log});
+    this.crashWatch = new CrashWatch({
+      clock,
+      crashed: (crash) => this.crashing.crashed(crash),
+      log,
+    });
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
@@ -222,6 +237,7 @@
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
       crashWatch: this.crashWatch,
+      crashing: this.crashing,
       homeProbes: new HomeProbes(clock),
       exposures: this.exposures,
       log,
@@ -373,6 +389,7 @@
     await this.totals[Symbol.asyncDispose]();
     await this.episodes[Symbol.asyncDispose]();
     await this.crashWatch[Symbol.asyncDispose]();
+    await this.crashing[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
@@ -399,6 +416,7 @@
           boxes: this.boxes,
           configuration,
           evacuations: this.pool.evacuations,
+          quarantine: this.crashing.quarantine,
           rollouts: this.exposures.rollouts,
           upstreams: this.pool.records(),
         };
@@ -411,6 +429,7 @@
     this.pool.merge(state.upstreams, source);
     this.configure(state.configuration, source);
     this.evacuate(state.evacuations ?? NO_EVACUATIONS, source);
+    this.crashing.adopt(state.quarantine ?? NO_QUARANTINE, source);
     this.handedOver = true;
   }
 
--- a/packages/puffinturn-edge/src/EdgeNews.ts
+++ b/packages/puffinturn-edge/src/EdgeNews.ts
@@ -15,6 +15,7 @@
   UpstreamRecord,
 } from 'puffinturn-fleet';
 import {FleetNews} from 'puffinturn-fleet';
+import type {Quarantine} from 'puffinturn-quarantine';
 
 import type {Edge} from './Edge';
 
@@ -55,6 +56,14 @@
     this.edge.rollOut(found, source);
   }
 
+  override get quarantineRevision(): number {
+    return this.edge.crashing.quarantine.revision;
+  }
+
+  override quarantine(found: Quarantine, source: string): void {
+    this.edge.crashing.adopt(found, source);
+  }
+
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     this.edge.pool.merge(records, source);
   }
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -23,6 +23,7 @@
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
+import type {CrashingRequests} from './CrashingRequests';
 import type {CrashWatch} from './CrashWatch';
 import {
   CALLER_LEFT,
@@ -63,9 +64,13 @@
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
   readonly crashWatch: CrashWatch;
+  readonly crashing: CrashingRequests;
   readonly regionTraffic: RegionTraffic;
 }
 
+/** Why a request that crashes upstreams is refused, in one word. */
+const QUARANTINED = 'quarantined';
+
 /** Time after a deadline at which the final answer is sent, ms. */
 const FINAL_GRACE_MS = 20;
 
@@ -116,7 +121,7 @@
     );
     try {
       const isWanted = (await this.readBody()) && (await this.callerStays());
-      if (isWanted && (await this.reserve(tokens))) {
+      if (isWanted && this.mayRun(plan) && (await this.reserve(tokens))) {
         await this.forward(plan);
       }
     } finally {
@@ -210,13 +215,27 @@
 
   // Attempts
 
+  /** Refuses a request that crashes the upstreams that run it. */
+  private mayRun(plan: Plan): boolean {
+    const {crashing} = this.parts;
+    if (crashing.isEmpty || !crashing.isQuarantined(this.fingerprint(plan))) {
+      return true;
+    }
+    if (this.mayHaveRun) {
+      this.final.giveUp(QUARANTINED, true);
+    } else {
+      this.final.refuse(400, QUARANTINED);
+    }
+    return false;
+  }
+
   private async forward(plan: Plan): Promise<void> {
     const {parts, tried} = this;
     const sending: RequestSize = {
       bodyBytes: this.body.length,
       isLeastUrgent: this.table.isLeastUrgent(plan.route),
     };
-    while (!this.final.ended) {
+    while (!this.final.ended && this.mayRun(plan)) {
       const placement = selectUpstream(parts, plan, tried, sending);
       if (placement === undefined) {
         const {cause, retryAfterS} = lackOf(parts, plan, sending);
@@ -346,6 +365,13 @@
     }
   }
 
+  private noteServed(plan: Plan, status: number): void {
+    const {crashing} = this.parts;
+    if (status < FIRST_ERROR_STATUS && !crashing.isEmpty) {
+      crashing.served(this.fingerprint(plan));
+    }
+  }
+
   private brokeAt(plan: Plan, upstream: EdgeUpstream, cause: string): void {
     upstream.broke(cause);
     this.parts.crashWatch.broke(upstream, this.fingerprint(plan));
@@ -377,7 +403,8 @@
       allowed &&
       this.mayGoOn(route) &&
       this.attempts < route.maxAttempts &&
-      this.unsent < MAX_UNSENT;
+      this.unsent < MAX_UNSENT &&
+      (notRun || !this.parts.crashing.isLastTry(this.fingerprint(plan)));
     this.parts.log.note({
       cause,
       configuration: this.table.version,
@@ -431,6 +458,7 @@
         } else {
           upstream.answeredError();
         }
+        this.noteServed(plan, status);
         this.final.end('served');
         return true;
       case RELAY.stopped:
@@ -521,6 +549,7 @@
       configuration: table.version,
       event: 'request-ended',
       events: relay?.events ?? 0,
+      fingerprint: this.knownFingerprint,
       request: caller.id,
       route,
       upstream: upstream?.id,
--- a/packages/puffinturn-edge/src/__tests__/unit/CrashWatch.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrashWatch.test.ts
@@ -7,9 +7,9 @@
 
 import {KeptDecisionLog} from 'puffinturn-decisions';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
+import type {Crash} from 'puffinturn-quarantine';
 import {ManualClock, settleTasks} from 'shared';
 
-import type {Crash} from '../../CrashWatch';
 import {CrashWatch} from '../../CrashWatch';
 import type {ListenerState} from '../../ListenerProbe';
 import {LISTENER, probeListener} from '../../ListenerProbe';
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -18,6 +18,7 @@
 import {CallerDialect} from '../../CallerDialect';
 import {CallerRequest} from '../../CallerRequest';
 import {UnboundedColdStarts} from '../../ColdStarts';
+import {CrashingRequests} from '../../CrashingRequests';
 import {CrashWatch} from '../../CrashWatch';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
@@ -33,6 +34,7 @@
 import {LeastInFlight} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
 import {configurationOf, upstreamOf} from './EdgeFixture';
+import {SilentLink} from './ServingEdge';
 
 const HOST = '127.0.0.1';
 
@@ -152,6 +154,19 @@
     pool: this.pool,
     random: this.random,
   });
+  /** Requests that must not be run; no control box is there to tell. */
+  readonly crashing = new CrashingRequests({
+    box: 'e1',
+    clock: this.clock,
+    controls: () => [],
+    link: new SilentLink(),
+    log: this.log,
+  });
+  private readonly crashWatch = new CrashWatch({
+    clock: this.clock,
+    crashed: (crash) => this.crashing.crashed(crash),
+    log: this.log,
+  });
   private readonly totals = new Totals(this.clock, this.log, () => []);
   private readonly agent = new Agent();
   private readonly server: Server;
@@ -182,11 +197,8 @@
         hall: 'a',
         regions: new Regions(),
       }),
-      crashWatch: new CrashWatch({
-        clock: this.clock,
-        crashed: () => undefined,
-        log: this.log,
-      }),
+      crashWatch: this.crashWatch,
+      crashing: this.crashing,
       dialect: new TestDialect(),
       engineChoice: choice,
       exposures: this.exposures,
@@ -223,10 +235,19 @@
     return fixture;
   }
 
+  /** Where it listens, as callers name the host. */
+  get address(): string {
+    return `${HOST}:${this.port}`;
+  }
+
+  private get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' ? (address?.port ?? 0) : 0;
+  }
+
   /** One request of a route. */
   ask(route: string): Promise<Got> {
-    const address = this.server.address();
-    const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+    const {port} = this;
     this.requests += 1;
     const headers = {'x-request': `q-${this.requests}`};
     const {agent} = this;
@@ -258,6 +279,8 @@
     this.server.closeAllConnections();
     this.agent.destroy();
     this.pool[Symbol.dispose]();
+    await this.crashWatch[Symbol.asyncDispose]();
+    await this.crashing[Symbol.asyncDispose]();
     await this.totals[Symbol.asyncDispose]();
     await closed;
   }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -38,6 +38,7 @@
 import {FleetNews, FleetWatch} from './FleetWatch';
 import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
+import {QuarantineControl} from './QuarantineControl';
 import {RolloutControl} from './RolloutControl';
 import type {
   ExposureBound,
@@ -104,6 +105,13 @@
 
   override rollouts(): void {}
 
+  /** The log brings the quarantine too. */
+  override get quarantineRevision(): number {
+    return Infinity;
+  }
+
+  override quarantine(): void {}
+
   override upstreams(records: readonly UpstreamRecord[], source: string): void {
     for (const record of records) {
       this.control.hearUpstream(record, source);
@@ -130,6 +138,7 @@
   private readonly rollouts: RolloutControl;
   private readonly others: FleetWatch;
   private readonly allowances: AllowanceControl;
+  private readonly quarantine: QuarantineControl;
   private readonly refusals: UpstreamRefusals;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
@@ -139,6 +148,7 @@
     this.refusals = new UpstreamRefusals(clock, log);
     this.leader = new LeaderCalls(parts);
     this.allowances = new AllowanceControl({...parts, leader: this.leader});
+    this.quarantine = new QuarantineControl({...parts, leader: this.leader});
     this.answers = new WatchAnswers({
       ...parts,
       everyBox: this.everyBox,
@@ -253,6 +263,7 @@
     await this.rollouts[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
     await this.allowances[Symbol.asyncDispose]();
+    await this.quarantine[Symbol.asyncDispose]();
     await this.refusals[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.changed.notify();
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -13,6 +13,8 @@
 import {Decoder, Encoder} from 'cbor-x';
 import type {TeamGrants} from 'puffinturn-decisions';
 import {Machine} from 'puffinturn-log';
+import type {CrashImage, CrashReport, Quarantine} from 'puffinturn-quarantine';
+import {CrashRegister, NO_CRASHES} from 'puffinturn-quarantine';
 
 import type {
   AllowanceImage,
@@ -44,10 +46,25 @@
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
 
+/** Adds to what speaks against requests that were at crashes. */
+export interface CrashReportRecord {
+  readonly kind: 'crash-report';
+  /** When the leader took it by its time of day, Unix ms. */
+  readonly at: number;
+  readonly report: CrashReport;
+}
+
+/** What applying a report of crashes did. */
+export interface CrashReportOutcome {
+  readonly kind: 'crash-report';
+  readonly quarantine: Quarantine;
+}
+
 /** Every record of the fleet's log. */
 export type FleetRecord =
   | AllowanceRecord
   | ConfigurationRecord
+  | CrashReportRecord
   | EvacuationRecord
   | PackedConfigurationRecord
   | RolloutRecord;
@@ -56,10 +73,13 @@
 export type FleetOutcome =
   | AllowanceOutcome
   | ConfigurationOutcome
+  | CrashReportOutcome
   | EvacuationOutcome
   | RolloutRecordOutcome;
 
 interface Image extends AllowanceImage {
+  /** Missing in snapshots from before crashes were reported. */
+  readonly crashes?: CrashImage | undefined;
   /** Missing in snapshots from before there were evacuations. */
   readonly evacuations?: Evacuations | undefined;
   /** Missing in snapshots from before there were roll-outs. */
@@ -72,6 +92,7 @@
   private readonly configuration: ConfigurationRegister;
   private readonly evacuated: EvacuationRegister;
   private readonly rolledOut: RolloutRegister;
+  private readonly crashes = new CrashRegister();
   private readonly allowances = new AllowanceLedger((team) =>
     this.prepaidOf(team),
   );
@@ -101,6 +122,11 @@
     return this.rolledOut.rollouts;
   }
 
+  /** The requests that no upstream is to run. */
+  get quarantine(): Quarantine {
+    return this.crashes.quarantine;
+  }
+
   /** The versions of one service. */
   versionsOf(service: string): ServiceVersions | undefined {
     return this.rolledOut.versionsOf(service);
@@ -134,6 +160,8 @@
         return this.allowances.apply(fleetRecord);
       case 'configuration':
         return this.configuration.apply(fleetRecord.stored);
+      case 'crash-report':
+        return this.takeCrashes(fleetRecord);
       case 'evacuation':
         return this.evacuated.apply(fleetRecord);
       case 'packed-configuration':
@@ -151,6 +179,7 @@
   override snapshot(): Uint8Array {
     const image: Image = {
       ...this.allowances.image(),
+      crashes: this.crashes.image(),
       evacuations: this.evacuations,
       rollouts: this.rolledOut.image(),
       stored: this.stored,
@@ -162,11 +191,24 @@
     const image = decoder.decode(Buffer.from(bytes)) as Image;
     this.configuration.restore(image.stored ?? undefined);
     this.allowances.restore(image);
+    this.crashes.restore(image.crashes ?? NO_CRASHES);
     this.evacuated.restore(image.evacuations ?? NO_EVACUATIONS);
     this.rolledOut.restore(image.rollouts ?? NO_ROLLOUT_IMAGE);
     this.onChange();
   }
 
+  /** Whether a report, even an empty one, would let quarantined requests run again. */
+  isQuarantineOver(at: number): boolean {
+    return this.crashes.hasExpired(at);
+  }
+
+  private takeCrashes({at, report}: CrashReportRecord): CrashReportOutcome {
+    if (this.crashes.report(report, at)) {
+      this.onChange();
+    }
+    return {kind: 'crash-report', quarantine: this.quarantine};
+  }
+
   private prepaidOf(team: string): number {
     const teams = this.stored?.configuration.teams;
     return teams?.find(({name}) => name === team)?.prepaidTokens ?? 0;
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -6,6 +6,8 @@
  */
 
 /** Messages between control boxes and edges. */
+import type {CrashReport, Quarantine} from 'puffinturn-quarantine';
+
 import type {AllowanceAsk, AllowanceGrant} from './AllowanceLedger';
 import type {BoxChanges} from './Boxes';
 import type {FleetConfiguration} from './Configuration';
@@ -27,6 +29,7 @@
   handOver: 'fleet-hand-over',
   read: 'fleet-read',
   readRollout: 'fleet-read-rollout',
+  reportCrashes: 'fleet-report-crashes',
   stepAside: 'fleet-step-aside',
   watch: 'fleet-watch',
 } as const;
@@ -65,6 +68,8 @@
   readonly evacuationRevision: number;
   /** The revision of the roll-outs held; missing where a former version asks. */
   readonly rolloutRevision?: number | undefined;
+  /** The revision of the quarantine held; missing where a former version asks. */
+  readonly quarantineRevision?: number | undefined;
   /** The incarnation of the asked box that `upstreamsRevision` belongs to. */
   readonly incarnation: string;
   readonly upstreamsRevision: number;
@@ -96,6 +101,8 @@
   readonly evacuations: Evacuations | undefined;
   /** Roll-outs newer than those that the asking box holds. */
   readonly rollouts?: Rollouts | undefined;
+  /** A quarantine newer than the one that the asking box holds. */
+  readonly quarantine?: Quarantine | undefined;
   readonly upstreams: readonly UpstreamRecord[];
   readonly upstreamsRevision: number;
   /** The version that the answering box holds, or -Infinity. */
@@ -220,10 +227,23 @@
   readonly evacuations?: Evacuations | undefined;
   /** Missing in what an edge of a former version hands over. */
   readonly rollouts?: Rollouts | undefined;
+  /** Missing in what an edge of a former version hands over. */
+  readonly quarantine?: Quarantine | undefined;
   /** All boxes known, the receiver included. */
   readonly boxes: readonly BoxRecord[];
 }
 
+/** Tells the leader, through any control box, which requests were at crashes. */
+export interface CrashRequest {
+  readonly box: string;
+  readonly report: CrashReport;
+}
+
+/** Whether a quorum holds the report; else it may be told again. */
+export interface CrashReply {
+  readonly taken: boolean;
+}
+
 /** Asks the leader to put a checked configuration in force. */
 export interface ChangeRequest {
   readonly version: number;
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -14,6 +14,7 @@
  * because control is silent.
  */
 import type {DecisionLog} from 'puffinturn-decisions';
+import type {Quarantine} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {Condition, hashOf, sleepUnlessNotified, TaskGroup} from 'shared';
@@ -78,6 +79,9 @@
   /** The revision of the roll-outs held. */
   abstract get rolloutRevision(): number;
   abstract rollouts(found: Rollouts, source: string): void;
+  /** The revision of the quarantine held. */
+  abstract get quarantineRevision(): number;
+  abstract quarantine(found: Quarantine, source: string): void;
   abstract upstreams(records: readonly UpstreamRecord[], source: string): void;
   abstract boxes(records: readonly BoxRecord[], source: string): void;
 }
@@ -306,6 +310,7 @@
       from: self,
       hearsLeader: !watched.unfit,
       incarnation: watched.incarnation,
+      quarantineRevision: news.quarantineRevision,
       rolloutRevision: news.rolloutRevision,
       upstreamsRevision: watched.upstreamsRevision,
       // Held back for longer, it would keep an overdue version from being asked
@@ -341,13 +346,16 @@
     if (change !== undefined && change !== null) {
       news.configurationChange(change, watched.box);
     }
-    const {evacuations, rollouts} = reply;
+    const {evacuations, quarantine, rollouts} = reply;
     if (evacuations !== undefined && evacuations !== null) {
       news.evacuations(evacuations, watched.box);
     }
     if (rollouts !== undefined && rollouts !== null) {
       news.rollouts(rollouts, watched.box);
     }
+    if (quarantine !== undefined && quarantine !== null) {
+      news.quarantine(quarantine, watched.box);
+    }
     if (reply.upstreams.length > 0) {
       news.upstreams(reply.upstreams, watched.box);
     }
--- a/packages/puffinturn-fleet/src/WatchAnswers.ts
+++ b/packages/puffinturn-fleet/src/WatchAnswers.ts
@@ -10,6 +10,7 @@
  * answer, and whether any of it can't wait.
  */
 import type {Replica} from 'puffinturn-log';
+import type {Quarantine} from 'puffinturn-quarantine';
 
 import type {BoxList} from './Boxes';
 import {ConfigurationHistory} from './ConfigurationHistory';
@@ -63,6 +64,7 @@
       this.heldVersion > request.configurationVersion ||
       this.newEvacuations(request) !== undefined ||
       this.newRollouts(request) !== undefined ||
+      this.newQuarantine(request) !== undefined ||
       this.parts.upstreams.revision > request.upstreamsRevision
     );
   }
@@ -82,6 +84,14 @@
     return rollouts.revision > rolloutRevision ? rollouts : undefined;
   }
 
+  /** A box of a former version wants none. */
+  private newQuarantine({
+    quarantineRevision = Infinity,
+  }: WatchRequest): Quarantine | undefined {
+    const {quarantine} = this.parts.machine;
+    return quarantine.revision > quarantineRevision ? quarantine : undefined;
+  }
+
   /** All that is new. */
   newsFor(request: WatchRequest, current: boolean): WatchReply {
     const {replica, self} = this.parts;
@@ -105,6 +115,7 @@
       heldVersion: this.heldVersion,
       incarnation: self.incarnation,
       leader: replica.heardLeaderBox,
+      quarantine: this.newQuarantine(request),
       rollouts: this.newRollouts(request),
       upstreams: this.parts.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.parts.upstreams.revision,
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetSpread.test.ts
@@ -71,6 +71,12 @@
     this.evacuated = found;
   }
 
+  override get quarantineRevision(): number {
+    return 0;
+  }
+
+  override quarantine(): void {}
+
   override get rolloutRevision(): number {
     return this.rolledOut.revision;
   }
--- a/packages/puffinturn-fleet/src/__tests__/unit/NewsInRegions.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/NewsInRegions.test.ts
@@ -39,6 +39,12 @@
   override configuration(): void {}
   override configurationChange(): void {}
   override evacuations(): void {}
+  override get quarantineRevision(): number {
+    return 0;
+  }
+
+  override quarantine(): void {}
+
   override get rolloutRevision(): number {
     return 0;
   }
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -49,6 +49,8 @@
   BoxRecord,
   BoxRole,
   ChangeReply,
+  CrashReply,
+  CrashRequest,
   EvacuateReply,
   EvacuateRequest,
   Gift,
--- /dev/null
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -0,0 +1,232 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Which requests were there when upstreams crashed, and which are quarantined for it:
+ * they are not run again. A request is quarantined once it was present at three
+ * crashes, moments apart, with no whole answer in between. One that upstreams can
+ * answer loses all that spoke against it, so that crashes with another cause, however
+ * many, convict nobody that is served at all.
+ *
+ * Applying the same reports in the same order gives the same state everywhere: times
+ * come with the reports.
+ */
+import {
+  CRASHES_TO_QUARANTINE,
+  MAX_LIVES,
+  MAX_QUARANTINED,
+  MAX_SUSPECTS,
+  QUARANTINE_MS,
+  SAME_MOMENT_MS,
+  SUSPICION_MS,
+} from './QuarantineConstants';
+
+/** One life of an upstream has ended unplanned. */
+export interface Crash {
+  /** Names that life among all lives of all upstreams. */
+  readonly life: string;
+  /** Fingerprints of the requests that were there, as far as the reporter knows. */
+  readonly fingerprints: readonly string[];
+}
+
+/** A crash as it is reported. */
+export interface ReportedCrash extends Crash {
+  /** How long ago it was noticed, ms. */
+  readonly agoMs: number;
+}
+
+/** What a box has seen since its last report. */
+export interface CrashReport {
+  readonly crashes: readonly ReportedCrash[];
+  /** Fingerprints of suspects that got a whole answer. */
+  readonly answered: readonly string[];
+}
+
+/** The quarantined requests, as of one revision. */
+export interface Quarantine {
+  /** Grows by 1 with each change; 0 before the first one. */
+  readonly revision: number;
+  readonly fingerprints: readonly string[];
+}
+
+/** No request was ever quarantined. */
+export const NO_QUARANTINE: Quarantine = {fingerprints: [], revision: 0};
+
+interface Suspect {
+  readonly fingerprint: string;
+  /** Lives that it crashed, or was there when they ended. */
+  readonly lives: readonly string[];
+  /** When the crashes were that count, Unix ms; those at the same moment are one. */
+  readonly moments: readonly number[];
+}
+
+interface Sentence {
+  readonly fingerprint: string;
+  /** Unix ms. */
+  readonly since: number;
+}
+
+/** The state as a snapshot holds it. */
+export interface CrashImage {
+  readonly revision: number;
+  readonly suspects: readonly Suspect[];
+  readonly quarantined: readonly Sentence[];
+}
+
+/** The image before the first report; also that of snapshots without any. */
+export const NO_CRASHES: CrashImage = {
+  quarantined: [],
+  revision: 0,
+  suspects: [],
+};
+
+/** See the module comment. */
+export class CrashRegister {
+  /** Suspects by fingerprint, the one that was reported last at the end. */
+  private readonly suspects = new Map<string, Suspect>();
+  /** Since when requests are quarantined, by fingerprint; the oldest first. */
+  private readonly sentences = new Map<string, number>();
+  private revision = 0;
+  private told: Quarantine | undefined;
+
+  /** The quarantined requests. */
+  get quarantine(): Quarantine {
+    this.told ??= {
+      fingerprints: [...this.sentences.keys()],
+      revision: this.revision,
+    };
+    return this.told;
+  }
+
+  /** Whether a request is quarantined. */
+  isQuarantined(fingerprint: string): boolean {
+    return this.sentences.has(fingerprint);
+  }
+
+  /** Crashes that speak against a request which is not quarantined. */
+  crashesOf(fingerprint: string): number {
+    return this.suspects.get(fingerprint)?.moments.length ?? 0;
+  }
+
+  /** Takes a report in at a time, Unix ms; true where the quarantine changed. */
+  report({answered, crashes}: CrashReport, at: number): boolean {
+    const former = this.revision;
+    this.forget(at);
+    for (const fingerprint of answered) {
+      this.suspects.delete(fingerprint);
+    }
+    for (const {agoMs, fingerprints, life} of crashes) {
+      for (const fingerprint of fingerprints) {
+        this.blame(fingerprint, life, at - agoMs);
+      }
+    }
+    return this.revision > former;
+  }
+
+  /** Lets a request run again; true where it was quarantined. */
+  release(fingerprint: string): boolean {
+    this.suspects.delete(fingerprint);
+    return this.free(fingerprint);
+  }
+
+  /** Whether the time of a quarantined request is over at a time, Unix ms. */
+  hasExpired(at: number): boolean {
+    const [oldest = Infinity] = this.sentences.values();
+    return at - oldest > QUARANTINE_MS;
+  }
+
+  /** Its part of a snapshot. */
+  image(): CrashImage {
+    return {
+      quarantined: [...this.sentences].map(([fingerprint, since]) => ({
+        fingerprint,
+        since,
+      })),
+      revision: this.revision,
+      suspects: [...this.suspects.values()],
+    };
+  }
+
+  /** Takes over what a snapshot holds. */
+  restore({quarantined, revision, suspects}: CrashImage): void {
+    this.suspects.clear();
+    this.sentences.clear();
+    for (const suspect of suspects) {
+      this.suspects.set(suspect.fingerprint, suspect);
+    }
+    for (const {fingerprint, since} of quarantined) {
+      this.sentences.set(fingerprint, since);
+    }
+    this.revision = revision;
+    this.told = undefined;
+  }
+
+  private blame(fingerprint: string, life: string, at: number): void {
+    if (this.sentences.has(fingerprint)) {
+      return;
+    }
+    const known = this.suspects.get(fingerprint);
+    if (known?.lives.includes(life) === true) {
+      return;
+    }
+    const {lives = [], moments = []} = known ?? {};
+    const isApart = moments.every(
+      (moment) => Math.abs(at - moment) >= SAME_MOMENT_MS,
+    );
+    const suspect: Suspect = {
+      fingerprint,
+      lives: [...lives, life].slice(-MAX_LIVES),
+      moments: isApart ? [...moments, at] : moments,
+    };
+    this.suspects.delete(fingerprint);
+    if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
+      this.sentence(fingerprint, at);
+    } else {
+      this.suspects.set(fingerprint, suspect);
+      dropOldest(this.suspects, MAX_SUSPECTS);
+    }
+  }
+
+  private sentence(fingerprint: string, at: number): void {
+    this.sentences.set(fingerprint, at);
+    dropOldest(this.sentences, MAX_QUARANTINED);
+    this.changed();
+  }
+
+  private free(fingerprint: string): boolean {
+    const wasHeld = this.sentences.delete(fingerprint);
+    if (wasHeld) {
+      this.changed();
+    }
+    return wasHeld;
+  }
+
+  private changed(): void {
+    this.revision += 1;
+    this.told = undefined;
+  }
+
+  private forget(at: number): void {
+    for (const [fingerprint, {moments}] of this.suspects) {
+      if (at - Math.max(...moments) > SUSPICION_MS) {
+        this.suspects.delete(fingerprint);
+      }
+    }
+    for (const [fingerprint, since] of this.sentences) {
+      if (at - since > QUARANTINE_MS) {
+        this.free(fingerprint);
+      }
+    }
+  }
+}
+
+function dropOldest(map: Map<string, unknown>, most: number): void {
+  const [oldest] = map.keys();
+  if (map.size > most && oldest !== undefined) {
+    map.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -0,0 +1,40 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** When requests are quarantined, and how much is kept of them. */
+
+/**
+ * Crashes after which a request is quarantined. Two may be bad luck on a day of many
+ * crashes: of 196 requests present at a crash on a day with 33 crashes, 12 were
+ * present at two and none at three.
+ */
+export const CRASHES_TO_QUARANTINE = 3;
+
+/**
+ * Crashes within this time count as one, ms. Upstreams that lose power together end
+ * within milliseconds, and a request that many send is at several of them; reports
+ * of one such moment differ by the time of a probe and of a commit.
+ */
+export const SAME_MOMENT_MS = 250;
+
+/** Lives kept of one suspect: each edge that saw a crash reports it. */
+export const MAX_LIVES = 8;
+
+/** A suspect that no crash has been added to for so long is forgotten, ms. */
+export const SUSPICION_MS = 10 * 60_000;
+
+/**
+ * A quarantined request is tried again after this time, ms: by then upstreams may have
+ * been mended, and if they are not, it costs three more of them an hour.
+ */
+export const QUARANTINE_MS = 60 * 60_000;
+
+/** Suspects kept; one takes some 200 bytes of the log's snapshot. */
+export const MAX_SUSPECTS = 2_000;
+
+/** Quarantined requests kept; every edge is told all of them. */
+export const MAX_QUARANTINED = 256;
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -6,5 +6,14 @@
  */
 
 /** Requests that crash the upstreams that run them. */
+export type {
+  Crash,
+  CrashImage,
+  CrashReport,
+  Quarantine,
+  ReportedCrash,
+} from './CrashRegister';
+export {CrashRegister, NO_CRASHES, NO_QUARANTINE} from './CrashRegister';
 export type {RequestContent} from './Fingerprint';
 export {fingerprintOf} from './Fingerprint';
+export {CRASHES_TO_QUARANTINE} from './QuarantineConstants';
