--- a/packages/puffinturn-edge/src/CrashingRequests.ts
+++ b/packages/puffinturn-edge/src/CrashingRequests.ts
@@ -6,25 +6,26 @@
  */
 
 /**
- * Which requests this edge must not run, as they crash the upstreams that run them:
- * those that the core has quarantined, and those that this edge's own crashes convict,
- * also while the core can't be reached. What is seen here is told to the core until
- * it is taken; told twice, it counts once.
+ * Which requests this edge must not run, as they crash the upstreams that run them.
+ * What is seen here is told to the core until it is taken.
  */
-import {LRUCache} from 'lru-cache';
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {CrashReply, CrashRequest} from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Crash, CrashReport, Quarantine} from 'puffinturn-quarantine';
 import {
-  CRASHES_TO_QUARANTINE,
-  CrashRegister,
+  CrashEvidence,
+  CrashWatch,
   NO_QUARANTINE,
+  probeListener,
 } from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
+import type {EdgeMetrics} from './EdgeMetrics';
+import type {EdgeUpstream} from './EdgeUpstream';
+
 /** Longest time for the answer of one control box, ms. */
 const ANSWER_MS = 500;
 
@@ -37,17 +38,8 @@
 /** Longest time between two looks whether there is something to tell, ms. */
 const IDLE_MS = 60_000;
 
-/**
- * Crashes and answers kept while the core takes no reports; the oldest are dropped. A
- * hall's upstreams that crash a few times in a long cut stay below it.
- */
-const MAX_UNTOLD = 500;
-
-/**
- * How long a request that was at a crash is looked out for, ms; while any is, the
- * fingerprint of every request has to be known.
- */
-const BLAMED_MS = 60_000;
+/** Fingerprints named in one line of the log; the count tells of the others. */
+const LOGGED_AT_MOST = 16;
 
 /** What CrashingRequests are made of. */
 export interface CrashingRequestsParts {
@@ -55,38 +47,27 @@
   readonly clock: Clock;
   readonly link: Link;
   readonly log: DecisionLog;
+  readonly metrics: EdgeMetrics;
   /** Control boxes, the one to ask first at the front. */
   readonly controls: () => readonly string[];
 }
 
-interface SeenCrash {
-  readonly crash: Crash;
-  /** When it was noticed, monotonic ms. */
-  readonly at: number;
-}
-
-/** What the core has not taken yet. */
-interface Untold {
-  readonly crashes: readonly SeenCrash[];
-  readonly answered: readonly string[];
-}
-
 /** See the module comment. */
 export class CrashingRequests implements AsyncDisposable {
-  private readonly own = new CrashRegister();
-  /** Requests that were at a crash seen here; a whole answer clears them. */
-  private readonly blamed = new LRUCache<string, true>({
-    max: MAX_UNTOLD,
-    ttl: BLAMED_MS,
-  });
+  private readonly evidence: CrashEvidence;
+  private readonly watch: CrashWatch<EdgeUpstream>;
   private told = NO_QUARANTINE;
-  private quarantined: ReadonlySet<string> = new Set();
-  private crashes: SeenCrash[] = [];
-  private answered: string[] = [];
   private readonly news = new Condition();
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: CrashingRequestsParts) {
+    const {clock} = parts;
+    this.evidence = new CrashEvidence(clock);
+    this.watch = new CrashWatch({
+      clock,
+      crashed: (crash, upstream) => this.crashed(crash, upstream),
+      probe: ({host, port}) => probeListener(host, port),
+    });
     this.tasks.start((signal) => this.run(signal));
   }
 
@@ -95,106 +76,89 @@
     return this.told;
   }
 
-  /** Whether any request may be quarantined or blamed; else none need be looked up. */
+  /** Whether no request is quarantined or blamed, so that none need be looked up. */
   get isEmpty(): boolean {
-    return this.blamed.size === 0 && this.quarantined.size === 0;
+    return this.evidence.isEmpty;
   }
 
   /** Whether a request must not be run. */
   isQuarantined(fingerprint: string): boolean {
-    return (
-      this.quarantined.has(fingerprint) || this.own.isQuarantined(fingerprint)
-    );
+    return this.evidence.isQuarantined(fingerprint);
   }
 
   /** Whether one more crash would have a request quarantined. */
   isLastTry(fingerprint: string): boolean {
-    return this.own.crashesOf(fingerprint) >= CRASHES_TO_QUARANTINE - 1;
+    return this.evidence.isLastTry(fingerprint);
   }
 
   /** Takes over what the core or another edge has, unless that is older. */
   adopt(found: Quarantine, source: string): void {
-    const {told} = this;
-    if (found.revision <= told.revision) {
+    const {log, metrics} = this.parts;
+    const {revision: former} = this.told;
+    if (found.revision <= former) {
       return;
     }
+    const {fingerprints, revision} = found;
     this.told = found;
-    this.quarantined = new Set(found.fingerprints);
-    for (const fingerprint of told.fingerprints) {
-      if (!this.quarantined.has(fingerprint)) {
-        this.own.release(fingerprint);
-      }
-    }
-    this.parts.log.note({
-      count: found.fingerprints.length,
+    this.evidence.adopt(fingerprints);
+    metrics.quarantined.set(fingerprints.length);
+    log.note({
+      count: fingerprints.length,
       event: 'quarantine-adopted',
-      former: told.revision,
-      newest: found.fingerprints.at(-1),
-      revision: found.revision,
+      former,
+      newest: fingerprints.at(-1),
+      revision,
       source,
     });
   }
 
+  /** Notes that a request broke off at an upstream. */
+  broke(upstream: EdgeUpstream, fingerprint: string): void {
+    this.watch.broke(upstream, fingerprint);
+  }
+
   /** Notes a crash and which requests of this edge were there. */
-  crashed(crash: Crash): void {
-    for (const fingerprint of crash.fingerprints) {
-      this.blamed.set(fingerprint, true);
-    }
-    const {clock} = this.parts;
-    const report = {answered: [], crashes: [{...crash, agoMs: 0}]};
-    this.own.report(report, clock.wallTime());
-    const seen = {at: clock.now(), crash};
-    this.crashes = [...this.crashes, seen].slice(-MAX_UNTOLD);
+  crashed(crash: Crash, {record}: Pick<EdgeUpstream, 'record'>): void {
+    const {log, metrics} = this.parts;
+    log.note({
+      bornAt: record.bornAt,
+      count: crash.fingerprints.length,
+      event: 'upstream-crashed',
+      fingerprints: crash.fingerprints.slice(0, LOGGED_AT_MOST),
+      upstream: record.id,
+    });
+    metrics.crashes.inc({service: record.service});
+    this.evidence.crashed(crash);
     this.news.notify();
   }
 
-  /** Notes that a request got a whole answer: it does not crash what runs it. */
+  /** Notes that a request got a whole answer. */
   served(fingerprint: string): void {
-    if (!this.blamed.delete(fingerprint)) {
-      return;
+    if (this.evidence.served(fingerprint)) {
+      this.news.notify();
     }
-    this.own.release(fingerprint);
-    this.answered = [...this.answered, fingerprint].slice(-MAX_UNTOLD);
-    this.news.notify();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.watch[Symbol.asyncDispose]();
     await this.tasks[Symbol.asyncDispose]();
   }
 
   private async run(signal: AbortSignal): Promise<void> {
+    const {evidence} = this;
     const {clock} = this.parts;
     while (!signal.aborted) {
-      const untold = this.untold();
+      const {untold} = evidence;
       if (untold === undefined) {
         await sleepUnlessNotified(clock, this.news, IDLE_MS, signal);
-      } else if (await this.tell(this.reportOf(untold))) {
-        this.forget(untold);
+      } else if (await this.tell(evidence.reportOf(untold))) {
+        evidence.told(untold);
       } else {
         await clock.sleep(RETRY_MS, signal);
       }
     }
   }
 
-  private untold(): Untold | undefined {
-    const {answered, crashes} = this;
-    const isEmpty = answered.length === 0 && crashes.length === 0;
-    return isEmpty ? undefined : {answered, crashes};
-  }
-
-  private reportOf({answered, crashes}: Untold): CrashReport {
-    const now = this.parts.clock.now();
-    return {
-      answered,
-      crashes: crashes.map(({at, crash}) => ({...crash, agoMs: now - at})),
-    };
-  }
-
-  private forget({answered, crashes}: Untold): void {
-    this.crashes = this.crashes.filter((seen) => !crashes.includes(seen));
-    this.answered = this.answered.filter((one) => !answered.includes(one));
-  }
-
   private async tell(report: CrashReport): Promise<boolean> {
     const {box, controls, link} = this.parts;
     const request: CrashRequest = {box, report};
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -43,7 +43,6 @@
 import type {ColdTolerance} from './ColdStarts';
 import {PacedColdStarts} from './ColdStarts';
 import {CrashingRequests} from './CrashingRequests';
-import {CrashWatch} from './CrashWatch';
 import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import type {HttpAddress, HttpListenFailure} from './EdgeHttp';
@@ -119,7 +118,6 @@
   private readonly exposureExchange: ExposureExchange;
   private readonly totals: Totals;
   private readonly episodes: CrossingEpisodes;
-  private readonly crashWatch: CrashWatch;
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
   private readonly stepAside: StepAside;
@@ -161,6 +159,7 @@
       controls: () => this.controls(),
       link,
       log,
+      metrics: this.metrics,
     });
     this.watch = new FleetWatch({
       askedAtOnce: CONTROLS_ASKED,
@@ -193,11 +192,6 @@
     });
     this.totals = new Totals(clock, log, () => this.allowances.status());
     this.episodes = new CrossingEpisodes(clock, log);
-    this.crashWatch = new CrashWatch({
-      clock,
-      crashed: (crash) => this.crashing.crashed(crash),
-      log,
-    });
     this.neighbours = new Neighbours({
       clock,
       edges: () => this.peers,
@@ -236,7 +230,6 @@
       }),
       dialect: parts.dialect,
       engineChoice: new ExpectedTime(),
-      crashWatch: this.crashWatch,
       crashing: this.crashing,
       homeProbes: new HomeProbes(clock),
       exposures: this.exposures,
@@ -388,7 +381,6 @@
     );
     await this.totals[Symbol.asyncDispose]();
     await this.episodes[Symbol.asyncDispose]();
-    await this.crashWatch[Symbol.asyncDispose]();
     await this.crashing[Symbol.asyncDispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureExchange[Symbol.asyncDispose]();
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -28,6 +28,17 @@
     name: 'puffinturn_edge_attempts_total',
     registers: [this.registry],
   });
+  readonly crashes = new Counter({
+    help: 'Crashes of upstreams while requests of this edge were there, by service',
+    labelNames: ['service'],
+    name: 'puffinturn_edge_upstream_crashes_total',
+    registers: [this.registry],
+  });
+  readonly quarantined = new Gauge({
+    help: 'Requests refused for crashing upstreams, as the core told last',
+    name: 'puffinturn_edge_quarantined_requests',
+    registers: [this.registry],
+  });
   readonly exposed = new Counter({
     help: 'Requests sent to a version that a roll-out moves to, by service',
     labelNames: ['service'],
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -83,7 +83,7 @@
 
   /** Whether new requests may go there at all. */
   get serves(): boolean {
-    return this.record.state === UPSTREAM_STATE.ready && !this.replaced;
+    return !this.leaves && !this.replaced;
   }
 
   /** Whether it bears only a few requests a second yet. */
@@ -144,6 +144,17 @@
     );
   }
 
+  /** Names this life among all lives of all upstreams, the same at every edge. */
+  get life(): string {
+    const {bornAt, id} = this.record;
+    return `${id} ${bornAt ?? ''}`;
+  }
+
+  /** Whether it said that it leaves, or is known to have left. */
+  get leaves(): boolean {
+    return this.record.state !== UPSTREAM_STATE.ready;
+  }
+
   /** Whether another life took its place though it never said that it would leave. */
   get supplanted(): boolean {
     return this.supplantedUnplanned;
@@ -151,7 +162,7 @@
 
   /** Notes that another life is in its place. */
   isSupplanted(): void {
-    this.supplantedUnplanned ||= this.record.state === UPSTREAM_STATE.ready;
+    this.supplantedUnplanned ||= !this.leaves;
   }
 
   /** Notes that another upstream answers at this address. */
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -24,7 +24,6 @@
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
 import type {CrashingRequests} from './CrashingRequests';
-import type {CrashWatch} from './CrashWatch';
 import {
   CALLER_LEFT,
   FIRST_ERROR_STATUS,
@@ -63,7 +62,6 @@
   readonly dialect: CallerDialect;
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
-  readonly crashWatch: CrashWatch;
   readonly crashing: CrashingRequests;
   readonly regionTraffic: RegionTraffic;
 }
@@ -374,7 +372,7 @@
 
   private brokeAt(plan: Plan, upstream: EdgeUpstream, cause: string): void {
     upstream.broke(cause);
-    this.parts.crashWatch.broke(upstream, this.fingerprint(plan));
+    this.parts.crashing.broke(upstream, this.fingerprint(plan));
   }
 
   private fingerprint({team}: Plan): string {
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -19,7 +19,6 @@
 import {CallerRequest} from '../../CallerRequest';
 import {UnboundedColdStarts} from '../../ColdStarts';
 import {CrashingRequests} from '../../CrashingRequests';
-import {CrashWatch} from '../../CrashWatch';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {Exposures} from '../../Exposures';
@@ -161,11 +160,7 @@
     controls: () => [],
     link: new SilentLink(),
     log: this.log,
-  });
-  private readonly crashWatch = new CrashWatch({
-    clock: this.clock,
-    crashed: (crash) => this.crashing.crashed(crash),
-    log: this.log,
+    metrics: this.metrics,
   });
   private readonly totals = new Totals(this.clock, this.log, () => []);
   private readonly agent = new Agent();
@@ -197,7 +192,6 @@
         hall: 'a',
         regions: new Regions(),
       }),
-      crashWatch: this.crashWatch,
       crashing: this.crashing,
       dialect: new TestDialect(),
       engineChoice: choice,
@@ -279,7 +273,6 @@
     this.server.closeAllConnections();
     this.agent.destroy();
     this.pool[Symbol.dispose]();
-    await this.crashWatch[Symbol.asyncDispose]();
     await this.crashing[Symbol.asyncDispose]();
     await this.totals[Symbol.asyncDispose]();
     await closed;
--- /dev/null
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -0,0 +1,130 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * What one box knows of requests that crash upstreams: those that the others have
+ * quarantined, and those that the box's own crashes convict, also while nobody else
+ * can be reached. What was seen here waits until it has been told; told twice, it
+ * counts once.
+ */
+import {LRUCache} from 'lru-cache';
+import type {Clock} from 'shared';
+
+import type {Crash, CrashReport} from './CrashRegister';
+import {CrashRegister} from './CrashRegister';
+import {
+  BLAMED_MS,
+  CRASHES_TO_QUARANTINE,
+  MAX_UNTOLD,
+} from './QuarantineConstants';
+
+interface SeenCrash {
+  readonly crash: Crash;
+  /** When it was noticed, monotonic ms. */
+  readonly at: number;
+}
+
+/** What has not been told yet. */
+export interface Untold {
+  readonly crashes: readonly SeenCrash[];
+  readonly answered: readonly string[];
+}
+
+/** See the module comment. */
+export class CrashEvidence {
+  private readonly own = new CrashRegister();
+  /** Requests that were at a crash seen here; a whole answer clears them. */
+  private readonly blamed = new LRUCache<string, true>({
+    max: MAX_UNTOLD,
+    ttl: BLAMED_MS,
+  });
+  private quarantined: ReadonlySet<string> = new Set();
+  private crashes: SeenCrash[] = [];
+  private answered: string[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Whether no request is quarantined or blamed, so that none need be looked up. */
+  get isEmpty(): boolean {
+    return this.blamed.size === 0 && this.quarantined.size === 0;
+  }
+
+  /** The requests that the others have quarantined. */
+  get fingerprints(): readonly string[] {
+    return [...this.quarantined];
+  }
+
+  /** What has not been told yet; undefined where there is nothing. */
+  get untold(): Untold | undefined {
+    const {answered, crashes} = this;
+    const isEmpty = answered.length === 0 && crashes.length === 0;
+    return isEmpty ? undefined : {answered, crashes};
+  }
+
+  /** Whether a request must not be run. */
+  isQuarantined(fingerprint: string): boolean {
+    return (
+      this.quarantined.has(fingerprint) || this.own.isQuarantined(fingerprint)
+    );
+  }
+
+  /** Whether one more crash would have a request quarantined. */
+  isLastTry(fingerprint: string): boolean {
+    return this.own.crashesOf(fingerprint) >= CRASHES_TO_QUARANTINE - 1;
+  }
+
+  /** Takes over all that the others have quarantined. */
+  adopt(fingerprints: readonly string[]): void {
+    const former = this.quarantined;
+    this.quarantined = new Set(fingerprints);
+    for (const fingerprint of former) {
+      if (!this.quarantined.has(fingerprint)) {
+        this.own.release(fingerprint);
+      }
+    }
+  }
+
+  /** Notes a crash and which requests of this box were there. */
+  crashed(crash: Crash): void {
+    const {clock} = this;
+    for (const fingerprint of crash.fingerprints) {
+      this.blamed.set(fingerprint, true);
+    }
+    const report = {answered: [], crashes: [{...crash, agoMs: 0}]};
+    this.own.report(report, clock.wallTime());
+    const seen = {at: clock.now(), crash};
+    this.crashes = [...this.crashes, seen].slice(-MAX_UNTOLD);
+  }
+
+  /**
+   * Notes that a request got a whole answer: it does not crash what runs it. True
+   * where others have to hear of it.
+   */
+  served(fingerprint: string): boolean {
+    if (!this.blamed.delete(fingerprint)) {
+      return false;
+    }
+    this.own.release(fingerprint);
+    this.answered = [...this.answered, fingerprint].slice(-MAX_UNTOLD);
+    return true;
+  }
+
+  /** What is told of all that has not been told. */
+  reportOf({answered, crashes}: Untold): CrashReport {
+    const now = this.clock.now();
+    return {
+      answered,
+      crashes: crashes.map(({at, crash}) => ({...crash, agoMs: now - at})),
+    };
+  }
+
+  /** Notes that something has been told. */
+  told({answered, crashes}: Untold): void {
+    this.crashes = this.crashes.filter((seen) => !crashes.includes(seen));
+    this.answered = this.answered.filter((one) => !answered.includes(one));
+  }
+}
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -38,3 +38,15 @@
 
 /** Quarantined requests kept; every edge is told all of them. */
 export const MAX_QUARANTINED = 256;
+
+/**
+ * How long a request that was at a crash is looked out for, ms; while any is, the
+ * fingerprint of every request has to be known.
+ */
+export const BLAMED_MS = 60_000;
+
+/**
+ * Crashes and answers kept while nobody takes reports; the oldest are dropped. A
+ * hall's upstreams that crash a few times in a long cut stay below it.
+ */
+export const MAX_UNTOLD = 500;
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -4,8 +4,9 @@
  * This source code is licensed under the Apache License 2.0 found in the
  * LICENSE file in the root directory of this source tree.
  */
-
 /** Requests that crash the upstreams that run them. */
+export type {Untold} from './CrashEvidence';
+export {CrashEvidence} from './CrashEvidence';
 export type {
   Crash,
   CrashImage,
@@ -14,6 +15,9 @@
   ReportedCrash,
 } from './CrashRegister';
 export {CrashRegister, NO_CRASHES, NO_QUARANTINE} from './CrashRegister';
+export type {CrashWatchParts, WatchedUpstream} from './CrashWatch';
+export {CrashWatch} from './CrashWatch';
 export type {RequestContent} from './Fingerprint';
 export {fingerprintOf} from './Fingerprint';
-export {CRASHES_TO_QUARANTINE} from './QuarantineConstants';
+export type {ListenerState} from './ListenerProbe';
+export {LISTENER, probeListener} from './ListenerProbe';
