--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -14,7 +14,7 @@
 import {okAsync} from 'neverthrow';
 import {linkOfReplicas} from 'puffinturn-fleet';
 import type {GatewayMetrics, UpstreamClient} from 'puffinturn-gateway';
-import {Gateway, Pools} from 'puffinturn-gateway';
+import {CrashingRequests, Gateway, Pools} from 'puffinturn-gateway';
 import type {LedgerBreakage, SplitSide} from 'puffinturn-ledger';
 import {ControlClient, ControlService, Ledger} from 'puffinturn-ledger';
 import type {
@@ -87,6 +87,7 @@
   readonly client: ControlClient;
   readonly member: BoxMember;
   readonly pools: Pools;
+  private readonly crashing: CrashingRequests;
   readonly gateway: Gateway;
   private readonly tasks = new TaskGroup();
   private readonly registrations = new DisposableList();
@@ -112,11 +113,18 @@
       relayBoxes: namesOf(region).filter((name) => name !== self.name),
     });
     this.pools = new Pools(clock, random);
+    this.crashing = new CrashingRequests({
+      box: self.name,
+      client: parts.client,
+      clock,
+      timeline,
+    });
     this.member = new BoxMember({
       box: self.name,
       clock,
       control: this.client,
       controlBoxes,
+      crashes: () => this.crashing.telling(),
       hall: self.hall,
       inFlight: () => this.pools.inFlight(),
       leaving: () => this.pools.leaving(),
@@ -125,6 +133,7 @@
       onNews: (news) => {
         this.pools.adopt(this.member.config);
         this.pools.adoptNews(news);
+        this.crashing.adopt(news.quarantined ?? []);
       },
       timeline,
     });
@@ -135,6 +144,7 @@
       client: parts.client,
       clock,
       control: this.client,
+      crashing: this.crashing,
       keepAnswerMs: parts.keepAnswerMs,
       keepMarkedMs: parts.keepMarkedMs,
       link,
@@ -203,6 +213,7 @@
       this.control?.orders?.[Symbol.asyncDispose](),
       this.control?.replica[Symbol.asyncDispose](),
     ]);
+    await this.crashing[Symbol.asyncDispose]();
     await this.tasks[Symbol.asyncDispose]();
   }
 }
--- a/packages/puffinturn-fuzz/src/Step.ts
+++ b/packages/puffinturn-fuzz/src/Step.ts
@@ -65,6 +65,9 @@
 /** Addresses of the fake engines. */
 export const ENGINE_URLS = ['http://engine-1', 'http://engine-2'] as const;
 
+/** Modes that runs draw; upstreams that crash have stories of their own. */
+const DRAWN_MODES = Object.values(MODE).filter((mode) => mode !== MODE.crash);
+
 const boxName = fc.constantFrom(...FUZZ_BOXES.map(({name}) => name));
 const afterMs = fc.oneof(
   {arbitrary: fc.integer({max: 60, min: 0}), weight: 3},
@@ -120,7 +123,7 @@
   fc.record({
     afterMs,
     kind: fc.constant('upstream' as const),
-    mode: fc.constantFrom(...Object.values(MODE)),
+    mode: fc.constantFrom(...DRAWN_MODES),
     url: fc.constantFrom(...SERVICE_URLS, ...ENGINE_URLS),
   }),
 );
--- a/packages/puffinturn-fuzz/src/UpstreamWorld.ts
+++ b/packages/puffinturn-fuzz/src/UpstreamWorld.ts
@@ -14,6 +14,8 @@
   UpstreamRequest,
 } from 'puffinturn-gateway';
 import {UpstreamClient} from 'puffinturn-gateway';
+import type {ListenerState} from 'puffinturn-quarantine';
+import {LISTENER} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 
 /** How an upstream behaves. */
@@ -22,6 +24,8 @@
   breakAfter: 'break-after',
   /** Executes, then the connection ends before the answer. */
   breakBefore: 'break-before',
+  /** Executes, and ends for a while under each request. */
+  crash: 'crash',
   /** Executes and never answers. */
   hang: 'hang',
   /** Says that it is leaving and executes nothing. */
@@ -45,6 +49,9 @@
 
 const LATENCY_MS = 20;
 const SLOW_MS = 2_500;
+
+/** How long an upstream that crashed takes no connections, ms. */
+const CRASHED_MS = 800;
 const encoder = new TextEncoder();
 
 /** All upstreams of a run. */
@@ -52,6 +59,7 @@
   /** Every execution, in order. */
   readonly executions: Execution[] = [];
   private readonly modes = new Map<string, Mode>();
+  private readonly crashedUntil = new Map<string, number>();
 
   constructor(readonly clock: Clock) {}
 
@@ -62,7 +70,15 @@
 
   /** How an upstream behaves. */
   modeOf(url: string): Mode {
-    return this.modes.get(url) ?? MODE.ok;
+    const crashedUntil = this.crashedUntil.get(url) ?? -Infinity;
+    return this.clock.now() < crashedUntil
+      ? MODE.refuse
+      : (this.modes.get(url) ?? MODE.ok);
+  }
+
+  /** Ends an upstream for a while. */
+  crash(url: string): void {
+    this.crashedUntil.set(url, this.clock.now() + CRASHED_MS);
   }
 
   /** All upstreams work again. */
@@ -94,6 +110,13 @@
     return new Async(this.exchange(request));
   }
 
+  override async probe(url: string): Promise<ListenerState> {
+    await this.gate();
+    return this.world.modeOf(url) === MODE.refuse
+      ? LISTENER.refused
+      : LISTENER.listens;
+  }
+
   override async [Symbol.asyncDispose](): Promise<void> {
     this.ended.abort();
   }
@@ -126,6 +149,10 @@
     if (mode === MODE.hang) {
       await untilAborted(request.signal, clock);
     }
+    if (mode === MODE.crash) {
+      this.world.crash(request.url);
+      return err<UpstreamAnswer, UpstreamFailure>(failure('broken'));
+    }
     if (mode === MODE.breakBefore || request.signal.aborted) {
       return err<UpstreamAnswer, UpstreamFailure>(failure('broken'));
     }
--- a/packages/puffinturn-gateway/src/Gateway.ts
+++ b/packages/puffinturn-gateway/src/Gateway.ts
@@ -22,6 +22,7 @@
 import {Answer} from './Answer';
 import {AnswerExchange} from './AnswerExchange';
 import {AnswerStore} from './AnswerStore';
+import type {CrashingRequests} from './CrashingRequests';
 import {Forwarding} from './Forwarding';
 import {FOLLOW_PAUSE_MS} from './GatewayConstants';
 import type {GatewayFailure} from './GatewayFailure';
@@ -42,6 +43,7 @@
   readonly client: UpstreamClient;
   readonly clock: Clock;
   readonly control: ControlClient;
+  readonly crashing: CrashingRequests;
   readonly link: Link;
   /** Boxes of another region that take requests. */
   readonly boxesOf: (region: string) => readonly string[];
@@ -151,7 +153,11 @@
       const message = 'this box is stopping; another one will answer';
       return err(gatewayFailure('stopping', message, 1_000));
     }
-    const {clock, member, metrics} = this.parts;
+    const {clock, crashing, member, metrics} = this.parts;
+    if (crashing.isQuarantined(request)) {
+      const message = 'upstreams crashed whenever they ran this request';
+      return err(gatewayFailure('quarantined', message));
+    }
     const startedAt = clock.now();
     this.parts.pools.adopt(member.config);
     for (;;) {
--- a/packages/puffinturn-gateway/src/GatewayFailure.ts
+++ b/packages/puffinturn-gateway/src/GatewayFailure.ts
@@ -43,6 +43,7 @@
   overloaded: {outcome: OUTCOME.notRun, status: 503},
   policy_failed: {outcome: OUTCOME.notRun, status: 403},
   policy_refused: {outcome: OUTCOME.notRun, status: 403},
+  quarantined: {outcome: OUTCOME.notRun, status: 400},
   region_unreachable: {outcome: OUTCOME.notRun, status: 503},
   still_running: {outcome: OUTCOME.unknown, status: 504},
   stopping: {outcome: OUTCOME.notRun, status: 503},
--- a/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
+++ b/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
@@ -8,6 +8,8 @@
 /** Upstreams over HTTP, by undici. */
 import type {ResultAsync} from 'neverthrow';
 import {ResultAsync as Async} from 'neverthrow';
+import type {ListenerState} from 'puffinturn-quarantine';
+import {probeListener} from 'puffinturn-quarantine';
 import {describeError} from 'shared';
 import type {Dispatcher} from 'undici';
 import {Agent} from 'undici';
@@ -47,6 +49,10 @@
   return result;
 }
 
+/** Ports of URLs that name none. */
+const HTTP_PORT = 80;
+const HTTPS_PORT = 443;
+
 /** Options for both kinds of connections. */
 const AGENT_OPTIONS: Agent.Options = {
   bodyTimeout: IDLE_TIMEOUT_MS,
@@ -80,6 +86,12 @@
     }));
   }
 
+  override probe(url: string): Promise<ListenerState> {
+    const {hostname, port, protocol} = new URL(url);
+    const usual = protocol === 'https:' ? HTTPS_PORT : HTTP_PORT;
+    return probeListener(hostname, port === '' ? usual : Number(port));
+  }
+
   override async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all([this.pooled.destroy(), this.single.destroy()]);
   }
--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -24,6 +24,7 @@
 import {continuationBody, upstreamBody} from './CompletionBody';
 import type {Usage} from './CompletionStream';
 import {CompletionStream} from './CompletionStream';
+import type {CrashingRequests} from './CrashingRequests';
 import {
   ADMIT_TIMEOUT_MS,
   MAX_ANSWER_BYTES,
@@ -43,7 +44,7 @@
   FailedCall,
   StartedCall,
 } from './UpstreamCall';
-import {bytesOf, callUpstream} from './UpstreamCall';
+import {bytesOf, callUpstream, SERVER_ERROR} from './UpstreamCall';
 import type {UpstreamClient} from './UpstreamClient';
 
 /** What running needs. */
@@ -51,6 +52,7 @@
   readonly client: UpstreamClient;
   readonly clock: Clock;
   readonly control: ControlClient;
+  readonly crashing: CrashingRequests;
   readonly metrics: GatewayMetrics;
   readonly pools: Pools;
   readonly random: Random;
@@ -110,7 +112,7 @@
       } else if (!this.noteFailure(call)) {
         return this.closeFailed(call);
       }
-      if (turn + 1 >= MAX_ATTEMPTS || !this.pool.retries.spend()) {
+      if (!this.mayRetry(turn)) {
         return this.closeFailed(undefined);
       }
       this.parts.metrics.retries.inc({pool: decision.pool});
@@ -119,6 +121,15 @@
     }
   }
 
+  private mayRetry(turn: number): boolean {
+    const {request} = this.attempt.plan;
+    return (
+      turn + 1 < MAX_ATTEMPTS &&
+      this.parts.crashing.mayRetry(request) &&
+      this.pool.retries.spend()
+    );
+  }
+
   // Sending
 
   private async call(turn: number): Promise<CallOutcome> {
@@ -134,7 +145,13 @@
       // It began to leave while the dispatch was committed: nothing was sent.
       place[Symbol.dispose]();
       const message = 'the upstream is leaving';
-      return {kind: 'failed', mayHaveRun: false, message, place};
+      return {
+        brokeOff: false,
+        kind: 'failed',
+        mayHaveRun: false,
+        message,
+        place,
+      };
     }
     this.note(EVENT_KIND.dispatched, {upstream: place.upstream.name});
     const call = await this.sendHedged(place, turn);
@@ -272,7 +289,8 @@
   private async deliver(call: StartedCall): Promise<boolean> {
     using _place = call.place;
     this.mayHaveRun = true;
-    const {completion} = this.attempt.plan.request;
+    const {request} = this.attempt.plan;
+    const {completion} = request;
     this.pool.hedge.observe(call.firstMs);
     if (completion !== undefined) {
       const {name} = call.place.upstream;
@@ -287,6 +305,7 @@
       ? await this.deliverStream(call)
       : await this.deliverBody(call);
     if (whole) {
+      this.noteServed(call);
       return false;
     }
     if (this.answer.abandoned.signal.aborted) {
@@ -294,6 +313,7 @@
       return false;
     }
     call.place.failed();
+    this.parts.crashing.broke(call.place.upstream, request);
     this.avoid.add(call.place.upstream.name);
     if (this.attempt.plan.decision.marked) {
       await this.closeUnknown();
@@ -368,6 +388,12 @@
     return true;
   }
 
+  private noteServed({answer}: StartedCall): void {
+    if (answer.status < SERVER_ERROR) {
+      this.parts.crashing.served(this.attempt.plan.request);
+    }
+  }
+
   private startStream(): void {
     this.answer.start({
       billed: undefined,
@@ -398,6 +424,10 @@
   /** Notes a failed call; true when another try is safe. */
   private noteFailure(call: FailedCall): boolean {
     this.mayHaveRun ||= call.mayHaveRun;
+    if (call.brokeOff) {
+      const {request} = this.attempt.plan;
+      this.parts.crashing.broke(call.place.upstream, request);
+    }
     this.avoid.add(call.place.upstream.name);
     const gone = this.answer.abandoned.signal.aborted;
     const {marked} = this.attempt.plan.decision;
--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -30,6 +30,8 @@
   readonly place: Place;
   /** False only when the upstream has certainly not run it. */
   readonly mayHaveRun: boolean;
+  /** Whether the connection broke after the request was sent. */
+  readonly brokeOff: boolean;
   readonly message: string;
 }
 
@@ -54,7 +56,8 @@
   readonly onLeaving: (pool: string, upstream: string) => void;
 }
 
-const SERVER_ERROR = 500;
+/** The least status that says that the upstream failed. */
+export const SERVER_ERROR = 500;
 
 /** Sends a request to the upstream of a place. */
 export async function callUpstream(
@@ -77,7 +80,9 @@
     if (!signal.aborted) {
       place.failed();
     }
-    return failed(place, kind === 'broken', message);
+    const isBroken = kind === 'broken';
+    const brokeOff = isBroken && !signal.aborted;
+    return {...failed(place, isBroken, message), brokeOff};
   }
   const answer = sent.value;
   noteHeaders(parts, place, answer);
@@ -94,7 +99,7 @@
   const first = await iterator.next().catch(() => undefined);
   if (first === undefined) {
     place.failed();
-    return failed(place, true, 'the upstream broke off');
+    return {...failed(place, true, 'the upstream broke off'), brokeOff: true};
   }
   const firstMs = clock.now() - sentAt;
   place.answered(firstMs);
@@ -114,7 +119,7 @@
   mayHaveRun: boolean,
   message: string,
 ): FailedCall {
-  return {kind: 'failed', mayHaveRun, message, place};
+  return {brokeOff: false, kind: 'failed', mayHaveRun, message, place};
 }
 
 function noteHeaders(
--- a/packages/puffinturn-gateway/src/UpstreamClient.ts
+++ b/packages/puffinturn-gateway/src/UpstreamClient.ts
@@ -7,6 +7,7 @@
 
 /** How a box talks to upstreams. */
 import type {ResultAsync} from 'neverthrow';
+import type {ListenerState} from 'puffinturn-quarantine';
 import type {Failure} from 'shared';
 
 /** A request to one upstream. */
@@ -43,5 +44,8 @@
     request: UpstreamRequest,
   ): ResultAsync<UpstreamAnswer, UpstreamFailure>;
 
+  /** Whether anything listens at a URL's address. */
+  abstract probe(url: string): Promise<ListenerState>;
+
   abstract [Symbol.asyncDispose](): Promise<void>;
 }
--- a/packages/puffinturn-gateway/src/index.ts
+++ b/packages/puffinturn-gateway/src/index.ts
@@ -12,6 +12,8 @@
 export {callerHttp} from './CallerHttp';
 export type {CompletionBody} from './CompletionBody';
 export {checkCompletion} from './CompletionBody';
+export type {CrashingRequestsParts} from './CrashingRequests';
+export {CrashingRequests} from './CrashingRequests';
 export type {CallerAnswer, GatewayParts} from './Gateway';
 export {Gateway} from './Gateway';
 export {CALLER_TIMEOUT_MS} from './GatewayConstants';
--- a/packages/puffinturn-membership/src/BoxMember.ts
+++ b/packages/puffinturn-membership/src/BoxMember.ts
@@ -19,6 +19,7 @@
 import {FleetConfig} from './FleetConfig';
 import type {
   BoxNews,
+  CrashNews,
   Heartbeat,
   HeartbeatReply,
   MemberReply,
@@ -42,6 +43,13 @@
   readonly admissions: OpenAdmissions;
 }
 
+/** What a heartbeat tells of crashes. */
+export interface CrashTelling {
+  readonly news: CrashNews;
+  /** Called once the leader has it. */
+  readonly taken: () => void;
+}
+
 /** What a member needs. */
 export interface BoxMemberParts {
   readonly box: string;
@@ -57,6 +65,8 @@
   readonly inFlight: () => readonly UpstreamCount[];
   /** Upstreams that told this box that they are leaving. */
   readonly leaving: () => readonly string[];
+  /** What this box knows of requests that crash upstreams. */
+  readonly crashes: () => CrashTelling;
   /** Takes over what all other boxes report. */
   readonly onNews: (news: HeartbeatReply) => void;
 }
@@ -173,10 +183,11 @@
     const {clock, link, timeline} = this.parts;
     const sentAt = clock.now();
     const {incarnation} = this;
+    const crashes = this.parts.crashes();
     const answer = await link.call(
       this.target(),
       MEMBER_SERVICE,
-      this.heartbeat(),
+      this.heartbeat(crashes.news),
       HEARTBEAT_CALL_MS,
     );
     const reply = answer.isOk() ? (answer.value as MemberReply) : undefined;
@@ -186,6 +197,7 @@
       return;
     }
     timeline.clock.observe(reply.stamp);
+    crashes.taken();
     this.currentUntil = Math.max(this.currentUntil, sentAt + CONFIG_LEASE_MS);
     this.adopt(reply);
     if (reply.fenced && this.registered && this.incarnation === incarnation) {
@@ -193,11 +205,12 @@
     }
   }
 
-  private heartbeat(): Heartbeat {
+  private heartbeat(crashNews: CrashNews): Heartbeat {
     const {box, inFlight, leaving, timeline} = this.parts;
     return {
       box,
       configIndex: this.config.index,
+      crashNews,
       floor: this.admissions.floor,
       former: this.former.map(({admissions, incarnation}) => ({
         floor: admissions.floor,
--- a/packages/puffinturn-membership/src/HeartbeatMonitor.ts
+++ b/packages/puffinturn-membership/src/HeartbeatMonitor.ts
@@ -11,6 +11,7 @@
  */
 import type {Ledger, LedgerRecord} from 'puffinturn-ledger';
 import type {Replica} from 'puffinturn-log';
+import {CrashRegister} from 'puffinturn-quarantine';
 import type {Timeline} from 'puffinturn-timeline';
 import {EVENT_KIND} from 'puffinturn-timeline';
 import type {Link} from 'puffinturn-wire';
@@ -49,6 +50,10 @@
   private readonly tasks = new TaskGroup();
   private readonly registration: Disposable;
   private ledTerm = -1;
+  /** Requests that crash upstreams, as told in this term. */
+  private crashes = new CrashRegister();
+  /** Boxes that have told which requests they refuse. */
+  private readonly toldQuarantine = new Set<string>();
 
   constructor(private readonly parts: HeartbeatMonitorParts) {
     this.registration = parts.link.register(MEMBER_SERVICE, (body) =>
@@ -69,6 +74,8 @@
       return {kind: 'not-leader', leader: replica.leaderBox};
     }
     timeline.clock.observe(heartbeat.stamp);
+    this.followTerm();
+    this.hearCrashes(heartbeat);
     const {box, incarnation} = heartbeat;
     const known = ledger.boxes.current(box, incarnation) !== undefined;
     if (known) {
@@ -80,6 +87,22 @@
     return this.reply(heartbeat, !known);
   }
 
+  /**
+   * What a box refuses counts with its first word in a term only: so a new leader
+   * knows what the former one knew, and what has ended since does not come back.
+   */
+  private hearCrashes({box, crashNews}: Heartbeat): void {
+    if (crashNews === undefined) {
+      return;
+    }
+    const at = this.parts.clock.wallTime();
+    this.crashes.report(crashNews.report ?? {answered: [], crashes: []}, at);
+    if (!this.toldQuarantine.has(box)) {
+      this.toldQuarantine.add(box);
+      this.crashes.hold(crashNews.quarantined, at);
+    }
+  }
+
   private note(heartbeat: Heartbeat): void {
     const now = this.parts.clock.now();
     const {box, floor, incarnation} = heartbeat;
@@ -125,6 +148,7 @@
       inFlight: this.othersInFlight(heartbeat.box),
       kind: 'heartbeat',
       leaving: this.allLeaving(),
+      quarantined: this.crashes.quarantine.fingerprints,
       stamp: timeline.clock.tick(),
     };
   }
@@ -153,16 +177,21 @@
     const {clock, replica} = this.parts;
     while (!signal.aborted) {
       await clock.sleep(MONITOR_EVERY_MS, signal);
-      const {term} = replica.status();
-      if (!replica.isLeader) {
-        continue;
+      if (replica.isLeader) {
+        this.followTerm();
+        this.fenceSilent();
       }
-      if (term !== this.ledTerm) {
-        // A new leader has heard nobody yet; every box gets its time anew.
-        this.ledTerm = term;
-        this.watched.clear();
-      }
-      this.fenceSilent();
+    }
+  }
+
+  /** A new leader has heard nobody yet; every box gets its time anew. */
+  private followTerm(): void {
+    const {term} = this.parts.replica.status();
+    if (term !== this.ledTerm) {
+      this.ledTerm = term;
+      this.watched.clear();
+      this.crashes = new CrashRegister();
+      this.toldQuarantine.clear();
     }
   }
 
--- a/packages/puffinturn-membership/src/MemberMessages.ts
+++ b/packages/puffinturn-membership/src/MemberMessages.ts
@@ -7,6 +7,7 @@
 
 /** Messages between boxes and the leader about membership. */
 import type {DeclarationEntry} from 'puffinturn-ledger';
+import type {CrashReport} from 'puffinturn-quarantine';
 import type {Stamp} from 'puffinturn-timeline';
 
 /** The service name on the link. */
@@ -26,6 +27,14 @@
   readonly floor: number;
 }
 
+/** What a box knows of requests that crash upstreams. */
+export interface CrashNews {
+  /** Fingerprints of requests that it was told to refuse. */
+  readonly quarantined: readonly string[];
+  /** What it has seen and not told yet. */
+  readonly report: CrashReport | undefined;
+}
+
 /** What a box tells of itself. */
 export interface Heartbeat {
   readonly kind: 'heartbeat';
@@ -40,6 +49,8 @@
   readonly inFlight: readonly UpstreamCount[];
   /** Upstreams that told this box that they are leaving. */
   readonly leaving: readonly string[];
+  /** Missing in heartbeats of a former version. */
+  readonly crashNews?: CrashNews | undefined;
   readonly stamp: Stamp;
 }
 
@@ -63,6 +74,8 @@
   readonly inFlight: readonly UpstreamCount[];
   /** Upstreams that any box knows to be leaving. */
   readonly leaving: readonly string[];
+  /** Fingerprints of requests to refuse; missing in answers of a former version. */
+  readonly quarantined?: readonly string[] | undefined;
   readonly stamp: Stamp;
 }
 
--- a/packages/puffinturn-membership/src/index.ts
+++ b/packages/puffinturn-membership/src/index.ts
@@ -6,13 +6,18 @@
  */
 
 /** Which boxes take part, and the configuration that they share. */
-export type {BoxMemberParts} from './BoxMember';
+export type {BoxMemberParts, CrashTelling} from './BoxMember';
 export {BoxMember} from './BoxMember';
 export type {Target, Team} from './FleetConfig';
 export {FleetConfig} from './FleetConfig';
 export type {HeartbeatMonitorParts} from './HeartbeatMonitor';
 export {HeartbeatMonitor} from './HeartbeatMonitor';
-export type {BoxNews, HeartbeatReply, UpstreamCount} from './MemberMessages';
+export type {
+  BoxNews,
+  CrashNews,
+  HeartbeatReply,
+  UpstreamCount,
+} from './MemberMessages';
 export {CONFIG_LEASE_MS, HEARTBEAT_MS} from './MembershipConstants';
 export {OpenAdmissions} from './OpenAdmissions';
 export {Suspicion} from './Suspicion';
--- a/packages/puffinturn-quarantine/src/CrashRegister.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -127,6 +127,15 @@
     return this.revision > former;
   }
 
+  /** Quarantines requests that another register has quarantined. */
+  hold(fingerprints: readonly string[], at: number): void {
+    for (const fingerprint of fingerprints) {
+      if (!this.sentences.has(fingerprint)) {
+        this.sentence(fingerprint, at);
+      }
+    }
+  }
+
   /** Lets a request run again; true where it was quarantined. */
   release(fingerprint: string): boolean {
     this.suspects.delete(fingerprint);
--- a/packages/puffinturn-timeline/src/Timeline.ts
+++ b/packages/puffinturn-timeline/src/Timeline.ts
@@ -28,6 +28,7 @@
   started: 'started',
   stopping: 'stopping',
   takenOver: 'taken-over',
+  upstreamCrashed: 'upstream-crashed',
   upstreamLeaving: 'upstream-leaving',
   voided: 'voided',
 } as const;
