Notice a suspended machine by its time of day, and ask anew before answering

Safety rests on no steady clock (barriers need a quorum's answer sent after they were asked for; no leases; grants are counted), freshness did.

--- a/packages/puffinturn-edge/src/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/ConnectionPool.ts
@@ -86,10 +86,15 @@
     }
   }
 
-  /** Ends idle connections; open requests go on to their end. */
+  /** Ends idle connections; others are opened when they are needed. */
+  dropIdle(): void {
+    this.endIdle(() => true);
+  }
+
+  /** Ends idle connections for good; open requests go on to their end. */
   retire(): void {
     this.retired = true;
-    this.endIdle(() => true);
+    this.dropIdle();
   }
 
   [Symbol.dispose](): void {
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -34,6 +34,7 @@
 import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
+import {SuspensionWatch} from 'shared';
 
 import {Allowances} from './Allowances';
 import {BacklogLines} from './BacklogLines';
@@ -92,6 +93,16 @@
  */
 const NEEDS_STATE_MS = 400;
 
+/**
+ * Longest time that requests wait after the machine was suspended until the core has
+ * told what is new, ms: a few round trips. What it can't tell by then it can't be
+ * asked for, and the edge serves from what it holds, as in any cut.
+ */
+const RENEWAL_MS = 500;
+
+/** How often to look whether it has told, ms. */
+const RENEWAL_LOOK_MS = 10;
+
 /** Control boxes asked for news at a time; the others stand by. */
 const CONTROLS_ASKED = 2;
 
@@ -125,7 +136,11 @@
   private readonly listeners: HttpListener[] = [];
   /** How long callers wait to be read; nothing is known before all listen. */
   private backlog: BacklogWatch | undefined;
-  private readonly startedAt: number;
+  /** When it began to learn what it serves from: its start, or a wake-up. */
+  private startedAt: number;
+  private readonly suspension: SuspensionWatch;
+  /** Ends once what was known before a suspension is current again. */
+  private renewal: Promise<void> | undefined;
   /** The other edges. */
   private peers: readonly BoxRecord[] = [];
   /** All boxes as last told. */
@@ -212,6 +227,7 @@
       ready: () => this.serves,
       self,
     });
+    this.suspension = new SuspensionWatch(clock, (ms) => this.woke(ms));
     this.forwarding = {
       allowances: this.allowances,
       clock,
@@ -376,6 +392,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.backlog?.[Symbol.dispose]();
+    await this.suspension[Symbol.asyncDispose]();
     await Promise.all(
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
@@ -451,7 +468,39 @@
       : [leader, ...controls.filter((box) => box !== leader)];
   }
 
+  /**
+   * After a suspension nothing that is known is as fresh as it seems: connections may
+   * have ended unheard, and changes were made meanwhile.
+   */
+  private woke(missedMs: number): void {
+    const {clock, link, log} = this.parts;
+    const detail = `suspended for ${Math.round(missedMs)} ms`;
+    log.note({detail, event: 'process-changed', phase: 'woke'});
+    this.startedAt = clock.now();
+    this.watch.distrust();
+    link.redial();
+    this.pool.dropIdle();
+    this.renewal ??= this.renew().finally(() => (this.renewal = undefined));
+  }
+
+  private async renew(): Promise<void> {
+    const {clock} = this.parts;
+    const until = clock.now() + RENEWAL_MS;
+    while (!this.watch.current && clock.now() < until) {
+      await clock.sleep(RENEWAL_LOOK_MS);
+    }
+  }
+
   private take(request: IncomingMessage, response: ServerResponse): void {
+    this.suspension.look();
+    if (this.renewal === undefined) {
+      this.takeNow(request, response);
+    } else {
+      void this.renewal.then(() => this.takeNow(request, response));
+    }
+  }
+
+  private takeNow(request: IncomingMessage, response: ServerResponse): void {
     const {clock, dialect} = this.parts;
     const now = clock.now();
     this.lastRequestAt = now;
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -159,6 +159,13 @@
       .reduce((sum, {inFlight}) => sum + inFlight, 0);
   }
 
+  /** Ends all idle connections: they may have ended at the other end, unheard. */
+  dropIdle(): void {
+    for (const {connections} of this.byId.values()) {
+      connections.dropIdle();
+    }
+  }
+
   /** Every upstream known. */
   all(): EdgeUpstream[] {
     return [...this.byId.values()];
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingEdge.ts
@@ -16,6 +16,7 @@
 import {BOX_ROLE, Regions, REPETITION} from 'puffinturn-fleet';
 import type {LinkFailure} from 'puffinturn-wire';
 import {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
 import {Edge} from '../../Edge';
@@ -105,14 +106,14 @@
     this.log = log;
   }
 
-  static async open(): Promise<ServingEdge> {
+  static async open(clock: Clock = new SystemClock()): Promise<ServingEdge> {
     const link = new SilentLink();
     const log = new KeptDecisionLog();
     const [callers = 0, ready = 0, metrics = 0] = await freePorts(3);
     const host = LOOPBACK;
     const edge = await Edge.open({
       callers: {host, port: callers},
-      clock: new SystemClock(),
+      clock,
       coldTolerance: {extra: 0, overage: 1},
       dialect: new PlainDialect(),
       link,
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -14,7 +14,12 @@
 import type {Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition} from 'shared';
-import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
+import {
+  DisposableList,
+  sleepUnlessNotified,
+  SuspensionWatch,
+  TaskGroup,
+} from 'shared';
 
 import {AllowanceControl} from './AllowanceControl';
 import {BoxList, BoxTable} from './Boxes';
@@ -140,6 +145,7 @@
   private readonly allowances: AllowanceControl;
   private readonly quarantine: QuarantineControl;
   private readonly refusals: UpstreamRefusals;
+  private readonly suspension: SuspensionWatch;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
@@ -181,6 +187,7 @@
       leader: this.leader,
       upstreams: this.upstreams,
     });
+    this.suspension = new SuspensionWatch(clock, (ms) => this.woke(ms));
     this.tasks.start((signal) => this.runExpiry(signal));
     this.tasks.start((signal) => this.followLeader(signal));
   }
@@ -259,6 +266,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.suspension[Symbol.asyncDispose]();
     await this.others[Symbol.asyncDispose]();
     await this.rollouts[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
@@ -270,6 +278,17 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
+  /**
+   * Connections may have ended unheard while the machine was suspended. Nothing else
+   * rests on the steady clock: reads and records need a quorum's answer each time.
+   */
+  private woke(missedMs: number): void {
+    const {link, log} = this.parts;
+    const detail = `suspended for ${Math.round(missedMs)} ms`;
+    log.note({detail, event: 'process-changed', phase: 'woke'});
+    link.redial();
+  }
+
   private async watch(request: WatchRequest): Promise<WatchReply> {
     const {changed, clock} = this.parts;
     if (this.boxes.hear(request.from, clock.now())) {
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -146,6 +146,14 @@
     this.tasks.start((signal) => this.followSeeds(signal));
   }
 
+  /** Takes nothing that is known for current until it has been asked for anew. */
+  distrust(): void {
+    for (const watched of this.watched.values()) {
+      watched.current = false;
+    }
+    this.roles.notify();
+  }
+
   /** Control boxes, the ones that answer first. */
   get controls(): string[] {
     const all = [...this.watched.values()];
--- a/packages/puffinturn-wire/src/Link.ts
+++ b/packages/puffinturn-wire/src/Link.ts
@@ -39,6 +39,12 @@
     return {[Symbol.dispose]: () => void this.handlers.delete(service)};
   }
 
+  /**
+   * Ends the connections to all other boxes; each is made anew when it is needed.
+   * Calls that are open on them fail.
+   */
+  redial(): void {}
+
   /** Bytes sent to each box since the start, where the link counts them. */
   sentByPeer(): ReadonlyMap<string, number> {
     return new Map();
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -148,6 +148,12 @@
     return sent;
   }
 
+  override redial(): void {
+    for (const [box, dialling] of this.outgoing) {
+      void dialling.then((outgoing) => outgoing && this.drop(box, outgoing));
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.ended = true;
     const closed = new Promise((resolve) => this.server.close(resolve));
--- a/packages/shared/src/Clock.ts
+++ b/packages/shared/src/Clock.ts
@@ -59,6 +59,7 @@
 /** A clock that stands still until a test moves it. */
 export class ManualClock extends Clock {
   private time = 0;
+  private suspended = 0;
   private order = 0;
   private readonly timers = new Heap<Timer>(
     (a, b) => a.at - b.at || a.order - b.order,
@@ -73,7 +74,12 @@
   }
 
   override wallTime(): number {
-    return this.epoch + Math.floor(this.time);
+    return this.epoch + Math.floor(this.time + this.suspended);
+  }
+
+  /** Moves the time of day on, and leaves the steady clock and all timers. */
+  suspend(ms: number): void {
+    this.suspended += ms;
   }
 
   override sleep(ms: number, signal?: AbortSignal): Promise<void> {
