Count two crashes of one moment, and try a quarantined request again on trial

Copies that come together must not hide behind one moment; and a request that was there when an upstream crashed for other reasons gets another chance.

--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -67,6 +67,7 @@
 
   /** Whether a request must not be run. */
   isQuarantined(fingerprint: string): boolean {
+    this.own.expire(this.clock.wallTime());
     return (
       this.quarantined.has(fingerprint) || this.own.isQuarantined(fingerprint)
     );
--- a/packages/puffinturn-quarantine/src/CrashRegister.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -7,15 +7,16 @@
 
 /**
  * Which requests were there when upstreams crashed, and which are quarantined for it:
- * they are not run again. A request is quarantined once it was present at three
- * crashes, moments apart, with no whole answer in between. One that upstreams can
- * answer loses all that spoke against it, so that crashes with another cause, however
- * many, convict nobody that is served at all.
+ * they are not run for a while. A request is quarantined once it was present at three
+ * crashes, not all at one moment, with no whole answer in between. One that upstreams
+ * can answer loses all that spoke against it, so that crashes with another cause,
+ * however many, convict nobody that is served at all.
  *
  * Applying the same reports in the same order gives the same state everywhere: times
  * come with the reports.
  */
 import {
+  COUNTED_AT_A_MOMENT,
   CRASHES_TO_QUARANTINE,
   MAX_LIVES,
   MAX_QUARANTINED,
@@ -60,7 +61,7 @@
   readonly fingerprint: string;
   /** Lives that it crashed, or was there when they ended. */
   readonly lives: readonly string[];
-  /** When the crashes were that count, Unix ms; those at the same moment are one. */
+  /** When the crashes were that count, Unix ms. */
   readonly moments: readonly number[];
 }
 
@@ -112,6 +113,11 @@
     return this.suspects.get(fingerprint)?.moments.length ?? 0;
   }
 
+  /** Ends what is over at a time, Unix ms; true where the quarantine changed. */
+  expire(at: number): boolean {
+    return this.hasExpired(at) && this.report({answered: [], crashes: []}, at);
+  }
+
   /** Takes a report in at a time, Unix ms; true where the quarantine changed. */
   report({answered, crashes}: CrashReport, at: number): boolean {
     const former = this.revision;
@@ -183,13 +189,14 @@
       return;
     }
     const {lives = [], moments = []} = known ?? {};
-    const isApart = moments.every(
-      (moment) => Math.abs(at - moment) >= SAME_MOMENT_MS,
+    const near = moments.filter(
+      (moment) => Math.abs(at - moment) < SAME_MOMENT_MS,
     );
+    const counts = near.length < COUNTED_AT_A_MOMENT;
     const suspect: Suspect = {
       fingerprint,
       lives: [...lives, life].slice(-MAX_LIVES),
-      moments: isApart ? [...moments, at] : moments,
+      moments: counts ? [...moments, at] : moments,
     };
     this.suspects.delete(fingerprint);
     if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
@@ -228,9 +235,16 @@
     for (const [fingerprint, since] of this.sentences) {
       if (at - since > QUARANTINE_MS) {
         this.free(fingerprint);
+        this.suspectAgain(fingerprint, at);
       }
     }
   }
+
+  /** One more crash has a request quarantined again. */
+  private suspectAgain(fingerprint: string, at: number): void {
+    const moments = Array<number>(CRASHES_TO_QUARANTINE - 1).fill(at);
+    this.suspects.set(fingerprint, {fingerprint, lives: [], moments});
+  }
 }
 
 function dropOldest(map: Map<string, unknown>, most: number): void {
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -15,12 +15,19 @@
 export const CRASHES_TO_QUARANTINE = 3;
 
 /**
- * Crashes within this time count as one, ms. Upstreams that lose power together end
- * within milliseconds, and a request that many send is at several of them; reports
- * of one such moment differ by the time of a probe and of a commit.
+ * Crashes within this time are at the same moment, ms. Upstreams that lose power
+ * together end within milliseconds, and a request that many send is at several of
+ * them; reports of one such moment differ by the time of a probe and of a commit.
  */
 export const SAME_MOMENT_MS = 250;
 
+/**
+ * Crashes at the same moment that count. One moment alone must convict nobody; but
+ * copies of a harmful request also come together, and every crash that does not count
+ * costs one more upstream.
+ */
+export const COUNTED_AT_A_MOMENT = 2;
+
 /** Lives kept of one suspect: each edge that saw a crash reports it. */
 export const MAX_LIVES = 8;
 
@@ -28,10 +35,11 @@
 export const SUSPICION_MS = 10 * 60_000;
 
 /**
- * A quarantined request is tried again after this time, ms: by then upstreams may have
- * been mended, and if they are not, it costs three more of them an hour.
+ * A quarantined request is tried again after this time, ms: upstreams may have been
+ * mended by then, or may have crashed for another reason. One more crash has it
+ * quarantined again, so that a harmful one costs six upstreams an hour.
  */
-export const QUARANTINE_MS = 60 * 60_000;
+export const QUARANTINE_MS = 10 * 60_000;
 
 /** Suspects kept; one takes some 200 bytes of the log's snapshot. */
 export const MAX_SUSPECTS = 2_000;
