--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -34,7 +34,6 @@
 import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
-import {SuspensionWatch} from 'shared';
 
 import {Allowances} from './Allowances';
 import {BacklogLines} from './BacklogLines';
@@ -58,6 +57,7 @@
 import {Neighbours} from './Neighbours';
 import {RegionCrossing} from './RegionCrossing';
 import {RegionTraffic} from './RegionTraffic';
+import {Renewal} from './Renewal';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
 import {RouteTable} from './RouteTable';
@@ -93,16 +93,6 @@
  */
 const NEEDS_STATE_MS = 400;
 
-/**
- * Longest time that requests wait after the machine was suspended until the core has
- * told what is new, ms: a few round trips. What it can't tell by then it can't be
- * asked for, and the edge serves from what it holds, as in any cut.
- */
-const RENEWAL_MS = 500;
-
-/** How often to look whether it has told, ms. */
-const RENEWAL_LOOK_MS = 10;
-
 /** Control boxes asked for news at a time; the others stand by. */
 const CONTROLS_ASKED = 2;
 
@@ -138,9 +128,7 @@
   private backlog: BacklogWatch | undefined;
   /** When it began to learn what it serves from: its start, or a wake-up. */
   private startedAt: number;
-  private readonly suspension: SuspensionWatch;
-  /** Ends once what was known before a suspension is current again. */
-  private renewal: Promise<void> | undefined;
+  private readonly renewal: Renewal;
   /** The other edges. */
   private peers: readonly BoxRecord[] = [];
   /** All boxes as last told. */
@@ -227,7 +215,14 @@
       ready: () => this.serves,
       self,
     });
-    this.suspension = new SuspensionWatch(clock, (ms) => this.woke(ms));
+    this.renewal = new Renewal({
+      clock,
+      link,
+      log,
+      pool: this.pool,
+      watch: this.watch,
+      woke: () => (this.startedAt = clock.now()),
+    });
     this.forwarding = {
       allowances: this.allowances,
       clock,
@@ -392,7 +387,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.backlog?.[Symbol.dispose]();
-    await this.suspension[Symbol.asyncDispose]();
+    await this.renewal[Symbol.asyncDispose]();
     await Promise.all(
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
@@ -468,35 +463,12 @@
       : [leader, ...controls.filter((box) => box !== leader)];
   }
 
-  /**
-   * After a suspension nothing that is known is as fresh as it seems: connections may
-   * have ended unheard, and changes were made meanwhile.
-   */
-  private woke(missedMs: number): void {
-    const {clock, link, log} = this.parts;
-    const detail = `suspended for ${Math.round(missedMs)} ms`;
-    log.note({detail, event: 'process-changed', phase: 'woke'});
-    this.startedAt = clock.now();
-    this.watch.distrust();
-    link.redial();
-    this.pool.dropIdle();
-    this.renewal ??= this.renew().finally(() => (this.renewal = undefined));
-  }
-
-  private async renew(): Promise<void> {
-    const {clock} = this.parts;
-    const until = clock.now() + RENEWAL_MS;
-    while (!this.watch.current && clock.now() < until) {
-      await clock.sleep(RENEWAL_LOOK_MS);
-    }
-  }
-
   private take(request: IncomingMessage, response: ServerResponse): void {
-    this.suspension.look();
-    if (this.renewal === undefined) {
+    const {pending} = this.renewal;
+    if (pending === undefined) {
       this.takeNow(request, response);
     } else {
-      void this.renewal.then(() => this.takeNow(request, response));
+      void pending.then(() => this.takeNow(request, response));
     }
   }
 
--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -38,10 +38,9 @@
 export class CrashEvidence {
   private readonly own = new CrashRegister();
   /** Requests that were at a crash seen here; a whole answer clears them. */
-  private readonly blamed = new LRUCache<string, true>({
-    max: MAX_UNTOLD,
-    ttl: BLAMED_MS,
-  });
+  private readonly blamed = new LRUCache<string, true>({max: MAX_UNTOLD});
+  /** Until when they are looked out for, monotonic ms. */
+  private blamedUntil = -Infinity;
   private quarantined: ReadonlySet<string> = new Set();
   private crashes: SeenCrash[] = [];
   private answered: string[] = [];
@@ -50,7 +49,11 @@
 
   /** Whether no request is quarantined or blamed, so that none need be looked up. */
   get isEmpty(): boolean {
-    return this.blamed.size === 0 && this.quarantined.size === 0;
+    return (
+      this.quarantined.size === 0 &&
+      this.own.quarantine.fingerprints.length === 0 &&
+      this.clock.now() >= this.blamedUntil
+    );
   }
 
   /** The requests that the others have quarantined. */
@@ -92,6 +95,7 @@
   /** Notes a crash and which requests of this box were there. */
   crashed(crash: Crash): void {
     const {clock} = this;
+    this.blamedUntil = clock.now() + BLAMED_MS;
     for (const fingerprint of crash.fingerprints) {
       this.blamed.set(fingerprint, true);
     }
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -48,8 +48,8 @@
 export const MAX_QUARANTINED = 256;
 
 /**
- * How long a request that was at a crash is looked out for, ms; while any is, the
- * fingerprint of every request has to be known.
+ * How long after a crash seen here the requests that were there are looked out for, ms;
+ * meanwhile the fingerprint of every request has to be known.
  */
 export const BLAMED_MS = 60_000;
 
--- /dev/null
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
@@ -0,0 +1,48 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import {ManualClock} from 'shared';
+
+import {CrashEvidence} from '../../CrashEvidence';
+import {BLAMED_MS, QUARANTINE_MS} from '../../QuarantineConstants';
+
+const SECOND_MS = 1_000;
+
+describe('What a box knows of crashing requests', () => {
+  let clock: ManualClock;
+  let evidence: CrashEvidence;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    evidence = new CrashEvidence(clock);
+  });
+
+  async function crash(life: string): Promise<void> {
+    evidence.crashed({fingerprints: ['f'], life});
+    await clock.advance(SECOND_MS);
+  }
+
+  test('is empty again some time after the last crash', async () => {
+    expect(evidence.isEmpty).toBe(true);
+    await crash('a');
+    expect(evidence.isEmpty).toBe(false);
+    await clock.advance(BLAMED_MS);
+    expect(evidence.isEmpty).toBe(true);
+  });
+
+  test('keeps what it convicted itself until the time for that is over', async () => {
+    for (const life of ['a', 'b', 'c']) {
+      await crash(life);
+    }
+    await clock.advance(BLAMED_MS);
+    expect(evidence.isEmpty).toBe(false);
+    expect(evidence.isQuarantined('f')).toBe(true);
+    await clock.advance(QUARANTINE_MS);
+    expect(evidence.isQuarantined('f')).toBe(false);
+    expect(evidence.isEmpty).toBe(true);
+  });
+});
