--- a/packages/puffinturn-edge/src/CrashingRequests.ts
+++ b/packages/puffinturn-edge/src/CrashingRequests.ts
@@ -76,7 +76,7 @@
     return this.told;
   }
 
-  /** Whether no request is quarantined or blamed, so that none need be looked up. */
+  /** Whether no request is quarantined or suspected, so that none need be looked up. */
   get isEmpty(): boolean {
     return this.evidence.isEmpty;
   }
--- a/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
@@ -129,7 +129,7 @@
       await pass(1_000);
     }
     crashing.served('f');
-    crashing.served('never blamed');
+    crashing.served('never suspected');
     await pass(100);
     expect(link.taken.at(-1)?.report).toEqual({answered: ['f'], crashes: []});
     crash('i-3', 'f');
--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -7,8 +7,8 @@
 
 /**
  * What one box knows of requests that crash upstreams: those that the others have
- * quarantined, and those that the box's own crashes convict, also while nobody else
- * can be reached. What was seen here waits until it has been told; told twice, it
+ * quarantined, and those that the box's own crashes suffice for, also while nobody
+ * else can be reached. What was seen here waits until it has been told; told twice, it
  * counts once.
  */
 import {LRUCache} from 'lru-cache';
@@ -17,9 +17,9 @@
 import type {Crash, CrashReport} from './CrashRegister';
 import {CrashRegister} from './CrashRegister';
 import {
-  BLAMED_MS,
   CRASHES_TO_QUARANTINE,
   MAX_UNTOLD,
+  SUSPECTED_MS,
 } from './QuarantineConstants';
 
 interface SeenCrash {
@@ -37,22 +37,22 @@
 /** See the module comment. */
 export class CrashEvidence {
   private readonly own = new CrashRegister();
-  /** Requests that were at a crash seen here; a whole answer clears them. */
-  private readonly blamed = new LRUCache<string, true>({max: MAX_UNTOLD});
+  /** Requests that were at a crash seen here, until they get a whole answer. */
+  private readonly suspects = new LRUCache<string, true>({max: MAX_UNTOLD});
   /** Until when they are looked out for, monotonic ms. */
-  private blamedUntil = -Infinity;
+  private suspectedUntil = -Infinity;
   private quarantined: ReadonlySet<string> = new Set();
   private crashes: SeenCrash[] = [];
   private answered: string[] = [];
 
   constructor(private readonly clock: Clock) {}
 
-  /** Whether no request is quarantined or blamed, so that none need be looked up. */
+  /** Whether no request is quarantined or suspected, so that none need be looked up. */
   get isEmpty(): boolean {
     return (
       this.quarantined.size === 0 &&
       this.own.quarantine.fingerprints.length === 0 &&
-      this.clock.now() >= this.blamedUntil
+      this.clock.now() >= this.suspectedUntil
     );
   }
 
@@ -95,9 +95,9 @@
   /** Notes a crash and which requests of this box were there. */
   crashed(crash: Crash): void {
     const {clock} = this;
-    this.blamedUntil = clock.now() + BLAMED_MS;
+    this.suspectedUntil = clock.now() + SUSPECTED_MS;
     for (const fingerprint of crash.fingerprints) {
-      this.blamed.set(fingerprint, true);
+      this.suspects.set(fingerprint, true);
     }
     const report = {answered: [], crashes: [{...crash, agoMs: 0}]};
     this.own.report(report, clock.wallTime());
@@ -110,7 +110,7 @@
    * where others have to hear of it.
    */
   served(fingerprint: string): boolean {
-    if (!this.blamed.delete(fingerprint)) {
+    if (!this.suspects.delete(fingerprint)) {
       return false;
     }
     this.own.release(fingerprint);
--- a/packages/puffinturn-quarantine/src/CrashRegister.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -8,9 +8,9 @@
 /**
  * Which requests were there when upstreams crashed, and which are quarantined for it:
  * they are not run for a while. A request is quarantined once it was present at three
- * crashes, not all at one moment, with no whole answer in between. One that upstreams
- * can answer loses all that spoke against it, so that crashes with another cause,
- * however many, convict nobody that is served at all.
+ * crashes, not all at one moment, with no whole answer in between. A whole
+ * answer removes all that is held against a request, so that crashes with another
+ * cause, however many, quarantine none that is served at all.
  *
  * Applying the same reports in the same order gives the same state everywhere: times
  * come with the reports.
@@ -65,7 +65,7 @@
   readonly moments: readonly number[];
 }
 
-interface Sentence {
+interface QuarantinedRequest {
   readonly fingerprint: string;
   /** Unix ms. */
   readonly since: number;
@@ -75,7 +75,7 @@
 export interface CrashImage {
   readonly revision: number;
   readonly suspects: readonly Suspect[];
-  readonly quarantined: readonly Sentence[];
+  readonly quarantined: readonly QuarantinedRequest[];
 }
 
 /** The image before the first report; also that of snapshots without any. */
@@ -90,14 +90,14 @@
   /** Suspects by fingerprint, the one that was reported last at the end. */
   private readonly suspects = new Map<string, Suspect>();
   /** Since when requests are quarantined, by fingerprint; the oldest first. */
-  private readonly sentences = new Map<string, number>();
+  private readonly quarantined = new Map<string, number>();
   private revision = 0;
   private told: Quarantine | undefined;
 
   /** The quarantined requests. */
   get quarantine(): Quarantine {
     this.told ??= {
-      fingerprints: [...this.sentences.keys()],
+      fingerprints: [...this.quarantined.keys()],
       revision: this.revision,
     };
     return this.told;
@@ -105,10 +105,10 @@
 
   /** Whether a request is quarantined. */
   isQuarantined(fingerprint: string): boolean {
-    return this.sentences.has(fingerprint);
+    return this.quarantined.has(fingerprint);
   }
 
-  /** Crashes that speak against a request which is not quarantined. */
+  /** Crashes counted for a request that is not quarantined. */
   crashesOf(fingerprint: string): number {
     return this.suspects.get(fingerprint)?.moments.length ?? 0;
   }
@@ -127,7 +127,7 @@
     }
     for (const {agoMs, fingerprints, life} of crashes) {
       for (const fingerprint of fingerprints) {
-        this.blame(fingerprint, life, at - agoMs);
+        this.addCrash(fingerprint, life, at - agoMs);
       }
     }
     return this.revision > former;
@@ -136,8 +136,8 @@
   /** Quarantines requests that another register has quarantined. */
   hold(fingerprints: readonly string[], at: number): void {
     for (const fingerprint of fingerprints) {
-      if (!this.sentences.has(fingerprint)) {
-        this.sentence(fingerprint, at);
+      if (!this.quarantined.has(fingerprint)) {
+        this.add(fingerprint, at);
       }
     }
   }
@@ -145,19 +145,19 @@
   /** Lets a request run again; true where it was quarantined. */
   release(fingerprint: string): boolean {
     this.suspects.delete(fingerprint);
-    return this.free(fingerprint);
+    return this.remove(fingerprint);
   }
 
   /** Whether the time of a quarantined request is over at a time, Unix ms. */
   hasExpired(at: number): boolean {
-    const [oldest = Infinity] = this.sentences.values();
+    const [oldest = Infinity] = this.quarantined.values();
     return at - oldest > QUARANTINE_MS;
   }
 
   /** Its part of a snapshot. */
   image(): CrashImage {
     return {
-      quarantined: [...this.sentences].map(([fingerprint, since]) => ({
+      quarantined: [...this.quarantined].map(([fingerprint, since]) => ({
         fingerprint,
         since,
       })),
@@ -169,19 +169,19 @@
   /** Takes over what a snapshot holds. */
   restore({quarantined, revision, suspects}: CrashImage): void {
     this.suspects.clear();
-    this.sentences.clear();
+    this.quarantined.clear();
     for (const suspect of suspects) {
       this.suspects.set(suspect.fingerprint, suspect);
     }
     for (const {fingerprint, since} of quarantined) {
-      this.sentences.set(fingerprint, since);
+      this.quarantined.set(fingerprint, since);
     }
     this.revision = revision;
     this.told = undefined;
   }
 
-  private blame(fingerprint: string, life: string, at: number): void {
-    if (this.sentences.has(fingerprint)) {
+  private addCrash(fingerprint: string, life: string, at: number): void {
+    if (this.quarantined.has(fingerprint)) {
       return;
     }
     const known = this.suspects.get(fingerprint);
@@ -200,21 +200,21 @@
     };
     this.suspects.delete(fingerprint);
     if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
-      this.sentence(fingerprint, at);
+      this.add(fingerprint, at);
     } else {
       this.suspects.set(fingerprint, suspect);
       dropOldest(this.suspects, MAX_SUSPECTS);
     }
   }
 
-  private sentence(fingerprint: string, at: number): void {
-    this.sentences.set(fingerprint, at);
-    dropOldest(this.sentences, MAX_QUARANTINED);
+  private add(fingerprint: string, at: number): void {
+    this.quarantined.set(fingerprint, at);
+    dropOldest(this.quarantined, MAX_QUARANTINED);
     this.changed();
   }
 
-  private free(fingerprint: string): boolean {
-    const wasHeld = this.sentences.delete(fingerprint);
+  private remove(fingerprint: string): boolean {
+    const wasHeld = this.quarantined.delete(fingerprint);
     if (wasHeld) {
       this.changed();
     }
@@ -232,16 +232,16 @@
         this.suspects.delete(fingerprint);
       }
     }
-    for (const [fingerprint, since] of this.sentences) {
+    for (const [fingerprint, since] of this.quarantined) {
       if (at - since > QUARANTINE_MS) {
-        this.free(fingerprint);
-        this.suspectAgain(fingerprint, at);
+        this.remove(fingerprint);
+        this.putOnTrial(fingerprint, at);
       }
     }
   }
 
   /** One more crash has a request quarantined again. */
-  private suspectAgain(fingerprint: string, at: number): void {
+  private putOnTrial(fingerprint: string, at: number): void {
     const moments = Array<number>(CRASHES_TO_QUARANTINE - 1).fill(at);
     this.suspects.set(fingerprint, {fingerprint, lives: [], moments});
   }
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -22,7 +22,7 @@
 export const SAME_MOMENT_MS = 250;
 
 /**
- * Crashes at the same moment that count. One moment alone must convict nobody; but
+ * Crashes at the same moment that count. One moment alone must quarantine none; but
  * copies of a harmful request also come together, and every crash that does not count
  * costs one more upstream.
  */
@@ -51,7 +51,7 @@
  * How long after a crash seen here the requests that were there are looked out for, ms;
  * meanwhile the fingerprint of every request has to be known.
  */
-export const BLAMED_MS = 60_000;
+export const SUSPECTED_MS = 60_000;
 
 /**
  * Crashes and answers kept while nobody takes reports; the oldest are dropped. A
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
@@ -8,7 +8,7 @@
 import {ManualClock} from 'shared';
 
 import {CrashEvidence} from '../../CrashEvidence';
-import {BLAMED_MS, QUARANTINE_MS} from '../../QuarantineConstants';
+import {QUARANTINE_MS,SUSPECTED_MS} from '../../QuarantineConstants';
 
 const SECOND_MS = 1_000;
 
@@ -30,15 +30,15 @@
     expect(evidence.isEmpty).toBe(true);
     await crash('a');
     expect(evidence.isEmpty).toBe(false);
-    await clock.advance(BLAMED_MS);
+    await clock.advance(SUSPECTED_MS);
     expect(evidence.isEmpty).toBe(true);
   });
 
-  test('keeps what it convicted itself until the time for that is over', async () => {
+  test('keeps what it quarantined itself until the time for that is over', async () => {
     for (const life of ['a', 'b', 'c']) {
       await crash(life);
     }
-    await clock.advance(BLAMED_MS);
+    await clock.advance(SUSPECTED_MS);
     expect(evidence.isEmpty).toBe(false);
     expect(evidence.isQuarantined('f')).toBe(true);
     await clock.advance(QUARANTINE_MS);
