--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -199,7 +199,9 @@
   readonly event: 'crashes-reported';
   /** The edge that told, or the leader where it ends a quarantine. */
   readonly edge: string;
-  /** Lives of upstreams that have ended. */
+  /** How many lives of upstreams have ended. */
+  readonly count: number;
+  /** The first of these. */
   readonly crashes: readonly string[];
   /** How many suspects got a whole answer. */
   readonly answered: number;
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -24,6 +24,9 @@
 /** How often to look whether the time of a quarantined request is over, ms. */
 const LOOK_MS = 60_000;
 
+/** Lives named in one line of the log; the count tells of the others. */
+const LOGGED_AT_MOST = 16;
+
 const NOTHING: CrashReport = {answered: [], crashes: []};
 
 /** What a QuarantineControl is made of. */
@@ -82,7 +85,8 @@
     });
     log.note({
       answered: report.answered.length,
-      crashes: report.crashes.map(({life}) => life),
+      count: report.crashes.length,
+      crashes: report.crashes.slice(0, LOGGED_AT_MOST).map(({life}) => life),
       edge: box,
       event: 'crashes-reported',
       outcome: outcome.isOk() ? 'accepted' : outcome.error.kind,
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
@@ -8,7 +8,7 @@
 import {ManualClock} from 'shared';
 
 import {CrashEvidence} from '../../CrashEvidence';
-import {QUARANTINE_MS,SUSPECTED_MS} from '../../QuarantineConstants';
+import {QUARANTINE_MS, SUSPECTED_MS} from '../../QuarantineConstants';
 
 const SECOND_MS = 1_000;
 
