Tell all boxes whom one more crash has quarantined, so that any that serves it clears it

Evidence outlives edges in the log, but only edges that were at a crash could clear it, and they had been killed.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -27,6 +27,7 @@
 import {BoxMember, HeartbeatMonitor} from 'puffinturn-membership';
 import type {EngineClient} from 'puffinturn-orders';
 import {OrderController} from 'puffinturn-orders';
+import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {FleetBox} from 'puffinturn-settings';
 import type {TimelineEvent} from 'puffinturn-timeline';
 import {EVENT_KIND, Timeline} from 'puffinturn-timeline';
@@ -133,7 +134,7 @@
       onNews: (news) => {
         this.pools.adopt(this.member.config);
         this.pools.adoptNews(news);
-        this.crashing.adopt(news.quarantined ?? []);
+        this.crashing.adopt(news.quarantine ?? NO_QUARANTINE);
       },
       timeline,
     });
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -217,7 +217,9 @@
   readonly revision: number;
   readonly former: number;
   readonly count: number;
-  /** The fingerprint that came last. */
+  /** How many requests one more crash has quarantined. */
+  readonly suspects: number;
+  /** The fingerprint that was quarantined last. */
   readonly newest: string | undefined;
   /** The box that told. */
   readonly source: string;
--- a/packages/puffinturn-edge/src/CrashingRequests.ts
+++ b/packages/puffinturn-edge/src/CrashingRequests.ts
@@ -98,9 +98,9 @@
     if (found.revision <= former) {
       return;
     }
-    const {fingerprints, revision} = found;
+    const {fingerprints, revision, suspects} = found;
     this.told = found;
-    this.evidence.adopt(fingerprints);
+    this.evidence.adopt(found);
     metrics.quarantined.set(fingerprints.length);
     log.note({
       count: fingerprints.length,
@@ -109,6 +109,7 @@
       newest: fingerprints.at(-1),
       revision,
       source,
+      suspects: suspects.length,
     });
   }
 
--- a/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
@@ -138,8 +138,22 @@
 
   test('are taken over from the core, never from an older word', () => {
     expect(crashing.isEmpty).toBe(true);
-    crashing.adopt({fingerprints: ['f', 'g'], revision: 2}, 'c1');
-    crashing.adopt({fingerprints: ['f'], revision: 1}, 'c2');
+    crashing.adopt(
+      {
+        fingerprints: ['f', 'g'],
+        revision: 2,
+        suspects: [],
+      },
+      'c1',
+    );
+    crashing.adopt(
+      {
+        fingerprints: ['f'],
+        revision: 1,
+        suspects: [],
+      },
+      'c2',
+    );
     crashing.adopt(NO_QUARANTINE, 'c2');
     expect(crashing.isQuarantined('g')).toBe(true);
     expect(crashing.isEmpty).toBe(false);
@@ -152,8 +166,22 @@
       crash(life, 'f');
       await pass(1_000);
     }
-    crashing.adopt({fingerprints: ['f'], revision: 1}, 'c1');
-    crashing.adopt({fingerprints: [], revision: 2}, 'c1');
+    crashing.adopt(
+      {
+        fingerprints: ['f'],
+        revision: 1,
+        suspects: [],
+      },
+      'c1',
+    );
+    crashing.adopt(
+      {
+        fingerprints: [],
+        revision: 2,
+        suspects: [],
+      },
+      'c1',
+    );
     expect(crashing.isQuarantined('f')).toBe(false);
   });
 });
--- a/packages/puffinturn-edge/src/__tests__/unit/QuarantinedRequests.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/QuarantinedRequests.test.ts
@@ -56,7 +56,7 @@
 
   function quarantine(): void {
     const fingerprints = [firstRequest(fixture.address)];
-    fixture.crashing.adopt({fingerprints, revision: 1}, 'c1');
+    fixture.crashing.adopt({fingerprints, revision: 1, suspects: []}, 'c1');
   }
 
   test('is refused at once and reaches no upstream; another one does', async () => {
--- a/packages/puffinturn-fleet/src/__tests__/unit/Quarantine.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Quarantine.test.ts
@@ -36,18 +36,26 @@
     convict(machine);
     const restored = new FleetMachine();
     restored.restore(machine.snapshot());
-    expect(restored.quarantine).toEqual({fingerprints: ['f'], revision: 1});
+    expect(restored.quarantine).toEqual({
+      fingerprints: ['f'],
+      revision: 2,
+      suspects: [],
+    });
     restored.restore(empty);
     expect(restored.quarantine).toEqual(NO_QUARANTINE);
   });
 
-  test('is told to those who wait for changes, suspects are not', () => {
+  test('is told to those who wait for changes, with those that one more crash adds', () => {
     let told = 0;
     const machine = new FleetMachine(() => (told += 1));
     machine.apply(record(0, 'a', 'f'));
     expect(told).toBe(0);
-    convict(machine);
+    machine.apply(record(SECOND_MS, 'b', 'f'));
     expect(told).toBe(1);
+    expect(machine.quarantine.suspects).toEqual(['f']);
+    machine.apply(record(2 * SECOND_MS, 'c', 'f'));
+    expect(told).toBe(2);
+    expect(machine.quarantine.suspects).toEqual([]);
   });
 
   test('is the same wherever the same reports are applied', () => {
--- a/packages/puffinturn-gateway/src/CrashingRequests.ts
+++ b/packages/puffinturn-gateway/src/CrashingRequests.ts
@@ -10,7 +10,7 @@
  * Heartbeats carry what is seen here to the leader, and bring what all boxes know.
  */
 import type {CrashTelling} from 'puffinturn-membership';
-import type {Crash, ListenerState} from 'puffinturn-quarantine';
+import type {Crash, ListenerState, Quarantine} from 'puffinturn-quarantine';
 import {CrashEvidence, CrashWatch, fingerprintOf} from 'puffinturn-quarantine';
 import type {Upstream} from 'puffinturn-routing';
 import type {Timeline} from 'puffinturn-timeline';
@@ -74,8 +74,8 @@
   }
 
   /** Takes over what all boxes know. */
-  adopt(fingerprints: readonly string[]): void {
-    this.evidence.adopt(fingerprints);
+  adopt(quarantine: Quarantine): void {
+    this.evidence.adopt(quarantine);
   }
 
   /** Whether a request must not be run. */
--- a/packages/puffinturn-membership/src/HeartbeatMonitor.ts
+++ b/packages/puffinturn-membership/src/HeartbeatMonitor.ts
@@ -148,7 +148,7 @@
       inFlight: this.othersInFlight(heartbeat.box),
       kind: 'heartbeat',
       leaving: this.allLeaving(),
-      quarantined: this.crashes.quarantine.fingerprints,
+      quarantine: this.crashes.quarantine,
       stamp: timeline.clock.tick(),
     };
   }
--- a/packages/puffinturn-membership/src/MemberMessages.ts
+++ b/packages/puffinturn-membership/src/MemberMessages.ts
@@ -7,7 +7,7 @@
 
 /** Messages between boxes and the leader about membership. */
 import type {DeclarationEntry} from 'puffinturn-ledger';
-import type {CrashReport} from 'puffinturn-quarantine';
+import type {CrashReport, Quarantine} from 'puffinturn-quarantine';
 import type {Stamp} from 'puffinturn-timeline';
 
 /** The service name on the link. */
@@ -74,8 +74,8 @@
   readonly inFlight: readonly UpstreamCount[];
   /** Upstreams that any box knows to be leaving. */
   readonly leaving: readonly string[];
-  /** Fingerprints of requests to refuse; missing in answers of a former version. */
-  readonly quarantined?: readonly string[] | undefined;
+  /** Requests to refuse; missing in answers of a former version. */
+  readonly quarantine?: Quarantine | undefined;
   readonly stamp: Stamp;
 }
 
--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -14,7 +14,7 @@
 import {LRUCache} from 'lru-cache';
 import type {Clock} from 'shared';
 
-import type {Crash, CrashReport} from './CrashRegister';
+import type {Crash, CrashReport, Quarantine} from './CrashRegister';
 import {CrashRegister} from './CrashRegister';
 import {
   CRASHES_TO_QUARANTINE,
@@ -42,6 +42,11 @@
   /** Until when they are looked out for, monotonic ms. */
   private suspectedUntil = -Infinity;
   private quarantined: ReadonlySet<string> = new Set();
+  /**
+   * Requests that the others suspect: any box that serves one clears it, as those that
+   * were at its crashes may have started anew since.
+   */
+  private suspectedByOthers = new Set<string>();
   private crashes: SeenCrash[] = [];
   private answered: string[] = [];
 
@@ -51,6 +56,7 @@
   get isEmpty(): boolean {
     return (
       this.quarantined.size === 0 &&
+      this.suspectedByOthers.size === 0 &&
       this.own.quarantine.fingerprints.length === 0 &&
       this.clock.now() >= this.suspectedUntil
     );
@@ -78,13 +84,17 @@
 
   /** Whether one more crash would have a request quarantined. */
   isLastTry(fingerprint: string): boolean {
-    return this.own.crashesOf(fingerprint) >= CRASHES_TO_QUARANTINE - 1;
+    return (
+      this.suspectedByOthers.has(fingerprint) ||
+      this.own.crashesOf(fingerprint) >= CRASHES_TO_QUARANTINE - 1
+    );
   }
 
-  /** Takes over all that the others have quarantined. */
-  adopt(fingerprints: readonly string[]): void {
+  /** Takes over what the others have quarantined, and whom they suspect. */
+  adopt({fingerprints, suspects}: Omit<Quarantine, 'revision'>): void {
     const former = this.quarantined;
     this.quarantined = new Set(fingerprints);
+    this.suspectedByOthers = new Set(suspects);
     for (const fingerprint of former) {
       if (!this.quarantined.has(fingerprint)) {
         this.own.release(fingerprint);
@@ -110,7 +120,9 @@
    * where others have to hear of it.
    */
   served(fingerprint: string): boolean {
-    if (!this.suspects.delete(fingerprint)) {
+    const isKnownHere = this.suspects.delete(fingerprint);
+    const isKnownElsewhere = this.suspectedByOthers.delete(fingerprint);
+    if (!isKnownHere && !isKnownElsewhere) {
       return false;
     }
     this.own.release(fingerprint);
--- a/packages/puffinturn-quarantine/src/CrashRegister.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -52,10 +52,16 @@
   /** Grows by 1 with each change; 0 before the first one. */
   readonly revision: number;
   readonly fingerprints: readonly string[];
+  /** Requests that one more crash has quarantined, unless they are answered. */
+  readonly suspects: readonly string[];
 }
 
 /** No request was ever quarantined. */
-export const NO_QUARANTINE: Quarantine = {fingerprints: [], revision: 0};
+export const NO_QUARANTINE: Quarantine = {
+  fingerprints: [],
+  revision: 0,
+  suspects: [],
+};
 
 interface Suspect {
   readonly fingerprint: string;
@@ -91,15 +97,10 @@
   private readonly suspects = new Map<string, Suspect>();
   /** Since when requests are quarantined, by fingerprint; the oldest first. */
   private readonly quarantined = new Map<string, number>();
-  private revision = 0;
-  private told: Quarantine | undefined;
+  private told = NO_QUARANTINE;
 
   /** The quarantined requests. */
   get quarantine(): Quarantine {
-    this.told ??= {
-      fingerprints: [...this.quarantined.keys()],
-      revision: this.revision,
-    };
     return this.told;
   }
 
@@ -118,9 +119,8 @@
     return this.hasExpired(at) && this.report({answered: [], crashes: []}, at);
   }
 
-  /** Takes a report in at a time, Unix ms; true where the quarantine changed. */
+  /** Takes a report in at a time, Unix ms; true where others have to hear of it. */
   report({answered, crashes}: CrashReport, at: number): boolean {
-    const former = this.revision;
     this.forget(at);
     for (const fingerprint of answered) {
       this.suspects.delete(fingerprint);
@@ -130,7 +130,7 @@
         this.addCrash(fingerprint, life, at - agoMs);
       }
     }
-    return this.revision > former;
+    return this.update();
   }
 
   /** Quarantines requests that another register has quarantined. */
@@ -140,12 +140,14 @@
         this.add(fingerprint, at);
       }
     }
+    this.update();
   }
 
-  /** Lets a request run again; true where it was quarantined. */
-  release(fingerprint: string): boolean {
+  /** Lets a request run again. */
+  release(fingerprint: string): void {
     this.suspects.delete(fingerprint);
-    return this.remove(fingerprint);
+    this.quarantined.delete(fingerprint);
+    this.update();
   }
 
   /** Whether the time of a quarantined request is over at a time, Unix ms. */
@@ -161,7 +163,7 @@
         fingerprint,
         since,
       })),
-      revision: this.revision,
+      revision: this.told.revision,
       suspects: [...this.suspects.values()],
     };
   }
@@ -176,8 +178,7 @@
     for (const {fingerprint, since} of quarantined) {
       this.quarantined.set(fingerprint, since);
     }
-    this.revision = revision;
-    this.told = undefined;
+    this.told = {...this.lists(), revision};
   }
 
   private addCrash(fingerprint: string, life: string, at: number): void {
@@ -210,20 +211,31 @@
   private add(fingerprint: string, at: number): void {
     this.quarantined.set(fingerprint, at);
     dropOldest(this.quarantined, MAX_QUARANTINED);
-    this.changed();
   }
 
-  private remove(fingerprint: string): boolean {
-    const wasHeld = this.quarantined.delete(fingerprint);
-    if (wasHeld) {
-      this.changed();
+  /** Makes a new revision where what others are told has changed. */
+  private update(): boolean {
+    const {fingerprints, revision, suspects} = this.told;
+    const lists = this.lists();
+    const isSame =
+      isEqual(lists.fingerprints, fingerprints) &&
+      isEqual(lists.suspects, suspects);
+    if (!isSame) {
+      this.told = {...lists, revision: revision + 1};
     }
-    return wasHeld;
+    return !isSame;
   }
 
-  private changed(): void {
-    this.revision += 1;
-    this.told = undefined;
+  private lists(): Omit<Quarantine, 'revision'> {
+    const suspects = [...this.suspects.values()].filter(
+      ({moments}) => moments.length >= CRASHES_TO_QUARANTINE - 1,
+    );
+    return {
+      fingerprints: [...this.quarantined.keys()],
+      suspects: suspects
+        .map(({fingerprint}) => fingerprint)
+        .slice(-MAX_QUARANTINED),
+    };
   }
 
   private forget(at: number): void {
@@ -234,7 +246,7 @@
     }
     for (const [fingerprint, since] of this.quarantined) {
       if (at - since > QUARANTINE_MS) {
-        this.remove(fingerprint);
+        this.quarantined.delete(fingerprint);
         this.putOnTrial(fingerprint, at);
       }
     }
@@ -247,6 +259,10 @@
   }
 }
 
+function isEqual(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((one, at) => one === b[at]);
+}
+
 function dropOldest(map: Map<string, unknown>, most: number): void {
   const [oldest] = map.keys();
   if (map.size > most && oldest !== undefined) {
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
@@ -34,6 +34,16 @@
     expect(evidence.isEmpty).toBe(true);
   });
 
+  test('clears a request that only others suspect', () => {
+    evidence.adopt({fingerprints: [], suspects: ['f']});
+    expect(evidence.isEmpty).toBe(false);
+    expect(evidence.isLastTry('f')).toBe(true);
+    expect(evidence.served('f')).toBe(true);
+    expect(evidence.untold?.answered).toEqual(['f']);
+    expect(evidence.served('f')).toBe(false);
+    expect(evidence.served('g')).toBe(false);
+  });
+
   test('keeps what it quarantined itself until the time for that is over', async () => {
     for (const life of ['a', 'b', 'c']) {
       await crash(life);
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegister.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegister.test.ts
@@ -31,10 +31,16 @@
   test('quarantines a request at its third crash, not before', () => {
     const register = new CrashRegister();
     expect(crash(register, 0, 'a', 'f', 'g')).toBe(false);
-    expect(crash(register, SECOND_MS, 'b', 'f', 'g')).toBe(false);
+    expect(crash(register, SECOND_MS, 'b', 'f', 'g')).toBe(true);
+    expect(register.quarantine.fingerprints).toEqual([]);
+    expect(register.quarantine.suspects).toEqual(['f', 'g']);
     expect(register.crashesOf('f')).toBe(2);
     expect(crash(register, 2 * SECOND_MS, 'c', 'f')).toBe(true);
-    expect(register.quarantine).toEqual({fingerprints: ['f'], revision: 1});
+    expect(register.quarantine).toEqual({
+      fingerprints: ['f'],
+      revision: 2,
+      suspects: ['g'],
+    });
     expect(register.isQuarantined('g')).toBe(false);
   });
 
@@ -107,9 +113,17 @@
     expect(register.hasExpired(over - SECOND_MS)).toBe(false);
     expect(register.hasExpired(over)).toBe(true);
     expect(register.report({answered: [], crashes: []}, over)).toBe(true);
-    expect(register.quarantine).toEqual({fingerprints: [], revision: 2});
+    expect(register.quarantine).toEqual({
+      fingerprints: [],
+      revision: 3,
+      suspects: ['f'],
+    });
     crash(register, over + SECOND_MS, 'd', 'f');
-    expect(register.quarantine).toEqual({fingerprints: ['f'], revision: 3});
+    expect(register.quarantine).toEqual({
+      fingerprints: ['f'],
+      revision: 4,
+      suspects: [],
+    });
   });
 
   test('is the same after a snapshot', () => {
