--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -367,9 +367,8 @@
   }
 
   private noteServed(plan: Plan, status: number): void {
-    const {crashing} = this.parts;
-    if (status < FIRST_ERROR_STATUS && !crashing.isEmpty) {
-      crashing.served(this.fingerprint(plan));
+    if (status < FIRST_ERROR_STATUS) {
+      this.parts.crashing.served(this.fingerprint(plan));
     }
   }
 
--- a/packages/puffinturn-gateway/src/CrashingRequests.ts
+++ b/packages/puffinturn-gateway/src/CrashingRequests.ts
@@ -101,9 +101,7 @@
 
   /** Notes that a request got a whole answer. */
   served(request: CallerRequest): void {
-    if (!this.evidence.isEmpty) {
-      this.evidence.served(fingerprint(request));
-    }
+    this.evidence.served(fingerprint(request));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -18,8 +18,10 @@
 import {CrashRegister} from './CrashRegister';
 import {
   CRASHES_TO_QUARANTINE,
+  MAX_ANSWERED,
   MAX_UNTOLD,
   SUSPECTED_MS,
+  SUSPICION_MS,
 } from './QuarantineConstants';
 
 interface SeenCrash {
@@ -39,6 +41,13 @@
   private readonly own = new CrashRegister();
   /** Requests that were at a crash seen here, until they get a whole answer. */
   private readonly suspects = new LRUCache<string, true>({max: MAX_UNTOLD});
+  /**
+   * When requests got a whole answer here, monotonic ms. One that was answered does not
+   * crash what runs it, however many crashes it is at.
+   */
+  private readonly answeredAt = new LRUCache<string, number>({
+    max: MAX_ANSWERED,
+  });
   /** Until when they are looked out for, monotonic ms. */
   private suspectedUntil = -Infinity;
   private quarantined: ReadonlySet<string> = new Set();
@@ -103,8 +112,15 @@
   }
 
   /** Notes a crash and which requests of this box were there. */
-  crashed(crash: Crash): void {
+  crashed({fingerprints, life}: Crash): void {
     const {clock} = this;
+    const crash: Crash = {
+      fingerprints: fingerprints.filter((one) => !this.wasAnswered(one)),
+      life,
+    };
+    if (crash.fingerprints.length === 0) {
+      return;
+    }
     this.suspectedUntil = clock.now() + SUSPECTED_MS;
     for (const fingerprint of crash.fingerprints) {
       this.suspects.set(fingerprint, true);
@@ -120,16 +136,29 @@
    * where others have to hear of it.
    */
   served(fingerprint: string): boolean {
+    this.answeredAt.set(fingerprint, this.clock.now());
     const isKnownHere = this.suspects.delete(fingerprint);
     const isKnownElsewhere = this.suspectedByOthers.delete(fingerprint);
     if (!isKnownHere && !isKnownElsewhere) {
       return false;
     }
     this.own.release(fingerprint);
+    this.crashes = this.crashes.map(({at, crash}) => ({
+      at,
+      crash: {
+        fingerprints: crash.fingerprints.filter((one) => one !== fingerprint),
+        life: crash.life,
+      },
+    }));
     this.answered = [...this.answered, fingerprint].slice(-MAX_UNTOLD);
     return true;
   }
 
+  private wasAnswered(fingerprint: string): boolean {
+    const at = this.answeredAt.get(fingerprint) ?? -Infinity;
+    return this.clock.now() - at < SUSPICION_MS;
+  }
+
   /** What is told of all that has not been told. */
   reportOf({answered, crashes}: Untold): CrashReport {
     const now = this.clock.now();
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -41,6 +41,12 @@
  */
 export const QUARANTINE_MS = 10 * 60_000;
 
+/**
+ * Answered requests that one box remembers, some 100 bytes each: those that are asked
+ * for often enough to be at several crashes stay among them.
+ */
+export const MAX_ANSWERED = 2_000;
+
 /** Suspects kept; one takes some 200 bytes of the log's snapshot. */
 export const MAX_SUSPECTS = 2_000;
 
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashEvidence.test.ts
@@ -44,6 +44,25 @@
     expect(evidence.served('g')).toBe(false);
   });
 
+  test('does not suspect what was answered here, however many crashes it is at', async () => {
+    evidence.served('f');
+    for (const life of ['a', 'b', 'c', 'd']) {
+      await crash(life);
+    }
+    expect(evidence.untold).toBeUndefined();
+    expect(evidence.isQuarantined('f')).toBe(false);
+  });
+
+  test('drops crashes that nobody has been told of before an answer', async () => {
+    await crash('a');
+    await crash('b');
+    evidence.served('f');
+    const untold = evidence.untold;
+    const crashes = untold?.crashes.flatMap(({crash}) => crash.fingerprints);
+    expect(crashes).toEqual([]);
+    expect(untold?.answered).toEqual(['f']);
+  });
+
   test('keeps what it quarantined itself until the time for that is over', async () => {
     for (const life of ['a', 'b', 'c']) {
       await crash(life);
