--- a/packages/puffinturn-edge/src/CrashingRequests.ts
+++ b/packages/puffinturn-edge/src/CrashingRequests.ts
@@ -23,6 +23,7 @@
 import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
+import {askControls} from './ControlQuestions';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 
@@ -32,9 +33,6 @@
 /** Pause after a round in which no control box took the report, ms. */
 const RETRY_MS = 250;
 
-/** Control boxes that a report is offered to before a pause. */
-const CONTROLS_TRIED = 3;
-
 /** Longest time between two looks whether there is something to tell, ms. */
 const IDLE_MS = 60_000;
 
@@ -163,17 +161,12 @@
   private async tell(report: CrashReport): Promise<boolean> {
     const {box, controls, link} = this.parts;
     const request: CrashRequest = {box, report};
-    for (const control of controls().slice(0, CONTROLS_TRIED)) {
-      const answer = await link.call(
-        control,
-        FLEET_SERVICE.reportCrashes,
-        request,
-        ANSWER_MS,
-      );
-      if (answer.isOk() && (answer.value as CrashReply).taken) {
-        return true;
-      }
-    }
-    return false;
+    const reply = await askControls<CrashReply>(
+      link,
+      controls(),
+      {answerMs: ANSWER_MS, request, service: FLEET_SERVICE.reportCrashes},
+      ({taken}) => taken,
+    );
+    return reply !== undefined;
   }
 }
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -49,11 +49,12 @@
   readonly port: number;
   /** Part of the newest answers that were errors of the upstream's own. */
   errorRate = 0;
+  /** Whether another life took its place though it never said that it would leave. */
+  supplanted = false;
   private failures = 0;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private replaced = false;
-  private supplantedUnplanned = false;
 
   constructor(
     /** What the upstream said of itself last. */
@@ -155,14 +156,9 @@
     return this.record.state !== UPSTREAM_STATE.ready;
   }
 
-  /** Whether another life took its place though it never said that it would leave. */
-  get supplanted(): boolean {
-    return this.supplantedUnplanned;
-  }
-
   /** Notes that another life is in its place. */
   isSupplanted(): void {
-    this.supplantedUnplanned ||= !this.leaves;
+    this.supplanted ||= !this.leaves;
   }
 
   /** Notes that another upstream answers at this address. */
--- a/packages/puffinturn-edge/src/ExposureExchange.ts
+++ b/packages/puffinturn-edge/src/ExposureExchange.ts
@@ -16,8 +16,8 @@
 import type {Clock} from 'shared';
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
+import {askForGrants} from './ControlQuestions';
 import type {Exposures} from './Exposures';
-import {askForGrants} from './GrantQuestions';
 
 /** How often the leader is told while there is something to tell, ms. */
 const TELL_EVERY_MS = 250;
--- a/packages/puffinturn-edge/src/Renewal.ts
+++ b/packages/puffinturn-edge/src/Renewal.ts
@@ -10,9 +10,8 @@
  * connections may have ended unheard, and changes were made meanwhile. Requests wait
  * until the core has told what is new, for a short time.
  */
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {FleetWatch} from 'puffinturn-fleet';
-import type {Link} from 'puffinturn-wire';
+import type {FleetWatch, WakeUpParts} from 'puffinturn-fleet';
+import {wakeUp} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 import {SuspensionWatch} from 'shared';
 
@@ -28,10 +27,8 @@
 const RENEWAL_LOOK_MS = 10;
 
 /** What a Renewal is made of. */
-export interface RenewalParts {
+export interface RenewalParts extends WakeUpParts {
   readonly clock: Clock;
-  readonly link: Link;
-  readonly log: DecisionLog;
   readonly pool: UpstreamPool;
   readonly watch: FleetWatch;
   /** Told of each wake-up before anything is asked. */
@@ -58,12 +55,10 @@
   }
 
   private begin(missedMs: number): void {
-    const {link, log, pool, watch, woke} = this.parts;
-    const detail = `suspended for ${Math.round(missedMs)} ms`;
-    log.note({detail, event: 'process-changed', phase: 'woke'});
+    const {pool, watch, woke} = this.parts;
     woke();
     watch.distrust();
-    link.redial();
+    wakeUp(this.parts, missedMs);
     pool.dropIdle();
     this.running ??= this.renew().finally(() => (this.running = undefined));
   }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -54,6 +54,7 @@
 import {UpstreamRefusals} from './UpstreamRefusals';
 import type {UpstreamRecord} from './Upstreams';
 import {UpstreamTable} from './Upstreams';
+import {wakeUp} from './WakeUp';
 import {WatchAnswers} from './WatchAnswers';
 
 /** How often silent boxes and upstreams are looked for, ms. */
@@ -187,7 +188,8 @@
       leader: this.leader,
       upstreams: this.upstreams,
     });
-    this.suspension = new SuspensionWatch(clock, (ms) => this.woke(ms));
+    // Nothing else rests on the steady clock: reads and records need a quorum's answer.
+    this.suspension = new SuspensionWatch(clock, (ms) => wakeUp(parts, ms));
     this.tasks.start((signal) => this.runExpiry(signal));
     this.tasks.start((signal) => this.followLeader(signal));
   }
@@ -278,17 +280,6 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
-  /**
-   * Connections may have ended unheard while the machine was suspended. Nothing else
-   * rests on the steady clock: reads and records need a quorum's answer each time.
-   */
-  private woke(missedMs: number): void {
-    const {link, log} = this.parts;
-    const detail = `suspended for ${Math.round(missedMs)} ms`;
-    log.note({detail, event: 'process-changed', phase: 'woke'});
-    link.redial();
-  }
-
   private async watch(request: WatchRequest): Promise<WatchReply> {
     const {changed, clock} = this.parts;
     if (this.boxes.hear(request.from, clock.now())) {
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -11,7 +11,7 @@
  */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
-import type {CrashReport} from 'puffinturn-quarantine';
+import {NO_REPORT} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
@@ -27,8 +27,6 @@
 /** Lives named in one line of the log; the count tells of the others. */
 const LOGGED_AT_MOST = 16;
 
-const NOTHING: CrashReport = {answered: [], crashes: []};
-
 /** What a QuarantineControl is made of. */
 export interface QuarantineControlParts {
   readonly clock: Clock;
@@ -71,7 +69,7 @@
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal);
       if (replica.isLeader && machine.isQuarantineOver(clock.wallTime())) {
-        await this.takeHere({box: self.box, report: NOTHING});
+        await this.takeHere({box: self.box, report: NO_REPORT});
       }
     }
   }
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -95,3 +95,5 @@
 export {UpstreamRefusals} from './UpstreamRefusals';
 export type {UpstreamLife, UpstreamRecord, UpstreamState} from './Upstreams';
 export {compareLives, UPSTREAM_STATE, UpstreamTable} from './Upstreams';
+export type {WakeUpParts} from './WakeUp';
+export {wakeUp} from './WakeUp';
--- a/packages/puffinturn-gateway/src/CrashingRequests.ts
+++ b/packages/puffinturn-gateway/src/CrashingRequests.ts
@@ -48,6 +48,8 @@
 export class CrashingRequests implements AsyncDisposable {
   private readonly evidence: CrashEvidence;
   private readonly watch: CrashWatch<Watched>;
+  /** Taken once a request: a long body is costly to hash. */
+  private readonly fingerprints = new WeakMap<CallerRequest, string>();
   /** Crashes seen, which names them. */
   private crashes = 0;
 
@@ -81,7 +83,9 @@
   /** Whether a request must not be run. */
   isQuarantined(request: CallerRequest): boolean {
     const {evidence} = this;
-    return !evidence.isEmpty && evidence.isQuarantined(fingerprint(request));
+    return (
+      !evidence.isEmpty && evidence.isQuarantined(this.fingerprint(request))
+    );
   }
 
   /** Whether a request may be tried again after it broke off. */
@@ -90,18 +94,18 @@
     if (evidence.isEmpty) {
       return true;
     }
-    const known = fingerprint(request);
+    const known = this.fingerprint(request);
     return !evidence.isQuarantined(known) && !evidence.isLastTry(known);
   }
 
   /** Notes that a request broke off at an upstream. */
   broke(upstream: Upstream, request: CallerRequest): void {
-    this.watch.broke(new Watched(upstream), fingerprint(request));
+    this.watch.broke(new Watched(upstream), this.fingerprint(request));
   }
 
   /** Notes that a request got a whole answer. */
   served(request: CallerRequest): void {
-    this.evidence.served(fingerprint(request));
+    this.evidence.served(this.fingerprint(request));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -117,8 +121,16 @@
     const name = `${life} ${box} ${this.crashes}`;
     this.evidence.crashed({fingerprints, life: name});
   }
-}
 
-function fingerprint({body, method, path, team}: CallerRequest): string {
-  return fingerprintOf({body, caller: team.name, host: '', method, path});
+  private fingerprint(request: CallerRequest): string {
+    const known = this.fingerprints.get(request);
+    if (known !== undefined) {
+      return known;
+    }
+    const {body, method, path, team} = request;
+    const caller = team.name;
+    const made = fingerprintOf({body, caller, host: '', method, path});
+    this.fingerprints.set(request, made);
+    return made;
+  }
 }
--- a/packages/puffinturn-membership/src/HeartbeatMonitor.ts
+++ b/packages/puffinturn-membership/src/HeartbeatMonitor.ts
@@ -11,7 +11,7 @@
  */
 import type {Ledger, LedgerRecord} from 'puffinturn-ledger';
 import type {Replica} from 'puffinturn-log';
-import {CrashRegister} from 'puffinturn-quarantine';
+import {CrashRegister, NO_REPORT} from 'puffinturn-quarantine';
 import type {Timeline} from 'puffinturn-timeline';
 import {EVENT_KIND} from 'puffinturn-timeline';
 import type {Link} from 'puffinturn-wire';
@@ -96,7 +96,7 @@
       return;
     }
     const at = this.parts.clock.wallTime();
-    this.crashes.report(crashNews.report ?? {answered: [], crashes: []}, at);
+    this.crashes.report(crashNews.report ?? NO_REPORT, at);
     if (!this.toldQuarantine.has(box)) {
       this.toldQuarantine.add(box);
       this.crashes.hold(crashNews.quarantined, at);
--- a/packages/puffinturn-quarantine/src/CrashEvidence.ts
+++ b/packages/puffinturn-quarantine/src/CrashEvidence.ts
@@ -38,9 +38,8 @@
 
 /** See the module comment. */
 export class CrashEvidence {
+  /** Crashes seen here, until the requests that were there get a whole answer. */
   private readonly own = new CrashRegister();
-  /** Requests that were at a crash seen here, until they get a whole answer. */
-  private readonly suspects = new LRUCache<string, true>({max: MAX_UNTOLD});
   /**
    * When requests got a whole answer here, monotonic ms. One that was answered does not
    * crash what runs it, however many crashes it is at.
@@ -122,9 +121,6 @@
       return;
     }
     this.suspectedUntil = clock.now() + SUSPECTED_MS;
-    for (const fingerprint of crash.fingerprints) {
-      this.suspects.set(fingerprint, true);
-    }
     const report = {answered: [], crashes: [{...crash, agoMs: 0}]};
     this.own.report(report, clock.wallTime());
     const seen = {at: clock.now(), crash};
@@ -137,7 +133,7 @@
    */
   served(fingerprint: string): boolean {
     this.answeredAt.set(fingerprint, this.clock.now());
-    const isKnownHere = this.suspects.delete(fingerprint);
+    const isKnownHere = this.own.holds(fingerprint);
     const isKnownElsewhere = this.suspectedByOthers.delete(fingerprint);
     if (!isKnownHere && !isKnownElsewhere) {
       return false;
--- a/packages/puffinturn-quarantine/src/CrashRegister.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegister.ts
@@ -47,6 +47,9 @@
   readonly answered: readonly string[];
 }
 
+/** Nothing was seen. */
+export const NO_REPORT: CrashReport = {answered: [], crashes: []};
+
 /** The quarantined requests, as of one revision. */
 export interface Quarantine {
   /** Grows by 1 with each change; 0 before the first one. */
@@ -109,6 +112,11 @@
     return this.quarantined.has(fingerprint);
   }
 
+  /** Whether anything is held against a request. */
+  holds(fingerprint: string): boolean {
+    return this.suspects.has(fingerprint) || this.isQuarantined(fingerprint);
+  }
+
   /** Crashes counted for a request that is not quarantined. */
   crashesOf(fingerprint: string): number {
     return this.suspects.get(fingerprint)?.moments.length ?? 0;
@@ -116,7 +124,7 @@
 
   /** Ends what is over at a time, Unix ms; true where the quarantine changed. */
   expire(at: number): boolean {
-    return this.hasExpired(at) && this.report({answered: [], crashes: []}, at);
+    return this.hasExpired(at) && this.report(NO_REPORT, at);
   }
 
   /** Takes a report in at a time, Unix ms; true where others have to hear of it. */
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -14,7 +14,12 @@
   Quarantine,
   ReportedCrash,
 } from './CrashRegister';
-export {CrashRegister, NO_CRASHES, NO_QUARANTINE} from './CrashRegister';
+export {
+  CrashRegister,
+  NO_CRASHES,
+  NO_QUARANTINE,
+  NO_REPORT,
+} from './CrashRegister';
 export type {CrashWatchParts, WatchedUpstream} from './CrashWatch';
 export {CrashWatch} from './CrashWatch';
 export type {RequestContent} from './Fingerprint';
