--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -54,8 +54,8 @@
 export const MAX_QUARANTINED = 256;
 
 /**
- * How long after a crash seen here the requests that were there are looked out for, ms;
- * meanwhile the fingerprint of every request has to be known.
+ * How long after a crash seen here requests are looked up before they are sent, ms;
+ * those that the others have quarantined or suspect are looked up in any case.
  */
 export const SUSPECTED_MS = 60_000;
 
