--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -59,6 +59,7 @@
   expectedUpstream: 'x-upstream',
   key: 'x-key',
   lastEvent: 'last-event-id',
+  leaving: 'x-leaving',
   notRun: 'x-not-run',
   prefixSource: 'x-prefix-source',
   priority: 'x-priority',
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -67,6 +67,21 @@
   readonly fingerprint?: string | undefined;
 }
 
+/** What an upstream said of itself in an answer. */
+export interface UpstreamTold extends RequestDecision {
+  readonly event: 'upstream-told';
+  readonly upstream: string;
+  /** Status of that answer. */
+  readonly status: number;
+  /** Whether it is about to leave; told once for each life. */
+  readonly leaving: boolean;
+  /** How long it wants no requests from this edge; none where it doesn't say. */
+  readonly restMs: number | undefined;
+  /** What its newest heartbeat known here says, and the number of that. */
+  readonly state: string;
+  readonly sequence: number;
+}
+
 /** A life of an upstream ended unplanned while requests of this edge were there. */
 export interface UpstreamCrashed {
   readonly event: 'upstream-crashed';
@@ -455,4 +470,5 @@
   | UpstreamCrashed
   | UpstreamJudged
   | UpstreamRestarted
+  | UpstreamTold
   | UpstreamsRefused;
--- a/packages/puffinturn-edge/src/CallerDialect.ts
+++ b/packages/puffinturn-edge/src/CallerDialect.ts
@@ -27,6 +27,8 @@
   /** Present where an upstream did not run the request. */
   readonly notRun: string;
   readonly retryAfter: string;
+  /** Present where the upstream that answers is about to leave. */
+  readonly leaving: string;
   /** Further ones that only the edge may set towards upstreams. */
   readonly reserved: readonly string[];
 }
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -26,6 +26,7 @@
 } from './EdgeConstants';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
+import type {UpstreamStatement} from './UpstreamStatement';
 
 /** Weight of one answer in the measured part of errors. */
 const ERROR_WEIGHT = 0.08;
@@ -52,6 +53,8 @@
   /** Whether another life took its place though it never said that it would leave. */
   supplanted = false;
   private failures = 0;
+  private saidLeaving = false;
+  private restsUntil = -Infinity;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private replaced = false;
@@ -145,6 +148,17 @@
     );
   }
 
+  /** Takes in what it said in an answer; true where that is news. */
+  hear({leaving, restMs}: UpstreamStatement): boolean {
+    const now = this.clock.now();
+    const isNews =
+      (leaving && !this.saidLeaving) ||
+      (restMs !== undefined && now >= this.restsUntil);
+    this.saidLeaving ||= leaving;
+    this.restsUntil = Math.max(this.restsUntil, now + (restMs ?? 0));
+    return isNews;
+  }
+
   /** Names this life among all lives of all upstreams, the same at every edge. */
   get life(): string {
     const {bornAt, id} = this.record;
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/Exchange.ts
@@ -26,7 +26,7 @@
 export type ExchangeOutcome =
   | AnswerOutcome
   /** The upstream said that it did not run the request. */
-  | {readonly kind: 'rejected'; readonly status: number}
+  | {readonly kind: 'rejected'; readonly answer: UpstreamAnswer}
   /** No connection came up: nothing was sent. */
   | {readonly kind: 'unsent'; readonly cause: string}
   /** Sent, and nothing usable came back: the request may have run. */
@@ -112,7 +112,7 @@
     if (headers[names.notRun] !== undefined || status === MISDIRECTED) {
       answer.drop();
       setTimeout(() => this.abort('slow-rejection'), REJECTION_BODY_MS).unref();
-      return {kind: 'rejected', status};
+      return {answer, kind: 'rejected'};
     }
     if (headers['content-encoding'] !== undefined) {
       return this.spoiled('encoded-answer');
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -52,6 +52,7 @@
 import {headersFor} from './UpstreamHeaders';
 import type {RequestSize, SelectionParts} from './UpstreamSelection';
 import {lackOf, selectUpstream} from './UpstreamSelection';
+import {statementOf} from './UpstreamStatement';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts extends SelectionParts {
@@ -323,6 +324,9 @@
     if (outcome.kind !== 'answer') {
       upstream.inFlight -= 1;
     }
+    if (outcome.kind === 'answer' || outcome.kind === 'rejected') {
+      this.hear(upstream, outcome.answer);
+    }
     this.parts.metrics.attempts.inc({
       outcome: outcome.kind,
       service: plan.service.name,
@@ -330,6 +334,32 @@
     return outcome;
   }
 
+  /** Takes in what an upstream says of itself along with an answer. */
+  private hear(upstream: EdgeUpstream, answer: UpstreamAnswer): void {
+    const {statusCode: status} = answer;
+    if (status === MISDIRECTED) {
+      // Another upstream answers there, and speaks of itself.
+      return;
+    }
+    const {dialect, log} = this.parts;
+    const told = statementOf(answer, dialect.headers);
+    const isNews = upstream.hear(told);
+    if (isNews) {
+      const {sequence, state} = upstream.record;
+      log.note({
+        configuration: this.table.version,
+        event: 'upstream-told',
+        leaving: told.leaving,
+        request: this.caller.id,
+        restMs: told.restMs,
+        sequence,
+        state,
+        status,
+        upstream: upstream.id,
+      });
+    }
+  }
+
   /** Acts on an outcome; true when the request has come to its end. */
   private async take(
     plan: Plan,
@@ -341,7 +371,7 @@
         this.mayHaveRun = true;
         return this.pass(plan, upstream, outcome);
       case 'rejected':
-        if (outcome.status === MISDIRECTED) {
+        if (outcome.answer.statusCode === MISDIRECTED) {
           // Another upstream answered; the one that was meant got nothing.
           this.attempts -= 1;
           this.unsent += 1;
@@ -349,7 +379,12 @@
         } else {
           upstream.full();
         }
-        return this.again(plan, upstream, `rejected-${outcome.status}`, true);
+        return this.again(
+          plan,
+          upstream,
+          `rejected-${outcome.answer.statusCode}`,
+          true,
+        );
       case 'unsent':
         this.attempts -= 1;
         this.unsent += 1;
--- a/packages/puffinturn-edge/src/Observation.ts
+++ b/packages/puffinturn-edge/src/Observation.ts
@@ -84,7 +84,7 @@
         }
         return;
       case 'rejected':
-        if (outcome.status !== MISDIRECTED) {
+        if (outcome.answer.statusCode !== MISDIRECTED) {
           this.reached();
         }
         return;
--- /dev/null
+++ b/packages/puffinturn-edge/src/UpstreamStatement.ts
@@ -0,0 +1,37 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** What an upstream says of itself in the head of an answer. */
+import type {HeaderNames} from './CallerDialect';
+import type {UpstreamAnswer} from './UpstreamAnswer';
+
+/** See the module comment. */
+export interface UpstreamStatement {
+  /** Whether it is about to leave and wants no new requests. */
+  readonly leaving: boolean;
+  /** How long it wants no requests from this edge, ms; undefined where unsaid. */
+  readonly restMs: number | undefined;
+}
+
+/** The status with which an upstream that is overloaded turns a request away. */
+const UNAVAILABLE = 503;
+
+/** Seconds, with a fraction or without. */
+const SECONDS = /^\d+(?:\.\d+)?$/;
+
+/** Reads the head of an answer. */
+export function statementOf(
+  {headers, statusCode}: UpstreamAnswer,
+  names: HeaderNames,
+): UpstreamStatement {
+  const wait = headers[names.retryAfter]?.trim() ?? '';
+  const asksForRest = statusCode === UNAVAILABLE && SECONDS.test(wait);
+  return {
+    leaving: headers[names.leaving] !== undefined,
+    restMs: asksForRest ? Number(wait) * 1_000 : undefined,
+  };
+}
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -16,6 +16,7 @@
   expectedUpstream: 'x-upstream',
   key: 'x-key',
   lastEvent: 'last-event-id',
+  leaving: 'x-leaving',
   notRun: 'x-not-run',
   prefixSource: 'x-source',
   priority: 'x-priority',
--- a/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
@@ -18,6 +18,7 @@
     expectedUpstream: 'x-upstream',
     key: 'x-key',
     lastEvent: 'last-event-id',
+    leaving: 'x-leaving',
     notRun: 'x-not-run',
     prefixSource: 'x-copy-from',
     priority: 'x-priority',
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -44,6 +44,7 @@
     expectedUpstream: 'x-expected',
     key: 'x-key',
     lastEvent: 'x-last-event',
+    leaving: 'x-leaving',
     notRun: 'x-not-run',
     prefixSource: 'x-prefix-source',
     priority: 'x-priority',
