--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -12,6 +12,7 @@
 import {KeptDecisionLog} from 'puffinturn-decisions';
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
 import {Regions, REPETITION} from 'puffinturn-fleet';
+import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
 import type {Allowances} from '../../Allowances';
@@ -134,44 +135,51 @@
 export interface Got {
   readonly status: number;
   readonly body: string;
+  /** When to come back, s; undefined where the answer does not say. */
+  readonly retryAfterS: number | undefined;
   /** Whether the whole answer came. */
   readonly whole: boolean;
 }
 
 /** Serves callers as an edge does, without a fleet around it. */
 export class ServingFixture implements AsyncDisposable {
-  readonly clock = new SystemClock();
   readonly log = new KeptDecisionLog();
   readonly metrics = new EdgeMetrics();
-  readonly pool = new UpstreamPool(this.clock, this.log);
+  readonly pool: UpstreamPool;
   /** Bytes of answers that callers have got. */
   received = 0;
   private readonly random = new Random(5);
-  readonly exposures = new Exposures({
-    clock: this.clock,
-    log: this.log,
-    metrics: this.metrics,
-    pool: this.pool,
-    random: this.random,
-  });
+  readonly exposures: Exposures;
   /** Requests that must not be run; no control box is there to tell. */
-  readonly crashing = new CrashingRequests({
-    box: 'e1',
-    clock: this.clock,
-    controls: () => [],
-    link: new SilentLink(),
-    log: this.log,
-    metrics: this.metrics,
-  });
-  private readonly totals = new Totals(this.clock, this.log, () => []);
+  readonly crashing: CrashingRequests;
+  private readonly totals: Totals;
   private readonly agent = new Agent();
   private readonly server: Server;
   private requests = 0;
 
   private constructor(
+    readonly clock: Clock,
     routes: readonly Route[],
     more: (fixture: ServingFixture) => Partial<ForwardingParts>,
   ) {
+    const {log, metrics, random} = this;
+    this.pool = new UpstreamPool(clock, log);
+    this.exposures = new Exposures({
+      clock,
+      log,
+      metrics,
+      pool: this.pool,
+      random,
+    });
+    this.crashing = new CrashingRequests({
+      box: 'e1',
+      clock,
+      controls: () => [],
+      link: new SilentLink(),
+      log,
+      metrics,
+    });
+    this.totals = new Totals(clock, log, () => []);
     const services = [{engine: undefined, maxConnections: 10, name: 's'}];
     const limits = {
       headerTimeoutMs: 3_000,
@@ -222,8 +230,9 @@
   static async start(
     routes: readonly Route[],
     more: (fixture: ServingFixture) => Partial<ForwardingParts> = () => ({}),
+    clock: Clock = new SystemClock(),
   ): Promise<ServingFixture> {
-    const fixture = new ServingFixture(routes, more);
+    const fixture = new ServingFixture(clock, routes, more);
     await new Promise<void>((resolve) =>
       fixture.server.listen(0, HOST, resolve),
     );
@@ -260,6 +269,7 @@
         answer.on('close', () =>
           resolve({
             body: Buffer.concat(chunks).toString(),
+            retryAfterS: secondsOf(answer.headers['retry-after']),
             status: answer.statusCode ?? 0,
             whole: answer.complete,
           }),
@@ -280,6 +290,10 @@
   }
 }
 
+function secondsOf(value: string | undefined): number | undefined {
+  return value === undefined ? undefined : Number(value);
+}
+
 /** Waits until something is so. */
 export async function until(isSo: () => boolean): Promise<void> {
   while (!isSo()) {
