--- /dev/null
+++ b/packages/puffinturn-edge/src/Attempt.ts
@@ -0,0 +1,183 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * One request sent to one upstream: its exchange, what the edge counts about it, and
+ * what the upstream says of itself along with its answer.
+ */
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {Clock} from 'shared';
+
+import type {CallerDialect} from './CallerDialect';
+import type {CallerRequest} from './CallerRequest';
+import type {ColdAdmission} from './ColdStarts';
+import {MISDIRECTED} from './EdgeConstants';
+import type {EdgeMetrics} from './EdgeMetrics';
+import type {EdgeUpstream} from './EdgeUpstream';
+import type {ExchangeOutcome} from './Exchange';
+import {Exchange} from './Exchange';
+import type {Exposures} from './Exposures';
+import type {HomeProbes} from './HomeProbes';
+import type {Observation} from './Observation';
+import {PromptReading} from './PromptReading';
+import type {RegionCrossing} from './RegionCrossing';
+import type {Plan} from './RequestPlan';
+import type {UpstreamAnswer} from './UpstreamAnswer';
+import type {Placement} from './UpstreamChoice';
+import {headersFor} from './UpstreamHeaders';
+import {statementOf} from './UpstreamStatement';
+
+/** What an attempt needs of the edge. */
+export interface AttemptParts {
+  readonly clock: Clock;
+  readonly coldAdmission: ColdAdmission;
+  readonly crossing: RegionCrossing;
+  readonly dialect: CallerDialect;
+  readonly exposures: Exposures;
+  readonly homeProbes: HomeProbes;
+  readonly log: DecisionLog;
+  readonly metrics: EdgeMetrics;
+}
+
+/** What is sent, and where. */
+export interface AttemptFacts {
+  readonly body: Buffer;
+  readonly caller: CallerRequest;
+  /** The version of the configuration that the request came under. */
+  readonly configuration: number;
+  /** Time left for the request, ms. */
+  readonly leftMs: number;
+  readonly placement: Placement;
+  readonly plan: Plan;
+  /** The event after which a stream goes on. */
+  readonly resumeAt: string | undefined;
+}
+
+/** See the module comment. It is sent at once. */
+export class Attempt {
+  /** Resolves once it is known how the attempt went. */
+  readonly outcome: Promise<ExchangeOutcome>;
+  /** The attempt as a roll-out of its service sees it. */
+  readonly observation: Observation;
+  private readonly exchange: Exchange;
+  private readonly upstream: EdgeUpstream;
+
+  constructor(
+    private readonly parts: AttemptParts,
+    private readonly facts: AttemptFacts,
+  ) {
+    const {placement, plan} = facts;
+    this.upstream = placement.upstream;
+    const {doubtful} = this.upstream;
+    this.count(doubtful);
+    const reading = new PromptReading(parts.clock, placement, plan.parts);
+    this.observation = parts.exposures.sent(
+      plan,
+      this.upstream,
+      reading.unread,
+    );
+    this.exchange = this.send();
+    this.outcome = this.follow(reading, doubtful);
+  }
+
+  /** Ends the attempt, and its connection unless the answer is whole. */
+  abort(cause: string): void {
+    this.exchange.abort(cause);
+  }
+
+  private count(doubtful: boolean): void {
+    const {coldAdmission, crossing, homeProbes, metrics} = this.parts;
+    const {body, plan} = this.facts;
+    const {upstream} = this;
+    upstream.inFlight += 1;
+    if (upstream.cold) {
+      coldAdmission.sent(upstream);
+    }
+    if (crossing.isAway(upstream.record.hall)) {
+      crossing.sent(plan, body.length);
+      metrics.regionRequests.inc({service: plan.service.name});
+    }
+    if (doubtful) {
+      homeProbes.sent();
+    }
+  }
+
+  private send(): Exchange {
+    const {dialect} = this.parts;
+    const {body, caller, leftMs, placement, plan, resumeAt} = this.facts;
+    return new Exchange({
+      body,
+      headers: headersFor({
+        bodyLength: body.length,
+        caller,
+        dialect,
+        leftMs,
+        placement,
+        plan,
+        resumeAt,
+      }),
+      method: caller.method,
+      names: dialect.headers,
+      path: caller.path,
+      requestId: caller.id,
+      upstream: this.upstream,
+    });
+  }
+
+  private async follow(
+    reading: PromptReading,
+    doubtful: boolean,
+  ): Promise<ExchangeOutcome> {
+    const {homeProbes, metrics} = this.parts;
+    const {upstream} = this;
+    const outcome = await this.exchange.outcome;
+    const isAnswered = outcome.kind === 'answer';
+    reading.end(isAnswered);
+    if (doubtful && isAnswered) {
+      homeProbes.answered();
+    }
+    this.observation.began(outcome);
+    if (!isAnswered) {
+      upstream.inFlight -= 1;
+    }
+    if (isAnswered || outcome.kind === 'rejected') {
+      this.hear(outcome.answer);
+    }
+    const service = this.facts.plan.service.name;
+    metrics.attempts.inc({outcome: outcome.kind, service});
+    return outcome;
+  }
+
+  /** Takes in what the upstream says of itself along with its answer. */
+  private hear(answer: UpstreamAnswer): void {
+    const {statusCode: status} = answer;
+    if (status === MISDIRECTED) {
+      // Another upstream answers there, and speaks of itself.
+      return;
+    }
+    const {dialect, log} = this.parts;
+    const {caller, configuration} = this.facts;
+    const {upstream} = this;
+    const {sequence, state} = upstream.record;
+    const {leaving, restMs} = statementOf(answer, dialect.headers);
+    const leaves = leaving && upstream.saysLeaving();
+    const rests = restMs !== undefined && upstream.rests(restMs);
+    if (leaves || rests) {
+      log.note({
+        configuration,
+        event: 'upstream-told',
+        leaving,
+        request: caller.id,
+        restMs,
+        sequence,
+        state,
+        status,
+        upstream: upstream.id,
+      });
+    }
+  }
+}
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -11,17 +11,17 @@
  * A request that may not be repeated is sent again only where the first upstream
  * surely did not run it.
  */
-import type {DecisionLog, TokenFacts} from 'puffinturn-decisions';
+import type {TokenFacts} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {REPETITION} from 'puffinturn-fleet';
 import {fingerprintOf} from 'puffinturn-quarantine';
-import type {Clock} from 'shared';
 
 import type {Allowances, ReserveOutcome} from './Allowances';
 import {RESERVE} from './Allowances';
 import type {AnswerRelay} from './AnswerRelay';
 import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
-import type {CallerDialect} from './CallerDialect';
+import type {AttemptParts} from './Attempt';
+import {Attempt} from './Attempt';
 import type {CallerRequest} from './CallerRequest';
 import type {CrashingRequests} from './CrashingRequests';
 import {
@@ -32,13 +32,10 @@
   RETRY_AFTER_READ_LATE_S,
   RETRY_AFTER_TOKENS_S,
 } from './EdgeConstants';
-import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
-import {Exchange, INVALID_HEADER} from './Exchange';
+import {INVALID_HEADER} from './Exchange';
 import {FinalAnswer} from './FinalAnswer';
-import type {Observation} from './Observation';
-import {PromptReading} from './PromptReading';
 import {isReadLate} from './ReadLateness';
 import type {RegionTraffic} from './RegionTraffic';
 import type {Plan} from './RequestPlan';
@@ -49,18 +46,12 @@
 import type {Totals} from './Totals';
 import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
-import {headersFor} from './UpstreamHeaders';
 import type {RequestSize, SelectionParts} from './UpstreamSelection';
 import {lackOf, selectUpstream} from './UpstreamSelection';
-import {statementOf} from './UpstreamStatement';
 
 /** What serving needs of the edge. */
-export interface ForwardingParts extends SelectionParts {
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly metrics: EdgeMetrics;
+export interface ForwardingParts extends AttemptParts, SelectionParts {
   readonly totals: Totals;
-  readonly dialect: CallerDialect;
   readonly allowances: Allowances;
   readonly retryBudgets: RetryBudgets;
   readonly crashing: CrashingRequests;
@@ -80,10 +71,9 @@
 export class Forwarding {
   private plan: Plan | undefined;
   private body: Buffer = Buffer.alloc(0);
-  private exchange: Exchange | undefined;
+  private current: Attempt | undefined;
   private relay: AnswerRelay | undefined;
   private upstream: EdgeUpstream | undefined;
-  private observation: Observation | undefined;
   private readonly tried = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
@@ -272,93 +262,22 @@
     return retryBudgets.spend(service.name);
   }
 
-  private async attempt(
-    plan: Plan,
-    placement: Placement,
-  ): Promise<ExchangeOutcome> {
-    const {dialect} = this.parts;
+  private attempt(plan: Plan, placement: Placement): Promise<ExchangeOutcome> {
+    const {body, caller, relay, table} = this;
     const {upstream} = placement;
     this.upstream = upstream;
     this.tried.add(upstream);
     this.attempts += 1;
-    upstream.inFlight += 1;
-    if (upstream.cold) {
-      this.parts.coldAdmission.sent(upstream);
-    }
-    if (this.parts.crossing.isAway(upstream.record.hall)) {
-      this.parts.crossing.sent(plan, this.body.length);
-      this.parts.metrics.regionRequests.inc({service: plan.service.name});
-    }
-    const {doubtful} = upstream;
-    if (doubtful) {
-      this.parts.homeProbes.sent();
-    }
-    const reading = new PromptReading(this.parts.clock, placement, plan.parts);
-    const {exposures} = this.parts;
-    const observation = exposures.sent(plan, upstream, reading.unread);
-    this.observation = observation;
-    const exchange = new Exchange({
-      body: this.body,
-      headers: headersFor({
-        bodyLength: this.body.length,
-        caller: this.caller,
-        dialect,
-        leftMs: this.leftMs(plan.route),
-        placement,
-        plan,
-        resumeAt: this.relay?.lastEventId,
-      }),
-      method: this.caller.method,
-      names: dialect.headers,
-      path: this.caller.path,
-      requestId: this.caller.id,
-      upstream,
-    });
-    this.exchange = exchange;
-    const outcome = await exchange.outcome;
-    reading.end(outcome.kind === 'answer');
-    if (doubtful && outcome.kind === 'answer') {
-      this.parts.homeProbes.answered();
-    }
-    observation.began(outcome);
-    if (outcome.kind !== 'answer') {
-      upstream.inFlight -= 1;
-    }
-    if (outcome.kind === 'answer' || outcome.kind === 'rejected') {
-      this.hear(upstream, outcome.answer);
-    }
-    this.parts.metrics.attempts.inc({
-      outcome: outcome.kind,
-      service: plan.service.name,
+    this.current = new Attempt(this.parts, {
+      body,
+      caller,
+      configuration: table.version,
+      leftMs: this.leftMs(plan.route),
+      placement,
+      plan,
+      resumeAt: relay?.lastEventId,
     });
-    return outcome;
-  }
-
-  /** Takes in what an upstream says of itself along with an answer. */
-  private hear(upstream: EdgeUpstream, answer: UpstreamAnswer): void {
-    const {statusCode: status} = answer;
-    if (status === MISDIRECTED) {
-      // Another upstream answers there, and speaks of itself.
-      return;
-    }
-    const {dialect, log} = this.parts;
-    const {sequence, state} = upstream.record;
-    const told = statementOf(answer, dialect.headers);
-    const leaves = told.leaving && upstream.saysLeaving();
-    const rests = told.restMs !== undefined && upstream.rests(told.restMs);
-    if (leaves || rests) {
-      log.note({
-        configuration: this.table.version,
-        event: 'upstream-told',
-        leaving: told.leaving,
-        request: this.caller.id,
-        restMs: told.restMs,
-        sequence,
-        state,
-        status,
-        upstream: upstream.id,
-      });
-    }
+    return this.current.outcome;
   }
 
   /** Acts on an outcome; true when the request has come to its end. */
@@ -483,7 +402,7 @@
     if (this.parts.crossing.isAway(upstream.record.hall)) {
       this.parts.regionTraffic.count(socket);
     }
-    this.observation?.ended({
+    this.current?.observation.ended({
       end: ended,
       events: relay.events - eventsBefore,
       status,
@@ -515,7 +434,7 @@
       upstream.answeredError();
       return this.again(plan, upstream, `status-${status}`, false);
     }
-    this.exchange?.abort('broke-off');
+    this.current?.abort('broke-off');
     this.brokeAt(plan, upstream, 'broke-off');
     return this.again(plan, upstream, 'broke-off', false);
   }
@@ -558,17 +477,17 @@
     if (this.final.ended) {
       return;
     }
-    const sent = this.mayHaveRun || this.exchange !== undefined;
+    const sent = this.mayHaveRun || this.current !== undefined;
     this.final.refuse(sent ? 504 : 503, 'timeout', sent ? undefined : 1);
     this.relay?.stop();
-    this.exchange?.abort('timeout');
+    this.current?.abort('timeout');
   }
 
   private callerClosed(): void {
     if (!this.final.ended && this.caller.abandoned) {
       this.final.end(CALLER_LEFT);
       this.relay?.stop();
-      this.exchange?.abort(CALLER_LEFT);
+      this.current?.abort(CALLER_LEFT);
     }
   }
 
