Show rests of upstreams in the gateway's time line, and play them with whole boxes

In virtual time boxes' clocks differ by up to 5 in 100, and a rest of 4 s ended after 3.9 s by the fastest: the check allows for the fastest clock.

--- a/packages/puffinturn-fuzz/src/FuzzFleet.ts
+++ b/packages/puffinturn-fuzz/src/FuzzFleet.ts
@@ -20,6 +20,7 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, ManualClock, Random, ScaledClock} from 'shared';
 
+import {CLOCK_RATES} from './ClockRates';
 import {PausableClock} from './PausableClock';
 import {UpstreamWorld, WorldClient} from './UpstreamWorld';
 
@@ -38,8 +39,6 @@
 const DRIVE_LIMIT_MS = 60_000;
 const DRIVE_STEP_MS = 50;
 const KEEP_MS = 3_600_000;
-/** Clock rates of the boxes: real clocks differ by far less. */
-const CLOCK_RATES = [1, 1.05, 0.95, 1.02, 1, 0.97, 1.04];
 
 function boxLine(
   name: string,
--- a/packages/puffinturn-fuzz/src/Oracle.ts
+++ b/packages/puffinturn-fuzz/src/Oracle.ts
@@ -67,7 +67,12 @@
     for (const [name, tries] of this.byName()) {
       breaches.push(...this.checkName(name, tries));
     }
-    return [...breaches, ...this.checkDrains()];
+    return [...breaches, ...this.checkDrains(), ...this.checkRests()];
+  }
+
+  private checkRests(): Breach[] {
+    const promise = 'an upstream that asked for rest gets nothing meanwhile';
+    return this.world.disturbed.map((detail) => ({detail, promise}));
   }
 
   /** Checks what all regions have spent together. */
--- a/packages/puffinturn-fuzz/src/Step.ts
+++ b/packages/puffinturn-fuzz/src/Step.ts
@@ -65,8 +65,10 @@
 /** Addresses of the fake engines. */
 export const ENGINE_URLS = ['http://engine-1', 'http://engine-2'] as const;
 
-/** Modes that runs draw; upstreams that crash have stories of their own. */
-const DRAWN_MODES = Object.values(MODE).filter((mode) => mode !== MODE.crash);
+/** Modes that runs draw; upstreams that crash or rest have stories of their own. */
+const DRAWN_MODES = Object.values(MODE).filter(
+  (mode) => mode !== MODE.crash && mode !== MODE.resting,
+);
 
 const boxName = fc.constantFrom(...FUZZ_BOXES.map(({name}) => name));
 const afterMs = fc.oneof(
--- a/packages/puffinturn-fuzz/src/UpstreamWorld.ts
+++ b/packages/puffinturn-fuzz/src/UpstreamWorld.ts
@@ -18,6 +18,8 @@
 import {LISTENER} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 
+import {FASTEST_CLOCK} from './ClockRates';
+
 /** How an upstream behaves. */
 export const MODE = {
   /** Executes, then the connection ends in the middle of the answer. */
@@ -33,6 +35,8 @@
   ok: 'ok',
   /** Takes no connections. */
   refuse: 'refuse',
+  /** Turns requests away, asks for rest, and executes nothing. */
+  resting: 'resting',
   slow: 'slow',
 } as const;
 
@@ -48,6 +52,15 @@
 }
 
 const LATENCY_MS = 20;
+
+/** What an upstream asks for when it turns a request away, s. */
+export const REST_S = 4;
+
+/** That rest by the clock of a box that runs as fast as any here, ms. */
+const SHORTEST_REST_MS = (REST_S * 1_000) / FASTEST_CLOCK;
+
+/** Requests that were on their way when an upstream asked for rest, ms. */
+const CROSSING_MS = 500;
 const SLOW_MS = 2_500;
 
 /** How long an upstream that crashed takes no connections, ms. */
@@ -56,6 +69,8 @@
 
 /** All upstreams of a run. */
 export class UpstreamWorld {
+  /** Addresses that got a request of a box that they had asked for rest. */
+  readonly disturbed: string[] = [];
   /** Every execution, in order. */
   readonly executions: Execution[] = [];
   private readonly modes = new Map<string, Mode>();
@@ -95,6 +110,8 @@
 /** The client of one life of one box. */
 export class WorldClient extends UpstreamClient {
   private readonly ended = new AbortController();
+  /** When upstreams asked this life of the box for rest last. */
+  private readonly askedForRestAt = new Map<string, number>();
 
   constructor(
     private readonly world: UpstreamWorld,
@@ -121,6 +138,20 @@
     this.ended.abort();
   }
 
+  private turnAway(url: string): UpstreamAnswer {
+    const now = this.world.clock.now();
+    const passedMs = now - (this.askedForRestAt.get(url) ?? -Infinity);
+    if (passedMs > CROSSING_MS && passedMs < SHORTEST_REST_MS) {
+      this.world.disturbed.push(url);
+    }
+    this.askedForRestAt.set(url, now);
+    const headers = {
+      'puffinturn-not-run': 'true',
+      'retry-after': String(REST_S),
+    };
+    return {body: bodyOf([]), headers, status: 503};
+  }
+
   private async exchange(request: UpstreamRequest) {
     const {clock} = this.world;
     await this.gate();
@@ -143,6 +174,9 @@
         status: 503,
       });
     }
+    if (mode === MODE.resting) {
+      return ok<UpstreamAnswer, UpstreamFailure>(this.turnAway(request.url));
+    }
     const body = JSON.parse(String(Buffer.from(request.body ?? '{}')));
     this.execute(request.url, nameIn(body));
     await clock.sleep(mode === MODE.slow ? SLOW_MS : LATENCY_MS / 2);
--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -93,6 +93,10 @@
         parts.timeline.note(EVENT_KIND.upstreamLeaving, {upstream});
         parts.pools.noteLeaving(pool, upstream);
       },
+      onRest: (upstream, restMs) => {
+        const detail = `for ${restMs} ms`;
+        parts.timeline.note(EVENT_KIND.upstreamResting, {detail, upstream});
+      },
     };
   }
 
--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -55,6 +55,8 @@
   readonly client: UpstreamClient;
   readonly clock: Clock;
   readonly onLeaving: (pool: string, upstream: string) => void;
+  /** An upstream asked this box for no requests for so long. */
+  readonly onRest: (upstream: string, restMs: number) => void;
 }
 
 /** The least status that says that the upstream failed. */
@@ -127,7 +129,7 @@
 }
 
 function noteHeaders(
-  {clock, onLeaving}: CallParts,
+  {clock, onLeaving, onRest}: CallParts,
   place: Place,
   {headers, status}: UpstreamAnswer,
 ): void {
@@ -138,6 +140,7 @@
   const restMs = retryAfterMs(headers['retry-after']);
   if (status === UNAVAILABLE && restMs !== undefined) {
     place.rests(restMs);
+    onRest(upstream.name, restMs);
   }
   const running = Number(headers['puffinturn-running']);
   const waiting = Number(headers['puffinturn-waiting']);
--- a/packages/puffinturn-gateway/src/__tests__/unit/RestingUpstreams.test.ts
+++ b/packages/puffinturn-gateway/src/__tests__/unit/RestingUpstreams.test.ts
@@ -88,7 +88,8 @@
       return found.error.kind;
     }
     using place = found.value;
-    const parts = {client, clock, onLeaving: () => undefined};
+    const ignore = () => undefined;
+    const parts = {client, clock, onLeaving: ignore, onRest: ignore};
     const {signal} = new AbortController();
     return (await callUpstream(parts, place, CALL_REQUEST, signal)).kind;
   }
