--- a/packages/puffinturn-edge/src/__tests__/unit/PlainLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/PlainLoad.test.ts
@@ -18,13 +18,12 @@
 import type {UpstreamChoice} from '../../UpstreamChoice';
 import {FreeSlots, LeastInFlight, ShorterWait} from '../../UpstreamChoice';
 import {upstreamOf} from '../utils/EdgeFixture';
+import {PlainUpstream, SLOTS} from '../utils/PlainUpstream';
 
 const EDGES = 87;
 const HALLS = ['a', 'b', 'c'];
 /** The hall of each upstream. */
 const UPSTREAMS = ['a', 'a', 'b', 'c'];
-const SLOTS = 6;
-const QUEUE = 24;
 const WORK_MS = 64;
 const OBJECTIVE_MS = 300;
 const DAY_MS = 20_000;
@@ -33,34 +32,6 @@
 const SLOW_TIMES = 4;
 const SERVICE = {engine: undefined, maxConnections: 1, name: 's'};
 
-/** A plain upstream: slots, and a queue behind them; undefined when full. */
-class PlainServer {
-  private busy = 0;
-  private readonly waiting: (() => void)[] = [];
-
-  constructor(private readonly clock: ManualClock) {}
-
-  /** Serves one request; false when there is no room. */
-  async serve(workMs: number): Promise<boolean> {
-    if (this.busy === SLOTS && this.waiting.length >= QUEUE) {
-      return false;
-    }
-    if (this.busy === SLOTS) {
-      await new Promise<void>((resolve) => this.waiting.push(resolve));
-    } else {
-      this.busy += 1;
-    }
-    await this.clock.sleep(workMs);
-    const next = this.waiting.shift();
-    if (next === undefined) {
-      this.busy -= 1;
-    } else {
-      next();
-    }
-    return true;
-  }
-}
-
 interface Tally {
   inTime: number;
   late: number;
@@ -78,7 +49,7 @@
   const random = new Random(seed);
   const choice = choiceOf(random);
   const log = new SilentDecisionLog();
-  const servers = UPSTREAMS.map(() => new PlainServer(clock));
+  const servers = UPSTREAMS.map(() => new PlainUpstream(clock));
   const counts = UPSTREAMS.map(() => 0);
   const edges = Array.from({length: EDGES}, () =>
     UPSTREAMS.map((hall, at) => {
--- a/packages/puffinturn-edge/src/__tests__/unit/PlainRegionLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/PlainRegionLoad.test.ts
@@ -13,13 +13,12 @@
 import {ManualClock, Random} from 'shared';
 
 import type {EdgeUpstream} from '../../EdgeUpstream';
+import {PlainUpstream} from '../utils/PlainUpstream';
 import {RegionEdge, TWO_REGIONS} from '../utils/RegionEdge';
 
 const HALLS = Object.keys(TWO_REGIONS);
 const EDGES_A_HALL = 10;
 const UPSTREAMS = ['e1-a', 'e1-b', 'e2-a', 'w1-a', 'w1-b', 'w2-a'];
-const SLOTS = 6;
-const QUEUE = 24;
 const WORK_MS = 43;
 const OBJECTIVE_MS = 200;
 const ARRIVALS_PER_S = 240;
@@ -30,36 +29,6 @@
 const TROUBLE_UNTIL_MS = 12_000;
 const DAY_MS = 18_000;
 
-/** An upstream of some slots with a queue behind them. */
-class PlainUpstream {
-  isDark = false;
-  slowTimes = 1;
-  private busy = 0;
-  private readonly waiting: (() => void)[] = [];
-
-  constructor(private readonly clock: ManualClock) {}
-
-  /** Serves one request; false where there is no room. */
-  async serve(workMs: number): Promise<boolean> {
-    if (this.busy === SLOTS && this.waiting.length >= QUEUE) {
-      return false;
-    }
-    if (this.busy === SLOTS) {
-      await new Promise<void>((resolve) => this.waiting.push(resolve));
-    } else {
-      this.busy += 1;
-    }
-    await this.clock.sleep(workMs * this.slowTimes);
-    const next = this.waiting.shift();
-    if (next === undefined) {
-      this.busy -= 1;
-    } else {
-      next();
-    }
-    return true;
-  }
-}
-
 interface Tally {
   all: number;
   inTime: number;
--- a/packages/puffinturn-fuzz/src/__tests__/unit/CrashingRequests.test.ts
+++ b/packages/puffinturn-fuzz/src/__tests__/unit/CrashingRequests.test.ts
@@ -12,22 +12,15 @@
  */
 import type {RunReport, Step} from '../../index';
 import {FuzzRun} from '../../index';
-import type {Mode} from '../../UpstreamWorld';
-import {ask} from '../utils/Story';
+import {ask, engines} from '../utils/Story';
 
 const SEED = 7;
 
-const ENGINES = ['http://engine-1', 'http://engine-2'];
-
 const BOXES = ['n1', 'n2', 'n4'];
 
 /** Time between two copies: longer than an engine is away after a crash, ms. */
 const BETWEEN_MS = 1_500;
 
-function engines(mode: Mode): Step[] {
-  return ENGINES.map((url) => ({afterMs: 0, kind: 'upstream', mode, url}));
-}
-
 function copies(count: number): Step[] {
   return Array.from({length: count}, (_, turn) =>
     ask(BOXES[turn % BOXES.length] ?? '', 'o1', 'stream', BETWEEN_MS),
--- a/packages/puffinturn-fuzz/src/__tests__/unit/RestingUpstreams.test.ts
+++ b/packages/puffinturn-fuzz/src/__tests__/unit/RestingUpstreams.test.ts
@@ -12,23 +12,16 @@
  */
 import type {Step} from '../../index';
 import {FuzzRun} from '../../index';
-import type {Mode} from '../../UpstreamWorld';
 import {REST_S} from '../../UpstreamWorld';
-import {ask} from '../utils/Story';
+import {ask, engines} from '../utils/Story';
 
 const SEED = 7;
 
-const ENGINES = ['http://engine-1', 'http://engine-2'];
-
 const BOXES = ['n1', 'n2', 'n4'];
 
 /** Time between two requests: every box gets some in each rest, ms. */
 const BETWEEN_MS = 100;
 
-function engines(mode: Mode): Step[] {
-  return ENGINES.map((url) => ({afterMs: 0, kind: 'upstream', mode, url}));
-}
-
 function requests(first: number, count: number): Step[] {
   return Array.from({length: count}, (_, turn) => {
     const box = BOXES[turn % BOXES.length] ?? '';
@@ -41,7 +34,7 @@
     const report = await FuzzRun.run(SEED, [
       ...engines('resting'),
       ...requests(0, 90),
-      ...engines('ok').map((step) => ({...step, afterMs: REST_S * 1_000})),
+      ...engines('ok', REST_S * 1_000),
       ask('n1', 'last', 'stream'),
     ]);
     expect(report.breaches).toEqual([]);
--- a/packages/puffinturn-fuzz/src/__tests__/utils/Story.ts
+++ b/packages/puffinturn-fuzz/src/__tests__/utils/Story.ts
@@ -7,6 +7,8 @@
 
 /** Words a run's time line for golden files: no ids, no times. */
 import type {RunReport, Step} from '../../index';
+import {ENGINE_URLS} from '../../Step';
+import type {Mode} from '../../UpstreamWorld';
 
 /** Kinds of events that tell nothing about a story. */
 const SILENT = new Set(['box-registered', 'config-changed', 'started']);
@@ -22,6 +24,11 @@
   return {afterMs, box, kind, leavesAfterMs: null, name, request} as Step;
 }
 
+/** All engines behave in one way from now on. */
+export function engines(mode: Mode, afterMs = 0): Step[] {
+  return ENGINE_URLS.map((url) => ({afterMs, kind: 'upstream', mode, url}));
+}
+
 /** Lines of a story: what happened on each box, then what callers heard. */
 export function storyOf({timeline, tries}: RunReport): string {
   const events = timeline
