--- a/packages/puffinturn-ledger/src/index.ts
+++ b/packages/puffinturn-ledger/src/index.ts
@@ -26,8 +26,8 @@
 export type {DeclarationEntry} from './DeclarationTable';
 export type {SplitSide} from './GrantSplit';
 export {targetFor} from './GrantSplit';
-export type {LedgerBreakage} from './Ledger';
 export {Ledger} from './Ledger';
+export type {LedgerBreakage} from './LedgerBreakage';
 export {MAX_KEPT_ANSWER_BYTES, ORPHAN_MS} from './LedgerConstants';
 export type {
   AdmitOutcome,
