--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamStatements.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamStatements.test.ts
@@ -104,7 +104,7 @@
     expect([first.seen.length, second.seen.length]).toEqual([2, 2]);
   });
 
-  test('counts for the life that said it, and for no other one', async () => {
+  test('of leaving counts for the life that said it, and for no other one', async () => {
     fixture.pool.merge([first.record({bornAt: 1, sequence: 2})], 'c1');
     first.answer = saysThatItLeaves;
     await ask(MANY);
@@ -114,6 +114,21 @@
     expect(first.seen).toHaveLength(2);
   });
 
+  test('of rest counts on for a life that is heard of only later', async () => {
+    // It crashed and came back, and turns requests away before any heartbeat of
+    // its new life has come: no answer names the life that gives it.
+    first.answer = asksForRest;
+    second.answer = asksForRest;
+    await ask(1);
+    const born = [first.record({bornAt: 1}), second.record({bornAt: 1})];
+    fixture.pool.merge(born, 'c1');
+    expect(await ask(MANY)).toEqual(Array(MANY).fill(503));
+    expect([first.seen.length, second.seen.length]).toEqual([1, 1]);
+    await clock.advance(REST_S * 1_000);
+    await ask(1);
+    expect([first.seen.length, second.seen.length]).toEqual([2, 2]);
+  });
+
   test('counts on where the same life serves at another address', async () => {
     const moved = await TestUpstream.start('i-1');
     first.answer = saysThatItLeaves;
