Carry a rest over to a life of the upstream that is heard of only later

Answers don't name the life that gives them; one that was back before its heartbeat was heard lost the rest that it had asked for.

--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -180,8 +180,19 @@
 
   /** Takes over what the same life said in answers at its former address. */
   goesOnAs(former: EdgeUpstream | undefined): void {
-    this.restsUntil = former?.restsUntil ?? -Infinity;
-    this.saidLeaving = former?.saidLeaving ?? false;
+    if (former !== undefined) {
+      this.restsOnAs(former);
+      this.saidLeaving = former.saidLeaving;
+    }
+  }
+
+  /**
+   * Takes over the rest that was asked for. Of a former life too: answers don't name
+   * the life, and one that is back may turn requests away before any heartbeat tells
+   * of it. Without it, 9 to 46 requests reached such engines in 2 s of rest.
+   */
+  restsOnAs(former: EdgeUpstream): void {
+    this.restsUntil = former.restsUntil;
   }
 
   /** Names this life among all lives of all upstreams, the same at every edge. */
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -208,7 +208,7 @@
     this.drop(record.id);
     this.endFormerLives(record);
     if (record.state !== UPSTREAM_STATE.gone) {
-      this.add(record);
+      this.add(record).restsOnAs(former);
     }
   }
 
