One rule for a request for rest, no clock in a place, one look at all rests

What a 503 with Retry-After asks for was decided in the edge and in the gateway alike; shared has it now. The box's clock is in the hands of whoever reads the answer, as for reports of load. Waiting requests are refused with one reason, worked out once. No behaviour changed; the tests keep their assertions.

--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -290,8 +290,9 @@
       case 'answer':
         this.mayHaveRun = true;
         return this.pass(plan, upstream, outcome);
-      case 'rejected':
-        if (outcome.answer.statusCode === MISDIRECTED) {
+      case 'rejected': {
+        const {statusCode} = outcome.answer;
+        if (statusCode === MISDIRECTED) {
           // Another upstream answered; the one that was meant got nothing.
           this.attempts -= 1;
           this.unsent += 1;
@@ -299,12 +300,8 @@
         } else {
           upstream.full();
         }
-        return this.again(
-          plan,
-          upstream,
-          `rejected-${outcome.answer.statusCode}`,
-          true,
-        );
+        return this.again(plan, upstream, `rejected-${statusCode}`, true);
+      }
       case 'unsent':
         this.attempts -= 1;
         this.unsent += 1;
--- a/packages/puffinturn-edge/src/UpstreamStatement.ts
+++ b/packages/puffinturn-edge/src/UpstreamStatement.ts
@@ -6,7 +6,7 @@
  */
 
 /** What an upstream says of itself in the head of an answer. */
-import {retryAfterMs} from 'shared';
+import {restMsOf} from 'shared';
 
 import type {HeaderNames} from './CallerDialect';
 import type {UpstreamAnswer} from './UpstreamAnswer';
@@ -19,17 +19,13 @@
   readonly restMs: number | undefined;
 }
 
-/** The status with which an upstream that is overloaded turns a request away. */
-const UNAVAILABLE = 503;
-
 /** Reads the head of an answer. */
 export function statementOf(
   {headers, statusCode}: UpstreamAnswer,
   names: HeaderNames,
 ): UpstreamStatement {
-  const isUnavailable = statusCode === UNAVAILABLE;
   return {
     leaving: headers[names.leaving] !== undefined,
-    restMs: isUnavailable ? retryAfterMs(headers[names.retryAfter]) : undefined,
+    restMs: restMsOf(statusCode, headers[names.retryAfter]),
   };
 }
--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -8,7 +8,7 @@
 /** One try at an upstream: sent, then waited for up to its first bytes. */
 import type {Place} from 'puffinturn-routing';
 import type {Clock} from 'shared';
-import {retryAfterMs} from 'shared';
+import {restMsOf} from 'shared';
 
 import {LEAVING_HEADER, NOT_RUN_HEADER} from './GatewayConstants';
 import type {UpstreamAnswer, UpstreamClient} from './UpstreamClient';
@@ -62,9 +62,6 @@
 /** The least status that says that the upstream failed. */
 export const SERVER_ERROR = 500;
 
-/** The status with which an overloaded upstream may ask for rest. */
-const UNAVAILABLE = 503;
-
 /** Sends a request to the upstream of a place. */
 export async function callUpstream(
   parts: CallParts,
@@ -130,16 +127,15 @@
 
 function noteHeaders(
   {clock, onLeaving, onRest}: CallParts,
-  place: Place,
+  {upstream}: Place,
   {headers, status}: UpstreamAnswer,
 ): void {
-  const {upstream} = place;
   if (headers[LEAVING_HEADER] === 'true') {
     onLeaving(upstream.pool, upstream.name);
   }
-  const restMs = retryAfterMs(headers['retry-after']);
-  if (status === UNAVAILABLE && restMs !== undefined) {
-    place.rests(restMs);
+  const restMs = restMsOf(status, headers['retry-after']);
+  if (restMs !== undefined) {
+    upstream.restsAtLeastUntil(clock.now() + restMs);
     onRest(upstream.name, restMs);
   }
   const running = Number(headers['puffinturn-running']);
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -76,7 +76,6 @@
     private readonly circuit: Circuit,
     private readonly limit: Limit,
     private readonly targetMs: number,
-    private readonly clock: Clock,
     private readonly onEnd: () => void,
   ) {
     upstream.inFlight += 1;
@@ -101,12 +100,6 @@
     this.circuit.failed();
   }
 
-  /** Notes that the upstream wants no requests for so long. */
-  rests(restMs: number): void {
-    const until = this.clock.now() + restMs;
-    this.upstream.restsUntil = Math.max(this.upstream.restsUntil, until);
-  }
-
   [Symbol.dispose](): void {
     if (!this.ended) {
       this.ended = true;
@@ -188,8 +181,8 @@
    */
   serveWaiting(): void {
     const {queue} = this.parts;
-    while (queue.size > 0 && this.restLeftMs !== undefined) {
-      queue.pop()?.settle(err(this.unserved()));
+    if (queue.size > 0 && this.restLeftMs !== undefined) {
+      this.refuseWaiting(this.unserved());
     }
     while (queue.size > 0 && this.hasRoom()) {
       const waiter = this.popInTime();
@@ -206,6 +199,13 @@
     }
   }
 
+  private refuseWaiting(failure: PlaceFailure): void {
+    const {queue} = this.parts;
+    while (queue.size > 0) {
+      queue.pop()?.settle(err(failure));
+    }
+  }
+
   /** The next waiting request; refuses those whose deadline has passed. */
   private popInTime(): Waiter | undefined {
     const {clock, queue} = this.parts;
@@ -334,10 +334,8 @@
   }
 
   private placeOn({circuit, upstream}: Member): Place {
-    const {clock, limit, targetMs} = this.parts;
-    return new Place(upstream, circuit, limit, targetMs, clock, () =>
-      this.onEnd(),
-    );
+    const {limit, targetMs} = this.parts;
+    return new Place(upstream, circuit, limit, targetMs, () => this.onEnd());
   }
 
   private onEnd(): void {
--- a/packages/puffinturn-routing/src/Upstream.ts
+++ b/packages/puffinturn-routing/src/Upstream.ts
@@ -50,6 +50,11 @@
     return this.spec.name;
   }
 
+  /** Notes that it wants no requests before a time, ms of the box's clock. */
+  restsAtLeastUntil(time: number): void {
+    this.restsUntil = Math.max(this.restsUntil, time);
+  }
+
   /** Notes a load report. */
   reportLoad(report: LoadReport): void {
     this.report = report;
--- a/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
+++ b/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
@@ -65,7 +65,7 @@
     );
     const waiting = router.acquire(placeRequest());
     const [first, second] = places.map((place) => place._unsafeUnwrap());
-    first?.rests(3_000);
+    first?.upstream.restsAtLeastUntil(clock.now() + 3_000);
     first?.[Symbol.dispose]();
     expect((await waiting)._unsafeUnwrapErr()).toMatchObject({
       kind: 'overloaded',
--- a/packages/shared/src/RetryAfter.ts
+++ b/packages/shared/src/RetryAfter.ts
@@ -16,6 +16,17 @@
  */
 const LONGEST_MS = 3_600_000;
 
+/** The status with which an overloaded upstream turns a request away. */
+const UNAVAILABLE = 503;
+
+/** The rest that an upstream asks for in an answer, ms; undefined where it asks for none. */
+export function restMsOf(
+  status: number,
+  retryAfter: string | undefined,
+): number | undefined {
+  return status === UNAVAILABLE ? retryAfterMs(retryAfter) : undefined;
+}
+
 /** The time in a header's value, ms; undefined where it names none. */
 export function retryAfterMs(value: string | undefined): number | undefined {
   const text = value?.trim() ?? '';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -19,7 +19,7 @@
 export {hashOf} from './Hash';
 export {invariant, InvariantError} from './Invariant';
 export {drawByWeight, Random} from './Random';
-export {retryAfterMs} from './RetryAfter';
+export {restMsOf} from './RetryAfter';
 export {SuspensionWatch} from './SuspensionWatch';
 export {
   Condition,
