Sight: edges write down how many requests a second an upstream says that it takes

upstream-told has limitPerS where an answer names a limit, changes or ends it. Nothing acts on it yet. Decimal numbers in headers are read in one place, for rests too.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -60,6 +60,7 @@
   key: 'x-key',
   lastEvent: 'last-event-id',
   leaving: 'x-leaving',
+  limit: 'x-limit',
   notRun: 'x-not-run',
   prefixSource: 'x-prefix-source',
   priority: 'x-priority',
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -77,6 +77,8 @@
   readonly leaving: boolean;
   /** How long it wants no requests from this edge; none where it doesn't say. */
   readonly restMs: number | undefined;
+  /** The requests a second that it takes; none where it names no limit. */
+  readonly limitPerS?: number | undefined;
   /** What its newest heartbeat known here says, and the number of that. */
   readonly state: string;
   readonly sequence: number;
--- a/packages/puffinturn-edge/src/Attempt.ts
+++ b/packages/puffinturn-edge/src/Attempt.ts
@@ -163,14 +163,17 @@
     const {caller, configuration} = this.facts;
     const {upstream} = this;
     const {sequence, state} = upstream.record;
-    const {leaving, restMs} = statementOf(answer, dialect.headers);
+    const statement = statementOf(answer, dialect.headers);
+    const {leaving, limitPerS, restMs} = statement;
     const leaves = leaving && upstream.saysLeaving();
     const rests = restMs !== undefined && upstream.rests(restMs);
-    if (leaves || rests) {
+    const limits = upstream.limits(limitPerS);
+    if (leaves || rests || limits) {
       log.note({
         configuration,
         event: 'upstream-told',
         leaving,
+        limitPerS,
         request: caller.id,
         restMs,
         sequence,
--- a/packages/puffinturn-edge/src/CallerDialect.ts
+++ b/packages/puffinturn-edge/src/CallerDialect.ts
@@ -29,6 +29,8 @@
   readonly retryAfter: string;
   /** Present where the upstream that answers is about to leave. */
   readonly leaving: string;
+  /** Requests a second that the upstream takes from all edges together. */
+  readonly limit: string;
   /** Further ones that only the edge may set towards upstreams. */
   readonly reserved: readonly string[];
 }
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -54,6 +54,7 @@
   private failures = 0;
   private saidLeaving = false;
   private restsUntil = -Infinity;
+  private limitPerS: number | undefined;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private replaced = false;
@@ -164,6 +165,13 @@
     return isNews;
   }
 
+  /** Notes the requests a second that it takes from all edges; true where that is news. */
+  limits(limitPerS: number | undefined): boolean {
+    const isNews = limitPerS !== this.limitPerS;
+    this.limitPerS = limitPerS;
+    return isNews;
+  }
+
   /**
    * Notes that it said in an answer that it leaves; false where that was known. No
    * heartbeat takes that back: one may be older, or come by control boxes that it
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -17,6 +17,7 @@
   key: 'x-key',
   lastEvent: 'last-event-id',
   leaving: 'x-leaving',
+  limit: 'x-limit',
   notRun: 'x-not-run',
   prefixSource: 'x-source',
   priority: 'x-priority',
--- a/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
@@ -19,6 +19,7 @@
     key: 'x-key',
     lastEvent: 'last-event-id',
     leaving: 'x-leaving',
+    limit: 'x-limit',
     notRun: 'x-not-run',
     prefixSource: 'x-copy-from',
     priority: 'x-priority',
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -46,6 +46,7 @@
     key: 'x-key',
     lastEvent: 'x-last-event',
     leaving: 'x-leaving',
+    limit: 'x-limit',
     notRun: 'x-not-run',
     prefixSource: 'x-prefix-source',
     priority: 'x-priority',
--- a/packages/shared/src/RetryAfter.ts
+++ b/packages/shared/src/RetryAfter.ts
@@ -5,10 +5,11 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** How long an HTTP answer asks whoever got it to wait, from `Retry-After`. */
-
-/** Whole seconds or fractions; upstreams here name no dates. */
-const SECONDS = /^\d+(?:\.\d+)?$/;
+/**
+ * How long an HTTP answer asks whoever got it to wait, from `Retry-After`. Upstreams
+ * here name seconds, and no dates.
+ */
+import {decimalOf} from './Decimal';
 
 /**
  * The longest time that is taken from an answer, ms. A figure beyond is taken for a
@@ -29,8 +30,8 @@
 
 /** The time in a header's value, ms; undefined where it names none. */
 export function retryAfterMs(value: string | undefined): number | undefined {
-  const text = value?.trim() ?? '';
-  return SECONDS.test(text)
-    ? Math.min(LONGEST_MS, Number(text) * 1_000)
-    : undefined;
+  const seconds = decimalOf(value);
+  return seconds === undefined
+    ? undefined
+    : Math.min(LONGEST_MS, seconds * 1_000);
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -13,6 +13,7 @@
   settleTasks,
   SystemClock,
 } from './Clock';
+export {decimalOf} from './Decimal';
 export {digestBytes, digestValue} from './Digest';
 export type {Failure} from './Failure';
 export {describeError} from './Failure';
