--- a/packages/puffinturn-cli/src/Explanation.ts
+++ b/packages/puffinturn-cli/src/Explanation.ts
@@ -26,6 +26,8 @@
   readonly event: string;
   readonly request?: string;
   readonly upstream?: string;
+  /** Upstreams that had no permit left for the request. */
+  readonly heldBackBy?: readonly string[];
   readonly team?: string;
 }
 
@@ -91,7 +93,12 @@
     return err({kind: 'no-such-request', message});
   }
   const end = Math.max(...own.map(({time}) => time));
-  const upstreams = new Set(own.flatMap(({upstream}) => upstream ?? []));
+  const upstreams = new Set(
+    own.flatMap(({heldBackBy = [], upstream}) => [
+      ...(upstream === undefined ? [] : [upstream]),
+      ...heldBackBy,
+    ]),
+  );
   const teams = new Set(own.flatMap(({team}) => team ?? []));
   const concerns = (line: LogLine): boolean =>
     (line.upstream !== undefined && upstreams.has(line.upstream)) ||
--- a/packages/puffinturn-cli/src/__tests__/unit/Explanation.test.ts
+++ b/packages/puffinturn-cli/src/__tests__/unit/Explanation.test.ts
@@ -69,6 +69,21 @@
   },
 ];
 
+/** A request that was refused, and what was known of limits. */
+const REFUSAL = [
+  {box: 'c1', event: 'upstream-limited', time: 1_000, upstream: 'i-1'},
+  {box: 'e1', event: 'upstream-limited', time: 1_001, upstream: 'i-1'},
+  {box: 'e1', event: 'upstream-limited', time: 1_001, upstream: 'i-2'},
+  {
+    box: 'e1',
+    cause: 'upstreams-limited',
+    event: 'request-ended',
+    heldBackBy: ['i-1'],
+    request: 'r',
+    time: 2_000,
+  },
+];
+
 async function inFolder(run: (folder: string) => Promise<void>) {
   const folder = await mkdtemp(join(tmpdir(), 'logs-'));
   try {
@@ -94,6 +109,11 @@
     });
   });
 
+  test('shows the limits that a refused request was held back by', () => {
+    const lines = explain(REFUSAL, 'r')._unsafeUnwrap();
+    expect(lines).toEqual([0, 1, 3].map((at) => REFUSAL[at]));
+  });
+
   test('says that no line names a request', async () => {
     await inFolder(async (folder) => {
       const lines = (await readLogs(folder))._unsafeUnwrap();
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -49,6 +49,8 @@
   readonly charged: number;
   /** The same for all copies of a request; named where it was looked up. */
   readonly fingerprint?: string | undefined;
+  /** Upstreams that had no permit left for it, the first few. */
+  readonly heldBackBy?: readonly string[] | undefined;
   /** What a refusal for want of tokens rested on. */
   readonly tokens?: TokenFacts | undefined;
 }
@@ -84,6 +86,29 @@
   readonly sequence: number;
 }
 
+/** What an upstream said of its limit to another box is known here now. */
+export interface UpstreamLimited {
+  readonly event: 'upstream-limited';
+  readonly upstream: string;
+  /** Requests a second that it takes from all boxes; none where it has no limit. */
+  readonly perSecond: number | undefined;
+  /** Grows with each change of the limit that any box has seen. */
+  readonly revision: number;
+  /** The box that told. */
+  readonly source: string;
+}
+
+/** Permits for requests to one upstream that this edge granted to all edges. */
+export interface PermitsCounted {
+  readonly event: 'permits-counted';
+  readonly upstream: string;
+  /** Requests a second that the upstream takes, as this edge knows it. */
+  readonly perSecond: number;
+  /** Since the last such line. */
+  readonly granted: number;
+  readonly refused: number;
+}
+
 /** A life of an upstream ended unplanned while requests of this edge were there. */
 export interface UpstreamCrashed {
   readonly event: 'upstream-crashed';
@@ -458,6 +483,7 @@
   | ExposureStopped
   | GrantsCounted
   | LeaderHeard
+  | PermitsCounted
   | ProcessChanged
   | QuarantineAdopted
   | RequestEnded
@@ -471,6 +497,7 @@
   | UpstreamChanged
   | UpstreamCrashed
   | UpstreamJudged
+  | UpstreamLimited
   | UpstreamRestarted
   | UpstreamTold
   | UpstreamsRefused;
--- a/packages/puffinturn-decisions/src/DecisionLog.ts
+++ b/packages/puffinturn-decisions/src/DecisionLog.ts
@@ -126,6 +126,7 @@
     event === 'answers-counted' ||
     event === 'backlog-changed' ||
     event === 'grants-counted' ||
+    event === 'permits-counted' ||
     event === 'step-aside-decided' ||
     event === 'tokens-counted'
   );
--- a/packages/puffinturn-edge/src/Attempt.ts
+++ b/packages/puffinturn-edge/src/Attempt.ts
@@ -14,14 +14,14 @@
 
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
-import type {ColdAdmission} from './ColdStarts';
-import {MISDIRECTED} from './EdgeConstants';
+import {FIRST_ERROR_STATUS, MISDIRECTED} from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {ExchangeOutcome} from './Exchange';
 import {Exchange} from './Exchange';
 import type {Exposures} from './Exposures';
 import type {HomeProbes} from './HomeProbes';
+import type {LimitReports} from './LimitReports';
 import type {Observation} from './Observation';
 import {PromptReading} from './PromptReading';
 import type {RegionCrossing} from './RegionCrossing';
@@ -29,16 +29,17 @@
 import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
+import type {UpstreamStatement} from './UpstreamStatement';
 import {statementOf} from './UpstreamStatement';
 
 /** What an attempt needs of the edge. */
 export interface AttemptParts {
   readonly clock: Clock;
-  readonly coldAdmission: ColdAdmission;
   readonly crossing: RegionCrossing;
   readonly dialect: CallerDialect;
   readonly exposures: Exposures;
   readonly homeProbes: HomeProbes;
+  readonly limitReports: Pick<LimitReports, 'changed'>;
   readonly log: DecisionLog;
   readonly metrics: EdgeMetrics;
 }
@@ -65,6 +66,8 @@
   readonly observation: Observation;
   private readonly exchange: Exchange;
   private readonly upstream: EdgeUpstream;
+  /** By the edge's steady clock, ms. */
+  private readonly sentAt: number;
 
   constructor(
     private readonly parts: AttemptParts,
@@ -72,6 +75,7 @@
   ) {
     const {placement, plan} = facts;
     this.upstream = placement.upstream;
+    this.sentAt = parts.clock.now();
     const {doubtful} = this.upstream;
     this.count(doubtful);
     const reading = new PromptReading(parts.clock, placement, plan.parts);
@@ -90,13 +94,10 @@
   }
 
   private count(doubtful: boolean): void {
-    const {coldAdmission, crossing, homeProbes, metrics} = this.parts;
+    const {crossing, homeProbes, metrics} = this.parts;
     const {body, plan} = this.facts;
     const {upstream} = this;
     upstream.inFlight += 1;
-    if (upstream.cold) {
-      coldAdmission.sent(upstream);
-    }
     if (crossing.isAway(upstream.record.hall)) {
       crossing.sent(plan, body.length);
       metrics.regionRequests.inc({service: plan.service.name});
@@ -167,7 +168,7 @@
     const {leaving, limitPerS, restMs} = statement;
     const leaves = leaving && upstream.saysLeaving();
     const rests = restMs !== undefined && upstream.rests(restMs);
-    const limits = upstream.limits(limitPerS);
+    const limits = this.hearLimit(statement, status);
     if (leaves || rests || limits) {
       log.note({
         configuration,
@@ -182,5 +183,23 @@
         upstream: upstream.id,
       });
     }
+    if (limits) {
+      this.parts.limitReports.changed(upstream);
+    }
+  }
+
+  /**
+   * Takes in how many requests the upstream takes; true where that is news. Only an
+   * answer that went well shows by naming no limit that there is none, and a figure that
+   * can't be read says nothing.
+   */
+  private hearLimit(
+    {isLimited, limitPerS}: UpstreamStatement,
+    status: number,
+  ): boolean {
+    const isUnsaid = isLimited
+      ? limitPerS === undefined
+      : status >= FIRST_ERROR_STATUS;
+    return !isUnsaid && this.upstream.limits.hear(limitPerS, this.sentAt);
   }
 }
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -31,6 +31,8 @@
   NO_EVACUATIONS,
   NO_ROLLOUTS,
 } from 'puffinturn-fleet';
+import type {ColdTolerance} from 'puffinturn-permits';
+import {Granters, PermitGranter, Permits} from 'puffinturn-permits';
 import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
@@ -40,8 +42,6 @@
 import type {BacklogWatch} from './BacklogWatch';
 import type {CallerDialect} from './CallerDialect';
 import {CallerRequest} from './CallerRequest';
-import type {ColdTolerance} from './ColdStarts';
-import {PacedColdStarts} from './ColdStarts';
 import {CrashingRequests} from './CrashingRequests';
 import {CrossingEpisodes} from './CrossingEpisodes';
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
@@ -54,15 +54,18 @@
 import type {ForwardingParts} from './Forwarding';
 import {Forwarding} from './Forwarding';
 import {HomeProbes} from './HomeProbes';
+import {LimitReports} from './LimitReports';
 import {Neighbours} from './Neighbours';
 import {RegionCrossing} from './RegionCrossing';
 import {RegionTraffic} from './RegionTraffic';
 import {Renewal} from './Renewal';
 import type {RetryBound} from './RetryBudgets';
 import {RetryBudgets} from './RetryBudgets';
+import {ReturnTimes} from './ReturnTimes';
 import {RouteTable} from './RouteTable';
 import {StepAside} from './StepAside';
 import {Totals} from './Totals';
+import {PermitAdmission} from './UpstreamAdmission';
 import {ExpectedTime, ShorterWait} from './UpstreamChoice';
 import {UpstreamPool} from './UpstreamPool';
 
@@ -122,6 +125,8 @@
   private readonly watch: FleetWatch;
   private readonly neighbours: Neighbours;
   private readonly stepAside: StepAside;
+  private readonly permits: Permits;
+  private readonly limitReports: LimitReports;
   private readonly forwarding: ForwardingParts;
   private readonly listeners: HttpListener[] = [];
   /** How long callers wait to be read; nothing is known before all listen. */
@@ -223,15 +228,20 @@
       watch: this.watch,
       woke: () => (this.startedAt = clock.now()),
     });
+    this.permits = this.makePermits();
+    const admission = new PermitAdmission(this.permits);
+    this.limitReports = new LimitReports({
+      admission,
+      box: self.box,
+      clock,
+      controls: () => this.controls(),
+      link,
+      pool: this.pool,
+    });
     this.forwarding = {
+      admission,
       allowances: this.allowances,
       clock,
-      coldAdmission: new PacedColdStarts({
-        box: self.box,
-        clock,
-        peers: () => this.peers,
-        tolerance: parts.coldTolerance,
-      }),
       crossing: new RegionCrossing({
         clock,
         edges: () => this.edgesOfRegion,
@@ -244,6 +254,7 @@
       crashing: this.crashing,
       homeProbes: new HomeProbes(clock),
       exposures: this.exposures,
+      limitReports: this.limitReports,
       log,
       metrics: this.metrics,
       newestRegions: (route, team) => this.table?.allowedRegions(route, team),
@@ -256,11 +267,42 @@
         parts.retryBound,
         () => this.peers.length + 1,
       ),
+      returnTimes: new ReturnTimes(clock, random, () => this.peers.length + 1),
       hall: self.hall,
       totals: this.totals,
     };
   }
 
+  private makePermits(): Permits {
+    const {clock, coldTolerance, link, log, regions, self} = this.parts;
+    const {box} = self;
+    const {pool} = this;
+    const granters = new Granters({
+      areTogether: (hall, other) => regions.areTogether(hall, other),
+      peers: () => this.peers,
+      self,
+    });
+    const granter = new PermitGranter({
+      box,
+      clock,
+      coldTolerance,
+      exchangeLimit: (id, limit) => {
+        pool.learnLimit(id, limit, 'edge');
+        return pool.limitOf(id);
+      },
+      granters,
+      onCount: (count) => log.note({...count, event: 'permits-counted'}),
+    });
+    return new Permits({
+      box,
+      clock,
+      granter,
+      granters,
+      learnLimit: (id, limit) => pool.learnLimit(id, limit, 'granter'),
+      link,
+    });
+  }
+
   /** Starts to listen and to follow the fleet. */
   static open(parts: EdgeParts): ResultAsync<Edge, HttpListenFailure> {
     const edge = new Edge(parts);
@@ -394,6 +436,8 @@
     await this.totals[Symbol.asyncDispose]();
     await this.episodes[Symbol.asyncDispose]();
     await this.crashing[Symbol.asyncDispose]();
+    await this.limitReports[Symbol.asyncDispose]();
+    this.permits[Symbol.dispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureExchange[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
@@ -539,6 +583,7 @@
       backlogAge,
       charged,
       inTouch,
+      limits,
       open,
       regionCalls,
       registry,
@@ -549,6 +594,7 @@
     }
     open.set(this.open);
     regionCalls.set(this.bytesToOtherRegions);
+    limits.set(this.pool.limitedUpstreams);
     backlogAge.set((this.backlog?.ageMs ?? 0) / 1_000);
     inTouch.set(this.watch.inTouch ? 1 : 0);
     for (const tokens of this.allowances.status()) {
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -58,6 +58,17 @@
     name: 'puffinturn_edge_first_byte_seconds',
     registers: [this.registry],
   });
+  readonly limits = new Gauge({
+    help: 'Upstreams that name a limit of requests a second, as known here',
+    name: 'puffinturn_edge_limited_upstreams',
+    registers: [this.registry],
+  });
+  readonly permits = new Counter({
+    help: 'Permits asked for at upstreams of a bounded rate, by service and outcome',
+    labelNames: ['service', 'outcome'],
+    name: 'puffinturn_edge_permits_total',
+    registers: [this.registry],
+  });
   readonly open = new Gauge({
     help: 'Requests being served',
     name: 'puffinturn_edge_open_requests',
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/EdgeUpstream.ts
@@ -13,6 +13,7 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
+import {LimitStatements} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 import {hashOf} from 'shared';
 
@@ -45,6 +46,8 @@
   readonly speed: ReadingSpeed;
   /** How long it takes to answer, other callers' load included. */
   readonly answerTime: AnswerTime;
+  /** What it says of how many requests a second it takes. */
+  readonly limits: LimitStatements;
   readonly host: string;
   readonly port: number;
   /** Part of the newest answers that were errors of the upstream's own. */
@@ -54,7 +57,6 @@
   private failures = 0;
   private saidLeaving = false;
   private restsUntil = -Infinity;
-  private limitPerS: number | undefined;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private replaced = false;
@@ -70,6 +72,7 @@
     this.hash = hashOf(record.id);
     this.answerTime = new AnswerTime(clock);
     this.speed = new ReadingSpeed(clock);
+    this.limits = new LimitStatements(clock);
     const at = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, at);
     this.port = Number(record.address.slice(at + 1));
@@ -165,13 +168,6 @@
     return isNews;
   }
 
-  /** Notes the requests a second that it takes from all edges; true where that is news. */
-  limits(limitPerS: number | undefined): boolean {
-    const isNews = limitPerS !== this.limitPerS;
-    this.limitPerS = limitPerS;
-    return isNews;
-  }
-
   /**
    * Notes that it said in an answer that it leaves; false where that was known. No
    * heartbeat takes that back: one may be older, or come by control boxes that it
@@ -189,18 +185,19 @@
   /** Takes over what the same life said in answers at its former address. */
   goesOnAs(former: EdgeUpstream | undefined): void {
     if (former !== undefined) {
-      this.restsOnAs(former);
+      this.isAskedAs(former);
       this.saidLeaving = former.saidLeaving;
     }
   }
 
   /**
-   * Takes over the rest that was asked for. Of a former life too: answers don't name
-   * the life, and one that is back may turn requests away before any heartbeat tells
-   * of it. Without it, 9 to 46 requests reached such engines in 2 s of rest.
+   * Takes over the rest that was asked for, and the limit that was named. Of a former
+   * life too: answers don't name the life, and one that is back may ask for either
+   * before any heartbeat tells of it.
    */
-  restsOnAs(former: EdgeUpstream): void {
+  isAskedAs(former: EdgeUpstream): void {
     this.restsUntil = former.restsUntil;
+    this.limits.goOnWith(former.limits);
   }
 
   /** Names this life among all lives of all upstreams, the same at every edge. */
--- a/packages/puffinturn-edge/src/Exposures.ts
+++ b/packages/puffinturn-edge/src/Exposures.ts
@@ -18,7 +18,7 @@
 } from 'puffinturn-fleet';
 import {NO_ROLLOUTS, ROLLOUT_STATE, UNNAMED_VERSION} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
-import {Condition, hashOf} from 'shared';
+import {Condition, hashOf, rendezvousWeight} from 'shared';
 
 import {AnswerExpectations} from './AnswerExpectations';
 import type {EdgeMetrics} from './EdgeMetrics';
@@ -26,7 +26,6 @@
 import {ExposureAccount} from './ExposureAccount';
 import type {Observation} from './Observation';
 import {SilentObservation, VersionObservation} from './Observation';
-import {rendezvousWeight} from './Rendezvous';
 import type {Plan} from './RequestPlan';
 import type {UpstreamPool} from './UpstreamPool';
 import type {VersionUse} from './VersionGate';
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/Forwarding.ts
@@ -47,7 +47,7 @@
 import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import type {RequestSize, SelectionParts} from './UpstreamSelection';
-import {lackOf, selectUpstream} from './UpstreamSelection';
+import {admissionFacts, lackOf, selectUpstream} from './UpstreamSelection';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts extends AttemptParts, SelectionParts {
@@ -64,6 +64,9 @@
 /** Time after a deadline at which the final answer is sent, ms. */
 const FINAL_GRACE_MS = 20;
 
+/** Upstreams that held a request back, as its last line names them at the most. */
+const LOGGED_HELD_BACK = 4;
+
 /** Least time left with which a request is sent to an upstream, ms. */
 const LEAST_LEFT_MS = 10;
 
@@ -75,6 +78,8 @@
   private relay: AnswerRelay | undefined;
   private upstream: EdgeUpstream | undefined;
   private readonly tried = new Set<EdgeUpstream>();
+  /** Upstreams that take no more requests for the moment. */
+  private readonly heldBack = new Set<EdgeUpstream>();
   private attempts = 0;
   private unsent = 0;
   private mayHaveRun = false;
@@ -225,6 +230,7 @@
     const {parts, tried} = this;
     const sending: RequestSize = {
       bodyBytes: this.body.length,
+      heldBack: this.heldBack,
       isLeastUrgent: this.table.isLeastUrgent(plan.route),
     };
     while (!this.final.ended && this.mayRun(plan)) {
@@ -238,6 +244,9 @@
         this.final.giveUp('no-time-left', this.mayHaveRun);
         return;
       }
+      if (!(await this.isAdmitted(plan, placement.upstream, sending))) {
+        continue;
+      }
       if (!this.mayArrive(plan)) {
         this.final.giveUp('retry-budget', this.mayHaveRun);
         return;
@@ -250,6 +259,34 @@
     }
   }
 
+  /**
+   * Whether an upstream takes one more request. Asked before each send, whatever the
+   * send is for: an upstream in need counts what arrives from all edges together, and
+   * each of these sees too little of it to hold back by itself.
+   */
+  private async isAdmitted(
+    plan: Plan,
+    upstream: EdgeUpstream,
+    sending: RequestSize,
+  ): Promise<boolean> {
+    const facts = admissionFacts(plan, sending);
+    const admitted = this.parts.admission.admit(upstream, facts);
+    if (admitted === true) {
+      return true;
+    }
+    const isGranted = await admitted;
+    // It may have said meanwhile that it leaves, or wants rest.
+    const takes = isGranted && upstream.serves && upstream.restLeftMs === 0;
+    if (!takes) {
+      this.heldBack.add(upstream);
+    }
+    this.parts.metrics.permits.inc({
+      outcome: isGranted ? 'granted' : 'refused',
+      service: plan.service.name,
+    });
+    return takes && !this.final.ended;
+  }
+
   /** Whether one more arrival at the service is within the shared budget. */
   private mayArrive({service}: Plan): boolean {
     const {retryBudgets} = this.parts;
@@ -488,6 +525,12 @@
     }
   }
 
+  /** The first few upstreams that had no permit; undefined where all had one. */
+  private get heldBackBy(): readonly string[] | undefined {
+    const held = [...this.heldBack].slice(0, LOGGED_HELD_BACK);
+    return held.length === 0 ? undefined : held.map(({id}) => id);
+  }
+
   private note(charged = 0, facts?: TokenFacts): void {
     const {attempts, caller, plan, relay, upstream, table} = this;
     const {cause} = this.final;
@@ -504,6 +547,7 @@
       event: 'request-ended',
       events: relay?.events ?? 0,
       fingerprint: this.knownFingerprint,
+      heldBackBy: this.heldBackBy,
       request: caller.id,
       route,
       upstream: upstream?.id,
--- a/packages/puffinturn-edge/src/TokenHolders.ts
+++ b/packages/puffinturn-edge/src/TokenHolders.ts
@@ -14,9 +14,7 @@
 import type {BoxRecord} from 'puffinturn-fleet';
 import {lifeOf, Regions} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
-import {hashOf} from 'shared';
-
-import {rendezvousWeight} from './Rendezvous';
+import {hashOf, rendezvousWeight} from 'shared';
 
 /** How long an edge that did not answer is passed over, ms. */
 const SUSPECT_MS = 1_500;
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/UpstreamChoice.ts
@@ -8,13 +8,12 @@
 /** Which upstream a request goes to. */
 import type {Service} from 'puffinturn-fleet';
 import type {Random} from 'shared';
-import {drawByWeight, hashOf} from 'shared';
+import {drawByWeight, hashOf, rendezvousWeight} from 'shared';
 
 import type {PromptPart} from './CallerDialect';
 import {BOUNDED_LOAD} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
 import {MOST_SPEED_AWAY, UNMEASURED_ANSWER_MS} from './RegionConstants';
-import {rendezvousWeight} from './Rendezvous';
 
 /** What a choice may look at. */
 export interface ChoiceFacts {
--- a/packages/puffinturn-edge/src/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/UpstreamPool.ts
@@ -14,6 +14,8 @@
   UPSTREAM_STATE,
   UpstreamTable,
 } from 'puffinturn-fleet';
+import type {UpstreamLimit} from 'puffinturn-permits';
+import {NO_LIMIT} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
 import {EdgeUpstream} from './EdgeUpstream';
@@ -65,6 +67,7 @@
       const merged = this.table.get(record.id);
       if (merged !== undefined) {
         this.take(merged);
+        this.learnLimit(record.id, merged.limit ?? NO_LIMIT, source);
       }
     }
   }
@@ -159,6 +162,34 @@
       .reduce((sum, {inFlight}) => sum + inFlight, 0);
   }
 
+  /** Notes what an upstream has said of its limit, for edges that take over from here. */
+  noteLimit({id, limits, record: {bornAt}}: EdgeUpstream): void {
+    this.table.hearLimit({bornAt, id}, limits.limit, this.clock.now());
+  }
+
+  /** What is known of an upstream's limit here. */
+  limitOf(id: string): UpstreamLimit {
+    return this.byId.get(id)?.limits.limit ?? NO_LIMIT;
+  }
+
+  /** How many upstreams name a limit. */
+  get limitedUpstreams(): number {
+    return this.all().filter(({limits}) => limits.limit.perSecond !== undefined)
+      .length;
+  }
+
+  /** Takes over what another box knows of an upstream's limit. */
+  learnLimit(id: string, found: UpstreamLimit, source: string): void {
+    const upstream = this.byId.get(id);
+    if (upstream?.limits.learn(found) !== true) {
+      return;
+    }
+    this.noteLimit(upstream);
+    const {perSecond, revision} = upstream.limits.limit;
+    const event = 'upstream-limited';
+    this.log.note({event, perSecond, revision, source, upstream: id});
+  }
+
   /** Ends all idle connections: they may have ended at the other end, unheard. */
   dropIdle(): void {
     for (const {connections} of this.byId.values()) {
@@ -208,7 +239,7 @@
     this.drop(record.id);
     this.endFormerLives(record);
     if (record.state !== UPSTREAM_STATE.gone) {
-      this.add(record).restsOnAs(former);
+      this.add(record).isAskedAs(former);
     }
   }
 
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/UpstreamSelection.ts
@@ -13,13 +13,15 @@
 import type {Regions, Route, Team} from 'puffinturn-fleet';
 import type {Random} from 'shared';
 
-import type {ColdAdmission} from './ColdStarts';
 import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from './EdgeConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {Exposures} from './Exposures';
 import type {HomeProbes} from './HomeProbes';
 import type {RegionCrossing} from './RegionCrossing';
 import type {Plan} from './RequestPlan';
+import type {ReturnTimes} from './ReturnTimes';
+import type {AdmissionFacts, UpstreamAdmission} from './UpstreamAdmission';
+import {rateOfUpstream} from './UpstreamAdmission';
 import type {Placement, RegionLink, UpstreamChoice} from './UpstreamChoice';
 import type {UpstreamPool} from './UpstreamPool';
 import {greyErrorRate} from './UpstreamPool';
@@ -31,7 +33,8 @@
   readonly pool: UpstreamPool;
   readonly engineChoice: UpstreamChoice;
   readonly plainChoice: UpstreamChoice;
-  readonly coldAdmission: ColdAdmission;
+  readonly admission: UpstreamAdmission;
+  readonly returnTimes: ReturnTimes;
   readonly exposures: Exposures;
   readonly regions: Regions;
   readonly crossing: RegionCrossing;
@@ -48,6 +51,8 @@
   readonly bodyBytes: number;
   /** Whether it is among the least urgent requests. */
   readonly isLeastUrgent: boolean;
+  /** Upstreams that had no permit left for it. */
+  readonly heldBack: ReadonlySet<EdgeUpstream>;
 }
 
 /** Why there is no upstream for a request, and when to come back. */
@@ -56,10 +61,14 @@
     | 'no-upstream'
     | 'no-upstream-in-region'
     | 'region-link-full'
+    | 'upstreams-limited'
     | 'upstreams-rest';
   readonly retryAfterS: number;
 }
 
+/** Wait told of an upstream that had no permit, where it names no longer one, ms. */
+const LEAST_HELD_MS = 50;
+
 /** Part of the requests that a grey upstream still gets. */
 const GREY_PROBES = 0.05;
 
@@ -95,8 +104,7 @@
   const reached = inReach(parts, allowed, sending);
   const untried = reached
     .filter((upstream) => !tried.has(upstream))
-    .filter(({restLeftMs}) => restLeftMs === 0)
-    .filter((upstream) => mayBear(parts, plan, upstream));
+    .filter((upstream) => waitMsOf(parts, plan, sending, upstream) === 0);
   const calm = untried.filter(({paused}) => !paused);
   const greyAbove = greyErrorRate(allowed);
   const trusted = calm.filter((upstream) => !mistrusts(parts, upstream));
@@ -137,10 +145,33 @@
   if (reached.length < allowed.length) {
     return {cause: 'region-link-full', retryAfterS};
   }
-  const restMs = Math.min(...allowed.map(({restLeftMs}) => restLeftMs));
-  return allowed.length > 0 && restMs > 0
-    ? {cause: 'upstreams-rest', retryAfterS: Math.ceil(restMs) / 1_000}
-    : {cause: 'no-upstream', retryAfterS: RETRY_AFTER_BUSY_S};
+  const waits = allowed.map((upstream) =>
+    waitMsOf(parts, plan, sending, upstream),
+  );
+  const waitMs = Math.min(...waits);
+  if (allowed.length === 0 || waitMs === 0) {
+    return {cause: 'no-upstream', retryAfterS: RETRY_AFTER_BUSY_S};
+  }
+  if (allowed.every(({restLeftMs}) => restLeftMs > 0)) {
+    return {cause: 'upstreams-rest', retryAfterS: Math.ceil(waitMs) / 1_000};
+  }
+  const facts = admissionFacts(plan, sending);
+  const rate = allowed
+    .filter(({restLeftMs}) => restLeftMs === 0)
+    .reduce((sum, upstream) => sum + rateOfUpstream(upstream, facts), 0);
+  const {name} = plan.service;
+  return {
+    cause: 'upstreams-limited',
+    retryAfterS: parts.returnTimes.nextS(name, waitMs, rate),
+  };
+}
+
+/** What the admission of a request depends on. */
+export function admissionFacts(
+  {service: {coldStart}}: Plan,
+  {isLeastUrgent}: RequestSize,
+): AdmissionFacts {
+  return {coldStart, isLeastUrgent};
 }
 
 /**
@@ -187,17 +218,17 @@
     : undefined;
 }
 
-/** Whether an upstream is warm, or cold and bears one more request. */
-function mayBear(
-  {coldAdmission}: SelectionParts,
-  {service: {coldStart}}: Plan,
+/** How long until an upstream may be tried for a request, ms; 0 where it may be now. */
+function waitMsOf(
+  {admission}: SelectionParts,
+  plan: Plan,
+  sending: RequestSize,
   upstream: EdgeUpstream,
-): boolean {
-  return (
-    coldStart === undefined ||
-    !upstream.cold ||
-    coldAdmission.allows(upstream, coldStart)
-  );
+): number {
+  const facts = admissionFacts(plan, sending);
+  const heldMs = sending.heldBack.has(upstream) ? LEAST_HELD_MS : 0;
+  const permitMs = admission.waitMs(upstream, facts);
+  return Math.max(upstream.restLeftMs, permitMs, heldMs);
 }
 
 /**
--- a/packages/puffinturn-edge/src/__tests__/unit/ColdStarts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ColdStarts.test.ts
@@ -12,21 +12,17 @@
  * meanwhile. A cold upstream may get 19 requests in any one second, from all
  * edges together.
  */
-import fc from 'fast-check';
 import {SilentDecisionLog} from 'puffinturn-decisions';
 import type {BoxRecord} from 'puffinturn-fleet';
-import {BOX_ROLE} from 'puffinturn-fleet';
+import {MemoryNetwork} from 'puffinturn-wire';
 import {drawByWeight, ManualClock, Random} from 'shared';
 
 import type {PromptPart} from '../../CallerDialect';
-import type {ColdAdmission} from '../../ColdStarts';
-import {
-  coldShares,
-  PacedColdStarts,
-  UnboundedColdStarts,
-} from '../../ColdStarts';
 import {EdgeUpstream} from '../../EdgeUpstream';
+import type {UpstreamAdmission} from '../../UpstreamAdmission';
 import {ExpectedTime} from '../../UpstreamChoice';
+import type {AdmissionOf} from '../utils/AdmittingEdge';
+import {byPace, byPermits, recordOf, unbounded} from '../utils/AdmittingEdge';
 import {upstreamOf} from '../utils/EdgeFixture';
 
 const EDGES = 87;
@@ -55,22 +51,13 @@
 interface SimulatedEdge {
   readonly box: string;
   readonly upstreams: readonly EdgeUpstream[];
-  readonly admission: ColdAdmission;
+  readonly admission: UpstreamAdmission;
   peers: readonly BoxRecord[];
   /** How many callers it has for each one of the others. */
   readonly weight: number;
 }
 
-type AdmissionOf = (
-  clock: ManualClock,
-  box: string,
-  peers: () => readonly BoxRecord[],
-) => ColdAdmission;
-
-const paced: AdmissionOf = (clock, box, peers) =>
-  new PacedColdStarts({box, clock, peers, tolerance: TOLERANCE});
-
-const unbounded: AdmissionOf = () => new UnboundedColdStarts();
+const FACTS = {coldStart: COLD, isLeastUrgent: false};
 
 function partsOf(prompt: number): PromptPart[] {
   return [
@@ -88,12 +75,14 @@
   private readonly choice = new ExpectedTime();
   private readonly hot: number;
   private readonly random: Random;
+  private readonly network: MemoryNetwork;
 
   constructor(
     seed: number,
     private readonly admissionOf: AdmissionOf,
   ) {
     this.random = new Random(seed);
+    this.network = new MemoryNetwork(this.clock, new Random(seed));
     this.edges = Array.from({length: EDGES}, (_, at) => this.edgeOf(`e${at}`));
     this.introduce(this.edges);
     this.hot = this.promptKeptCold();
@@ -122,7 +111,7 @@
     }
     for (let at = 0; at < COLD.durationMs - NEWS_WITHIN_MS; at += STEP_MS) {
       for (let n = this.arrivalsNow(); n > 0; n -= 1) {
-        this.arrive();
+        void this.arrive();
       }
       await this.clock.advance(STEP_MS);
     }
@@ -156,26 +145,37 @@
     return this.random.fraction() < mean ? 1 : 0;
   }
 
-  private arrive(): void {
+  private async arrive(): Promise<void> {
     const edge = this.pickEdge();
-    const allowed = edge.upstreams.filter(
-      (upstream) => !upstream.cold || edge.admission.allows(upstream, COLD),
-    );
     const isHot = this.random.fraction() < HOT_PART;
     const prompt = isHot ? this.hot : this.random.integer(0, PROMPTS);
     const parts = partsOf(prompt);
     const facts = {hall: edge.box, parts, service: SERVICE};
-    const upstream = this.choice.choose(allowed, facts);
-    if (upstream === undefined) {
-      this.refused += 1;
-      return;
+    const heldBack = new Set<EdgeUpstream>();
+    for (;;) {
+      const allowed = edge.upstreams.filter(
+        (each) =>
+          !heldBack.has(each) && edge.admission.waitMs(each, FACTS) === 0,
+      );
+      const upstream = this.choice.choose(allowed, facts);
+      if (upstream === undefined) {
+        this.refused += 1;
+        return;
+      }
+      if (await edge.admission.admit(upstream, FACTS)) {
+        this.send(upstream, parts);
+        return;
+      }
+      heldBack.add(upstream);
     }
+  }
+
+  private send(upstream: EdgeUpstream, parts: PromptPart[]): void {
     this.sent += 1;
     upstream.inFlight += 1;
     upstream.prefixes.sent(parts);
     void this.clock.sleep(OPEN_MS).then(() => (upstream.inFlight -= 1));
     if (upstream.cold) {
-      edge.admission.sent(upstream);
       const times = this.arrivals.get(upstream.id) ?? [];
       this.arrivals.set(upstream.id, [...times, this.clock.now()]);
     }
@@ -203,7 +203,14 @@
       const hall = `h${at % HALLS}`;
       return new EdgeUpstream(upstreamOf(`i-${at}`, {hall}), this.clock, log);
     });
-    const admission = this.admissionOf(this.clock, box, () => edge.peers);
+    const admission = this.admissionOf({
+      box,
+      clock: this.clock,
+      network: this.network,
+      peers: () => edge.peers,
+      tolerance: TOLERANCE,
+      upstreamOf: (id) => upstreams.find((upstream) => upstream.id === id),
+    });
     const weight = this.random.integer(1, 6);
     const edge: SimulatedEdge = {admission, box, peers: [], upstreams, weight};
     return edge;
@@ -218,24 +225,29 @@
   private peersOf(self: SimulatedEdge): BoxRecord[] {
     return this.edges
       .filter((edge) => edge !== self)
-      .map(({box}) => ({
-        box,
-        hall: 'h',
-        incarnation: '1',
-        role: BOX_ROLE.edge,
-      }));
+      .map(({box}) => recordOf(box));
   }
 }
 
 describe('A hall that comes back cold', () => {
-  test.each([1, 2, 3])('is not flooded (seed %i)', async (seed) => {
-    const hall = new ColdHall(seed, paced);
-    await hall.run();
-    expect(hall.busiestSecond).toBeLessThanOrEqual(MOST_A_SECOND);
-    expect(hall.refused).toBe(0);
-    // It warms up by use: most of its upstreams get something.
-    expect(hall.arrivals.size).toBeGreaterThan(UPSTREAMS / HALLS / 2);
-  });
+  test.each([
+    [1, 'permits', byPermits],
+    [2, 'permits', byPermits],
+    [3, 'permits', byPermits],
+    [1, 'pace', byPace],
+    [2, 'pace', byPace],
+    [3, 'pace', byPace],
+  ] as const)(
+    'is not flooded (seed %i, by %s)',
+    async (seed, _, admissionOf) => {
+      const hall = new ColdHall(seed, admissionOf);
+      await hall.run();
+      expect(hall.busiestSecond).toBeLessThanOrEqual(MOST_A_SECOND);
+      expect(hall.refused).toBe(0);
+      // It warms up by use: most of its upstreams get something.
+      expect(hall.arrivals.size).toBeGreaterThan(UPSTREAMS / HALLS / 2);
+    },
+  );
 
   test('would be without a bound', async () => {
     const hall = new ColdHall(1, unbounded);
@@ -243,64 +255,3 @@
     expect(hall.busiestSecond).toBeGreaterThan(MOST_A_SECOND);
   });
 });
-
-describe('The shares of a cold upstream', () => {
-  const bounds = fc.record({
-    edges: fc.integer({max: 400, min: 1}),
-    extra: fc.integer({max: 20, min: 0}),
-    overage: fc.double({max: 3, min: 1, noNaN: true}),
-    requestsPerSecond: fc.double({max: 300, min: 1.2, noNaN: true}),
-  });
-
-  test('add up to no more than may arrive in any one second', () => {
-    fc.assert(
-      fc.property(bounds, ({edges, extra, overage, requestsPerSecond}) => {
-        const coldStart = {durationMs: 3_000, requestsPerSecond};
-        const {gapMs, senders} = coldShares(coldStart, {extra, overage}, edges);
-        const perSender = Math.ceil(1_000 / gapMs);
-        expect(senders).toBeLessThanOrEqual(edges);
-        expect(senders * perSender).toBeLessThanOrEqual(
-          Math.max(1, requestsPerSecond * overage + extra),
-        );
-        expect((senders * 1_000) / gapMs).toBeLessThanOrEqual(
-          requestsPerSecond,
-        );
-      }),
-      {numRuns: 500, seed: 3},
-    );
-  });
-
-  test('follow a declaration that changes', async () => {
-    const clock = new ManualClock();
-    const peers = Array.from({length: 40}, (_, at) => ({
-      box: `e${at}`,
-      hall: 'h',
-      incarnation: '1',
-      role: BOX_ROLE.edge,
-    }));
-    const admission = paced(clock, 'self', () => peers);
-    const log = new SilentDecisionLog();
-    const narrow = {durationMs: 3_000, requestsPerSecond: 0.1};
-    const wide = {durationMs: 3_000, requestsPerSecond: 100};
-    await clock.advance(100_000);
-    const upstreams = Array.from({length: 20}, (_, at) => {
-      return new EdgeUpstream(upstreamOf(`i-${at}`), clock, log);
-    });
-    const allowed = (coldStart: typeof wide) =>
-      upstreams.filter((upstream) => admission.allows(upstream, coldStart));
-    expect(allowed(narrow).length).toBeLessThan(upstreams.length);
-    expect(allowed(wide).length).toBe(upstreams.length);
-  });
-
-  test('wait a gap after the start of an edge, as a former life may have sent', async () => {
-    const clock = new ManualClock();
-    const admission = paced(clock, 'e1', () => []);
-    const log = new SilentDecisionLog();
-    const upstream = new EdgeUpstream(upstreamOf('i-1'), clock, log);
-    expect(admission.allows(upstream, COLD)).toBe(false);
-    await clock.advance(1_000);
-    expect(admission.allows(upstream, COLD)).toBe(true);
-    admission.sent(upstream);
-    expect(admission.allows(upstream, COLD)).toBe(false);
-  });
-});
--- a/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
@@ -16,19 +16,19 @@
 } from 'puffinturn-fleet';
 import {ManualClock, Random} from 'shared';
 
-import type {ColdAdmission} from '../../ColdStarts';
-import {PacedColdStarts} from '../../ColdStarts';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {Exposures} from '../../Exposures';
 import {HomeProbes} from '../../HomeProbes';
 import {RegionCrossing} from '../../RegionCrossing';
 import type {Plan} from '../../RequestPlan';
+import {ReturnTimes} from '../../ReturnTimes';
 import {LeastInFlight} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
 import type {RequestSize} from '../../UpstreamSelection';
 import {selectUpstream} from '../../UpstreamSelection';
 import {upstreamOf} from '../utils/EdgeFixture';
+import {PacedAdmission} from '../utils/PacedAdmission';
 import {
   ServingFixture,
   servingRoute,
@@ -71,7 +71,11 @@
   tokens: undefined,
 };
 
-const SENDING: RequestSize = {bodyBytes: 0, isLeastUrgent: false};
+const SENDING: RequestSize = {
+  bodyBytes: 0,
+  heldBack: new Set(),
+  isLeastUrgent: false,
+};
 
 /** Time between two requests, ms. */
 const REQUEST_EVERY_MS = 5;
@@ -84,7 +88,7 @@
   const metrics = new EdgeMetrics();
   const exposures = new Exposures({clock, log, metrics, pool, random});
   const choice = new LeastInFlight(random);
-  const coldAdmission: ColdAdmission = new PacedColdStarts({
+  const admission = new PacedAdmission({
     box: 'e',
     clock,
     peers: () => [],
@@ -92,7 +96,7 @@
   });
   const regions = new Regions();
   const parts = {
-    coldAdmission,
+    admission,
     crossing: new RegionCrossing({
       clock,
       edges: () => 1,
@@ -109,6 +113,7 @@
     pool,
     random,
     regions,
+    returnTimes: new ReturnTimes(clock, random, () => 1),
   };
   pool.merge(records, 'c1');
   /** Where so many requests go, by upstream; undefined for none. */
@@ -124,9 +129,7 @@
       )?.upstream;
       if (upstream !== undefined) {
         exposures.sent(PLAN, upstream, 0);
-        if (upstream.cold) {
-          coldAdmission.sent(upstream);
-        }
+        admission.admit(upstream);
       }
       sent.set(upstream?.id, (sent.get(upstream?.id) ?? 0) + 1);
     }
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
@@ -239,7 +239,11 @@
     const began = clock.now();
     const stretch = this.stretchAt(began);
     const tally = isLeastUrgent ? stretch.least : stretch.urgent;
-    const sending = {bodyBytes: BODY_BYTES, isLeastUrgent};
+    const sending = {
+      bodyBytes: BODY_BYTES,
+      heldBack: new Set<EdgeUpstream>(),
+      isLeastUrgent,
+    };
     const tried: EdgeUpstream[] = [];
     while (tried.length < MOST_TRIES) {
       const placed = from.edge.place(plan, tried, sending);
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
@@ -137,8 +137,12 @@
 });
 
 describe('The link between regions', () => {
-  const LEAST = {bodyBytes: 20_000, isLeastUrgent: true};
-  const MORE = {bodyBytes: 20_000, isLeastUrgent: false};
+  const LEAST = {
+    bodyBytes: 20_000,
+    heldBack: new Set<EdgeUpstream>(),
+    isLeastUrgent: true,
+  };
+  const MORE = {...LEAST, isLeastUrgent: false};
 
   test('carries a bounded part of the requests, the urgent ones longest', () => {
     const edge = new RegionEdge();
@@ -250,8 +254,8 @@
       const counts = {away: 0, home: 0};
       for (let at = 0; at < ms; at += 20) {
         const upstream = edge.place(plan)?.upstream;
-        if (upstream?.cold === true) {
-          edge.coldAdmission.sent(upstream);
+        if (upstream !== undefined) {
+          edge.admission.admit(upstream);
         }
         counts[upstream === home ? 'home' : 'away'] += 1;
         await edge.clock.advance(20);
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
@@ -0,0 +1,76 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Edges on a network in memory that admit requests by permits, in virtual time. */
+import type {BoxRecord} from 'puffinturn-fleet';
+import {BOX_ROLE} from 'puffinturn-fleet';
+import type {ColdTolerance} from 'puffinturn-permits';
+import {Granters, NO_LIMIT, PermitGranter, Permits} from 'puffinturn-permits';
+import type {MemoryNetwork} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+
+import type {EdgeUpstream} from '../../EdgeUpstream';
+import type {UpstreamAdmission} from '../../UpstreamAdmission';
+import {PermitAdmission, UnboundedAdmission} from '../../UpstreamAdmission';
+import {PacedAdmission} from './PacedAdmission';
+
+/** What an admission of a test is made of. */
+export interface AdmittingEdge {
+  readonly box: string;
+  readonly clock: Clock;
+  readonly network: MemoryNetwork;
+  readonly peers: () => readonly BoxRecord[];
+  readonly tolerance: ColdTolerance;
+  /** The upstreams that this edge knows. */
+  readonly upstreamOf: (id: string) => EdgeUpstream | undefined;
+}
+
+/** Makes the admission of one edge; tests compare several. */
+export type AdmissionOf = (edge: AdmittingEdge) => UpstreamAdmission;
+
+/** The way that is built in. */
+export const byPermits: AdmissionOf = (edge) => {
+  const {box, clock, network, peers, tolerance, upstreamOf} = edge;
+  const granters = new Granters({
+    areTogether: () => true,
+    peers,
+    self: {box, hall: 'h'},
+  });
+  const granter = new PermitGranter({
+    box,
+    clock,
+    coldTolerance: tolerance,
+    exchangeLimit: (id, limit) => {
+      const limits = upstreamOf(id)?.limits;
+      limits?.learn(limit);
+      return limits?.limit ?? NO_LIMIT;
+    },
+    granters,
+    onCount: () => undefined,
+  });
+  const permits = new Permits({
+    box,
+    clock,
+    granter,
+    granters,
+    learnLimit: (id, limit) => void upstreamOf(id)?.limits.learn(limit),
+    link: network.connect(box),
+  });
+  return new PermitAdmission(permits);
+};
+
+/** Few senders by rendezvous, each at its own pace. */
+export const byPace: AdmissionOf = ({box, clock, peers, tolerance}) =>
+  new PacedAdmission({box, clock, peers, tolerance});
+
+/** No bound at all. */
+export const unbounded: AdmissionOf = () => new UnboundedAdmission();
+
+/** How the other edges know an edge. */
+export function recordOf(box: string): BoxRecord {
+  return {box, hall: 'h', incarnation: '1', role: BOX_ROLE.edge};
+}
--- a/packages/puffinturn-edge/src/__tests__/utils/OneRegion.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/OneRegion.ts
@@ -11,11 +11,10 @@
  */
 import type {Service} from 'puffinturn-fleet';
 import type {Random} from 'shared';
-import {drawByWeight, hashOf} from 'shared';
+import {drawByWeight, hashOf, rendezvousWeight} from 'shared';
 
 import type {PromptPart} from '../../CallerDialect';
 import type {EdgeUpstream} from '../../EdgeUpstream';
-import {rendezvousWeight} from '../../Rendezvous';
 import type {Placement} from '../../UpstreamChoice';
 
 /** Two are drawn by slots, the one that is expected to answer sooner is taken. */
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -12,7 +12,6 @@
 import {ManualClock, Random} from 'shared';
 
 import type {PromptPart} from '../../CallerDialect';
-import {PacedColdStarts} from '../../ColdStarts';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import type {EdgeUpstream} from '../../EdgeUpstream';
@@ -21,11 +20,13 @@
 import type {RegionCrossingParts} from '../../RegionCrossing';
 import {RegionCrossing} from '../../RegionCrossing';
 import type {Plan} from '../../RequestPlan';
+import {ReturnTimes} from '../../ReturnTimes';
 import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
 import type {Lack, RequestSize, SelectionParts} from '../../UpstreamSelection';
 import {lackOf, selectUpstream} from '../../UpstreamSelection';
 import {upstreamOf} from './EdgeFixture';
+import {PacedAdmission} from './PacedAdmission';
 
 /** Two halls in each of two regions. */
 export const TWO_REGIONS = {
@@ -68,7 +69,11 @@
   timeoutMs: 3_000,
 };
 
-const URGENT: RequestSize = {bodyBytes: 1_000, isLeastUrgent: false};
+const URGENT: RequestSize = {
+  bodyBytes: 1_000,
+  heldBack: new Set(),
+  isLeastUrgent: false,
+};
 
 /** Makes the crossing of an edge; a test may put another one in its place. */
 export type CrossingOf = (parts: RegionCrossingParts) => RegionCrossing;
@@ -92,7 +97,7 @@
   readonly log = new KeptDecisionLog();
   readonly crossing: RegionCrossing;
   readonly homeProbes: HomeProbes;
-  readonly coldAdmission: PacedColdStarts;
+  readonly admission: PacedAdmission;
   /** What the newest configuration allows. */
   newest: readonly string[] | undefined;
   private readonly parts: SelectionParts;
@@ -117,14 +122,14 @@
       regions,
     });
     this.homeProbes = new HomeProbes(clock);
-    this.coldAdmission = new PacedColdStarts({
+    this.admission = new PacedAdmission({
       box: 'b',
       clock,
       peers: () => [],
       tolerance: {extra: 0, overage: 1},
     });
     this.parts = {
-      coldAdmission: this.coldAdmission,
+      admission: this.admission,
       crossing: this.crossing,
       engineChoice: new ExpectedTime(),
       exposures: new Exposures({
@@ -141,6 +146,7 @@
       pool: this.pool,
       random,
       regions,
+      returnTimes: new ReturnTimes(clock, random, () => edges),
     };
   }
 
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -12,13 +12,14 @@
 import {KeptDecisionLog} from 'puffinturn-decisions';
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
 import {Regions, REPETITION} from 'puffinturn-fleet';
+import type {GrantingBox} from 'puffinturn-permits';
+import {Granters, PermitGranter, Permits} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
 import type {Allowances} from '../../Allowances';
 import {CallerDialect} from '../../CallerDialect';
 import {CallerRequest} from '../../CallerRequest';
-import {UnboundedColdStarts} from '../../ColdStarts';
 import {CrashingRequests} from '../../CrashingRequests';
 import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
@@ -26,11 +27,15 @@
 import type {ForwardingParts} from '../../Forwarding';
 import {Forwarding} from '../../Forwarding';
 import {HomeProbes} from '../../HomeProbes';
+import {LimitReports} from '../../LimitReports';
 import {RegionCrossing} from '../../RegionCrossing';
 import {RegionTraffic} from '../../RegionTraffic';
 import {RetryBudgets} from '../../RetryBudgets';
+import {ReturnTimes} from '../../ReturnTimes';
 import {RouteTable} from '../../RouteTable';
 import {Totals} from '../../Totals';
+import type {UpstreamAdmission} from '../../UpstreamAdmission';
+import {PermitAdmission} from '../../UpstreamAdmission';
 import {LeastInFlight} from '../../UpstreamChoice';
 import {UpstreamPool} from '../../UpstreamPool';
 import {configurationOf, upstreamOf} from './EdgeFixture';
@@ -38,6 +43,10 @@
 
 const HOST = '127.0.0.1';
 
+/** The edge, and the other ones. */
+const SELF: GrantingBox = {box: 'e1', hall: 'a'};
+const NO_PEERS: readonly GrantingBox[] = [];
+
 /** Names of headers, and no tokens. */
 export class TestDialect extends CallerDialect {
   override readonly headers = {
@@ -153,6 +162,7 @@
   readonly exposures: Exposures;
   /** Requests that must not be run; no control box is there to tell. */
   readonly crashing: CrashingRequests;
+  private readonly limitReports: LimitReports;
   private readonly totals: Totals;
   private readonly agent = new Agent();
   private readonly server: Server;
@@ -173,7 +183,7 @@
       random,
     });
     this.crashing = new CrashingRequests({
-      box: 'e1',
+      box: SELF.box,
       clock,
       controls: () => [],
       link: new SilentLink(),
@@ -181,6 +191,15 @@
       metrics,
     });
     this.totals = new Totals(clock, log, () => []);
+    const admission = this.makeAdmission();
+    this.limitReports = new LimitReports({
+      admission,
+      box: SELF.box,
+      clock,
+      controls: () => [],
+      link: new SilentLink(),
+      pool: this.pool,
+    });
     const services = [{engine: undefined, maxConnections: 10, name: 's'}];
     const limits = {
       headerTimeoutMs: 3_000,
@@ -194,7 +213,7 @@
     const parts: ForwardingParts = {
       allowances: {} as Allowances,
       clock: this.clock,
-      coldAdmission: new UnboundedColdStarts(),
+      admission,
       crossing: new RegionCrossing({
         clock: this.clock,
         edges: () => 1,
@@ -208,6 +227,7 @@
       exposures: this.exposures,
       hall: 'a',
       homeProbes: new HomeProbes(this.clock),
+      limitReports: this.limitReports,
       log: this.log,
       metrics: this.metrics,
       newestRegions: () => undefined,
@@ -217,6 +237,7 @@
       regionTraffic: new RegionTraffic(this.metrics),
       regions: new Regions(),
       retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
+      returnTimes: new ReturnTimes(clock, random, () => 1),
       totals: this.totals,
       ...more(this),
     };
@@ -228,6 +249,34 @@
     });
   }
 
+  /** Permits of the only edge that there is. */
+  private makeAdmission(): UpstreamAdmission {
+    const {clock, pool} = this;
+    const {box} = SELF;
+    const granters = new Granters({
+      areTogether: () => true,
+      peers: () => NO_PEERS,
+      self: SELF,
+    });
+    const granter = new PermitGranter({
+      box,
+      clock,
+      coldTolerance: {extra: 0, overage: 1},
+      exchangeLimit: (id) => pool.limitOf(id),
+      granters,
+      onCount: () => undefined,
+    });
+    const permits = new Permits({
+      box,
+      clock,
+      granter,
+      granters,
+      learnLimit: () => undefined,
+      link: new SilentLink(),
+    });
+    return new PermitAdmission(permits);
+  }
+
   static async start(
     routes: readonly Route[],
     more: (fixture: ServingFixture) => Partial<ForwardingParts> = () => ({}),
@@ -286,6 +335,7 @@
     this.agent.destroy();
     this.pool[Symbol.dispose]();
     await this.crashing[Symbol.asyncDispose]();
+    await this.limitReports[Symbol.asyncDispose]();
     await this.totals[Symbol.asyncDispose]();
     await closed;
   }
--- a/packages/puffinturn-edge/src/index.ts
+++ b/packages/puffinturn-edge/src/index.ts
@@ -10,7 +10,6 @@
 export {Allowances, RESERVE} from './Allowances';
 export type {HeaderNames, PromptPart, TokenBounds} from './CallerDialect';
 export {CallerDialect} from './CallerDialect';
-export type {ColdTolerance} from './ColdStarts';
 export type {EdgeParts} from './Edge';
 export {Edge} from './Edge';
 export type {HttpAddress, HttpListenFailure} from './EdgeHttp';
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -35,6 +35,7 @@
   ChangeRequest,
   EvacuateReply,
   EvacuateRequest,
+  LimitsRequest,
   ReadReply,
   WatchReply,
   WatchRequest,
@@ -178,6 +179,12 @@
       ),
     );
     this.handlers.add(link.register(FLEET_SERVICE.read, () => this.readHere()));
+    this.handlers.add(
+      link.register(FLEET_SERVICE.reportLimits, async (body) => {
+        this.hearLimits(body as LimitsRequest);
+        return null;
+      }),
+    );
     this.others = new FleetWatch({
       ...parts,
       askedAtOnce: Infinity,
@@ -244,6 +251,19 @@
     }
   }
 
+  /** Takes in what upstreams said of their limits to an edge. */
+  private hearLimits({box: source, reports}: LimitsRequest): void {
+    const {changed, clock, log} = this.parts;
+    for (const {bornAt, id, limit} of reports) {
+      if (this.upstreams.hearLimit({bornAt, id}, limit, clock.now())) {
+        const {perSecond, revision} = limit;
+        const event = 'upstream-limited';
+        log.note({event, perSecond, revision, source, upstream: id});
+        changed.notify();
+      }
+    }
+  }
+
   /** Takes note that a life of an upstream is over, the known one if none is named. */
   removeUpstream(id: string, bornAt?: number): void {
     const {changed, clock} = this.parts;
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -6,6 +6,7 @@
  */
 
 /** Messages between control boxes and edges. */
+import type {UpstreamLimit} from 'puffinturn-permits';
 import type {CrashReport, Quarantine} from 'puffinturn-quarantine';
 
 import type {AllowanceAsk, AllowanceGrant} from './AllowanceLedger';
@@ -30,6 +31,7 @@
   read: 'fleet-read',
   readRollout: 'fleet-read-rollout',
   reportCrashes: 'fleet-report-crashes',
+  reportLimits: 'fleet-report-limits',
   stepAside: 'fleet-step-aside',
   watch: 'fleet-watch',
 } as const;
@@ -244,6 +246,19 @@
   readonly taken: boolean;
 }
 
+/** What one life of an upstream said of its limit in answers to an edge. */
+export interface LimitReport {
+  readonly id: string;
+  readonly bornAt?: number | undefined;
+  readonly limit: UpstreamLimit;
+}
+
+/** Tells any control box what upstreams said of their limits; the answer is empty. */
+export interface LimitsRequest {
+  readonly box: string;
+  readonly reports: readonly LimitReport[];
+}
+
 /** Asks the leader to put a checked configuration in force. */
 export interface ChangeRequest {
   readonly version: number;
--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -10,8 +10,10 @@
  * heartbeats and passes on what changed. An upstream may start again under its
  * id: records of a later life replace those of a former one, whatever these say.
  * Records of one life are ordered by their sequence, and a life that is gone
- * never comes back.
+ * never comes back. What a life said of its limit in answers has an order of its own.
  */
+import type {UpstreamLimit} from 'puffinturn-permits';
+import {laterLimit, NO_LIMIT, rateOf} from 'puffinturn-permits';
 
 /** What an upstream said of itself last. */
 export const UPSTREAM_STATE = {
@@ -41,6 +43,8 @@
   readonly coldMs: number;
   /** Grows with every call of one life of the upstream. */
   readonly sequence: number;
+  /** What it said in answers of how many requests it takes; missing where it didn't. */
+  readonly limit?: UpstreamLimit | undefined;
 }
 
 /** The part of a record that tells lives of one id apart. */
@@ -138,6 +142,9 @@
       this.keep(record, now);
       return true;
     }
+    if (life === 0) {
+      this.takeLimit(known, record.limit ?? NO_LIMIT, now);
+    }
     const gone = held.state === UPSTREAM_STATE.gone;
     const goes = record.state === UPSTREAM_STATE.gone;
     const isLate = record.sequence <= held.sequence && !goes;
@@ -146,7 +153,8 @@
       return false;
     }
     known.heardAt = now;
-    known.record = record;
+    const {limit} = known.record;
+    known.record = limit === undefined ? record : {...record, limit};
     const coldUntil = coldUntilOf(record, now);
     const changed =
       differs(record, held) || coldUntil > known.coldUntil + COLD_NEWS_MS;
@@ -157,6 +165,20 @@
     return changed;
   }
 
+  /** Takes in what a life said of its limit; true when it changed what others must know. */
+  hearLimit(
+    {bornAt, id}: UpstreamLife & Pick<UpstreamRecord, 'id'>,
+    limit: UpstreamLimit,
+    now: number,
+  ): boolean {
+    const known = this.slots.get(id);
+    return (
+      known !== undefined &&
+      compareLives({bornAt}, known.record) === 0 &&
+      this.takeLimit(known, limit, now)
+    );
+  }
+
   /**
    * Marks a life as gone, the one known here where none is named; an unknown id
    * is remembered as such.
@@ -197,6 +219,18 @@
     }
   }
 
+  private takeLimit(slot: Slot, found: UpstreamLimit, now: number): boolean {
+    const {limit: held = NO_LIMIT} = slot.record;
+    const limit = laterLimit(held, found);
+    const isNews =
+      limit.revision > held.revision || rateOf(limit) < rateOf(held);
+    if (isNews) {
+      slot.record = {...slot.record, limit};
+      this.tell(slot, now);
+    }
+    return isNews;
+  }
+
   private tell(slot: Slot, now: number): void {
     this.current += 1;
     slot.revision = this.current;
--- a/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Upstreams.test.ts
@@ -30,6 +30,40 @@
     expect(table.get('i-1')?.state).toBe(UPSTREAM_STATE.draining);
   });
 
+  test('keeps what a life said of its limit, whatever its heartbeats say', () => {
+    const table = new UpstreamTable();
+    table.merge(upstreamOf(), 0);
+    const {revision} = table;
+    const limit = {perSecond: 1.2, revision: 2};
+    expect(table.hearLimit({id: 'i-1'}, limit, 1)).toBe(true);
+    expect(table.hearLimit({id: 'i-1'}, limit, 2)).toBe(false);
+    const earlier = {perSecond: 0.5, revision: 1};
+    expect(table.hearLimit({id: 'i-1'}, earlier, 3)).toBe(false);
+    table.merge(upstreamOf({sequence: 2}), 4);
+    expect(table.changedSince(revision)).toEqual([
+      upstreamOf({limit, sequence: 2}),
+    ]);
+  });
+
+  test('learns limits from other boxes, in late words of the same life too', () => {
+    const table = new UpstreamTable();
+    table.merge(upstreamOf({sequence: 5}), 0);
+    const limit = {perSecond: 1.2, revision: 1};
+    table.merge(upstreamOf({limit, sequence: 4}), 1);
+    expect(table.get('i-1')).toEqual(upstreamOf({limit, sequence: 5}));
+  });
+
+  test('keeps no limit of another life', () => {
+    const table = new UpstreamTable();
+    table.merge(upstreamOf({bornAt: 1}), 0);
+    const limit = {perSecond: 1.2, revision: 1};
+    expect(table.hearLimit({bornAt: 2, id: 'i-1'}, limit, 1)).toBe(false);
+    expect(table.hearLimit({bornAt: 1, id: 'i-1'}, limit, 1)).toBe(true);
+    table.merge(upstreamOf({bornAt: 2}), 2);
+    table.merge(upstreamOf({bornAt: 1, limit, sequence: 9}), 3);
+    expect(table.get('i-1')).toEqual(upstreamOf({bornAt: 2}));
+  });
+
   test('remembers an upstream that left before it was known', () => {
     const table = new UpstreamTable();
     expect(table.remove('i-1', 0)).toBe(true);
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -58,6 +58,8 @@
   GiveRequest,
   GreetReply,
   HandOver,
+  LimitReport,
+  LimitsRequest,
   LoanOutcome,
   ReadReply,
   StepAsideReply,
--- /dev/null
+++ b/packages/puffinturn-permits/src/LimitStatements.ts
@@ -0,0 +1,69 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** What one life of an upstream says of its limit, as one box knows it. */
+import type {Clock} from 'shared';
+
+import type {UpstreamLimit} from './UpstreamLimit';
+import {laterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
+
+/** See the module comment. */
+export class LimitStatements {
+  private held = NO_LIMIT;
+  /** When the limit that holds was heard of last, by the box's steady clock, ms. */
+  private heardAt = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The limit that holds. */
+  get limit(): UpstreamLimit {
+    return this.held;
+  }
+
+  /**
+   * Takes what an answer says: a figure, or none; true where that changes the limit. A
+   * lower limit counts at once. A higher one, or none, counts only where the request was
+   * sent after the limit that holds was heard of last: else the answer may be the older
+   * word, come late.
+   */
+  hear(perSecond: number | undefined, sentAt: number): boolean {
+    const former = rateOf(this.held);
+    const found = perSecond ?? Infinity;
+    if (found > former && sentAt <= this.heardAt) {
+      return false;
+    }
+    if (found < Infinity) {
+      this.heardAt = this.clock.now();
+    }
+    if (found === former) {
+      return false;
+    }
+    this.held = {perSecond, revision: this.held.revision + 1};
+    return true;
+  }
+
+  /** Takes what another box knows; true where that changes what is known here. */
+  learn(found: UpstreamLimit): boolean {
+    const later = laterLimit(this.held, found);
+    if (later === this.held || isSame(later, this.held)) {
+      return false;
+    }
+    this.held = later;
+    this.heardAt = this.clock.now();
+    return true;
+  }
+
+  /** Takes a limit of a former life over, which any word of this one replaces. */
+  goOnWith({limit}: LimitStatements): void {
+    this.held = {...limit, revision: 0};
+    this.heardAt = this.clock.now();
+  }
+}
+
+function isSame(a: UpstreamLimit, b: UpstreamLimit): boolean {
+  return a.revision === b.revision && rateOf(a) === rateOf(b);
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -20,6 +20,7 @@
 export {hashOf} from './Hash';
 export {invariant, InvariantError} from './Invariant';
 export {drawByWeight, Random} from './Random';
+export {rendezvousWeight} from './Rendezvous';
 export {restMsOf} from './RetryAfter';
 export {SuspensionWatch} from './SuspensionWatch';
 export {
