Keep to the limits of upstreams on the gateway's path too

Callers of the product's own path would have seen the same: its boxes read leaving and rest of an answer, and no limit. They go by the same permits now, the box that grants them found among all boxes of the upstream's region; an upstream without a permit is left out of choice until one may be had, as one that rests. What an answer says of a limit is read in one place for edges and gateways.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -14,7 +14,12 @@
 import {okAsync} from 'neverthrow';
 import {linkOfReplicas} from 'puffinturn-fleet';
 import type {GatewayMetrics, UpstreamClient} from 'puffinturn-gateway';
-import {CrashingRequests, Gateway, Pools} from 'puffinturn-gateway';
+import {
+  CrashingRequests,
+  Gateway,
+  Pools,
+  UpstreamPermits,
+} from 'puffinturn-gateway';
 import type {LedgerBreakage, SplitSide} from 'puffinturn-ledger';
 import {ControlClient, ControlService, Ledger} from 'puffinturn-ledger';
 import type {
@@ -89,6 +94,7 @@
   readonly member: BoxMember;
   readonly pools: Pools;
   private readonly crashing: CrashingRequests;
+  private readonly permits: UpstreamPermits;
   readonly gateway: Gateway;
   private readonly tasks = new TaskGroup();
   private readonly registrations = new DisposableList();
@@ -104,6 +110,8 @@
     const {clock, link, place, random} = parts;
     this.timeline = timeline;
     const region = place.boxes.filter((box) => box.region === self.region);
+    const regionOf = (hall: string) =>
+      place.boxes.find((box) => box.hall === hall)?.region ?? self.region;
     const controlBoxes = namesOf(region.filter((box) => box.control));
     this.client = new ControlClient({
       box: self.name,
@@ -138,6 +146,17 @@
       },
       timeline,
     });
+    this.permits = new UpstreamPermits({
+      areTogether: (hall, other) => regionOf(hall) === regionOf(other),
+      clock,
+      link,
+      peers: place.boxes
+        .filter(({name}) => name !== self.name)
+        .map(({hall, name}) => ({box: name, hall})),
+      pools: this.pools,
+      self: {box: self.name, hall: self.hall},
+    });
+    this.registrations.add(this.permits);
     this.gateway = new Gateway({
       box: self.name,
       boxesOf: (name) =>
@@ -152,6 +171,7 @@
       member: this.member,
       metrics: parts.metrics,
       newKey: parts.newName,
+      permits: this.permits,
       pools: this.pools,
       random,
       region: self.region,
--- a/packages/puffinturn-edge/src/Attempt.ts
+++ b/packages/puffinturn-edge/src/Attempt.ts
@@ -14,7 +14,7 @@
 
 import type {CallerDialect} from './CallerDialect';
 import type {CallerRequest} from './CallerRequest';
-import {FIRST_ERROR_STATUS, MISDIRECTED} from './EdgeConstants';
+import {MISDIRECTED} from './EdgeConstants';
 import type {EdgeMetrics} from './EdgeMetrics';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {ExchangeOutcome} from './Exchange';
@@ -29,7 +29,6 @@
 import type {UpstreamAnswer} from './UpstreamAnswer';
 import type {Placement} from './UpstreamChoice';
 import {headersFor} from './UpstreamHeaders';
-import type {UpstreamStatement} from './UpstreamStatement';
 import {statementOf} from './UpstreamStatement';
 
 /** What an attempt needs of the edge. */
@@ -164,17 +163,17 @@
     const {caller, configuration} = this.facts;
     const {upstream} = this;
     const {sequence, state} = upstream.record;
-    const statement = statementOf(answer, dialect.headers);
-    const {leaving, limitPerS, restMs} = statement;
+    const {leaving, limit, restMs} = statementOf(answer, dialect.headers);
     const leaves = leaving && upstream.saysLeaving();
     const rests = restMs !== undefined && upstream.rests(restMs);
-    const limits = this.hearLimit(statement, status);
+    const {sentAt} = this;
+    const limits = upstream.limits.hearAnswer({named: limit, sentAt, status});
     if (leaves || rests || limits) {
       log.note({
         configuration,
         event: 'upstream-told',
         leaving,
-        limitPerS,
+        limitPerS: upstream.limits.limit.perSecond,
         request: caller.id,
         restMs,
         sequence,
@@ -187,19 +186,4 @@
       this.parts.limitReports.changed(upstream);
     }
   }
-
-  /**
-   * Takes in how many requests the upstream takes; true where that is news. Only an
-   * answer that went well shows by naming no limit that there is none, and a figure that
-   * can't be read says nothing.
-   */
-  private hearLimit(
-    {isLimited, limitPerS}: UpstreamStatement,
-    status: number,
-  ): boolean {
-    const isUnsaid = isLimited
-      ? limitPerS === undefined
-      : status >= FIRST_ERROR_STATUS;
-    return !isUnsaid && this.upstream.limits.hear(limitPerS, this.sentAt);
-  }
 }
--- a/packages/puffinturn-edge/src/UpstreamStatement.ts
+++ b/packages/puffinturn-edge/src/UpstreamStatement.ts
@@ -6,7 +6,7 @@
  */
 
 /** What an upstream says of itself in the head of an answer. */
-import {decimalOf, restMsOf} from 'shared';
+import {restMsOf} from 'shared';
 
 import type {HeaderNames} from './CallerDialect';
 import type {UpstreamAnswer} from './UpstreamAnswer';
@@ -17,13 +17,8 @@
   readonly leaving: boolean;
   /** How long it wants no requests from this edge, ms; undefined where unsaid. */
   readonly restMs: number | undefined;
-  /** Whether it limits how many requests a second it takes. */
-  readonly isLimited: boolean;
-  /**
-   * How many it takes from all edges together; undefined where it isn't limited, or
-   * names no number.
-   */
-  readonly limitPerS: number | undefined;
+  /** How many requests a second it takes from all edges, as it is named. */
+  readonly limit: string | undefined;
 }
 
 /** Reads the head of an answer. */
@@ -34,7 +29,6 @@
   return {
     leaving: headers[names.leaving] !== undefined,
     restMs: restMsOf(statusCode, headers[names.retryAfter]),
-    isLimited: headers[names.limit] !== undefined,
-    limitPerS: decimalOf(headers[names.limit]),
+    limit: headers[names.limit],
   };
 }
--- a/packages/puffinturn-fuzz/src/Oracle.ts
+++ b/packages/puffinturn-fuzz/src/Oracle.ts
@@ -67,7 +67,17 @@
     for (const [name, tries] of this.byName()) {
       breaches.push(...this.checkName(name, tries));
     }
-    return [...breaches, ...this.checkDrains(), ...this.checkRests()];
+    return [
+      ...breaches,
+      ...this.checkDrains(),
+      ...this.checkLimits(),
+      ...this.checkRests(),
+    ];
+  }
+
+  private checkLimits(): Breach[] {
+    const promise = 'an upstream gets no more than it says that it takes';
+    return this.world.overrun.map((detail) => ({detail, promise}));
   }
 
   private checkRests(): Breach[] {
--- a/packages/puffinturn-fuzz/src/UpstreamWorld.ts
+++ b/packages/puffinturn-fuzz/src/UpstreamWorld.ts
@@ -32,6 +32,8 @@
   hang: 'hang',
   /** Says that it is leaving and executes nothing. */
   leaving: 'leaving',
+  /** Executes, and names how many requests a second it takes from all boxes. */
+  limited: 'limited',
   ok: 'ok',
   /** Takes no connections. */
   refuse: 'refuse',
@@ -59,6 +61,19 @@
 /** That rest by the clock of a box that runs as fast as any here, ms. */
 const SHORTEST_REST_MS = (REST_S * 1_000) / FASTEST_CLOCK;
 
+/** What a limited upstream names, requests a second. */
+export const LIMIT_PER_S = 1;
+
+/** The span in which its requests are counted, ms, and the most that it may get. */
+const LIMIT_SPAN_MS = 4_000;
+const MOST_IN_SPAN = (1.5 * LIMIT_PER_S * LIMIT_SPAN_MS) / 1_000 + 5;
+
+/** Boxes have this time from the first answer that names a limit, ms. */
+const LIMIT_FIRST_MS = 3_000;
+
+/** Requests count from boxes that had got such an answer for so long, ms. */
+const LIMIT_HEARD_MS = 500;
+
 /** Requests that were on their way when an upstream asked for rest, ms. */
 const CROSSING_MS = 500;
 const SLOW_MS = 2_500;
@@ -71,6 +86,12 @@
 export class UpstreamWorld {
   /** Addresses that got a request of a box that they had asked for rest. */
   readonly disturbed: string[] = [];
+  /** Addresses that got more requests than they had said that they take. */
+  readonly overrun: string[] = [];
+  /** When limited upstreams named their limit first, by address. */
+  private readonly limitedSince = new Map<string, number>();
+  /** When they got requests that count. */
+  private readonly limitedArrivals = new Map<string, number[]>();
   /** Every execution, in order. */
   readonly executions: Execution[] = [];
   private readonly modes = new Map<string, Mode>();
@@ -81,6 +102,31 @@
   /** Changes how an upstream behaves. */
   setMode(url: string, mode: Mode): void {
     this.modes.set(url, mode);
+    if (mode !== MODE.limited) {
+      this.limitedSince.delete(url);
+      this.limitedArrivals.delete(url);
+    }
+  }
+
+  /** Notes a request to a limited upstream, of a box that heard its limit then. */
+  arrivedAtLimited(url: string, heardAt: number | undefined): void {
+    const now = this.clock.now();
+    const since = this.limitedSince.get(url) ?? now;
+    this.limitedSince.set(url, since);
+    const counts =
+      heardAt !== undefined &&
+      heardAt >= since &&
+      now >= heardAt + LIMIT_HEARD_MS &&
+      now >= since + LIMIT_FIRST_MS;
+    if (!counts) {
+      return;
+    }
+    const before = this.limitedArrivals.get(url) ?? [];
+    const inSpan = [...before.filter((at) => at > now - LIMIT_SPAN_MS), now];
+    this.limitedArrivals.set(url, inSpan);
+    if (inSpan.length > MOST_IN_SPAN) {
+      this.overrun.push(`${url} got ${inSpan.length} at ${now} ms`);
+    }
   }
 
   /** How an upstream behaves. */
@@ -112,6 +158,8 @@
   private readonly ended = new AbortController();
   /** When upstreams asked this life of the box for rest last. */
   private readonly askedForRestAt = new Map<string, number>();
+  /** When upstreams named a limit to this life of the box first. */
+  private readonly heardLimitAt = new Map<string, number>();
 
   constructor(
     private readonly world: UpstreamWorld,
@@ -177,6 +225,10 @@
     if (mode === MODE.resting) {
       return ok<UpstreamAnswer, UpstreamFailure>(this.turnAway(request.url));
     }
+    if (mode === MODE.limited) {
+      const heardAt = this.heardLimitAt.get(request.url);
+      this.world.arrivedAtLimited(request.url, heardAt);
+    }
     const body = JSON.parse(String(Buffer.from(request.body ?? '{}')));
     this.execute(request.url, nameIn(body));
     await clock.sleep(mode === MODE.slow ? SLOW_MS : LATENCY_MS / 2);
@@ -192,11 +244,24 @@
     }
     return ok<UpstreamAnswer, UpstreamFailure>({
       body: this.answerBody(body, mode),
-      headers: {'content-type': 'application/json'},
+      headers: {
+        'content-type': 'application/json',
+        ...this.limitHeaders(request.url, mode),
+      },
       status: 200,
     });
   }
 
+  private limitHeaders(url: string, mode: Mode): Record<string, string> {
+    if (mode !== MODE.limited) {
+      this.heardLimitAt.delete(url);
+      return {};
+    }
+    const heardAt = this.heardLimitAt.get(url) ?? this.world.clock.now();
+    this.heardLimitAt.set(url, heardAt);
+    return {'puffinturn-limit': String(LIMIT_PER_S)};
+  }
+
   private execute(url: string, name: string): void {
     const at = this.world.clock.now();
     this.world.executions.push({at, name, url});
--- a/packages/puffinturn-gateway/src/Gateway.ts
+++ b/packages/puffinturn-gateway/src/Gateway.ts
@@ -35,6 +35,7 @@
 import {Run} from './Run';
 import {Settlement} from './Settlement';
 import type {UpstreamClient} from './UpstreamClient';
+import type {UpstreamPermits} from './UpstreamPermits';
 
 /** What a gateway is made of. */
 export interface GatewayParts {
@@ -50,6 +51,7 @@
   readonly member: BoxMember;
   readonly metrics: GatewayMetrics;
   readonly newKey: () => string;
+  readonly permits: UpstreamPermits;
   readonly pools: Pools;
   readonly random: Random;
   readonly timeline: Timeline;
--- a/packages/puffinturn-gateway/src/GatewayConstants.ts
+++ b/packages/puffinturn-gateway/src/GatewayConstants.ts
@@ -61,5 +61,11 @@
 /** An upstream says by this header that it has not run the request. */
 export const NOT_RUN_HEADER = 'puffinturn-not-run';
 
+/** An upstream names by this header the requests a second that it takes from all boxes. */
+export const LIMIT_HEADER = 'puffinturn-limit';
+
+/** Upstreams of one request that may have no permit left before it is refused. */
+export const MOST_HELD_BACK = 8;
+
 /** An upstream says by this header that it is leaving. */
 export const LEAVING_HEADER = 'puffinturn-leaving';
--- a/packages/puffinturn-gateway/src/Pools.ts
+++ b/packages/puffinturn-gateway/src/Pools.ts
@@ -12,6 +12,7 @@
   Target,
   UpstreamCount,
 } from 'puffinturn-membership';
+import type {Upstream} from 'puffinturn-routing';
 import {
   AdaptiveLimit,
   ExpectedTimeChoice,
@@ -72,6 +73,19 @@
     return pool;
   }
 
+  /** The upstream of an id as `upstreamId` makes it. */
+  upstream(id: string): Upstream | undefined {
+    for (const {router} of this.pools.values()) {
+      const found = router.upstreams.find(
+        ({name, pool}) => upstreamId(pool, name) === id,
+      );
+      if (found !== undefined) {
+        return found;
+      }
+    }
+    return undefined;
+  }
+
   /** What this box has in flight. */
   inFlight(): UpstreamCount[] {
     const counts: UpstreamCount[] = [];
--- a/packages/puffinturn-gateway/src/Run.ts
+++ b/packages/puffinturn-gateway/src/Run.ts
@@ -29,6 +29,7 @@
   ADMIT_TIMEOUT_MS,
   MAX_ANSWER_BYTES,
   MAX_ATTEMPTS,
+  MOST_HELD_BACK,
   SETTLE_WAIT_MS,
 } from './GatewayConstants';
 import type {GatewayFailure} from './GatewayFailure';
@@ -46,6 +47,7 @@
 } from './UpstreamCall';
 import {bytesOf, callUpstream, SERVER_ERROR} from './UpstreamCall';
 import type {UpstreamClient} from './UpstreamClient';
+import type {UpstreamPermits} from './UpstreamPermits';
 
 /** What running needs. */
 export interface RunParts {
@@ -54,6 +56,7 @@
   readonly control: ControlClient;
   readonly crashing: CrashingRequests;
   readonly metrics: GatewayMetrics;
+  readonly permits: UpstreamPermits;
   readonly pools: Pools;
   readonly random: Random;
   readonly settlement: Settlement;
@@ -64,10 +67,17 @@
 const STREAM_TYPE = 'text/event-stream';
 const encoder = new TextEncoder();
 
-type CallOutcome =
-  | Call
-  | {readonly kind: 'no-place'; readonly failure: GatewayFailure}
-  | {readonly kind: 'superseded'};
+interface NoPlace {
+  readonly kind: 'no-place';
+  readonly failure: GatewayFailure;
+}
+
+/** Another attempt has taken the request over. */
+interface Superseded {
+  readonly kind: 'superseded';
+}
+
+type CallOutcome = Call | NoPlace | Superseded;
 
 /** See the module comment. */
 export class Run {
@@ -93,6 +103,17 @@
         parts.timeline.note(EVENT_KIND.upstreamLeaving, {upstream});
         parts.pools.noteLeaving(pool, upstream);
       },
+      onLimit: (upstream) => {
+        const {perSecond} = upstream.limits.limit;
+        const detail =
+          perSecond === undefined ? 'no limit' : `${perSecond} a second`;
+        const {name} = upstream;
+        parts.timeline.note(EVENT_KIND.upstreamLimited, {
+          detail,
+          upstream: name,
+        });
+        parts.permits.tell(upstream);
+      },
       onRest: (upstream, restMs) => {
         const detail = `for ${restMs} ms`;
         parts.timeline.note(EVENT_KIND.upstreamResting, {detail, upstream});
@@ -138,13 +159,9 @@
 
   private async call(turn: number): Promise<CallOutcome> {
     const place = await this.acquire();
-    if ('failure' in place) {
+    if ('kind' in place) {
       return place;
     }
-    if (!(await this.commitDispatch(place))) {
-      place[Symbol.dispose]();
-      return {kind: 'superseded'};
-    }
     if (place.isLeaving) {
       // It began to leave while the dispatch was committed: nothing was sent.
       place[Symbol.dispose]();
@@ -165,9 +182,32 @@
     return call;
   }
 
-  private async acquire(): Promise<
-    Place | {kind: 'no-place'; failure: GatewayFailure}
-  > {
+  /**
+   * A place on an upstream that takes one more request now. Asked last, as a permit is
+   * to be used at once.
+   */
+  private async acquire(): Promise<Place | NoPlace | Superseded> {
+    const isLeastUrgent = this.attempt.plan.decision.priority > 0;
+    for (let held = 0; held < MOST_HELD_BACK; held += 1) {
+      const place = await this.place();
+      if ('kind' in place) {
+        return place;
+      }
+      if (!(await this.commitDispatch(place))) {
+        place.giveBack();
+        return {kind: 'superseded'};
+      }
+      if (await this.parts.permits.admit(place, isLeastUrgent)) {
+        return place;
+      }
+      place.giveBack();
+    }
+    const message = 'the upstreams take no more requests now';
+    const failure = gatewayFailure('overloaded', message, 1_000);
+    return {failure, kind: 'no-place'};
+  }
+
+  private async place(): Promise<Place | NoPlace> {
     const {answer, attempt, avoid} = this;
     const {decision, maxTokens, promptTokens, request} = attempt.plan;
     const placed = await this.pool.router.acquire({
@@ -241,7 +281,7 @@
   ): Promise<Call> {
     this.avoid.add(firstPlace.upstream.name);
     const second = await this.acquire();
-    if ('failure' in second) {
+    if ('kind' in second) {
       return first;
     }
     this.parts.metrics.hedges.inc({pool: this.attempt.plan.decision.pool});
--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -6,11 +6,11 @@
  */
 
 /** One try at an upstream: sent, then waited for up to its first bytes. */
-import type {Place} from 'puffinturn-routing';
+import type {Place, Upstream} from 'puffinturn-routing';
 import type {Clock} from 'shared';
 import {restMsOf} from 'shared';
 
-import {LEAVING_HEADER, NOT_RUN_HEADER} from './GatewayConstants';
+import {LEAVING_HEADER, LIMIT_HEADER, NOT_RUN_HEADER} from './GatewayConstants';
 import type {UpstreamAnswer, UpstreamClient} from './UpstreamClient';
 
 /** An answer whose first bytes are here. */
@@ -57,6 +57,8 @@
   readonly onLeaving: (pool: string, upstream: string) => void;
   /** An upstream asked this box for no requests for so long. */
   readonly onRest: (upstream: string, restMs: number) => void;
+  /** What an upstream says of its limit has changed. */
+  readonly onLimit: (upstream: Upstream) => void;
 }
 
 /** The least status that says that the upstream failed. */
@@ -88,7 +90,7 @@
     return {...failed(place, isBroken, message), brokeOff};
   }
   const answer = sent.value;
-  noteHeaders(parts, place, answer);
+  noteHeaders(parts, place, answer, sentAt);
   if (answer.headers[NOT_RUN_HEADER] === 'true') {
     stop.abort();
     return failed(place, false, 'the upstream did not take it');
@@ -126,9 +128,10 @@
 }
 
 function noteHeaders(
-  {clock, onLeaving, onRest}: CallParts,
+  {clock, onLeaving, onLimit, onRest}: CallParts,
   {upstream}: Place,
   {headers, status}: UpstreamAnswer,
+  sentAt: number,
 ): void {
   if (headers[LEAVING_HEADER] === 'true') {
     onLeaving(upstream.pool, upstream.name);
@@ -138,6 +141,10 @@
     upstream.restsAtLeastUntil(clock.now() + restMs);
     onRest(upstream.name, restMs);
   }
+  const named = headers[LIMIT_HEADER];
+  if (upstream.limits.hearAnswer({named, sentAt, status})) {
+    onLimit(upstream);
+  }
   const running = Number(headers['puffinturn-running']);
   const waiting = Number(headers['puffinturn-waiting']);
   if (Number.isSafeInteger(running) && Number.isSafeInteger(waiting)) {
--- a/packages/puffinturn-gateway/src/__tests__/unit/RestingUpstreams.test.ts
+++ b/packages/puffinturn-gateway/src/__tests__/unit/RestingUpstreams.test.ts
@@ -89,7 +89,13 @@
     }
     using place = found.value;
     const ignore = () => undefined;
-    const parts = {client, clock, onLeaving: ignore, onRest: ignore};
+    const parts = {
+      client,
+      clock,
+      onLeaving: ignore,
+      onLimit: ignore,
+      onRest: ignore,
+    };
     const {signal} = new AbortController();
     return (await callUpstream(parts, place, CALL_REQUEST, signal)).kind;
   }
--- a/packages/puffinturn-gateway/src/index.ts
+++ b/packages/puffinturn-gateway/src/index.ts
@@ -29,3 +29,5 @@
   UpstreamRequest,
 } from './UpstreamClient';
 export {UpstreamClient} from './UpstreamClient';
+export type {UpstreamPermitsParts} from './UpstreamPermits';
+export {UpstreamPermits} from './UpstreamPermits';
--- a/packages/puffinturn-permits/src/LimitStatements.ts
+++ b/packages/puffinturn-permits/src/LimitStatements.ts
@@ -7,10 +7,23 @@
 
 /** What one life of an upstream says of its limit, as one box knows it. */
 import type {Clock} from 'shared';
+import {decimalOf} from 'shared';
 
 import type {UpstreamLimit} from './UpstreamLimit';
 import {laterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
 
+/** The least status of an answer that did not go well. */
+const FIRST_ERROR_STATUS = 400;
+
+/** What the head of an answer holds of a limit. */
+export interface LimitAnswer {
+  readonly status: number;
+  /** The value of the header that names a limit; undefined where it has none. */
+  readonly named: string | undefined;
+  /** When its request was sent, by the box's steady clock, ms. */
+  readonly sentAt: number;
+}
+
 /** See the module comment. */
 export class LimitStatements {
   private held = NO_LIMIT;
@@ -24,6 +37,20 @@
     return this.held;
   }
 
+  /**
+   * Takes the head of an answer in; true where that changes the limit. Only an answer
+   * that went well shows by naming no limit that there is none, and a figure that can't
+   * be read says nothing.
+   */
+  hearAnswer({named, sentAt, status}: LimitAnswer): boolean {
+    const perSecond = decimalOf(named);
+    const isUnsaid =
+      named === undefined
+        ? status >= FIRST_ERROR_STATUS
+        : perSecond === undefined;
+    return !isUnsaid && this.hear(perSecond, sentAt);
+  }
+
   /**
    * Takes what an answer says: a figure, or none; true where that changes the limit. A
    * lower limit counts at once. A higher one, or none, counts only where the request was
--- a/packages/puffinturn-routing/src/Circuit.ts
+++ b/packages/puffinturn-routing/src/Circuit.ts
@@ -40,6 +40,11 @@
     this.probing = this.isOpen;
   }
 
+  /** Notes that the request was not sent after all. */
+  unsent(): void {
+    this.probing = false;
+  }
+
   /** Notes an answer. */
   succeeded(): void {
     this.failures = 0;
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -100,6 +100,16 @@
     this.circuit.failed();
   }
 
+  /** Ends the place where nothing was sent: it tells nothing of how long requests take. */
+  giveBack(): void {
+    if (!this.ended) {
+      this.ended = true;
+      this.upstream.inFlight -= 1;
+      this.upstream.sentSinceReport -= 1;
+      this.circuit.unsent();
+    }
+  }
+
   [Symbol.dispose](): void {
     if (!this.ended) {
       this.ended = true;
@@ -144,7 +154,7 @@
         known.upstream.spec = spec;
         continue;
       }
-      const upstream = new Upstream(this.parts.pool, spec);
+      const upstream = new Upstream(this.parts.pool, spec, this.parts.clock);
       const circuit = new Circuit(this.parts.clock);
       this.members.set(spec.name, {circuit, upstream});
     }
@@ -307,7 +317,7 @@
       ? {kind: 'no-upstream', message: `no upstream of ${pool} takes work`}
       : {
           kind: 'overloaded',
-          message: `all upstreams of ${pool} asked for rest`,
+          message: `all upstreams of ${pool} rest, or take no more for now`,
           retryAfterMs,
         };
   }
--- a/packages/puffinturn-routing/src/Upstream.ts
+++ b/packages/puffinturn-routing/src/Upstream.ts
@@ -6,7 +6,9 @@
  */
 
 /** What a box knows about one upstream of one pool. */
+import {LimitStatements} from 'puffinturn-permits';
 import type {UpstreamSpec} from 'puffinturn-settings';
+import type {Clock} from 'shared';
 
 import {
   INITIAL_FIRST_TOKEN_MS,
@@ -38,12 +40,17 @@
   firstTokenMs = INITIAL_FIRST_TOKEN_MS;
   /** Observations behind `firstTokenMs`. */
   observations = 0;
+  /** What it says of how many requests a second it takes. */
+  readonly limits: LimitStatements;
   private report: LoadReport | undefined;
 
   constructor(
     readonly pool: string,
     public spec: UpstreamSpec,
-  ) {}
+    clock: Clock,
+  ) {
+    this.limits = new LimitStatements(clock);
+  }
 
   /** The name within its pool. */
   get name(): string {
--- a/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
+++ b/packages/puffinturn-routing/src/__tests__/unit/Routing.test.ts
@@ -236,7 +236,7 @@
     const prefixes = new PrefixIndex();
     const choice = new ExpectedTimeChoice(new Random(1), prefixes);
     const upstreams = ['u1', 'u2', 'u3'].map(
-      (name) => new Upstream('p', spec(name, 10)),
+      (name) => new Upstream('p', spec(name, 10), new ManualClock()),
     );
     const prefix = prefixBlocks('x'.repeat(4_096));
     prefixes.learn('u2', prefix);
@@ -251,7 +251,7 @@
 
   test('boxes that know nothing agree where a prompt goes', () => {
     const upstreams = ['u1', 'u2', 'u3', 'u4', 'u5'].map(
-      (name) => new Upstream('p', spec(name, 10)),
+      (name) => new Upstream('p', spec(name, 10), new ManualClock()),
     );
     const prompts = Array.from({length: 20}, (_, at) =>
       prefixBlocks(`${at} `.repeat(2_000)),
@@ -272,7 +272,7 @@
 
   test('a gap in cache events forgets what was known', () => {
     const prefixes = new PrefixIndex();
-    const upstream = new Upstream('p', spec('u1'));
+    const upstream = new Upstream('p', spec('u1'), new ManualClock());
     const prefix = prefixBlocks('y'.repeat(1_024));
     const share = () => prefixes.cachedShare([upstream], prefix).get(upstream);
     prefixes.learn('u1', prefix);
--- a/packages/puffinturn-timeline/src/Timeline.ts
+++ b/packages/puffinturn-timeline/src/Timeline.ts
@@ -30,6 +30,7 @@
   takenOver: 'taken-over',
   upstreamCrashed: 'upstream-crashed',
   upstreamLeaving: 'upstream-leaving',
+  upstreamLimited: 'upstream-limited',
   upstreamResting: 'upstream-resting',
   voided: 'voided',
 } as const;
