--- a/packages/puffinturn-cli/src/ExplainCommand.ts
+++ b/packages/puffinturn-cli/src/ExplainCommand.ts
@@ -11,6 +11,7 @@
 import type {LogLine} from './Explanation';
 import {explain, readLogs} from './Explanation';
 import type {Output} from './Output';
+import {timeOfDay} from './TimeOfDay';
 
 const SHOWN_APART: ReadonlySet<string> = new Set([
   'box',
@@ -45,6 +46,5 @@
   const what = Object.entries(line)
     .filter(([name]) => !SHOWN_APART.has(name))
     .map(([name, value]) => `${name}=${String(value)}`);
-  const time = new Date(line.time).toISOString().slice(11, 23);
-  return [time, line.box, line.event, what.join(' ')];
+  return [timeOfDay(line.time), line.box, line.event, what.join(' ')];
 }
--- a/packages/puffinturn-cli/src/Tool.ts
+++ b/packages/puffinturn-cli/src/Tool.ts
@@ -16,6 +16,7 @@
 import {EXIT} from './ExitCodes';
 import {explainRequest} from './ExplainCommand';
 import {budgets, drain, get, makeKey, status, timeline} from './FleetCommands';
+import {showLimits} from './LimitsCommand';
 import {OperatorClient} from './OperatorClient';
 import {Output} from './Output';
 
@@ -46,6 +47,7 @@
   addFileCommands(cli);
   addFleetCommands(cli);
   addLogCommands(cli);
+  addLimitsCommand(cli);
   cli.help();
   cli.version(VERSION);
   return cli;
@@ -144,6 +146,15 @@
     );
 }
 
+function addLimitsCommand(cli: CAC): void {
+  cli
+    .command('limits', 'List the limits that upstreams name, from logs')
+    .option('--logs <folder>', 'Folder with the output of every process (.)')
+    .action((options: Options) =>
+      showLimits(options.logs ?? '.', new Output(options.json === true)),
+    );
+}
+
 function addFleetCommands(cli: CAC): void {
   cli
     .command('get [kind] [name]', 'Show declarations in force')
