--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -32,7 +32,7 @@
   NO_ROLLOUTS,
 } from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
-import {Granters, PermitGranter, Permits} from 'puffinturn-permits';
+import {Permits} from 'puffinturn-permits';
 import {NO_QUARANTINE} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
@@ -228,7 +228,18 @@
       watch: this.watch,
       woke: () => (this.startedAt = clock.now()),
     });
-    this.permits = this.makePermits();
+    this.permits = new Permits({
+      areTogether: (hall, other) => regions.areTogether(hall, other),
+      clock,
+      coldTolerance: parts.coldTolerance,
+      learnLimit: (id, limit, source) =>
+        this.pool.learnLimit(id, limit, source),
+      limitOf: (id) => this.pool.limitOf(id),
+      link,
+      onCount: (count) => log.note({...count, event: 'permits-counted'}),
+      peers: () => this.peers,
+      self,
+    });
     const admission = new PermitAdmission(this.permits);
     this.limitReports = new LimitReports({
       admission,
@@ -273,36 +284,6 @@
     };
   }
 
-  private makePermits(): Permits {
-    const {clock, coldTolerance, link, log, regions, self} = this.parts;
-    const {box} = self;
-    const {pool} = this;
-    const granters = new Granters({
-      areTogether: (hall, other) => regions.areTogether(hall, other),
-      peers: () => this.peers,
-      self,
-    });
-    const granter = new PermitGranter({
-      box,
-      clock,
-      coldTolerance,
-      exchangeLimit: (id, limit) => {
-        pool.learnLimit(id, limit, 'edge');
-        return pool.limitOf(id);
-      },
-      granters,
-      onCount: (count) => log.note({...count, event: 'permits-counted'}),
-    });
-    return new Permits({
-      box,
-      clock,
-      granter,
-      granters,
-      learnLimit: (id, limit) => pool.learnLimit(id, limit, 'granter'),
-      link,
-    });
-  }
-
   /** Starts to listen and to follow the fleet. */
   static open(parts: EdgeParts): ResultAsync<Edge, HttpListenFailure> {
     const edge = new Edge(parts);
--- a/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
@@ -9,7 +9,7 @@
 import type {BoxRecord} from 'puffinturn-fleet';
 import {BOX_ROLE} from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
-import {Granters, NO_LIMIT, PermitGranter, Permits} from 'puffinturn-permits';
+import {NO_LIMIT, Permits} from 'puffinturn-permits';
 import type {MemoryNetwork} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
@@ -35,30 +35,15 @@
 /** The way that is built in. */
 export const byPermits: AdmissionOf = (edge) => {
   const {box, clock, network, peers, tolerance, upstreamOf} = edge;
-  const granters = new Granters({
+  const permits = new Permits({
     areTogether: () => true,
-    peers,
-    self: {box, hall: 'h'},
-  });
-  const granter = new PermitGranter({
-    box,
     clock,
     coldTolerance: tolerance,
-    exchangeLimit: (id, limit) => {
-      const limits = upstreamOf(id)?.limits;
-      limits?.learn(limit);
-      return limits?.limit ?? NO_LIMIT;
-    },
-    granters,
-    onCount: () => undefined,
-  });
-  const permits = new Permits({
-    box,
-    clock,
-    granter,
-    granters,
     learnLimit: (id, limit) => void upstreamOf(id)?.limits.learn(limit),
+    limitOf: (id) => upstreamOf(id)?.limits.limit ?? NO_LIMIT,
     link: network.connect(box),
+    peers,
+    self: {box, hall: 'h'},
   });
   return new PermitAdmission(permits);
 };
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -13,7 +13,7 @@
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
 import {Regions, REPETITION} from 'puffinturn-fleet';
 import type {GrantingBox} from 'puffinturn-permits';
-import {Granters, PermitGranter, Permits} from 'puffinturn-permits';
+import {Permits} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
@@ -252,27 +252,15 @@
   /** Permits of the only edge that there is. */
   private makeAdmission(): UpstreamAdmission {
     const {clock, pool} = this;
-    const {box} = SELF;
-    const granters = new Granters({
+    const permits = new Permits({
       areTogether: () => true,
-      peers: () => NO_PEERS,
-      self: SELF,
-    });
-    const granter = new PermitGranter({
-      box,
       clock,
       coldTolerance: {extra: 0, overage: 1},
-      exchangeLimit: (id) => pool.limitOf(id),
-      granters,
-      onCount: () => undefined,
-    });
-    const permits = new Permits({
-      box,
-      clock,
-      granter,
-      granters,
       learnLimit: () => undefined,
+      limitOf: (id) => pool.limitOf(id),
       link: new SilentLink(),
+      peers: () => NO_PEERS,
+      self: SELF,
     });
     return new PermitAdmission(permits);
   }
--- a/packages/puffinturn-gateway/src/UpstreamPermits.ts
+++ b/packages/puffinturn-gateway/src/UpstreamPermits.ts
@@ -10,13 +10,7 @@
  * all boxes together.
  */
 import type {GrantingBox, PermitQuestion} from 'puffinturn-permits';
-import {
-  Granters,
-  NO_LIMIT,
-  PermitGranter,
-  Permits,
-  rateOf,
-} from 'puffinturn-permits';
+import {NO_LIMIT, Permits, rateOf} from 'puffinturn-permits';
 import type {Place, Upstream} from 'puffinturn-routing';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
@@ -44,28 +38,13 @@
   private readonly permits: Permits;
 
   constructor(private readonly parts: UpstreamPermitsParts) {
-    const {areTogether, clock, link, peers, pools, self} = parts;
-    const {box} = self;
-    const granters = new Granters({areTogether, peers: () => peers, self});
-    const granter = new PermitGranter({
-      box,
-      clock,
-      coldTolerance: NO_COLD_TOLERANCE,
-      exchangeLimit: (id, limit) => {
-        const limits = pools.upstream(id)?.limits;
-        limits?.learn(limit);
-        return limits?.limit ?? NO_LIMIT;
-      },
-      granters,
-      onCount: () => undefined,
-    });
+    const {pools} = parts;
     this.permits = new Permits({
-      box,
-      clock,
-      granter,
-      granters,
+      ...parts,
+      coldTolerance: NO_COLD_TOLERANCE,
       learnLimit: (id, limit) => void pools.upstream(id)?.limits.learn(limit),
-      link,
+      limitOf: (id) => pools.upstream(id)?.limits.limit ?? NO_LIMIT,
+      peers: () => parts.peers,
     });
   }
 
--- a/packages/puffinturn-permits/src/PermitGranter.ts
+++ b/packages/puffinturn-permits/src/PermitGranter.ts
@@ -54,8 +54,8 @@
   readonly clock: Clock;
   readonly granters: Granters;
   readonly coldTolerance: ColdTolerance;
-  /** Takes what an asking box knows of a limit, and says what is known here. */
-  readonly exchangeLimit: (id: string, limit: UpstreamLimit) => UpstreamLimit;
+  /** What is known here of an upstream's limit. */
+  readonly limitOf: (id: string) => UpstreamLimit;
   /** Told from time to time what was granted. */
   readonly onCount: (count: PermitCount) => void;
 }
@@ -81,9 +81,8 @@
   /** Answers a question for permits, of this box or of another one. */
   grant(request: PermitRequest): PermitReply {
     const {upstream, wanted} = request;
-    const {box, exchangeLimit, granters} = this.parts;
-    const known = exchangeLimit(upstream.id, request.limit);
-    const limit = laterLimit(known, request.limit);
+    const {box, granters, limitOf} = this.parts;
+    const limit = laterLimit(limitOf(upstream.id), request.limit);
     const rank = granters.of(upstream).indexOf(box);
     const perSecond = boundOf(limit, request.coldPerSecond);
     if (perSecond === Infinity) {
--- a/packages/puffinturn-permits/src/Permits.ts
+++ b/packages/puffinturn-permits/src/Permits.ts
@@ -15,27 +15,40 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
-import type {Granters} from './Granters';
+import type {GrantingBox} from './Granters';
+import {Granters} from './Granters';
 import {
   ASK_MS,
   MAX_REMEMBERED,
   SUSPECT_MS,
   UNGRANTED_WAIT_MS,
 } from './PermitConstants';
-import type {PermitGranter} from './PermitGranter';
+import type {ColdTolerance, PermitCount} from './PermitGranter';
+import {PermitGranter} from './PermitGranter';
 import type {PermitReply, PermitRequest} from './PermitMessages';
 import {PERMIT_SERVICE} from './PermitMessages';
 import type {UpstreamLimit} from './UpstreamLimit';
 
 /** What Permits are made of. */
 export interface PermitsParts {
-  readonly box: string;
+  readonly self: GrantingBox;
+  /** The other boxes; a new array where the list has changed. */
+  readonly peers: () => readonly GrantingBox[];
+  /** Whether two halls are in one region. */
+  readonly areTogether: (hall: string, other: string) => boolean;
   readonly clock: Clock;
   readonly link: Link;
-  readonly granters: Granters;
-  readonly granter: PermitGranter;
-  /** Takes what a granter knows of a limit. */
-  readonly learnLimit: (id: string, limit: UpstreamLimit) => void;
+  readonly coldTolerance: ColdTolerance;
+  /** What is known here of an upstream's limit. */
+  readonly limitOf: (id: string) => UpstreamLimit;
+  /** Takes what another box knows of a limit. */
+  readonly learnLimit: (
+    id: string,
+    limit: UpstreamLimit,
+    source: string,
+  ) => void;
+  /** Told from time to time what this box has granted to all. */
+  readonly onCount?: (count: PermitCount) => void;
 }
 
 /** What is asked of a granter, for one request. */
@@ -59,12 +72,26 @@
   private readonly lines = new LRUCache<string, Line>({max: MAX_REMEMBERED});
   /** Until when a granter that didn't answer is passed over, by box. */
   private readonly suspectUntil = new Map<string, number>();
+  private readonly granters: Granters;
+  private readonly granter: PermitGranter;
   private readonly registration: Disposable;
 
   constructor(private readonly parts: PermitsParts) {
-    this.registration = parts.link.register(PERMIT_SERVICE, async (body) =>
-      parts.granter.grant(body as PermitRequest),
-    );
+    const {clock, coldTolerance, learnLimit, limitOf, link, self} = parts;
+    this.granters = new Granters(parts);
+    this.granter = new PermitGranter({
+      box: self.box,
+      clock,
+      coldTolerance,
+      granters: this.granters,
+      limitOf,
+      onCount: parts.onCount ?? (() => undefined),
+    });
+    this.registration = link.register(PERMIT_SERVICE, async (body, from) => {
+      const request = body as PermitRequest;
+      learnLimit(request.upstream.id, request.limit, from);
+      return this.granter.grant(request);
+    });
   }
 
   /** How long until a permit may be had, ms; 0 where one may be asked for now. */
@@ -127,14 +154,14 @@
   }
 
   private async request(request: PermitRequest): Promise<PermitReply> {
-    const {box, granter, granters, learnLimit} = this.parts;
-    for (const granting of granters.of(request.upstream)) {
-      if (granting === box) {
-        return granter.grant(request);
+    const {learnLimit, self} = this.parts;
+    for (const granting of this.granters.of(request.upstream)) {
+      if (granting === self.box) {
+        return this.granter.grant(request);
       }
       const reply = await this.askBox(granting, request);
       if (reply !== undefined) {
-        learnLimit(request.upstream.id, reply.limit);
+        learnLimit(request.upstream.id, reply.limit, granting);
         return reply;
       }
     }
--- a/packages/puffinturn-permits/src/__tests__/unit/PermitGranter.test.ts
+++ b/packages/puffinturn-permits/src/__tests__/unit/PermitGranter.test.ts
@@ -33,8 +33,8 @@
     box: self.box,
     clock,
     coldTolerance,
-    exchangeLimit: () => NO_LIMIT,
     granters,
+    limitOf: () => NO_LIMIT,
     onCount: () => undefined,
   });
   return {clock, granter, granters};
