Edge: folders by task

upstreams, connections, tokens, rollouts, regions, callers and requests; what an edge is made of stays at the top. No code changed but for paths of imports.

--- a/packages/puffinturn-edge/src/Renewal.ts
+++ b/packages/puffinturn-edge/src/Renewal.ts
@@ -15,7 +15,7 @@
 import type {Clock} from 'shared';
 import {SuspensionWatch} from 'shared';
 
-import type {UpstreamPool} from './UpstreamPool';
+import type {UpstreamPool} from './upstreams/UpstreamPool';
 
 /**
  * Longest time that requests wait, ms: a few round trips. A core that has not told by
--- a/packages/puffinturn-edge/src/__tests__/unit/AcceptBacklog.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/AcceptBacklog.test.ts
@@ -7,8 +7,8 @@
 
 import {ManualClock} from 'shared';
 
-import type {Arrival} from '../../AcceptBacklog';
-import {AcceptBacklog, NEGLIGIBLE_AGE_MS} from '../../AcceptBacklog';
+import type {Arrival} from '../../callers/AcceptBacklog';
+import {AcceptBacklog, NEGLIGIBLE_AGE_MS} from '../../callers/AcceptBacklog';
 
 /** Time of one turn of the event loop, ms. */
 const TURN_MS = 40;
--- a/packages/puffinturn-edge/src/__tests__/unit/AnswerExpectations.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/AnswerExpectations.test.ts
@@ -7,8 +7,8 @@
 
 import {Random} from 'shared';
 
-import type {AnswerSample} from '../../AnswerExpectations';
-import {AnswerExpectations} from '../../AnswerExpectations';
+import type {AnswerSample} from '../../connections/AnswerExpectations';
+import {AnswerExpectations} from '../../connections/AnswerExpectations';
 
 /** An answer of an engine: 300 ms to read 10,000 tokens, 30 ms an event. */
 function streamOf(slower: number, tokens = 10_000, events = 20): AnswerSample {
--- a/packages/puffinturn-edge/src/__tests__/unit/BacklogLines.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BacklogLines.test.ts
@@ -7,7 +7,7 @@
 
 import {KeptDecisionLog} from 'puffinturn-decisions';
 
-import {BacklogLines} from '../../BacklogLines';
+import {BacklogLines} from '../../callers/BacklogLines';
 
 describe('BacklogLines', () => {
   test('say once that an edge is behind, and once that it has caught up', () => {
--- a/packages/puffinturn-edge/src/__tests__/unit/BacklogWatch.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BacklogWatch.test.ts
@@ -10,10 +10,10 @@
 
 import {SystemClock} from 'shared';
 
-import {NEGLIGIBLE_AGE_MS} from '../../AcceptBacklog';
-import type {BacklogWatch} from '../../BacklogWatch';
-import {HttpListener} from '../../EdgeHttp';
-import {eventLoopTurns} from '../../EventLoopTurns';
+import {NEGLIGIBLE_AGE_MS} from '../../callers/AcceptBacklog';
+import type {BacklogWatch} from '../../callers/BacklogWatch';
+import {HttpListener} from '../../callers/EdgeHttp';
+import {eventLoopTurns} from '../../callers/EventLoopTurns';
 
 const HOST = '127.0.0.1';
 
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerBody.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerBody.test.ts
@@ -10,8 +10,8 @@
 import type {AddressInfo} from 'node:net';
 import {connect, Socket} from 'node:net';
 
-import {CallerBody} from '../../CallerBody';
-import {UpstreamAnswer} from '../../UpstreamAnswer';
+import {CallerBody} from '../../callers/CallerBody';
+import {UpstreamAnswer} from '../../connections/UpstreamAnswer';
 
 const EVENTS = ['id: 1\ndata: one\n\n', `id: 2\ndata: ${'x'.repeat(300)}\n\n`];
 
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -9,7 +9,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {connect} from 'node:net';
 
-import {CallerRequest} from '../../CallerRequest';
+import {CallerRequest} from '../../callers/CallerRequest';
 
 const NAMES = {
   deadline: 'x-deadline',
--- a/packages/puffinturn-edge/src/__tests__/unit/ColdStarts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ColdStarts.test.ts
@@ -17,10 +17,10 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {drawByWeight, ManualClock, Random} from 'shared';
 
-import type {PromptPart} from '../../CallerDialect';
-import {EdgeUpstream} from '../../EdgeUpstream';
-import type {UpstreamAdmission} from '../../UpstreamAdmission';
-import {ExpectedTime} from '../../UpstreamChoice';
+import type {PromptPart} from '../../callers/CallerDialect';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {UpstreamAdmission} from '../../upstreams/UpstreamAdmission';
+import {ExpectedTime} from '../../upstreams/UpstreamChoice';
 import type {AdmissionOf} from '../utils/AdmittingEdge';
 import {byPace, byPermits, recordOf, unbounded} from '../utils/AdmittingEdge';
 import {upstreamOf} from '../utils/EdgeFixture';
--- a/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
@@ -10,10 +10,10 @@
 
 import {ManualClock} from 'shared';
 
-import {ConnectionPool} from '../../ConnectionPool';
-import type {HttpConnection} from '../../HttpConnection';
-import {requestHead} from '../../RequestHead';
-import type {UpstreamAnswer} from '../../UpstreamAnswer';
+import {requestHead} from '../../callers/RequestHead';
+import {ConnectionPool} from '../../connections/ConnectionPool';
+import type {HttpConnection} from '../../connections/HttpConnection';
+import type {UpstreamAnswer} from '../../connections/UpstreamAnswer';
 
 /** What came of one request. */
 interface Outcome {
--- a/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrashingRequests.test.ts
@@ -14,8 +14,8 @@
 import {Link} from 'puffinturn-wire';
 import {ManualClock, settleTasks} from 'shared';
 
-import {CrashingRequests} from '../../CrashingRequests';
 import {EdgeMetrics} from '../../EdgeMetrics';
+import {CrashingRequests} from '../../requests/CrashingRequests';
 import {upstreamOf} from '../utils/EdgeFixture';
 
 /** Control boxes that take reports, lose the answer, or can't be reached. */
--- a/packages/puffinturn-edge/src/__tests__/unit/CrossingEpisodes.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CrossingEpisodes.test.ts
@@ -8,7 +8,7 @@
 import {KeptDecisionLog} from 'puffinturn-decisions';
 import {ManualClock} from 'shared';
 
-import {CrossingEpisodes} from '../../CrossingEpisodes';
+import {CrossingEpisodes} from '../../regions/CrossingEpisodes';
 
 describe('CrossingEpisodes', () => {
   test('are noted as they begin and end, not for each request', async () => {
--- a/packages/puffinturn-edge/src/__tests__/unit/ExposureAccount.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ExposureAccount.test.ts
@@ -7,8 +7,8 @@
 
 import {ManualClock, Random} from 'shared';
 
-import type {AnswerJudgement} from '../../ExposureAccount';
-import {EXPOSURE_STOP, ExposureAccount} from '../../ExposureAccount';
+import type {AnswerJudgement} from '../../rollouts/ExposureAccount';
+import {EXPOSURE_STOP, ExposureAccount} from '../../rollouts/ExposureAccount';
 
 const ORDER = {
   durationMs: 12_000,
--- a/packages/puffinturn-edge/src/__tests__/unit/ExposureExchange.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ExposureExchange.test.ts
@@ -16,9 +16,9 @@
 import {ManualClock, Random} from 'shared';
 
 import {EdgeMetrics} from '../../EdgeMetrics';
-import {ExposureExchange} from '../../ExposureExchange';
-import {Exposures} from '../../Exposures';
-import {UpstreamPool} from '../../UpstreamPool';
+import {ExposureExchange} from '../../rollouts/ExposureExchange';
+import {Exposures} from '../../rollouts/Exposures';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
 
 /** An edge, and two control boxes of which the first is asked first. */
 function start(life = 'e 1') {
--- a/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Exposures.test.ts
@@ -16,17 +16,17 @@
 } from 'puffinturn-fleet';
 import {ManualClock, Random} from 'shared';
 
-import {CrossingEpisodes} from '../../CrossingEpisodes';
 import {EdgeMetrics} from '../../EdgeMetrics';
-import {Exposures} from '../../Exposures';
-import {HomeProbes} from '../../HomeProbes';
-import {RegionCrossing} from '../../RegionCrossing';
-import type {Plan} from '../../RequestPlan';
-import {ReturnTimes} from '../../ReturnTimes';
-import {LeastInFlight} from '../../UpstreamChoice';
-import {UpstreamPool} from '../../UpstreamPool';
-import type {RequestSize} from '../../UpstreamSelection';
-import {selectUpstream} from '../../UpstreamSelection';
+import {CrossingEpisodes} from '../../regions/CrossingEpisodes';
+import {RegionCrossing} from '../../regions/RegionCrossing';
+import type {Plan} from '../../requests/RequestPlan';
+import {Exposures} from '../../rollouts/Exposures';
+import {HomeProbes} from '../../upstreams/HomeProbes';
+import {ReturnTimes} from '../../upstreams/ReturnTimes';
+import {LeastInFlight} from '../../upstreams/UpstreamChoice';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
+import type {RequestSize} from '../../upstreams/UpstreamSelection';
+import {selectUpstream} from '../../upstreams/UpstreamSelection';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {PacedAdmission} from '../utils/PacedAdmission';
 import {
--- a/packages/puffinturn-edge/src/__tests__/unit/PlainLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/PlainLoad.test.ts
@@ -14,9 +14,13 @@
 import {SilentDecisionLog} from 'puffinturn-decisions';
 import {ManualClock, Random} from 'shared';
 
-import {EdgeUpstream} from '../../EdgeUpstream';
-import type {UpstreamChoice} from '../../UpstreamChoice';
-import {FreeSlots, LeastInFlight, ShorterWait} from '../../UpstreamChoice';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {UpstreamChoice} from '../../upstreams/UpstreamChoice';
+import {
+  FreeSlots,
+  LeastInFlight,
+  ShorterWait,
+} from '../../upstreams/UpstreamChoice';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {PlainUpstream, SLOTS} from '../utils/PlainUpstream';
 
--- a/packages/puffinturn-edge/src/__tests__/unit/PlainRegionLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/PlainRegionLoad.test.ts
@@ -12,7 +12,7 @@
  */
 import {ManualClock, Random} from 'shared';
 
-import type {EdgeUpstream} from '../../EdgeUpstream';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {PlainUpstream} from '../utils/PlainUpstream';
 import {RegionEdge, TWO_REGIONS} from '../utils/RegionEdge';
 
--- a/packages/puffinturn-edge/src/__tests__/unit/ReadLateness.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ReadLateness.test.ts
@@ -5,7 +5,7 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import {isReadLate} from '../../ReadLateness';
+import {isReadLate} from '../../callers/ReadLateness';
 
 describe('isReadLate', () => {
   test.each([
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionLoad.test.ts
@@ -13,11 +13,11 @@
  */
 import {ManualClock, Random} from 'shared';
 
-import type {PromptPart} from '../../CallerDialect';
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import {PromptReading} from '../../PromptReading';
-import {RegionCrossing} from '../../RegionCrossing';
-import type {Placement} from '../../UpstreamChoice';
+import type {PromptPart} from '../../callers/CallerDialect';
+import {RegionCrossing} from '../../regions/RegionCrossing';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {PromptReading} from '../../upstreams/PromptReading';
+import type {Placement} from '../../upstreams/UpstreamChoice';
 import type {CrossingOf} from '../utils/RegionEdge';
 import {RegionEdge, TWO_REGIONS} from '../utils/RegionEdge';
 
--- a/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RegionPlacing.test.ts
@@ -8,8 +8,8 @@
 import {SilentDecisionLog} from 'puffinturn-decisions';
 import {ManualClock, Random} from 'shared';
 
-import {EdgeUpstream} from '../../EdgeUpstream';
-import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {ExpectedTime, ShorterWait} from '../../upstreams/UpstreamChoice';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {engineInOneRegion, plainInOneRegion} from '../utils/OneRegion';
 import {ENGINES, PLAIN, RegionEdge} from '../utils/RegionEdge';
--- a/packages/puffinturn-edge/src/__tests__/unit/RequestTokens.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestTokens.test.ts
@@ -8,8 +8,8 @@
 import type {Service} from 'puffinturn-fleet';
 
 import {RESERVE} from '../../index';
-import type {Plan} from '../../RequestPlan';
-import {RequestTokens} from '../../RequestTokens';
+import type {Plan} from '../../requests/RequestPlan';
+import {RequestTokens} from '../../tokens/RequestTokens';
 import {held, TEAM, TokenFleet} from '../utils/TokenFleet';
 
 const ENGINE = {tokensPerEvent: 5} as Service['engine'];
--- a/packages/puffinturn-edge/src/__tests__/unit/SecondAnswer.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/SecondAnswer.test.ts
@@ -11,7 +11,7 @@
 import {Random} from 'shared';
 
 import {WHOLE_ANSWER_BYTES} from '../../EdgeConstants';
-import {LeastInFlight} from '../../UpstreamChoice';
+import {LeastInFlight} from '../../upstreams/UpstreamChoice';
 import {
   ServingFixture,
   servingRoute,
--- a/packages/puffinturn-edge/src/__tests__/unit/StepAside.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StepAside.test.ts
@@ -11,7 +11,7 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {ManualClock, Random} from 'shared';
 
-import {StepAside} from '../../StepAside';
+import {StepAside} from '../../callers/StepAside';
 
 /** A hall of edges that are behind as a test says. */
 class Hall {
--- a/packages/puffinturn-edge/src/__tests__/unit/TokensInRegions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/TokensInRegions.test.ts
@@ -10,7 +10,7 @@
 import {ManualClock, Random} from 'shared';
 
 import {RESERVE} from '../../index';
-import {TokenHolders} from '../../TokenHolders';
+import {TokenHolders} from '../../tokens/TokenHolders';
 import {CORE, TEAM, TokenFleet} from '../utils/TokenFleet';
 
 const REGIONS = new Regions({a: 'east', b: 'east', x: 'west', y: 'west'});
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamChoice.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamChoice.test.ts
@@ -8,9 +8,13 @@
 import {SilentDecisionLog} from 'puffinturn-decisions';
 import {ManualClock, Random} from 'shared';
 
-import {EdgeUpstream} from '../../EdgeUpstream';
-import type {ChoiceFacts} from '../../UpstreamChoice';
-import {ExpectedTime, FreeSlots, PrefixRendezvous} from '../../UpstreamChoice';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {ChoiceFacts} from '../../upstreams/UpstreamChoice';
+import {
+  ExpectedTime,
+  FreeSlots,
+  PrefixRendezvous,
+} from '../../upstreams/UpstreamChoice';
 import {upstreamOf} from '../utils/EdgeFixture';
 
 const PARTS = [
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamConnection.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamConnection.test.ts
@@ -7,7 +7,7 @@
 
 import {Socket} from 'node:net';
 
-import {connectionOf} from '../../UpstreamConnection';
+import {connectionOf} from '../../connections/UpstreamConnection';
 
 describe('connectionOf', () => {
   test('watches a connection once, however many requests it serves', () => {
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamCrashes.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamCrashes.test.ts
@@ -11,8 +11,8 @@
 import {CrashWatch, LISTENER, probeListener} from 'puffinturn-quarantine';
 import {ManualClock, settleTasks} from 'shared';
 
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import {UpstreamPool} from '../../UpstreamPool';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {TestUpstream} from '../utils/ServingFixture';
 
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamLives.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamLives.test.ts
@@ -11,7 +11,7 @@
 import {REPETITION, UPSTREAM_STATE} from 'puffinturn-fleet';
 import {ManualClock} from 'shared';
 
-import {UpstreamPool} from '../../UpstreamPool';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
 import {upstreamOf} from '../utils/EdgeFixture';
 import {
   ServingFixture,
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
@@ -9,7 +9,7 @@
 import {UPSTREAM_STATE} from 'puffinturn-fleet';
 import {ManualClock} from 'shared';
 
-import {UpstreamPool} from '../../UpstreamPool';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
 import {upstreamOf} from '../utils/EdgeFixture';
 
 function poolOf(...records: ReturnType<typeof upstreamOf>[]) {
--- a/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/VersionGate.test.ts
@@ -8,8 +8,8 @@
 import type {Rollout, RolloutState, ServiceVersions} from 'puffinturn-fleet';
 import {ROLLOUT_STATE} from 'puffinturn-fleet';
 
-import type {VersionSource} from '../../VersionGate';
-import {ofVersion, servedBy, useOfVersions} from '../../VersionGate';
+import type {VersionSource} from '../../rollouts/VersionGate';
+import {ofVersion, servedBy, useOfVersions} from '../../rollouts/VersionGate';
 
 function versionsOf(state?: RolloutState): ServiceVersions {
   const rollout: Rollout | undefined =
--- a/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
@@ -13,9 +13,12 @@
 import type {MemoryNetwork} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import type {UpstreamAdmission} from '../../UpstreamAdmission';
-import {PermitAdmission, UnboundedAdmission} from '../../UpstreamAdmission';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {UpstreamAdmission} from '../../upstreams/UpstreamAdmission';
+import {
+  PermitAdmission,
+  UnboundedAdmission,
+} from '../../upstreams/UpstreamAdmission';
 import {PacedAdmission} from './PacedAdmission';
 
 /** What an admission of a test is made of. */
--- a/packages/puffinturn-edge/src/__tests__/utils/LimitedFleet.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/LimitedFleet.ts
@@ -14,8 +14,8 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {ManualClock, Random} from 'shared';
 
-import {EdgeUpstream} from '../../EdgeUpstream';
-import type {UpstreamAdmission} from '../../UpstreamAdmission';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {UpstreamAdmission} from '../../upstreams/UpstreamAdmission';
 import type {AdmissionOf} from './AdmittingEdge';
 import {recordOf} from './AdmittingEdge';
 import {upstreamOf} from './EdgeFixture';
--- a/packages/puffinturn-edge/src/__tests__/utils/OneRegion.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/OneRegion.ts
@@ -13,9 +13,9 @@
 import type {Random} from 'shared';
 import {drawByWeight, hashOf, rendezvousWeight} from 'shared';
 
-import type {PromptPart} from '../../CallerDialect';
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import type {Placement} from '../../UpstreamChoice';
+import type {PromptPart} from '../../callers/CallerDialect';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {Placement} from '../../upstreams/UpstreamChoice';
 
 /** Two are drawn by slots, the one that is expected to answer sooner is taken. */
 export function plainInOneRegion(
--- a/packages/puffinturn-edge/src/__tests__/utils/PacedAdmission.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PacedAdmission.ts
@@ -16,9 +16,12 @@
 import type {Clock} from 'shared';
 import {hashOf, rendezvousWeight} from 'shared';
 
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import type {AdmissionFacts} from '../../UpstreamAdmission';
-import {rateOfUpstream, UpstreamAdmission} from '../../UpstreamAdmission';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import type {AdmissionFacts} from '../../upstreams/UpstreamAdmission';
+import {
+  rateOfUpstream,
+  UpstreamAdmission,
+} from '../../upstreams/UpstreamAdmission';
 
 /** How the edges share what one upstream bears. */
 export interface PacedShares {
--- a/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainDialect.ts
@@ -6,8 +6,12 @@
  */
 
 /** A dialect with short names, for edges that serve over loopback. */
-import type {HeaderNames, PromptPart, TokenBounds} from '../../CallerDialect';
-import {CallerDialect} from '../../CallerDialect';
+import type {
+  HeaderNames,
+  PromptPart,
+  TokenBounds,
+} from '../../callers/CallerDialect';
+import {CallerDialect} from '../../callers/CallerDialect';
 
 type HeaderLookup = (name: string) => string | undefined;
 
--- a/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/RegionEdge.ts
@@ -11,20 +11,24 @@
 import {Regions, REPETITION} from 'puffinturn-fleet';
 import {ManualClock, Random} from 'shared';
 
-import type {PromptPart} from '../../CallerDialect';
-import {CrossingEpisodes} from '../../CrossingEpisodes';
+import type {PromptPart} from '../../callers/CallerDialect';
 import {EdgeMetrics} from '../../EdgeMetrics';
-import type {EdgeUpstream} from '../../EdgeUpstream';
-import {Exposures} from '../../Exposures';
-import {HomeProbes} from '../../HomeProbes';
-import type {RegionCrossingParts} from '../../RegionCrossing';
-import {RegionCrossing} from '../../RegionCrossing';
-import type {Plan} from '../../RequestPlan';
-import {ReturnTimes} from '../../ReturnTimes';
-import {ExpectedTime, ShorterWait} from '../../UpstreamChoice';
-import {UpstreamPool} from '../../UpstreamPool';
-import type {Lack, RequestSize, SelectionParts} from '../../UpstreamSelection';
-import {lackOf, selectUpstream} from '../../UpstreamSelection';
+import {CrossingEpisodes} from '../../regions/CrossingEpisodes';
+import type {RegionCrossingParts} from '../../regions/RegionCrossing';
+import {RegionCrossing} from '../../regions/RegionCrossing';
+import type {Plan} from '../../requests/RequestPlan';
+import {Exposures} from '../../rollouts/Exposures';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {HomeProbes} from '../../upstreams/HomeProbes';
+import {ReturnTimes} from '../../upstreams/ReturnTimes';
+import {ExpectedTime, ShorterWait} from '../../upstreams/UpstreamChoice';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
+import type {
+  Lack,
+  RequestSize,
+  SelectionParts,
+} from '../../upstreams/UpstreamSelection';
+import {lackOf, selectUpstream} from '../../upstreams/UpstreamSelection';
 import {upstreamOf} from './EdgeFixture';
 import {PacedAdmission} from './PacedAdmission';
 
--- a/packages/puffinturn-edge/src/AnswerRelay.ts
+++ b/packages/puffinturn-edge/src/callers/AnswerRelay.ts
@@ -10,12 +10,12 @@
  * first; streams pass event by event and may go on with another upstream's
  * answer under the head of the first.
  */
+import {EventCutter} from '../connections/EventStream';
+import type {UpstreamAnswer} from '../connections/UpstreamAnswer';
+import {WHOLE_ANSWER_BYTES} from '../EdgeConstants';
 import {CallerBody} from './CallerBody';
 import type {CallerRequest} from './CallerRequest';
 import {joined, passesOn} from './CallerRequest';
-import {WHOLE_ANSWER_BYTES} from './EdgeConstants';
-import {EventCutter} from './EventStream';
-import type {UpstreamAnswer} from './UpstreamAnswer';
 
 /** How passing an answer on has ended. */
 export const RELAY = {
--- a/packages/puffinturn-edge/src/CallerBody.ts
+++ b/packages/puffinturn-edge/src/callers/CallerBody.ts
@@ -12,7 +12,7 @@
  */
 import type {ServerResponse} from 'node:http';
 
-import type {UpstreamAnswer} from './UpstreamAnswer';
+import type {UpstreamAnswer} from '../connections/UpstreamAnswer';
 
 const LINE_END = '\r\n';
 const LAST_CHUNK = '0\r\n\r\n';
--- a/packages/puffinturn-edge/src/FinalAnswer.ts
+++ b/packages/puffinturn-edge/src/callers/FinalAnswer.ts
@@ -6,8 +6,8 @@
  */
 
 /** The end of one request: the last answer to its caller, and why it was given. */
+import {RETRY_AFTER_BUSY_S} from '../EdgeConstants';
 import type {CallerRequest} from './CallerRequest';
-import {RETRY_AFTER_BUSY_S} from './EdgeConstants';
 
 /** See the module comment. The first end counts. */
 export class FinalAnswer {
--- a/packages/puffinturn-edge/src/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -11,7 +11,7 @@
  */
 import type {Clock} from 'shared';
 
-import {IDLE_CONNECTION_MS} from './EdgeConstants';
+import {IDLE_CONNECTION_MS} from '../EdgeConstants';
 import type {ConnectionKeeper} from './HttpConnection';
 import {HttpConnection} from './HttpConnection';
 
--- a/packages/puffinturn-edge/src/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -9,11 +9,11 @@
  * One attempt at one upstream, up to the head of its answer. What can't be the
  * upstream's answer to this very request is never passed on.
  */
-import type {HeaderNames} from './CallerDialect';
-import {CONNECT_MS, MISDIRECTED, REJECTION_BODY_MS} from './EdgeConstants';
-import type {EdgeUpstream} from './EdgeUpstream';
+import type {HeaderNames} from '../callers/CallerDialect';
+import {requestHead} from '../callers/RequestHead';
+import {CONNECT_MS, MISDIRECTED, REJECTION_BODY_MS} from '../EdgeConstants';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {ConnectionUser, HttpConnection} from './HttpConnection';
-import {requestHead} from './RequestHead';
 import type {UpstreamAnswer} from './UpstreamAnswer';
 
 /** The head of the upstream's own answer is there. */
--- a/packages/puffinturn-edge/src/UpstreamHeaders.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamHeaders.ts
@@ -6,11 +6,11 @@
  */
 
 /** The headers of a request as an upstream gets them. */
-import type {CallerDialect, HeaderNames} from './CallerDialect';
-import type {CallerRequest} from './CallerRequest';
-import {passesOn} from './CallerRequest';
-import type {Plan} from './RequestPlan';
-import type {Placement} from './UpstreamChoice';
+import type {CallerDialect, HeaderNames} from '../callers/CallerDialect';
+import type {CallerRequest} from '../callers/CallerRequest';
+import {passesOn} from '../callers/CallerRequest';
+import type {Plan} from '../requests/RequestPlan';
+import type {Placement} from '../upstreams/UpstreamChoice';
 
 /** What the headers are made of. */
 export interface HeaderFacts {
--- a/packages/puffinturn-edge/src/index.ts
+++ b/packages/puffinturn-edge/src/index.ts
@@ -6,15 +6,19 @@
  */
 
 /** Serving requests at the edge. */
-export type {AllowancesParts, ReserveOutcome} from './Allowances';
-export {Allowances, RESERVE} from './Allowances';
-export type {HeaderNames, PromptPart, TokenBounds} from './CallerDialect';
-export {CallerDialect} from './CallerDialect';
+export type {
+  HeaderNames,
+  PromptPart,
+  TokenBounds,
+} from './callers/CallerDialect';
+export {CallerDialect} from './callers/CallerDialect';
+export type {HttpAddress, HttpListenFailure} from './callers/EdgeHttp';
+export {HttpListener} from './callers/EdgeHttp';
+export type {EventBatch} from './connections/EventStream';
+export {EventCutter} from './connections/EventStream';
 export type {EdgeParts} from './Edge';
 export {Edge} from './Edge';
-export type {HttpAddress, HttpListenFailure} from './EdgeHttp';
-export {HttpListener} from './EdgeHttp';
-export type {EventBatch} from './EventStream';
-export {EventCutter} from './EventStream';
-export type {RetryBound} from './RetryBudgets';
-export {RouteTable} from './RouteTable';
+export type {RetryBound} from './requests/RetryBudgets';
+export {RouteTable} from './requests/RouteTable';
+export type {AllowancesParts, ReserveOutcome} from './tokens/Allowances';
+export {Allowances, RESERVE} from './tokens/Allowances';
--- a/packages/puffinturn-edge/src/RegionCrossing.ts
+++ b/packages/puffinturn-edge/src/regions/RegionCrossing.ts
@@ -14,6 +14,7 @@
 import type {Regions} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
+import type {Plan} from '../requests/RequestPlan';
 import type {CrossingEpisodes} from './CrossingEpisodes';
 import {
   ANSWER_BYTES,
@@ -25,7 +26,6 @@
   LINK_PART_LEFT_BY_LEAST_URGENT,
   STREAM_ANSWER_BYTES,
 } from './RegionConstants';
-import type {Plan} from './RequestPlan';
 
 /** What RegionCrossing is made of. */
 export interface RegionCrossingParts {
--- a/packages/puffinturn-edge/src/RegionTraffic.ts
+++ b/packages/puffinturn-edge/src/regions/RegionTraffic.ts
@@ -11,7 +11,7 @@
  */
 import type {Socket} from 'node:net';
 
-import type {EdgeMetrics} from './EdgeMetrics';
+import type {EdgeMetrics} from '../EdgeMetrics';
 
 interface ByteCounts {
   readonly read: number;
--- a/packages/puffinturn-edge/src/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -12,24 +12,24 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Clock} from 'shared';
 
-import type {CallerDialect} from './CallerDialect';
-import type {CallerRequest} from './CallerRequest';
-import {MISDIRECTED} from './EdgeConstants';
-import type {EdgeMetrics} from './EdgeMetrics';
-import type {EdgeUpstream} from './EdgeUpstream';
-import type {ExchangeOutcome} from './Exchange';
-import {Exchange} from './Exchange';
-import type {Exposures} from './Exposures';
-import type {HomeProbes} from './HomeProbes';
-import type {LimitReports} from './LimitReports';
-import type {Observation} from './Observation';
-import {PromptReading} from './PromptReading';
-import type {RegionCrossing} from './RegionCrossing';
+import type {CallerDialect} from '../callers/CallerDialect';
+import type {CallerRequest} from '../callers/CallerRequest';
+import type {ExchangeOutcome} from '../connections/Exchange';
+import {Exchange} from '../connections/Exchange';
+import type {UpstreamAnswer} from '../connections/UpstreamAnswer';
+import {headersFor} from '../connections/UpstreamHeaders';
+import {MISDIRECTED} from '../EdgeConstants';
+import type {EdgeMetrics} from '../EdgeMetrics';
+import type {RegionCrossing} from '../regions/RegionCrossing';
+import type {Exposures} from '../rollouts/Exposures';
+import type {Observation} from '../rollouts/Observation';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import type {HomeProbes} from '../upstreams/HomeProbes';
+import type {LimitReports} from '../upstreams/LimitReports';
+import {PromptReading} from '../upstreams/PromptReading';
+import type {Placement} from '../upstreams/UpstreamChoice';
+import {statementOf} from '../upstreams/UpstreamStatement';
 import type {Plan} from './RequestPlan';
-import type {UpstreamAnswer} from './UpstreamAnswer';
-import type {Placement} from './UpstreamChoice';
-import {headersFor} from './UpstreamHeaders';
-import {statementOf} from './UpstreamStatement';
 
 /** What an attempt needs of the edge. */
 export interface AttemptParts {
--- a/packages/puffinturn-edge/src/CrashingRequests.ts
+++ b/packages/puffinturn-edge/src/requests/CrashingRequests.ts
@@ -23,9 +23,9 @@
 import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import {askControls} from './ControlQuestions';
-import type {EdgeMetrics} from './EdgeMetrics';
-import type {EdgeUpstream} from './EdgeUpstream';
+import {askControls} from '../ControlQuestions';
+import type {EdgeMetrics} from '../EdgeMetrics';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 
 /** Longest time for the answer of one control box, ms. */
 const ANSWER_MS = 500;
--- a/packages/puffinturn-edge/src/Forwarding.ts
+++ b/packages/puffinturn-edge/src/requests/Forwarding.ts
@@ -16,14 +16,14 @@
 import {REPETITION} from 'puffinturn-fleet';
 import {fingerprintOf} from 'puffinturn-quarantine';
 
-import type {Allowances, ReserveOutcome} from './Allowances';
-import {RESERVE} from './Allowances';
-import type {AnswerRelay} from './AnswerRelay';
-import {RELAY, StreamRelay, WholeRelay} from './AnswerRelay';
-import type {AttemptParts} from './Attempt';
-import {Attempt} from './Attempt';
-import type {CallerRequest} from './CallerRequest';
-import type {CrashingRequests} from './CrashingRequests';
+import type {AnswerRelay} from '../callers/AnswerRelay';
+import {RELAY, StreamRelay, WholeRelay} from '../callers/AnswerRelay';
+import type {CallerRequest} from '../callers/CallerRequest';
+import {FinalAnswer} from '../callers/FinalAnswer';
+import {isReadLate} from '../callers/ReadLateness';
+import type {AnswerOutcome, ExchangeOutcome} from '../connections/Exchange';
+import {INVALID_HEADER} from '../connections/Exchange';
+import type {UpstreamAnswer} from '../connections/UpstreamAnswer';
 import {
   CALLER_LEFT,
   FIRST_ERROR_STATUS,
@@ -31,23 +31,27 @@
   MISDIRECTED,
   RETRY_AFTER_READ_LATE_S,
   RETRY_AFTER_TOKENS_S,
-} from './EdgeConstants';
-import type {EdgeUpstream} from './EdgeUpstream';
-import type {AnswerOutcome, ExchangeOutcome} from './Exchange';
-import {INVALID_HEADER} from './Exchange';
-import {FinalAnswer} from './FinalAnswer';
-import {isReadLate} from './ReadLateness';
-import type {RegionTraffic} from './RegionTraffic';
+} from '../EdgeConstants';
+import type {RegionTraffic} from '../regions/RegionTraffic';
+import type {Allowances, ReserveOutcome} from '../tokens/Allowances';
+import {RESERVE} from '../tokens/Allowances';
+import {RequestTokens} from '../tokens/RequestTokens';
+import type {Totals} from '../Totals';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import type {Placement} from '../upstreams/UpstreamChoice';
+import type {RequestSize, SelectionParts} from '../upstreams/UpstreamSelection';
+import {
+  admissionFacts,
+  lackOf,
+  selectUpstream,
+} from '../upstreams/UpstreamSelection';
+import type {AttemptParts} from './Attempt';
+import {Attempt} from './Attempt';
+import type {CrashingRequests} from './CrashingRequests';
 import type {Plan} from './RequestPlan';
 import {planFor} from './RequestPlan';
-import {RequestTokens} from './RequestTokens';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
-import type {Totals} from './Totals';
-import type {UpstreamAnswer} from './UpstreamAnswer';
-import type {Placement} from './UpstreamChoice';
-import type {RequestSize, SelectionParts} from './UpstreamSelection';
-import {admissionFacts, lackOf, selectUpstream} from './UpstreamSelection';
 
 /** What serving needs of the edge. */
 export interface ForwardingParts extends AttemptParts, SelectionParts {
--- a/packages/puffinturn-edge/src/RequestPlan.ts
+++ b/packages/puffinturn-edge/src/requests/RequestPlan.ts
@@ -11,9 +11,13 @@
 import type {Route, Service, Team} from 'puffinturn-fleet';
 import {regionsInBoth} from 'puffinturn-fleet';
 
-import type {CallerDialect, PromptPart, TokenBounds} from './CallerDialect';
-import type {CallerRequest} from './CallerRequest';
-import {RETRY_AFTER_MISSING_S} from './EdgeConstants';
+import type {
+  CallerDialect,
+  PromptPart,
+  TokenBounds,
+} from '../callers/CallerDialect';
+import type {CallerRequest} from '../callers/CallerRequest';
+import {RETRY_AFTER_MISSING_S} from '../EdgeConstants';
 import type {RouteTable} from './RouteTable';
 
 /** What is known of a request before it is sent anywhere. */
--- a/packages/puffinturn-edge/src/ExposureExchange.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureExchange.ts
@@ -16,7 +16,7 @@
 import type {Clock} from 'shared';
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
-import {askForGrants} from './ControlQuestions';
+import {askForGrants} from '../ControlQuestions';
 import type {Exposures} from './Exposures';
 
 /** How often the leader is told while there is something to tell, ms. */
--- a/packages/puffinturn-edge/src/Exposures.ts
+++ b/packages/puffinturn-edge/src/rollouts/Exposures.ts
@@ -20,14 +20,14 @@
 import type {Clock, Random} from 'shared';
 import {Condition, hashOf, rendezvousWeight} from 'shared';
 
-import {AnswerExpectations} from './AnswerExpectations';
-import type {EdgeMetrics} from './EdgeMetrics';
-import type {EdgeUpstream} from './EdgeUpstream';
+import {AnswerExpectations} from '../connections/AnswerExpectations';
+import type {EdgeMetrics} from '../EdgeMetrics';
+import type {Plan} from '../requests/RequestPlan';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import type {UpstreamPool} from '../upstreams/UpstreamPool';
 import {ExposureAccount} from './ExposureAccount';
 import type {Observation} from './Observation';
 import {SilentObservation, VersionObservation} from './Observation';
-import type {Plan} from './RequestPlan';
-import type {UpstreamPool} from './UpstreamPool';
 import type {VersionUse} from './VersionGate';
 import {ofVersion, servedBy, useOfVersions} from './VersionGate';
 
--- a/packages/puffinturn-edge/src/Observation.ts
+++ b/packages/puffinturn-edge/src/rollouts/Observation.ts
@@ -11,11 +11,14 @@
  */
 import type {Clock} from 'shared';
 
-import type {AnswerExpectations, AnswerSample} from './AnswerExpectations';
-import type {RelayEnd} from './AnswerRelay';
-import {RELAY} from './AnswerRelay';
-import {CALLER_LEFT, FIRST_ERROR_STATUS, MISDIRECTED} from './EdgeConstants';
-import type {ExchangeOutcome} from './Exchange';
+import type {RelayEnd} from '../callers/AnswerRelay';
+import {RELAY} from '../callers/AnswerRelay';
+import type {
+  AnswerExpectations,
+  AnswerSample,
+} from '../connections/AnswerExpectations';
+import type {ExchangeOutcome} from '../connections/Exchange';
+import {CALLER_LEFT, FIRST_ERROR_STATUS, MISDIRECTED} from '../EdgeConstants';
 import type {AnswerJudgement, ExposureAccount} from './ExposureAccount';
 
 /** How passing an answer on has ended. */
--- a/packages/puffinturn-edge/src/Allowances.ts
+++ b/packages/puffinturn-edge/src/tokens/Allowances.ts
@@ -26,12 +26,12 @@
 import type {Clock} from 'shared';
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
-import {CoreExchange} from './CoreExchange';
 import {
   ALLOWANCE_SECONDS,
   ALLOWANCE_WAIT_MS,
   HAND_ON_AFTER_MS,
-} from './EdgeConstants';
+} from '../EdgeConstants';
+import {CoreExchange} from './CoreExchange';
 import type {TokenAccount} from './TokenAccount';
 import {TokenBook} from './TokenBook';
 import {TokenGifts} from './TokenGifts';
--- a/packages/puffinturn-edge/src/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/tokens/CoreExchange.ts
@@ -20,7 +20,7 @@
 import type {Clock} from 'shared';
 import {sleepUnlessNotified} from 'shared';
 
-import {askForGrants} from './ControlQuestions';
+import {askForGrants} from '../ControlQuestions';
 import {
   ALLOWANCE_TICK_MS,
   EXCHANGE_AGAIN_MS,
@@ -28,7 +28,7 @@
   HOLD_AFTER_MS,
   REFILL_BELOW,
   RETURN_ABOVE,
-} from './EdgeConstants';
+} from '../EdgeConstants';
 import type {TokenAccount} from './TokenAccount';
 import type {TokenBook} from './TokenBook';
 import type {TokenHolders} from './TokenHolders';
--- a/packages/puffinturn-edge/src/RequestTokens.ts
+++ b/packages/puffinturn-edge/src/tokens/RequestTokens.ts
@@ -11,9 +11,9 @@
  */
 import type {TokenFacts} from 'puffinturn-decisions';
 
+import type {Plan} from '../requests/RequestPlan';
 import type {Allowances, ReserveOutcome} from './Allowances';
 import {RESERVE} from './Allowances';
-import type {Plan} from './RequestPlan';
 
 /** What is known of a request's cost as it ends. */
 export interface RequestCost {
--- a/packages/puffinturn-edge/src/TokenAccount.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenAccount.ts
@@ -6,7 +6,7 @@
  */
 
 /** The prepaid tokens of one team at one edge: what is held and how fast it goes. */
-import {DEMAND_WINDOW_MS, EXHAUSTED_MS} from './EdgeConstants';
+import {DEMAND_WINDOW_MS, EXHAUSTED_MS} from '../EdgeConstants';
 
 /** Least part of the window that a demand must have been measured for. */
 const LEAST_MEASURED = 0.3;
--- a/packages/puffinturn-edge/src/TokenBook.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenBook.ts
@@ -15,7 +15,7 @@
   ALLOWANCE_SECONDS,
   FLOAT_SECONDS,
   REFILL_BELOW,
-} from './EdgeConstants';
+} from '../EdgeConstants';
 import {TokenAccount} from './TokenAccount';
 import type {TokenHolders} from './TokenHolders';
 
--- a/packages/puffinturn-edge/src/TokenGifts.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenGifts.ts
@@ -18,7 +18,7 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
-import {BORROW_MS} from './EdgeConstants';
+import {BORROW_MS} from '../EdgeConstants';
 import type {TokenAccount} from './TokenAccount';
 import type {TokenBook} from './TokenBook';
 import type {TokenHolders} from './TokenHolders';
--- a/packages/puffinturn-edge/src/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -17,14 +17,14 @@
 import type {Clock} from 'shared';
 import {hashOf} from 'shared';
 
-import {AnswerTime} from './AnswerTime';
-import {ConnectionPool} from './ConnectionPool';
+import {ConnectionPool} from '../connections/ConnectionPool';
 import {
   BROKEN_BEFORE_PAUSE,
   FIRST_PAUSE_MS,
   FULL_PAUSE_MS,
   LONGEST_PAUSE_MS,
-} from './EdgeConstants';
+} from '../EdgeConstants';
+import {AnswerTime} from './AnswerTime';
 import {KeptPrefixes} from './KeptPrefixes';
 import {ReadingSpeed} from './ReadingSpeed';
 
--- a/packages/puffinturn-edge/src/HomeProbes.ts
+++ b/packages/puffinturn-edge/src/upstreams/HomeProbes.ts
@@ -13,7 +13,7 @@
  */
 import type {Clock} from 'shared';
 
-import {HOME_PROBE_EVERY_MS} from './RegionConstants';
+import {HOME_PROBE_EVERY_MS} from '../regions/RegionConstants';
 
 /** See the module comment. */
 export class HomeProbes {
--- a/packages/puffinturn-edge/src/KeptPrefixes.ts
+++ b/packages/puffinturn-edge/src/upstreams/KeptPrefixes.ts
@@ -11,7 +11,7 @@
  */
 import {LRUCache} from 'lru-cache';
 
-import type {PromptPart} from './CallerDialect';
+import type {PromptPart} from '../callers/CallerDialect';
 
 /** Prefixes remembered for each upstream. */
 const MAX_PREFIXES = 512;
--- a/packages/puffinturn-edge/src/LimitReports.ts
+++ b/packages/puffinturn-edge/src/upstreams/LimitReports.ts
@@ -16,7 +16,7 @@
 import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import {askControls} from './ControlQuestions';
+import {askControls} from '../ControlQuestions';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {UpstreamAdmission} from './UpstreamAdmission';
 import type {UpstreamPool} from './UpstreamPool';
--- a/packages/puffinturn-edge/src/PromptReading.ts
+++ b/packages/puffinturn-edge/src/upstreams/PromptReading.ts
@@ -11,7 +11,7 @@
  */
 import type {Clock} from 'shared';
 
-import type {PromptPart} from './CallerDialect';
+import type {PromptPart} from '../callers/CallerDialect';
 import type {Placement} from './UpstreamChoice';
 
 /** See the module comment; made as a request is sent. */
--- a/packages/puffinturn-edge/src/UpstreamChoice.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamChoice.ts
@@ -10,10 +10,13 @@
 import type {Random} from 'shared';
 import {drawByWeight, hashOf, rendezvousWeight} from 'shared';
 
-import type {PromptPart} from './CallerDialect';
-import {BOUNDED_LOAD} from './EdgeConstants';
+import type {PromptPart} from '../callers/CallerDialect';
+import {BOUNDED_LOAD} from '../EdgeConstants';
+import {
+  MOST_SPEED_AWAY,
+  UNMEASURED_ANSWER_MS,
+} from '../regions/RegionConstants';
 import type {EdgeUpstream} from './EdgeUpstream';
-import {MOST_SPEED_AWAY, UNMEASURED_ANSWER_MS} from './RegionConstants';
 
 /** What a choice may look at. */
 export interface ChoiceFacts {
--- a/packages/puffinturn-edge/src/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -13,12 +13,12 @@
 import type {Regions, Route, Team} from 'puffinturn-fleet';
 import type {Random} from 'shared';
 
-import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from './EdgeConstants';
+import {RETRY_AFTER_BUSY_S, RETRY_AFTER_MISSING_S} from '../EdgeConstants';
+import type {RegionCrossing} from '../regions/RegionCrossing';
+import type {Plan} from '../requests/RequestPlan';
+import type {Exposures} from '../rollouts/Exposures';
 import type {EdgeUpstream} from './EdgeUpstream';
-import type {Exposures} from './Exposures';
 import type {HomeProbes} from './HomeProbes';
-import type {RegionCrossing} from './RegionCrossing';
-import type {Plan} from './RequestPlan';
 import type {ReturnTimes} from './ReturnTimes';
 import type {AdmissionFacts, UpstreamAdmission} from './UpstreamAdmission';
 import {rateOfUpstream} from './UpstreamAdmission';
--- a/packages/puffinturn-edge/src/UpstreamStatement.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamStatement.ts
@@ -8,8 +8,8 @@
 /** What an upstream says of itself in the head of an answer. */
 import {restMsOf} from 'shared';
 
-import type {HeaderNames} from './CallerDialect';
-import type {UpstreamAnswer} from './UpstreamAnswer';
+import type {HeaderNames} from '../callers/CallerDialect';
+import type {UpstreamAnswer} from '../connections/UpstreamAnswer';
 
 /** See the module comment. */
 export interface UpstreamStatement {
