--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -25,7 +25,6 @@
 } from 'puffinturn-fleet';
 import {
   applyChange,
-  BOX_ROLE,
   FleetWatch,
   lifeOf,
   NO_EVACUATIONS,
@@ -47,6 +46,7 @@
 import {RETRY_AFTER_MISSING_S, RETRY_AFTER_STOPPING_S} from './EdgeConstants';
 import {EdgeMetrics} from './EdgeMetrics';
 import {EdgeNews} from './EdgeNews';
+import {KnownBoxes} from './KnownBoxes';
 import {Neighbours} from './Neighbours';
 import {CrossingEpisodes} from './regions/CrossingEpisodes';
 import {RegionCrossing} from './regions/RegionCrossing';
@@ -134,10 +134,7 @@
   /** When it began to learn what it serves from: its start, or a wake-up. */
   private startedAt: number;
   private readonly renewal: Renewal;
-  /** The other edges. */
-  private peers: readonly BoxRecord[] = [];
-  /** All boxes as last told. */
-  private boxes: readonly BoxRecord[] = [];
+  private readonly boxes: KnownBoxes;
   /** Whether another edge handed over what is served from. */
   private handedOver = false;
   private table: RouteTable | undefined;
@@ -152,6 +149,7 @@
     const {clock, link, log, random, regions, self} = parts;
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
+    this.boxes = new KnownBoxes(parts);
     this.pool = new UpstreamPool(clock, log);
     // The watch asks at once which roll-outs are held.
     this.exposures = new Exposures({
@@ -187,7 +185,7 @@
       life: lifeOf(self),
       link,
       log,
-      peers: () => this.peers,
+      peers: () => this.boxes.peers,
       regions,
     });
     this.exposureExchange = new ExposureExchange({
@@ -202,7 +200,7 @@
     this.episodes = new CrossingEpisodes(clock, log);
     this.neighbours = new Neighbours({
       clock,
-      edges: () => this.peers,
+      edges: () => this.boxes.peers,
       inTouch: () => this.watch.inTouch,
       link,
       needsState: () => this.needsState,
@@ -214,7 +212,7 @@
     this.stepAside = new StepAside({
       ageMs: () => this.backlog?.ageMs ?? 0,
       clock,
-      edges: () => this.peers,
+      edges: () => this.boxes.peers,
       link,
       log,
       ready: () => this.serves,
@@ -237,7 +235,7 @@
       limitOf: (id) => this.pool.limitOf(id),
       link,
       onCount: (count) => log.note({...count, event: 'permits-counted'}),
-      peers: () => this.peers,
+      peers: () => this.boxes.peers,
       self,
     });
     const admission = new PermitAdmission(this.permits);
@@ -255,7 +253,7 @@
       clock,
       crossing: new RegionCrossing({
         clock,
-        edges: () => this.edgesOfRegion,
+        edges: () => this.boxes.edgesOfRegion,
         episodes: this.episodes,
         hall: self.hall,
         regions,
@@ -274,11 +272,8 @@
       random,
       regionTraffic: new RegionTraffic(this.metrics),
       regions,
-      retryBudgets: new RetryBudgets(
-        parts.retryBound,
-        () => this.peers.length + 1,
-      ),
-      returnTimes: new ReturnTimes(clock, random, () => this.peers.length + 1),
+      retryBudgets: new RetryBudgets(parts.retryBound, () => this.boxes.edges),
+      returnTimes: new ReturnTimes(clock, random, () => this.boxes.edges),
       hall: self.hall,
       totals: this.totals,
     };
@@ -375,10 +370,7 @@
 
   /** Takes over who else is alive. */
   learnBoxes(records: readonly BoxRecord[]): void {
-    this.boxes = records;
-    this.peers = records.filter(({box, role}) => {
-      return role === BOX_ROLE.edge && box !== this.parts.self.box;
-    });
+    this.boxes.learn(records);
   }
 
   /**
@@ -442,7 +434,7 @@
     return configuration === undefined
       ? undefined
       : {
-          boxes: this.boxes,
+          boxes: this.boxes.all,
           configuration,
           evacuations: this.pool.evacuations,
           quarantine: this.crashing.quarantine,
@@ -462,25 +454,6 @@
     this.handedOver = true;
   }
 
-  /** How many edges the own region has, this one included. */
-  private get edgesOfRegion(): number {
-    const {regions, self} = this.parts;
-    const near = this.peers.filter(({hall}) =>
-      regions.areTogether(self.hall, hall),
-    );
-    return near.length + 1;
-  }
-
-  /** Bytes of calls, and of answers to calls, to boxes of other regions. */
-  private get bytesToOtherRegions(): number {
-    const {link, regions, self} = this.parts;
-    const away = this.boxes.filter(
-      ({hall}) => !regions.areTogether(self.hall, hall),
-    );
-    const sent = link.sentByPeer();
-    return away.reduce((sum, {box}) => sum + (sent.get(box) ?? 0), 0);
-  }
-
   private controls(): string[] {
     const {controls, leader} = this.watch;
     return leader === undefined || !controls.includes(leader)
@@ -574,7 +547,7 @@
       return;
     }
     open.set(this.open);
-    regionCalls.set(this.bytesToOtherRegions);
+    regionCalls.set(this.boxes.bytesToOtherRegions);
     limits.set(this.pool.limitedUpstreams);
     backlogAge.set((this.backlog?.ageMs ?? 0) / 1_000);
     inTouch.set(this.watch.inTouch ? 1 : 0);
