--- a/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
@@ -11,7 +11,7 @@
  */
 import type {ColdStart} from 'puffinturn-fleet';
 import type {PermitQuestion, Permits} from 'puffinturn-permits';
-import {boundOf} from 'puffinturn-permits';
+import {boundOf, rateOf} from 'puffinturn-permits';
 
 import type {EdgeUpstream} from './EdgeUpstream';
 
@@ -57,18 +57,18 @@
   }
 
   override waitMs(upstream: EdgeUpstream, facts: AdmissionFacts): number {
-    return rateOfUpstream(upstream, facts) === Infinity
-      ? 0
-      : this.permits.waitMs(upstream.id, facts.isLeastUrgent);
+    return isBounded(upstream, facts)
+      ? this.permits.waitMs(upstream.id, facts.isLeastUrgent)
+      : 0;
   }
 
   override admit(
     upstream: EdgeUpstream,
     facts: AdmissionFacts,
   ): boolean | Promise<boolean> {
-    return rateOfUpstream(upstream, facts) === Infinity
-      ? true
-      : this.permits.take(questionFor(upstream, facts));
+    return isBounded(upstream, facts)
+      ? this.permits.take(questionFor(upstream, facts))
+      : true;
   }
 
   override tell(upstream: EdgeUpstream): void {
@@ -77,6 +77,17 @@
   }
 }
 
+/** Whether an upstream bears only so many requests a second; asked at each choice. */
+function isBounded(
+  upstream: EdgeUpstream,
+  {coldStart}: AdmissionFacts,
+): boolean {
+  return (
+    rateOf(upstream.limits.limit) < Infinity ||
+    (coldStart !== undefined && upstream.cold)
+  );
+}
+
 /** Requests a second that an upstream bears now; Infinity where nothing bounds them. */
 export function rateOfUpstream(
   {cold, limits}: EdgeUpstream,
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -102,9 +102,10 @@
   const {engineChoice, hall, plainChoice} = parts;
   const {parts: prompt, service} = plan;
   const reached = inReach(parts, allowed, sending);
+  const facts = admissionFacts(plan, sending);
   const untried = reached
     .filter((upstream) => !tried.has(upstream))
-    .filter((upstream) => waitMsOf(parts, plan, sending, upstream) === 0);
+    .filter((upstream) => waitMsOf(parts, facts, sending, upstream) === 0);
   const calm = untried.filter(({paused}) => !paused);
   const greyAbove = greyErrorRate(allowed);
   const trusted = calm.filter((upstream) => !mistrusts(parts, upstream));
@@ -145,8 +146,9 @@
   if (reached.length < allowed.length) {
     return {cause: 'region-link-full', retryAfterS};
   }
+  const facts = admissionFacts(plan, sending);
   const waits = allowed.map((upstream) =>
-    waitMsOf(parts, plan, sending, upstream),
+    waitMsOf(parts, facts, sending, upstream),
   );
   const waitMs = Math.min(...waits);
   if (allowed.length === 0 || waitMs === 0) {
@@ -155,7 +157,6 @@
   if (allowed.every(({restLeftMs}) => restLeftMs > 0)) {
     return {cause: 'upstreams-rest', retryAfterS: Math.ceil(waitMs) / 1_000};
   }
-  const facts = admissionFacts(plan, sending);
   const rate = allowed
     .filter(({restLeftMs}) => restLeftMs === 0)
     .reduce((sum, upstream) => sum + rateOfUpstream(upstream, facts), 0);
@@ -221,12 +222,11 @@
 /** How long until an upstream may be tried for a request, ms; 0 where it may be now. */
 function waitMsOf(
   {admission}: SelectionParts,
-  plan: Plan,
-  sending: RequestSize,
+  facts: AdmissionFacts,
+  {heldBack}: RequestSize,
   upstream: EdgeUpstream,
 ): number {
-  const facts = admissionFacts(plan, sending);
-  const heldMs = sending.heldBack.has(upstream) ? LEAST_HELD_MS : 0;
+  const heldMs = heldBack.has(upstream) ? LEAST_HELD_MS : 0;
   const permitMs = admission.waitMs(upstream, facts);
   return Math.max(upstream.restLeftMs, permitMs, heldMs);
 }
