--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -15,7 +15,7 @@
   UpstreamTable,
 } from 'puffinturn-fleet';
 import type {UpstreamLimit} from 'puffinturn-permits';
-import {NO_LIMIT} from 'puffinturn-permits';
+import {NO_LIMIT, rateOf} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
 import {EdgeUpstream} from './EdgeUpstream';
@@ -174,7 +174,7 @@
 
   /** How many upstreams name a limit. */
   get limitedUpstreams(): number {
-    return this.all().filter(({limits}) => limits.limit.perSecond !== undefined)
+    return this.all().filter(({limits}) => rateOf(limits.limit) < Infinity)
       .length;
   }
 
