--- a/packages/puffinturn-edge/src/__tests__/unit/LimitsInAnswers.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/LimitsInAnswers.test.ts
@@ -64,13 +64,7 @@
     await second[Symbol.asyncDispose]();
   });
 
-  async function ask(count: number): Promise<number[]> {
-    const statuses: number[] = [];
-    for (let asked = 0; asked < count; asked += 1) {
-      statuses.push((await fixture.ask('look')).status);
-    }
-    return statuses;
-  }
+  const ask = (count: number) => fixture.askMany('look', count);
 
   /** Requests that reach the first one of so many. */
   async function reaching(count: number): Promise<number> {
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamStatements.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamStatements.test.ts
@@ -70,13 +70,7 @@
     await second[Symbol.asyncDispose]();
   });
 
-  async function ask(count: number): Promise<number[]> {
-    const statuses: number[] = [];
-    for (let asked = 0; asked < count; asked += 1) {
-      statuses.push((await fixture.ask('look')).status);
-    }
-    return statuses;
-  }
+  const ask = (count: number) => fixture.askMany('look', count);
 
   function told() {
     return fixture.log.lines.filter(({event}) => event === 'upstream-told');
--- a/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ServingFixture.ts
@@ -287,6 +287,15 @@
     return typeof address === 'object' ? (address?.port ?? 0) : 0;
   }
 
+  /** The statuses of so many requests of a route, one after the other. */
+  async askMany(route: string, count: number): Promise<number[]> {
+    const statuses: number[] = [];
+    for (let asked = 0; asked < count; asked += 1) {
+      statuses.push((await this.ask(route)).status);
+    }
+    return statuses;
+  }
+
   /** One request of a route. */
   ask(route: string): Promise<Got> {
     const {port} = this;
--- a/packages/puffinturn-fleet/src/__tests__/unit/QuarantineControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/QuarantineControl.test.ts
@@ -5,17 +5,10 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {
-  CrashReply,
-  CrashRequest,
-  WatchReply,
-  WatchRequest,
-} from '../../index';
-import {BOX_ROLE, FLEET_SERVICE} from '../../index';
+import type {CrashReply, CrashRequest} from '../../index';
+import {FLEET_SERVICE} from '../../index';
 import {CONTROLS, RolloutFleet} from '../utils/RolloutFleet';
 
-const CALL_MS = 5_000;
-
 const MINUTE_MS = 60_000;
 
 /** A quarantine is over, and the leader has looked since. */
@@ -28,42 +21,18 @@
     fleet = await RolloutFleet.start();
   });
 
-  async function call<Reply>(
-    control: string,
-    service: string,
-    body: unknown,
-  ): Promise<Reply> {
-    const link = fleet.network.connect('x:1');
-    const answer = await fleet.settle(
-      Promise.resolve(link.call(control, service, body, CALL_MS)),
-    );
-    return answer._unsafeUnwrap() as Reply;
-  }
-
   function report(control: string, life: string): Promise<CrashReply> {
     const crashes = [{agoMs: 0, fingerprints: ['f'], life}];
     const request: CrashRequest = {
       box: 'x:1',
       report: {answered: [], crashes},
     };
-    return call(control, FLEET_SERVICE.reportCrashes, request);
+    return fleet.call(control, FLEET_SERVICE.reportCrashes, request);
   }
 
   async function quarantined(control: string): Promise<readonly string[]> {
-    const request: WatchRequest = {
-      boxesRevision: -1,
-      brief: true,
-      configurationVersion: Infinity,
-      current: false,
-      evacuationRevision: Infinity,
-      from: {box: 'x:1', hall: 'z', incarnation: '1', role: BOX_ROLE.edge},
-      incarnation: '',
-      quarantineRevision: 0,
-      upstreamsRevision: 0,
-      waitMs: 0,
-    };
-    const reply = await call<WatchReply>(control, FLEET_SERVICE.watch, request);
-    return reply.quarantine?.fingerprints ?? [];
+    const {quarantine} = await fleet.watch(control);
+    return quarantine?.fingerprints ?? [];
   }
 
   test('count whichever box takes them, and each box tells the outcome', async () => {
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -17,6 +17,7 @@
 import {Condition, drawByWeight, invariant, ManualClock, Random} from 'shared';
 
 import type {
+  BoxRecord,
   ExposureBound,
   ExposureReply,
   ExposureReport,
@@ -25,6 +26,8 @@
   RolloutReadReply,
   UpstreamRecord,
   VersionTally,
+  WatchReply,
+  WatchRequest,
 } from '../../index';
 import {
   BOX_ROLE,
@@ -43,6 +46,10 @@
 /** What a version may risk in these tests. */
 export const BOUND: ExposureBound = {extra: 50, rollbackMs: 5_000, share: 0.1};
 
+/** A box that watches control boxes, and how long it waits for an answer, ms. */
+const WATCHING_BOX = 'x:1';
+const CALL_MS = 5_000;
+
 /** Time between two reports of an edge, ms. */
 const REPORT_MS = 250;
 
@@ -304,6 +311,42 @@
     await this.run(deadline - this.clock.now());
   }
 
+  /** Calls a service of a control box as an edge that is none of these. */
+  async call<Reply>(
+    control: string,
+    service: string,
+    body: unknown,
+  ): Promise<Reply> {
+    const link = this.network.connect(WATCHING_BOX);
+    const answer = await this.settle(
+      Promise.resolve(link.call(control, service, body, CALL_MS)),
+    );
+    return answer._unsafeUnwrap() as Reply;
+  }
+
+  /** All news of upstreams, and the quarantine, that a control box tells an edge. */
+  watch(control: string): Promise<WatchReply> {
+    const from: BoxRecord = {
+      box: WATCHING_BOX,
+      hall: 'z',
+      incarnation: '1',
+      role: BOX_ROLE.edge,
+    };
+    const request: WatchRequest = {
+      boxesRevision: -1,
+      brief: true,
+      configurationVersion: Infinity,
+      current: false,
+      evacuationRevision: Infinity,
+      from,
+      incarnation: '',
+      quarantineRevision: 0,
+      upstreamsRevision: 0,
+      waitMs: 0,
+    };
+    return this.call(control, FLEET_SERVICE.watch, request);
+  }
+
   /** Lets time pass while edges send, answer and report. */
   async run(ms: number, stopAt?: () => boolean): Promise<void> {
     const until = this.clock.now() + ms;
