--- a/packages/puffinturn-edge/src/requests/Forwarding.ts
+++ b/packages/puffinturn-edge/src/requests/Forwarding.ts
@@ -265,8 +265,8 @@
 
   /**
    * Whether an upstream takes one more request. Asked before each send, whatever the
-   * send is for: an upstream in need counts what arrives from all edges together, and
-   * each of these sees too little of it to hold back by itself.
+   * send is for: an overloaded upstream bears so many from all edges together, and each
+   * of these sees too few of them to hold back by itself.
    */
   private async isAdmitted(
     plan: Plan,
