Permits: one rule for which statement is later, and nothing that is not used

Which of two words on a limit is the later one was decided in three places, with three wordings; edges, control boxes and granters ask the same question now. What the granter leaves to urgent requests is worked out once, the wait of a refused caller too. The baseline without a bound stands with the tests that compare with it, and the package exports what others use. No behaviour changed; no test lost an assertion.

--- a/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/AdmittingEdge.ts
@@ -14,10 +14,9 @@
 import type {Clock} from 'shared';
 
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
-import type {UpstreamAdmission} from '../../upstreams/UpstreamAdmission';
 import {
   PermitAdmission,
-  UnboundedAdmission,
+  UpstreamAdmission,
 } from '../../upstreams/UpstreamAdmission';
 import {PacedAdmission} from './PacedAdmission';
 
@@ -55,6 +54,19 @@
 export const byPace: AdmissionOf = ({box, clock, peers, tolerance}) =>
   new PacedAdmission({box, clock, peers, tolerance});
 
+/** Baseline: every upstream takes all. */
+class UnboundedAdmission extends UpstreamAdmission {
+  override waitMs(): number {
+    return 0;
+  }
+
+  override admit(): boolean {
+    return true;
+  }
+
+  override tell(): void {}
+}
+
 /** No bound at all. */
 export const unbounded: AdmissionOf = () => new UnboundedAdmission();
 
--- a/packages/puffinturn-edge/src/upstreams/ReturnTimes.ts
+++ b/packages/puffinturn-edge/src/upstreams/ReturnTimes.ts
@@ -48,6 +48,7 @@
   }
 }
 
-function secondsOf(ms: number): number {
+/** A wait as callers are told it, s. */
+export function secondsOf(ms: number): number {
   return Math.ceil(ms) / SECOND_MS;
 }
--- a/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
@@ -37,19 +37,6 @@
   abstract tell(upstream: EdgeUpstream): void;
 }
 
-/** Baseline: every upstream takes all. */
-export class UnboundedAdmission extends UpstreamAdmission {
-  override waitMs(): number {
-    return 0;
-  }
-
-  override admit(): boolean {
-    return true;
-  }
-
-  override tell(): void {}
-}
-
 /** Each request needs a permit, which one edge grants for all of them. */
 export class PermitAdmission extends UpstreamAdmission {
   constructor(private readonly permits: Permits) {
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -20,6 +20,7 @@
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {HomeProbes} from './HomeProbes';
 import type {ReturnTimes} from './ReturnTimes';
+import {secondsOf} from './ReturnTimes';
 import type {AdmissionFacts, UpstreamAdmission} from './UpstreamAdmission';
 import {rateOfUpstream} from './UpstreamAdmission';
 import type {Placement, RegionLink, UpstreamChoice} from './UpstreamChoice';
@@ -155,7 +156,7 @@
     return {cause: 'no-upstream', retryAfterS: RETRY_AFTER_BUSY_S};
   }
   if (allowed.every(({restLeftMs}) => restLeftMs > 0)) {
-    return {cause: 'upstreams-rest', retryAfterS: Math.ceil(waitMs) / 1_000};
+    return {cause: 'upstreams-rest', retryAfterS: secondsOf(waitMs)};
   }
   const rate = allowed
     .filter(({restLeftMs}) => restLeftMs === 0)
--- a/packages/puffinturn-fleet/src/Upstreams.ts
+++ b/packages/puffinturn-fleet/src/Upstreams.ts
@@ -13,7 +13,7 @@
  * never comes back. What a life said of its limit in answers has an order of its own.
  */
 import type {UpstreamLimit} from 'puffinturn-permits';
-import {laterLimit, NO_LIMIT, rateOf} from 'puffinturn-permits';
+import {isLaterLimit, NO_LIMIT} from 'puffinturn-permits';
 
 /** What an upstream said of itself last. */
 export const UPSTREAM_STATE = {
@@ -221,14 +221,12 @@
 
   private takeLimit(slot: Slot, found: UpstreamLimit, now: number): boolean {
     const {limit: held = NO_LIMIT} = slot.record;
-    const limit = laterLimit(held, found);
-    const isNews =
-      limit.revision > held.revision || rateOf(limit) < rateOf(held);
-    if (isNews) {
-      slot.record = {...slot.record, limit};
-      this.tell(slot, now);
+    if (!isLaterLimit(found, held)) {
+      return false;
     }
-    return isNews;
+    slot.record = {...slot.record, limit: found};
+    this.tell(slot, now);
+    return true;
   }
 
   private tell(slot: Slot, now: number): void {
--- a/packages/puffinturn-permits/src/LimitStatements.ts
+++ b/packages/puffinturn-permits/src/LimitStatements.ts
@@ -10,10 +10,10 @@
 import {decimalOf} from 'shared';
 
 import type {UpstreamLimit} from './UpstreamLimit';
-import {laterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
+import {isLaterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
 
-/** The least status of an answer that did not go well. */
-const FIRST_ERROR_STATUS = 400;
+/** The least status that says that a request did not go well, whoever is at fault. */
+const LEAST_FAILED_STATUS = 400;
 
 /** What the head of an answer holds of a limit. */
 export interface LimitAnswer {
@@ -46,7 +46,7 @@
     const perSecond = decimalOf(named);
     const isUnsaid =
       named === undefined
-        ? status >= FIRST_ERROR_STATUS
+        ? status >= LEAST_FAILED_STATUS
         : perSecond === undefined;
     return !isUnsaid && this.hear(perSecond, sentAt);
   }
@@ -75,11 +75,10 @@
 
   /** Takes what another box knows; true where that changes what is known here. */
   learn(found: UpstreamLimit): boolean {
-    const later = laterLimit(this.held, found);
-    if (later === this.held || isSame(later, this.held)) {
+    if (!isLaterLimit(found, this.held)) {
       return false;
     }
-    this.held = later;
+    this.held = found;
     this.heardAt = this.clock.now();
     return true;
   }
@@ -90,7 +89,3 @@
     this.heardAt = this.clock.now();
   }
 }
-
-function isSame(a: UpstreamLimit, b: UpstreamLimit): boolean {
-  return a.revision === b.revision && rateOf(a) === rateOf(b);
-}
--- a/packages/puffinturn-permits/src/PermitBucket.ts
+++ b/packages/puffinturn-permits/src/PermitBucket.ts
@@ -47,12 +47,8 @@
   /** Takes up to so many permits; those that aren't urgent leave some. */
   take(wanted: number, isLeastUrgent: boolean): number {
     this.settle();
-    // Where only one is ever kept, none can be left.
-    const kept = isLeastUrgent ? this.leftToUrgent : 0;
-    const taken = Math.min(
-      wanted,
-      Math.max(0, Math.floor(this.permits - kept)),
-    );
+    const free = Math.floor(this.permits - this.leftBy(isLeastUrgent));
+    const taken = Math.min(wanted, Math.max(0, free));
     this.permits -= taken;
     return taken;
   }
@@ -64,8 +60,8 @@
   nextWaitMs(isLeastUrgent: boolean): number {
     const now = this.clock.now();
     const {perSecond} = this.rate;
-    const kept = isLeastUrgent ? this.leftToUrgent : 0;
-    const lacking = Math.max(0, 1 + kept - this.permits);
+    const needed = 1 + this.leftBy(isLeastUrgent);
+    const lacking = Math.max(0, needed - this.permits);
     const soonest = now + (lacking * SECOND_MS) / perSecond;
     const afterOthers = this.toldUntil + SECOND_MS / perSecond;
     const wanted = Math.max(now + LEAST_WAIT_MS, soonest, afterOthers);
@@ -73,8 +69,9 @@
     return this.toldUntil - now;
   }
 
-  private get leftToUrgent(): number {
-    return Math.min(KEPT_FOR_URGENT, this.rate.burst - 1);
+  /** Permits that a request leaves to others; where one is ever kept, none can be. */
+  private leftBy(isLeastUrgent: boolean): number {
+    return isLeastUrgent ? Math.min(KEPT_FOR_URGENT, this.rate.burst - 1) : 0;
   }
 
   private settle(): void {
--- a/packages/puffinturn-permits/src/UpstreamLimit.ts
+++ b/packages/puffinturn-permits/src/UpstreamLimit.ts
@@ -22,14 +22,21 @@
 export const NO_LIMIT: UpstreamLimit = {perSecond: undefined, revision: 0};
 
 /**
- * The later of two statements. Of two that boxes heard at the same time the lower one
- * counts, as the upstream bears what is less.
+ * Whether a statement is later than another one. Of two that boxes heard at the same
+ * time the lower one counts, as the upstream bears what is less.
  */
+export function isLaterLimit(
+  found: UpstreamLimit,
+  held: UpstreamLimit,
+): boolean {
+  return found.revision === held.revision
+    ? rateOf(found) < rateOf(held)
+    : found.revision > held.revision;
+}
+
+/** The later of two statements. */
 export function laterLimit(a: UpstreamLimit, b: UpstreamLimit): UpstreamLimit {
-  if (a.revision !== b.revision) {
-    return a.revision > b.revision ? a : b;
-  }
-  return rateOf(a) <= rateOf(b) ? a : b;
+  return isLaterLimit(b, a) ? b : a;
 }
 
 /** Requests a second that a limit allows; Infinity where there is none. */
--- a/packages/puffinturn-permits/src/index.ts
+++ b/packages/puffinturn-permits/src/index.ts
@@ -6,23 +6,11 @@
  */
 
 /** Upstreams that take only so many requests a second from all boxes together. */
-export type {GrantersParts, GrantingBox} from './Granters';
-export {Granters} from './Granters';
+export type {GrantingBox} from './Granters';
 export {LimitStatements} from './LimitStatements';
-export {LEAST_PER_SECOND} from './PermitConstants';
-export type {
-  ColdTolerance,
-  PermitCount,
-  PermitGranterParts,
-} from './PermitGranter';
-export {boundOf, PermitGranter} from './PermitGranter';
-export type {
-  BoundedUpstream,
-  PermitReply,
-  PermitRequest,
-} from './PermitMessages';
-export {PERMIT_SERVICE} from './PermitMessages';
-export type {PermitQuestion, PermitsParts} from './Permits';
+export type {ColdTolerance} from './PermitGranter';
+export {boundOf} from './PermitGranter';
+export type {PermitQuestion} from './Permits';
 export {Permits} from './Permits';
 export type {UpstreamLimit} from './UpstreamLimit';
-export {laterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
+export {isLaterLimit, NO_LIMIT, rateOf} from './UpstreamLimit';
