Log what a control box knew when it acknowledged a departure

A request reached an upstream after its leaving was acknowledged, and the logs could not tell why. A control box now writes departure-decided for each draining heartbeat and deregistration: what it knew of the upstream before and how old that was, the leader that it was in contact with, and the outcome (always 'acknowledged' today). request-ended and attempt-failed name the age of the edge's record of the upstream. Behaviour is unchanged.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -41,6 +41,8 @@
   /** Reason for the status; `served` if the response came from an upstream. */
   readonly cause: string;
   readonly upstream: string | undefined;
+  /** Age of this edge's record of that upstream when the request was sent to it. */
+  readonly upstreamAgeMs?: number | undefined;
   readonly attempts: number;
   readonly tookMs: number;
   readonly events: number;
@@ -58,6 +60,8 @@
 export interface AttemptFailed extends RequestDecision {
   readonly event: 'attempt-failed';
   readonly upstream: string;
+  /** Age of this edge's record of that upstream when the request was sent to it. */
+  readonly upstreamAgeMs: number | undefined;
   readonly cause: string;
   /** Whether the upstream may have started to process the request. */
   readonly mayHaveRun: boolean;
@@ -392,6 +396,28 @@
   readonly source: string;
 }
 
+/**
+ * This control box replied to an upstream that announced its departure, by a draining
+ * heartbeat or a deregistration.
+ */
+export interface DepartureDecided {
+  readonly event: 'departure-decided';
+  readonly upstream: string;
+  /** State that the upstream announced. */
+  readonly state: string;
+  /** Start time that the upstream reported; undefined if it reported none. */
+  readonly bornAt: number | undefined;
+  /** State of the upstream at this box before; undefined if it was unknown. */
+  readonly former: string | undefined;
+  /** Age of the newest record of the upstream at this box before. */
+  readonly formerAgeMs: number | undefined;
+  /** `acknowledged`, or the reason why the upstream has to call another control box. */
+  readonly outcome: string;
+  readonly tookMs: number;
+  /** Leader of the replicated log that this box was in contact with. */
+  readonly leader: string | undefined;
+}
+
 /** An upstream restarted; this edge discards the state of its previous incarnation. */
 export interface UpstreamRestarted {
   readonly event: 'upstream-restarted';
@@ -477,6 +503,7 @@
   | ConfigurationOverdue
   | CrashesReported
   | CrossRegionRoutingChanged
+  | DepartureDecided
   | DependencyChanged
   | EvacuationDecided
   | EvacuationsAdopted
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -87,6 +87,8 @@
   private currentAttempt: Attempt | undefined;
   private relay: ResponseRelay | undefined;
   private lastUpstream: EdgeUpstream | undefined;
+  /** Age of the record of `lastUpstream` when the request was sent to it, ms. */
+  private lastRecordAgeMs: number | undefined;
   private readonly triedUpstreams = new Set<EdgeUpstream>();
   /** Upstreams that granted no permit for this request. */
   private readonly deniedUpstreams = new Set<EdgeUpstream>();
@@ -336,6 +338,7 @@
     const {body, caller, relay, table} = this;
     const {upstream} = placement;
     this.lastUpstream = upstream;
+    this.lastRecordAgeMs = upstream.recordAgeMs;
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
     this.currentAttempt = new Attempt(this.parts, {
@@ -456,6 +459,7 @@
       request: this.caller.id,
       retry: willRetry,
       upstream: upstream.id,
+      upstreamAgeMs: this.lastRecordAgeMs,
     });
     if (!willRetry && !this.requestOutcome.hasEnded) {
       this.requestOutcome.fail(cause, this.mayHaveRun);
@@ -611,6 +615,7 @@
       request: caller.id,
       route,
       upstream: lastUpstream?.id,
+      upstreamAgeMs: this.lastRecordAgeMs,
       status,
       team: plan?.team?.name,
       tokens: tokenState,
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -62,15 +62,17 @@
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private wasReplaced = false;
+  private recordReceivedAt: number;
 
   constructor(
-    /** The latest record of the upstream. */
-    public record: UpstreamRecord,
+    private latestRecord: UpstreamRecord,
     private readonly clock: Clock,
     private readonly log: DecisionLog,
     /** Called when the upstream stops serving while its record still says `ready`. */
     private readonly onStopServing: () => void = () => undefined,
   ) {
+    const record = latestRecord;
+    this.recordReceivedAt = clock.now();
     this.hash = hash32(record.id);
     this.responseTime = new ResponseTime(clock);
     this.prefillSpeed = new PrefillSpeed(clock);
@@ -90,6 +92,27 @@
     return this.record.id;
   }
 
+  /** The latest record of the upstream. */
+  get record(): UpstreamRecord {
+    return this.latestRecord;
+  }
+
+  /** Replaces the record by one that this edge has just received. */
+  updateRecord(record: UpstreamRecord): void {
+    this.latestRecord = record;
+    this.recordReceivedAt = this.clock.now();
+  }
+
+  /** Time since this edge received the record, ms. */
+  get recordAgeMs(): number {
+    return Math.round(this.clock.now() - this.recordReceivedAt);
+  }
+
+  /** Marks an upstream that was removed from the pool as gone. */
+  markGone(): void {
+    this.latestRecord = {...this.latestRecord, state: UPSTREAM_STATE.gone};
+  }
+
   /** Whether the upstream accepts new requests. */
   get isServing(): boolean {
     return !this.isLeaving && !this.wasReplaced;
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -235,7 +235,7 @@
       if (affectsServingList(known.record, record)) {
         this.servingCache.clear();
       }
-      known.record = record;
+      known.updateRecord(record);
       known.markCold(this.table.coldUntil(record.id));
     } else {
       this.remove(record.id);
@@ -297,7 +297,7 @@
     this.servingCache.clear();
     removeFrom(this.byService, upstream.record.service, upstream);
     removeFrom(this.byAddress, upstream.record.address, upstream);
-    upstream.record = {...upstream.record, state: UPSTREAM_STATE.gone};
+    upstream.markGone();
     upstream.drainConnections();
     this.forgetFinished();
     this.removed.add(upstream);
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -56,7 +56,7 @@
 import {recoverFromSuspension} from './SuspensionRecovery';
 import {UpstreamRefusals} from './UpstreamRefusals';
 import type {UpstreamRecord} from './UpstreamTable';
-import {UpstreamTable} from './UpstreamTable';
+import {UPSTREAM_STATE, UpstreamTable} from './UpstreamTable';
 import {WatchReplies} from './WatchReplies';
 
 /** Interval between expiry checks of silent boxes and upstreams, ms. */
@@ -264,7 +264,21 @@
     );
   }
 
-  /** Records a heartbeat of an upstream. */
+  /** Records a heartbeat of an upstream; returns whether to acknowledge it. */
+  async acceptHeartbeat(record: UpstreamRecord): Promise<boolean> {
+    const former = this.upstreams.get(record.id);
+    const formerAgeMs = this.recordAgeMs(record.id);
+    this.recordHeartbeat(record, 'heartbeat');
+    if (
+      record.state !== UPSTREAM_STATE.ready &&
+      former?.state !== record.state
+    ) {
+      this.logDeparture(record, former, formerAgeMs);
+    }
+    return true;
+  }
+
+  /** Records the state of an upstream that a box has sent. */
   recordHeartbeat(record: UpstreamRecord, source = 'heartbeat'): void {
     const {stateChanged, clock} = this.parts;
     const {revision} = this.upstreams;
@@ -289,9 +303,14 @@
     }
   }
 
-  /** Marks an incarnation of an upstream as gone; the known one by default. */
-  markUpstreamGone(id: string, bornAt?: number): void {
+  /**
+   * Marks an incarnation of an upstream as gone, the known one by default; returns whether
+   * to acknowledge its deregistration.
+   */
+  async acceptDeregistration(id: string, bornAt?: number): Promise<boolean> {
     const {stateChanged, clock} = this.parts;
+    const former = this.upstreams.get(id);
+    const formerAgeMs = this.recordAgeMs(id);
     if (this.upstreams.markGone(id, clock.now(), bornAt)) {
       const record = this.upstreams.get(id);
       if (record !== undefined) {
@@ -299,6 +318,9 @@
       }
       stateChanged.notify();
     }
+    const departure = {bornAt, id, state: UPSTREAM_STATE.gone};
+    this.logDeparture(departure, former, formerAgeMs);
+    return true;
   }
 
   /** Counts a rejected heartbeat; the known upstreams stay unchanged. */
@@ -428,6 +450,29 @@
     });
   }
 
+  private logDeparture(
+    {bornAt, id, state}: Pick<UpstreamRecord, 'bornAt' | 'id' | 'state'>,
+    former: UpstreamRecord | undefined,
+    formerAgeMs: number | undefined,
+  ): void {
+    const {log, replica} = this.parts;
+    log.note({
+      bornAt,
+      event: 'departure-decided',
+      former: former?.state,
+      formerAgeMs,
+      leader: replica.activeLeaderBox,
+      outcome: 'acknowledged',
+      state,
+      tookMs: 0,
+      upstream: id,
+    });
+  }
+
+  private recordAgeMs(id: string): number | undefined {
+    return this.upstreams.recordAgeMs(id, this.parts.clock.now());
+  }
+
   private async readLocally(): Promise<ConfigurationReadReply> {
     const current = await this.leaderCalls.passBarrier();
     const document = this.parts.machine.storedConfiguration?.document;
--- a/packages/puffinturn-fleet/src/UpstreamTable.ts
+++ b/packages/puffinturn-fleet/src/UpstreamTable.ts
@@ -112,6 +112,12 @@
     return this.entries.get(id)?.record;
   }
 
+  /** Returns the time since the latest record of an upstream arrived, ms. */
+  recordAgeMs(id: string, now: number): number | undefined {
+    const entry = this.entries.get(id);
+    return entry === undefined ? undefined : Math.round(now - entry.lastSeenAt);
+  }
+
   /** Returns when an upstream's warm-up ends, on the clock passed to `merge`. */
   coldUntil(id: string): number {
     return this.entries.get(id)?.coldUntil ?? -Infinity;
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
@@ -333,7 +333,7 @@
     control('c3:1').recordHeartbeat(upstreamOf());
     await clock.advance(100);
     expect(handler.upstreamRecords.map(({id}) => id)).toContain('i-1');
-    control('c1:1').markUpstreamGone('i-1');
+    void control('c1:1').acceptDeregistration('i-1');
     await clock.advance(100);
     expect(handler.upstreamRecords.at(-1)?.state).toBe(UPSTREAM_STATE.gone);
   });
@@ -370,11 +370,11 @@
     network.partition(['c3:1'], ['c1:1', 'c2:1']);
     control('c1:1').recordHeartbeat(newRecord);
     control('c3:1').recordHeartbeat({...oldRecord, sequence: 71});
-    control('c3:1').markUpstreamGone('i-1', 1_000);
+    void control('c3:1').acceptDeregistration('i-1', 1_000);
     await clock.advance(1_000);
     network.heal();
     control('c2:1').recordHeartbeat({...oldRecord, sequence: 72});
-    control('c2:1').markUpstreamGone('i-1', 1_000);
+    void control('c2:1').acceptDeregistration('i-1', 1_000);
     await clock.advance(5_000);
     const edge = new UpstreamTable();
     for (const record of handler.upstreamRecords) {
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -221,7 +221,7 @@
   /** Removes upstreams of a version. */
   removeUpstreams(version: string, count = 4): void {
     for (let index = 0; index < count; index += 1) {
-      this.getControl().markUpstreamGone(`${version}-${index}`);
+      void this.getControl().acceptDeregistration(`${version}-${index}`);
     }
   }
 
