A later ready heartbeat no longer returns a draining upstream to service

Callers' requests could reach an upstream after its drain was acknowledged: any record of the same incarnation with a higher sequence and the state ready undid the drain at every box, and a drain that arrived out of order was ignored. States of one incarnation now only advance, ready to draining to gone, whatever the order of the records; a box that reports an earlier one is told again.

--- a/packages/puffinturn-fleet/src/UpstreamTable.ts
+++ b/packages/puffinturn-fleet/src/UpstreamTable.ts
@@ -19,6 +19,13 @@
 export type UpstreamState =
   (typeof UPSTREAM_STATE)[keyof typeof UPSTREAM_STATE];
 
+/** States in the order in which an incarnation passes through them. */
+const STATE_ORDER: readonly UpstreamState[] = [
+  UPSTREAM_STATE.ready,
+  UPSTREAM_STATE.draining,
+  UPSTREAM_STATE.gone,
+];
+
 /** Registration of one incarnation of an upstream. */
 export interface UpstreamRecord {
   readonly id: string;
@@ -148,28 +155,11 @@
       this.storeEntry(record, now);
       return true;
     }
-    if (order === 0) {
-      this.applyLimit(entry, record.limit ?? NO_LIMIT, now);
-    }
-    const isGone = current.state === UPSTREAM_STATE.gone;
-    const isLeaving = record.state === UPSTREAM_STATE.gone;
-    const isStale = record.sequence <= current.sequence && !isLeaving;
-    if (order < 0 || isGone || isStale) {
-      this.republishOverStale(entry, record, now);
+    if (order < 0) {
       return false;
     }
-    entry.lastSeenAt = now;
-    const {limit} = entry.record;
-    entry.record = limit === undefined ? record : {...record, limit};
-    const coldUntil = coldUntilOf(record, now);
-    const isChanged =
-      hasPublishedChange(record, current) ||
-      coldUntil > entry.coldUntil + COLD_END_TOLERANCE_MS;
-    entry.coldUntil = Math.max(entry.coldUntil, coldUntil);
-    if (isChanged || now - entry.publishedAt > REPUBLISH_INTERVAL_MS) {
-      this.publish(entry, now);
-    }
-    return isChanged;
+    this.applyLimit(entry, record.limit ?? NO_LIMIT, now);
+    return this.mergeSameIncarnation(entry, record, now);
   }
 
   /** Records an incarnation's request limit; returns true if the limit changed. */
@@ -211,26 +201,35 @@
     }
   }
 
-  /**
-   * Publishes the current record again if a stale record of the same incarnation
-   * differs. Unchanged heartbeats aren't published, so the sender may have missed it.
-   */
-  private republishOverStale(
+  private mergeSameIncarnation(
     entry: Entry,
-    stale: UpstreamRecord,
+    received: UpstreamRecord,
     now: number,
-  ): void {
+  ): boolean {
     const {record: current} = entry;
-    const isEarlier =
-      compareIncarnations(stale, current) === 0 &&
-      stale.sequence < current.sequence;
-    if (
-      isEarlier &&
-      current.state !== UPSTREAM_STATE.gone &&
-      hasPublishedChange(stale, current)
-    ) {
+    const state = laterState(current.state, received.state);
+    const isStale = received.sequence <= current.sequence;
+    const isGone = current.state === UPSTREAM_STATE.gone;
+    if (isGone || (isStale && state === current.state)) {
+      if (isOutdated(received, current)) {
+        this.publish(entry, now);
+      }
+      return false;
+    }
+    entry.lastSeenAt = now;
+    const {limit} = current;
+    const newest = isStale ? current : received;
+    entry.record = {...newest, ...(limit === undefined ? {} : {limit}), state};
+    const coldUntil = coldUntilOf(received, now);
+    const isChanged =
+      hasPublishedChange(entry.record, current) ||
+      coldUntil > entry.coldUntil + COLD_END_TOLERANCE_MS;
+    entry.coldUntil = Math.max(entry.coldUntil, coldUntil);
+    const isOverdue = now - entry.publishedAt > REPUBLISH_INTERVAL_MS;
+    if (isChanged || isOverdue || isOutdated(received, entry.record)) {
       this.publish(entry, now);
     }
+    return isChanged;
   }
 
   private applyLimit(
@@ -265,6 +264,11 @@
   }
 }
 
+/** The state further along in the life of an incarnation. */
+function laterState(a: UpstreamState, b: UpstreamState): UpstreamState {
+  return STATE_ORDER.indexOf(a) > STATE_ORDER.indexOf(b) ? a : b;
+}
+
 /** Whether two records of one incarnation differ in a field that must be published. */
 function hasPublishedChange(a: UpstreamRecord, b: UpstreamRecord): boolean {
   return (
@@ -275,6 +279,21 @@
   );
 }
 
+/**
+ * Whether a record of the same incarnation shows that its sender lacks the current one,
+ * which must then be published again, as unchanged heartbeats aren't published.
+ */
+function isOutdated(
+  received: UpstreamRecord,
+  current: UpstreamRecord,
+): boolean {
+  return (
+    received.state !== current.state ||
+    (received.sequence < current.sequence &&
+      hasPublishedChange(received, current))
+  );
+}
+
 function coldUntilOf({coldMs}: UpstreamRecord, now: number): number {
   return coldMs > 0 ? now + coldMs : -Infinity;
 }
