Store departures of upstreams in the replicated log before acknowledging them

Callers' requests reached an upstream for as long as it went on serving after a control box had acknowledged that it leaves. Cause: the acknowledgement was sent while the departure stood in the memory of that one box. If it died, froze or was cut off before another box had polled it, every other box and every edge knew the upstream as ready for good, as an upstream that deregisters sends nothing more. A box without a leader acknowledged too.

Evidence: the tests committed before, in real processes and in virtual time, failed; the killed box's line departure-decided says 'acknowledged' without a leader. They pass now, and so do new ones that failed on the code before: a box without a quorum does not acknowledge, and control boxes that have all forgotten the upstream still take it out of service at an edge that was cut off meanwhile.

A departure is now a record of the log, which names the upstream and its incarnation. A control box acknowledges once a quorum has stored it; where that takes over 800 ms it answers 503, so that the upstream calls another one. Every control box takes the upstream out of service when the log brings the record, also after a restart or a lost disk, and a ready heartbeat of that incarnation, late or from a box that knows less, no longer counts.

--- /dev/null
+++ b/packages/puffinturn-fleet/src/DepartureControl.ts
@@ -0,0 +1,173 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {Replica} from 'puffinturn-log';
+import type {Link} from 'puffinturn-wire';
+import type {Clock, Condition} from 'shared';
+import {TaskGroup} from 'shared';
+
+import type {DepartureOutcome} from './DepartureRegistry';
+import type {FleetMachine} from './FleetMachine';
+import type {DepartureReply, DepartureRequest} from './FleetMessages';
+import {DEPARTURE_OUTCOME, FLEET_SERVICE} from './FleetMessages';
+import type {LeaderCalls} from './LeaderCalls';
+import type {
+  Departure,
+  UpstreamIncarnation,
+  UpstreamRecord,
+  UpstreamState,
+  UpstreamTable,
+} from './UpstreamTable';
+import {compareIncarnations, UPSTREAM_STATE} from './UpstreamTable';
+
+/**
+ * Time limit of a departure, ms. Upstreams call another control box after 1 s without a
+ * response.
+ */
+const DEPARTURE_TIMEOUT_MS = 800;
+
+/** Dependencies of a DepartureControl. */
+export interface DepartureControlParts {
+  readonly clock: Clock;
+  readonly leader: LeaderCalls;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  readonly machine: FleetMachine;
+  /** Called for every stored departure after any of them has changed. */
+  readonly onStored: (departure: Departure) => void;
+  readonly replica: Replica;
+  /** Notified on every change of the machine. */
+  readonly stateChanged: Condition;
+  readonly upstreams: UpstreamTable;
+}
+
+/** An upstream's announcement that it leaves, and what this box knew of it before. */
+export interface DepartureAnnouncement {
+  readonly id: string;
+  /** The incarnation that leaves; undefined if the announcement does not name it. */
+  readonly incarnation: UpstreamIncarnation | undefined;
+  /** The announced state. */
+  readonly state: UpstreamState;
+  readonly former: UpstreamRecord | undefined;
+  /** Age of the former record, ms. */
+  readonly formerAgeMs: number | undefined;
+}
+
+/**
+ * Handles departures of upstreams at a control box. A departure is acknowledged once a
+ * quorum has stored it in the replicated log, so that every control box, also one that
+ * starts later, keeps the upstream out of service.
+ */
+export class DepartureControl implements AsyncDisposable {
+  private readonly handler: Disposable;
+  private readonly tasks = new TaskGroup();
+
+  constructor(private readonly parts: DepartureControlParts) {
+    this.handler = parts.link.register(FLEET_SERVICE.recordDeparture, (body) =>
+      this.storeAsLeader(body as DepartureRequest),
+    );
+    this.tasks.start((signal) => this.applyDepartures(signal));
+  }
+
+  /** The record as this box must treat it: an upstream that has departed is not ready. */
+  withDeparture(record: UpstreamRecord): UpstreamRecord {
+    const isReady = record.state === UPSTREAM_STATE.ready;
+    return isReady && this.parts.machine.departures.has(record)
+      ? {...record, state: UPSTREAM_STATE.draining}
+      : record;
+  }
+
+  /** Stores a departure; returns whether a quorum has stored it. */
+  async store(announcement: DepartureAnnouncement): Promise<boolean> {
+    const {clock, leader, log, machine, replica} = this.parts;
+    const {former, formerAgeMs, id, incarnation, state} = announcement;
+    if (incarnation && machine.departures.has({...incarnation, id})) {
+      return true;
+    }
+    const startedAt = clock.now();
+    const request: DepartureRequest = {id, incarnation, latestKnown: former};
+    const {outcome} = await leader.runOnLeader<DepartureReply>(
+      FLEET_SERVICE.recordDeparture,
+      request,
+      {outcome: DEPARTURE_OUTCOME.leaderUnreachable},
+      () => this.storeAsLeader(request),
+      DEPARTURE_TIMEOUT_MS,
+    );
+    log.note({
+      bornAt: incarnation?.bornAt,
+      event: 'departure-decided',
+      former: former?.state,
+      formerAgeMs,
+      leader: replica.activeLeaderBox,
+      outcome,
+      state,
+      tookMs: Math.round(clock.now() - startedAt),
+      upstream: id,
+    });
+    return outcome === DEPARTURE_OUTCOME.acknowledged;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.handler[Symbol.dispose]();
+    this.tasks.abort();
+    this.parts.stateChanged.notify();
+    await this.tasks[Symbol.asyncDispose]();
+  }
+
+  private async storeAsLeader({
+    id,
+    incarnation,
+    latestKnown,
+  }: DepartureRequest): Promise<DepartureReply> {
+    const {clock, leader, machine, upstreams} = this.parts;
+    const leaving =
+      incarnation ?? latestIncarnation(latestKnown, upstreams.get(id));
+    if (leaving === undefined) {
+      return {outcome: DEPARTURE_OUTCOME.unknownUpstream};
+    }
+    const departure = {bornAt: leaving.bornAt, id};
+    if (machine.departures.has(departure)) {
+      return {outcome: DEPARTURE_OUTCOME.acknowledged};
+    }
+    const stored = await leader.propose<DepartureOutcome>(
+      {at: clock.wallTime(), departure, kind: 'departure'},
+      DEPARTURE_TIMEOUT_MS,
+    );
+    return stored.match(
+      () => ({outcome: DEPARTURE_OUTCOME.acknowledged}),
+      ({kind}) => ({outcome: kind}),
+    );
+  }
+
+  /** Passes on the departures that the log has brought. */
+  private async applyDepartures(signal: AbortSignal): Promise<void> {
+    const {machine, onStored, stateChanged} = this.parts;
+    let appliedRevision = 0;
+    while (!signal.aborted) {
+      const {departures, revision} = machine.departures;
+      if (revision > appliedRevision) {
+        appliedRevision = revision;
+        for (const departure of departures) {
+          onStored(departure);
+        }
+      }
+      await stateChanged.wait();
+    }
+  }
+}
+
+/** The later one of two incarnations; undefined if none is known. */
+function latestIncarnation(
+  a: UpstreamIncarnation | undefined,
+  b: UpstreamIncarnation | undefined,
+): UpstreamIncarnation | undefined {
+  if (a === undefined || b === undefined) {
+    return a ?? b;
+  }
+  return compareIncarnations(a, b) >= 0 ? a : b;
+}
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -28,6 +28,8 @@
   ConfigurationOutcome,
   StoredConfiguration,
 } from './ConfigurationRegistry';
+import type {DepartureAnnouncement} from './DepartureControl';
+import {DepartureControl} from './DepartureControl';
 import type {EvacuationOutcome} from './EvacuationRegistry';
 import type {FleetMachine} from './FleetMachine';
 import type {
@@ -55,7 +57,7 @@
 } from './Rollouts';
 import {recoverFromSuspension} from './SuspensionRecovery';
 import {UpstreamRefusals} from './UpstreamRefusals';
-import type {UpstreamRecord} from './UpstreamTable';
+import type {Departure, UpstreamRecord} from './UpstreamTable';
 import {UPSTREAM_STATE, UpstreamTable} from './UpstreamTable';
 import {WatchReplies} from './WatchReplies';
 
@@ -150,6 +152,7 @@
   private readonly peerWatch: FleetWatch;
   private readonly allowanceControl: AllowanceControl;
   private readonly quarantineControl: QuarantineControl;
+  private readonly departureControl: DepartureControl;
   private readonly refusals: UpstreamRefusals;
   private readonly suspension: SuspensionDetector;
   private readonly tasks = new TaskGroup();
@@ -167,6 +170,12 @@
       ...parts,
       leader: this.leaderCalls,
     });
+    this.departureControl = new DepartureControl({
+      ...parts,
+      leader: this.leaderCalls,
+      onStored: (departure) => this.applyDeparture(departure),
+      upstreams: this.upstreams,
+    });
     this.watchReplies = new WatchReplies({
       ...parts,
       allBoxes: this.allBoxes,
@@ -266,24 +275,22 @@
 
   /** Records a heartbeat of an upstream; returns whether to acknowledge it. */
   async acceptHeartbeat(record: UpstreamRecord): Promise<boolean> {
-    const former = this.upstreams.get(record.id);
-    const formerAgeMs = this.recordAgeMs(record.id);
+    const {id, state} = record;
+    const former = this.describeFormer(id);
     this.recordHeartbeat(record, 'heartbeat');
-    if (
-      record.state !== UPSTREAM_STATE.ready &&
-      former?.state !== record.state
-    ) {
-      this.logDeparture(record, former, formerAgeMs);
-    }
-    return true;
+    return (
+      state === UPSTREAM_STATE.ready ||
+      this.departureControl.store({...former, id, incarnation: record, state})
+    );
   }
 
   /** Records the state of an upstream that a box has sent. */
   recordHeartbeat(record: UpstreamRecord, source = 'heartbeat'): void {
     const {stateChanged, clock} = this.parts;
     const {revision} = this.upstreams;
-    if (this.upstreams.merge(record, clock.now())) {
-      this.logUpstreamChange(record, source);
+    const current = this.departureControl.withDeparture(record);
+    if (this.upstreams.merge(current, clock.now())) {
+      this.logUpstreamChange(current, source);
     }
     if (this.upstreams.revision > revision) {
       stateChanged.notify();
@@ -308,19 +315,13 @@
    * to acknowledge its deregistration.
    */
   async acceptDeregistration(id: string, bornAt?: number): Promise<boolean> {
-    const {stateChanged, clock} = this.parts;
-    const former = this.upstreams.get(id);
-    const formerAgeMs = this.recordAgeMs(id);
-    if (this.upstreams.markGone(id, clock.now(), bornAt)) {
-      const record = this.upstreams.get(id);
-      if (record !== undefined) {
-        this.logUpstreamChange(record, 'leave');
-      }
-      stateChanged.notify();
+    const former = this.describeFormer(id);
+    if (this.upstreams.markGone(id, this.parts.clock.now(), bornAt)) {
+      this.publishDeparture(id, 'leave');
     }
-    const departure = {bornAt, id, state: UPSTREAM_STATE.gone};
-    this.logDeparture(departure, former, formerAgeMs);
-    return true;
+    const incarnation = bornAt === undefined ? undefined : {bornAt};
+    const state = UPSTREAM_STATE.gone;
+    return this.departureControl.store({...former, id, incarnation, state});
   }
 
   /** Counts a rejected heartbeat; the known upstreams stay unchanged. */
@@ -341,6 +342,7 @@
     this.handlers[Symbol.dispose]();
     await this.allowanceControl[Symbol.asyncDispose]();
     await this.quarantineControl[Symbol.asyncDispose]();
+    await this.departureControl[Symbol.asyncDispose]();
     await this.refusals[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.stateChanged.notify();
@@ -373,6 +375,20 @@
     return this.watchReplies.replyTo(request, current);
   }
 
+  private applyDeparture(departure: Departure): void {
+    if (this.upstreams.markDeparted(departure, this.parts.clock.now())) {
+      this.publishDeparture(departure.id, 'log');
+    }
+  }
+
+  private publishDeparture(id: string, source: string): void {
+    const record = this.upstreams.get(id);
+    if (record !== undefined) {
+      this.logUpstreamChange(record, source);
+    }
+    this.parts.stateChanged.notify();
+  }
+
   /** Merges the own boxes with those of the other control boxes; the own ones win. */
   private rebuildAllBoxes(): void {
     const peerBoxes = [...this.boxesByPeer.values()].flat();
@@ -450,27 +466,13 @@
     });
   }
 
-  private logDeparture(
-    {bornAt, id, state}: Pick<UpstreamRecord, 'bornAt' | 'id' | 'state'>,
-    former: UpstreamRecord | undefined,
-    formerAgeMs: number | undefined,
-  ): void {
-    const {log, replica} = this.parts;
-    log.note({
-      bornAt,
-      event: 'departure-decided',
-      former: former?.state,
-      formerAgeMs,
-      leader: replica.activeLeaderBox,
-      outcome: 'acknowledged',
-      state,
-      tookMs: 0,
-      upstream: id,
-    });
-  }
-
-  private recordAgeMs(id: string): number | undefined {
-    return this.upstreams.recordAgeMs(id, this.parts.clock.now());
+  /** What this box knows of an upstream that is about to change. */
+  private describeFormer(
+    id: string,
+  ): Pick<DepartureAnnouncement, 'former' | 'formerAgeMs'> {
+    const {upstreams} = this;
+    const formerAgeMs = upstreams.recordAgeMs(id, this.parts.clock.now());
+    return {former: upstreams.get(id), formerAgeMs};
   }
 
   private async readLocally(): Promise<ConfigurationReadReply> {
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -33,6 +33,12 @@
   StoredConfiguration,
 } from './ConfigurationRegistry';
 import {ConfigurationRegistry} from './ConfigurationRegistry';
+import type {
+  DepartureOutcome,
+  DepartureRecord,
+  DepartureSnapshot,
+} from './DepartureRegistry';
+import {DepartureRegistry} from './DepartureRegistry';
 import type {EvacuationOutcome, EvacuationRecord} from './EvacuationRegistry';
 import {EvacuationRegistry} from './EvacuationRegistry';
 import type {Evacuations} from './Evacuations';
@@ -69,6 +75,7 @@
   | AllowanceRecord
   | ConfigurationRecord
   | CrashReportRecord
+  | DepartureRecord
   | EvacuationRecord
   | PackedConfigurationRecord
   | RolloutRecord;
@@ -78,12 +85,15 @@
   | AllowanceOutcome
   | ConfigurationOutcome
   | CrashReportOutcome
+  | DepartureOutcome
   | EvacuationOutcome
   | RolloutRecordOutcome;
 
 interface FleetSnapshot extends AllowanceSnapshot {
   /** Missing in snapshots of versions without crash reports. */
   readonly crashes?: CrashSnapshot | undefined;
+  /** Missing in snapshots of versions without departures. */
+  readonly departures?: DepartureSnapshot | undefined;
   /** Missing in snapshots of versions without evacuations. */
   readonly evacuations?: Evacuations | undefined;
   /** Missing in snapshots of versions without rollouts. */
@@ -93,6 +103,8 @@
 
 /** Replicated state machine of a fleet. */
 export class FleetMachine extends StateMachine {
+  /** The upstreams that have announced their departure. */
+  readonly departures: DepartureRegistry;
   private readonly configurationRegistry: ConfigurationRegistry;
   private readonly evacuationRegistry: EvacuationRegistry;
   private readonly rolloutRegistry: RolloutRegistry;
@@ -105,6 +117,7 @@
   constructor(private readonly onChange: () => void = () => undefined) {
     super();
     this.configurationRegistry = new ConfigurationRegistry(onChange);
+    this.departures = new DepartureRegistry(onChange);
     this.evacuationRegistry = new EvacuationRegistry(onChange);
     this.rolloutRegistry = new RolloutRegistry(onChange, (service) =>
       this.isService(service),
@@ -166,6 +179,8 @@
         return this.configurationRegistry.apply(fleetRecord.stored);
       case 'crash-report':
         return this.applyCrashReport(fleetRecord);
+      case 'departure':
+        return this.departures.apply(fleetRecord);
       case 'evacuation':
         return this.evacuationRegistry.apply(fleetRecord);
       case 'packed-configuration':
@@ -184,6 +199,7 @@
     const snapshot: FleetSnapshot = {
       ...this.allowanceLedger.snapshot(),
       crashes: this.crashRegistry.snapshot(),
+      departures: this.departures.snapshot(),
       evacuations: this.evacuations,
       rollouts: this.rolloutRegistry.snapshot(),
       stored: this.storedConfiguration,
@@ -196,6 +212,7 @@
     this.configurationRegistry.restore(snapshot.stored ?? undefined);
     this.allowanceLedger.restore(snapshot);
     this.crashRegistry.restore(snapshot.crashes ?? EMPTY_CRASH_SNAPSHOT);
+    this.departures.restore(snapshot.departures ?? []);
     this.evacuationRegistry.restore(snapshot.evacuations ?? NO_EVACUATIONS);
     this.rolloutRegistry.restore(snapshot.rollouts ?? EMPTY_ROLLOUT_SNAPSHOT);
     this.onChange();
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -15,7 +15,7 @@
 import type {ConfigurationChange} from './ConfigurationChange';
 import type {Evacuations} from './Evacuations';
 import type {Rollouts} from './Rollouts';
-import type {UpstreamRecord} from './UpstreamTable';
+import type {UpstreamIncarnation, UpstreamRecord} from './UpstreamTable';
 
 /** Service names on the link between boxes. */
 export const FLEET_SERVICE = {
@@ -30,6 +30,7 @@
   sendState: 'fleet-hand-over',
   readConfiguration: 'fleet-read',
   readRollout: 'fleet-read-rollout',
+  recordDeparture: 'fleet-record-departure',
   reportCrashes: 'fleet-report-crashes',
   reportLimits: 'fleet-report-limits',
   requestWithdrawal: 'fleet-step-aside',
@@ -267,6 +268,30 @@
   readonly packed: Uint8Array;
 }
 
+/** Requests the leader to store the departure of an upstream. */
+export interface DepartureRequest {
+  readonly id: string;
+  /** The incarnation that leaves; undefined for the latest known one. */
+  readonly incarnation: UpstreamIncarnation | undefined;
+  /** The latest incarnation that the requesting box knows. */
+  readonly latestKnown: UpstreamIncarnation | undefined;
+}
+
+/** Outcomes of a departure other than those of a failed proposal. */
+export const DEPARTURE_OUTCOME = {
+  /** A quorum has stored it. */
+  acknowledged: 'acknowledged',
+  leaderUnreachable: 'leader-unreachable',
+  /** Neither the announcement nor a box says which incarnation leaves. */
+  unknownUpstream: 'unknown-upstream',
+} as const;
+
+/** What came of a departure. */
+export interface DepartureReply {
+  /** One of DEPARTURE_OUTCOME, or the kind of the failure of the proposal. */
+  readonly outcome: string;
+}
+
 /** Requests the leader to evacuate a hall or to return it to service. */
 export interface EvacuateRequest {
   readonly hall: string;
--- a/packages/puffinturn-fleet/src/LeaderCalls.ts
+++ b/packages/puffinturn-fleet/src/LeaderCalls.ts
@@ -17,7 +17,7 @@
 
 import type {FleetRecord} from './FleetMachine';
 
-/** Timeout of proposals, barriers and forwarded calls, ms. */
+/** Default timeout of proposals, barriers and forwarded calls, ms. */
 const LEADER_TIMEOUT_MS = 1_500;
 
 /** Why a proposal or barrier failed. */
@@ -36,9 +36,12 @@
   constructor(private readonly parts: LeaderCallsParts) {}
 
   /** Proposes a record; resolves with the outcome of applying it. */
-  propose<Outcome>(record: FleetRecord): ResultAsync<Outcome, FleetFailure> {
+  propose<Outcome>(
+    record: FleetRecord,
+    timeoutMs = LEADER_TIMEOUT_MS,
+  ): ResultAsync<Outcome, FleetFailure> {
     const {clock, replica} = this.parts;
-    return withTimeout(clock, replica.propose(record)).map(
+    return withTimeout(clock, replica.propose(record), timeoutMs).map(
       (value) => value as Outcome,
     );
   }
@@ -46,7 +49,11 @@
   /** Waits for a barrier of the log; true means that the state machine is current. */
   async passBarrier(): Promise<boolean> {
     const {clock, replica} = this.parts;
-    const barrier = await withTimeout(clock, replica.barrier());
+    const barrier = await withTimeout(
+      clock,
+      replica.barrier(),
+      LEADER_TIMEOUT_MS,
+    );
     return barrier.isOk();
   }
 
@@ -59,11 +66,12 @@
     body: unknown,
     fallback: Reply,
     runLocally: () => Promise<Reply>,
+    timeoutMs = LEADER_TIMEOUT_MS,
   ): Promise<Reply> {
     const {isLeader, leaderBox} = this.parts.replica;
     return isLeader || leaderBox === undefined
       ? runLocally()
-      : this.callLeader(leaderBox, service, body, fallback);
+      : this.callLeader(leaderBox, service, body, fallback, timeoutMs);
   }
 
   private async callLeader<Reply>(
@@ -71,12 +79,13 @@
     service: string,
     body: unknown,
     fallback: Reply,
+    timeoutMs: number,
   ): Promise<Reply> {
     const {link, self} = this.parts;
     if (leader === self.box) {
       return fallback;
     }
-    const result = await link.call(leader, service, body, LEADER_TIMEOUT_MS);
+    const result = await link.call(leader, service, body, timeoutMs);
     return result.match(
       (reply) => reply as Reply,
       () => fallback,
@@ -88,10 +97,11 @@
 function withTimeout<Value>(
   clock: Clock,
   result: ResultAsync<Value, ProposalFailure>,
+  timeoutMs: number,
 ): ResultAsync<Value, FleetFailure> {
   const timerAbort = new AbortController();
   const timeout = clock
-    .sleep(LEADER_TIMEOUT_MS, timerAbort.signal)
+    .sleep(timeoutMs, timerAbort.signal)
     .then(() => err<Value, FleetFailure>(noQuorum()));
   const settled = Promise.resolve(result).then((outcome) => {
     timerAbort.abort();
--- a/packages/puffinturn-fleet/src/UpstreamTable.ts
+++ b/packages/puffinturn-fleet/src/UpstreamTable.ts
@@ -50,6 +50,9 @@
 /** The part of a record that distinguishes incarnations of one upstream. */
 export type UpstreamIncarnation = Pick<UpstreamRecord, 'bornAt'>;
 
+/** An incarnation of an upstream that leaves. */
+export type Departure = Pick<UpstreamRecord, 'bornAt' | 'id'>;
+
 /**
  * Compares incarnations of one upstream; positive if `a` started later. An incarnation
  * without a start time is older than any with one.
@@ -182,14 +185,40 @@
    * are ignored.
    */
   markGone(id: string, now: number, bornAt?: number): boolean {
-    const current = this.entries.get(id)?.record;
-    const startedAt = bornAt ?? current?.bornAt;
-    const isCurrent =
-      current !== undefined &&
-      compareIncarnations({bornAt: startedAt}, current) === 0;
-    const base = isCurrent ? current : UNKNOWN_UPSTREAM;
-    const state = UPSTREAM_STATE.gone;
-    return this.merge({...base, bornAt: startedAt, coldMs: 0, id, state}, now);
+    const startedAt = bornAt ?? this.get(id)?.bornAt;
+    const incarnation = {bornAt: startedAt, id};
+    return this.merge(
+      this.leavingRecord(incarnation, UPSTREAM_STATE.gone),
+      now,
+    );
+  }
+
+  /**
+   * Takes an incarnation out of service: it drains, or is gone if this table does not know
+   * it. Returns true if other boxes must be notified.
+   */
+  markDeparted(departure: Departure, now: number): boolean {
+    const record = this.leavingRecord(departure, UPSTREAM_STATE.draining);
+    return this.merge(record, now);
+  }
+
+  /** The record of an incarnation in a later state; gone if the table does not know it. */
+  private leavingRecord(
+    {bornAt, id}: Departure,
+    state: UpstreamState,
+  ): UpstreamRecord {
+    const current = this.get(id);
+    const isKnown =
+      current !== undefined && compareIncarnations({bornAt}, current) === 0;
+    return isKnown
+      ? {...current, coldMs: 0, state}
+      : {
+          ...UNKNOWN_UPSTREAM,
+          bornAt,
+          coldMs: 0,
+          id,
+          state: UPSTREAM_STATE.gone,
+        };
   }
 
   /** Removes upstreams without a new record for EXPIRY_MS. */
--- a/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
@@ -75,4 +75,57 @@
       expect(stateAt(edge.handler)).not.toBe(UPSTREAM_STATE.ready);
     },
   );
+
+  test.each(DEPARTURES)(
+    'is not given for a %s by a control box without a quorum',
+    async (departure) => {
+      const {clock, edge, leave, network} = await startKnownUpstream();
+      network.partition(['c1:1'], ['c2:1', 'c3:1', 'e1:1']);
+      expect(await leave('c1:1', departure)).toBe(false);
+      expect(await leave('c2:1', departure)).toBe(true);
+      await clock.advance(DRAIN_MS);
+      expect(stateAt(edge.handler)).not.toBe(UPSTREAM_STATE.ready);
+    },
+  );
+
+  test.each(DEPARTURES)(
+    'by a %s is not undone by a later ready heartbeat of the same incarnation',
+    async (departure) => {
+      const {clock, control, edge, leave} = await startKnownUpstream();
+      expect(await leave('c1:1', departure)).toBe(true);
+      await clock.advance(100);
+      await control('c2:1').acceptHeartbeat({...RECORD, sequence: 9});
+      await clock.advance(DRAIN_MS);
+      const table = tableOf(edge.handler.upstreamRecords);
+      expect(table.get(RECORD.id)?.state).not.toBe(UPSTREAM_STATE.ready);
+      for (const box of CONTROLS) {
+        const {state} = control(box).upstreams.get(RECORD.id) ?? {};
+        expect(state).not.toBe(UPSTREAM_STATE.ready);
+      }
+    },
+  );
+
+  test('does not bind a later incarnation', async () => {
+    const {clock, control, edge, leave} = await startKnownUpstream();
+    expect(await leave('c1:1')).toBe(true);
+    await clock.advance(100);
+    const next = {...RECORD, bornAt: 2_000, sequence: 1};
+    expect(await control('c2:1').acceptHeartbeat(next)).toBe(true);
+    await clock.advance(DRAIN_MS);
+    expect(stateAt(edge.handler)).toBe(UPSTREAM_STATE.ready);
+  });
+
+  test('reaches an edge from control boxes that have all forgotten the upstream', async () => {
+    const {clock, control, edge, leave, network} = await startKnownUpstream();
+    network.partition(['e1:1'], CONTROLS);
+    expect(await leave('c1:1')).toBe(true);
+    for (const box of CONTROLS) {
+      control(box).upstreams.expire(Infinity);
+    }
+    // A delayed heartbeat must not register the upstream again.
+    await control('c2:1').acceptHeartbeat({...RECORD, sequence: 5});
+    network.heal();
+    await clock.advance(DRAIN_MS + 2_000);
+    expect(stateAt(edge.handler)).not.toBe(UPSTREAM_STATE.ready);
+  });
 });
