A deregistration that names no incarnation ends the one that the leader knows

A deregistration may come without a start time. At a control box that had just started and did not know the upstream it made a record that is older than any known incarnation: it was acknowledged, and every other box ignored it, so that callers' requests went on reaching the upstream.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -316,7 +316,10 @@
    */
   async acceptDeregistration(id: string, bornAt?: number): Promise<boolean> {
     const former = this.describeFormer(id);
-    if (this.upstreams.markGone(id, this.parts.clock.now(), bornAt)) {
+    // A record that names no incarnation would be taken for one at every other box.
+    const isNamed = bornAt !== undefined || former.former !== undefined;
+    const now = this.parts.clock.now();
+    if (isNamed && this.upstreams.markGone(id, now, bornAt)) {
       this.publishDeparture(id, 'leave');
     }
     const incarnation = bornAt === undefined ? undefined : {bornAt};
--- a/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
@@ -88,6 +88,23 @@
     },
   );
 
+  test('names the incarnation that a just started control box does not know', async () => {
+    const {clock, control, edge, leave, network} = await startKnownUpstream();
+    control('c1:1').upstreams.expire(Infinity);
+    network.partition(['c1:1'], ['e1:1']);
+    expect(await leave('c1:1', 'deregistration', false)).toBe(true);
+    await clock.advance(DRAIN_MS);
+    expect(stateAt(edge.handler)).not.toBe(UPSTREAM_STATE.ready);
+  });
+
+  test('is not given if no control box knows which incarnation leaves', async () => {
+    const {control, leave} = await startKnownUpstream();
+    for (const box of CONTROLS) {
+      control(box).upstreams.expire(Infinity);
+    }
+    expect(await leave('c1:1', 'deregistration', false)).toBe(false);
+  });
+
   test.each(DEPARTURES)(
     'by a %s is not undone by a later ready heartbeat of the same incarnation',
     async (departure) => {
