Move the upstreams of a control box out of FleetControl

What it keeps of upstreams, from heartbeats, deregistrations, other control boxes, limits and the log, is now UpstreamControl. No behaviour changes.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -28,8 +28,6 @@
   ConfigurationOutcome,
   StoredConfiguration,
 } from './ConfigurationRegistry';
-import type {DepartureAnnouncement} from './DepartureControl';
-import {DepartureControl} from './DepartureControl';
 import type {EvacuationOutcome} from './EvacuationRegistry';
 import type {FleetMachine} from './FleetMachine';
 import type {
@@ -39,7 +37,6 @@
   ConfigurationReadReply,
   EvacuateReply,
   EvacuateRequest,
-  LimitReportsRequest,
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
@@ -56,9 +53,8 @@
   RolloutReadReply,
 } from './Rollouts';
 import {recoverFromSuspension} from './SuspensionRecovery';
-import {UpstreamRefusals} from './UpstreamRefusals';
-import type {Departure, UpstreamRecord} from './UpstreamTable';
-import {UPSTREAM_STATE, UpstreamTable} from './UpstreamTable';
+import {UpstreamControl} from './UpstreamControl';
+import type {UpstreamRecord} from './UpstreamTable';
 import {WatchReplies} from './WatchReplies';
 
 /** Interval between expiry checks of silent boxes and upstreams, ms. */
@@ -127,7 +123,7 @@
     source: string,
   ): void {
     for (const record of records) {
-      this.control.recordHeartbeat(record, source);
+      this.control.upstreamControl.mergeRecord(record, source);
     }
   }
 
@@ -138,8 +134,8 @@
 
 /** Control plane of a fleet on one control box. */
 export class FleetControl implements AsyncDisposable {
-  /** Known upstreams. */
-  readonly upstreams = new UpstreamTable();
+  /** The upstreams and what they report. */
+  readonly upstreamControl: UpstreamControl;
   /** Live boxes that watch this control box. */
   readonly boxes = new BoxTable();
   /** Boxes that watch the other control boxes, keyed by control box. */
@@ -152,15 +148,12 @@
   private readonly peerWatch: FleetWatch;
   private readonly allowanceControl: AllowanceControl;
   private readonly quarantineControl: QuarantineControl;
-  private readonly departureControl: DepartureControl;
-  private readonly refusals: UpstreamRefusals;
   private readonly suspension: SuspensionDetector;
   private readonly tasks = new TaskGroup();
   private readonly handlers = new DisposableList();
 
   constructor(private readonly parts: FleetControlParts) {
-    const {clock, link, log} = parts;
-    this.refusals = new UpstreamRefusals(clock, log);
+    const {clock, link} = parts;
     this.leaderCalls = new LeaderCalls(parts);
     this.allowanceControl = new AllowanceControl({
       ...parts,
@@ -170,17 +163,15 @@
       ...parts,
       leader: this.leaderCalls,
     });
-    this.departureControl = new DepartureControl({
+    this.upstreamControl = new UpstreamControl({
       ...parts,
       leader: this.leaderCalls,
-      onStored: (departure) => this.applyDeparture(departure),
-      upstreams: this.upstreams,
     });
     this.watchReplies = new WatchReplies({
       ...parts,
       allBoxes: this.allBoxes,
       watchingBoxes: this.boxes.list,
-      upstreams: this.upstreams,
+      upstreams: this.upstreamControl.table,
     });
     this.handlers.add(
       link.register(FLEET_SERVICE.watch, (body) =>
@@ -200,12 +191,6 @@
     this.handlers.add(
       link.register(FLEET_SERVICE.readConfiguration, () => this.readLocally()),
     );
-    this.handlers.add(
-      link.register(FLEET_SERVICE.reportLimits, async (body) => {
-        this.recordLimits(body as LimitReportsRequest);
-        return null;
-      }),
-    );
     this.peerWatch = new FleetWatch({
       ...parts,
       maxPolledControls: Infinity,
@@ -214,7 +199,7 @@
     this.rolloutControl = new RolloutControl({
       ...parts,
       leader: this.leaderCalls,
-      upstreams: this.upstreams,
+      upstreams: this.upstreamControl.table,
     });
     // Only connections need recovery after a suspension: reads and proposals need a quorum.
     this.suspension = new SuspensionDetector(clock, (ms) =>
@@ -273,65 +258,6 @@
     );
   }
 
-  /** Records a heartbeat of an upstream; returns whether to acknowledge it. */
-  async acceptHeartbeat(record: UpstreamRecord): Promise<boolean> {
-    const {id, state} = record;
-    const former = this.describeFormer(id);
-    this.recordHeartbeat(record, 'heartbeat');
-    return (
-      state === UPSTREAM_STATE.ready ||
-      this.departureControl.store({...former, id, incarnation: record, state})
-    );
-  }
-
-  /** Records the state of an upstream that a box has sent. */
-  recordHeartbeat(record: UpstreamRecord, source = 'heartbeat'): void {
-    const {stateChanged, clock} = this.parts;
-    const {revision} = this.upstreams;
-    const current = this.departureControl.withDeparture(record);
-    if (this.upstreams.merge(current, clock.now())) {
-      this.logUpstreamChange(current, source);
-    }
-    if (this.upstreams.revision > revision) {
-      stateChanged.notify();
-    }
-  }
-
-  /** Records the limits that upstreams reported to an edge. */
-  private recordLimits({box: source, reports}: LimitReportsRequest): void {
-    const {stateChanged, clock, log} = this.parts;
-    for (const {bornAt, id, limit} of reports) {
-      if (this.upstreams.updateLimit({bornAt, id}, limit, clock.now())) {
-        const {perSecond, revision} = limit;
-        const event = 'upstream-limited';
-        log.note({event, perSecond, revision, source, upstream: id});
-        stateChanged.notify();
-      }
-    }
-  }
-
-  /**
-   * Marks an incarnation of an upstream as gone, the known one by default; returns whether
-   * to acknowledge its deregistration.
-   */
-  async acceptDeregistration(id: string, bornAt?: number): Promise<boolean> {
-    const former = this.describeFormer(id);
-    // A record that names no incarnation would be taken for one at every other box.
-    const isNamed = bornAt !== undefined || former.former !== undefined;
-    const now = this.parts.clock.now();
-    if (isNamed && this.upstreams.markGone(id, now, bornAt)) {
-      this.publishDeparture(id, 'leave');
-    }
-    const incarnation = bornAt === undefined ? undefined : {bornAt};
-    const state = UPSTREAM_STATE.gone;
-    return this.departureControl.store({...former, id, incarnation, state});
-  }
-
-  /** Counts a rejected heartbeat; the known upstreams stay unchanged. */
-  countRejectedHeartbeat(id: string, cause: string): void {
-    this.refusals.recordRefusal(id, cause);
-  }
-
   /** Replaces the boxes that watch another control box. */
   updatePeerBoxes(records: readonly BoxRecord[], source: string): void {
     this.boxesByPeer.set(source, records);
@@ -345,8 +271,7 @@
     this.handlers[Symbol.dispose]();
     await this.allowanceControl[Symbol.asyncDispose]();
     await this.quarantineControl[Symbol.asyncDispose]();
-    await this.departureControl[Symbol.asyncDispose]();
-    await this.refusals[Symbol.asyncDispose]();
+    await this.upstreamControl[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.stateChanged.notify();
     await this.tasks[Symbol.asyncDispose]();
@@ -378,20 +303,6 @@
     return this.watchReplies.replyTo(request, current);
   }
 
-  private applyDeparture(departure: Departure): void {
-    if (this.upstreams.markDeparted(departure, this.parts.clock.now())) {
-      this.publishDeparture(departure.id, 'log');
-    }
-  }
-
-  private publishDeparture(id: string, source: string): void {
-    const record = this.upstreams.get(id);
-    if (record !== undefined) {
-      this.logUpstreamChange(record, source);
-    }
-    this.parts.stateChanged.notify();
-  }
-
   /** Merges the own boxes with those of the other control boxes; the own ones win. */
   private rebuildAllBoxes(): void {
     const peerBoxes = [...this.boxesByPeer.values()].flat();
@@ -455,29 +366,6 @@
     });
   }
 
-  private logUpstreamChange(record: UpstreamRecord, source: string): void {
-    const {address, bornAt, id, sequence, service, state} = record;
-    this.parts.log.note({
-      address,
-      bornAt,
-      event: 'upstream-changed',
-      upstream: id,
-      sequence,
-      service,
-      source,
-      state,
-    });
-  }
-
-  /** What this box knows of an upstream that is about to change. */
-  private describeFormer(
-    id: string,
-  ): Pick<DepartureAnnouncement, 'former' | 'formerAgeMs'> {
-    const {upstreams} = this;
-    const formerAgeMs = upstreams.recordAgeMs(id, this.parts.clock.now());
-    return {former: upstreams.get(id), formerAgeMs};
-  }
-
   private async readLocally(): Promise<ConfigurationReadReply> {
     const current = await this.leaderCalls.passBarrier();
     const document = this.parts.machine.storedConfiguration?.document;
@@ -509,7 +397,7 @@
     const {clock} = this.parts;
     while (!signal.aborted) {
       await clock.sleep(EXPIRY_INTERVAL_MS, signal);
-      this.upstreams.expire(clock.now());
+      this.upstreamControl.table.expire(clock.now());
       if (this.boxes.expire(clock.now())) {
         this.rebuildAllBoxes();
       }
--- a/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
@@ -24,7 +24,7 @@
   const fleet = await startFleet(boxes);
   const edge = fleet.startWatch('e1:1');
   await fleet.clock.advance(1_500);
-  await fleet.control('c3:1').acceptHeartbeat(RECORD);
+  await fleet.control('c3:1').upstreamControl.acceptHeartbeat(RECORD);
   await fleet.clock.advance(500);
   expect(stateAt(edge.handler)).toBe(UPSTREAM_STATE.ready);
   /** Announces the departure to a control box; returns whether it is acknowledged. */
@@ -38,8 +38,10 @@
     const draining = {...RECORD, sequence: 6, state: UPSTREAM_STATE.draining};
     const acknowledged =
       departure === 'deregistration'
-        ? fleet.control(box).acceptDeregistration(RECORD.id, bornAt)
-        : fleet.control(box).acceptHeartbeat(draining);
+        ? fleet
+            .control(box)
+            .upstreamControl.acceptDeregistration(RECORD.id, bornAt)
+        : fleet.control(box).upstreamControl.acceptHeartbeat(draining);
     const reply = acknowledged.then((isAcknowledged) => {
       onAcknowledged();
       return isAcknowledged;
@@ -90,7 +92,7 @@
 
   test('names the incarnation that a just started control box does not know', async () => {
     const {clock, control, edge, leave, network} = await startKnownUpstream();
-    control('c1:1').upstreams.expire(Infinity);
+    control('c1:1').upstreamControl.table.expire(Infinity);
     network.partition(['c1:1'], ['e1:1']);
     expect(await leave('c1:1', 'deregistration', false)).toBe(true);
     await clock.advance(DRAIN_MS);
@@ -100,7 +102,7 @@
   test('is not given if no control box knows which incarnation leaves', async () => {
     const {control, leave} = await startKnownUpstream();
     for (const box of CONTROLS) {
-      control(box).upstreams.expire(Infinity);
+      control(box).upstreamControl.table.expire(Infinity);
     }
     expect(await leave('c1:1', 'deregistration', false)).toBe(false);
   });
@@ -111,12 +113,15 @@
       const {clock, control, edge, leave} = await startKnownUpstream();
       expect(await leave('c1:1', departure)).toBe(true);
       await clock.advance(100);
-      await control('c2:1').acceptHeartbeat({...RECORD, sequence: 9});
+      await control('c2:1').upstreamControl.acceptHeartbeat({
+        ...RECORD,
+        sequence: 9,
+      });
       await clock.advance(DRAIN_MS);
       const table = tableOf(edge.handler.upstreamRecords);
       expect(table.get(RECORD.id)?.state).not.toBe(UPSTREAM_STATE.ready);
       for (const box of CONTROLS) {
-        const {state} = control(box).upstreams.get(RECORD.id) ?? {};
+        const {state} = control(box).upstreamControl.table.get(RECORD.id) ?? {};
         expect(state).not.toBe(UPSTREAM_STATE.ready);
       }
     },
@@ -127,7 +132,9 @@
     expect(await leave('c1:1')).toBe(true);
     await clock.advance(100);
     const next = {...RECORD, bornAt: 2_000, sequence: 1};
-    expect(await control('c2:1').acceptHeartbeat(next)).toBe(true);
+    expect(await control('c2:1').upstreamControl.acceptHeartbeat(next)).toBe(
+      true,
+    );
     await clock.advance(DRAIN_MS);
     expect(stateAt(edge.handler)).toBe(UPSTREAM_STATE.ready);
   });
@@ -137,10 +144,13 @@
     network.partition(['e1:1'], CONTROLS);
     expect(await leave('c1:1')).toBe(true);
     for (const box of CONTROLS) {
-      control(box).upstreams.expire(Infinity);
+      control(box).upstreamControl.table.expire(Infinity);
     }
     // A delayed heartbeat must not register the upstream again.
-    await control('c2:1').acceptHeartbeat({...RECORD, sequence: 5});
+    await control('c2:1').upstreamControl.acceptHeartbeat({
+      ...RECORD,
+      sequence: 5,
+    });
     network.heal();
     await clock.advance(DRAIN_MS + 2_000);
     expect(stateAt(edge.handler)).not.toBe(UPSTREAM_STATE.ready);
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
@@ -183,10 +183,10 @@
     const {clock, control, startWatch} = await startFleet();
     const {handler} = startWatch('e1:1');
     await clock.advance(1_500);
-    control('c3:1').recordHeartbeat(upstreamOf());
+    control('c3:1').upstreamControl.mergeRecord(upstreamOf());
     await clock.advance(100);
     expect(handler.upstreamRecords.map(({id}) => id)).toContain('i-1');
-    void control('c1:1').acceptDeregistration('i-1');
+    void control('c1:1').upstreamControl.acceptDeregistration('i-1');
     await clock.advance(100);
     expect(handler.upstreamRecords.at(-1)?.state).toBe(UPSTREAM_STATE.gone);
   });
@@ -216,25 +216,27 @@
     await clock.advance(1_000);
     const oldRecord = upstreamOf({bornAt: 1_000, sequence: 70});
     const newRecord = upstreamOf({bornAt: 2_000, sequence: 1, version: 'v2'});
-    control('c1:1').recordHeartbeat(oldRecord);
+    control('c1:1').upstreamControl.mergeRecord(oldRecord);
     await clock.advance(500);
     // The new incarnation registers on one side of a partition; late heartbeats of the old
     // one arrive on the other side.
     network.partition(['c3:1'], ['c1:1', 'c2:1']);
-    control('c1:1').recordHeartbeat(newRecord);
-    control('c3:1').recordHeartbeat({...oldRecord, sequence: 71});
-    void control('c3:1').acceptDeregistration('i-1', 1_000);
+    control('c1:1').upstreamControl.mergeRecord(newRecord);
+    control('c3:1').upstreamControl.mergeRecord({...oldRecord, sequence: 71});
+    void control('c3:1').upstreamControl.acceptDeregistration('i-1', 1_000);
     await clock.advance(1_000);
     network.heal();
-    control('c2:1').recordHeartbeat({...oldRecord, sequence: 72});
-    void control('c2:1').acceptDeregistration('i-1', 1_000);
+    control('c2:1').upstreamControl.mergeRecord({...oldRecord, sequence: 72});
+    void control('c2:1').upstreamControl.acceptDeregistration('i-1', 1_000);
     await clock.advance(5_000);
     const edge = new UpstreamTable();
     for (const record of handler.upstreamRecords) {
       edge.merge(record, 0);
     }
     for (const box of CONTROLS) {
-      expect(control(box).upstreams.get('i-1')).toMatchObject(newRecord);
+      expect(control(box).upstreamControl.table.get('i-1')).toMatchObject(
+        newRecord,
+      );
     }
     expect(edge.get('i-1')).toMatchObject(newRecord);
   });
--- a/packages/puffinturn-fleet/src/__tests__/unit/LimitReports.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LimitReports.test.ts
@@ -27,7 +27,7 @@
 
   test('are sent to the edges of every control box, and so is their removal', async () => {
     const [first = ''] = CONTROL_BOXES;
-    fleet.getControl(first).recordHeartbeat(upstreamOf());
+    fleet.getControl(first).upstreamControl.mergeRecord(upstreamOf());
     await fleet.clock.advance(1_000);
     const added = {perSecond: 1.2, revision: 1};
     const removed = {perSecond: undefined, revision: 2};
--- a/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/RolloutFleet.ts
@@ -214,14 +214,16 @@
         version,
         ...fields,
       });
-      this.getControl().recordHeartbeat(record);
+      this.getControl().upstreamControl.mergeRecord(record);
     }
   }
 
   /** Removes upstreams of a version. */
   removeUpstreams(version: string, count = 4): void {
     for (let index = 0; index < count; index += 1) {
-      void this.getControl().acceptDeregistration(`${version}-${index}`);
+      void this.getControl().upstreamControl.acceptDeregistration(
+        `${version}-${index}`,
+      );
     }
   }
 
