Keep a deregistration of an unknown upstream, but do not acknowledge it

Without a start time such a record still ends the upstream at boxes where upstreams report none, and stays as a guard against late heartbeats; it counts as knowledge of the upstream no longer, so that a leader that has only it does not acknowledge either.

--- a/packages/puffinturn-fleet/src/DepartureControl.ts
+++ b/packages/puffinturn-fleet/src/DepartureControl.ts
@@ -126,7 +126,8 @@
   }: DepartureRequest): Promise<DepartureReply> {
     const {clock, leader, machine, upstreams} = this.parts;
     const leaving =
-      incarnation ?? latestIncarnation(latestKnown, upstreams.get(id));
+      incarnation ??
+      latestIncarnation(latestKnown, upstreams.getRegistered(id));
     if (leaving === undefined) {
       return {outcome: DEPARTURE_OUTCOME.unknownUpstream};
     }
--- a/packages/puffinturn-fleet/src/UpstreamControl.ts
+++ b/packages/puffinturn-fleet/src/UpstreamControl.ts
@@ -96,10 +96,7 @@
    */
   async acceptDeregistration(id: string, bornAt?: number): Promise<boolean> {
     const former = this.describeFormer(id);
-    // A record that names no incarnation would be taken for one at every other box.
-    const isNamed = bornAt !== undefined || former.former !== undefined;
-    const now = this.parts.clock.now();
-    if (isNamed && this.table.markGone(id, now, bornAt)) {
+    if (this.table.markGone(id, this.parts.clock.now(), bornAt)) {
       this.publishDeparture(id, 'leave');
     }
     const incarnation = bornAt === undefined ? undefined : {bornAt};
@@ -145,7 +142,7 @@
   ): Pick<DepartureAnnouncement, 'former' | 'formerAgeMs'> {
     const {table} = this;
     const formerAgeMs = table.recordAgeMs(id, this.parts.clock.now());
-    return {former: table.get(id), formerAgeMs};
+    return {former: table.getRegistered(id), formerAgeMs};
   }
 
   private logUpstreamChange(record: UpstreamRecord, source: string): void {
--- a/packages/puffinturn-fleet/src/UpstreamTable.ts
+++ b/packages/puffinturn-fleet/src/UpstreamTable.ts
@@ -122,6 +122,12 @@
     return this.entries.get(id)?.record;
   }
 
+  /** Returns the record of an upstream unless only its deregistration has arrived. */
+  getRegistered(id: string): UpstreamRecord | undefined {
+    const record = this.get(id);
+    return record?.service === UNKNOWN_UPSTREAM.service ? undefined : record;
+  }
+
   /** Returns the time since the latest record of an upstream arrived, ms. */
   recordAgeMs(id: string, now: number): number | undefined {
     const entry = this.entries.get(id);
