Forget a departure after two minutes, and publish it once

Read in the diff of the fix: a stored departure was published again to all boxes with each later one once its upstream was gone (new test: markDeparted returned true); and an upstream that reports no start time and starts again under its id stayed out of service until ten minutes had passed and another upstream left. Retention is now judged where a departure is read, too.

--- a/packages/puffinturn-fleet/src/DepartureControl.ts
+++ b/packages/puffinturn-fleet/src/DepartureControl.ts
@@ -77,16 +77,16 @@
   /** The record as this box must treat it: an upstream that has departed is not ready. */
   withDeparture(record: UpstreamRecord): UpstreamRecord {
     const isReady = record.state === UPSTREAM_STATE.ready;
-    return isReady && this.parts.machine.departures.has(record)
+    return isReady && this.hasDeparted(record)
       ? {...record, state: UPSTREAM_STATE.draining}
       : record;
   }
 
   /** Stores a departure; returns whether a quorum has stored it. */
   async store(announcement: DepartureAnnouncement): Promise<boolean> {
-    const {clock, leader, log, machine, replica} = this.parts;
+    const {clock, leader, log, replica} = this.parts;
     const {former, formerAgeMs, id, incarnation, state} = announcement;
-    if (incarnation && machine.departures.has({...incarnation, id})) {
+    if (incarnation && this.hasDeparted({...incarnation, id})) {
       return true;
     }
     const startedAt = clock.now();
@@ -124,7 +124,7 @@
     incarnation,
     latestKnown,
   }: DepartureRequest): Promise<DepartureReply> {
-    const {clock, leader, machine, upstreams} = this.parts;
+    const {clock, leader, upstreams} = this.parts;
     const leaving =
       incarnation ??
       latestIncarnation(latestKnown, upstreams.getRegistered(id));
@@ -132,7 +132,7 @@
       return {outcome: DEPARTURE_OUTCOME.unknownUpstream};
     }
     const departure = {bornAt: leaving.bornAt, id};
-    if (machine.departures.has(departure)) {
+    if (this.hasDeparted(departure)) {
       return {outcome: DEPARTURE_OUTCOME.acknowledged};
     }
     const stored = await leader.propose<DepartureOutcome>(
@@ -145,15 +145,20 @@
     );
   }
 
+  private hasDeparted(incarnation: Departure): boolean {
+    const {clock, machine} = this.parts;
+    return machine.departures.has(incarnation, clock.wallTime());
+  }
+
   /** Passes on the departures that the log has brought. */
   private async applyDepartures(signal: AbortSignal): Promise<void> {
-    const {machine, onStored, stateChanged} = this.parts;
+    const {clock, machine, onStored, stateChanged} = this.parts;
+    const {departures} = machine;
     let appliedRevision = 0;
     while (!signal.aborted) {
-      const {departures, revision} = machine.departures;
-      if (revision > appliedRevision) {
-        appliedRevision = revision;
-        for (const departure of departures) {
+      if (departures.revision > appliedRevision) {
+        appliedRevision = departures.revision;
+        for (const departure of departures.list(clock.wallTime())) {
           onStored(departure);
         }
       }
--- a/packages/puffinturn-fleet/src/DepartureRegistry.ts
+++ b/packages/puffinturn-fleet/src/DepartureRegistry.ts
@@ -24,8 +24,11 @@
 /** The section of the departures in the snapshot; the oldest comes first. */
 export type DepartureSnapshot = readonly DepartureRecord[];
 
-/** Time after which a departure is forgotten, ms; by then the upstream has ended. */
-const RETENTION_MS = 600_000;
+/**
+ * Time after which a departure is forgotten, ms. By then the upstream has ended, and one
+ * that reports no start time may have started again under the same id.
+ */
+const RETENTION_MS = 120_000;
 
 /** Maximum number of departures; bounds the snapshot. The oldest is dropped first. */
 const MAX_DEPARTURES = 4_096;
@@ -46,28 +49,31 @@
     return this.changes;
   }
 
-  /** The departures that are not forgotten. */
-  get departures(): readonly Departure[] {
-    return [...this.records.values()].map(({departure}) => departure);
+  /** The departures that are not forgotten at a time, Unix ms. */
+  list(now: number): readonly Departure[] {
+    return [...this.records.values()]
+      .filter((record) => !isForgotten(record, now))
+      .map(({departure}) => departure);
   }
 
   /** Whether an incarnation, or a later one of the same upstream, has departed. */
-  has(incarnation: Departure): boolean {
+  has(incarnation: Departure, now: number): boolean {
     const known = this.records.get(incarnation.id);
     return (
       known !== undefined &&
+      !isForgotten(known, now) &&
       compareIncarnations(incarnation, known.departure) <= 0
     );
   }
 
-  /** Adds a departure and forgets old ones. */
+  /** Adds a departure and removes those that are forgotten. */
   apply(record: DepartureRecord): DepartureOutcome {
-    if (!this.has(record.departure)) {
+    if (!this.has(record.departure, record.at)) {
       const {id} = record.departure;
       // Moves the upstream to the end, so that the records stay in order of time.
       this.records.delete(id);
       this.records.set(id, record);
-      this.forgetOld(record.at);
+      this.removeForgotten(record.at);
       this.changes += 1;
       this.onChange();
     }
@@ -88,12 +94,16 @@
     this.changes += 1;
   }
 
-  private forgetOld(now: number): void {
-    for (const [id, {at}] of this.records) {
-      if (now - at <= RETENTION_MS && this.records.size <= MAX_DEPARTURES) {
+  private removeForgotten(now: number): void {
+    for (const [id, record] of this.records) {
+      if (!isForgotten(record, now) && this.records.size <= MAX_DEPARTURES) {
         return;
       }
       this.records.delete(id);
     }
   }
 }
+
+function isForgotten({at}: DepartureRecord, now: number): boolean {
+  return now - at > RETENTION_MS;
+}
--- a/packages/puffinturn-fleet/src/UpstreamTable.ts
+++ b/packages/puffinturn-fleet/src/UpstreamTable.ts
@@ -204,8 +204,14 @@
    * it. Returns true if other boxes must be notified.
    */
   markDeparted(departure: Departure, now: number): boolean {
-    const record = this.leavingRecord(departure, UPSTREAM_STATE.draining);
-    return this.merge(record, now);
+    const current = this.get(departure.id);
+    const isReady = current?.state === UPSTREAM_STATE.ready;
+    const isEarlier =
+      current === undefined || compareIncarnations(current, departure) < 0;
+    return (
+      (isReady || isEarlier) &&
+      this.merge(this.leavingRecord(departure, UPSTREAM_STATE.draining), now)
+    );
   }
 
   /** The record of an incarnation in a later state; gone if the table does not know it. */
--- a/packages/puffinturn-fleet/src/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/UpstreamTable.test.ts
@@ -36,6 +36,16 @@
     expect(table.changedSince(revision)).toEqual([current]);
   });
 
+  test('publishes a departure once, however often the log repeats it', () => {
+    const table = new UpstreamTable();
+    table.merge(upstreamOf(), 0);
+    expect(table.markDeparted({id: 'i-1'}, 1)).toBe(true);
+    table.markGone('i-1', 2);
+    const {revision} = table;
+    expect(table.markDeparted({id: 'i-1'}, 3)).toBe(false);
+    expect(table.changedSince(revision)).toEqual([]);
+  });
+
   test('ignores a heartbeat that arrives out of order', () => {
     const table = new UpstreamTable();
     table.merge(upstreamOf({sequence: 5, state: UPSTREAM_STATE.draining}), 0);
