--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -145,6 +145,7 @@
     retryLimit: {extra: 50, ratio: 0.2},
     seeds: () => [],
     self: {box: 'edge', hall: HALL, incarnation: '1', role: BOX_ROLE.edge},
+    tunnelAddress: {host: HOST, port: 0},
   });
   invariant(
     edge.isOk(),
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -132,6 +132,36 @@
   readonly failures: number;
 }
 
+/** This edge lost its links to all upstreams, or reaches some of them again. */
+export interface UpstreamLinksChanged {
+  readonly event: 'links-judged';
+  /** Whether no upstream could be reached. */
+  readonly cutOff: boolean;
+  /** Time since the loss; undefined at its begin. */
+  readonly cutOffMs: number | undefined;
+  /** Number of upstreams that are reached through other edges only. */
+  readonly lost: number;
+  /** Number of upstreams that this edge knows. */
+  readonly known: number;
+  /** Number of upstreams that were probed for this decision. */
+  readonly probed: number;
+}
+
+/** A request for a tunnel to an upstream through another edge was answered. */
+export interface TunnelDecided {
+  readonly event: 'tunnel-decided';
+  readonly request: string;
+  /** `asks` at the edge that has the caller, `carries` at the other one. */
+  readonly role: 'asks' | 'carries';
+  /** The other edge. */
+  readonly peer: string;
+  readonly upstream: string;
+  readonly outcome: string;
+  readonly tookMs: number;
+  /** Open tunnels: to that edge if this one asks, for all others if it carries. */
+  readonly tunnels: number;
+}
+
 /** Tokens of a team were added to or removed from this edge. */
 export interface TokenBalanceChanged {
   readonly event: 'allowance-moved';
@@ -522,10 +552,12 @@
   | OverloadWithdrawalDecided
   | TokenTotals
   | TokensWrittenOff
+  | TunnelDecided
   | UpstreamChanged
   | UpstreamCrashed
   | UpstreamHealthChanged
   | UpstreamLimitChanged
+  | UpstreamLinksChanged
   | UpstreamRestarted
   | UpstreamStatusChanged
   | HeartbeatsRejected;
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -29,10 +29,11 @@
   FleetWatch,
   incarnationIdOf,
   NO_EVACUATIONS,
+  TUNNEL_OUTCOME,
 } from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
 import {PermitClient} from 'puffinturn-permits';
-import {EMPTY_QUARANTINE} from 'puffinturn-quarantine';
+import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
 
@@ -64,6 +65,11 @@
 import {ExposureController} from './rollouts/ExposureController';
 import {ExposureReporter} from './rollouts/ExposureReporter';
 import {Allowances} from './tokens/Allowances';
+import {DirectLinks} from './tunnels/DirectLinks';
+import {TunnelClient} from './tunnels/TunnelClient';
+import {MAX_HELPER_QUEUE_AGE_MS} from './tunnels/TunnelConstants';
+import type {TunnelRefusal} from './tunnels/TunnelServer';
+import {TunnelServer} from './tunnels/TunnelServer';
 import {LimitReporter} from './upstreams/LimitReporter';
 import {LowestLatency, PowerOfTwoChoices} from './upstreams/LoadBalancer';
 import {RecoveryProbes} from './upstreams/RecoveryProbes';
@@ -86,6 +92,8 @@
   readonly callerAddress: HttpAddress;
   readonly readinessAddress: HttpAddress & {readonly path: string};
   readonly metricsAddress: HttpAddress & {readonly path: string};
+  /** Where this edge accepts tunnels of other edges. */
+  readonly tunnelAddress: HttpAddress;
   /** The region of each hall; may change at run time. */
   readonly regions: Regions;
 }
@@ -130,6 +138,9 @@
   private readonly withdrawal: OverloadWithdrawal;
   private readonly permits: PermitClient;
   private readonly limitReporter: LimitReporter;
+  private readonly directLinks: DirectLinks;
+  /** Undefined until all servers listen. */
+  private tunnelServer: TunnelServer | undefined;
   private readonly forwarderParts: RequestForwarderParts;
   private readonly listeners: HttpListener[] = [];
   /** Undefined until all servers listen. */
@@ -162,7 +173,16 @@
       pool: this.pool,
       random,
     });
+    this.directLinks = new DirectLinks({
+      clock,
+      log,
+      metrics: this.metrics,
+      pool: this.pool,
+      probe: probeListener,
+      random,
+    });
     this.quarantine = new RequestQuarantine({
+      isCutOff: () => this.directLinks.isCutOff,
       box: self.box,
       clock,
       controlBoxes: () => this.controlBoxes(),
@@ -256,6 +276,17 @@
       admission,
       allowances: this.allowances,
       clock,
+      directLinks: this.directLinks,
+      tunnelClient: new TunnelClient({
+        clock,
+        link,
+        log,
+        metrics: this.metrics,
+        otherEdges: () => this.knownBoxes.peers,
+        random,
+        regions,
+        self,
+      }),
       linkBudget: new RegionLinkBudget({
         clock,
         countEdges: () => this.knownBoxes.regionEdgeCount,
@@ -307,6 +338,14 @@
           edge.answerMetrics(request, response),
         ),
       );
+      edge.tunnelServer = yield* TunnelServer.open(parts.tunnelAddress, {
+        clock: parts.clock,
+        link: parts.link,
+        log: parts.log,
+        metrics: edge.metrics,
+        pool: edge.pool,
+        refusal: () => edge.tunnelRefusal,
+      });
       const backlogLogger = new BacklogLogger(parts.log);
       edge.backlogMonitor = edge.listeners[0]?.monitorBacklog(
         parts.clock,
@@ -409,7 +448,8 @@
     const allowancesReturned = this.allowances.close();
     while (clock.now() < deadline) {
       const isIdle = clock.now() - this.lastRequestAt >= DRAIN_IDLE_MS;
-      if (this.openRequests === 0 && isIdle) {
+      const openTunnels = this.tunnelServer?.openCount ?? 0;
+      if (this.openRequests + openTunnels === 0 && isIdle) {
         break;
       }
       await clock.sleep(DRAIN_CHECK_INTERVAL_MS);
@@ -432,6 +472,8 @@
     await Promise.all(
       this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
     );
+    await this.tunnelServer?.[Symbol.asyncDispose]();
+    await this.directLinks[Symbol.asyncDispose]();
     await this.responseTotals[Symbol.asyncDispose]();
     await this.crossRegionEpisodes[Symbol.asyncDispose]();
     await this.quarantine[Symbol.asyncDispose]();
@@ -445,6 +487,20 @@
     this.pool[Symbol.dispose]();
   }
 
+  /** Why this edge carries no tunnels for others; undefined if it does. */
+  private get tunnelRefusal(): TunnelRefusal | undefined {
+    if (this.isStopping) {
+      return TUNNEL_OUTCOME.stopping;
+    }
+    if (this.directLinks.isCutOff) {
+      return TUNNEL_OUTCOME.cutOff;
+    }
+    const queueAgeMs = this.backlogMonitor?.queueAgeMs ?? 0;
+    return this.withdrawal.isWithdrawn || queueAgeMs > MAX_HELPER_QUEUE_AGE_MS
+      ? TUNNEL_OUTCOME.overloaded
+      : undefined;
+  }
+
   private get needsState(): boolean {
     const elapsedMs = this.parts.clock.now() - this.startedAt;
     return (
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -69,6 +69,17 @@
     name: 'puffinturn_edge_permits_total',
     registers: [this.registry],
   });
+  readonly lostLinks = new Gauge({
+    help: 'Upstreams that this edge reaches through other edges only',
+    name: 'puffinturn_edge_lost_links',
+    registers: [this.registry],
+  });
+  readonly tunnels = new Counter({
+    help: 'Requests for tunnels that this edge sent or received, by outcome',
+    labelNames: ['role', 'outcome'],
+    name: 'puffinturn_edge_tunnels_total',
+    registers: [this.registry],
+  });
   readonly openRequests = new Gauge({
     help: 'Requests being served',
     name: 'puffinturn_edge_open_requests',
--- a/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
@@ -86,6 +86,7 @@
     retryLimit: {extra: 10, ratio: 0.1},
     seeds: () => ['c1'],
     self: {box: 'e1', hall: 'a', incarnation: '7', role: BOX_ROLE.edge},
+    tunnelAddress: address,
   });
   invariant(edge.isOk(), 'the edge opens its listeners');
   return {edge: edge.value, log};
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -11,9 +11,10 @@
 
 import {InMemoryDecisionLog} from 'puffinturn-decisions';
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
-import {Regions, RETRY_POLICY} from 'puffinturn-fleet';
+import {BOX_ROLE, Regions, RETRY_POLICY} from 'puffinturn-fleet';
 import type {GranterCandidate} from 'puffinturn-permits';
 import {PermitClient} from 'puffinturn-permits';
+import {probeListener} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
@@ -31,6 +32,8 @@
 import {ResponseTotals} from '../../ResponseTotals';
 import {ExposureController} from '../../rollouts/ExposureController';
 import type {Allowances} from '../../tokens/Allowances';
+import {DirectLinks} from '../../tunnels/DirectLinks';
+import {TunnelClient} from '../../tunnels/TunnelClient';
 import {LimitReporter} from '../../upstreams/LimitReporter';
 import {LeastRequests} from '../../upstreams/LoadBalancer';
 import {RecoveryProbes} from '../../upstreams/RecoveryProbes';
@@ -44,7 +47,12 @@
 const HOST = '127.0.0.1';
 
 /** Identity of the edge under test, and its peers. */
-const SELF: GranterCandidate = {box: 'e1', hall: 'a'};
+const SELF = {
+  box: 'e1',
+  hall: 'a',
+  incarnation: '1',
+  role: BOX_ROLE.edge,
+} as const;
 const NO_PEERS: readonly GranterCandidate[] = [];
 
 /** A protocol with fixed header names and without token accounting. */
@@ -162,6 +170,7 @@
   readonly exposureController: ExposureController;
   /** Quarantine of crashing requests, without control boxes. */
   readonly quarantine: RequestQuarantine;
+  private readonly directLinks: DirectLinks;
   private readonly limitReporter: LimitReporter;
   private readonly responseTotals: ResponseTotals;
   private readonly agent = new Agent();
@@ -184,10 +193,19 @@
       pool: this.pool,
       random,
     });
+    this.directLinks = new DirectLinks({
+      clock,
+      log,
+      metrics,
+      pool: this.pool,
+      probe: probeListener,
+      random,
+    });
     this.quarantine = new RequestQuarantine({
       box: SELF.box,
       clock,
       controlBoxes: () => [],
+      isCutOff: () => this.directLinks.isCutOff,
       link: new UnreachableLink(),
       log,
       metrics,
@@ -215,6 +233,17 @@
     const parts: RequestForwarderParts = {
       allowances: {} as Allowances,
       clock: this.clock,
+      directLinks: this.directLinks,
+      tunnelClient: new TunnelClient({
+        clock,
+        link: new UnreachableLink(),
+        log,
+        metrics,
+        otherEdges: () => [],
+        random,
+        regions: new Regions(),
+        self: SELF,
+      }),
       admission,
       linkBudget: new RegionLinkBudget({
         clock: this.clock,
@@ -336,6 +365,7 @@
     this.agent.destroy();
     this.pool[Symbol.dispose]();
     await this.quarantine[Symbol.asyncDispose]();
+    await this.directLinks[Symbol.asyncDispose]();
     await this.limitReporter[Symbol.asyncDispose]();
     await this.responseTotals[Symbol.asyncDispose]();
     await closed;
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -125,6 +125,7 @@
       retryLimit: {extra: 1_000, ratio: 1},
       seeds: () => [],
       self: {box: 'b', hall: 'e1', incarnation: '1', role: BOX_ROLE.edge},
+      tunnelAddress: {host, port: 0},
     });
     return new TestEdge(edge._unsafeUnwrap(), callers, link, log);
   }
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -9,10 +9,12 @@
  * Connection pool of one upstream. The most recently used idle connection is reused
  * first, so that surplus connections expire.
  */
+import type {TunnelAddress} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 import {IDLE_CONNECTION_TIMEOUT_MS} from '../EdgeConstants';
 import type {ConnectionOwner} from './HttpConnection';
+import type {ConnectionRoute} from './HttpConnection';
 import {HttpConnection} from './HttpConnection';
 
 /** Address, clock and size limit of a pool. */
@@ -64,6 +66,21 @@
     }
   }
 
+  /** Whether an idle connection can be reused. */
+  get hasIdle(): boolean {
+    const now = this.parts.clock.now();
+    return this.idle.some(
+      ({connection, expiresAt}) => expiresAt > now && connection.isUsable,
+    );
+  }
+
+  /** Opens a connection through another edge, for one request. */
+  openTunnel(tunnel: TunnelAddress, onClose: () => void): HttpConnection {
+    const connection = this.createConnection(tunnel);
+    connection.socket.once('close', onClose);
+    return connection;
+  }
+
   release(
     connection: HttpConnection,
     keepAliveMs: number | undefined,
@@ -113,9 +130,10 @@
     }
   }
 
-  private createConnection(): HttpConnection {
-    const {host, port} = this.parts;
-    const connection = new HttpConnection(host, port, this);
+  private createConnection(
+    route: ConnectionRoute = this.parts,
+  ): HttpConnection {
+    const connection = new HttpConnection(route, this);
     this.connections.add(connection);
     return connection;
   }
--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -9,6 +9,8 @@
  * Sends a request to an upstream and validates the head of the response. A response that
  * does not belong to the request is discarded.
  */
+import type {Result} from 'neverthrow';
+
 import type {HeaderNames} from '../callers/CallerProtocol';
 import {formatRequestHead} from '../callers/RequestHead';
 import {
@@ -16,8 +18,13 @@
   MISDIRECTED_REQUEST_STATUS,
   REJECTION_BODY_TIMEOUT_MS,
 } from '../EdgeConstants';
+import type {TunnelFailure} from '../tunnels/TunnelClient';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
-import type {HttpConnection, ResponseListener} from './HttpConnection';
+import type {
+  HttpConnection,
+  OutgoingRequest,
+  ResponseListener,
+} from './HttpConnection';
 import type {UpstreamResponse} from './UpstreamResponse';
 
 /** The head of a valid response has arrived. */
@@ -26,19 +33,50 @@
   readonly response: UpstreamResponse;
 }
 
+/** Who is to blame that a request could not be sent. */
+export const UNSENT_BLAME = {
+  /** The direct link to the upstream, or the upstream itself. */
+  link: 'link',
+  /** The upstream: another edge can't connect to it either. */
+  upstream: 'upstream',
+  /** The tunnel, or the edge that carries it. */
+  tunnel: 'tunnel',
+  /** No other edge carries tunnels, and there is no direct link. */
+  noHelper: 'no-helper',
+  /** Nobody: the request ended before. */
+  none: 'none',
+} as const;
+
+/** A request that was not sent. */
+export interface UnsentOutcome {
+  readonly kind: 'unsent';
+  readonly cause: string;
+  readonly blame: (typeof UNSENT_BLAME)[keyof typeof UNSENT_BLAME];
+}
+
 /** Outcome of an attempt. */
 export type ExchangeOutcome =
   | ResponseOutcome
   /** The response states that the upstream did not run the request. */
   | {readonly kind: 'rejected'; readonly response: UpstreamResponse}
   /** The connection failed, so nothing was sent. */
-  | {readonly kind: 'unsent'; readonly cause: string}
+  | UnsentOutcome
   /** The request was sent, but no valid response arrived: it may have run. */
   | {readonly kind: 'broken'; readonly cause: string};
 
+/** Cause of a connection attempt that got no reply. */
+export const CONNECT_TIMEOUT = 'connect-timeout';
+
 /** Cause for a header that can't be sent to any upstream: an error of the request. */
 export const INVALID_HEADER = 'invalid-header';
 
+/** The way to an upstream through another edge. */
+export interface TunnelRoute {
+  /** Whether this edge can't connect to the upstream itself. */
+  readonly isOnlyWay: boolean;
+  open(): Promise<Result<HttpConnection, TunnelFailure>>;
+}
+
 /** The request to send, and its upstream. */
 export interface ExchangeParams {
   readonly upstream: EdgeUpstream;
@@ -49,6 +87,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** How to reach the upstream through another edge; undefined to connect directly. */
+  readonly tunnel: TunnelRoute | undefined;
 }
 
 /** One request and the head of its response. */
@@ -57,32 +97,41 @@
   readonly outcome: Promise<ExchangeOutcome>;
   private connection: HttpConnection | undefined;
   private isConnected = false;
+  private isTunnel = false;
   private abortCause: string | undefined;
   private response: UpstreamResponse | undefined;
   private timer: NodeJS.Timeout | undefined;
   private resolve!: (outcome: ExchangeOutcome) => void;
 
   constructor(private readonly params: ExchangeParams) {
-    const {body, headers, method, path, upstream} = params;
+    const {body, headers, method, path, tunnel, upstream} = params;
     this.outcome = new Promise((resolve) => (this.resolve = resolve));
     const head = formatRequestHead(method, path, headers);
     if (head === undefined) {
       this.resolve({cause: INVALID_HEADER, kind: 'broken'});
       return;
     }
-    this.connection = upstream.connections.acquire();
-    this.connection.send({body, head, method}, this);
-    if (!this.isConnected) {
-      this.timer = setTimeout(
-        () => this.abort('connect-timeout'),
-        CONNECT_TIMEOUT_MS,
-      );
+    const request = {body, head, method};
+    const {connections} = upstream;
+    // An open connection may outlive the link over which new ones are made.
+    if (tunnel === undefined || connections.hasIdle) {
+      this.send(connections.acquire(), request);
+    } else {
+      void this.sendByTunnel(tunnel, request);
     }
   }
 
+  /** Whether the request was sent through another edge. */
+  get usedTunnel(): boolean {
+    return this.isTunnel;
+  }
+
   /** Aborts the attempt. Closes the connection unless the response is complete. */
   abort(cause: string): void {
     this.abortCause = cause;
+    if (this.connection === undefined) {
+      this.resolve(this.unsent(cause, UNSENT_BLAME.none));
+    }
     if (this.response?.hasEnded !== true) {
       this.connection?.[Symbol.dispose]();
     }
@@ -100,10 +149,57 @@
 
   onFailure(cause: string): void {
     clearTimeout(this.timer);
-    this.resolve({
-      cause: this.abortCause ?? cause,
-      kind: this.isConnected ? 'broken' : 'unsent',
-    });
+    const finalCause = this.abortCause ?? cause;
+    this.resolve(
+      this.isConnected
+        ? {cause: finalCause, kind: 'broken'}
+        : this.unsent(finalCause, this.connectFailureBlame()),
+    );
+  }
+
+  private connectFailureBlame(): UnsentOutcome['blame'] {
+    const {abortCause} = this;
+    if (abortCause !== undefined && abortCause !== CONNECT_TIMEOUT) {
+      return UNSENT_BLAME.none;
+    }
+    return this.isTunnel ? UNSENT_BLAME.tunnel : UNSENT_BLAME.link;
+  }
+
+  private send(connection: HttpConnection, request: OutgoingRequest): void {
+    this.connection = connection;
+    connection.send(request, this);
+    if (!this.isConnected) {
+      this.timer = setTimeout(
+        () => this.abort(CONNECT_TIMEOUT),
+        CONNECT_TIMEOUT_MS,
+      );
+    }
+  }
+
+  private async sendByTunnel(
+    {isOnlyWay, open}: TunnelRoute,
+    request: OutgoingRequest,
+  ): Promise<void> {
+    const opened = await open();
+    if (this.abortCause !== undefined) {
+      opened.map((connection) => connection[Symbol.dispose]());
+    } else if (opened.isOk()) {
+      this.isTunnel = true;
+      this.send(opened.value, request);
+    } else if (opened.error.kind === 'upstream-unreachable') {
+      this.resolve(this.unsent(opened.error.kind, UNSENT_BLAME.upstream));
+    } else if (isOnlyWay) {
+      this.resolve(this.unsent(opened.error.kind, UNSENT_BLAME.noHelper));
+    } else {
+      this.send(this.params.upstream.connections.acquire(), request);
+    }
+  }
+
+  private unsent(
+    cause: string,
+    blame: UnsentOutcome['blame'],
+  ): ExchangeOutcome {
+    return {blame, cause, kind: 'unsent'};
   }
 
   private classifyResponse(response: UpstreamResponse): ExchangeOutcome {
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -13,6 +13,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 
+import {TunnelFrameReader} from '../tunnels/TunnelFrames';
 import type {ConnectionState} from './ConnectionState';
 import {getConnectionState} from './ConnectionState';
 import type {ResponseEvents, ResponseHead} from './ResponseParser';
@@ -38,6 +39,14 @@
   onFailure(cause: string): void;
 }
 
+/** Address of an upstream, or of another edge that carries a tunnel to it. */
+export interface ConnectionRoute {
+  readonly host: string;
+  readonly port: number;
+  /** Sent first to another edge; undefined for a direct connection. */
+  readonly ticket?: Uint8Array | undefined;
+}
+
 /** Keeps connections between requests. */
 export interface ConnectionOwner {
   /**
@@ -75,10 +84,11 @@
   private mustClose = false;
   private isConnected = false;
   private failureCause = 'closed';
+  /** Undefined for a direct connection. */
+  private readonly tunnelReader: TunnelFrameReader | undefined;
 
   constructor(
-    host: string,
-    port: number,
+    {host, port, ticket}: ConnectionRoute,
     private readonly owner: ConnectionOwner,
   ) {
     this.socket = connect({
@@ -101,6 +111,16 @@
     });
     this.socket.on('end', () => this.handleEnd());
     this.socket.on('close', () => this.handleClose());
+    if (ticket !== undefined) {
+      this.mustClose = true;
+      this.tunnelReader = this.createTunnelReader();
+      this.socket.write(ticket);
+    }
+  }
+
+  /** Whether the connection was established. */
+  get hasConnected(): boolean {
+    return this.isConnected;
   }
 
   /** Whether another request can be sent. */
@@ -177,6 +197,29 @@
   }
 
   private handleData(bytes: Buffer): void {
+    if (this.tunnelReader === undefined) {
+      this.handleBytes(bytes);
+    } else {
+      this.tunnelReader.push(bytes);
+    }
+  }
+
+  /** The end of a tunnel is a failure unless the end of the upstream was reported. */
+  private createTunnelReader(): TunnelFrameReader {
+    let hasEnded = false;
+    this.socket.prependOnceListener('end', () => {
+      this.connectionState.hasFailed ||= !hasEnded;
+    });
+    return new TunnelFrameReader({
+      onBytes: (bytes) => this.handleBytes(bytes),
+      onEnd: () => {
+        hasEnded = true;
+        this.handleEnd();
+      },
+    });
+  }
+
+  private handleBytes(bytes: Buffer): void {
     const {socket} = this;
     if (this.listener === undefined) {
       socket.destroy();
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -20,6 +20,8 @@
 import type {RegionLinkBudget} from '../regions/RegionLinkBudget';
 import type {AttemptObserver} from '../rollouts/AttemptObserver';
 import type {ExposureController} from '../rollouts/ExposureController';
+import type {DirectLinks} from '../tunnels/DirectLinks';
+import type {TunnelClient} from '../tunnels/TunnelClient';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {LimitReporter} from '../upstreams/LimitReporter';
 import type {Placement} from '../upstreams/LoadBalancer';
@@ -31,6 +33,8 @@
 /** Dependencies of an attempt. */
 export interface AttemptParts {
   readonly clock: Clock;
+  readonly directLinks: DirectLinks;
+  readonly tunnelClient: TunnelClient;
   readonly linkBudget: RegionLinkBudget;
   readonly protocol: CallerProtocol;
   readonly exposureController: ExposureController;
@@ -107,7 +111,8 @@
   }
 
   private startExchange(): Exchange {
-    const {protocol} = this.parts;
+    const {directLinks, protocol, tunnelClient} = this.parts;
+    const {upstream} = this;
     const {body, caller, remainingMs, placement, plan, lastEventId} =
       this.params;
     return new Exchange({
@@ -125,7 +130,13 @@
       headerNames: protocol.headers,
       path: caller.path,
       requestId: caller.id,
-      upstream: this.upstream,
+      tunnel: directLinks.needsTunnel(upstream)
+        ? {
+            isOnlyWay: directLinks.isCutOff,
+            open: () => tunnelClient.open(upstream, caller.id),
+          }
+        : undefined,
+      upstream,
     });
   }
 
@@ -141,6 +152,7 @@
     if (isFailing && hasResponse) {
       recoveryProbes.recordSuccess();
     }
+    this.updateLinks(outcome);
     this.observer.onOutcome(outcome);
     if (!hasResponse) {
       upstream.inFlight -= 1;
@@ -153,6 +165,19 @@
     return outcome;
   }
 
+  /** Updates the state of the links from the outcome. */
+  private updateLinks(outcome: ExchangeOutcome): void {
+    const {directLinks} = this.parts;
+    const {upstream} = this;
+    if (outcome.kind === 'unsent') {
+      directLinks.recordUnsent(upstream, outcome);
+    } else if (outcome.kind === 'broken') {
+      directLinks.recordFailure();
+    } else if (this.exchange.usedTunnel) {
+      directLinks.recordTunnel(upstream);
+    }
+  }
+
   /** Applies drain, back-off and rate limit headers of a response to the upstream. */
   private applyUpstreamHeaders(response: UpstreamResponse): void {
     const {statusCode: status} = response;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -25,7 +25,7 @@
   RELAY_OUTCOME,
 } from '../callers/ResponseRelay';
 import type {ExchangeOutcome, ResponseOutcome} from '../connections/Exchange';
-import {INVALID_HEADER} from '../connections/Exchange';
+import {INVALID_HEADER, UNSENT_BLAME} from '../connections/Exchange';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
 import {
   CALLER_DISCONNECTED,
@@ -383,8 +383,9 @@
       case 'unsent':
         this.attemptCount -= 1;
         this.unsentCount += 1;
-        if (!this.requestOutcome.hasEnded) {
-          upstream.recordConnectFailure();
+        if (outcome.blame === UNSENT_BLAME.noHelper) {
+          // Every other upstream would need a tunnel too.
+          this.unsentCount = MAX_CONNECT_FAILURES;
         }
         return this.retryOrGiveUp(plan, upstream, outcome.cause, true);
       case 'broken':
--- a/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
+++ b/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
@@ -12,10 +12,16 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {CrashReportReply, CrashReportRequest} from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
-import type {Crash, CrashReport, Quarantine} from 'puffinturn-quarantine';
+import type {
+  Crash,
+  CrashReport,
+  ListenerState,
+  Quarantine,
+} from 'puffinturn-quarantine';
 import {
   CrashDetector,
   EMPTY_QUARANTINE,
+  LISTENER_STATE,
   LocalQuarantine,
   probeListener,
 } from 'puffinturn-quarantine';
@@ -48,6 +54,8 @@
   readonly metrics: EdgeMetrics;
   /** Control boxes in the order in which they are called. */
   readonly controlBoxes: () => readonly string[];
+  /** Whether this edge has lost its links to all upstreams. */
+  readonly isCutOff: () => boolean;
 }
 
 /** Quarantine state of this edge, and the reporter of crashes that it observed. */
@@ -64,7 +72,7 @@
     this.crashDetector = new CrashDetector({
       clock,
       onCrash: (crash, upstream) => this.recordCrash(crash, upstream),
-      probe: ({host, port}) => probeListener(host, port),
+      probe: (upstream) => this.probe(upstream),
     });
     this.tasks.start((signal) => this.sendReports(signal));
   }
@@ -143,6 +151,12 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
+  /** Without links of its own, this edge can't tell whether an upstream has crashed. */
+  private async probe({host, port}: EdgeUpstream): Promise<ListenerState> {
+    const state = await probeListener(host, port);
+    return this.parts.isCutOff() ? LISTENER_STATE.unknown : state;
+  }
+
   private async sendReports(signal: AbortSignal): Promise<void> {
     const {localQuarantine} = this;
     const {clock} = this.parts;
--- /dev/null
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -0,0 +1,169 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Opens tunnels to upstreams through other edges of the region. */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {
+  BoxRecord,
+  Regions,
+  TunnelAddress,
+  TunnelReply,
+  TunnelRequest,
+} from 'puffinturn-fleet';
+import {FLEET_SERVICE, TUNNEL_OUTCOME} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock, Failure, Random} from 'shared';
+
+import type {HttpConnection} from '../connections/HttpConnection';
+import type {EdgeMetrics} from '../EdgeMetrics';
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import {
+  HELPER_BACKOFF_MS,
+  MAX_HELPERS_PER_REQUEST,
+  TUNNEL_OPEN_TIMEOUT_MS,
+} from './TunnelConstants';
+
+/** Why no tunnel was opened. Nothing was sent to the upstream. */
+export type TunnelFailure =
+  /** No other edge carries tunnels at present. */
+  | Failure<'no-helper'>
+  /** Another edge that has its links does not reach the upstream either. */
+  | Failure<'upstream-unreachable'>;
+
+/** Dependencies of TunnelClient. */
+export interface TunnelClientParts {
+  readonly self: BoxRecord;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  readonly metrics: EdgeMetrics;
+  /** Edges of all halls, without this one. */
+  readonly otherEdges: () => readonly BoxRecord[];
+  readonly random: Random;
+  readonly regions: Regions;
+}
+
+/** Chooses the edges that carry the tunnels of this one. */
+export class TunnelClient {
+  /** Open tunnels by the box that carries them. */
+  private readonly openCounts = new Map<string, number>();
+  /** When a box may be asked again, monotonic ms. */
+  private readonly skippedUntil = new Map<string, number>();
+
+  constructor(private readonly parts: TunnelClientParts) {}
+
+  /** Opens a connection to an upstream through another edge, for one request. */
+  async open(
+    upstream: EdgeUpstream,
+    requestId: string,
+  ): Promise<Result<HttpConnection, TunnelFailure>> {
+    const asked = new Set<string>();
+    while (asked.size < MAX_HELPERS_PER_REQUEST) {
+      const helper = this.chooseHelper(asked);
+      if (helper === undefined) {
+        break;
+      }
+      asked.add(helper.box);
+      const reply = await this.ask(helper, upstream, requestId);
+      if (reply?.tunnel !== undefined) {
+        return ok(this.connect(helper, upstream, reply.tunnel));
+      }
+      if (reply?.outcome === TUNNEL_OUTCOME.unreachable) {
+        return err({
+          kind: 'upstream-unreachable',
+          message: `${helper.box} can't reach ${upstream.id}`,
+        });
+      }
+    }
+    const message = `${asked.size} edges were asked for a tunnel`;
+    return err({kind: 'no-helper', message});
+  }
+
+  /** The edge of this region with the fewest tunnels of this one. */
+  private chooseHelper(asked: ReadonlySet<string>): BoxRecord | undefined {
+    const {clock, otherEdges, random, regions, self} = this.parts;
+    const now = clock.now();
+    const candidates = otherEdges().filter(
+      ({box, hall}) =>
+        !asked.has(box) &&
+        regions.areInSameRegion(self.hall, hall) &&
+        now >= (this.skippedUntil.get(box) ?? -Infinity),
+    );
+    const counts = candidates.map(({box}) => this.openCounts.get(box) ?? 0);
+    const fewest = Math.min(...counts);
+    return random.pick(
+      candidates.filter((_, index) => counts[index] === fewest),
+    );
+  }
+
+  private async ask(
+    {box}: BoxRecord,
+    upstream: EdgeUpstream,
+    requestId: string,
+  ): Promise<TunnelReply | undefined> {
+    const {clock, link, log, metrics} = this.parts;
+    const startedAt = clock.now();
+    const request: TunnelRequest = {
+      address: upstream.record.address,
+      requestId,
+      upstreamId: upstream.id,
+    };
+    const result = await link.call(
+      box,
+      FLEET_SERVICE.openTunnel,
+      request,
+      TUNNEL_OPEN_TIMEOUT_MS,
+    );
+    const reply = result.isOk() ? (result.value as TunnelReply) : undefined;
+    const outcome = reply?.outcome ?? 'no-reply';
+    if (isRefusal(reply)) {
+      this.skippedUntil.set(box, clock.now() + HELPER_BACKOFF_MS);
+    }
+    log.note({
+      event: 'tunnel-decided',
+      outcome,
+      peer: box,
+      request: requestId,
+      role: 'asks',
+      tookMs: Math.round(clock.now() - startedAt),
+      tunnels: this.openCounts.get(box) ?? 0,
+      upstream: upstream.id,
+    });
+    metrics.tunnels.inc({outcome, role: 'asks'});
+    return reply;
+  }
+
+  private connect(
+    {box}: BoxRecord,
+    upstream: EdgeUpstream,
+    tunnel: TunnelAddress,
+  ): HttpConnection {
+    this.openCounts.set(box, (this.openCounts.get(box) ?? 0) + 1);
+    return upstream.connections.openTunnel(tunnel, () => {
+      const count = (this.openCounts.get(box) ?? 1) - 1;
+      if (count === 0) {
+        this.openCounts.delete(box);
+      } else {
+        this.openCounts.set(box, count);
+      }
+    });
+  }
+}
+
+/** Whether an edge did not reply, or refuses tunnels whatever the upstream. */
+function isRefusal(reply: TunnelReply | undefined): boolean {
+  switch (reply?.outcome) {
+    case TUNNEL_OUTCOME.open:
+    case TUNNEL_OUTCOME.unknownUpstream:
+    case TUNNEL_OUTCOME.unreachable:
+      return false;
+    default:
+      return true;
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -0,0 +1,44 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Constants of tunnels and of the detection of lost links. */
+
+/** Time for another edge to connect to the upstream and reply, ms. */
+export const TUNNEL_OPEN_TIMEOUT_MS = 600;
+
+/** Length of the ticket that a client sends first on a tunnel connection, bytes. */
+export const TICKET_BYTES = 16;
+
+/** Time within which the client must use its ticket, ms. */
+export const TICKET_LIFETIME_MS = 1_000;
+
+/** Tunnels that one edge carries for others at a time; each takes two descriptors. */
+export const MAX_CARRIED_TUNNELS = 256;
+
+/** Age of the queue of callers above which an edge carries no further tunnels, ms. */
+export const MAX_HELPER_QUEUE_AGE_MS = 250;
+
+/** Edges asked for one tunnel before the request fails. */
+export const MAX_HELPERS_PER_REQUEST = 3;
+
+/** Time for which an edge that refused or did not reply is not asked again, ms. */
+export const HELPER_BACKOFF_MS = 500;
+
+/** Upstreams probed to verify that all links are lost. */
+export const VERIFICATION_PROBES = 3;
+
+/** Minimum time between two verifications, ms. */
+export const VERIFICATION_INTERVAL_MS = 500;
+
+/**
+ * Pause between two probes of lost links, ms. One upstream is probed at a time, so that
+ * the load returns step by step.
+ */
+export const PROBE_INTERVAL_MS = 100;
+
+/** Time for which no other edge is asked again for an upstream that it can't reach, ms. */
+export const UNREACHABLE_BACKOFF_MS = 2_000;
--- /dev/null
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -0,0 +1,260 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Carries tunnels to upstreams for edges that have lost their own links. The other edge
+ * asks over the link between boxes; if the upstream can be reached, it gets a ticket, with
+ * which it opens a connection here. This edge passes on bytes only: all decisions about the
+ * request, its retries and its tokens stay with the edge that has the caller. An edge never
+ * asks for a tunnel on behalf of another one, so a request takes at most one.
+ */
+import {randomBytes} from 'node:crypto';
+import type {Server, Socket} from 'node:net';
+import {connect, createServer} from 'node:net';
+
+import {ResultAsync} from 'neverthrow';
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {TunnelReply, TunnelRequest} from 'puffinturn-fleet';
+import {FLEET_SERVICE, TUNNEL_OUTCOME} from 'puffinturn-fleet';
+import type {Link} from 'puffinturn-wire';
+import type {Clock} from 'shared';
+import {describeError} from 'shared';
+
+import type {HttpAddress, HttpListenFailure} from '../callers/HttpListener';
+import {getConnectionState} from '../connections/ConnectionState';
+import {CONNECT_TIMEOUT_MS} from '../EdgeConstants';
+import type {EdgeMetrics} from '../EdgeMetrics';
+import type {UpstreamPool} from '../upstreams/UpstreamPool';
+import {
+  MAX_CARRIED_TUNNELS,
+  TICKET_BYTES,
+  TICKET_LIFETIME_MS,
+} from './TunnelConstants';
+import {END_FRAME, framePrefix} from './TunnelFrames';
+
+/** Reasons for which an edge carries no tunnels at present. */
+export type TunnelRefusal =
+  | typeof TUNNEL_OUTCOME.cutOff
+  | typeof TUNNEL_OUTCOME.overloaded
+  | typeof TUNNEL_OUTCOME.stopping;
+
+/** Dependencies of TunnelServer. */
+export interface TunnelServerParts {
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly log: DecisionLog;
+  readonly metrics: EdgeMetrics;
+  readonly pool: UpstreamPool;
+  /** Why this edge carries no further tunnels; undefined if it does. */
+  readonly refusal: () => TunnelRefusal | undefined;
+}
+
+/** Listens for tunnels of other edges. Disposing it closes them all. */
+export class TunnelServer implements AsyncDisposable {
+  private readonly registration: Disposable;
+  /** Connections to upstreams whose ticket was not used yet, by ticket. */
+  private readonly reserved = new Map<string, Socket>();
+  private readonly sockets = new Set<Socket>();
+  private carriedCount = 0;
+
+  private constructor(
+    private readonly parts: TunnelServerParts,
+    private readonly server: Server,
+    private readonly host: string,
+  ) {
+    this.registration = parts.link.register(
+      FLEET_SERVICE.openTunnel,
+      (body, from) => this.handleRequest(body as TunnelRequest, from),
+    );
+    server.on('connection', (socket) => this.acceptClient(socket));
+  }
+
+  /** Starts listening; fails if the address can't be used. */
+  static open(
+    {host, port}: HttpAddress,
+    parts: TunnelServerParts,
+  ): ResultAsync<TunnelServer, HttpListenFailure> {
+    const server = createServer({noDelay: true});
+    const listening = new Promise<TunnelServer>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () =>
+        resolve(new TunnelServer(parts, server, host)),
+      );
+    });
+    return ResultAsync.fromPromise(listening, (error) => ({
+      kind: 'listen',
+      message: `${host}:${port}: ${describeError(error)}`,
+    }));
+  }
+
+  /** Tunnels carried at present, those whose ticket was not used yet included. */
+  get openCount(): number {
+    return this.carriedCount;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.registration[Symbol.dispose]();
+    const closed = new Promise((resolve) => this.server.close(resolve));
+    for (const socket of this.sockets) {
+      socket.destroy();
+    }
+    await closed;
+  }
+
+  private async handleRequest(
+    request: TunnelRequest,
+    from: string,
+  ): Promise<TunnelReply> {
+    const {clock, log, metrics} = this.parts;
+    const startedAt = clock.now();
+    const reply = await this.openUpstream(request);
+    const {outcome} = reply;
+    log.note({
+      event: 'tunnel-decided',
+      outcome,
+      peer: from,
+      request: request.requestId,
+      role: 'carries',
+      tookMs: Math.round(clock.now() - startedAt),
+      tunnels: this.carriedCount,
+      upstream: request.upstreamId,
+    });
+    metrics.tunnels.inc({outcome, role: 'carries'});
+    return reply;
+  }
+
+  private async openUpstream({
+    address,
+    upstreamId,
+  }: TunnelRequest): Promise<TunnelReply> {
+    const refusal = this.refusal();
+    if (refusal !== undefined) {
+      return {outcome: refusal};
+    }
+    const upstream = this.parts.pool.find(upstreamId);
+    if (upstream?.record.address !== address || !upstream.isServing) {
+      return {outcome: TUNNEL_OUTCOME.unknownUpstream};
+    }
+    this.carriedCount += 1;
+    const socket = await this.connect(upstream);
+    if (socket === undefined) {
+      this.carriedCount -= 1;
+      return {outcome: TUNNEL_OUTCOME.unreachable};
+    }
+    socket.once('close', () => (this.carriedCount -= 1));
+    return {outcome: TUNNEL_OUTCOME.open, tunnel: this.reserve(socket)};
+  }
+
+  private refusal(): TunnelRefusal | undefined {
+    return this.carriedCount >= MAX_CARRIED_TUNNELS
+      ? TUNNEL_OUTCOME.overloaded
+      : this.parts.refusal();
+  }
+
+  /** Connects to an upstream; returns undefined on a failure or time-out. */
+  private connect({host, port}: HttpAddress): Promise<Socket | undefined> {
+    return new Promise((resolve) => {
+      const socket = connect({host, keepAlive: true, noDelay: true, port});
+      this.track(socket);
+      socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy());
+      const onClose = (): void => resolve(undefined);
+      socket.once('close', onClose);
+      socket.once('connect', () => {
+        socket.setTimeout(0);
+        socket.off('close', onClose);
+        resolve(socket);
+      });
+    });
+  }
+
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    getConnectionState(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+  }
+
+  /** Keeps a connection to an upstream until its ticket is used or expires. */
+  private reserve(upstream: Socket): TunnelReply['tunnel'] {
+    const ticket = randomBytes(TICKET_BYTES);
+    const key = ticket.toString('hex');
+    const timer = setTimeout(() => upstream.destroy(), TICKET_LIFETIME_MS);
+    this.reserved.set(key, upstream);
+    upstream.once('close', () => {
+      clearTimeout(timer);
+      this.reserved.delete(key);
+    });
+    const address = this.server.address();
+    const port = typeof address === 'object' && address ? address.port : 0;
+    return {host: this.host, port, ticket};
+  }
+
+  /** Reads the ticket of a new connection and joins it with its upstream. */
+  private acceptClient(client: Socket): void {
+    this.track(client);
+    let received: Buffer = Buffer.alloc(0);
+    client.setTimeout(TICKET_LIFETIME_MS, () => client.destroy());
+    const onData = (chunk: Buffer): void => {
+      received = Buffer.concat([received, chunk]);
+      if (received.length >= TICKET_BYTES) {
+        client.off('data', onData);
+        client.setTimeout(0);
+        this.join(client, received);
+      }
+    };
+    client.on('data', onData);
+  }
+
+  private join(client: Socket, received: Buffer): void {
+    const key = received.toString('hex', 0, TICKET_BYTES);
+    const upstream = this.reserved.get(key);
+    this.reserved.delete(key);
+    if (upstream === undefined) {
+      client.destroy();
+      return;
+    }
+    // Replaces the time limit of an unused ticket.
+    upstream.removeAllListeners('close');
+    upstream.once('close', () => {
+      this.sockets.delete(upstream);
+      this.carriedCount -= 1;
+    });
+    joinSockets(client, upstream, received.subarray(TICKET_BYTES));
+  }
+}
+
+/**
+ * Passes bytes between the connection of another edge and that of an upstream, until one
+ * of them ends. Only the end of the upstream's connection may be orderly.
+ */
+function joinSockets(client: Socket, upstream: Socket, first: Buffer): void {
+  upstream.write(first);
+  client.pipe(upstream, {end: false});
+  upstream.on('data', (chunk: Buffer) => {
+    client.cork();
+    client.write(framePrefix(chunk.length));
+    const mayContinue = client.write(chunk);
+    client.uncork();
+    if (!mayContinue) {
+      upstream.pause();
+    }
+  });
+  client.on('drain', () => upstream.resume());
+  upstream.once('end', () => {
+    if (!getConnectionState(upstream).hasFailed) {
+      client.end(END_FRAME);
+    }
+  });
+  upstream.once('close', () => {
+    if (client.writableEnded) {
+      client.destroySoon();
+    } else {
+      client.destroy();
+    }
+  });
+  client.once('end', () => upstream.destroy());
+  client.once('close', () => upstream.destroy());
+}
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -61,7 +61,11 @@
   private backoffUntil = -Infinity;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
+  /** Whether the current pause is due to a failed connection attempt. */
+  private isPausedAsUnreachable = false;
   private wasReplaced = false;
+  /** Cause of the pause in the log; undefined while the upstream is usable. */
+  private loggedPauseCause: string | undefined;
   private recordReceivedAt: number;
 
   constructor(
@@ -133,6 +137,19 @@
     return this.clock.now() < this.pausedUntil;
   }
 
+  /** Whether the upstream is paused because no connection to it could be established. */
+  get isUnreachable(): boolean {
+    return this.isPausedAsUnreachable && this.isPaused;
+  }
+
+  /** Ends a pause that is due to a failed connection attempt. */
+  endUnreachable(): void {
+    if (this.isUnreachable) {
+      this.consecutiveFailures = 0;
+      this.pausedUntil = -Infinity;
+    }
+  }
+
   /** Whether the last requests failed several times in a row. */
   get isFailing(): boolean {
     return this.consecutiveFailures >= FAILURES_BEFORE_BACKOFF;
@@ -146,7 +163,8 @@
   /** Records a complete successful response and ends any pause. */
   recordSuccess(): void {
     this.errorRate -= this.errorRate * ERROR_WEIGHT;
-    if (this.consecutiveFailures >= FAILURES_BEFORE_BACKOFF) {
+    if (this.loggedPauseCause !== undefined) {
+      this.loggedPauseCause = undefined;
       this.logHealth(true, 'answered');
     }
     this.consecutiveFailures = 0;
@@ -159,6 +177,7 @@
       FAILURES_BEFORE_BACKOFF,
       this.consecutiveFailures + 1,
     );
+    this.isPausedAsUnreachable = true;
     this.pause('unreachable');
   }
 
@@ -169,6 +188,7 @@
   recordFailure(cause: string): void {
     this.consecutiveFailures += 1;
     if (this.consecutiveFailures >= FAILURES_BEFORE_BACKOFF) {
+      this.isPausedAsUnreachable = false;
       this.pause(cause);
     }
   }
@@ -276,7 +296,10 @@
       2 ** (this.consecutiveFailures - FAILURES_BEFORE_BACKOFF);
     const pauseMs = Math.min(MAX_BACKOFF_MS, doubledMs);
     this.pausedUntil = this.clock.now() + pauseMs;
-    this.logHealth(false, cause);
+    if (this.loggedPauseCause !== cause) {
+      this.loggedPauseCause = cause;
+      this.logHealth(false, cause);
+    }
   }
 
   private logHealth(isUsable: boolean, cause: string): void {
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -207,6 +207,11 @@
     }
   }
 
+  /** The upstream with an id; undefined if it is unknown or was removed. */
+  find(id: string): EdgeUpstream | undefined {
+    return this.byId.get(id);
+  }
+
   /** All known upstreams, except removed ones. */
   all(): EdgeUpstream[] {
     return [...this.byId.values()];
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -26,6 +26,7 @@
   evacuate: 'fleet-evacuate',
   exposure: 'fleet-exposure',
   give: 'fleet-give',
+  openTunnel: 'fleet-open-tunnel',
   checkStateNeeded: 'fleet-greet',
   sendState: 'fleet-hand-over',
   readConfiguration: 'fleet-read',
@@ -223,6 +224,47 @@
   readonly agreed: boolean;
 }
 
+/** Asks another edge to carry one request to an upstream that it can reach. */
+export interface TunnelRequest {
+  /** Id of the caller's request, for the log. */
+  readonly requestId: string;
+  readonly upstreamId: string;
+  /** Address of the upstream, IP:PORT, as known to the asking edge. */
+  readonly address: string;
+}
+
+/** Outcomes of a request for a tunnel. */
+export const TUNNEL_OUTCOME = {
+  /** The edge is connected to the upstream. */
+  open: 'open',
+  /** The edge can't connect to the upstream. */
+  unreachable: 'unreachable',
+  /** The edge does not know the upstream at this address, or knows that it leaves. */
+  unknownUpstream: 'unknown-upstream',
+  /** The edge has lost its own links. */
+  cutOff: 'cut-off',
+  overloaded: 'overloaded',
+  stopping: 'stopping',
+} as const;
+
+/** A value of TUNNEL_OUTCOME. */
+export type TunnelOutcome =
+  (typeof TUNNEL_OUTCOME)[keyof typeof TUNNEL_OUTCOME];
+
+/** Where to open a tunnel connection, and the ticket to send first. */
+export interface TunnelAddress {
+  readonly host: string;
+  readonly port: number;
+  readonly ticket: Uint8Array;
+}
+
+/** Reply to a TunnelRequest. */
+export interface TunnelReply {
+  readonly outcome: TunnelOutcome;
+  /** Present if the outcome is `open`. */
+  readonly tunnel?: TunnelAddress | undefined;
+}
+
 /** The state of an edge, sent to an edge that can't reach a control box. */
 export interface EdgeState {
   readonly configuration: FleetConfiguration;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -62,6 +62,10 @@
   LimitReportsRequest,
   LoanOutcome,
   StateNeededReply,
+  TunnelAddress,
+  TunnelOutcome,
+  TunnelReply,
+  TunnelRequest,
   WatchReply,
   WatchRequest,
   WithdrawalReply,
@@ -71,6 +75,7 @@
   FLEET_SERVICE,
   incarnationIdOf,
   LOAN_OUTCOME,
+  TUNNEL_OUTCOME,
 } from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetUpdateHandler, FleetWatch} from './FleetWatch';
