--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -16,6 +16,7 @@
 import type {ConnectionOwner} from './HttpConnection';
 import type {ConnectionRoute} from './HttpConnection';
 import {HttpConnection} from './HttpConnection';
+import type {ReadCounter} from './ReadCounter';
 
 /** Address, clock and size limit of a pool. */
 export interface ConnectionPoolParts {
@@ -24,6 +25,7 @@
   readonly clock: Clock;
   /** Maximum number of idle connections. */
   readonly maxIdle: number;
+  readonly reads: ReadCounter;
 }
 
 /** A connection without an open request. */
@@ -102,6 +104,10 @@
     return true;
   }
 
+  recordRead(): void {
+    this.parts.reads.increment();
+  }
+
   remove(connection: HttpConnection): void {
     this.connections.delete(connection);
     const index = this.idle.findIndex(
--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -126,6 +126,16 @@
     return this.isTunnel;
   }
 
+  /** Whether a direct connection to the upstream is in use. */
+  get isDirect(): boolean {
+    return this.connection !== undefined && !this.isTunnel;
+  }
+
+  /** Whether the request may have been sent. */
+  get hasConnected(): boolean {
+    return this.isConnected;
+  }
+
   /** Aborts the attempt. Closes the connection unless the response is complete. */
   abort(cause: string): void {
     this.abortCause = cause;
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -54,6 +54,8 @@
    * is the timeout in the upstream's `Keep-Alive` header, if any.
    */
   release(connection: HttpConnection, keepAliveMs: number | undefined): boolean;
+  /** Called when bytes arrive over a direct connection. */
+  recordRead(): void;
   /** Called when the connection is closed. */
   remove(connection: HttpConnection): void;
 }
@@ -198,6 +200,7 @@
 
   private handleData(bytes: Buffer): void {
     if (this.tunnelReader === undefined) {
+      this.owner.recordRead();
       this.handleBytes(bytes);
     } else {
       this.tunnelReader.push(bytes);
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -12,7 +12,7 @@
 import type {CallerProtocol} from '../callers/CallerProtocol';
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {ExchangeOutcome} from '../connections/Exchange';
-import {Exchange} from '../connections/Exchange';
+import {CONNECT_TIMEOUT, Exchange} from '../connections/Exchange';
 import {buildUpstreamHeaders} from '../connections/UpstreamHeaders';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
 import {MISDIRECTED_REQUEST_STATUS} from '../EdgeConstants';
@@ -30,6 +30,9 @@
 import {parseUpstreamSignals} from '../upstreams/UpstreamSignals';
 import type {RequestPlan} from './RequestPlan';
 
+/** Cause of an attempt that was given up because the link to the upstream hangs. */
+const LINK_LOST = 'link-lost';
+
 /** Dependencies of an attempt. */
 export interface AttemptParts {
   readonly clock: Clock;
@@ -96,6 +99,19 @@
     this.exchange.abort(cause);
   }
 
+  /**
+   * Aborts the attempt because the direct link to the upstream hangs, if the request was
+   * not sent yet or may be sent again.
+   */
+  abandonLink(isRepeatable: boolean): void {
+    const {hasConnected, isDirect} = this.exchange;
+    if (isDirect && !hasConnected) {
+      this.exchange.abort(CONNECT_TIMEOUT);
+    } else if (isDirect && isRepeatable) {
+      this.exchange.abort(LINK_LOST);
+    }
+  }
+
   private recordSent(isFailing: boolean): void {
     const {linkBudget, recoveryProbes, metrics} = this.parts;
     const {body, plan} = this.params;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -279,18 +279,24 @@
         this.requestOutcome.fail('retry-budget', this.mayHaveRun);
         return;
       }
-      const outcome = await this.startAttempt(plan, placement);
-      const hasEnded = await this.handleOutcome(
-        plan,
-        placement.upstream,
-        outcome,
-      );
-      if (hasEnded) {
+      if (await this.tryUpstream(plan, placement)) {
         return;
       }
     }
   }
 
+  /** Makes one attempt. Returns true when the request has ended. */
+  private async tryUpstream(
+    plan: RequestPlan,
+    placement: Placement,
+  ): Promise<boolean> {
+    using _linkLost = this.parts.directLinks.onSilentCutOff(() =>
+      this.onLinkLost(plan.route),
+    );
+    const outcome = await this.startAttempt(plan, placement);
+    return await this.handleOutcome(plan, placement.upstream, outcome);
+  }
+
   /**
    * Acquires a permit before each attempt, retries included. The rate limit of an
    * upstream applies to all edges together, so no edge can enforce it alone.
@@ -408,7 +414,9 @@
     upstream: EdgeUpstream,
     cause: string,
   ): void {
-    upstream.recordFailure(cause);
+    if (!this.parts.directLinks.isCutOff) {
+      upstream.recordFailure(cause);
+    }
     this.parts.quarantine.recordBrokenRequest(
       upstream,
       this.getFingerprint(plan),
@@ -566,6 +574,15 @@
     return this.relay;
   }
 
+  /**
+   * Ends an attempt over a link that hangs, if the request may be sent again. Any other
+   * one goes on, as the upstream may still respond when the link is back.
+   */
+  private onLinkLost({repetition}: Route): void {
+    const isRepeatable = repetition !== RETRY_POLICY.never;
+    this.currentAttempt?.abandonLink(isRepeatable);
+  }
+
   // End of the request
 
   private onDeadline(): void {
--- a/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
@@ -22,11 +22,14 @@
 import type {EdgeMetrics} from '../EdgeMetrics';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {UpstreamPool} from '../upstreams/UpstreamPool';
+import {SilenceDetector} from './SilenceDetector';
 import {
   PROBE_INTERVAL_MS,
+  SILENCE_CHECK_INTERVAL_MS,
   UNREACHABLE_BACKOFF_MS,
   VERIFICATION_INTERVAL_MS,
   VERIFICATION_PROBES,
+  VERIFICATION_TIMEOUT_MS,
 } from './TunnelConstants';
 
 /** Longest interval between checks for a suspicion, ms. */
@@ -40,7 +43,11 @@
   readonly pool: UpstreamPool;
   readonly random: Random;
   /** Opens and closes a connection to an address. */
-  readonly probe: (host: string, port: number) => Promise<ListenerState>;
+  readonly probe: (
+    host: string,
+    port: number,
+    timeoutMs?: number,
+  ) => Promise<ListenerState>;
 }
 
 /** Tracks which upstreams this edge can't connect to although others can. */
@@ -54,10 +61,14 @@
   /** Whether a connection failed since the last verification. */
   private isSuspected = false;
   private readonly suspected = new Condition();
+  private readonly cutOffBegun = new Condition();
+  private readonly silenceDetector: SilenceDetector;
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: DirectLinksParts) {
+    this.silenceDetector = new SilenceDetector(parts.clock);
     this.tasks.start((signal) => this.run(signal));
+    this.tasks.start((signal) => this.checkSilence(signal));
   }
 
   /** Whether no upstream at all could be reached when this was verified last. */
@@ -93,8 +104,10 @@
           // A link without any reply has lost its open connections too.
           upstream.connections.closeIdle();
         }
-        upstream.recordConnectFailure();
-        this.recordFailure();
+        if (!this.isCutOff) {
+          upstream.recordConnectFailure();
+          this.recordFailure();
+        }
         return;
       case UNSENT_BLAME.upstream:
         upstream.recordConnectFailure();
@@ -106,6 +119,14 @@
     }
   }
 
+  /**
+   * Calls `listener` when the edge finds that all links hang, unless the result is disposed
+   * before. What was sent just before may never arrive.
+   */
+  onSilentCutOff(listener: () => void): Disposable {
+    return this.cutOffBegun.onNext(listener);
+  }
+
   /** Records that another edge reached an upstream that this edge does not reach. */
   recordTunnel(upstream: EdgeUpstream): void {
     if (!this.lost.has(upstream)) {
@@ -164,11 +185,14 @@
     const serving = pool.all().filter(({isServing}) => isServing);
     const reachable = serving.filter(({isUnreachable}) => !isUnreachable);
     const probed = this.sample(reachable.length > 0 ? reachable : serving);
-    const results = await Promise.all(
-      probed.map((upstream) => this.probeUpstream(upstream)),
+    const states = await Promise.all(
+      probed.map(({host, port}) =>
+        this.parts.probe(host, port, VERIFICATION_TIMEOUT_MS),
+      ),
     );
-    if (serving.length > 1 && results.every((isReached) => !isReached)) {
-      this.beginCutOff(serving, probed.length);
+    const isReached = states.includes(LISTENER_STATE.listening);
+    if (serving.length > 1 && !isReached) {
+      this.beginCutOff(serving, states);
     }
   }
 
@@ -184,13 +208,37 @@
     return sample;
   }
 
-  private beginCutOff(serving: readonly EdgeUpstream[], probed: number): void {
+  private beginCutOff(
+    serving: readonly EdgeUpstream[],
+    states: readonly ListenerState[],
+  ): void {
     this.cutOffSince = this.parts.clock.now();
+    // Without any reply, open connections hang too; else they may live on.
+    const isSilent = states.includes(LISTENER_STATE.unknown);
     for (const upstream of serving) {
       this.lost.add(upstream);
-      upstream.endUnreachable();
+      upstream.endPause();
+      if (isSilent) {
+        upstream.connections.closeIdle();
+      }
+    }
+    this.logChange(states.length, serving.length);
+    if (isSilent) {
+      this.cutOffBegun.notify();
+    }
+  }
+
+  /** Suspects the links if nothing arrives from upstreams. */
+  private async checkSilence(signal: AbortSignal): Promise<void> {
+    const {clock, pool} = this.parts;
+    while (!signal.aborted) {
+      await clock.sleep(SILENCE_CHECK_INTERVAL_MS, signal);
+      const {requests, upstreams} = pool.countInFlight();
+      const reads = pool.reads.value;
+      if (this.silenceDetector.check({reads, requests, upstreams})) {
+        this.recordFailure();
+      }
     }
-    this.logChange(probed, serving.length);
   }
 
   /** Probes the upstream that was probed the longest ago. */
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -26,6 +26,7 @@
 import {
   HELPER_BACKOFF_MS,
   MAX_HELPERS_PER_REQUEST,
+  MAX_UNREACHABLE_REPLIES,
   TUNNEL_OPEN_TIMEOUT_MS,
 } from './TunnelConstants';
 
@@ -64,6 +65,7 @@
     requestId: string,
   ): Promise<Result<HttpConnection, TunnelFailure>> {
     const asked = new Set<string>();
+    let unreachableCount = 0;
     while (asked.size < MAX_HELPERS_PER_REQUEST) {
       const helper = this.chooseHelper(asked);
       if (helper === undefined) {
@@ -75,12 +77,22 @@
         return ok(this.connect(helper, upstream, reply.tunnel));
       }
       if (reply?.outcome === TUNNEL_OUTCOME.unreachable) {
+        unreachableCount += 1;
+      }
+      // The first of these edges may have lost some links itself.
+      if (unreachableCount === MAX_UNREACHABLE_REPLIES) {
         return err({
           kind: 'upstream-unreachable',
-          message: `${helper.box} can't reach ${upstream.id}`,
+          message: `other edges can't reach ${upstream.id}`,
         });
       }
     }
+    if (unreachableCount > 0) {
+      return err({
+        kind: 'upstream-unreachable',
+        message: `the only other edge can't reach ${upstream.id}`,
+      });
+    }
     const message = `${asked.size} edges were asked for a tunnel`;
     return err({kind: 'no-helper', message});
   }
--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -22,6 +22,9 @@
 /** Age of the queue of callers above which an edge carries no further tunnels, ms. */
 export const MAX_HELPER_QUEUE_AGE_MS = 250;
 
+/** Edges that must fail to reach an upstream before it counts as unreachable. */
+export const MAX_UNREACHABLE_REPLIES = 2;
+
 /** Edges asked for one tunnel before the request fails. */
 export const MAX_HELPERS_PER_REQUEST = 3;
 
@@ -40,5 +43,28 @@
  */
 export const PROBE_INTERVAL_MS = 100;
 
+/**
+ * Timeout of a probe in a verification, ms; shorter than that of a connection for a
+ * request, as a wrong result is corrected by the next probe.
+ */
+export const VERIFICATION_TIMEOUT_MS = 250;
+
+/** Interval at which the edge checks whether anything arrives from upstreams, ms. */
+export const SILENCE_CHECK_INTERVAL_MS = 50;
+
+/** Requests in flight, and upstreams that have them, from which silence is suspicious. */
+export const MIN_SILENT_REQUESTS = 3;
+export const MIN_SILENT_UPSTREAMS = 2;
+
+/** Bounds of the time without reads that makes the edge verify its links, ms. */
+export const MIN_SILENCE_MS = 150;
+export const MAX_SILENCE_MS = 1_000;
+
+/** Multiple of the usual time without reads that is suspicious. */
+export const USUAL_SILENCE_FACTOR = 2;
+
+/** Time constant with which the usual time without reads is forgotten, ms. */
+export const USUAL_SILENCE_DECAY_MS = 15_000;
+
 /** Time for which no other edge is asked again for an upstream that it can't reach, ms. */
 export const UNREACHABLE_BACKOFF_MS = 2_000;
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -14,6 +14,7 @@
 import {hash32} from 'shared';
 
 import {ConnectionPool} from '../connections/ConnectionPool';
+import {ReadCounter} from '../connections/ReadCounter';
 import {
   FAILURES_BEFORE_BACKOFF,
   INITIAL_BACKOFF_MS,
@@ -74,6 +75,7 @@
     private readonly log: DecisionLog,
     /** Called when the upstream stops serving while its record still says `ready`. */
     private readonly onStopServing: () => void = () => undefined,
+    reads = new ReadCounter(),
   ) {
     const record = latestRecord;
     this.recordReceivedAt = clock.now();
@@ -89,6 +91,7 @@
       host: this.host,
       maxIdle: record.slots,
       port: this.port,
+      reads,
     });
   }
 
@@ -142,12 +145,10 @@
     return this.isPausedAsUnreachable && this.isPaused;
   }
 
-  /** Ends a pause that is due to a failed connection attempt. */
-  endUnreachable(): void {
-    if (this.isUnreachable) {
-      this.consecutiveFailures = 0;
-      this.pausedUntil = -Infinity;
-    }
+  /** Ends a pause whose failures turned out not to be those of the upstream. */
+  endPause(): void {
+    this.consecutiveFailures = 0;
+    this.pausedUntil = -Infinity;
   }
 
   /** Whether the last requests failed several times in a row. */
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -18,6 +18,7 @@
 import {maxRequestsPerSecond, NO_LIMIT} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
+import {ReadCounter} from '../connections/ReadCounter';
 import {EdgeUpstream} from './EdgeUpstream';
 
 /** Error rate above which an upstream may be degraded, from 0 to 1. */
@@ -56,6 +57,8 @@
   /** Serving upstreams by service, cached until any upstream changes. */
   private readonly servingCache = new Map<string, readonly EdgeUpstream[]>();
   private activeEvacuations = NO_EVACUATIONS;
+  /** Reads from all upstreams. */
+  readonly reads = new ReadCounter();
 
   constructor(
     private readonly clock: Clock,
@@ -207,6 +210,17 @@
     }
   }
 
+  /** Counts the requests of this edge in flight, and the upstreams that have some. */
+  countInFlight(): {readonly requests: number; readonly upstreams: number} {
+    let requests = 0;
+    let upstreams = 0;
+    for (const {inFlight} of this.byId.values()) {
+      requests += inFlight;
+      upstreams += inFlight > 0 ? 1 : 0;
+    }
+    return {requests, upstreams};
+  }
+
   /** The upstream with an id; undefined if it is unknown or was removed. */
   find(id: string): EdgeUpstream | undefined {
     return this.byId.get(id);
@@ -282,8 +296,12 @@
   }
 
   private add(record: UpstreamRecord): EdgeUpstream {
-    const upstream = new EdgeUpstream(record, this.clock, this.log, () =>
-      this.servingCache.clear(),
+    const upstream = new EdgeUpstream(
+      record,
+      this.clock,
+      this.log,
+      () => this.servingCache.clear(),
+      this.reads,
     );
     upstream.markCold(this.table.coldUntil(record.id));
     this.servingCache.clear();
--- a/packages/puffinturn-quarantine/src/ListenerProbe.ts
+++ b/packages/puffinturn-quarantine/src/ListenerProbe.ts
@@ -29,6 +29,7 @@
 export function probeListener(
   host: string,
   port: number,
+  timeoutMs = PROBE_TIMEOUT_MS,
 ): Promise<ListenerState> {
   return new Promise((resolve) => {
     const socket = connect({host, port});
@@ -36,7 +37,7 @@
       socket.destroy();
       resolve(state);
     };
-    socket.setTimeout(PROBE_TIMEOUT_MS, () => finish(LISTENER_STATE.unknown));
+    socket.setTimeout(timeoutMs, () => finish(LISTENER_STATE.unknown));
     socket.once('connect', () => finish(LISTENER_STATE.listening));
     socket.once('error', ({code}: NodeJS.ErrnoException) =>
       finish(
