--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -132,16 +132,17 @@
   readonly failures: number;
 }
 
-/** This edge lost its links to all upstreams, or reaches some of them again. */
+/** This edge lost its links to all upstreams of a service, or reaches some again. */
 export interface UpstreamLinksChanged {
   readonly event: 'links-judged';
-  /** Whether no upstream could be reached. */
-  readonly cutOff: boolean;
+  readonly service: string;
+  /** Whether some upstream could be reached. */
+  readonly reachable: boolean;
   /** Time since the loss; undefined at its begin. */
-  readonly cutOffMs: number | undefined;
+  readonly lostMs: number | undefined;
   /** Number of upstreams that are reached through other edges only. */
   readonly lost: number;
-  /** Number of upstreams that this edge knows. */
+  /** Number of upstreams of the service that this edge knows. */
   readonly known: number;
   /** Number of upstreams that were probed for this decision. */
   readonly probed: number;
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -182,7 +182,7 @@
       random,
     });
     this.quarantine = new RequestQuarantine({
-      isCutOff: () => this.directLinks.isCutOff,
+      areLinksLost: () => this.directLinks.areAllLost,
       box: self.box,
       clock,
       controlBoxes: () => this.controlBoxes(),
@@ -344,7 +344,7 @@
         log: parts.log,
         metrics: edge.metrics,
         pool: edge.pool,
-        refusal: () => edge.tunnelRefusal,
+        refusal: (service) => edge.refuseTunnel(service),
       });
       const backlogLogger = new BacklogLogger(parts.log);
       edge.backlogMonitor = edge.listeners[0]?.monitorBacklog(
@@ -487,12 +487,12 @@
     this.pool[Symbol.dispose]();
   }
 
-  /** Why this edge carries no tunnels for others; undefined if it does. */
-  private get tunnelRefusal(): TunnelRefusal | undefined {
+  /** Why this edge carries no tunnels to a service; undefined if it does. */
+  private refuseTunnel(service: string): TunnelRefusal | undefined {
     if (this.isStopping) {
       return TUNNEL_OUTCOME.stopping;
     }
-    if (this.directLinks.isCutOff) {
+    if (this.directLinks.areLost(service)) {
       return TUNNEL_OUTCOME.cutOff;
     }
     const queueAgeMs = this.backlogMonitor?.queueAgeMs ?? 0;
--- a/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
@@ -17,7 +17,6 @@
 import {formatRequestHead} from '../../callers/RequestHead';
 import {ConnectionPool} from '../../connections/ConnectionPool';
 import type {HttpConnection} from '../../connections/HttpConnection';
-import {ReadCounter} from '../../connections/ReadCounter';
 import type {UpstreamResponse} from '../../connections/UpstreamResponse';
 
 /** Result of one request. */
@@ -83,7 +82,6 @@
     host: '127.0.0.1',
     maxIdle: MAX_IDLE,
     port,
-    reads: new ReadCounter(),
   });
 }
 
--- a/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
@@ -52,7 +52,7 @@
       box: 'e1',
       clock,
       controlBoxes: () => ['c1', 'c2'],
-      isCutOff: () => false,
+      areLinksLost: () => false,
       link,
       log,
       metrics: new EdgeMetrics(),
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -205,7 +205,7 @@
       box: SELF.box,
       clock,
       controlBoxes: () => [],
-      isCutOff: () => this.directLinks.isCutOff,
+      areLinksLost: () => this.directLinks.areAllLost,
       link: new UnreachableLink(),
       log,
       metrics,
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -16,7 +16,6 @@
 import type {ConnectionOwner} from './HttpConnection';
 import type {ConnectionRoute} from './HttpConnection';
 import {HttpConnection} from './HttpConnection';
-import type {ReadCounter} from './ReadCounter';
 
 /** Address, clock and size limit of a pool. */
 export interface ConnectionPoolParts {
@@ -25,7 +24,6 @@
   readonly clock: Clock;
   /** Maximum number of idle connections. */
   readonly maxIdle: number;
-  readonly reads: ReadCounter;
 }
 
 /** A connection without an open request. */
@@ -50,6 +48,7 @@
   private idle: IdleConnection[] = [];
   private sweepTimer: NodeJS.Timeout | undefined;
   private isDraining = false;
+  private reads = 0;
 
   constructor(private readonly parts: ConnectionPoolParts) {}
 
@@ -68,6 +67,11 @@
     }
   }
 
+  /** Number of reads over direct connections. */
+  get readCount(): number {
+    return this.reads;
+  }
+
   /** Whether an idle connection can be reused. */
   get hasIdle(): boolean {
     const now = this.parts.clock.now();
@@ -105,7 +109,7 @@
   }
 
   recordRead(): void {
-    this.parts.reads.increment();
+    this.reads += 1;
   }
 
   remove(connection: HttpConnection): void {
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -148,7 +148,7 @@
       requestId: caller.id,
       tunnel: directLinks.needsTunnel(upstream)
         ? {
-            isOnlyWay: directLinks.isCutOff,
+            isOnlyWay: directLinks.areLost(upstream.record.service),
             open: () => tunnelClient.open(upstream, caller.id),
           }
         : undefined,
@@ -188,7 +188,7 @@
     if (outcome.kind === 'unsent') {
       directLinks.recordUnsent(upstream, outcome);
     } else if (outcome.kind === 'broken') {
-      directLinks.recordFailure();
+      directLinks.recordFailure(upstream);
     } else if (this.exchange.usedTunnel) {
       directLinks.recordTunnel(upstream);
     }
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -290,7 +290,7 @@
     plan: RequestPlan,
     placement: Placement,
   ): Promise<boolean> {
-    using _linkLost = this.parts.directLinks.onSilentCutOff(() =>
+    using _linkLost = this.parts.directLinks.onHang(plan.service.name, () =>
       this.onLinkLost(plan.route),
     );
     const outcome = await this.startAttempt(plan, placement);
@@ -414,7 +414,7 @@
     upstream: EdgeUpstream,
     cause: string,
   ): void {
-    if (!this.parts.directLinks.isCutOff) {
+    if (!this.parts.directLinks.areLost(plan.service.name)) {
       upstream.recordFailure(cause);
     }
     this.parts.quarantine.recordBrokenRequest(
--- a/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
+++ b/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
@@ -54,8 +54,8 @@
   readonly metrics: EdgeMetrics;
   /** Control boxes in the order in which they are called. */
   readonly controlBoxes: () => readonly string[];
-  /** Whether this edge has lost its links to all upstreams. */
-  readonly isCutOff: () => boolean;
+  /** Whether this edge has lost its links to all upstreams of all services. */
+  readonly areLinksLost: () => boolean;
 }
 
 /** Quarantine state of this edge, and the reporter of crashes that it observed. */
@@ -154,7 +154,7 @@
   /** Without links of its own, this edge can't tell whether an upstream has crashed. */
   private async probe({host, port}: EdgeUpstream): Promise<ListenerState> {
     const state = await probeListener(host, port);
-    return this.parts.isCutOff() ? LISTENER_STATE.unknown : state;
+    return this.parts.areLinksLost() ? LISTENER_STATE.unknown : state;
   }
 
   private async sendReports(signal: AbortSignal): Promise<void> {
--- /dev/null
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -0,0 +1,209 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * The links from this edge to the upstreams of one service. They are lost if none of a few
+ * upstreams that were probed responds. Then one upstream after the other is probed, and each
+ * that responds is reached directly again.
+ */
+import type {DecisionLog} from 'puffinturn-decisions';
+import type {ListenerState} from 'puffinturn-quarantine';
+import {LISTENER_STATE} from 'puffinturn-quarantine';
+import type {Clock, Random} from 'shared';
+import {Condition} from 'shared';
+
+import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import type {UpstreamPool} from '../upstreams/UpstreamPool';
+import {SilenceDetector} from './SilenceDetector';
+import {
+  VERIFICATION_INTERVAL_MS,
+  VERIFICATION_PROBES,
+  VERIFICATION_TIMEOUT_MS,
+} from './TunnelConstants';
+
+/** Opens and closes a connection to an address. */
+export type LinkProbe = (
+  host: string,
+  port: number,
+  timeoutMs?: number,
+) => Promise<ListenerState>;
+
+/** Dependencies of ServiceLinks. */
+export interface ServiceLinksParts {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly pool: UpstreamPool;
+  readonly probe: LinkProbe;
+  readonly random: Random;
+}
+
+/** Tracks the links to the upstreams of one service. */
+export class ServiceLinks {
+  /** Upstreams that are reached through other edges until a probe succeeds. */
+  private readonly lostUpstreams = new Set<EdgeUpstream>();
+  private readonly silenceDetector: SilenceDetector;
+  private readonly hangDetected = new Condition();
+  /** When the loss of all links was found, monotonic ms; undefined if they are not. */
+  private lostSince: number | undefined;
+  private lastVerificationAt = -Infinity;
+  private isSuspected = false;
+
+  constructor(
+    private readonly service: string,
+    private readonly parts: ServiceLinksParts,
+  ) {
+    this.silenceDetector = new SilenceDetector(parts.clock);
+  }
+
+  /** Whether no upstream of the service could be reached when this was verified last. */
+  get areLost(): boolean {
+    return this.lostSince !== undefined;
+  }
+
+  /** Number of upstreams that are reached through other edges only. */
+  get lostCount(): number {
+    return this.lostUpstreams.size;
+  }
+
+  /** Whether there are upstreams to probe. */
+  get needsProbes(): boolean {
+    return this.areLost || this.lostUpstreams.size > 0;
+  }
+
+  /** Whether a verification is due after a failure. */
+  get isVerificationDue(): boolean {
+    const elapsedMs = this.parts.clock.now() - this.lastVerificationAt;
+    return (
+      this.isSuspected && !this.areLost && elapsedMs >= VERIFICATION_INTERVAL_MS
+    );
+  }
+
+  /** Whether an upstream is reached through other edges only. */
+  isLost(upstream: EdgeUpstream): boolean {
+    return this.areLost || this.lostUpstreams.has(upstream);
+  }
+
+  /** Records that a connection failed. */
+  suspect(): void {
+    this.isSuspected = true;
+  }
+
+  /** Suspects the links if nothing arrives from the upstreams of the service. */
+  checkSilence(): void {
+    const traffic = this.parts.pool.trafficOf(this.service);
+    this.isSuspected ||= this.silenceDetector.check(traffic);
+  }
+
+  /** Records that another edge reached an upstream that this edge does not reach. */
+  addLost(upstream: EdgeUpstream): void {
+    this.lostUpstreams.add(upstream);
+  }
+
+  /** Records that other edges don't reach an upstream either. */
+  removeLost(upstream: EdgeUpstream): void {
+    this.lostUpstreams.delete(upstream);
+  }
+
+  /** Calls `listener` when all links are found to hang, unless disposed before. */
+  onHang(listener: () => void): Disposable {
+    return this.hangDetected.onNext(listener);
+  }
+
+  /** Probes a few upstreams at once; if none responds, all links are lost. */
+  async verify(): Promise<void> {
+    const {clock, pool, probe} = this.parts;
+    this.isSuspected = false;
+    this.lastVerificationAt = clock.now();
+    const serving = pool.servingUpstreams(this.service);
+    const reachable = serving.filter(({isUnreachable}) => !isUnreachable);
+    const probed = this.sample(reachable.length > 0 ? reachable : serving);
+    const states = await Promise.all(
+      probed.map(({host, port}) => probe(host, port, VERIFICATION_TIMEOUT_MS)),
+    );
+    if (serving.length > 0 && !states.includes(LISTENER_STATE.listening)) {
+      this.beginLoss(serving, states);
+    }
+  }
+
+  /** Probes the upstream that was probed the longest ago. */
+  async probeNext(): Promise<void> {
+    this.forgetLeaving();
+    const [upstream] = this.lostUpstreams;
+    if (upstream === undefined) {
+      this.endLoss();
+      return;
+    }
+    const state = await this.parts.probe(upstream.host, upstream.port);
+    this.lostUpstreams.delete(upstream);
+    if (state === LISTENER_STATE.listening) {
+      this.endLoss();
+    } else if (upstream.isServing) {
+      this.lostUpstreams.add(upstream);
+    }
+  }
+
+  /** Draws a few upstreams at random. */
+  private sample(upstreams: readonly EdgeUpstream[]): EdgeUpstream[] {
+    const {random} = this.parts;
+    const remaining = [...upstreams];
+    const sample: EdgeUpstream[] = [];
+    while (remaining.length > 0 && sample.length < VERIFICATION_PROBES) {
+      const index = random.integer(0, remaining.length - 1);
+      sample.push(...remaining.splice(index, 1));
+    }
+    return sample;
+  }
+
+  private beginLoss(
+    serving: readonly EdgeUpstream[],
+    states: readonly ListenerState[],
+  ): void {
+    this.lostSince = this.parts.clock.now();
+    // Without any reply, open connections hang too; else they may live on.
+    const isHang = states.includes(LISTENER_STATE.unknown);
+    for (const upstream of serving) {
+      this.lostUpstreams.add(upstream);
+      upstream.endPause();
+      if (isHang) {
+        upstream.connections.closeIdle();
+      }
+    }
+    this.logChange(states.length);
+    if (isHang) {
+      this.hangDetected.notify();
+    }
+  }
+
+  private endLoss(): void {
+    if (this.lostSince !== undefined) {
+      const lostMs = Math.round(this.parts.clock.now() - this.lostSince);
+      this.lostSince = undefined;
+      this.logChange(1, lostMs);
+    }
+  }
+
+  private forgetLeaving(): void {
+    for (const upstream of this.lostUpstreams) {
+      if (!upstream.isServing) {
+        this.lostUpstreams.delete(upstream);
+      }
+    }
+  }
+
+  private logChange(probed: number, lostMs?: number): void {
+    const {log, pool} = this.parts;
+    log.note({
+      event: 'links-judged',
+      known: pool.servingUpstreams(this.service).length,
+      lost: this.lostUpstreams.size,
+      lostMs,
+      probed,
+      reachable: !this.areLost,
+      service: this.service,
+    });
+  }
+}
--- a/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
+++ b/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
@@ -12,6 +12,7 @@
  */
 import type {Clock} from 'shared';
 
+import type {ServiceTraffic} from '../upstreams/UpstreamPool';
 import {
   MAX_SILENCE_MS,
   MIN_SILENCE_MS,
@@ -21,16 +22,6 @@
   USUAL_SILENCE_FACTOR,
 } from './TunnelConstants';
 
-/** What the detector observes. */
-export interface TrafficState {
-  /** Number of reads from upstreams since the start. */
-  readonly reads: number;
-  /** Requests in flight over direct connections. */
-  readonly requests: number;
-  /** Upstreams that have some of them. */
-  readonly upstreams: number;
-}
-
 /** Compares the time without any read with how long such times usually last. */
 export class SilenceDetector {
   private lastReads = 0;
@@ -45,7 +36,7 @@
   }
 
   /** Returns true if the silence is longer than usual; called at a steady interval. */
-  check({reads, requests, upstreams}: TrafficState): boolean {
+  check({reads, requests, upstreams}: ServiceTraffic): boolean {
     const now = this.clock.now();
     this.decay(now);
     const isWaiting =
--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -49,8 +49,8 @@
   readonly log: DecisionLog;
   readonly metrics: EdgeMetrics;
   readonly pool: UpstreamPool;
-  /** Why this edge carries no further tunnels; undefined if it does. */
-  readonly refusal: () => TunnelRefusal | undefined;
+  /** Why this edge carries no further tunnels to a service; undefined if it does. */
+  readonly refusal: (service: string) => TunnelRefusal | undefined;
 }
 
 /** Listens for tunnels of other edges. Disposing it closes them all. */
@@ -131,14 +131,14 @@
     address,
     upstreamId,
   }: TunnelRequest): Promise<TunnelReply> {
-    const refusal = this.refusal();
-    if (refusal !== undefined) {
-      return {outcome: refusal};
-    }
     const upstream = this.parts.pool.find(upstreamId);
     if (upstream?.record.address !== address || !upstream.isServing) {
       return {outcome: TUNNEL_OUTCOME.unknownUpstream};
     }
+    const refusal = this.refusal(upstream.record.service);
+    if (refusal !== undefined) {
+      return {outcome: refusal};
+    }
     this.carriedCount += 1;
     const socket = await this.connect(upstream);
     if (socket === undefined) {
@@ -149,10 +149,10 @@
     return {outcome: TUNNEL_OUTCOME.open, tunnel: this.reserve(socket)};
   }
 
-  private refusal(): TunnelRefusal | undefined {
+  private refusal(service: string): TunnelRefusal | undefined {
     return this.carriedCount >= MAX_CARRIED_TUNNELS
       ? TUNNEL_OUTCOME.overloaded
-      : this.parts.refusal();
+      : this.parts.refusal(service);
   }
 
   /** Connects to an upstream; returns undefined on a failure or time-out. */
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -14,7 +14,6 @@
 import {hash32} from 'shared';
 
 import {ConnectionPool} from '../connections/ConnectionPool';
-import {ReadCounter} from '../connections/ReadCounter';
 import {
   FAILURES_BEFORE_BACKOFF,
   INITIAL_BACKOFF_MS,
@@ -75,7 +74,6 @@
     private readonly log: DecisionLog,
     /** Called when the upstream stops serving while its record still says `ready`. */
     private readonly onStopServing: () => void = () => undefined,
-    reads = new ReadCounter(),
   ) {
     const record = latestRecord;
     this.recordReceivedAt = clock.now();
@@ -91,7 +89,6 @@
       host: this.host,
       maxIdle: record.slots,
       port: this.port,
-      reads,
     });
   }
 
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -18,9 +18,18 @@
 import {maxRequestsPerSecond, NO_LIMIT} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
-import {ReadCounter} from '../connections/ReadCounter';
 import {EdgeUpstream} from './EdgeUpstream';
 
+/** Traffic between this edge and the upstreams of one service. */
+export interface ServiceTraffic {
+  /** Number of reads over direct connections to the present upstreams. */
+  readonly reads: number;
+  /** Requests in flight. */
+  readonly requests: number;
+  /** Upstreams that have some of them. */
+  readonly upstreams: number;
+}
+
 /** Error rate above which an upstream may be degraded, from 0 to 1. */
 const MIN_DEGRADED_ERROR_RATE = 0.15;
 
@@ -57,8 +66,6 @@
   /** Serving upstreams by service, cached until any upstream changes. */
   private readonly servingCache = new Map<string, readonly EdgeUpstream[]>();
   private activeEvacuations = NO_EVACUATIONS;
-  /** Reads from all upstreams. */
-  readonly reads = new ReadCounter();
 
   constructor(
     private readonly clock: Clock,
@@ -210,15 +217,22 @@
     }
   }
 
-  /** Counts the requests of this edge in flight, and the upstreams that have some. */
-  countInFlight(): {readonly requests: number; readonly upstreams: number} {
+  /** Names of the services that have upstreams. */
+  services(): readonly string[] {
+    return [...this.byService.keys()];
+  }
+
+  /** Requests of this edge in flight at a service, and reads from it since the start. */
+  trafficOf(service: string): ServiceTraffic {
+    let reads = 0;
     let requests = 0;
     let upstreams = 0;
-    for (const {inFlight} of this.byId.values()) {
+    for (const {connections, inFlight} of this.byService.get(service) ?? []) {
+      reads += connections.readCount;
       requests += inFlight;
       upstreams += inFlight > 0 ? 1 : 0;
     }
-    return {requests, upstreams};
+    return {reads, requests, upstreams};
   }
 
   /** The upstream with an id; undefined if it is unknown or was removed. */
@@ -296,12 +310,8 @@
   }
 
   private add(record: UpstreamRecord): EdgeUpstream {
-    const upstream = new EdgeUpstream(
-      record,
-      this.clock,
-      this.log,
-      () => this.servingCache.clear(),
-      this.reads,
+    const upstream = new EdgeUpstream(record, this.clock, this.log, () =>
+      this.servingCache.clear(),
     );
     upstream.markCold(this.table.coldUntil(record.id));
     this.servingCache.clear();
