--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -53,11 +53,18 @@
   readonly refusal: (service: string) => TunnelRefusal | undefined;
 }
 
+/** A connection to an upstream whose ticket was not used yet. */
+interface Reservation {
+  readonly upstream: Socket;
+  /** Closes the connection when the ticket expires. */
+  readonly expiry: NodeJS.Timeout;
+}
+
 /** Listens for tunnels of other edges. Disposing it closes them all. */
 export class TunnelServer implements AsyncDisposable {
   private readonly registration: Disposable;
   /** Connections to upstreams whose ticket was not used yet, by ticket. */
-  private readonly reserved = new Map<string, Socket>();
+  private readonly reserved = new Map<string, Reservation>();
   private readonly sockets = new Set<Socket>();
   private carriedCount = 0;
 
@@ -181,12 +188,9 @@
   private reserve(upstream: Socket): TunnelReply['tunnel'] {
     const ticket = randomBytes(TICKET_BYTES);
     const key = ticket.toString('hex');
-    const timer = setTimeout(() => upstream.destroy(), TICKET_LIFETIME_MS);
-    this.reserved.set(key, upstream);
-    upstream.once('close', () => {
-      clearTimeout(timer);
-      this.reserved.delete(key);
-    });
+    const expiry = setTimeout(() => upstream.destroy(), TICKET_LIFETIME_MS);
+    this.reserved.set(key, {expiry, upstream});
+    upstream.once('close', () => this.takeReservation(key));
     const address = this.server.address();
     const port = typeof address === 'object' && address ? address.port : 0;
     return {host: this.host, port, ticket};
@@ -208,21 +212,22 @@
     client.on('data', onData);
   }
 
+  /** Removes a reservation; returns its connection, undefined if there is none. */
+  private takeReservation(key: string): Socket | undefined {
+    const reservation = this.reserved.get(key);
+    this.reserved.delete(key);
+    clearTimeout(reservation?.expiry);
+    return reservation?.upstream;
+  }
+
   private join(client: Socket, received: Buffer): void {
     const key = received.toString('hex', 0, TICKET_BYTES);
-    const upstream = this.reserved.get(key);
-    this.reserved.delete(key);
+    const upstream = this.takeReservation(key);
     if (upstream === undefined) {
       client.destroy();
-      return;
+    } else {
+      joinSockets(client, upstream, received.subarray(TICKET_BYTES));
     }
-    // Replaces the time limit of an unused ticket.
-    upstream.removeAllListeners('close');
-    upstream.once('close', () => {
-      this.sockets.delete(upstream);
-      this.carriedCount -= 1;
-    });
-    joinSockets(client, upstream, received.subarray(TICKET_BYTES));
   }
 }
 
