--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -66,6 +66,7 @@
   lastEventId: 'last-event-id',
   draining: 'x-leaving',
   rateLimit: 'x-limit',
+  brittleness: 'x-brittle',
   notExecuted: 'x-not-run',
   prefixSource: 'x-prefix-source',
   priority: 'x-priority',
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -132,6 +132,15 @@
   readonly failures: number;
 }
 
+/** The upstreams of a service announced that they crash under rejections, or no longer. */
+export interface ServiceBrittlenessChanged {
+  readonly event: 'service-brittle';
+  readonly service: string;
+  /** Rejections a second that each of them bears, as announced; undefined for any. */
+  readonly rejectionsPerS: string | undefined;
+  readonly former: string | undefined;
+}
+
 /** This edge lost its links to all upstreams of a service, or reaches some again. */
 export interface UpstreamLinksChanged {
   readonly event: 'links-judged';
@@ -552,6 +561,7 @@
   | RolloutsAdopted
   | OverloadWithdrawalDecided
   | TokenTotals
+  | ServiceBrittlenessChanged
   | TokensWrittenOff
   | TunnelDecided
   | UpstreamChanged
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -32,7 +32,7 @@
   TUNNEL_OUTCOME,
 } from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
-import {PermitClient} from 'puffinturn-permits';
+import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
@@ -70,6 +70,7 @@
 import {MAX_HELPER_QUEUE_AGE_MS} from './tunnels/TunnelConstants';
 import type {TunnelRefusal} from './tunnels/TunnelServer';
 import {TunnelServer} from './tunnels/TunnelServer';
+import {BrittleServices} from './upstreams/BrittleServices';
 import {LimitReporter} from './upstreams/LimitReporter';
 import {LowestLatency, PowerOfTwoChoices} from './upstreams/LoadBalancer';
 import {RecoveryProbes} from './upstreams/RecoveryProbes';
@@ -137,6 +138,7 @@
   private readonly neighbourRecovery: NeighbourRecovery;
   private readonly withdrawal: OverloadWithdrawal;
   private readonly permits: PermitClient;
+  private readonly slots: SlotClient;
   private readonly limitReporter: LimitReporter;
   private readonly directLinks: DirectLinks;
   /** Undefined until all servers listen. */
@@ -263,7 +265,19 @@
       peers: () => this.knownBoxes.peers,
       self,
     });
-    const admission = new PermitAdmission(this.permits);
+    this.slots = new SlotClient({
+      areInSameRegion: (hall, other) => regions.areInSameRegion(hall, other),
+      clock,
+      link,
+      peers: () => this.knownBoxes.peers,
+      self,
+    });
+    const brittleServices = new BrittleServices(clock, log);
+    const admission = new PermitAdmission(
+      this.permits,
+      this.slots,
+      brittleServices,
+    );
     this.limitReporter = new LimitReporter({
       admission,
       box: self.box,
@@ -275,6 +289,7 @@
     this.forwarderParts = {
       admission,
       allowances: this.allowances,
+      brittleServices,
       clock,
       directLinks: this.directLinks,
       tunnelClient: new TunnelClient({
@@ -479,6 +494,7 @@
     await this.quarantine[Symbol.asyncDispose]();
     await this.limitReporter[Symbol.asyncDispose]();
     this.permits[Symbol.dispose]();
+    this.slots[Symbol.dispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureReporter[Symbol.asyncDispose]();
     await this.neighbourRecovery[Symbol.asyncDispose]();
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -21,6 +21,7 @@
   lastEventId: 'last-event-id',
   draining: 'x-leaving',
   rateLimit: 'x-limit',
+  brittleness: 'x-brittle',
   notExecuted: 'x-not-run',
   prefixSource: 'x-source',
   priority: 'x-priority',
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -0,0 +1,192 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Guards against upstreams that are not reached because links of this edge are lost, and
+ * against looking for crashed upstreams by way of all edges.
+ */
+import {InMemoryDecisionLog} from 'puffinturn-decisions';
+import type {ListenerState} from 'puffinturn-quarantine';
+import {LISTENER_STATE} from 'puffinturn-quarantine';
+import {ManualClock, Random, settleTasks} from 'shared';
+
+import {CONNECT_TIMEOUT} from '../../connections/Exchange';
+import {EdgeMetrics} from '../../EdgeMetrics';
+import {DirectLinks} from '../../tunnels/DirectLinks';
+import {
+  PROBE_INTERVAL_MS,
+  UNREACHABLE_BACKOFF_MS,
+} from '../../tunnels/TunnelConstants';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {UpstreamPool} from '../../upstreams/UpstreamPool';
+import {makeUpstream} from '../utils/EdgeFixture';
+
+const ENGINES = 5;
+const PLAIN_UPSTREAMS = 3;
+
+/** Links of an edge to two services, with probes that tests answer. */
+class LinksFixture implements AsyncDisposable {
+  readonly clock = new ManualClock();
+  readonly log = new InMemoryDecisionLog();
+  readonly pool = new UpstreamPool(this.clock, this.log);
+  /** Hosts that can't be reached. */
+  readonly unreachable = new Set<string>();
+  failedState: ListenerState = LISTENER_STATE.refused;
+  probeCount = 0;
+  readonly links: DirectLinks;
+
+  constructor() {
+    for (let index = 1; index <= ENGINES + PLAIN_UPSTREAMS; index += 1) {
+      const service = index <= ENGINES ? 'engines' : 'plain';
+      const address = `10.0.0.${index}:80`;
+      this.pool.merge([makeUpstream(`i-${index}`, {address, service})], 'test');
+    }
+    this.links = new DirectLinks({
+      clock: this.clock,
+      log: this.log,
+      metrics: new EdgeMetrics(),
+      pool: this.pool,
+      probe: async (host) => {
+        this.probeCount += 1;
+        return this.unreachable.has(host)
+          ? this.failedState
+          : LISTENER_STATE.listening;
+      },
+      random: new Random(1),
+    });
+  }
+
+  upstreams(service: string): readonly EdgeUpstream[] {
+    return this.pool.servingUpstreams(service);
+  }
+
+  cut(upstreams: readonly EdgeUpstream[]): void {
+    upstreams.forEach(({host}) => this.unreachable.add(host));
+  }
+
+  /** Reports a failed connection to an upstream and waits for the verification. */
+  async failConnect(
+    upstream: EdgeUpstream | undefined,
+    cause = 'ECONNREFUSED',
+  ) {
+    if (upstream !== undefined) {
+      this.links.recordUnsent(upstream, {blame: 'link', cause, kind: 'unsent'});
+    }
+    await settleTasks();
+  }
+
+  /** Number of upstreams of a service that need a tunnel. */
+  countTunnels(service: string): number {
+    return this.upstreams(service).filter((upstream) =>
+      this.links.needsTunnel(upstream),
+    ).length;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const disposed = this.links[Symbol.asyncDispose]();
+    await this.clock.advance(1);
+    await disposed;
+    this.pool[Symbol.dispose]();
+  }
+}
+
+describe('DirectLinks', () => {
+  test('uses tunnels to all upstreams once none of a few responds', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.cut([...engines, ...fixture.upstreams('plain')]);
+    await fixture.failConnect(engines[0]);
+    expect(fixture.links.areAllLost).toBe(true);
+    expect(fixture.countTunnels('engines')).toBe(ENGINES);
+    expect(fixture.countTunnels('plain')).toBe(PLAIN_UPSTREAMS);
+    expect(engines.every(({isPaused}) => !isPaused)).toBe(true);
+  });
+
+  test('blames a single upstream whose siblings respond', async () => {
+    await using fixture = new LinksFixture();
+    const [crashed, ...others] = fixture.upstreams('engines');
+    fixture.cut(crashed === undefined ? [] : [crashed]);
+    await fixture.failConnect(crashed);
+    expect(fixture.links.areLost('engines')).toBe(false);
+    expect(crashed?.isUnreachable).toBe(true);
+    expect(others.some((other) => fixture.links.needsTunnel(other))).toBe(
+      false,
+    );
+  });
+
+  test('loses one service and keeps the other', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.cut(engines);
+    await fixture.failConnect(engines[0]);
+    expect(fixture.links.areLost('engines')).toBe(true);
+    expect(fixture.links.areLost('plain')).toBe(false);
+    expect(fixture.links.areAllLost).toBe(false);
+  });
+
+  test('returns to one upstream after the other', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.cut(engines);
+    await fixture.failConnect(engines[0]);
+    fixture.unreachable.clear();
+    const counts: number[] = [];
+    for (let step = 0; step < ENGINES; step += 1) {
+      await fixture.clock.advance(PROBE_INTERVAL_MS);
+      await settleTasks();
+      counts.push(fixture.countTunnels('engines'));
+    }
+    expect(counts).toEqual([4, 3, 2, 1, 0]);
+    expect(fixture.links.areLost('engines')).toBe(false);
+  });
+
+  test('asks for no tunnel for a while if other edges fail too', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.cut(engines);
+    await fixture.failConnect(engines[0]);
+    const [gone] = engines;
+    if (gone !== undefined) {
+      const cause = 'upstream-unreachable';
+      fixture.links.recordUnsent(gone, {
+        blame: 'upstream',
+        cause,
+        kind: 'unsent',
+      });
+    }
+    expect(fixture.countTunnels('engines')).toBe(ENGINES - 1);
+    expect(gone?.isPaused).toBe(true);
+    await fixture.clock.advance(UNREACHABLE_BACKOFF_MS);
+    expect(fixture.countTunnels('engines')).toBe(ENGINES);
+  });
+
+  test.each([
+    [LISTENER_STATE.unknown, CONNECT_TIMEOUT, 1],
+    [LISTENER_STATE.refused, 'ECONNREFUSED', 0],
+  ])(
+    'if probes end as %s, attempts in progress end: %s',
+    async (state, cause, ended) => {
+      await using fixture = new LinksFixture();
+      const engines = fixture.upstreams('engines');
+      fixture.failedState = state;
+      fixture.cut(engines);
+      let endedCount = 0;
+      using _listener = fixture.links.onHang(
+        'engines',
+        () => (endedCount += 1),
+      );
+      await fixture.failConnect(engines[0], cause);
+      expect(endedCount).toBe(ended);
+    },
+  );
+
+  test('does not probe while nothing fails', async () => {
+    await using fixture = new LinksFixture();
+    await fixture.clock.advance(5_000);
+    expect(fixture.probeCount).toBe(0);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/utils/Admissions.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/Admissions.ts
@@ -6,13 +6,15 @@
  */
 
 /** Admissions for simulated edges on an in-memory network. */
+import {InMemoryDecisionLog} from 'puffinturn-decisions';
 import type {BoxRecord} from 'puffinturn-fleet';
 import {BOX_ROLE} from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
-import {NO_LIMIT, PermitClient} from 'puffinturn-permits';
+import {NO_LIMIT, PermitClient, SlotClient} from 'puffinturn-permits';
 import type {MemoryNetwork} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
+import {BrittleServices} from '../../upstreams/BrittleServices';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {
   PermitAdmission,
@@ -37,17 +39,26 @@
 /** Creates the admission used in production, which is based on permits. */
 export const createPermitAdmission: AdmissionFactory = (edge) => {
   const {box, clock, network, peers, tolerance, findUpstream} = edge;
+  const link = network.connect(box);
   const permits = new PermitClient({
     areInSameRegion: () => true,
     clock,
     coldTolerance: tolerance,
     mergeLimit: (id, limit) => void findUpstream(id)?.limits.merge(limit),
     limitOf: (id) => findUpstream(id)?.limits.limit ?? NO_LIMIT,
-    link: network.connect(box),
+    link,
     peers,
     self: {box, hall: 'h'},
   });
-  return new PermitAdmission(permits);
+  const slots = new SlotClient({
+    areInSameRegion: () => true,
+    clock,
+    link,
+    peers,
+    self: {box, hall: 'h'},
+  });
+  const brittleServices = new BrittleServices(clock, new InMemoryDecisionLog());
+  return new PermitAdmission(permits, slots, brittleServices);
 };
 
 /** Creates an admission that paces requests at a few senders chosen by rendezvous hashing. */
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -13,7 +13,7 @@
 import type {Route, UpstreamRecord} from 'puffinturn-fleet';
 import {BOX_ROLE, Regions, RETRY_POLICY} from 'puffinturn-fleet';
 import type {GranterCandidate} from 'puffinturn-permits';
-import {PermitClient} from 'puffinturn-permits';
+import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {probeListener} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
@@ -34,6 +34,7 @@
 import type {Allowances} from '../../tokens/Allowances';
 import {DirectLinks} from '../../tunnels/DirectLinks';
 import {TunnelClient} from '../../tunnels/TunnelClient';
+import {BrittleServices} from '../../upstreams/BrittleServices';
 import {LimitReporter} from '../../upstreams/LimitReporter';
 import {LeastRequests} from '../../upstreams/LoadBalancer';
 import {RecoveryProbes} from '../../upstreams/RecoveryProbes';
@@ -64,6 +65,7 @@
     lastEventId: 'x-last-event',
     draining: 'x-leaving',
     rateLimit: 'x-limit',
+    brittleness: 'x-brittle',
     notExecuted: 'x-not-run',
     prefixSource: 'x-prefix-source',
     priority: 'x-priority',
@@ -170,6 +172,7 @@
   readonly exposureController: ExposureController;
   /** Quarantine of crashing requests, without control boxes. */
   readonly quarantine: RequestQuarantine;
+  private readonly brittleServices: BrittleServices;
   private readonly directLinks: DirectLinks;
   private readonly limitReporter: LimitReporter;
   private readonly responseTotals: ResponseTotals;
@@ -211,6 +214,7 @@
       metrics,
     });
     this.responseTotals = new ResponseTotals(clock, log, () => []);
+    this.brittleServices = new BrittleServices(clock, log);
     const admission = this.createAdmission();
     this.limitReporter = new LimitReporter({
       admission,
@@ -233,6 +237,7 @@
     const parts: RequestForwarderParts = {
       allowances: {} as Allowances,
       clock: this.clock,
+      brittleServices: this.brittleServices,
       directLinks: this.directLinks,
       tunnelClient: new TunnelClient({
         clock,
@@ -293,7 +298,14 @@
       peers: () => NO_PEERS,
       self: SELF,
     });
-    return new PermitAdmission(permits);
+    const slots = new SlotClient({
+      areInSameRegion: () => true,
+      clock,
+      link: new UnreachableLink(),
+      peers: () => NO_PEERS,
+      self: SELF,
+    });
+    return new PermitAdmission(permits, slots, this.brittleServices);
   }
 
   static async start(
--- a/packages/puffinturn-edge/src/__tests__/utils/PlainProtocol.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainProtocol.ts
@@ -24,6 +24,7 @@
     lastEventId: 'last-event-id',
     draining: 'x-leaving',
     rateLimit: 'x-limit',
+    brittleness: 'x-brittle',
     notExecuted: 'x-not-run',
     prefixSource: 'x-copy-from',
     priority: 'x-priority',
--- a/packages/puffinturn-edge/src/callers/CallerProtocol.ts
+++ b/packages/puffinturn-edge/src/callers/CallerProtocol.ts
@@ -34,6 +34,8 @@
   readonly draining: string;
   /** Rate limit of the upstream over all edges, requests per second. */
   readonly rateLimit: string;
+  /** States the rejections a second that an upstream bears without crashing. */
+  readonly brittleness: string;
   /** Further headers that only the edge may send to upstreams. */
   readonly reserved: readonly string[];
 }
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -22,11 +22,13 @@
 import type {ExposureController} from '../rollouts/ExposureController';
 import type {DirectLinks} from '../tunnels/DirectLinks';
 import type {TunnelClient} from '../tunnels/TunnelClient';
+import type {BrittleServices} from '../upstreams/BrittleServices';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {LimitReporter} from '../upstreams/LimitReporter';
 import type {Placement} from '../upstreams/LoadBalancer';
 import {PromptPrefill} from '../upstreams/PromptPrefill';
 import type {RecoveryProbes} from '../upstreams/RecoveryProbes';
+import type {UpstreamAdmission} from '../upstreams/UpstreamAdmission';
 import {parseUpstreamSignals} from '../upstreams/UpstreamSignals';
 import type {RequestPlan} from './RequestPlan';
 
@@ -35,8 +37,10 @@
 
 /** Dependencies of an attempt. */
 export interface AttemptParts {
+  readonly admission: UpstreamAdmission;
   readonly clock: Clock;
   readonly directLinks: DirectLinks;
+  readonly brittleServices: BrittleServices;
   readonly tunnelClient: TunnelClient;
   readonly linkBudget: RegionLinkBudget;
   readonly protocol: CallerProtocol;
@@ -171,7 +175,7 @@
     this.updateLinks(outcome);
     this.observer.onOutcome(outcome);
     if (!hasResponse) {
-      upstream.inFlight -= 1;
+      this.parts.admission.endRequest(upstream);
     }
     if (hasResponse || outcome.kind === 'rejected') {
       this.applyUpstreamHeaders(outcome.response);
@@ -205,10 +209,14 @@
     const {caller, configurationVersion} = this.params;
     const {upstream} = this;
     const {sequence, state} = upstream.record;
-    const {isDraining, rateLimit, retryAfterMs} = parseUpstreamSignals(
-      response,
-      protocol.headers,
-    );
+    const {brittleness, isDraining, rateLimit, retryAfterMs} =
+      parseUpstreamSignals(response, protocol.headers);
+    this.parts.brittleServices.record({
+      headerValue: brittleness,
+      sentAt: this.sentAt,
+      service: upstream.record.service,
+      status,
+    });
     const startedDraining = isDraining && upstream.markDraining();
     const startedBackOff =
       retryAfterMs !== undefined && upstream.startBackoff(retryAfterMs);
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -318,6 +318,9 @@
     if (!isAdmitted) {
       this.deniedUpstreams.add(upstream);
     }
+    if (isGranted && (!isAdmitted || this.requestOutcome.hasEnded)) {
+      this.parts.admission.cancel(upstream);
+    }
     this.parts.metrics.permits.inc({
       outcome: isGranted ? 'granted' : 'refused',
       service: plan.service.name,
@@ -378,6 +381,7 @@
           upstream.markReplaced();
         } else {
           upstream.recordFull();
+          this.parts.admission.recordRejected(upstream);
         }
         return this.retryOrGiveUp(
           plan,
@@ -495,7 +499,7 @@
     const {eventCount: eventsBefore} = relay;
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
-      .finally(() => (upstream.inFlight -= 1));
+      .finally(() => this.parts.admission.endRequest(upstream));
     if (this.parts.linkBudget.isRemote(upstream.record.hall)) {
       this.parts.regionByteCounter.recordBytes(socket);
     }
--- a/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamAdmission.ts
@@ -9,9 +9,10 @@
  * Admission of requests to upstreams whose request rate is limited across all edges.
  */
 import type {ColdStart} from 'puffinturn-fleet';
-import type {PermitClient, PermitQuery} from 'puffinturn-permits';
+import type {PermitClient, PermitQuery, SlotClient} from 'puffinturn-permits';
 import {effectiveLimit, maxRequestsPerSecond} from 'puffinturn-permits';
 
+import type {BrittleServices} from './BrittleServices';
 import type {EdgeUpstream} from './EdgeUpstream';
 
 /** Properties of a request that its admission depends on. */
@@ -37,33 +38,87 @@
 
   /** Shares the rate limit of an upstream with other edges. */
   abstract shareLimit(upstream: EdgeUpstream): void;
+
+  /** Gives back what was admitted: the request was not sent, or has ended. */
+  cancel(_upstream: EdgeUpstream): void {}
+
+  /** Records that an upstream had no room for a request. */
+  recordRejected(_upstream: EdgeUpstream): void {}
+
+  /** Records that a request has ended at an upstream. */
+  endRequest(upstream: EdgeUpstream): void {
+    upstream.inFlight -= 1;
+    this.cancel(upstream);
+  }
 }
 
-/** Admits requests by permits, which one edge grants on behalf of all. */
+/**
+ * Admits requests by permits, and by slots while a service is brittle. One edge grants
+ * them on behalf of all.
+ */
 export class PermitAdmission extends UpstreamAdmission {
-  constructor(private readonly permits: PermitClient) {
+  constructor(
+    private readonly permits: PermitClient,
+    private readonly slots: SlotClient,
+    private readonly brittleServices: BrittleServices,
+  ) {
     super();
   }
 
   override waitMs(upstream: EdgeUpstream, context: AdmissionContext): number {
-    return isRateLimited(upstream, context)
+    const permitMs = isRateLimited(upstream, context)
       ? this.permits.waitMs(upstream.id, context.isLeastUrgent)
       : 0;
+    const slotMs = this.isBrittle(upstream) ? this.slots.waitMs(upstream) : 0;
+    return Math.max(permitMs, slotMs);
   }
 
   override admit(
     upstream: EdgeUpstream,
     context: AdmissionContext,
   ): boolean | Promise<boolean> {
+    if (this.isBrittle(upstream)) {
+      return this.admitToSlot(upstream, context);
+    }
     return isRateLimited(upstream, context)
       ? this.permits.acquire(permitRequestFor(upstream, context))
       : true;
   }
 
+  override cancel(upstream: EdgeUpstream): void {
+    this.slots.release(upstream);
+  }
+
+  override recordRejected(upstream: EdgeUpstream): void {
+    if (this.isBrittle(upstream)) {
+      this.slots.recordRejected(upstream);
+    }
+  }
+
   override shareLimit(upstream: EdgeUpstream): void {
     const context = {coldStart: undefined, isLeastUrgent: false};
     void this.permits.reportLimit(permitRequestFor(upstream, context));
   }
+
+  private isBrittle({record}: EdgeUpstream): boolean {
+    return this.brittleServices.isBrittle(record.service);
+  }
+
+  private async admitToSlot(
+    upstream: EdgeUpstream,
+    context: AdmissionContext,
+  ): Promise<boolean> {
+    const hasSlot = await this.slots.acquire(upstream, context.isLeastUrgent);
+    if (!hasSlot || !isRateLimited(upstream, context)) {
+      return hasSlot;
+    }
+    const query = permitRequestFor(upstream, context);
+    const hasPermit = await this.permits.acquire(query);
+    if (!hasPermit) {
+      this.slots.release(upstream);
+    }
+    return hasPermit;
+  }
 }
 
 /** Whether the request rate of an upstream is limited at present. */
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -171,7 +171,7 @@
   }
   const rate = allowed
     .filter(({remainingBackoffMs}) => remainingBackoffMs === 0)
-    .reduce((sum, upstream) => sum + maxRequestRate(upstream, admission), 0);
+    .reduce((sum, upstream) => sum + servedRate(upstream, admission), 0);
   const {name} = plan.service;
   return {
     cause: 'upstreams-limited',
@@ -179,6 +179,18 @@
   };
 }
 
+/**
+ * Requests per second that an upstream serves while it is limited. If only its slots limit
+ * it, each is taken to serve one request a second.
+ */
+function servedRate(
+  upstream: EdgeUpstream,
+  admission: AdmissionContext,
+): number {
+  const limit = maxRequestRate(upstream, admission);
+  return limit === Infinity ? upstream.record.slots : limit;
+}
+
 /** Returns the properties of a request that its admission depends on. */
 export function admissionContextOf(
   {service: {coldStart}}: RequestPlan,
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSignals.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSignals.ts
@@ -17,6 +17,8 @@
   readonly isDraining: boolean;
   /** Back-off requested from this edge, ms; undefined if none. */
   readonly retryAfterMs: number | undefined;
+  /** Raw header value of the rejections a second that the upstream bears. */
+  readonly brittleness: string | undefined;
   /** Raw header value of the request rate limit for all edges, requests/s. */
   readonly rateLimit: string | undefined;
 }
@@ -32,6 +34,7 @@
       statusCode,
       headers[headerNames.retryAfter],
     ),
+    brittleness: headers[headerNames.brittleness],
     rateLimit: headers[headerNames.rateLimit],
   };
 }
