--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -184,6 +184,23 @@
     },
   );
 
+  test('goes on with attempts at a single upstream that is silent', async () => {
+    await using fixture = new LinksFixture();
+    const address = '10.0.1.1:80';
+    fixture.pool.merge(
+      [makeUpstream('i-9', {address, service: 'single'})],
+      'test',
+    );
+    const single = fixture.upstreams('single');
+    fixture.failedState = LISTENER_STATE.unknown;
+    fixture.cut(single);
+    let endedCount = 0;
+    using _listener = fixture.links.onHang('single', () => (endedCount += 1));
+    await fixture.failConnect(single[0], CONNECT_TIMEOUT);
+    expect(fixture.links.areLost('single')).toBe(true);
+    expect(endedCount).toBe(0);
+  });
+
   test('does not probe while nothing fails', async () => {
     await using fixture = new LinksFixture();
     await fixture.clock.advance(5_000);
--- a/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -173,7 +173,8 @@
       }
     }
     this.logChange(states.length);
-    if (isHang) {
+    // A single upstream may be silent for a moment and go on with what it has.
+    if (isHang && states.length > 1) {
       this.hangDetected.notify();
     }
   }
