--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -53,6 +53,7 @@
   private readonly clock = new SystemClock();
   private readonly network = new MemoryNetwork(this.clock, new Random(1));
   private readonly pools: UpstreamPool[] = [];
+  private client: TunnelClient | undefined;
 
   private constructor(private readonly server: Server) {}
 
@@ -82,17 +83,8 @@
   /** Sends a request by way of a helper. */
   send(address = this.upstreamAddress): Exchange {
     const upstream = this.createUpstream(address);
-    const client = new TunnelClient({
-      clock: this.clock,
-      link: this.network.connect('asking'),
-      log: this.log,
-      metrics: new EdgeMetrics(),
-      otherEdges: () =>
-        this.helpers.map((_, index) => edgeRecord(`e${index + 1}`)),
-      random: new Random(1),
-      regions: new Regions(),
-      self: edgeRecord('asking'),
-    });
+    this.client ??= this.createClient();
+    const {client} = this;
     return new Exchange({
       body: Buffer.alloc(0),
       headerNames: new TestProtocol().headers,
@@ -113,6 +105,21 @@
     return reply._unsafeUnwrap() as TunnelReply;
   }
 
+  /** Drops all messages to a helper. */
+  silence(box: string): void {
+    this.network.dropMessages('asking', box);
+  }
+
+  /** Number of requests for tunnels that a helper was sent. */
+  countAsked(box: string): number {
+    return this.log.decisions.filter(
+      (entry) =>
+        entry.event === 'tunnel-decided' &&
+        entry.role === 'asks' &&
+        entry.peer === box,
+    ).length;
+  }
+
   closeUpstream(): void {
     this.server.close();
   }
@@ -130,6 +137,20 @@
     this.server.close();
   }
 
+  private createClient(): TunnelClient {
+    return new TunnelClient({
+      clock: this.clock,
+      link: this.network.connect('asking'),
+      log: this.log,
+      metrics: new EdgeMetrics(),
+      otherEdges: () =>
+        this.helpers.map((_, index) => edgeRecord(`e${index + 1}`)),
+      random: new Random(1),
+      regions: new Regions(),
+      self: edgeRecord('asking'),
+    });
+  }
+
   private createUpstream(address: string): EdgeUpstream {
     const pool = new UpstreamPool(this.clock, this.log);
     this.pools.push(pool);
@@ -251,6 +272,21 @@
     expect(asked).toHaveLength(2);
   });
 
+  test('leaves out an edge that did not reply', async () => {
+    await using fixture = await TunnelFixture.open(2, (socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${HEADERS}Content-Length: 0\r\n\r\n`);
+    });
+    fixture.silence('e1');
+    const outcomes = await Promise.all(
+      Array.from({length: 6}, () => fixture.send().outcome),
+    );
+    expect(outcomes.every(({kind}) => kind === 'answer')).toBe(true);
+    const askedBefore = fixture.countAsked('e1');
+    await Promise.all(Array.from({length: 6}, () => fixture.send().outcome));
+    expect(askedBefore).toBeGreaterThan(0);
+    expect(fixture.countAsked('e1')).toBe(askedBefore);
+  });
+
   test('is refused by an edge that is cut off, without blame of the upstream', async () => {
     await using fixture = await TunnelFixture.open(2, () => undefined);
     fixture.refusal = TUNNEL_OUTCOME.cutOff;
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -120,11 +120,6 @@
     }
   }
 
-  /** Whether the connection was established. */
-  get hasConnected(): boolean {
-    return this.isConnected;
-  }
-
   /** Whether another request can be sent. */
   get isUsable(): boolean {
     return !this.mustClose && !this.socket.destroyed;
--- a/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
@@ -10,7 +10,6 @@
  * of one upstream or of the links of this edge. The edge tells them apart by probing other
  * upstreams of the service, and reaches the service through other edges if none responds.
  */
-import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {UnsentOutcome} from '../connections/Exchange';
@@ -30,7 +29,6 @@
 
 /** Dependencies of DirectLinks. */
 export interface DirectLinksParts extends ServiceLinksParts {
-  readonly clock: Clock;
   readonly metrics: EdgeMetrics;
 }
 
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -28,6 +28,7 @@
   MAX_HELPERS_PER_REQUEST,
   MAX_UNREACHABLE_REPLIES,
   TUNNEL_OPEN_TIMEOUT_MS,
+  UNRESPONSIVE_HELPER_BACKOFF_MS,
 } from './TunnelConstants';
 
 /** Why no tunnel was opened. Nothing was sent to the upstream. */
@@ -57,6 +58,9 @@
   /** When a box may be asked again, monotonic ms. */
   private readonly skippedUntil = new Map<string, number>();
 
+  /** Boxes that did not reply to the last request. */
+  private readonly unresponsive = new Set<string>();
+
   constructor(private readonly parts: TunnelClientParts) {}
 
   /** Opens a connection to an upstream through another edge, for one request. */
@@ -121,6 +125,10 @@
   ): Promise<TunnelReply | undefined> {
     const {clock, link, log, metrics} = this.parts;
     const startedAt = clock.now();
+    if (this.unresponsive.has(box)) {
+      // One request at a time finds out whether it replies again.
+      this.skip(box, TUNNEL_OPEN_TIMEOUT_MS);
+    }
     const request: TunnelRequest = {
       address: upstream.record.address,
       requestId,
@@ -134,8 +142,12 @@
     );
     const reply = result.isOk() ? (result.value as TunnelReply) : undefined;
     const outcome = reply?.outcome ?? 'no-reply';
-    if (isRefusal(reply)) {
-      this.skippedUntil.set(box, clock.now() + HELPER_BACKOFF_MS);
+    if (reply === undefined) {
+      this.unresponsive.add(box);
+      this.skip(box, UNRESPONSIVE_HELPER_BACKOFF_MS);
+    } else {
+      this.unresponsive.delete(box);
+      this.skip(box, isRefusal(reply) ? HELPER_BACKOFF_MS : 0);
     }
     log.note({
       event: 'tunnel-decided',
@@ -151,6 +163,10 @@
     return reply;
   }
 
+  private skip(box: string, forMs: number): void {
+    this.skippedUntil.set(box, this.parts.clock.now() + forMs);
+  }
+
   private connect(
     {box}: BoxRecord,
     upstream: EdgeUpstream,
@@ -168,9 +184,9 @@
   }
 }
 
-/** Whether an edge did not reply, or refuses tunnels whatever the upstream. */
-function isRefusal(reply: TunnelReply | undefined): boolean {
-  switch (reply?.outcome) {
+/** Whether an edge refuses tunnels whatever the upstream. */
+function isRefusal({outcome}: TunnelReply): boolean {
+  switch (outcome) {
     case TUNNEL_OUTCOME.open:
     case TUNNEL_OUTCOME.unknownUpstream:
     case TUNNEL_OUTCOME.unreachable:
--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -28,9 +28,12 @@
 /** Edges asked for one tunnel before the request fails. */
 export const MAX_HELPERS_PER_REQUEST = 3;
 
-/** Time for which an edge that refused or did not reply is not asked again, ms. */
+/** Time for which an edge that refused is not asked again, ms. */
 export const HELPER_BACKOFF_MS = 500;
 
+/** Time for which an edge that did not reply is not asked again, ms. */
+export const UNRESPONSIVE_HELPER_BACKOFF_MS = 2_000;
+
 /** Upstreams probed to verify that all links are lost. */
 export const VERIFICATION_PROBES = 3;
 
--- a/packages/puffinturn-permits/src/PermitClient.ts
+++ b/packages/puffinturn-permits/src/PermitClient.ts
@@ -14,14 +14,10 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
+import {GranterCaller} from './GranterCaller';
 import type {GranterCandidate} from './GranterSelector';
 import {GranterSelector} from './GranterSelector';
-import {
-  MAX_TRACKED_UPSTREAMS,
-  NO_GRANTER_WAIT_MS,
-  REQUEST_TIMEOUT_MS,
-  UNRESPONSIVE_GRANTER_MS,
-} from './PermitConstants';
+import {MAX_TRACKED_UPSTREAMS, NO_GRANTER_WAIT_MS} from './PermitConstants';
 import type {ColdTolerance, GrantCounts} from './PermitGranter';
 import {PermitGranter} from './PermitGranter';
 import type {PermitReply, PermitRequest} from './PermitMessages';
@@ -72,8 +68,7 @@
   private readonly queues = new LRUCache<string, WaitQueue>({
     max: MAX_TRACKED_UPSTREAMS,
   });
-  /** When an unresponsive granter may be called again, monotonic ms, by box. */
-  private readonly skippedUntil = new Map<string, number>();
+  private readonly granters: GranterCaller;
   private readonly selector: GranterSelector;
   private readonly localGranter: PermitGranter;
   private readonly registration: Disposable;
@@ -81,6 +76,7 @@
   constructor(private readonly parts: PermitsParts) {
     const {clock, coldTolerance, mergeLimit, limitOf, link, self} = parts;
     this.selector = new GranterSelector(parts);
+    this.granters = new GranterCaller(PERMIT_SERVICE, parts);
     this.localGranter = new PermitGranter({
       box: self.box,
       clock,
@@ -175,7 +171,8 @@
       if (granterBox === self.box) {
         return this.localGranter.grant(request);
       }
-      const reply = await this.callGranter(granterBox, request);
+      const reply = (await this.granters.call(granterBox, request)) as
+        PermitReply | undefined;
       if (reply !== undefined) {
         mergeLimit(request.upstream.id, reply.limit, granterBox);
         return reply;
@@ -184,29 +181,6 @@
     const {limit} = request;
     return {granted: 0, limit, waitMs: NO_GRANTER_WAIT_MS};
   }
-
-  /** Returns the reply of a granter; undefined if the call failed or is skipped. */
-  private async callGranter(
-    box: string,
-    request: PermitRequest,
-  ): Promise<PermitReply | undefined> {
-    const {clock, link} = this.parts;
-    if (clock.now() < (this.skippedUntil.get(box) ?? -Infinity)) {
-      return undefined;
-    }
-    const result = await link.call(
-      box,
-      PERMIT_SERVICE,
-      request,
-      REQUEST_TIMEOUT_MS,
-    );
-    if (result.isErr()) {
-      this.skippedUntil.set(box, clock.now() + UNRESPONSIVE_GRANTER_MS);
-      return undefined;
-    }
-    this.skippedUntil.delete(box);
-    return result.value as PermitReply;
-  }
 }
 
 function queueKey(id: string, isLeastUrgent: boolean): string {
--- a/packages/puffinturn-permits/src/PermitConstants.ts
+++ b/packages/puffinturn-permits/src/PermitConstants.ts
@@ -38,7 +38,7 @@
  */
 export const MIN_REQUESTS_PER_SECOND = 0.1;
 
-/** Timeout of a permit request, ms; callers wait for it. */
+/** Timeout of a request for permits or slots, ms; callers wait for it. */
 export const REQUEST_TIMEOUT_MS = 200;
 
 /** How long a granter is skipped after a failed request, ms. */
--- a/packages/puffinturn-permits/src/SlotClient.ts
+++ b/packages/puffinturn-permits/src/SlotClient.ts
@@ -13,14 +13,13 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
+import {GranterCaller} from './GranterCaller';
 import type {GranterSelectorParts} from './GranterSelector';
 import {GranterSelector} from './GranterSelector';
 import {MAX_TRACKED_UPSTREAMS} from './PermitConstants';
 import {
-  SLOT_GRANTER_BACKOFF_MS,
   SLOT_REFRESH_INTERVAL_MS,
   SLOT_REPORT_DELAY_MS,
-  SLOT_REQUEST_TIMEOUT_MS,
   SLOT_WAIT_MS,
 } from './SlotConstants';
 import {SlotGranter} from './SlotGranter';
@@ -68,14 +67,14 @@
     dispose: ({reportTimer}) => clearTimeout(reportTimer),
     max: MAX_TRACKED_UPSTREAMS,
   });
-  /** When an unresponsive granter may be called again, monotonic ms, by box. */
-  private readonly skippedUntil = new Map<string, number>();
+  private readonly granters: GranterCaller;
   private readonly selector: GranterSelector;
   private readonly localGranter: SlotGranter;
   private readonly registration: Disposable;
 
   constructor(private readonly parts: SlotClientParts) {
     this.selector = new GranterSelector(parts);
+    this.granters = new GranterCaller(SLOT_SERVICE, parts);
     this.localGranter = new SlotGranter(parts.clock);
     this.registration = parts.link.register(SLOT_SERVICE, async (body, from) =>
       this.grant(body as SlotRequest, from),
@@ -198,36 +197,14 @@
       this.scheduleReport(queue, SLOT_REFRESH_INTERVAL_MS);
     }
     for (const box of this.selector.select(request)) {
-      const reply = await this.callGranter(box, request);
+      const reply =
+        box === this.parts.self.box
+          ? this.grant(request, box)
+          : ((await this.granters.call(box, request)) as SlotReply | undefined);
       if (reply !== undefined) {
         return reply.granted;
       }
     }
     return 0;
   }
-
-  /** Returns the reply of a granter; undefined if the call failed or is skipped. */
-  private async callGranter(
-    box: string,
-    request: SlotRequest,
-  ): Promise<SlotReply | undefined> {
-    const {clock, link, self} = this.parts;
-    if (box === self.box) {
-      return this.grant(request, box);
-    }
-    if (clock.now() < (this.skippedUntil.get(box) ?? -Infinity)) {
-      return undefined;
-    }
-    const result = await link.call(
-      box,
-      SLOT_SERVICE,
-      request,
-      SLOT_REQUEST_TIMEOUT_MS,
-    );
-    if (result.isErr()) {
-      this.skippedUntil.set(box, clock.now() + SLOT_GRANTER_BACKOFF_MS);
-      return undefined;
-    }
-    return result.value as SlotReply;
-  }
 }
--- a/packages/puffinturn-permits/src/SlotConstants.ts
+++ b/packages/puffinturn-permits/src/SlotConstants.ts
@@ -7,12 +7,6 @@
 
 /** Constants of slots. */
 
-/** Timeout of a slot request, ms; callers wait for it. */
-export const SLOT_REQUEST_TIMEOUT_MS = 200;
-
-/** How long a granter is skipped after a failed request, ms. */
-export const SLOT_GRANTER_BACKOFF_MS = 1_000;
-
 /** Wait after a refusal, ms; about the time in which some request ends. */
 export const SLOT_WAIT_MS = 60;
 
