--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -277,6 +277,7 @@
         continue;
       }
       if (!this.consumeRetryBudget(plan)) {
+        this.parts.admission.cancel(placement.upstream);
         this.requestOutcome.fail('retry-budget', this.mayHaveRun);
         return;
       }
@@ -319,14 +320,15 @@
     if (!isAdmitted) {
       this.deniedUpstreams.add(upstream);
     }
-    if (isGranted && (!isAdmitted || this.requestOutcome.hasEnded)) {
+    const mayStart = isAdmitted && !this.requestOutcome.hasEnded;
+    if (isGranted && !mayStart) {
       this.parts.admission.cancel(upstream);
     }
     this.parts.metrics.permits.inc({
       outcome: isGranted ? 'granted' : 'refused',
       service: plan.service.name,
     });
-    return isAdmitted && !this.requestOutcome.hasEnded;
+    return mayStart;
   }
 
   /** Takes a retry from the budget of the service, except for the first attempt. */
