--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -253,25 +253,23 @@
       pool: this.pool,
       watch: this.fleetWatch,
     });
-    this.permits = new PermitClient({
-      areInSameRegion: (hall, other) => regions.areInSameRegion(hall, other),
+    const granterParts = {
+      areInSameRegion: (hall: string, other: string) =>
+        regions.areInSameRegion(hall, other),
       clock,
+      link,
+      peers: () => this.knownBoxes.peers,
+      self,
+    };
+    this.permits = new PermitClient({
+      ...granterParts,
       coldTolerance: parts.coldTolerance,
       mergeLimit: (id, limit, source) =>
         this.pool.mergeLimit(id, limit, source),
       limitOf: (id) => this.pool.limitOf(id),
-      link,
       onCounts: (count) => log.note({...count, event: 'permits-counted'}),
-      peers: () => this.knownBoxes.peers,
-      self,
-    });
-    this.slots = new SlotClient({
-      areInSameRegion: (hall, other) => regions.areInSameRegion(hall, other),
-      clock,
-      link,
-      peers: () => this.knownBoxes.peers,
-      self,
     });
+    this.slots = new SlotClient(granterParts);
     const brittleServices = new BrittleServices(clock, log);
     const admission = new PermitAdmission(
       this.permits,
--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -28,8 +28,11 @@
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {TunnelClient} from '../../tunnels/TunnelClient';
 import {TICKET_LIFETIME_MS} from '../../tunnels/TunnelConstants';
-import {TunnelFrameReader} from '../../tunnels/TunnelFrames';
-import {END_FRAME, framePrefix} from '../../tunnels/TunnelFrames';
+import {
+  END_FRAME,
+  framePrefix,
+  TunnelFrameReader,
+} from '../../tunnels/TunnelFrames';
 import type {TunnelRefusal} from '../../tunnels/TunnelServer';
 import {TunnelServer} from '../../tunnels/TunnelServer';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -13,8 +13,7 @@
 import type {Clock} from 'shared';
 
 import {IDLE_CONNECTION_TIMEOUT_MS} from '../EdgeConstants';
-import type {ConnectionOwner} from './HttpConnection';
-import type {ConnectionRoute} from './HttpConnection';
+import type {ConnectionOwner, ConnectionRoute} from './HttpConnection';
 import {HttpConnection} from './HttpConnection';
 
 /** Address, clock and size limit of a pool. */
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -57,7 +57,6 @@
   private readonly openCounts = new Map<string, number>();
   /** When a box may be asked again, monotonic ms. */
   private readonly skippedUntil = new Map<string, number>();
-
   /** Boxes that did not reply to the last request. */
   private readonly unresponsive = new Set<string>();
 
@@ -70,7 +69,11 @@
   ): Promise<Result<HttpConnection, TunnelFailure>> {
     const asked = new Set<string>();
     let unreachableCount = 0;
-    while (asked.size < MAX_HELPERS_PER_REQUEST) {
+    // The first edge that can't reach the upstream may have lost some links itself.
+    while (
+      asked.size < MAX_HELPERS_PER_REQUEST &&
+      unreachableCount < MAX_UNREACHABLE_REPLIES
+    ) {
       const helper = this.chooseHelper(asked);
       if (helper === undefined) {
         break;
@@ -83,18 +86,11 @@
       if (reply?.outcome === TUNNEL_OUTCOME.unreachable) {
         unreachableCount += 1;
       }
-      // The first of these edges may have lost some links itself.
-      if (unreachableCount === MAX_UNREACHABLE_REPLIES) {
-        return err({
-          kind: 'upstream-unreachable',
-          message: `other edges can't reach ${upstream.id}`,
-        });
-      }
     }
     if (unreachableCount > 0) {
       return err({
         kind: 'upstream-unreachable',
-        message: `the only other edge can't reach ${upstream.id}`,
+        message: `${unreachableCount} other edges can't reach ${upstream.id}`,
       });
     }
     const message = `${asked.size} edges were asked for a tunnel`;
--- a/packages/puffinturn-edge/src/upstreams/BrittleServices.ts
+++ b/packages/puffinturn-edge/src/upstreams/BrittleServices.ts
@@ -61,19 +61,14 @@
       status < MIN_SERVER_ERROR_STATUS
     ) {
       this.byName.delete(service);
+    } else {
+      return;
     }
     if (headerValue !== known?.headerValue) {
-      this.logChange(service, known);
-    }
-  }
-
-  private logChange(service: string, known: BrittleService | undefined): void {
-    const current = this.byName.get(service);
-    if (current?.headerValue !== known?.headerValue) {
       this.log.note({
         event: 'service-brittle',
         former: known?.headerValue,
-        rejectionsPerS: current?.headerValue,
+        rejectionsPerS: headerValue,
         service,
       });
     }
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -24,6 +24,9 @@
 import {PrefillSpeed} from './PrefillSpeed';
 import {ResponseTime} from './ResponseTime';
 
+/** Cause of a pause after a failed connection attempt. */
+const UNREACHABLE = 'unreachable';
+
 /** Weight of one response in the error rate, from 0 to 1. */
 const ERROR_WEIGHT = 0.08;
 
@@ -61,11 +64,9 @@
   private backoffUntil = -Infinity;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
-  /** Whether the current pause is due to a failed connection attempt. */
-  private isPausedAsUnreachable = false;
   private wasReplaced = false;
-  /** Cause of the pause in the log; undefined while the upstream is usable. */
-  private loggedPauseCause: string | undefined;
+  /** Cause of the last pause; undefined since the last success. */
+  private pauseCause: string | undefined;
   private recordReceivedAt: number;
 
   constructor(
@@ -139,7 +140,7 @@
 
   /** Whether the upstream is paused because no connection to it could be established. */
   get isUnreachable(): boolean {
-    return this.isPausedAsUnreachable && this.isPaused;
+    return this.pauseCause === UNREACHABLE && this.isPaused;
   }
 
   /** Ends a pause whose failures turned out not to be those of the upstream. */
@@ -161,8 +162,8 @@
   /** Records a complete successful response and ends any pause. */
   recordSuccess(): void {
     this.errorRate -= this.errorRate * ERROR_WEIGHT;
-    if (this.loggedPauseCause !== undefined) {
-      this.loggedPauseCause = undefined;
+    if (this.pauseCause !== undefined) {
+      this.pauseCause = undefined;
       this.logHealth(true, 'answered');
     }
     this.consecutiveFailures = 0;
@@ -175,8 +176,7 @@
       FAILURES_BEFORE_BACKOFF,
       this.consecutiveFailures + 1,
     );
-    this.isPausedAsUnreachable = true;
-    this.pause('unreachable');
+    this.pause(UNREACHABLE);
   }
 
   /**
@@ -186,7 +186,6 @@
   recordFailure(cause: string): void {
     this.consecutiveFailures += 1;
     if (this.consecutiveFailures >= FAILURES_BEFORE_BACKOFF) {
-      this.isPausedAsUnreachable = false;
       this.pause(cause);
     }
   }
@@ -296,8 +295,8 @@
       2 ** (this.consecutiveFailures - FAILURES_BEFORE_BACKOFF);
     const pauseMs = Math.min(MAX_BACKOFF_MS, doubledMs);
     this.pausedUntil = this.clock.now() + pauseMs;
-    if (this.loggedPauseCause !== cause) {
-      this.loggedPauseCause = cause;
+    if (this.pauseCause !== cause) {
+      this.pauseCause = cause;
       this.logHealth(false, cause);
     }
   }
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -63,7 +63,6 @@
   LoanOutcome,
   StateNeededReply,
   TunnelAddress,
-  TunnelOutcome,
   TunnelReply,
   TunnelRequest,
   WatchReply,
--- a/packages/puffinturn-permits/src/index.ts
+++ b/packages/puffinturn-permits/src/index.ts
@@ -12,10 +12,7 @@
 export type {ColdTolerance} from './PermitGranter';
 export {effectiveLimit} from './PermitGranter';
 export {RateLimitTracker} from './RateLimitTracker';
-export type {SlotClientParts, SlotUpstream} from './SlotClient';
 export {SlotClient} from './SlotClient';
-export {SlotGranter} from './SlotGranter';
-export type {SlotReply, SlotRequest} from './SlotMessages';
 export type {UpstreamRateLimit} from './UpstreamRateLimit';
 export {
   isNewerLimit,
