Log which version a resumed stream is sent to

No line named the version of an upstream, or the stream that a request takes up, so a caller's take-up could not be told from a resumption within the answer.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -64,6 +64,7 @@
   expectedUpstream: 'x-upstream',
   credential: 'x-key',
   lastEventId: 'last-event-id',
+  resumedRequest: 'x-resumes',
   draining: 'x-leaving',
   rateLimit: 'x-limit',
   brittleness: 'x-brittle',
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -72,6 +72,21 @@
   readonly fingerprint?: string | undefined;
 }
 
+/** A stream is resumed after events that the caller has already received. */
+export interface StreamResumed extends RequestDecision {
+  readonly event: 'stream-resumed';
+  /** ID of the request that brought the first event; undefined if it is not named. */
+  readonly stream: string | undefined;
+  /** Whether the caller sent a new request, or the edge made another attempt. */
+  readonly by: 'caller' | 'edge';
+  readonly lastEventId: string | undefined;
+  /** Upstream that the attempt is sent to, and its software version. */
+  readonly upstream: string;
+  readonly version: string;
+  /** Version that began the stream; undefined if this edge does not know it. */
+  readonly firstVersion: string | undefined;
+}
+
 /** An upstream reported a drain, a back-off or a rate limit in a response. */
 export interface UpstreamStatusChanged extends RequestDecision {
   readonly event: 'upstream-told';
@@ -430,6 +445,8 @@
   readonly service: string;
   readonly address: string;
   readonly state: string;
+  /** Software version; undefined if it was not reported. */
+  readonly version?: string | undefined;
   /** Start time by the upstream's clock; undefined if it was not reported. */
   readonly bornAt?: number | undefined;
   readonly sequence: number;
@@ -559,6 +576,7 @@
   | RolloutDecided
   | RolloutEvaluated
   | RolloutsAdopted
+  | StreamResumed
   | OverloadWithdrawalDecided
   | TokenTotals
   | ServiceBrittlenessChanged
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -19,6 +19,7 @@
   expectedUpstream: 'x-upstream',
   credential: 'x-key',
   lastEventId: 'last-event-id',
+  resumedRequest: 'x-resumes',
   draining: 'x-leaving',
   rateLimit: 'x-limit',
   brittleness: 'x-brittle',
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -63,6 +63,7 @@
     expectedUpstream: 'x-expected',
     credential: 'x-key',
     lastEventId: 'x-last-event',
+    resumedRequest: 'x-resumes',
     draining: 'x-leaving',
     rateLimit: 'x-limit',
     brittleness: 'x-brittle',
--- a/packages/puffinturn-edge/src/__tests__/utils/PlainProtocol.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/PlainProtocol.ts
@@ -22,6 +22,7 @@
     expectedUpstream: 'x-upstream',
     credential: 'x-key',
     lastEventId: 'last-event-id',
+    resumedRequest: 'x-resumes',
     draining: 'x-leaving',
     rateLimit: 'x-limit',
     brittleness: 'x-brittle',
--- a/packages/puffinturn-edge/src/callers/CallerProtocol.ts
+++ b/packages/puffinturn-edge/src/callers/CallerProtocol.ts
@@ -23,6 +23,8 @@
   readonly priority: string;
   /** ID of the last event received, to resume a stream after it. */
   readonly lastEventId: string;
+  /** ID of the request that brought the first event of a resumed stream. */
+  readonly resumedRequest: string;
   /** Address of an upstream to copy the cached prompt prefix from. */
   readonly prefixSource: string;
   /** Signature of the response by the upstream. */
--- a/packages/puffinturn-edge/src/callers/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/callers/CallerRequest.ts
@@ -90,6 +90,16 @@
     return Number.isFinite(value) && value > 0 ? value : undefined;
   }
 
+  /** ID of the last event of the stream that the caller resumes; undefined if none. */
+  get lastEventId(): string | undefined {
+    return this.header(this.headerNames.lastEventId) || undefined;
+  }
+
+  /** ID of the request that began the stream that the caller resumes. */
+  get resumedRequest(): string | undefined {
+    return this.header(this.headerNames.resumedRequest) || undefined;
+  }
+
   /** Whether the caller disconnected before the response was complete. */
   get isAborted(): boolean {
     return this.response.destroyed && !this.response.writableFinished;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -95,6 +95,8 @@
   private attemptCount = 0;
   private unsentCount = 0;
   private mayHaveRun = false;
+  /** Version of the upstream that brought the first event. */
+  private firstVersion: string | undefined;
   private cachedFingerprint: string | undefined;
   private readonly requestOutcome: RequestOutcome;
 
@@ -353,6 +355,7 @@
     this.lastRecordAgeMs = upstream.recordAgeMs;
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
+    this.logResumption(upstream);
     this.currentAttempt = new Attempt(this.parts, {
       body,
       caller,
@@ -365,6 +368,27 @@
     return this.currentAttempt.outcome;
   }
 
+  /** Logs an attempt that continues a stream whose first events the caller has. */
+  private logResumption({id, version}: EdgeUpstream): void {
+    const {caller, relay, table} = this;
+    const isByEdge = relay?.lastEventId !== undefined;
+    const lastEventId = relay?.lastEventId ?? caller.lastEventId;
+    if (lastEventId === undefined && caller.resumedRequest === undefined) {
+      return;
+    }
+    this.parts.log.note({
+      by: isByEdge ? 'edge' : 'caller',
+      configuration: table.version,
+      event: 'stream-resumed',
+      firstVersion: this.firstVersion,
+      lastEventId,
+      request: caller.id,
+      stream: caller.resumedRequest ?? (isByEdge ? caller.id : undefined),
+      upstream: id,
+      version,
+    });
+  }
+
   /** Handles the outcome of an attempt. Returns true when the request has ended. */
   private async handleOutcome(
     plan: RequestPlan,
@@ -501,9 +525,13 @@
     const status = response.statusCode;
     const {socket} = response;
     const {eventCount: eventsBefore} = relay;
+    const wasResumable = relay.lastEventId !== undefined;
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
+    if (!wasResumable && relay.lastEventId !== undefined) {
+      this.firstVersion = upstream.version;
+    }
     if (this.parts.linkBudget.isRemote(upstream.record.hall)) {
       this.parts.regionByteCounter.recordBytes(socket);
     }
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -8,7 +8,7 @@
 /** One incarnation of an upstream, as seen by an edge. */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
-import {UPSTREAM_STATE} from 'puffinturn-fleet';
+import {UNKNOWN_VERSION, UPSTREAM_STATE} from 'puffinturn-fleet';
 import {RateLimitTracker} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 import {hash32} from 'shared';
@@ -97,6 +97,11 @@
     return this.record.id;
   }
 
+  /** Software version; UNKNOWN_VERSION if the upstream reports none. */
+  get version(): string {
+    return this.record.version ?? UNKNOWN_VERSION;
+  }
+
   /** The latest record of the upstream. */
   get record(): UpstreamRecord {
     return this.latestRecord;
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -345,7 +345,15 @@
   }
 
   private logChange(record: UpstreamRecord, source: string): void {
-    const {address, bornAt, id: upstream, sequence, service, state} = record;
+    const {
+      address,
+      bornAt,
+      id: upstream,
+      sequence,
+      service,
+      state,
+      version,
+    } = record;
     this.log.note({
       address,
       bornAt,
@@ -355,6 +363,7 @@
       service,
       source,
       state,
+      version,
     });
   }
 }
