Keep a stream at the version that began it

Cause: the choice of an upstream did not look at versions, and which version began a stream was known, if at all, only to the edge that served it. A caller comes back most often because that edge died.

The fix: the first event fixes the version for all later attempts of an answer. Each edge records the version of an attempt before it can bring an event: at itself, and, as soon as other edges could choose otherwise (several versions lately, or a divided route), at two more edges in other halls, found by rendezvous of the stream's key. An edge at which a caller resumes asks these. Not known: only a service with a single version goes on, or the version that was alone before the next one appeared if enough boxes are sure that nothing was recorded; else it is refused at once.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -72,7 +72,58 @@
   readonly fingerprint?: string | undefined;
 }
 
-/** A stream is resumed after events that the caller has already received. */
+/** How it was decided where a stream that a caller resumes may go on. */
+export const RESUMPTION_OUTCOME = {
+  /** At the only version of the service before another one appeared. */
+  formerVersion: 'former-version',
+  /** At the version that began it, as recorded by the edge that served it. */
+  found: 'found',
+  /** Refused: the route no longer sends requests to the service that began it. */
+  serviceRemoved: 'service-removed',
+  /** At the only version of the service. */
+  soleVersion: 'sole-version',
+  /** Refused: the version that began it is not known. */
+  unknown: 'unknown',
+} as const;
+
+/** One of RESUMPTION_OUTCOME. */
+export type ResumptionOutcome =
+  (typeof RESUMPTION_OUTCOME)[keyof typeof RESUMPTION_OUTCOME];
+
+/** A caller resumes a stream; this edge decided where it may go on. */
+export interface StreamMatched extends RequestDecision {
+  readonly event: 'stream-matched';
+  /** ID of the request that brought the first event; undefined if it is not named. */
+  readonly stream: string | undefined;
+  readonly lastEventId: string | undefined;
+  readonly outcome: ResumptionOutcome;
+  readonly service: string;
+  /** Version at which the stream may go on; undefined if it is not known. */
+  readonly version: string | undefined;
+  /** Result of the lookup at the edges that may know; undefined without an ID. */
+  readonly lookup: string | undefined;
+  /** Box that knew the version, and the age of its record. */
+  readonly source: string | undefined;
+  readonly ageMs: number | undefined;
+  /** Versions of the service that this edge has known lately. */
+  readonly known: readonly string[];
+  readonly tookMs: number;
+}
+
+/** A stream is sent to an upstream, and the version is recorded at other edges. */
+export interface StreamBound {
+  readonly event: 'stream-bound';
+  readonly request: string;
+  /** ID of the request that brought the first event. */
+  readonly stream: string;
+  /** Number of the attempt within the request, from 1. */
+  readonly attempt: number;
+  readonly service: string;
+  readonly upstream: string;
+  readonly version: string;
+}
+
+/** An attempt continues a stream of which the caller has received events. */
 export interface StreamResumed extends RequestDecision {
   readonly event: 'stream-resumed';
   /** ID of the request that brought the first event; undefined if it is not named. */
@@ -83,8 +134,6 @@
   /** Upstream that the attempt is sent to, and its software version. */
   readonly upstream: string;
   readonly version: string;
-  /** Version that began the stream; undefined if this edge does not know it. */
-  readonly firstVersion: string | undefined;
 }
 
 /** An upstream reported a drain, a back-off or a rate limit in a response. */
@@ -576,6 +625,8 @@
   | RolloutDecided
   | RolloutEvaluated
   | RolloutsAdopted
+  | StreamBound
+  | StreamMatched
   | StreamResumed
   | OverloadWithdrawalDecided
   | TokenTotals
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -9,12 +9,14 @@
 export type {
   Decision,
   ResponseCount,
+  ResumptionOutcome,
   TeamGrantCounts,
   TeamTokenAmount,
   TeamTokenCounts,
   TokenState,
   VersionResponseCounts,
 } from './Decision';
+export {RESUMPTION_OUTCOME} from './Decision';
 export type {DecisionLogParts} from './DecisionLog';
 export {
   DecisionLog,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -34,6 +34,7 @@
 import type {ColdTolerance} from 'puffinturn-permits';
 import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
+import {StreamOrigins} from 'puffinturn-streams';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Random} from 'shared';
 
@@ -45,6 +46,7 @@
 import {headerBytes, HttpListener} from './callers/HttpListener';
 import {OverloadWithdrawal} from './callers/OverloadWithdrawal';
 import {
+  DEFAULT_STREAM_LIFETIME_MS,
   RETRY_AFTER_DRAINING_S,
   RETRY_AFTER_UNAVAILABLE_S,
 } from './EdgeConstants';
@@ -64,6 +66,8 @@
 import {ResponseTotals} from './ResponseTotals';
 import {ExposureController} from './rollouts/ExposureController';
 import {ExposureReporter} from './rollouts/ExposureReporter';
+import {StreamVersions} from './streams/StreamVersions';
+import {VersionHistory} from './streams/VersionHistory';
 import {Allowances} from './tokens/Allowances';
 import {DirectLinks} from './tunnels/DirectLinks';
 import {TunnelClient} from './tunnels/TunnelClient';
@@ -140,6 +144,8 @@
   private readonly permits: PermitClient;
   private readonly slots: SlotClient;
   private readonly limitReporter: LimitReporter;
+  private readonly streamOrigins: StreamOrigins;
+  private readonly streamVersions: StreamVersions;
   private readonly directLinks: DirectLinks;
   /** Undefined until all servers listen. */
   private tunnelServer: TunnelServer | undefined;
@@ -166,7 +172,31 @@
     this.startedAt = clock.now();
     this.lastRequestAt = this.startedAt;
     this.knownBoxes = new KnownBoxes(parts);
-    this.pool = new UpstreamPool(clock, log);
+    this.pool = new UpstreamPool(
+      clock,
+      log,
+      new VersionHistory(
+        clock,
+        () => this.streamLifetimeMs,
+        (service) => this.streamOrigins.replicateService(service),
+      ),
+    );
+    this.streamOrigins = new StreamOrigins({
+      areInSameRegion: (hall, other) => regions.areInSameRegion(hall, other),
+      clock,
+      lifetimeMs: () => this.streamLifetimeMs,
+      link,
+      peers: () => this.knownBoxes.peers,
+      self,
+    });
+    this.streamVersions = new StreamVersions({
+      clock,
+      isConnected: () => this.fleetWatch.isConnected,
+      log,
+      metrics: this.metrics,
+      origins: this.streamOrigins,
+      versions: this.pool.versions,
+    });
     // Must exist before the fleet watch, which reads the rollout revision at once.
     this.exposureController = new ExposureController({
       clock,
@@ -333,6 +363,7 @@
       ),
       hall: self.hall,
       responseTotals: this.responseTotals,
+      streamVersions: this.streamVersions,
     };
   }
 
@@ -401,7 +432,9 @@
     ) {
       return;
     }
+    const previousTable = this.routeTable;
     this.routeTable = new RouteTable(configuration);
+    this.streamVersions.applyRoutes(previousTable, this.routeTable);
     this.allowances.configure(configuration.teams ?? []);
     this.listeners[0]?.applyLimits(configuration.limits);
     this.metrics.configurationVersion.set(configuration.version);
@@ -493,6 +526,7 @@
     await this.limitReporter[Symbol.asyncDispose]();
     this.permits[Symbol.dispose]();
     this.slots[Symbol.dispose]();
+    this.streamOrigins[Symbol.dispose]();
     await this.allowances[Symbol.asyncDispose]();
     await this.exposureReporter[Symbol.asyncDispose]();
     await this.neighbourRecovery[Symbol.asyncDispose]();
@@ -515,6 +549,11 @@
       : undefined;
   }
 
+  /** How long streams may be served and resumed, ms. */
+  private get streamLifetimeMs(): number {
+    return this.routeTable?.streamLifetimeMs ?? DEFAULT_STREAM_LIFETIME_MS;
+  }
+
   private get needsState(): boolean {
     const elapsedMs = this.parts.clock.now() - this.startedAt;
     return (
@@ -654,12 +693,14 @@
       limitedUpstreams,
       openRequests,
       registry,
+      streamReplicas,
     } = this.metrics;
     if (request.url !== this.parts.metricsAddress.path) {
       response.writeHead(404).end();
       return;
     }
     openRequests.set(this.openRequests);
+    streamReplicas.set(this.streamOrigins.replicaCount);
     crossRegionCallBytes.set(this.knownBoxes.crossRegionBytes);
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
     backlogAge.set((this.backlogMonitor?.queueAgeMs ?? 0) / 1_000);
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -80,6 +80,17 @@
     name: 'puffinturn_edge_tunnels_total',
     registers: [this.registry],
   });
+  readonly resumptions = new Counter({
+    help: 'Streams that callers resume, by service and by how their version was found',
+    labelNames: ['service', 'outcome'],
+    name: 'puffinturn_edge_resumptions_total',
+    registers: [this.registry],
+  });
+  readonly streamReplicas = new Gauge({
+    help: 'Records of versions of streams that this edge keeps for others',
+    name: 'puffinturn_edge_stream_replicas',
+    registers: [this.registry],
+  });
   readonly openRequests = new Gauge({
     help: 'Requests being served',
     name: 'puffinturn_edge_open_requests',
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -0,0 +1,251 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Guards against resumed streams that are sent to a version which did not begin them. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {InMemoryDecisionLog, RESUMPTION_OUTCOME} from 'puffinturn-decisions';
+import type {Route} from 'puffinturn-fleet';
+import {RETRY_POLICY, UPSTREAM_STATE} from 'puffinturn-fleet';
+import type {KeyedOrigin, Lookup} from 'puffinturn-streams';
+import {LOOKUP, streamKey} from 'puffinturn-streams';
+import {ManualClock} from 'shared';
+
+import {CallerRequest} from '../../callers/CallerRequest';
+import {EdgeMetrics} from '../../EdgeMetrics';
+import type {RequestPlan} from '../../requests/RequestPlan';
+import {RouteTable} from '../../requests/RouteTable';
+import {isResumption, StreamVersions} from '../../streams/StreamVersions';
+import {VersionHistory} from '../../streams/VersionHistory';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {makeConfiguration} from '../utils/EdgeFixture';
+import {createRoute, TestProtocol} from '../utils/ForwardingFixture';
+
+const LIFETIME_MS = 30_000;
+const ROUTE = createRoute('stream', {
+  repetition: RETRY_POLICY.resumable,
+  streams: true,
+});
+const SPLIT_ROUTE = {
+  ...ROUTE,
+  targets: [
+    {service: 's', weight: 9},
+    {service: 'o', weight: 1},
+  ],
+};
+const SERVICES = ['s', 'o'].map((name) => ({
+  engine: undefined,
+  maxConnections: 9,
+  name,
+}));
+
+function tableOf(route: Route, version = 1): RouteTable {
+  return new RouteTable(
+    makeConfiguration(version, {routes: [route], services: SERVICES}),
+  );
+}
+
+function callerWith(headers: Record<string, string>): CallerRequest {
+  return new CallerRequest(
+    {headers, method: 'POST', url: '/stream/1'} as unknown as IncomingMessage,
+    {} as ServerResponse,
+    new TestProtocol().headers,
+    0,
+  );
+}
+
+const RESUMING = callerWith({
+  'x-last-event': '4',
+  'x-request': 'q2',
+  'x-resumes': 'q1',
+});
+const UNNAMED = callerWith({'x-last-event': '4', 'x-request': 'q2'});
+
+/** Resolves resumptions with a given result of the lookup. */
+class Fixture {
+  readonly clock = new ManualClock();
+  readonly log = new InMemoryDecisionLog();
+  readonly versions = new VersionHistory(this.clock, () => LIFETIME_MS);
+  readonly replicated: string[] = [];
+  readonly replicatedServices: string[] = [];
+  readonly foundKeys: string[] = [];
+  isConnected = true;
+  lookup: Lookup = {kind: LOOKUP.absent};
+  readonly streams = new StreamVersions({
+    clock: this.clock,
+    isConnected: () => this.isConnected,
+    log: this.log,
+    metrics: new EdgeMetrics(),
+    origins: {
+      find: async (key) => {
+        this.foundKeys.push(key);
+        return this.lookup;
+      },
+      remember: () => undefined,
+      replicate: ({version}: KeyedOrigin) => void this.replicated.push(version),
+      replicateService: (service) => this.replicatedServices.push(service),
+    },
+    versions: this.versions,
+  });
+
+  register(...versions: string[]): void {
+    const state = UPSTREAM_STATE.ready;
+    this.versions.update(
+      versions.map((version) => ({service: 's', state, version})),
+    );
+  }
+
+  async resolve(caller = RESUMING, route: Route = ROUTE): Promise<string> {
+    const plan = planOf(route);
+    const resumption = await this.streams.resolve(caller, plan, tableOf(route));
+    return resumption === undefined
+      ? 'refused'
+      : `${resumption.service} ${resumption.version}`;
+  }
+
+  get outcomes(): string[] {
+    return this.log.decisions.flatMap((line) =>
+      line.event === 'stream-matched' ? [line.outcome] : [],
+    );
+  }
+}
+
+function planOf(route: Route): RequestPlan {
+  const [service] = SERVICES;
+  if (service === undefined) {
+    throw new Error('no service');
+  }
+  return {
+    promptParts: [],
+    route,
+    service,
+    team: undefined,
+    tokenCounts: undefined,
+  };
+}
+
+function foundAt(service: string, version: string): Lookup {
+  const origin = {attempt: 1, service, version};
+  return {ageMs: 5, kind: LOOKUP.found, origin, source: 'e2'};
+}
+
+describe('A stream that a caller resumes', () => {
+  test('goes on at the version that began it, though this edge prefers another', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1', 'v2');
+    fixture.lookup = foundAt('s', 'v1');
+    expect(await fixture.resolve()).toBe('s v1');
+    expect(fixture.foundKeys).toEqual([streamKey(undefined, 'q1')]);
+  });
+
+  test('goes on at the version that began it, though this edge knows another only', async () => {
+    const fixture = new Fixture();
+    fixture.register('v2');
+    fixture.lookup = foundAt('s', 'v1');
+    expect(await fixture.resolve()).toBe('s v1');
+  });
+
+  test('goes on at the service that began it on a divided route', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.lookup = foundAt('o', 'v1');
+    expect(await fixture.resolve(RESUMING, SPLIT_ROUTE)).toBe('o v1');
+  });
+
+  test('is refused if the route no longer leads to the service that began it', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.lookup = foundAt('o', 'v1');
+    expect(await fixture.resolve()).toBe('refused');
+    expect(fixture.outcomes).toEqual([RESUMPTION_OUTCOME.serviceRemoved]);
+  });
+
+  test.each([RESUMING, UNNAMED])(
+    'goes on at the only version of the service if its origin is not known',
+    async (caller) => {
+      const fixture = new Fixture();
+      fixture.register('v1');
+      for (const kind of [LOOKUP.absent, LOOKUP.unknown, LOOKUP.unreachable]) {
+        fixture.lookup = {kind};
+        expect(await fixture.resolve(caller)).toBe('s v1');
+      }
+    },
+  );
+
+  test.each([RESUMING, UNNAMED])(
+    'is refused if its origin is not known and the service has several versions',
+    async (caller) => {
+      const fixture = new Fixture();
+      fixture.register('v1', 'v2');
+      for (const kind of [LOOKUP.absent, LOOKUP.unknown, LOOKUP.unreachable]) {
+        fixture.lookup = {kind};
+        expect(await fixture.resolve(caller)).toBe('refused');
+      }
+    },
+  );
+
+  test('is refused by an edge that reaches no other box', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.isConnected = false;
+    fixture.lookup = {kind: LOOKUP.unreachable};
+    expect(await fixture.resolve()).toBe('refused');
+  });
+
+  test('is refused on a divided route if its origin is not known', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    expect(await fixture.resolve(RESUMING, SPLIT_ROUTE)).toBe('refused');
+  });
+
+  test('goes on at the former version if no edge knew another when it began', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    await fixture.clock.advance(10);
+    fixture.register('v1', 'v2');
+    expect(await fixture.resolve()).toBe('s v1');
+    fixture.lookup = {kind: LOOKUP.unknown};
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {kind: LOOKUP.absent};
+    await fixture.clock.advance(LIFETIME_MS);
+    expect(await fixture.resolve()).toBe('refused');
+  });
+});
+
+describe('The version of an attempt', () => {
+  const upstream = {id: 'u', version: 'v1'} as EdgeUpstream;
+
+  test('is replicated only if another edge could choose another one', () => {
+    const fixture = new Fixture();
+    const {streams} = fixture;
+    fixture.register('v1');
+    streams.recordAttempt(RESUMING, planOf(ROUTE), upstream, 1);
+    expect(fixture.replicated).toEqual([]);
+    streams.recordAttempt(RESUMING, planOf(SPLIT_ROUTE), upstream, 1);
+    fixture.register('v1', 'v2');
+    streams.recordAttempt(RESUMING, planOf(ROUTE), upstream, 1);
+    expect(fixture.replicated).toEqual(['v1', 'v1']);
+  });
+
+  test('is replicated once the route gets other services', () => {
+    const fixture = new Fixture();
+    fixture.streams.applyRoutes(tableOf(ROUTE), tableOf(ROUTE, 2));
+    expect(fixture.replicatedServices).toEqual([]);
+    fixture.streams.applyRoutes(tableOf(ROUTE), tableOf(SPLIT_ROUTE, 2));
+    expect(fixture.replicatedServices).toEqual(['s']);
+  });
+});
+
+describe('A request', () => {
+  test('resumes a stream if it names its first request or last event', () => {
+    expect(isResumption(RESUMING, ROUTE)).toBe(true);
+    expect(isResumption(UNNAMED, ROUTE)).toBe(true);
+    const empty = callerWith({'x-last-event': '', 'x-resumes': ''});
+    expect(isResumption(empty, ROUTE)).toBe(false);
+    expect(isResumption(RESUMING, createRoute('look'))).toBe(false);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -15,6 +15,7 @@
 import type {GranterCandidate} from 'puffinturn-permits';
 import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {probeListener} from 'puffinturn-quarantine';
+import {StreamOrigins} from 'puffinturn-streams';
 import type {Clock} from 'shared';
 import {Random, SystemClock} from 'shared';
 
@@ -31,6 +32,7 @@
 import {RouteTable} from '../../requests/RouteTable';
 import {ResponseTotals} from '../../ResponseTotals';
 import {ExposureController} from '../../rollouts/ExposureController';
+import {StreamVersions} from '../../streams/StreamVersions';
 import type {Allowances} from '../../tokens/Allowances';
 import {DirectLinks} from '../../tunnels/DirectLinks';
 import {TunnelClient} from '../../tunnels/TunnelClient';
@@ -276,6 +278,21 @@
       retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
       retrySchedule: new RetrySchedule(clock, random, () => 1),
       responseTotals: this.responseTotals,
+      streamVersions: new StreamVersions({
+        clock,
+        isConnected: () => true,
+        log,
+        metrics,
+        origins: new StreamOrigins({
+          areInSameRegion: () => true,
+          clock,
+          lifetimeMs: () => 30_000,
+          link: new UnreachableLink(),
+          peers: () => NO_PEERS,
+          self: SELF,
+        }),
+        versions: this.pool.versions,
+      }),
       ...getOverrides(this),
     };
     this.server = createServer((incoming, response) => {
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -33,10 +33,13 @@
   MIN_SERVER_ERROR_STATUS,
   MISDIRECTED_REQUEST_STATUS,
   RETRY_AFTER_TOKENS_S,
+  RETRY_AFTER_UNKNOWN_STREAM_S,
   RETRY_AFTER_WAITED_TOO_LONG_S,
 } from '../EdgeConstants';
 import type {RegionByteCounter} from '../regions/RegionByteCounter';
 import type {ResponseTotals} from '../ResponseTotals';
+import type {StreamVersions} from '../streams/StreamVersions';
+import {isResumption} from '../streams/StreamVersions';
 import type {Allowances, ReserveOutcome} from '../tokens/Allowances';
 import {RESERVE_OUTCOME} from '../tokens/Allowances';
 import {RequestTokens} from '../tokens/RequestTokens';
@@ -66,6 +69,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: RequestQuarantine;
   readonly regionByteCounter: RegionByteCounter;
+  readonly streamVersions: StreamVersions;
 }
 
 /** Cause of the error response for a quarantined request. */
@@ -95,8 +99,8 @@
   private attemptCount = 0;
   private unsentCount = 0;
   private mayHaveRun = false;
-  /** Version of the upstream that brought the first event. */
-  private firstVersion: string | undefined;
+  /** Version that the stream may go on at; undefined until one has begun it. */
+  private streamVersion: string | undefined;
   private cachedFingerprint: string | undefined;
   private readonly requestOutcome: RequestOutcome;
 
@@ -133,9 +137,10 @@
       if (
         isReady &&
         this.passesQuarantine(plan) &&
+        (await this.matchStream(plan)) &&
         (await this.reserveTokens(tokens))
       ) {
-        await this.forward(plan);
+        await this.forward(this.plan ?? plan);
       }
     } finally {
       clearTimeout(timer);
@@ -208,6 +213,35 @@
     return !this.requestOutcome.hasEnded;
   }
 
+  // Resumed streams
+
+  /**
+   * Restricts the request to the version that began the stream which its caller resumes.
+   * Rejects it and returns false if that version is not known.
+   */
+  private async matchStream(plan: RequestPlan): Promise<boolean> {
+    const {caller, parts, table} = this;
+    if (!isResumption(caller, plan.route)) {
+      return true;
+    }
+    const resumption = await parts.streamVersions.resolve(caller, plan, table);
+    const service = resumption && table.findService(resumption.service);
+    if (this.requestOutcome.hasEnded) {
+      return false;
+    }
+    if (resumption === undefined || service === undefined) {
+      this.requestOutcome.reject(
+        503,
+        'stream-unknown',
+        RETRY_AFTER_UNKNOWN_STREAM_S,
+      );
+      return false;
+    }
+    this.plan = {...plan, service};
+    this.streamVersion = resumption.version;
+    return true;
+  }
+
   // Tokens
 
   private async reserveTokens(tokens: RequestTokens): Promise<boolean> {
@@ -259,12 +293,13 @@
 
   private async forward(plan: RequestPlan): Promise<void> {
     const {parts, triedUpstreams} = this;
-    const traits: RequestTraits = {
-      bodyBytes: this.body.length,
-      deniedUpstreams: this.deniedUpstreams,
-      isLeastUrgent: this.table.isLeastUrgent(plan.route),
-    };
     while (!this.requestOutcome.hasEnded && this.passesQuarantine(plan)) {
+      const traits: RequestTraits = {
+        bodyBytes: this.body.length,
+        deniedUpstreams: this.deniedUpstreams,
+        isLeastUrgent: this.table.isLeastUrgent(plan.route),
+        streamVersion: this.streamVersion,
+      };
       const placement = selectUpstream(parts, plan, triedUpstreams, traits);
       if (placement === undefined) {
         const {cause, retryAfterS} = explainNoUpstream(parts, plan, traits);
@@ -355,7 +390,7 @@
     this.lastRecordAgeMs = upstream.recordAgeMs;
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
-    this.logResumption(upstream);
+    this.recordStream(plan, upstream);
     this.currentAttempt = new Attempt(this.parts, {
       body,
       caller,
@@ -368,24 +403,31 @@
     return this.currentAttempt.outcome;
   }
 
-  /** Logs an attempt that continues a stream whose first events the caller has. */
-  private logResumption({id, version}: EdgeUpstream): void {
-    const {caller, relay, table} = this;
-    const isByEdge = relay?.lastEventId !== undefined;
-    const lastEventId = relay?.lastEventId ?? caller.lastEventId;
-    if (lastEventId === undefined && caller.resumedRequest === undefined) {
+  /** Records the version of a resumable stream, and logs if it is resumed. */
+  private recordStream(plan: RequestPlan, upstream: EdgeUpstream): void {
+    const {attemptCount, caller, parts, relay, table} = this;
+    if (plan.route.repetition !== RETRY_POLICY.resumable) {
       return;
     }
-    this.parts.log.note({
+    parts.streamVersions.recordAttempt(
+      caller,
+      plan,
+      upstream,
+      attemptCount + this.unsentCount,
+    );
+    if (this.streamVersion === undefined) {
+      return;
+    }
+    const isByEdge = relay?.lastEventId !== undefined;
+    parts.log.note({
       by: isByEdge ? 'edge' : 'caller',
       configuration: table.version,
       event: 'stream-resumed',
-      firstVersion: this.firstVersion,
-      lastEventId,
+      lastEventId: relay?.lastEventId ?? caller.lastEventId,
       request: caller.id,
       stream: caller.resumedRequest ?? (isByEdge ? caller.id : undefined),
-      upstream: id,
-      version,
+      upstream: upstream.id,
+      version: upstream.version,
     });
   }
 
@@ -525,12 +567,11 @@
     const status = response.statusCode;
     const {socket} = response;
     const {eventCount: eventsBefore} = relay;
-    const wasResumable = relay.lastEventId !== undefined;
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
-    if (!wasResumable && relay.lastEventId !== undefined) {
-      this.firstVersion = upstream.version;
+    if (relay.lastEventId !== undefined) {
+      this.streamVersion ??= upstream.version;
     }
     if (this.parts.linkBudget.isRemote(upstream.record.hall)) {
       this.parts.regionByteCounter.recordBytes(socket);
--- a/packages/puffinturn-edge/src/requests/RouteTable.ts
+++ b/packages/puffinturn-edge/src/requests/RouteTable.ts
@@ -7,18 +7,26 @@
 
 /** Looks up routes by host and path, and teams by key. */
 import type {FleetConfiguration, Route, Service, Team} from 'puffinturn-fleet';
-import {intersectRegions, routeKey} from 'puffinturn-fleet';
+import {intersectRegions, RETRY_POLICY, routeKey} from 'puffinturn-fleet';
 import {selectByWeight} from 'shared';
 
+import {
+  DEFAULT_STREAM_LIFETIME_MS,
+  STREAM_LIFETIME_TIMEOUTS,
+} from '../EdgeConstants';
+
 /** Indexes one configuration for look-ups by host, key and name. */
 export class RouteTable {
   /** Version of the configuration. */
   readonly version: number;
   private readonly routesByHost = new Map<string, Route[]>();
+  private readonly routesByKey = new Map<string, Route>();
   private readonly teamsByKey = new Map<string, Team>();
   private readonly services = new Map<string, Service>();
   private readonly regionsByRoute = new Map<string, readonly string[]>();
   private readonly regionsByTeam = new Map<string, readonly string[]>();
+  /** How long a resumable stream may be served and resumed, ms. */
+  readonly streamLifetimeMs: number;
   /** Range of priorities of the routes to engines; a lower number is more urgent. */
   private readonly engineRanks: {readonly min: number; readonly max: number};
 
@@ -28,6 +36,7 @@
       const host = route.host.toLowerCase();
       const routes = this.routesByHost.get(host) ?? [];
       routes.push(route);
+      this.routesByKey.set(routeKey(route), route);
       this.routesByHost.set(host, routes);
       if (route.allowedRegions !== undefined) {
         this.regionsByRoute.set(routeKey(route), route.allowedRegions);
@@ -47,6 +56,7 @@
     for (const service of configuration.services) {
       this.services.set(service.name, service);
     }
+    this.streamLifetimeMs = streamLifetimeMs(configuration.routes);
     const ranks = configuration.routes
       .filter((route) => this.targetsEngine(route))
       .map(({priority}) => priority);
@@ -104,9 +114,47 @@
     });
   }
 
+  /** Whether a route sends requests to a service. */
+  hasTarget({targets}: Route, name: string): boolean {
+    return targets.some(({service, weight}) => service === name && weight > 0);
+  }
+
+  /** Services of resumable routes that have other targets in a newer configuration. */
+  findRetargeted(newer: RouteTable): ReadonlySet<string> {
+    const services = new Set<string>();
+    for (const route of this.configuration.routes) {
+      const current = newer.routesByKey.get(routeKey(route));
+      if (
+        route.repetition === RETRY_POLICY.resumable &&
+        current !== undefined &&
+        !hasSameTargets(route, current)
+      ) {
+        route.targets.forEach(({service}) => services.add(service));
+      }
+    }
+    return services;
+  }
+
   /** Selects the service of a route by weight, with `fraction` in [0, 1). */
   pickService({targets}: Route, fraction: number): Service | undefined {
     const target = selectByWeight(targets, ({weight}) => weight, fraction);
     return target === undefined ? undefined : this.findService(target.service);
   }
 }
+
+function streamLifetimeMs(routes: readonly Route[]): number {
+  const timeouts = routes
+    .filter(({repetition}) => repetition === RETRY_POLICY.resumable)
+    .map(({timeoutMs}) => timeoutMs * STREAM_LIFETIME_TIMEOUTS);
+  return timeouts.length === 0
+    ? DEFAULT_STREAM_LIFETIME_MS
+    : Math.max(...timeouts);
+}
+
+function hasSameTargets(a: Route, b: Route): boolean {
+  const names = new Set(b.targets.map(({service}) => service));
+  return (
+    a.targets.length === b.targets.length &&
+    a.targets.every(({service}) => names.has(service))
+  );
+}
--- a/packages/puffinturn-edge/src/rollouts/ExposureController.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureController.ts
@@ -147,6 +147,24 @@
       : [regular];
   }
 
+  /**
+   * Whether a stream that a version began may be resumed there. At a new version that
+   * counts as exposure; a version that was withdrawn gets no more requests.
+   */
+  mayResume({route, service}: RequestPlan, version: string): boolean {
+    const state = this.services.get(service.name);
+    const primary = state?.roles.primary;
+    if (state === undefined || primary === undefined) {
+      return true;
+    }
+    const {roles, tracker} = state;
+    return (
+      version === primary ||
+      version === roles.fallback ||
+      (version === roles.canary && tracker?.tryExpose(route.name) === true)
+    );
+  }
+
   /** Counts a sent request and returns the observer of its outcome. */
   recordSent(
     {route, service}: RequestPlan,
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -18,6 +18,8 @@
 import {maxRequestsPerSecond, NO_LIMIT} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
+import {DEFAULT_STREAM_LIFETIME_MS} from '../EdgeConstants';
+import {VersionHistory} from '../streams/VersionHistory';
 import {EdgeUpstream} from './EdgeUpstream';
 
 /** Traffic between this edge and the upstreams of one service. */
@@ -70,10 +72,23 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLog,
+    /** The versions that services have had lately. */
+    readonly versions = new VersionHistory(
+      clock,
+      () => DEFAULT_STREAM_LIFETIME_MS,
+    ),
   ) {}
 
   /** Merges records received from the control box `source`. */
   merge(records: readonly UpstreamRecord[], source: string): void {
+    this.mergeRecords(records, source);
+    this.versions.update(this.table.records());
+  }
+
+  private mergeRecords(
+    records: readonly UpstreamRecord[],
+    source: string,
+  ): void {
     for (const record of records) {
       if (this.table.merge(record, this.clock.now())) {
         this.logChange(record, source);
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -16,6 +16,7 @@
 import type {RegionLinkBudget} from '../regions/RegionLinkBudget';
 import type {RequestPlan} from '../requests/RequestPlan';
 import type {ExposureController} from '../rollouts/ExposureController';
+import {upstreamsOfVersion} from '../rollouts/VersionRoles';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {LoadBalancer, Placement, RegionLink} from './LoadBalancer';
 import type {RecoveryProbes} from './RecoveryProbes';
@@ -53,6 +54,8 @@
   readonly isLeastUrgent: boolean;
   /** Upstreams for which a permit was denied to this request. */
   readonly deniedUpstreams: ReadonlySet<EdgeUpstream>;
+  /** Version that began the stream which the request continues, if it does. */
+  readonly streamVersion?: string | undefined;
 }
 
 /** Why no upstream was found for a request, and when to retry. */
@@ -60,6 +63,7 @@
   readonly cause:
     | 'no-upstream'
     | 'no-upstream-in-region'
+    | 'no-upstream-of-version'
     | 'region-link-full'
     | 'upstreams-limited'
     | 'upstreams-rest';
@@ -82,12 +86,11 @@
   const all = deps.pool.servingUpstreams(plan.service.name);
   // Filter by region first, so that canaries are chosen from permitted upstreams only.
   const allowed = allowedUpstreams(deps, plan, all);
-  const isFirst = tried.size === 0;
-  for (const group of deps.exposureController.candidateGroups(
-    plan,
-    allowed,
-    isFirst,
-  )) {
+  const groups =
+    request.streamVersion === undefined
+      ? deps.exposureController.candidateGroups(plan, allowed, tried.size === 0)
+      : [upstreamsForStream(deps, plan, allowed, request.streamVersion)];
+  for (const group of groups) {
     const placement = selectFrom(deps, plan, tried, request, group);
     if (placement !== undefined) {
       return placement;
@@ -96,6 +99,18 @@
   return undefined;
 }
 
+/** Upstreams of the version that began a stream; none if a rollout withdrew it. */
+function upstreamsForStream(
+  {exposureController}: SelectionParts,
+  plan: RequestPlan,
+  allowed: readonly EdgeUpstream[],
+  version: string,
+): readonly EdgeUpstream[] {
+  return exposureController.mayResume(plan, version)
+    ? upstreamsOfVersion(allowed, version)
+    : [];
+}
+
 function selectFrom(
   deps: SelectionParts,
   plan: RequestPlan,
@@ -147,7 +162,14 @@
   plan: RequestPlan,
   request: RequestTraits,
 ): NoUpstreamReason {
-  const serving = deps.pool.servingUpstreams(plan.service.name);
+  const all = deps.pool.servingUpstreams(plan.service.name);
+  const {streamVersion} = request;
+  const serving =
+    streamVersion === undefined ? all : upstreamsOfVersion(all, streamVersion);
+  if (streamVersion !== undefined && serving.length === 0) {
+    const cause = 'no-upstream-of-version';
+    return {cause, retryAfterS: RETRY_AFTER_UNAVAILABLE_S};
+  }
   const allowed = allowedUpstreams(deps, plan, serving);
   const retryAfterS =
     allowed.length === 0 ? RETRY_AFTER_UNAVAILABLE_S : RETRY_AFTER_BUSY_S;
