Forget dead upstreams at an address once another one has responded there

What callers saw: a take-up was sent to one address three times within 5 ms, each time answered 421, before it reached an engine (users' record, 69.834 to 69.839 s).

Cause: an upstream that crashes deregisters nowhere, so its record stays. While the next one at its address serves, it is passed over; when that one drains, all dead ones before it count again, and each costs a request a 421. Four of them end a request.

Evidence: the test failed before for a draining and a gone successor.

Why it works: a response under the id that was meant shows who has the address now. Whichever others were registered there have ended. Weighed against clearing them at a 421: a late heartbeat of a dead one, registered last, would take the living one away.

--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamPool.test.ts
@@ -128,6 +128,17 @@
     expect(serving()).toEqual(['i-1']);
   });
 
+  test.each([UPSTREAM_STATE.draining, UPSTREAM_STATE.gone])(
+    'the previous one stays excluded after the next one has responded and is %s',
+    (state) => {
+      const {pool, serving} = createPool(previous);
+      pool.merge([next], 'c1');
+      pool.find(next.id)?.recordSuccess();
+      pool.merge([{...next, sequence: 9, state}], 'c1');
+      expect(serving()).toEqual([]);
+    },
+  );
+
   test('the previous one serves again after the next one is gone', () => {
     const {pool, serving} = createPool(previous);
     pool.merge([next], 'c1');
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -65,6 +65,7 @@
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
   private wasReplaced = false;
+  private hasResponded = false;
   /** Cause of the last pause; undefined since the last success. */
   private pauseCause: string | undefined;
   private recordReceivedAt: number;
@@ -75,6 +76,8 @@
     private readonly log: DecisionLog,
     /** Called when the upstream stops serving while its record still says `ready`. */
     private readonly onStopServing: () => void = () => undefined,
+    /** Called at the first complete response, which shows that it has its address. */
+    private readonly onFirstResponse: () => void = () => undefined,
   ) {
     const record = latestRecord;
     this.recordReceivedAt = clock.now();
@@ -166,6 +169,10 @@
 
   /** Records a complete successful response and ends any pause. */
   recordSuccess(): void {
+    if (!this.hasResponded) {
+      this.hasResponded = true;
+      this.onFirstResponse();
+    }
     this.errorRate -= this.errorRate * ERROR_WEIGHT;
     if (this.pauseCause !== undefined) {
       this.pauseCause = undefined;
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -325,8 +325,12 @@
   }
 
   private add(record: UpstreamRecord): EdgeUpstream {
-    const upstream = new EdgeUpstream(record, this.clock, this.log, () =>
-      this.servingCache.clear(),
+    const upstream = new EdgeUpstream(
+      record,
+      this.clock,
+      this.log,
+      () => this.servingCache.clear(),
+      () => this.replaceOthersAtAddress(upstream),
     );
     upstream.markCold(this.table.coldUntil(record.id));
     this.servingCache.clear();
@@ -336,6 +340,18 @@
     return upstream;
   }
 
+  /**
+   * Marks the other upstreams at the address of one that has responded as replaced: a
+   * crashed process sends no deregistration, and each request to it would be wasted.
+   */
+  private replaceOthersAtAddress(upstream: EdgeUpstream): void {
+    for (const other of this.byAddress.get(upstream.record.address) ?? []) {
+      if (other !== upstream && other.isServing) {
+        other.markReplaced();
+      }
+    }
+  }
+
   private remove(id: string): void {
     const upstream = this.byId.get(id);
     if (upstream === undefined) {
