--- a/packages/puffinturn-cli/src/RequestHistory.ts
+++ b/packages/puffinturn-cli/src/RequestHistory.ts
@@ -25,6 +25,8 @@
   readonly box: string;
   readonly event: string;
   readonly request?: string;
+  /** Request that began the stream which the request resumes. */
+  readonly stream?: string;
   readonly upstream?: string;
   /** Upstreams that had no permit available for the request. */
   readonly heldBackBy?: readonly string[];
@@ -81,12 +83,36 @@
   }
 }
 
-/** Builds the history of a request, ordered by time. */
+/** Returns a request and all others of the same stream, as its caller resumed it. */
+function requestsOfStream(
+  lines: readonly LogLine[],
+  request: string,
+): ReadonlySet<string> {
+  const streams = new Set([request]);
+  for (const line of lines) {
+    if (line.request === request && line.stream !== undefined) {
+      streams.add(line.stream);
+    }
+  }
+  const requests = new Set(streams);
+  for (const line of lines) {
+    const {stream} = line;
+    if (line.request !== undefined && stream && streams.has(stream)) {
+      requests.add(line.request);
+    }
+  }
+  return requests;
+}
+
+/** Builds the history of a request and of its stream, ordered by time. */
 export function buildRequestHistory(
   lines: readonly LogLine[],
   request: string,
 ): Result<LogLine[], HistoryFailure> {
-  const requestLines = lines.filter((line) => line.request === request);
+  const requests = requestsOfStream(lines, request);
+  const requestLines = lines.filter(
+    (line) => line.request !== undefined && requests.has(line.request),
+  );
   const [first] = requestLines;
   if (first === undefined) {
     const message = `no line names ${request}; plain successes are sampled`;
--- a/packages/puffinturn-cli/src/__tests__/unit/RequestHistory.test.ts
+++ b/packages/puffinturn-cli/src/__tests__/unit/RequestHistory.test.ts
@@ -118,6 +118,26 @@
     expect(lines).toEqual([0, 1, 3].map((at) => REJECTED_REQUEST_LINES[at]));
   });
 
+  test('follows a stream over all requests of its caller', () => {
+    const at = (box: string, event: string, request: string, time: number) => ({
+      box,
+      event,
+      request,
+      time,
+    });
+    const lines = [
+      {...at('e1', 'stream-bound', 'q1', 1), stream: 'q1'},
+      {...at('e2', 'stream-matched', 'q2', 2), stream: 'q1'},
+      at('e2', 'request-ended', 'q2', 3),
+      {...at('e3', 'stream-matched', 'q3', 4), stream: 'q1'},
+      {...at('e3', 'stream-matched', 'other', 5), stream: 'q9'},
+    ];
+    for (const request of ['q1', 'q2', 'q3']) {
+      const history = buildRequestHistory(lines, request)._unsafeUnwrap();
+      expect(history.map(({time}) => time)).toEqual([1, 2, 3, 4]);
+    }
+  });
+
   test('fails if no line names the request', async () => {
     await withLogFolder(async (folder) => {
       const lines = (await readLogs(folder))._unsafeUnwrap();
