Send requests to versions that no rollout names

What callers would see: with rollouts enabled, a release that brings another version without an order gets no requests; once it has drained the last upstream of the former one, all are refused.

Cause: the version of most upstreams, 3 s after the first, was taken for the only one that may serve. Versions may serve side by side without an order.

--- a/packages/puffinturn-edge/src/rollouts/ExposureController.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureController.ts
@@ -47,6 +47,12 @@
  */
 const EXPOSED_UPSTREAM_FRACTION = 0.1;
 
+/**
+ * Time after which a version that no order names gets requests, ms. An order for it is
+ * sent again for less time, and a version that an order names may be bad.
+ */
+export const UNORDERED_VERSION_DELAY_MS = 6_000;
+
 /** Maximum number of services listed in one log line. */
 const MAX_LOGGED_SERVICES = 16;
 
@@ -54,6 +60,8 @@
 interface ServiceState {
   readonly versions: ServiceVersions;
   readonly roles: VersionRoles;
+  /** Versions that a rollout replaced or rolled back; they get no requests. */
+  readonly withdrawn: ReadonlySet<string>;
   readonly baselines: LatencyBaselines;
   /** Defined while a rollout is exposing or shifting. */
   readonly tracker: ExposureTracker | undefined;
@@ -124,7 +132,7 @@
       return [serving];
     }
     const {tracker, roles} = state;
-    const regular = primaryUpstreams(roles, serving);
+    const regular = this.regularUpstreams(state, serving);
     if (roles.fallback !== undefined && tracker?.hasShifted === false) {
       // Falls back when cold upstreams of the new version have no capacity.
       return [regular, upstreamsOfVersion(serving, roles.fallback)];
@@ -147,6 +155,34 @@
       : [regular];
   }
 
+  /**
+   * Upstreams of the primary version, and of others that serve beside it without an order.
+   */
+  private regularUpstreams(
+    state: ServiceState,
+    serving: readonly EdgeUpstream[],
+  ): readonly EdgeUpstream[] {
+    const primary = primaryUpstreams(state.roles, serving);
+    if (primary.length === serving.length) {
+      return primary;
+    }
+    const isOnlyOne = primary.length === 0;
+    const unordered = serving.filter(
+      ({version}) =>
+        isUnordered(state, version) &&
+        (isOnlyOne || this.isEstablished(state, version)),
+    );
+    return unordered.length === 0 ? primary : [...primary, ...unordered];
+  }
+
+  /** Whether an order for a version would have arrived by now. */
+  private isEstablished({versions}: ServiceState, version: string): boolean {
+    const history = this.parts.pool.versions;
+    return (
+      history.ageMs(versions.service, version) >= UNORDERED_VERSION_DELAY_MS
+    );
+  }
+
   /**
    * Whether a stream that a version began may be resumed there. At a new version that
    * counts as exposure; a version that was withdrawn gets no more requests.
@@ -161,6 +197,7 @@
     return (
       version === primary ||
       version === roles.fallback ||
+      isUnordered(state, version) ||
       (version === roles.canary && tracker?.tryExpose(route.name) === true)
     );
   }
@@ -243,6 +280,7 @@
       baselines: this.baselinesFor(versions, existing),
       roles: versionRolesOf(versions),
       versions,
+      withdrawn: withdrawnVersions(versions, existing),
     };
   }
 
@@ -318,3 +356,36 @@
     ? `${service} ${stableVersion}`
     : `${service} ${stableVersion} to ${rollout.targetVersion}: ${rollout.state}`;
 }
+
+/** Whether no order names a version; the primary version doesn't count as such. */
+function isUnordered(
+  {roles, withdrawn}: ServiceState,
+  version: string,
+): boolean {
+  const {canary, fallback, primary} = roles;
+  return (
+    version !== canary &&
+    version !== fallback &&
+    version !== primary &&
+    !withdrawn.has(version)
+  );
+}
+
+/** Versions that rollouts, as far as this edge has followed them, have withdrawn. */
+function withdrawnVersions(
+  {rollout, stableVersion}: ServiceVersions,
+  existing: ServiceState | undefined,
+): ReadonlySet<string> {
+  const withdrawn = new Set(existing?.withdrawn);
+  const former = existing?.versions.stableVersion;
+  if (rollout?.state === ROLLOUT_STATE.completed && former !== undefined) {
+    withdrawn.add(former);
+  }
+  withdrawn.delete(stableVersion);
+  if (rollout?.state === ROLLOUT_STATE.rolledBack) {
+    withdrawn.add(rollout.targetVersion);
+  } else if (rollout !== undefined && rollout !== null) {
+    withdrawn.delete(rollout.targetVersion);
+  }
+  return withdrawn;
+}
--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -74,6 +74,12 @@
     return versions;
   }
 
+  /** Time since this edge first heard of a version of a service, ms; 0 if it hasn't. */
+  ageMs(service: string, version: string): number {
+    const span = this.services.get(service)?.get(version);
+    return span === undefined ? 0 : this.clock.now() - span.firstSeenAt;
+  }
+
   /** The only recent version of a service; undefined if there are several or none. */
   soleVersion(service: string): string | undefined {
     const [version, ...others] = this.recentVersions(service);
