--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -38,8 +38,8 @@
 } from '../EdgeConstants';
 import type {RegionByteCounter} from '../regions/RegionByteCounter';
 import type {ResponseTotals} from '../ResponseTotals';
+import {RequestStream} from '../streams/RequestStream';
 import type {StreamVersions} from '../streams/StreamVersions';
-import {isResumption} from '../streams/StreamVersions';
 import type {Allowances, ReserveOutcome} from '../tokens/Allowances';
 import {RESERVE_OUTCOME} from '../tokens/Allowances';
 import {RequestTokens} from '../tokens/RequestTokens';
@@ -99,8 +99,7 @@
   private attemptCount = 0;
   private unsentCount = 0;
   private mayHaveRun = false;
-  /** Version that the stream may go on at; undefined until one has begun it. */
-  private streamVersion: string | undefined;
+  private readonly stream: RequestStream;
   private cachedFingerprint: string | undefined;
   private readonly requestOutcome: RequestOutcome;
 
@@ -110,6 +109,7 @@
     private readonly caller: CallerRequest,
   ) {
     this.requestOutcome = new RequestOutcome(caller);
+    this.stream = new RequestStream(parts, caller, table);
   }
 
   /** Serves the request and resolves when it has ended. */
@@ -220,26 +220,16 @@
    * Rejects it and returns false if that version is not known.
    */
   private async matchStream(plan: RequestPlan): Promise<boolean> {
-    const {caller, parts, table} = this;
-    if (!isResumption(caller, plan.route)) {
-      return true;
-    }
-    const resumption = await parts.streamVersions.resolve(caller, plan, table);
-    const service = resumption && table.findService(resumption.service);
-    if (this.requestOutcome.hasEnded) {
-      return false;
-    }
-    if (resumption === undefined || service === undefined) {
+    const resumedPlan = await this.stream.resume(plan);
+    if (!this.requestOutcome.hasEnded && resumedPlan === undefined) {
       this.requestOutcome.reject(
         503,
         'stream-unknown',
         RETRY_AFTER_UNKNOWN_STREAM_S,
       );
-      return false;
     }
-    this.plan = {...plan, service};
-    this.streamVersion = resumption.version;
-    return true;
+    this.plan = resumedPlan ?? plan;
+    return !this.requestOutcome.hasEnded;
   }
 
   // Tokens
@@ -298,7 +288,7 @@
         bodyBytes: this.body.length,
         deniedUpstreams: this.deniedUpstreams,
         isLeastUrgent: this.table.isLeastUrgent(plan.route),
-        streamVersion: this.streamVersion,
+        streamVersion: this.stream.version,
       };
       const placement = selectUpstream(parts, plan, triedUpstreams, traits);
       if (placement === undefined) {
@@ -390,7 +380,12 @@
     this.lastRecordAgeMs = upstream.recordAgeMs;
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
-    this.recordStream(plan, upstream);
+    this.stream.recordAttempt(
+      plan,
+      upstream,
+      this.attemptCount + this.unsentCount,
+      relay?.lastEventId,
+    );
     this.currentAttempt = new Attempt(this.parts, {
       body,
       caller,
@@ -403,34 +398,6 @@
     return this.currentAttempt.outcome;
   }
 
-  /** Records the version of a resumable stream, and logs if it is resumed. */
-  private recordStream(plan: RequestPlan, upstream: EdgeUpstream): void {
-    const {attemptCount, caller, parts, relay, table} = this;
-    if (plan.route.repetition !== RETRY_POLICY.resumable) {
-      return;
-    }
-    parts.streamVersions.recordAttempt(
-      caller,
-      plan,
-      upstream,
-      attemptCount + this.unsentCount,
-    );
-    if (this.streamVersion === undefined) {
-      return;
-    }
-    const isByEdge = relay?.lastEventId !== undefined;
-    parts.log.note({
-      by: isByEdge ? 'edge' : 'caller',
-      configuration: table.version,
-      event: 'stream-resumed',
-      lastEventId: relay?.lastEventId ?? caller.lastEventId,
-      request: caller.id,
-      stream: caller.resumedRequest ?? (isByEdge ? caller.id : undefined),
-      upstream: upstream.id,
-      version: upstream.version,
-    });
-  }
-
   /** Handles the outcome of an attempt. Returns true when the request has ended. */
   private async handleOutcome(
     plan: RequestPlan,
@@ -571,7 +538,7 @@
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
     if (relay.lastEventId !== undefined) {
-      this.streamVersion ??= upstream.version;
+      this.stream.bind(upstream);
     }
     if (this.parts.linkBudget.isRemote(upstream.record.hall)) {
       this.parts.regionByteCounter.recordBytes(socket);
