--- a/packages/puffinturn-edge/src/requests/RouteTable.ts
+++ b/packages/puffinturn-edge/src/requests/RouteTable.ts
@@ -120,7 +120,7 @@
   }
 
   /** Services of resumable routes that have other targets in a newer configuration. */
-  findRetargeted(newer: RouteTable): ReadonlySet<string> {
+  findRetargetedServices(newer: RouteTable): ReadonlySet<string> {
     const services = new Set<string>();
     for (const route of this.configuration.routes) {
       const current = newer.routesByKey.get(routeKey(route));
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -132,7 +132,7 @@
    * choose another service when they are resumed.
    */
   applyRoutes(previous: RouteTable | undefined, current: RouteTable): void {
-    for (const service of previous?.findRetargeted(current) ?? []) {
+    for (const service of previous?.findRetargetedServices(current) ?? []) {
       this.parts.origins.replicateService(service);
     }
   }
