Count only services with a weight among those of a route

What callers could see: a service that stands in a route with weight 0 starts to get requests; a stream that began before and is resumed at another edge is refused, as its service is not known there.

Cause: what a route leads to was worked out in three places; the one that finds changed routes counted services without a weight, so this change was none.

Evidence: found by reading; the new test failed before. One function now says which services a route leads to, and all three call it.

--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -238,6 +238,21 @@
     fixture.streams.applyRoutes(tableOf(ROUTE), tableOf(SPLIT_ROUTE, 2));
     expect(fixture.replicatedServices).toEqual(['s']);
   });
+
+  test('is replicated once a service of the route that got no requests gets some', () => {
+    const fixture = new Fixture();
+    const unused = {
+      ...ROUTE,
+      targets: [
+        {service: 's', weight: 1},
+        {service: 'o', weight: 0},
+      ],
+    };
+    fixture.streams.applyRoutes(tableOf(unused), tableOf(ROUTE, 2));
+    expect(fixture.replicatedServices).toEqual([]);
+    fixture.streams.applyRoutes(tableOf(unused), tableOf(SPLIT_ROUTE, 2));
+    expect(fixture.replicatedServices).toEqual(['s']);
+  });
 });
 
 describe('A request', () => {
--- a/packages/puffinturn-edge/src/requests/RouteTable.ts
+++ b/packages/puffinturn-edge/src/requests/RouteTable.ts
@@ -15,6 +15,12 @@
   STREAM_LIFETIME_TIMEOUTS,
 } from '../EdgeConstants';
 
+/** Names of the services that a route sends requests to. */
+export function servicesOf({targets}: Route): ReadonlySet<string> {
+  const used = targets.filter(({weight}) => weight > 0);
+  return new Set(used.map(({service}) => service));
+}
+
 /** Indexes one configuration for look-ups by host, key and name. */
 export class RouteTable {
   /** Version of the configuration. */
@@ -114,12 +120,7 @@
     });
   }
 
-  /** Whether a route sends requests to a service. */
-  hasTarget({targets}: Route, name: string): boolean {
-    return targets.some(({service, weight}) => service === name && weight > 0);
-  }
-
-  /** Services of resumable routes that have other targets in a newer configuration. */
+  /** Services of resumable routes that lead to other services in a newer configuration. */
   findRetargetedServices(newer: RouteTable): ReadonlySet<string> {
     const services = new Set<string>();
     for (const route of this.configuration.routes) {
@@ -127,9 +128,9 @@
       if (
         route.repetition === RETRY_POLICY.resumable &&
         current !== undefined &&
-        !hasSameTargets(route, current)
+        !hasSameServices(route, current)
       ) {
-        route.targets.forEach(({service}) => services.add(service));
+        servicesOf(route).forEach((service) => services.add(service));
       }
     }
     return services;
@@ -151,10 +152,11 @@
     : Math.max(...timeouts);
 }
 
-function hasSameTargets(a: Route, b: Route): boolean {
-  const names = new Set(b.targets.map(({service}) => service));
+function hasSameServices(a: Route, b: Route): boolean {
+  const services = servicesOf(a);
+  const others = servicesOf(b);
   return (
-    a.targets.length === b.targets.length &&
-    a.targets.every(({service}) => names.has(service))
+    services.size === others.size &&
+    [...services].every((service) => others.has(service))
   );
 }
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -21,6 +21,7 @@
 import type {EdgeMetrics} from '../EdgeMetrics';
 import type {RequestPlan} from '../requests/RequestPlan';
 import type {RouteTable} from '../requests/RouteTable';
+import {servicesOf} from '../requests/RouteTable';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {VersionHistory} from './VersionHistory';
 
@@ -74,7 +75,7 @@
   ): Promise<Resumption | undefined> {
     const {clock, log, metrics, versions} = this.parts;
     const startedAt = clock.now();
-    const match = await this.match(caller, plan, table);
+    const match = await this.match(caller, plan);
     const {lookup, outcome, resumption} = match;
     const found = lookup?.kind === LOOKUP.found ? lookup : undefined;
     metrics.resumptions.inc({outcome, service: plan.service.name});
@@ -140,7 +141,6 @@
   private async match(
     caller: CallerRequest,
     plan: RequestPlan,
-    table: RouteTable,
   ): Promise<Match> {
     const {resumedRequest} = caller;
     const lookup =
@@ -153,7 +153,7 @@
       return this.matchWithoutOrigin(plan, lookup);
     }
     const {service, version} = lookup.origin;
-    return table.hasTarget(plan.route, service)
+    return servicesOf(plan.route).has(service)
       ? {
           lookup,
           outcome: RESUMPTION_OUTCOME.found,
@@ -201,6 +201,6 @@
 }
 
 /** Whether requests of a route are divided among services. */
-function isSplit({targets}: Route): boolean {
-  return targets.filter(({weight}) => weight > 0).length > 1;
+function isSplit(route: Route): boolean {
+  return servicesOf(route).size > 1;
 }
