Rank by rendezvous, and read an upstream's version, in one place each

Five places ordered nodes by their weight for a key, and computed each weight again at every comparison; a replicated stream ranked the boxes of all regions to use those of one. Four read the version of a record. No change of behaviour: the same order, the same versions.

--- a/packages/puffinturn-edge/src/rollouts/ExposureController.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureController.ts
@@ -12,9 +12,9 @@
   Rollouts,
   ServiceVersions,
 } from 'puffinturn-fleet';
-import {EMPTY_ROLLOUTS, ROLLOUT_STATE, UNKNOWN_VERSION} from 'puffinturn-fleet';
+import {EMPTY_ROLLOUTS, ROLLOUT_STATE} from 'puffinturn-fleet';
 import type {Clock, Random} from 'shared';
-import {Condition, hash32, rendezvousWeight} from 'shared';
+import {Condition, hash32, rankByRendezvous} from 'shared';
 
 import {LatencyBaselines} from '../connections/LatencyBaselines';
 import type {EdgeMetrics} from '../EdgeMetrics';
@@ -205,11 +205,10 @@
   /** Counts a sent request and returns the observer of its outcome. */
   recordSent(
     {route, service}: RequestPlan,
-    {isCold, record}: EdgeUpstream,
+    {isCold, version}: EdgeUpstream,
     promptTokens: number,
   ): AttemptObserver {
     const state = this.services.get(service.name);
-    const version = record.version ?? UNKNOWN_VERSION;
     if (state === undefined) {
       return NO_OP_OBSERVER;
     }
@@ -332,19 +331,12 @@
   upstreams: readonly EdgeUpstream[],
   service: string,
 ): readonly EdgeUpstream[] {
-  const serviceHash = hash32(service);
   const count = Math.max(
     1,
     Math.round(upstreams.length * EXPOSED_UPSTREAM_FRACTION),
   );
-  return upstreams
-    .filter(({isPaused}) => !isPaused)
-    .sort(
-      (a, b) =>
-        rendezvousWeight(b.hash, serviceHash) -
-        rendezvousWeight(a.hash, serviceHash),
-    )
-    .slice(0, count);
+  const unpaused = upstreams.filter(({isPaused}) => !isPaused);
+  return rankByRendezvous(unpaused, hash32(service)).slice(0, count);
 }
 
 function describeRollout({
--- a/packages/puffinturn-edge/src/rollouts/VersionRoles.ts
+++ b/packages/puffinturn-edge/src/rollouts/VersionRoles.ts
@@ -6,7 +6,7 @@
  */
 
 import type {ServiceVersions, UpstreamRecord} from 'puffinturn-fleet';
-import {ROLLOUT_STATE, UNKNOWN_VERSION} from 'puffinturn-fleet';
+import {ROLLOUT_STATE, upstreamVersion} from 'puffinturn-fleet';
 
 /** The part of an upstream that names its version. */
 export interface Versioned {
@@ -76,7 +76,5 @@
   upstreams: readonly Upstream[],
   version: string,
 ): readonly Upstream[] {
-  return upstreams.filter(
-    ({record}) => (record.version ?? UNKNOWN_VERSION) === version,
-  );
+  return upstreams.filter(({record}) => upstreamVersion(record) === version);
 }
--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -10,7 +10,7 @@
  * began before the edge learned of a version may still be resumed.
  */
 import type {UpstreamRecord} from 'puffinturn-fleet';
-import {UNKNOWN_VERSION, UPSTREAM_STATE} from 'puffinturn-fleet';
+import {UPSTREAM_STATE, upstreamVersion} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 /** When a version of a service was registered, monotonic ms. */
@@ -119,13 +119,14 @@
     }
   }
 
-  private addRecord({service, state, version}: RegisteredUpstream): void {
+  private addRecord(record: RegisteredUpstream): void {
+    const {service, state} = record;
     if (service === '') {
       return;
     }
     const spans = this.services.get(service) ?? new Map<string, VersionSpan>();
     this.services.set(service, spans);
-    const key = version ?? UNKNOWN_VERSION;
+    const key = upstreamVersion(record);
     const isPresent = state !== UPSTREAM_STATE.gone;
     const span = spans.get(key);
     if (span === undefined) {
--- a/packages/puffinturn-edge/src/tokens/TokenHolders.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenHolders.ts
@@ -8,7 +8,7 @@
 import type {BoxRecord} from 'puffinturn-fleet';
 import {incarnationIdOf, Regions} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
-import {hash32, rendezvousWeight} from 'shared';
+import {hash32, rankByRendezvous} from 'shared';
 
 /** Time for which an edge that did not reply is skipped, ms. */
 const SUSPECT_TIMEOUT_MS = 1_500;
@@ -137,12 +137,8 @@
   }
 
   private rankEdges(team: string, hall: string): readonly string[] {
-    const teamHash = hash32(team);
-    const candidates = [...(this.edgesByHall.get(hall) ?? [])];
-    const weight = ({hash}: Candidate): number =>
-      rendezvousWeight(hash, teamHash);
-    candidates.sort((a, b) => weight(b) - weight(a));
-    return candidates.map(({box}) => box);
+    const candidates = this.edgesByHall.get(hall) ?? [];
+    return rankByRendezvous(candidates, hash32(team)).map(({box}) => box);
   }
 
   private isSuspected(box: string): boolean {
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -8,7 +8,7 @@
 /** One incarnation of an upstream, as seen by an edge. */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {UpstreamRecord} from 'puffinturn-fleet';
-import {UNKNOWN_VERSION, UPSTREAM_STATE} from 'puffinturn-fleet';
+import {UPSTREAM_STATE, upstreamVersion} from 'puffinturn-fleet';
 import {RateLimitTracker} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 import {hash32} from 'shared';
@@ -102,7 +102,7 @@
 
   /** Software version; UNKNOWN_VERSION if the upstream reports none. */
   get version(): string {
-    return this.record.version ?? UNKNOWN_VERSION;
+    return upstreamVersion(this.record);
   }
 
   /** The latest record of the upstream. */
--- a/packages/puffinturn-fleet/src/ServiceUpstreams.ts
+++ b/packages/puffinturn-fleet/src/ServiceUpstreams.ts
@@ -12,7 +12,9 @@
 export const UNKNOWN_VERSION = '';
 
 /** Returns the software version of an upstream. */
-export function upstreamVersion({version}: UpstreamRecord): string {
+export function upstreamVersion({
+  version,
+}: Pick<UpstreamRecord, 'version'>): string {
   return version ?? UNKNOWN_VERSION;
 }
 
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -102,7 +102,7 @@
   ROLLOUT_STATE,
   TIME_RATIO_BOUNDS,
 } from './Rollouts';
-export {UNKNOWN_VERSION} from './ServiceUpstreams';
+export {UNKNOWN_VERSION, upstreamVersion} from './ServiceUpstreams';
 export type {SuspensionRecoveryParts} from './SuspensionRecovery';
 export {recoverFromSuspension} from './SuspensionRecovery';
 export {UpstreamRefusals} from './UpstreamRefusals';
--- a/packages/puffinturn-permits/src/GranterSelector.ts
+++ b/packages/puffinturn-permits/src/GranterSelector.ts
@@ -10,7 +10,7 @@
  * boxes of its region. Boxes that know the same list of boxes select the same granters.
  */
 import {LRUCache} from 'lru-cache';
-import {hash32, rendezvousWeight} from 'shared';
+import {hash32, rankByRendezvous} from 'shared';
 
 import {MAX_TRACKED_UPSTREAMS} from './PermitConstants';
 import type {RateLimitedUpstream} from './PermitMessages';
@@ -87,10 +87,7 @@
   id: string,
   boxes: readonly RankedBox[],
 ): readonly string[] {
-  const key = hash32(id);
-  const weightOf = ({hash}: RankedBox): number => rendezvousWeight(hash, key);
-  return [...boxes]
-    .sort((a, b) => weightOf(b) - weightOf(a))
+  return rankByRendezvous(boxes, hash32(id))
     .slice(0, GRANTERS_PER_UPSTREAM)
     .map(({box}) => box);
 }
--- a/packages/puffinturn-streams/src/ReplicaSelector.ts
+++ b/packages/puffinturn-streams/src/ReplicaSelector.ts
@@ -9,7 +9,7 @@
  * Selects the boxes that hold the origin of a stream, by rendezvous hashing of its key.
  * Boxes that know the same list of boxes select the same ones.
  */
-import {hash32, rendezvousWeight} from 'shared';
+import {hash32, rankByRendezvous} from 'shared';
 
 import {REPLICA_CANDIDATES} from './StreamConstants';
 
@@ -42,8 +42,9 @@
 
   /** Returns the boxes of the own region for a key, in order of preference. */
   select(key: string): readonly string[] {
-    const [ownRegion = []] = this.selectByRegion(key);
-    return ownRegion;
+    this.refresh();
+    const [ownRegion = []] = this.regions;
+    return selectFrom(ownRegion, hash32(key));
   }
 
   /** Returns the boxes of each region for a key; the own region comes first. */
@@ -78,13 +79,10 @@
 
 /** Takes the first box of each hall, then the others. */
 function selectFrom(boxes: readonly HashedBox[], keyHash: number): string[] {
-  const weightOf = ({hash}: HashedBox): number =>
-    rendezvousWeight(hash, keyHash);
-  const ranked = [...boxes].sort((a, b) => weightOf(b) - weightOf(a));
   const halls = new Set<string>();
   const firstOfHall: HashedBox[] = [];
   const others: HashedBox[] = [];
-  for (const box of ranked) {
+  for (const box of rankByRendezvous(boxes, keyHash)) {
     (halls.has(box.hall) ? others : firstOfHall).push(box);
     halls.add(box.hall);
   }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -224,15 +224,17 @@
   }
 
   private send(origin: KeyedOrigin): void {
-    const {self} = this.parts;
-    const boxes = this.selector
-      .select(origin.key)
-      .filter((box) => box !== self.box);
-    for (const box of boxes.slice(0, REMOTE_COPIES)) {
+    for (const box of this.replicasOf(origin.key).slice(0, REMOTE_COPIES)) {
       this.enqueue(box, origin);
     }
   }
 
+  /** Other boxes that may hold an origin, in order of preference. */
+  private replicasOf(key: string): readonly string[] {
+    const {box: self} = this.parts.self;
+    return this.selector.select(key).filter((box) => box !== self);
+  }
+
   /** Origins of the same iteration of the event loop share a message. */
   private enqueue(box: string, origin: KeyedOrigin): void {
     const outbox = this.outboxes.get(box);
@@ -261,12 +263,8 @@
     if (stored) {
       return;
     }
-    const {self} = this.parts;
     for (const origin of origins) {
-      const spare = this.selector
-        .select(origin.key)
-        .filter((candidate) => candidate !== self.box)
-        .at(REMOTE_COPIES);
+      const spare = this.replicasOf(origin.key).at(REMOTE_COPIES);
       if (spare !== undefined && spare !== box) {
         await this.callStore(spare, [origin]);
       }
--- a/packages/shared/src/Rendezvous.ts
+++ b/packages/shared/src/Rendezvous.ts
@@ -16,3 +16,14 @@
   mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae3d);
   return (mixed ^ (mixed >>> 16)) >>> 0;
 }
+
+/** Orders nodes by their weight for a key, the highest first. */
+export function rankByRendezvous<Node extends {readonly hash: number}>(
+  nodes: readonly Node[],
+  keyHash: number,
+): Node[] {
+  return nodes
+    .map((node) => ({node, weight: rendezvousWeight(node.hash, keyHash)}))
+    .sort((a, b) => b.weight - a.weight)
+    .map(({node}) => node);
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -20,7 +20,7 @@
 export {hash32} from './Hash';
 export {invariant, InvariantError} from './Invariant';
 export {Random, selectByWeight} from './Random';
-export {rendezvousWeight} from './Rendezvous';
+export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {unavailableRetryAfterMs} from './RetryAfter';
 export {SuspensionDetector} from './SuspensionDetector';
 export {
