Pass the matched plan on, and share what edges need to reach each other

The forwarder kept the plan of a resumed stream in a field and read it back with a fallback; the matched plan is passed on now. Three parts of an edge were given the same five things twice. No change of behaviour.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -181,13 +181,17 @@
         (service) => this.streamOrigins.replicateService(service),
       ),
     );
-    this.streamOrigins = new StreamOrigins({
-      areInSameRegion: (hall, other) => regions.areInSameRegion(hall, other),
+    const peerParts = {
+      areInSameRegion: (hall: string, other: string) =>
+        regions.areInSameRegion(hall, other),
       clock,
-      lifetimeMs: () => this.streamLifetimeMs,
       link,
       peers: () => this.knownBoxes.peers,
       self,
+    };
+    this.streamOrigins = new StreamOrigins({
+      ...peerParts,
+      lifetimeMs: () => this.streamLifetimeMs,
     });
     this.streamVersions = new StreamVersions({
       clock,
@@ -283,23 +287,15 @@
       pool: this.pool,
       watch: this.fleetWatch,
     });
-    const granterParts = {
-      areInSameRegion: (hall: string, other: string) =>
-        regions.areInSameRegion(hall, other),
-      clock,
-      link,
-      peers: () => this.knownBoxes.peers,
-      self,
-    };
     this.permits = new PermitClient({
-      ...granterParts,
+      ...peerParts,
       coldTolerance: parts.coldTolerance,
       mergeLimit: (id, limit, source) =>
         this.pool.mergeLimit(id, limit, source),
       limitOf: (id) => this.pool.limitOf(id),
       onCounts: (count) => log.note({...count, event: 'permits-counted'}),
     });
-    this.slots = new SlotClient(granterParts);
+    this.slots = new SlotClient(peerParts);
     const brittleServices = new BrittleServices(clock, log);
     const admission = new PermitAdmission(
       this.permits,
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -134,13 +134,10 @@
     try {
       const isReady =
         (await this.readBody()) && (await this.isCallerConnected());
-      if (
-        isReady &&
-        this.passesQuarantine(plan) &&
-        (await this.matchStream(plan)) &&
-        (await this.reserveTokens(tokens))
-      ) {
-        await this.forward(this.plan ?? plan);
+      const isAllowed = isReady && this.passesQuarantine(plan);
+      const matched = isAllowed ? await this.matchStream(plan) : undefined;
+      if (matched !== undefined && (await this.reserveTokens(tokens))) {
+        await this.forward(matched);
       }
     } finally {
       clearTimeout(timer);
@@ -216,20 +213,21 @@
   // Resumed streams
 
   /**
-   * Restricts the request to the version that began the stream which its caller resumes.
-   * Rejects it and returns false if that version is not known.
+   * Restricts the request to the service and version that began the stream which its
+   * caller resumes. Rejects it and returns undefined if they are not known.
    */
-  private async matchStream(plan: RequestPlan): Promise<boolean> {
-    const resumedPlan = await this.stream.resume(plan);
-    if (!this.requestOutcome.hasEnded && resumedPlan === undefined) {
+  private async matchStream(
+    plan: RequestPlan,
+  ): Promise<RequestPlan | undefined> {
+    const matched = await this.stream.resume(plan);
+    if (!this.requestOutcome.hasEnded && matched === undefined) {
       this.requestOutcome.reject(
         503,
         'stream-unknown',
         RETRY_AFTER_UNKNOWN_STREAM_S,
       );
     }
-    this.plan = resumedPlan ?? plan;
-    return !this.requestOutcome.hasEnded;
+    return this.requestOutcome.hasEnded ? undefined : matched;
   }
 
   // Tokens
