Log how answers end that carry neither a length nor chunks, or end inside an event

The lines of a request could not tell an orderly end of the connection from a regular last chunk inside an event, nor either of them from a reset.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -72,6 +72,19 @@
   readonly fingerprint?: string | undefined;
 }
 
+/** The response of an upstream ended with its connection, or inside an event. */
+export interface ResponseEnded extends RequestDecision {
+  readonly event: 'response-ended';
+  readonly upstream: string;
+  readonly status: number;
+  /** How the end of the body is marked: `length`, `chunked` or `connection`. */
+  readonly framing: string;
+  /** Size of the incomplete event at the end, bytes. */
+  readonly partialEventBytes: number;
+  /** Whether the response counts as complete. */
+  readonly complete: boolean;
+}
+
 /** How it was decided where a stream that a caller resumes may go on. */
 export const RESUMPTION_OUTCOME = {
   /** At the only version of the service before another one appeared. */
@@ -621,6 +634,7 @@
   | ProcessChanged
   | QuarantineAdopted
   | RequestEnded
+  | ResponseEnded
   | RoleChanged
   | RolloutDecided
   | RolloutEvaluated
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -36,6 +36,8 @@
   eventCount = 0;
   /** Whether the response head was sent to the caller. */
   hasStarted = false;
+  /** Size of an incomplete event at the end of the last response, bytes. */
+  partialEventBytes = 0;
   protected isCancelled = false;
   protected readonly bodyWriter: ResponseBodyWriter;
 
@@ -197,6 +199,7 @@
     if (this.isCancelled) {
       return RELAY_OUTCOME.cancelled;
     }
+    this.partialEventBytes = this.eventSplitter.remainderBytes;
     if (!isComplete) {
       return RELAY_OUTCOME.incomplete;
     }
--- a/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
+++ b/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
@@ -60,6 +60,11 @@
     return {bytes, eventCount};
   }
 
+  /** Number of bytes after the last complete event. */
+  get remainderBytes(): number {
+    return this.remainder.length;
+  }
+
   /** Removes and returns the bytes after the last complete event. */
   takeRemainder(): Buffer {
     const {remainder} = this;
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -14,6 +14,19 @@
 
 import type {ResponseHead} from './ResponseParser';
 
+/** How the end of a response body is marked (RFC 9112, section 6.3). */
+export const BODY_FRAMING = {
+  /** By a `Content-Length` header. */
+  length: 'length',
+  /** By the last chunk of the chunked transfer coding. */
+  chunked: 'chunked',
+  /** By the end of the connection. */
+  connection: 'connection',
+} as const;
+
+/** A value of BODY_FRAMING. */
+export type BodyFraming = (typeof BODY_FRAMING)[keyof typeof BODY_FRAMING];
+
 /** Callbacks for the body of a response. */
 export interface ResponseReader {
   /** Called for each chunk of the body. */
@@ -71,6 +84,17 @@
     return this.source.socket;
   }
 
+  /** How the end of the body is marked. */
+  get framing(): BodyFraming {
+    const {headers} = this;
+    if (headers['transfer-encoding'] !== undefined) {
+      return BODY_FRAMING.chunked;
+    }
+    return headers['content-length'] === undefined
+      ? BODY_FRAMING.connection
+      : BODY_FRAMING.length;
+  }
+
   /** Whether the response has ended, complete or not. */
   get hasEnded(): boolean {
     return this.isComplete !== undefined;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -18,7 +18,7 @@
 import type {CallerRequest} from '../callers/CallerRequest';
 import {waitedTooLong} from '../callers/QueueWaitLimit';
 import {RequestOutcome} from '../callers/RequestOutcome';
-import type {ResponseRelay} from '../callers/ResponseRelay';
+import type {RelayOutcome, ResponseRelay} from '../callers/ResponseRelay';
 import {
   BufferedRelay,
   EventStreamRelay,
@@ -27,6 +27,7 @@
 import type {ExchangeOutcome, ResponseOutcome} from '../connections/Exchange';
 import {INVALID_HEADER, UNSENT_BLAME} from '../connections/Exchange';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
+import {BODY_FRAMING} from '../connections/UpstreamResponse';
 import {
   CALLER_DISCONNECTED,
   MAX_CONNECT_FAILURES,
@@ -535,6 +536,7 @@
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
+    this.logResponseEnd(upstream, response, relayEnd);
     if (relay.lastEventId !== undefined) {
       this.stream.bind(upstream);
     }
@@ -564,6 +566,32 @@
     }
   }
 
+  /** Logs an end of a response that does not show by itself that it is complete. */
+  private logResponseEnd(
+    upstream: EdgeUpstream,
+    {framing, statusCode}: UpstreamResponse,
+    relayEnd: RelayOutcome,
+  ): void {
+    const partialEventBytes = this.relay?.partialEventBytes ?? 0;
+    const isUnmarked = framing === BODY_FRAMING.connection;
+    if (
+      relayEnd === RELAY_OUTCOME.cancelled ||
+      (!isUnmarked && partialEventBytes === 0)
+    ) {
+      return;
+    }
+    this.parts.log.note({
+      complete: relayEnd === RELAY_OUTCOME.complete,
+      configuration: this.table.version,
+      event: 'response-ended',
+      framing,
+      partialEventBytes,
+      request: this.caller.id,
+      status: statusCode,
+      upstream: upstream.id,
+    });
+  }
+
   private handleBrokenResponse(
     plan: RequestPlan,
     upstream: EdgeUpstream,
