Complete an answer that ends with its connection only on proof that its upstream lives

Their upstream crashed between events while the edges had lost their links, so the look at it told nothing (evidence unknown), and nothing counted as no crash.

An edge that can't tell now asks another one to connect, as for a tunnel; if nobody can tell, the answer is incomplete. An announced shutdown explains the end only of requests that can't be sent again. An edge that carries a tunnel passes on the end only if the upstream listens.

--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Guards against taking the end of a connection for that of a response without proof. */
+import {NoopDecisionLog} from 'puffinturn-decisions';
+import {SystemClock} from 'shared';
+
+import type {EndEvidence} from '../../connections/EndEvidence';
+import {
+  END_EVIDENCE,
+  findEndEvidence,
+  isCompleteEnd,
+} from '../../connections/EndEvidence';
+import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {TestUpstream} from '../utils/ForwardingFixture';
+
+/** An upstream whose process has ended. */
+async function startStopped(): Promise<EdgeUpstream> {
+  await using server = await TestUpstream.start('i-1');
+  return new EdgeUpstream(
+    server.record(),
+    new SystemClock(),
+    new NoopDecisionLog(),
+  );
+}
+
+describe('The end of a connection', () => {
+  test('shows a crash if the upstream refuses connections', async () => {
+    using upstream = await startStopped();
+    const evidence = await findEndEvidence(upstream, () => false);
+    expect(evidence).toBe(END_EVIDENCE.crashed);
+    expect(isCompleteEnd(evidence, false)).toBe(false);
+  });
+
+  test('shows a crash if another incarnation listens', async () => {
+    await using server = await TestUpstream.start('i-1');
+    using upstream = new EdgeUpstream(
+      server.record(),
+      new SystemClock(),
+      new NoopDecisionLog(),
+    );
+    expect(await findEndEvidence(upstream, () => false)).toBe(
+      END_EVIDENCE.listening,
+    );
+    upstream.markSuperseded();
+    expect(await findEndEvidence(upstream, () => false)).toBe(
+      END_EVIDENCE.crashed,
+    );
+  });
+
+  test('completes a response of an upstream that shuts down only if it cannot be repeated', async () => {
+    using upstream = await startStopped();
+    upstream.markDraining();
+    const evidence = await findEndEvidence(upstream, () => false);
+    expect(evidence).toBe(END_EVIDENCE.leaving);
+    expect(isCompleteEnd(evidence, true)).toBe(false);
+    expect(isCompleteEnd(evidence, false)).toBe(true);
+  });
+
+  test('is checked by another edge while this one has no links', async () => {
+    using upstream = await startStopped();
+    const found: EndEvidence[] = [];
+    for (const answer of [END_EVIDENCE.listening, END_EVIDENCE.crashed]) {
+      const askOther = async () => answer;
+      found.push(await findEndEvidence(upstream, () => true, askOther));
+    }
+    expect(found).toEqual([END_EVIDENCE.listening, END_EVIDENCE.crashed]);
+  });
+
+  test('completes no response if no edge can tell', async () => {
+    using upstream = await startStopped();
+    const evidence = await findEndEvidence(upstream, () => true);
+    expect(evidence).toBe(END_EVIDENCE.unknown);
+    expect(isCompleteEnd(evidence, false)).toBe(false);
+  });
+});
--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -18,38 +18,59 @@
 export const END_EVIDENCE = {
   /** It still listens, so its process goes on. */
   listening: 'listens',
-  /** It had announced its shutdown, which completes responses before it. */
+  /** It no longer listens, and had announced its shutdown. */
   leaving: 'leaving',
-  /** It refuses connections or was replaced, without an announced shutdown. */
+  /** It no longer listens or was replaced, without an announced shutdown. */
   crashed: 'crashed',
-  /** The check failed or took too long. */
+  /** Nobody could tell. */
   unknown: 'unknown',
 } as const;
 
 /** A value of END_EVIDENCE. */
 export type EndEvidence = (typeof END_EVIDENCE)[keyof typeof END_EVIDENCE];
 
-/** Checks an upstream that has just ended a connection. */
+/** How to check the end of a response that ended with its connection. */
+export interface EndCheck {
+  readonly find: () => Promise<EndEvidence>;
+  /** Whether the request may be sent again. */
+  readonly isRepeatable: boolean;
+}
+
+/**
+ * Whether a response that ended with its connection is complete. An announced shutdown
+ * counts only if the request can't be sent again: it explains the end, but a process may
+ * also crash while it shuts down.
+ */
+export function isCompleteEnd(
+  evidence: EndEvidence,
+  isRepeatable: boolean,
+): boolean {
+  return (
+    evidence === END_EVIDENCE.listening ||
+    (evidence === END_EVIDENCE.leaving && !isRepeatable)
+  );
+}
+
+/**
+ * Checks an upstream that has just ended a connection. `askOther` lets another edge check
+ * it, if this one can't tell.
+ */
 export async function findEndEvidence(
   upstream: EdgeUpstream,
   areLinksLost: () => boolean,
+  askOther: () => Promise<EndEvidence> = async () => END_EVIDENCE.unknown,
 ): Promise<EndEvidence> {
-  if (upstream.isLeaving) {
-    return END_EVIDENCE.leaving;
-  }
-  const state = await upstream.connections.probe();
+  const state = areLinksLost()
+    ? LISTENER_STATE.unknown
+    : await upstream.connections.probe();
   if (upstream.isSuperseded) {
     return END_EVIDENCE.crashed;
   }
-  if (upstream.isLeaving) {
-    return END_EVIDENCE.leaving;
+  if (state === LISTENER_STATE.listening) {
+    return END_EVIDENCE.listening;
   }
-  switch (state) {
-    case LISTENER_STATE.listening:
-      return END_EVIDENCE.listening;
-    case LISTENER_STATE.refused:
-      return areLinksLost() ? END_EVIDENCE.unknown : END_EVIDENCE.crashed;
-    case LISTENER_STATE.unknown:
-      return END_EVIDENCE.unknown;
+  if (state === LISTENER_STATE.refused && !areLinksLost()) {
+    return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.crashed;
   }
+  return askOther();
 }
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -12,8 +12,8 @@
  */
 import type {Socket} from 'node:net';
 
-import type {EndEvidence} from './EndEvidence';
-import {END_EVIDENCE} from './EndEvidence';
+import type {EndCheck, EndEvidence} from './EndEvidence';
+import {isCompleteEnd} from './EndEvidence';
 import type {ResponseHead} from './ResponseParser';
 
 /** How the end of a response body is marked (RFC 9112, section 6.3). */
@@ -54,7 +54,7 @@
   private reader: ResponseReader | undefined;
   private buffered: Buffer[] = [];
   private isComplete: boolean | undefined;
-  private checkEnd: (() => Promise<EndEvidence>) | undefined;
+  private endCheck: EndCheck | undefined;
   private isCheckingEnd = false;
   private evidence: EndEvidence | undefined;
 
@@ -69,10 +69,10 @@
 
   /**
    * Sets a check that runs if the body ends with the connection. The response is complete
-   * unless it finds a crash.
+   * only if the check says so.
    */
-  checkEndWith(check: () => Promise<EndEvidence>): void {
-    this.checkEnd = check;
+  checkEndWith(check: EndCheck): void {
+    this.endCheck = check;
   }
 
   /** What the check found; undefined if the body did not end with the connection. */
@@ -150,18 +150,18 @@
 
   /** Ends a response whose body ended with its connection, after a check. */
   endWithConnection(): void {
-    const {checkEnd} = this;
-    if (checkEnd === undefined) {
+    const {endCheck} = this;
+    if (endCheck === undefined) {
       this.end(true);
     } else if (!this.hasEnded && !this.isCheckingEnd) {
       this.isCheckingEnd = true;
-      void this.finishAfter(checkEnd());
+      void this.finishAfter(endCheck);
     }
   }
 
-  private async finishAfter(check: Promise<EndEvidence>): Promise<void> {
-    this.evidence = await check;
-    this.finish(this.evidence !== END_EVIDENCE.crashed);
+  private async finishAfter({find, isRepeatable}: EndCheck): Promise<void> {
+    this.evidence = await find();
+    this.finish(isCompleteEnd(this.evidence, isRepeatable));
   }
 
   private finish(isComplete: boolean): void {
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -7,6 +7,7 @@
 
 /** Sends a request to an upstream, records metrics and updates the upstream's state. */
 import type {DecisionLog} from 'puffinturn-decisions';
+import {RETRY_POLICY} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 import type {CallerProtocol} from '../callers/CallerProtocol';
@@ -184,7 +185,10 @@
     }
     if (hasResponse && !this.exchange.usedTunnel) {
       // The edge that carries a tunnel checks the end itself.
-      outcome.response.checkEndWith(() => this.findEndEvidence());
+      outcome.response.checkEndWith({
+        find: () => this.findEndEvidence(),
+        isRepeatable: this.params.plan.route.repetition !== RETRY_POLICY.never,
+      });
     }
     const service = this.params.plan.service.name;
     metrics.attempts.inc({outcome: outcome.kind, service});
@@ -192,10 +196,14 @@
   }
 
   private findEndEvidence(): Promise<EndEvidence> {
-    const {directLinks} = this.parts;
+    const {directLinks, tunnelClient} = this.parts;
     const {upstream} = this;
     const {service} = upstream.record;
-    return findEndEvidence(upstream, () => directLinks.areLost(service));
+    return findEndEvidence(
+      upstream,
+      () => directLinks.areLost(service),
+      () => tunnelClient.probe(upstream, this.params.caller.id),
+    );
   }
 
   /** Updates the state of the links from the outcome. */
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -20,6 +20,8 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Failure, Random} from 'shared';
 
+import type {EndEvidence} from '../connections/EndEvidence';
+import {END_EVIDENCE} from '../connections/EndEvidence';
 import type {HttpConnection} from '../connections/HttpConnection';
 import type {EdgeMetrics} from '../EdgeMetrics';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
@@ -97,6 +99,18 @@
     return err({kind: 'no-helper', message});
   }
 
+  /** Lets other edges connect to an upstream, to learn whether it listens. */
+  async probe(upstream: EdgeUpstream, requestId: string): Promise<EndEvidence> {
+    const opened = await this.open(upstream, requestId);
+    if (opened.isOk()) {
+      opened.value[Symbol.dispose]();
+      return END_EVIDENCE.listening;
+    }
+    return opened.error.kind === 'upstream-unreachable'
+      ? END_EVIDENCE.crashed
+      : END_EVIDENCE.unknown;
+  }
+
   /** The edge of this region with the fewest tunnels of this one. */
   private chooseHelper(asked: ReadonlySet<string>): BoxRecord | undefined {
     const {clock, otherEdges, random, regions, self} = this.parts;
--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -255,8 +255,8 @@
 
 /**
  * Passes bytes between the connection of another edge and that of an upstream, until one
- * of them ends. Only the end of the upstream's connection may be orderly, unless the
- * upstream has crashed.
+ * of them ends. Only the end of the upstream's connection may be orderly, and only if the
+ * upstream still listens.
  */
 function joinSockets(
   client: Socket,
@@ -291,15 +291,15 @@
   client.once('close', () => upstream.destroy());
 }
 
-/** Ends the connection of another edge; in order, unless the upstream has crashed. */
+/** Ends the connection of another edge; in order only if the upstream still listens. */
 async function endClient(
   client: Socket,
   check: Promise<EndEvidence>,
 ): Promise<void> {
-  if ((await check) === END_EVIDENCE.crashed) {
-    client.destroy();
-  } else {
+  if ((await check) === END_EVIDENCE.listening) {
     client.end(END_FRAME);
     client.destroySoon();
+  } else {
+    client.destroy();
   }
 }
