--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -70,6 +70,10 @@
   readonly inFlight: number;
   /** Hash shared by identical requests; set only if the request may have run. */
   readonly fingerprint?: string | undefined;
+  /** Events that this attempt relayed; set only if the request may have run. */
+  readonly events?: number | undefined;
+  /** First few parts of the prompt; set only if the request may have run. */
+  readonly promptParts?: readonly string[] | undefined;
 }
 
 /** The response of an upstream ended with its connection, or inside an event. */
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -81,6 +81,10 @@
 /** Maximum number of upstreams without a permit in one log line. */
 const MAX_LOGGED_UPSTREAMS = 4;
 
+/** Maximum number of prompt parts in one log line, and the length of each. */
+const MAX_LOGGED_PARTS = 8;
+const MAX_LOGGED_PART_LENGTH = 64;
+
 /** Minimum time before the deadline for one more attempt, ms. */
 const MIN_REMAINING_MS = 10;
 
@@ -97,6 +101,8 @@
   /** Upstreams that granted no permit for this request. */
   private readonly deniedUpstreams = new Set<EdgeUpstream>();
   private attemptCount = 0;
+  /** Events that were relayed before the current attempt. */
+  private eventsBefore = 0;
   private unsentCount = 0;
   private mayHaveRun = false;
   private readonly stream: RequestStream;
@@ -378,6 +384,7 @@
     this.lastRecordAgeMs = upstream.recordAgeMs;
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
+    this.eventsBefore = relay?.eventCount ?? 0;
     this.stream.recordAttempt(
       plan,
       upstream,
@@ -501,9 +508,11 @@
       cause,
       configuration: this.table.version,
       event: 'attempt-failed',
+      events: wasNotRun ? undefined : this.attemptEvents,
       fingerprint: wasNotRun ? undefined : this.getFingerprint(plan),
       inFlight: upstream.inFlight,
       mayHaveRun: !wasNotRun,
+      promptParts: wasNotRun ? undefined : loggedParts(plan),
       request: this.caller.id,
       retry: willRetry,
       upstream: upstream.id,
@@ -531,7 +540,6 @@
     const relay = this.getRelay(plan, response);
     const status = response.statusCode;
     const {socket} = response;
-    const {eventCount: eventsBefore} = relay;
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
@@ -544,7 +552,7 @@
     }
     this.currentAttempt?.observer.onRelayEnd({
       end: relayEnd,
-      events: relay.eventCount - eventsBefore,
+      events: this.attemptEvents,
       status,
       isTimedOut: this.requestOutcome.cause === 'timeout',
     });
@@ -565,6 +573,11 @@
     }
   }
 
+  /** Events that the current attempt has relayed. */
+  private get attemptEvents(): number {
+    return (this.relay?.eventCount ?? 0) - this.eventsBefore;
+  }
+
   /** Logs an end of a response that does not show by itself that it is complete. */
   private logResponseEnd(
     upstream: EdgeUpstream,
@@ -708,3 +721,12 @@
     });
   }
 }
+
+/** Returns the first prompt parts of a request, for the log; undefined if it has none. */
+function loggedParts({promptParts}: RequestPlan): string[] | undefined {
+  return promptParts.length === 0
+    ? undefined
+    : promptParts
+        .slice(0, MAX_LOGGED_PARTS)
+        .map(({id}) => id.slice(0, MAX_LOGGED_PART_LENGTH));
+}
