Quarantine parts of prompts that crash upstreams

Cause: the quarantine knew whole requests only. No two of these are alike, so no fingerprint reached its third crash. The class: evidence is counted by one feature of what is served, and the cause lies in another one.

Fix: the registry of the log counts crashes by feature: the fingerprint, and each part of the prompt but the last, of requests that no answer had begun with, for the team and for all teams. The first event of an answer clears the parts of its prompt for the crashes before it; edges that know of such answers say so when a part is listed after its second crash. A part is quarantined at the third one that nothing has cleared, 500 ms after it was listed; for all teams only with crashes under two of them; an answer later than its last crash releases it. Whole requests are counted as before. Requests with such a part get 400 before tokens and slots are taken, and suspects no second upstream.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -50,6 +50,8 @@
   readonly charged: number;
   /** Hash shared by identical requests; set only if it was computed. */
   readonly fingerprint?: string | undefined;
+  /** The quarantined prompt part for which the request was rejected. */
+  readonly quarantinedPart?: string | undefined;
   /** First few upstreams that were skipped because no permit was available. */
   readonly heldBackBy?: readonly string[] | undefined;
   /** Token balance that caused a rejection for insufficient tokens. */
@@ -207,6 +209,8 @@
   readonly count: number;
   /** Fingerprints of the first few of these requests. */
   readonly fingerprints: readonly string[];
+  /** First few prompt parts of requests without an answer so far. */
+  readonly parts?: readonly string[] | undefined;
 }
 
 /** An upstream became ineligible for selection, or eligible again. */
@@ -376,12 +380,26 @@
   readonly crashes: readonly string[];
   /** Number of suspect requests that received a complete response. */
   readonly answered: number;
+  /** The first few prompt parts with which an answer began. */
+  readonly answeredParts?: readonly string[] | undefined;
   /** `accepted` if a quorum stored it, otherwise the reason for the failure. */
   readonly outcome: string;
   /** Number of quarantined requests after the report; undefined if it failed. */
   readonly quarantined: number | undefined;
 }
 
+/** The leader quarantined a request or prompt part, or ended its quarantine. */
+export interface QuarantineChanged {
+  readonly event: 'quarantine-changed';
+  /** Fingerprint of the request, or service, ID and team of the prompt part. */
+  readonly entry: string;
+  readonly quarantined: boolean;
+  /** Start of the quarantine, Unix ms. */
+  readonly since: number;
+  /** Incarnations of upstreams that crashed, as far as known. */
+  readonly crashes: readonly string[] | undefined;
+}
+
 /** This process adopted a new list of quarantined requests. */
 export interface QuarantineAdopted {
   readonly event: 'quarantine-adopted';
@@ -642,6 +660,7 @@
   | PermitTotals
   | ProcessChanged
   | QuarantineAdopted
+  | QuarantineChanged
   | RequestEnded
   | ResponseEnded
   | RoleChanged
--- a/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
@@ -16,6 +16,7 @@
 import {ManualClock, settleTasks} from 'shared';
 
 import {EdgeMetrics} from '../../EdgeMetrics';
+import type {RequestFeatures} from '../../requests/RequestQuarantine';
 import {RequestQuarantine} from '../../requests/RequestQuarantine';
 import {makeUpstream} from '../utils/EdgeFixture';
 
@@ -114,17 +115,25 @@
     expect(link.received).toHaveLength(length);
   });
 
+  function request(fingerprint: string): RequestFeatures {
+    return {fingerprint, parts: []};
+  }
+
+  function isQuarantined(fingerprint: string): boolean {
+    return quarantine.findQuarantined(request(fingerprint)) === fingerprint;
+  }
+
   test('quarantines a request after three crashes without control boxes', async () => {
     link.isCut = true;
     for (const life of ['i-1', 'i-2']) {
       recordCrash(life, 'f');
       await advance(1_000);
     }
-    expect(quarantine.isQuarantined('f')).toBe(false);
-    expect(quarantine.isOneCrashFromQuarantine('f')).toBe(true);
+    expect(isQuarantined('f')).toBe(false);
+    expect(quarantine.isOneCrashFromQuarantine(request('f'))).toBe(true);
     recordCrash('i-3', 'f');
-    expect(quarantine.isQuarantined('f')).toBe(true);
-    expect(quarantine.isQuarantined('g')).toBe(false);
+    expect(isQuarantined('f')).toBe(true);
+    expect(isQuarantined('g')).toBe(false);
   });
 
   test('clears a suspected request after a complete response and reports it', async () => {
@@ -140,7 +149,7 @@
       crashes: [],
     });
     recordCrash('i-3', 'f');
-    expect(quarantine.isQuarantined('f')).toBe(false);
+    expect(isQuarantined('f')).toBe(false);
   });
 
   test('adopts a quarantine only with a newer revision', () => {
@@ -162,7 +171,7 @@
       'c2',
     );
     quarantine.adopt(EMPTY_QUARANTINE, 'c2');
-    expect(quarantine.isQuarantined('g')).toBe(true);
+    expect(isQuarantined('g')).toBe(true);
     expect(quarantine.isEmpty).toBe(false);
     const line = log.decisions.find(
       ({event}) => event === 'quarantine-adopted',
@@ -191,6 +200,6 @@
       },
       'c1',
     );
-    expect(quarantine.isQuarantined('f')).toBe(false);
+    expect(isQuarantined('f')).toBe(false);
   });
 });
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamCrashes.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamCrashes.test.ts
@@ -58,9 +58,9 @@
     const {runProbe, upstream, crashDetector} = createCrashDetector(
       LISTENER_STATE.refused,
     );
-    crashDetector.recordFailure(upstream, 'f1');
-    crashDetector.recordFailure(upstream, 'f2');
-    crashDetector.recordFailure(upstream, 'f1');
+    crashDetector.recordFailure(upstream, {fingerprint: 'f1'});
+    crashDetector.recordFailure(upstream, {fingerprint: 'f2'});
+    crashDetector.recordFailure(upstream, {fingerprint: 'f1'});
     const {crashes, probes} = await runProbe();
     expect(probes).toBe(1);
     expect(crashes).toEqual([{fingerprints: ['f1', 'f2'], life: 'i-1 1000'}]);
@@ -70,7 +70,7 @@
     'reports no crash if the probe returns %s',
     async (state) => {
       const {runProbe, upstream, crashDetector} = createCrashDetector(state);
-      crashDetector.recordFailure(upstream, 'f1');
+      crashDetector.recordFailure(upstream, {fingerprint: 'f1'});
       expect((await runProbe()).crashes).toEqual([]);
     },
   );
@@ -82,7 +82,7 @@
         LISTENER_STATE.refused,
       );
       pool.merge([{...RECORD, sequence: 2, state}], 'c1');
-      crashDetector.recordFailure(upstream, 'f1');
+      crashDetector.recordFailure(upstream, {fingerprint: 'f1'});
       expect((await runProbe()).crashes).toEqual([]);
     },
   );
@@ -91,7 +91,7 @@
     const {runProbe, pool, upstream, crashDetector} = createCrashDetector(
       LISTENER_STATE.listening,
     );
-    crashDetector.recordFailure(upstream, 'f1');
+    crashDetector.recordFailure(upstream, {fingerprint: 'f1'});
     pool.merge([{...RECORD, bornAt: 2_000, sequence: 1}], 'c1');
     expect((await runProbe()).crashes).toEqual([
       {fingerprints: ['f1'], life: 'i-1 1000'},
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -38,6 +38,8 @@
   hasStarted = false;
   /** Size of an incomplete event at the end of the last response, bytes. */
   partialEventBytes = 0;
+  /** Called at the first event of each response. */
+  onFirstEvent: () => void = () => undefined;
   protected isCancelled = false;
   protected readonly bodyWriter: ResponseBodyWriter;
 
@@ -158,6 +160,8 @@
 export class EventStreamRelay extends ResponseRelay {
   private readonly eventSplitter = new EventStreamSplitter();
   private isHeadSent = false;
+  /** Whether the current response has brought an event. */
+  private hasEvents = false;
 
   override get lastEventId(): string | undefined {
     return this.isHeadSent ? this.eventSplitter.lastEventId : undefined;
@@ -166,6 +170,7 @@
   override relay(response: UpstreamResponse): Promise<RelayOutcome> {
     // Drops a partial event left over from the previous upstream.
     this.eventSplitter.takeRemainder();
+    this.hasEvents = false;
     const isStream =
       response.statusCode === 200 &&
       response.headers['content-type']?.startsWith('text/event-stream') ===
@@ -190,6 +195,10 @@
     if (bytes.length === 0) {
       return;
     }
+    if (!this.hasEvents) {
+      this.hasEvents = true;
+      this.onFirstEvent();
+    }
     this.eventCount += eventCount;
     this.sendHead(response);
     this.bodyWriter.write(bytes, response);
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -13,7 +13,7 @@
 import type {TokenState} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {RETRY_POLICY} from 'puffinturn-fleet';
-import {fingerprintOf} from 'puffinturn-quarantine';
+import {fingerprintOf, partFeaturesOf} from 'puffinturn-quarantine';
 
 import type {CallerRequest} from '../callers/CallerRequest';
 import {waitedTooLong} from '../callers/QueueWaitLimit';
@@ -58,7 +58,7 @@
 import {Attempt} from './Attempt';
 import type {RequestPlan} from './RequestPlan';
 import {planRequest} from './RequestPlan';
-import type {RequestQuarantine} from './RequestQuarantine';
+import type {RequestFeatures, RequestQuarantine} from './RequestQuarantine';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 
@@ -107,6 +107,11 @@
   private mayHaveRun = false;
   private readonly stream: RequestStream;
   private cachedFingerprint: string | undefined;
+  /** Features of the parts of the prompt, which are those of one service. */
+  private cachedParts:
+    {readonly parts: readonly string[]; readonly service: string} | undefined;
+  /** What kept the request from being sent. */
+  private quarantinedFeature: string | undefined;
   private readonly requestOutcome: RequestOutcome;
 
   constructor(
@@ -265,18 +270,19 @@
   // Attempts
 
   /**
-   * Rejects a quarantined request and returns false. Each retry would crash another
-   * upstream, together with all requests in flight there; one request crashed thirteen
-   * in 13 s.
+   * Rejects a request that is quarantined, or with a part of its prompt that is, and
+   * returns false. Each retry would crash another upstream, together with all requests in
+   * flight there; one request crashed thirteen in 13 s.
    */
   private passesQuarantine(plan: RequestPlan): boolean {
     const {quarantine} = this.parts;
-    if (
-      quarantine.isEmpty ||
-      !quarantine.isQuarantined(this.getFingerprint(plan))
-    ) {
+    const found = quarantine.isEmpty
+      ? undefined
+      : quarantine.findQuarantined(this.getFeatures(plan));
+    if (found === undefined) {
       return true;
     }
+    this.quarantinedFeature = found;
     if (this.mayHaveRun) {
       this.requestOutcome.fail(QUARANTINED, true);
     } else {
@@ -451,6 +457,7 @@
   private recordSuccess(plan: RequestPlan, status: number): void {
     if (status < MIN_SERVER_ERROR_STATUS) {
       this.parts.quarantine.recordSuccess(this.getFingerprint(plan));
+      this.recordAnswerBegun(plan);
     }
   }
 
@@ -462,10 +469,33 @@
     if (!this.parts.directLinks.areLost(plan.service.name)) {
       upstream.recordFailure(cause);
     }
-    this.parts.quarantine.recordBrokenRequest(
-      upstream,
-      this.getFingerprint(plan),
-    );
+    const {fingerprint, parts} = this.getFeatures(plan);
+    // An upstream that has begun to answer has survived the prompt.
+    const hasBegun = this.attemptEvents > 0;
+    this.parts.quarantine.recordBrokenRequest(upstream, {
+      fingerprint,
+      parts: hasBegun ? [] : parts,
+    });
+  }
+
+  /** What the request is recognized by, if it crashes upstreams. */
+  private getFeatures(plan: RequestPlan): RequestFeatures {
+    const service = plan.service.name;
+    if (this.cachedParts?.service !== service) {
+      const parts = partFeaturesOf({
+        caller: plan.team?.name ?? '',
+        partIds: plan.promptParts.map(({id}) => id),
+        service,
+      });
+      this.cachedParts = {parts, service};
+    }
+    return {fingerprint: this.getFingerprint(plan), ...this.cachedParts};
+  }
+
+  private recordAnswerBegun(plan: RequestPlan): void {
+    if (plan.promptParts.length > 1) {
+      this.parts.quarantine.recordAnswerBegun(this.getFeatures(plan).parts);
+    }
   }
 
   private getFingerprint({team}: RequestPlan): string {
@@ -502,7 +532,7 @@
       // Without such retries, a crashing request ends four of eight upstreams, not five.
       (wasNotRun ||
         !this.parts.quarantine.isOneCrashFromQuarantine(
-          this.getFingerprint(plan),
+          this.getFeatures(plan),
         ));
     this.parts.log.note({
       cause,
@@ -538,6 +568,7 @@
     {response}: ResponseOutcome,
   ): Promise<boolean> {
     const relay = this.getRelay(plan, response);
+    relay.onFirstEvent = () => this.recordAnswerBegun(plan);
     const status = response.statusCode;
     const {socket} = response;
     const relayEnd = await relay
@@ -709,6 +740,10 @@
       event: 'request-ended',
       events: relay?.eventCount ?? 0,
       fingerprint: this.cachedFingerprint,
+      quarantinedPart:
+        this.quarantinedFeature === this.cachedFingerprint
+          ? undefined
+          : this.quarantinedFeature,
       heldBackBy: this.deniedUpstreamIds,
       request: caller.id,
       route,
--- a/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
+++ b/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
@@ -6,7 +6,7 @@
  */
 
 /**
- * Quarantines requests that crash upstreams. Crashes observed by this edge are reported
+ * Quarantines requests and parts of prompts that crash upstreams. Crashes observed by this edge are reported
  * to the control boxes and retried until one of them accepts the report.
  */
 import type {DecisionLog} from 'puffinturn-decisions';
@@ -15,6 +15,7 @@
 import type {
   Crash,
   CrashReport,
+  InterruptedRequest,
   ListenerState,
   Quarantine,
 } from 'puffinturn-quarantine';
@@ -45,6 +46,13 @@
 /** Maximum number of fingerprints in one log line, which also has their count. */
 const MAX_LOGGED_FINGERPRINTS = 16;
 
+/** What a request is recognized by. */
+export interface RequestFeatures {
+  readonly fingerprint: string;
+  /** Features of the parts of its prompt. */
+  readonly parts: readonly string[];
+}
+
 /** Dependencies of RequestQuarantine. */
 export interface RequestQuarantineParts {
   readonly box: string;
@@ -87,14 +95,21 @@
     return this.localQuarantine.isEmpty;
   }
 
-  /** Whether a request must not be sent to any upstream. */
-  isQuarantined(fingerprint: string): boolean {
-    return this.localQuarantine.isQuarantined(fingerprint);
+  /**
+   * Finds what keeps a request from being sent to any upstream: its fingerprint or the
+   * feature of a part of its prompt. Returns undefined if it may be sent.
+   */
+  findQuarantined({fingerprint, parts}: RequestFeatures): string | undefined {
+    return [fingerprint, ...parts].find((feature) =>
+      this.localQuarantine.isQuarantined(feature),
+    );
   }
 
-  /** Whether one more crash would quarantine a request. */
-  isOneCrashFromQuarantine(fingerprint: string): boolean {
-    return this.localQuarantine.isSuspect(fingerprint);
+  /** Whether one more crash would quarantine a request or a part of its prompt. */
+  isOneCrashFromQuarantine({fingerprint, parts}: RequestFeatures): boolean {
+    return [fingerprint, ...parts].some((feature) =>
+      this.localQuarantine.isSuspect(feature),
+    );
   }
 
   /** Adopts the quarantine of another box if its revision is newer. */
@@ -106,7 +121,9 @@
     }
     const {fingerprints, revision, suspects} = update;
     this.adopted = update;
-    this.localQuarantine.setRemoteQuarantine(update);
+    if (this.localQuarantine.setRemoteQuarantine(update)) {
+      this.reportPending.notify();
+    }
     metrics.quarantined.set(fingerprints.length);
     log.note({
       count: fingerprints.length,
@@ -120,8 +137,11 @@
   }
 
   /** Records a request whose connection broke, and checks if the upstream crashed. */
-  recordBrokenRequest(upstream: EdgeUpstream, fingerprint: string): void {
-    this.crashDetector.recordFailure(upstream, fingerprint);
+  recordBrokenRequest(
+    upstream: EdgeUpstream,
+    request: InterruptedRequest,
+  ): void {
+    this.crashDetector.recordFailure(upstream, request);
   }
 
   /** Records a crash and the requests of this edge that were in flight. */
@@ -132,6 +152,7 @@
       count: crash.fingerprints.length,
       event: 'upstream-crashed',
       fingerprints: crash.fingerprints.slice(0, MAX_LOGGED_FINGERPRINTS),
+      parts: crash.parts?.slice(0, MAX_LOGGED_FINGERPRINTS),
       upstream: record.id,
     });
     metrics.crashes.inc({service: record.service});
@@ -146,6 +167,13 @@
     }
   }
 
+  /** Records that an answer began, which clears the parts of the prompt of suspicion. */
+  recordAnswerBegun(parts: readonly string[]): void {
+    if (this.localQuarantine.recordAnswerBegun(parts)) {
+      this.reportPending.notify();
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.crashDetector[Symbol.asyncDispose]();
     await this.tasks[Symbol.asyncDispose]();
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -14,9 +14,11 @@
 import type {TeamGrantCounts} from 'puffinturn-decisions';
 import {StateMachine} from 'puffinturn-log';
 import type {
+  AnsweredPart,
   CrashReport,
   CrashSnapshot,
   Quarantine,
+  QuarantineEntry,
 } from 'puffinturn-quarantine';
 import {CrashRegistry, EMPTY_CRASH_SNAPSHOT} from 'puffinturn-quarantine';
 
@@ -218,9 +220,24 @@
     this.onChange();
   }
 
-  /** Whether applying a report at this time would release quarantined requests. */
-  hasQuarantineExpired(unixMs: number): boolean {
-    return this.crashRegistry.hasExpired(unixMs);
+  /** Whether an empty report at this time, Unix ms, would change the quarantine. */
+  isQuarantineUpdateDue(unixMs: number): boolean {
+    return this.crashRegistry.isUpdateDue(unixMs);
+  }
+
+  /** Whether prompt parts are suspects that may have to be quarantined soon. */
+  get hasSuspectParts(): boolean {
+    return this.crashRegistry.hasSuspectParts;
+  }
+
+  /** Quarantined requests and prompt parts, with their evidence. */
+  get quarantineEntries(): readonly QuarantineEntry[] {
+    return this.crashRegistry.entries;
+  }
+
+  /** Whether a report that clears a part at this time, Unix ms, would change anything. */
+  wouldClearPart(part: AnsweredPart, unixMs: number): boolean {
+    return this.crashRegistry.wouldClear(part, unixMs);
   }
 
   private applyCrashReport({
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -7,10 +7,11 @@
 
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
+import type {CrashReport, QuarantineEntry} from 'puffinturn-quarantine';
 import {EMPTY_CRASH_REPORT} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {TaskGroup} from 'shared';
+import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {CrashReportOutcome, FleetMachine} from './FleetMachine';
 import type {CrashReportReply, CrashReportRequest} from './FleetMessages';
@@ -18,7 +19,10 @@
 import type {LeaderCalls} from './LeaderCalls';
 
 /** Interval between checks for expired quarantines, ms. */
-const EXPIRY_CHECK_INTERVAL_MS = 60_000;
+const EXPIRY_CHECK_INTERVAL_MS = 1_000;
+
+/** Interval between checks for suspect prompt parts that nothing has cleared, ms. */
+const PART_CHECK_INTERVAL_MS = 100;
 
 /** Maximum number of crashed incarnations listed in one log line. */
 const MAX_LOGGED_CRASHES = 16;
@@ -40,13 +44,15 @@
  */
 export class QuarantineControl implements AsyncDisposable {
   private readonly tasks = new TaskGroup();
+  /** Notified when a report was recorded here. */
+  private readonly reportAccepted = new Condition();
   private readonly handler: Disposable;
 
   constructor(private readonly parts: QuarantineControlParts) {
     this.handler = parts.link.register(FLEET_SERVICE.reportCrashes, (body) =>
       this.reportCrashes(body as CrashReportRequest),
     );
-    this.tasks.start((signal) => this.expireQuarantines(signal));
+    this.tasks.start((signal) => this.updateQuarantine(signal));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -61,25 +67,45 @@
       FLEET_SERVICE.reportCrashes,
       request,
       {taken: false},
-      () => this.recordAsLeader(request),
+      async () =>
+        this.isNoNews(request.report)
+          ? {taken: true}
+          : this.recordAsLeader(request),
     );
   }
 
-  private async expireQuarantines(signal: AbortSignal): Promise<void> {
+  /** Ends expired quarantines, and begins those of parts that nothing has cleared. */
+  private async updateQuarantine(signal: AbortSignal): Promise<void> {
     const {clock, machine, replica, self} = this.parts;
     while (!signal.aborted) {
-      await clock.sleep(EXPIRY_CHECK_INTERVAL_MS, signal);
-      if (replica.isLeader && machine.hasQuarantineExpired(clock.wallTime())) {
+      const intervalMs = machine.hasSuspectParts
+        ? PART_CHECK_INTERVAL_MS
+        : EXPIRY_CHECK_INTERVAL_MS;
+      await sleepUnlessNotified(clock, this.reportAccepted, intervalMs, signal);
+      if (replica.isLeader && machine.isQuarantineUpdateDue(clock.wallTime())) {
         await this.recordAsLeader({box: self.box, report: EMPTY_CRASH_REPORT});
       }
     }
   }
 
+  /** Whether a report only clears parts that are clear already. */
+  private isNoNews(report: CrashReport): boolean {
+    const {answered, answeredParts = [], crashes, released = []} = report;
+    const {clock, machine} = this.parts;
+    const now = clock.wallTime();
+    return (
+      answeredParts.length > 0 &&
+      answered.length + crashes.length + released.length === 0 &&
+      !answeredParts.some((part) => machine.wouldClearPart(part, now))
+    );
+  }
+
   private async recordAsLeader({
     box,
     report,
   }: CrashReportRequest): Promise<CrashReportReply> {
-    const {clock, leader, log} = this.parts;
+    const {clock, leader, log, machine} = this.parts;
+    const before = machine.quarantineEntries;
     const outcome = await leader.propose<CrashReportOutcome>({
       at: clock.wallTime(),
       kind: 'crash-report',
@@ -87,6 +113,9 @@
     });
     log.note({
       answered: report.answered.length,
+      answeredParts: report.answeredParts
+        ?.slice(0, MAX_LOGGED_CRASHES)
+        .map(({feature}) => feature),
       count: report.crashes.length,
       crashes: report.crashes
         .slice(0, MAX_LOGGED_CRASHES)
@@ -98,6 +127,32 @@
         ? outcome.value.quarantine.fingerprints.length
         : undefined,
     });
+    this.logChanges(before);
+    this.reportAccepted.notify();
     return {taken: outcome.isOk()};
   }
+
+  /** Logs which entries were added or removed, with the evidence. */
+  private logChanges(before: readonly QuarantineEntry[]): void {
+    const {log, machine} = this.parts;
+    const after = machine.quarantineEntries;
+    const names = (entries: readonly QuarantineEntry[]) =>
+      new Set(entries.map(({fingerprint}) => fingerprint));
+    const [namesBefore, namesAfter] = [names(before), names(after)];
+    const added = after.filter(
+      ({fingerprint}) => !namesBefore.has(fingerprint),
+    );
+    const removed = before.filter(
+      ({fingerprint}) => !namesAfter.has(fingerprint),
+    );
+    for (const {fingerprint, lives, since} of [...added, ...removed]) {
+      log.note({
+        crashes: lives,
+        entry: fingerprint,
+        event: 'quarantine-changed',
+        quarantined: namesAfter.has(fingerprint),
+        since,
+      });
+    }
+  }
 }
--- a/packages/puffinturn-gateway/src/RequestQuarantine.ts
+++ b/packages/puffinturn-gateway/src/RequestQuarantine.ts
@@ -114,10 +114,9 @@
 
   /** Records that the connection of a request to an upstream was lost. */
   recordLostConnection(upstream: Upstream, request: CallerRequest): void {
-    this.crashDetector.recordFailure(
-      new MonitoredUpstream(upstream),
-      this.getFingerprint(request),
-    );
+    this.crashDetector.recordFailure(new MonitoredUpstream(upstream), {
+      fingerprint: this.getFingerprint(request),
+    });
   }
 
   /** Records that a request got a complete response. */
--- a/packages/puffinturn-quarantine/src/CrashDetector.ts
+++ b/packages/puffinturn-quarantine/src/CrashDetector.ts
@@ -15,6 +15,7 @@
 import {TaskGroup} from 'shared';
 
 import type {Crash} from './CrashRegistry';
+import {undefinedIfEmpty} from './CrashRegistry';
 import type {ListenerState} from './ListenerProbe';
 import {LISTENER_STATE} from './ListenerProbe';
 
@@ -24,6 +25,19 @@
  */
 const PROBE_DELAY_MS = 50;
 
+/** A request whose connection broke. */
+export interface InterruptedRequest {
+  readonly fingerprint: string;
+  /** Features of the parts of its prompt, if no answer had begun. */
+  readonly parts?: readonly string[];
+}
+
+/** What was interrupted at one incarnation since the last probe. */
+interface Interruptions {
+  readonly fingerprints: Set<string>;
+  readonly parts: Set<string>;
+}
+
 /** One incarnation of an upstream. */
 export interface WatchedUpstream {
   /** Incarnation id, unique among all upstreams. */
@@ -48,20 +62,29 @@
   Upstream extends WatchedUpstream,
 > implements AsyncDisposable {
   /** Requests that failed since the last probe, by incarnation. */
-  private readonly interrupted = new Map<string, Set<string>>();
+  private readonly interrupted = new Map<string, Interruptions>();
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: CrashDetectorParts<Upstream>) {}
 
   /** Records a request whose connection broke and schedules a probe. */
-  recordFailure(upstream: Upstream, fingerprint: string): void {
+  recordFailure(
+    upstream: Upstream,
+    {fingerprint, parts = []}: InterruptedRequest,
+  ): void {
     const existing = this.interrupted.get(upstream.incarnationId);
-    if (existing !== undefined) {
-      existing.add(fingerprint);
-      return;
+    const interruptions = existing ?? {
+      fingerprints: new Set(),
+      parts: new Set(),
+    };
+    interruptions.fingerprints.add(fingerprint);
+    for (const part of parts) {
+      interruptions.parts.add(part);
+    }
+    if (existing === undefined) {
+      this.interrupted.set(upstream.incarnationId, interruptions);
+      this.tasks.start((signal) => this.checkForCrash(upstream, signal));
     }
-    this.interrupted.set(upstream.incarnationId, new Set([fingerprint]));
-    this.tasks.start((signal) => this.checkForCrash(upstream, signal));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -77,11 +100,13 @@
     const {incarnationId: incarnation} = upstream;
     await clock.sleep(PROBE_DELAY_MS, signal);
     const state = await probe(upstream);
-    const fingerprints = [...(this.interrupted.get(incarnation) ?? [])];
+    const interruptions = this.interrupted.get(incarnation);
     this.interrupted.delete(incarnation);
+    const fingerprints = [...(interruptions?.fingerprints ?? [])];
+    const parts = undefinedIfEmpty([...(interruptions?.parts ?? [])]);
     const hasStopped = state === LISTENER_STATE.refused && !upstream.isLeaving;
     if (hasStopped || upstream.isSuperseded) {
-      onCrash({fingerprints, life: incarnation}, upstream);
+      onCrash({fingerprints, life: incarnation, parts}, upstream);
     }
   }
 }
--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -6,20 +6,25 @@
  */
 
 /**
- * Tracks the requests that were in flight when upstreams crashed, and quarantines them
- * after three crashes that were not all simultaneous. A quarantined request is not run
- * for some time. A complete response clears a suspect, so that crashes with another cause
- * don't quarantine requests that succeed.
+ * Tracks what was in flight when upstreams crashed: requests, by their fingerprints, and
+ * parts of prompts that no answer had begun with. Quarantines it after three crashes that
+ * were not all simultaneous. What is quarantined is not run for some time. A complete
+ * response clears a request, so that crashes with another cause don't quarantine requests
+ * that succeed. The first event of an answer clears the parts of its prompt, but only of
+ * the crashes before it, as a part may turn harmful later.
  *
  * The state is deterministic: it depends only on the reports, their order and the times
  * passed with them. Replicas that apply the same reports have the same state.
  */
+import {isPartFeature, teamFeaturePrefix} from './PartFeatures';
 import {
   CRASHES_TO_QUARANTINE,
   MAX_INCARNATIONS_PER_SUSPECT,
   MAX_QUARANTINED,
   MAX_SIMULTANEOUS_CRASHES,
   MAX_SUSPECTS,
+  MIN_TEAMS_FOR_ALL,
+  PART_CONFIRMATION_MS,
   QUARANTINE_DURATION_MS,
   SIMULTANEOUS_CRASH_MS,
   SUSPECT_TTL_MS,
@@ -31,6 +36,11 @@
   readonly life: string;
   /** Fingerprints of the requests in flight, as known to the reporter. */
   readonly fingerprints: readonly string[];
+  /**
+   * Features of the prompt parts of requests without an answer so far; omitted by older
+   * software versions.
+   */
+  readonly parts?: readonly string[] | undefined;
 }
 
 /** A crash with its age, as sent in a report. */
@@ -39,11 +49,22 @@
   readonly agoMs: number;
 }
 
+/** A prompt part with which an answer has begun, as sent in a report. */
+export interface AnsweredPart {
+  readonly feature: string;
+  /** Time since the first event of the answer, ms. */
+  readonly agoMs: number;
+}
+
 /** The crashes and successes that a box observed since its last report. */
 export interface CrashReport {
   readonly crashes: readonly ReportedCrash[];
   /** Fingerprints of suspects that got a complete response. */
   readonly answered: readonly string[];
+  /** Suspect or quarantined parts with which an answer has begun. */
+  readonly answeredParts?: readonly AnsweredPart[] | undefined;
+  /** Entries that an operator has released. */
+  readonly released?: readonly string[] | undefined;
 }
 
 /** An empty report. */
@@ -53,9 +74,9 @@
 export interface Quarantine {
   /** Increases by 1 with each change; 0 before the first one. */
   readonly revision: number;
-  /** Fingerprints of quarantined requests. */
+  /** Fingerprints of quarantined requests, and features of quarantined parts. */
   readonly fingerprints: readonly string[];
-  /** Fingerprints of requests that one more crash would quarantine. */
+  /** Fingerprints and features that one more crash would quarantine. */
   readonly suspects: readonly string[];
 }
 
@@ -72,19 +93,24 @@
   readonly lives: readonly string[];
   /** Times of the counted crashes, Unix ms. */
   readonly moments: readonly number[];
+  /** When its second crash was reported, Unix ms; only for parts. */
+  readonly listedAt?: number | undefined;
 }
 
-interface QuarantinedRequest {
+/** A quarantined request or prompt part, and the evidence. */
+export interface QuarantineEntry {
   readonly fingerprint: string;
   /** Start of the quarantine, Unix ms. */
   readonly since: number;
+  /** Incarnations that crashed; unknown after an import or an older snapshot. */
+  readonly lives?: readonly string[] | undefined;
 }
 
 /** The state as stored in a snapshot. */
 export interface CrashSnapshot {
   readonly revision: number;
   readonly suspects: readonly Suspect[];
-  readonly quarantined: readonly QuarantinedRequest[];
+  readonly quarantined: readonly QuarantineEntry[];
 }
 
 /** The state before the first report, and that of snapshots without one. */
@@ -98,8 +124,8 @@
 export class CrashRegistry {
   /** Suspects by fingerprint, the most recently reported last. */
   private readonly suspects = new Map<string, Suspect>();
-  /** Start of the quarantine by fingerprint, Unix ms; the oldest first. */
-  private readonly quarantined = new Map<string, number>();
+  /** Quarantined entries by fingerprint; the oldest first. */
+  private readonly quarantined = new Map<string, QuarantineEntry>();
   /** The current revision for other boxes. */
   private published = EMPTY_QUARANTINE;
 
@@ -108,6 +134,11 @@
     return this.published;
   }
 
+  /** All quarantined requests and parts, with their evidence. */
+  get entries(): readonly QuarantineEntry[] {
+    return [...this.quarantined.values()];
+  }
+
   /** Whether a request is quarantined. */
   isQuarantined(fingerprint: string): boolean {
     return this.quarantined.has(fingerprint);
@@ -124,35 +155,54 @@
   }
 
   /**
-   * Ends the quarantines that have expired at the given time, Unix ms. Returns whether
-   * the quarantine changed.
+   * Ends the quarantines that have expired, and begins those of parts that nothing has
+   * cleared, at the given time, Unix ms. Returns whether the quarantine changed.
    */
-  expire(at: number): boolean {
-    return this.hasExpired(at) && this.applyReport(EMPTY_CRASH_REPORT, at);
+  update(at: number): boolean {
+    return this.isUpdateDue(at) && this.applyReport(EMPTY_CRASH_REPORT, at);
   }
 
   /**
    * Applies a report that arrived at the given time, Unix ms. Returns whether the
    * quarantine changed.
    */
-  applyReport({answered, crashes}: CrashReport, at: number): boolean {
+  applyReport(
+    {answered, answeredParts = [], crashes, released = []}: CrashReport,
+    at: number,
+  ): boolean {
     this.removeExpired(at);
     for (const fingerprint of answered) {
       this.suspects.delete(fingerprint);
     }
-    for (const {agoMs, fingerprints, life: incarnation} of crashes) {
-      for (const fingerprint of fingerprints) {
-        this.recordCrash(fingerprint, incarnation, at - agoMs);
+    for (const {agoMs, fingerprints, life, parts = []} of crashes) {
+      for (const fingerprint of [...fingerprints, ...parts]) {
+        this.recordCrash(fingerprint, life, at - agoMs, at);
       }
     }
+    for (const {agoMs, feature} of answeredParts) {
+      this.clearPart(feature, at - agoMs);
+    }
+    for (const fingerprint of released) {
+      this.suspects.delete(fingerprint);
+      this.quarantined.delete(fingerprint);
+    }
+    this.quarantineProvenParts(at);
     return this.publishChanges();
   }
 
+  /** Whether a report that clears parts would change anything. */
+  wouldClear({agoMs, feature}: AnsweredPart, at: number): boolean {
+    const since = this.quarantined.get(feature)?.since ?? Infinity;
+    const moments = this.suspects.get(feature)?.moments ?? [];
+    const answeredAt = at - agoMs;
+    return answeredAt > since || moments.some((moment) => moment <= answeredAt);
+  }
+
   /** Quarantines requests that are quarantined in another registry. */
   addQuarantined(fingerprints: readonly string[], at: number): void {
     for (const fingerprint of fingerprints) {
       if (!this.quarantined.has(fingerprint)) {
-        this.addToQuarantine(fingerprint, at);
+        this.addToQuarantine({fingerprint, lives: []}, at);
       }
     }
     this.publishChanges();
@@ -165,19 +215,23 @@
     this.publishChanges();
   }
 
-  /** Whether any quarantine has expired at the given time, Unix ms. */
-  hasExpired(at: number): boolean {
-    const [oldestStart = Infinity] = this.quarantined.values();
-    return at - oldestStart > QUARANTINE_DURATION_MS;
+  /** Whether `update` would change the quarantine at the given time, Unix ms. */
+  isUpdateDue(at: number): boolean {
+    const [oldest] = this.quarantined.values();
+    const hasExpired =
+      at - (oldest?.since ?? Infinity) > QUARANTINE_DURATION_MS;
+    return hasExpired || this.provenParts(at).length > 0;
+  }
+
+  /** Whether parts are suspects that may have to be quarantined soon. */
+  get hasSuspectParts(): boolean {
+    return this.published.suspects.some(isPartFeature);
   }
 
   /** Returns the state for a snapshot. */
   snapshot(): CrashSnapshot {
     return {
-      quarantined: [...this.quarantined].map(([fingerprint, since]) => ({
-        fingerprint,
-        since,
-      })),
+      quarantined: this.entries,
       revision: this.published.revision,
       suspects: [...this.suspects.values()],
     };
@@ -190,20 +244,21 @@
     for (const suspect of suspects) {
       this.suspects.set(suspect.fingerprint, suspect);
     }
-    for (const {fingerprint, since} of quarantined) {
-      this.quarantined.set(fingerprint, since);
+    for (const entry of quarantined) {
+      this.quarantined.set(entry.fingerprint, entry);
     }
     this.published = {...this.buildLists(), revision};
   }
 
   /**
-   * Records a crash of an incarnation that has not been reported for this request yet. The
-   * crash is not counted if too many were simultaneous.
+   * Records a crash of an incarnation that has not been reported for this request or part
+   * yet. The crash is not counted if too many were simultaneous.
    */
   private recordCrash(
     fingerprint: string,
     incarnation: string,
     at: number,
+    reportedAt: number,
   ): void {
     if (this.quarantined.has(fingerprint)) {
       return;
@@ -217,22 +272,90 @@
       (moment) => Math.abs(at - moment) < SIMULTANEOUS_CRASH_MS,
     );
     const isCounted = simultaneous.length < MAX_SIMULTANEOUS_CRASHES;
+    const isPart = isPartFeature(fingerprint);
     const suspect: Suspect = {
       fingerprint,
       lives: [...lives, incarnation].slice(-MAX_INCARNATIONS_PER_SUSPECT),
+      listedAt: existing?.listedAt,
       moments: isCounted ? [...moments, at] : moments,
     };
+    const count = suspect.moments.length;
     this.suspects.delete(fingerprint);
-    if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
-      this.addToQuarantine(fingerprint, at);
-    } else {
-      this.suspects.set(fingerprint, suspect);
-      evictOldest(this.suspects, MAX_SUSPECTS);
+    if (!isPart && count >= CRASHES_TO_QUARANTINE) {
+      this.addToQuarantine(suspect, at);
+      return;
+    }
+    const isListed = isPart && count >= CRASHES_TO_QUARANTINE - 1;
+    this.suspects.set(
+      fingerprint,
+      isListed
+        ? {...suspect, listedAt: suspect.listedAt ?? reportedAt}
+        : suspect,
+    );
+    evictOldest(this.suspects, MAX_SUSPECTS);
+  }
+
+  /** Clears a part of the crashes before an answer began with it. */
+  private clearPart(feature: string, answeredAt: number): void {
+    const since = this.quarantined.get(feature)?.since ?? Infinity;
+    if (answeredAt > since) {
+      this.quarantined.delete(feature);
+    }
+    const suspect = this.suspects.get(feature);
+    if (suspect === undefined) {
+      return;
+    }
+    const moments = suspect.moments.filter((moment) => moment > answeredAt);
+    if (moments.length === 0) {
+      this.suspects.delete(feature);
+    } else if (moments.length < suspect.moments.length) {
+      const {fingerprint, lives} = suspect;
+      this.suspects.set(feature, {
+        fingerprint,
+        lives,
+        listedAt:
+          moments.length < CRASHES_TO_QUARANTINE - 1
+            ? undefined
+            : suspect.listedAt,
+        moments,
+      });
+    }
+  }
+
+  /** Quarantines the parts that the crashes prove to be harmful. */
+  private quarantineProvenParts(at: number): void {
+    for (const suspect of this.provenParts(at)) {
+      this.suspects.delete(suspect.fingerprint);
+      this.addToQuarantine(suspect, Math.max(...suspect.moments));
     }
   }
 
-  private addToQuarantine(fingerprint: string, at: number): void {
-    this.quarantined.set(fingerprint, at);
+  /** Parts with enough crashes that nothing has cleared within the confirmation time. */
+  private provenParts(at: number): Suspect[] {
+    return [...this.suspects.values()].filter(
+      ({fingerprint, listedAt = Infinity, moments}) =>
+        at - listedAt >= PART_CONFIRMATION_MS &&
+        moments.length >= CRASHES_TO_QUARANTINE &&
+        this.concernsEnoughTeams(fingerprint),
+    );
+  }
+
+  /** Whether a part is that of a single team, or has crashes of several teams. */
+  private concernsEnoughTeams(feature: string): boolean {
+    const prefix = teamFeaturePrefix(feature);
+    if (prefix === undefined) {
+      return true;
+    }
+    const features = [...this.suspects.keys(), ...this.quarantined.keys()];
+    const teams = features.filter((other) => other.startsWith(prefix));
+    return teams.length >= MIN_TEAMS_FOR_ALL;
+  }
+
+  private addToQuarantine(
+    {fingerprint, lives}: Pick<Suspect, 'fingerprint' | 'lives'>,
+    since: number,
+  ): void {
+    this.quarantined.set(fingerprint, {fingerprint, lives, since});
     evictOldest(this.quarantined, MAX_QUARANTINED);
   }
 
@@ -268,7 +391,7 @@
         this.suspects.delete(fingerprint);
       }
     }
-    for (const [fingerprint, since] of this.quarantined) {
+    for (const [fingerprint, {since}] of this.quarantined) {
       if (at - since > QUARANTINE_DURATION_MS) {
         this.quarantined.delete(fingerprint);
         this.addToProbation(fingerprint, at);
@@ -279,7 +402,8 @@
   /** Makes a released request a suspect that one more crash quarantines again. */
   private addToProbation(fingerprint: string, at: number): void {
     const moments = Array<number>(CRASHES_TO_QUARANTINE - 1).fill(at);
-    this.suspects.set(fingerprint, {fingerprint, lives: [], moments});
+    const listedAt = isPartFeature(fingerprint) ? at : undefined;
+    this.suspects.set(fingerprint, {fingerprint, lives: [], listedAt, moments});
   }
 }
 
@@ -293,3 +417,10 @@
     map.delete(oldest);
   }
 }
+
+/** Omits an empty optional field of a report. */
+export function undefinedIfEmpty<Item>(
+  items: readonly Item[],
+): readonly Item[] | undefined {
+  return items.length === 0 ? undefined : items;
+}
--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -6,7 +6,7 @@
  */
 
 /**
- * Tracks, on one box, the requests that crash upstreams: those that other boxes have
+ * Tracks, on one box, the requests and prompt parts that crash upstreams: those that other boxes have
  * quarantined, and those that the crashes observed by this box suffice to quarantine,
  * even during a network partition. Observations are kept until they have been reported.
  * Reporting a crash twice is harmless because it is counted once.
@@ -15,10 +15,11 @@
 import type {Clock} from 'shared';
 
 import type {Crash, CrashReport, Quarantine} from './CrashRegistry';
-import {CrashRegistry} from './CrashRegistry';
+import {CrashRegistry, undefinedIfEmpty} from './CrashRegistry';
 import {
   CRASHES_TO_QUARANTINE,
   LOOKUP_AFTER_CRASH_MS,
+  MAX_ANSWERED_PARTS,
   MAX_SUCCESSFUL_REQUESTS,
   MAX_UNREPORTED,
   SUSPECT_TTL_MS,
@@ -30,10 +31,17 @@
   readonly at: number;
 }
 
+interface ObservedAnswer {
+  readonly feature: string;
+  /** When the answer began, monotonic ms. */
+  readonly at: number;
+}
+
 /** Observations that have not been reported yet. */
 export interface PendingReport {
   readonly crashes: readonly ObservedCrash[];
   readonly answered: readonly string[];
+  readonly answeredParts: readonly ObservedAnswer[];
 }
 
 /** The requests that this box must not run, and the observations to report. */
@@ -47,9 +55,16 @@
   private readonly succeededAt = new LRUCache<string, number>({
     max: MAX_SUCCESSFUL_REQUESTS,
   });
+  /**
+   * When answers last began with prompt parts, monotonic ms, by feature. It clears a part
+   * that any box suspects for crashes before.
+   */
+  private readonly partAnsweredAt = new LRUCache<string, number>({
+    max: MAX_ANSWERED_PARTS,
+  });
   /** Until when all requests are looked up after a crash, monotonic ms. */
   private lookupUntil = -Infinity;
-  private remoteQuarantine: ReadonlySet<string> = new Set();
+  private remoteQuarantine = new Set<string>();
   /**
    * Requests suspected by other boxes. A success on any box clears them, because the boxes
    * that reported the crashes may have restarted since.
@@ -59,6 +74,8 @@
   private crashes: ObservedCrash[] = [];
   /** Fingerprints of unreported successes. */
   private answered: string[] = [];
+  /** Unreported answers with suspect or quarantined parts. */
+  private answeredParts: ObservedAnswer[] = [];
 
   constructor(private readonly clock: Clock) {}
 
@@ -79,21 +96,21 @@
 
   /** The unreported observations; undefined if there are none. */
   get pendingReport(): PendingReport | undefined {
-    const {answered, crashes} = this;
-    const isEmpty = answered.length === 0 && crashes.length === 0;
-    return isEmpty ? undefined : {answered, crashes};
+    const {answered, answeredParts, crashes} = this;
+    const observed = answered.length + answeredParts.length + crashes.length;
+    return observed === 0 ? undefined : {answered, answeredParts, crashes};
   }
 
-  /** Whether a request must not be run. */
+  /** Whether a request, or one with a prompt part, must not be run. */
   isQuarantined(fingerprint: string): boolean {
-    this.localCrashes.expire(this.clock.wallTime());
+    this.localCrashes.update(this.clock.wallTime());
     return (
       this.remoteQuarantine.has(fingerprint) ||
       this.localCrashes.isQuarantined(fingerprint)
     );
   }
 
-  /** Whether one more crash would quarantine a request. */
+  /** Whether one more crash would quarantine a request or a prompt part. */
   isSuspect(fingerprint: string): boolean {
     return (
       this.remoteSuspects.has(fingerprint) ||
@@ -101,11 +118,14 @@
     );
   }
 
-  /** Replaces the requests that other boxes have quarantined or suspect. */
+  /**
+   * Replaces what other boxes have quarantined or suspect. Returns whether this box has
+   * to report answers that began with some of it.
+   */
   setRemoteQuarantine({
     fingerprints,
     suspects,
-  }: Omit<Quarantine, 'revision'>): void {
+  }: Omit<Quarantine, 'revision'>): boolean {
     const previous = this.remoteQuarantine;
     this.remoteQuarantine = new Set(fingerprints);
     this.remoteSuspects = new Set(suspects);
@@ -114,18 +134,20 @@
         this.localCrashes.release(fingerprint);
       }
     }
+    return this.addKnownAnswers([...fingerprints, ...suspects]);
   }
 
   /** Records a crash and the requests of this box that were in flight. */
-  recordCrash({fingerprints, life}: Crash): void {
+  recordCrash({fingerprints, life, parts}: Crash): void {
     const {clock} = this;
     const crash: Crash = {
       fingerprints: fingerprints.filter(
         (fingerprint) => !this.hasSucceededRecently(fingerprint),
       ),
       life,
+      parts,
     };
-    if (crash.fingerprints.length === 0) {
+    if (crash.fingerprints.length === 0 && parts === undefined) {
       return;
     }
     this.lookupUntil = clock.now() + LOOKUP_AFTER_CRASH_MS;
@@ -154,12 +176,72 @@
           (other) => other !== fingerprint,
         ),
         life: crash.life,
+        parts: crash.parts,
       },
     }));
     this.answered = [...this.answered, fingerprint].slice(-MAX_UNREPORTED);
     return true;
   }
 
+  /**
+   * Records that an answer began with prompt parts, which clears them of earlier crashes.
+   * Returns whether this must be reported to other boxes.
+   */
+  recordAnswerBegun(features: readonly string[]): boolean {
+    const at = this.clock.now();
+    let mustReport = false;
+    for (const feature of features) {
+      this.partAnsweredAt.set(feature, at);
+      if (this.isTracked(feature)) {
+        this.clearPart(feature, at);
+        mustReport = true;
+      }
+    }
+    return mustReport;
+  }
+
+  private isTracked(feature: string): boolean {
+    return (
+      this.localCrashes.isTracked(feature) ||
+      this.remoteSuspects.has(feature) ||
+      this.remoteQuarantine.has(feature)
+    );
+  }
+
+  /** Clears a part here, and has it cleared at other boxes. */
+  private clearPart(feature: string, at: number): void {
+    const {clock} = this;
+    this.remoteSuspects.delete(feature);
+    this.remoteQuarantine.delete(feature);
+    const answeredPart = {agoMs: clock.now() - at, feature};
+    this.localCrashes.applyReport(
+      {answered: [], answeredParts: [answeredPart], crashes: []},
+      clock.wallTime(),
+    );
+    this.addAnsweredPart({at, feature});
+  }
+
+  private addAnsweredPart(answer: ObservedAnswer): void {
+    const others = this.answeredParts.filter(
+      ({feature}) => feature !== answer.feature,
+    );
+    this.answeredParts = [...others, answer].slice(-MAX_UNREPORTED);
+  }
+
+  /** Has parts reported with which answers began at this box not long ago. */
+  private addKnownAnswers(listed: readonly string[]): boolean {
+    const oldest = this.clock.now() - SUSPECT_TTL_MS;
+    let mustReport = false;
+    for (const feature of listed) {
+      const at = this.partAnsweredAt.peek(feature);
+      if (at !== undefined && at > oldest) {
+        this.addAnsweredPart({at, feature});
+        mustReport = true;
+      }
+    }
+    return mustReport;
+  }
+
   /** Whether a request got a complete response within the lifetime of a suspect. */
   private hasSucceededRecently(fingerprint: string): boolean {
     const at = this.succeededAt.get(fingerprint) ?? -Infinity;
@@ -167,21 +249,27 @@
   }
 
   /** Builds the report of unreported observations. */
-  buildReport({answered, crashes}: PendingReport): CrashReport {
+  buildReport({answered, answeredParts, crashes}: PendingReport): CrashReport {
     const now = this.clock.now();
     return {
       answered,
+      answeredParts: undefinedIfEmpty(
+        answeredParts.map(({at, feature}) => ({agoMs: now - at, feature})),
+      ),
       crashes: crashes.map(({at, crash}) => ({...crash, agoMs: now - at})),
     };
   }
 
   /** Removes observations that have been reported. */
-  confirmReported({answered, crashes}: PendingReport): void {
+  confirmReported({answered, answeredParts, crashes}: PendingReport): void {
     this.crashes = this.crashes.filter(
       (observed) => !crashes.includes(observed),
     );
     this.answered = this.answered.filter(
       (fingerprint) => !answered.includes(fingerprint),
     );
+    this.answeredParts = this.answeredParts.filter(
+      (observed) => !answeredParts.includes(observed),
+    );
   }
 }
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -28,6 +28,27 @@
  */
 export const MAX_SIMULTANEOUS_CRASHES = 2;
 
+/**
+ * Time from the second crash of a prompt part until it may be quarantined, ms. Boxes at
+ * which requests with the part were answered since report so within this time.
+ */
+export const PART_CONFIRMATION_MS = 500;
+
+/**
+ * Teams at whose requests upstreams must have crashed before a prompt part is quarantined
+ * for all teams. For the teams themselves each crash counts.
+ */
+export const MIN_TEAMS_FOR_ALL = 2;
+
+/** Maximum number of prompt parts of one request that are tracked. */
+export const MAX_PARTS_PER_REQUEST = 32;
+
+/** Longest ID of a prompt part that is kept as it is, characters. */
+export const MAX_PART_ID_LENGTH = 64;
+
+/** Prompt parts whose last answer a box remembers; about 200 bytes each. */
+export const MAX_ANSWERED_PARTS = 10_000;
+
 /** Incarnations stored per suspect, to count a crash reported by several edges once. */
 export const MAX_INCARNATIONS_PER_SUSPECT = 8;
 
@@ -50,7 +71,7 @@
 /** Maximum number of suspects; about 200 bytes each in the log snapshot. */
 export const MAX_SUSPECTS = 2_000;
 
-/** Maximum number of quarantined requests; all of them are sent to every edge. */
+/** Maximum number of quarantined requests and prompt parts; all of them are sent to every edge. */
 export const MAX_QUARANTINED = 256;
 
 /**
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegistry.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegistry.test.ts
@@ -113,8 +113,8 @@
       reportCrash(registry, turn * SECOND_MS, incarnation, 'f');
     }
     const expiredAt = 3 * SECOND_MS + QUARANTINE_DURATION_MS;
-    expect(registry.hasExpired(expiredAt - SECOND_MS)).toBe(false);
-    expect(registry.hasExpired(expiredAt)).toBe(true);
+    expect(registry.isUpdateDue(expiredAt - SECOND_MS)).toBe(false);
+    expect(registry.isUpdateDue(expiredAt)).toBe(true);
     expect(registry.applyReport({answered: [], crashes: []}, expiredAt)).toBe(
       true,
     );
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -5,13 +5,19 @@
  * LICENSE file in the root directory of this source tree.
  */
 /** Quarantine of requests that crash upstreams. */
-export type {CrashDetectorParts, WatchedUpstream} from './CrashDetector';
+export type {
+  CrashDetectorParts,
+  InterruptedRequest,
+  WatchedUpstream,
+} from './CrashDetector';
 export {CrashDetector} from './CrashDetector';
 export type {
+  AnsweredPart,
   Crash,
   CrashReport,
   CrashSnapshot,
   Quarantine,
+  QuarantineEntry,
   ReportedCrash,
 } from './CrashRegistry';
 export {
@@ -26,3 +32,5 @@
 export {LISTENER_STATE, probeListener} from './ListenerProbe';
 export type {PendingReport} from './LocalQuarantine';
 export {LocalQuarantine} from './LocalQuarantine';
+export type {PromptContent} from './PartFeatures';
+export {partFeaturesOf} from './PartFeatures';
