Let operators read the quarantine with its evidence, and release an entry

To let a request or a prompt part run sooner than after ten minutes there was no call, and what was quarantined stood in no place but log lines.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -13,6 +13,7 @@
  */
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
+import type {QuarantineEntry} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition} from 'shared';
 import {
@@ -226,6 +227,16 @@
     );
   }
 
+  /** Quarantined requests and prompt parts, as known to this control box. */
+  get quarantineEntries(): readonly QuarantineEntry[] {
+    return this.parts.machine.quarantineEntries;
+  }
+
+  /** Ends a quarantine by order of an operator; false if no quorum stored it. */
+  releaseQuarantined(entry: string): Promise<boolean> {
+    return this.quarantineControl.release(entry);
+  }
+
   /** Starts or ends the evacuation of a hall; accepted once a quorum has stored it. */
   async setEvacuated(request: EvacuateRequest): Promise<EvacuateReply> {
     const fallback = {accepted: false};
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -55,6 +55,14 @@
     this.tasks.start((signal) => this.updateQuarantine(signal));
   }
 
+  /** Ends a quarantine by order of an operator; false if no quorum stored it. */
+  async release(entry: string): Promise<boolean> {
+    const {self} = this.parts;
+    const report = {...EMPTY_CRASH_REPORT, released: [entry]};
+    const {taken} = await this.reportCrashes({box: self.box, report});
+    return taken;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.handler[Symbol.dispose]();
     await this.tasks[Symbol.asyncDispose]();
