Close new connections unread while an edge is behind with reading

Cause: an edge reads all that it accepts, and what it refuses takes from what it could serve, so that the queue stays as long as what is refused.

Fix: behind for a second and with a queue of 0.4 s, it closes accepted connections unread until the queue is empty; their callers go elsewhere at once.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -42,6 +42,7 @@
 import type {BacklogMonitor} from './callers/BacklogMonitor';
 import type {CallerProtocol} from './callers/CallerProtocol';
 import {CallerRequest} from './callers/CallerRequest';
+import {ConnectionShedding} from './callers/ConnectionShedding';
 import type {HttpAddress, HttpListenFailure} from './callers/HttpListener';
 import {headerBytes, HttpListener} from './callers/HttpListener';
 import {OverloadWithdrawal} from './callers/OverloadWithdrawal';
@@ -390,6 +391,7 @@
       edge.backlogMonitor = edge.listeners[0]?.monitorBacklog(
         parts.clock,
         (queueAgeMs) => backlogLogger.update(queueAgeMs, edge.openRequests),
+        new ConnectionShedding(() => edge.metrics.closedUnread.inc()),
       );
       return ok<Edge, HttpListenFailure>(edge);
     });
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -34,6 +34,11 @@
     name: 'puffinturn_edge_upstream_crashes_total',
     registers: [this.registry],
   });
+  readonly closedUnread = new Counter({
+    help: 'Connections of callers that were closed unread because the edge was behind',
+    name: 'puffinturn_edge_connections_closed_unread_total',
+    registers: [this.registry],
+  });
   readonly quarantined = new Gauge({
     help: 'Requests refused for crashing upstreams, as the core told last',
     name: 'puffinturn_edge_quarantined_requests',
--- a/packages/puffinturn-edge/src/callers/BacklogMonitor.ts
+++ b/packages/puffinturn-edge/src/callers/BacklogMonitor.ts
@@ -14,6 +14,7 @@
 
 import type {AcceptedConnection, BacklogProbe} from './AcceptBacklog';
 import {AcceptBacklog, PROBE_INTERVAL_MS} from './AcceptBacklog';
+import type {ConnectionShedding} from './ConnectionShedding';
 
 /** Interval at which the event loop is sampled while no connections arrive, ms. */
 const CHECK_INTERVAL_MS = 50;
@@ -45,6 +46,8 @@
     private readonly clock: Clock,
     /** Called with the queue age, ms, after each observed iteration. */
     private readonly onQueueAge: (queueAgeMs: number) => void,
+    /** Decides which connections are closed unread; undefined to read all. */
+    private readonly shedding?: ConnectionShedding,
   ) {
     this.backlog = new AcceptBacklog(clock);
     server.on('connection', this.handleConnection);
@@ -80,7 +83,7 @@
         candidate.socket.localAddress === socket.remoteAddress,
     );
     if (pending === undefined) {
-      this.acceptedConnections.set(socket, this.backlog.recordAccept());
+      this.acceptCaller(socket);
     } else {
       this.backlog.recordProbeAccept(pending.probe);
       socket.destroy();
@@ -89,6 +92,16 @@
     this.scheduleCheck();
   };
 
+  private acceptCaller(socket: Socket): void {
+    const accepted = this.backlog.recordAccept();
+    if (this.shedding?.isActive === true) {
+      this.shedding.recordClosed(this.clock.now());
+      socket.resetAndDestroy();
+    } else {
+      this.acceptedConnections.set(socket, accepted);
+    }
+  }
+
   /** Observes iterations until one accepts no connection. */
   private scheduleCheck(): void {
     if (!this.isCheckScheduled) {
@@ -102,6 +115,7 @@
     if (this.backlog.endIteration()) {
       this.scheduleCheck();
     }
+    this.shedding?.update(this.queueAgeMs, this.clock.now());
     this.onQueueAge(this.queueAgeMs);
     const isWithinInterval =
       this.clock.now() - this.lastProbeAt < PROBE_INTERVAL_MS;
--- a/packages/puffinturn-edge/src/callers/HttpListener.ts
+++ b/packages/puffinturn-edge/src/callers/HttpListener.ts
@@ -16,6 +16,7 @@
 import {describeError} from 'shared';
 
 import {BacklogMonitor} from './BacklogMonitor';
+import type {ConnectionShedding} from './ConnectionShedding';
 
 /** An IP address and port. */
 export interface HttpAddress {
@@ -79,13 +80,15 @@
 
   /**
    * Starts measuring how long connections wait to be accepted. `onQueueAge` is called
-   * with the queue age, ms, after each observed event loop iteration.
+   * with the queue age, ms, after each observed event loop iteration. `shedding` decides
+   * which connections are closed unread; without it, all are read.
    */
   monitorBacklog(
     clock: Clock,
     onQueueAge: (queueAgeMs: number) => void = () => undefined,
+    shedding?: ConnectionShedding,
   ): BacklogMonitor {
-    return new BacklogMonitor(this.server, clock, onQueueAge);
+    return new BacklogMonitor(this.server, clock, onQueueAge, shedding);
   }
 
   /** Closes connections that have no open request. */
