Blame one part of a prompt for the crashes at which it was

Cause: each part that was at three crashes was proven by itself. Where no sound request came between them, nothing had cleared the others.

Fix: a quarantined entry explains its crashes, those under way as well. What is left over for another part has to make three. The likeliest comes first: one that no answer ever began with, as edges know for ten minutes, then the one with most crashes, then the last of the prompt. A wrong guess costs three crashes more. Whole requests come before parts, as they need no confirmation.

RequestForwarder's knowledge of what a request is recognized by moved to RequestIdentity.

--- a/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
@@ -16,7 +16,7 @@
 import {ManualClock, settleTasks} from 'shared';
 
 import {EdgeMetrics} from '../../EdgeMetrics';
-import type {RequestFeatures} from '../../requests/RequestQuarantine';
+import type {RequestFeatures} from '../../requests/RequestIdentity';
 import {RequestQuarantine} from '../../requests/RequestQuarantine';
 import {makeUpstream} from '../utils/EdgeFixture';
 
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -13,7 +13,6 @@
 import type {TokenState} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {RETRY_POLICY} from 'puffinturn-fleet';
-import {fingerprintOf, partFeaturesOf} from 'puffinturn-quarantine';
 
 import type {CallerRequest} from '../callers/CallerRequest';
 import {waitedTooLong} from '../callers/QueueWaitLimit';
@@ -56,9 +55,11 @@
 } from '../upstreams/UpstreamSelection';
 import type {AttemptParts} from './Attempt';
 import {Attempt} from './Attempt';
+import type {RequestFeatures} from './RequestIdentity';
+import {RequestIdentity} from './RequestIdentity';
 import type {RequestPlan} from './RequestPlan';
 import {planRequest} from './RequestPlan';
-import type {RequestFeatures, RequestQuarantine} from './RequestQuarantine';
+import type {RequestQuarantine} from './RequestQuarantine';
 import type {RetryBudgets} from './RetryBudgets';
 import type {RouteTable} from './RouteTable';
 
@@ -106,10 +107,7 @@
   private unsentCount = 0;
   private mayHaveRun = false;
   private readonly stream: RequestStream;
-  private cachedFingerprint: string | undefined;
-  /** Features of the parts of the prompt, which are those of one service. */
-  private cachedParts:
-    {readonly parts: readonly string[]; readonly service: string} | undefined;
+  private readonly identity: RequestIdentity;
   /** What kept the request from being sent. */
   private quarantinedFeature: string | undefined;
   private readonly requestOutcome: RequestOutcome;
@@ -121,6 +119,7 @@
   ) {
     this.requestOutcome = new RequestOutcome(caller);
     this.stream = new RequestStream(parts, caller, table);
+    this.identity = new RequestIdentity(caller);
   }
 
   /** Serves the request and resolves when it has ended. */
@@ -478,36 +477,18 @@
     });
   }
 
-  /** What the request is recognized by, if it crashes upstreams. */
   private getFeatures(plan: RequestPlan): RequestFeatures {
-    const service = plan.service.name;
-    if (this.cachedParts?.service !== service) {
-      const parts = partFeaturesOf({
-        caller: plan.team?.name ?? '',
-        partIds: plan.promptParts.map(({id}) => id),
-        service,
-      });
-      this.cachedParts = {parts, service};
-    }
-    return {fingerprint: this.getFingerprint(plan), ...this.cachedParts};
+    return this.identity.features(plan, this.body);
   }
 
   private recordAnswerBegun(plan: RequestPlan): void {
     if (plan.promptParts.length > 1) {
-      this.parts.quarantine.recordAnswerBegun(this.getFeatures(plan).parts);
+      this.parts.quarantine.recordAnswerBegun(this.identity.parts(plan));
     }
   }
 
-  private getFingerprint({team}: RequestPlan): string {
-    const {body, caller} = this;
-    this.cachedFingerprint ??= fingerprintOf({
-      body,
-      caller: team?.name ?? '',
-      host: caller.header('host') ?? '',
-      method: caller.method,
-      path: caller.path,
-    });
-    return this.cachedFingerprint;
+  private getFingerprint(plan: RequestPlan): string {
+    return this.identity.fingerprint(plan, this.body);
   }
 
   /**
@@ -727,6 +708,8 @@
   private recordEnd(charged = 0, tokenState?: TokenState): void {
     const {attemptCount, caller, plan, relay, lastUpstream, table} = this;
     const {cause} = this.requestOutcome;
+    const {identity, quarantinedFeature} = this;
+    const fingerprint = identity.knownFingerprint;
     const {clock, log, metrics, responseTotals} = this.parts;
     const status = caller.response.headersSent ? caller.response.statusCode : 0;
     const route = plan?.route.name ?? '';
@@ -739,11 +722,9 @@
       configuration: table.version,
       event: 'request-ended',
       events: relay?.eventCount ?? 0,
-      fingerprint: this.cachedFingerprint,
+      fingerprint,
       quarantinedPart:
-        this.quarantinedFeature === this.cachedFingerprint
-          ? undefined
-          : this.quarantinedFeature,
+        quarantinedFeature === fingerprint ? undefined : quarantinedFeature,
       heldBackBy: this.deniedUpstreamIds,
       request: caller.id,
       route,
--- a/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
+++ b/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
@@ -33,6 +33,7 @@
 import {callControlBoxes} from '../ControlRequests';
 import type {EdgeMetrics} from '../EdgeMetrics';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
+import type {RequestFeatures} from './RequestIdentity';
 
 /** Timeout for the reply of one control box, ms. */
 const RESPONSE_TIMEOUT_MS = 500;
@@ -46,13 +47,6 @@
 /** Maximum number of fingerprints in one log line, which also has their count. */
 const MAX_LOGGED_FINGERPRINTS = 16;
 
-/** What a request is recognized by. */
-export interface RequestFeatures {
-  readonly fingerprint: string;
-  /** Features of the parts of its prompt. */
-  readonly parts: readonly string[];
-}
-
 /** Dependencies of RequestQuarantine. */
 export interface RequestQuarantineParts {
   readonly box: string;
--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -19,6 +19,7 @@
 import {isPartFeature, teamFeaturePrefix} from './PartFeatures';
 import {
   CRASHES_TO_QUARANTINE,
+  MAX_EVIDENCE,
   MAX_INCARNATIONS_PER_SUSPECT,
   MAX_QUARANTINED,
   MAX_SIMULTANEOUS_CRASHES,
@@ -91,10 +92,12 @@
   readonly fingerprint: string;
   /** Incarnations that crashed while the request was in flight. */
   readonly lives: readonly string[];
-  /** Times of the counted crashes, Unix ms. */
+  /** Times of the counted crashes, Unix ms; for parts, one for each incarnation. */
   readonly moments: readonly number[];
   /** When its second crash was reported, Unix ms; only for parts. */
   readonly listedAt?: number | undefined;
+  /** Whether an answer had begun with it before these crashes; only for parts. */
+  readonly wasAnswered?: boolean | undefined;
 }
 
 /** A quarantined request or prompt part, and the evidence. */
@@ -190,7 +193,7 @@
     return this.publishChanges();
   }
 
-  /** Whether a report that clears parts would change anything. */
+  /** Whether a report of an answer that began with a part would change anything. */
   wouldClear({agoMs, feature}: AnsweredPart, at: number): boolean {
     const since = this.quarantined.get(feature)?.since ?? Infinity;
     const moments = this.suspects.get(feature)?.moments ?? [];
@@ -260,7 +263,9 @@
     at: number,
     reportedAt: number,
   ): void {
-    if (this.quarantined.has(fingerprint)) {
+    const entry = this.quarantined.get(fingerprint);
+    if (entry !== undefined) {
+      this.addEvidence(entry, incarnation);
       return;
     }
     const existing = this.suspects.get(fingerprint);
@@ -272,29 +277,56 @@
       (moment) => Math.abs(at - moment) < SIMULTANEOUS_CRASH_MS,
     );
     const isCounted = simultaneous.length < MAX_SIMULTANEOUS_CRASHES;
-    const isPart = isPartFeature(fingerprint);
+    if (isPartFeature(fingerprint)) {
+      if (isCounted) {
+        this.recordPartCrash(fingerprint, incarnation, at, reportedAt);
+      }
+      return;
+    }
     const suspect: Suspect = {
       fingerprint,
       lives: [...lives, incarnation].slice(-MAX_INCARNATIONS_PER_SUSPECT),
-      listedAt: existing?.listedAt,
       moments: isCounted ? [...moments, at] : moments,
     };
-    const count = suspect.moments.length;
     this.suspects.delete(fingerprint);
-    if (!isPart && count >= CRASHES_TO_QUARANTINE) {
+    if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
       this.addToQuarantine(suspect, at);
-      return;
+    } else {
+      this.suspects.set(fingerprint, suspect);
+      evictOldest(this.suspects, MAX_SUSPECTS);
     }
-    const isListed = isPart && count >= CRASHES_TO_QUARANTINE - 1;
-    this.suspects.set(
-      fingerprint,
-      isListed
-        ? {...suspect, listedAt: suspect.listedAt ?? reportedAt}
-        : suspect,
-    );
+  }
+
+  private recordPartCrash(
+    feature: string,
+    incarnation: string,
+    at: number,
+    reportedAt: number,
+  ): void {
+    const existing = this.suspects.get(feature);
+    const {lives = [], moments = []} = existing ?? {};
+    const isListed = moments.length + 1 >= CRASHES_TO_QUARANTINE - 1;
+    const listedAt = existing?.listedAt ?? (isListed ? reportedAt : undefined);
+    this.suspects.delete(feature);
+    this.suspects.set(feature, {
+      fingerprint: feature,
+      lives: [...lives, incarnation].slice(-MAX_INCARNATIONS_PER_SUSPECT),
+      listedAt,
+      moments: [...moments, at].slice(-MAX_INCARNATIONS_PER_SUSPECT),
+      wasAnswered: existing?.wasAnswered,
+    });
     evictOldest(this.suspects, MAX_SUSPECTS);
   }
 
+  /** Adds a crash to what a quarantined entry explains. */
+  private addEvidence(entry: QuarantineEntry, incarnation: string): void {
+    const {fingerprint, lives = []} = entry;
+    if (!lives.includes(incarnation)) {
+      const evidence = [...lives, incarnation].slice(-MAX_EVIDENCE);
+      this.quarantined.set(fingerprint, {...entry, lives: evidence});
+    }
+  }
+
   /** Clears a part of the crashes before an answer began with it. */
   private clearPart(feature: string, answeredAt: number): void {
     const since = this.quarantined.get(feature)?.since ?? Infinity;
@@ -305,39 +337,76 @@
     if (suspect === undefined) {
       return;
     }
-    const moments = suspect.moments.filter((moment) => moment > answeredAt);
-    if (moments.length === 0) {
+    const kept = suspect.moments
+      .map((at, index) => ({at, life: suspect.lives[index] ?? ''}))
+      .filter(({at}) => at > answeredAt);
+    if (kept.length === 0) {
       this.suspects.delete(feature);
-    } else if (moments.length < suspect.moments.length) {
-      const {fingerprint, lives} = suspect;
-      this.suspects.set(feature, {
-        fingerprint,
-        lives,
-        listedAt:
-          moments.length < CRASHES_TO_QUARANTINE - 1
-            ? undefined
-            : suspect.listedAt,
-        moments,
-      });
+      return;
     }
+    const isListed = kept.length >= CRASHES_TO_QUARANTINE - 1;
+    this.suspects.set(feature, {
+      fingerprint: feature,
+      lives: kept.map(({life}) => life),
+      listedAt: isListed ? suspect.listedAt : undefined,
+      moments: kept.map(({at}) => at),
+      wasAnswered: true,
+    });
   }
 
-  /** Quarantines the parts that the crashes prove to be harmful. */
+  /**
+   * Quarantines the parts that the crashes prove to be harmful, the likeliest first. Each
+   * explains its crashes, so that parts which were only there beside it stay suspects.
+   */
   private quarantineProvenParts(at: number): void {
-    for (const suspect of this.provenParts(at)) {
-      this.suspects.delete(suspect.fingerprint);
-      this.addToQuarantine(suspect, Math.max(...suspect.moments));
+    for (;;) {
+      const likeliest = this.provenParts(at)[0];
+      if (likeliest === undefined) {
+        return;
+      }
+      this.suspects.delete(likeliest.fingerprint);
+      this.addToQuarantine(likeliest, Math.max(...likeliest.moments));
     }
   }
 
-  /** Parts with enough crashes that nothing has cleared within the confirmation time. */
+  /**
+   * Parts with enough crashes that nothing has cleared within the confirmation time and no
+   * quarantined entry explains; the likeliest first. An answer had never begun with a
+   * harmful part. Of equal ones, the last of a prompt is shared by the fewest requests.
+   */
   private provenParts(at: number): Suspect[] {
-    return [...this.suspects.values()].filter(
-      ({fingerprint, listedAt = Infinity, moments}) =>
+    const proven: Suspect[] = [];
+    for (const suspect of this.suspects.values()) {
+      const {fingerprint, listedAt = Infinity} = suspect;
+      if (
         at - listedAt >= PART_CONFIRMATION_MS &&
-        moments.length >= CRASHES_TO_QUARANTINE &&
-        this.concernsEnoughTeams(fingerprint),
+        this.countUnexplained(suspect) >= CRASHES_TO_QUARANTINE &&
+        this.concernsEnoughTeams(fingerprint)
+      ) {
+        proven.unshift(suspect);
+      }
+    }
+    return proven.sort((a, b) => {
+      const byAnswers = Number(!!a.wasAnswered) - Number(!!b.wasAnswered);
+      const byCrashes = this.countUnexplained(b) - this.countUnexplained(a);
+      return (
+        byAnswers || byCrashes || Number(isForAll(b)) - Number(isForAll(a))
+      );
+    });
+  }
+
+  /** Crashes of a part at which nothing was there that is quarantined. */
+  private countUnexplained({fingerprint, lives}: Suspect): number {
+    if (this.quarantined.size === 0) {
+      return lives.length;
+    }
+    const ownPrefix = teamFeaturePrefix(fingerprint);
+    const others = [...this.quarantined.values()].filter(
+      (entry) =>
+        ownPrefix === undefined || !entry.fingerprint.startsWith(ownPrefix),
     );
+    const explained = new Set(others.flatMap((entry) => entry.lives ?? []));
+    return lives.filter((life) => !explained.has(life)).length;
   }
 
   /** Whether a part is that of a single team, or has crashes of several teams. */
@@ -402,11 +471,24 @@
   /** Makes a released request a suspect that one more crash quarantines again. */
   private addToProbation(fingerprint: string, at: number): void {
     const moments = Array<number>(CRASHES_TO_QUARANTINE - 1).fill(at);
-    const listedAt = isPartFeature(fingerprint) ? at : undefined;
-    this.suspects.set(fingerprint, {fingerprint, lives: [], listedAt, moments});
+    if (isPartFeature(fingerprint)) {
+      const lives = moments.map((_, index) => `${fingerprint} ${index}`);
+      this.suspects.set(fingerprint, {
+        fingerprint,
+        lives,
+        listedAt: at,
+        moments,
+      });
+    } else {
+      this.suspects.set(fingerprint, {fingerprint, lives: [], moments});
+    }
   }
 }
 
+function isForAll({fingerprint}: Suspect): boolean {
+  return teamFeaturePrefix(fingerprint) !== undefined;
+}
+
 function areEqual(a: readonly string[], b: readonly string[]): boolean {
   return a.length === b.length && a.every((value, index) => value === b[index]);
 }
--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -14,7 +14,12 @@
 import {LRUCache} from 'lru-cache';
 import type {Clock} from 'shared';
 
-import type {Crash, CrashReport, Quarantine} from './CrashRegistry';
+import type {
+  AnsweredPart,
+  Crash,
+  CrashReport,
+  Quarantine,
+} from './CrashRegistry';
 import {CrashRegistry, undefinedIfEmpty} from './CrashRegistry';
 import {
   CRASHES_TO_QUARANTINE,
@@ -151,7 +156,11 @@
       return;
     }
     this.lookupUntil = clock.now() + LOOKUP_AFTER_CRASH_MS;
-    const report = {answered: [], crashes: [{...crash, agoMs: 0}]};
+    const report = {
+      answered: [],
+      answeredParts: this.knownAnswers(parts ?? []),
+      crashes: [{...crash, agoMs: 0}],
+    };
     this.localCrashes.applyReport(report, clock.wallTime());
     const observed = {at: clock.now(), crash};
     this.crashes = [...this.crashes, observed].slice(-MAX_UNREPORTED);
@@ -228,18 +237,24 @@
     this.answeredParts = [...others, answer].slice(-MAX_UNREPORTED);
   }
 
+  /** The last answers that began at this box with some of the parts. */
+  private knownAnswers(features: readonly string[]): AnsweredPart[] {
+    const now = this.clock.now();
+    return features.flatMap((feature) => {
+      const at = this.partAnsweredAt.peek(feature) ?? -Infinity;
+      const agoMs = now - at;
+      return agoMs < SUSPECT_TTL_MS ? [{agoMs, feature}] : [];
+    });
+  }
+
   /** Has parts reported with which answers began at this box not long ago. */
   private addKnownAnswers(listed: readonly string[]): boolean {
-    const oldest = this.clock.now() - SUSPECT_TTL_MS;
-    let mustReport = false;
-    for (const feature of listed) {
-      const at = this.partAnsweredAt.peek(feature);
-      if (at !== undefined && at > oldest) {
-        this.addAnsweredPart({at, feature});
-        mustReport = true;
-      }
+    const now = this.clock.now();
+    const answers = this.knownAnswers(listed);
+    for (const {agoMs, feature} of answers) {
+      this.addAnsweredPart({at: now - agoMs, feature});
     }
-    return mustReport;
+    return answers.length > 0;
   }
 
   /** Whether a request got a complete response within the lifetime of a suspect. */
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -28,6 +28,12 @@
  */
 export const MAX_SIMULTANEOUS_CRASHES = 2;
 
+/**
+ * Incarnations stored per quarantined entry. They explain the crashes of what was there
+ * beside it, also of those that were under way when the quarantine began.
+ */
+export const MAX_EVIDENCE = 32;
+
 /**
  * Time from the second crash of a prompt part until it may be quarantined, ms. Boxes at
  * which requests with the part were answered since report so within this time.
