Have answers before the crashes reported to the leader, too

The leader dropped reports of answers that cleared no crash as no news, so that it never learned which parts answers had begun with before, and of two suspects it could only guess. A report that says so for the first time is recorded. The new test failed before (an answer before the crash counted as no news).

--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -196,9 +196,15 @@
   /** Whether a report of an answer that began with a part would change anything. */
   wouldClear({agoMs, feature}: AnsweredPart, at: number): boolean {
     const since = this.quarantined.get(feature)?.since ?? Infinity;
-    const moments = this.suspects.get(feature)?.moments ?? [];
+    const suspect = this.suspects.get(feature);
+    const isFirstAnswer = suspect !== undefined && suspect.wasAnswered !== true;
+    const moments = suspect?.moments ?? [];
     const answeredAt = at - agoMs;
-    return answeredAt > since || moments.some((moment) => moment <= answeredAt);
+    return (
+      answeredAt > since ||
+      isFirstAnswer ||
+      moments.some((moment) => moment <= answeredAt)
+    );
   }
 
   /** Quarantines requests that are quarantined in another registry. */
--- a/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
@@ -182,6 +182,18 @@
     expect(registry.quarantine.fingerprints).toEqual([forTeam('bad', 't')]);
   });
 
+  test('is reported as answered before once, and later if that clears crashes', () => {
+    const [feature = ''] = partsOf('t', 'common');
+    const answerAt = (agoMs: number) => ({agoMs, feature});
+    const now = 2 * SECOND_MS;
+    expect(registry.wouldClear(answerAt(now), now)).toBe(false);
+    crash(SECOND_MS, feature);
+    expect(registry.wouldClear(answerAt(now), now)).toBe(true);
+    answer(0, feature);
+    expect(registry.wouldClear(answerAt(now), now)).toBe(false);
+    expect(registry.wouldClear(answerAt(0), now)).toBe(true);
+  });
+
   test('is quarantined after three more if another one of its prompts was not to blame', () => {
     crashThrice(...partsOf('t', 'bad', 'beside'));
     expect(registry.quarantine.fingerprints).toEqual([forTeam('beside', 't')]);
