Leave the decision on a part of prompts to the control boxes while they hear

Cause: an edge by itself sees some crashes and its own answers only; other edges had begun answers with the part in between. Three crashes that it saw were enough for it.

Fix: what an edge has seen decides on parts only while its reports wait for a control box. Whole requests as before. The new unit test failed before.

--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -21,6 +21,7 @@
   Quarantine,
 } from './CrashRegistry';
 import {CrashRegistry, undefinedIfEmpty} from './CrashRegistry';
+import {isPartFeature} from './PartFeatures';
 import {
   CRASHES_TO_QUARANTINE,
   LOOKUP_AFTER_CRASH_MS,
@@ -111,10 +112,19 @@
     this.localCrashes.update(this.clock.wallTime());
     return (
       this.remoteQuarantine.has(fingerprint) ||
-      this.localCrashes.isQuarantined(fingerprint)
+      (this.decidesItself(fingerprint) &&
+        this.localCrashes.isQuarantined(fingerprint))
     );
   }
 
+  /**
+   * Whether the crashes that this box saw suffice. For parts they do only while reports
+   * are pending: other boxes know of answers with a part that this one has not seen.
+   */
+  private decidesItself(fingerprint: string): boolean {
+    return !isPartFeature(fingerprint) || this.crashes.length > 0;
+  }
+
   /** Whether one more crash would quarantine a request or a prompt part. */
   isSuspect(fingerprint: string): boolean {
     return (
--- a/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
@@ -302,4 +302,18 @@
     expect(box.isQuarantined(forTeam('bad', 't'))).toBe(true);
     expect(box.isQuarantined(forTeam('bad', 'other'))).toBe(false);
   });
+
+  test('leaves the decision on a part to the boxes that its reports have reached', async () => {
+    const parts = partsOf('t', 'common');
+    for (const life of ['i-1', 'i-2', 'i-3']) {
+      box.recordCrash({fingerprints: [life], life, parts});
+      await clock.advance(SECOND_MS);
+    }
+    const pending = box.pendingReport;
+    if (pending !== undefined) {
+      box.confirmReported(pending);
+    }
+    expect(box.isQuarantined(forTeam('common', 't'))).toBe(false);
+    expect(box.isQuarantined(forAll('common'))).toBe(false);
+  });
 });
