--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -6,10 +6,10 @@
  */
 
 /**
- * Tracks, on one box, the requests and prompt parts that crash upstreams: those that other boxes have
- * quarantined, and those that the crashes observed by this box suffice to quarantine,
- * even during a network partition. Observations are kept until they have been reported.
- * Reporting a crash twice is harmless because it is counted once.
+ * Tracks, on one box, the requests and prompt parts that crash upstreams: those that other
+ * boxes have quarantined, and those that the crashes observed by this box suffice to
+ * quarantine, even during a network partition. Observations are kept until they have been
+ * reported. Reporting a crash twice is harmless because it is counted once.
  */
 import {LRUCache} from 'lru-cache';
 import type {Clock} from 'shared';
