Don't take a successor that listens for the upstream that shut down

The upstream had announced its shutdown (leaving in upstream-told of the same request), ended its connections between two events, and its successor listened at the address at once, so that the look said listens.

After an announced shutdown a listener proves nothing. An answer that ended with its connection is complete then only if the request can't be sent again, as where nothing listens. The new unit test failed before.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -61,6 +61,19 @@
     expect(isCompleteEnd(evidence, false)).toBe(true);
   });
 
+  test('does not complete a response if a successor may listen in place of an upstream that shuts down', async () => {
+    await using server = await TestUpstream.start('i-1');
+    using upstream = new EdgeUpstream(
+      server.record(),
+      new SystemClock(),
+      new NoopDecisionLog(),
+    );
+    upstream.markDraining();
+    const evidence = await findEndEvidence(upstream, () => false);
+    expect(isCompleteEnd(evidence, true)).toBe(false);
+    expect(isCompleteEnd(evidence, false)).toBe(true);
+  });
+
   test('is checked by another edge while this one has no links', async () => {
     using upstream = await startStopped();
     const found: EndEvidence[] = [];
--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -18,7 +18,7 @@
 export const END_EVIDENCE = {
   /** It still listens, so its process goes on. */
   listening: 'listens',
-  /** It no longer listens, and had announced its shutdown. */
+  /** It had announced its shutdown; a successor may listen in its place. */
   leaving: 'leaving',
   /** It no longer listens or was replaced, without an announced shutdown. */
   crashed: 'crashed',
@@ -66,11 +66,12 @@
   if (upstream.isSuperseded) {
     return END_EVIDENCE.crashed;
   }
+  if (upstream.isLeaving) {
+    return END_EVIDENCE.leaving;
+  }
   if (state === LISTENER_STATE.listening) {
     return END_EVIDENCE.listening;
   }
-  if (state === LISTENER_STATE.refused && !areLinksLost()) {
-    return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.crashed;
-  }
-  return askOther();
+  const isRefused = state === LISTENER_STATE.refused;
+  return isRefused && !areLinksLost() ? END_EVIDENCE.crashed : askOther();
 }
