Read a failed attempt to connect in one place

The pool's probe classified errors as the probe of the quarantine does. The behaviour is the same; 145 tests of the quarantine, pools, ends and tunnels pass.

--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -11,7 +11,7 @@
  */
 import type {TunnelAddress} from 'puffinturn-fleet';
 import type {ListenerState} from 'puffinturn-quarantine';
-import {LISTENER_STATE} from 'puffinturn-quarantine';
+import {LISTENER_STATE, listenerStateOf} from 'puffinturn-quarantine';
 import type {Clock} from 'shared';
 
 import {IDLE_CONNECTION_TIMEOUT_MS} from '../EdgeConstants';
@@ -88,10 +88,8 @@
           connection[Symbol.dispose]();
         }
       });
-      socket.once('error', ({code}: NodeJS.ErrnoException) => {
-        if (code === 'ECONNREFUSED') {
-          failureState = LISTENER_STATE.refused;
-        }
+      socket.once('error', (error) => {
+        failureState = listenerStateOf(error);
       });
       socket.once('close', () => {
         clearTimeout(timer);
--- a/packages/puffinturn-quarantine/src/ListenerProbe.ts
+++ b/packages/puffinturn-quarantine/src/ListenerProbe.ts
@@ -39,12 +39,13 @@
     };
     socket.setTimeout(timeoutMs, () => finish(LISTENER_STATE.unknown));
     socket.once('connect', () => finish(LISTENER_STATE.listening));
-    socket.once('error', ({code}: NodeJS.ErrnoException) =>
-      finish(
-        code === 'ECONNREFUSED'
-          ? LISTENER_STATE.refused
-          : LISTENER_STATE.unknown,
-      ),
-    );
+    socket.once('error', (error) => finish(listenerStateOf(error)));
   });
 }
+
+/** What a failed attempt to connect shows of the listener. */
+export function listenerStateOf({code}: NodeJS.ErrnoException): ListenerState {
+  return code === 'ECONNREFUSED'
+    ? LISTENER_STATE.refused
+    : LISTENER_STATE.unknown;
+}
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -29,7 +29,7 @@
 export type {RequestContent} from './Fingerprint';
 export {fingerprintOf} from './Fingerprint';
 export type {ListenerState} from './ListenerProbe';
-export {LISTENER_STATE, probeListener} from './ListenerProbe';
+export {LISTENER_STATE, listenerStateOf, probeListener} from './ListenerProbe';
 export type {PendingReport} from './LocalQuarantine';
 export {LocalQuarantine} from './LocalQuarantine';
 export type {PromptContent} from './PartFeatures';
