--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -251,6 +251,12 @@
     }
   }
 
+  /** Starts a machine that has lost its disk again: at its address, with an empty one. */
+  restartWithEmptyDisk(machine) {
+    machine.dataDir = join(machine.folder, `data-${machine.starts}`);
+    this.restart(machine);
+  }
+
   /** Starts a machine again; the settings no longer say `bootstrap`. */
   restart(machine) {
     const machineClass = machine.role === 'control' ? 'core' : 'edge';
