--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -6,7 +6,7 @@
  */
 
 /**
- * Five core machines, three edges with clients of ten tenants, and an operator who
+ * Five core machines, six edges with clients of ten tenants, and an operator who
  * changes the configuration. Each core process is killed once, its disk is kept, and it is
  * back within a second. At the end every process is killed, right after a configuration was
  * acknowledged, and the operator reads back what holds.
@@ -24,16 +24,16 @@
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const CONTROLS = 5;
-const EDGES = 3;
+const EDGES = 6;
 const TENANTS = 10;
 
 /** Time for which a killed process is down, ms. */
 const DOWN_MS = 400;
 /** Clients of each edge, and the pause of each between two requests, ms. */
-const CLIENTS_PER_EDGE = 12;
+const CLIENTS_PER_EDGE = 8;
 const CLIENT_PAUSE_MS = 40;
 /** Pause between two orders of the operator, ms. */
-const ORDER_PAUSE_MS = 90;
+const ORDER_PAUSE_MS = 330;
 /** Limit of the first part, ms; the whole run takes less than 120 s. */
 const FIRST_PART_MS = 88_000;
 /** Bounds of the settings, ms. */
