Reclaim what killed edges provably left of their tokens

What callers saw: after all edges had been killed a quarter of all prepaid tokens was gone, and metered requests got 402.

Cause: tokens are granted ahead to processes without a disk, and whatever a process held at its end counted as spent, as nobody could tell how much of it was.

Change: with each exchange a holder announces a spending limit, a burst and a rate that grows with time, and keeps to it. The core reclaims what the former process of a box can't have taken until its successor started, by the steady clock of the machine, which outlives a process. Only within one boot; late exchanges of ended processes are ignored.

HOLDER_TARGET_S is 13 for 12: exchanges are more frequent now, which takes an upward bias of a tenth out of the measured demand; what is held stays about the same.

TokensInRegions, 'held in a disconnected region can be spent there': its 100 ms between requests are new. All tokens of a region within some milliseconds are what a limit forbids; that all can be spent, and no more, is checked as before.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -26,7 +26,7 @@
   UPSTREAM_STATE,
 } from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
-import {invariant, Random, SystemClock} from 'shared';
+import {invariant, Random, SystemClock, SystemMachineClock} from 'shared';
 
 /** Settings of the process, passed as JSON on the command line. */
 export interface EdgeProcessSettings {
@@ -140,6 +140,7 @@
       now: () => clock.now(),
       successSampleInterval: SUCCESS_SAMPLE_INTERVAL,
     }),
+    machineClock: new SystemMachineClock(),
     metricsAddress: {host: HOST, path: '/metrics', port: settings.metricsPort},
     random,
     readinessAddress: {host: HOST, path: READY_PATH, port: settings.readyPort},
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -330,12 +330,13 @@
   readonly teams: readonly TeamGrantCounts[];
 }
 
-/** An edge restarted; the tokens of its previous incarnation count as spent. */
-export interface TokensWrittenOff {
-  readonly event: 'tokens-written-off';
+/** An edge restarted: what became of the tokens of its previous incarnation. */
+export interface EndedTokens {
+  /** Reclaimed tokens were provably left; written-off ones count as spent. */
+  readonly event: 'tokens-reclaimed' | 'tokens-written-off';
   /** Name of the edge's box. */
   readonly edge: string;
-  /** Tokens of all teams at the previous incarnation's last exchange. */
+  /** Tokens of all teams. */
   readonly amount: number;
   readonly teams: readonly TeamTokenAmount[];
 }
@@ -673,7 +674,7 @@
   | OverloadWithdrawalDecided
   | TokenTotals
   | ServiceBrittlenessChanged
-  | TokensWrittenOff
+  | EndedTokens
   | TunnelDecided
   | UpstreamChanged
   | UpstreamCrashed
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -8,6 +8,7 @@
 /** Structured log lines that record the decisions of a process. */
 export type {
   Decision,
+  EndedTokens,
   ResponseCount,
   ResumptionOutcome,
   TeamGrantCounts,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -36,7 +36,7 @@
 import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
 import {StreamOrigins} from 'puffinturn-streams';
 import type {Link} from 'puffinturn-wire';
-import type {Clock, Random} from 'shared';
+import type {Clock, MachineClock, Random} from 'shared';
 
 import {BacklogLogger} from './callers/BacklogLogger';
 import type {BacklogMonitor} from './callers/BacklogMonitor';
@@ -89,6 +89,7 @@
   readonly self: BoxRecord;
   readonly seeds: () => readonly string[];
   readonly clock: Clock;
+  readonly machineClock: MachineClock;
   readonly random: Random;
   readonly link: Link;
   readonly log: DecisionLog;
@@ -245,6 +246,7 @@
       incarnationId: incarnationIdOf(self),
       link,
       log,
+      machineClock: parts.machineClock,
       peers: () => this.knownBoxes.peers,
       regions,
     });
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -64,7 +64,7 @@
  * Seconds of demand that held tokens should cover. Most network partitions end within 9
  * s, and what is held lies between REFILL_TARGET_RATIO and RETURN_TARGET_RATIO of this.
  */
-export const HOLDER_TARGET_S = 12;
+export const HOLDER_TARGET_S = 13;
 
 /**
  * Share of a team's prepaid tokens that all halls together hold before any demand is
--- a/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
@@ -14,7 +14,7 @@
 } from 'puffinturn-fleet';
 import {BOX_ROLE, FLEET_SERVICE, Regions} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
-import {invariant, ManualClock, Random} from 'shared';
+import {invariant, ManualClock, ManualMachineClock, Random} from 'shared';
 
 import {Edge} from '../../Edge';
 import {makeConfiguration} from '../utils/EdgeFixture';
@@ -79,6 +79,7 @@
     protocol: new TestProtocol(),
     link: network.connect('e1'),
     log,
+    machineClock: new ManualMachineClock(clock, 'boot-1'),
     metricsAddress: {...address, path: '/metrics'},
     random: new Random(1),
     readinessAddress: {...address, path: '/ready'},
--- a/packages/puffinturn-edge/src/__tests__/unit/TokensInRegions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/TokensInRegions.test.ts
@@ -22,6 +22,9 @@
 const WEST = ['x1', 'x2', 'y1', 'y2'];
 const PREPAID = 100_000;
 
+/** Interval of requests that use all tokens of a region, ms. */
+const REQUEST_INTERVAL_MS = 100;
+
 function holdersOf(box: string, regions: Regions): TokenHolders {
   const others = [...WEST, ...EAST]
     .filter((other) => other !== box)
@@ -107,6 +110,8 @@
       );
       edge.settle(TEAM, 100, 100);
       spent += 100;
+      // Spending limits don't allow to use all tokens within milliseconds.
+      await fleet.clock.advance(REQUEST_INTERVAL_MS);
     }
     const reservation = fleet.edge('b1').reserve(TEAM, east);
     expect(await fleet.advanceUntilSettled(reservation)).toBe(
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -17,7 +17,7 @@
 import type {LinkFailure} from 'puffinturn-wire';
 import {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {Random, SystemClock} from 'shared';
+import {Random, SystemClock, SystemMachineClock} from 'shared';
 
 import {Edge} from '../../Edge';
 import {makeConfiguration, makeUpstream} from './EdgeFixture';
@@ -118,6 +118,7 @@
       protocol: new PlainProtocol(),
       link,
       log,
+      machineClock: new SystemMachineClock(),
       metricsAddress: {host, path: '/metrics', port: metrics},
       random: new Random(3),
       readinessAddress: {host, path: '/ready', port: ready},
--- a/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TokenFleet.ts
@@ -5,7 +5,6 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import {NoopDecisionLog} from 'puffinturn-decisions';
 import type {
   AllowanceOutcome,
   AllowanceRequest,
@@ -19,10 +18,12 @@
   Regions,
 } from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
-import {invariant, ManualClock, Random} from 'shared';
+import type {MachineClock} from 'shared';
+import {invariant, ManualClock, ManualMachineClock, Random} from 'shared';
 
 import {Allowances} from '../../index';
 import {makeConfiguration} from './EdgeFixture';
+import {ReclaimChecker} from './ReclaimChecker';
 
 /** Name of the box that runs the control plane. */
 export const CORE = 'c';
@@ -43,6 +44,9 @@
   private incarnationCount = 0;
   private readonly edges = new Map<string, Allowances>();
   private readonly incarnations = new Map<string, string>();
+  readonly reclaimChecker = new ReclaimChecker();
+  private readonly machineClocks = new Map<string, MachineClock>();
+  private bootCount = 0;
   /** The list of other edges that each edge has. */
   private readonly peers = new Map<string, readonly BoxRecord[]>();
   /** Whether a restart updates the lists of the other edges at once. */
@@ -76,6 +80,10 @@
     return edge;
   }
 
+  isRunning(box: string): boolean {
+    return this.edges.has(box);
+  }
+
   /** Tokens held by one edge; 0 if it is not running. */
   heldBy(box: string): number {
     const edge = this.edges.get(box);
@@ -100,10 +108,12 @@
     this.network
       .connect(CORE)
       .register(FLEET_SERVICE.allowance, async (body) => {
+        const request = body as AllowanceRequest;
         const outcome = this.machine.apply({
-          ...(body as AllowanceRequest),
+          ...request,
           kind: 'allowance',
         }) as AllowanceOutcome;
+        this.reclaimChecker.recordExchange(request, outcome);
         return {grants: outcome.grants};
       });
   }
@@ -138,9 +148,10 @@
       clock: this.clock,
       controlBoxes: () => [CORE],
       hall: hallOf(box),
-      incarnationId: incarnationIdOf({box, incarnation}),
+      incarnationId: this.incarnationIdOf(box),
       link: this.network.connect(box),
-      log: new NoopDecisionLog(),
+      log: this.reclaimChecker.createLog(this.incarnationIdOf(box)),
+      machineClock: this.machineClocks.get(box) ?? this.bootMachine(box),
       peers: () => this.peers.get(box) ?? [],
       regions: this.regions,
     });
@@ -151,6 +162,17 @@
     return edge;
   }
 
+  /** Boots the machine of a box: its clock starts anew. */
+  bootMachine(box: string): MachineClock {
+    this.bootCount += 1;
+    const machine = new ManualMachineClock(
+      this.clock,
+      `boot-${this.bootCount}`,
+    );
+    this.machineClocks.set(box, machine);
+    return machine;
+  }
+
   /** Updates the incarnations in the lists of all edges. */
   announceRestarts(): void {
     for (const [box, known] of this.peers) {
@@ -162,6 +184,12 @@
   kill(box: string): void {
     const edge = this.edges.get(box);
     invariant(edge !== undefined, `edge ${box} is not running`);
+    const [counts] = edge.status();
+    this.reclaimChecker.recordKill(
+      box,
+      this.incarnationIdOf(box),
+      (counts?.held ?? 0) - (counts?.reserved ?? 0),
+    );
     this.edges.delete(box);
     this.network.disconnect(box);
     void edge[Symbol.asyncDispose]();
@@ -178,6 +206,11 @@
     return result.value;
   }
 
+  private incarnationIdOf(box: string): string {
+    const incarnation = this.incarnations.get(box) ?? '';
+    return incarnationIdOf({box, incarnation});
+  }
+
   private recordsOf(boxes: readonly string[]): readonly BoxRecord[] {
     return boxes.map((box) => ({
       box,
--- a/packages/puffinturn-edge/src/tokens/Allowances.ts
+++ b/packages/puffinturn-edge/src/tokens/Allowances.ts
@@ -19,7 +19,7 @@
 } from 'puffinturn-fleet';
 import {LOAN_OUTCOME} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
+import type {Clock, MachineClock} from 'shared';
 import {sleepUnlessNotified, TaskGroup} from 'shared';
 
 import {
@@ -56,6 +56,8 @@
   /** Identifies this incarnation of the edge; a restart changes it. */
   readonly incarnationId: string;
   readonly clock: Clock;
+  /** The clock of this box's machine; it tells a successor how long this process ran. */
+  readonly machineClock: MachineClock;
   readonly link: Link;
   readonly log: DecisionLog;
   /** Control boxes in the order in which they are asked. */
@@ -313,7 +315,7 @@
   }: PendingClaim): Promise<ReserveOutcome> {
     const {borrowed} = await this.loans.borrowFromLenders(
       account,
-      account.free + tokens,
+      this.accounts.spendable(account) + tokens,
       withheldFraction,
     );
     const isClaimed = borrowed >= tokens && tryClaim(0);
@@ -326,7 +328,8 @@
   ): Promise<ReserveOutcome> {
     const {account, withheldFraction, tokens} = claim;
     const {clock} = this.parts;
-    if (!this.core.isCoreReachable && account.free >= tokens) {
+    const spendable = this.accounts.spendable(account);
+    if (!this.core.isCoreReachable && spendable >= tokens) {
       return this.claimFromLenders(claim);
     }
     using _waiting = account.addWaitingRequest(tokens);
@@ -389,9 +392,12 @@
     if (!gather) {
       const withheld = this.withheldFractionFor(account, withheldFraction);
       const aboveWithheld = Math.floor(
-        this.accounts.freeAboveWithheld(account, withheld),
+        this.accounts.spendableAboveWithheld(account, withheld),
+      );
+      const lendable = Math.max(
+        0,
+        Math.min(account.lendable(this.parts.clock.now()), aboveWithheld),
       );
-      const lendable = Math.max(0, Math.min(account.lendable, aboveWithheld));
       const amount = Math.max(0, Math.min(need, lendable));
       const given = this.accounts.lend(
         account,
--- a/packages/puffinturn-edge/src/tokens/CoreExchange.ts
+++ b/packages/puffinturn-edge/src/tokens/CoreExchange.ts
@@ -12,7 +12,7 @@
 } from 'puffinturn-fleet';
 import {FLEET_SERVICE} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
+import type {Clock, MachineClock, MachineTime} from 'shared';
 import {sleepUnlessNotified} from 'shared';
 
 import {requestGrants} from '../ControlRequests';
@@ -28,9 +28,6 @@
 import type {TokenAccounts} from './TokenAccounts';
 import type {TokenHolders} from './TokenHolders';
 
-/** A holder reports its spending above this fraction of its target balance. */
-const REPORT_TARGET_FRACTION = 0.25;
-
 /** Other edges report their spending above this fraction of the budget. */
 const REPORT_BUDGET_FRACTION = 0.01;
 
@@ -45,6 +42,7 @@
   /** Identifies this incarnation of the edge; a restart changes it. */
   readonly incarnationId: string;
   readonly clock: Clock;
+  readonly machineClock: MachineClock;
   readonly link: Link;
   /** Control boxes in the order in which they are asked. */
   readonly controlBoxes: () => readonly string[];
@@ -59,6 +57,7 @@
  */
 export class CoreExchange {
   private readonly startedAt: number;
+  private readonly machineStartedAt: MachineTime | undefined;
   private sequence = 0;
   private lastAnsweredSequence = 0;
   private isReachable = true;
@@ -69,6 +68,7 @@
 
   constructor(private readonly parts: CoreExchangeParts) {
     this.startedAt = parts.clock.now();
+    this.machineStartedAt = parts.machineClock.read();
     this.lastDecayAt = this.startedAt;
     this.lastAnswerAt = this.startedAt;
   }
@@ -108,13 +108,15 @@
     this.isClosing = true;
     accounts.refillNeeded.notify();
     await this.runCompleted;
-    const asks = accounts
-      .all()
-      .filter(({free}) => free > 0)
-      .map((account) => this.createAsk(account, 0, 0, account.free));
-    if (asks.length > 0) {
-      this.sequence += 1;
-      await this.exchange(asks);
+    const request = this.createRequest(() =>
+      accounts
+        .all()
+        .filter(({free}) => free > 0)
+        .map((account) => this.createAsk(account, 0, 0, account.free)),
+    );
+    if (request.asks.length > 0) {
+      const grants = await this.exchange(request);
+      this.confirmLimits(grants ?? []);
     }
   }
 
@@ -133,17 +135,34 @@
         return;
       }
       this.decayDemand();
-      const asks = this.buildAsks();
-      if (asks.length > 0 && !signal.aborted) {
-        this.sequence += 1;
-        await this.exchangeUntilAnswered(asks, signal);
+      const request = this.createRequest(() => this.buildAsks());
+      // The first exchange ends the previous incarnation of this box.
+      const isNeeded = request.asks.length > 0 || this.sequence === 0;
+      if (isNeeded && !signal.aborted) {
+        await this.exchangeUntilAnswered(request, signal);
       }
     }
   }
 
+  /** Creates an exchange; its time is read before any limit in it starts. */
+  private createRequest(
+    createAsks: () => readonly AllowanceAsk[],
+  ): AllowanceRequest {
+    const {box, incarnationId, machineClock} = this.parts;
+    return {
+      box,
+      holder: incarnationId,
+      sentAt: machineClock.read(),
+      startedAt: this.machineStartedAt,
+      asks: createAsks(),
+      sequence: this.sequence + 1,
+    };
+  }
+
   /** Whether requests started to wait for tokens during the last exchange. */
   private hasWaitingRequests(): boolean {
-    return this.parts.accounts.all().some(({shortfall}) => shortfall > 0);
+    const now = this.parts.clock.now();
+    return this.parts.accounts.all().some((account) => account.isShort(now));
   }
 
   private decayDemand(): void {
@@ -201,15 +220,27 @@
     ) {
       return this.createAsk(account, 0, 0, surplus);
     }
-    const budgetThreshold = prepaid * REPORT_BUDGET_FRACTION;
-    const reportThreshold = isHolder
-      ? target * REPORT_TARGET_FRACTION
-      : budgetThreshold;
-    return Math.abs(account.unreportedTotal) > reportThreshold
+    return this.shouldReport(account)
       ? this.createAsk(account, 0, 0, 0)
       : undefined;
   }
 
+  /** Whether an exchange is due that only reports changes and announces a limit. */
+  private shouldReport(account: TokenAccount): boolean {
+    const {accounts, clock, holders} = this.parts;
+    const {limits, prepaid, unreportedTotal} = account;
+    if (account.isShort(clock.now())) {
+      return true;
+    }
+    if (!holders.isHolder(account.team)) {
+      const isAboveThreshold =
+        Math.abs(unreportedTotal) > prepaid * REPORT_BUDGET_FRACTION;
+      return limits.isLimited || isAboveThreshold;
+    }
+    const isMissing = !limits.isLimited && unreportedTotal > 0;
+    return isMissing || accounts.isLimitDue(account);
+  }
+
   private createAsk(
     account: TokenAccount,
     need: number,
@@ -220,28 +251,26 @@
     if (back > 0) {
       this.parts.accounts.logMovement(account, 'returned', -back);
     }
-    const {team, unreportedLent, unreportedSpent} = account;
-    const {ownHallShare} = this.parts.holders;
-    account.unreportedLent = 0;
-    account.unreportedSpent = 0;
+    const {accounts, clock, holders} = this.parts;
+    const limit = accounts.limitFor(account);
     return {
+      ...account.report(limit, clock.now()),
       back,
-      lent: unreportedLent,
+      limit,
       need,
-      share: ownHallShare,
-      spent: unreportedSpent,
-      team,
+      share: holders.ownHallShare,
+      team: account.team,
       want,
     };
   }
 
   /** Retries an exchange with the same sequence number until it gets a reply. */
   private async exchangeUntilAnswered(
-    asks: readonly AllowanceAsk[],
+    request: AllowanceRequest,
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
-      const grants = await this.exchange(asks);
+      const grants = await this.exchange(request);
       this.isReachable = grants !== undefined;
       if (grants !== undefined) {
         this.applyGrants(grants);
@@ -252,16 +281,10 @@
   }
 
   private async exchange(
-    asks: readonly AllowanceAsk[],
+    request: AllowanceRequest,
   ): Promise<readonly AllowanceGrant[] | undefined> {
-    const {box, controlBoxes, incarnationId, link} = this.parts;
-    const {sequence} = this;
-    const request: AllowanceRequest = {
-      asks,
-      box,
-      holder: incarnationId,
-      sequence,
-    };
+    const {controlBoxes, link} = this.parts;
+    this.sequence = request.sequence;
     return requestGrants<readonly AllowanceGrant[]>(link, controlBoxes(), {
       timeoutMs: EXCHANGE_TIMEOUT_MS,
       onUnanswered: () => (this.isReachable = false),
@@ -274,6 +297,7 @@
     const {accounts, clock} = this.parts;
     this.lastAnsweredSequence = this.sequence;
     this.lastAnswerAt = clock.now();
+    this.confirmLimits(grants);
     for (const {granted, left, mostHeld, team} of grants) {
       const account = accounts.getOrCreate(team);
       account.held += granted;
@@ -286,4 +310,11 @@
     }
     accounts.tokensAdded.notify();
   }
+
+  /** The control plane has stored the limits of the teams in its reply. */
+  private confirmLimits(grants: readonly AllowanceGrant[]): void {
+    for (const {team} of grants) {
+      this.parts.accounts.getOrCreate(team).limits.confirm();
+    }
+  }
 }
--- a/packages/puffinturn-edge/src/tokens/TokenAccount.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenAccount.ts
@@ -5,7 +5,13 @@
  * LICENSE file in the root directory of this source tree.
  */
 
+import type {SpendingLimit} from 'puffinturn-fleet';
+
 import {DEMAND_TIME_CONSTANT_MS, EXHAUSTED_CACHE_MS} from '../EdgeConstants';
+import {AccountLimits} from './AccountLimits';
+
+/** Weight of the latest request in the mean size. */
+const SIZE_WEIGHT = 0.1;
 
 /** Lower bound of the measured fraction of the demand window. */
 const MIN_MEASURED_FRACTION = 0.3;
@@ -21,6 +27,8 @@
   prepaid = 0;
   /** Size of the largest request so far, tokens. */
   largestRequest = 0;
+  /** Mean size of recent requests and loans, tokens. */
+  typicalRequest = 0;
   /** Tokens charged since the edge started. */
   charged = 0;
   /**
@@ -40,6 +48,10 @@
   maxHeld = Infinity;
   /** Whether all free tokens must be returned to the control plane. */
   isRecalled = false;
+  /** Limits on what is taken from this account. */
+  readonly limits = new AccountLimits();
+  /** Tokens reserved or lent, minus those released or received, since the start. */
+  private taken = 0;
   private readonly waitingRequests = new Set<{readonly tokens: number}>();
   /** Exponentially decaying rate of the tokens taken, per second. */
   private demandPerSecond = 0;
@@ -54,18 +66,40 @@
     return this.held - this.reserved;
   }
 
-  /** Tokens that waiting requests need beyond the free ones. */
-  get shortfall(): number {
+  /** Free tokens that the spending limits allow to take. */
+  spendable(now: number): number {
+    return Math.min(this.free, this.limits.headroom(this.taken, now));
+  }
+
+  /** Tokens that waiting requests need. */
+  get waitingTokens(): number {
     let sum = 0;
     for (const {tokens} of this.waitingRequests) {
       sum += tokens;
     }
+    return sum;
+  }
+
+  /** Tokens that waiting requests need beyond the free ones. */
+  get shortfall(): number {
+    const sum = this.waitingTokens;
     return sum === 0 ? 0 : Math.max(0, sum - this.free);
   }
 
+  /** Whether requests wait for tokens that are not held or that may not be taken. */
+  isShort(now: number): boolean {
+    const sum = this.waitingTokens;
+    return sum > 0 && sum > this.spendable(now);
+  }
+
+  /** Whether a limit is nearly used up. */
+  isLimitLow(now: number): boolean {
+    return this.limits.isLow(this.taken, now);
+  }
+
   /** Tokens that may be lent; 0 while requests of this edge wait. */
-  get lendable(): number {
-    return this.waitingRequests.size > 0 ? 0 : Math.max(0, this.free);
+  lendable(now: number): number {
+    return this.waitingRequests.size > 0 ? 0 : Math.max(0, this.spendable(now));
   }
 
   /** Change of the balance not yet reported to the control plane. */
@@ -97,6 +131,8 @@
   reserve(tokens: number, now: number): void {
     this.reserved += tokens;
     this.unreportedSpent += tokens;
+    this.taken += tokens;
+    this.recordSize(tokens);
     this.recordDemand(tokens, now);
   }
 
@@ -106,21 +142,28 @@
     this.reserved -= reserved;
     this.held -= spent;
     this.unreportedSpent -= unspent;
+    this.taken -= unspent;
     this.charged += spent;
     this.recordDemand(-unspent, now);
   }
 
   /** Removes tokens lent to another edge; they count as demand on this one. */
   lend(amount: number, now: number): void {
+    this.giveAway(amount);
+    this.recordSize(amount);
+    this.recordDemand(amount, now);
+  }
+
+  /** Removes tokens given to another edge, without effect on the demand. */
+  giveAway(amount: number): void {
     this.held -= amount;
     this.unreportedLent += amount;
-    this.recordDemand(amount, now);
+    this.taken += amount;
   }
 
   /** Adds tokens given by another edge and subtracts them from the demand. */
   receiveTransfer(amount: number, now: number): void {
-    this.held += amount;
-    this.unreportedLent -= amount;
+    this.credit(amount);
     this.recordDemand(
       -Math.min(
         amount,
@@ -134,6 +177,22 @@
   credit(amount: number): void {
     this.held += amount;
     this.unreportedLent -= amount;
+    this.taken -= amount;
+  }
+
+  /**
+   * Announces a limit with an exchange that reports all changes of the balance, and
+   * returns these changes.
+   */
+  report(
+    limit: SpendingLimit | undefined,
+    now: number,
+  ): {readonly lent: number; readonly spent: number} {
+    const changes = {lent: this.unreportedLent, spent: this.unreportedSpent};
+    this.unreportedLent = 0;
+    this.unreportedSpent = 0;
+    this.limits.announce(limit, this.taken, now);
+    return changes;
   }
 
   /** Applies the exponential decay of the demand. */
@@ -159,6 +218,11 @@
     return now < this.exhaustedUntil && tokens >= this.minExhaustedTokens;
   }
 
+  private recordSize(tokens: number): void {
+    const weight = this.typicalRequest === 0 ? 1 : SIZE_WEIGHT;
+    this.typicalRequest += (tokens - this.typicalRequest) * weight;
+  }
+
   private recordDemand(amount: number, now: number): void {
     this.firstDemandAt = Math.min(this.firstDemandAt, now);
     const change = (amount * 1_000) / DEMAND_TIME_CONSTANT_MS;
--- a/packages/puffinturn-edge/src/tokens/TokenAccounts.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenAccounts.ts
@@ -6,6 +6,7 @@
  */
 
 import type {DecisionLog} from 'puffinturn-decisions';
+import type {SpendingLimit} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 import {Condition} from 'shared';
 
@@ -24,6 +25,21 @@
  */
 const MAX_EXTRA_LENT_FRACTION = 0.25;
 
+/** Seconds of demand that a spending limit allows to take at once. */
+const MIN_BURST_S = 0.4;
+
+/** Requests of typical size that a spending limit allows to take at once. */
+const MIN_BURST_REQUESTS = 2;
+
+/** Rate of a spending limit at first, as a multiple of the demand. */
+const LIMIT_DEMAND_RATIO = 1.25;
+
+/** Seconds without an exchange after which a spending limit allows twice the demand. */
+const LIMIT_DOUBLING_S = 2.5;
+
+/** Age at which a limit that was used is replaced, ms. */
+const LIMIT_REPLACEMENT_AGE_MS = 250;
+
 /** All token accounts of one edge, and the target balance of each. */
 export class TokenAccounts {
   /** Notified when an account may need a refill. */
@@ -55,13 +71,46 @@
     return account;
   }
 
-  /** Free tokens beyond the withheld fraction of the target balance. */
-  freeAboveWithheld(account: TokenAccount, withheldFraction: number): number {
+  /** Tokens that may be taken beyond the withheld fraction of the target balance. */
+  spendableAboveWithheld(
+    account: TokenAccount,
+    withheldFraction: number,
+  ): number {
     const withheld =
       withheldFraction === 0
         ? 0
         : this.targetBalance(account) * withheldFraction;
-    return account.free - withheld;
+    return Math.min(account.free - withheld, this.spendable(account));
+  }
+
+  /** Free tokens that the spending limits allow to take. */
+  spendable(account: TokenAccount): number {
+    return account.spendable(this.clock.now());
+  }
+
+  /**
+   * The spending limit to announce for an account; undefined where nothing is expected to
+   * be reclaimed: before any demand, and on an edge that isn't the holder.
+   */
+  limitFor(account: TokenAccount): SpendingLimit | undefined {
+    const demandRate = account.demandRate(this.clock.now());
+    if (!this.holders.isHolder(account.team) || demandRate === 0) {
+      return undefined;
+    }
+    const perSecond = Math.max(
+      demandRate,
+      this.targetBalance(account) / HOLDER_TARGET_S,
+    );
+    const burst = Math.max(
+      perSecond * MIN_BURST_S,
+      account.typicalRequest * MIN_BURST_REQUESTS,
+      account.waitingTokens,
+    );
+    return {
+      burst: Math.ceil(burst),
+      perSecond: Math.ceil(perSecond * LIMIT_DEMAND_RATIO),
+      doublingS: LIMIT_DOUBLING_S,
+    };
   }
 
   /** Reserves tokens; returns false if too few are free. */
@@ -70,7 +119,7 @@
     tokens: number,
     withheldFraction = 0,
   ): boolean {
-    if (this.freeAboveWithheld(account, withheldFraction) < tokens) {
+    if (this.spendableAboveWithheld(account, withheldFraction) < tokens) {
       return false;
     }
     account.reserve(tokens, this.clock.now());
@@ -85,10 +134,15 @@
     want: number,
     withheldFraction = 0,
   ): number {
-    if (this.freeAboveWithheld(account, withheldFraction) < need || need < 0) {
+    if (
+      this.spendableAboveWithheld(account, withheldFraction) < need ||
+      need < 0
+    ) {
       return 0;
     }
-    const maxExtra = Math.floor(account.free * MAX_EXTRA_LENT_FRACTION);
+    const maxExtra = Math.floor(
+      this.spendable(account) * MAX_EXTRA_LENT_FRACTION,
+    );
     const given = Math.max(need, Math.min(want, maxExtra));
     account.lend(given, this.clock.now());
     if (given > 0) {
@@ -116,6 +170,17 @@
     return Math.ceil(Math.min(target, account.maxHeld));
   }
 
+  /** Whether a limit should be replaced: it is nearly used up, or old and was used. */
+  isLimitDue(account: TokenAccount): boolean {
+    const now = this.clock.now();
+    const {limits, unreportedTotal} = account;
+    const isOld = limits.age(now) >= LIMIT_REPLACEMENT_AGE_MS;
+    return (
+      limits.isLimited &&
+      (account.isLimitLow(now) || (isOld && unreportedTotal !== 0))
+    );
+  }
+
   /** Logs a transfer of tokens to or from this edge. */
   logMovement(
     {held, coreRemaining, reserved, team}: TokenAccount,
@@ -136,7 +201,9 @@
   }
 
   private notifyIfLow(account: TokenAccount): void {
-    if (account.free < this.targetBalance(account) * REFILL_TARGET_RATIO) {
+    const isBalanceLow =
+      account.free < this.targetBalance(account) * REFILL_TARGET_RATIO;
+    if (isBalanceLow || this.isLimitDue(account)) {
       this.refillNeeded.notify();
     }
   }
--- a/packages/puffinturn-edge/src/tokens/TokenGifts.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenGifts.ts
@@ -102,7 +102,10 @@
       if (holder === undefined || this.pendingReceivers.has(holder)) {
         continue;
       }
-      const amount = takeSurplus(account, accounts.targetBalance(account));
+      const amount = Math.min(
+        takeSurplus(account, accounts.targetBalance(account)),
+        accounts.spendable(account),
+      );
       if (amount > 0) {
         const some = gifts.get(holder) ?? [];
         gifts.set(holder, [...some, this.withdraw(account, amount)]);
@@ -113,20 +116,24 @@
     );
   }
 
-  /** Gives the free tokens of selected accounts to the first edge that accepts. */
+  /** Gives all tokens that may be taken from selected accounts to the first edge that accepts. */
   async giveFree(
     isSelected: (account: TokenAccount) => boolean,
   ): Promise<void> {
     const {accounts, holders} = this.parts;
     const selected = accounts
       .all()
-      .filter((account) => account.free > 0 && isSelected(account));
+      .filter(
+        (account) => accounts.spendable(account) > 0 && isSelected(account),
+      );
     for (const account of selected) {
       const boxes = holders
         .successors(account.team)
         .filter((box) => !this.pendingReceivers.has(box))
         .slice(0, MAX_RECEIVERS_TRIED);
-      await this.offerInOrder(boxes, [this.withdraw(account, account.free)]);
+      await this.offerInOrder(boxes, [
+        this.withdraw(account, accounts.spendable(account)),
+      ]);
     }
   }
 
@@ -247,8 +254,7 @@
   }
 
   private withdraw(account: TokenAccount, amount: number): Gift {
-    account.held -= amount;
-    account.unreportedLent += amount;
+    account.giveAway(amount);
     this.parts.accounts.logMovement(account, 'given', -amount);
     return {amount, team: account.team};
   }
--- a/packages/puffinturn-edge/src/tokens/TokenLoans.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenLoans.ts
@@ -87,7 +87,7 @@
     {gather, withheldFraction}: LoanOptions,
   ): Promise<BorrowReply | undefined> {
     const {accounts, holders, incarnationId, link} = this.parts;
-    const need = Math.max(0, tokens - account.free);
+    const need = Math.max(0, tokens - accounts.spendable(account));
     this.lastNumber += 1;
     const request: BorrowRequest = {
       borrower: incarnationId,
@@ -125,7 +125,7 @@
   }
 
   /**
-   * Borrows from other edges, a batch at a time, until enough tokens are free. Other
+   * Borrows from other edges, a batch at a time, until enough tokens may be taken. Other
    * regions are asked last, and only while `isStillNeeded` returns true.
    */
   async borrowFromLenders(
@@ -138,7 +138,8 @@
     let borrowed = 0;
     const options: LoanOptions = {gather: false, withheldFraction};
     const lenders = [...this.parts.holders.lendersFor(account.team)];
-    while (lenders.length > 0 && account.free < tokens) {
+    const {accounts} = this.parts;
+    while (lenders.length > 0 && accounts.spendable(account) < tokens) {
       const batch = this.takeNextBatch(lenders);
       const [first = ''] = batch;
       if (this.parts.holders.isInOtherRegion(first) && !isStillNeeded()) {
--- a/packages/puffinturn-fleet/src/AllowanceControl.ts
+++ b/packages/puffinturn-fleet/src/AllowanceControl.ts
@@ -5,14 +5,18 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {DecisionLog, TeamTokenAmount} from 'puffinturn-decisions';
+import type {
+  DecisionLog,
+  EndedTokens,
+  TeamTokenAmount,
+} from 'puffinturn-decisions';
 import {selectLargestTeams} from 'puffinturn-decisions';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
-import type {AllowanceOutcome} from './AllowanceLedger';
+import type {AllowanceOutcome, AllowanceRequest} from './AllowanceLedger';
 import type {FleetMachine} from './FleetMachine';
-import type {AllowanceReply, AllowanceRequest} from './FleetMessages';
+import type {AllowanceReply} from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
 import {GrantTotals} from './GrantTotals';
 import type {LeaderCalls} from './LeaderCalls';
@@ -65,8 +69,9 @@
       kind: 'allowance',
     });
     return outcome.match(
-      ({grants, writtenOff}) => {
-        this.logWrittenOff(request.box, writtenOff ?? []);
+      ({grants, reclaimed, writtenOff}) => {
+        this.logEnded(request.box, 'tokens-reclaimed', reclaimed ?? []);
+        this.logEnded(request.box, 'tokens-written-off', writtenOff ?? []);
         this.grantTotals.recordTeams(request.asks.map(({team}) => team));
         return {grants};
       },
@@ -74,14 +79,16 @@
     );
   }
 
-  private logWrittenOff(
+  /** Logs tokens of an ended incarnation of an edge. */
+  private logEnded(
     edge: string,
+    event: EndedTokens['event'],
     amounts: readonly TeamTokenAmount[],
   ): void {
     if (amounts.length > 0) {
       const amount = amounts.reduce((sum, team) => sum + team.amount, 0);
       const teams = selectLargestTeams(amounts, (team) => team.amount);
-      this.parts.log.note({amount, edge, event: 'tokens-written-off', teams});
+      this.parts.log.note({amount, edge, event, teams});
     }
   }
 }
--- a/packages/puffinturn-fleet/src/AllowanceLedger.ts
+++ b/packages/puffinturn-fleet/src/AllowanceLedger.ts
@@ -6,6 +6,11 @@
  */
 
 import type {TeamGrantCounts, TeamTokenAmount} from 'puffinturn-decisions';
+import type {MachineTime} from 'shared';
+import {elapsedBetween} from 'shared';
+
+import type {SentLimit, SpendingLimit} from './SpendingLimit';
+import {provablyUntaken} from './SpendingLimit';
 
 /** Maximum number of incarnations kept; the least recently used is evicted. */
 const MAX_INCARNATIONS = 4_000;
@@ -59,11 +64,15 @@
   readonly lent: number;
   /** Fraction of all edges that this holder serves, from 0 to 1. */
   readonly share: number;
+  /**
+   * What the edge takes from its balance from now on; undefined if it may take all of
+   * it, and in asks of earlier software versions.
+   */
+  readonly limit?: SpendingLimit | undefined;
 }
 
-/** Log record of an allowance exchange with one holder. */
-export interface AllowanceRecord {
-  readonly kind: 'allowance';
+/** An allowance exchange of one edge, as sent to the control plane. */
+export interface AllowanceRequest {
   /** Address of the edge's box. */
   readonly box: string;
   /** Incarnation ID of that edge. */
@@ -71,6 +80,18 @@
   /** Increases by 1 per exchange; a retry with the same number is applied once. */
   readonly sequence: number;
   readonly asks: readonly AllowanceAsk[];
+  /**
+   * When this incarnation of the edge had started, by its machine: no other process of
+   * the box was running then. Undefined if the machine can't tell.
+   */
+  readonly startedAt?: MachineTime | undefined;
+  /** When the exchange was first sent, by the same clock. */
+  readonly sentAt?: MachineTime | undefined;
+}
+
+/** Log record of an allowance exchange. */
+export interface AllowanceRecord extends AllowanceRequest {
+  readonly kind: 'allowance';
 }
 
 /** Tokens granted to a holder for one team. */
@@ -87,8 +108,10 @@
 export interface AllowanceOutcome {
   readonly kind: 'allowance';
   readonly grants: readonly AllowanceGrant[];
-  /** Tokens held by the previous incarnation of the box, if this one is new. */
+  /** Tokens lost with the previous incarnation of the box, if this one is new. */
   readonly writtenOff?: readonly TeamTokenAmount[] | undefined;
+  /** Tokens that the previous incarnation provably left, and that can be granted again. */
+  readonly reclaimed?: readonly TeamTokenAmount[] | undefined;
 }
 
 /** State of one incarnation of an edge. */
@@ -100,10 +123,19 @@
   readonly grants: readonly AllowanceGrant[];
   /** Tokens held and not reserved for requests, by team. */
   readonly held: Map<string, number>;
+  /** The edge's spending limits since its last exchanges, by team. */
+  readonly limits: Map<string, SentLimit>;
+  readonly startedAt: MachineTime | undefined;
+  /** Whether the tokens were reclaimed, so that later exchanges must have no effect. */
+  readonly isEnded: boolean;
 }
 
+/** Holder as stored by software versions without spending limits. */
+type StoredHolder = Omit<Holder, 'isEnded' | 'limits' | 'startedAt'> &
+  Partial<Holder>;
+
 /** Holder as stored by earlier software versions, which keyed it by box. */
-interface LegacyHolder extends Omit<Holder, 'box'> {
+interface LegacyHolder extends Omit<StoredHolder, 'box'> {
   readonly holder: string;
 }
 
@@ -113,7 +145,7 @@
   /** Holders by box; empty except in snapshots of earlier versions. */
   readonly holders: readonly (readonly [string, LegacyHolder])[];
   /** Holders by incarnation ID; missing in snapshots of earlier versions. */
-  readonly lives?: readonly (readonly [string, Holder])[] | undefined;
+  readonly lives?: readonly (readonly [string, StoredHolder])[] | undefined;
 }
 
 /**
@@ -158,7 +190,7 @@
   restore({granted, holders, lives}: AllowanceSnapshot): void {
     this.granted = new Map(granted);
     this.holdersByIncarnation = new Map(
-      lives ?? holders.map(migrateLegacyHolder),
+      (lives ?? holders.map(migrateLegacyHolder)).map(completeHolder),
     );
     this.incarnationByBox = new Map(
       [...this.holdersByIncarnation].map(
@@ -169,7 +201,7 @@
 
   /** Applies an allowance exchange with one holder. */
   apply(record: AllowanceRecord): AllowanceOutcome {
-    const {asks, box, holder, sequence} = record;
+    const {asks, box, holder, sequence, startedAt} = record;
     const existing = this.holdersByIncarnation.get(holder);
     // Drops duplicates, including late ones from an ended incarnation. Otherwise
     // their returned tokens would be counted and granted twice.
@@ -177,27 +209,84 @@
       const grants = sequence === existing.sequence ? existing.grants : [];
       return {grants, kind: 'allowance'};
     }
-    const writtenOff = this.writeOffPreviousIncarnation(box, holder);
-    const held = existing?.held ?? new Map<string, number>();
-    this.storeHolder(holder, {box, grants: [], held, sequence});
-    const grants = asks.map((ask) => this.grant(ask, held));
-    this.storeHolder(holder, {box, grants, held, sequence});
-    return {grants, kind: 'allowance', writtenOff};
+    if (existing?.isEnded === true || this.isOutdated(record)) {
+      return {grants: [], kind: 'allowance'};
+    }
+    const ended = this.endPreviousIncarnation(record);
+    const next: Holder = {
+      box,
+      grants: [],
+      held: existing?.held ?? new Map<string, number>(),
+      isEnded: false,
+      limits: existing?.limits ?? new Map<string, SentLimit>(),
+      sequence,
+      startedAt,
+    };
+    this.storeHolder(holder, next);
+    const grants = asks.map((ask) => this.grant(ask, next.held));
+    recordLimits(next.limits, record);
+    this.storeHolder(holder, {...next, grants});
+    return {grants, kind: 'allowance', ...ended};
+  }
+
+  /** Whether an exchange is from an incarnation that ended before the latest started. */
+  private isOutdated({box, holder, startedAt}: AllowanceRecord): boolean {
+    const latestId = this.incarnationByBox.get(box);
+    const latest = this.holdersByIncarnation.get(latestId ?? '');
+    if (startedAt === undefined || latest?.startedAt === undefined) {
+      return false;
+    }
+    const startedEarlierMs = elapsedBetween(startedAt, latest.startedAt) ?? 0;
+    return latestId !== holder && startedEarlierMs > 0;
   }
 
-  /** Writes off a previous incarnation's tokens: it may have spent any of them. */
-  private writeOffPreviousIncarnation(
-    box: string,
-    incarnationId: string,
-  ): TeamTokenAmount[] | undefined {
+  /**
+   * Ends the previous incarnation of a box: reclaims the tokens that it provably left,
+   * and writes the others off, as it may have spent any of them.
+   */
+  private endPreviousIncarnation({
+    box,
+    holder,
+    startedAt,
+  }: AllowanceRecord): Pick<AllowanceOutcome, 'reclaimed' | 'writtenOff'> {
     const previousId = this.incarnationByBox.get(box);
-    if (previousId === undefined || previousId === incarnationId) {
-      return undefined;
+    const previous = this.holdersByIncarnation.get(previousId ?? '');
+    if (
+      previousId === undefined ||
+      previous === undefined ||
+      previousId === holder
+    ) {
+      return {reclaimed: undefined, writtenOff: undefined};
+    }
+    const reclaimed = this.reclaim(previous, startedAt);
+    const writtenOff = positiveAmounts(previous.held);
+    previous.held.clear();
+    this.holdersByIncarnation.set(previousId, {
+      ...previous,
+      isEnded: reclaimed.length > 0,
+    });
+    return {reclaimed, writtenOff};
+  }
+
+  /** Makes the provably untaken tokens of an ended incarnation available again. */
+  private reclaim(
+    {held, limits}: Holder,
+    successorStartedAt: MachineTime | undefined,
+  ): TeamTokenAmount[] {
+    const reclaimed: TeamTokenAmount[] = [];
+    for (const [team, limit] of limits) {
+      const balance = held.get(team) ?? 0;
+      const amount =
+        successorStartedAt === undefined
+          ? 0
+          : provablyUntaken(balance, limit, successorStartedAt);
+      if (amount > 0) {
+        held.set(team, balance - amount);
+        this.granted.set(team, this.grantedTokens(team) - amount);
+        reclaimed.push({amount, team});
+      }
     }
-    const held = this.holdersByIncarnation.get(previousId)?.held;
-    const writtenOff = positiveAmounts(held ?? new Map());
-    held?.clear();
-    return writtenOff;
+    return reclaimed;
   }
 
   private storeHolder(incarnationId: string, holder: Holder): void {
@@ -276,10 +365,33 @@
     .filter(({amount}) => amount > 0);
 }
 
+/** Replaces the limits of the teams in an exchange. */
+function recordLimits(
+  limits: Map<string, SentLimit>,
+  {asks, sentAt}: AllowanceRecord,
+): void {
+  for (const {limit, team} of asks) {
+    if (limit === undefined || sentAt === undefined) {
+      limits.delete(team);
+    } else {
+      limits.set(team, {...limit, sentAt});
+    }
+  }
+}
+
+/** Adds the fields that earlier software versions did not store. */
+function completeHolder([incarnationId, stored]: readonly [
+  string,
+  StoredHolder,
+]): readonly [string, Holder] {
+  const {isEnded = false, limits = new Map(), startedAt} = stored;
+  return [incarnationId, {...stored, isEnded, limits, startedAt}];
+}
+
 function migrateLegacyHolder([box, legacy]: readonly [
   string,
   LegacyHolder,
-]): readonly [string, Holder] {
+]): readonly [string, StoredHolder] {
   const {grants, held, holder, sequence} = legacy;
   return [holder, {box, grants, held, sequence}];
 }
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -9,7 +9,7 @@
 import type {UpstreamRateLimit} from 'puffinturn-permits';
 import type {CrashReport, Quarantine} from 'puffinturn-quarantine';
 
-import type {AllowanceAsk, AllowanceGrant} from './AllowanceLedger';
+import type {AllowanceGrant} from './AllowanceLedger';
 import type {BoxChanges} from './BoxList';
 import type {FleetConfiguration} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
@@ -122,14 +122,6 @@
   readonly current: boolean;
 }
 
-/** Returns and requests token allowances; any control box forwards it to the leader. */
-export interface AllowanceRequest {
-  readonly box: string;
-  readonly holder: string;
-  readonly sequence: number;
-  readonly asks: readonly AllowanceAsk[];
-}
-
 /** Reply to an exchange; undefined grants mean that it failed and may be retried. */
 export interface AllowanceReply {
   readonly grants: readonly AllowanceGrant[] | undefined;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -10,6 +10,7 @@
   AllowanceAsk,
   AllowanceGrant,
   AllowanceOutcome,
+  AllowanceRequest,
 } from './AllowanceLedger';
 export {createTallyKey} from './AnswerTotals';
 export type {BoxChanges} from './BoxList';
@@ -43,7 +44,6 @@
 export {FleetMachine} from './FleetMachine';
 export type {
   AllowanceReply,
-  AllowanceRequest,
   BorrowReply,
   BorrowRequest,
   BoxRecord,
@@ -103,6 +103,8 @@
   TIME_RATIO_BOUNDS,
 } from './Rollouts';
 export {UNKNOWN_VERSION, upstreamVersion} from './ServiceUpstreams';
+export type {SpendingLimit} from './SpendingLimit';
+export {maxTaken} from './SpendingLimit';
 export type {SuspensionRecoveryParts} from './SuspensionRecovery';
 export {recoverFromSuspension} from './SuspensionRecovery';
 export {UpstreamRefusals} from './UpstreamRefusals';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -19,6 +19,13 @@
 export {describeError} from './Failure';
 export {hash32} from './Hash';
 export {invariant, InvariantError} from './Invariant';
+export type {MachineTime} from './MachineClock';
+export {
+  elapsedBetween,
+  MachineClock,
+  ManualMachineClock,
+  SystemMachineClock,
+} from './MachineClock';
 export {Random, selectByWeight} from './Random';
 export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {unavailableRetryAfterMs} from './RetryAfter';
