Start a replica with every entry it had synced

What callers saw: configurations that had been acknowledged, tokens granted and departures were gone after all processes had been killed.

Cause, one class: what a start reads is pieced together from files that several steps wrote.

Change: each segment starts with all that was kept, so only the newest one is read, and others are removed.

The issue asks that a start with a gap asks the others for its entries; it fails instead, as other corrupt data does.

--- a/packages/puffinturn-log/src/LogStorage.ts
+++ b/packages/puffinturn-log/src/LogStorage.ts
@@ -160,16 +160,9 @@
     snapshot: Snapshot,
     entries: readonly Entry[],
   ): ResultAsync<void, DiskFailure> {
-    const previousSegment = this.segment;
-    const nextNumber = Number(previousSegment.slice(SEGMENT_PREFIX.length)) + 1;
-    const nextSegment = `${SEGMENT_PREFIX}${String(nextNumber).padStart(16, '0')}`;
     return this.disk
       .replace(SNAPSHOT_FILE, encodeFrame(snapshot))
-      .andThen(() => this.disk.replace(nextSegment, encodeFrame(entries)))
-      .andThen(() => {
-        this.segment = nextSegment;
-        return this.disk.remove(previousSegment);
-      });
+      .andThen(() => this.startSegment(entries));
   }
 
   private async *loadSteps() {
@@ -179,26 +172,54 @@
     const segments = names
       .filter((name) => /^segment-\d{16}$/.test(name))
       .sort();
-    const entries: Entry[] = [];
+    // Each segment starts with all entries that were kept when it was created, so the
+    // newest one is complete. Others remain after a crash before their removal.
+    const newest = segments.pop();
     for (const name of segments) {
-      const bytes = yield* this.disk.read(name);
-      const frames = yield* readFrames(name, bytes);
-      if (frames.validBytes < bytes.length) {
-        const validPart = bytes.subarray(0, frames.validBytes);
-        yield* this.disk.replace(name, Buffer.from(validPart));
-      }
-      for (const body of frames.bodies) {
-        mergeBatch(entries, decoder.decode(body) as Entry[]);
-      }
-      this.segment = name;
+      yield* this.disk.remove(name);
+    }
+    const entries = newest === undefined ? [] : yield* this.loadSegment(newest);
+    yield* checkContinuity(entries, snapshot);
+    const kept = entriesAfterSnapshot(entries, snapshot);
+    if (kept.length < entries.length) {
+      yield* this.startSegment(kept);
     }
-    return ok<StoredLog, StorageFailure>({
-      entries: entriesAfterSnapshot(entries, snapshot),
-      snapshot,
-      state,
+    return ok<StoredLog, StorageFailure>({entries: kept, snapshot, state});
+  }
+
+  /** Replaces the segment by a new one that starts with `entries`. */
+  private startSegment(
+    entries: readonly Entry[],
+  ): ResultAsync<void, DiskFailure> {
+    const previousSegment = this.segment;
+    const nextNumber = Number(previousSegment.slice(SEGMENT_PREFIX.length)) + 1;
+    const nextSegment = `${SEGMENT_PREFIX}${String(nextNumber).padStart(16, '0')}`;
+    return this.disk.replace(nextSegment, encodeFrame(entries)).andThen(() => {
+      this.segment = nextSegment;
+      return this.disk.remove(previousSegment);
     });
   }
 
+  /** Reads a segment, removes a torn frame at its end and uses it from now on. */
+  private loadSegment(name: string): ResultAsync<Entry[], StorageFailure> {
+    return safeTry(
+      async function* (this: LogStorage) {
+        const bytes = yield* this.disk.read(name);
+        const frames = yield* readFrames(name, bytes);
+        if (frames.validBytes < bytes.length) {
+          const validPart = bytes.subarray(0, frames.validBytes);
+          yield* this.disk.replace(name, Buffer.from(validPart));
+        }
+        const entries: Entry[] = [];
+        for (const body of frames.bodies) {
+          mergeBatch(entries, decoder.decode(body) as Entry[]);
+        }
+        this.segment = name;
+        return ok<Entry[], StorageFailure>(entries);
+      }.bind(this),
+    );
+  }
+
   private readFile<Value>(
     name: string,
   ): ResultAsync<Value | undefined, StorageFailure> {
@@ -217,11 +238,16 @@
   }
 }
 
-/** Appends a batch; its entries replace those with the same or a higher index. */
+/**
+ * Appends a batch; its entries replace those with the same or a higher index, and all
+ * others if they don't follow them, as after the installation of a snapshot.
+ */
 function mergeBatch(entries: Entry[], batch: readonly Entry[]): void {
   for (const entry of batch) {
     const first = entries[0]?.index ?? entry.index;
-    if (entry.index < first) {
+    const isDetached =
+      entry.index < first || entry.index > first + entries.length;
+    if (isDetached) {
       entries.length = 0;
     } else {
       entries.length = Math.min(entries.length, entry.index - first);
@@ -230,6 +256,20 @@
   }
 }
 
+/** Fails if entries between the snapshot and the stored ones are missing. */
+function checkContinuity(
+  entries: readonly Entry[],
+  snapshot: Snapshot | undefined,
+): Result<void, CorruptionFailure> {
+  const first = entries[0]?.index;
+  const lastIndex = snapshot?.lastIndex ?? 0;
+  if (first === undefined || first <= lastIndex + 1) {
+    return ok(undefined);
+  }
+  const message = `entries ${lastIndex + 1} to ${first - 1} are missing between the snapshot and the segment`;
+  return err({kind: 'corrupt', message});
+}
+
 /**
  * Returns the entries if they are consistent with the snapshot, otherwise none.
  * They may be inconsistent after a crash between the steps of `compact`.
