Don't take a crash during a drain for an orderly end

What callers saw: status 200 with half of a body as complete, from an upstream that had said that it leaves and crashed, for requests that can't be repeated.

Cause: that an upstream had announced its shutdown was taken as the proof that a response without a length was whole, even where it no longer listened.

Change: an upstream that refuses connections counts as shut down in order only if it has deregistered, which a process that crashes doesn't do; one that never announced a drain, only after the time for which it still serves. The edge waits up to 0.5 s for that news. The same over tunnels, where the edge that carries one checks the end itself.

Two tests changed, as they took the announcement for the proof: an upstream that drained and ended is whole now if it has deregistered, in EndEvidence and BrokenOffResponses; new ones say that without it the response isn't complete. A crash after the whole time of a drain by one that deregistered first can't be told from its end.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -131,6 +131,7 @@
   const edge = await Edge.open({
     callerAddress: {host: HOST, port: settings.callerPort},
     clock,
+    drainMs: 2_000,
     coldTolerance: {extra: 1, overage: 1},
     protocol: new BenchProtocol(),
     link: new MemoryNetwork(clock, random).connect('edge'),
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -96,6 +96,8 @@
   readonly protocol: CallerProtocol;
   readonly retryLimit: RetryLimit;
   readonly coldTolerance: ColdTolerance;
+  /** Time for which upstreams serve after they announced their shutdown, ms. */
+  readonly drainMs: number;
   readonly callerAddress: HttpAddress;
   readonly readinessAddress: HttpAddress & {readonly path: string};
   readonly metricsAddress: HttpAddress & {readonly path: string};
@@ -319,6 +321,7 @@
       brittleServices,
       clock,
       directLinks: this.directLinks,
+      drainMs: parts.drainMs,
       tunnelClient: new TunnelClient({
         clock,
         link,
@@ -383,6 +386,7 @@
       );
       edge.tunnelServer = yield* TunnelServer.open(parts.tunnelAddress, {
         clock: parts.clock,
+        drainMs: parts.drainMs,
         link: parts.link,
         log: parts.log,
         metrics: edge.metrics,
--- a/packages/puffinturn-edge/src/__tests__/unit/BrokenOffResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BrokenOffResponses.test.ts
@@ -288,11 +288,13 @@
     expect(fixture.requestCount).toBe(1);
   });
 
-  test('arrive whole from an upstream that announced its end', async () => {
+  test('arrive whole from an upstream that drained, deregistered and ended', async () => {
     await using fixture = await startServing((incoming, response) => {
-      fixture.edge.pool.all().forEach((upstream) => upstream.markDraining());
+      const known = [...fixture.edge.pool.all()];
+      known.forEach((upstream) => upstream.markDraining());
       const upstream = upstreamAt(fixture.upstreams, incoming);
       crashAfter(upstream, 'whole', 'text/plain')(incoming, response);
+      setTimeout(() => known.forEach((one) => one.markDeregistered()), 30);
     });
     expect(await fixture.edge.sendRequest('order')).toMatchObject({
       body: 'whole',
@@ -300,6 +302,16 @@
     });
   });
 
+  test('are never complete from an upstream that drains and crashes', async () => {
+    await using fixture = await startServing((incoming, response) => {
+      fixture.edge.pool.all().forEach((upstream) => upstream.markDraining());
+      const upstream = upstreamAt(fixture.upstreams, incoming);
+      crashAfter(upstream, 'par', 'text/plain')(incoming, response);
+    });
+    const {body} = await fixture.edge.sendRequest('order');
+    expect(body).not.toBe('par');
+  });
+
   test('are repeated if their upstream crashed', async () => {
     await using fixture = await startServing(
       (incoming, response) => {
--- a/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
@@ -75,6 +75,7 @@
   const edge = await Edge.open({
     callerAddress: address,
     clock,
+    drainMs: 2_000,
     coldTolerance: {extra: 0, overage: 1},
     protocol: new TestProtocol(),
     link: network.connect('e1'),
--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -18,6 +18,8 @@
 import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {TestUpstream} from '../utils/ForwardingFixture';
 
+const TIMING = {clock: new SystemClock(), drainMs: 2_000};
+
 /** An upstream whose process has ended. */
 async function startStopped(): Promise<EdgeUpstream> {
   await using server = await TestUpstream.start('i-1');
@@ -31,7 +33,7 @@
 describe('The end of a connection', () => {
   test('shows a crash if the upstream refuses connections', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(upstream, () => false);
+    const evidence = await findEndEvidence(upstream, TIMING, () => false);
     expect(evidence).toBe(END_EVIDENCE.crashed);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
@@ -43,24 +45,50 @@
       new SystemClock(),
       new NoopDecisionLog(),
     );
-    expect(await findEndEvidence(upstream, () => false)).toBe(
+    expect(await findEndEvidence(upstream, TIMING, () => false)).toBe(
       END_EVIDENCE.listening,
     );
     upstream.markSuperseded();
-    expect(await findEndEvidence(upstream, () => false)).toBe(
+    expect(await findEndEvidence(upstream, TIMING, () => false)).toBe(
       END_EVIDENCE.crashed,
     );
   });
 
-  test('completes a response of an upstream that shuts down only if it cannot be repeated', async () => {
+  test('shows a crash if an upstream that drains has not deregistered', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
-    const evidence = await findEndEvidence(upstream, () => false);
+    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    expect(evidence).toBe(END_EVIDENCE.crashed);
+    expect(isCompleteEnd(evidence, false)).toBe(false);
+  });
+
+  test('completes a response of an upstream that drained and deregistered only if it cannot be repeated', async () => {
+    using upstream = await startStopped();
+    upstream.markDraining();
+    const pending = findEndEvidence(upstream, TIMING, () => false);
+    setTimeout(() => upstream.markDeregistered(), 50);
+    const evidence = await pending;
     expect(evidence).toBe(END_EVIDENCE.leaving);
     expect(isCompleteEnd(evidence, true)).toBe(false);
     expect(isCompleteEnd(evidence, false)).toBe(true);
   });
 
+  test.each([
+    ['shows a crash', 'the time', 60_000, END_EVIDENCE.crashed],
+    ['may be in order', 'no time', 0, END_EVIDENCE.leaving],
+  ])(
+    '%s if an upstream that deregistered had %s left to serve',
+    async (_outcome, _time, drainMs, expected) => {
+      using upstream = await startStopped();
+      upstream.markDeregistered();
+      upstream.markGone();
+      const timing = {...TIMING, drainMs};
+      expect(await findEndEvidence(upstream, timing, () => false)).toBe(
+        expected,
+      );
+    },
+  );
+
   test('does not complete a response if a successor may listen in place of an upstream that shuts down', async () => {
     await using server = await TestUpstream.start('i-1');
     using upstream = new EdgeUpstream(
@@ -69,7 +97,7 @@
       new NoopDecisionLog(),
     );
     upstream.markDraining();
-    const evidence = await findEndEvidence(upstream, () => false);
+    const evidence = await findEndEvidence(upstream, TIMING, () => false);
     expect(isCompleteEnd(evidence, true)).toBe(false);
     expect(isCompleteEnd(evidence, false)).toBe(true);
   });
@@ -79,14 +107,14 @@
     const found: EndEvidence[] = [];
     for (const answer of [END_EVIDENCE.listening, END_EVIDENCE.crashed]) {
       const askOther = async () => answer;
-      found.push(await findEndEvidence(upstream, () => true, askOther));
+      found.push(await findEndEvidence(upstream, TIMING, () => true, askOther));
     }
     expect(found).toEqual([END_EVIDENCE.listening, END_EVIDENCE.crashed]);
   });
 
   test('completes no response if no edge can tell', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(upstream, () => true);
+    const evidence = await findEndEvidence(upstream, TIMING, () => true);
     expect(evidence).toBe(END_EVIDENCE.unknown);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -169,6 +169,7 @@
       {host: HOST, port: 0},
       {
         clock: this.clock,
+        drainMs: 2_000,
         link: this.network.connect(box),
         log: this.log,
         metrics: new EdgeMetrics(),
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -258,6 +258,7 @@
       clock: this.clock,
       brittleServices: this.brittleServices,
       directLinks: this.directLinks,
+      drainMs: 2_000,
       tunnelClient: new TunnelClient({
         clock,
         link: new UnreachableLink(),
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -114,6 +114,7 @@
     const edge = await Edge.open({
       callerAddress: {host, port: callers},
       clock,
+      drainMs: 2_000,
       coldTolerance: {extra: 0, overage: 1},
       protocol: new PlainProtocol(),
       link,
--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -11,14 +11,20 @@
  * process that crashes end in the same way.
  */
 import {LISTENER_STATE} from 'puffinturn-quarantine';
+import type {Clock} from 'shared';
 
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 
+/** Time in which this edge hears of a deregistration, ms. */
+const MAX_DEREGISTRATION_DELAY_MS = 500;
+
+const DEREGISTRATION_POLL_INTERVAL_MS = 20;
+
 /** What is known of an upstream after it ended a connection. */
 export const END_EVIDENCE = {
   /** It still listens, so its process goes on. */
   listening: 'listens',
-  /** It had announced its shutdown; a successor may listen in its place. */
+  /** It was shutting down and still listened, or has shut down in order. */
   leaving: 'leaving',
   /** It no longer listens or was replaced, without an announced shutdown. */
   crashed: 'crashed',
@@ -37,9 +43,9 @@
 }
 
 /**
- * Whether a response that ended with its connection is complete. An announced shutdown
- * counts only if the request can't be sent again: it explains the end, but a process may
- * also crash while it shuts down.
+ * Whether a response that ended with its connection is complete. While the upstream shuts
+ * down, a successor may listen in its place, so this counts only if the request can't be
+ * sent again.
  */
 export function isCompleteEnd(
   evidence: EndEvidence,
@@ -51,12 +57,20 @@
   );
 }
 
+/** What tells an orderly shutdown from a crash. */
+export interface ShutdownTiming {
+  readonly clock: Clock;
+  /** Time for which an upstream keeps serving after it announced its shutdown, ms. */
+  readonly drainMs: number;
+}
+
 /**
  * Checks an upstream that has just ended a connection. `askOther` lets another edge check
  * it, if this one can't tell.
  */
 export async function findEndEvidence(
   upstream: EdgeUpstream,
+  timing: ShutdownTiming,
   areLinksLost: () => boolean,
   askOther: () => Promise<EndEvidence> = async () => END_EVIDENCE.unknown,
 ): Promise<EndEvidence> {
@@ -66,12 +80,32 @@
   if (upstream.isSuperseded) {
     return END_EVIDENCE.crashed;
   }
-  if (upstream.isLeaving) {
-    return END_EVIDENCE.leaving;
-  }
   if (state === LISTENER_STATE.listening) {
-    return END_EVIDENCE.listening;
+    return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.listening;
+  }
+  if (state !== LISTENER_STATE.refused || areLinksLost()) {
+    return askOther();
+  }
+  return (await hasShutDown(upstream, timing))
+    ? END_EVIDENCE.leaving
+    : END_EVIDENCE.crashed;
+}
+
+/**
+ * Whether an upstream that refuses connections has shut down in order. It then deregistered
+ * before its end, which a process that crashes doesn't do; the news takes a moment.
+ */
+async function hasShutDown(
+  upstream: EdgeUpstream,
+  {clock, drainMs}: ShutdownTiming,
+): Promise<boolean> {
+  const deadline = clock.now() + MAX_DEREGISTRATION_DELAY_MS;
+  while (
+    upstream.isLeaving &&
+    !upstream.hasDeregistered &&
+    clock.now() < deadline
+  ) {
+    await clock.sleep(DEREGISTRATION_POLL_INTERVAL_MS);
   }
-  const isRefused = state === LISTENER_STATE.refused;
-  return isRefused && !areLinksLost() ? END_EVIDENCE.crashed : askOther();
+  return upstream.mayHaveShutDown(drainMs);
 }
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -13,6 +13,7 @@
 import type {CallerProtocol} from '../callers/CallerProtocol';
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {EndEvidence} from '../connections/EndEvidence';
+import type {ShutdownTiming} from '../connections/EndEvidence';
 import {findEndEvidence} from '../connections/EndEvidence';
 import type {ExchangeOutcome} from '../connections/Exchange';
 import {CONNECT_TIMEOUT, Exchange} from '../connections/Exchange';
@@ -39,7 +40,7 @@
 const LINK_LOST = 'link-lost';
 
 /** Dependencies of an attempt. */
-export interface AttemptParts {
+export interface AttemptParts extends ShutdownTiming {
   readonly admission: UpstreamAdmission;
   readonly clock: Clock;
   readonly directLinks: DirectLinks;
@@ -201,6 +202,7 @@
     const {service} = upstream.record;
     return findEndEvidence(
       upstream,
+      this.parts,
       () => directLinks.areLost(service),
       () => tunnelClient.probe(upstream, this.params.caller.id),
     );
--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -21,12 +21,11 @@
 import type {TunnelReply, TunnelRequest} from 'puffinturn-fleet';
 import {FLEET_SERVICE, TUNNEL_OUTCOME} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
 import {describeError} from 'shared';
 
 import type {HttpAddress, HttpListenFailure} from '../callers/HttpListener';
 import {getConnectionState} from '../connections/ConnectionState';
-import type {EndEvidence} from '../connections/EndEvidence';
+import type {EndEvidence, ShutdownTiming} from '../connections/EndEvidence';
 import {END_EVIDENCE, findEndEvidence} from '../connections/EndEvidence';
 import {CONNECT_TIMEOUT_MS} from '../EdgeConstants';
 import type {EdgeMetrics} from '../EdgeMetrics';
@@ -46,8 +45,7 @@
   | typeof TUNNEL_OUTCOME.stopping;
 
 /** Dependencies of TunnelServer. */
-export interface TunnelServerParts {
-  readonly clock: Clock;
+export interface TunnelServerParts extends ShutdownTiming {
   readonly link: Link;
   readonly log: DecisionLog;
   readonly metrics: EdgeMetrics;
@@ -173,6 +171,7 @@
     const {service} = upstream.record;
     return findEndEvidence(
       upstream,
+      this.parts,
       () => this.parts.refusal(service) === TUNNEL_OUTCOME.cutOff,
     );
   }
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -61,6 +61,8 @@
   isSuperseded = false;
   private consecutiveFailures = 0;
   private hasAnnouncedDrain = false;
+  private wasDraining: boolean;
+  private deregisteredAt: number | undefined;
   private backoffUntil = -Infinity;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
@@ -81,6 +83,7 @@
   ) {
     const record = latestRecord;
     this.recordReceivedAt = clock.now();
+    this.wasDraining = record.state === UPSTREAM_STATE.draining;
     this.hash = hash32(record.id);
     this.responseTime = new ResponseTime(clock);
     this.prefillSpeed = new PrefillSpeed(clock);
@@ -112,6 +115,7 @@
 
   /** Replaces the record by one that this edge has just received. */
   updateRecord(record: UpstreamRecord): void {
+    this.wasDraining ||= record.state === UPSTREAM_STATE.draining;
     this.latestRecord = record;
     this.recordReceivedAt = this.clock.now();
   }
@@ -121,6 +125,29 @@
     return Math.round(this.clock.now() - this.recordReceivedAt);
   }
 
+  /** Records that the upstream itself said that it ends. */
+  markDeregistered(): void {
+    this.deregisteredAt ??= this.clock.now();
+  }
+
+  get hasDeregistered(): boolean {
+    return this.deregisteredAt !== undefined;
+  }
+
+  /**
+   * Whether the upstream may have ended in order. One that announced a drain deregisters
+   * at its end; any other one serves for `drainMs` after it deregistered.
+   */
+  mayHaveShutDown(drainMs: number): boolean {
+    if (this.deregisteredAt === undefined) {
+      return false;
+    }
+    const deregisteredMs = this.clock.now() - this.deregisteredAt;
+    return (
+      this.wasDraining || this.hasAnnouncedDrain || deregisteredMs >= drainMs
+    );
+  }
+
   /** Marks an upstream that was removed from the pool as gone. */
   markGone(): void {
     this.latestRecord = {...this.latestRecord, state: UPSTREAM_STATE.gone};
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -275,6 +275,7 @@
     ) {
       this.replaceIncarnation(known, record);
     } else if (record.state === UPSTREAM_STATE.gone) {
+      known?.markDeregistered();
       this.remove(record.id);
     } else if (
       known !== undefined &&
