Accept a first record only once the disks that may be lost can't lose it

What callers saw: the first configuration was acknowledged and then gone for good, with the whole control plane, when two disks were lost right after it.

Cause: a group begins with three voters, of which two store a record that counts as committed; the other boxes join later. The number of disks that may be lost at once wasn't read at all.

Change: a leader without any record accepts one only once 2 f + 1 voters have its log, where f is the number of machines that may be lost, or after 6 s if some never come.

Evidence: 'keeps its first record when two disks are lost right after it' failed for all 7 delays without the wait, and passes with it.

--- a/packages/puffinturn-log/src/LogConstants.ts
+++ b/packages/puffinturn-log/src/LogConstants.ts
@@ -66,3 +66,9 @@
 
 /** A leader counts as lost after this many election timeouts without contact. */
 export const LEADER_LOST_AFTER_ELECTION_TIMEOUTS = 2;
+
+/**
+ * Maximum time for which a new leader waits for enough voters before the first record,
+ * ms. Boxes that start together join within 3 s.
+ */
+export const MAX_VOTER_WAIT_MS = 6_000;
--- a/packages/puffinturn-log/src/LogMessages.ts
+++ b/packages/puffinturn-log/src/LogMessages.ts
@@ -149,4 +149,6 @@
   | (Failure<'not-leader'> & {readonly leader: string | undefined})
   /** Appended, but possibly not committed. */
   | Failure<'leadership-lost'>
+  /** Nothing was appended; retry once more replicas have joined. */
+  | Failure<'too-few-voters'>
   | Failure<'stopped'>;
--- a/packages/puffinturn-log/src/MemberChanges.ts
+++ b/packages/puffinturn-log/src/MemberChanges.ts
@@ -14,6 +14,11 @@
   return Math.floor(voters.length / 2) + 1;
 }
 
+/** Returns the number of voters of which each majority outlasts so many lost disks. */
+export function votersToBear(lostDisks: number): number {
+  return 2 * lostDisks + 1;
+}
+
 /** Returns the changed member list, or undefined if nothing has to change. */
 export type MemberChange = (members: Members) => Members | undefined;
 
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -13,7 +13,7 @@
  * hold a mutex.
  */
 import type {Result} from 'neverthrow';
-import {err, ok, okAsync, ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
 import type {Clock, Failure, Random} from 'shared';
 import {
   Condition,
@@ -34,6 +34,7 @@
   MAX_APPEND_BYTES,
   MAX_APPEND_ENTRIES,
   MAX_LEARNER_LAG_ENTRIES,
+  MAX_VOTER_WAIT_MS,
   REJOIN_AFTER_ELECTION_TIMEOUTS,
   REPLACE_AFTER_ELECTION_TIMEOUTS,
   SNAPSHOT_INTERVAL_ENTRIES,
@@ -95,6 +96,12 @@
   readonly snapshotIntervalEntries?: number;
   /** Maximum number of voters. Further replicas remain learners. */
   readonly maxVoters?: number | undefined;
+  /**
+   * Voters that the group needs before it accepts its first record, so that a majority
+   * of them outlasts the disks that may be lost. If some never join, it accepts the record
+   * after {@link MAX_VOTER_WAIT_MS}. 1 by default.
+   */
+  readonly minVoters?: number | undefined;
   /** Called after a change of role or leader. */
   readonly onRoleChange?: (role: Role, term: number, leader?: string) => void;
   /** Bugs to inject, so that the fuzzer can check that it detects them. */
@@ -146,6 +153,8 @@
   private commitIndex: number;
   private appliedIndex: number;
   private leader: ReplicaId | undefined;
+  /** Time at which this replica became the leader, ms. */
+  private leaderSince = -Infinity;
   /** Last contact from a leader or granted vote; restarts the election timeout. */
   private lastContactAt: number;
   private readonly peers = new Map<ReplicaId, Peer>();
@@ -263,6 +272,12 @@
 
   /** Proposes a record. Resolves to the result of applying it. */
   propose(record: unknown): ResultAsync<unknown, ProposalFailure> {
+    if (this.isLeader && this.lacksVoters()) {
+      return errAsync({
+        kind: 'too-few-voters',
+        message: `the first record needs ${this.minVoters} voters`,
+      });
+    }
     return this.append({kind: 'record', record});
   }
 
@@ -394,6 +409,24 @@
 
   // Proposals
 
+  private get minVoters(): number {
+    return this.parts.minVoters ?? 1;
+  }
+
+  /** Whether the group has no record yet, and too few voters have its log. */
+  private lacksVoters(): boolean {
+    const {clock} = this.parts;
+    const voters = this.members.voters.filter(
+      (id) => id === this.id || (this.peers.get(id)?.matchIndex ?? 0) > 0,
+    );
+    return (
+      voters.length < this.minVoters &&
+      clock.now() - this.leaderSince < MAX_VOTER_WAIT_MS &&
+      this.snapshot === undefined &&
+      !this.log.entriesFrom(1).some(({body}) => body.kind === 'record')
+    );
+  }
+
   private append(body: EntryBody): ResultAsync<unknown, ProposalFailure> {
     if (this.tasks.isAborted) {
       return new ResultAsync(
@@ -874,6 +907,7 @@
     }
     this.role = ROLE.leader;
     this.leader = this.id;
+    this.leaderSince = this.parts.clock.now();
     this.peers.clear();
     this.push({kind: 'noop'});
     this.refreshPeers();
--- a/packages/puffinturn-log/src/__tests__/unit/Bootstrap.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/Bootstrap.test.ts
@@ -9,6 +9,7 @@
  * Guards against a group that cannot form from its seed boxes, cannot replace lost
  * voters or loses records when disks are lost.
  */
+import {MAX_VOTER_WAIT_MS} from '../../LogConstants';
 import {ReplicaGroup} from '../utils/ReplicaFixture';
 
 const BOXES = ['a', 'b', 'c', 'd', 'e'];
@@ -108,4 +109,49 @@
     }
     await group.stopAll();
   });
+
+  test.each([0, 10, 20, 40, 80, 160, 320])(
+    'keeps its first record when two disks are lost right after it (%i ms later)',
+    async (delayMs) => {
+      const group = new ReplicaGroup(BOXES, 1_000, undefined, SEEDS, 5, 5);
+      for (const box of BOXES) {
+        await group.start(box);
+      }
+      let isAccepted = false;
+      while (!isAccepted) {
+        await group.clock.advance(20);
+        const [leader] = [...group.members].filter(
+          ([, {replica}]) => replica.isLeader,
+        );
+        isAccepted =
+          leader !== undefined && (await group.propose('first', leader[0]));
+      }
+      await group.clock.advance(delayMs);
+      const lost = ['a', 'b'];
+      for (const box of lost) {
+        group.kill(box);
+        group.disks.delete(box);
+      }
+      await group.clock.advance(600);
+      for (const box of lost) {
+        await group.start(box, false);
+      }
+      await group.clock.advance(8_000);
+      expect(await group.propose('second')).toBe(true);
+      expect(group.member(group.leader()).stateMachine.records).toEqual([
+        'first',
+        'second',
+      ]);
+      await group.stopAll();
+    },
+  );
+
+  test('accepts a first record after a while if some boxes never come', async () => {
+    const group = new ReplicaGroup(SEEDS, 1_000, undefined, SEEDS, 5, 5);
+    await group.startAll();
+    expect(await group.propose('early')).toBe(false);
+    await group.clock.advance(MAX_VOTER_WAIT_MS);
+    expect(await group.propose('late')).toBe(true);
+    await group.stopAll();
+  });
 });
--- a/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
+++ b/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
@@ -73,6 +73,7 @@
     /** Configured boxes that may bootstrap the group; all boxes by default. */
     private readonly seeds: readonly string[] = boxes,
     private readonly maxVoters?: number,
+    private readonly minVoters?: number,
   ) {
     this.network = new MemoryNetwork(this.clock, new Random(7));
   }
@@ -92,6 +93,7 @@
       link: new NetworkLogLink(link),
       stateMachine,
       maxVoters: this.maxVoters,
+      minVoters: this.minVoters,
       random: new Random(100 + this.incarnations),
       snapshotIntervalEntries: this.snapshotIntervalEntries,
       timing: DEFAULT_TIMING,
--- a/packages/puffinturn-log/src/index.ts
+++ b/packages/puffinturn-log/src/index.ts
@@ -21,6 +21,6 @@
 export {boxOf, replicaIdOf} from './LogMessages';
 export type {CorruptionFailure, StorageFailure} from './LogStorage';
 export {LogStorage} from './LogStorage';
-export {quorumOf} from './MemberChanges';
+export {quorumOf, votersToBear} from './MemberChanges';
 export type {ReplicaBreakage, ReplicaParts, Role} from './Replica';
 export {Replica, ROLE} from './Replica';
