--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -1232,14 +1232,21 @@
       return true;
     }
     const snapshot = {bytes, lastIndex, lastTerm, members};
-    const written = await this.storage.compact(snapshot, []);
+    // Entries that follow the snapshot's last one may count towards a quorum.
+    const isInLog = this.log.termAt(lastIndex) === lastTerm;
+    const followingEntries = isInLog ? this.log.entriesFrom(lastIndex + 1) : [];
+    const written = await this.storage.compact(snapshot, followingEntries);
     if (written.isErr()) {
       return false;
     }
     this.parts.stateMachine.restore(bytes);
     this.snapshot = snapshot;
-    this.log.reset(lastIndex, lastTerm);
-    this.syncedIndex = lastIndex;
+    if (isInLog) {
+      this.log.compactThrough(lastIndex);
+    } else {
+      this.log.reset(lastIndex, lastTerm);
+    }
+    this.syncedIndex = followingEntries.at(-1)?.index ?? lastIndex;
     this.commitIndex = lastIndex;
     this.appliedIndex = lastIndex;
     this.refreshMembers();
