Simplify the token accounts: derive what was taken, ask each limit once

What was taken from an account is what was reported plus what is not yet: a counter beside the two, kept in four places, is gone. A loan is bounded by one limit in place of two equal ones.

--- a/packages/puffinturn-edge/src/tokens/AccountLimits.ts
+++ b/packages/puffinturn-edge/src/tokens/AccountLimits.ts
@@ -56,8 +56,10 @@
 
   /** Tokens that may still be taken if `taken` were taken in total. */
   headroom(taken: number, now: number): number {
-    const limits = [this.answered, this.latest];
-    return Math.min(...limits.map((active) => remaining(active, taken, now)));
+    const answered = remaining(this.answered, taken, now);
+    return this.pending === undefined
+      ? answered
+      : Math.min(answered, remaining(this.pending, taken, now));
   }
 
   /** Time since the last announcement, ms. */
--- a/packages/puffinturn-edge/src/tokens/Allowances.ts
+++ b/packages/puffinturn-edge/src/tokens/Allowances.ts
@@ -394,10 +394,9 @@
       const aboveWithheld = Math.floor(
         this.accounts.spendableAboveWithheld(account, withheld),
       );
-      const lendable = Math.max(
-        0,
-        Math.min(account.lendable(this.parts.clock.now()), aboveWithheld),
-      );
+      const lendable = account.hasWaitingRequests
+        ? 0
+        : Math.max(0, aboveWithheld);
       const amount = Math.max(0, Math.min(need, lendable));
       const given = this.accounts.lend(
         account,
--- a/packages/puffinturn-edge/src/tokens/TokenAccount.ts
+++ b/packages/puffinturn-edge/src/tokens/TokenAccount.ts
@@ -50,8 +50,8 @@
   isRecalled = false;
   /** Limits on what is taken from this account. */
   readonly limits = new AccountLimits();
-  /** Tokens reserved or lent, minus those released or received, since the start. */
-  private taken = 0;
+  /** Changes of the balance that were reported to the control plane, in total. */
+  private reportedTotal = 0;
   private readonly waitingRequests = new Set<{readonly tokens: number}>();
   /** Exponentially decaying rate of the tokens taken, per second. */
   private demandPerSecond = 0;
@@ -92,14 +92,18 @@
     return sum > 0 && sum > this.spendable(now);
   }
 
+  /** Tokens reserved or lent, minus those released or received, since the start. */
+  private get taken(): number {
+    return this.reportedTotal + this.unreportedTotal;
+  }
+
   /** Whether a limit is nearly used up. */
   isLimitLow(now: number): boolean {
     return this.limits.isLow(this.taken, now);
   }
 
-  /** Tokens that may be lent; 0 while requests of this edge wait. */
-  lendable(now: number): number {
-    return this.waitingRequests.size > 0 ? 0 : Math.max(0, this.spendable(now));
+  get hasWaitingRequests(): boolean {
+    return this.waitingRequests.size > 0;
   }
 
   /** Change of the balance not yet reported to the control plane. */
@@ -131,7 +135,6 @@
   reserve(tokens: number, now: number): void {
     this.reserved += tokens;
     this.unreportedSpent += tokens;
-    this.taken += tokens;
     this.recordSize(tokens);
     this.recordDemand(tokens, now);
   }
@@ -142,7 +145,6 @@
     this.reserved -= reserved;
     this.held -= spent;
     this.unreportedSpent -= unspent;
-    this.taken -= unspent;
     this.charged += spent;
     this.recordDemand(-unspent, now);
   }
@@ -158,7 +160,6 @@
   giveAway(amount: number): void {
     this.held -= amount;
     this.unreportedLent += amount;
-    this.taken += amount;
   }
 
   /** Adds tokens given by another edge and subtracts them from the demand. */
@@ -177,7 +178,6 @@
   credit(amount: number): void {
     this.held += amount;
     this.unreportedLent -= amount;
-    this.taken -= amount;
   }
 
   /**
@@ -189,6 +189,7 @@
     now: number,
   ): {readonly lent: number; readonly spent: number} {
     const changes = {lent: this.unreportedLent, spent: this.unreportedSpent};
+    this.reportedTotal += this.unreportedTotal;
     this.unreportedLent = 0;
     this.unreportedSpent = 0;
     this.limits.announce(limit, this.taken, now);
