--- a/packages/puffinturn-fleet/src/AllowanceLedger.ts
+++ b/packages/puffinturn-fleet/src/AllowanceLedger.ts
@@ -130,6 +130,12 @@
   readonly isEnded: boolean;
 }
 
+/** The incarnation that a box had before another one. */
+interface PreviousIncarnation {
+  readonly id: string;
+  readonly state: Holder;
+}
+
 /** Holder as stored by software versions without spending limits. */
 type StoredHolder = Omit<Holder, 'isEnded' | 'limits' | 'startedAt'> &
   Partial<Holder>;
@@ -209,10 +215,14 @@
       const grants = sequence === existing.sequence ? existing.grants : [];
       return {grants, kind: 'allowance'};
     }
-    if (existing?.isEnded === true || this.isOutdated(record)) {
+    const previous = this.previousIncarnation(record);
+    if (existing?.isEnded === true || isOutdated(startedAt, previous)) {
       return {grants: [], kind: 'allowance'};
     }
-    const ended = this.endPreviousIncarnation(record);
+    const ended =
+      previous === undefined
+        ? undefined
+        : this.endIncarnation(previous, startedAt);
     const next: Holder = {
       box,
       grants: [],
@@ -226,60 +236,55 @@
     const grants = asks.map((ask) => this.grant(ask, next.held));
     recordLimits(next.limits, record);
     this.storeHolder(holder, {...next, grants});
-    return {grants, kind: 'allowance', ...ended};
+    return {
+      grants,
+      kind: 'allowance',
+      reclaimed: ended?.reclaimed,
+      writtenOff: ended?.writtenOff,
+    };
   }
 
-  /** Whether an exchange is from an incarnation that ended before the latest started. */
-  private isOutdated({box, holder, startedAt}: AllowanceRecord): boolean {
-    const latestId = this.incarnationByBox.get(box);
-    const latest = this.holdersByIncarnation.get(latestId ?? '');
-    if (startedAt === undefined || latest?.startedAt === undefined) {
-      return false;
-    }
-    const startedEarlierMs = elapsedBetween(startedAt, latest.startedAt) ?? 0;
-    return latestId !== holder && startedEarlierMs > 0;
+  /** The latest incarnation of the box, unless it is the sender of the exchange. */
+  private previousIncarnation({
+    box,
+    holder,
+  }: AllowanceRecord): PreviousIncarnation | undefined {
+    const id = this.incarnationByBox.get(box);
+    const state =
+      id === undefined ? undefined : this.holdersByIncarnation.get(id);
+    return id === undefined || state === undefined || id === holder
+      ? undefined
+      : {id, state};
   }
 
   /**
-   * Ends the previous incarnation of a box: reclaims the tokens that it provably left,
-   * and writes the others off, as it may have spent any of them.
+   * Ends an incarnation: reclaims the tokens that it provably left, and writes the others
+   * off, as it may have spent any of them.
    */
-  private endPreviousIncarnation({
-    box,
-    holder,
-    startedAt,
-  }: AllowanceRecord): Pick<AllowanceOutcome, 'reclaimed' | 'writtenOff'> {
-    const previousId = this.incarnationByBox.get(box);
-    const previous = this.holdersByIncarnation.get(previousId ?? '');
-    if (
-      previousId === undefined ||
-      previous === undefined ||
-      previousId === holder
-    ) {
-      return {reclaimed: undefined, writtenOff: undefined};
-    }
-    const reclaimed = this.reclaim(previous, startedAt);
-    const writtenOff = positiveAmounts(previous.held);
-    previous.held.clear();
-    this.holdersByIncarnation.set(previousId, {
-      ...previous,
-      isEnded: reclaimed.length > 0,
-    });
+  private endIncarnation(
+    {id, state}: PreviousIncarnation,
+    successorStartedAt: MachineTime | undefined,
+  ): Pick<AllowanceOutcome, 'reclaimed' | 'writtenOff'> {
+    const reclaimed =
+      successorStartedAt === undefined
+        ? []
+        : this.reclaim(state, successorStartedAt);
+    const writtenOff = positiveAmounts(state.held);
+    state.held.clear();
+    const isEnded = reclaimed.length > 0;
+    this.holdersByIncarnation.set(id, {...state, isEnded});
     return {reclaimed, writtenOff};
   }
 
   /** Makes the provably untaken tokens of an ended incarnation available again. */
   private reclaim(
     {held, limits}: Holder,
-    successorStartedAt: MachineTime | undefined,
+    successorStartedAt: MachineTime,
   ): TeamTokenAmount[] {
     const reclaimed: TeamTokenAmount[] = [];
     for (const [team, limit] of limits) {
       const balance = held.get(team) ?? 0;
-      const amount =
-        successorStartedAt === undefined
-          ? 0
-          : provablyUntaken(balance, limit, successorStartedAt);
+      const amount = provablyUntaken(balance, limit, successorStartedAt);
       if (amount > 0) {
         held.set(team, balance - amount);
         this.granted.set(team, this.grantedTokens(team) - amount);
@@ -365,6 +370,18 @@
     .filter(({amount}) => amount > 0);
 }
 
+/** Whether an incarnation that started then had ended before the previous one started. */
+function isOutdated(
+  startedAt: MachineTime | undefined,
+  previous: PreviousIncarnation | undefined,
+): boolean {
+  const previousStartedAt = previous?.state.startedAt;
+  if (startedAt === undefined || previousStartedAt === undefined) {
+    return false;
+  }
+  return (elapsedBetween(startedAt, previousStartedAt) ?? 0) > 0;
+}
+
 /** Replaces the limits of the teams in an exchange. */
 function recordLimits(
   limits: Map<string, SentLimit>,
