--- a/packages/puffinturn-log/src/Bootstrap.ts
+++ b/packages/puffinturn-log/src/Bootstrap.ts
@@ -9,6 +9,9 @@
  * Makes a replica a member of a group. If no configured box belongs to a group
  * yet, they bootstrap a new one; otherwise the replica asks to join.
  */
+import type {Result} from 'neverthrow';
+
+import type {DiskFailure} from './Disk';
 import type {ReplicaTiming} from './LogConstants';
 import type {LogLink} from './LogLink';
 import type {
@@ -29,15 +32,24 @@
   readonly identity: () => IdentityReply;
   /** Initialises this replica with the first member list. */
   readonly bootstrap: (request: BootstrapRequest) => Promise<unknown>;
-  /** What this replica knows of the first start; undefined if it took no part in it. */
-  readonly firstStart: () => StoredBootstrap | undefined;
-  /** Stores it; returns false on a failure. */
-  readonly saveFirstStart: (bootstrap: StoredBootstrap) => Promise<boolean>;
+  /** Stores and syncs what this replica knows of the first start. */
+  readonly storeFirstStart: (
+    firstStart: StoredBootstrap,
+  ) => Promise<Result<void, DiskFailure>>;
 }
 
 /** Bootstraps a group or joins one. */
 export class Bootstrap {
-  constructor(private readonly parts: BootstrapParts) {}
+  /** `firstStart` is undefined if this replica took no part in the first start. */
+  constructor(
+    private readonly parts: BootstrapParts,
+    private firstStart: StoredBootstrap | undefined,
+  ) {}
+
+  /** The boxes of the first start, sorted, if this replica took part in it. */
+  get firstBoxes(): readonly string[] | undefined {
+    return this.firstStart?.boxes;
+  }
 
   /**
    * Makes one attempt; retry until this replica is a member. Only the first box in sort
@@ -52,12 +64,13 @@
     boxes: readonly string[],
     mayBootstrap: boolean,
   ): Promise<void> {
-    const {box, firstStart, identity} = this.parts;
+    const {box, identity} = this.parts;
+    const sortedBoxes = [...boxes].sort();
     if (mayBootstrap) {
-      await this.rememberFirstStart(boxes);
+      await this.rememberFirstStart(sortedBoxes);
     }
     const identities = await requestIdentities(this.parts, boxes);
-    const proposed = firstStart()?.proposed;
+    const proposed = this.firstStart?.proposed;
     if (proposed !== undefined && !identity().founded) {
       await this.completeBootstrap(proposed, identities);
     }
@@ -67,45 +80,50 @@
       await requestJoin(this.parts, groupMembers);
       return;
     }
-    const isFirst = [...boxes].sort()[0] === box;
-    const isAgreed = identities.some((reply) => tookPart(reply, boxes));
+    const isFirst = sortedBoxes[0] === box;
+    const isAgreed = identities.some((reply) => tookPart(reply, sortedBoxes));
     if (
       isAgreed &&
       isFirst &&
       identities.length === boxes.length &&
       proposed === undefined
     ) {
-      await this.propose(boxes, identities);
+      await this.propose(sortedBoxes, identities);
     }
   }
 
   /** Remembers the boxes of the first start until this replica belongs to a group. */
-  private async rememberFirstStart(boxes: readonly string[]): Promise<void> {
-    const {firstStart, identity, saveFirstStart} = this.parts;
-    const known = firstStart();
-    const sorted = [...boxes].sort();
+  private async rememberFirstStart(
+    sortedBoxes: readonly string[],
+  ): Promise<void> {
+    const known = this.firstStart;
     const isKnown =
-      known?.proposed !== undefined || known?.boxes.join() === sorted.join();
-    if (!isKnown && !identity().founded) {
-      await saveFirstStart({boxes: sorted});
+      known?.proposed !== undefined ||
+      known?.boxes.join() === sortedBoxes.join();
+    if (!isKnown && !this.parts.identity().founded) {
+      await this.store({boxes: sortedBoxes});
     }
   }
 
   private async propose(
-    boxes: readonly string[],
+    sortedBoxes: readonly string[],
     identities: readonly IdentityReply[],
   ): Promise<void> {
     const voters = identities.map(({replica}) => replica).sort();
     const proposed = {learners: [], voters};
-    const isSaved = await this.parts.saveFirstStart({
-      boxes: [...boxes].sort(),
-      proposed,
-    });
-    if (isSaved) {
+    if (await this.store({boxes: sortedBoxes, proposed})) {
       await this.completeBootstrap(proposed, identities);
     }
   }
 
+  private async store(firstStart: StoredBootstrap): Promise<boolean> {
+    const stored = await this.parts.storeFirstStart(firstStart);
+    if (stored.isOk()) {
+      this.firstStart = firstStart;
+    }
+    return stored.isOk();
+  }
+
   /**
    * Stores the proposed member list here once all other voters have stored it. A voter
    * whose box runs another replica by now has ended.
@@ -138,9 +156,9 @@
   private async adoptFirstMembers(
     groupMembers: readonly IdentityReply[],
   ): Promise<void> {
-    const {bootstrap, firstStart, identity} = this.parts;
+    const {bootstrap, identity} = this.parts;
     const {founded, replica: ownId} = identity();
-    if (founded || firstStart()?.proposed !== undefined) {
+    if (founded || this.firstStart?.proposed !== undefined) {
       return;
     }
     const members = groupMembers
@@ -155,9 +173,9 @@
 /** Whether a replica took part in the first start of the same boxes. */
 function tookPart(
   {bootstrapBoxes = []}: IdentityReply,
-  boxes: readonly string[],
+  sortedBoxes: readonly string[],
 ): boolean {
-  return bootstrapBoxes.join() === [...boxes].sort().join();
+  return bootstrapBoxes.join() === sortedBoxes.join();
 }
 
 async function requestIdentities(
--- a/packages/puffinturn-log/src/LogStorage.ts
+++ b/packages/puffinturn-log/src/LogStorage.ts
@@ -225,23 +225,19 @@
   }
 
   /** Reads a segment, removes a torn frame at its end and uses it from now on. */
-  private loadSegment(name: string): ResultAsync<Entry[], StorageFailure> {
-    return safeTry(
-      async function* (this: LogStorage) {
-        const bytes = yield* this.disk.read(name);
-        const frames = yield* readFrames(name, bytes);
-        if (frames.validBytes < bytes.length) {
-          const validPart = bytes.subarray(0, frames.validBytes);
-          yield* this.disk.replace(name, Buffer.from(validPart));
-        }
-        const entries: Entry[] = [];
-        for (const body of frames.bodies) {
-          mergeBatch(entries, decoder.decode(body) as Entry[]);
-        }
-        this.segment = name;
-        return ok<Entry[], StorageFailure>(entries);
-      }.bind(this),
-    );
+  private async *loadSegment(name: string) {
+    const bytes = yield* this.disk.read(name);
+    const frames = yield* readFrames(name, bytes);
+    if (frames.validBytes < bytes.length) {
+      const validPart = bytes.subarray(0, frames.validBytes);
+      yield* this.disk.replace(name, Buffer.from(validPart));
+    }
+    const entries: Entry[] = [];
+    for (const body of frames.bodies) {
+      mergeBatch(entries, decoder.decode(body) as Entry[]);
+    }
+    this.segment = name;
+    return entries;
   }
 
   private readFile<Value>(
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -159,7 +159,6 @@
   private appliedIndex: number;
   private leader: ReplicaId | undefined;
   private readonly bootstrap: Bootstrap;
-  private firstStart: StoredBootstrap | undefined;
   /** Time at which this replica became the leader, ms. */
   private leaderSince = -Infinity;
   /** Last contact from a leader or granted vote; restarts the election timeout. */
@@ -201,8 +200,7 @@
     this.commitIndex = snapshot?.lastIndex ?? 0;
     this.appliedIndex = this.commitIndex;
     this.lastContactAt = parts.clock.now();
-    this.firstStart = stored.bootstrap;
-    this.bootstrap = this.createBootstrap();
+    this.bootstrap = this.createBootstrap(stored.bootstrap);
     if (snapshot !== undefined) {
       parts.stateMachine.restore(snapshot.bytes);
     }
@@ -398,7 +396,9 @@
 
   private identityReply(): IdentityReply {
     return {
-      bootstrapBoxes: this.isBootstrapped ? undefined : this.firstStart?.boxes,
+      bootstrapBoxes: this.isBootstrapped
+        ? undefined
+        : this.bootstrap.firstBoxes,
       founded: this.isBootstrapped,
       firstMembers: this.firstMembers,
       replica: this.id,
@@ -406,19 +406,21 @@
     };
   }
 
-  private createBootstrap(): Bootstrap {
+  private createBootstrap(firstStart: StoredBootstrap | undefined): Bootstrap {
     const {box, link, timing} = this.parts;
-    return new Bootstrap({
-      box,
-      bootstrap: (request) =>
-        this.mutex.run(() => this.handleBootstrap(request)),
-      firstStart: () => this.firstStart,
-      identity: () => this.identityReply(),
-      link,
-      saveFirstStart: (firstStart) =>
-        this.mutex.run(() => this.saveFirstStart(firstStart)),
-      timing,
-    });
+    return new Bootstrap(
+      {
+        box,
+        bootstrap: (request) =>
+          this.mutex.run(() => this.handleBootstrap(request)),
+        identity: () => this.identityReply(),
+        link,
+        storeFirstStart: (changed) =>
+          this.mutex.run(async () => this.storage.writeBootstrap(changed)),
+        timing,
+      },
+      firstStart,
+    );
   }
 
   // Proposals
@@ -429,14 +431,15 @@
 
   /** Whether the group has no record yet, and too few voters have its log. */
   private lacksVoters(): boolean {
-    const {clock} = this.parts;
+    const leaderMs = this.parts.clock.now() - this.leaderSince;
+    if (leaderMs >= MAX_VOTER_WAIT_MS || this.snapshot !== undefined) {
+      return false;
+    }
     const voters = this.members.voters.filter(
       (id) => id === this.id || (this.peers.get(id)?.matchIndex ?? 0) > 0,
     );
     return (
       voters.length < this.minVoters &&
-      clock.now() - this.leaderSince < MAX_VOTER_WAIT_MS &&
-      this.snapshot === undefined &&
       !this.log.entriesFrom(1).some(({body}) => body.kind === 'record')
     );
   }
@@ -511,14 +514,6 @@
     return {replica: this.id, term: this.term, votedFor: this.votedFor};
   }
 
-  private async saveFirstStart(firstStart: StoredBootstrap): Promise<boolean> {
-    const written = await this.storage.writeBootstrap(firstStart);
-    if (written.isOk()) {
-      this.firstStart = firstStart;
-    }
-    return written.isOk();
-  }
-
   private async saveState(): Promise<boolean> {
     const written = await this.storage.writeState(this.storedState());
     return written.isOk();
