--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -26,7 +26,7 @@
   listening: 'listens',
   /** It was shutting down and still listened, or has shut down in order. */
   leaving: 'leaving',
-  /** It no longer listens or was replaced, without an announced shutdown. */
+  /** It no longer listens or was replaced, without an orderly shutdown. */
   crashed: 'crashed',
   /** Nobody could tell. */
   unknown: 'unknown',
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -8,12 +8,10 @@
 /** Sends a request to an upstream, records metrics and updates the upstream's state. */
 import type {DecisionLog} from 'puffinturn-decisions';
 import {RETRY_POLICY} from 'puffinturn-fleet';
-import type {Clock} from 'shared';
 
 import type {CallerProtocol} from '../callers/CallerProtocol';
 import type {CallerRequest} from '../callers/CallerRequest';
-import type {EndEvidence} from '../connections/EndEvidence';
-import type {ShutdownTiming} from '../connections/EndEvidence';
+import type {EndEvidence, ShutdownTiming} from '../connections/EndEvidence';
 import {findEndEvidence} from '../connections/EndEvidence';
 import type {ExchangeOutcome} from '../connections/Exchange';
 import {CONNECT_TIMEOUT, Exchange} from '../connections/Exchange';
@@ -42,7 +40,6 @@
 /** Dependencies of an attempt. */
 export interface AttemptParts extends ShutdownTiming {
   readonly admission: UpstreamAdmission;
-  readonly clock: Clock;
   readonly directLinks: DirectLinks;
   readonly brittleServices: BrittleServices;
   readonly tunnelClient: TunnelClient;
