Start a new segment after a write that failed, and after each start

What callers saw: nothing yet; found by reading after the review. A control box whose disk reports one error and then goes on could lose, at its next start, configurations, tokens and departures that it had acknowledged since, without a word.

Cause: an operation that fails may have taken effect. In the same class: a start relied on frames that the process before had written but never synced, or whose sync had failed; and a start removed segments before the one that it kept was synced.

Change: LogStorage gives up the segment in use at any failed write and begins every life without one. Until a new segment with the whole log has been written and synced, under a number that no attempt of that life used, nothing is appended, so nothing is acknowledged. A start changes no file; other segments are removed once a new one is synced. DurableLog is the one place that knows what is synced. FolderDisk removes the partial file of a failed replacement, and syncs the name of a new file before it keeps it open.

Two tests named the segment before a start and looked for it after; they look again, as each start writes a new one, and also demand that exactly one is left. The test of crashes starts a segment first, as a replica now does.

--- a/packages/puffinturn-log/src/Disk.ts
+++ b/packages/puffinturn-log/src/Disk.ts
@@ -10,7 +10,7 @@
 import {mkdir, open, readdir, readFile, rename, rm} from 'node:fs/promises';
 import {join} from 'node:path';
 
-import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
 import type {Failure} from 'shared';
 import {describeError} from 'shared';
 
@@ -94,9 +94,9 @@
     name: string,
     bytes: Buffer,
   ): ResultAsync<void, DiskFailure> {
+    const temporary = join(this.folder, `${name}.tmp`);
     const write = async (): Promise<void> => {
       await this.close(name);
-      const temporary = join(this.folder, `${name}.tmp`);
       {
         await using handle = await open(temporary, 'w', 0o600);
         await handle.writeFile(bytes);
@@ -105,7 +105,12 @@
       await rename(temporary, join(this.folder, name));
       await syncFolder(this.folder);
     };
-    return ResultAsync.fromPromise(write(), diskFailure);
+    return ResultAsync.fromPromise(write(), diskFailure).orElse((failure) =>
+      // Partial content would take space on a full disk from the next attempt.
+      ResultAsync.fromPromise(rm(temporary, {force: true}), diskFailure)
+        .orElse(() => ok(undefined))
+        .andThen(() => err(failure)),
+    );
   }
 
   override remove(name: string): ResultAsync<void, DiskFailure> {
@@ -141,12 +146,18 @@
     if (alreadyOpen !== undefined) {
       return alreadyOpen;
     }
+    // The name of a new file is synced before any append to it may succeed.
     const handle = await open(join(this.folder, name), 'a', 0o600);
-    const {size: length} = await handle.stat();
-    const file = {handle, isClean: true, length};
-    this.openFiles.set(name, file);
-    await syncFolder(this.folder);
-    return file;
+    try {
+      const {size: length} = await handle.stat();
+      await syncFolder(this.folder);
+      const file = {handle, isClean: true, length};
+      this.openFiles.set(name, file);
+      return file;
+    } catch (error) {
+      await handle.close();
+      throw error;
+    }
   }
 
   private async close(name: string): Promise<void> {
--- /dev/null
+++ b/packages/puffinturn-log/src/DurableLog.ts
@@ -0,0 +1,94 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * What of a replica's log, snapshot and hard state is on its disk for sure, so that the
+ * replica may acknowledge it.
+ */
+import type {EntryList} from './EntryList';
+import type {Entry} from './LogMessages';
+import type {LogStorage, Snapshot, StoredState} from './LogStorage';
+
+/** Writes a log to a disk. Calls must not overlap, nor with a removal of entries. */
+export class DurableLog {
+  /**
+   * Nothing counts as synced after a start: the process before may have ended between a
+   * write and its sync.
+   */
+  private lastSyncedIndex: number;
+  private syncedState: StoredState | undefined;
+
+  constructor(
+    private readonly storage: LogStorage,
+    private readonly log: EntryList,
+  ) {
+    this.lastSyncedIndex = log.compactedIndex;
+  }
+
+  /** Index of the last entry that is on the disk. */
+  get syncedIndex(): number {
+    return this.lastSyncedIndex;
+  }
+
+  /** Whether all entries of the log are on the disk. */
+  get isSynced(): boolean {
+    return (
+      this.storage.hasSegment && this.lastSyncedIndex >= this.log.lastIndex
+    );
+  }
+
+  /** Syncs the hard state; resolves to whether it is on the disk. */
+  async saveState(state: StoredState): Promise<boolean> {
+    const {syncedState} = this;
+    if (
+      syncedState?.term === state.term &&
+      syncedState.votedFor === state.votedFor
+    ) {
+      return true;
+    }
+    this.syncedState = undefined;
+    const written = await this.storage.writeState(state);
+    if (written.isOk()) {
+      this.syncedState = state;
+    }
+    return written.isOk();
+  }
+
+  /** Syncs all entries of the log; resolves to whether they are on the disk. */
+  async flush(): Promise<boolean> {
+    if (this.isSynced) {
+      return true;
+    }
+    const {lastIndex} = this.log;
+    const written = this.storage.hasSegment
+      ? await this.storage.append(
+          this.log.entriesFrom(this.lastSyncedIndex + 1),
+        )
+      : await this.storage.startSegment(this.log.entriesFrom(1));
+    if (written.isOk()) {
+      this.lastSyncedIndex = lastIndex;
+    }
+    return written.isOk();
+  }
+
+  /**
+   * Syncs a snapshot and the entries that are kept, which replace the log on the disk.
+   * Resolves to whether both are on the disk. The log itself isn't changed.
+   */
+  async compact(snapshot: Snapshot, kept: readonly Entry[]): Promise<boolean> {
+    const written = await this.storage.compact(snapshot, kept);
+    if (written.isOk()) {
+      this.lastSyncedIndex = kept.at(-1)?.index ?? snapshot.lastIndex;
+    }
+    return written.isOk();
+  }
+
+  /** Takes note that the entries from `index` on were removed from the log. */
+  truncateFrom(index: number): void {
+    this.lastSyncedIndex = Math.min(this.lastSyncedIndex, index - 1);
+  }
+}
--- a/packages/puffinturn-log/src/LogStorage.ts
+++ b/packages/puffinturn-log/src/LogStorage.ts
@@ -16,8 +16,8 @@
 import {crc32} from 'node:zlib';
 
 import {Decoder, Encoder} from 'cbor-x';
-import type {Result, ResultAsync} from 'neverthrow';
-import {err, ok, safeTry} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {err, errAsync, ok, ResultAsync, safeTry} from 'neverthrow';
 import type {Failure} from 'shared';
 
 import type {Disk, DiskFailure} from './Disk';
@@ -27,6 +27,7 @@
 const SNAPSHOT_FILE = 'snapshot';
 const BOOTSTRAP_FILE = 'bootstrap';
 const SEGMENT_PREFIX = 'segment-';
+const SEGMENT_DIGITS = 16;
 const FRAME_HEADER_BYTES = 8;
 
 const encoder = new Encoder({useRecords: false});
@@ -113,17 +114,11 @@
   return false;
 }
 
-/** The valid frames of a segment. */
-interface Frames {
-  readonly bodies: Buffer[];
-  /** Length in bytes up to the end of the last valid frame. */
-  readonly validBytes: number;
-}
-
+/** Returns the bodies of all frames, but for a torn one at the end. */
 function readFrames(
   name: string,
   bytes: Buffer,
-): Result<Frames, CorruptionFailure> {
+): Result<Buffer[], CorruptionFailure> {
   const bodies: Buffer[] = [];
   let offset = 0;
   while (offset < bytes.length) {
@@ -138,16 +133,31 @@
     bodies.push(body);
     offset += FRAME_HEADER_BYTES + body.length;
   }
-  return ok({bodies, validBytes: offset});
+  return ok(bodies);
 }
 
-/** Reads and writes the files of one replica. Calls must not overlap. */
+/**
+ * Reads and writes the files of one replica. Calls must not overlap.
+ *
+ * What a failed write has left on the disk is unknown, and so is how much of what a start
+ * reads was ever synced. Both therefore end the use of the current segment: the next
+ * write has to start a new one, with all entries and under a name that isn't in use. Until
+ * that has succeeded no entry is appended, so that every segment on the disk, in use or
+ * not, holds all entries whose append has succeeded.
+ */
 export class LogStorage {
-  private segment = `${SEGMENT_PREFIX}${'0'.padStart(16, '0')}`;
+  /** The segment in use; undefined if a new one has to be started. */
+  private segment: string | undefined;
+  private lastSegmentNumber = 0;
 
   constructor(private readonly disk: Disk) {}
 
-  /** Reads all files and removes a torn frame at the end of a segment. */
+  /** Whether entries can be appended, otherwise a new segment has to be started. */
+  get hasSegment(): boolean {
+    return this.segment !== undefined;
+  }
+
+  /** Reads all files and changes none. */
   load(): ResultAsync<StoredLog, StorageFailure> {
     return safeTry(this.loadSteps.bind(this));
   }
@@ -163,11 +173,17 @@
   }
 
   /**
-   * Appends and syncs entries. An entry replaces the stored entry with the same
-   * index and all that follow it.
+   * Appends and syncs entries to the segment in use. An entry replaces the stored entry
+   * with the same index and all that follow it.
    */
   append(entries: readonly Entry[]): ResultAsync<void, DiskFailure> {
-    return this.disk.append(this.segment, encodeFrame(entries));
+    const {segment} = this;
+    if (segment === undefined) {
+      return errAsync({kind: 'disk', message: 'no segment is in use'});
+    }
+    return this.disk
+      .append(segment, encodeFrame(entries))
+      .mapErr((failure) => this.abandonSegment(failure));
   }
 
   /**
@@ -180,66 +196,85 @@
   ): ResultAsync<void, DiskFailure> {
     return this.disk
       .replace(SNAPSHOT_FILE, encodeFrame(snapshot))
+      .mapErr((failure) => this.abandonSegment(failure))
       .andThen(() => this.startSegment(entries));
   }
 
+  /** Starts a new segment with all entries of the log, and removes the others. */
+  startSegment(entries: readonly Entry[]): ResultAsync<void, DiskFailure> {
+    this.lastSegmentNumber += 1;
+    const name = segmentName(this.lastSegmentNumber);
+    return this.disk
+      .replace(name, encodeFrame(entries))
+      .mapErr((failure) => this.abandonSegment(failure))
+      .orElse((failure) => this.removeFailedSegment(name, failure))
+      .andThen(() => {
+        this.segment = name;
+        return this.removeOtherSegments(name);
+      });
+  }
+
   private async *loadSteps() {
     const state = yield* this.readFile<StoredState>(STATE_FILE);
     const bootstrap = yield* this.readFile<StoredBootstrap>(BOOTSTRAP_FILE);
     const snapshot = yield* this.readFile<Snapshot>(SNAPSHOT_FILE);
     const names = yield* this.disk.list();
-    const segments = names
-      .filter((name) => /^segment-\d{16}$/.test(name))
-      .sort();
     // Each segment starts with all entries that were kept when it was created, so the
     // newest one is complete. Others remain after a crash before their removal.
-    const newest = segments.pop();
-    for (const name of segments) {
-      yield* this.disk.remove(name);
-    }
+    const newest = names.filter(isSegment).sort().pop();
     const entries = newest === undefined ? [] : yield* this.loadSegment(newest);
     yield* checkContinuity(entries, snapshot);
-    const kept = entriesAfterSnapshot(entries, snapshot);
-    if (kept.length < entries.length) {
-      yield* this.startSegment(kept);
-    }
     return ok<StoredLog, StorageFailure>({
       bootstrap,
-      entries: kept,
+      entries: entriesAfterSnapshot(entries, snapshot),
       snapshot,
       state,
     });
   }
 
-  /** Replaces the segment by a new one that starts with `entries`. */
-  private startSegment(
-    entries: readonly Entry[],
-  ): ResultAsync<void, DiskFailure> {
-    const previousSegment = this.segment;
-    const nextNumber = Number(previousSegment.slice(SEGMENT_PREFIX.length)) + 1;
-    const nextSegment = `${SEGMENT_PREFIX}${String(nextNumber).padStart(16, '0')}`;
-    return this.disk.replace(nextSegment, encodeFrame(entries)).andThen(() => {
-      this.segment = nextSegment;
-      return this.disk.remove(previousSegment);
-    });
-  }
-
-  /** Reads a segment, removes a torn frame at its end and uses it from now on. */
+  /** Reads a segment, but for a torn frame at its end. */
   private async *loadSegment(name: string) {
+    this.lastSegmentNumber = Number(name.slice(SEGMENT_PREFIX.length));
     const bytes = yield* this.disk.read(name);
-    const frames = yield* readFrames(name, bytes);
-    if (frames.validBytes < bytes.length) {
-      const validPart = bytes.subarray(0, frames.validBytes);
-      yield* this.disk.replace(name, Buffer.from(validPart));
-    }
+    const bodies = yield* readFrames(name, bytes);
     const entries: Entry[] = [];
-    for (const body of frames.bodies) {
+    for (const body of bodies) {
       mergeBatch(entries, decoder.decode(body) as Entry[]);
     }
-    this.segment = name;
     return entries;
   }
 
+  private abandonSegment(failure: DiskFailure): DiskFailure {
+    this.segment = undefined;
+    return failure;
+  }
+
+  /** Removes what a failed start may have left, so that retries don't fill the disk. */
+  private removeFailedSegment(
+    name: string,
+    failure: DiskFailure,
+  ): ResultAsync<void, DiskFailure> {
+    return this.disk
+      .remove(name)
+      .orElse(() => ok(undefined))
+      .andThen(() => err(failure));
+  }
+
+  /** Removes former segments. Those that can't be removed stay until the next segment. */
+  private removeOtherSegments(segment: string): ResultAsync<void, DiskFailure> {
+    return this.disk
+      .list()
+      .andThen((names) =>
+        ResultAsync.combine(
+          names
+            .filter((name) => isSegment(name) && name !== segment)
+            .map((name) => this.disk.remove(name)),
+        ),
+      )
+      .map(() => undefined)
+      .orElse(() => ok(undefined));
+  }
+
   private readFile<Value>(
     name: string,
   ): ResultAsync<Value | undefined, StorageFailure> {
@@ -258,6 +293,17 @@
   }
 }
 
+function segmentName(number: number): string {
+  return `${SEGMENT_PREFIX}${String(number).padStart(SEGMENT_DIGITS, '0')}`;
+}
+
+function isSegment(name: string): boolean {
+  return (
+    name.startsWith(SEGMENT_PREFIX) &&
+    name.length === SEGMENT_PREFIX.length + SEGMENT_DIGITS
+  );
+}
+
 /**
  * Appends a batch; its entries replace those with the same or a higher index, and all
  * others if they don't follow them, as after the installation of a snapshot.
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -25,6 +25,7 @@
 
 import {Bootstrap} from './Bootstrap';
 import type {Disk} from './Disk';
+import {DurableLog} from './DurableLog';
 import {collectVotes} from './Election';
 import {EntryList} from './EntryList';
 import type {ReplicaTiming} from './LogConstants';
@@ -154,7 +155,7 @@
   private snapshot: Snapshot | undefined;
   private members: Members = NO_MEMBERS;
   private membersIndex = 0;
-  private syncedIndex: number;
+  private readonly durable: DurableLog;
   private commitIndex: number;
   private appliedIndex: number;
   private leader: ReplicaId | undefined;
@@ -196,7 +197,7 @@
       startsAfterSnapshot ? (snapshot?.lastTerm ?? 0) : first.term,
       entries,
     );
-    this.syncedIndex = this.log.lastIndex;
+    this.durable = new DurableLog(storage, this.log);
     this.commitIndex = snapshot?.lastIndex ?? 0;
     this.appliedIndex = this.commitIndex;
     this.lastContactAt = parts.clock.now();
@@ -514,32 +515,18 @@
     return {replica: this.id, term: this.term, votedFor: this.votedFor};
   }
 
-  private async saveState(): Promise<boolean> {
-    const written = await this.storage.writeState(this.storedState());
-    return written.isOk();
-  }
-
-  /** Syncs all unsynced entries. The caller holds the mutex. */
-  private async flush(): Promise<boolean> {
-    const pending = this.log.entriesFrom(this.syncedIndex + 1);
-    if (pending.length === 0) {
-      return true;
-    }
-    const written = await this.storage.append(pending);
-    if (written.isErr()) {
-      return false;
-    }
-    this.syncedIndex = pending.at(-1)?.index ?? this.syncedIndex;
-    return true;
+  /** Syncs term and vote; resolves to whether they are on the disk. */
+  private saveState(): Promise<boolean> {
+    return this.durable.saveState(this.storedState());
   }
 
   private async runFlush(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.syncedIndex >= this.log.lastIndex) {
+      if (this.durable.isSynced) {
         await this.logAppended.wait();
         continue;
       }
-      const isFlushed = await this.mutex.run(() => this.flush());
+      const isFlushed = await this.mutex.run(() => this.durable.flush());
       if (!isFlushed) {
         // A leader that cannot write must not block the group.
         this.stepDown();
@@ -607,7 +594,9 @@
     }
     const bytes = this.parts.stateMachine.snapshot();
     const members = this.membersAt(lastIndex);
-    await this.flush();
+    if (!(await this.durable.flush())) {
+      return;
+    }
     const snapshot = {bytes, lastIndex, lastTerm, members};
     const trailingEntries = Math.min(
       TRAILING_ENTRIES,
@@ -617,13 +606,12 @@
       this.log.compactedIndex,
       lastIndex - trailingEntries,
     );
-    const written = await this.storage.compact(
-      snapshot,
-      this.log.entriesFrom(compactThrough + 1),
-    );
-    if (written.isOk()) {
+    const kept = this.log.entriesFrom(compactThrough + 1);
+    if (await this.durable.compact(snapshot, kept)) {
       this.snapshot = snapshot;
       this.log.compactThrough(compactThrough);
+    } else {
+      this.logAppended.notify();
     }
   }
 
@@ -805,12 +793,12 @@
     if (this.isBootstrapped) {
       const voters = this.firstMembers?.voters.join();
       const isSame = voters === request.members.voters.join();
-      return {founded: isSame && (await this.flush())};
+      return {founded: isSame && (await this.durable.flush())};
     }
     const body = {kind: 'members', members: request.members} as const;
     this.log.push({body, index: 1, term: 0});
     this.refreshMembers();
-    return {founded: await this.flush()};
+    return {founded: await this.durable.flush()};
   }
 
   // Elections
@@ -1101,13 +1089,13 @@
     const {voters} = this.members;
     const matchIndexes = voters.map((voter) =>
       voter === this.id
-        ? this.syncedIndex
+        ? this.durable.syncedIndex
         : (this.peers.get(voter)?.matchIndex ?? 0),
     );
     matchIndexes.sort((a, b) => b - a);
     const index =
       this.parts.breakage?.commitWithoutQuorum === true
-        ? this.syncedIndex
+        ? this.durable.syncedIndex
         : (matchIndexes[quorumOf(voters) - 1] ?? 0);
     // Entries of former terms are committed only together with one of this term.
     if (index > this.commitIndex && this.log.termAt(index) === this.term) {
@@ -1129,7 +1117,7 @@
   private async handleAppend(request: AppendRequest): Promise<AppendReply> {
     const reject = (): AppendReply => ({
       matchIndex: Math.min(
-        this.syncedIndex,
+        this.durable.syncedIndex,
         Math.max(
           this.commitIndex,
           this.log.indexBeforeConflict(request.previousIndex),
@@ -1142,6 +1130,9 @@
       return reject();
     }
     await this.followLeader(request.term, request.from);
+    if (!(await this.durable.flush())) {
+      return reject();
+    }
     const {previousIndex} = request;
     const term = this.log.termAt(previousIndex);
     if (
@@ -1154,7 +1145,7 @@
       return this.acceptAppend(request, this.log.compactedIndex);
     }
     this.mergeEntries(request.entries);
-    if (!(await this.flush())) {
+    if (!(await this.durable.flush())) {
       return reject();
     }
     return this.acceptAppend(request, previousIndex + request.entries.length);
@@ -1185,7 +1176,7 @@
           'a committed entry must not be overwritten',
         );
         this.log.truncateFrom(entry.index);
-        this.syncedIndex = Math.min(this.syncedIndex, entry.index - 1);
+        this.durable.truncateFrom(entry.index);
       }
       this.log.push(entry);
     }
@@ -1230,8 +1221,8 @@
     // Entries that follow the snapshot's last one may count towards a quorum.
     const isInLog = this.log.termAt(lastIndex) === lastTerm;
     const followingEntries = isInLog ? this.log.entriesFrom(lastIndex + 1) : [];
-    const written = await this.storage.compact(snapshot, followingEntries);
-    if (written.isErr()) {
+    if (!(await this.durable.compact(snapshot, followingEntries))) {
+      this.logAppended.notify();
       return false;
     }
     this.parts.stateMachine.restore(bytes);
@@ -1241,7 +1232,6 @@
     } else {
       this.log.reset(lastIndex, lastTerm);
     }
-    this.syncedIndex = followingEntries.at(-1)?.index ?? lastIndex;
     this.commitIndex = lastIndex;
     this.appliedIndex = lastIndex;
     this.refreshMembers();
--- a/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FolderDisk.test.ts
@@ -53,6 +53,14 @@
   return {stateMachine, replica};
 }
 
+/** The path of the only segment. */
+async function segmentPath(): Promise<string> {
+  const names = await readdir(folder);
+  const segments = names.filter((name) => name.startsWith('segment'));
+  expect(segments).toHaveLength(1);
+  return join(folder, segments[0] ?? '');
+}
+
 const disks: FolderDisk[] = [];
 let folder: string;
 beforeEach(async () => {
@@ -95,15 +103,15 @@
   test('removes a torn frame at the end but rejects an invalid frame before a valid one', async () => {
     const first = await startLeader(folder);
     await first.replica.propose('kept');
-    const names = await readdir(folder);
-    const segment = names.find((name) => name.startsWith('segment')) ?? '';
-    const path = join(folder, segment);
-    await appendFile(path, Buffer.from([9, 0, 0, 0, 1, 2]));
+    await appendFile(await segmentPath(), Buffer.from([9, 0, 0, 0, 1, 2]));
     const second = await startLeader(folder);
     await second.replica.barrier();
     expect(second.stateMachine.records).toEqual(['kept']);
     // An invalid frame before a valid one cannot result from a torn write.
-    await appendFile(path, Buffer.from([2, 0, 0, 0, 0, 0, 0, 0, 7, 7]));
+    await appendFile(
+      await segmentPath(),
+      Buffer.from([2, 0, 0, 0, 0, 0, 0, 0, 7, 7]),
+    );
     await second.replica.propose('after');
     const {opened} = await openReplica(folder);
     expect(opened._unsafeUnwrapErr().kind).toBe('corrupt');
--- a/packages/puffinturn-log/src/__tests__/unit/LogStorageCrashes.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/LogStorageCrashes.test.ts
@@ -75,6 +75,9 @@
 
   /** Runs one operation; returns the contents that it leads to. */
   async operate(): Promise<Contents> {
+    if (!this.storage.hasSegment) {
+      await this.storage.startSegment(this.contents.entries);
+    }
     switch (this.random.integer(0, 5)) {
       case 0:
         return this.takeSnapshot();
@@ -157,7 +160,7 @@
       expected = disk.isStopped ? [before, after] : [after];
       writer.contents = after;
     }
-    disk.restart(crash);
+    disk.restart(crash, random);
   }
   return differences;
 }
@@ -181,7 +184,7 @@
   const entries = Array.from({length: 5}, (_, index) =>
     makeEntry(index + 1, TERM),
   );
-  await storage.append(entries);
+  await storage.startSegment(entries);
   const [segment = ''] = (await disk.list())._unsafeUnwrap();
   const left = (await disk.read(segment))._unsafeUnwrap();
   await storage.compact(makeSnapshot(4, TERM), entries.slice(4));
@@ -189,7 +192,10 @@
   const restarted = new LogStorage(disk);
   const loaded = (await restarted.load())._unsafeUnwrap();
   expect(describeContents(contentsOf(loaded))).toBe('after 4: 5:3');
-  expect((await disk.list())._unsafeUnwrap()).not.toContain(segment);
+  await restarted.startSegment(loaded.entries);
+  const names = (await disk.list())._unsafeUnwrap();
+  expect(names).not.toContain(segment);
+  expect(names.filter((name) => name.startsWith('segment'))).toHaveLength(1);
 });
 
 test('a gap between the snapshot and the entries fails the start', async () => {
