Acknowledge nothing in a term that isn't on the disk

What callers saw: nothing yet; found by reading. After a restart of a control box whose disk had failed once, a leader of an older term could replace entries that the box had acknowledged.

Cause: a follower that meets a higher term adopts it and ignores whether the state file could be written; it then acknowledges entries of that term. Its next start reads the older term, so it follows an older leader again.

--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -1130,7 +1130,7 @@
       return reject();
     }
     await this.followLeader(request.term, request.from);
-    if (!(await this.durable.flush())) {
+    if (!(await this.saveState()) || !(await this.durable.flush())) {
       return reject();
     }
     const {previousIndex} = request;
@@ -1198,6 +1198,9 @@
       return {nextOffset: 0, term: this.term};
     }
     await this.followLeader(request.term, request.from);
+    if (!(await this.saveState())) {
+      return {nextOffset: 0, term: this.term};
+    }
     const nextOffset = this.snapshotAssembler.addChunk(request);
     if (request.done && nextOffset === request.offset + request.bytes.length) {
       const isInstalled = await this.installSnapshot(
--- a/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
@@ -226,7 +226,10 @@
 }
 
 /** Files whose operations fail. */
-const FAULTY_FILES = {log: /^(segment|snapshot)/} as const;
+const FAULTY_FILES = {
+  any: /./,
+  log: /^(segment|snapshot)/,
+} as const;
 
 /** Runs several lives with failing operations; describes what was lost at a start. */
 async function runLives(
@@ -283,4 +286,11 @@
       expect(await runLives(seed, crash, FAULTY_FILES.log)).toEqual([]);
     },
   );
+
+  test.each(Array.from({length: 40}, (_, seed) => seed))(
+    'a replica has the term of all that it acknowledged after failed writes of any file, seed %i',
+    async (seed) => {
+      expect(await runLives(seed, crash, FAULTY_FILES.any)).toEqual([]);
+    },
+  );
 });
