Log and count a disk that refuses writes

A control box whose disk refused writes said nothing: callers saw 503, the logs a leader that came and went. `disk-changed` now gives the first error in a row, and when the disk takes writes again how many had failed; the daemon has a gauge and an event on the time line. Tested: reported once, and once more at the end, however many writes fail between.

--- a/packages/puffinturn-daemon/src/Box.ts
+++ b/packages/puffinturn-daemon/src/Box.ts
@@ -271,6 +271,12 @@
     incarnationId: parts.generateId(),
     link: logLink,
     stateMachine: ledger,
+    onDiskChange: ({failedWrites, failure}) => {
+      parts.metrics.diskRefusesWrites.set(failure === undefined ? 0 : 1);
+      timeline.note(EVENT_KIND.diskChanged, {
+        detail: failure?.message ?? `${failedWrites} writes had failed`,
+      });
+    },
     onRoleChange: (role, term) =>
       timeline.note(EVENT_KIND.leaderChanged, {
         detail: `${role} in term ${term}`,
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -600,6 +600,16 @@
   readonly lastAnswerAgeMs: number | undefined;
 }
 
+/** The disk of a control box refused a write, or takes writes again. */
+export interface DiskChanged {
+  readonly event: 'disk-changed';
+  readonly writable: boolean;
+  /** Why it refused. */
+  readonly detail: string | undefined;
+  /** Number of writes in a row that have failed. */
+  readonly failedWrites: number;
+}
+
 /** This replica's role in the replicated log changed. */
 export interface RoleChanged {
   readonly event: 'role-changed';
@@ -652,6 +662,7 @@
   | CrossRegionRoutingChanged
   | DepartureDecided
   | DependencyChanged
+  | DiskChanged
   | EvacuationDecided
   | EvacuationsAdopted
   | ExposureTotals
--- a/packages/puffinturn-gateway/src/GatewayMetrics.ts
+++ b/packages/puffinturn-gateway/src/GatewayMetrics.ts
@@ -103,6 +103,13 @@
     registers: [this.registry],
   });
 
+  /** Whether the disk of this control box refuses writes. */
+  readonly diskRefusesWrites = new Gauge({
+    help: '1 while the disk of this control box refuses writes, else 0',
+    name: 'puffinturn_disk_refuses_writes',
+    registers: [this.registry],
+  });
+
   /** Adds the default metrics of the process. */
   collectProcessMetrics(): void {
     collectDefaultMetrics({register: this.registry});
--- a/packages/puffinturn-log/src/DurableLog.ts
+++ b/packages/puffinturn-log/src/DurableLog.ts
@@ -9,10 +9,21 @@
  * What of a replica's log, snapshot and hard state is on its disk for sure, so that the
  * replica may acknowledge it.
  */
+import type {Result} from 'neverthrow';
+
+import type {DiskFailure} from './Disk';
 import type {EntryList} from './EntryList';
 import type {Entry} from './LogMessages';
 import type {LogStorage, Snapshot, StoredState} from './LogStorage';
 
+/** The disk refused a write, or takes writes again. */
+export interface DiskChange {
+  /** Why it refused; undefined if it takes writes again. */
+  readonly failure: DiskFailure | undefined;
+  /** Number of writes in a row that have failed. */
+  readonly failedWrites: number;
+}
+
 /** Writes a log to a disk. Calls must not overlap, nor with a removal of entries. */
 export class DurableLog {
   /**
@@ -21,10 +32,12 @@
    */
   private lastSyncedIndex: number;
   private syncedState: StoredState | undefined;
+  private failedWrites = 0;
 
   constructor(
     private readonly storage: LogStorage,
     private readonly log: EntryList,
+    private readonly onDiskChange?: (change: DiskChange) => void,
   ) {
     this.lastSyncedIndex = log.compactedIndex;
   }
@@ -55,7 +68,7 @@
     if (written.isOk()) {
       this.syncedState = state;
     }
-    return written.isOk();
+    return this.report(written);
   }
 
   /** Syncs all entries of the log; resolves to whether they are on the disk. */
@@ -72,7 +85,7 @@
     if (written.isOk()) {
       this.lastSyncedIndex = lastIndex;
     }
-    return written.isOk();
+    return this.report(written);
   }
 
   /**
@@ -84,11 +97,24 @@
     if (written.isOk()) {
       this.lastSyncedIndex = kept.at(-1)?.index ?? snapshot.lastIndex;
     }
-    return written.isOk();
+    return this.report(written);
   }
 
   /** Takes note that the entries from `index` on were removed from the log. */
   truncateFrom(index: number): void {
     this.lastSyncedIndex = Math.min(this.lastSyncedIndex, index - 1);
   }
+
+  /** Reports the first failure in a row, and the first success after it. */
+  private report(written: Result<void, DiskFailure>): boolean {
+    const {failedWrites} = this;
+    this.failedWrites = written.isOk() ? 0 : failedWrites + 1;
+    if (written.isErr() && failedWrites === 0) {
+      this.onDiskChange?.({failedWrites: 1, failure: written.error});
+    }
+    if (written.isOk() && failedWrites > 0) {
+      this.onDiskChange?.({failedWrites, failure: undefined});
+    }
+    return written.isOk();
+  }
 }
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -25,6 +25,7 @@
 
 import {Bootstrap} from './Bootstrap';
 import type {Disk} from './Disk';
+import type {DiskChange} from './DurableLog';
 import {DurableLog} from './DurableLog';
 import {collectVotes} from './Election';
 import {EntryList} from './EntryList';
@@ -110,6 +111,8 @@
   readonly minVoters?: number | undefined;
   /** Called after a change of role or leader. */
   readonly onRoleChange?: (role: Role, term: number, leader?: string) => void;
+  /** Called when the disk refuses a write, and when it takes writes again. */
+  readonly onDiskChange?: (change: DiskChange) => void;
   /** Bugs to inject, so that the fuzzer can check that it detects them. */
   readonly breakage?: ReplicaBreakage;
 }
@@ -197,7 +200,7 @@
       startsAfterSnapshot ? (snapshot?.lastTerm ?? 0) : first.term,
       entries,
     );
-    this.durable = new DurableLog(storage, this.log);
+    this.durable = new DurableLog(storage, this.log, parts.onDiskChange);
     this.commitIndex = snapshot?.lastIndex ?? 0;
     this.appliedIndex = this.commitIndex;
     this.lastContactAt = parts.clock.now();
--- a/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
@@ -11,6 +11,7 @@
  */
 import {invariant, ManualClock, Random} from 'shared';
 
+import type {DiskChange} from '../../index';
 import {DEFAULT_TIMING, LogLink, Replica, replicaIdOf} from '../../index';
 import type {AppendReply, Entry, SnapshotReply} from '../../LogMessages';
 import {ListMachine} from '../utils/ReplicaFixture';
@@ -202,6 +203,9 @@
     return this.current;
   }
 
+  /** Changes of the disk that the replica has reported. */
+  readonly diskChanges: DiskChange[] = [];
+
   async start(): Promise<void> {
     this.stateMachine = new ListMachine();
     const opened = await Replica.open({
@@ -210,6 +214,7 @@
       disk: this.disk,
       incarnationId: '1',
       link: new SilentLink(),
+      onDiskChange: (change) => this.diskChanges.push(change),
       random: new Random(1),
       snapshotIntervalEntries: SNAPSHOT_INTERVAL_ENTRIES,
       stateMachine: this.stateMachine,
@@ -294,3 +299,25 @@
     },
   );
 });
+
+test('a disk that refuses writes is reported once, and once more when it takes them again', async () => {
+  const follower = new Follower();
+  const leader = new Leader(follower, new Random(1));
+  await follower.start();
+  await leader.found();
+  await leader.sendEntries(1);
+  expect(follower.diskChanges).toEqual([]);
+  follower.disk.chooseFailure = () => 0;
+  const {acknowledgedIndex} = leader;
+  await leader.sendEntries(1);
+  await leader.sendEntries(1);
+  expect(leader.acknowledgedIndex).toBe(acknowledgedIndex);
+  const failure = {kind: 'disk', message: 'step 0 failed'};
+  expect(follower.diskChanges).toEqual([{failedWrites: 1, failure}]);
+  follower.disk.chooseFailure = () => undefined;
+  await leader.sendEntries(1);
+  expect(leader.acknowledgedIndex).toBe(leader.lastIndex);
+  expect(follower.diskChanges[1]).toMatchObject({failure: undefined});
+  expect(follower.diskChanges).toHaveLength(2);
+  await follower.replica[Symbol.asyncDispose]();
+});
--- a/packages/puffinturn-timeline/src/Timeline.ts
+++ b/packages/puffinturn-timeline/src/Timeline.ts
@@ -18,6 +18,7 @@
   boxFenced: 'box-fenced',
   boxRegistered: 'box-registered',
   configChanged: 'config-changed',
+  diskChanged: 'disk-changed',
   dispatched: 'dispatched',
   leaderChanged: 'leader-changed',
   orderDone: 'order-done',
