Store the boxes of a first start before anything else

What callers saw: all control boxes killed 0.2 s after their first start left a fleet that never served: 503 to every request, for good.

Cause: a box stores which boxes start for the first time only after it has opened its log, stored its id and begun to look for a group. The seeds had been running for 50 to 93 ms when they were killed and none had got so far, so after the kill nobody knew that a group may be founded.

Change: Replica.open stores it first, before the id.

A kill before the first write is done still leaves nobody who knows (docs/design/bootstrap.md, "Open").

--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -99,6 +99,8 @@
   readonly stateMachine: StateMachine;
   readonly random: Random;
   readonly timing: ReplicaTiming;
+  /** The boxes of the group, if this is the first start of all of them. */
+  readonly firstBoxes?: readonly string[] | undefined;
   /** Number of applied entries between two snapshots. */
   readonly snapshotIntervalEntries?: number;
   /** Maximum number of voters. Further replicas remain learners. */
@@ -216,6 +218,7 @@
     const storage = new LogStorage(parts.disk);
     return storage
       .load()
+      .andThen((stored) => rememberFirstStart(storage, stored, parts))
       .andThen((stored) => {
         const replica = new Replica(parts, storage, stored);
         return stored.state === undefined
@@ -1245,6 +1248,27 @@
   }
 }
 
+/**
+ * Stores the boxes of a first start, before anything else: a box that is killed may come
+ * back without knowing that it took part, and if none of them knows, no group forms. A
+ * failed write is repeated by {@link Bootstrap}.
+ */
+function rememberFirstStart(
+  storage: LogStorage,
+  stored: StoredLog,
+  {firstBoxes}: ReplicaParts,
+): ResultAsync<StoredLog, StorageFailure> {
+  const isFirstStart = stored.state === undefined;
+  if (firstBoxes === undefined || !isFirstStart || stored.bootstrap) {
+    return okAsync(stored);
+  }
+  const bootstrap = {boxes: [...firstBoxes].sort()};
+  return storage
+    .writeBootstrap(bootstrap)
+    .map(() => ({...stored, bootstrap}))
+    .orElse(() => okAsync(stored));
+}
+
 function leadershipLostFailure(): Failure<'leadership-lost'> {
   return {
     kind: 'leadership-lost',
--- a/packages/puffinturn-log/src/__tests__/unit/Bootstrap.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/Bootstrap.test.ts
@@ -9,10 +9,13 @@
  * Guards against a group that cannot form from its seed boxes, cannot replace lost
  * voters or loses records when disks are lost.
  */
-import {Random} from 'shared';
+import {ManualClock, Random} from 'shared';
 
+import {DEFAULT_TIMING, Replica} from '../../index';
 import {MAX_VOTER_WAIT_MS} from '../../LogConstants';
-import {ReplicaGroup} from '../utils/ReplicaFixture';
+import {LogStorage} from '../../LogStorage';
+import {ListMachine, ReplicaGroup, SilentLink} from '../utils/ReplicaFixture';
+import {CRASH, StepDisk} from '../utils/StepDisk';
 
 const BOXES = ['a', 'b', 'c', 'd', 'e'];
 const SEEDS = ['a', 'b', 'c'];
@@ -275,3 +278,33 @@
       await group.start(box, false);
   }
 }
+
+describe('a box that is killed during its first start', () => {
+  /** Guards against a fleet that never starts: no box remembers that it may bootstrap. */
+  test.each(Array.from({length: 20}, (_, count) => count + 1))(
+    'remembers the boxes of the group if it has stored anything, after %i steps',
+    async (steps) => {
+      const disk = new StepDisk();
+      disk.stepsLeft = steps;
+      const opened = await Replica.open({
+        box: 'a',
+        clock: new ManualClock(),
+        disk,
+        firstBoxes: ['c', 'b', 'a'],
+        incarnationId: '1',
+        link: new SilentLink(),
+        random: new Random(1),
+        stateMachine: new ListMachine(),
+        timing: DEFAULT_TIMING,
+      });
+      await opened.map((replica) => replica[Symbol.asyncDispose]());
+      disk.restart(CRASH.powerLoss, new Random(1));
+      const stored = (await new LogStorage(disk).load())._unsafeUnwrap();
+      const names = (await disk.list())._unsafeUnwrap();
+      expect(names.filter((name) => !name.endsWith('.tmp'))[0]).toBe(
+        stored.bootstrap === undefined ? undefined : 'bootstrap',
+      );
+      expect(stored.bootstrap?.boxes ?? SEEDS).toEqual(SEEDS);
+    },
+  );
+});
--- a/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/FailedDiskOperations.test.ts
@@ -12,9 +12,9 @@
 import {invariant, ManualClock, Random} from 'shared';
 
 import type {DiskChange} from '../../index';
-import {DEFAULT_TIMING, LogLink, Replica, replicaIdOf} from '../../index';
+import {DEFAULT_TIMING, Replica, replicaIdOf} from '../../index';
 import type {AppendReply, Entry, SnapshotReply} from '../../LogMessages';
-import {ListMachine} from '../utils/ReplicaFixture';
+import {ListMachine, SilentLink} from '../utils/ReplicaFixture';
 import type {Crash} from '../utils/StepDisk';
 import {CRASH, StepDisk} from '../utils/StepDisk';
 
@@ -25,12 +25,6 @@
 /** One in this many disk operations fails. */
 const FAILURE_INTERVAL = 4;
 
-class SilentLink extends LogLink {
-  override call(): never {
-    throw new Error('the clock stands still, so no replica starts an election');
-  }
-}
-
 /** The leader's log, and what the follower has acknowledged of it. */
 class Leader {
   term = 1;
--- a/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
+++ b/packages/puffinturn-log/src/__tests__/utils/ReplicaFixture.ts
@@ -51,6 +51,13 @@
   }
 }
 
+/** A link of a replica that never calls another one, as its clock stands still. */
+export class SilentLink extends LogLink {
+  override call(): never {
+    throw new Error('the clock stands still, so no replica starts an election');
+  }
+}
+
 /** A running replica with its state machine and tasks. */
 export interface RunningReplica {
   readonly replica: Replica;
