Check links for silence only while requests are waiting

It now waits for the next request or broken connection. Three tests: silence after an idle time is still found within its bound; a failure just after a verification is still verified once that is due; an idle edge sets no timer (ten in the same time before).

--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -9,6 +9,7 @@
  * Guards against upstreams that are not reached because links of this edge are lost, and
  * against looking for crashed upstreams by way of all edges.
  */
+import {jest} from '@jest/globals';
 import {InMemoryDecisionLog} from 'puffinturn-decisions';
 import type {ListenerState} from 'puffinturn-quarantine';
 import {LISTENER_STATE} from 'puffinturn-quarantine';
@@ -18,8 +19,11 @@
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {DirectLinks} from '../../tunnels/DirectLinks';
 import {
+  MAX_SILENCE_MS,
   PROBE_INTERVAL_MS,
+  SILENCE_CHECK_INTERVAL_MS,
   UNREACHABLE_BACKOFF_MS,
+  VERIFICATION_INTERVAL_MS,
 } from '../../tunnels/TunnelConstants';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {UpstreamPool} from '../../upstreams/UpstreamPool';
@@ -175,7 +179,7 @@
       fixture.failedState = state;
       fixture.cut(engines);
       let endedCount = 0;
-      using _listener = fixture.links.onHang(
+      using _listener = fixture.links.watchRequest(
         'engines',
         () => (endedCount += 1),
       );
@@ -195,12 +199,51 @@
     fixture.failedState = LISTENER_STATE.unknown;
     fixture.cut(single);
     let endedCount = 0;
-    using _listener = fixture.links.onHang('single', () => (endedCount += 1));
+    using _listener = fixture.links.watchRequest(
+      'single',
+      () => (endedCount += 1),
+    );
     await fixture.failConnect(single[0], CONNECT_TIMEOUT);
     expect(fixture.links.areLost('single')).toBe(true);
     expect(endedCount).toBe(0);
   });
 
+  test('verifies links whose open requests get no answer', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    await fixture.clock.advance(5_000);
+    fixture.cut(engines);
+    using _listener = fixture.links.watchRequest('engines', () => undefined);
+    for (const engine of engines) {
+      engine.inFlight = 1;
+    }
+    await fixture.clock.advance(MAX_SILENCE_MS + SILENCE_CHECK_INTERVAL_MS);
+    expect(fixture.links.areLost('engines')).toBe(true);
+  });
+
+  test('verifies links again that failed just after a verification', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    await fixture.failConnect(engines[0]);
+    const {probeCount} = fixture;
+    fixture.cut(engines);
+    await fixture.failConnect(engines[0]);
+    expect(fixture.probeCount).toBe(probeCount);
+    await fixture.clock.advance(
+      VERIFICATION_INTERVAL_MS + SILENCE_CHECK_INTERVAL_MS,
+    );
+    expect(fixture.links.areLost('engines')).toBe(true);
+  });
+
+  /** Guards against edges that cost processor time while nobody calls them. */
+  test('waits without a timer while there are no requests', async () => {
+    await using fixture = new LinksFixture();
+    await fixture.clock.advance(1);
+    const sleep = jest.spyOn(fixture.clock, 'sleep');
+    await fixture.clock.advance(10 * SILENCE_CHECK_INTERVAL_MS);
+    expect(sleep).not.toHaveBeenCalled();
+  });
+
   test('does not probe while nothing fails', async () => {
     await using fixture = new LinksFixture();
     await fixture.clock.advance(5_000);
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -328,8 +328,9 @@
     plan: RequestPlan,
     placement: Placement,
   ): Promise<boolean> {
-    using _linkLost = this.parts.directLinks.onHang(plan.service.name, () =>
-      this.onLinkLost(plan.route),
+    using _linkLost = this.parts.directLinks.watchRequest(
+      plan.service.name,
+      () => this.onLinkLost(plan.route),
     );
     const outcome = await this.startAttempt(plan, placement);
     return await this.handleOutcome(plan, placement.upstream, outcome);
--- a/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
@@ -38,6 +38,8 @@
   /** When a tunnel to an upstream may be tried again, monotonic ms. */
   private readonly tunnelRetryAt = new WeakMap<EdgeUpstream, number>();
   private readonly suspected = new Condition();
+  /** Notified when a request is sent or a connection broke; wakes the checks. */
+  private readonly linksUsed = new Condition();
   private readonly tasks = new TaskGroup();
 
   constructor(private readonly parts: DirectLinksParts) {
@@ -75,6 +77,7 @@
   recordFailure({record}: EdgeUpstream): void {
     this.linksOf(record.service).suspect();
     this.suspected.notify();
+    this.linksUsed.notify();
   }
 
   /** Records that a request could not be sent to an upstream. */
@@ -103,14 +106,18 @@
   }
 
   /**
-   * Calls `listener` when all links to a service are found to hang, unless the result is
-   * disposed before. What was sent just before may never arrive.
+   * Takes note that a request is sent to a service, and calls `listener` when all links to
+   * it are found to hang, unless the result is disposed before. What was sent just before
+   * may never arrive.
    */
-  onHang(service: string, listener: () => void): Disposable {
+  watchRequest(service: string, listener: () => void): Disposable {
+    this.linksUsed.notify();
     return this.linksOf(service).onHang(listener);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.tasks.abort();
+    this.linksUsed.notify();
     await this.tasks[Symbol.asyncDispose]();
   }
 
@@ -174,14 +181,20 @@
     }
   }
 
+  /** Checks all services at intervals, unless nothing can be found before the next request. */
   private async checkSilence(signal: AbortSignal): Promise<void> {
     const {clock, pool} = this.parts;
+    let needsChecks = false;
     while (!signal.aborted) {
+      if (!needsChecks) {
+        await this.linksUsed.wait();
+      }
       await clock.sleep(SILENCE_CHECK_INTERVAL_MS, signal);
       const services = pool.services().map((service) => this.linksOf(service));
-      for (const links of services) {
-        links.checkSilence();
-      }
+      const areTelling = services.map((links) => links.checkSilence());
+      needsChecks =
+        areTelling.includes(true) ||
+        services.some(({isVerificationPending}) => isVerificationPending);
       if (services.some(({isVerificationDue}) => isVerificationDue)) {
         this.suspected.notify();
       }
--- a/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -18,7 +18,7 @@
 
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {UpstreamPool} from '../upstreams/UpstreamPool';
-import {SilenceDetector} from './SilenceDetector';
+import {isSilenceTelling, SilenceDetector} from './SilenceDetector';
 import {
   VERIFICATION_INTERVAL_MS,
   VERIFICATION_PROBES,
@@ -74,12 +74,15 @@
     return this.areLost || this.lostUpstreams.size > 0;
   }
 
+  /** Whether the links have to be verified, now or later. */
+  get isVerificationPending(): boolean {
+    return this.isSuspected && !this.areLost;
+  }
+
   /** Whether a verification is due after a failure. */
   get isVerificationDue(): boolean {
     const elapsedMs = this.parts.clock.now() - this.lastVerificationAt;
-    return (
-      this.isSuspected && !this.areLost && elapsedMs >= VERIFICATION_INTERVAL_MS
-    );
+    return this.isVerificationPending && elapsedMs >= VERIFICATION_INTERVAL_MS;
   }
 
   /** Whether an upstream is reached through other edges only. */
@@ -92,10 +95,14 @@
     this.isSuspected = true;
   }
 
-  /** Suspects the links if nothing arrives from the upstreams of the service. */
-  checkSilence(): void {
+  /**
+   * Suspects the links if nothing arrives from the upstreams of the service. Returns
+   * whether so many requests are waiting that this has to be checked again.
+   */
+  checkSilence(): boolean {
     const traffic = this.parts.pool.trafficOf(this.service);
     this.isSuspected ||= this.silenceDetector.check(traffic);
+    return isSilenceTelling(traffic);
   }
 
   /** Records that another edge reached an upstream that this edge does not reach. */
--- a/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
+++ b/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
@@ -22,6 +22,14 @@
   USUAL_SILENCE_FACTOR,
 } from './TunnelConstants';
 
+/** Whether so many requests are waiting that silence says something of the links. */
+export function isSilenceTelling({
+  requests,
+  upstreams,
+}: ServiceTraffic): boolean {
+  return requests >= MIN_SILENT_REQUESTS && upstreams >= MIN_SILENT_UPSTREAMS;
+}
+
 /** Compares the time without any read with how long such times usually last. */
 export class SilenceDetector {
   private lastReads = 0;
@@ -35,12 +43,15 @@
     this.lastCheckAt = clock.now();
   }
 
-  /** Returns true if the silence is longer than usual; called at a steady interval. */
-  check({reads, requests, upstreams}: ServiceTraffic): boolean {
+  /**
+   * Returns true if the silence is longer than usual. Called at a steady interval for as
+   * long as enough requests are waiting, and once after that.
+   */
+  check(traffic: ServiceTraffic): boolean {
+    const {reads} = traffic;
     const now = this.clock.now();
     this.decay(now);
-    const isWaiting =
-      requests >= MIN_SILENT_REQUESTS && upstreams >= MIN_SILENT_UPSTREAMS;
+    const isWaiting = isSilenceTelling(traffic);
     if (reads !== this.lastReads || !isWaiting) {
       this.endSilence(now);
       this.lastReads = reads;
