Follow the number of known edges in an edge's share of the retry limit

Cause: an edge computed its share at its first request and kept it. One that had just started and knew no other edge kept the limit of the whole fleet for itself. Change: the share is that of the edges known at each use; a smaller one takes effect at once, a larger one fills up with further requests.

--- a/packages/puffinturn-edge/src/requests/RetryBudgets.ts
+++ b/packages/puffinturn-edge/src/requests/RetryBudgets.ts
@@ -41,17 +41,17 @@
     return this.getBudget(service).tryConsume();
   }
 
+  /** The budget of a service, with the share for the edges that are known now. */
   private getBudget(service: string): RatioRetryBudget {
+    const {extra, ratio} = this.limit;
+    const ownExtra = (extra * USABLE_SHARE) / Math.max(1, this.edgeCount());
+    const burst = Math.max(1, ownExtra);
     const existing = this.budgets.get(service);
     if (existing !== undefined) {
+      existing.setBurst(burst);
       return existing;
     }
-    const {extra, ratio} = this.limit;
-    const ownExtra = (extra * USABLE_SHARE) / Math.max(1, this.edgeCount());
-    const budget = new RatioRetryBudget(
-      ratio * USABLE_SHARE,
-      Math.max(1, ownExtra),
-    );
+    const budget = new RatioRetryBudget(ratio * USABLE_SHARE, burst);
     this.budgets.set(service, budget);
     return budget;
   }
--- a/packages/puffinturn-routing/src/RetryBudget.ts
+++ b/packages/puffinturn-routing/src/RetryBudget.ts
@@ -30,12 +30,18 @@
 
   constructor(
     private readonly ratio = RETRY_RATIO,
-    private readonly burst = RETRY_BURST,
+    private burst = RETRY_BURST,
   ) {
     super();
     this.tokens = burst;
   }
 
+  /** Changes the maximum number of retries at once; what exceeds it is lost. */
+  setBurst(burst: number): void {
+    this.burst = burst;
+    this.tokens = Math.min(burst, this.tokens);
+  }
+
   override recordRequest(): void {
     this.tokens = Math.min(this.burst, this.tokens + this.ratio);
   }
