--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -12,16 +12,9 @@
  * runs one task for each peer. Operations that must not overlap with a disk write
  * hold a mutex.
  */
-import type {Result} from 'neverthrow';
 import {err, errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
-import type {Clock, Failure, Random} from 'shared';
-import {
-  Condition,
-  invariant,
-  Mutex,
-  sleepUnlessNotified,
-  TaskGroup,
-} from 'shared';
+import type {Clock, Random} from 'shared';
+import {Condition, invariant, Mutex, TaskGroup} from 'shared';
 
 import {Bootstrap} from './Bootstrap';
 import type {Disk} from './Disk';
@@ -32,12 +25,8 @@
 import type {ReplicaTiming} from './LogConstants';
 import {
   LEADER_LOST_AFTER_ELECTION_TIMEOUTS,
-  MAX_APPEND_BYTES,
-  MAX_APPEND_ENTRIES,
-  MAX_LEARNER_LAG_ENTRIES,
   MAX_VOTER_WAIT_MS,
   REJOIN_AFTER_ELECTION_TIMEOUTS,
-  REPLACE_AFTER_ELECTION_TIMEOUTS,
   SNAPSHOT_INTERVAL_ENTRIES,
   TRAILING_ENTRIES,
 } from './LogConstants';
@@ -67,16 +56,10 @@
   StoredLog,
 } from './LogStorage';
 import {LogStorage} from './LogStorage';
-import type {MemberChange} from './MemberChanges';
-import {
-  quorumOf,
-  withLearner,
-  withoutFormerIncarnations,
-  withoutVoter,
-  withVoter,
-} from './MemberChanges';
+import {Membership} from './Membership';
+import {PendingProposals} from './PendingProposals';
+import {Replication} from './Replication';
 import {SnapshotAssembler} from './SnapshotAssembler';
-import {sendSnapshot} from './SnapshotTransfer';
 
 /** Roles of a replica. */
 export const ROLE = {
@@ -127,26 +110,6 @@
   readonly commitWithoutQuorum?: boolean;
 }
 
-/** Replication progress of another replica, kept by the leader. */
-interface Peer {
-  readonly id: ReplicaId;
-  nextIndex: number;
-  matchIndex: number;
-  /** Send time of the latest request with a reply, or start of the leadership, ms. */
-  ackedAt: number;
-  readonly addedAt: number;
-}
-
-/** A proposal whose entry has not been applied yet. */
-interface PendingProposal {
-  readonly term: number;
-  readonly settle: (outcome: ProposalOutcome) => void;
-}
-
-type ProposalOutcome =
-  | {readonly kind: 'applied'; readonly value: unknown}
-  | {readonly kind: 'failed'; readonly failure: ProposalFailure};
-
 const NO_MEMBERS: Members = {learners: [], voters: []};
 
 /** A replica of the log. Dispose it to stop its tasks. */
@@ -169,11 +132,10 @@
   private leaderSince = -Infinity;
   /** Last contact from a leader or granted vote; restarts the election timeout. */
   private lastContactAt: number;
-  private readonly peers = new Map<ReplicaId, Peer>();
-  private readonly pendingProposals = new Map<number, PendingProposal>();
+  private readonly replication: Replication;
+  private readonly pendingProposals = new PendingProposals();
   private readonly mutex = new Mutex();
-  /** Serialises membership changes; each is committed before the next. */
-  private readonly membersMutex = new Mutex();
+  private readonly membership: Membership;
   /** Wakes the flush task and the replication tasks. */
   private readonly logAppended = new Condition();
   /** Wakes the apply task. */
@@ -207,6 +169,8 @@
     this.appliedIndex = this.commitIndex;
     this.lastContactAt = parts.clock.now();
     this.bootstrap = this.createBootstrap(stored.bootstrap);
+    this.membership = this.createMembership();
+    this.replication = this.createReplication();
     if (snapshot !== undefined) {
       parts.stateMachine.restore(snapshot.bytes);
     }
@@ -229,7 +193,7 @@
         replica.tasks.start((signal) => replica.runElections(signal));
         replica.tasks.start((signal) => replica.runFlush(signal));
         replica.tasks.start((signal) => replica.runApply(signal));
-        replica.tasks.start((signal) => replica.runVoterReplacement(signal));
+        replica.tasks.start((signal) => replica.membership.run(signal));
         return replica;
       });
   }
@@ -314,9 +278,7 @@
 
   /** Adds a replica and removes former incarnations of its box. */
   join(joiningId: ReplicaId): ResultAsync<void, ProposalFailure> {
-    return new ResultAsync(
-      this.membersMutex.run(() => this.addReplica(joiningId)),
-    );
+    return new ResultAsync(this.membership.add(joiningId));
   }
 
   /** Gives up leadership and delays its own next election. */
@@ -375,7 +337,7 @@
     this.logAppended.notify();
     this.commitAdvanced.notify();
     this.progressMade.notify();
-    this.failPendingProposals({
+    this.pendingProposals.failAll({
       kind: 'stopped',
       message: 'the replica is stopping',
     });
@@ -430,6 +392,42 @@
     );
   }
 
+  private createMembership(): Membership {
+    const {clock, maxVoters, timing} = this.parts;
+    return new Membership({
+      barrier: () => this.barrier(),
+      clock,
+      isActiveLeader: () => this.isLeader && !this.tasks.isAborted,
+      lagEntries: (id) => this.commitIndex - this.replication.matchIndexOf(id),
+      maxVoters,
+      members: () => this.members,
+      msSinceContact: (id) => this.replication.msSinceContactWith(id),
+      ownId: this.id,
+      progressMade: this.progressMade,
+      proposeMembers: (members) => this.proposeMembers(members),
+      timing,
+    });
+  }
+
+  private createReplication(): Replication {
+    const {clock, link, timing} = this.parts;
+    return new Replication({
+      checkReplyTerm: (term) => this.checkReplyTerm(term),
+      clock,
+      commitIndex: () => this.commitIndex,
+      leaderTerm: () => (this.isLeader ? this.term : undefined),
+      link,
+      log: this.log,
+      logAppended: this.logAppended,
+      onConfirmed: () => this.advanceCommit(),
+      ownId: this.id,
+      progressMade: this.progressMade,
+      snapshot: () => this.snapshot,
+      tasks: this.tasks,
+      timing,
+    });
+  }
+
   // Proposals
 
   private get minVoters(): number {
@@ -443,7 +441,7 @@
       return false;
     }
     const voters = this.members.voters.filter(
-      (id) => id === this.id || (this.peers.get(id)?.matchIndex ?? 0) > 0,
+      (id) => id === this.id || this.replication.matchIndexOf(id) > 0,
     );
     return (
       voters.length < this.minVoters &&
@@ -460,15 +458,7 @@
     if (this.role !== ROLE.leader) {
       return new ResultAsync(Promise.resolve(err(this.notLeaderFailure())));
     }
-    const {index} = this.push(body);
-    const outcomePromise = new Promise<ProposalOutcome>((settle) =>
-      this.pendingProposals.set(index, {settle, term: this.term}),
-    );
-    return new ResultAsync(
-      outcomePromise.then((outcome) =>
-        outcome.kind === 'applied' ? ok(outcome.value) : err(outcome.failure),
-      ),
-    );
+    return this.pendingProposals.add(this.push(body));
   }
 
   private push(body: EntryBody): Entry {
@@ -498,7 +488,7 @@
       if (
         hasCommittedInTerm &&
         isApplied &&
-        this.lastQuorumContactAt() >= startedAt
+        this.replication.lastQuorumContactAt(this.members.voters) >= startedAt
       ) {
         return ok<void, ProposalFailure>(undefined);
       }
@@ -508,13 +498,6 @@
     return err<void, ProposalFailure>(this.notLeaderFailure());
   }
 
-  private failPendingProposals(failure: ProposalFailure): void {
-    for (const proposal of this.pendingProposals.values()) {
-      proposal.settle({failure, kind: 'failed'});
-    }
-    this.pendingProposals.clear();
-  }
-
   // Persistence
 
   private storedState() {
@@ -574,16 +557,7 @@
         ? this.parts.stateMachine.apply(entry.body.record, entry.index)
         : undefined;
     this.appliedIndex = entry.index;
-    const proposal = this.pendingProposals.get(entry.index);
-    if (proposal === undefined) {
-      return;
-    }
-    this.pendingProposals.delete(entry.index);
-    proposal.settle(
-      proposal.term === entry.term
-        ? {kind: 'applied', value}
-        : {failure: leadershipLostFailure(), kind: 'failed'},
-    );
+    this.pendingProposals.settle(entry, value);
   }
 
   private isSnapshotDue(): boolean {
@@ -628,10 +602,15 @@
     this.members = latest?.members ?? this.snapshot?.members ?? NO_MEMBERS;
     this.membersIndex = latest?.index ?? this.snapshot?.lastIndex ?? 0;
     if (this.isLeader) {
-      this.refreshPeers();
+      this.replicateToMembers();
     }
   }
 
+  private replicateToMembers(): void {
+    const {learners, voters} = this.members;
+    this.replication.setMembers([...voters, ...learners]);
+  }
+
   private membersAt(index: number): Members {
     for (
       let position = index;
@@ -654,136 +633,6 @@
     return this.isVoter() || this.members.learners.includes(this.id);
   }
 
-  private refreshPeers(): void {
-    const memberIds = [...this.members.voters, ...this.members.learners];
-    for (const id of this.peers.keys()) {
-      if (!memberIds.includes(id)) {
-        this.peers.delete(id);
-      }
-    }
-    for (const id of memberIds) {
-      if (id !== this.id && !this.peers.has(id)) {
-        const peer = {
-          ackedAt: -Infinity,
-          addedAt: this.parts.clock.now(),
-          id,
-          matchIndex: 0,
-          nextIndex: this.log.lastIndex + 1,
-        };
-        this.peers.set(id, peer);
-        const {term} = this;
-        this.tasks.start((signal) => this.runReplication(peer, term, signal));
-      }
-    }
-  }
-
-  private async addReplica(
-    joiningId: ReplicaId,
-  ): Promise<Result<void, ProposalFailure>> {
-    const learnerAdded = await this.applyMemberChange((members) =>
-      withLearner(members, joiningId),
-    );
-    if (learnerAdded.isErr()) {
-      return learnerAdded;
-    }
-    const formerRemoved = await this.applyMemberChange((members) =>
-      withoutFormerIncarnations(members, joiningId),
-    );
-    if (formerRemoved.isErr() || this.hasMaxVoters()) {
-      return formerRemoved;
-    }
-    await this.waitUntilCaughtUp(joiningId);
-    return this.applyMemberChange((members) => withVoter(members, joiningId));
-  }
-
-  /** Commits one membership change. The caller holds the membership mutex. */
-  private async applyMemberChange(
-    change: MemberChange,
-  ): Promise<Result<void, ProposalFailure>> {
-    const barrier = await this.barrier();
-    if (barrier.isErr()) {
-      return err(barrier.error);
-    }
-    const next = change(this.members);
-    if (next === undefined) {
-      return ok(undefined);
-    }
-    const changed = await this.proposeMembers(next);
-    return changed.map(() => undefined);
-  }
-
-  private hasMaxVoters(): boolean {
-    const {maxVoters} = this.parts;
-    return maxVoters !== undefined && this.members.voters.length >= maxVoters;
-  }
-
-  /** Milliseconds since the latest request with a reply was sent or the peer was added. */
-  private msSinceContactWith(id: ReplicaId): number {
-    const peer = this.peers.get(id);
-    return peer === undefined
-      ? 0
-      : this.parts.clock.now() - Math.max(peer.ackedAt, peer.addedAt);
-  }
-
-  /** As leader, replaces voters that no longer reply by learners. */
-  private async runVoterReplacement(signal: AbortSignal): Promise<void> {
-    const {clock, timing} = this.parts;
-    while (!signal.aborted) {
-      await clock.sleep(timing.electionTimeoutMs, signal);
-      if (this.isLeader && !signal.aborted) {
-        await this.membersMutex.run(() => this.replaceUnresponsiveVoter());
-      }
-    }
-  }
-
-  private async replaceUnresponsiveVoter(): Promise<void> {
-    const contactTimeoutMs =
-      REPLACE_AFTER_ELECTION_TIMEOUTS * this.parts.timing.electionTimeoutMs;
-    const {learners, voters} = this.members;
-    const caughtUpLearner = learners.find(
-      (id) =>
-        this.msSinceContactWith(id) < this.parts.timing.electionTimeoutMs &&
-        this.commitIndex - (this.peers.get(id)?.matchIndex ?? 0) <=
-          MAX_LEARNER_LAG_ENTRIES,
-    );
-    const unresponsiveVoter = voters.find(
-      (id) => id !== this.id && this.msSinceContactWith(id) > contactTimeoutMs,
-    );
-    if (
-      caughtUpLearner === undefined ||
-      (unresponsiveVoter === undefined && this.hasMaxVoters())
-    ) {
-      return;
-    }
-    const added = await this.applyMemberChange((members) =>
-      withVoter(members, caughtUpLearner),
-    );
-    if (
-      added.isOk() &&
-      unresponsiveVoter !== undefined &&
-      this.hasMaxVoters()
-    ) {
-      await this.applyMemberChange((members) =>
-        withoutVoter(members, unresponsiveVoter),
-      );
-    }
-  }
-
-  private async waitUntilCaughtUp(id: ReplicaId): Promise<void> {
-    const lagEntries = (): number =>
-      this.commitIndex - (this.peers.get(id)?.matchIndex ?? 0);
-    const isReachable = (): boolean =>
-      this.msSinceContactWith(id) < 2 * this.parts.timing.electionTimeoutMs;
-    while (
-      this.isLeader &&
-      !this.tasks.isAborted &&
-      isReachable() &&
-      lagEntries() > MAX_LEARNER_LAG_ENTRIES
-    ) {
-      await this.progressMade.wait();
-    }
-  }
-
   /** The member list with which the group was bootstrapped, if it is still stored. */
   private get firstMembers(): Members | undefined {
     const body = this.log.entryAt(1)?.body;
@@ -833,7 +682,8 @@
   /** Steps down if a quorum has not replied for two election timeouts. */
   private checkQuorum(): void {
     const msSinceQuorumContact =
-      this.parts.clock.now() - this.lastQuorumContactAt();
+      this.parts.clock.now() -
+      this.replication.lastQuorumContactAt(this.members.voters);
     if (
       this.isLeader &&
       msSinceQuorumContact > 2 * this.parts.timing.electionTimeoutMs
@@ -932,12 +782,10 @@
     this.role = ROLE.leader;
     this.leader = this.id;
     this.leaderSince = this.parts.clock.now();
-    this.peers.clear();
+    this.replication.stop();
     this.push({kind: 'noop'});
-    this.refreshPeers();
-    for (const peer of this.peers.values()) {
-      peer.ackedAt = this.parts.clock.now();
-    }
+    this.replicateToMembers();
+    this.replication.recordContactWithAll();
     this.parts.onRoleChange?.(ROLE.leader, term, this.parts.box);
   }
 
@@ -946,8 +794,8 @@
     this.term = term;
     this.role = ROLE.follower;
     this.leader = leader;
-    this.peers.clear();
-    this.failPendingProposals(leadershipLostFailure());
+    this.replication.stop();
+    this.pendingProposals.failAll();
     this.logAppended.notify();
     this.progressMade.notify();
     if (hasChanged) {
@@ -955,119 +803,7 @@
     }
   }
 
-  // Replication by the leader
-
-  /** Whether this replica still replicates to the peer as leader of the term. */
-  private isReplicatingTo(peer: Peer, term: number): boolean {
-    return (
-      this.isLeader && this.term === term && this.peers.get(peer.id) === peer
-    );
-  }
-
-  private async runReplication(
-    peer: Peer,
-    term: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const {clock, timing} = this.parts;
-    while (!signal.aborted && this.isReplicatingTo(peer, term)) {
-      const sentAt = clock.now();
-      const isAcknowledged =
-        peer.nextIndex <= this.log.compactedIndex
-          ? await this.sendSnapshot(peer, term)
-          : await this.sendEntries(peer, term);
-      if (!this.isReplicatingTo(peer, term)) {
-        return;
-      }
-      if (isAcknowledged) {
-        peer.ackedAt = sentAt;
-        this.progressMade.notify();
-      } else {
-        await clock.sleep(timing.heartbeatIntervalMs / 2, signal);
-      }
-      if (isAcknowledged && peer.nextIndex > this.log.lastIndex) {
-        await sleepUnlessNotified(
-          clock,
-          this.logAppended,
-          timing.heartbeatIntervalMs,
-          signal,
-        );
-      }
-    }
-  }
-
-  private async sendEntries(peer: Peer, term: number): Promise<boolean> {
-    const previousIndex = peer.nextIndex - 1;
-    const previousTerm = this.log.termAt(previousIndex);
-    invariant(
-      previousTerm !== undefined,
-      'the entry before the next one to send is not in the log',
-    );
-    const entries = this.log.batchFrom(
-      peer.nextIndex,
-      MAX_APPEND_ENTRIES,
-      MAX_APPEND_BYTES,
-    );
-    const request: AppendRequest = {
-      commitIndex: this.commitIndex,
-      entries,
-      from: this.id,
-      kind: 'append',
-      previousIndex,
-      previousTerm,
-      term,
-      to: peer.id,
-    };
-    const result = await this.parts.link.call(
-      peer.id,
-      request,
-      this.parts.timing.callTimeoutMs,
-    );
-    if (result.isErr()) {
-      return false;
-    }
-    const reply = result.value as AppendReply;
-    if (
-      !(await this.checkReplyTerm(reply.term)) ||
-      !this.isReplicatingTo(peer, term)
-    ) {
-      return false;
-    }
-    if (!reply.success) {
-      peer.nextIndex = Math.max(
-        1,
-        Math.min(reply.matchIndex + 1, previousIndex),
-      );
-      return true;
-    }
-    peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
-    peer.nextIndex = peer.matchIndex + 1;
-    this.advanceCommit();
-    return true;
-  }
-
-  private async sendSnapshot(peer: Peer, term: number): Promise<boolean> {
-    const {snapshot} = this;
-    invariant(
-      snapshot !== undefined,
-      'the log was compacted without a snapshot',
-    );
-    const isInstalled = await sendSnapshot({
-      callTimeoutMs: this.parts.timing.callTimeoutMs,
-      checkReplyTerm: (replyTerm) => this.checkReplyTerm(replyTerm),
-      from: this.id,
-      isStillLeader: () => this.isReplicatingTo(peer, term),
-      link: this.parts.link,
-      snapshot,
-      term,
-      to: peer.id,
-    });
-    if (isInstalled) {
-      peer.matchIndex = Math.max(peer.matchIndex, snapshot.lastIndex);
-      peer.nextIndex = peer.matchIndex + 1;
-    }
-    return isInstalled;
-  }
+  // Progress of the leader
 
   /** Adopts a higher term from a reply. Resolves to false if terms differ. */
   private async checkReplyTerm(term: number): Promise<boolean> {
@@ -1078,31 +814,15 @@
     return term === this.term;
   }
 
-  /** The latest time such that a quorum has replied to requests sent since then. */
-  private lastQuorumContactAt(): number {
-    const now = this.parts.clock.now();
-    const ackTimes = this.members.voters.map((voter) =>
-      voter === this.id ? now : (this.peers.get(voter)?.ackedAt ?? -Infinity),
-    );
-    ackTimes.sort((a, b) => b - a);
-    return ackTimes[quorumOf(this.members.voters) - 1] ?? -Infinity;
-  }
-
   private advanceCommit(): void {
     if (!this.isLeader) {
       return;
     }
-    const {voters} = this.members;
-    const matchIndexes = voters.map((voter) =>
-      voter === this.id
-        ? this.durable.syncedIndex
-        : (this.peers.get(voter)?.matchIndex ?? 0),
-    );
-    matchIndexes.sort((a, b) => b - a);
+    const {syncedIndex} = this.durable;
     const index =
       this.parts.breakage?.commitWithoutQuorum === true
-        ? this.durable.syncedIndex
-        : (matchIndexes[quorumOf(voters) - 1] ?? 0);
+        ? syncedIndex
+        : this.replication.quorumIndex(this.members.voters, syncedIndex);
     // Entries of former terms are committed only together with one of this term.
     if (index > this.commitIndex && this.log.termAt(index) === this.term) {
       this.commitIndex = index;
@@ -1268,10 +988,3 @@
     .map(() => ({...stored, bootstrap}))
     .orElse(() => okAsync(stored));
 }
-
-function leadershipLostFailure(): Failure<'leadership-lost'> {
-  return {
-    kind: 'leadership-lost',
-    message: 'another replica may lead now',
-  };
-}
