Disks that report errors after their effect, for whole groups, in tests and in the fuzzer

The fuzzer's disks never failed while a process lived, and its groups were never killed as a whole. A box whose disk refuses its first write ends there, as a process does, and `repair` starts it again.

--- a/packages/puffinturn-fuzz/src/Fuzz.ts
+++ b/packages/puffinturn-fuzz/src/Fuzz.ts
@@ -20,6 +20,7 @@
   'commit-without-quorum': {commitWithoutQuorum: true},
   'forget-tombstone': {forgetTombstone: true},
   'ignore-config': {ignoreConfigIndex: true},
+  'keep-failed-segment': {keepFailedSegment: true},
   'receive-twice': {receiveTwice: true},
   'repeat-marked': {repeatMarked: true},
   'settle-twice': {settleTwice: true},
--- a/packages/puffinturn-fuzz/src/FuzzFleet.ts
+++ b/packages/puffinturn-fuzz/src/FuzzFleet.ts
@@ -12,7 +12,7 @@
 import {Box, OperatorApi} from 'puffinturn-daemon';
 import {GatewayMetrics} from 'puffinturn-gateway';
 import type {Ledger, RegionSupply} from 'puffinturn-ledger';
-import type {DiskFailure} from 'puffinturn-log';
+import type {DiskFailure, DiskOperation} from 'puffinturn-log';
 import {MemoryDisk} from 'puffinturn-log';
 import type {Declaration, FleetBox} from 'puffinturn-settings';
 import type {TimelineEvent} from 'puffinturn-timeline';
@@ -35,7 +35,8 @@
   createFleetBox('s3', 'south', 'hall-6', true),
 ];
 
-const SNAPSHOT_INTERVAL_ENTRIES = 60;
+/** Low, so that most runs take several snapshots. */
+const SNAPSHOT_INTERVAL_ENTRIES = 15;
 const SETTLE_TIMEOUT_MS = 60_000;
 const CLOCK_STEP_MS = 50;
 const RETENTION_MS = 3_600_000;
@@ -61,6 +62,9 @@
   readonly disableAdmissionQueue?: boolean;
 }
 
+/** Shares of the operations of a disk that fail after their effect, from 0 to 1. */
+export type DiskErrors = Readonly<Record<DiskOperation, number>>;
+
 /** One incarnation of a box: a single run of its process. */
 export interface BoxIncarnation {
   readonly box: Box;
@@ -121,6 +125,8 @@
   readonly incarnations = new Map<string, BoxIncarnation>();
   private readonly stoppedBoxEvents: TimelineEvent[][] = [];
   private readonly disks = new Map<string, MemoryDisk>();
+  private readonly diskErrors = new Map<string, DiskErrors>();
+  private readonly diskRandom: Random;
   private nameCount = 0;
   private readonly random: Random;
 
@@ -130,6 +136,7 @@
     readonly boxes: readonly FleetBox[] = FUZZ_BOXES,
   ) {
     this.random = new Random(seed);
+    this.diskRandom = new Random(seed + 2);
     this.network = new MemoryNetwork(this.clock, new Random(seed + 1));
     this.upstreams = new FakeUpstreams(this.clock);
   }
@@ -149,6 +156,8 @@
     }
     const persistentDisk = this.disks.get(name) ?? new MemoryDisk();
     persistentDisk.faults.skipSync = this.options.breakage?.skipSync === true;
+    persistentDisk.faults.failAfterEffect = (operation) =>
+      this.hasDiskError(name, operation);
     this.disks.set(name, persistentDisk);
     const position = this.boxes.findIndex((box) => box.name === name);
     const rate = CLOCK_RATES[position % CLOCK_RATES.length] ?? 1;
@@ -183,7 +192,15 @@
       ...(disableAdmissionQueue === undefined ? {} : {disableAdmissionQueue}),
       ...(computeGrantTarget === undefined ? {} : {computeGrantTarget}),
     });
-    invariant(started.isOk(), `box ${name} failed to start`);
+    if (started.isErr()) {
+      // The process ends if it can't store its id; `repair` starts it again.
+      invariant(
+        this.diskErrors.has(name) && started.error.kind === 'disk',
+        `box ${name} failed to start: ${started.error.message}`,
+      );
+      this.network.disconnect(name);
+      return;
+    }
     const box = started.value;
     const operators = new OperatorApi(box, topology, link, clock);
     this.incarnations.set(name, {box, client, clock, disk, operators});
@@ -205,6 +222,16 @@
     void incarnation.box[Symbol.asyncDispose]();
   }
 
+  /** Kills boxes at the same moment and starts them on their disks. */
+  async restart(names: readonly string[]): Promise<void> {
+    for (const name of names) {
+      this.kill(name);
+    }
+    for (const name of names) {
+      await this.start(name);
+    }
+  }
+
   /**
    * Erases the disk of a box and restarts it. Returns false and does nothing unless all
    * replicas of its group run and are voters, because the group could lose data.
@@ -219,6 +246,13 @@
     return true;
   }
 
+  /** Lets operations of some boxes fail from now on, although they take effect. */
+  setDiskErrors(boxes: readonly string[], errors: DiskErrors): void {
+    for (const box of boxes) {
+      this.diskErrors.set(box, errors);
+    }
+  }
+
   /** Ledgers of all running control boxes, optionally of one region. */
   ledgers(region?: string): Ledger[] {
     return [...this.incarnations.values()]
@@ -253,6 +287,7 @@
     this.network.heal();
     this.network.delayRange = {maxMs: 2, minMs: 1};
     this.upstreams.repair();
+    this.diskErrors.clear();
     for (const {name} of this.boxes) {
       this.incarnations.get(name)?.clock.resume();
       await this.start(name);
@@ -293,6 +328,11 @@
     return `name-${this.nameCount}`;
   }
 
+  private hasDiskError(box: string, operation: DiskOperation): boolean {
+    const share = this.diskErrors.get(box)?.[operation] ?? 0;
+    return share > 0 && this.diskRandom.fraction() < share;
+  }
+
   private canLoseDisk(name: string): boolean {
     const target = this.boxes.find((box) => box.name === name);
     const controlBoxes = this.boxes.filter(
--- a/packages/puffinturn-fuzz/src/FuzzRun.ts
+++ b/packages/puffinturn-fuzz/src/FuzzRun.ts
@@ -162,6 +162,10 @@
       case 'delay':
         fleet.network.delayRange = {maxMs: step.highMs, minMs: 1};
         return;
+      case 'restart-group':
+        return fleet.restart(step.boxes);
+      case 'disk-errors':
+        return fleet.setDiskErrors(step.boxes, step.errors);
       case 'upstream':
         this.increment(`upstream ${step.mode}`);
         return fleet.upstreams.setMode(step.url, step.mode);
--- a/packages/puffinturn-fuzz/src/Step.ts
+++ b/packages/puffinturn-fuzz/src/Step.ts
@@ -10,6 +10,7 @@
 
 import type {Mode} from './FakeUpstreams';
 import {MODE} from './FakeUpstreams';
+import type {DiskErrors} from './FuzzFleet';
 import {FUZZ_BOXES} from './FuzzFleet';
 
 /** Request names; there are few, so that retries and concurrent duplicates are common. */
@@ -37,6 +38,20 @@
 /** A value of REQUEST_KIND. */
 export type RequestKind = (typeof REQUEST_KIND)[keyof typeof REQUEST_KIND];
 
+const DISK_ERRORS: readonly DiskErrors[] = [
+  {append: 0, replace: 0},
+  {append: 0.1, replace: 0.1},
+  // As when a folder can often not be synced.
+  {append: 0, replace: 0.8},
+];
+
+/** Lets some of the writes of boxes fail, although they take effect. */
+export interface DiskErrorStep {
+  readonly kind: 'disk-errors';
+  readonly boxes: readonly string[];
+  readonly errors: DiskErrors;
+}
+
 /** A step of a run; the next one starts `afterMs` later in virtual time. */
 export type Step = {readonly afterMs: number} & (
   | {
@@ -53,6 +68,8 @@
   | {readonly kind: 'part-regions'}
   | {readonly kind: 'heal'}
   | {readonly kind: 'delay'; readonly highMs: number}
+  | DiskErrorStep
+  | {readonly kind: 'restart-group'; readonly boxes: readonly string[]}
   | {readonly kind: 'upstream'; readonly url: string; readonly mode: Mode}
   | {readonly kind: 'price'; readonly box: string}
   | {readonly kind: 'racing-price'; readonly boxes: readonly [string, string]}
@@ -70,6 +87,13 @@
   (mode) => mode !== MODE.crash && mode !== MODE.resting,
 );
 
+/** The control boxes of each region. */
+const CONTROL_GROUPS = ['north', 'south'].map((region) =>
+  FUZZ_BOXES.filter((box) => box.control && box.region === region).map(
+    ({name}) => name,
+  ),
+);
+
 const boxName = fc.constantFrom(...FUZZ_BOXES.map(({name}) => name));
 const afterMs = fc.oneof(
   {arbitrary: fc.integer({max: 60, min: 0}), weight: 3},
@@ -122,6 +146,17 @@
     highMs: fc.constantFrom(2, 20, 150),
     kind: fc.constant('delay' as const),
   }),
+  fc.record({
+    afterMs,
+    boxes: fc.constantFrom(...CONTROL_GROUPS),
+    errors: fc.constantFrom(...DISK_ERRORS),
+    kind: fc.constant('disk-errors' as const),
+  }),
+  fc.record({
+    afterMs,
+    boxes: fc.constantFrom(...CONTROL_GROUPS),
+    kind: fc.constant('restart-group' as const),
+  }),
   fc.record({
     afterMs,
     kind: fc.constant('upstream' as const),
--- a/packages/puffinturn-log/src/Disk.ts
+++ b/packages/puffinturn-log/src/Disk.ts
@@ -173,12 +173,21 @@
   skipSync: boolean;
   /** Fail every write. */
   failWrites: boolean;
+  /** Chooses whether a write fails although it took effect. */
+  failAfterEffect: (operation: DiskOperation) => boolean;
 }
 
+/** Operations of a disk that may fail after their effect. */
+export type DiskOperation = 'append' | 'replace';
+
 /** Keeps files in memory for tests and can simulate a crash. */
 export class MemoryDisk extends Disk {
   /** Faults to inject; tests change them at any time. */
-  readonly faults: DiskFaults = {failWrites: false, skipSync: false};
+  readonly faults: DiskFaults = {
+    failAfterEffect: () => false,
+    failWrites: false,
+    skipSync: false,
+  };
   private syncedFiles = new Map<string, Buffer>();
   private unsyncedFiles = new Map<string, Buffer>();
 
@@ -203,14 +212,14 @@
       this.unsyncedFiles.get(name) ??
       this.syncedFiles.get(name) ??
       Buffer.alloc(0);
-    return this.store(name, Buffer.concat([previous, bytes]));
+    return this.store('append', name, Buffer.concat([previous, bytes]));
   }
 
   override replace(
     name: string,
     bytes: Buffer,
   ): ResultAsync<void, DiskFailure> {
-    return this.store(name, Buffer.from(bytes));
+    return this.store('replace', name, Buffer.from(bytes));
   }
 
   override remove(name: string): ResultAsync<void, DiskFailure> {
@@ -239,7 +248,11 @@
 
   override async [Symbol.asyncDispose](): Promise<void> {}
 
-  private store(name: string, bytes: Buffer): ResultAsync<void, DiskFailure> {
+  private store(
+    operation: DiskOperation,
+    name: string,
+    bytes: Buffer,
+  ): ResultAsync<void, DiskFailure> {
     if (this.faults.failWrites) {
       return errAsync({
         kind: 'disk',
@@ -252,6 +265,11 @@
       this.unsyncedFiles.delete(name);
       this.syncedFiles.set(name, bytes);
     }
-    return okAsync(undefined);
+    return this.faults.failAfterEffect(operation)
+      ? errAsync({
+          kind: 'disk',
+          message: `${operation} failed by an injected fault after its effect`,
+        })
+      : okAsync(undefined);
   }
 }
--- a/packages/puffinturn-log/src/LogStorage.ts
+++ b/packages/puffinturn-log/src/LogStorage.ts
@@ -150,7 +150,11 @@
   private segment: string | undefined;
   private lastSegmentNumber = 0;
 
-  constructor(private readonly disk: Disk) {}
+  /** `keepFailedSegment` injects a bug, so that the fuzzer can check that it detects it. */
+  constructor(
+    private readonly disk: Disk,
+    private readonly keepFailedSegment = false,
+  ) {}
 
   /** Whether entries can be appended, otherwise a new segment has to be started. */
   get hasSegment(): boolean {
@@ -245,7 +249,9 @@
   }
 
   private abandonSegment(failure: DiskFailure): DiskFailure {
-    this.segment = undefined;
+    if (!this.keepFailedSegment) {
+      this.segment = undefined;
+    }
     return failure;
   }
 
@@ -254,6 +260,9 @@
     name: string,
     failure: DiskFailure,
   ): ResultAsync<void, DiskFailure> {
+    if (this.keepFailedSegment) {
+      return errAsync(failure);
+    }
     return this.disk
       .remove(name)
       .orElse(() => ok(undefined))
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -108,6 +108,8 @@
   readonly voteWithoutLogCheck?: boolean;
   /** Commits an entry as soon as the leader alone has synced it. */
   readonly commitWithoutQuorum?: boolean;
+  /** Appends to the same segment after a write that failed. */
+  readonly keepFailedSegment?: boolean;
 }
 
 const NO_MEMBERS: Members = {learners: [], voters: []};
@@ -179,7 +181,10 @@
 
   /** Loads the stored log and starts the tasks. */
   static open(parts: ReplicaParts): ResultAsync<Replica, StorageFailure> {
-    const storage = new LogStorage(parts.disk);
+    const storage = new LogStorage(
+      parts.disk,
+      parts.breakage?.keepFailedSegment,
+    );
     return storage
       .load()
       .andThen((stored) => rememberFirstStart(storage, stored, parts))
--- a/packages/puffinturn-log/src/index.ts
+++ b/packages/puffinturn-log/src/index.ts
@@ -6,7 +6,7 @@
  */
 
 /** The Raft log that the control boxes of a region replicate. */
-export type {DiskFailure, DiskFaults} from './Disk';
+export type {DiskFailure, DiskFaults, DiskOperation} from './Disk';
 export {Disk, FolderDisk, MemoryDisk} from './Disk';
 export type {DiskChange} from './DurableLog';
 export type {ReplicaTiming} from './LogConstants';
