Count an upstream as listening only once a probe's connection has lasted

Cause: an edge connects to an upstream that has ended such an answer, and takes an accepted connection for a living process. A process that is killed may close the connection of the answer before its listener, which then still accepts for a moment.

Why this fix works: the kernel resets what a dying process had not accepted, so the connection of the probe breaks within its 25 ms, and a second attempt is refused. The test's listener ends just after the connection; the answer counted as complete before.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -6,6 +6,9 @@
  */
 
 /** Guards against taking the end of a connection for that of a response without proof. */
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
+
 import {NoopDecisionLog} from 'puffinturn-decisions';
 import {SystemClock} from 'shared';
 
@@ -16,6 +19,7 @@
   isCompleteEnd,
 } from '../../connections/EndEvidence';
 import {EdgeUpstream} from '../../upstreams/EdgeUpstream';
+import {makeUpstream} from '../utils/EdgeFixture';
 import {TestUpstream} from '../utils/ForwardingFixture';
 
 const TIMING = {clock: new SystemClock(), drainMs: 2_000};
@@ -38,6 +42,26 @@
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
 
+  /** Guards against parts of answers that look complete, as the listener ends last. */
+  test('shows a crash if the listener ends just after it', async () => {
+    const server = createServer((socket) => {
+      server.close();
+      socket.resetAndDestroy();
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, '127.0.0.1', resolve),
+    );
+    const {port} = server.address() as AddressInfo;
+    const record = makeUpstream('i-1', {address: `127.0.0.1:${port}`});
+    using upstream = new EdgeUpstream(
+      record,
+      new SystemClock(),
+      new NoopDecisionLog(),
+    );
+    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    expect(evidence).toBe(END_EVIDENCE.crashed);
+  });
+
   test('shows a crash if another incarnation listens', async () => {
     await using server = await TestUpstream.start('i-1');
     using upstream = new EdgeUpstream(
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -46,6 +46,9 @@
 /** Time-out of a probe, ms; several round trips between regions. */
 const PROBE_TIMEOUT_MS = 500;
 
+/** Time for which a connection must last to show that the upstream listens, ms. */
+const PROBE_HOLD_MS = 25;
+
 /** Keeps idle connections for reuse. Disposing it closes all connections. */
 export class ConnectionPool implements ConnectionOwner, Disposable {
   private readonly connections = new Set<HttpConnection>();
@@ -73,23 +76,35 @@
 
   /**
    * Connects to learn whether the upstream listens, and keeps the connection for the next
-   * request.
+   * request. A process that ends may close its connections before its listener and then
+   * breaks new ones, so after a connection that broke at once the next attempt decides.
    */
-  probe(): Promise<ListenerState> {
+  async probe(): Promise<ListenerState> {
+    const state = (await this.tryConnect()) ?? (await this.tryConnect());
+    return state ?? LISTENER_STATE.unknown;
+  }
+
+  /** Undefined if the connection was established and broke at once. */
+  private tryConnect(): Promise<ListenerState | undefined> {
     const connection = this.createConnection();
     const {socket} = connection;
-    let failureState: ListenerState = LISTENER_STATE.unknown;
+    let failureState: ListenerState | undefined = LISTENER_STATE.unknown;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => socket.destroy(), PROBE_TIMEOUT_MS);
-      socket.once('connect', () => {
-        clearTimeout(timer);
+      let timer = setTimeout(() => socket.destroy(), PROBE_TIMEOUT_MS);
+      const keep = (): void => {
         resolve(LISTENER_STATE.listening);
         if (!this.release(connection, undefined)) {
           connection[Symbol.dispose]();
         }
+      };
+      socket.once('error', (error: NodeJS.ErrnoException) => {
+        const isBroken = error.code === 'ECONNRESET';
+        failureState = isBroken ? undefined : listenerStateOf(error);
       });
-      socket.once('error', (error) => {
-        failureState = listenerStateOf(error);
+      socket.once('connect', () => {
+        failureState = undefined;
+        clearTimeout(timer);
+        timer = setTimeout(keep, PROBE_HOLD_MS);
       });
       socket.once('close', () => {
         clearTimeout(timer);
