--- a/packages/puffinturn-fuzz/src/FuzzFleet.ts
+++ b/packages/puffinturn-fuzz/src/FuzzFleet.ts
@@ -12,8 +12,8 @@
 import {Box, OperatorApi} from 'puffinturn-daemon';
 import {GatewayMetrics} from 'puffinturn-gateway';
 import type {Ledger, RegionSupply} from 'puffinturn-ledger';
-import type {DiskFailure, DiskOperation} from 'puffinturn-log';
-import {MemoryDisk} from 'puffinturn-log';
+import type {DiskFailure, DiskOperation, Replica} from 'puffinturn-log';
+import {MemoryDisk, quorumOf} from 'puffinturn-log';
 import type {Declaration, FleetBox} from 'puffinturn-settings';
 import type {TimelineEvent} from 'puffinturn-timeline';
 import {mergeTimelines} from 'puffinturn-timeline';
@@ -125,6 +125,8 @@
   readonly incarnations = new Map<string, BoxIncarnation>();
   private readonly stoppedBoxEvents: TimelineEvent[][] = [];
   private readonly disks = new Map<string, MemoryDisk>();
+  /** Boxes whose disk was lost at least once. */
+  private readonly lostDisks = new Set<string>();
   private readonly diskErrors = new Map<string, DiskErrors>();
   private readonly diskRandom: Random;
   private nameCount = 0;
@@ -222,14 +224,36 @@
     void incarnation.box[Symbol.asyncDispose]();
   }
 
-  /** Kills boxes at the same moment and starts them on their disks. */
-  async restart(names: readonly string[]): Promise<void> {
+  /**
+   * Kills all control boxes of a region at the same moment and starts them on their disks.
+   * Returns undefined, or what is wrong if too few of the voters hold what was committed.
+   */
+  async restartGroup(names: readonly string[]): Promise<string | undefined> {
+    const mostAdvanced = this.replicas(names)
+      .map((replica) => replica.status())
+      .sort((a, b) => b.commitIndex - a.commitIndex)[0];
     for (const name of names) {
       this.kill(name);
     }
     for (const name of names) {
       await this.start(name);
     }
+    if (mostAdvanced === undefined) {
+      return undefined;
+    }
+    const {commitIndex, members} = mostAdvanced;
+    const restarted = this.replicas(names).map((replica) => replica.status());
+    const holders = restarted.filter(
+      ({lastIndex, replica}) =>
+        lastIndex >= commitIndex && members.voters.includes(replica),
+    );
+    const held = restarted.map(({lastIndex}) => lastIndex).join(', ');
+    // A disk that was lost may have held some of it.
+    const hadLoss = names.some((name) => this.lostDisks.has(name));
+    const neededHolders = hadLoss ? 1 : quorumOf(members.voters);
+    return restarted.length < names.length || holders.length >= neededHolders
+      ? undefined
+      : `committed up to ${commitIndex}, after a restart the disks hold up to ${held}`;
   }
 
   /**
@@ -242,6 +266,7 @@
     }
     this.kill(name);
     this.disks.delete(name);
+    this.lostDisks.add(name);
     await this.start(name);
     return true;
   }
@@ -333,6 +358,12 @@
     return share > 0 && this.diskRandom.fraction() < share;
   }
 
+  private replicas(names: readonly string[]): Replica[] {
+    return names
+      .map((name) => this.incarnations.get(name)?.box.control?.replica)
+      .filter((replica) => replica !== undefined);
+  }
+
   private canLoseDisk(name: string): boolean {
     const target = this.boxes.find((box) => box.name === name);
     const controlBoxes = this.boxes.filter(
--- a/packages/puffinturn-fuzz/src/FuzzRun.ts
+++ b/packages/puffinturn-fuzz/src/FuzzRun.ts
@@ -163,7 +163,7 @@
         fleet.network.delayRange = {maxMs: step.highMs, minMs: 1};
         return;
       case 'restart-group':
-        return fleet.restart(step.boxes);
+        return this.restartGroup(step.boxes);
       case 'disk-errors':
         return fleet.setDiskErrors(step.boxes, step.errors);
       case 'upstream':
@@ -180,6 +180,13 @@
     }
   }
 
+  private async restartGroup(boxes: readonly string[]): Promise<void> {
+    const detail = await this.fleet.restartGroup(boxes);
+    if (detail !== undefined) {
+      this.breaches.push({detail, promise: 'a restart loses nothing'});
+    }
+  }
+
   // Requests
 
   private startRequest(step: Extract<Step, {kind: 'request'}>): void {
