Log: write the id once at a first start, wake the flush task in one place

Replica.open wrote the first state past DurableLog, which therefore wrote the same state again before the first acknowledgement; it now goes through DurableLog. The two places that compact the log woke the flush task after a failure, each by itself; one method does. A comment of a test said nothing.

--- a/packages/puffinturn-log/src/DurableLog.ts
+++ b/packages/puffinturn-log/src/DurableLog.ts
@@ -10,6 +10,7 @@
  * replica may acknowledge it.
  */
 import type {Result} from 'neverthrow';
+import {ok} from 'neverthrow';
 
 import type {DiskFailure} from './Disk';
 import type {EntryList} from './EntryList';
@@ -54,21 +55,22 @@
     );
   }
 
-  /** Syncs the hard state; resolves to whether it is on the disk. */
-  async saveState(state: StoredState): Promise<boolean> {
+  /** Syncs the hard state, unless it is known to be on the disk. */
+  async saveState(state: StoredState): Promise<Result<void, DiskFailure>> {
     const {syncedState} = this;
     if (
       syncedState?.term === state.term &&
       syncedState.votedFor === state.votedFor
     ) {
-      return true;
+      return ok(undefined);
     }
     this.syncedState = undefined;
     const written = await this.storage.writeState(state);
     if (written.isOk()) {
       this.syncedState = state;
     }
-    return this.report(written);
+    this.report(written);
+    return written;
   }
 
   /** Syncs all entries of the log; resolves to whether they are on the disk. */
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -191,7 +191,9 @@
       .andThen((stored) => {
         const replica = new Replica(parts, storage, stored);
         return stored.state === undefined
-          ? storage.writeState(replica.storedState()).map(() => replica)
+          ? new ResultAsync(
+              replica.durable.saveState(replica.storedState()),
+            ).map(() => replica)
           : okAsync<Replica, StorageFailure>(replica);
       })
       .map((replica) => {
@@ -510,8 +512,21 @@
   }
 
   /** Syncs term and vote; resolves to whether they are on the disk. */
-  private saveState(): Promise<boolean> {
-    return this.durable.saveState(this.storedState());
+  private async saveState(): Promise<boolean> {
+    const saved = await this.durable.saveState(this.storedState());
+    return saved.isOk();
+  }
+
+  /** Syncs a snapshot and the entries that are kept; wakes the flush task if that fails. */
+  private async compact(
+    snapshot: Snapshot,
+    kept: readonly Entry[],
+  ): Promise<boolean> {
+    const isCompacted = await this.durable.compact(snapshot, kept);
+    if (!isCompacted) {
+      this.logAppended.notify();
+    }
+    return isCompacted;
   }
 
   private async runFlush(signal: AbortSignal): Promise<void> {
@@ -592,11 +607,9 @@
       lastIndex - trailingEntries,
     );
     const kept = this.log.entriesFrom(compactThrough + 1);
-    if (await this.durable.compact(snapshot, kept)) {
+    if (await this.compact(snapshot, kept)) {
       this.snapshot = snapshot;
       this.log.compactThrough(compactThrough);
-    } else {
-      this.logAppended.notify();
     }
   }
 
@@ -955,8 +968,7 @@
     // Entries that follow the snapshot's last one may count towards a quorum.
     const isInLog = this.log.termAt(lastIndex) === lastTerm;
     const followingEntries = isInLog ? this.log.entriesFrom(lastIndex + 1) : [];
-    if (!(await this.durable.compact(snapshot, followingEntries))) {
-      this.logAppended.notify();
+    if (!(await this.compact(snapshot, followingEntries))) {
       return false;
     }
     this.parts.stateMachine.restore(bytes);
--- a/packages/puffinturn-log/src/__tests__/unit/GroupDiskErrors.test.ts
+++ b/packages/puffinturn-log/src/__tests__/unit/GroupDiskErrors.test.ts
@@ -19,7 +19,7 @@
 const ROUNDS = 4;
 const RECORDS_PER_ROUND = 12;
 
-/** Shares of the operations that fail. Leaders last, as few appends and states fail. */
+/** Shares of the operations that fail. Few appends do, as a leader steps down then. */
 const ERROR_SHARES: Readonly<Record<DiskOperation, number>> = {
   append: 0.02,
   replace: 0.7,
