Tell how old the state is that an edge acts on

An edge could not tell how recent its configuration and upstreams were: a control box counted as up to date while it heard from a leader, and no log line or metric had an age. It stands in request-ended and attempt-failed (stateAgeMs) and in puffinturn_edge_state_age_seconds.

Nothing acts on it yet.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -15,6 +15,11 @@
   readonly request: string;
   /** Configuration version used for the decision. */
   readonly configuration: number;
+  /**
+   * Time since when the configuration and the upstreams used for the decision may lack what
+   * the control plane had acknowledged; undefined if it is not known.
+   */
+  readonly stateAgeMs?: number | undefined;
 }
 
 /** An edge's view of a team's token balance; amounts in tokens. */
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -365,6 +365,7 @@
       ),
       hall: self.hall,
       responseTotals: this.responseTotals,
+      stateAgeMs: () => this.stateAgeMs,
       streamVersions: this.streamVersions,
     };
   }
@@ -558,6 +559,12 @@
     return this.routeTable?.streamLifetimeMs ?? DEFAULT_STREAM_LIFETIME_MS;
   }
 
+  /** Age of the received state, ms; undefined before it was confirmed. */
+  private get stateAgeMs(): number | undefined {
+    const {ageMs} = this.fleetWatch.freshness;
+    return ageMs < Infinity ? Math.round(ageMs) : undefined;
+  }
+
   private get needsState(): boolean {
     const elapsedMs = this.parts.clock.now() - this.startedAt;
     return (
@@ -697,6 +704,7 @@
       limitedUpstreams,
       openRequests,
       registry,
+      stateAge,
       streamReplicas,
     } = this.metrics;
     if (request.url !== this.parts.metricsAddress.path) {
@@ -709,6 +717,7 @@
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
     backlogAge.set((this.backlogMonitor?.queueAgeMs ?? 0) / 1_000);
     controlReachable.set(this.fleetWatch.isConnected ? 1 : 0);
+    stateAge.set(this.fleetWatch.freshness.ageMs / 1_000);
     for (const tokens of this.allowances.status()) {
       const {held, reserved, team} = tokens;
       charged.set({team}, tokens.charged);
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -140,6 +140,11 @@
     name: 'puffinturn_edge_charged_tokens',
     registers: [this.registry],
   });
+  readonly stateAge = new Gauge({
+    help: 'Time since when the state may lack what the control plane has acknowledged, s',
+    name: 'puffinturn_edge_state_age_seconds',
+    registers: [this.registry],
+  });
   readonly controlReachable = new Gauge({
     help: '1 while some control box answers',
     name: 'puffinturn_edge_in_touch',
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -295,6 +295,7 @@
       retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
       retrySchedule: new RetrySchedule(clock, random, () => 1),
       responseTotals: this.responseTotals,
+      stateAgeMs: () => undefined,
       streamVersions: new StreamVersions({
         clock,
         isConnected: () => true,
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -71,6 +71,8 @@
   readonly quarantine: RequestQuarantine;
   readonly regionByteCounter: RegionByteCounter;
   readonly streamVersions: StreamVersions;
+  /** Age of the state that requests are decided by, ms; undefined before it is known. */
+  readonly stateAgeMs: () => number | undefined;
 }
 
 /** Cause of the error response for a quarantined request. */
@@ -98,6 +100,8 @@
   private lastUpstream: EdgeUpstream | undefined;
   /** Age of the record of `lastUpstream` when the request was sent to it, ms. */
   private lastRecordAgeMs: number | undefined;
+  /** Age of the state at the start, then when the request was sent, ms. */
+  private stateAgeMs: number | undefined;
   private readonly triedUpstreams = new Set<EdgeUpstream>();
   /** Upstreams that granted no permit for this request. */
   private readonly deniedUpstreams = new Set<EdgeUpstream>();
@@ -120,6 +124,7 @@
     this.requestOutcome = new RequestOutcome(caller);
     this.stream = new RequestStream(parts, caller, table);
     this.identity = new RequestIdentity(caller);
+    this.stateAgeMs = parts.stateAgeMs();
   }
 
   /** Serves the request and resolves when it has ended. */
@@ -388,6 +393,7 @@
     const {upstream} = placement;
     this.lastUpstream = upstream;
     this.lastRecordAgeMs = upstream.recordAgeMs;
+    this.stateAgeMs = this.parts.stateAgeMs();
     this.triedUpstreams.add(upstream);
     this.attemptCount += 1;
     this.eventsBefore = relay?.eventCount ?? 0;
@@ -527,6 +533,7 @@
       promptParts: wasNotRun ? undefined : loggedParts(plan),
       request: this.caller.id,
       retry: willRetry,
+      stateAgeMs: this.stateAgeMs,
       upstream: upstream.id,
       upstreamAgeMs: this.lastRecordAgeMs,
     });
@@ -731,6 +738,7 @@
       route,
       upstream: lastUpstream?.id,
       upstreamAgeMs: this.lastRecordAgeMs,
+      stateAgeMs: this.stateAgeMs,
       status,
       team: plan?.team?.name,
       tokens: tokenState,
--- a/packages/puffinturn-fleet/src/DepartureControl.ts
+++ b/packages/puffinturn-fleet/src/DepartureControl.ts
@@ -64,6 +64,7 @@
  * starts later, keeps the upstream out of service.
  */
 export class DepartureControl implements AsyncDisposable {
+  private appliedRevision = 0;
   private readonly handler: Disposable;
   private readonly tasks = new TaskGroup();
 
@@ -112,6 +113,19 @@
     return outcome === DEPARTURE_OUTCOME.acknowledged;
   }
 
+  /** Passes on the departures that the log has brought since the last call. */
+  applyStored(): void {
+    const {clock, machine, onStored} = this.parts;
+    const {departures} = machine;
+    if (departures.revision <= this.appliedRevision) {
+      return;
+    }
+    this.appliedRevision = departures.revision;
+    for (const departure of departures.list(clock.wallTime())) {
+      onStored(departure);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.handler[Symbol.dispose]();
     this.tasks.abort();
@@ -150,19 +164,10 @@
     return machine.departures.has(incarnation, clock.wallTime());
   }
 
-  /** Passes on the departures that the log has brought. */
   private async applyDepartures(signal: AbortSignal): Promise<void> {
-    const {clock, machine, onStored, stateChanged} = this.parts;
-    const {departures} = machine;
-    let appliedRevision = 0;
     while (!signal.aborted) {
-      if (departures.revision > appliedRevision) {
-        appliedRevision = departures.revision;
-        for (const departure of departures.list(clock.wallTime())) {
-          onStored(departure);
-        }
-      }
-      await stateChanged.wait();
+      this.applyStored();
+      await this.parts.stateChanged.wait();
     }
   }
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -53,6 +53,7 @@
   RolloutOrderReply,
   RolloutReadReply,
 } from './Rollouts';
+import {StateConfirmation} from './StateConfirmation';
 import {recoverFromSuspension} from './SuspensionRecovery';
 import {UpstreamControl} from './UpstreamControl';
 import type {UpstreamRecord} from './UpstreamTable';
@@ -143,6 +144,7 @@
   private readonly boxesByPeer = new Map<string, readonly BoxRecord[]>();
   /** Boxes known to any control box; this is the list that edges receive. */
   private readonly allBoxes = new BoxList();
+  private readonly confirmation: StateConfirmation;
   private readonly watchReplies: WatchReplies;
   private readonly leaderCalls: LeaderCalls;
   private readonly rolloutControl: RolloutControl;
@@ -168,9 +170,15 @@
       ...parts,
       leader: this.leaderCalls,
     });
+    this.confirmation = new StateConfirmation({
+      ...parts,
+      leader: this.leaderCalls,
+      onApplied: () => this.upstreamControl.applyStoredDepartures(),
+    });
     this.watchReplies = new WatchReplies({
       ...parts,
       allBoxes: this.allBoxes,
+      confirmation: this.confirmation,
       watchingBoxes: this.boxes.list,
       upstreams: this.upstreamControl.table,
     });
@@ -283,6 +291,7 @@
     await this.allowanceControl[Symbol.asyncDispose]();
     await this.quarantineControl[Symbol.asyncDispose]();
     await this.upstreamControl[Symbol.asyncDispose]();
+    await this.confirmation[Symbol.asyncDispose]();
     this.tasks.abort();
     this.parts.stateChanged.notify();
     await this.tasks[Symbol.asyncDispose]();
@@ -290,7 +299,8 @@
 
   private async answerWatch(request: WatchRequest): Promise<WatchReply> {
     const {stateChanged, clock} = this.parts;
-    if (this.boxes.recordCall(request.from, clock.now())) {
+    const receivedAt = clock.now();
+    if (this.boxes.recordCall(request.from, receivedAt)) {
       this.rebuildAllBoxes();
     }
     const current = request.current
@@ -311,7 +321,8 @@
         this.tasks.signal,
       );
     }
-    return this.watchReplies.replyTo(request, current);
+    const heldMs = clock.now() - receivedAt;
+    return this.watchReplies.replyTo(request, current, heldMs);
   }
 
   /** Merges the own boxes with those of the other control boxes; the own ones win. */
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -23,6 +23,7 @@
   beginRollout: 'fleet-begin-rollout',
   borrowTokens: 'fleet-borrow',
   changeConfiguration: 'fleet-change',
+  confirmState: 'fleet-confirm-state',
   evacuate: 'fleet-evacuate',
   exposure: 'fleet-exposure',
   give: 'fleet-give',
@@ -120,6 +121,13 @@
   readonly boxesRevision: number;
   /** Whether a requested barrier of the log was passed. */
   readonly current: boolean;
+  /**
+   * Time since when the state of the responder may lack what a quorum has stored, ms.
+   * Undefined if it was never confirmed; older software versions omit it.
+   */
+  readonly stateAgeMs?: number | undefined;
+  /** How long the responder held the request, ms; older software versions omit it. */
+  readonly heldMs?: number | undefined;
 }
 
 /** Reply to an exchange; undefined grants mean that it failed and may be retried. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -26,6 +26,7 @@
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import {Regions} from './Regions';
 import type {Rollouts} from './Rollouts';
+import {StateFreshness} from './StateFreshness';
 import type {UpstreamRecord} from './UpstreamTable';
 
 /**
@@ -131,11 +132,14 @@
   /** The control box whose list of boxes was applied last. */
   private boxListSource: string | undefined;
   private readonly lag: ConfigurationLag;
+  /** How recent the received state is. */
+  readonly freshness: StateFreshness;
   private readonly regions: Regions;
 
   constructor(private readonly parts: FleetWatchParts) {
     this.regions = parts.regions ?? new Regions();
     const {clock, log, updateHandler} = parts;
+    this.freshness = new StateFreshness(clock);
     this.lag = new ConfigurationLag(
       clock,
       log,
@@ -146,6 +150,7 @@
 
   /** Treats all data as possibly stale until a control box has passed a new barrier. */
   invalidate(): void {
+    this.freshness.invalidate();
     for (const peer of this.peers.values()) {
       peer.hasCurrentReply = false;
     }
@@ -235,6 +240,7 @@
         );
         continue;
       }
+      const sentAt = clock.now();
       const result = await link.call(
         peer.box,
         FLEET_SERVICE.watch,
@@ -245,7 +251,7 @@
         return;
       }
       if (result.isOk()) {
-        this.handleReply(peer, result.value as WatchReply);
+        this.handleReply(peer, result.value as WatchReply, sentAt);
         retryDelayMs = MIN_RETRY_DELAY_MS;
         await clock.sleep(POLL_PAUSE_MS, signal);
         continue;
@@ -339,7 +345,11 @@
     };
   }
 
-  private handleReply(peer: ControlPeer, reply: WatchReply): void {
+  private handleReply(
+    peer: ControlPeer,
+    reply: WatchReply,
+    sentAt: number,
+  ): void {
     const {clock, log, updateHandler} = this.parts;
     if (!peer.isReachable) {
       log.note({
@@ -382,6 +392,11 @@
     this.applyBoxChanges(peer, reply.boxes ?? undefined);
     peer.hasCurrentReply ||= reply.current;
     this.lag.recordVersion(reply.heldVersion, peer.box);
+    this.freshness.recordReply(
+      reply,
+      sentAt,
+      updateHandler.configurationVersion,
+    );
   }
 
   /** Marks a control box as unhealthy if it knows no leader: it may lack a quorum. */
--- /dev/null
+++ b/packages/puffinturn-fleet/src/StateFreshness.ts
@@ -0,0 +1,63 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+import type {Clock} from 'shared';
+
+import type {WatchReply} from './FleetMessages';
+
+/**
+ * Since when the state that an edge acts on may lack what a quorum has stored. It is computed
+ * from the replies of control boxes, never later than the truth, also for replies that were
+ * on their way for long.
+ */
+export class StateFreshness {
+  private configurationConfirmedAt = -Infinity;
+  private upstreamsConfirmedAt = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Age of the last confirmation of the configuration, ms; Infinity if there is none. */
+  get configurationAgeMs(): number {
+    return this.clock.now() - this.configurationConfirmedAt;
+  }
+
+  /** Age of the last confirmation of the upstreams, ms; Infinity if there is none. */
+  get upstreamsAgeMs(): number {
+    return this.clock.now() - this.upstreamsConfirmedAt;
+  }
+
+  /** Age of the older one of both, ms. */
+  get ageMs(): number {
+    return Math.max(this.configurationAgeMs, this.upstreamsAgeMs);
+  }
+
+  /** Forgets all confirmations. */
+  invalidate(): void {
+    this.configurationConfirmedAt = -Infinity;
+    this.upstreamsConfirmedAt = -Infinity;
+  }
+
+  /**
+   * Records a reply that has been applied, to a request sent at `sentAt`. `heldVersion` is
+   * the version of the configuration in force here. Replies of older software versions do
+   * not tell their age; they count if their sender knows a leader.
+   */
+  recordReply(reply: WatchReply, sentAt: number, heldVersion: number): void {
+    const {heldMs = 0, stateAgeMs = reply.leader ? 0 : Infinity} = reply;
+    const confirmedAt = sentAt + heldMs - stateAgeMs;
+    this.upstreamsConfirmedAt = Math.max(
+      this.upstreamsConfirmedAt,
+      confirmedAt,
+    );
+    if (heldVersion >= reply.heldVersion) {
+      this.configurationConfirmedAt = Math.max(
+        this.configurationConfirmedAt,
+        confirmedAt,
+      );
+    }
+  }
+}
--- a/packages/puffinturn-fleet/src/UpstreamControl.ts
+++ b/packages/puffinturn-fleet/src/UpstreamControl.ts
@@ -66,6 +66,11 @@
     await this.refusals[Symbol.asyncDispose]();
   }
 
+  /** Takes the departures that the log has brought into the table. */
+  applyStoredDepartures(): void {
+    this.departureControl.applyStored();
+  }
+
   /** Records a heartbeat of an upstream; returns whether to acknowledge it. */
   async acceptHeartbeat(record: UpstreamRecord): Promise<boolean> {
     const {id, state} = record;
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -19,6 +19,7 @@
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE} from './FleetMessages';
 import type {Rollouts} from './Rollouts';
+import type {StateConfirmation} from './StateConfirmation';
 import type {UpstreamTable} from './UpstreamTable';
 
 const NO_CONFIGURATION_UPDATE = {
@@ -36,6 +37,7 @@
   readonly watchingBoxes: BoxList;
   /** Boxes known to any control box; sent to edges. */
   readonly allBoxes: BoxList;
+  readonly confirmation: StateConfirmation;
 }
 
 /** Builds the replies of a control box to watch requests. */
@@ -94,9 +96,13 @@
     return quarantine.revision > quarantineRevision ? quarantine : undefined;
   }
 
-  /** Builds the reply with all updates since the last one. */
-  replyTo(request: WatchRequest, current: boolean): WatchReply {
-    const {replica, self} = this.parts;
+  /**
+   * Builds the reply, with all updates since the last one, to a request that was held for
+   * `heldMs`.
+   */
+  replyTo(request: WatchRequest, current: boolean, heldMs: number): WatchReply {
+    const {confirmation, replica, self} = this.parts;
+    const {ageMs} = confirmation;
     const isSameIncarnation = request.incarnation === self.incarnation;
     const upstreamsRevision = isSameIncarnation ? request.upstreamsRevision : 0;
     const boxesRevision = isSameIncarnation ? request.boxesRevision : -1;
@@ -114,11 +120,13 @@
       boxesRevision: request.brief ? boxesRevision : boxList.revision,
       current,
       evacuations: this.newerEvacuations(request),
+      heldMs,
       heldVersion: this.heldVersion,
       incarnation: self.incarnation,
       leader: replica.activeLeaderBox,
       quarantine: this.newerQuarantine(request),
       rollouts: this.newerRollouts(request),
+      stateAgeMs: ageMs < Infinity ? ageMs : undefined,
       upstreams: this.parts.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.parts.upstreams.revision,
     };
--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -112,6 +112,13 @@
   readonly keepFailedSegment?: boolean;
 }
 
+/** Proof that a replica led at some time, with what it knew to be committed. */
+export interface Leadership {
+  /** Time since a quorum confirmed it, ms. */
+  readonly ageMs: number;
+  readonly commitIndex: number;
+}
+
 const NO_MEMBERS: Members = {learners: [], voters: []};
 
 /** A replica of the log. Dispose it to stop its tasks. */
@@ -240,6 +247,27 @@
     return this.isLeader ? Infinity : Math.max(0, lostAt - clock.now());
   }
 
+  /** Index of the last entry applied to the state machine. */
+  get appliedThrough(): number {
+    return this.appliedIndex;
+  }
+
+  /**
+   * The latest proof that this replica leads; undefined if it does not, or has committed no
+   * entry of its term yet and so may not know all that is committed.
+   */
+  get leadership(): Leadership | undefined {
+    const {clock} = this.parts;
+    const knowsCommitted = this.log.termAt(this.commitIndex) === this.term;
+    if (!this.isLeader || !knowsCommitted) {
+      return undefined;
+    }
+    const confirmedAt = this.replication.lastQuorumContactAt(
+      this.members.voters,
+    );
+    return {ageMs: clock.now() - confirmedAt, commitIndex: this.commitIndex};
+  }
+
   /** Returns the current state, for status pages and metrics. */
   status() {
     return {
--- a/packages/puffinturn-log/src/index.ts
+++ b/packages/puffinturn-log/src/index.ts
@@ -23,5 +23,5 @@
 export type {CorruptionFailure, StorageFailure} from './LogStorage';
 export {LogStorage} from './LogStorage';
 export {quorumOf, votersToBear} from './MemberChanges';
-export type {ReplicaBreakage, ReplicaParts, Role} from './Replica';
+export type {Leadership, ReplicaBreakage, ReplicaParts, Role} from './Replica';
 export {Replica, ROLE} from './Replica';
