--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -164,6 +164,14 @@
     return all.map(({box}) => box);
   }
 
+  /** Addresses of the control boxes that are polled for updates, the preferred one first. */
+  get polledControls(): string[] {
+    return [...this.peers.values()]
+      .filter((peer) => this.isPolled(peer))
+      .sort((a, b) => this.countPreferred(a) - this.countPreferred(b))
+      .map(({box}) => box);
+  }
+
   /** The last known leader. */
   get leaderAddress(): string | undefined {
     return this.leaderBox;
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -97,6 +97,8 @@
   const clock = new ManualClock();
   const network = new MemoryNetwork(clock, new Random(3));
   const controls = new Map<string, FleetControl>();
+  /** Control boxes that hear from the leader but get no more entries. */
+  const withoutEntries = new Set<string>();
   for (const box of boxes) {
     const link = network.connect(box);
     const stateChanged = new Condition();
@@ -114,7 +116,13 @@
     });
     invariant(openResult.isOk(), 'the replica must open');
     const replica = openResult.value;
-    serve((request: LogRequest) => replica.handle(request));
+    serve((request: LogRequest) =>
+      replica.handle(
+        withoutEntries.has(box) && request.kind === 'append'
+          ? {...request, entries: []}
+          : request,
+      ),
+    );
     void replica.bootstrapOrJoin(() => boxes);
     const self = {box, incarnation: '1', role: BOX_ROLE.control, hall: 'z'};
     const log = new NoopDecisionLog();
@@ -135,23 +143,24 @@
   await clock.advance(4_000);
   const startWatch = (box: string, maxPolledControls = 2) => {
     const handler = new RecordingHandler();
+    const link = network.connect(box);
     const watch = new FleetWatch({
       maxPolledControls,
       clock,
-      link: network.connect(box),
+      link,
       log: new NoopDecisionLog(),
       updateHandler: handler,
       seeds: () => boxes,
       self: {box, incarnation: '1', role: BOX_ROLE.edge, hall: 'z'},
     });
-    return {handler, watch};
+    return {handler, link, watch};
   };
   const control = (box: string): FleetControl => {
     const found = controls.get(box);
     invariant(found !== undefined, 'the control box must exist');
     return found;
   };
-  return {clock, control, network, startWatch};
+  return {clock, control, network, startWatch, withoutEntries};
 }
 
 /** Advances the clock until a promise settles, for up to 5 s. */
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -21,6 +21,14 @@
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
 
+/** Stands for the connection over which one box calls another. */
+interface SimulatedConnection {
+  /** Whether messages on it are lost; the next connection works. */
+  isSilent: boolean;
+  /** Time of the last reply on it. */
+  lastReplyAt: number;
+}
+
 /** Range of random message delays. */
 export interface DelayRange {
   readonly minMs: number;
@@ -34,6 +42,8 @@
   private readonly links = new Map<string, MemoryLink>();
   private readonly blockedRoutes = new Set<string>();
   private readonly stalledRoutes = new Set<string>();
+  /** Connections by caller and callee. */
+  private readonly connections = new Map<string, SimulatedConnection>();
   private readonly healed = new Condition();
 
   constructor(
@@ -82,6 +92,21 @@
     this.stalledRoutes.add(`${from}>${to}`);
   }
 
+  /**
+   * Loses all messages on the open connections over which a box calls others, without a
+   * reset. New connections work.
+   */
+  silenceConnections(from: string, to: readonly string[]): void {
+    for (const box of to) {
+      this.connectionOf(from, box).isSilent = true;
+    }
+  }
+
+  /** Replaces a connection, as TcpLink does. */
+  reconnect(from: string, to: string): void {
+    this.connections.delete(`${from}>${to}`);
+  }
+
   /** Stops dropping messages and delivers those delayed by `stall`. */
   heal(): void {
     this.blockedRoutes.clear();
@@ -97,18 +122,36 @@
     body: unknown,
     timeoutMs: number,
   ) {
+    const connection = this.connectionOf(link.box, to);
+    const startedAt = this.clock.now();
     const timeout = this.clock.sleep(timeoutMs).then(() => undefined);
+    const answered = this.roundTrip(link, to, service, encoder.encode(body));
     const result = await Promise.race([
-      this.roundTrip(link, to, service, encoder.encode(body)),
+      answered.then((reply) => (connection.isSilent ? timeout : reply)),
       timeout,
     ]);
     if (result === undefined) {
+      if (connection.lastReplyAt <= startedAt) {
+        this.reconnect(link.box, to);
+      }
       const message = `${to} did not respond`;
       return err<unknown, LinkFailure>({kind: 'no-answer', message});
     }
+    connection.lastReplyAt = this.clock.now();
     return result;
   }
 
+  private connectionOf(from: string, to: string): SimulatedConnection {
+    const route = `${from}>${to}`;
+    const existing = this.connections.get(route);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const connection = {isSilent: false, lastReplyAt: -Infinity};
+    this.connections.set(route, connection);
+    return connection;
+  }
+
   private async roundTrip(
     link: MemoryLink,
     to: string,
