A control box that lacks entries no longer counts as up to date

What callers saw: requests decided by an old configuration and sent to upstreams that had left, at an edge both of whose polled control boxes heard from the leader and lacked its entries; for as long as they lacked them.

Cause: 'knows a leader' was taken for 'is up to date', at the control box and at the edge.

Why it works: a control box names a leader in its replies only while its last confirmation is less than 800 ms old, and answers waiting polls at once when that ends or begins.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -62,11 +62,11 @@
 /** Interval between expiry checks of silent boxes and upstreams, ms. */
 const EXPIRY_INTERVAL_MS = 1_000;
 
-/** Interval between leader checks while no leader is known, ms. */
-const NO_LEADER_POLL_MS = 100;
+/** Interval between checks while this box is not up to date, ms. */
+const OUTDATED_POLL_MS = 100;
 
-/** Longest interval between leader checks while a leader is known, ms. */
-const MAX_LEADER_POLL_MS = 1_000;
+/** Longest interval between checks while this box is up to date, ms. */
+const MAX_CURRENCY_POLL_MS = 1_000;
 
 /** Constructor arguments of FleetControl. */
 export interface FleetControlParts {
@@ -215,7 +215,7 @@
       recoverFromSuspension(parts, ms),
     );
     this.tasks.start((signal) => this.expireSilentPeers(signal));
-    this.tasks.start((signal) => this.trackLeader(signal));
+    this.tasks.start((signal) => this.trackCurrency(signal));
   }
 
   /** Replaces the configuration with a validated one; accepted once a quorum has stored it. */
@@ -394,22 +394,22 @@
     return {current, document: current ? document : undefined};
   }
 
-  /** Wakes pending watch requests when the leader is lost or found. */
-  private async trackLeader(signal: AbortSignal): Promise<void> {
-    const {stateChanged, clock, replica} = this.parts;
-    let hadLeader = this.watchReplies.hasLeader;
+  /** Wakes pending watch requests when this box is up to date again, or no longer. */
+  private async trackCurrency(signal: AbortSignal): Promise<void> {
+    const {stateChanged, clock} = this.parts;
+    let wasUpToDate = this.watchReplies.isUpToDate;
     while (!signal.aborted) {
       const nextCheckMs = Math.min(
-        MAX_LEADER_POLL_MS,
-        replica.msUntilLeaderLost,
+        MAX_CURRENCY_POLL_MS,
+        this.watchReplies.msUntilOutdated,
       );
-      // Checks 1 ms after the leader expires, as it still counts as known before.
+      // Checks 1 ms after the time is over, as the box still counts as up to date before.
       await clock.sleep(
-        hadLeader ? nextCheckMs + 1 : NO_LEADER_POLL_MS,
+        wasUpToDate ? nextCheckMs + 1 : OUTDATED_POLL_MS,
         signal,
       );
-      if (hadLeader !== this.watchReplies.hasLeader) {
-        hadLeader = this.watchReplies.hasLeader;
+      if (wasUpToDate !== this.watchReplies.isUpToDate) {
+        wasUpToDate = this.watchReplies.isUpToDate;
         stateChanged.notify();
       }
     }
--- a/packages/puffinturn-fleet/src/StateConfirmation.ts
+++ b/packages/puffinturn-fleet/src/StateConfirmation.ts
@@ -20,6 +20,15 @@
 /** Interval between two confirmations, ms. */
 const CONFIRMATION_INTERVAL_MS = 250;
 
+/** Interval between two attempts while the state is not confirmed, ms. */
+const RETRY_INTERVAL_MS = 100;
+
+/**
+ * Age from which the state counts as outdated, ms. Above the time in which two confirmations
+ * are lost, and well below that within which changes have to be in force.
+ */
+const MAX_AGE_MS = 800;
+
 /** Timeout of one confirmation, ms. */
 const CONFIRMATION_TIMEOUT_MS = 500;
 
@@ -60,6 +69,16 @@
     return this.parts.clock.now() - this.confirmedAt;
   }
 
+  /** Whether the last confirmation is recent enough for others to use this box. */
+  get isRecent(): boolean {
+    return this.msUntilOutdated > 0;
+  }
+
+  /** Time until the state is outdated unless it is confirmed again, ms. */
+  get msUntilOutdated(): number {
+    return Math.max(0, MAX_AGE_MS - this.ageMs);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.handler[Symbol.dispose]();
     await this.tasks[Symbol.asyncDispose]();
@@ -72,7 +91,10 @@
   private async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.confirm(signal);
-      await this.parts.clock.sleep(CONFIRMATION_INTERVAL_MS, signal);
+      await this.parts.clock.sleep(
+        this.isRecent ? CONFIRMATION_INTERVAL_MS : RETRY_INTERVAL_MS,
+        signal,
+      );
     }
   }
 
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -46,9 +46,24 @@
 
   constructor(private readonly parts: WatchAnswersParts) {}
 
-  /** Whether this replica knows a leader, so that its state follows the quorum. */
-  get hasLeader(): boolean {
-    return this.parts.replica.activeLeaderBox !== undefined;
+  /**
+   * The leader, if this box hears from it and gets its entries, so that its state follows
+   * the quorum.
+   */
+  get followedLeader(): string | undefined {
+    const {confirmation, replica} = this.parts;
+    return confirmation.isRecent ? replica.activeLeaderBox : undefined;
+  }
+
+  /** Whether the state of this box follows the quorum. */
+  get isUpToDate(): boolean {
+    return this.followedLeader !== undefined;
+  }
+
+  /** Time until this box is no longer up to date without further contact, ms. */
+  get msUntilOutdated(): number {
+    const {confirmation, replica} = this.parts;
+    return Math.min(replica.msUntilLeaderLost, confirmation.msUntilOutdated);
   }
 
   /** The configuration version applied here; -Infinity without one. */
@@ -60,11 +75,11 @@
 
   /** Whether to reply without delay; box changes alone wait for the next reply. */
   hasUpdates(request: WatchRequest): boolean {
-    const {hearsLeader = this.hasLeader} = request;
+    const {hearsLeader = this.isUpToDate} = request;
     return (
       request.incarnation !== this.parts.self.incarnation ||
-      // A box without a leader gets no updates, so the requester must use another one.
-      hearsLeader !== this.hasLeader ||
+      // A box that is not up to date lacks updates, so the requester must use another one.
+      hearsLeader !== this.isUpToDate ||
       this.heldVersion > request.configurationVersion ||
       this.newerEvacuations(request) !== undefined ||
       this.newerRollouts(request) !== undefined ||
@@ -101,7 +116,7 @@
    * `heldMs`.
    */
   replyTo(request: WatchRequest, current: boolean, heldMs: number): WatchReply {
-    const {confirmation, replica, self} = this.parts;
+    const {confirmation, self} = this.parts;
     const {ageMs} = confirmation;
     const isSameIncarnation = request.incarnation === self.incarnation;
     const upstreamsRevision = isSameIncarnation ? request.upstreamsRevision : 0;
@@ -123,7 +138,7 @@
       heldMs,
       heldVersion: this.heldVersion,
       incarnation: self.incarnation,
-      leader: replica.activeLeaderBox,
+      leader: this.followedLeader,
       quarantine: this.newerQuarantine(request),
       rollouts: this.newerRollouts(request),
       stateAgeMs: ageMs < Infinity ? ageMs : undefined,
