Replace a connection that falls silent after another call's reply

Cause: TcpLink kept a connection on which a call timed out if any frame had come since the call, so one that fell silent right after another reply cost a second time-out; and connecting had a time limit of its own, so that a call took up to twice its limit.

Now such a connection is left to its calls in flight once it has been quiet for 250 ms, and the limit of a call covers connecting too. renewConnection does the same on request.

--- a/packages/puffinturn-wire/src/Link.ts
+++ b/packages/puffinturn-wire/src/Link.ts
@@ -45,6 +45,12 @@
    */
   resetConnections(): void {}
 
+  /**
+   * Lets the next call to a box use a new connection, unless something was received on the
+   * current one within `quietMs`. Calls in flight are not affected.
+   */
+  renewConnection(_box: string, _quietMs: number): void {}
+
   /** Bytes sent to each box since start; empty if the link does not count them. */
   bytesSentByPeer(): ReadonlyMap<string, number> {
     return new Map();
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -17,6 +17,7 @@
 
 import type {LinkFailure} from './Link';
 import {Link} from './Link';
+import {SUSPECT_AFTER_QUIET_MS} from './WireConstants';
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
@@ -102,9 +103,12 @@
     }
   }
 
-  /** Replaces a connection, as TcpLink does. */
-  reconnect(from: string, to: string): void {
-    this.connections.delete(`${from}>${to}`);
+  /** Replaces a connection unless a reply came within `quietMs`, as TcpLink does. */
+  reconnectIfQuiet(from: string, to: string, quietMs: number): void {
+    const {lastReplyAt} = this.connectionOf(from, to);
+    if (this.clock.now() - lastReplyAt >= quietMs) {
+      this.connections.delete(`${from}>${to}`);
+    }
   }
 
   /** Stops dropping messages and delivers those delayed by `stall`. */
@@ -123,7 +127,6 @@
     timeoutMs: number,
   ) {
     const connection = this.connectionOf(link.box, to);
-    const startedAt = this.clock.now();
     const timeout = this.clock.sleep(timeoutMs).then(() => undefined);
     const answered = this.roundTrip(link, to, service, encoder.encode(body));
     const result = await Promise.race([
@@ -131,9 +134,7 @@
       timeout,
     ]);
     if (result === undefined) {
-      if (connection.lastReplyAt <= startedAt) {
-        this.reconnect(link.box, to);
-      }
+      this.reconnectIfQuiet(link.box, to, SUSPECT_AFTER_QUIET_MS);
       const message = `${to} did not respond`;
       return err<unknown, LinkFailure>({kind: 'no-answer', message});
     }
@@ -228,6 +229,10 @@
     );
   }
 
+  override renewConnection(box: string, quietMs: number): void {
+    this.network.reconnectIfQuiet(this.box, box, quietMs);
+  }
+
   /** Dispatches an incoming message to the handler of its service. */
   receive(service: string, body: unknown, from: string): Promise<unknown> {
     return (
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -28,6 +28,7 @@
   KEEP_ALIVE_DELAY_MS,
   MAX_IN_FLIGHT_CALLS,
   MAX_QUEUED_BYTES,
+  SUSPECT_AFTER_QUIET_MS,
 } from './WireConstants';
 
 /** An IP address and port. */
@@ -71,8 +72,10 @@
 interface PeerConnection {
   readonly connection: Connection;
   readonly pendingCalls: Map<number, CompleteCall>;
-  /** Number of frames received; shows whether the peer still sends. */
-  framesReceived: number;
+  /** Time of the last frame, or of the handshake. */
+  lastFrameAt: number;
+  /** Whether it is closed as soon as no call is in flight. */
+  isRetired: boolean;
 }
 
 function notSent(message: string): LinkFailure {
@@ -85,6 +88,8 @@
     string,
     Promise<PeerConnection | undefined>
   >();
+  /** The connection of each box for further calls, once it is open. */
+  private readonly openConnections = new Map<string, PeerConnection>();
   private readonly sockets = new Set<Socket>();
   private readonly connections = new Set<Connection>();
   /** Bytes sent over connections that are now closed, by peer. */
@@ -151,6 +156,13 @@
     return sent;
   }
 
+  override renewConnection(box: string, quietMs: number): void {
+    const peerConnection = this.openConnections.get(box);
+    if (peerConnection !== undefined && this.isQuiet(peerConnection, quietMs)) {
+      this.retireConnection(box, peerConnection);
+    }
+  }
+
   override resetConnections(): void {
     for (const [box, connecting] of this.peerConnections) {
       void connecting.then(
@@ -188,6 +200,7 @@
     body: unknown,
     timeoutMs: number,
   ) {
+    const startedAt = this.parts.clock.now();
     const peerConnection = await withTimeout(timeoutMs, this.connectionTo(box));
     if (peerConnection === undefined) {
       return err<unknown, LinkFailure>(notSent(`cannot connect to ${box}`));
@@ -211,28 +224,68 @@
       pendingCalls.delete(id);
       return err<unknown, LinkFailure>(notSent(sent.error.message));
     }
-    const {framesReceived} = peerConnection;
-    const timer = setTimeout(() => {
-      if (peerConnection.framesReceived === framesReceived) {
-        // No frames since the call: reconnect, as TCP may take long to notice
-        // that the connection is dead.
-        void this.closeConnection(box, peerConnection);
-      }
-      pendingCalls.get(id)?.(undefined);
-    }, timeoutMs);
+    const calledAt = this.parts.clock.now();
+    const timer = setTimeout(
+      () => {
+        this.replaceIfSilent(box, peerConnection, calledAt);
+        pendingCalls.get(id)?.(undefined);
+      },
+      startedAt + timeoutMs - calledAt,
+    );
     const frame = await response;
     clearTimeout(timer);
     pendingCalls.delete(id);
+    this.closeIfUnused(peerConnection);
     return toCallResult(box, frame);
   }
 
-  /** Closes a connection; the next call to the box reconnects. */
-  private async closeConnection(
+  /**
+   * Replaces a connection on which a call had no reply, as TCP may take long to notice that
+   * it is dead. It is closed if nothing came since the call, and otherwise, if it has been
+   * quiet since then, left to the calls in flight.
+   */
+  private replaceIfSilent(
     box: string,
     peerConnection: PeerConnection,
-  ): Promise<void> {
+    calledAt: number,
+  ): void {
+    if (peerConnection.lastFrameAt <= calledAt) {
+      this.closeConnection(box, peerConnection);
+    } else if (this.isQuiet(peerConnection, SUSPECT_AFTER_QUIET_MS)) {
+      this.retireConnection(box, peerConnection);
+    }
+  }
+
+  private isQuiet({lastFrameAt}: PeerConnection, ms: number): boolean {
+    return this.parts.clock.now() - lastFrameAt >= ms;
+  }
+
+  /** Leaves a connection to the calls in flight; the next call to the box reconnects. */
+  private retireConnection(box: string, peerConnection: PeerConnection): void {
+    peerConnection.isRetired = true;
+    this.forgetConnection(box, peerConnection);
+    this.closeIfUnused(peerConnection);
+  }
+
+  private closeIfUnused({
+    connection,
+    isRetired,
+    pendingCalls,
+  }: PeerConnection): void {
+    if (isRetired && pendingCalls.size === 0) {
+      connection.socket.destroy();
+    }
+  }
+
+  /** Closes a connection; the next call to the box reconnects. */
+  private closeConnection(box: string, peerConnection: PeerConnection): void {
     peerConnection.connection.socket.destroy();
-    if ((await this.peerConnections.get(box)) === peerConnection) {
+    this.forgetConnection(box, peerConnection);
+  }
+
+  private forgetConnection(box: string, peerConnection: PeerConnection): void {
+    if (this.openConnections.get(box) === peerConnection) {
+      this.openConnections.delete(box);
       this.peerConnections.delete(box);
     }
   }
@@ -281,8 +334,10 @@
     const peerConnection: PeerConnection = {
       connection,
       pendingCalls: new Map(),
-      framesReceived: 0,
+      isRetired: false,
+      lastFrameAt: this.parts.clock.now(),
     };
+    this.openConnections.set(box, peerConnection);
     void this.readResponses(box, peerConnection);
     return peerConnection;
   }
@@ -313,10 +368,10 @@
       if (frame === undefined) {
         break;
       }
-      peerConnection.framesReceived += 1;
+      peerConnection.lastFrameAt = this.parts.clock.now();
       pendingCalls.get(frame.id)?.(frame);
     }
-    await this.closeConnection(box, peerConnection);
+    this.closeConnection(box, peerConnection);
     for (const complete of [...pendingCalls.values()]) {
       complete(undefined);
     }
--- a/packages/puffinturn-wire/src/WireConstants.ts
+++ b/packages/puffinturn-wire/src/WireConstants.ts
@@ -28,3 +28,9 @@
  * memory and descriptor.
  */
 export const KEEP_ALIVE_DELAY_MS = 10_000;
+
+/**
+ * Time without a frame after which a connection on which a call had no reply is replaced,
+ * ms; another call may have had its reply just before the connection failed.
+ */
+export const SUSPECT_AFTER_QUIET_MS = 250;
--- a/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
+++ b/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
@@ -54,6 +54,11 @@
     return {host: '127.0.0.1', port};
   }
 
+  /** Connections accepted so far. */
+  get connectionCount(): number {
+    return this.sockets.length / 2;
+  }
+
   /** Stops forwarding on open connections without closing them. */
   stopForwarding(): void {
     for (const socket of this.sockets) {
@@ -113,6 +118,46 @@
     expect(again._unsafeUnwrap()).toBe(3);
   });
 
+  test('reconnects after one call times out on a connection that died after another reply', async () => {
+    const addresses = new Map<string, Address>();
+    await using b = await openLink('b', addresses);
+    b.register('echo', async (body) => body);
+    b.register('never', () => new Promise(() => undefined));
+    await using proxy = new ForwardingProxy({host: '127.0.0.1', port: b.port});
+    addresses.set('b', await proxy.listen());
+    await using a = await openLink('a', new Map([...addresses]));
+    const lost = a.call('b', 'never', 1, 1_000);
+    const other = await a.call('b', 'echo', 2, 10_000);
+    expect(other._unsafeUnwrap()).toBe(2);
+    proxy.stopForwarding();
+    expect((await lost)._unsafeUnwrapErr().kind).toBe('no-answer');
+    const again = await a.call('b', 'echo', 3, 10_000);
+    expect(again._unsafeUnwrap()).toBe(3);
+  });
+
+  test('uses a new connection after a renewal and keeps the calls in flight', async () => {
+    const addresses = new Map<string, Address>();
+    await using b = await openLink('b', addresses);
+    let reply = (_body: unknown): void => undefined;
+    b.register('echo', async (body) => body);
+    b.register('later', () => new Promise((resolve) => (reply = resolve)));
+    await using proxy = new ForwardingProxy({host: '127.0.0.1', port: b.port});
+    addresses.set('b', await proxy.listen());
+    await using a = await openLink('a', new Map([...addresses]));
+    await a.call('b', 'echo', 0, 10_000);
+    const inFlight = a.call('b', 'later', 1, 10_000);
+    await a.call('b', 'echo', 2, 10_000);
+    // The connection has just replied, so it is kept.
+    a.renewConnection('b', 60_000);
+    await a.call('b', 'echo', 3, 10_000);
+    expect(proxy.connectionCount).toBe(1);
+    a.renewConnection('b', 0);
+    await a.call('b', 'echo', 4, 10_000);
+    expect(proxy.connectionCount).toBe(2);
+    reply('kept');
+    expect((await inFlight)._unsafeUnwrap()).toBe('kept');
+  });
+
   test('passes the request and the name of the caller to the handler', async () => {
     const addresses = new Map<string, Address>();
     await using a = await openLink('a', addresses);
