Bound the age of the state that an edge acts on

What callers saw: requests decided by an old configuration, and sent to upstreams that had left, more than 2,500 ms after the acknowledgement, at one edge.

Cause: an edge's view had no age. Whatever made its polls late stayed unseen by the edge, and time-outs of several polls added up without a bound.

Why it works: once the state is older than 1,500 ms, the edge asks every control box at once, over new connections where the present ones are quiet, and doesn't wait for polls that are pending; it repeats this each second until some box confirms the state.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -366,6 +366,28 @@
   readonly source: string;
 }
 
+/**
+ * The state that an edge acts on became so old that it asks every control box, or was
+ * confirmed again.
+ */
+export interface StateOutdated {
+  readonly event: 'state-outdated';
+  readonly outdated: boolean;
+  /** Version of the configuration in force. */
+  readonly configuration: number;
+  /** Time since the configuration was confirmed; undefined if it never was. */
+  readonly configurationAgeMs: number | undefined;
+  /** Time since the upstreams were confirmed; undefined if they never were. */
+  readonly upstreamsAgeMs: number | undefined;
+  /** The control boxes and the time since their last replies. */
+  readonly replyAgesMs: readonly {
+    readonly peer: string;
+    readonly ageMs: number | undefined;
+    /** Whether that reply said that the box follows the quorum. */
+    readonly followsQuorum: boolean;
+  }[];
+}
+
 /** A control box polled for updates lost contact with the leader or regained it. */
 export interface LeaderVisibilityChanged {
   readonly event: 'leader-heard';
@@ -674,6 +696,7 @@
   | ExposureStopped
   | GrantedTokenTotals
   | LeaderVisibilityChanged
+  | StateOutdated
   | PermitTotals
   | ProcessChanged
   | QuarantineAdopted
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -30,20 +30,39 @@
 import type {UpstreamRecord} from './UpstreamTable';
 
 /**
- * How long a control box may delay its reply, ms. With 1,000 ms all boxes take 5 % more
- * processor time than with this value; with 2,000 ms they take as much. The sum with
- * REPLY_TIMEOUT_MS is how long a silent control box goes unnoticed, so it must stay
- * below the time within which a change has to be applied everywhere; that two are
- * silent shows only after both.
+ * How long the preferred control box may delay its reply, ms. The state confirmed by a reply
+ * is up to half a second old, and the next reply has to come before RENEWAL_AGE_MS.
  */
-const LONG_POLL_MS = 1_500;
+const LONG_POLL_MS = 900;
+
+/** The same for the other polled control boxes, which only add to the preferred one, ms. */
+const BRIEF_LONG_POLL_MS = 2_000;
+
+/**
+ * Age of the state from which all control boxes are asked over new connections, ms. Below
+ * half of the time within which a change has to be in force would cost more polls; above,
+ * too little time would remain for a slow answer.
+ */
+const RENEWAL_AGE_MS = 1_500;
+
+/** Minimum interval between two renewals while the state stays old, ms. */
+const RENEWAL_INTERVAL_MS = 1_000;
+
+/** A connection that received nothing for this time is replaced in a renewal, ms. */
+const QUIET_CONNECTION_MS = 500;
+
+/** Minimum interval between two checks of the age, ms. */
+const MIN_AGE_CHECK_INTERVAL_MS = 50;
 
 /** Interval at which seeds are read and standby control boxes are reconsidered, ms. */
 const SELECTION_INTERVAL_MS = 1_000;
 
-/** Time allowed for the reply beyond LONG_POLL_MS, ms. */
+/** Time allowed for the reply beyond the delay of the control box, ms. */
 const REPLY_TIMEOUT_MS = 500;
 
+/** Minimum timeout of a poll, ms; it must end before the next renewal supersedes it. */
+const MIN_POLL_TIMEOUT_MS = 900;
+
 /** Delay after the first failed call, ms; doubles with each further failure. */
 const MIN_RETRY_DELAY_MS = 150;
 
@@ -59,6 +78,16 @@
 /** Distance classes of control boxes; the nearest ones are polled first. */
 const DISTANCE = {ownHall: 0, ownRegion: 1, otherRegion: 2} as const;
 
+/** How a poll ended. */
+const POLL_OUTCOME = {
+  answered: 'answered',
+  failed: 'failed',
+  /** A renewal began before a reply came. */
+  superseded: 'superseded',
+} as const;
+
+type PollOutcome = (typeof POLL_OUTCOME)[keyof typeof POLL_OUTCOME];
+
 /** Receives the updates of a FleetWatch. */
 export abstract class FleetUpdateHandler {
   /** The current configuration version; -Infinity without one. */
@@ -118,6 +147,11 @@
    * from the quorum, and its data may be stale.
    */
   isUnhealthy: boolean;
+  lastPollAt: number;
+  /** Number of the latest poll. */
+  pollCount: number;
+  /** The latest poll whose reply was applied. */
+  appliedPoll: number;
   /** Hash that orders control boxes at the same distance. */
   readonly rank: number;
 }
@@ -128,6 +162,10 @@
   private readonly tasks = new TaskGroup();
   /** Notified when another set of control boxes may have to be polled. */
   private readonly selectionChanged = new Condition();
+  /** Notified when pending polls must not be waited for any more. */
+  private readonly renewalStarted = new Condition();
+  /** Time of the last renewal; undefined if the state was confirmed since. */
+  private lastRenewalAt: number | undefined;
   private leaderBox: string | undefined;
   /** The control box whose list of boxes was applied last. */
   private boxListSource: string | undefined;
@@ -146,6 +184,84 @@
       () => updateHandler.configurationVersion,
     );
     this.tasks.start((signal) => this.pollSeeds(signal));
+    if (this.isSelective) {
+      this.tasks.start((signal) => this.watchAge(signal));
+    }
+  }
+
+  /** Whether only some control boxes are polled, as by an edge. */
+  private get isSelective(): boolean {
+    return this.parts.maxPolledControls < Infinity;
+  }
+
+  /** Whether the state is so old that every control box is asked. */
+  private get isOutdated(): boolean {
+    return this.isSelective && this.freshness.ageMs >= RENEWAL_AGE_MS;
+  }
+
+  private async watchAge(signal: AbortSignal): Promise<void> {
+    const {clock} = this.parts;
+    // Until then, the first replies are awaited.
+    await clock.sleep(RENEWAL_AGE_MS, signal);
+    while (!signal.aborted) {
+      this.renewIfDue();
+      const nextCheckMs = this.isOutdated
+        ? RENEWAL_INTERVAL_MS
+        : RENEWAL_AGE_MS - this.freshness.ageMs;
+      await clock.sleep(
+        Math.max(MIN_AGE_CHECK_INTERVAL_MS, nextCheckMs),
+        signal,
+      );
+    }
+  }
+
+  private renewIfDue(): void {
+    const {clock} = this.parts;
+    if (!this.isOutdated) {
+      this.logRenewed();
+      return;
+    }
+    const lastAt = this.lastRenewalAt ?? -Infinity;
+    if (clock.now() - lastAt >= RENEWAL_INTERVAL_MS) {
+      this.renew();
+    }
+  }
+
+  /** Asks all control boxes again, over new connections where the present ones are quiet. */
+  private renew(): void {
+    const {clock, link} = this.parts;
+    if (this.lastRenewalAt === undefined) {
+      this.logOutdated(true);
+    }
+    this.lastRenewalAt = clock.now();
+    for (const {box} of this.peers.values()) {
+      link.renewConnection(box, QUIET_CONNECTION_MS);
+    }
+    this.renewalStarted.notify();
+    this.selectionChanged.notify();
+  }
+
+  private logRenewed(): void {
+    if (this.lastRenewalAt !== undefined) {
+      this.lastRenewalAt = undefined;
+      this.logOutdated(false);
+    }
+  }
+
+  private logOutdated(outdated: boolean): void {
+    const {configurationAgeMs, upstreamsAgeMs} = this.freshness;
+    this.parts.log.note({
+      configurationAgeMs: finiteAge(configurationAgeMs),
+      configuration: this.parts.updateHandler.configurationVersion,
+      event: 'state-outdated',
+      outdated,
+      replyAgesMs: [...this.peers.values()].map((peer) => ({
+        ageMs: this.lastReplyAgeMs(peer),
+        peer: peer.box,
+        followsQuorum: !peer.isUnhealthy,
+      })),
+      upstreamsAgeMs: finiteAge(upstreamsAgeMs),
+    });
   }
 
   /** Treats all data as possibly stale until a control box has passed a new barrier. */
@@ -226,6 +342,9 @@
       isReachable: false,
       upstreamsRevision: 0,
       isUnhealthy: false,
+      lastPollAt: -Infinity,
+      pollCount: 0,
+      appliedPoll: 0,
     };
     this.peers.set(box, peer);
     this.tasks.start((signal) => this.pollPeer(peer, signal));
@@ -235,7 +354,7 @@
     peer: ControlPeer,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock, link} = this.parts;
+    const {clock} = this.parts;
     const startedAt = clock.now();
     let retryDelayMs = MIN_RETRY_DELAY_MS;
     while (!signal.aborted) {
@@ -248,18 +367,14 @@
         );
         continue;
       }
-      const sentAt = clock.now();
-      const result = await link.call(
-        peer.box,
-        FLEET_SERVICE.watch,
-        this.buildRequest(peer),
-        LONG_POLL_MS + REPLY_TIMEOUT_MS,
-      );
+      const outcome = await this.poll(peer);
       if (signal.aborted) {
         return;
       }
-      if (result.isOk()) {
-        this.handleReply(peer, result.value as WatchReply, sentAt);
+      if (outcome === POLL_OUTCOME.superseded) {
+        continue;
+      }
+      if (outcome === POLL_OUTCOME.answered) {
         retryDelayMs = MIN_RETRY_DELAY_MS;
         await clock.sleep(POLL_PAUSE_MS, signal);
         continue;
@@ -276,12 +391,48 @@
     }
   }
 
+  /** Polls a control box once; a renewal ends the wait, but a late reply still counts. */
+  private async poll(peer: ControlPeer): Promise<PollOutcome> {
+    const {clock, link} = this.parts;
+    const request = this.buildRequest(peer);
+    const sentAt = clock.now();
+    peer.lastPollAt = sentAt;
+    peer.pollCount += 1;
+    const number = peer.pollCount;
+    const answered = link
+      .call(
+        peer.box,
+        FLEET_SERVICE.watch,
+        request,
+        Math.max(request.waitMs + REPLY_TIMEOUT_MS, MIN_POLL_TIMEOUT_MS),
+      )
+      .map((reply) => {
+        if (number > peer.appliedPoll && !this.tasks.isAborted) {
+          peer.appliedPoll = number;
+          this.handleReply(peer, reply as WatchReply, sentAt);
+        }
+      })
+      .match(
+        (): PollOutcome => POLL_OUTCOME.answered,
+        (): PollOutcome => POLL_OUTCOME.failed,
+      );
+    let waiter: Disposable | undefined;
+    const superseded = new Promise<PollOutcome>((resolve) => {
+      waiter = this.renewalStarted.onNext(() =>
+        resolve(POLL_OUTCOME.superseded),
+      );
+    });
+    const outcome = await Promise.race([answered, superseded]);
+    waiter?.[Symbol.dispose]();
+    return outcome;
+  }
+
   /**
    * Whether a control box is polled rather than on standby. Unhealthy ones are polled to
    * detect their recovery; before the first current reply, all are polled.
    */
   private isPolled(peer: ControlPeer): boolean {
-    if (peer.isUnhealthy || !this.isCurrent) {
+    if (peer.isUnhealthy || !this.isCurrent || this.isOutdated) {
       return true;
     }
     return this.countPreferred(peer) < this.parts.maxPolledControls;
@@ -321,11 +472,8 @@
    * sends them; the others show whether it is behind. If a version is overdue, all send it.
    */
   private isBrief(peer: ControlPeer): boolean {
-    const {maxPolledControls} = this.parts;
-    const isLate = this.lag.overdueInMs <= 0;
-    return (
-      maxPolledControls < Infinity && !isLate && this.countPreferred(peer) > 0
-    );
+    const isLate = this.lag.overdueInMs <= 0 || this.isOutdated;
+    return this.isSelective && !isLate && this.countPreferred(peer) > 0;
   }
 
   private buildRequest(peer: ControlPeer): WatchRequest {
@@ -345,14 +493,26 @@
       quarantineRevision: updateHandler.quarantineRevision,
       rolloutRevision: updateHandler.rolloutRevision,
       upstreamsRevision: peer.upstreamsRevision,
-      // A longer wait would delay the full request for an overdue version while the
-      // preferred control box is partitioned.
-      waitMs: brief
-        ? Math.min(LONG_POLL_MS, this.lag.overdueInMs)
-        : LONG_POLL_MS,
+      waitMs: this.longPollMs(peer, brief),
     };
   }
 
+  /** How long a control box may delay its reply, ms. */
+  private longPollMs(peer: ControlPeer, isBrief: boolean): number {
+    const isFirstOfRenewal =
+      this.isOutdated &&
+      this.lastRenewalAt !== undefined &&
+      peer.lastPollAt <= this.lastRenewalAt;
+    if (isFirstOfRenewal) {
+      return 0;
+    }
+    // A longer wait would delay the full request for an overdue version while the
+    // preferred control box is partitioned.
+    return isBrief
+      ? Math.min(BRIEF_LONG_POLL_MS, this.lag.overdueInMs)
+      : LONG_POLL_MS;
+  }
+
   private handleReply(
     peer: ControlPeer,
     reply: WatchReply,
@@ -443,8 +603,7 @@
     }
     this.addControls(changes?.changed ?? []);
     const isAuthoritative =
-      this.parts.maxPolledControls === Infinity ||
-      this.countPreferred(peer) === 0;
+      !this.isSelective || this.countPreferred(peer) === 0;
     const hasChanged = changes !== undefined || this.boxListSource !== peer.box;
     if (isAuthoritative && hasChanged && peer.boxes.size > 0) {
       this.boxListSource = peer.box;
@@ -478,3 +637,8 @@
       : Math.round(this.parts.clock.now() - lastReplyAt);
   }
 }
+
+/** An age for the log, ms; undefined if there is none. */
+function finiteAge(ageMs: number): number | undefined {
+  return ageMs < Infinity ? Math.round(ageMs) : undefined;
+}
--- a/packages/puffinturn-fleet/src/StateFreshness.ts
+++ b/packages/puffinturn-fleet/src/StateFreshness.ts
@@ -43,12 +43,10 @@
 
   /**
    * Records a reply that has been applied, to a request sent at `sentAt`. `heldVersion` is
-   * the version of the configuration in force here. Replies of older software versions do
-   * not tell their age; they count if their sender knows a leader.
+   * the version of the configuration in force here.
    */
   recordReply(reply: WatchReply, sentAt: number, heldVersion: number): void {
-    const {heldMs = 0, stateAgeMs = reply.leader ? 0 : Infinity} = reply;
-    const confirmedAt = sentAt + heldMs - stateAgeMs;
+    const confirmedAt = this.confirmationTime(reply, sentAt);
     this.upstreamsConfirmedAt = Math.max(
       this.upstreamsConfirmedAt,
       confirmedAt,
@@ -60,4 +58,18 @@
       );
     }
   }
+
+  /**
+   * When a quorum confirmed what a reply says, on the clock of this box. Replies of older
+   * software versions do not tell; they count if their sender knows a leader.
+   */
+  private confirmationTime(
+    {heldMs = 0, leader, stateAgeMs}: WatchReply,
+    sentAt: number,
+  ): number {
+    if (stateAgeMs !== undefined) {
+      return sentAt + heldMs - stateAgeMs;
+    }
+    return leader ? this.clock.now() : -Infinity;
+  }
 }
--- a/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
@@ -73,6 +73,21 @@
     throw new Error('every edge polls the leader');
   }
 
+  /** How often the edge found its state outdated since it first had one. */
+  get outdatedCount(): number {
+    return this.watched.log.decisions.filter(
+      (line) =>
+        line.event === 'state-outdated' &&
+        line.outdated &&
+        line.upstreamsAgeMs !== undefined,
+    ).length;
+  }
+
+  /** Age of the state at the edge, ms. */
+  get ageMs(): number {
+    return this.watched.watch.freshness.ageMs;
+  }
+
   advance(ms: number): Promise<void> {
     return this.fleet.clock.advance(ms);
   }
@@ -112,12 +127,16 @@
    * Changes the configuration and lets upstreams leave at the given control box, and returns
    * the longest time between an acknowledgement and its arrival at the edge, ms.
    */
-  async longestDelayMs(changingBox: string): Promise<number> {
+  async longestDelayMs(
+    changingBox: string,
+    onStep: (at: number) => Promise<void> = () => Promise.resolve(),
+  ): Promise<number> {
     const {clock, control} = this.fleet;
     const {handler} = this.watched;
     const acknowledgedAt = new Map<number, number>();
     let longestMs = 0;
     for (let at = 0; at < OBSERVATION_MS; at += STEP_MS) {
+      await onStep(at);
       const number = 10 + at / CHANGE_INTERVAL_MS;
       if (Number.isInteger(number)) {
         const id = `i-${number}`;
@@ -188,4 +207,30 @@
       }
     },
   );
+
+  test.each([240, 700, 1_300, 1_900])(
+    'has each change in time if its connections go silent every %d ms',
+    async (intervalMs) => {
+      const fleet = await LateFleet.start();
+      const silence = async (at: number): Promise<void> => {
+        for (const box of at % intervalMs === 0 ? fleet.polledFirst : []) {
+          await fleet.begin(FAULT.silent, box);
+        }
+      };
+      const changingBox = fleet.polledFirst.at(-1) ?? '';
+      const delay = await fleet.longestDelayMs(changingBox, silence);
+      expect(delay).toBeLessThan(APPLY_BOUND_MS);
+    },
+  );
+
+  test('asks all control boxes only while its state is old', async () => {
+    const fleet = await LateFleet.start();
+    let highestMs = 0;
+    for (let at = 0; at < 20_000; at += STEP_MS) {
+      await fleet.advance(STEP_MS);
+      highestMs = Math.max(highestMs, fleet.ageMs);
+    }
+    expect(highestMs).toBeLessThan(APPLY_BOUND_MS);
+    expect(fleet.outdatedCount).toBe(0);
+  });
 });
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -6,7 +6,7 @@
  */
 
 /** A fleet of control boxes in virtual time, and edges that watch it. */
-import {NoopDecisionLog} from 'puffinturn-decisions';
+import {InMemoryDecisionLog, NoopDecisionLog} from 'puffinturn-decisions';
 import type {LogRequest} from 'puffinturn-log';
 import {DEFAULT_TIMING, MemoryDisk, Replica} from 'puffinturn-log';
 import {MemoryNetwork} from 'puffinturn-wire';
@@ -144,16 +144,17 @@
   const startWatch = (box: string, maxPolledControls = 2) => {
     const handler = new RecordingHandler();
     const link = network.connect(box);
+    const log = new InMemoryDecisionLog();
     const watch = new FleetWatch({
       maxPolledControls,
       clock,
       link,
-      log: new NoopDecisionLog(),
+      log,
       updateHandler: handler,
       seeds: () => boxes,
       self: {box, incarnation: '1', role: BOX_ROLE.edge, hall: 'z'},
     });
-    return {handler, link, watch};
+    return {handler, link, log, watch};
   };
   const control = (box: string): FleetControl => {
     const found = controls.get(box);
