Let requests wait for a renewal that began late

Cause: a process that didn't run for seconds reads the requests that came meanwhile before it has asked a control box again.

No process short of processor time was reproduced with real processes.

Why it works: a request checks the age itself and begins the renewal if the timer is late; requests then wait for the confirmation, for 200 ms at the longest. In a cut the first renewal begins in time, so no request waits.

--- a/packages/puffinturn-edge/src/WakeRefresh.ts
+++ b/packages/puffinturn-edge/src/WakeRefresh.ts
@@ -6,9 +6,9 @@
  */
 
 /**
- * Refreshes the state of an edge after its machine was suspended. Connections may be
- * dead and the state outdated, so requests wait until the control plane has confirmed
- * the current state or a timeout expires.
+ * Refreshes the state of an edge after its machine was suspended or its process ran late.
+ * Connections may be dead and the state outdated, so requests wait until the control plane
+ * has confirmed the current state or a timeout expires.
  */
 import type {FleetWatch, SuspensionRecoveryParts} from 'puffinturn-fleet';
 import {recoverFromSuspension} from 'puffinturn-fleet';
@@ -49,6 +49,11 @@
   /** Resolves when the refresh in progress ends; undefined if there is none. */
   get pending(): Promise<void> | undefined {
     this.suspensionWatch.check();
+    if (this.refreshing === undefined && this.parts.watch.isCatchingUp) {
+      this.refreshing = this.waitUntilCaughtUp().finally(
+        () => (this.refreshing = undefined),
+      );
+    }
     return this.refreshing;
   }
 
@@ -74,4 +79,11 @@
       await clock.sleep(REFRESH_POLL_MS);
     }
   }
+
+  private async waitUntilCaughtUp(): Promise<void> {
+    const {clock, watch} = this.parts;
+    while (watch.isCatchingUp) {
+      await clock.sleep(REFRESH_POLL_MS);
+    }
+  }
 }
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -48,6 +48,12 @@
 /** Minimum interval between two renewals while the state stays old, ms. */
 const RENEWAL_INTERVAL_MS = 1_000;
 
+/** Age of the state from which requests wait for a renewal that began late, ms. */
+const LATE_RENEWAL_AGE_MS = 2_000;
+
+/** Longest time that requests wait for such a renewal, ms: some round trips. */
+const MAX_CATCH_UP_MS = 200;
+
 /** A connection that received nothing for this time is replaced in a renewal, ms. */
 const QUIET_CONNECTION_MS = 500;
 
@@ -166,6 +172,8 @@
   private readonly renewalStarted = new Condition();
   /** Time of the last renewal; undefined if the state was confirmed since. */
   private lastRenewalAt: number | undefined;
+  /** Until when requests wait for the state to be confirmed. */
+  private catchUpUntil = -Infinity;
   private leaderBox: string | undefined;
   /** The control box whose list of boxes was applied last. */
   private boxListSource: string | undefined;
@@ -232,6 +240,7 @@
     const {clock, link} = this.parts;
     if (this.lastRenewalAt === undefined) {
       this.logOutdated(true);
+      this.allowCatchUp();
     }
     this.lastRenewalAt = clock.now();
     for (const {box} of this.peers.values()) {
@@ -241,6 +250,17 @@
     this.selectionChanged.notify();
   }
 
+  /**
+   * Lets requests wait for a moment if this process ran late, and so asks only now. In a
+   * loss of contact the first renewal begins in time, and requests are served at once.
+   */
+  private allowCatchUp(): void {
+    const {ageMs} = this.freshness;
+    if (ageMs >= LATE_RENEWAL_AGE_MS && ageMs < Infinity) {
+      this.catchUpUntil = this.parts.clock.now() + MAX_CATCH_UP_MS;
+    }
+  }
+
   private logRenewed(): void {
     if (this.lastRenewalAt !== undefined) {
       this.lastRenewalAt = undefined;
@@ -273,6 +293,15 @@
     this.selectionChanged.notify();
   }
 
+  /**
+   * Whether requests should wait, as the state is old because this process ran late, and a
+   * confirmation is about to arrive. Begins the renewal if its timer is late too.
+   */
+  get isCatchingUp(): boolean {
+    this.renewIfDue();
+    return this.isOutdated && this.parts.clock.now() < this.catchUpUntil;
+  }
+
   /** Addresses of the control boxes; reachable ones come first. */
   get controlAddresses(): string[] {
     const all = [...this.peers.values()];
