Break off an upstream that sends interim responses without end

Cause: interim responses were skipped without a limit, and each read counted as a sign of life of the upstream's link.

Now 16 of them are allowed before a final response; beyond that the attempt has failed as with a head that is no response, and another upstream is tried. Reads that bring interim responses alone are no sign of life.

--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
@@ -0,0 +1,69 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Guards against upstreams whose responses never end: requests that wait for them until
+ * their deadline, though another upstream would serve them, and memory that grows.
+ */
+import {
+  createRoute,
+  ForwardingFixture,
+  TestUpstream,
+} from '../utils/ForwardingFixture';
+import type {EndlessResponse} from '../utils/RawUpstream';
+import {RawUpstream} from '../utils/RawUpstream';
+
+const TIMEOUT_MS = 1_500;
+
+const LOOKUP_ROUTE = createRoute('look', {
+  maxAttempts: 2,
+  timeoutMs: TIMEOUT_MS,
+});
+const HEADERS = 'X-Request: ID\r\nX-Seal: seal\r\n';
+
+const ENDLESS: Record<string, EndlessResponse> = {
+  'interim responses': {head: '', part: 'HTTP/1.1 102 Processing\r\n\r\n'},
+  'a status line': {head: 'HTTP/1.1 200 ', part: 'x'},
+  'header lines': {head: 'HTTP/1.1 200 OK\r\n', part: 'x-more: 1\r\n'},
+  'the body of a rejection': {
+    head: `HTTP/1.1 503 Busy\r\n${HEADERS}X-Not-Run: 1\r\n\r\n`,
+    part: 'x',
+  },
+};
+
+/** Starts an upstream with an endless response, and another one that serves. */
+async function startServing(response: EndlessResponse) {
+  const endless = await RawUpstream.start('a', response);
+  const sound = await TestUpstream.start('b');
+  const edge = await ForwardingFixture.start([LOOKUP_ROUTE]);
+  edge.pool.merge([endless.record(), sound.record()], 'c1');
+  return {
+    edge,
+    endless,
+    sound,
+    async [Symbol.asyncDispose]() {
+      await edge[Symbol.asyncDispose]();
+      await endless[Symbol.asyncDispose]();
+      await sound[Symbol.asyncDispose]();
+    },
+  };
+}
+
+describe('Responses without end', () => {
+  test.each(Object.keys(ENDLESS))(
+    'of %s: the request is served by another upstream',
+    async (name) => {
+      const response = ENDLESS[name] ?? {head: '', part: ''};
+      await using fixture = await startServing(response);
+      const {edge, endless} = fixture;
+      const statuses = await edge.sendRequests('look', 20);
+      expect(statuses).toEqual(statuses.map(() => 200));
+      expect(endless.requestCount).toBeGreaterThan(0);
+      expect(endless.requestCount).toBeLessThan(10);
+    },
+  );
+});
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -202,8 +202,10 @@
 
   private handleData(bytes: Buffer): void {
     if (this.tunnelReader === undefined) {
-      this.owner.recordRead();
       this.handleBytes(bytes);
+      if (!this.parser.isAwaitingFinal) {
+        this.owner.recordRead();
+      }
     } else {
       this.tunnelReader.push(bytes);
     }
@@ -232,7 +234,9 @@
     }
     if (!this.parser.parse(bytes)) {
       this.mustClose = true;
-      this.failureCause = 'not-http';
+      this.failureCause = this.parser.hasTooManyInterim
+        ? 'too-many-interim-responses'
+        : 'not-http';
       if (!this.isComplete) {
         socket.destroy();
       }
--- a/packages/puffinturn-edge/src/connections/ResponseParser.ts
+++ b/packages/puffinturn-edge/src/connections/ResponseParser.ts
@@ -51,6 +51,9 @@
   return statusCode < 200 && statusCode !== SWITCHING_PROTOCOLS;
 }
 
+/** Interim responses before one final response; more are no sign of progress. */
+const MAX_INTERIM_RESPONSES = 16;
+
 /** Return values of kOnHeadersComplete: whether the parser skips the body. */
 const SKIP_BODY = 1;
 const READ_BODY = 0;
@@ -60,6 +63,8 @@
   private readonly parser: NodeParser = new HTTPParser();
   private headers: string[] = [];
   private isInterimResponse = false;
+  /** Interim responses since the last final one. */
+  private interimCount = 0;
   private isClosed = false;
 
   constructor(private readonly handler: ResponseEvents) {
@@ -83,9 +88,20 @@
     parser[HTTPParser.kOnMessageComplete] = () => this.handleMessageComplete();
   }
 
-  /** Parses bytes; false if they are not valid HTTP. */
+  /** Whether only interim responses have come since the last final one. */
+  get isAwaitingFinal(): boolean {
+    return this.interimCount > 0;
+  }
+
+  /** Whether more interim responses came than a final one may have before it. */
+  get hasTooManyInterim(): boolean {
+    return this.interimCount > MAX_INTERIM_RESPONSES;
+  }
+
+  /** Parses bytes; false if they are not valid HTTP, or too many interim responses. */
   parse(bytes: Buffer): boolean {
-    return typeof this.parser.execute(bytes) === 'number';
+    const isValid = typeof this.parser.execute(bytes) === 'number';
+    return isValid && !this.hasTooManyInterim;
   }
 
   /** Signals the end of input, which completes a response without a length. */
@@ -115,8 +131,10 @@
     this.headers = [];
     this.isInterimResponse = isInterim(statusCode);
     if (this.isInterimResponse) {
+      this.interimCount += 1;
       return SKIP_BODY;
     }
+    this.interimCount = 0;
     const hasNoBody = this.handler.onHeaders({
       keepAlive,
       rawHeaders,
