Avoid an upstream that reaches the time-out inside a body

Cause: a time-out inside a body counted neither for nor against the upstream.

A body without end can't be told from a long one, so such a time-out counts as an error response: its upstream is avoided only while its rate is far above that of the others of its service, and one request in 20 tries it anew. What a caller does not take is not read, as before.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
@@ -43,6 +43,11 @@
   },
 };
 
+const ENDLESS_BODY: EndlessResponse = {
+  head: `HTTP/1.1 200 OK\r\n${HEADERS}\r\n`,
+  part: 'x',
+};
+
 /** Starts an upstream with an endless response, and another one that serves. */
 async function startServing(response: EndlessResponse) {
   const endless = await RawUpstream.start('a', response);
@@ -65,7 +70,7 @@
   test.each(Object.keys(ENDLESS))(
     'of %s: the request is served by another upstream',
     async (name) => {
-      const response = ENDLESS[name] ?? {head: '', part: ''};
+      const response = ENDLESS[name] ?? ENDLESS_BODY;
       await using fixture = await startServing(response);
       const {edge, endless} = fixture;
       const statuses = await edge.sendRequests('look', 20);
@@ -74,4 +79,21 @@
       expect(endless.requestCount).toBeLessThan(10);
     },
   );
+
+  test('of a body: it is broken off at the time-out and its upstream avoided', async () => {
+    await using fixture = await startServing(ENDLESS_BODY);
+    const {edge, endless} = fixture;
+    for (let count = 0; endless.requestCount < 2 && count < 20; count += 1) {
+      await edge.sendRequest('look');
+    }
+    const before = endless.requestCount;
+    const answers = [];
+    for (let count = 0; count < 20; count += 1) {
+      answers.push(await edge.sendRequest('look'));
+    }
+    expect(before).toBe(2);
+    expect(endless.requestCount - before).toBeLessThan(4);
+    const broken = answers.filter(({isComplete}) => !isComplete);
+    expect(broken).toHaveLength(endless.requestCount - before);
+  });
 });
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -50,6 +50,11 @@
     this.bodyWriter = new ResponseBodyWriter(caller.response);
   }
 
+  /** Whether responses are relayed event by event. */
+  get hasEventStream(): boolean {
+    return false;
+  }
+
   /** ID of the last relayed event, from which another upstream can resume. */
   get lastEventId(): string | undefined {
     return undefined;
@@ -163,6 +168,10 @@
   /** Whether the current response has brought an event. */
   private hasEvents = false;
 
+  override get hasEventStream(): boolean {
+    return true;
+  }
+
   override get lastEventId(): string | undefined {
     return this.isHeadSent ? this.eventSplitter.lastEventId : undefined;
   }
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -106,6 +106,8 @@
   private lastRecordAgeMs: number | undefined;
   /** Age of the state at the start, then when the request was sent, ms. */
   private stateAgeMs: number | undefined;
+  /** The upstream that is sending a response without events. */
+  private bodySender: EdgeUpstream | undefined;
   private readonly triedUpstreams = new Set<EdgeUpstream>();
   /** Upstreams that granted no permit for this request. */
   private readonly deniedUpstreams = new Set<EdgeUpstream>();
@@ -569,9 +571,11 @@
       );
     }
     const {socket} = response;
+    this.bodySender = relay.hasEventStream ? undefined : upstream;
     const relayEnd = await relay
       .relay(response, this.shouldRetryError(plan, upstream, status))
       .finally(() => this.parts.admission.endRequest(upstream));
+    this.bodySender = undefined;
     this.logResponseEnd(upstream, response, relayEnd);
     if (relay.lastEventId !== undefined) {
       this.stream.bind(upstream);
@@ -709,6 +713,8 @@
     if (this.requestOutcome.hasEnded) {
       return;
     }
+    // Counts only against the other upstreams of the service, as a body may just be long.
+    this.bodySender?.recordErrorResponse();
     const wasSent = this.mayHaveRun || this.currentAttempt !== undefined;
     this.requestOutcome.reject(
       wasSent ? 504 : 503,
