Break off a stream whose event does not end

Cause: the bytes of an event were held until its end, without a limit, and joined anew with each read.

Evidence: EndlessResponses 'of one event' fails without this.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -46,6 +46,7 @@
 import type {HttpAddress, HttpListenFailure} from './callers/HttpListener';
 import {headerBytes, HttpListener} from './callers/HttpListener';
 import {OverloadWithdrawal} from './callers/OverloadWithdrawal';
+import {PartialEvents} from './callers/PartialEvents';
 import {
   DEFAULT_STREAM_LIFETIME_MS,
   RETRY_AFTER_DRAINING_S,
@@ -161,6 +162,7 @@
   private startedAt: number;
   private readonly wakeRefresh: WakeRefresh;
   private readonly knownBoxes: KnownBoxes;
+  private readonly partialEvents = new PartialEvents();
   /** Whether the state was received from another edge. */
   private hasHandover = false;
   private routeTable: RouteTable | undefined;
@@ -365,6 +367,7 @@
       ),
       hall: self.hall,
       responseTotals: this.responseTotals,
+      partialEvents: this.partialEvents,
       stateAgeMs: () => this.stateAgeMs,
       streamVersions: this.streamVersions,
     };
@@ -703,6 +706,7 @@
       crossRegionCallBytes,
       limitedUpstreams,
       openRequests,
+      partialEventBytes,
       registry,
       stateAge,
       streamReplicas,
@@ -712,6 +716,7 @@
       return;
     }
     openRequests.set(this.openRequests);
+    partialEventBytes.set(this.partialEvents.totalBytes);
     streamReplicas.set(this.streamOrigins.replicaCount);
     crossRegionCallBytes.set(this.knownBoxes.crossRegionBytes);
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -140,6 +140,11 @@
     name: 'puffinturn_edge_charged_tokens',
     registers: [this.registry],
   });
+  readonly partialEventBytes = new Gauge({
+    help: 'Bytes held of events of streams that are not complete yet',
+    name: 'puffinturn_edge_partial_event_bytes',
+    registers: [this.registry],
+  });
   readonly stateAge = new Gauge({
     help: 'Time since when the state may lack what the control plane has acknowledged, s',
     name: 'puffinturn_edge_state_age_seconds',
--- a/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
@@ -9,6 +9,8 @@
  * Guards against upstreams whose responses never end: requests that wait for them until
  * their deadline, though another upstream would serve them, and memory that grows.
  */
+import {RETRY_POLICY} from 'puffinturn-fleet';
+
 import {
   createRoute,
   ForwardingFixture,
@@ -23,6 +25,13 @@
   maxAttempts: 2,
   timeoutMs: TIMEOUT_MS,
 });
+const STREAM_ROUTE = createRoute('stream', {
+  maxAttempts: 2,
+  repetition: RETRY_POLICY.resumable,
+  streams: true,
+  timeoutMs: TIMEOUT_MS,
+});
+
 const HEADERS = 'X-Request: ID\r\nX-Seal: seal\r\n';
 
 const ENDLESS: Record<string, EndlessResponse> = {
@@ -43,6 +52,11 @@
   },
 };
 
+const ENDLESS_EVENT: EndlessResponse = {
+  head: `HTTP/1.1 200 OK\r\n${HEADERS}Content-Type: text/event-stream\r\n\r\ndata: `,
+  part: 'x',
+};
+
 const ENDLESS_BODY: EndlessResponse = {
   head: `HTTP/1.1 200 OK\r\n${HEADERS}\r\n`,
   part: 'x',
@@ -52,7 +66,7 @@
 async function startServing(response: EndlessResponse) {
   const endless = await RawUpstream.start('a', response);
   const sound = await TestUpstream.start('b');
-  const edge = await ForwardingFixture.start([LOOKUP_ROUTE]);
+  const edge = await ForwardingFixture.start([LOOKUP_ROUTE, STREAM_ROUTE]);
   edge.pool.merge([endless.record(), sound.record()], 'c1');
   return {
     edge,
@@ -80,6 +94,25 @@
     },
   );
 
+  test('of one event: the stream is served by another upstream', async () => {
+    await using fixture = await startServing(ENDLESS_EVENT);
+    const {edge, endless, sound} = fixture;
+    sound.handler = (_, response) => {
+      response.writeHead(200, {'content-type': 'text/event-stream'});
+      response.end('id: 1\ndata: whole\n\n');
+    };
+    for (let count = 0; count < 10; count += 1) {
+      const answer = await edge.sendRequest('stream');
+      expect(answer).toMatchObject({
+        body: 'id: 1\ndata: whole\n\n',
+        isComplete: true,
+        status: 200,
+      });
+    }
+    expect(endless.requestCount).toBeGreaterThan(0);
+    expect(edge.partialEvents.totalBytes).toBe(0);
+  });
+
   test('of a body: it is broken off at the time-out and its upstream avoided', async () => {
     await using fixture = await startServing(ENDLESS_BODY);
     const {edge, endless} = fixture;
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -22,6 +22,7 @@
 
 import {CallerProtocol} from '../../callers/CallerProtocol';
 import {CallerRequest} from '../../callers/CallerRequest';
+import {PartialEvents} from '../../callers/PartialEvents';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {CrossRegionEpisodes} from '../../regions/CrossRegionEpisodes';
 import {RegionByteCounter} from '../../regions/RegionByteCounter';
@@ -184,6 +185,7 @@
 export class ForwardingFixture implements AsyncDisposable {
   readonly log = new InMemoryDecisionLog();
   readonly metrics = new EdgeMetrics();
+  readonly partialEvents = new PartialEvents();
   readonly pool: UpstreamPool;
   /** Response body bytes received by callers. */
   receivedBytes = 0;
@@ -295,6 +297,7 @@
       retryBudgets: new RetryBudgets({extra: 100, ratio: 0.2}, () => 1),
       retrySchedule: new RetrySchedule(clock, random, () => 1),
       responseTotals: this.responseTotals,
+      partialEvents: this.partialEvents,
       stateAgeMs: () => undefined,
       streamVersions: new StreamVersions({
         clock,
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -15,6 +15,7 @@
 import {MAX_BUFFERED_RESPONSE_BYTES} from '../EdgeConstants';
 import type {CallerRequest} from './CallerRequest';
 import {concatChunks, isEndToEndHeader} from './CallerRequest';
+import type {PartialEvents} from './PartialEvents';
 import {ResponseBodyWriter} from './ResponseBodyWriter';
 
 /** Outcomes of relaying a response. */
@@ -38,6 +39,8 @@
   hasStarted = false;
   /** Size of an incomplete event at the end of the last response, bytes. */
   partialEventBytes = 0;
+  /** Called when an event is longer than this edge holds. */
+  onEventTooLong: () => void = () => undefined;
   /** Called at the first event of each response. */
   onFirstEvent: () => void = () => undefined;
   protected isCancelled = false;
@@ -167,6 +170,16 @@
   private isHeadSent = false;
   /** Whether the current response has brought an event. */
   private hasEvents = false;
+  /** Bytes held of the incomplete event, as counted in `partialEvents`. */
+  private heldBytes = 0;
+
+  constructor(
+    caller: CallerRequest,
+    onFirstByte: () => void,
+    private readonly partialEvents: PartialEvents,
+  ) {
+    super(caller, onFirstByte);
+  }
 
   override get hasEventStream(): boolean {
     return true;
@@ -179,6 +192,7 @@
   override relay(response: UpstreamResponse): Promise<RelayOutcome> {
     // Drops a partial event left over from the previous upstream.
     this.eventSplitter.takeRemainder();
+    this.countHeldBytes();
     this.hasEvents = false;
     const isStream =
       response.statusCode === 200 &&
@@ -201,9 +215,32 @@
       return;
     }
     const {bytes, eventCount} = this.eventSplitter.push(chunk);
-    if (bytes.length === 0) {
-      return;
+    this.countHeldBytes();
+    if (bytes.length > 0) {
+      this.sendEvents(response, bytes, eventCount);
+    }
+    if (this.partialEvents.isTooLong(this.heldBytes)) {
+      this.onEventTooLong();
     }
+  }
+
+  private countHeldBytes(): void {
+    const {heldBytes} = this.eventSplitter;
+    this.partialEvents.recordSize(this.heldBytes, heldBytes);
+    this.heldBytes = heldBytes;
+  }
+
+  /** Stops counting the bytes of a stream that has ended. */
+  private releaseHeldBytes(): void {
+    this.partialEvents.recordSize(this.heldBytes, 0);
+    this.heldBytes = 0;
+  }
+
+  private sendEvents(
+    response: UpstreamResponse,
+    bytes: Buffer,
+    eventCount: number,
+  ): void {
     if (!this.hasEvents) {
       this.hasEvents = true;
       this.onFirstEvent();
@@ -217,6 +254,7 @@
     response: UpstreamResponse,
     isComplete: boolean,
   ): RelayOutcome {
+    this.releaseHeldBytes();
     if (this.isCancelled) {
       return RELAY_OUTCOME.cancelled;
     }
--- a/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
+++ b/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
@@ -63,6 +63,11 @@
     return {bytes, eventCount};
   }
 
+  /** Bytes that are held after the last complete event. */
+  get heldBytes(): number {
+    return this.remainder.length;
+  }
+
   /** Size of the incomplete event at the end of the bytes so far. */
   get partialEventBytes(): number {
     return endsWithBlankLine(this.remainder) ? 0 : this.remainder.length;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -15,6 +15,7 @@
 import {RETRY_POLICY} from 'puffinturn-fleet';
 
 import type {CallerRequest} from '../callers/CallerRequest';
+import type {PartialEvents} from '../callers/PartialEvents';
 import {waitedTooLong} from '../callers/QueueWaitLimit';
 import {RequestOutcome} from '../callers/RequestOutcome';
 import type {RelayOutcome, ResponseRelay} from '../callers/ResponseRelay';
@@ -72,6 +73,7 @@
   readonly quarantine: RequestQuarantine;
   readonly regionByteCounter: RegionByteCounter;
   readonly streamVersions: StreamVersions;
+  readonly partialEvents: PartialEvents;
   /** Age of the state that requests are decided by, ms; undefined before it is known. */
   readonly stateAgeMs: () => number | undefined;
 }
@@ -82,6 +84,9 @@
 /** Cause of an error response that is broken off because its body does not end. */
 const ENDLESS_ERROR = 'endless-error';
 
+/** Cause of a stream that is broken off because one of its events does not end. */
+const ENDLESS_EVENT = 'endless-event';
+
 /** Delay of the timeout response after the deadline, ms. */
 const DEADLINE_GRACE_MS = 20;
 
@@ -565,10 +570,12 @@
     const relay = this.getRelay(plan, response);
     relay.onFirstEvent = () => this.recordAnswerBegun(plan);
     const status = response.statusCode;
+    relay.onEventTooLong = () => this.currentAttempt?.abort(ENDLESS_EVENT);
     if (this.mayRetryError(plan, status)) {
-      response.limitBody(ERROR_BODY_LIMIT, () =>
-        this.breakOff(upstream, ENDLESS_ERROR),
-      );
+      response.limitBody(ERROR_BODY_LIMIT, () => {
+        upstream.recordFailure(ENDLESS_ERROR);
+        this.currentAttempt?.abort(ENDLESS_ERROR);
+      });
     }
     const {socket} = response;
     this.bodySender = relay.hasEventStream ? undefined : upstream;
@@ -669,12 +676,6 @@
     );
   }
 
-  /** Breaks off a response that reached a limit. */
-  private breakOff(upstream: EdgeUpstream, cause: string): void {
-    upstream.recordFailure(cause);
-    this.currentAttempt?.abort(cause);
-  }
-
   private getRelay(
     {route}: RequestPlan,
     response: UpstreamResponse,
@@ -693,7 +694,11 @@
       response.headers['content-type']?.startsWith('text/event-stream');
     this.relay =
       isStream === true && response.statusCode === 200
-        ? new EventStreamRelay(this.caller, onFirstByte)
+        ? new EventStreamRelay(
+            this.caller,
+            onFirstByte,
+            this.parts.partialEvents,
+          )
         : new BufferedRelay(this.caller, onFirstByte);
     return this.relay;
   }
