--- a/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
@@ -6,174 +6,16 @@
  */
 
 /** Guards against edges that act on old configurations and upstreams without noticing. */
-import {invariant} from 'shared';
+import {Random} from 'shared';
 
-import {FLEET_SERVICE, UPSTREAM_STATE} from '../../index';
-import {configurationOf, upstreamOf} from '../utils/FleetFixture';
-import {CONTROLS, startFleet} from '../utils/WatchedFleet';
-
-const BOXES = [...CONTROLS, 'c4:1', 'c5:1'];
-const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
-
-/** Within this time after its acknowledgement a change must be in force at edges, ms. */
-const APPLY_BOUND_MS = 2_500;
-
-/** Interval between changes, each a configuration and a departure, ms. */
-const CHANGE_INTERVAL_MS = 400;
-
-/** How long changes go on after the fault, ms. */
-const OBSERVATION_MS = 5_000;
-
-const STEP_MS = 20;
-
-/** Ways in which the answers of control boxes to an edge come late or say too little. */
-const FAULT = {
-  /** The edge's connection loses all messages. */
-  silent: 'silent',
-  /** The same, right after the answer to another call of the edge. */
-  silentAfterAnswer: 'silent after another answer',
-  /** The control box hears from the leader but gets no entries. */
-  withoutEntries: 'without entries',
-  /** Neither the edge nor the leader reaches the control box. */
-  unreachable: 'unreachable',
-} as const;
-
-type Fault = (typeof FAULT)[keyof typeof FAULT];
-
-const FAULTS = Object.values(FAULT);
-
-type Fleet = Awaited<ReturnType<typeof startFleet>>;
-
-/** A fleet whose control boxes are made late for one edge. */
-class LateFleet {
-  private constructor(
-    private readonly fleet: Fleet,
-    private readonly edge: string,
-    private readonly watched: ReturnType<Fleet['startWatch']>,
-    /** The control boxes that the edge polls, then the others. */
-    readonly polledFirst: readonly string[],
-  ) {}
-
-  /** Starts a fleet with an edge that does not poll the leader. */
-  static async start(): Promise<LateFleet> {
-    const fleet = await startFleet(BOXES);
-    for (const edge of EDGES) {
-      const watched = fleet.startWatch(edge);
-      await fleet.clock.advance(3_000);
-      const {leaderAddress = '', polledControls} = watched.watch;
-      if (!polledControls.includes(leaderAddress)) {
-        const others = BOXES.filter((box) => !polledControls.includes(box));
-        return new LateFleet(fleet, edge, watched, [
-          ...polledControls,
-          ...others,
-        ]);
-      }
-      void watched.watch[Symbol.asyncDispose]();
-    }
-    throw new Error('every edge polls the leader');
-  }
-
-  /** How often the edge found its state outdated since it first had one. */
-  get outdatedCount(): number {
-    return this.watched.log.decisions.filter(
-      (line) =>
-        line.event === 'state-outdated' &&
-        line.outdated &&
-        line.upstreamsAgeMs !== undefined,
-    ).length;
-  }
-
-  /** Age of the state at the edge, ms. */
-  get ageMs(): number {
-    return this.watched.watch.freshness.ageMs;
-  }
-
-  advance(ms: number): Promise<void> {
-    return this.fleet.clock.advance(ms);
-  }
-
-  async begin(fault: Fault, box: string): Promise<void> {
-    const {network, withoutEntries} = this.fleet;
-    switch (fault) {
-      case FAULT.silent:
-        network.silenceConnections(this.edge, [box]);
-        return;
-      case FAULT.silentAfterAnswer:
-        await this.callFromEdge(box);
-        network.silenceConnections(this.edge, [box]);
-        return;
-      case FAULT.withoutEntries:
-        withoutEntries.add(box);
-        return;
-      case FAULT.unreachable:
-        network.partition(
-          [box],
-          [this.edge, ...BOXES.filter((other) => other !== box)],
-        );
-    }
-  }
-
-  private async callFromEdge(box: string): Promise<void> {
-    const call = this.watched.link.call(
-      box,
-      FLEET_SERVICE.readConfiguration,
-      null,
-      1_000,
-    );
-    await Promise.all([call, this.fleet.clock.advance(50)]);
-  }
-
-  /**
-   * Changes the configuration and lets upstreams leave at the given control box, and returns
-   * the longest time between an acknowledgement and its arrival at the edge, ms.
-   */
-  async longestDelayMs(
-    changingBox: string,
-    onStep: (at: number) => Promise<void> = () => Promise.resolve(),
-  ): Promise<number> {
-    const {clock, control} = this.fleet;
-    const {handler} = this.watched;
-    const acknowledgedAt = new Map<number, number>();
-    let longestMs = 0;
-    for (let at = 0; at < OBSERVATION_MS; at += STEP_MS) {
-      await onStep(at);
-      const number = 10 + at / CHANGE_INTERVAL_MS;
-      if (Number.isInteger(number)) {
-        const id = `i-${number}`;
-        control(changingBox).upstreamControl.mergeRecord(
-          upstreamOf({bornAt: number, id}),
-        );
-        const configuration = configurationOf(number);
-        const changed = control(changingBox).changeConfiguration({
-          configuration,
-          document: id,
-        });
-        const left =
-          control(changingBox).upstreamControl.acceptDeregistration(id);
-        void Promise.all([changed, left]).then(([{accepted}, hasLeft]) => {
-          if (accepted && hasLeft) {
-            acknowledgedAt.set(number, clock.now());
-          }
-        });
-      }
-      await clock.advance(STEP_MS);
-      const gone = handler.upstreamRecords
-        .filter(({state}) => state === UPSTREAM_STATE.gone)
-        .map(({id}) => id);
-      for (const [number, since] of acknowledgedAt) {
-        longestMs = Math.max(longestMs, clock.now() - since);
-        const isInForce =
-          handler.configurationVersion >= number &&
-          gone.includes(`i-${number}`);
-        if (isInForce) {
-          acknowledgedAt.delete(number);
-        }
-      }
-    }
-    invariant(longestMs > 0, 'some change must be acknowledged');
-    return longestMs;
-  }
-}
+import type {Fault} from '../utils/LateFleet';
+import {
+  APPLY_BOUND_MS,
+  FAULT,
+  FAULTS,
+  LateFleet,
+  STEP_MS,
+} from '../utils/LateFleet';
 
 describe('An edge whose polled control boxes are late', () => {
   test.each(FAULTS.flatMap((first) => FAULTS.map((second) => [first, second])))(
@@ -233,4 +75,37 @@
     expect(highestMs).toBeLessThan(APPLY_BOUND_MS);
     expect(fleet.outdatedCount).toBe(0);
   });
+
+  test.each(Array.from({length: 60}, (_, index) => 100 + index))(
+    'has each change in time, and knows its age, under random faults (seed %d)',
+    async (seed) => {
+      const random = new Random(seed);
+      const fleet = await LateFleet.start();
+      // A majority that includes the changing box stays sound.
+      const [first = '', second = '', third = '', fourth = '', last = ''] =
+        fleet.polledFirst;
+      let nextFaultAt = 0;
+      const disturb = async (at: number): Promise<void> => {
+        if (at < nextFaultAt) {
+          return;
+        }
+        nextFaultAt = at + random.integer(100, 900);
+        fleet.heal();
+        for (const box of random.pick([
+          [first, second],
+          [first, third],
+        ]) ?? []) {
+          await fleet.begin(random.pick(FAULTS) ?? FAULT.silent, box);
+        }
+        for (const box of [first, second, third, fourth, last]) {
+          if (random.fraction() < 0.5) {
+            await fleet.begin(FAULT.silent, box);
+          }
+        }
+      };
+      const delay = await fleet.longestDelayMs(last, disturb);
+      expect(delay).toBeLessThan(APPLY_BOUND_MS);
+      expect(fleet.understatedAges).toEqual([]);
+    },
+  );
 });
--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
@@ -0,0 +1,191 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A fleet in virtual time whose control boxes, or links to them, are late for one edge. */
+import {invariant} from 'shared';
+
+import {FLEET_SERVICE, UPSTREAM_STATE} from '../../index';
+import {configurationOf, upstreamOf} from './FleetFixture';
+import {CONTROLS, startFleet} from './WatchedFleet';
+
+/** The control boxes of the fleet. */
+export const BOXES = [...CONTROLS, 'c4:1', 'c5:1'];
+const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
+
+/** Within this time after its acknowledgement a change must be in force at edges, ms. */
+export const APPLY_BOUND_MS = 2_500;
+
+/** Interval between changes, each a configuration and a departure, ms. */
+const CHANGE_INTERVAL_MS = 400;
+
+/** How long changes go on after the fault, ms. */
+export const OBSERVATION_MS = 5_000;
+
+/** Time between two looks at the edge, ms. */
+export const STEP_MS = 20;
+
+/** Ways in which the answers of control boxes to an edge come late or say too little. */
+export const FAULT = {
+  /** The edge's connection loses all messages. */
+  silent: 'silent',
+  /** The same, right after the answer to another call of the edge. */
+  silentAfterAnswer: 'silent after another answer',
+  /** The control box hears from the leader but gets no entries. */
+  withoutEntries: 'without entries',
+  /** Neither the edge nor the leader reaches the control box. */
+  unreachable: 'unreachable',
+} as const;
+
+/** A value of FAULT. */
+export type Fault = (typeof FAULT)[keyof typeof FAULT];
+
+/** All faults. */
+export const FAULTS = Object.values(FAULT);
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>;
+
+/** A fleet whose control boxes are made late for one edge. */
+export class LateFleet {
+  /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
+  readonly understatedAges: number[] = [];
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly edge: string,
+    private readonly watched: ReturnType<Fleet['startWatch']>,
+    /** The control boxes that the edge polls, then the others. */
+    readonly polledFirst: readonly string[],
+  ) {}
+
+  /** Starts a fleet with an edge that does not poll the leader. */
+  static async start(): Promise<LateFleet> {
+    const fleet = await startFleet(BOXES);
+    for (const edge of EDGES) {
+      const watched = fleet.startWatch(edge);
+      await fleet.clock.advance(3_000);
+      const {leaderAddress = '', polledControls} = watched.watch;
+      if (!polledControls.includes(leaderAddress)) {
+        const others = BOXES.filter((box) => !polledControls.includes(box));
+        return new LateFleet(fleet, edge, watched, [
+          ...polledControls,
+          ...others,
+        ]);
+      }
+      void watched.watch[Symbol.asyncDispose]();
+    }
+    throw new Error('every edge polls the leader');
+  }
+
+  /** How often the edge found its state outdated since it first had one. */
+  get outdatedCount(): number {
+    return this.watched.log.decisions.filter(
+      (line) =>
+        line.event === 'state-outdated' &&
+        line.outdated &&
+        line.upstreamsAgeMs !== undefined,
+    ).length;
+  }
+
+  /** Age of the state at the edge, ms. */
+  get ageMs(): number {
+    return this.watched.watch.freshness.ageMs;
+  }
+
+  advance(ms: number): Promise<void> {
+    return this.fleet.clock.advance(ms);
+  }
+
+  async begin(fault: Fault, box: string): Promise<void> {
+    const {network, withoutEntries} = this.fleet;
+    switch (fault) {
+      case FAULT.silent:
+        network.silenceConnections(this.edge, [box]);
+        return;
+      case FAULT.silentAfterAnswer:
+        await this.callFromEdge(box);
+        network.silenceConnections(this.edge, [box]);
+        return;
+      case FAULT.withoutEntries:
+        withoutEntries.add(box);
+        return;
+      case FAULT.unreachable:
+        network.partition(
+          [box],
+          [this.edge, ...BOXES.filter((other) => other !== box)],
+        );
+    }
+  }
+
+  /** Calls a control box, which replies within the 50 ms unless its link has failed. */
+  private async callFromEdge(box: string): Promise<void> {
+    const {readConfiguration} = FLEET_SERVICE;
+    void this.watched.link.call(box, readConfiguration, null, 1_000);
+    await this.fleet.clock.advance(50);
+  }
+
+  /** Ends all faults; connections that went silent stay so. */
+  heal(): void {
+    this.fleet.network.heal();
+    this.fleet.withoutEntries.clear();
+  }
+
+  /**
+   * Changes the configuration and lets upstreams leave at the given control box, and returns
+   * the longest time between an acknowledgement and its arrival at the edge, ms.
+   */
+  async longestDelayMs(
+    changingBox: string,
+    onStep: (at: number) => Promise<void> = () => Promise.resolve(),
+  ): Promise<number> {
+    const {clock} = this.fleet;
+    const acknowledgedAt = new Map<number, number>();
+    let longestMs = 0;
+    for (let at = 0; at < OBSERVATION_MS; at += STEP_MS) {
+      await onStep(at);
+      const number = 10 + at / CHANGE_INTERVAL_MS;
+      if (Number.isInteger(number)) {
+        void this.change(changingBox, number).then((isAcknowledged) => {
+          if (isAcknowledged) {
+            acknowledgedAt.set(number, clock.now());
+          }
+        });
+      }
+      await clock.advance(STEP_MS);
+      for (const [number, since] of acknowledgedAt) {
+        const elapsedMs = clock.now() - since;
+        longestMs = Math.max(longestMs, elapsedMs);
+        if (this.isInForce(number)) {
+          acknowledgedAt.delete(number);
+        } else if (this.ageMs < elapsedMs) {
+          this.understatedAges.push(this.ageMs);
+        }
+      }
+    }
+    invariant(longestMs > 0, 'some change must be acknowledged');
+    return longestMs;
+  }
+
+  /** Changes the configuration and lets an upstream leave; whether both are acknowledged. */
+  private async change(box: string, number: number): Promise<boolean> {
+    const control = this.fleet.control(box);
+    const id = `i-${number}`;
+    control.upstreamControl.mergeRecord(upstreamOf({bornAt: number, id}));
+    const configuration = configurationOf(number);
+    const changed = control.changeConfiguration({configuration, document: id});
+    const left = control.upstreamControl.acceptDeregistration(id);
+    return (await changed).accepted && (await left);
+  }
+
+  /** Whether the edge has a configuration and the departure that came with it. */
+  private isInForce(number: number): boolean {
+    const {handler} = this.watched;
+    const hasDeparture = handler.upstreamRecords.some(
+      ({id, state}) => id === `i-${number}` && state !== UPSTREAM_STATE.ready,
+    );
+    return handler.configurationVersion >= number && hasDeparture;
+  }
+}
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -50,7 +50,9 @@
   }
 
   override onConfiguration(configuration: FleetConfiguration): void {
-    this.configurationHeld = configuration;
+    if (configuration.version > this.configurationVersion) {
+      this.configurationHeld = configuration;
+    }
   }
 
   override onConfigurationChange(change: ConfigurationChange): void {
