Log the digest and the delay of each configuration, and the target of a refusal

On-call could not tell an edge that was late from one that had a version with other content: the line of an adopted configuration had its version and source only, and a request without a route didn't say what it had asked for.

Control boxes log each configuration that they apply with a digest of its content, edges log the same digest and the longest time for which the source may have had the version, by the source's own steady clock, and count that time in a histogram. Differences carry the digest.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -41,6 +41,8 @@
 export interface RequestEnded extends RequestDecision {
   readonly event: 'request-ended';
   readonly route: string;
+  /** Host and path, cut short, of a request that no route matches. */
+  readonly target?: string | undefined;
   readonly team: string | undefined;
   readonly status: number;
   /** Reason for the status; `served` if the response came from an upstream. */
@@ -352,6 +354,28 @@
   readonly version: number;
   readonly former: number | undefined;
   readonly source: string;
+  /** Digest of the content, to compare with `configuration-applied` of control boxes. */
+  readonly digest: number;
+  /** Longest time for which the source may have had the version, ms. */
+  readonly delayMs: number | undefined;
+}
+
+/** A control box applied a configuration from the log. */
+export interface ConfigurationApplied {
+  readonly event: 'configuration-applied';
+  readonly version: number;
+  /** Digest of the content. */
+  readonly digest: number;
+}
+
+/** A difference did not lead to the content that its sender has; it was discarded. */
+export interface ConfigurationMismatch {
+  readonly event: 'configuration-mismatch';
+  readonly base: number;
+  readonly version: number;
+  readonly digest: number;
+  readonly expectedDigest: number;
+  readonly source: string;
 }
 
 /** A control box announced a configuration version that this process lacks. */
@@ -684,6 +708,8 @@
   | BacklogChanged
   | ConfigurationChangeDecided
   | ConfigurationAdopted
+  | ConfigurationApplied
+  | ConfigurationMismatch
   | ConfigurationOverdue
   | CrashesReported
   | CrossRegionRoutingChanged
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -17,6 +17,7 @@
 import type {
   BoxRecord,
   ConfigurationChange,
+  ConfigurationOrigin,
   EdgeState,
   Evacuations,
   FleetConfiguration,
@@ -25,6 +26,7 @@
 } from 'puffinturn-fleet';
 import {
   applyChange,
+  digestOf,
   EMPTY_ROLLOUTS,
   FleetWatch,
   incarnationIdOf,
@@ -432,7 +434,10 @@
   }
 
   /** Applies a configuration if it is newer than the current one. */
-  applyConfiguration(configuration: FleetConfiguration, source: string): void {
+  applyConfiguration(
+    configuration: FleetConfiguration,
+    {box, delayMs}: ConfigurationOrigin,
+  ): void {
     const previousVersion = this.routeTable?.version;
     if (
       previousVersion !== undefined &&
@@ -448,17 +453,25 @@
     this.metrics.configurationVersion.set(configuration.version);
     this.parts.log.note({
       event: 'configuration-adopted',
+      delayMs: delayMs === undefined ? undefined : Math.round(delayMs),
+      digest: digestOf(configuration),
       former: previousVersion,
-      source,
+      source: box,
       version: configuration.version,
     });
+    if (previousVersion !== undefined && delayMs !== undefined) {
+      this.metrics.configurationDelay.observe(delayMs / 1_000);
+    }
   }
 
   /** Applies a configuration change if its base is the current version. */
-  applyConfigurationChange(change: ConfigurationChange, source: string): void {
+  applyConfigurationChange(
+    change: ConfigurationChange,
+    origin: ConfigurationOrigin,
+  ): void {
     const current = this.routeTable?.configuration;
     if (current?.version === change.base) {
-      this.applyConfiguration(applyChange(current, change), source);
+      this.applyConfiguration(applyChange(current, change), origin);
     }
   }
 
@@ -597,7 +610,10 @@
     this.fleetWatch.addControls(handover.boxes);
     this.applyRollouts(handover.rollouts ?? EMPTY_ROLLOUTS, source);
     this.pool.merge(handover.upstreams, source);
-    this.applyConfiguration(handover.configuration, source);
+    this.applyConfiguration(handover.configuration, {
+      box: source,
+      delayMs: undefined,
+    });
     this.applyEvacuations(handover.evacuations ?? NO_EVACUATIONS, source);
     this.quarantine.adopt(handover.quarantine ?? EMPTY_QUARANTINE, source);
     this.hasHandover = true;
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -13,6 +13,11 @@
   0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15,
 ];
 
+/** Upper bounds of the buckets for delays of configurations, s. */
+const CONFIGURATION_DELAY_BUCKETS_S = [
+  0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 2.5, 3, 5, 10,
+];
+
 /** The metrics of one edge and their registry. */
 export class EdgeMetrics {
   readonly registry = new Registry();
@@ -150,6 +155,12 @@
     name: 'puffinturn_edge_state_age_seconds',
     registers: [this.registry],
   });
+  readonly configurationDelay = new Histogram({
+    buckets: CONFIGURATION_DELAY_BUCKETS_S,
+    help: 'Time from a configuration at the control box that sent it until it is in force here, s',
+    name: 'puffinturn_edge_configuration_delay_seconds',
+    registers: [this.registry],
+  });
   readonly controlReachable = new Gauge({
     help: '1 while some control box answers',
     name: 'puffinturn_edge_in_touch',
--- a/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
+++ b/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
@@ -9,6 +9,7 @@
 import type {
   BoxRecord,
   ConfigurationChange,
+  ConfigurationOrigin,
   Evacuations,
   FleetConfiguration,
   Rollouts,
@@ -31,16 +32,16 @@
 
   override onConfiguration(
     configuration: FleetConfiguration,
-    source: string,
+    origin: ConfigurationOrigin,
   ): void {
-    this.edge.applyConfiguration(configuration, source);
+    this.edge.applyConfiguration(configuration, origin);
   }
 
   override onConfigurationChange(
     change: ConfigurationChange,
-    source: string,
+    origin: ConfigurationOrigin,
   ): void {
-    this.edge.applyConfigurationChange(change, source);
+    this.edge.applyConfigurationChange(change, origin);
   }
 
   override get evacuationRevision(): number {
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -168,7 +168,10 @@
       services: [{engine: undefined, maxConnections: 9, name: 's'}],
       teams: [{...TEAM, ...team}],
     };
-    this.edge.applyConfiguration(configuration, 'test');
+    this.edge.applyConfiguration(configuration, {
+      box: 'test',
+      delayMs: undefined,
+    });
   }
 
   /** Sends one request and reads the complete response. */
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -97,6 +97,9 @@
 const MAX_LOGGED_PARTS = 8;
 const MAX_LOGGED_PART_LENGTH = 64;
 
+/** Longest host and path in the log, characters. */
+const MAX_LOGGED_TARGET_LENGTH = 80;
+
 /** Minimum time before the deadline for one more attempt, ms. */
 const MIN_REMAINING_MS = 10;
 
@@ -744,6 +747,12 @@
     return denied.length === 0 ? undefined : denied.map(({id}) => id);
   }
 
+  private get loggedTarget(): string {
+    const {caller} = this;
+    const target = `${caller.header('host') ?? ''}${caller.path}`;
+    return target.slice(0, MAX_LOGGED_TARGET_LENGTH);
+  }
+
   private recordEnd(charged = 0, tokenState?: TokenState): void {
     const {attemptCount, caller, plan, relay, lastUpstream, table} = this;
     const {cause} = this.requestOutcome;
@@ -771,6 +780,7 @@
       upstreamAgeMs: this.lastRecordAgeMs,
       stateAgeMs: this.stateAgeMs,
       status,
+      target: cause === 'no-route' ? this.loggedTarget : undefined,
       team: plan?.team?.name,
       tokens: tokenState,
       tookMs: Math.round(clock.now() - caller.arrivedAt),
--- a/packages/puffinturn-fleet/src/ConfigurationChange.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationChange.ts
@@ -13,6 +13,7 @@
   Team,
 } from './Configuration';
 import {routeKey} from './Configuration';
+import {digestOf} from './ConfigurationDigest';
 
 /**
  * Difference between two versions of a configuration. It is sent instead of the whole
@@ -31,6 +32,8 @@
   readonly removedTeams: readonly string[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Digest of the next configuration; older software versions omit it. */
+  readonly digest?: number | undefined;
 }
 
 interface Difference<Item> {
@@ -51,6 +54,7 @@
   const teams = diffItems(base.teams ?? [], next.teams ?? [], teamName);
   return {
     base: base.version,
+    digest: digestOf(next),
     limits: next.limits,
     removedRoutes: routes.removed,
     removedTeams: teams.removed,
--- /dev/null
+++ b/packages/puffinturn-fleet/src/ConfigurationDigest.ts
@@ -0,0 +1,43 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Digests of the content of configurations, by which boxes can compare what they hold under
+ * the same version.
+ */
+import {hash32} from 'shared';
+
+import type {FleetConfiguration} from './Configuration';
+
+const DIGEST_MODULUS = 2 ** 32;
+
+/** Hashes of items, most of which the next version shares. */
+const itemHashes = new WeakMap<object, number>();
+
+/** Digest of everything but the version. The order of the routes and teams is irrelevant. */
+export function digestOf({
+  limits,
+  routes,
+  services,
+  teams = [],
+}: FleetConfiguration): number {
+  const items: readonly object[] = [...routes, ...teams, ...services, limits];
+  return items.reduce(
+    (sum: number, item) => (sum + hashItem(item)) % DIGEST_MODULUS,
+    0,
+  );
+}
+
+function hashItem(item: object): number {
+  const known = itemHashes.get(item);
+  if (known !== undefined) {
+    return known;
+  }
+  const hash = hash32(JSON.stringify(item));
+  itemHashes.set(item, hash);
+  return hash;
+}
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -216,6 +216,7 @@
     );
     this.tasks.start((signal) => this.expireSilentPeers(signal));
     this.tasks.start((signal) => this.trackCurrency(signal));
+    this.tasks.start((signal) => this.trackVersions(signal));
   }
 
   /** Replaces the configuration with a validated one; accepted once a quorum has stored it. */
@@ -415,6 +416,13 @@
     }
   }
 
+  private async trackVersions(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.parts.stateChanged.wait();
+      this.watchReplies.noteVersion();
+    }
+  }
+
   private async expireSilentPeers(signal: AbortSignal): Promise<void> {
     const {clock} = this.parts;
     while (!signal.aborted) {
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -128,6 +128,8 @@
   readonly stateAgeMs?: number | undefined;
   /** How long the responder held the request, ms; older software versions omit it. */
   readonly heldMs?: number | undefined;
+  /** How long the responder has had `heldVersion`, ms; older software versions omit it. */
+  readonly heldVersionMs?: number | undefined;
 }
 
 /** Reply to an exchange; undefined grants mean that it failed and may be retried. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -94,15 +94,25 @@
 
 type PollOutcome = (typeof POLL_OUTCOME)[keyof typeof POLL_OUTCOME];
 
+/** Where a configuration came from. */
+export interface ConfigurationOrigin {
+  readonly box: string;
+  /** Longest time for which that box may have had it, ms; undefined if it doesn't tell. */
+  readonly delayMs: number | undefined;
+}
+
 /** Receives the updates of a FleetWatch. */
 export abstract class FleetUpdateHandler {
   /** The current configuration version; -Infinity without one. */
   abstract get configurationVersion(): number;
-  abstract onConfiguration(update: FleetConfiguration, source: string): void;
+  abstract onConfiguration(
+    update: FleetConfiguration,
+    origin: ConfigurationOrigin,
+  ): void;
   /** Applies a difference; ignored if its base is not the current configuration. */
   abstract onConfigurationChange(
     change: ConfigurationChange,
-    source: string,
+    origin: ConfigurationOrigin,
   ): void;
   /** The current revision of the evacuations. */
   abstract get evacuationRevision(): number;
@@ -566,12 +576,16 @@
     peer.upstreamsRevision = reply.upstreamsRevision;
     peer.boxesRevision = reply.boxesRevision;
     this.leaderBox = reply.leader ?? this.leaderBox;
+    const origin = {
+      box: peer.box,
+      delayMs: configurationDelayMs(reply, clock.now() - sentAt),
+    };
     if (reply.configuration !== undefined && reply.configuration !== null) {
-      updateHandler.onConfiguration(reply.configuration, peer.box);
+      updateHandler.onConfiguration(reply.configuration, origin);
     }
     const change = reply.configurationChange;
     if (change !== undefined && change !== null) {
-      updateHandler.onConfigurationChange(change, peer.box);
+      updateHandler.onConfigurationChange(change, origin);
     }
     const {evacuations, quarantine, rollouts} = reply;
     if (evacuations !== undefined && evacuations !== null) {
@@ -667,6 +681,16 @@
   }
 }
 
+/** Longest time for which the responder may have had its configuration, ms. */
+function configurationDelayMs(
+  {heldMs = 0, heldVersionMs}: WatchReply,
+  tookMs: number,
+): number | undefined {
+  return heldVersionMs === undefined
+    ? undefined
+    : heldVersionMs + tookMs - heldMs;
+}
+
 /** An age for the log, ms; undefined if there is none. */
 function finiteAge(ageMs: number): number | undefined {
   return ageMs < Infinity ? Math.round(ageMs) : undefined;
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -9,10 +9,13 @@
  * Builds the replies of a control box to watch requests: the updates since the last
  * reply, and whether a reply must be sent without delay.
  */
+import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
 import type {Quarantine} from 'puffinturn-quarantine';
+import type {Clock} from 'shared';
 
 import type {BoxList} from './BoxList';
+import {digestOf} from './ConfigurationDigest';
 import {ConfigurationHistory} from './ConfigurationHistory';
 import type {Evacuations} from './Evacuations';
 import type {FleetMachine} from './FleetMachine';
@@ -30,6 +33,8 @@
 /** Constructor arguments of WatchReplies. */
 export interface WatchAnswersParts {
   readonly self: BoxRecord;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
   readonly replica: Replica;
   readonly machine: FleetMachine;
   readonly upstreams: UpstreamTable;
@@ -43,6 +48,9 @@
 /** Builds the replies of a control box to watch requests. */
 export class WatchReplies {
   private readonly history = new ConfigurationHistory();
+  private notedVersion = -Infinity;
+  /** Time at which this box first had the noted version, ms. */
+  private versionNotedAt = 0;
 
   constructor(private readonly parts: WatchAnswersParts) {}
 
@@ -73,6 +81,25 @@
     );
   }
 
+  /** Notes when the current version came; called after each change. */
+  noteVersion(): void {
+    const {clock, log, machine} = this.parts;
+    const configuration = machine.storedConfiguration?.configuration;
+    if (
+      configuration === undefined ||
+      configuration.version === this.notedVersion
+    ) {
+      return;
+    }
+    this.notedVersion = configuration.version;
+    this.versionNotedAt = clock.now();
+    log.note({
+      digest: digestOf(configuration),
+      event: 'configuration-applied',
+      version: configuration.version,
+    });
+  }
+
   /** Whether to reply without delay; box changes alone wait for the next reply. */
   hasUpdates(request: WatchRequest): boolean {
     const {hearsLeader = this.isUpToDate} = request;
@@ -116,8 +143,9 @@
    * `heldMs`.
    */
   replyTo(request: WatchRequest, current: boolean, heldMs: number): WatchReply {
-    const {confirmation, self} = this.parts;
+    const {clock, confirmation, self} = this.parts;
     const {ageMs} = confirmation;
+    this.noteVersion();
     const isSameIncarnation = request.incarnation === self.incarnation;
     const upstreamsRevision = isSameIncarnation ? request.upstreamsRevision : 0;
     const boxesRevision = isSameIncarnation ? request.boxesRevision : -1;
@@ -137,6 +165,7 @@
       evacuations: this.newerEvacuations(request),
       heldMs,
       heldVersion: this.heldVersion,
+      heldVersionMs: clock.now() - this.versionNotedAt,
       incarnation: self.incarnation,
       leader: this.followedLeader,
       quarantine: this.newerQuarantine(request),
--- a/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/ConfigurationChange.test.ts
@@ -12,6 +12,7 @@
   applyChange,
   ConfigurationHistory,
   diffConfigurations,
+  digestOf,
   RETRY_POLICY,
 } from '../../index';
 import {configurationOf} from '../utils/FleetFixture';
@@ -98,11 +99,29 @@
             : undefined,
         });
         expect(sortByName(result)).toEqual(sortByName(next));
+        expect(digestOf(result)).toBe(digestOf(next));
       }),
       {seed: 7},
     );
   });
 
+  test('carry a digest that differs for other content', () => {
+    const base = {...configurationOf(1), routes: [createRoute(1, 100)]};
+    const contents: FleetConfiguration[] = [
+      base,
+      {...base, routes: []},
+      {...base, routes: [createRoute(1, 200)]},
+      {...base, services: []},
+      {...base, teams: [createTeam(1, 9)]},
+      {...base, limits: {...base.limits, maxBodyBytes: 1}},
+    ];
+    expect(new Set(contents.map(digestOf)).size).toBe(contents.length);
+    expect(digestOf({...base, version: 2})).toBe(digestOf(base));
+    expect(diffConfigurations(base, contents[2]!).digest).toBe(
+      digestOf(contents[2]!),
+    );
+  });
+
   test('contain only the differences', () => {
     const routes = Array.from({length: 500}, (_, index) =>
       createRoute(index, 100),
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -30,6 +30,7 @@
 export {checkConfiguration, RETRY_POLICY, routeKey} from './Configuration';
 export type {ConfigurationChange} from './ConfigurationChange';
 export {applyChange, diffConfigurations} from './ConfigurationChange';
+export {digestOf} from './ConfigurationDigest';
 export {ConfigurationHistory} from './ConfigurationHistory';
 export type {
   ConfigurationOutcome,
@@ -77,6 +78,7 @@
   TUNNEL_OUTCOME,
 } from './FleetMessages';
 export type {FleetWatchParts} from './FleetWatch';
+export type {ConfigurationOrigin} from './FleetWatch';
 export {FleetUpdateHandler, FleetWatch} from './FleetWatch';
 export {intersectRegions, Regions} from './Regions';
 export {createReplicaLink} from './ReplicaLink';
