Test of edges after faults that are over, over connections like those of TCP

MemoryNetwork opens connections at once and forgets losses, so no test could show what a fault leaves behind. It can now let connections take round trips to open, lose their first packet, and repeat lost packets after growing delays.

--- /dev/null
+++ b/packages/puffinturn-fleet/src/__tests__/utils/DisturbedFleet.ts
@@ -0,0 +1,181 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** A fleet in virtual time, over connections like those of TCP, after faults that are over. */
+import {invariant} from 'shared';
+
+import {configurationOf} from './FleetFixture';
+import {CONTROLS, startFleet} from './WatchedFleet';
+
+const BOXES = [...CONTROLS, 'c4:1', 'c5:1'];
+const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
+
+/** Time between two looks at the edge, ms. */
+const STEP_MS = 20;
+
+/** Time after which a change counts as never in force, ms. */
+const GIVE_UP_MS = 10_000;
+
+/** Time between an unacknowledged change and its repetition, ms. */
+const OPERATOR_RETRY_MS = 400;
+
+/** Faults that begin and end. */
+export const DISTURBANCE = {
+  /** No packets between the edge and all control boxes. */
+  edgeCut: 'edge cut off',
+  /** Packets of the edge are lost, those to it arrive. */
+  edgeUnheard: 'edge unheard',
+  /** Packets to the edge are lost, its own arrive. */
+  edgeDeaf: 'edge gets nothing',
+  /** No packets between the edge and the control boxes that it polls. */
+  polledCut: 'polled boxes cut off from the edge',
+  /** The polled control boxes are cut off from all others. */
+  polledIsolated: 'polled boxes isolated',
+  /** The processes of the polled control boxes do not run. */
+  polledPaused: 'polled boxes paused',
+  /** The process of the preferred control box does not run. */
+  preferredPaused: 'preferred box paused',
+  /** The polled control boxes get no entries. */
+  polledWithoutEntries: 'polled boxes without entries',
+  /** The leader is cut off from the other control boxes. */
+  leaderIsolated: 'leader isolated',
+  /** The process of the leader does not run. */
+  leaderPaused: 'leader paused',
+} as const;
+
+/** A value of DISTURBANCE. */
+export type Disturbance = (typeof DISTURBANCE)[keyof typeof DISTURBANCE];
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>;
+
+/** An edge and its control boxes, which are disturbed and then left alone. */
+export class DisturbedFleet {
+  /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
+  readonly understatedAges: number[] = [];
+  private lastVersion = 1;
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly edge: string,
+    private readonly watched: ReturnType<Fleet['startWatch']>,
+  ) {}
+
+  /** Starts a fleet with an edge that does not poll the leader. */
+  static async start(): Promise<DisturbedFleet> {
+    const fleet = await startFleet(BOXES, true);
+    for (const edge of EDGES) {
+      const watched = fleet.startWatch(edge);
+      await fleet.clock.advance(3_000);
+      const {leaderAddress = '', polledControls} = watched.watch;
+      if (!polledControls.includes(leaderAddress)) {
+        return new DisturbedFleet(fleet, edge, watched);
+      }
+      void watched.watch[Symbol.asyncDispose]();
+    }
+    throw new Error('every edge polls the leader');
+  }
+
+  /** Age of the state at the edge, ms. */
+  get ageMs(): number {
+    return this.watched.watch.freshness.ageMs;
+  }
+
+  advance(ms: number): Promise<void> {
+    return this.fleet.clock.advance(ms);
+  }
+
+  begin(disturbance: Disturbance): void {
+    const {network, paused, withoutEntries} = this.fleet;
+    const {leaderAddress = '', polledControls} = this.watched.watch;
+    const polled = polledControls.slice(0, 2);
+    const others = (boxes: readonly string[]) =>
+      BOXES.filter((box) => !boxes.includes(box));
+    switch (disturbance) {
+      case DISTURBANCE.edgeCut:
+        network.partition([this.edge], BOXES);
+        return;
+      case DISTURBANCE.edgeUnheard:
+        BOXES.forEach((box) => network.dropMessages(this.edge, box));
+        return;
+      case DISTURBANCE.edgeDeaf:
+        BOXES.forEach((box) => network.dropMessages(box, this.edge));
+        return;
+      case DISTURBANCE.polledCut:
+        network.partition([this.edge], polled);
+        return;
+      case DISTURBANCE.polledIsolated:
+        network.partition(polled, [...others(polled), this.edge]);
+        return;
+      case DISTURBANCE.polledPaused:
+        polled.forEach((box) => paused.add(box));
+        return;
+      case DISTURBANCE.preferredPaused:
+        paused.add(polled[0] ?? '');
+        return;
+      case DISTURBANCE.polledWithoutEntries:
+        polled.forEach((box) => withoutEntries.add(box));
+        return;
+      case DISTURBANCE.leaderIsolated:
+        network.partition([leaderAddress], others([leaderAddress]));
+        return;
+      case DISTURBANCE.leaderPaused:
+        paused.add(leaderAddress);
+    }
+  }
+
+  /** Ends all disturbances. */
+  end(): void {
+    this.fleet.network.heal();
+    this.fleet.withoutEntries.clear();
+    this.fleet.resume();
+  }
+
+  /** Makes one change; returns the time from its acknowledgement until it is in force, ms. */
+  async changeDelayMs(): Promise<number> {
+    const {clock} = this.fleet;
+    this.lastVersion += 1;
+    const version = this.lastVersion;
+    let acknowledgedAt: number | undefined;
+    void this.changeUntilAccepted(version).then(() => {
+      acknowledgedAt = clock.now();
+    });
+    const startedAt = clock.now();
+    while (clock.now() - startedAt < GIVE_UP_MS) {
+      const isInForce = this.watched.handler.configurationVersion >= version;
+      if (acknowledgedAt !== undefined && isInForce) {
+        return clock.now() - acknowledgedAt;
+      }
+      const elapsedMs = clock.now() - (acknowledgedAt ?? Infinity);
+      if (this.ageMs < elapsedMs) {
+        this.understatedAges.push(this.ageMs);
+      }
+      await clock.advance(STEP_MS);
+    }
+    return Infinity;
+  }
+
+  /** Sends a change to one control box after the other, as an operator does. */
+  private async changeUntilAccepted(version: number): Promise<void> {
+    const {clock} = this.fleet;
+    for (let attempt = 0; ; attempt += 1) {
+      const box = BOXES[attempt % BOXES.length];
+      invariant(box !== undefined, `there is no box for attempt ${attempt}`);
+      const retryDue = clock.sleep(OPERATOR_RETRY_MS);
+      const reply = await Promise.race([
+        this.fleet.control(box).changeConfiguration({
+          configuration: configurationOf(version),
+          document: `${version}`,
+        }),
+        retryDue,
+      ]);
+      if (reply?.accepted) {
+        return;
+      }
+      await retryDue;
+    }
+  }
+}
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -95,14 +95,30 @@
 }
 
 /** Starts control boxes and waits until they have a leader. */
-export async function startFleet(boxes: readonly string[] = CONTROLS) {
+export async function startFleet(
+  boxes: readonly string[] = CONTROLS,
+  simulatesTcp = false,
+) {
   const clock = new ManualClock();
   const network = new MemoryNetwork(clock, new Random(3));
+  network.simulatesTcp = simulatesTcp;
   const controls = new Map<string, FleetControl>();
   /** Control boxes that hear from the leader but get no more entries. */
   const withoutEntries = new Set<string>();
+  /** Boxes whose process does not run. */
+  const paused = new Set<string>();
+  const resumed = new Condition();
+  const waitUntilRunning = async (box: string): Promise<void> => {
+    while (paused.has(box)) {
+      await resumed.wait();
+    }
+  };
+  const resume = (): void => {
+    paused.clear();
+    resumed.notify();
+  };
   for (const box of boxes) {
-    const link = network.connect(box);
+    const link = network.connect(box, () => waitUntilRunning(box));
     const stateChanged = new Condition();
     const stateMachine = new FleetMachine(() => stateChanged.notify());
     const {logLink, serve} = createReplicaLink(link);
@@ -163,7 +179,15 @@
     invariant(found !== undefined, 'the control box must exist');
     return found;
   };
-  return {clock, control, network, startWatch, withoutEntries};
+  return {
+    clock,
+    control,
+    network,
+    paused,
+    resume,
+    startWatch,
+    withoutEntries,
+  };
 }
 
 /** Advances the clock until a promise settles, for up to 5 s. */
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -17,19 +17,12 @@
 
 import type {LinkFailure} from './Link';
 import {Link} from './Link';
-import {SUSPECT_AFTER_QUIET_MS} from './WireConstants';
+import {SimulatedConnection} from './SimulatedConnection';
+import {CONNECT_TIMEOUT_MS, SUSPECT_AFTER_QUIET_MS} from './WireConstants';
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
 
-/** Stands for the connection over which one box calls another. */
-interface SimulatedConnection {
-  /** Whether messages on it are lost; the next connection works. */
-  isSilent: boolean;
-  /** Time of the last reply on it. */
-  lastReplyAt: number;
-}
-
 /** Range of random message delays. */
 export interface DelayRange {
   readonly minMs: number;
@@ -40,6 +33,8 @@
 export class MemoryNetwork {
   /** Each message gets a random delay in this range, so messages may be reordered. */
   delayRange: DelayRange = {maxMs: 2, minMs: 1};
+  /** Whether connections need time to open and repeat lost packets, as with TCP. */
+  simulatesTcp = false;
   private readonly links = new Map<string, MemoryLink>();
   private readonly blockedRoutes = new Set<string>();
   private readonly stalledRoutes = new Set<string>();
@@ -105,8 +100,9 @@
 
   /** Replaces a connection unless a reply came within `quietMs`, as TcpLink does. */
   reconnectIfQuiet(from: string, to: string, quietMs: number): void {
-    const {lastReplyAt} = this.connectionOf(from, to);
-    if (this.clock.now() - lastReplyAt >= quietMs) {
+    const connection = this.connectionOf(from, to);
+    const isOpen = connection.isOpen || !this.simulatesTcp;
+    if (isOpen && this.clock.now() - connection.lastReplyAt >= quietMs) {
       this.connections.delete(`${from}>${to}`);
     }
   }
@@ -126,15 +122,29 @@
     body: unknown,
     timeoutMs: number,
   ) {
+    const calledAt = this.clock.now();
     const connection = this.connectionOf(link.box, to);
     const timeout = this.clock.sleep(timeoutMs).then(() => undefined);
-    const answered = this.roundTrip(link, to, service, encoder.encode(body));
-    const result = await Promise.race([
+    if (!(await Promise.race([this.open(connection, link.box, to), timeout]))) {
+      const message = `cannot connect to ${to}`;
+      return err<unknown, LinkFailure>({kind: 'not-sent', message});
+    }
+    const answered = this.roundTrip(
+      link,
+      to,
+      service,
+      encoder.encode(body),
+      connection,
+    );
+    const ended = Promise.race([
       answered.then((reply) => (connection.isSilent ? timeout : reply)),
       timeout,
     ]);
+    const result = this.simulatesTcp
+      ? await connection.waitUnlessClosed(ended)
+      : await ended;
     if (result === undefined) {
-      this.reconnectIfQuiet(link.box, to, SUSPECT_AFTER_QUIET_MS);
+      this.replaceIfSilent(connection, link.box, to, calledAt);
       const message = `${to} did not respond`;
       return err<unknown, LinkFailure>({kind: 'no-answer', message});
     }
@@ -142,13 +152,59 @@
     return result;
   }
 
+  /** Whether a connection is open, after opening it if necessary. */
+  private async open(
+    connection: SimulatedConnection,
+    from: string,
+    to: string,
+  ): Promise<boolean> {
+    if (!this.simulatesTcp) {
+      return true;
+    }
+    const isOpen = await connection.open(CONNECT_TIMEOUT_MS);
+    if (!isOpen) {
+      this.forget(connection, `${from}>${to}`);
+    }
+    return isOpen;
+  }
+
+  /** Closes a connection that has been silent since a call, as TcpLink does. */
+  private replaceIfSilent(
+    connection: SimulatedConnection,
+    from: string,
+    to: string,
+    calledAt: number,
+  ): void {
+    if (this.simulatesTcp && connection.lastReplyAt <= calledAt) {
+      this.forget(connection, `${from}>${to}`);
+      connection.close();
+    } else {
+      this.reconnectIfQuiet(from, to, SUSPECT_AFTER_QUIET_MS);
+    }
+  }
+
+  private forget(connection: SimulatedConnection, route: string): void {
+    if (this.connections.get(route) === connection) {
+      this.connections.delete(route);
+    }
+  }
+
   private connectionOf(from: string, to: string): SimulatedConnection {
     const route = `${from}>${to}`;
     const existing = this.connections.get(route);
     if (existing !== undefined) {
       return existing;
     }
-    const connection = {isSilent: false, lastReplyAt: -Infinity};
+    const connection = new SimulatedConnection(
+      this.clock,
+      {
+        travel: (sender, receiver) => this.deliver(sender, receiver),
+        waitUntilRunning: async (box) =>
+          this.links.get(box)?.waitUntilRunning(),
+      },
+      from,
+      to,
+    );
     this.connections.set(route, connection);
     return connection;
   }
@@ -158,9 +214,16 @@
     to: string,
     service: string,
     bytes: Buffer,
+    connection: SimulatedConnection,
   ) {
     const from = link.box;
-    if (this.links.get(from) !== link || !(await this.deliver(from, to))) {
+    if (this.links.get(from) !== link) {
+      return undefined;
+    }
+    const isReceived = this.simulatesTcp
+      ? await connection.sendRequest()
+      : await this.deliver(from, to);
+    if (!isReceived) {
       return undefined;
     }
     const target = this.links.get(to);
@@ -184,7 +247,9 @@
     if (this.links.get(to) !== target) {
       return undefined;
     }
-    const isDelivered = await this.deliver(to, from);
+    const isDelivered = this.simulatesTcp
+      ? await connection.sendReply()
+      : await this.deliver(to, from);
     await link.waitUntilRunning();
     return isDelivered && this.links.get(from) === link ? result : undefined;
   }
