--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -42,7 +42,8 @@
   WatchRequest,
 } from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
-import {FleetUpdateHandler, FleetWatch} from './FleetWatch';
+import {FleetUpdateHandler} from './FleetUpdateHandler';
+import {FleetWatch} from './FleetWatch';
 import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
 import {QuarantineControl} from './QuarantineControl';
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -12,22 +12,21 @@
  * Unreachable ones are retried, and the state received from them stays valid.
  */
 import type {DecisionLog} from 'puffinturn-decisions';
-import type {Quarantine} from 'puffinturn-quarantine';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {Condition, hash32, sleepUnlessNotified, TaskGroup} from 'shared';
 
 import type {BoxChanges} from './BoxList';
-import type {FleetConfiguration} from './Configuration';
-import type {ConfigurationChange} from './ConfigurationChange';
 import {ConfigurationLag} from './ConfigurationLag';
-import type {Evacuations} from './Evacuations';
+import type {ControlPeer} from './ControlPeer';
+import {createControlPeer} from './ControlPeer';
+import {ControlSelection} from './ControlSelection';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
+import type {FleetUpdateHandler} from './FleetUpdateHandler';
 import {Regions} from './Regions';
-import type {Rollouts} from './Rollouts';
 import {StateFreshness} from './StateFreshness';
-import type {UpstreamRecord} from './UpstreamTable';
+import {StateRenewal} from './StateRenewal';
 
 /**
  * How long the preferred control box may delay its reply, ms. The state confirmed by a reply
@@ -38,28 +37,9 @@
 /** The same for the other polled control boxes, which only add to the preferred one, ms. */
 const BRIEF_LONG_POLL_MS = 2_000;
 
-/**
- * Age of the state from which all control boxes are asked over new connections, ms. Below
- * half of the time within which a change has to be in force would cost more polls; above,
- * too little time would remain for a slow answer.
- */
-const RENEWAL_AGE_MS = 1_500;
-
-/** Minimum interval between two renewals while the state stays old, ms. */
-const RENEWAL_INTERVAL_MS = 1_000;
-
-/** Age of the state from which requests wait for a renewal that began late, ms. */
-const LATE_RENEWAL_AGE_MS = 2_000;
-
-/** Longest time that requests wait for such a renewal, ms: some round trips. */
-const MAX_CATCH_UP_MS = 200;
-
 /** A connection that received nothing for this time is replaced in a renewal, ms. */
 const QUIET_CONNECTION_MS = 500;
 
-/** Minimum interval between two checks of the age, ms. */
-const MIN_AGE_CHECK_INTERVAL_MS = 50;
-
 /** Interval at which seeds are read and standby control boxes are reconsidered, ms. */
 const SELECTION_INTERVAL_MS = 1_000;
 
@@ -81,9 +61,6 @@
 /** A control box that is not a seed is removed after this time without a reply, ms. */
 const PEER_EXPIRY_MS = 20_000;
 
-/** Distance classes of control boxes; the nearest ones are polled first. */
-const DISTANCE = {ownHall: 0, ownRegion: 1, otherRegion: 2} as const;
-
 /** How a poll ended. */
 const POLL_OUTCOME = {
   answered: 'answered',
@@ -94,42 +71,6 @@
 
 type PollOutcome = (typeof POLL_OUTCOME)[keyof typeof POLL_OUTCOME];
 
-/** Where a configuration came from. */
-export interface ConfigurationOrigin {
-  readonly box: string;
-  /** Longest time for which that box may have had it, ms; undefined if it doesn't tell. */
-  readonly delayMs: number | undefined;
-}
-
-/** Receives the updates of a FleetWatch. */
-export abstract class FleetUpdateHandler {
-  /** The current configuration version; -Infinity without one. */
-  abstract get configurationVersion(): number;
-  abstract onConfiguration(
-    update: FleetConfiguration,
-    origin: ConfigurationOrigin,
-  ): void;
-  /** Applies a difference; ignored if its base is not the current configuration. */
-  abstract onConfigurationChange(
-    change: ConfigurationChange,
-    origin: ConfigurationOrigin,
-  ): void;
-  /** The current revision of the evacuations. */
-  abstract get evacuationRevision(): number;
-  abstract onEvacuations(update: Evacuations, source: string): void;
-  /** The current revision of the rollouts. */
-  abstract get rolloutRevision(): number;
-  abstract onRollouts(update: Rollouts, source: string): void;
-  /** The current revision of the quarantine. */
-  abstract get quarantineRevision(): number;
-  abstract onQuarantine(update: Quarantine, source: string): void;
-  abstract onUpstreams(
-    records: readonly UpstreamRecord[],
-    source: string,
-  ): void;
-  abstract onBoxes(records: readonly BoxRecord[], source: string): void;
-}
-
 /** Constructor arguments of FleetWatch. */
 export interface FleetWatchParts {
   readonly self: BoxRecord;
@@ -145,33 +86,6 @@
   readonly regions?: Regions | undefined;
 }
 
-interface ControlPeer {
-  readonly box: string;
-  /** Undefined until the control box appears in a list of boxes. */
-  hall: string | undefined;
-  /** Boxes that it has reported, by address. */
-  readonly boxes: Map<string, BoxRecord>;
-  incarnation: string;
-  upstreamsRevision: number;
-  boxesRevision: number;
-  lastReplyAt: number | undefined;
-  isReachable: boolean;
-  /** Whether it has passed a barrier of the log for a reply. */
-  hasCurrentReply: boolean;
-  /**
-   * Whether the last call failed or its reply named no leader. It may then be partitioned
-   * from the quorum, and its data may be stale.
-   */
-  isUnhealthy: boolean;
-  lastPollAt: number;
-  /** Number of the latest poll. */
-  pollCount: number;
-  /** The latest poll whose reply was applied. */
-  appliedPoll: number;
-  /** Hash that orders control boxes at the same distance. */
-  readonly rank: number;
-}
-
 /** Long-polls the control boxes of a fleet for updates. */
 export class FleetWatch implements AsyncDisposable {
   private readonly peers = new Map<string, ControlPeer>();
@@ -180,22 +94,31 @@
   private readonly selectionChanged = new Condition();
   /** Notified when pending polls must not be waited for any more. */
   private readonly renewalStarted = new Condition();
-  /** Time of the last renewal; undefined if the state was confirmed since. */
-  private lastRenewalAt: number | undefined;
-  /** Until when requests wait for the state to be confirmed. */
-  private catchUpUntil = -Infinity;
   private leaderBox: string | undefined;
   /** The control box whose list of boxes was applied last. */
   private boxListSource: string | undefined;
   private readonly lag: ConfigurationLag;
   /** How recent the received state is. */
   readonly freshness: StateFreshness;
-  private readonly regions: Regions;
+  private readonly renewal: StateRenewal;
+  private readonly selection: ControlSelection;
 
   constructor(private readonly parts: FleetWatchParts) {
-    this.regions = parts.regions ?? new Regions();
-    const {clock, log, updateHandler} = parts;
+    const {clock, log, maxPolledControls, self, updateHandler} = parts;
     this.freshness = new StateFreshness(clock);
+    this.renewal = new StateRenewal({
+      clock,
+      freshness: this.freshness,
+      onChange: (isOutdated) => this.logOutdated(isOutdated),
+      onRenewal: () => this.renew(),
+    });
+    this.selection = new ControlSelection({
+      isOutdated: () => this.isOutdated,
+      maxPolledControls,
+      ownHall: self.hall,
+      peers: this.peers,
+      regions: parts.regions ?? new Regions(),
+    });
     this.lag = new ConfigurationLag(
       clock,
       log,
@@ -203,7 +126,7 @@
     );
     this.tasks.start((signal) => this.pollSeeds(signal));
     if (this.isSelective) {
-      this.tasks.start((signal) => this.watchAge(signal));
+      this.tasks.start((signal) => this.renewal.run(signal));
     }
   }
 
@@ -214,70 +137,18 @@
 
   /** Whether the state is so old that every control box is asked. */
   private get isOutdated(): boolean {
-    return this.isSelective && this.freshness.ageMs >= RENEWAL_AGE_MS;
-  }
-
-  private async watchAge(signal: AbortSignal): Promise<void> {
-    const {clock} = this.parts;
-    // Until then, the first replies are awaited.
-    await clock.sleep(RENEWAL_AGE_MS, signal);
-    while (!signal.aborted) {
-      this.renewIfDue();
-      const nextCheckMs = this.isOutdated
-        ? RENEWAL_INTERVAL_MS
-        : RENEWAL_AGE_MS - this.freshness.ageMs;
-      await clock.sleep(
-        Math.max(MIN_AGE_CHECK_INTERVAL_MS, nextCheckMs),
-        signal,
-      );
-    }
-  }
-
-  private renewIfDue(): void {
-    const {clock} = this.parts;
-    if (!this.isOutdated) {
-      this.logRenewed();
-      return;
-    }
-    const lastAt = this.lastRenewalAt ?? -Infinity;
-    if (clock.now() - lastAt >= RENEWAL_INTERVAL_MS) {
-      this.renew();
-    }
+    return this.isSelective && this.renewal.isOutdated;
   }
 
   /** Asks all control boxes again, over new connections where the present ones are quiet. */
   private renew(): void {
-    const {clock, link} = this.parts;
-    if (this.lastRenewalAt === undefined) {
-      this.logOutdated(true);
-      this.allowCatchUp();
-    }
-    this.lastRenewalAt = clock.now();
     for (const {box} of this.peers.values()) {
-      link.renewConnection(box, QUIET_CONNECTION_MS);
+      this.parts.link.renewConnection(box, QUIET_CONNECTION_MS);
     }
     this.renewalStarted.notify();
     this.selectionChanged.notify();
   }
 
-  /**
-   * Lets requests wait for a moment if this process ran late, and so asks only now. In a
-   * loss of contact the first renewal begins in time, and requests are served at once.
-   */
-  private allowCatchUp(): void {
-    const {ageMs} = this.freshness;
-    if (ageMs >= LATE_RENEWAL_AGE_MS && ageMs < Infinity) {
-      this.catchUpUntil = this.parts.clock.now() + MAX_CATCH_UP_MS;
-    }
-  }
-
-  private logRenewed(): void {
-    if (this.lastRenewalAt !== undefined) {
-      this.lastRenewalAt = undefined;
-      this.logOutdated(false);
-    }
-  }
-
   private logOutdated(outdated: boolean): void {
     const {configurationAgeMs, upstreamsAgeMs} = this.freshness;
     this.parts.log.note({
@@ -303,13 +174,9 @@
     this.selectionChanged.notify();
   }
 
-  /**
-   * Whether requests should wait, as the state is old because this process ran late, and a
-   * confirmation is about to arrive. Begins the renewal if its timer is late too.
-   */
+  /** Whether requests should wait, as a confirmation of the old state is about to arrive. */
   get isCatchingUp(): boolean {
-    this.renewIfDue();
-    return this.isOutdated && this.parts.clock.now() < this.catchUpUntil;
+    return this.isSelective && this.renewal.isCatchingUp;
   }
 
   /** Addresses of the control boxes; reachable ones come first. */
@@ -321,10 +188,7 @@
 
   /** Addresses of the control boxes that are polled for updates, the preferred one first. */
   get polledControls(): string[] {
-    return [...this.peers.values()]
-      .filter((peer) => this.isPolled(peer))
-      .sort((a, b) => this.countPreferred(a) - this.countPreferred(b))
-      .map(({box}) => box);
+    return this.selection.polledControls;
   }
 
   /** The last known leader. */
@@ -334,9 +198,7 @@
 
   /** Whether some control box has passed a barrier of the log for a reply. */
   get isCurrent(): boolean {
-    return [...this.peers.values()].some(
-      ({hasCurrentReply}) => hasCurrentReply,
-    );
+    return this.selection.isCurrent;
   }
 
   /** Number of control boxes that have replied at least once. */
@@ -368,23 +230,9 @@
     if (box === this.parts.self.box || this.peers.has(box)) {
       return;
     }
-    const peer: ControlPeer = {
-      lastReplyAt: undefined,
-      box,
-      boxes: new Map(),
-      boxesRevision: -1,
-      hasCurrentReply: false,
-      hall: undefined,
-      incarnation: '',
-      // Spreads the boxes evenly over the control boxes.
-      rank: hash32(`${this.parts.self.box} ${box}`),
-      isReachable: false,
-      upstreamsRevision: 0,
-      isUnhealthy: false,
-      lastPollAt: -Infinity,
-      pollCount: 0,
-      appliedPoll: 0,
-    };
+    // Spreads the boxes evenly over the control boxes.
+    const rank = hash32(`${this.parts.self.box} ${box}`);
+    const peer = createControlPeer(box, rank);
     this.peers.set(box, peer);
     this.tasks.start((signal) => this.pollPeer(peer, signal));
   }
@@ -397,7 +245,7 @@
     const startedAt = clock.now();
     let retryDelayMs = MIN_RETRY_DELAY_MS;
     while (!signal.aborted) {
-      if (!this.isPolled(peer)) {
+      if (!this.selection.isPolled(peer)) {
         await sleepUnlessNotified(
           clock,
           this.selectionChanged,
@@ -466,53 +314,15 @@
     return outcome;
   }
 
-  /**
-   * Whether a control box is polled rather than on standby. Unhealthy ones are polled to
-   * detect their recovery; before the first current reply, all are polled.
-   */
-  private isPolled(peer: ControlPeer): boolean {
-    if (peer.isUnhealthy || !this.isCurrent || this.isOutdated) {
-      return true;
-    }
-    return this.countPreferred(peer) < this.parts.maxPolledControls;
-  }
-
-  /** Number of healthy control boxes that are preferred to this one. */
-  private countPreferred(peer: ControlPeer): number {
-    const preferred = [...this.peers.values()].filter(
-      (other) => !other.isUnhealthy && this.isPreferred(other, peer),
-    );
-    return preferred.length;
-  }
-
-  /**
-   * Prefers control boxes of the own hall, then of the own region; a hash spreads the load.
-   * Other regions are polled only while too few in the own region are healthy.
-   */
-  private isPreferred(a: ControlPeer, b: ControlPeer): boolean {
-    const distanceDifference =
-      this.distanceTo(a.hall) - this.distanceTo(b.hall);
-    return distanceDifference === 0 ? a.rank < b.rank : distanceDifference < 0;
-  }
-
-  private distanceTo(hall: string | undefined): number {
-    const {hall: ownHall} = this.parts.self;
-    if (hall === ownHall) {
-      return DISTANCE.ownHall;
-    }
-    const isInOwnRegion =
-      !this.regions.hasMultipleRegions ||
-      (hall !== undefined && this.regions.areInSameRegion(ownHall, hall));
-    return isInOwnRegion ? DISTANCE.ownRegion : DISTANCE.otherRegion;
-  }
-
   /**
    * Whether a control box need not send configurations and boxes. Only the preferred one
    * sends them; the others show whether it is behind. If a version is overdue, all send it.
    */
   private isBrief(peer: ControlPeer): boolean {
     const isLate = this.lag.overdueInMs <= 0 || this.isOutdated;
-    return this.isSelective && !isLate && this.countPreferred(peer) > 0;
+    return (
+      this.isSelective && !isLate && this.selection.countPreferred(peer) > 0
+    );
   }
 
   private buildRequest(peer: ControlPeer): WatchRequest {
@@ -538,11 +348,7 @@
 
   /** How long a control box may delay its reply, ms. */
   private longPollMs(peer: ControlPeer, isBrief: boolean): number {
-    const isFirstOfRenewal =
-      this.isOutdated &&
-      this.lastRenewalAt !== undefined &&
-      peer.lastPollAt <= this.lastRenewalAt;
-    if (isFirstOfRenewal) {
+    if (this.renewal.hasStartedSince(peer.lastPollAt)) {
       return 0;
     }
     // A longer wait would delay the full request for an overdue version while the
@@ -646,7 +452,7 @@
     }
     this.addControls(changes?.changed ?? []);
     const isAuthoritative =
-      !this.isSelective || this.countPreferred(peer) === 0;
+      !this.isSelective || this.selection.countPreferred(peer) === 0;
     const hasChanged = changes !== undefined || this.boxListSource !== peer.box;
     if (isAuthoritative && hasChanged && peer.boxes.size > 0) {
       this.boxListSource = peer.box;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -77,9 +77,10 @@
   LOAN_OUTCOME,
   TUNNEL_OUTCOME,
 } from './FleetMessages';
+export type {ConfigurationOrigin} from './FleetUpdateHandler';
+export {FleetUpdateHandler} from './FleetUpdateHandler';
 export type {FleetWatchParts} from './FleetWatch';
-export type {ConfigurationOrigin} from './FleetWatch';
-export {FleetUpdateHandler, FleetWatch} from './FleetWatch';
+export {FleetWatch} from './FleetWatch';
 export {intersectRegions, Regions} from './Regions';
 export {createReplicaLink} from './ReplicaLink';
 export type {
