Derive the times of an edge's polls from the bound of its deployment

What callers saw: 404 on an acknowledged route at one edge. Cause shown: the age at which an edge renews its state (1,500 ms), at which requests wait (2,000) and how long they wait (200) were constants of one deployment, and add up to more than the 2,000 ms of the first sites.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -129,6 +129,7 @@
   const clock = new SystemClock();
   const random = new Random(1);
   const edge = await Edge.open({
+    applyBoundMs: 2_000,
     callerAddress: {host: HOST, port: settings.callerPort},
     clock,
     drainMs: 2_000,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -99,6 +99,8 @@
   readonly protocol: CallerProtocol;
   readonly retryLimit: RetryLimit;
   readonly coldTolerance: ColdTolerance;
+  /** Time within which acknowledged changes must be in force here, ms. */
+  readonly applyBoundMs: number;
   /** Time for which upstreams serve after they announced their shutdown, ms. */
   readonly drainMs: number;
   readonly callerAddress: HttpAddress;
@@ -235,6 +237,7 @@
       metrics: this.metrics,
     });
     this.fleetWatch = new FleetWatch({
+      applyBoundMs: parts.applyBoundMs,
       maxPolledControls: MAX_POLLED_CONTROL_BOXES,
       clock,
       link,
--- a/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
@@ -73,6 +73,7 @@
   const log = new InMemoryDecisionLog();
   const address = {host: '127.0.0.1', port: 0};
   const edge = await Edge.open({
+    applyBoundMs: 2_000,
     callerAddress: address,
     clock,
     drainMs: 2_000,
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -112,6 +112,7 @@
     const [callers = 0, ready = 0, metrics = 0] = await findFreePorts(3);
     const host = LOOPBACK;
     const edge = await Edge.open({
+      applyBoundMs: 2_000,
       callerAddress: {host, port: callers},
       clock,
       drainMs: 2_000,
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -27,18 +27,10 @@
 import {Regions} from './Regions';
 import {StateFreshness} from './StateFreshness';
 import {StateRenewal} from './StateRenewal';
-
-/**
- * How long the preferred control box may delay its reply, ms. The state confirmed by a reply
- * is up to half a second old, and the next reply has to come before RENEWAL_AGE_MS.
- */
-const LONG_POLL_MS = 900;
-
-/** The same for the other polled control boxes, which only add to the preferred one, ms. */
-const BRIEF_LONG_POLL_MS = 2_000;
+import {WatchTiming} from './WatchTiming';
 
 /** A connection that received nothing for this time is replaced in a renewal, ms. */
-const QUIET_CONNECTION_MS = 500;
+const QUIET_CONNECTION_MS = 250;
 
 /** Interval at which seeds are read and standby control boxes are reconsidered, ms. */
 const SELECTION_INTERVAL_MS = 1_000;
@@ -46,7 +38,7 @@
 /** Time allowed for the reply beyond the delay of the control box, ms. */
 const REPLY_TIMEOUT_MS = 500;
 
-/** Minimum timeout of a poll, ms; it must end before the next renewal supersedes it. */
+/** Minimum timeout of a poll, ms; it must end before the third renewal supersedes it. */
 const MIN_POLL_TIMEOUT_MS = 900;
 
 /** Delay after the first failed call, ms; doubles with each further failure. */
@@ -82,6 +74,8 @@
   readonly updateHandler: FleetUpdateHandler;
   /** Number of control boxes to poll once current; Infinity for all. */
   readonly maxPolledControls: number;
+  /** Time within which a change must be in force here, ms. */
+  readonly applyBoundMs?: number | undefined;
   /** The region of each hall; by default all halls are in one region. */
   readonly regions?: Regions | undefined;
 }
@@ -100,17 +94,20 @@
   private readonly lag: ConfigurationLag;
   /** How recent the received state is. */
   readonly freshness: StateFreshness;
+  private readonly timing: WatchTiming;
   private readonly renewal: StateRenewal;
   private readonly selection: ControlSelection;
 
   constructor(private readonly parts: FleetWatchParts) {
     const {clock, log, maxPolledControls, self, updateHandler} = parts;
     this.freshness = new StateFreshness(clock);
+    this.timing = new WatchTiming(parts.applyBoundMs);
     this.renewal = new StateRenewal({
       clock,
       freshness: this.freshness,
       onChange: (isOutdated) => this.logOutdated(isOutdated),
       onRenewal: () => this.renew(),
+      timing: this.timing,
     });
     this.selection = new ControlSelection({
       isOutdated: () => this.isOutdated,
@@ -353,9 +350,8 @@
     }
     // A longer wait would delay the full request for an overdue version while the
     // preferred control box is partitioned.
-    return isBrief
-      ? Math.min(BRIEF_LONG_POLL_MS, this.lag.overdueInMs)
-      : LONG_POLL_MS;
+    const {longPollMs} = this.timing;
+    return isBrief ? Math.min(longPollMs, this.lag.overdueInMs) : longPollMs;
   }
 
   private handleReply(
--- a/packages/puffinturn-fleet/src/StateRenewal.ts
+++ b/packages/puffinturn-fleet/src/StateRenewal.ts
@@ -12,23 +12,11 @@
 import type {Clock} from 'shared';
 
 import type {StateFreshness} from './StateFreshness';
+import type {WatchTiming} from './WatchTiming';
 
-/**
- * Age of the state from which all control boxes are asked over new connections, ms. Below
- * half of the time within which a change has to be in force would cost more polls; above,
- * too little time would remain for a slow answer.
- */
-const RENEWAL_AGE_MS = 1_500;
-
-/** Minimum interval between two renewals while the state stays old, ms. */
+/** Interval between two renewals after the second one while the state stays old, ms. */
 const RENEWAL_INTERVAL_MS = 1_000;
 
-/** Age of the state from which requests wait for a renewal that began late, ms. */
-const LATE_RENEWAL_AGE_MS = 2_000;
-
-/** Longest time that requests wait for such a renewal, ms: some round trips. */
-const MAX_CATCH_UP_MS = 200;
-
 /** Minimum interval between two checks of the age, ms. */
 const MIN_AGE_CHECK_INTERVAL_MS = 50;
 
@@ -36,6 +24,7 @@
 export interface StateRenewalParts {
   readonly clock: Clock;
   readonly freshness: StateFreshness;
+  readonly timing: WatchTiming;
   /** Polls every control box again. */
   readonly onRenewal: () => void;
   /** Called when the state has become outdated, and when it has been confirmed again. */
@@ -46,6 +35,8 @@
 export class StateRenewal {
   /** Time of the last renewal, ms; undefined if the state was confirmed since. */
   private lastStartedAt: number | undefined;
+  /** Number of renewals since the state was last confirmed. */
+  private count = 0;
   /** Until when requests wait for the state to be confirmed, ms. */
   private catchUpUntil = -Infinity;
 
@@ -53,7 +44,8 @@
 
   /** Whether the state is so old that every control box is asked. */
   get isOutdated(): boolean {
-    return this.parts.freshness.ageMs >= RENEWAL_AGE_MS;
+    const {freshness, timing} = this.parts;
+    return freshness.ageMs >= timing.renewalAgeMs;
   }
 
   /** Whether a renewal has begun after the given time and is under way. */
@@ -76,14 +68,14 @@
 
   /** Renews the state whenever it is old, until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, freshness} = this.parts;
+    const {clock, freshness, timing} = this.parts;
     // Until then, the first replies are awaited.
-    await clock.sleep(RENEWAL_AGE_MS, signal);
+    await clock.sleep(timing.renewalAgeMs, signal);
     while (!signal.aborted) {
       this.renewIfDue();
       const nextCheckMs = this.isOutdated
-        ? RENEWAL_INTERVAL_MS
-        : RENEWAL_AGE_MS - freshness.ageMs;
+        ? this.msUntilDue
+        : timing.renewalAgeMs - freshness.ageMs;
       await clock.sleep(
         Math.max(MIN_AGE_CHECK_INTERVAL_MS, nextCheckMs),
         signal,
@@ -91,13 +83,21 @@
     }
   }
 
+  /** Time until the next renewal if the state stays old, ms. */
+  private get msUntilDue(): number {
+    const {clock, timing} = this.parts;
+    const intervalMs =
+      this.count === 1 ? timing.secondRenewalMs : RENEWAL_INTERVAL_MS;
+    const lastAt = this.lastStartedAt ?? -Infinity;
+    return lastAt + intervalMs - clock.now();
+  }
+
   private renewIfDue(): void {
     if (!this.isOutdated) {
       this.finish();
       return;
     }
-    const lastAt = this.lastStartedAt ?? -Infinity;
-    if (this.parts.clock.now() - lastAt >= RENEWAL_INTERVAL_MS) {
+    if (this.msUntilDue <= 0) {
       this.renew();
     }
   }
@@ -109,12 +109,14 @@
       this.allowCatchUp();
     }
     this.lastStartedAt = clock.now();
+    this.count += 1;
     onRenewal();
   }
 
   private finish(): void {
     if (this.lastStartedAt !== undefined) {
       this.lastStartedAt = undefined;
+      this.count = 0;
       this.parts.onChange(false);
     }
   }
@@ -124,10 +126,10 @@
    * loss of contact the first renewal begins in time, and requests are served at once.
    */
   private allowCatchUp(): void {
-    const {clock, freshness} = this.parts;
+    const {clock, freshness, timing} = this.parts;
     const {ageMs} = freshness;
-    if (ageMs >= LATE_RENEWAL_AGE_MS && ageMs < Infinity) {
-      this.catchUpUntil = clock.now() + MAX_CATCH_UP_MS;
+    if (ageMs >= timing.lateRenewalAgeMs && ageMs < Infinity) {
+      this.catchUpUntil = clock.now() + timing.maxCatchUpMs;
     }
   }
 }
--- /dev/null
+++ b/packages/puffinturn-fleet/src/WatchTiming.ts
@@ -0,0 +1,59 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Times of the polls of a box, derived from the time within which a change must be in force.
+ *
+ * With a bound of B: a change that the polled control boxes do not bring is asked for
+ * everywhere at an age of B / 2 (`renewalAgeMs`), plus the check interval. If the connections
+ * of that renewal fail as well, the next one replaces them at 3 B / 4. B / 4 remains for its
+ * replies, which take a few round trips.
+ */
+
+/** Bound for boxes that are not told one, ms. */
+export const DEFAULT_APPLY_BOUND_MS = 2_000;
+
+/**
+ * Longest time between the state that a reply confirms and the next request, ms: the interval
+ * of confirmations, with their round trips and the pause between polls.
+ */
+const CONFIRMATION_DELAY_MS = 500;
+
+/** Shortest delay of a reply, ms; a lower one would cost more polls than it gains. */
+const MIN_LONG_POLL_MS = 200;
+
+/** Longest time that requests wait for a renewal that began late, ms: some round trips. */
+const MAX_CATCH_UP_MS = 200;
+
+/** Times of the polls of a box. */
+export class WatchTiming {
+  /** Age of the state from which every control box is asked over new connections, ms. */
+  readonly renewalAgeMs: number;
+  /** Time from the first renewal to the second one, ms. */
+  readonly secondRenewalMs: number;
+  /** Age of the state from which requests wait for a renewal that began late, ms. */
+  readonly lateRenewalAgeMs: number;
+  /** Longest time that requests wait for such a renewal, ms. */
+  readonly maxCatchUpMs: number;
+  /**
+   * How long a polled control box may delay its reply, ms. Any of them alone then keeps the
+   * age below `renewalAgeMs`.
+   */
+  readonly longPollMs: number;
+
+  /** `applyBoundMs` is the time within which a change must be in force, ms. */
+  constructor(applyBoundMs = DEFAULT_APPLY_BOUND_MS) {
+    this.renewalAgeMs = applyBoundMs / 2;
+    this.secondRenewalMs = applyBoundMs / 4;
+    this.lateRenewalAgeMs = this.renewalAgeMs + this.secondRenewalMs;
+    this.maxCatchUpMs = Math.min(MAX_CATCH_UP_MS, applyBoundMs / 4);
+    this.longPollMs = Math.max(
+      MIN_LONG_POLL_MS,
+      this.renewalAgeMs - CONFIRMATION_DELAY_MS,
+    );
+  }
+}
--- a/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
@@ -17,7 +17,7 @@
 const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
 
 /** Within this time after its acknowledgement a change must be in force at edges, ms. */
-export const APPLY_BOUND_MS = 2_500;
+export const APPLY_BOUND_MS = 2_000;
 
 /** Interval between changes, each a configuration and a departure, ms. */
 const CHANGE_INTERVAL_MS = 400;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -122,3 +122,4 @@
   UPSTREAM_STATE,
   UpstreamTable,
 } from './UpstreamTable';
+export {DEFAULT_APPLY_BOUND_MS, WatchTiming} from './WatchTiming';
