Replace a connection that does not come up when the state is renewed

A renewal replaced open connections only: a dial whose first packet was lost kept all calls to that box waiting for up to a second, those of the next renewal too. A dial that has taken as long as a connection may be quiet is now left to the calls that wait for it, and the next call dials anew. The test in TcpLink failed before; the simulated network does the same.

--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -100,9 +100,8 @@
 
   /** Replaces a connection unless a reply came within `quietMs`, as TcpLink does. */
   reconnectIfQuiet(from: string, to: string, quietMs: number): void {
-    const connection = this.connectionOf(from, to);
-    const isOpen = connection.isOpen || !this.simulatesTcp;
-    if (isOpen && this.clock.now() - connection.lastReplyAt >= quietMs) {
+    const {lastReplyAt} = this.connectionOf(from, to);
+    if (this.clock.now() - lastReplyAt >= quietMs) {
       this.connections.delete(`${from}>${to}`);
     }
   }
@@ -205,6 +204,9 @@
       from,
       to,
     );
+    if (this.simulatesTcp) {
+      connection.lastReplyAt = this.clock.now();
+    }
     this.connections.set(route, connection);
     return connection;
   }
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -78,16 +78,20 @@
   isRetired: boolean;
 }
 
+/** A connection that is being opened, or has been. */
+interface Dial {
+  readonly connected: Promise<PeerConnection | undefined>;
+  readonly startedAt: number;
+}
+
 function notSent(message: string): LinkFailure {
   return {kind: 'not-sent', message};
 }
 
 /** A Link over TCP, or over TLS if it is configured. */
 export class TcpLink extends Link implements AsyncDisposable {
-  private readonly peerConnections = new Map<
-    string,
-    Promise<PeerConnection | undefined>
-  >();
+  /** The latest dial to each box; its connection is used by further calls. */
+  private readonly dials = new Map<string, Dial>();
   /** The connection of each box for further calls, once it is open. */
   private readonly openConnections = new Map<string, PeerConnection>();
   private readonly sockets = new Set<Socket>();
@@ -158,14 +162,16 @@
 
   override renewConnection(box: string, quietMs: number): void {
     const peerConnection = this.openConnections.get(box);
-    if (peerConnection !== undefined && this.isQuiet(peerConnection, quietMs)) {
+    if (peerConnection === undefined) {
+      this.abandonDial(box, quietMs);
+    } else if (this.isQuiet(peerConnection, quietMs)) {
       this.retireConnection(box, peerConnection);
     }
   }
 
   override resetConnections(): void {
-    for (const [box, connecting] of this.peerConnections) {
-      void connecting.then(
+    for (const [box, {connected}] of this.dials) {
+      void connected.then(
         (peerConnection) =>
           peerConnection && this.closeConnection(box, peerConnection),
       );
@@ -260,6 +266,14 @@
     return this.parts.clock.now() - lastFrameAt >= ms;
   }
 
+  /** Leaves a dial that takes long to the calls that wait for it; the next call dials anew. */
+  private abandonDial(box: string, ms: number): void {
+    const dial = this.dials.get(box);
+    if (dial !== undefined && this.parts.clock.now() - dial.startedAt >= ms) {
+      this.dials.delete(box);
+    }
+  }
+
   /** Leaves a connection to the calls in flight; the next call to the box reconnects. */
   private retireConnection(box: string, peerConnection: PeerConnection): void {
     peerConnection.isRetired = true;
@@ -286,23 +300,41 @@
   private forgetConnection(box: string, peerConnection: PeerConnection): void {
     if (this.openConnections.get(box) === peerConnection) {
       this.openConnections.delete(box);
-      this.peerConnections.delete(box);
+      this.dials.delete(box);
     }
   }
 
   private connectionTo(box: string): Promise<PeerConnection | undefined> {
-    const existing = this.peerConnections.get(box);
+    const existing = this.dials.get(box);
     if (existing !== undefined) {
-      return existing;
+      return existing.connected;
     }
-    const connecting = this.dial(box);
-    this.peerConnections.set(box, connecting);
-    void connecting.then((peerConnection) => {
-      if (peerConnection === undefined) {
-        this.peerConnections.delete(box);
+    const connected = this.dial(box);
+    const dial = {connected, startedAt: this.parts.clock.now()};
+    this.dials.set(box, dial);
+    void connected.then((peerConnection) =>
+      this.finishDial(box, dial, peerConnection),
+    );
+    return connected;
+  }
+
+  private finishDial(
+    box: string,
+    dial: Dial,
+    peerConnection: PeerConnection | undefined,
+  ): void {
+    const isLatest = this.dials.get(box) === dial;
+    if (peerConnection === undefined) {
+      if (isLatest) {
+        this.dials.delete(box);
       }
-    });
-    return connecting;
+    } else if (isLatest) {
+      this.openConnections.set(box, peerConnection);
+    } else {
+      peerConnection.isRetired = true;
+      // The calls that waited for it are sent first.
+      setImmediate(() => this.closeIfUnused(peerConnection));
+    }
   }
 
   private async dial(box: string): Promise<PeerConnection | undefined> {
@@ -337,7 +369,6 @@
       isRetired: false,
       lastFrameAt: this.parts.clock.now(),
     };
-    this.openConnections.set(box, peerConnection);
     void this.readResponses(box, peerConnection);
     return peerConnection;
   }
--- a/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
+++ b/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
@@ -158,6 +158,33 @@
     expect((await inFlight)._unsafeUnwrap()).toBe('kept');
   });
 
+  test('replaces a connection that does not come up, on renewal', async () => {
+    const addresses = new Map<string, Address>();
+    await using b = await openLink('b', addresses);
+    b.register('echo', async (body) => body);
+    const mute = createServer();
+    mute.listen(0, '127.0.0.1');
+    await once(mute, 'listening');
+    const {port} = mute.address() as AddressInfo;
+    const addressOfB = addresses.get('b');
+    invariant(addressOfB !== undefined, 'b has an address');
+    addresses.set('b', {host: '127.0.0.1', port});
+    await using a = await openLink('a', addresses);
+    const ended: string[] = [];
+    const waiting = a
+      .call('b', 'echo', 1, 30_000)
+      .then(() => ended.push('the waiting call'));
+    addresses.set('b', addressOfB);
+    a.renewConnection('b', 0);
+    const answer = await a.call('b', 'echo', 2, 30_000);
+    ended.push('the next call');
+    expect(answer._unsafeUnwrap()).toBe(2);
+    await waiting;
+    // The first connection is given up after 1 s only.
+    expect(ended).toEqual(['the next call', 'the waiting call']);
+    mute.close();
+  });
+
   test('passes the request and the name of the caller to the handler', async () => {
     const addresses = new Map<string, Address>();
     await using a = await openLink('a', addresses);
