Ask again twice as often while the state is old, also between retries

A superseded poll that fails counts as a failure too, as renewals would otherwise hide that a box is unreachable.

--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -38,7 +38,7 @@
 /** Time allowed for the reply beyond the delay of the control box, ms. */
 const REPLY_TIMEOUT_MS = 500;
 
-/** Minimum timeout of a poll, ms; it must end before the third renewal supersedes it. */
+/** Minimum timeout of a poll, ms. */
 const MIN_POLL_TIMEOUT_MS = 900;
 
 /** Delay after the first failed call, ms; doubles with each further failure. */
@@ -263,14 +263,18 @@
         await clock.sleep(POLL_PAUSE_MS, signal);
         continue;
       }
-      this.markUnreachable(peer);
       const silentMs = clock.now() - (peer.lastReplyAt ?? startedAt);
       const isSeed = this.parts.seeds().includes(peer.box);
       if (!isSeed && silentMs > PEER_EXPIRY_MS) {
         this.peers.delete(peer.box);
         return;
       }
-      await clock.sleep(retryDelayMs, signal);
+      await sleepUnlessNotified(
+        clock,
+        this.renewalStarted,
+        retryDelayMs,
+        signal,
+      );
       retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
     }
   }
@@ -298,7 +302,10 @@
       })
       .match(
         (): PollOutcome => POLL_OUTCOME.answered,
-        (): PollOutcome => POLL_OUTCOME.failed,
+        (): PollOutcome => {
+          this.handleFailure(peer, sentAt);
+          return POLL_OUTCOME.failed;
+        },
       );
     let waiter: Disposable | undefined;
     const superseded = new Promise<PollOutcome>((resolve) => {
@@ -456,6 +463,15 @@
     }
   }
 
+  /** Also called for superseded polls; a reply to a later one shows that the box is reachable. */
+  private handleFailure(peer: ControlPeer, sentAt: number): void {
+    const hasRepliedSince =
+      peer.lastReplyAt !== undefined && peer.lastReplyAt > sentAt;
+    if (!hasRepliedSince && !this.tasks.isAborted) {
+      this.markUnreachable(peer);
+    }
+  }
+
   private setUnhealthy(peer: ControlPeer, isUnhealthy: boolean): void {
     if (peer.isUnhealthy !== isUnhealthy) {
       peer.isUnhealthy = isUnhealthy;
--- a/packages/puffinturn-fleet/src/StateRenewal.ts
+++ b/packages/puffinturn-fleet/src/StateRenewal.ts
@@ -14,9 +14,6 @@
 import type {StateFreshness} from './StateFreshness';
 import type {WatchTiming} from './WatchTiming';
 
-/** Interval between two renewals after the second one while the state stays old, ms. */
-const RENEWAL_INTERVAL_MS = 1_000;
-
 /** Minimum interval between two checks of the age, ms. */
 const MIN_AGE_CHECK_INTERVAL_MS = 50;
 
@@ -35,8 +32,6 @@
 export class StateRenewal {
   /** Time of the last renewal, ms; undefined if the state was confirmed since. */
   private lastStartedAt: number | undefined;
-  /** Number of renewals since the state was last confirmed. */
-  private count = 0;
   /** Until when requests wait for the state to be confirmed, ms. */
   private catchUpUntil = -Infinity;
 
@@ -86,10 +81,8 @@
   /** Time until the next renewal if the state stays old, ms. */
   private get msUntilDue(): number {
     const {clock, timing} = this.parts;
-    const intervalMs =
-      this.count === 1 ? timing.secondRenewalMs : RENEWAL_INTERVAL_MS;
     const lastAt = this.lastStartedAt ?? -Infinity;
-    return lastAt + intervalMs - clock.now();
+    return lastAt + timing.renewalIntervalMs - clock.now();
   }
 
   private renewIfDue(): void {
@@ -109,14 +102,12 @@
       this.allowCatchUp();
     }
     this.lastStartedAt = clock.now();
-    this.count += 1;
     onRenewal();
   }
 
   private finish(): void {
     if (this.lastStartedAt !== undefined) {
       this.lastStartedAt = undefined;
-      this.count = 0;
       this.parts.onChange(false);
     }
   }
--- a/packages/puffinturn-fleet/src/WatchTiming.ts
+++ b/packages/puffinturn-fleet/src/WatchTiming.ts
@@ -33,8 +33,8 @@
 export class WatchTiming {
   /** Age of the state from which every control box is asked over new connections, ms. */
   readonly renewalAgeMs: number;
-  /** Time from the first renewal to the second one, ms. */
-  readonly secondRenewalMs: number;
+  /** Interval between two renewals while the state stays old, ms. */
+  readonly renewalIntervalMs: number;
   /** Age of the state from which requests wait for a renewal that began late, ms. */
   readonly lateRenewalAgeMs: number;
   /** Longest time that requests wait for such a renewal, ms. */
@@ -48,8 +48,8 @@
   /** `applyBoundMs` is the time within which a change must be in force, ms. */
   constructor(applyBoundMs = DEFAULT_APPLY_BOUND_MS) {
     this.renewalAgeMs = applyBoundMs / 2;
-    this.secondRenewalMs = applyBoundMs / 4;
-    this.lateRenewalAgeMs = this.renewalAgeMs + this.secondRenewalMs;
+    this.renewalIntervalMs = applyBoundMs / 4;
+    this.lateRenewalAgeMs = this.renewalAgeMs + this.renewalIntervalMs;
     this.maxCatchUpMs = Math.min(MAX_CATCH_UP_MS, applyBoundMs / 4);
     this.longPollMs = Math.max(
       MIN_LONG_POLL_MS,
--- a/packages/puffinturn-fleet/src/__tests__/unit/WatchTiming.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/WatchTiming.test.ts
@@ -18,7 +18,7 @@
       const timing = new WatchTiming(boundMs);
       const replyMs = boundMs / 4;
       expect(
-        timing.renewalAgeMs + timing.secondRenewalMs + replyMs,
+        timing.renewalAgeMs + timing.renewalIntervalMs + replyMs,
       ).toBeLessThanOrEqual(boundMs);
       expect(timing.lateRenewalAgeMs + timing.maxCatchUpMs).toBeLessThanOrEqual(
         boundMs,
