Discard a difference that leads to other content than its sender has

Hypothesis of the incident, not seen: an edge that holds a version without what it added. Differences carry a digest of the result; an edge that computes another one keeps its version, says so (configuration-mismatch) and asks for the configuration in full. Older software sends no digest.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -170,6 +170,8 @@
   /** Whether the state was received from another edge. */
   private hasHandover = false;
   private routeTable: RouteTable | undefined;
+  /** Whether the last difference led to other content than its sender has. */
+  private needsFullConfiguration = false;
   private openRequests = 0;
   private lastRequestAt: number;
   private isStopping = false;
@@ -417,6 +419,11 @@
     return this.routeTable?.version ?? -Infinity;
   }
 
+  /** Version on which a difference may be based; -Infinity to get a configuration in full. */
+  get baseVersion(): number {
+    return this.needsFullConfiguration ? -Infinity : this.configurationVersion;
+  }
+
   /** Whether load balancers should send new connections to this edge. */
   get ready(): boolean {
     return this.canServe && !this.withdrawal.isWithdrawn;
@@ -450,6 +457,7 @@
     }
     const previousTable = this.routeTable;
     this.routeTable = new RouteTable(configuration);
+    this.needsFullConfiguration = false;
     this.streamVersions.applyRoutes(previousTable, this.routeTable);
     this.allowances.configure(configuration.teams ?? []);
     this.listeners[0]?.applyLimits(configuration.limits);
@@ -473,9 +481,25 @@
     origin: ConfigurationOrigin,
   ): void {
     const current = this.routeTable?.configuration;
-    if (current?.version === change.base) {
-      this.applyConfiguration(applyChange(current, change), origin);
+    if (current?.version !== change.base) {
+      return;
     }
+    const next = applyChange(current, change);
+    const digest = digestOf(next);
+    const {base, digest: expectedDigest = digest, version} = change;
+    if (digest === expectedDigest) {
+      this.applyConfiguration(next, origin);
+      return;
+    }
+    this.needsFullConfiguration = true;
+    this.parts.log.note({
+      base,
+      digest,
+      event: 'configuration-mismatch',
+      expectedDigest,
+      source: origin.box,
+      version,
+    });
   }
 
   /** Applies evacuations if they are newer than the current ones. */
--- a/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
+++ b/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
@@ -27,7 +27,7 @@
   }
 
   override get configurationVersion(): number {
-    return this.edge.configurationVersion;
+    return this.edge.baseVersion;
   }
 
   override onConfiguration(
