Simulated network: nothing is awaited for opening without TCP

Two golden time lines (Golden.test) differed since the simulated connections came: a call awaited the opening also where connections are not simulated, which changed the order of events in one moment.

--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -124,7 +124,10 @@
     const calledAt = this.clock.now();
     const connection = this.connectionOf(link.box, to);
     const timeout = this.clock.sleep(timeoutMs).then(() => undefined);
-    if (!(await Promise.race([this.open(connection, link.box, to), timeout]))) {
+    const isOpen =
+      !this.simulatesTcp ||
+      (await Promise.race([this.open(connection, link.box, to), timeout]));
+    if (!isOpen) {
       const message = `cannot connect to ${to}`;
       return err<unknown, LinkFailure>({kind: 'not-sent', message});
     }
@@ -157,9 +160,6 @@
     from: string,
     to: string,
   ): Promise<boolean> {
-    if (!this.simulatesTcp) {
-      return true;
-    }
     const isOpen = await connection.open(CONNECT_TIMEOUT_MS);
     if (!isOpen) {
       this.forget(connection, `${from}>${to}`);
