--- a/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
+++ b/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
@@ -24,7 +24,7 @@
 
 /** Receives the updates of a FleetWatch. */
 export abstract class FleetUpdateHandler {
-  /** The current configuration version; -Infinity without one. */
+  /** Version on which a difference may be based; -Infinity to get a configuration in full. */
   abstract get configurationVersion(): number;
   abstract onConfiguration(
     update: FleetConfiguration,
--- a/packages/puffinturn-fleet/src/__tests__/utils/DisturbedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/DisturbedFleet.ts
@@ -9,10 +9,8 @@
 import {invariant} from 'shared';
 
 import {configurationOf} from './FleetFixture';
-import {CONTROLS, startFleet} from './WatchedFleet';
-
-const BOXES = [...CONTROLS, 'c4:1', 'c5:1'];
-const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
+import type {WatchedFleet, WatchingEdge} from './WatchedFleet';
+import {FIVE_CONTROLS, startEdgeBesideLeader, startFleet} from './WatchedFleet';
 
 /** Time between two looks at the edge, ms. */
 const STEP_MS = 20;
@@ -50,8 +48,6 @@
 /** A value of DISTURBANCE. */
 export type Disturbance = (typeof DISTURBANCE)[keyof typeof DISTURBANCE];
 
-type Fleet = Awaited<ReturnType<typeof startFleet>>;
-
 /** An edge and its control boxes, which are disturbed and then left alone. */
 export class DisturbedFleet {
   /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
@@ -59,24 +55,14 @@
   private lastVersion = 1;
 
   private constructor(
-    private readonly fleet: Fleet,
-    private readonly edge: string,
-    private readonly watched: ReturnType<Fleet['startWatch']>,
+    private readonly fleet: WatchedFleet,
+    private readonly watched: WatchingEdge,
   ) {}
 
   /** Starts a fleet with an edge that does not poll the leader. */
   static async start(): Promise<DisturbedFleet> {
-    const fleet = await startFleet(BOXES, true);
-    for (const edge of EDGES) {
-      const watched = fleet.startWatch(edge);
-      await fleet.clock.advance(3_000);
-      const {leaderAddress = '', polledControls} = watched.watch;
-      if (!polledControls.includes(leaderAddress)) {
-        return new DisturbedFleet(fleet, edge, watched);
-      }
-      void watched.watch[Symbol.asyncDispose]();
-    }
-    throw new Error('every edge polls the leader');
+    const fleet = await startFleet(FIVE_CONTROLS, true);
+    return new DisturbedFleet(fleet, await startEdgeBesideLeader(fleet));
   }
 
   /** Age of the state at the edge, ms. */
@@ -90,25 +76,26 @@
 
   begin(disturbance: Disturbance): void {
     const {network, paused, withoutEntries} = this.fleet;
-    const {leaderAddress = '', polledControls} = this.watched.watch;
+    const {edge, watch} = this.watched;
+    const {leaderAddress = '', polledControls} = watch;
     const polled = polledControls.slice(0, 2);
     const others = (boxes: readonly string[]) =>
-      BOXES.filter((box) => !boxes.includes(box));
+      FIVE_CONTROLS.filter((box) => !boxes.includes(box));
     switch (disturbance) {
       case DISTURBANCE.edgeCut:
-        network.partition([this.edge], BOXES);
+        network.partition([edge], FIVE_CONTROLS);
         return;
       case DISTURBANCE.edgeUnheard:
-        BOXES.forEach((box) => network.dropMessages(this.edge, box));
+        FIVE_CONTROLS.forEach((box) => network.dropMessages(edge, box));
         return;
       case DISTURBANCE.edgeDeaf:
-        BOXES.forEach((box) => network.dropMessages(box, this.edge));
+        FIVE_CONTROLS.forEach((box) => network.dropMessages(box, edge));
         return;
       case DISTURBANCE.polledCut:
-        network.partition([this.edge], polled);
+        network.partition([edge], polled);
         return;
       case DISTURBANCE.polledIsolated:
-        network.partition(polled, [...others(polled), this.edge]);
+        network.partition(polled, [...others(polled), edge]);
         return;
       case DISTURBANCE.polledPaused:
         polled.forEach((box) => paused.add(box));
@@ -162,7 +149,7 @@
   private async changeUntilAccepted(version: number): Promise<void> {
     const {clock} = this.fleet;
     for (let attempt = 0; ; attempt += 1) {
-      const box = BOXES[attempt % BOXES.length];
+      const box = FIVE_CONTROLS[attempt % FIVE_CONTROLS.length];
       invariant(box !== undefined, `there is no box for attempt ${attempt}`);
       const retryDue = clock.sleep(OPERATOR_RETRY_MS);
       const reply = await Promise.race([
--- a/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
@@ -10,11 +10,8 @@
 
 import {FLEET_SERVICE, UPSTREAM_STATE} from '../../index';
 import {configurationOf, upstreamOf} from './FleetFixture';
-import {CONTROLS, startFleet} from './WatchedFleet';
-
-/** The control boxes of the fleet. */
-export const BOXES = [...CONTROLS, 'c4:1', 'c5:1'];
-const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
+import type {WatchedFleet, WatchingEdge} from './WatchedFleet';
+import {FIVE_CONTROLS, startEdgeBesideLeader, startFleet} from './WatchedFleet';
 
 /** Within this time after its acknowledgement a change must be in force at edges, ms. */
 export const APPLY_BOUND_MS = 2_000;
@@ -46,38 +43,25 @@
 /** All faults. */
 export const FAULTS = Object.values(FAULT);
 
-type Fleet = Awaited<ReturnType<typeof startFleet>>;
-
 /** A fleet whose control boxes are made late for one edge. */
 export class LateFleet {
   /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
   readonly understatedAges: number[] = [];
 
   private constructor(
-    private readonly fleet: Fleet,
-    private readonly edge: string,
-    private readonly watched: ReturnType<Fleet['startWatch']>,
+    private readonly fleet: WatchedFleet,
+    private readonly watched: WatchingEdge,
     /** The control boxes that the edge polls, then the others. */
     readonly polledFirst: readonly string[],
   ) {}
 
   /** Starts a fleet with an edge that does not poll the leader. */
   static async start(): Promise<LateFleet> {
-    const fleet = await startFleet(BOXES);
-    for (const edge of EDGES) {
-      const watched = fleet.startWatch(edge);
-      await fleet.clock.advance(3_000);
-      const {leaderAddress = '', polledControls} = watched.watch;
-      if (!polledControls.includes(leaderAddress)) {
-        const others = BOXES.filter((box) => !polledControls.includes(box));
-        return new LateFleet(fleet, edge, watched, [
-          ...polledControls,
-          ...others,
-        ]);
-      }
-      void watched.watch[Symbol.asyncDispose]();
-    }
-    throw new Error('every edge polls the leader');
+    const fleet = await startFleet(FIVE_CONTROLS);
+    const watched = await startEdgeBesideLeader(fleet);
+    const {polledControls} = watched.watch;
+    const others = FIVE_CONTROLS.filter((box) => !polledControls.includes(box));
+    return new LateFleet(fleet, watched, [...polledControls, ...others]);
   }
 
   /** How often the edge found its state outdated since it first had one. */
@@ -103,11 +87,11 @@
     const {network, withoutEntries} = this.fleet;
     switch (fault) {
       case FAULT.silent:
-        network.silenceConnections(this.edge, [box]);
+        network.silenceConnections(this.watched.edge, [box]);
         return;
       case FAULT.silentAfterAnswer:
         await this.callFromEdge(box);
-        network.silenceConnections(this.edge, [box]);
+        network.silenceConnections(this.watched.edge, [box]);
         return;
       case FAULT.withoutEntries:
         withoutEntries.add(box);
@@ -115,7 +99,10 @@
       case FAULT.unreachable:
         network.partition(
           [box],
-          [this.edge, ...BOXES.filter((other) => other !== box)],
+          [
+            this.watched.edge,
+            ...FIVE_CONTROLS.filter((other) => other !== box),
+          ],
         );
     }
   }
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -35,6 +35,12 @@
 /** Control boxes of the fleet by default. */
 export const CONTROLS = ['c1:1', 'c2:1', 'c3:1'];
 
+/** Control boxes of a fleet that bears the loss of two. */
+export const FIVE_CONTROLS = [...CONTROLS, 'c4:1', 'c5:1'];
+
+/** Edges, some of which do not poll the leader. */
+const EDGES = ['e1:1', 'e2:1', 'e3:1', 'e4:1', 'e5:1', 'e6:1'];
+
 /** Records the updates that an edge receives. */
 export class RecordingHandler extends FleetUpdateHandler {
   configurationHeld: FleetConfiguration | undefined;
@@ -203,3 +209,27 @@
   invariant(value !== undefined, 'the promise must settle within 5 s');
   return value.value;
 }
+
+/** A fleet of control boxes and what starts edges there. */
+export type WatchedFleet = Awaited<ReturnType<typeof startFleet>>;
+
+/** An edge that watches a fleet. */
+export interface WatchingEdge extends ReturnType<WatchedFleet['startWatch']> {
+  readonly edge: string;
+}
+
+/** Starts an edge that does not poll the leader. */
+export async function startEdgeBesideLeader(
+  fleet: WatchedFleet,
+): Promise<WatchingEdge> {
+  for (const edge of EDGES) {
+    const watched = fleet.startWatch(edge);
+    await fleet.clock.advance(3_000);
+    const {leaderAddress = '', polledControls} = watched.watch;
+    if (!polledControls.includes(leaderAddress)) {
+      return {...watched, edge};
+    }
+    void watched.watch[Symbol.asyncDispose]();
+  }
+  throw new Error('every edge polls the leader');
+}
