Read from a connection only once it is known as the open one

Since a dial that takes long can be replaced, the open connection was noted after reading from it had begun. One that ended at once could have been noted after it was closed, and the next call would have waited its time-out. Found by reading, not seen.

--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -328,13 +328,16 @@
       if (isLatest) {
         this.dials.delete(box);
       }
-    } else if (isLatest) {
+      return;
+    }
+    if (isLatest) {
       this.openConnections.set(box, peerConnection);
     } else {
       peerConnection.isRetired = true;
       // The calls that waited for it are sent first.
       setImmediate(() => this.closeIfUnused(peerConnection));
     }
+    void this.readResponses(box, peerConnection);
   }
 
   private async dial(box: string): Promise<PeerConnection | undefined> {
@@ -363,14 +366,12 @@
       socket.destroy();
       return undefined;
     }
-    const peerConnection: PeerConnection = {
+    return {
       connection,
       pendingCalls: new Map(),
       isRetired: false,
       lastFrameAt: this.parts.clock.now(),
     };
-    void this.readResponses(box, peerConnection);
-    return peerConnection;
   }
 
   private trackConnection(socket: Socket): Connection {
