Tests of late edges: one class for what both fleets observe

Age, understated ages, the end of faults, the highest age over a time and the bound stood in LateFleet and DisturbedFleet alike. Assertions and bounds are unchanged.

--- a/packages/puffinturn-fleet/src/__tests__/unit/LateAfterFaults.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LateAfterFaults.test.ts
@@ -7,9 +7,7 @@
 
 /** Guards against edges that lack an acknowledged route long after a fault has ended. */
 import {DISTURBANCE, DisturbedFleet} from '../utils/DisturbedFleet';
-
-/** Within this time after its acknowledgement a change must be in force, ms. */
-const APPLY_BOUND_MS = 2_000;
+import {APPLY_BOUND_MS} from '../utils/ObservedFleet';
 
 /** Age that an edge keeps below while one of its control boxes is gone, ms. */
 const MAX_ORDINARY_AGE_MS = 1_000;
@@ -30,7 +28,7 @@
     for (const {lengthMs, sinceMs} of COMBINATIONS) {
       fleet.begin(kind);
       await fleet.advance(lengthMs);
-      fleet.end();
+      fleet.heal();
       await fleet.advance(sinceMs);
       const delayMs = await fleet.changeDelayMs();
       if (delayMs > APPLY_BOUND_MS) {
@@ -47,12 +45,7 @@
     async (kind) => {
       const fleet = await DisturbedFleet.start();
       fleet.begin(kind);
-      let highestMs = 0;
-      for (let at = 0; at < 10_000; at += 20) {
-        await fleet.advance(20);
-        highestMs = Math.max(highestMs, fleet.ageMs);
-      }
-      expect(highestMs).toBeLessThan(
+      expect(await fleet.highestAgeMs(10_000)).toBeLessThan(
         kind === DISTURBANCE.preferredPaused
           ? MAX_ORDINARY_AGE_MS
           : APPLY_BOUND_MS,
--- a/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
@@ -9,13 +9,8 @@
 import {Random} from 'shared';
 
 import type {Fault} from '../utils/LateFleet';
-import {
-  APPLY_BOUND_MS,
-  FAULT,
-  FAULTS,
-  LateFleet,
-  STEP_MS,
-} from '../utils/LateFleet';
+import {FAULT, FAULTS, LateFleet} from '../utils/LateFleet';
+import {APPLY_BOUND_MS} from '../utils/ObservedFleet';
 
 describe('An edge whose polled control boxes are late', () => {
   test.each(FAULTS.flatMap((first) => FAULTS.map((second) => [first, second])))(
@@ -67,12 +62,7 @@
 
   test('asks all control boxes only while its state is old', async () => {
     const fleet = await LateFleet.start();
-    let highestMs = 0;
-    for (let at = 0; at < 20_000; at += STEP_MS) {
-      await fleet.advance(STEP_MS);
-      highestMs = Math.max(highestMs, fleet.ageMs);
-    }
-    expect(highestMs).toBeLessThan(APPLY_BOUND_MS);
+    expect(await fleet.highestAgeMs(20_000)).toBeLessThan(APPLY_BOUND_MS);
     expect(fleet.outdatedCount).toBe(0);
   });
 
--- a/packages/puffinturn-fleet/src/__tests__/utils/DisturbedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/DisturbedFleet.ts
@@ -9,12 +9,9 @@
 import {invariant} from 'shared';
 
 import {configurationOf} from './FleetFixture';
-import type {WatchedFleet, WatchingEdge} from './WatchedFleet';
+import {ObservedFleet, STEP_MS} from './ObservedFleet';
 import {FIVE_CONTROLS, startEdgeBesideLeader, startFleet} from './WatchedFleet';
 
-/** Time between two looks at the edge, ms. */
-const STEP_MS = 20;
-
 /** Time after which a change counts as never in force, ms. */
 const GIVE_UP_MS = 10_000;
 
@@ -49,31 +46,15 @@
 export type Disturbance = (typeof DISTURBANCE)[keyof typeof DISTURBANCE];
 
 /** An edge and its control boxes, which are disturbed and then left alone. */
-export class DisturbedFleet {
-  /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
-  readonly understatedAges: number[] = [];
+export class DisturbedFleet extends ObservedFleet {
   private lastVersion = 1;
 
-  private constructor(
-    private readonly fleet: WatchedFleet,
-    private readonly watched: WatchingEdge,
-  ) {}
-
   /** Starts a fleet with an edge that does not poll the leader. */
   static async start(): Promise<DisturbedFleet> {
     const fleet = await startFleet(FIVE_CONTROLS, true);
     return new DisturbedFleet(fleet, await startEdgeBesideLeader(fleet));
   }
 
-  /** Age of the state at the edge, ms. */
-  get ageMs(): number {
-    return this.watched.watch.freshness.ageMs;
-  }
-
-  advance(ms: number): Promise<void> {
-    return this.fleet.clock.advance(ms);
-  }
-
   begin(disturbance: Disturbance): void {
     const {network, paused, withoutEntries} = this.fleet;
     const {edge, watch} = this.watched;
@@ -114,13 +95,6 @@
     }
   }
 
-  /** Ends all disturbances. */
-  end(): void {
-    this.fleet.network.heal();
-    this.fleet.withoutEntries.clear();
-    this.fleet.resume();
-  }
-
   /** Makes one change; returns the time from its acknowledgement until it is in force, ms. */
   async changeDelayMs(): Promise<number> {
     const {clock} = this.fleet;
@@ -136,10 +110,7 @@
       if (acknowledgedAt !== undefined && isInForce) {
         return clock.now() - acknowledgedAt;
       }
-      const elapsedMs = clock.now() - (acknowledgedAt ?? Infinity);
-      if (this.ageMs < elapsedMs) {
-        this.understatedAges.push(this.ageMs);
-      }
+      this.recordMissing(clock.now() - (acknowledgedAt ?? Infinity));
       await clock.advance(STEP_MS);
     }
     return Infinity;
--- a/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
@@ -10,21 +10,16 @@
 
 import {FLEET_SERVICE, UPSTREAM_STATE} from '../../index';
 import {configurationOf, upstreamOf} from './FleetFixture';
+import {ObservedFleet, STEP_MS} from './ObservedFleet';
 import type {WatchedFleet, WatchingEdge} from './WatchedFleet';
 import {FIVE_CONTROLS, startEdgeBesideLeader, startFleet} from './WatchedFleet';
 
-/** Within this time after its acknowledgement a change must be in force at edges, ms. */
-export const APPLY_BOUND_MS = 2_000;
-
 /** Interval between changes, each a configuration and a departure, ms. */
 const CHANGE_INTERVAL_MS = 400;
 
 /** How long changes go on after the fault, ms. */
 export const OBSERVATION_MS = 5_000;
 
-/** Time between two looks at the edge, ms. */
-export const STEP_MS = 20;
-
 /** Ways in which the answers of control boxes to an edge come late or say too little. */
 export const FAULT = {
   /** The edge's connection loses all messages. */
@@ -44,16 +39,15 @@
 export const FAULTS = Object.values(FAULT);
 
 /** A fleet whose control boxes are made late for one edge. */
-export class LateFleet {
-  /** Ages that the edge computed while it lacked a change acknowledged before that, ms. */
-  readonly understatedAges: number[] = [];
-
+export class LateFleet extends ObservedFleet {
   private constructor(
-    private readonly fleet: WatchedFleet,
-    private readonly watched: WatchingEdge,
+    fleet: WatchedFleet,
+    watched: WatchingEdge,
     /** The control boxes that the edge polls, then the others. */
     readonly polledFirst: readonly string[],
-  ) {}
+  ) {
+    super(fleet, watched);
+  }
 
   /** Starts a fleet with an edge that does not poll the leader. */
   static async start(): Promise<LateFleet> {
@@ -74,15 +68,6 @@
     ).length;
   }
 
-  /** Age of the state at the edge, ms. */
-  get ageMs(): number {
-    return this.watched.watch.freshness.ageMs;
-  }
-
-  advance(ms: number): Promise<void> {
-    return this.fleet.clock.advance(ms);
-  }
-
   async begin(fault: Fault, box: string): Promise<void> {
     const {network, withoutEntries} = this.fleet;
     switch (fault) {
@@ -114,12 +99,6 @@
     await this.fleet.clock.advance(50);
   }
 
-  /** Ends all faults; connections that went silent stay so. */
-  heal(): void {
-    this.fleet.network.heal();
-    this.fleet.withoutEntries.clear();
-  }
-
   /**
    * Changes the configuration and lets upstreams leave at the given control box, and returns
    * the longest time between an acknowledgement and its arrival at the edge, ms.
@@ -147,8 +126,8 @@
         longestMs = Math.max(longestMs, elapsedMs);
         if (this.isInForce(number)) {
           acknowledgedAt.delete(number);
-        } else if (this.ageMs < elapsedMs) {
-          this.understatedAges.push(this.ageMs);
+        } else {
+          this.recordMissing(elapsedMs);
         }
       }
     }
