--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -156,10 +156,7 @@
     edge.isOk(),
     'could not open the edge on its caller, metrics and readiness ports',
   );
-  edge.value.applyConfiguration(buildConfiguration(), {
-    box: 'bench',
-    delayMs: undefined,
-  });
+  edge.value.applyConfiguration(buildConfiguration(), {box: 'bench'});
   edge.value.pool.merge(settings.upstreams.map(toUpstreamRecord), 'bench');
   await new Promise((resolve) => process.once('disconnect', resolve));
 }
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -31,6 +31,7 @@
   FleetWatch,
   incarnationIdOf,
   NO_EVACUATIONS,
+  roundAge,
   TUNNEL_OUTCOME,
 } from 'puffinturn-fleet';
 import type {ColdTolerance} from 'puffinturn-permits';
@@ -99,7 +100,7 @@
   readonly protocol: CallerProtocol;
   readonly retryLimit: RetryLimit;
   readonly coldTolerance: ColdTolerance;
-  /** Time within which acknowledged changes must be in force here, ms. */
+  /** Time within which an acknowledged configuration must be in force here, ms. */
   readonly applyBoundMs: number;
   /** Time for which upstreams serve after they announced their shutdown, ms. */
   readonly drainMs: number;
@@ -239,7 +240,8 @@
       metrics: this.metrics,
     });
     this.fleetWatch = new FleetWatch({
-      applyBoundMs: parts.applyBoundMs,
+      // Departures come with the same updates.
+      applyBoundMs: Math.min(parts.applyBoundMs, parts.drainMs),
       maxPolledControls: MAX_POLLED_CONTROL_BOXES,
       clock,
       link,
@@ -446,7 +448,7 @@
   /** Applies a configuration if it is newer than the current one. */
   applyConfiguration(
     configuration: FleetConfiguration,
-    {box, delayMs}: ConfigurationOrigin,
+    {box, delayMs = Infinity}: ConfigurationOrigin,
   ): void {
     const previousVersion = this.routeTable?.version;
     if (
@@ -464,13 +466,13 @@
     this.metrics.configurationVersion.set(configuration.version);
     this.parts.log.note({
       event: 'configuration-adopted',
-      delayMs: delayMs === undefined ? undefined : Math.round(delayMs),
+      delayMs: roundAge(delayMs),
       digest: digestOf(configuration),
       former: previousVersion,
       source: box,
       version: configuration.version,
     });
-    if (previousVersion !== undefined && delayMs !== undefined) {
+    if (previousVersion !== undefined && delayMs < Infinity) {
       this.metrics.configurationDelay.observe(delayMs / 1_000);
     }
   }
@@ -605,7 +607,7 @@
   /** Age of the received state, ms; undefined before it was confirmed. */
   private get stateAgeMs(): number | undefined {
     const {ageMs} = this.fleetWatch.freshness;
-    return ageMs < Infinity ? Math.round(ageMs) : undefined;
+    return roundAge(ageMs);
   }
 
   private get needsState(): boolean {
@@ -637,10 +639,7 @@
     this.fleetWatch.addControls(handover.boxes);
     this.applyRollouts(handover.rollouts ?? EMPTY_ROLLOUTS, source);
     this.pool.merge(handover.upstreams, source);
-    this.applyConfiguration(handover.configuration, {
-      box: source,
-      delayMs: undefined,
-    });
+    this.applyConfiguration(handover.configuration, {box: source});
     this.applyEvacuations(handover.evacuations ?? NO_EVACUATIONS, source);
     this.quarantine.adopt(handover.quarantine ?? EMPTY_QUARANTINE, source);
     this.hasHandover = true;
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -169,10 +169,7 @@
       services: [{engine: undefined, maxConnections: 9, name: 's'}],
       teams: [{...TEAM, ...team}],
     };
-    this.edge.applyConfiguration(configuration, {
-      box: 'test',
-      delayMs: undefined,
-    });
+    this.edge.applyConfiguration(configuration, {box: 'test'});
   }
 
   /** Sends one request and reads the complete response. */
--- a/packages/puffinturn-fleet/src/ConfigurationDigest.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationDigest.ts
@@ -15,29 +15,31 @@
 
 const DIGEST_MODULUS = 2 ** 32;
 
-/** Hashes of items, most of which the next version shares. */
-const itemHashes = new WeakMap<object, number>();
+/** Digests of configurations, and hashes of their items, which versions share. */
+const knownHashes = new WeakMap<object, number>();
 
 /** Digest of everything but the version. The order of the routes and teams is irrelevant. */
-export function digestOf({
-  limits,
-  routes,
-  services,
-  teams = [],
-}: FleetConfiguration): number {
-  const items: readonly object[] = [...routes, ...teams, ...services, limits];
-  return items.reduce(
-    (sum: number, item) => (sum + hashItem(item)) % DIGEST_MODULUS,
-    0,
-  );
+export function digestOf(configuration: FleetConfiguration): number {
+  return hashOnce(configuration, () => {
+    const {limits, routes, services, teams = []} = configuration;
+    const items: readonly object[] = [...routes, ...teams, ...services, limits];
+    return items.reduce(
+      (sum: number, item) => (sum + hashItem(item)) % DIGEST_MODULUS,
+      0,
+    );
+  });
 }
 
 function hashItem(item: object): number {
-  const known = itemHashes.get(item);
+  return hashOnce(item, () => hash32(JSON.stringify(item)));
+}
+
+function hashOnce(object: object, computeHash: () => number): number {
+  const known = knownHashes.get(object);
   if (known !== undefined) {
     return known;
   }
-  const hash = hash32(JSON.stringify(item));
-  itemHashes.set(item, hash);
+  const hash = computeHash();
+  knownHashes.set(object, hash);
   return hash;
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -419,8 +419,8 @@
 
   private async trackVersions(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.parts.stateChanged.wait();
       this.watchReplies.noteVersion();
+      await this.parts.stateChanged.wait();
     }
   }
 
--- a/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
+++ b/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
@@ -19,7 +19,7 @@
 export interface ConfigurationOrigin {
   readonly box: string;
   /** Longest time for which that box may have had it, ms; undefined if it doesn't tell. */
-  readonly delayMs: number | undefined;
+  readonly delayMs?: number | undefined;
 }
 
 /** Receives the updates of a FleetWatch. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -25,7 +25,7 @@
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import type {FleetUpdateHandler} from './FleetUpdateHandler';
 import {Regions} from './Regions';
-import {StateFreshness} from './StateFreshness';
+import {roundAge, StateFreshness} from './StateFreshness';
 import {StateRenewal} from './StateRenewal';
 import {WatchTiming} from './WatchTiming';
 
@@ -149,7 +149,7 @@
   private logOutdated(outdated: boolean): void {
     const {configurationAgeMs, upstreamsAgeMs} = this.freshness;
     this.parts.log.note({
-      configurationAgeMs: finiteAge(configurationAgeMs),
+      configurationAgeMs: roundAge(configurationAgeMs),
       configuration: this.parts.updateHandler.configurationVersion,
       event: 'state-outdated',
       outdated,
@@ -158,7 +158,7 @@
         peer: peer.box,
         followsQuorum: !peer.isUnhealthy,
       })),
-      upstreamsAgeMs: finiteAge(upstreamsAgeMs),
+      upstreamsAgeMs: roundAge(upstreamsAgeMs),
     });
   }
 
@@ -307,15 +307,11 @@
           return POLL_OUTCOME.failed;
         },
       );
-    let waiter: Disposable | undefined;
-    const superseded = new Promise<PollOutcome>((resolve) => {
-      waiter = this.renewalStarted.onNext(() =>
-        resolve(POLL_OUTCOME.superseded),
-      );
-    });
-    const outcome = await Promise.race([answered, superseded]);
-    waiter?.[Symbol.dispose]();
-    return outcome;
+    using renewal = this.renewalStarted.next();
+    return await Promise.race([
+      answered,
+      renewal.received.then((): PollOutcome => POLL_OUTCOME.superseded),
+    ]);
   }
 
   /**
@@ -495,7 +491,7 @@
   private lastReplyAgeMs({lastReplyAt}: ControlPeer): number | undefined {
     return lastReplyAt === undefined
       ? undefined
-      : Math.round(this.parts.clock.now() - lastReplyAt);
+      : roundAge(this.parts.clock.now() - lastReplyAt);
   }
 }
 
@@ -508,8 +504,3 @@
     ? undefined
     : heldVersionMs + tookMs - heldMs;
 }
-
-/** An age for the log, ms; undefined if there is none. */
-function finiteAge(ageMs: number): number | undefined {
-  return ageMs < Infinity ? Math.round(ageMs) : undefined;
-}
--- a/packages/puffinturn-fleet/src/StateFreshness.ts
+++ b/packages/puffinturn-fleet/src/StateFreshness.ts
@@ -9,6 +9,11 @@
 
 import type {WatchReply} from './FleetMessages';
 
+/** An age or delay for the log, ms; undefined if there is none. */
+export function roundAge(ageMs: number): number | undefined {
+  return ageMs < Infinity ? Math.round(ageMs) : undefined;
+}
+
 /**
  * Since when the state that an edge acts on may lack what a quorum has stored. It is computed
  * from the replies of control boxes, never later than the truth, also for replies that were
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -81,7 +81,7 @@
     );
   }
 
-  /** Notes when the current version came; called after each change. */
+  /** Notes when the current version came; called at the start and after each change. */
   noteVersion(): void {
     const {clock, log, machine} = this.parts;
     const configuration = machine.storedConfiguration?.configuration;
@@ -145,7 +145,6 @@
   replyTo(request: WatchRequest, current: boolean, heldMs: number): WatchReply {
     const {clock, confirmation, self} = this.parts;
     const {ageMs} = confirmation;
-    this.noteVersion();
     const isSameIncarnation = request.incarnation === self.incarnation;
     const upstreamsRevision = isSameIncarnation ? request.upstreamsRevision : 0;
     const boxesRevision = isSameIncarnation ? request.boxesRevision : -1;
--- a/packages/puffinturn-fleet/src/WatchTiming.ts
+++ b/packages/puffinturn-fleet/src/WatchTiming.ts
@@ -50,7 +50,7 @@
     this.renewalAgeMs = applyBoundMs / 2;
     this.renewalIntervalMs = applyBoundMs / 4;
     this.lateRenewalAgeMs = this.renewalAgeMs + this.renewalIntervalMs;
-    this.maxCatchUpMs = Math.min(MAX_CATCH_UP_MS, applyBoundMs / 4);
+    this.maxCatchUpMs = Math.min(MAX_CATCH_UP_MS, this.renewalIntervalMs);
     this.longPollMs = Math.max(
       MIN_LONG_POLL_MS,
       this.renewalAgeMs - CONFIRMATION_DELAY_MS,
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -108,7 +108,7 @@
 export {UNKNOWN_VERSION, upstreamVersion} from './ServiceUpstreams';
 export type {SpendingLimit} from './SpendingLimit';
 export {maxTaken} from './SpendingLimit';
-export {StateFreshness} from './StateFreshness';
+export {roundAge, StateFreshness} from './StateFreshness';
 export type {SuspensionRecoveryParts} from './SuspensionRecovery';
 export {recoverFromSuspension} from './SuspensionRecovery';
 export {UpstreamRefusals} from './UpstreamRefusals';
--- a/packages/puffinturn-wire/src/SimulatedConnection.ts
+++ b/packages/puffinturn-wire/src/SimulatedConnection.ts
@@ -43,8 +43,6 @@
   isSilent = false;
   /** Time of the last reply on it. */
   lastReplyAt = -Infinity;
-  /** Whether it has been opened. */
-  isOpen = false;
   private opening: Promise<boolean> | undefined;
   private isClosed = false;
   private readonly closed = new Condition();
@@ -77,13 +75,8 @@
   async waitUnlessClosed<Value>(
     value: Promise<Value>,
   ): Promise<Value | undefined> {
-    let waiter: Disposable | undefined;
-    const closed = new Promise<undefined>((resolve) => {
-      waiter = this.closed.onNext(() => resolve(undefined));
-    });
-    const result = await Promise.race([value, closed]);
-    waiter?.[Symbol.dispose]();
-    return result;
+    using closing = this.closed.next();
+    return await Promise.race([value, closing.received.then(() => undefined)]);
   }
 
   /** Sends a message to the called box; false if it is lost. */
@@ -111,7 +104,6 @@
         return timeout;
       }
     }
-    this.isOpen = true;
     this.lastReplyAt = this.clock.now();
     return true;
   }
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -23,6 +23,11 @@
   }
 }
 
+/** The next notification of a condition, until it is disposed. */
+export interface PendingNotification extends Disposable {
+  readonly received: Promise<void>;
+}
+
 /** A condition variable that wakes all waiting tasks. */
 export class Condition {
   private waiters = new Set<() => void>();
@@ -43,6 +48,15 @@
     return {[Symbol.dispose]: () => void this.waiters.delete(wake)};
   }
 
+  /** The next notification; disposal prevents a leak if it never comes. */
+  next(): PendingNotification {
+    let waiter: Disposable | undefined;
+    const received = new Promise<void>((resolve) => {
+      waiter = this.onNext(resolve);
+    });
+    return {received, [Symbol.dispose]: () => waiter?.[Symbol.dispose]()};
+  }
+
   notify(): void {
     const {waiters} = this;
     this.waiters = new Set();
@@ -62,13 +76,11 @@
   const sleepAbort = new AbortController();
   const abortSleep = (): void => sleepAbort.abort();
   signal.addEventListener('abort', abortSleep, {once: true});
-  let waiter: Disposable | undefined;
-  const notified = new Promise<void>((resolve) => {
-    waiter = condition.onNext(resolve);
-  });
-  await Promise.race([notified, clock.sleep(ms, sleepAbort.signal)]);
-  // Prevents a leak of waiters on a condition that is never notified.
-  waiter?.[Symbol.dispose]();
+  using notification = condition.next();
+  await Promise.race([
+    notification.received,
+    clock.sleep(ms, sleepAbort.signal),
+  ]);
   sleepAbort.abort();
   signal.removeEventListener('abort', abortSleep);
 }
