An edge that was frozen resets no connections when it runs again

Cause: shedding of unread connections measured how long an edge had been behind by the clock alone. If one slow iteration had found a queue before the freeze, the frozen time counted as a second of overload, and all that waited was closed.

Now only running time counts: a gap between two updates adds 250 ms at most. The test of a freeze failed before. Two older tests reported one jump of a second, which is just such a pause; they now report the queue every 50 ms, with the same ends.

--- a/packages/puffinturn-edge/src/__tests__/unit/ConnectionShedding.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ConnectionShedding.test.ts
@@ -22,6 +22,9 @@
 const WORK_MS = 25;
 const REQUESTS = 200;
 
+/** Interval between the reports of a queue that is not empty, ms. */
+const REPORT_INTERVAL_MS = 50;
+
 function createShedding() {
   const shedding = new ConnectionShedding();
   /** Reports a queue age at a time; returns whether connections are closed then. */
@@ -35,6 +38,17 @@
   return isActiveAt;
 }
 
+/** Reports a queue age throughout a period, ms; no connection may be closed in it. */
+function stayBehind(
+  isActiveAt: (now: number, queueAgeMs: number) => boolean,
+  [from, to]: readonly [number, number],
+  queueAgeMs: number,
+): void {
+  for (let now = from; now < to; now += REPORT_INTERVAL_MS) {
+    expect(isActiveAt(now, queueAgeMs)).toBe(false);
+  }
+}
+
 describe('An edge that is behind with reading', () => {
   test('closes no connection after a short pause, or while the queue is short', () => {
     const isActiveAt = createShedding();
@@ -46,9 +60,23 @@
     }
   });
 
+  // A freeze right after a slow iteration counted as a second of overload.
+  test('closes no connection after a freeze, also if the queue was not empty before', () => {
+    const isActiveAt = createShedding();
+    expect(isActiveAt(0, 160)).toBe(false);
+    expect(isActiveAt(5_000, 5_000)).toBe(false);
+    expect(isActiveAt(5_050, 0)).toBe(false);
+  });
+
+  test('closes connections if it stays behind after a freeze', () => {
+    const isActiveAt = createShedding();
+    stayBehind(isActiveAt, [0, 750], 4_000);
+    expect(isActiveAt(1_000, 4_000)).toBe(true);
+  });
+
   test('closes connections until its queue is empty', () => {
     const isActiveAt = createShedding();
-    expect(isActiveAt(0, 200)).toBe(false);
+    stayBehind(isActiveAt, [0, 1_000], 200);
     expect(isActiveAt(1_000, 500)).toBe(true);
     expect(isActiveAt(1_010, 200)).toBe(true);
     expect(isActiveAt(1_020, 0)).toBe(false);
@@ -56,7 +84,7 @@
 
   test('closes connections sooner while the overload goes on, and not long after', () => {
     const isActiveAt = createShedding();
-    isActiveAt(0, 500);
+    stayBehind(isActiveAt, [0, 750], 500);
     expect(isActiveAt(1_000, 500)).toBe(true);
     expect(isActiveAt(1_010, 0)).toBe(false);
     expect(isActiveAt(1_500, 200)).toBe(false);
--- a/packages/puffinturn-edge/src/callers/ConnectionShedding.ts
+++ b/packages/puffinturn-edge/src/callers/ConnectionShedding.ts
@@ -14,16 +14,23 @@
 /** Queue age from which connections are closed, ms; half of the usual objectives. */
 const SHEDDING_AGE_MS = 400;
 
-/** How long an edge has to be behind before it closes any, ms; a pause ends sooner. */
+/** Running time for which an edge has to be behind before it closes any, ms. */
 const MIN_BEHIND_MS = 1_000;
 
+/**
+ * Running time that counts between two updates, ms. A longer gap is a pause of the process,
+ * in which it could not read; afterwards it may well catch up.
+ */
+const MAX_COUNTED_GAP_MS = 250;
+
 /** How long after it has closed connections an edge closes more at once, ms. */
 const OVERLOAD_MEMORY_MS = 5_000;
 
 /** Follows the queue age of one listener. */
 export class ConnectionShedding {
-  /** Since when the queue has not been empty, monotonic ms. */
-  private behindSince: number | undefined;
+  /** Running time since the queue was empty, ms. */
+  private behindMs = 0;
+  private lastUpdateAt = -Infinity;
   private lastClosedAt = -Infinity;
   private isClosing = false;
 
@@ -45,14 +52,16 @@
 
   /** Updates the state; the queue age is 0 where nothing waits. */
   update(queueAgeMs: number, now: number): void {
+    const gapMs = Math.min(now - this.lastUpdateAt, MAX_COUNTED_GAP_MS);
+    this.lastUpdateAt = now;
     if (queueAgeMs === 0) {
-      this.behindSince = undefined;
+      this.behindMs = 0;
       this.isClosing = false;
       return;
     }
-    this.behindSince ??= now;
+    this.behindMs += gapMs;
     const isOverloaded =
-      now - this.behindSince >= MIN_BEHIND_MS ||
+      this.behindMs >= MIN_BEHIND_MS ||
       now - this.lastClosedAt < OVERLOAD_MEMORY_MS;
     if (queueAgeMs >= SHEDDING_AGE_MS && isOverloaded) {
       this.isClosing = true;
