A request's time counts from its arrival, also if it waited for a refresh

Cause: after a suspension, or when a process ran late, requests wait for current state; they were dated when that wait had ended.

Now a request is dated when it is read; the limit of the wait in the listen queue counts up to the read only, as before.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -44,6 +44,7 @@
 import {BacklogLogger} from './callers/BacklogLogger';
 import type {BacklogMonitor} from './callers/BacklogMonitor';
 import type {CallerProtocol} from './callers/CallerProtocol';
+import type {RequestTimes} from './callers/CallerRequest';
 import {CallerRequest} from './callers/CallerRequest';
 import {ConnectionShedding} from './callers/ConnectionShedding';
 import type {HttpAddress, HttpListenFailure} from './callers/HttpListener';
@@ -661,28 +662,29 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
+    const readAt = this.parts.clock.now();
+    this.lastRequestAt = readAt;
+    const arrivedAt =
+      this.backlogMonitor?.estimateArrival(request.socket) ?? readAt;
+    const times = {arrivedAt, readAt};
     const {pending} = this.wakeRefresh;
     if (pending === undefined) {
-      this.serveRequest(request, response);
+      this.serveRequest(request, response, times);
     } else {
-      void pending.then(() => this.serveRequest(request, response));
+      void pending.then(() => this.serveRequest(request, response, times));
     }
   }
 
   private serveRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    times: RequestTimes,
   ): void {
-    const {clock, protocol} = this.parts;
-    const now = clock.now();
-    this.lastRequestAt = now;
-    const arrivedAt =
-      this.backlogMonitor?.estimateArrival(request.socket) ?? now;
     const caller = new CallerRequest(
       request,
       response,
-      protocol.headers,
-      arrivedAt,
+      this.parts.protocol.headers,
+      times,
     );
     caller.closesConnection = this.isStopping;
     request.on('error', () => undefined);
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -46,7 +46,8 @@
   const read = new Promise<string>((resolve) => (resolveRead = resolve));
   const server = createServer((incoming, response) => {
     incoming.on('error', () => undefined);
-    const caller = new CallerRequest(incoming, response, HEADER_NAMES, 0);
+    const times = {arrivedAt: 0, readAt: 0};
+    const caller = new CallerRequest(incoming, response, HEADER_NAMES, times);
     void caller.readBody(MAX_BYTES).then((body) => {
       const outcome = body.isOk() ? `body ${body.value}` : body.error.kind;
       resolveRead(outcome);
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -54,7 +54,7 @@
     {headers, method: 'POST', url: '/stream/1'} as unknown as IncomingMessage,
     {} as ServerResponse,
     new TestProtocol().headers,
-    0,
+    {arrivedAt: 0, readAt: 0},
   );
 }
 
--- a/packages/puffinturn-edge/src/__tests__/unit/WakeRefresh.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/WakeRefresh.test.ts
@@ -13,6 +13,9 @@
 
 import {respondWithStream, TestEdge} from '../utils/TestEdge';
 
+/** Time that a request waits for a control plane that does not reply, at least, ms. */
+const MIN_REFRESH_MS = 400;
+
 /** A clock whose wall time advances during a suspension, but not its monotonic time. */
 class SuspendableClock extends SystemClock {
   private suspendedMs = 0;
@@ -61,4 +64,15 @@
     expect((await testEdge.sendRequest('second')).status).toBe(200);
     expect(loggedPhases().filter((phase) => phase === 'woke')).toHaveLength(1);
   });
+
+  // Requests were dated when the refresh had ended, so upstreams got too long a deadline.
+  test('counts the refresh as time that has passed for the request', async () => {
+    clock.suspend(5_000);
+    expect((await testEdge.sendRequest('first')).status).toBe(200);
+    const tookMs = testEdge.log.decisions.flatMap((line) =>
+      line.event === 'request-ended' ? [line.tookMs] : [],
+    );
+    expect(tookMs).toHaveLength(1);
+    expect(tookMs[0]).toBeGreaterThanOrEqual(MIN_REFRESH_MS);
+  });
 });
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -319,7 +319,8 @@
     this.server = createServer((incoming, response) => {
       const names = parts.protocol.headers;
       const now = this.clock.now();
-      const caller = new CallerRequest(incoming, response, names, now);
+      const times = {arrivedAt: now, readAt: now};
+      const caller = new CallerRequest(incoming, response, names, times);
       void new RequestForwarder(parts, table, caller).run();
     });
   }
--- a/packages/puffinturn-edge/src/callers/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/callers/CallerRequest.ts
@@ -55,6 +55,13 @@
   );
 }
 
+/** Times of a request, monotonic ms. */
+export interface RequestTimes {
+  /** Estimated arrival; under load, earlier than the read. */
+  readonly arrivedAt: number;
+  readonly readAt: number;
+}
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Gives access to a request's headers and body, and sends error responses. */
@@ -70,8 +77,7 @@
     readonly incoming: IncomingMessage,
     readonly response: ServerResponse,
     private readonly headerNames: HeaderNames,
-    /** Estimated arrival, monotonic ms; under load, earlier than the read. */
-    readonly arrivedAt: number,
+    readonly times: RequestTimes,
   ) {
     this.method = incoming.method ?? 'GET';
     this.path = incoming.url ?? '/';
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -203,12 +203,12 @@
 
   /** Whether too much of the timeout had passed when the request was read. */
   private hasWaitedTooLong(route: Route): boolean {
-    const timeoutMs = this.timeoutMs(route);
-    return waitedTooLong(timeoutMs - this.remainingMs(route), timeoutMs, route);
+    const {arrivedAt, readAt} = this.caller.times;
+    return waitedTooLong(readAt - arrivedAt, this.timeoutMs(route), route);
   }
 
   private remainingMs(route: Route): number {
-    const elapsedMs = this.parts.clock.now() - this.caller.arrivedAt;
+    const elapsedMs = this.parts.clock.now() - this.caller.times.arrivedAt;
     return this.timeoutMs(route) - elapsedMs;
   }
 
@@ -687,7 +687,7 @@
       return this.relay;
     }
     const onFirstByte = (): void => {
-      const elapsedMs = this.parts.clock.now() - this.caller.arrivedAt;
+      const elapsedMs = this.parts.clock.now() - this.caller.times.arrivedAt;
       this.parts.metrics.firstByte.observe(
         {route: route.name},
         elapsedMs / 1_000,
@@ -783,7 +783,7 @@
       target: cause === 'no-route' ? this.loggedTarget : undefined,
       team: plan?.team?.name,
       tokens: tokenState,
-      tookMs: Math.round(clock.now() - caller.arrivedAt),
+      tookMs: Math.round(clock.now() - caller.times.arrivedAt),
     });
   }
 }
