Waits cost no abort controller, and no error, each

Cause: sleepUnlessNotified created an AbortController for each wait and aborted it when notified; each abort creates a DOMException with its stack. Each poll held at a control box, each request that waits for tokens, each proposal (LeaderCalls) and each background task waits so. Found in the profile of TokensOfKilledEdges: 20.6 s of 36.5 s.

Now a clock starts timers that can be disposed, and sleep is written on them. A wait whose signal was aborted before returns at once; it slept its time before. The manual clock passes over disposed timers without a turn of the loop.

--- a/packages/puffinturn-fleet/src/LeaderCalls.ts
+++ b/packages/puffinturn-fleet/src/LeaderCalls.ts
@@ -99,15 +99,14 @@
   result: ResultAsync<Value, ProposalFailure>,
   timeoutMs: number,
 ): ResultAsync<Value, FleetFailure> {
-  const timerAbort = new AbortController();
-  const timeout = clock
-    .sleep(timeoutMs, timerAbort.signal)
-    .then(() => err<Value, FleetFailure>(noQuorum()));
-  const settled = Promise.resolve(result).then((outcome) => {
-    timerAbort.abort();
-    return outcome as Result<Value, FleetFailure>;
+  const settled = new Promise<Result<Value, FleetFailure>>((resolve) => {
+    const timer = clock.startTimer(timeoutMs, () => resolve(err(noQuorum())));
+    void result.then((outcome) => {
+      timer[Symbol.dispose]();
+      resolve(outcome);
+    });
   });
-  return new ResultAsync(Promise.race([settled, timeout]));
+  return new ResultAsync(settled);
 }
 
 function noQuorum(): FleetFailure {
--- a/packages/puffinturn-fuzz/src/PausableClock.ts
+++ b/packages/puffinturn-fuzz/src/PausableClock.ts
@@ -24,6 +24,23 @@
     return this.base.wallTime();
   }
 
+  override startTimer(ms: number, onEnd: () => void): Disposable {
+    let isDisposed = false;
+    const timer = this.base.startTimer(ms, () => {
+      void this.waitUntilResumed().then(() => {
+        if (!isDisposed) {
+          onEnd();
+        }
+      });
+    });
+    return {
+      [Symbol.dispose]: () => {
+        isDisposed = true;
+        timer[Symbol.dispose]();
+      },
+    };
+  }
+
   override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
     await this.base.sleep(ms, signal);
     await this.waitUntilResumed();
--- a/packages/shared/src/Clock.ts
+++ b/packages/shared/src/Clock.ts
@@ -19,8 +19,24 @@
   /** Milliseconds since the Unix epoch; may jump. */
   abstract wallTime(): number;
 
+  /** Calls `onEnd` after `ms` milliseconds, unless the result is disposed first. */
+  abstract startTimer(ms: number, onEnd: () => void): Disposable;
+
   /** Waits `ms` milliseconds; resolves early on abort and never rejects. */
-  abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        timer[Symbol.dispose]();
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      const timer = this.startTimer(ms, wake);
+      signal?.addEventListener('abort', wake, {once: true});
+    });
+  }
 }
 
 /** The clock of the operating system. */
@@ -33,27 +49,17 @@
     return Date.now();
   }
 
-  override sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    if (signal?.aborted) {
-      return Promise.resolve();
-    }
-    // The timers/promises version creates an error on each abort.
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        signal?.removeEventListener('abort', wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, ms);
-      signal?.addEventListener('abort', wake, {once: true});
-    });
+  override startTimer(ms: number, onEnd: () => void): Disposable {
+    const timer = setTimeout(onEnd, ms);
+    return {[Symbol.dispose]: () => clearTimeout(timer)};
   }
 }
 
 interface Timer {
   readonly at: number;
   readonly order: number;
-  readonly wake: () => void;
+  /** Undefined once the timer is disposed. */
+  onEnd: (() => void) | undefined;
 }
 
 /** A clock for tests that advances only on request. */
@@ -82,23 +88,15 @@
     this.suspendedMs += ms;
   }
 
-  override sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    if (signal?.aborted) {
-      return Promise.resolve();
-    }
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        signal?.removeEventListener('abort', wake);
-        resolve();
-      };
-      this.lastTimerOrder += 1;
-      this.timers.push({
-        at: this.currentMs + ms,
-        order: this.lastTimerOrder,
-        wake,
-      });
-      signal?.addEventListener('abort', wake, {once: true});
-    });
+  override startTimer(ms: number, onEnd: () => void): Disposable {
+    this.lastTimerOrder += 1;
+    const timer: Timer = {
+      at: this.currentMs + ms,
+      onEnd,
+      order: this.lastTimerOrder,
+    };
+    this.timers.push(timer);
+    return {[Symbol.dispose]: () => void (timer.onEnd = undefined)};
   }
 
   /** Advances by `ms`; runs each due timer and then all ready promise callbacks. */
@@ -112,8 +110,10 @@
     ) {
       this.timers.pop();
       this.currentMs = Math.max(this.currentMs, next.at);
-      next.wake();
-      await settleTasks();
+      if (next.onEnd !== undefined) {
+        next.onEnd();
+        await settleTasks();
+      }
     }
     this.currentMs = endMs;
   }
@@ -136,8 +136,8 @@
     return this.base.wallTime();
   }
 
-  override sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    return this.base.sleep(ms / this.rate, signal);
+  override startTimer(ms: number, onEnd: () => void): Disposable {
+    return this.base.startTimer(ms / this.rate, onEnd);
   }
 }
 
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -67,22 +67,27 @@
 }
 
 /** Sleeps for `ms`; returns early on notification or abort. */
-export async function sleepUnlessNotified(
+export function sleepUnlessNotified(
   clock: Clock,
   condition: Condition,
   ms: number,
   signal: AbortSignal,
 ): Promise<void> {
-  const sleepAbort = new AbortController();
-  const abortSleep = (): void => sleepAbort.abort();
-  signal.addEventListener('abort', abortSleep, {once: true});
-  using notification = condition.next();
-  await Promise.race([
-    notification.received,
-    clock.sleep(ms, sleepAbort.signal),
-  ]);
-  sleepAbort.abort();
-  signal.removeEventListener('abort', abortSleep);
+  if (signal.aborted) {
+    return Promise.resolve();
+  }
+  // An abort controller for each sleep would create an error each time.
+  return new Promise((resolve) => {
+    const wake = (): void => {
+      timer[Symbol.dispose]();
+      notification[Symbol.dispose]();
+      signal.removeEventListener('abort', wake);
+      resolve();
+    };
+    const timer = clock.startTimer(ms, wake);
+    const notification = condition.onNext(wake);
+    signal.addEventListener('abort', wake, {once: true});
+  });
 }
 
 /** A group of background tasks; disposal aborts and awaits them. */
