Operators' declarations: a body without a length is limited too

What an operator could do: send a body in chunks without end; only a length in the headers was checked, and the process read it all into memory. The limit is now the same middleware that the platform's control uses. The programs of the sites don't have this code.

--- a/packages/puffinturn-daemon/src/OperatorApp.ts
+++ b/packages/puffinturn-daemon/src/OperatorApp.ts
@@ -9,6 +9,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import type {Context, Next} from 'hono';
 import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
 import type {GatewayMetrics} from 'puffinturn-gateway';
 import type {HashedApiKey} from 'puffinturn-settings';
 import {
@@ -41,6 +42,7 @@
   'unknown-region': 404,
 } as const;
 
+/** Maximum size of a declaration, bytes; a larger body is read no further. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Creates the application. All paths under `/v1` require an operator key. */
@@ -65,7 +67,16 @@
       (failure) => respondWithFailure(context, failure),
     );
   });
-  app.post('/v1/declarations', (context) => declare(parts, context));
+  const declarationLimit = bodyLimit({
+    maxSize: MAX_BODY_BYTES,
+    onError: (context) => {
+      const message = `at most ${MAX_BODY_BYTES} bytes are taken`;
+      return context.json({error: {kind: 'too-large', message}}, 413);
+    },
+  });
+  app.post('/v1/declarations', declarationLimit, (context) =>
+    declare(parts, context),
+  );
   app.get('/v1/timeline', async (context) => {
     const {box, budget, request, since} = context.req.query();
     const sinceMs = since === undefined ? undefined : Number(since);
@@ -95,10 +106,6 @@
   {api}: OperatorAppParts,
   context: Context<Environment>,
 ): Promise<Response> {
-  if (Number(context.req.header('content-length') ?? 0) > MAX_BODY_BYTES) {
-    const message = `at most ${MAX_BODY_BYTES} bytes are taken`;
-    return context.json({error: {kind: 'too-large', message}}, 413);
-  }
   const body: unknown = await context.req.json().catch(() => undefined);
   const checked = validateValue(DeclarationSchema, body, 'request');
   if (checked.isErr()) {
