A stream through another edge is not complete because a leaving upstream's successor listens

What callers saw: a part of a stream, two of four events, that looked complete (ORDER).

Cause: the edge that carries a tunnel checks whether the upstream still listens, but passes on bytes only, so it hears nothing of headers. The asking edge had heard Server-Leaving, and took the carrier's word without it. A leaving upstream ends its connections while a successor listens in its place; over a direct link this counted as leaving, not as listening. The same gap was there when another edge is asked because this one's links are lost.

Now what this edge knows of the upstream (leaving, superseded) decides beside what the other edge has seen.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -136,6 +136,15 @@
     expect(found).toEqual([END_EVIDENCE.listening, END_EVIDENCE.crashed]);
   });
 
+  test('shows a departure if another edge saw a listener in place of one that leaves', async () => {
+    using upstream = await startStopped();
+    upstream.markDraining();
+    const askOther = async () => END_EVIDENCE.listening;
+    expect(await findEndEvidence(upstream, TIMING, () => true, askOther)).toBe(
+      END_EVIDENCE.leaving,
+    );
+  });
+
   test('completes no response if no edge can tell', async () => {
     using upstream = await startStopped();
     const evidence = await findEndEvidence(upstream, TIMING, () => true);
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -194,7 +194,7 @@
   /** Quarantine of crashing requests, without control boxes. */
   readonly quarantine: RequestQuarantine;
   private readonly brittleServices: BrittleServices;
-  private readonly directLinks: DirectLinks;
+  readonly directLinks: DirectLinks;
   private readonly limitReporter: LimitReporter;
   private readonly responseTotals: ResponseTotals;
   private readonly agent = new Agent();
--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -64,6 +64,17 @@
   readonly drainMs: number;
 }
 
+/**
+ * What is known of an upstream that listens, here or as another edge has seen: a successor
+ * may listen in its place.
+ */
+export function evidenceOfListener(upstream: EdgeUpstream): EndEvidence {
+  if (upstream.isSuperseded) {
+    return END_EVIDENCE.crashed;
+  }
+  return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.listening;
+}
+
 /**
  * Checks an upstream that has just ended a connection. `askOther` lets another edge check
  * it, if this one can't tell.
@@ -81,10 +92,13 @@
     return END_EVIDENCE.crashed;
   }
   if (state === LISTENER_STATE.listening) {
-    return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.listening;
+    return evidenceOfListener(upstream);
   }
   if (state !== LISTENER_STATE.refused || areLinksLost()) {
-    return askOther();
+    const seen = await askOther();
+    return seen === END_EVIDENCE.listening
+      ? evidenceOfListener(upstream)
+      : seen;
   }
   return (await hasShutDown(upstream, timing))
     ? END_EVIDENCE.leaving
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -12,7 +12,7 @@
 import type {CallerProtocol} from '../callers/CallerProtocol';
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {EndEvidence, ShutdownTiming} from '../connections/EndEvidence';
-import {findEndEvidence} from '../connections/EndEvidence';
+import {evidenceOfListener, findEndEvidence} from '../connections/EndEvidence';
 import type {ExchangeOutcome} from '../connections/Exchange';
 import {CONNECT_TIMEOUT, Exchange} from '../connections/Exchange';
 import {buildUpstreamHeaders} from '../connections/UpstreamHeaders';
@@ -181,8 +181,7 @@
     if (hasResponse || outcome.kind === 'rejected') {
       this.applyUpstreamHeaders(outcome.response);
     }
-    if (hasResponse && !this.exchange.usedTunnel) {
-      // The edge that carries a tunnel checks the end itself.
+    if (hasResponse) {
       outcome.response.checkEndWith({
         find: () => this.findEndEvidence(),
         isRepeatable: this.params.plan.route.repetition !== RETRY_POLICY.never,
@@ -193,9 +192,13 @@
     return outcome;
   }
 
-  private findEndEvidence(): Promise<EndEvidence> {
+  private async findEndEvidence(): Promise<EndEvidence> {
     const {directLinks, tunnelClient} = this.parts;
     const {upstream} = this;
+    if (this.exchange.usedTunnel) {
+      // The edge that carries the tunnel has seen the upstream listen, but not its headers.
+      return evidenceOfListener(upstream);
+    }
     const {service} = upstream.record;
     return findEndEvidence(
       upstream,
