--- a/packages/puffinturn-fleet/src/LeaderCalls.ts
+++ b/packages/puffinturn-fleet/src/LeaderCalls.ts
@@ -14,6 +14,7 @@
 import type {ProposalFailure, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Failure} from 'shared';
+import {resolveWithin} from 'shared';
 
 import type {FleetRecord} from './FleetMachine';
 
@@ -99,13 +100,11 @@
   result: ResultAsync<Value, ProposalFailure>,
   timeoutMs: number,
 ): ResultAsync<Value, FleetFailure> {
-  const settled = new Promise<Result<Value, FleetFailure>>((resolve) => {
-    const timer = clock.startTimer(timeoutMs, () => resolve(err(noQuorum())));
-    void result.then((outcome) => {
-      timer[Symbol.dispose]();
-      resolve(outcome);
-    });
-  });
+  const settled: Promise<Result<Value, FleetFailure>> = resolveWithin(
+    clock,
+    Promise.resolve(result),
+    timeoutMs,
+  ).then((outcome) => outcome ?? err(noQuorum()));
   return new ResultAsync(settled);
 }
 
--- a/packages/puffinturn-gateway/src/AttemptRunner.ts
+++ b/packages/puffinturn-gateway/src/AttemptRunner.ts
@@ -17,6 +17,7 @@
 import type {Timeline} from 'puffinturn-timeline';
 import {EVENT_KIND} from 'puffinturn-timeline';
 import type {Clock, Random} from 'shared';
+import {resolveWithin} from 'shared';
 
 import type {AdmittedAttempt} from './Admission';
 import type {AttemptSettler} from './AttemptSettler';
@@ -266,15 +267,12 @@
     if (!decision.allowsHedging || decision.runsAtMostOnce || tryIndex > 0) {
       return first;
     }
-    const timer = new AbortController();
-    const isSlow = await Promise.race([
-      first.then(() => false),
-      this.parts.clock
-        .sleep(Math.min(this.pool.hedge.delayMs, 1e9), timer.signal)
-        .then(() => true),
-    ]);
-    timer.abort();
-    if (!isSlow || !this.pool.hedge.tryConsume()) {
+    const isInTime = await resolveWithin(
+      this.parts.clock,
+      first.then(() => true),
+      Math.min(this.pool.hedge.delayMs, 1e9),
+    );
+    if (isInTime || !this.pool.hedge.tryConsume()) {
       return first;
     }
     return this.sendSecond(first, slot, request);
@@ -545,14 +543,11 @@
    */
   private async releaseAndFail(failure: GatewayFailure): Promise<void> {
     const released = this.parts.settler.release(this.attempt);
-    const timer = new AbortController();
-    const outcome = await Promise.race([
+    const outcome = await resolveWithin(
+      this.parts.clock,
       released,
-      this.parts.clock
-        .sleep(SETTLE_WAIT_MS, timer.signal)
-        .then(() => undefined),
-    ]);
-    timer.abort();
+      SETTLE_WAIT_MS,
+    );
     if (outcome?.kind === 'done') {
       this.fail(failure);
     } else {
--- a/packages/puffinturn-gateway/src/AttemptSettler.ts
+++ b/packages/puffinturn-gateway/src/AttemptSettler.ts
@@ -16,6 +16,7 @@
 import type {Timeline} from 'puffinturn-timeline';
 import {EVENT_KIND} from 'puffinturn-timeline';
 import type {Clock} from 'shared';
+import {resolveWithin} from 'shared';
 
 import type {AdmittedAttempt} from './Admission';
 import {
@@ -83,19 +84,15 @@
    * Like `settle`, but returns undefined after SETTLE_WAIT_MS. The settlement
    * continues in the background.
    */
-  async settleWithTimeout(
+  settleWithTimeout(
     attempt: AdmittedAttempt,
     charge: number,
   ): Promise<number | undefined> {
-    const timer = new AbortController();
-    const billed = await Promise.race([
+    return resolveWithin(
+      this.parts.clock,
       this.settle(attempt, 'settled', charge),
-      this.parts.clock
-        .sleep(SETTLE_WAIT_MS, timer.signal)
-        .then(() => undefined),
-    ]);
-    timer.abort();
-    return billed;
+      SETTLE_WAIT_MS,
+    );
   }
 
   /** Releases an attempt without billing, so that its key can be admitted again. */
--- a/packages/puffinturn-routing/src/Router.ts
+++ b/packages/puffinturn-routing/src/Router.ts
@@ -238,10 +238,9 @@
   ): Promise<Result<UpstreamSlot, AcquireFailure>> {
     const {clock, queue} = this.parts;
     return new Promise((resolve) => {
-      const timeout = new AbortController();
       const {cost, deadline, priority, signal, team, weight} = request;
       const settle = (result: Result<UpstreamSlot, AcquireFailure>): void => {
-        timeout.abort();
+        timer[Symbol.dispose]();
         signal?.removeEventListener('abort', onAbort);
         resolve(result);
       };
@@ -259,13 +258,13 @@
         queue.remove(waiter);
         settle(err({kind: 'caller-gone', message: 'the caller has gone'}));
       };
-      signal?.addEventListener('abort', onAbort, {once: true});
-      queue.push(waiter);
-      void clock.sleep(deadline - clock.now(), timeout.signal).then(() => {
+      const timer = clock.startTimer(deadline - clock.now(), () => {
         if (queue.remove(waiter)) {
           settle(err(this.overloadedFailure('no upstream came free in time')));
         }
       });
+      signal?.addEventListener('abort', onAbort, {once: true});
+      queue.push(waiter);
     });
   }
 
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -18,7 +18,7 @@
 import type {ResultAsync} from 'neverthrow';
 import {err, errAsync, ok, ResultAsync as Async} from 'neverthrow';
 import type {Clock, Failure} from 'shared';
-import {describeError} from 'shared';
+import {describeError, resolveWithin} from 'shared';
 
 import {Connection} from './Connection';
 import type {LinkFailure} from './Link';
@@ -207,7 +207,11 @@
     timeoutMs: number,
   ) {
     const startedAt = this.parts.clock.now();
-    const peerConnection = await withTimeout(timeoutMs, this.connectionTo(box));
+    const peerConnection = await resolveWithin(
+      this.parts.clock,
+      this.connectionTo(box),
+      timeoutMs,
+    );
     if (peerConnection === undefined) {
       return err<unknown, LinkFailure>(notSent(`cannot connect to ${box}`));
     }
@@ -455,20 +459,6 @@
   }
 }
 
-/** Resolves to the value, or to undefined after `ms` milliseconds. */
-async function withTimeout<Value>(
-  ms: number,
-  value: Promise<Value>,
-): Promise<Value | undefined> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<undefined>((resolve) => {
-    timer = setTimeout(() => resolve(undefined), ms);
-  });
-  const result = await Promise.race([value, timeout]);
-  clearTimeout(timer);
-  return result;
-}
-
 function toCallResult(box: string, frame: ResponseFrame | undefined) {
   if (frame === undefined) {
     const message = `${box} did not respond`;
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -90,6 +90,27 @@
   });
 }
 
+/** Resolves with the result of `task`, or with undefined if that takes longer than `ms`. */
+export function resolveWithin<Value>(
+  clock: Clock,
+  task: Promise<Value>,
+  ms: number,
+): Promise<Value | undefined> {
+  return new Promise((resolve, reject) => {
+    const timer = clock.startTimer(ms, () => resolve(undefined));
+    task.then(
+      (value) => {
+        timer[Symbol.dispose]();
+        resolve(value);
+      },
+      (error: unknown) => {
+        timer[Symbol.dispose]();
+        reject(error);
+      },
+    );
+  });
+}
+
 /** A group of background tasks; disposal aborts and awaits them. */
 export class TaskGroup implements AsyncDisposable {
   private readonly controller = new AbortController();
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -34,6 +34,7 @@
   Condition,
   DisposableList,
   Mutex,
+  resolveWithin,
   sleepUnlessNotified,
   TaskGroup,
 } from './Task';
