Edges don't say that a route or key is absent from an overdue configuration

Callers saw 404 (or 401) from one edge on routes that had been acknowledged longer ago than the bound. What the view allows is served as before, also without contact. The log tells the target of these refusals and of 401.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -65,6 +65,7 @@
 import {RegionLinkBudget} from './regions/RegionLinkBudget';
 import type {RequestForwarderParts} from './requests/RequestForwarder';
 import {RequestForwarder} from './requests/RequestForwarder';
+import {findGrant} from './requests/RequestPlan';
 import {RequestQuarantine} from './requests/RequestQuarantine';
 import type {RetryLimit} from './requests/RetryBudgets';
 import {RetryBudgets} from './requests/RetryBudgets';
@@ -378,6 +379,7 @@
       hall: self.hall,
       responseTotals: this.responseTotals,
       partialEvents: this.partialEvents,
+      isConfigurationOverdue: () => this.fleetWatch.isConfigurationOverdue,
       stateAgeMs: () => this.stateAgeMs,
       streamVersions: this.streamVersions,
     };
@@ -703,9 +705,25 @@
       return;
     }
     this.openRequests += 1;
-    void new RequestForwarder(this.forwarderParts, this.routeTable, caller)
-      .run()
-      .finally(() => (this.openRequests -= 1));
+    void this.forwardRequest(caller, this.routeTable).finally(
+      () => (this.openRequests -= 1),
+    );
+  }
+
+  /** Forwards a request, after a wait if only a newer configuration may allow it. */
+  private async forwardRequest(
+    caller: CallerRequest,
+    table: RouteTable,
+  ): Promise<void> {
+    const {fleetWatch, forwarderParts, parts} = this;
+    if (
+      fleetWatch.isConfigurationOverdue &&
+      findGrant(caller, table, parts.protocol).isErr()
+    ) {
+      await fleetWatch.awaitConfiguration();
+    }
+    const newestTable = this.routeTable ?? table;
+    await new RequestForwarder(forwarderParts, newestTable, caller).run();
   }
 
   /** Rejects a request without reading its body. */
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -55,6 +55,12 @@
 /** `Retry-After` while the configuration, the service or its upstreams are missing, s. */
 export const RETRY_AFTER_UNAVAILABLE_S = 1;
 
+/**
+ * `Retry-After` while the configuration is overdue here, s. Short, because the retry goes to
+ * another edge.
+ */
+export const RETRY_AFTER_OVERDUE_S = 0.3;
+
 /** `Retry-After` while tokens can't be obtained, s; most outages last for seconds. */
 export const RETRY_AFTER_TOKENS_S = 3;
 
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -298,6 +298,7 @@
       retrySchedule: new RetrySchedule(clock, random, () => 1),
       responseTotals: this.responseTotals,
       partialEvents: this.partialEvents,
+      isConfigurationOverdue: () => false,
       stateAgeMs: () => undefined,
       streamVersions: new StreamVersions({
         clock,
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -33,6 +33,7 @@
   MAX_CONNECT_FAILURES,
   MIN_SERVER_ERROR_STATUS,
   MISDIRECTED_REQUEST_STATUS,
+  RETRY_AFTER_OVERDUE_S,
   RETRY_AFTER_TOKENS_S,
   RETRY_AFTER_UNKNOWN_STREAM_S,
   RETRY_AFTER_WAITED_TOO_LONG_S,
@@ -59,7 +60,7 @@
 import {Attempt} from './Attempt';
 import type {RequestFeatures} from './RequestIdentity';
 import {RequestIdentity} from './RequestIdentity';
-import type {RequestPlan} from './RequestPlan';
+import type {Refusal, RequestPlan} from './RequestPlan';
 import {planRequest} from './RequestPlan';
 import type {RequestQuarantine} from './RequestQuarantine';
 import type {RetryBudgets} from './RetryBudgets';
@@ -76,11 +77,23 @@
   readonly partialEvents: PartialEvents;
   /** Age of the state that requests are decided by, ms; undefined before it is known. */
   readonly stateAgeMs: () => number | undefined;
+  /** Whether the configuration may lack a change that must be in force. */
+  readonly isConfigurationOverdue: () => boolean;
 }
 
 /** Cause of the error response for a quarantined request. */
 const QUARANTINED = 'quarantined';
 
+/** Cause of the error response for what only a newer configuration may have. */
+const CONFIGURATION_OVERDUE = 'configuration-overdue';
+
+/** Causes with which the log tells the target of a request. */
+const CAUSES_WITH_TARGET: ReadonlySet<string> = new Set([
+  CONFIGURATION_OVERDUE,
+  'no-route',
+  'unknown-key',
+]);
+
 /** Cause of an error response that is broken off because its body does not end. */
 const ENDLESS_ERROR = 'endless-error';
 
@@ -184,8 +197,7 @@
     const fraction = random.fraction();
     const plan = planRequest(this.caller, this.table, protocol, fraction);
     if (plan.isErr()) {
-      const {cause, retryAfterS, status} = plan.error;
-      this.requestOutcome.reject(status, cause, retryAfterS);
+      this.rejectUnplanned(plan.error);
       return undefined;
     }
     this.plan = plan.value;
@@ -201,6 +213,22 @@
     return plan.value;
   }
 
+  /** Rejects a request; what an outdated configuration lacks is not known to be absent. */
+  private rejectUnplanned({cause, retryAfterS, status}: Refusal): void {
+    if (
+      status < MIN_SERVER_ERROR_STATUS &&
+      this.parts.isConfigurationOverdue()
+    ) {
+      this.requestOutcome.reject(
+        503,
+        CONFIGURATION_OVERDUE,
+        RETRY_AFTER_OVERDUE_S,
+      );
+    } else {
+      this.requestOutcome.reject(status, cause, retryAfterS);
+    }
+  }
+
   /** Whether too much of the timeout had passed when the request was read. */
   private hasWaitedTooLong(route: Route): boolean {
     const {arrivedAt, readAt} = this.caller.times;
@@ -780,7 +808,7 @@
       upstreamAgeMs: this.lastRecordAgeMs,
       stateAgeMs: this.stateAgeMs,
       status,
-      target: cause === 'no-route' ? this.loggedTarget : undefined,
+      target: CAUSES_WITH_TARGET.has(cause) ? this.loggedTarget : undefined,
       team: plan?.team?.name,
       tokens: tokenState,
       tookMs: Math.round(clock.now() - caller.times.arrivedAt),
--- a/packages/puffinturn-edge/src/requests/RequestPlan.ts
+++ b/packages/puffinturn-edge/src/requests/RequestPlan.ts
@@ -38,22 +38,38 @@
   readonly retryAfterS: number | undefined;
 }
 
-/** Resolves a request. `fraction` in [0, 1) selects a target of a weighted route. */
-export function planRequest(
+/** The route of a request, and the team whose key it carries. */
+export type RequestGrant = Pick<RequestPlan, 'route' | 'team'>;
+
+/** Finds the route and team of a request, which a configuration must have to allow it. */
+export function findGrant(
   caller: CallerRequest,
   table: RouteTable,
   protocol: CallerProtocol,
-  fraction: number,
-): Result<RequestPlan, Refusal> {
+): Result<RequestGrant, Refusal> {
   const host = (caller.header('host') ?? '').replace(/:\d+$/, '');
   const route = table.findRoute(host, caller.path);
   if (route === undefined) {
     return refusal(404, 'no-route');
   }
   const team = table.findTeam(caller.header(protocol.headers.credential));
-  if (team === undefined && table.requiresKey(route)) {
-    return refusal(401, 'unknown-key');
+  return team === undefined && table.requiresKey(route)
+    ? refusal(401, 'unknown-key')
+    : ok({route, team});
+}
+
+/** Resolves a request. `fraction` in [0, 1) selects a target of a weighted route. */
+export function planRequest(
+  caller: CallerRequest,
+  table: RouteTable,
+  protocol: CallerProtocol,
+  fraction: number,
+): Result<RequestPlan, Refusal> {
+  const grant = findGrant(caller, table, protocol);
+  if (grant.isErr()) {
+    return err(grant.error);
   }
+  const {route, team} = grant.value;
   const service = table.pickService(route, fraction);
   if (service === undefined) {
     return refusal(503, 'no-service', RETRY_AFTER_UNAVAILABLE_S);
@@ -77,6 +93,6 @@
   status: number,
   cause: Refusal['cause'],
   retryAfterS?: number,
-): Result<RequestPlan, Refusal> {
+): Result<never, Refusal> {
   return err({cause, retryAfterS, status});
 }
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -35,6 +35,9 @@
 /** Interval at which seeds are read and standby control boxes are reconsidered, ms. */
 const SELECTION_INTERVAL_MS = 1_000;
 
+/** Interval at which a wait for a confirmation is checked, ms. */
+const CONFIRMATION_POLL_MS = 10;
+
 /** Time allowed for the reply beyond the delay of the control box, ms. */
 const REPLY_TIMEOUT_MS = 500;
 
@@ -176,6 +179,27 @@
     return this.isSelective && this.renewal.isCatchingUp;
   }
 
+  /**
+   * Whether the configuration in force here may lack a change that must be in force. What it
+   * lacks is then not known to be absent.
+   */
+  get isConfigurationOverdue(): boolean {
+    return this.freshness.configurationAgeMs >= this.timing.applyBoundMs;
+  }
+
+  /** Waits while the configuration is overdue and a control box may confirm it soon. */
+  async awaitConfiguration(): Promise<void> {
+    const {clock} = this.parts;
+    const deadline = clock.now() + this.timing.maxCatchUpMs;
+    while (
+      this.isConfigurationOverdue &&
+      this.isConnected &&
+      clock.now() < deadline
+    ) {
+      await clock.sleep(CONFIRMATION_POLL_MS);
+    }
+  }
+
   /** Addresses of the control boxes; reachable ones come first. */
   get controlAddresses(): string[] {
     const all = [...this.peers.values()];
--- a/packages/puffinturn-fleet/src/WatchTiming.ts
+++ b/packages/puffinturn-fleet/src/WatchTiming.ts
@@ -46,7 +46,7 @@
   readonly longPollMs: number;
 
   /** `applyBoundMs` is the time within which a change must be in force, ms. */
-  constructor(applyBoundMs = DEFAULT_APPLY_BOUND_MS) {
+  constructor(readonly applyBoundMs = DEFAULT_APPLY_BOUND_MS) {
     this.renewalAgeMs = applyBoundMs / 2;
     this.renewalIntervalMs = applyBoundMs / 4;
     this.lateRenewalAgeMs = this.renewalAgeMs + this.renewalIntervalMs;
