--- a/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
@@ -9,6 +9,7 @@
  * Guards against responses assigned to the wrong request, truncated responses taken for
  * complete ones, and unlimited buffering.
  */
+import {once} from 'node:events';
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 
@@ -70,6 +71,14 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Resolves once the peer has closed a connection. */
+  async closedByPeer(index: number): Promise<void> {
+    const socket = this.sockets[index];
+    if (socket !== undefined && !socket.closed) {
+      await once(socket, 'close');
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.sockets.forEach((socket) => socket.destroy());
     await new Promise((resolve) => this.server.close(resolve));
@@ -184,7 +193,7 @@
     }, `${HEAD_OF_2_BYTES}zz`);
     using pool = createPool(upstream.port);
     await sendRequest(pool.acquire());
-    await delay();
+    await upstream.closedByPeer(0);
     expect((await sendRequest(pool.acquire())).body).toBe('zz');
     expect(upstream.sockets).toHaveLength(2);
   });
