A control box that was suspended does not vouch for state from before

The steady clock does not count a suspension, so a confirmation from before looked fresh on waking, and a deposed leader proved with a contact from before that it leads. Edges rest on such ages (class: time that a clock does not count). Confirmations end with a suspension, and a leader proves nothing until it has reached a quorum again. Not shown to be the users' case.

--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -159,6 +159,11 @@
   constructor(private readonly parts: FleetControlParts) {
     const {clock, link} = parts;
     this.leaderCalls = new LeaderCalls(parts);
+    // Reads and proposals need no recovery after a suspension, as they need a quorum.
+    this.suspension = new SuspensionDetector(clock, (ms) => {
+      this.confirmation.invalidate();
+      recoverFromSuspension(parts, ms);
+    });
     this.allowanceControl = new AllowanceControl({
       ...parts,
       leader: this.leaderCalls,
@@ -175,6 +180,7 @@
       ...parts,
       leader: this.leaderCalls,
       onApplied: () => this.upstreamControl.applyStoredDepartures(),
+      suspension: this.suspension,
     });
     this.watchReplies = new WatchReplies({
       ...parts,
@@ -211,10 +217,6 @@
       leader: this.leaderCalls,
       upstreams: this.upstreamControl.table,
     });
-    // Only connections need recovery after a suspension: reads and proposals need a quorum.
-    this.suspension = new SuspensionDetector(clock, (ms) =>
-      recoverFromSuspension(parts, ms),
-    );
     this.tasks.start((signal) => this.expireSilentPeers(signal));
     this.tasks.start((signal) => this.trackCurrency(signal));
     this.tasks.start((signal) => this.trackVersions(signal));
--- a/packages/puffinturn-fleet/src/StateConfirmation.ts
+++ b/packages/puffinturn-fleet/src/StateConfirmation.ts
@@ -11,7 +11,7 @@
  */
 import type {Leadership, Replica} from 'puffinturn-log';
 import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
+import type {Clock, SuspensionDetector} from 'shared';
 import {TaskGroup} from 'shared';
 
 import {FLEET_SERVICE} from './FleetMessages';
@@ -40,7 +40,8 @@
   readonly clock: Clock;
   readonly leader: LeaderCalls;
   readonly link: Link;
-  readonly replica: Replica;
+  readonly replica: Pick<Replica, 'appliedThrough' | 'leadership'>;
+  readonly suspension: Pick<SuspensionDetector, 'check'>;
   /** Called before a confirmation counts, to bring derived state up to date. */
   readonly onApplied: () => void;
 }
@@ -53,6 +54,8 @@
 /** Confirms regularly that a control box has all that a quorum has stored. */
 export class StateConfirmation implements AsyncDisposable {
   private confirmedAt = -Infinity;
+  /** Proofs from before do not count, as the clock has not counted a suspension since. */
+  private validSince = -Infinity;
   private readonly handler: Disposable;
   private readonly tasks = new TaskGroup();
 
@@ -66,9 +69,16 @@
 
   /** Time since when entries may be missing here, ms; Infinity before a confirmation. */
   get ageMs(): number {
+    this.parts.suspension.check();
     return this.parts.clock.now() - this.confirmedAt;
   }
 
+  /** Forgets all confirmations; called after a suspension. */
+  invalidate(): void {
+    this.confirmedAt = -Infinity;
+    this.validSince = this.parts.clock.now();
+  }
+
   /** Whether the last confirmation is recent enough for others to use this box. */
   get isRecent(): boolean {
     return this.msUntilOutdated > 0;
@@ -85,7 +95,13 @@
   }
 
   private confirmAsLeader(): ConfirmationReply {
-    return {leadership: this.parts.replica.leadership};
+    const {clock, replica, suspension} = this.parts;
+    suspension.check();
+    const {leadership} = replica;
+    const isValid =
+      leadership !== undefined &&
+      clock.now() - leadership.ageMs >= this.validSince;
+    return {leadership: isValid ? leadership : undefined};
   }
 
   private async run(signal: AbortSignal): Promise<void> {
@@ -99,7 +115,7 @@
   }
 
   private async confirm(signal: AbortSignal): Promise<void> {
-    const {clock, leader, onApplied} = this.parts;
+    const {clock, leader, onApplied, suspension} = this.parts;
     const startedAt = clock.now();
     const {leadership} = await leader.runOnLeader<ConfirmationReply>(
       FLEET_SERVICE.confirmState,
@@ -113,7 +129,13 @@
     }
     const {ageMs, commitIndex} = leadership;
     const deadline = startedAt + CONFIRMATION_TIMEOUT_MS;
-    if (await this.waitUntilApplied(commitIndex, deadline, signal)) {
+    const isApplied = await this.waitUntilApplied(
+      commitIndex,
+      deadline,
+      signal,
+    );
+    suspension.check();
+    if (isApplied && startedAt >= this.validSince) {
       onApplied();
       // The proof was given after the request was sent, so it is no older than this.
       this.confirmedAt = Math.max(this.confirmedAt, startedAt - ageMs);
