--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -138,6 +138,10 @@
   readonly ageMs: number | undefined;
   /** Versions of the service that this edge has known lately. */
   readonly known: readonly string[];
+  /** Those that a control box replied with; undefined if none did. */
+  readonly confirmed: readonly string[] | undefined;
+  /** Age of the state of this edge, ms; undefined before it was confirmed. */
+  readonly stateAgeMs: number | undefined;
   readonly tookMs: number;
 }
 
@@ -452,6 +456,26 @@
   readonly crashes: readonly string[] | undefined;
 }
 
+/** The replicated list of versions was changed, or not, by this leader. */
+export interface VersionDecided {
+  readonly event: 'version-decided';
+  readonly service: string;
+  /** Empty if the upstreams name none. */
+  readonly version: string;
+  /** `added`, `removed`, or the reason for the failure. */
+  readonly outcome: string;
+}
+
+/** This edge adopted a new list of the versions of all services. */
+export interface VersionsAdopted {
+  readonly event: 'versions-adopted';
+  readonly revision: number;
+  /** Undefined if there was none. */
+  readonly former: number | undefined;
+  /** Services with several versions, and these, the oldest first. */
+  readonly several: Readonly<Record<string, readonly string[]>>;
+}
+
 /** This process adopted a new list of quarantined requests. */
 export interface QuarantineAdopted {
   readonly event: 'quarantine-adopted';
@@ -726,6 +750,8 @@
   | PermitTotals
   | ProcessChanged
   | QuarantineAdopted
+  | VersionDecided
+  | VersionsAdopted
   | QuarantineChanged
   | RequestEnded
   | ResponseEnded
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -22,10 +22,12 @@
   Evacuations,
   FleetConfiguration,
   Regions,
+  RegisteredVersions,
   Rollouts,
 } from 'puffinturn-fleet';
 import {
   applyChange,
+  DEFAULT_STREAM_LIFETIME_MS,
   digestOf,
   EMPTY_ROLLOUTS,
   FleetWatch,
@@ -52,7 +54,6 @@
 import {OverloadWithdrawal} from './callers/OverloadWithdrawal';
 import {PartialEvents} from './callers/PartialEvents';
 import {
-  DEFAULT_STREAM_LIFETIME_MS,
   RETRY_AFTER_DRAINING_S,
   RETRY_AFTER_UNAVAILABLE_S,
 } from './EdgeConstants';
@@ -206,14 +207,17 @@
     };
     this.streamOrigins = new StreamOrigins({
       ...peerParts,
+      controlBoxes: () => this.fleetWatch.controlAddresses,
       lifetimeMs: () => this.streamLifetimeMs,
+      versionsRevision: () => this.pool.versions.revision,
     });
     this.streamVersions = new StreamVersions({
       clock,
-      isConnected: () => this.fleetWatch.isConnected,
       log,
+      maxStateAgeMs: parts.applyBoundMs,
       metrics: this.metrics,
       origins: this.streamOrigins,
+      stateAgeMs: () => this.fleetWatch.freshness.upstreamsAgeMs,
       versions: this.pool.versions,
     });
     // Must exist before the fleet watch, which reads the rollout revision at once.
@@ -524,6 +528,19 @@
     this.exposureController.adopt(rollouts, source);
   }
 
+  /** Applies the list of the versions of all services from a control box. */
+  applyVersions(update: RegisteredVersions): void {
+    const {versions} = this.pool;
+    const former = versions.registered?.revision;
+    versions.applyRegistered(update, true);
+    this.parts.log.note({
+      event: 'versions-adopted',
+      former,
+      revision: update.revision,
+      several: servicesWithSeveral(update),
+    });
+  }
+
   /** Replaces the list of boxes. */
   updateBoxes(records: readonly BoxRecord[]): void {
     this.knownBoxes.update(records);
@@ -633,6 +650,7 @@
           evacuations: this.pool.evacuations,
           quarantine: this.quarantine.current,
           rollouts: this.exposureController.rollouts,
+          versions: this.pool.versions.registered,
           upstreams: this.pool.records(),
         };
   }
@@ -641,6 +659,9 @@
     this.updateBoxes(handover.boxes);
     this.fleetWatch.addControls(handover.boxes);
     this.applyRollouts(handover.rollouts ?? EMPTY_ROLLOUTS, source);
+    if (handover.versions !== undefined && handover.versions !== null) {
+      this.pool.versions.applyRegistered(handover.versions, false);
+    }
     this.pool.merge(handover.upstreams, source);
     this.applyConfiguration(handover.configuration, {box: source});
     this.applyEvacuations(handover.evacuations ?? NO_EVACUATIONS, source);
@@ -797,3 +818,16 @@
     });
   }
 }
+
+/** Services with several versions, and these, for the log. */
+function servicesWithSeveral({
+  versions,
+}: RegisteredVersions): Record<string, string[]> {
+  const byService = new Map<string, string[]>();
+  for (const {service, version} of versions) {
+    byService.set(service, [...(byService.get(service) ?? []), version]);
+  }
+  return Object.fromEntries(
+    [...byService].filter(([, known]) => known.length > 1),
+  );
+}
--- a/packages/puffinturn-edge/src/EdgeConstants.ts
+++ b/packages/puffinturn-edge/src/EdgeConstants.ts
@@ -126,17 +126,14 @@
 /** Time for which an exhausted budget is not requested again, ms. */
 export const EXHAUSTED_CACHE_MS = 800;
 
+/** `Retry-After` when no box that replied knows which version began a stream, s. */
+export const RETRY_AFTER_UNKNOWN_STREAM_S = 0.3;
+
 /**
- * How long a stream may be served and resumed, as a multiple of the timeout of its route:
- * the caller may resume it until its own deadline, which is about that timeout.
+ * `Retry-After` when the version that began a stream has left, s. Longer than most callers
+ * wait, as the stream can only begin anew.
  */
-export const STREAM_LIFETIME_TIMEOUTS = 2;
-
-/** Lifetime of streams without a configured timeout, ms. */
-export const DEFAULT_STREAM_LIFETIME_MS = 30_000;
-
-/** `Retry-After` when no edge that replied knows which version began a stream, s. */
-export const RETRY_AFTER_UNKNOWN_STREAM_S = 0.3;
+export const RETRY_AFTER_VERSION_LEFT_S = 10;
 
 /** HTTP status 421, Misdirected Request: another upstream was meant. */
 export const MISDIRECTED_REQUEST_STATUS = 421;
--- a/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
+++ b/packages/puffinturn-edge/src/EdgeUpdateHandler.ts
@@ -12,6 +12,7 @@
   ConfigurationOrigin,
   Evacuations,
   FleetConfiguration,
+  RegisteredVersions,
   Rollouts,
   UpstreamRecord,
 } from 'puffinturn-fleet';
@@ -68,6 +69,14 @@
     this.edge.quarantine.adopt(quarantine, source);
   }
 
+  override get versionsRevision(): number {
+    return this.edge.pool.versions.revision;
+  }
+
+  override onVersions(update: RegisteredVersions): void {
+    this.edge.applyVersions(update);
+  }
+
   override onUpstreams(
     records: readonly UpstreamRecord[],
     source: string,
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -11,7 +11,7 @@
 import {InMemoryDecisionLog, RESUMPTION_OUTCOME} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {RETRY_POLICY, UPSTREAM_STATE} from 'puffinturn-fleet';
-import type {KeyedOrigin, Lookup} from 'puffinturn-streams';
+import type {KeyedOrigin, Lookup, OriginQuery} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
 import {ManualClock} from 'shared';
 
@@ -26,6 +26,7 @@
 import {createRoute, TestProtocol} from '../utils/ForwardingFixture';
 
 const LIFETIME_MS = 30_000;
+const MAX_STATE_AGE_MS = 2_000;
 const ROUTE = createRoute('stream', {
   repetition: RETRY_POLICY.resumable,
   streams: true,
@@ -72,27 +73,47 @@
   readonly versions = new VersionHistory(this.clock, () => LIFETIME_MS);
   readonly replicated: string[] = [];
   readonly replicatedServices: string[] = [];
-  readonly foundKeys: string[] = [];
-  isConnected = true;
+  readonly queries: OriginQuery[] = [];
+  /** Time since the versions were confirmed, ms. */
+  stateAgeMs = 0;
   lookup: Lookup = {kind: LOOKUP.absent};
   readonly streams = new StreamVersions({
     clock: this.clock,
-    isConnected: () => this.isConnected,
     log: this.log,
+    maxStateAgeMs: MAX_STATE_AGE_MS,
     metrics: new EdgeMetrics(),
     origins: {
-      find: async (key) => {
-        this.foundKeys.push(key);
+      find: async (query) => {
+        this.queries.push(query);
         return this.lookup;
       },
       remember: () => undefined,
       replicate: ({version}: KeyedOrigin) => void this.replicated.push(version),
       replicateService: (service) => this.replicatedServices.push(service),
     },
+    stateAgeMs: () => this.stateAgeMs,
     versions: this.versions,
   });
+  private revision = 0;
 
+  /** A control box lists these versions, the oldest first. */
   register(...versions: string[]): void {
+    this.revision += 1;
+    this.versions.applyRegistered(
+      {
+        revision: this.revision,
+        versions: versions.map((version, index) => ({
+          number: index + 1,
+          service: 's',
+          version,
+        })),
+      },
+      true,
+    );
+  }
+
+  /** Upstreams of these versions are known, whether or not the versions are listed. */
+  addUpstreams(...versions: string[]): void {
     const state = UPSTREAM_STATE.ready;
     this.versions.update(
       versions.map((version) => ({service: 's', state, version})),
@@ -139,7 +160,9 @@
     fixture.register('v1', 'v2');
     fixture.lookup = foundAt('s', 'v1');
     expect(await fixture.resolve()).toBe('s v1');
-    expect(fixture.foundKeys).toEqual([streamKey(undefined, 'q1')]);
+    expect(fixture.queries).toEqual([
+      {key: streamKey(undefined, 'q1'), service: 's', unsureMs: Infinity},
+    ]);
   });
 
   test('goes on at the version that began it, though this edge knows another only', async () => {
@@ -165,7 +188,7 @@
   });
 
   test.each([RESUMING, UNNAMED])(
-    'goes on at the only version of the service if its origin is not known',
+    'goes on at the only listed version if its origin is not known',
     async (caller) => {
       const fixture = new Fixture();
       fixture.register('v1');
@@ -188,11 +211,76 @@
     },
   );
 
-  test('is refused by an edge that reaches no other box', async () => {
+  test.each([RESUMING, UNNAMED])(
+    'is refused if upstreams name one version, and no control box has listed it',
+    async (caller) => {
+      const fixture = new Fixture();
+      fixture.addUpstreams('v2');
+      for (const kind of [LOOKUP.absent, LOOKUP.unknown, LOOKUP.unreachable]) {
+        fixture.lookup = {kind};
+        expect(await fixture.resolve(caller)).toBe('refused');
+      }
+    },
+  );
+
+  test.each([RESUMING, UNNAMED])(
+    'is refused if upstreams name a version that is not listed yet',
+    async (caller) => {
+      const fixture = new Fixture();
+      fixture.register('v1');
+      fixture.addUpstreams('v1', 'v2');
+      expect(await fixture.resolve(caller)).toBe('refused');
+      fixture.lookup = {kind: LOOKUP.absent, versions: ['v1']};
+      fixture.stateAgeMs = Infinity;
+      expect(await fixture.resolve(caller)).toBe('refused');
+    },
+  );
+
+  test('is looked up without a name only if the list is old', async () => {
     const fixture = new Fixture();
     fixture.register('v1');
-    fixture.isConnected = false;
-    fixture.lookup = {kind: LOOKUP.unreachable};
+    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+    expect(fixture.queries).toEqual([]);
+    fixture.stateAgeMs = MAX_STATE_AGE_MS;
+    fixture.lookup = {kind: LOOKUP.unknown};
+    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+    expect(fixture.queries).toHaveLength(1);
+  });
+
+  test('goes on by an old list only if enough boxes have run since', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.stateAgeMs = MAX_STATE_AGE_MS;
+    expect(await fixture.resolve()).toBe('s v1');
+    expect(fixture.queries.at(-1)?.unsureMs).toBe(MAX_STATE_AGE_MS);
+    fixture.lookup = {kind: LOOKUP.unknown};
+    expect(await fixture.resolve()).toBe('refused');
+  });
+
+  test.each([RESUMING, UNNAMED])(
+    'is refused by an old list if no box replies, or one with a newer list',
+    async (caller) => {
+      const fixture = new Fixture();
+      fixture.register('v1');
+      fixture.stateAgeMs = MAX_STATE_AGE_MS;
+      fixture.lookup = {kind: LOOKUP.unreachable};
+      expect(await fixture.resolve(caller)).toBe('refused');
+      fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 2};
+      expect(await fixture.resolve(caller)).toBe('refused');
+    },
+  );
+
+  test('goes on by the list that a control box replies with', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.lookup = {kind: LOOKUP.unknown, versions: ['v1', 'v2']};
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {kind: LOOKUP.absent, versions: ['v1', 'v2']};
+    expect(await fixture.resolve()).toBe('s v1');
+    fixture.stateAgeMs = Infinity;
+    fixture.lookup = {kind: LOOKUP.unknown, versions: ['v2']};
+    expect(await fixture.resolve()).toBe('s v2');
+    fixture.lookup = {kind: LOOKUP.absent, versions: []};
     expect(await fixture.resolve()).toBe('refused');
   });
 
--- a/packages/puffinturn-edge/src/requests/RouteTable.ts
+++ b/packages/puffinturn-edge/src/requests/RouteTable.ts
@@ -7,13 +7,13 @@
 
 /** Looks up routes by host and path, and teams by key. */
 import type {FleetConfiguration, Route, Service, Team} from 'puffinturn-fleet';
-import {intersectRegions, RETRY_POLICY, routeKey} from 'puffinturn-fleet';
-import {selectByWeight} from 'shared';
-
 import {
-  DEFAULT_STREAM_LIFETIME_MS,
-  STREAM_LIFETIME_TIMEOUTS,
-} from '../EdgeConstants';
+  intersectRegions,
+  RETRY_POLICY,
+  routeKey,
+  streamLifetimeMs,
+} from 'puffinturn-fleet';
+import {selectByWeight} from 'shared';
 
 /** Names of the services that a route sends requests to. */
 export function servicesOf({targets}: Route): ReadonlySet<string> {
@@ -143,15 +143,6 @@
   }
 }
 
-function streamLifetimeMs(routes: readonly Route[]): number {
-  const timeouts = routes
-    .filter(({repetition}) => repetition === RETRY_POLICY.resumable)
-    .map(({timeoutMs}) => timeoutMs * STREAM_LIFETIME_TIMEOUTS);
-  return timeouts.length === 0
-    ? DEFAULT_STREAM_LIFETIME_MS
-    : Math.max(...timeouts);
-}
-
 function hasSameServices(a: Route, b: Route): boolean {
   const services = servicesOf(a);
   const others = servicesOf(b);
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -12,8 +12,8 @@
 import type {DecisionLog, ResumptionOutcome} from 'puffinturn-decisions';
 import {RESUMPTION_OUTCOME} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
-import {RETRY_POLICY} from 'puffinturn-fleet';
-import type {Lookup, StreamOrigins} from 'puffinturn-streams';
+import {RETRY_POLICY, roundAge} from 'puffinturn-fleet';
+import type {Lookup, MissedOrigin, StreamOrigins} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
 import type {Clock} from 'shared';
 
@@ -35,8 +35,10 @@
     'find' | 'remember' | 'replicate' | 'replicateService'
   >;
   readonly versions: VersionHistory;
-  /** Whether this edge hears from a control box. */
-  readonly isConnected: () => boolean;
+  /** Time since the known versions were confirmed, ms; Infinity if they never were. */
+  readonly stateAgeMs: () => number;
+  /** Age below which the known versions count as current, ms. */
+  readonly maxStateAgeMs: number;
 }
 
 /** Where a stream that a caller resumes may go on. */
@@ -73,7 +75,7 @@
     plan: RequestPlan,
     table: RouteTable,
   ): Promise<Resumption | undefined> {
-    const {clock, log, metrics, versions} = this.parts;
+    const {clock, log, metrics, stateAgeMs, versions} = this.parts;
     const startedAt = clock.now();
     const match = await this.match(caller, plan);
     const {lookup, outcome, resumption} = match;
@@ -82,6 +84,10 @@
     log.note({
       ageMs: found?.ageMs,
       configuration: table.version,
+      confirmed:
+        lookup !== undefined && 'versions' in lookup
+          ? lookup.versions
+          : undefined,
       event: 'stream-matched',
       known: versions.recentVersions(plan.service.name),
       lastEventId: caller.lastEventId,
@@ -90,6 +96,7 @@
       request: caller.id,
       service: resumption?.service ?? plan.service.name,
       source: found?.source,
+      stateAgeMs: roundAge(stateAgeMs()),
       stream: caller.resumedRequest,
       tookMs: Math.round(clock.now() - startedAt),
       version: found?.origin.version ?? resumption?.version,
@@ -143,13 +150,15 @@
     plan: RequestPlan,
   ): Promise<Match> {
     const {resumedRequest} = caller;
-    const lookup =
-      resumedRequest === undefined
-        ? undefined
-        : await this.parts.origins.find(
-            streamKey(plan.team?.name, resumedRequest),
-          );
-    if (lookup?.kind !== LOOKUP.found) {
+    if (resumedRequest === undefined) {
+      return this.matchUnnamed(plan);
+    }
+    const lookup = await this.parts.origins.find({
+      key: streamKey(plan.team?.name, resumedRequest),
+      service: plan.service.name,
+      unsureMs: this.unsureMs(plan),
+    });
+    if (lookup.kind !== LOOKUP.found) {
       return this.matchWithoutOrigin(plan, lookup);
     }
     const {service, version} = lookup.origin;
@@ -166,35 +175,109 @@
         };
   }
 
-  /** Without an origin, only a service with a single version leaves no doubt. */
+  /** A stream whose caller does not name it can only go on if there is one version. */
+  private async matchUnnamed(plan: RequestPlan): Promise<Match> {
+    const {maxStateAgeMs, origins, stateAgeMs, versions} = this.parts;
+    const service = plan.service.name;
+    const sole = versions.soleVersion(service);
+    const isCertain = stateAgeMs() < maxStateAgeMs;
+    if (isSplit(plan.route) || (isCertain && sole === undefined)) {
+      return unknownMatch(undefined);
+    }
+    if (isCertain && sole !== undefined) {
+      return soleMatch(undefined, service, sole);
+    }
+    const unsureMs = this.unsureMs(plan);
+    const lookup = await origins.find({key: undefined, service, unsureMs});
+    if (lookup.kind === LOOKUP.found) {
+      return unknownMatch(lookup);
+    }
+    const hasReply = lookup.kind !== LOOKUP.unreachable;
+    return lookup.versions === undefined &&
+      hasReply &&
+      sole !== undefined &&
+      !this.isOutdated(lookup)
+      ? soleMatch(lookup, service, sole)
+      : this.matchWithoutOrigin(plan, lookup);
+  }
+
+  /**
+   * Without an origin, a stream can only go on at the one version that its service has, or
+   * that it had when streams were not recorded.
+   */
   private matchWithoutOrigin(
     {route, service: {name: service}}: RequestPlan,
-    lookup: Exclude<Lookup, {kind: typeof LOOKUP.found}> | undefined,
+    lookup: MissedOrigin,
   ): Match {
-    const {isConnected, versions} = this.parts;
-    const sole = versions.soleVersion(service);
-    // An edge that reaches no other box may not have heard of a new version.
-    const mayBeOutdated = lookup?.kind === LOOKUP.unreachable && !isConnected();
-    if (isSplit(route) || mayBeOutdated) {
+    const {maxStateAgeMs, stateAgeMs, versions} = this.parts;
+    const isAbsent = lookup.kind === LOOKUP.absent;
+    if (isSplit(route)) {
+      return unknownMatch(lookup);
+    }
+    if (lookup.versions !== undefined) {
+      return this.matchConfirmed(service, lookup, lookup.versions);
+    }
+    if (this.isOutdated(lookup)) {
       return unknownMatch(lookup);
     }
-    if (sole !== undefined) {
-      const outcome = RESUMPTION_OUTCOME.soleVersion;
-      return {lookup, outcome, resumption: {service, version: sole}};
+    const sole = versions.soleVersion(service);
+    if (sole !== undefined && (isAbsent || stateAgeMs() < maxStateAgeMs)) {
+      return soleMatch(lookup, service, sole);
     }
     // Other edges would have replicated a stream that began after the next version.
-    const former =
-      lookup?.kind === LOOKUP.absent
-        ? versions.formerSoleVersion(service)
-        : undefined;
-    if (former === undefined) {
+    const former = isAbsent ? versions.formerSoleVersion(service) : undefined;
+    return former === undefined
+      ? unknownMatch(lookup)
+      : formerMatch(lookup, service, former);
+  }
+
+  /** Matches by the versions that a control box which follows the quorum replied with. */
+  private matchConfirmed(
+    service: string,
+    lookup: MissedOrigin,
+    [oldest, ...others]: readonly string[],
+  ): Match {
+    const {versions} = this.parts;
+    const isCertain = versions.unregisteredVersions(service).length === 0;
+    if (oldest === undefined || !isCertain) {
       return unknownMatch(lookup);
     }
-    const outcome = RESUMPTION_OUTCOME.formerVersion;
-    return {lookup, outcome, resumption: {service, version: former}};
+    if (others.length === 0) {
+      return soleMatch(lookup, service, oldest);
+    }
+    return lookup.kind === LOOKUP.absent
+      ? formerMatch(lookup, service, oldest)
+      : unknownMatch(lookup);
+  }
+
+  /** How long ago a stream that is not recorded may have begun at a version unknown here, ms. */
+  private unsureMs({service}: RequestPlan): number {
+    const {stateAgeMs, versions} = this.parts;
+    return versions.soleVersion(service.name) === undefined
+      ? Infinity
+      : stateAgeMs();
+  }
+
+  /** Whether another edge knows of versions that this one does not know. */
+  private isOutdated({versionsRevision = -Infinity}: MissedOrigin): boolean {
+    return versionsRevision > this.parts.versions.revision;
   }
 }
 
+function soleMatch(
+  lookup: Lookup | undefined,
+  service: string,
+  version: string,
+): Match {
+  const outcome = RESUMPTION_OUTCOME.soleVersion;
+  return {lookup, outcome, resumption: {service, version}};
+}
+
+function formerMatch(lookup: Lookup, service: string, version: string): Match {
+  const outcome = RESUMPTION_OUTCOME.formerVersion;
+  return {lookup, outcome, resumption: {service, version}};
+}
+
 function unknownMatch(lookup: Lookup | undefined): Match {
   const outcome = RESUMPTION_OUTCOME.unknown;
   return {lookup, outcome, resumption: undefined};
--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -6,19 +6,21 @@
  */
 
 /**
- * The versions that each service has had lately, as far as this edge knows. Streams that
- * began before the edge learned of a version may still be resumed.
+ * The versions at which streams can have begun that may still be resumed, as far as this edge
+ * knows: those on the replicated list, and those that only its list of upstreams names.
  */
-import type {UpstreamRecord} from 'puffinturn-fleet';
+import type {RegisteredVersions, UpstreamRecord} from 'puffinturn-fleet';
 import {UPSTREAM_STATE, upstreamVersion} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
-/** When a version of a service was registered, monotonic ms. */
+/** When a version of a service was among the upstreams, monotonic ms. */
 interface VersionSpan {
   readonly firstSeenAt: number;
   lastSeenAt: number;
-  /** Whether upstreams of this version are registered now. */
+  /** Whether upstreams of this version are known now. */
   isPresent: boolean;
+  /** Whether the version has been on the replicated list, which then decides. */
+  wasRegistered: boolean;
 }
 
 /** Maximum number of versions kept for a service; more than are used at a time. */
@@ -26,9 +28,13 @@
 
 type RegisteredUpstream = Pick<UpstreamRecord, 'service' | 'state' | 'version'>;
 
-/** Records the versions of services from the records of their upstreams. */
+/** Knows the versions of services from the replicated list and from their upstreams. */
 export class VersionHistory {
   private readonly services = new Map<string, Map<string, VersionSpan>>();
+  private list: RegisteredVersions | undefined;
+  private isConfirmed = false;
+  /** When this edge learned of a version on the list, by its number, monotonic ms. */
+  private readonly learnedAt = new Map<number, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -38,74 +44,128 @@
     private readonly onSeveral: (service: string) => void = () => undefined,
   ) {}
 
+  /** The replicated list; undefined before the first one. */
+  get registered(): RegisteredVersions | undefined {
+    return this.list;
+  }
+
+  /** Revision of the list from a control box; -Infinity if none has sent one yet. */
+  get revision(): number {
+    return this.isConfirmed ? (this.list?.revision ?? -Infinity) : -Infinity;
+  }
+
+  /** Applies a list from a control box, or from another edge, whose list may be old. */
+  applyRegistered(update: RegisteredVersions, isFromControl: boolean): void {
+    const isNewer = update.revision > (this.list?.revision ?? -Infinity);
+    this.notifyOfSeveral(() => {
+      this.isConfirmed ||= isFromControl;
+      if (isNewer) {
+        this.replaceList(update);
+      }
+    });
+  }
+
   /**
    * Replaces the known records. Upstreams that are gone count as seen when they first
    * appear, as streams that they began may go on elsewhere.
    */
   update(records: readonly RegisteredUpstream[]): void {
-    const singleBefore = [...this.services.keys()].filter(
-      (service) => !this.hasSeveral(service),
-    );
-    this.endSpans();
-    for (const record of records) {
-      this.addRecord(record);
-    }
-    for (const service of singleBefore) {
-      if (this.hasSeveral(service)) {
-        this.onSeveral(service);
+    this.notifyOfSeveral(() => {
+      this.endSpans();
+      for (const record of records) {
+        this.addRecord(record);
       }
-    }
+    });
   }
 
-  /** Whether streams of several versions may be resumed now. */
+  /** Whether streams of several versions may be resumed now; so if it is not known. */
   hasSeveral(service: string): boolean {
-    return this.recentVersions(service).length > 1;
+    return !this.isConfirmed || this.recentVersions(service).length > 1;
   }
 
   /** Versions at which streams that may still be resumed can have begun. */
   recentVersions(service: string): string[] {
+    return [
+      ...this.registeredVersions(service).map(({version}) => version),
+      ...this.unregisteredVersions(service),
+    ];
+  }
+
+  /** Versions that upstreams have or had lately, though the list never named them. */
+  unregisteredVersions(service: string): string[] {
     const since = this.clock.now() - this.lifetimeMs();
     const versions: string[] = [];
     for (const [version, span] of this.services.get(service) ?? []) {
-      if (span.isPresent || span.lastSeenAt > since) {
+      const isRecent = span.isPresent || span.lastSeenAt > since;
+      if (isRecent && !span.wasRegistered) {
         versions.push(version);
       }
     }
     return versions;
   }
 
-  /** Time since this edge first heard of a version of a service, ms; 0 if it hasn't. */
+  /** Time since this edge first heard of an upstream of a version, ms; 0 if it hasn't. */
   ageMs(service: string, version: string): number {
     const span = this.services.get(service)?.get(version);
     return span === undefined ? 0 : this.clock.now() - span.firstSeenAt;
   }
 
-  /** The only recent version of a service; undefined if there are several or none. */
+  /** The only version of a service; undefined if there are others, none, or if unknown. */
   soleVersion(service: string): string | undefined {
     const [version, ...others] = this.recentVersions(service);
-    return others.length === 0 ? version : undefined;
+    return this.isConfirmed && others.length === 0 ? version : undefined;
   }
 
   /**
-   * The only version that a service had until another one appeared, if that was within
-   * the lifetime of a stream; undefined otherwise.
+   * The only version that a service had until another one was listed, if this edge learned
+   * of that within the lifetime of a stream; undefined otherwise.
    */
   formerSoleVersion(service: string): string | undefined {
-    const now = this.clock.now();
-    const earliest = now - 2 * this.lifetimeMs();
-    const spans = [...(this.services.get(service) ?? [])].filter(
-      ([, {isPresent, lastSeenAt}]) => isPresent || lastSeenAt > earliest,
-    );
-    const [[version, span] = [], [, nextSpan] = []] = spans.sort(
-      ([, a], [, b]) => a.firstSeenAt - b.firstSeenAt,
+    const [oldest, second] = this.registeredVersions(service);
+    const learnedAt = second && this.learnedAt.get(second.number);
+    const isLately =
+      learnedAt !== undefined &&
+      this.clock.now() - learnedAt < this.lifetimeMs();
+    const isCertain =
+      this.isConfirmed && this.unregisteredVersions(service).length === 0;
+    return isLately && isCertain ? oldest?.version : undefined;
+  }
+
+  private registeredVersions(name: string): RegisteredVersions['versions'] {
+    return (this.list?.versions ?? []).filter(({service}) => service === name);
+  }
+
+  private replaceList(update: RegisteredVersions): void {
+    // What the first list names may have been listed for any time.
+    const now = this.list === undefined ? -Infinity : this.clock.now();
+    const former = new Map(this.learnedAt);
+    this.list = update;
+    this.learnedAt.clear();
+    for (const {number, service, version} of update.versions) {
+      this.learnedAt.set(number, former.get(number) ?? now);
+      const span = this.services.get(service)?.get(version);
+      if (span !== undefined) {
+        span.wasRegistered = true;
+      }
+    }
+  }
+
+  /** Applies a change, and tells which services have several versions since. */
+  private notifyOfSeveral(change: () => void): void {
+    const hadOne = this.knownServices.filter(
+      (service) => !this.hasSeveral(service),
     );
-    const hasPrecededOthers =
-      span !== undefined &&
-      nextSpan !== undefined &&
-      span.firstSeenAt < nextSpan.firstSeenAt;
-    return hasPrecededOthers && now - nextSpan.firstSeenAt < this.lifetimeMs()
-      ? version
-      : undefined;
+    change();
+    for (const service of hadOne) {
+      if (this.hasSeveral(service)) {
+        this.onSeveral(service);
+      }
+    }
+  }
+
+  private get knownServices(): string[] {
+    const listed = (this.list?.versions ?? []).map(({service}) => service);
+    return [...new Set([...listed, ...this.services.keys()])];
   }
 
   /** Marks all present versions as last seen now. */
@@ -131,7 +191,14 @@
     const span = spans.get(key);
     if (span === undefined) {
       const now = this.clock.now();
-      spans.set(key, {firstSeenAt: now, isPresent, lastSeenAt: now});
+      spans.set(key, {
+        firstSeenAt: now,
+        isPresent,
+        lastSeenAt: now,
+        wasRegistered: this.registeredVersions(service).some(
+          ({version}) => version === key,
+        ),
+      });
       dropOldest(spans);
     } else {
       span.isPresent ||= isPresent;
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -10,15 +10,16 @@
 import type {Evacuations, UpstreamRecord} from 'puffinturn-fleet';
 import {
   compareIncarnations,
+  DEFAULT_STREAM_LIFETIME_MS,
   NO_EVACUATIONS,
   UPSTREAM_STATE,
   UpstreamTable,
+  upstreamVersion,
 } from 'puffinturn-fleet';
 import type {UpstreamRateLimit} from 'puffinturn-permits';
 import {maxRequestsPerSecond, NO_LIMIT} from 'puffinturn-permits';
 import type {Clock} from 'shared';
 
-import {DEFAULT_STREAM_LIFETIME_MS} from '../EdgeConstants';
 import {VersionHistory} from '../streams/VersionHistory';
 import {EdgeUpstream} from './EdgeUpstream';
 
@@ -101,6 +102,18 @@
     }
   }
 
+  /** Whether all upstreams of a version that are known here leave or have left. */
+  hasVersionLeft(service: string, version: string): boolean {
+    const known = this.table
+      .records()
+      .filter((record) => record.service === service)
+      .filter((record) => upstreamVersion(record) === version);
+    return (
+      known.length > 0 &&
+      known.every(({state}) => state !== UPSTREAM_STATE.ready)
+    );
+  }
+
   /** All records, including those of upstreams that are gone. */
   records(): UpstreamRecord[] {
     return this.table.records();
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -12,7 +12,11 @@
 import type {Regions, Route, Team} from 'puffinturn-fleet';
 import type {Random} from 'shared';
 
-import {RETRY_AFTER_BUSY_S, RETRY_AFTER_UNAVAILABLE_S} from '../EdgeConstants';
+import {
+  RETRY_AFTER_BUSY_S,
+  RETRY_AFTER_UNAVAILABLE_S,
+  RETRY_AFTER_VERSION_LEFT_S,
+} from '../EdgeConstants';
 import type {RegionLinkBudget} from '../regions/RegionLinkBudget';
 import type {RequestPlan} from '../requests/RequestPlan';
 import type {ExposureController} from '../rollouts/ExposureController';
@@ -65,6 +69,7 @@
     | 'no-upstream-in-region'
     | 'no-upstream-of-version'
     | 'region-link-full'
+    | 'stream-version-left'
     | 'upstreams-limited'
     | 'upstreams-rest';
   readonly retryAfterS: number;
@@ -167,8 +172,7 @@
   const serving =
     streamVersion === undefined ? all : upstreamsOfVersion(all, streamVersion);
   if (streamVersion !== undefined && serving.length === 0) {
-    const cause = 'no-upstream-of-version';
-    return {cause, retryAfterS: RETRY_AFTER_UNAVAILABLE_S};
+    return explainNoVersion(deps, plan.service.name, streamVersion);
   }
   const allowed = allowedUpstreams(deps, plan, serving);
   const retryAfterS =
@@ -201,6 +205,20 @@
   };
 }
 
+/** A version without upstreams here may have left, or this edge does not know them yet. */
+function explainNoVersion(
+  {pool}: SelectionParts,
+  service: string,
+  version: string,
+): NoUpstreamReason {
+  return pool.hasVersionLeft(service, version)
+    ? {cause: 'stream-version-left', retryAfterS: RETRY_AFTER_VERSION_LEFT_S}
+    : {
+        cause: 'no-upstream-of-version',
+        retryAfterS: RETRY_AFTER_UNAVAILABLE_S,
+      };
+}
+
 /**
  * Requests per second that an upstream serves while it is limited. If only its slots limit
  * it, each is taken to serve one request a second.
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -14,6 +14,8 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Replica} from 'puffinturn-log';
 import type {QuarantineEntry} from 'puffinturn-quarantine';
+import type {KnownVersions} from 'puffinturn-streams';
+import {ControlOrigins} from 'puffinturn-streams';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, Condition} from 'shared';
 import {
@@ -55,6 +57,7 @@
   RolloutReadReply,
 } from './Rollouts';
 import {StateConfirmation} from './StateConfirmation';
+import {streamLifetimeMs} from './StreamLifetime';
 import {recoverFromSuspension} from './SuspensionRecovery';
 import {UpstreamControl} from './UpstreamControl';
 import type {UpstreamRecord} from './UpstreamTable';
@@ -121,6 +124,13 @@
 
   override onQuarantine(): void {}
 
+  /** Infinity, as versions are replicated through the log. */
+  override get versionsRevision(): number {
+    return Infinity;
+  }
+
+  override onVersions(): void {}
+
   override onUpstreams(
     records: readonly UpstreamRecord[],
     source: string,
@@ -146,6 +156,9 @@
   /** Boxes known to any control box; this is the list that edges receive. */
   private readonly allBoxes = new BoxList();
   private readonly confirmation: StateConfirmation;
+  private readonly streamOrigins: ControlOrigins;
+  /** The highest number of a version when this box last became current; undefined before. */
+  private currentSinceVersion: number | undefined;
   private readonly watchReplies: WatchReplies;
   private readonly leaderCalls: LeaderCalls;
   private readonly rolloutControl: RolloutControl;
@@ -162,6 +175,7 @@
     // Reads and proposals need no recovery after a suspension, as they need a quorum.
     this.suspension = new SuspensionDetector(clock, (ms) => {
       this.confirmation.invalidate();
+      this.restartStreamOrigins();
       recoverFromSuspension(parts, ms);
     });
     this.allowanceControl = new AllowanceControl({
@@ -179,7 +193,10 @@
     this.confirmation = new StateConfirmation({
       ...parts,
       leader: this.leaderCalls,
-      onApplied: () => this.upstreamControl.applyStoredDepartures(),
+      onApplied: () => {
+        this.currentSinceVersion ??= parts.machine.versions.lastNumber;
+        this.upstreamControl.applyStoredDepartures();
+      },
       suspension: this.suspension,
     });
     this.watchReplies = new WatchReplies({
@@ -189,6 +206,15 @@
       watchingBoxes: this.boxes.list,
       upstreams: this.upstreamControl.table,
     });
+    this.streamOrigins = new ControlOrigins({
+      clock,
+      lifetimeMs: () =>
+        streamLifetimeMs(
+          parts.machine.storedConfiguration?.configuration.routes ?? [],
+        ),
+      link,
+      versionsOf: (service) => this.listVersions(service),
+    });
     this.handlers.add(
       link.register(FLEET_SERVICE.watch, (body) =>
         this.answerWatch(body as WatchRequest),
@@ -292,6 +318,7 @@
     await this.peerWatch[Symbol.asyncDispose]();
     await this.rolloutControl[Symbol.asyncDispose]();
     this.handlers[Symbol.dispose]();
+    this.streamOrigins[Symbol.dispose]();
     await this.allowanceControl[Symbol.asyncDispose]();
     await this.quarantineControl[Symbol.asyncDispose]();
     await this.upstreamControl[Symbol.asyncDispose]();
@@ -329,6 +356,27 @@
     return this.watchReplies.replyTo(request, current, heldMs);
   }
 
+  /** The versions of a service; undefined if this box may lack some. */
+  private listVersions(service: string): KnownVersions | undefined {
+    const {machine, replica} = this.parts;
+    if (!this.watchReplies.isUpToDate) {
+      return undefined;
+    }
+    const versions = machine.versions.ofService(service);
+    const {currentSinceVersion = Infinity} = this;
+    return {
+      controlBoxes: replica.status().members.voters.length,
+      hasSeenSecond: (versions[1]?.number ?? -Infinity) > currentSinceVersion,
+      versions: versions.map(({version}) => version),
+    };
+  }
+
+  /** Origins that edges sent in the meantime may have been lost. */
+  private restartStreamOrigins(): void {
+    this.currentSinceVersion = undefined;
+    this.streamOrigins.markIncomplete();
+  }
+
   /** Merges the own boxes with those of the other control boxes; the own ones win. */
   private rebuildAllBoxes(): void {
     const peerBoxes = [...this.boxesByPeer.values()].flat();
@@ -414,6 +462,9 @@
       );
       if (wasUpToDate !== this.watchReplies.isUpToDate) {
         wasUpToDate = this.watchReplies.isUpToDate;
+        if (!wasUpToDate) {
+          this.restartStreamOrigins();
+        }
         stateChanged.notify();
       }
     }
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -54,6 +54,12 @@
 } from './RolloutRegistry';
 import {EMPTY_ROLLOUT_SNAPSHOT, RolloutRegistry} from './RolloutRegistry';
 import type {Rollouts, ServiceVersions} from './Rollouts';
+import type {
+  VersionRecord,
+  VersionRecordOutcome,
+  VersionSnapshot,
+} from './VersionRegistry';
+import {EMPTY_VERSION_SNAPSHOT, VersionRegistry} from './VersionRegistry';
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
@@ -80,7 +86,8 @@
   | DepartureRecord
   | EvacuationRecord
   | PackedConfigurationRecord
-  | RolloutRecord;
+  | RolloutRecord
+  | VersionRecord;
 
 /** Outcome of applying any record. */
 export type FleetOutcome =
@@ -89,7 +96,8 @@
   | CrashReportOutcome
   | DepartureOutcome
   | EvacuationOutcome
-  | RolloutRecordOutcome;
+  | RolloutRecordOutcome
+  | VersionRecordOutcome;
 
 interface FleetSnapshot extends AllowanceSnapshot {
   /** Missing in snapshots of versions without crash reports. */
@@ -101,12 +109,16 @@
   /** Missing in snapshots of versions without rollouts. */
   readonly rollouts?: RolloutSnapshot | undefined;
   readonly stored: StoredConfiguration | undefined;
+  /** Missing in snapshots of software that had no registry of versions. */
+  readonly versions?: VersionSnapshot | undefined;
 }
 
 /** Replicated state machine of a fleet. */
 export class FleetMachine extends StateMachine {
   /** The upstreams that have announced their departure. */
   readonly departures: DepartureRegistry;
+  /** The versions of services at which streams may have begun. */
+  readonly versions: VersionRegistry;
   private readonly configurationRegistry: ConfigurationRegistry;
   private readonly evacuationRegistry: EvacuationRegistry;
   private readonly rolloutRegistry: RolloutRegistry;
@@ -124,6 +136,7 @@
     this.rolloutRegistry = new RolloutRegistry(onChange, (service) =>
       this.isService(service),
     );
+    this.versions = new VersionRegistry(onChange);
   }
 
   /** The current configuration. */
@@ -194,6 +207,9 @@
       case 'rollout-verdict':
       case 'stable-version':
         return this.rolloutRegistry.apply(fleetRecord);
+      case 'version-added':
+      case 'version-removed':
+        return this.versions.apply(fleetRecord);
     }
   }
 
@@ -205,6 +221,7 @@
       evacuations: this.evacuations,
       rollouts: this.rolloutRegistry.snapshot(),
       stored: this.storedConfiguration,
+      versions: this.versions.snapshot(),
     };
     return encoder.encode(snapshot);
   }
@@ -217,6 +234,7 @@
     this.departures.restore(snapshot.departures ?? []);
     this.evacuationRegistry.restore(snapshot.evacuations ?? NO_EVACUATIONS);
     this.rolloutRegistry.restore(snapshot.rollouts ?? EMPTY_ROLLOUT_SNAPSHOT);
+    this.versions.restore(snapshot.versions ?? EMPTY_VERSION_SNAPSHOT);
     this.onChange();
   }
 
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -16,9 +16,11 @@
 import type {Evacuations} from './Evacuations';
 import type {Rollouts} from './Rollouts';
 import type {UpstreamIncarnation, UpstreamRecord} from './UpstreamTable';
+import type {RegisteredVersions} from './VersionRegistry';
 
 /** Service names on the link between boxes. */
 export const FLEET_SERVICE = {
+  addVersion: 'fleet-add-version',
   allowance: 'fleet-allowance',
   beginRollout: 'fleet-begin-rollout',
   borrowTokens: 'fleet-borrow',
@@ -75,6 +77,8 @@
   readonly rolloutRevision?: number | undefined;
   /** The requester's revision of the quarantine; older software versions omit it. */
   readonly quarantineRevision?: number | undefined;
+  /** The requester's revision of the registered versions; older software omits it. */
+  readonly versionsRevision?: number | undefined;
   /** The incarnation of the responder to which the box and upstream revisions belong. */
   readonly incarnation: string;
   readonly upstreamsRevision: number;
@@ -109,6 +113,8 @@
   readonly rollouts?: Rollouts | undefined;
   /** A quarantine newer than the requester's revision. */
   readonly quarantine?: Quarantine | undefined;
+  /** Registered versions newer than the requester's revision; from boxes that are current. */
+  readonly versions?: RegisteredVersions | undefined;
   readonly upstreams: readonly UpstreamRecord[];
   readonly upstreamsRevision: number;
   /** The configuration version of the responder; -Infinity without one. */
@@ -277,6 +283,8 @@
   readonly rollouts?: Rollouts | undefined;
   /** Older software versions omit it. */
   readonly quarantine?: Quarantine | undefined;
+  /** Older software versions omit it. */
+  readonly versions?: RegisteredVersions | undefined;
   /** All known boxes, including the receiver. */
   readonly boxes: readonly BoxRecord[];
 }
@@ -305,6 +313,18 @@
   readonly reports: readonly LimitReport[];
 }
 
+/** Requests the leader to register a version of a service. */
+export interface AddVersionRequest {
+  readonly service: string;
+  /** Empty if its upstreams name none. */
+  readonly version: string;
+}
+
+/** Whether a quorum has stored the version. */
+export interface AddVersionReply {
+  readonly stored: boolean;
+}
+
 /** Requests the leader to replace the configuration with a validated one. */
 export interface ConfigurationChangeRequest {
   readonly version: number;
--- a/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
+++ b/packages/puffinturn-fleet/src/FleetUpdateHandler.ts
@@ -14,6 +14,7 @@
 import type {BoxRecord} from './FleetMessages';
 import type {Rollouts} from './Rollouts';
 import type {UpstreamRecord} from './UpstreamTable';
+import type {RegisteredVersions} from './VersionRegistry';
 
 /** Where a configuration came from. */
 export interface ConfigurationOrigin {
@@ -44,6 +45,10 @@
   /** The current revision of the quarantine. */
   abstract get quarantineRevision(): number;
   abstract onQuarantine(update: Quarantine, source: string): void;
+  /** The current revision of the registered versions; -Infinity before the first. */
+  abstract get versionsRevision(): number;
+  /** Called before the upstreams that came with it. */
+  abstract onVersions(update: RegisteredVersions): void;
   abstract onUpstreams(
     records: readonly UpstreamRecord[],
     source: string,
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -366,6 +366,7 @@
       quarantineRevision: updateHandler.quarantineRevision,
       rolloutRevision: updateHandler.rolloutRevision,
       upstreamsRevision: peer.upstreamsRevision,
+      versionsRevision: updateHandler.versionsRevision,
       waitMs: this.longPollMs(peer, brief),
     };
   }
@@ -426,6 +427,9 @@
     if (quarantine !== undefined && quarantine !== null) {
       updateHandler.onQuarantine(quarantine, peer.box);
     }
+    if (reply.versions !== undefined && reply.versions !== null) {
+      updateHandler.onVersions(reply.versions);
+    }
     if (reply.upstreams.length > 0) {
       updateHandler.onUpstreams(reply.upstreams, peer.box);
     }
--- a/packages/puffinturn-fleet/src/UpstreamControl.ts
+++ b/packages/puffinturn-fleet/src/UpstreamControl.ts
@@ -19,6 +19,7 @@
 import {UpstreamRefusals} from './UpstreamRefusals';
 import type {Departure, UpstreamRecord} from './UpstreamTable';
 import {UPSTREAM_STATE, UpstreamTable} from './UpstreamTable';
+import {VersionControl} from './VersionControl';
 
 /** Dependencies of an UpstreamControl. */
 export interface UpstreamControlParts {
@@ -40,6 +41,7 @@
   /** Known upstreams. */
   readonly table = new UpstreamTable();
   private readonly departureControl: DepartureControl;
+  private readonly versionControl: VersionControl;
   private readonly refusals: UpstreamRefusals;
   private readonly limitHandler: Disposable;
 
@@ -51,6 +53,10 @@
       onStored: (departure) => this.applyDeparture(departure),
       upstreams: this.table,
     });
+    this.versionControl = new VersionControl({
+      ...parts,
+      upstreams: this.table,
+    });
     this.limitHandler = link.register(
       FLEET_SERVICE.reportLimits,
       async (body) => {
@@ -63,6 +69,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.limitHandler[Symbol.dispose]();
     await this.departureControl[Symbol.asyncDispose]();
+    await this.versionControl[Symbol.asyncDispose]();
     await this.refusals[Symbol.asyncDispose]();
   }
 
@@ -75,6 +82,9 @@
   async acceptHeartbeat(record: UpstreamRecord): Promise<boolean> {
     const {id, state} = record;
     const former = this.describeFormer(id);
+    if (state === UPSTREAM_STATE.ready) {
+      await this.versionControl.ensureStored(record);
+    }
     this.mergeRecord(record);
     return (
       state === UPSTREAM_STATE.ready ||
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -24,6 +24,7 @@
 import type {Rollouts} from './Rollouts';
 import type {StateConfirmation} from './StateConfirmation';
 import type {UpstreamTable} from './UpstreamTable';
+import type {RegisteredVersions} from './VersionRegistry';
 
 const NO_CONFIGURATION_UPDATE = {
   configuration: undefined,
@@ -111,6 +112,7 @@
       this.newerEvacuations(request) !== undefined ||
       this.newerRollouts(request) !== undefined ||
       this.newerQuarantine(request) !== undefined ||
+      this.newerVersions(request) !== undefined ||
       this.parts.upstreams.revision > request.upstreamsRevision
     );
   }
@@ -138,6 +140,16 @@
     return quarantine.revision > quarantineRevision ? quarantine : undefined;
   }
 
+  /** None from a box that may lack versions, as a missing one would be taken for absent. */
+  private newerVersions({
+    versionsRevision = Infinity,
+  }: WatchRequest): RegisteredVersions | undefined {
+    const {registered} = this.parts.machine.versions;
+    return registered.revision > versionsRevision && this.isUpToDate
+      ? {revision: registered.revision, versions: registered.versions}
+      : undefined;
+  }
+
   /**
    * Builds the reply, with all updates since the last one, to a request that was held for
    * `heldMs`.
@@ -172,6 +184,7 @@
       stateAgeMs: ageMs < Infinity ? ageMs : undefined,
       upstreams: this.parts.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.parts.upstreams.revision,
+      versions: this.newerVersions(request),
     };
   }
 
--- a/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/AcknowledgedDepartures.test.ts
@@ -24,7 +24,11 @@
   const fleet = await startFleet(boxes);
   const edge = fleet.startWatch('e1:1');
   await fleet.clock.advance(1_500);
-  await fleet.control('c3:1').upstreamControl.acceptHeartbeat(RECORD);
+  const {upstreamControl} = fleet.control('c3:1');
+  await advanceUntilSettled(
+    fleet.clock,
+    upstreamControl.acceptHeartbeat(RECORD),
+  );
   await fleet.clock.advance(500);
   expect(stateAt(edge.handler)).toBe(UPSTREAM_STATE.ready);
   /** Announces the departure to a control box; returns whether it is acknowledged. */
--- a/packages/puffinturn-fleet/src/__tests__/unit/ControlSelection.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/ControlSelection.test.ts
@@ -49,6 +49,12 @@
     return 0;
   }
   override onRollouts(): void {}
+  override get versionsRevision(): number {
+    return Infinity;
+  }
+
+  override onVersions(): void {}
+
   override onUpstreams(): void {}
   override onBoxes(): void {}
 }
--- a/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/WatchedFleet.ts
@@ -17,6 +17,7 @@
   ConfigurationChange,
   Evacuations,
   FleetConfiguration,
+  RegisteredVersions,
   Rollouts,
   UpstreamRecord,
 } from '../../index';
@@ -48,7 +49,10 @@
   boxListCount = 0;
   evacuationsHeld = NO_EVACUATIONS;
   rolloutsHeld = EMPTY_ROLLOUTS;
+  versionsHeld: RegisteredVersions | undefined;
   upstreamRecords: UpstreamRecord[] = [];
+  /** Records that came when their version was not listed yet. */
+  readonly unlistedUpstreams: UpstreamRecord[] = [];
   boxRecords: BoxRecord[] = [];
 
   override get configurationVersion(): number {
@@ -90,8 +94,26 @@
     this.rolloutsHeld = rollouts;
   }
 
+  override get versionsRevision(): number {
+    return this.versionsHeld?.revision ?? -Infinity;
+  }
+
+  override onVersions(update: RegisteredVersions): void {
+    this.versionsHeld = update;
+  }
+
   override onUpstreams(records: readonly UpstreamRecord[]): void {
     this.upstreamRecords.push(...records);
+    this.unlistedUpstreams.push(
+      ...records.filter((record) => !this.isListed(record)),
+    );
+  }
+
+  private isListed({service, version = ''}: UpstreamRecord): boolean {
+    const listed = this.versionsHeld?.versions ?? [];
+    return listed.some(
+      (known) => known.service === service && known.version === version,
+    );
   }
 
   override onBoxes(records: readonly BoxRecord[]): void {
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -109,6 +109,7 @@
 export type {SpendingLimit} from './SpendingLimit';
 export {maxTaken} from './SpendingLimit';
 export {roundAge, StateFreshness} from './StateFreshness';
+export {DEFAULT_STREAM_LIFETIME_MS, streamLifetimeMs} from './StreamLifetime';
 export type {SuspensionRecoveryParts} from './SuspensionRecovery';
 export {recoverFromSuspension} from './SuspensionRecovery';
 export {UpstreamRefusals} from './UpstreamRefusals';
@@ -122,4 +123,6 @@
   UPSTREAM_STATE,
   UpstreamTable,
 } from './UpstreamTable';
+export type {RegisteredVersion, RegisteredVersions} from './VersionRegistry';
+export {VersionRegistry} from './VersionRegistry';
 export {DEFAULT_APPLY_BOUND_MS, WatchTiming} from './WatchTiming';
--- /dev/null
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -0,0 +1,60 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** What a lookup of a stream's origin found. */
+import type {StreamOrigin} from './StreamOrigin';
+
+/** Results of a lookup. */
+export const LOOKUP = {
+  /** Enough boxes replied to be sure that the stream was not recorded. */
+  absent: 'absent',
+  found: 'found',
+  /** Some boxes replied, but none has the origin. */
+  unknown: 'unknown',
+  /** No other box replied. */
+  unreachable: 'unreachable',
+} as const;
+
+/** A lookup that found the origin. */
+export interface FoundOrigin {
+  readonly kind: typeof LOOKUP.found;
+  readonly origin: StreamOrigin;
+  readonly ageMs: number;
+  /** Box that had the origin. */
+  readonly source: string;
+}
+
+/** A lookup that did not find it. */
+export interface MissedOrigin {
+  readonly kind: Exclude<
+    (typeof LOOKUP)[keyof typeof LOOKUP],
+    typeof LOOKUP.found
+  >;
+  /**
+   * The versions at which the stream can have begun, the oldest first, as a control box that
+   * follows the quorum has replied; undefined if none did.
+   */
+  readonly versions?: readonly string[] | undefined;
+  /** The newest revision of the registered versions that any edge replied with. */
+  readonly versionsRevision?: number | undefined;
+}
+
+/** The result of the lookup of an origin. */
+export type Lookup = FoundOrigin | MissedOrigin;
+
+/** What is looked up. */
+export interface OriginQuery {
+  /** Undefined if the caller does not name its stream. */
+  readonly key: string | undefined;
+  /** The service of the request that resumes the stream. */
+  readonly service: string;
+  /**
+   * A stream that began earlier than this is known to have begun at the only version, ms;
+   * Infinity if none is.
+   */
+  readonly unsureMs: number;
+}
--- a/packages/puffinturn-streams/src/OriginTable.ts
+++ b/packages/puffinturn-streams/src/OriginTable.ts
@@ -8,7 +8,6 @@
 /** The stream origins that a box keeps in memory, bounded in count and time. */
 import type {Clock} from 'shared';
 
-import {MAX_ORIGINS} from './StreamConstants';
 import type {KeyedOrigin, StreamOrigin} from './StreamOrigin';
 
 /** An origin and when it was stored, monotonic ms. */
@@ -22,10 +21,17 @@
   /** Least recently stored first. */
   private readonly entries = new Map<string, StoredOrigin>();
 
+  /** No origin that was stored from then on was dropped before its time, monotonic ms. */
+  private completeSince: number;
+  private droppedCount = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly lifetimeMs: () => number,
-  ) {}
+    private readonly maxOrigins: number,
+  ) {
+    this.completeSince = clock.now();
+  }
 
   get size(): number {
     return this.entries.size;
@@ -48,6 +54,22 @@
     return entry === undefined || this.isExpired(entry) ? undefined : entry;
   }
 
+  /** Origins may have been missed until now. */
+  markIncomplete(): void {
+    this.droppedCount = 0;
+    this.completeSince = this.clock.now();
+  }
+
+  /** Whether origins were dropped before their time since `markIncomplete`. */
+  get hasDropped(): boolean {
+    return this.droppedCount > 0;
+  }
+
+  /** Time for which this table has all that it was told, ms. */
+  get completeMs(): number {
+    return this.clock.now() - this.completeSince;
+  }
+
   /** All origins of streams of a service. */
   ofService(service: string): KeyedOrigin[] {
     return [...this.entries]
@@ -58,9 +80,13 @@
 
   private dropOldest(): void {
     for (const [key, entry] of this.entries) {
-      if (this.entries.size <= MAX_ORIGINS && !this.isExpired(entry)) {
+      if (this.entries.size <= this.maxOrigins && !this.isExpired(entry)) {
         return;
       }
+      if (!this.isExpired(entry)) {
+        this.completeSince = Math.max(this.completeSince, entry.storedAt);
+        this.droppedCount += 1;
+      }
       this.entries.delete(key);
     }
   }
--- a/packages/puffinturn-streams/src/StreamConstants.ts
+++ b/packages/puffinturn-streams/src/StreamConstants.ts
@@ -22,8 +22,14 @@
 /** Timeout for the lookup of an origin at another box, ms; a caller waits for it. */
 export const FIND_TIMEOUT_MS = 250;
 
-/** Maximum number of origins that a box keeps; the oldest are dropped first. */
+/** Maximum number of origins that an edge keeps; the oldest are dropped first. */
 export const MAX_ORIGINS = 20_000;
 
+/** Maximum number of origins that a control box keeps, for all edges. */
+export const MAX_CONTROL_ORIGINS = 100_000;
+
+/** Copies of an origin at control boxes. With three, one is left after any two have died. */
+export const CONTROL_COPIES = 3;
+
 /** Maximum number of origins in one message. */
 export const MAX_ORIGINS_PER_MESSAGE = 200;
--- a/packages/puffinturn-streams/src/StreamMessages.ts
+++ b/packages/puffinturn-streams/src/StreamMessages.ts
@@ -21,7 +21,18 @@
 
 /** Asks another box for the origin of a stream. */
 export interface FindRequest {
-  readonly key: string;
+  /** Undefined to ask a control box for the versions of the service only. */
+  readonly key?: string | undefined;
+  /** The service of the request that resumes the stream; older software versions omit it. */
+  readonly service?: string | undefined;
+}
+
+/** What a control box that follows the quorum knows of the versions of a service. */
+export interface ServiceVersionList {
+  /** Versions at which streams can have begun that may still be resumed, the oldest first. */
+  readonly versions: readonly string[];
+  /** Number of control boxes that may hold origins. */
+  readonly controlBoxes: number;
 }
 
 /** The reply to a FindRequest. */
@@ -31,8 +42,14 @@
   /** Time since the box stored the origin, ms. */
   readonly ageMs: number | undefined;
   /**
-   * Whether the box has run for as long as origins are kept. Otherwise it may have lost
-   * the origin in a restart.
+   * Whether the box has all origins that it was told and that matter. Otherwise it may have
+   * lost the origin in a restart.
    */
   readonly isComplete: boolean;
+  /** Time for which an edge has all origins that it was told; older versions omit it, ms. */
+  readonly completeMs?: number | undefined;
+  /** Revision of the registered versions that an edge knows; older versions omit it. */
+  readonly versionsRevision?: number | undefined;
+  /** Sent by a control box that follows the quorum. */
+  readonly list?: ServiceVersionList | undefined;
 }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -6,68 +6,53 @@
  */
 
 /**
- * Remembers which version of a service began each stream, at the box that serves it and
- * at two others. A caller resumes its stream at any box, most often because the one that
- * served it has died.
+ * Remembers which version of a service began each stream, at the edge that serves it, at two
+ * others and at control boxes. A caller resumes its stream at any edge, most often because the
+ * one that served it has died.
  */
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
+import type {ControlReplies} from './ControlCopies';
+import {ControlCopies} from './ControlCopies';
+import type {Lookup, MissedOrigin, OriginQuery} from './Lookup';
+import {LOOKUP} from './Lookup';
 import type {StoredOrigin} from './OriginTable';
 import {OriginTable} from './OriginTable';
 import type {ReplicaSelectorParts} from './ReplicaSelector';
 import {ReplicaSelector} from './ReplicaSelector';
 import {
+  CONTROL_COPIES,
   FIND_TIMEOUT_MS,
+  MAX_ORIGINS,
   MAX_ORIGINS_PER_MESSAGE,
   REMOTE_COPIES,
   STORE_TIMEOUT_MS,
 } from './StreamConstants';
 import type {FindReply, FindRequest, StoreRequest} from './StreamMessages';
 import {STREAM_SERVICE} from './StreamMessages';
-import type {KeyedOrigin, StreamOrigin} from './StreamOrigin';
+import type {KeyedOrigin} from './StreamOrigin';
 
 /** Dependencies of StreamOrigins. */
 export interface StreamOriginsParts extends ReplicaSelectorParts {
   readonly clock: Clock;
+  /** Known control boxes; reachable ones come first. */
+  readonly controlBoxes: () => readonly string[];
   readonly link: Link;
+  /** Revision of the registered versions that this box knows. */
+  readonly versionsRevision: () => number;
   /** How long origins are kept, ms; longer than a stream is served and resumed. */
   readonly lifetimeMs: () => number;
 }
 
-/** Results of a lookup. */
-export const LOOKUP = {
-  /** Enough boxes replied to be sure that the stream was not replicated. */
-  absent: 'absent',
-  found: 'found',
-  /** Some boxes replied, but none has the origin. */
-  unknown: 'unknown',
-  /** No other box replied. */
-  unreachable: 'unreachable',
-} as const;
-
-/** The result of the lookup of an origin. */
-export type Lookup =
-  | {
-      readonly kind: typeof LOOKUP.found;
-      readonly origin: StreamOrigin;
-      readonly ageMs: number;
-      /** Box that had the origin. */
-      readonly source: string;
-    }
-  | {
-      readonly kind: Exclude<
-        (typeof LOOKUP)[keyof typeof LOOKUP],
-        typeof LOOKUP.found
-      >;
-    };
-
 /** Replies of the candidates of one region, none of which had the origin. */
 interface RegionReplies {
   readonly asked: number;
   readonly replies: number;
   /** Whether a replica of the origin would have been among them. */
   readonly isSure: boolean;
+  /** The newest revision of the registered versions in a reply. */
+  readonly versionsRevision: number;
 }
 
 /** Stores, replicates and finds the origins of streams. */
@@ -77,17 +62,17 @@
   /** Origins of streams that other boxes serve. */
   private readonly replicated: OriginTable;
   private readonly selector: ReplicaSelector;
+  private readonly controlCopies: ControlCopies;
   /** Origins to be sent, by box. */
   private readonly outboxes = new Map<string, KeyedOrigin[]>();
-  private readonly startedAt: number;
   private readonly registrations: readonly Disposable[];
 
   constructor(private readonly parts: StreamOriginsParts) {
     const {clock, lifetimeMs, link} = parts;
-    this.startedAt = clock.now();
-    this.own = new OriginTable(clock, lifetimeMs);
-    this.replicated = new OriginTable(clock, lifetimeMs);
+    this.own = new OriginTable(clock, lifetimeMs, MAX_ORIGINS);
+    this.replicated = new OriginTable(clock, lifetimeMs, MAX_ORIGINS);
     this.selector = new ReplicaSelector(parts);
+    this.controlCopies = new ControlCopies(parts);
     this.registrations = [
       link.register(STREAM_SERVICE.store, async (body) => {
         for (const origin of (body as StoreRequest).origins) {
@@ -95,7 +80,7 @@
         }
       }),
       link.register(STREAM_SERVICE.find, async (body) =>
-        this.reply((body as FindRequest).key),
+        this.reply(body as FindRequest),
       ),
     ];
   }
@@ -126,10 +111,11 @@
   }
 
   /** Looks an origin up at this box, then at the boxes that may hold it. */
-  async find(key: string): Promise<Lookup> {
-    const local = this.findHere(key);
+  async find(query: OriginQuery): Promise<Lookup> {
+    const {key} = query;
+    const local = key === undefined ? undefined : this.findHere(key);
     return local === undefined
-      ? this.findElsewhere(key)
+      ? this.findElsewhere(query)
       : this.found(local, this.parts.self.box);
   }
 
@@ -139,36 +125,59 @@
     }
   }
 
-  /** Asks the candidates of all regions at once; the first origin decides. */
-  private findElsewhere(key: string): Promise<Lookup> {
-    const regions = this.selector.selectByRegion(key);
+  /**
+   * Asks the candidates of all regions and the control boxes at once. The first origin
+   * decides, or the first control box that follows the quorum and knows a single version.
+   */
+  private findElsewhere(query: OriginQuery): Promise<Lookup> {
+    const {key} = query;
+    const regions = key === undefined ? [] : this.selector.selectByRegion(key);
     return new Promise((resolve) => {
       const asked = regions.map((boxes) =>
-        this.askRegion(key, boxes, (lookup) => resolve(lookup)),
+        this.askRegion(query, boxes, resolve),
       );
-      void Promise.all(asked).then((replies) =>
-        resolve({kind: combineReplies(replies)}),
+      const controlAsked = this.controlCopies.ask(
+        query,
+        resolve,
+        (versions) => {
+          if (versions.length === 1) {
+            resolve({kind: LOOKUP.absent, versions});
+          }
+        },
+      );
+      void Promise.all([controlAsked, ...asked]).then(([control, ...replies]) =>
+        resolve(combineReplies(control, replies)),
       );
     });
   }
 
   /** Asks the candidates of one region; calls `onFound` if one has the origin. */
   private async askRegion(
-    key: string,
+    query: OriginQuery,
     boxes: readonly string[],
     onFound: (lookup: Lookup) => void,
   ): Promise<RegionReplies> {
-    const others = boxes.filter((box) => box !== this.parts.self.box);
+    const {lifetimeMs, self} = this.parts;
+    const neededMs = Math.min(query.unsureMs, lifetimeMs());
+    const others = boxes.filter((box) => box !== self.box);
     const isCandidate = others.length < boxes.length;
-    let completeReplies = isCandidate && this.isComplete ? 1 : 0;
+    let completeReplies = isCandidate && this.completeMs >= neededMs ? 1 : 0;
     let replies = 0;
+    let versionsRevision = -Infinity;
     const calls = others.map(async (box) => {
-      const reply = await this.askBox(box, key);
-      replies += reply === undefined ? 0 : 1;
-      completeReplies += reply?.isComplete === true ? 1 : 0;
-      const origin = reply?.origin ?? undefined;
+      const reply = await this.askBox(box, query);
+      if (reply === undefined) {
+        return;
+      }
+      replies += 1;
+      completeReplies += isCompleteFor(reply, neededMs) ? 1 : 0;
+      versionsRevision = Math.max(
+        versionsRevision,
+        reply.versionsRevision ?? -Infinity,
+      );
+      const origin = reply.origin ?? undefined;
       if (origin !== undefined) {
-        const ageMs = reply?.ageMs ?? 0;
+        const ageMs = reply.ageMs ?? 0;
         onFound({ageMs, kind: LOOKUP.found, origin, source: box});
       }
     });
@@ -178,14 +187,15 @@
       // All candidates but one: the box that serves the stream may be one of them.
       isSure: completeReplies >= Math.max(1, boxes.length - 1),
       replies,
+      versionsRevision,
     };
   }
 
   private async askBox(
     box: string,
-    key: string,
+    {key, service}: OriginQuery,
   ): Promise<FindReply | undefined> {
-    const request: FindRequest = {key};
+    const request: FindRequest = {key, service};
     const reply = await this.parts.link.call(
       box,
       STREAM_SERVICE.find,
@@ -195,12 +205,16 @@
     return reply.isOk() ? (reply.value as FindReply) : undefined;
   }
 
-  private reply(key: string): FindReply {
-    const entry = this.findHere(key);
+  private reply({key}: FindRequest): FindReply {
+    const {lifetimeMs, versionsRevision} = this.parts;
+    const entry = key === undefined ? undefined : this.findHere(key);
+    const {completeMs} = this;
     return {
       ageMs: entry === undefined ? undefined : this.ageMs(entry),
-      isComplete: this.isComplete,
+      completeMs,
+      isComplete: completeMs >= lifetimeMs(),
       origin: entry?.origin,
+      versionsRevision: versionsRevision(),
     };
   }
 
@@ -217,14 +231,15 @@
     return Math.round(this.parts.clock.now() - storedAt);
   }
 
-  /** Whether this box has run for as long as origins are kept. */
-  private get isComplete(): boolean {
-    const {clock, lifetimeMs} = this.parts;
-    return clock.now() - this.startedAt >= lifetimeMs();
+  /** Time for which this box has all origins that it was told, ms. */
+  private get completeMs(): number {
+    return Math.min(this.own.completeMs, this.replicated.completeMs);
   }
 
   private send(origin: KeyedOrigin): void {
-    for (const box of this.replicasOf(origin.key).slice(0, REMOTE_COPIES)) {
+    const replicas = this.replicasOf(origin.key).slice(0, REMOTE_COPIES);
+    const controlBoxes = this.controlCopies.preferred.slice(0, CONTROL_COPIES);
+    for (const box of [...replicas, ...controlBoxes]) {
       this.enqueue(box, origin);
     }
   }
@@ -254,7 +269,7 @@
     }
   }
 
-  /** Stores origins at a box; if it can't be reached, at the remaining candidate. */
+  /** Stores origins at a box; if it can't be reached, at the next one of its kind. */
   private async store(
     box: string,
     origins: readonly KeyedOrigin[],
@@ -263,6 +278,14 @@
     if (stored) {
       return;
     }
+    const {preferred} = this.controlCopies;
+    if (preferred.includes(box)) {
+      const spare = preferred[CONTROL_COPIES];
+      if (spare !== undefined && spare !== box) {
+        await this.callStore(spare, origins);
+      }
+      return;
+    }
     for (const origin of origins) {
       const spare = this.replicasOf(origin.key).at(REMOTE_COPIES);
       if (spare !== undefined && spare !== box) {
@@ -286,13 +309,29 @@
   }
 }
 
+function isCompleteFor(
+  {completeMs, isComplete}: FindReply,
+  neededMs: number,
+): boolean {
+  return isComplete || (completeMs ?? 0) >= neededMs;
+}
+
 function combineReplies(
+  control: ControlReplies,
   regions: readonly RegionReplies[],
-): Exclude<Lookup['kind'], typeof LOOKUP.found> {
-  if (regions.every(({isSure}) => isSure)) {
-    return LOOKUP.absent;
-  }
-  const asked = regions.reduce((sum, region) => sum + region.asked, 0);
-  const replies = regions.reduce((sum, region) => sum + region.replies, 0);
-  return asked > 0 && replies === 0 ? LOOKUP.unreachable : LOOKUP.unknown;
+): MissedOrigin {
+  const all = [control, ...regions];
+  const asked = all.reduce((sum, group) => sum + group.asked, 0);
+  const replies = all.reduce((sum, group) => sum + group.replies, 0);
+  const revisions = regions.map(({versionsRevision}) => versionsRevision);
+  const isSure =
+    control.isSure ||
+    (regions.length > 0 && regions.every((region) => region.isSure));
+  const isUnreachable = asked > 0 && replies === 0;
+  const missed = isUnreachable ? LOOKUP.unreachable : LOOKUP.unknown;
+  return {
+    kind: isSure ? LOOKUP.absent : missed,
+    versions: control.versions,
+    versionsRevision: Math.max(-Infinity, ...revisions),
+  };
 }
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -9,11 +9,12 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {ManualClock, Random} from 'shared';
 
+import type {Lookup} from '../../Lookup';
+import {LOOKUP} from '../../Lookup';
 import type {ReplicaBox} from '../../ReplicaSelector';
 import {FIND_TIMEOUT_MS, MAX_ORIGINS} from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
-import type {Lookup} from '../../StreamOrigins';
-import {LOOKUP, StreamOrigins} from '../../StreamOrigins';
+import {StreamOrigins} from '../../StreamOrigins';
 
 const LIFETIME_MS = 30_000;
 const BOXES: readonly ReplicaBox[] = [
@@ -50,10 +51,12 @@
         new StreamOrigins({
           areInSameRegion,
           clock,
+          controlBoxes: () => [],
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(box),
           peers: () => peers,
           self,
+          versionsRevision: () => 0,
         }),
       );
     }
@@ -89,7 +92,11 @@
     box: string,
     keys: readonly string[] = STREAMS,
   ): Promise<Lookup[]> {
-    const lookups = Promise.all(keys.map((key) => this.at(box).find(key)));
+    const lookups = Promise.all(
+      keys.map((key) =>
+        this.at(box).find({key, service: 's', unsureMs: Infinity}),
+      ),
+    );
     await this.clock.advance(FIND_TIMEOUT_MS + 10);
     return lookups;
   }
--- a/packages/puffinturn-streams/src/index.ts
+++ b/packages/puffinturn-streams/src/index.ts
@@ -6,8 +6,12 @@
  */
 
 /** Which version of a service began a stream, known at several boxes. */
+export type {ControlOriginsParts, KnownVersions} from './ControlOrigins';
+export {ControlOrigins} from './ControlOrigins';
+export type {FoundOrigin, Lookup, MissedOrigin, OriginQuery} from './Lookup';
+export {LOOKUP} from './Lookup';
 export type {ReplicaBox} from './ReplicaSelector';
 export type {KeyedOrigin, StreamOrigin} from './StreamOrigin';
 export {streamKey} from './StreamOrigin';
-export type {Lookup, StreamOriginsParts} from './StreamOrigins';
-export {LOOKUP, StreamOrigins} from './StreamOrigins';
+export type {StreamOriginsParts} from './StreamOrigins';
+export {StreamOrigins} from './StreamOrigins';
