A take-up without a name asks edges while no control box replies

Such streams would have been refused for as long as the core is away, as nobody was asked which versions there are; found by reading. The test failed before (unreachable).

--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -130,8 +130,9 @@
    * decides, or the first control box that follows the quorum and knows a single version.
    */
   private findElsewhere(query: OriginQuery): Promise<Lookup> {
-    const {key} = query;
-    const regions = key === undefined ? [] : this.selector.selectByRegion(key);
+    // Without a key, any boxes can tell which list of versions they know.
+    const {key, service} = query;
+    const regions = this.selector.selectByRegion(key ?? service);
     return new Promise((resolve) => {
       const asked = regions.map((boxes) =>
         this.askRegion(query, boxes, resolve),
--- a/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
@@ -11,7 +11,7 @@
 
 import type {KnownVersions} from '../../ControlOrigins';
 import {ControlOrigins} from '../../ControlOrigins';
-import type {Lookup} from '../../Lookup';
+import type {Lookup, OriginQuery} from '../../Lookup';
 import {LOOKUP} from '../../Lookup';
 import {FIND_TIMEOUT_MS} from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
@@ -89,9 +89,20 @@
     await this.clock.advance(2_500);
   }
 
-  async find(edge: string, unsureMs = Infinity): Promise<Lookup | undefined> {
+  find(edge: string, unsureMs = Infinity): Promise<Lookup | undefined> {
+    return this.lookUp(edge, {key: KEY, service: 's', unsureMs});
+  }
+
+  findUnnamed(edge: string): Promise<Lookup | undefined> {
+    const unsureMs = Infinity;
+    return this.lookUp(edge, {key: undefined, service: 's', unsureMs});
+  }
+
+  private async lookUp(
+    edge: string,
+    query: OriginQuery,
+  ): Promise<Lookup | undefined> {
     let found: Lookup | undefined;
-    const query = {key: KEY, service: 's', unsureMs};
     void this.edges
       .get(edge)
       ?.find(query)
@@ -173,6 +184,16 @@
     });
   });
 
+  test('of streams without a name are not found, but edges tell what they know', async () => {
+    const fleet = new Fleet();
+    fleet.kill(...CONTROLS);
+    expect(await fleet.findUnnamed('e1')).toEqual({
+      kind: LOOKUP.unknown,
+      versions: undefined,
+      versionsRevision: 1,
+    });
+  });
+
   test('are absent if edges have run for longer than the stream can be unknown', async () => {
     const fleet = new Fleet();
     fleet.kill(...CONTROLS);
