A lookup that nobody answered is repeated once

Traced at that load: the edges had just started, ran late, and gave up the lookup (unreachable, 298 ms) or had read the request late.

--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -114,9 +114,14 @@
   async find(query: OriginQuery): Promise<Lookup> {
     const {key} = query;
     const local = key === undefined ? undefined : this.findHere(key);
-    return local === undefined
+    if (local !== undefined) {
+      return this.found(local, this.parts.self.box);
+    }
+    const lookup = await this.findElsewhere(query);
+    // A box that has just started may be too late itself for the first replies.
+    return lookup.kind === LOOKUP.unreachable
       ? this.findElsewhere(query)
-      : this.found(local, this.parts.self.box);
+      : lookup;
   }
 
   [Symbol.dispose](): void {
