--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -84,10 +84,7 @@
     log.note({
       ageMs: found?.ageMs,
       configuration: table.version,
-      confirmed:
-        lookup !== undefined && 'versions' in lookup
-          ? lookup.versions
-          : undefined,
+      confirmed: confirmedVersions(lookup),
       event: 'stream-matched',
       known: versions.recentVersions(plan.service.name),
       lastEventId: caller.lastEventId,
@@ -264,6 +261,15 @@
   }
 }
 
+/** The versions that a control box replied with; undefined if none did. */
+function confirmedVersions(
+  lookup: Lookup | undefined,
+): readonly string[] | undefined {
+  return lookup === undefined || lookup.kind === LOOKUP.found
+    ? undefined
+    : lookup.versions;
+}
+
 function soleMatch(
   lookup: Lookup | undefined,
   service: string,
