A take-up without a name is never matched to a former version

Found by reading the change again. Callers could get a stream of two versions: an edge whose list of versions was old looked up a stream without a key, enough boxes had no record of it, and the edge sent it to the version that was there first. A stream without a key can't be missed, so its lookup is never absent. The test failed before (absent in place of unknown). In passing the rule for a list that replies bear out stands once, for named streams and others.

--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -156,7 +156,8 @@
       unsureMs: this.unsureMs(plan),
     });
     if (lookup.kind !== LOOKUP.found) {
-      return this.matchWithoutOrigin(plan, lookup);
+      const isAbsent = lookup.kind === LOOKUP.absent;
+      return this.matchWithoutOrigin(plan, lookup, isAbsent);
     }
     const {service, version} = lookup.origin;
     return servicesOf(plan.route).has(service)
@@ -174,15 +175,16 @@
 
   /** A stream whose caller does not name it can only go on if there is one version. */
   private async matchUnnamed(plan: RequestPlan): Promise<Match> {
-    const {maxStateAgeMs, origins, stateAgeMs, versions} = this.parts;
+    const {origins, versions} = this.parts;
     const service = plan.service.name;
-    const sole = versions.soleVersion(service);
-    const isCertain = stateAgeMs() < maxStateAgeMs;
-    if (isSplit(plan.route) || (isCertain && sole === undefined)) {
+    if (isSplit(plan.route)) {
       return unknownMatch(undefined);
     }
-    if (isCertain && sole !== undefined) {
-      return soleMatch(undefined, service, sole);
+    if (this.isFresh) {
+      const sole = versions.soleVersion(service);
+      return sole === undefined
+        ? unknownMatch(undefined)
+        : soleMatch(undefined, service, sole);
     }
     const unsureMs = this.unsureMs(plan);
     const lookup = await origins.find({key: undefined, service, unsureMs});
@@ -190,24 +192,20 @@
       return unknownMatch(lookup);
     }
     const hasReply = lookup.kind !== LOOKUP.unreachable;
-    return lookup.versions === undefined &&
-      hasReply &&
-      sole !== undefined &&
-      !this.isOutdated(lookup)
-      ? soleMatch(lookup, service, sole)
-      : this.matchWithoutOrigin(plan, lookup);
+    return this.matchWithoutOrigin(plan, lookup, hasReply);
   }
 
   /**
    * Without an origin, a stream can only go on at the one version that its service has, or
-   * that it had when streams were not recorded.
+   * that it had when streams were not recorded. `isTrusted` tells whether the replies bear
+   * out the versions known here, however old these are.
    */
   private matchWithoutOrigin(
     {route, service: {name: service}}: RequestPlan,
     lookup: MissedOrigin,
+    isTrusted: boolean,
   ): Match {
-    const {maxStateAgeMs, stateAgeMs, versions} = this.parts;
-    const isAbsent = lookup.kind === LOOKUP.absent;
+    const {versions} = this.parts;
     if (isSplit(route)) {
       return unknownMatch(lookup);
     }
@@ -218,11 +216,14 @@
       return unknownMatch(lookup);
     }
     const sole = versions.soleVersion(service);
-    if (sole !== undefined && (isAbsent || stateAgeMs() < maxStateAgeMs)) {
+    if (sole !== undefined && (isTrusted || this.isFresh)) {
       return soleMatch(lookup, service, sole);
     }
     // Other edges would have replicated a stream that began after the next version.
-    const former = isAbsent ? versions.formerSoleVersion(service) : undefined;
+    const former =
+      lookup.kind === LOOKUP.absent
+        ? versions.formerSoleVersion(service)
+        : undefined;
     return former === undefined
       ? unknownMatch(lookup)
       : formerMatch(lookup, service, former);
@@ -247,6 +248,12 @@
       : unknownMatch(lookup);
   }
 
+  /** Whether the versions known here are confirmed so lately that they count as current. */
+  private get isFresh(): boolean {
+    const {maxStateAgeMs, stateAgeMs} = this.parts;
+    return stateAgeMs() < maxStateAgeMs;
+  }
+
   /** How long ago a stream that is not recorded may have begun at a version unknown here, ms. */
   private unsureMs({service}: RequestPlan): number {
     const {stateAgeMs, versions} = this.parts;
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -10,7 +10,7 @@
 
 /** Results of a lookup. */
 export const LOOKUP = {
-  /** Enough boxes replied to be sure that the stream was not recorded. */
+  /** Enough boxes replied to be sure that the stream, which is named, was not recorded. */
   absent: 'absent',
   found: 'found',
   /** Some boxes replied, but none has the origin. */
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -147,12 +147,13 @@
         resolve,
         (versions) => {
           if (versions.length === 1) {
-            resolve({kind: LOOKUP.absent, versions});
+            const kind = key === undefined ? LOOKUP.unknown : LOOKUP.absent;
+            resolve({kind, versions});
           }
         },
       );
       void Promise.all([controlAsked, ...asked]).then(([control, ...replies]) =>
-        resolve(combineReplies(control, replies)),
+        resolve(combineReplies(query, control, replies)),
       );
     });
   }
@@ -322,7 +323,9 @@
   return isComplete || (completeMs ?? 0) >= neededMs;
 }
 
+/** A stream without a key is never absent, as nobody can miss it. */
 function combineReplies(
+  {key}: OriginQuery,
   control: ControlReplies,
   regions: readonly RegionReplies[],
 ): MissedOrigin {
@@ -336,7 +339,7 @@
   const isUnreachable = asked > 0 && replies === 0;
   const missed = isUnreachable ? LOOKUP.unreachable : LOOKUP.unknown;
   return {
-    kind: isSure ? LOOKUP.absent : missed,
+    kind: isSure && key !== undefined ? LOOKUP.absent : missed,
     versions: control.versions,
     versionsRevision: Math.max(-Infinity, ...revisions),
   };
--- a/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
@@ -211,6 +211,16 @@
     });
   });
 
+  test('of streams without a name are never taken for absent', async () => {
+    const fleet = new Fleet();
+    await fleet.clock.advance(LIFETIME_MS);
+    expect((await fleet.findUnnamed('e1'))?.kind).toBe(LOOKUP.unknown);
+    fleet.known = {controlBoxes: 5, hasSeenSecond: false, versions: ['v1']};
+    expect((await fleet.findUnnamed('e1'))?.kind).toBe(LOOKUP.unknown);
+    fleet.kill(...CONTROLS);
+    expect((await fleet.findUnnamed('e1'))?.kind).toBe(LOOKUP.unknown);
+  });
+
   test('are absent if edges have run for longer than the stream can be unknown', async () => {
     const fleet = new Fleet();
     fleet.kill(...CONTROLS);
