Control boxes compute the lifetime of streams once a configuration

It was computed from all routes at each look at a stored origin, several times for each stream during a release, and again at each comparison of versions.

--- a/packages/puffinturn-fleet/src/ConfigurationRegistry.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationRegistry.ts
@@ -6,6 +6,7 @@
  */
 
 import type {FleetConfiguration} from './Configuration';
+import {DEFAULT_STREAM_LIFETIME_MS, streamLifetimeMs} from './StreamLifetime';
 
 /** A configuration with the document that it was parsed from. */
 export interface StoredConfiguration {
@@ -36,6 +37,7 @@
 /** Holds the active configuration: the one with the highest version committed. */
 export class ConfigurationRegistry {
   private currentConfiguration: StoredConfiguration | undefined;
+  private currentStreamLifetimeMs = DEFAULT_STREAM_LIFETIME_MS;
 
   /** `onChange` is called whenever another configuration becomes active. */
   constructor(private readonly onChange: () => void) {}
@@ -45,6 +47,11 @@
     return this.currentConfiguration;
   }
 
+  /** How long streams may be served and resumed under the active configuration, ms. */
+  get streamLifetimeMs(): number {
+    return this.currentStreamLifetimeMs;
+  }
+
   /** Activates a configuration if its version is higher than the current one. */
   apply(stored: StoredConfiguration): ConfigurationOutcome {
     const currentVersion =
@@ -52,7 +59,7 @@
     const {version} = stored.configuration;
     const adopted = version > currentVersion;
     if (adopted) {
-      this.currentConfiguration = stored;
+      this.replace(stored);
       this.onChange();
     }
     return {
@@ -64,6 +71,13 @@
 
   /** Restores the configuration from a snapshot. */
   restore(stored: StoredConfiguration | undefined): void {
+    this.replace(stored);
+  }
+
+  private replace(stored: StoredConfiguration | undefined): void {
     this.currentConfiguration = stored;
+    this.currentStreamLifetimeMs = streamLifetimeMs(
+      stored?.configuration.routes ?? [],
+    );
   }
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -57,7 +57,6 @@
   RolloutReadReply,
 } from './Rollouts';
 import {StateConfirmation} from './StateConfirmation';
-import {streamLifetimeMs} from './StreamLifetime';
 import {recoverFromSuspension} from './SuspensionRecovery';
 import {UpstreamControl} from './UpstreamControl';
 import type {UpstreamRecord} from './UpstreamTable';
@@ -208,10 +207,7 @@
     });
     this.streamOrigins = new ControlOrigins({
       clock,
-      lifetimeMs: () =>
-        streamLifetimeMs(
-          parts.machine.storedConfiguration?.configuration.routes ?? [],
-        ),
+      lifetimeMs: () => parts.machine.streamLifetimeMs,
       link,
       versionsOf: (service) => this.listVersions(service),
     });
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -144,6 +144,11 @@
     return this.configurationRegistry.current;
   }
 
+  /** How long streams may be served and resumed under the current configuration, ms. */
+  get streamLifetimeMs(): number {
+    return this.configurationRegistry.streamLifetimeMs;
+  }
+
   /** The evacuated halls. */
   get evacuations(): Evacuations {
     return this.evacuationRegistry.evacuations;
--- a/packages/puffinturn-fleet/src/VersionControl.ts
+++ b/packages/puffinturn-fleet/src/VersionControl.ts
@@ -20,7 +20,6 @@
 import {FLEET_SERVICE} from './FleetMessages';
 import type {LeaderCalls} from './LeaderCalls';
 import {upstreamVersion} from './ServiceUpstreams';
-import {streamLifetimeMs} from './StreamLifetime';
 import type {UpstreamRecord, UpstreamTable} from './UpstreamTable';
 import {UPSTREAM_STATE} from './UpstreamTable';
 import type {RegisteredVersion} from './VersionRegistry';
@@ -138,7 +137,6 @@
   private async removeAbsent(): Promise<void> {
     const {clock, leader, machine} = this.parts;
     const present = new Set(this.presentUpstreams.map(keyOf));
-    const routes = machine.storedConfiguration?.configuration.routes ?? [];
     for (const known of machine.versions.registered.versions) {
       const {number, service, version} = known;
       if (present.has(keyOf(known))) {
@@ -147,7 +145,7 @@
       }
       const since = this.absentSince.get(number) ?? clock.now();
       this.absentSince.set(number, since);
-      if (clock.now() - since >= streamLifetimeMs(routes)) {
+      if (clock.now() - since >= machine.streamLifetimeMs) {
         const outcome = await leader.propose({kind: 'version-removed', number});
         const detail = outcome.isOk() ? 'removed' : outcome.error.kind;
         this.logVersion(service, version, detail);
