One lookup call and one set of handlers for stream origins, at edges and control boxes

ControlCopies and StreamOrigins each had the call and the counting of its replies, and ControlOrigins and StreamOrigins the same registrations. Counts follow from the replies in place of variables that each reply changed. A control box no longer sends how long it has been complete, which nobody read; the rank of an edge is hashed once, not for each origin.

--- a/packages/puffinturn-streams/src/ControlCopies.ts
+++ b/packages/puffinturn-streams/src/ControlCopies.ts
@@ -10,10 +10,9 @@
 import {hash32} from 'shared';
 
 import type {FoundOrigin, OriginQuery} from './Lookup';
-import {LOOKUP} from './Lookup';
-import {CONTROL_COPIES, FIND_TIMEOUT_MS} from './StreamConstants';
-import type {FindReply, FindRequest} from './StreamMessages';
-import {STREAM_SERVICE} from './StreamMessages';
+import {askForOrigin} from './OriginCalls';
+import {CONTROL_COPIES} from './StreamConstants';
+import type {ServiceVersionList} from './StreamMessages';
 
 /** Dependencies of ControlCopies. */
 export interface ControlCopiesParts {
@@ -35,19 +34,23 @@
 
 /** Places copies at control boxes, and looks them up. */
 export class ControlCopies {
-  constructor(private readonly parts: ControlCopiesParts) {}
+  /** Spreads the edges over the control boxes. */
+  private readonly rank: number;
+
+  constructor(private readonly parts: ControlCopiesParts) {
+    this.rank = hash32(parts.self.box);
+  }
 
   /**
    * Control boxes in the order in which this edge prefers them, reachable ones first. The
    * first CONTROL_COPIES get its origins.
    */
   get preferred(): readonly string[] {
-    const {controlBoxes, self} = this.parts;
-    const boxes = controlBoxes();
-    const reachable = boxes.slice(0, CONTROL_COPIES);
+    const boxes = this.parts.controlBoxes();
+    const first = boxes.slice(0, CONTROL_COPIES);
     const others = boxes.slice(CONTROL_COPIES);
-    const start = hash32(self.box) % Math.max(1, reachable.length);
-    return [...reachable.slice(start), ...reachable.slice(0, start), ...others];
+    const start = this.rank % Math.max(1, first.length);
+    return [...first.slice(start), ...first.slice(0, start), ...others];
   }
 
   /** Asks all control boxes; calls `onFound` for an origin, `onVersions` for each list. */
@@ -57,59 +60,34 @@
     onVersions: (versions: readonly string[]) => void,
   ): Promise<ControlReplies> {
     const boxes = this.parts.controlBoxes();
-    let controlBoxes = boxes.length;
-    let completeReplies = 0;
-    let replies = 0;
-    let versions: readonly string[] | undefined;
-    const calls = boxes.map(async (box) => {
-      const reply = await this.askBox(box, query);
-      if (reply === undefined) {
-        return;
-      }
-      replies += 1;
-      completeReplies += reply.isComplete ? 1 : 0;
-      const origin = reply.origin ?? undefined;
-      if (origin !== undefined) {
-        const ageMs = reply.ageMs ?? 0;
-        onFound({ageMs, kind: LOOKUP.found, origin, source: box});
-      }
-      const list = reply.list ?? undefined;
-      if (list !== undefined) {
-        controlBoxes = Math.max(controlBoxes, list.controlBoxes);
-        versions = longer(versions, list.versions);
-        onVersions(list.versions);
-      }
-    });
-    await Promise.all(calls);
+    const replies = await askForOrigin(
+      this.parts.link,
+      boxes,
+      query,
+      onFound,
+      ({list}) => list && onVersions(list.versions),
+    );
+    const lists = replies.flatMap(({list}) => list ?? []);
+    const controlBoxes = Math.max(
+      boxes.length,
+      ...lists.map((list) => list.controlBoxes),
+    );
     // Any so many of all control boxes include one with a copy.
     const needed = Math.max(1, controlBoxes - CONTROL_COPIES + 1);
     return {
       asked: boxes.length,
-      isSure: completeReplies >= needed,
-      replies,
-      versions,
+      isSure: replies.filter(({isComplete}) => isComplete).length >= needed,
+      replies: replies.length,
+      versions: longest(lists),
     };
   }
-
-  private async askBox(
-    box: string,
-    {key, service}: OriginQuery,
-  ): Promise<FindReply | undefined> {
-    const request: FindRequest = {key, service};
-    const reply = await this.parts.link.call(
-      box,
-      STREAM_SERVICE.find,
-      request,
-      FIND_TIMEOUT_MS,
-    );
-    return reply.isOk() ? (reply.value as FindReply) : undefined;
-  }
 }
 
-/** The longer list: both are current, and versions are removed late. */
-function longer(
-  a: readonly string[] | undefined,
-  b: readonly string[],
-): readonly string[] {
-  return a !== undefined && a.length > b.length ? a : b;
+/** The longest list: all are current, and versions are removed late. */
+function longest(
+  lists: readonly ServiceVersionList[],
+): readonly string[] | undefined {
+  return lists
+    .map(({versions}) => versions)
+    .sort((a, b) => b.length - a.length)[0];
 }
--- a/packages/puffinturn-streams/src/ControlOrigins.ts
+++ b/packages/puffinturn-streams/src/ControlOrigins.ts
@@ -12,15 +12,14 @@
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 
+import {serveOriginCalls} from './OriginCalls';
 import {OriginTable} from './OriginTable';
 import {MAX_CONTROL_ORIGINS} from './StreamConstants';
 import type {
   FindReply,
   FindRequest,
   ServiceVersionList,
-  StoreRequest,
 } from './StreamMessages';
-import {STREAM_SERVICE} from './StreamMessages';
 
 /** What a control box that follows the quorum knows of a service. */
 export interface KnownVersions extends ServiceVersionList {
@@ -41,21 +40,15 @@
 /** Holds the origins that edges send to this control box. */
 export class ControlOrigins implements Disposable {
   private readonly table: OriginTable;
-  private readonly registrations: readonly Disposable[];
+  private readonly registration: Disposable;
 
   constructor(private readonly parts: ControlOriginsParts) {
     const {clock, lifetimeMs, link} = parts;
     this.table = new OriginTable(clock, lifetimeMs, MAX_CONTROL_ORIGINS);
-    this.registrations = [
-      link.register(STREAM_SERVICE.store, async (body) => {
-        for (const origin of (body as StoreRequest).origins) {
-          this.table.store(origin);
-        }
-      }),
-      link.register(STREAM_SERVICE.find, async (body) =>
-        this.reply(body as FindRequest),
-      ),
-    ];
+    this.registration = serveOriginCalls(link, {
+      reply: (request) => this.reply(request),
+      store: (origin) => this.table.store(origin),
+    });
   }
 
   /** Number of origins held. */
@@ -69,21 +62,17 @@
   }
 
   [Symbol.dispose](): void {
-    for (const registration of this.registrations) {
-      registration[Symbol.dispose]();
-    }
+    this.registration[Symbol.dispose]();
   }
 
   private reply({key, service}: FindRequest): FindReply {
     const {clock, lifetimeMs, versionsOf} = this.parts;
     const entry = key === undefined ? undefined : this.table.find(key);
     const known = service === undefined ? undefined : versionsOf(service);
-    const {completeMs} = this.table;
     return {
       ageMs: entry && Math.round(clock.now() - entry.storedAt),
-      completeMs,
       isComplete:
-        completeMs >= lifetimeMs() ||
+        this.table.completeMs >= lifetimeMs() ||
         (known?.hasSeenSecond === true && !this.table.hasDropped),
       list: known && {
         controlBoxes: known.controlBoxes,
--- a/packages/puffinturn-streams/src/OriginTable.ts
+++ b/packages/puffinturn-streams/src/OriginTable.ts
@@ -23,7 +23,8 @@
 
   /** No origin that was stored from then on was dropped before its time, monotonic ms. */
   private completeSince: number;
-  private droppedCount = 0;
+  /** Whether origins were dropped before their time since `markIncomplete`. */
+  private hasDroppedAny = false;
 
   constructor(
     private readonly clock: Clock,
@@ -56,13 +57,13 @@
 
   /** Origins may have been missed until now. */
   markIncomplete(): void {
-    this.droppedCount = 0;
+    this.hasDroppedAny = false;
     this.completeSince = this.clock.now();
   }
 
   /** Whether origins were dropped before their time since `markIncomplete`. */
   get hasDropped(): boolean {
-    return this.droppedCount > 0;
+    return this.hasDroppedAny;
   }
 
   /** Time for which this table has all that it was told, ms. */
@@ -85,7 +86,7 @@
       }
       if (!this.isExpired(entry)) {
         this.completeSince = Math.max(this.completeSince, entry.storedAt);
-        this.droppedCount += 1;
+        this.hasDroppedAny = true;
       }
       this.entries.delete(key);
     }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -17,13 +17,13 @@
 import {ControlCopies} from './ControlCopies';
 import type {Lookup, MissedOrigin, OriginQuery} from './Lookup';
 import {LOOKUP} from './Lookup';
+import {askForOrigin, serveOriginCalls} from './OriginCalls';
 import type {StoredOrigin} from './OriginTable';
 import {OriginTable} from './OriginTable';
 import type {ReplicaSelectorParts} from './ReplicaSelector';
 import {ReplicaSelector} from './ReplicaSelector';
 import {
   CONTROL_COPIES,
-  FIND_TIMEOUT_MS,
   MAX_ORIGINS,
   MAX_ORIGINS_PER_MESSAGE,
   REMOTE_COPIES,
@@ -65,7 +65,7 @@
   private readonly controlCopies: ControlCopies;
   /** Origins to be sent, by box. */
   private readonly outboxes = new Map<string, KeyedOrigin[]>();
-  private readonly registrations: readonly Disposable[];
+  private readonly registration: Disposable;
 
   constructor(private readonly parts: StreamOriginsParts) {
     const {clock, lifetimeMs, link} = parts;
@@ -73,16 +73,10 @@
     this.replicated = new OriginTable(clock, lifetimeMs, MAX_ORIGINS);
     this.selector = new ReplicaSelector(parts);
     this.controlCopies = new ControlCopies(parts);
-    this.registrations = [
-      link.register(STREAM_SERVICE.store, async (body) => {
-        for (const origin of (body as StoreRequest).origins) {
-          this.replicated.store(origin);
-        }
-      }),
-      link.register(STREAM_SERVICE.find, async (body) =>
-        this.reply(body as FindRequest),
-      ),
-    ];
+    this.registration = serveOriginCalls(link, {
+      reply: (request) => this.reply(request),
+      store: (origin) => this.replicated.store(origin),
+    });
   }
 
   /** Number of origins held for other boxes. */
@@ -125,9 +119,7 @@
   }
 
   [Symbol.dispose](): void {
-    for (const registration of this.registrations) {
-      registration[Symbol.dispose]();
-    }
+    this.registration[Symbol.dispose]();
   }
 
   /**
@@ -164,54 +156,25 @@
     boxes: readonly string[],
     onFound: (lookup: Lookup) => void,
   ): Promise<RegionReplies> {
-    const {lifetimeMs, self} = this.parts;
+    const {lifetimeMs, link, self} = this.parts;
     const neededMs = Math.min(query.unsureMs, lifetimeMs());
     const others = boxes.filter((box) => box !== self.box);
     const isCandidate = others.length < boxes.length;
-    let completeReplies = isCandidate && this.completeMs >= neededMs ? 1 : 0;
-    let replies = 0;
-    let versionsRevision = -Infinity;
-    const calls = others.map(async (box) => {
-      const reply = await this.askBox(box, query);
-      if (reply === undefined) {
-        return;
-      }
-      replies += 1;
-      completeReplies += isCompleteFor(reply, neededMs) ? 1 : 0;
-      versionsRevision = Math.max(
-        versionsRevision,
-        reply.versionsRevision ?? -Infinity,
-      );
-      const origin = reply.origin ?? undefined;
-      if (origin !== undefined) {
-        const ageMs = reply.ageMs ?? 0;
-        onFound({ageMs, kind: LOOKUP.found, origin, source: box});
-      }
-    });
-    await Promise.all(calls);
+    const replies = await askForOrigin(link, others, query, onFound);
+    const complete = replies.filter((reply) => isCompleteFor(reply, neededMs));
+    const isCompleteHere = isCandidate && this.completeMs >= neededMs;
+    const completeCount = complete.length + (isCompleteHere ? 1 : 0);
     return {
       asked: others.length,
       // All candidates but one: the box that serves the stream may be one of them.
-      isSure: completeReplies >= Math.max(1, boxes.length - 1),
-      replies,
-      versionsRevision,
+      isSure: completeCount >= Math.max(1, boxes.length - 1),
+      replies: replies.length,
+      versionsRevision: Math.max(
+        ...replies.map((reply) => reply.versionsRevision ?? -Infinity),
+      ),
     };
   }
 
-  private async askBox(
-    box: string,
-    {key, service}: OriginQuery,
-  ): Promise<FindReply | undefined> {
-    const request: FindRequest = {key, service};
-    const reply = await this.parts.link.call(
-      box,
-      STREAM_SERVICE.find,
-      request,
-      FIND_TIMEOUT_MS,
-    );
-    return reply.isOk() ? (reply.value as FindReply) : undefined;
-  }
-
   private reply({key}: FindRequest): FindReply {
     const {lifetimeMs, versionsRevision} = this.parts;
     const entry = key === undefined ? undefined : this.findHere(key);
@@ -341,6 +304,6 @@
   return {
     kind: isSure && key !== undefined ? LOOKUP.absent : missed,
     versions: control.versions,
-    versionsRevision: Math.max(-Infinity, ...revisions),
+    versionsRevision: Math.max(...revisions),
   };
 }
