--- a/packages/puffinturn-fleet/src/VersionControl.ts
+++ b/packages/puffinturn-fleet/src/VersionControl.ts
@@ -46,7 +46,7 @@
   private readonly handler: Disposable;
   private readonly tasks = new TaskGroup();
   /** Versions that are being stored, by service and version. */
-  private readonly pending = new Map<string, Promise<boolean>>();
+  private readonly pending = new Map<string, Promise<void>>();
   /** Since when the leader has known no upstream of a version, by its number, ms. */
   private readonly absentSince = new Map<number, number>();
 
@@ -58,27 +58,20 @@
   }
 
   /**
-   * Stores the version of an upstream unless it is stored. Resolves to whether it is; if not,
-   * as without a quorum, the leader stores it later.
+   * Stores the version of an upstream unless it is stored. Resolves also if that fails, as
+   * without a quorum; the leader then stores it later.
    */
-  async ensureStored(record: UpstreamRecord): Promise<boolean> {
+  async ensureStored(record: UpstreamRecord): Promise<void> {
     const request = {service: record.service, version: upstreamVersion(record)};
     if (this.isStored(request)) {
-      return true;
+      return;
     }
-    const key = JSON.stringify(request);
-    const pending = this.pending.get(key) ?? this.store(request);
+    const key = keyOf(record);
+    const pending =
+      this.pending.get(key) ??
+      this.store(request).finally(() => this.pending.delete(key));
     this.pending.set(key, pending);
-    try {
-      return await pending;
-    } finally {
-      this.pending.delete(key);
-    }
-  }
-
-  /** Whether the version of an upstream is stored here, or the upstream has no service. */
-  isStored({service, version}: AddVersionRequest): boolean {
-    return service === '' || this.parts.machine.versions.has(service, version);
+    await pending;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -86,16 +79,19 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
-  private async store(request: AddVersionRequest): Promise<boolean> {
-    const {leader} = this.parts;
-    const {stored} = await leader.runOnLeader<AddVersionReply>(
+  /** Whether the version of an upstream is stored here, or the upstream has no service. */
+  private isStored({service, version}: AddVersionRequest): boolean {
+    return service === '' || this.parts.machine.versions.has(service, version);
+  }
+
+  private async store(request: AddVersionRequest): Promise<void> {
+    await this.parts.leader.runOnLeader<AddVersionReply>(
       FLEET_SERVICE.addVersion,
       request,
       {stored: false},
       () => this.addAsLeader(request),
       STORE_TIMEOUT_MS,
     );
-    return stored;
   }
 
   private async addAsLeader(
