--- a/packages/puffinturn-edge/src/WakeRefresh.ts
+++ b/packages/puffinturn-edge/src/WakeRefresh.ts
@@ -13,7 +13,7 @@
 import type {FleetWatch, SuspensionRecoveryParts} from 'puffinturn-fleet';
 import {recoverFromSuspension} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
-import {SuspensionDetector} from 'shared';
+import {SuspensionDetector, waitWhile} from 'shared';
 
 import type {UpstreamPool} from './upstreams/UpstreamPool';
 
@@ -72,18 +72,14 @@
     );
   }
 
-  private async waitUntilCurrent(): Promise<void> {
+  private waitUntilCurrent(): Promise<void> {
     const {clock, watch} = this.parts;
     const deadline = clock.now() + REFRESH_TIMEOUT_MS;
-    while (!watch.isCurrent && clock.now() < deadline) {
-      await clock.sleep(REFRESH_POLL_MS);
-    }
+    return waitWhile(clock, () => !watch.isCurrent, REFRESH_POLL_MS, deadline);
   }
 
-  private async waitUntilCaughtUp(): Promise<void> {
+  private waitUntilCaughtUp(): Promise<void> {
     const {clock, watch} = this.parts;
-    while (watch.isCatchingUp) {
-      await clock.sleep(REFRESH_POLL_MS);
-    }
+    return waitWhile(clock, () => watch.isCatchingUp, REFRESH_POLL_MS);
   }
 }
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -14,7 +14,13 @@
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
-import {Condition, hash32, sleepUnlessNotified, TaskGroup} from 'shared';
+import {
+  Condition,
+  hash32,
+  sleepUnlessNotified,
+  TaskGroup,
+  waitWhile,
+} from 'shared';
 
 import type {BoxChanges} from './BoxList';
 import {ConfigurationLag} from './ConfigurationLag';
@@ -188,16 +194,14 @@
   }
 
   /** Waits while the configuration is overdue and a control box may confirm it soon. */
-  async awaitConfiguration(): Promise<void> {
+  awaitConfiguration(): Promise<void> {
     const {clock} = this.parts;
-    const deadline = clock.now() + this.timing.maxCatchUpMs;
-    while (
-      this.isConfigurationOverdue &&
-      this.isConnected &&
-      clock.now() < deadline
-    ) {
-      await clock.sleep(CONFIRMATION_POLL_MS);
-    }
+    return waitWhile(
+      clock,
+      () => this.isConfigurationOverdue && this.isConnected,
+      CONFIRMATION_POLL_MS,
+      clock.now() + this.timing.maxCatchUpMs,
+    );
   }
 
   /** Addresses of the control boxes; reachable ones come first. */
--- a/packages/shared/src/Task.ts
+++ b/packages/shared/src/Task.ts
@@ -90,6 +90,18 @@
   });
 }
 
+/** Waits while a condition holds, checked at an interval, and until the deadline at most. */
+export async function waitWhile(
+  clock: Clock,
+  condition: () => boolean,
+  intervalMs: number,
+  deadline = Infinity,
+): Promise<void> {
+  while (condition() && clock.now() < deadline) {
+    await clock.sleep(intervalMs);
+  }
+}
+
 /** Resolves with the result of `task`, or with undefined if that takes longer than `ms`. */
 export function resolveWithin<Value>(
   clock: Clock,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -37,4 +37,5 @@
   resolveWithin,
   sleepUnlessNotified,
   TaskGroup,
+  waitWhile,
 } from './Task';
