Streams whose only copy is at a late box are looked up again

Cause: with two of the three control boxes dead that hold copies, one box holds those of all streams. It had 250 ms to reply; a lookup was repeated only if nobody replied at all, and the boxes that hold nothing do reply. All edges ask the same box, so all refuse.

Why it works: while a lookup is undecided and a box has not replied it is repeated once, with 500 ms. A decided one (found, one version, sure to be absent, all replied) takes no longer than before.

--- a/packages/puffinturn-streams/src/ControlCopies.ts
+++ b/packages/puffinturn-streams/src/ControlCopies.ts
@@ -9,7 +9,7 @@
 import type {Link} from 'puffinturn-wire';
 import {hash32} from 'shared';
 
-import type {FoundOrigin, OriginQuery} from './Lookup';
+import type {FoundOrigin, OriginLookup} from './Lookup';
 import {askForOrigin} from './OriginCalls';
 import {CONTROL_COPIES} from './StreamConstants';
 import type {ServiceVersionList} from './StreamMessages';
@@ -55,7 +55,7 @@
 
   /** Asks all control boxes; calls `onFound` for an origin, `onVersions` for each list. */
   async ask(
-    query: OriginQuery,
+    query: OriginLookup,
     onFound: (found: FoundOrigin) => void,
     onVersions: (versions: readonly string[]) => void,
   ): Promise<ControlReplies> {
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -58,3 +58,9 @@
    */
   readonly unsureMs: number;
 }
+
+/** A query to other boxes. */
+export interface OriginLookup extends OriginQuery {
+  /** How long to wait for replies, ms. */
+  readonly timeoutMs: number;
+}
--- a/packages/puffinturn-streams/src/OriginCalls.ts
+++ b/packages/puffinturn-streams/src/OriginCalls.ts
@@ -9,9 +9,8 @@
 import type {Link} from 'puffinturn-wire';
 import {DisposableList} from 'shared';
 
-import type {FoundOrigin, OriginQuery} from './Lookup';
+import type {FoundOrigin, OriginLookup} from './Lookup';
 import {LOOKUP} from './Lookup';
-import {FIND_TIMEOUT_MS} from './StreamConstants';
 import type {FindReply, FindRequest, StoreRequest} from './StreamMessages';
 import {STREAM_SERVICE} from './StreamMessages';
 import type {KeyedOrigin} from './StreamOrigin';
@@ -48,7 +47,7 @@
 export async function askForOrigin(
   link: Link,
   boxes: readonly string[],
-  query: OriginQuery,
+  query: OriginLookup,
   onFound: (found: FoundOrigin) => void,
   onReply: (reply: FindReply) => void = () => undefined,
 ): Promise<readonly FindReply[]> {
@@ -73,14 +72,9 @@
 async function askBox(
   link: Link,
   box: string,
-  {key, service}: OriginQuery,
+  {key, service, timeoutMs}: OriginLookup,
 ): Promise<FindReply | undefined> {
   const request: FindRequest = {key, service};
-  const reply = await link.call(
-    box,
-    STREAM_SERVICE.find,
-    request,
-    FIND_TIMEOUT_MS,
-  );
+  const reply = await link.call(box, STREAM_SERVICE.find, request, timeoutMs);
   return reply.isOk() ? (reply.value as FindReply) : undefined;
 }
--- a/packages/puffinturn-streams/src/StreamConstants.ts
+++ b/packages/puffinturn-streams/src/StreamConstants.ts
@@ -22,6 +22,9 @@
 /** Timeout for the lookup of an origin at another box, ms; a caller waits for it. */
 export const FIND_TIMEOUT_MS = 250;
 
+/** Timeout for a second lookup, ms; boxes that were too late once get more time. */
+export const SECOND_FIND_TIMEOUT_MS = 500;
+
 /** Maximum number of origins that an edge keeps; the oldest are dropped first. */
 export const MAX_ORIGINS = 20_000;
 
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -15,7 +15,7 @@
 
 import type {ControlReplies} from './ControlCopies';
 import {ControlCopies} from './ControlCopies';
-import type {Lookup, MissedOrigin, OriginQuery} from './Lookup';
+import type {Lookup, MissedOrigin, OriginLookup, OriginQuery} from './Lookup';
 import {LOOKUP} from './Lookup';
 import {askForOrigin, serveOriginCalls} from './OriginCalls';
 import type {StoredOrigin} from './OriginTable';
@@ -24,9 +24,11 @@
 import {ReplicaSelector} from './ReplicaSelector';
 import {
   CONTROL_COPIES,
+  FIND_TIMEOUT_MS,
   MAX_ORIGINS,
   MAX_ORIGINS_PER_MESSAGE,
   REMOTE_COPIES,
+  SECOND_FIND_TIMEOUT_MS,
   STORE_TIMEOUT_MS,
 } from './StreamConstants';
 import type {FindReply, FindRequest, StoreRequest} from './StreamMessages';
@@ -55,6 +57,13 @@
   readonly versionsRevision: number;
 }
 
+/** What boxes that were asked once have replied. */
+interface LookupRound {
+  readonly lookup: Lookup;
+  /** Whether the boxes that did not reply could not change the lookup. */
+  readonly isDecided: boolean;
+}
+
 /** Stores, replicates and finds the origins of streams. */
 export class StreamOrigins implements Disposable {
   /** Origins of streams that this box serves. */
@@ -111,11 +120,16 @@
     if (local !== undefined) {
       return this.found(local, this.parts.self.box);
     }
-    const lookup = await this.findElsewhere(query);
-    // A box that has just started may be too late itself for the first replies.
-    return lookup.kind === LOOKUP.unreachable
-      ? this.findElsewhere(query)
-      : lookup;
+    const timeoutMs = FIND_TIMEOUT_MS;
+    const first = await this.findElsewhere({...query, timeoutMs});
+    if (!mayBeFoundLater(query, first)) {
+      return first.lookup;
+    }
+    const second = await this.findElsewhere({
+      ...query,
+      timeoutMs: SECOND_FIND_TIMEOUT_MS,
+    });
+    return second.lookup;
   }
 
   [Symbol.dispose](): void {
@@ -126,24 +140,22 @@
    * Asks the candidates of all regions and the control boxes at once. The first origin
    * decides, or the first control box that follows the quorum and knows a single version.
    */
-  private findElsewhere(query: OriginQuery): Promise<Lookup> {
+  private findElsewhere(query: OriginLookup): Promise<LookupRound> {
     // Without a key, any boxes can tell which list of versions they know.
     const {key, service} = query;
     const regions = this.selector.selectByRegion(key ?? service);
     return new Promise((resolve) => {
+      const decide = (lookup: Lookup): void =>
+        resolve({isDecided: true, lookup});
       const asked = regions.map((boxes) =>
-        this.askRegion(query, boxes, resolve),
-      );
-      const controlAsked = this.controlCopies.ask(
-        query,
-        resolve,
-        (versions) => {
-          if (versions.length === 1) {
-            const kind = key === undefined ? LOOKUP.unknown : LOOKUP.absent;
-            resolve({kind, versions});
-          }
-        },
+        this.askRegion(query, boxes, decide),
       );
+      const controlAsked = this.controlCopies.ask(query, decide, (versions) => {
+        if (versions.length === 1) {
+          const kind = key === undefined ? LOOKUP.unknown : LOOKUP.absent;
+          decide({kind, versions});
+        }
+      });
       void Promise.all([controlAsked, ...asked]).then(([control, ...replies]) =>
         resolve(combineReplies(query, control, replies)),
       );
@@ -152,7 +164,7 @@
 
   /** Asks the candidates of one region; calls `onFound` if one has the origin. */
   private async askRegion(
-    query: OriginQuery,
+    query: OriginLookup,
     boxes: readonly string[],
     onFound: (lookup: Lookup) => void,
   ): Promise<RegionReplies> {
@@ -291,7 +303,7 @@
   {key}: OriginQuery,
   control: ControlReplies,
   regions: readonly RegionReplies[],
-): MissedOrigin {
+): LookupRound {
   const all = [control, ...regions];
   const asked = all.reduce((sum, group) => sum + group.asked, 0);
   const replies = all.reduce((sum, group) => sum + group.replies, 0);
@@ -301,9 +313,22 @@
     (regions.length > 0 && regions.every((region) => region.isSure));
   const isUnreachable = asked > 0 && replies === 0;
   const missed = isUnreachable ? LOOKUP.unreachable : LOOKUP.unknown;
-  return {
+  const lookup: MissedOrigin = {
     kind: isSure && key !== undefined ? LOOKUP.absent : missed,
     versions: control.versions,
     versionsRevision: Math.max(...revisions),
   };
+  return {isDecided: isSure || replies === asked, lookup};
+}
+
+/**
+ * Whether boxes that were too late may have the origin. Those that outlived others may be the
+ * only ones, and a box that has just started may be too late itself for all replies.
+ */
+function mayBeFoundLater(
+  {key}: OriginQuery,
+  {isDecided, lookup}: LookupRound,
+): boolean {
+  const isNamed = key !== undefined;
+  return (isNamed && !isDecided) || lookup.kind === LOOKUP.unreachable;
 }
--- a/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
@@ -13,11 +13,13 @@
 import {ControlOrigins} from '../../ControlOrigins';
 import type {Lookup, OriginQuery} from '../../Lookup';
 import {LOOKUP} from '../../Lookup';
-import {FIND_TIMEOUT_MS} from '../../StreamConstants';
+import {FIND_TIMEOUT_MS, SECOND_FIND_TIMEOUT_MS} from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
 import {StreamOrigins} from '../../StreamOrigins';
 
 const LIFETIME_MS = 30_000;
+/** The longest lookup, and some time for its messages, ms. */
+const LOOKUP_MS = FIND_TIMEOUT_MS + SECOND_FIND_TIMEOUT_MS + 10;
 const EDGES = ['e1', 'e2', 'e3', 'e4'].map((box) => ({box, hall: 'a'}));
 const CONTROLS = ['c1', 'c2', 'c3', 'c4', 'c5'];
 const KEY = streamKey('t', 'q');
@@ -77,11 +79,10 @@
     boxes.forEach((box) => this.network.disconnect(box));
   }
 
-  /** Delays all messages of edges for a time. */
-  delayFor(ms: number): void {
-    const all = [...CONTROLS, ...EDGES.map(({box}) => box)];
+  /** Delays all messages of edges to some boxes for a time. */
+  delayFor(ms: number, to = [...CONTROLS, ...EDGES.map(({box}) => box)]): void {
     for (const {box} of EDGES) {
-      all.forEach((other) => this.network.holdMessages(box, other));
+      to.forEach((other) => this.network.holdMessages(box, other));
     }
     this.clock.startTimer(ms, () => this.network.heal());
   }
@@ -98,8 +99,12 @@
     await this.clock.advance(2_500);
   }
 
-  find(edge: string, unsureMs = Infinity): Promise<Lookup | undefined> {
-    return this.lookUp(edge, {key: KEY, service: 's', unsureMs});
+  find(
+    edge: string,
+    unsureMs = Infinity,
+    waitMs = LOOKUP_MS,
+  ): Promise<Lookup | undefined> {
+    return this.lookUp(edge, {key: KEY, service: 's', unsureMs}, waitMs);
   }
 
   findUnnamed(edge: string): Promise<Lookup | undefined> {
@@ -110,13 +115,14 @@
   private async lookUp(
     edge: string,
     query: OriginQuery,
+    waitMs = LOOKUP_MS,
   ): Promise<Lookup | undefined> {
     let found: Lookup | undefined;
     void this.edges
       .get(edge)
       ?.find(query)
       .then((lookup) => (found = lookup));
-    await this.clock.advance(2 * FIND_TIMEOUT_MS + 10);
+    await this.clock.advance(waitMs);
     return found;
   }
 }
@@ -143,6 +149,25 @@
     expect(await fleet.find('e3')).toMatchObject({kind: LOOKUP.found});
   });
 
+  test('are found by a second lookup if only the boxes that hold them reply too late', async () => {
+    const fleet = new Fleet();
+    await fleet.replicate('e1');
+    fleet.restartEdges();
+    fleet.delayFor(FIND_TIMEOUT_MS + 50, fleet.holders);
+    expect(await fleet.find('e3')).toMatchObject({kind: LOOKUP.found});
+  });
+
+  test('are not looked up again if all boxes replied', async () => {
+    const fleet = new Fleet();
+    fleet.known = {
+      controlBoxes: 5,
+      hasSeenSecond: false,
+      versions: ['v1', 'v2'],
+    };
+    const lookup = await fleet.find('e1', Infinity, FIND_TIMEOUT_MS / 2);
+    expect(lookup?.kind).toBe(LOOKUP.unknown);
+  });
+
   test('are stored at another one if one does not reply', async () => {
     const fleet = new Fleet();
     fleet.kill('c1', 'c2');
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -12,11 +12,17 @@
 import type {Lookup} from '../../Lookup';
 import {LOOKUP} from '../../Lookup';
 import type {ReplicaBox} from '../../ReplicaSelector';
-import {FIND_TIMEOUT_MS, MAX_ORIGINS} from '../../StreamConstants';
+import {
+  FIND_TIMEOUT_MS,
+  MAX_ORIGINS,
+  SECOND_FIND_TIMEOUT_MS,
+} from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
 import {StreamOrigins} from '../../StreamOrigins';
 
 const LIFETIME_MS = 30_000;
+/** The longest lookup, and some time for its messages, ms. */
+const LOOKUP_MS = FIND_TIMEOUT_MS + SECOND_FIND_TIMEOUT_MS + 10;
 const BOXES: readonly ReplicaBox[] = [
   {box: 'a1', hall: 'a'},
   {box: 'a2', hall: 'a'},
@@ -97,7 +103,7 @@
         this.at(box).find({key, service: 's', unsureMs: Infinity}),
       ),
     );
-    await this.clock.advance(2 * FIND_TIMEOUT_MS + 10);
+    await this.clock.advance(LOOKUP_MS);
     return lookups;
   }
 }
