A request is not sent to an upstream that left while its connection was made

What callers saw: nothing; upstreams that had announced their departure got requests after the time for which they have to be spared (DRAIN).

Cause: the upstream is checked when it is chosen. The connection may then take 400 ms, a tunnel through another edge 600 ms more, and as long again at an edge that runs late; what arrives in between about the upstream was not looked at before the request was written.

Why it works: the check is repeated once the connection is up and before the first byte. A request that was not sent may go to another upstream, also one that must not be repeated.

--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -67,6 +67,9 @@
 /** Cause of a connection attempt that got no reply. */
 export const CONNECT_TIMEOUT = 'connect-timeout';
 
+/** Cause of an attempt whose upstream left before it was connected. */
+export const UPSTREAM_LEFT = 'upstream-left';
+
 /** Cause for a header that can't be sent to any upstream: an error of the request. */
 export const INVALID_HEADER = 'invalid-header';
 
@@ -148,6 +151,10 @@
   }
 
   onConnected(): void {
+    if (!this.params.upstream.isServing) {
+      this.abort(UPSTREAM_LEFT);
+      return;
+    }
     this.isConnected = true;
     clearTimeout(this.timer);
   }
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -31,7 +31,10 @@
 
 /** Callbacks of the sender of a request. */
 export interface ResponseListener {
-  /** Called when the connection is established: the request may reach the upstream. */
+  /**
+   * Called when the connection is established, before the request is sent. The request may
+   * reach the upstream unless the listener disposes the connection.
+   */
   onConnected(): void;
   /** Called when the head of a response arrives. */
   onResponse(response: UpstreamResponse): void;
