--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -19,12 +19,13 @@
   FLEET_SERVICE,
   Regions,
   TUNNEL_OUTCOME,
+  UPSTREAM_STATE,
 } from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {Random, SystemClock} from 'shared';
 
 import type {ExchangeOutcome} from '../../connections/Exchange';
-import {Exchange} from '../../connections/Exchange';
+import {Exchange, UNSENT_BLAME} from '../../connections/Exchange';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {TunnelClient} from '../../tunnels/TunnelClient';
 import {TICKET_LIFETIME_MS} from '../../tunnels/TunnelConstants';
@@ -123,6 +124,20 @@
     ).length;
   }
 
+  /** Number of requests for tunnels to all helpers. */
+  get askedCount(): number {
+    return this.helpers
+      .map((_, index) => this.countAsked(`e${index + 1}`))
+      .reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Tells the edge that asks for tunnels that the upstream is gone. */
+  removeUpstream(): void {
+    const state = UPSTREAM_STATE.gone;
+    const record = makeUpstream('i-1', {sequence: 2, state});
+    this.pools.at(-1)?.merge([record], 'test');
+  }
+
   closeUpstream(): void {
     this.server.close();
   }
@@ -285,6 +300,25 @@
     expect(asked).toHaveLength(2);
   });
 
+  test('is asked for at two edges if these do not know the upstream, without blame of it', async () => {
+    await using fixture = await TunnelFixture.open(3, () => undefined);
+    const {outcome} = fixture.send(`${HOST}:9`);
+    expect(await outcome).toEqual({
+      blame: UNSENT_BLAME.none,
+      cause: 'upstream-unknown',
+      kind: 'unsent',
+    });
+    expect(fixture.askedCount).toBe(2);
+  });
+
+  test('is asked for at no further edge once the upstream has left', async () => {
+    await using fixture = await TunnelFixture.open(3, () => undefined);
+    const {outcome} = fixture.send(`${HOST}:9`);
+    fixture.removeUpstream();
+    expect(await outcome).toMatchObject({blame: UNSENT_BLAME.none});
+    expect(fixture.askedCount).toBe(1);
+  });
+
   test('leaves out an edge that did not reply', async () => {
     await using fixture = await TunnelFixture.open(2, (socket) => {
       socket.end(`HTTP/1.1 200 OK\r\n${HEADERS}Content-Length: 0\r\n\r\n`);
--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -43,10 +43,17 @@
   tunnel: 'tunnel',
   /** No other edge carries tunnels, and there is no direct link. */
   noHelper: 'no-helper',
-  /** Nobody: the request ended before. */
+  /** Nobody: the request ended before, or the upstream has left. */
   none: 'none',
 } as const;
 
+/** Who is to blame if no tunnel was opened. */
+const TUNNEL_FAILURE_BLAME = {
+  'no-helper': UNSENT_BLAME.noHelper,
+  'upstream-unknown': UNSENT_BLAME.none,
+  'upstream-unreachable': UNSENT_BLAME.upstream,
+} as const;
+
 /** A request that was not sent. */
 export interface UnsentOutcome {
   readonly kind: 'unsent';
@@ -203,10 +210,9 @@
     } else if (opened.isOk()) {
       this.isTunnel = true;
       this.send(opened.value, request);
-    } else if (opened.error.kind === 'upstream-unreachable') {
-      this.resolve(this.unsent(opened.error.kind, UNSENT_BLAME.upstream));
-    } else if (isOnlyWay) {
-      this.resolve(this.unsent(opened.error.kind, UNSENT_BLAME.noHelper));
+    } else if (opened.error.kind === 'upstream-unreachable' || isOnlyWay) {
+      const {kind} = opened.error;
+      this.resolve(this.unsent(kind, TUNNEL_FAILURE_BLAME[kind]));
     } else {
       this.send(this.params.upstream.connections.acquire(), request);
     }
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -28,7 +28,7 @@
 import {
   HELPER_BACKOFF_MS,
   MAX_HELPERS_PER_REQUEST,
-  MAX_UNREACHABLE_REPLIES,
+  MAX_NEGATIVE_REPLIES,
   TUNNEL_OPEN_TIMEOUT_MS,
   UNRESPONSIVE_HELPER_BACKOFF_MS,
 } from './TunnelConstants';
@@ -38,7 +38,9 @@
   /** No other edge carries tunnels at present. */
   | Failure<'no-helper'>
   /** Another edge that has its links does not reach the upstream either. */
-  | Failure<'upstream-unreachable'>;
+  | Failure<'upstream-unreachable'>
+  /** Other edges do not know the upstream, or it has left since it was chosen. */
+  | Failure<'upstream-unknown'>;
 
 /** Dependencies of TunnelClient. */
 export interface TunnelClientParts {
@@ -71,10 +73,13 @@
   ): Promise<Result<HttpConnection, TunnelFailure>> {
     const asked = new Set<string>();
     let unreachableCount = 0;
-    // The first edge that can't reach the upstream may have lost some links itself.
+    let unknownCount = 0;
+    // The first edge that can't reach the upstream may have lost some links itself, and one
+    // that doesn't know it may have just started.
     while (
+      upstream.isServing &&
       asked.size < MAX_HELPERS_PER_REQUEST &&
-      unreachableCount < MAX_UNREACHABLE_REPLIES
+      unreachableCount + unknownCount < MAX_NEGATIVE_REPLIES
     ) {
       const helper = this.chooseHelper(asked);
       if (helper === undefined) {
@@ -87,6 +92,8 @@
       }
       if (reply?.outcome === TUNNEL_OUTCOME.unreachable) {
         unreachableCount += 1;
+      } else if (reply?.outcome === TUNNEL_OUTCOME.unknownUpstream) {
+        unknownCount += 1;
       }
     }
     if (unreachableCount > 0) {
@@ -95,6 +102,12 @@
         message: `${unreachableCount} other edges can't reach ${upstream.id}`,
       });
     }
+    if (unknownCount > 0 || !upstream.isServing) {
+      return err({
+        kind: 'upstream-unknown',
+        message: `${unknownCount} other edges don't know ${upstream.id}`,
+      });
+    }
     const message = `${asked.size} edges were asked for a tunnel`;
     return err({kind: 'no-helper', message});
   }
--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -22,8 +22,8 @@
 /** Age of the queue of callers above which an edge carries no further tunnels, ms. */
 export const MAX_HELPER_QUEUE_AGE_MS = 250;
 
-/** Edges that must fail to reach an upstream before it counts as unreachable. */
-export const MAX_UNREACHABLE_REPLIES = 2;
+/** Edges that must fail to reach an upstream, or not know it, before no other is asked. */
+export const MAX_NEGATIVE_REPLIES = 2;
 
 /** Edges asked for one tunnel before the request fails. */
 export const MAX_HELPERS_PER_REQUEST = 3;
