--- a/packages/puffinturn-edge/src/__tests__/unit/DeparturesWhileConnecting.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DeparturesWhileConnecting.test.ts
@@ -5,7 +5,10 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Guards against requests that reach an upstream which left while its connection was made. */
+/**
+ * Guards against requests that reach an upstream which left, or asked for a back-off, while
+ * its connection was made.
+ */
 import {RETRY_POLICY, UPSTREAM_STATE} from 'puffinturn-fleet';
 
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
@@ -16,6 +19,9 @@
   TestUpstream,
 } from '../utils/ForwardingFixture';
 
+/** Longer than the test, ms. */
+const BACKOFF_MS = 60_000;
+
 /** Admits every request; calls a listener once the first one has begun to connect. */
 class ListeningAdmission extends UpstreamAdmission {
   onConnecting: ((upstream: EdgeUpstream) => void) | undefined;
@@ -37,36 +43,43 @@
   override shareLimit(): void {}
 }
 
-test.each([RETRY_POLICY.repeatable, RETRY_POLICY.never])(
-  'a request (%s) goes to another upstream if its own leaves before it is connected',
-  async (repetition) => {
-    const admission = new ListeningAdmission();
-    await using first = await TestUpstream.start('a');
-    await using second = await TestUpstream.start('b');
-    await using edge = await ForwardingFixture.start(
-      [createRoute('look', {repetition})],
-      () => ({admission}),
-    );
-    const upstreams = [first, second];
-    edge.pool.merge(
-      upstreams.map((upstream) => upstream.record()),
-      'c1',
-    );
-    let left = '';
-    admission.onConnecting = ({id}) => {
-      left = id;
-      const record = upstreams
-        .find(({name}) => name === id)
-        ?.record({
-          sequence: 2,
-          state: UPSTREAM_STATE.draining,
-        });
-      edge.pool.merge(record === undefined ? [] : [record], 'c1');
-    };
-    const {body, status} = await edge.sendRequest('look');
-    expect(status).toBe(200);
-    expect(body).not.toBe(left);
-    const received = upstreams.find(({name}) => name === left)?.requestPaths;
-    expect(received).toEqual([]);
+/** Whether an upstream leaves, or asks for a back-off, while a connection to it is made. */
+const WITHDRAWALS: Record<
+  string,
+  (edge: ForwardingFixture, upstream: EdgeUpstream) => void
+> = {
+  backOff: (_edge, upstream) => upstream.startBackoff(BACKOFF_MS),
+  departure: ({pool}, {record}) => {
+    const {sequence} = record;
+    const state = UPSTREAM_STATE.draining;
+    pool.merge([{...record, sequence: sequence + 1, state}], 'c1');
   },
-);
+};
+
+describe('A request goes to another upstream', () => {
+  for (const [name, withdraw] of Object.entries(WITHDRAWALS)) {
+    test.each([RETRY_POLICY.repeatable, RETRY_POLICY.never])(
+      `after a ${name} of its own before it is connected (%s)`,
+      async (repetition) => {
+        const admission = new ListeningAdmission();
+        await using first = await TestUpstream.start('a');
+        await using second = await TestUpstream.start('b');
+        await using edge = await ForwardingFixture.start(
+          [createRoute('look', {repetition})],
+          () => ({admission}),
+        );
+        edge.pool.merge([first.record(), second.record()], 'c1');
+        let withdrawn = '';
+        admission.onConnecting = (upstream) => {
+          withdrawn = upstream.id;
+          withdraw(edge, upstream);
+        };
+        const {body, status} = await edge.sendRequest('look');
+        expect(status).toBe(200);
+        expect(body).not.toBe(withdrawn);
+        const unused = withdrawn === 'a' ? first : second;
+        expect(unused.requestPaths).toEqual([]);
+      },
+    );
+  }
+});
--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -54,6 +54,8 @@
   readonly helpers: TunnelServer[] = [];
   readonly log = new InMemoryDecisionLog();
   refusal: TunnelRefusal | undefined;
+  /** Called before a helper connects to the upstream. */
+  beforeConnecting = (): void => undefined;
   private readonly clock = new SystemClock();
   private readonly network = new MemoryNetwork(this.clock, new Random(1));
   private readonly pools: UpstreamPool[] = [];
@@ -131,7 +133,7 @@
       .reduce((sum, count) => sum + count, 0);
   }
 
-  /** Tells the edge that asks for tunnels that the upstream is gone. */
+  /** Tells the edge that was created last that the upstream is gone. */
   removeUpstream(): void {
     const state = UPSTREAM_STATE.gone;
     const record = makeUpstream('i-1', {sequence: 2, state});
@@ -189,7 +191,10 @@
         log: this.log,
         metrics: new EdgeMetrics(),
         pool,
-        refusal: () => this.refusal,
+        refusal: () => {
+          this.beforeConnecting();
+          return this.refusal;
+        },
       },
     );
     this.helpers.push(helper._unsafeUnwrap());
@@ -288,6 +293,13 @@
     expect(fixture.upstreamSockets).toEqual([]);
   });
 
+  test('is not opened if the upstream leaves while the other edge connects to it', async () => {
+    await using fixture = await TunnelFixture.open(1, () => undefined);
+    fixture.beforeConnecting = () => fixture.removeUpstream();
+    const reply = await fixture.askHelper(fixture.upstreamAddress);
+    expect(reply).toEqual({outcome: TUNNEL_OUTCOME.unknownUpstream});
+  });
+
   test('counts an upstream as unreachable only after two edges', async () => {
     await using fixture = await TunnelFixture.open(3, () => undefined);
     const address = fixture.upstreamAddress;
--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -43,7 +43,7 @@
   tunnel: 'tunnel',
   /** No other edge carries tunnels, and there is no direct link. */
   noHelper: 'no-helper',
-  /** Nobody: the request ended before, or the upstream has left. */
+  /** Nobody: the request ended before, or the upstream takes no more. */
   none: 'none',
 } as const;
 
@@ -74,8 +74,8 @@
 /** Cause of a connection attempt that got no reply. */
 export const CONNECT_TIMEOUT = 'connect-timeout';
 
-/** Cause of an attempt whose upstream left before it was connected. */
-export const UPSTREAM_LEFT = 'upstream-left';
+/** Cause of an attempt whose upstream left or began to back off before it was connected. */
+export const UPSTREAM_WITHDRAWN = 'upstream-withdrawn';
 
 /** Cause for a header that can't be sent to any upstream: an error of the request. */
 export const INVALID_HEADER = 'invalid-header';
@@ -158,8 +158,8 @@
   }
 
   onConnected(): void {
-    if (!this.params.upstream.isServing) {
-      this.abort(UPSTREAM_LEFT);
+    if (!this.params.upstream.mayBeSentTo) {
+      this.abort(UPSTREAM_WITHDRAWN);
       return;
     }
     this.isConnected = true;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -399,8 +399,7 @@
     }
     const isGranted = await admitted;
     // The upstream may have started to drain or back off during the wait.
-    const isAdmitted =
-      isGranted && upstream.isServing && upstream.remainingBackoffMs === 0;
+    const isAdmitted = isGranted && upstream.mayBeSentTo;
     if (!isAdmitted) {
       this.deniedUpstreams.add(upstream);
     }
--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -160,6 +160,10 @@
       return {outcome: TUNNEL_OUTCOME.unreachable};
     }
     socket.once('close', () => (this.carriedCount -= 1));
+    if (!upstream.isServing) {
+      socket.destroy();
+      return {outcome: TUNNEL_OUTCOME.unknownUpstream};
+    }
     const tunnel = this.reserve({
       findEndEvidence: () => this.findEndEvidence(upstream),
       upstream: socket,
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -153,11 +153,16 @@
     this.latestRecord = {...this.latestRecord, state: UPSTREAM_STATE.gone};
   }
 
-  /** Whether the upstream accepts new requests. */
+  /** Whether the upstream is in service. */
   get isServing(): boolean {
     return !this.isLeaving && !this.wasReplaced;
   }
 
+  /** Whether a request may be sent now: the upstream serves and asked for no back-off. */
+  get mayBeSentTo(): boolean {
+    return this.isServing && this.remainingBackoffMs === 0;
+  }
+
   /** Whether the upstream is warming up and takes only a limited request rate. */
   get isCold(): boolean {
     return this.clock.now() < this.coldUntil;
