An edge whose messages take longer than its time-outs still hears from control boxes

Its link carries ten times the mean, so what it sends and gets waits in queues.

Cause: time-outs shorter than a round trip. A poll had 900 ms, then its connection counted as silent and was closed; a new one got 1,000 ms for each step of its opening. With 1 s a round trip nothing ever came up.

Why it works: the time-out of polls doubles twice while none is answered; a step of an opening may take 2 s, in which the system has repeated a lost packet once. What is silent is replaced as before: the first poll that fails closes its connection, and renewals dial anew.

The simulated connections gave the whole opening one time-out; that of a socket is one of idle time, so each round trip has it now.

--- a/packages/puffinturn-fleet/src/ControlPeer.ts
+++ b/packages/puffinturn-fleet/src/ControlPeer.ts
@@ -32,6 +32,8 @@
   pollCount: number;
   /** The latest poll whose reply was applied. */
   appliedPoll: number;
+  /** Polls that failed since the last reply. */
+  failedPolls: number;
   /** Hash that orders control boxes at the same distance. */
   readonly rank: number;
 }
@@ -43,6 +45,7 @@
     box,
     boxes: new Map(),
     boxesRevision: -1,
+    failedPolls: 0,
     hall: undefined,
     hasCurrentReply: false,
     incarnation: '',
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -50,6 +50,13 @@
 /** Minimum timeout of a poll, ms. */
 const MIN_POLL_TIMEOUT_MS = 900;
 
+/**
+ * How often the timeout of polls is doubled, once for each that failed since the last reply.
+ * Where replies take longer than the first timeout, over a full link, none would ever be
+ * waited for.
+ */
+const MAX_TIMEOUT_DOUBLINGS = 2;
+
 /** Delay after the first failed call, ms; doubles with each further failure. */
 const MIN_RETRY_DELAY_MS = 150;
 
@@ -320,7 +327,7 @@
         peer.box,
         FLEET_SERVICE.watch,
         request,
-        Math.max(request.waitMs + REPLY_TIMEOUT_MS, MIN_POLL_TIMEOUT_MS),
+        pollTimeoutMs(request.waitMs, peer.failedPolls),
       )
       .map((reply) => {
         if (number > peer.appliedPoll && !this.tasks.isAborted) {
@@ -403,6 +410,7 @@
     peer.isReachable = true;
     this.updateLeader(peer, reply.leader ?? undefined);
     peer.lastReplyAt = clock.now();
+    peer.failedPolls = 0;
     if (peer.incarnation !== reply.incarnation) {
       peer.boxes.clear();
     }
@@ -496,6 +504,7 @@
     const hasRepliedSince =
       peer.lastReplyAt !== undefined && peer.lastReplyAt > sentAt;
     if (!hasRepliedSince && !this.tasks.isAborted) {
+      peer.failedPolls += 1;
       this.markUnreachable(peer);
     }
   }
@@ -527,6 +536,12 @@
   }
 }
 
+/** How long a poll waits for its reply, which may be delayed by `waitMs`, ms. */
+function pollTimeoutMs(waitMs: number, failedPolls: number): number {
+  const usualMs = Math.max(waitMs + REPLY_TIMEOUT_MS, MIN_POLL_TIMEOUT_MS);
+  return usualMs * 2 ** Math.min(failedPolls, MAX_TIMEOUT_DOUBLINGS);
+}
+
 /** Longest time for which the responder may have had its configuration, ms. */
 function configurationDelayMs(
   {heldMs = 0, heldVersionMs}: WatchReply,
--- a/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/LateEdges.test.ts
@@ -12,6 +12,27 @@
 import {FAULT, FAULTS, LateFleet} from '../utils/LateFleet';
 import {APPLY_BOUND_MS} from '../utils/ObservedFleet';
 
+/** How long messages take long before the age of the state is observed, and then, ms. */
+const SLOW_MS = 10_000;
+
+/** Messages that one confirmation takes: those of a new connection, a poll and its reply. */
+const MAX_TRIPS = 8;
+
+describe('An edge whose messages take long', () => {
+  test.each([250, 400, 500, 700])(
+    'still hears of the state (%d ms each way)',
+    async (delayMs) => {
+      const fleet = await LateFleet.start();
+      await fleet.advance(1_000);
+      fleet.slowMessages(delayMs);
+      await fleet.advance(SLOW_MS);
+      expect(await fleet.highestAgeMs(SLOW_MS)).toBeLessThan(
+        APPLY_BOUND_MS + MAX_TRIPS * delayMs,
+      );
+    },
+  );
+});
+
 describe('An edge whose polled control boxes are late', () => {
   test.each(FAULTS.flatMap((first) => FAULTS.map((second) => [first, second])))(
     'has each change in time (%s; %s)',
--- a/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
+++ b/packages/puffinturn-fleet/src/__tests__/utils/LateFleet.ts
@@ -92,6 +92,13 @@
     }
   }
 
+  /** Delays each message between the edge and the control boxes. */
+  slowMessages(delayMs: number): void {
+    for (const box of FIVE_CONTROLS) {
+      this.fleet.network.slowMessages(this.watched.edge, box, delayMs);
+    }
+  }
+
   /** Calls a control box, which replies within the 50 ms unless its link has failed. */
   private async callFromEdge(box: string): Promise<void> {
     const {readConfiguration} = FLEET_SERVICE;
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -38,6 +38,8 @@
   private readonly links = new Map<string, MemoryLink>();
   private readonly blockedRoutes = new Set<string>();
   private readonly stalledRoutes = new Set<string>();
+  /** Additional delay by route, ms. */
+  private readonly slowRoutes = new Map<string, number>();
   /** Connections by caller and callee. */
   private readonly connections = new Map<string, SimulatedConnection>();
   private readonly healed = new Condition();
@@ -88,6 +90,12 @@
     this.stalledRoutes.add(`${from}>${to}`);
   }
 
+  /** Delays each message between two boxes, in both directions, until `heal`. */
+  slowMessages(box: string, other: string, delayMs: number): void {
+    this.slowRoutes.set(`${box}>${other}`, delayMs);
+    this.slowRoutes.set(`${other}>${box}`, delayMs);
+  }
+
   /**
    * Loses all messages on the open connections over which a box calls others, without a
    * reset. New connections work.
@@ -106,9 +114,10 @@
     }
   }
 
-  /** Stops dropping messages and delivers those delayed by `stall`. */
+  /** Stops dropping and delaying messages; held ones are delivered. */
   heal(): void {
     this.blockedRoutes.clear();
+    this.slowRoutes.clear();
     this.stalledRoutes.clear();
     this.healed.notify();
   }
@@ -267,6 +276,10 @@
       return true;
     }
     await this.sleepForDelay();
+    const slowMs = this.slowRoutes.get(`${from}>${to}`);
+    if (slowMs !== undefined) {
+      await this.clock.sleep(slowMs);
+    }
     while (this.stalledRoutes.has(`${from}>${to}`)) {
       await this.healed.wait();
       await this.sleepForDelay();
--- a/packages/puffinturn-wire/src/SimulatedConnection.ts
+++ b/packages/puffinturn-wire/src/SimulatedConnection.ts
@@ -89,25 +89,26 @@
     return this.send(this.back);
   }
 
-  private openWithin(timeoutMs: number): Promise<boolean> {
-    const timeout = this.clock.sleep(timeoutMs).then(() => false);
-    return Promise.race([this.shakeHands(timeout), timeout]);
-  }
-
-  /** A lost packet of the opening is repeated only after the timeout. */
-  private async shakeHands(timeout: Promise<boolean>): Promise<boolean> {
-    const {from, to} = this.forth;
+  /** Each round trip has the whole timeout, as that of a socket is one of idle time. */
+  private async openWithin(timeoutMs: number): Promise<boolean> {
     for (let count = 0; count < OPENING_ROUND_TRIPS; count += 1) {
-      const hasArrived = await this.path.travel(from, to);
-      await this.path.waitUntilRunning(to);
-      if (!hasArrived || !(await this.path.travel(to, from))) {
-        return timeout;
+      const timeout = this.clock.sleep(timeoutMs).then(() => false);
+      if (!(await Promise.race([this.makeRoundTrip(timeout), timeout]))) {
+        return false;
       }
     }
     this.lastReplyAt = this.clock.now();
     return true;
   }
 
+  /** A lost packet of the opening is repeated only after the timeout. */
+  private async makeRoundTrip(timeout: Promise<boolean>): Promise<boolean> {
+    const {from, to} = this.forth;
+    const hasArrived = await this.path.travel(from, to);
+    await this.path.waitUntilRunning(to);
+    return hasArrived && (await this.path.travel(to, from)) ? true : timeout;
+  }
+
   private async send(direction: Direction): Promise<boolean> {
     if (direction.retransmission !== undefined) {
       await direction.retransmission;
--- a/packages/puffinturn-wire/src/WireConstants.ts
+++ b/packages/puffinturn-wire/src/WireConstants.ts
@@ -19,8 +19,11 @@
 /** Calls in flight to one peer at which further ones are rejected. */
 export const MAX_IN_FLIGHT_CALLS = 20_000;
 
-/** Idle timeout while connecting and during the handshake, ms. */
-export const CONNECT_TIMEOUT_MS = 1_000;
+/**
+ * Idle timeout while connecting and during the handshake, ms; twice the time after which
+ * the system repeats a lost packet. Round trips over a full link may take over a second.
+ */
+export const CONNECT_TIMEOUT_MS = 2_000;
 
 /**
  * Idle time before the first TCP keep-alive probe, ms. Without probes, the accepting
