--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -44,19 +44,6 @@
 /** Interval at which a wait for a confirmation is checked, ms. */
 const CONFIRMATION_POLL_MS = 10;
 
-/** Time allowed for the reply beyond the delay of the control box, ms. */
-const REPLY_TIMEOUT_MS = 500;
-
-/** Minimum timeout of a poll, ms. */
-const MIN_POLL_TIMEOUT_MS = 900;
-
-/**
- * How often the timeout of polls is doubled, once for each that failed since the last reply.
- * Where replies take longer than the first timeout, over a full link, none would ever be
- * waited for.
- */
-const MAX_TIMEOUT_DOUBLINGS = 2;
-
 /** Delay after the first failed call, ms; doubles with each further failure. */
 const MIN_RETRY_DELAY_MS = 150;
 
@@ -327,7 +314,7 @@
         peer.box,
         FLEET_SERVICE.watch,
         request,
-        pollTimeoutMs(request.waitMs, peer.failedPolls),
+        this.timing.pollTimeoutMs(request.waitMs, peer.failedPolls),
       )
       .map((reply) => {
         if (number > peer.appliedPoll && !this.tasks.isAborted) {
@@ -536,12 +523,6 @@
   }
 }
 
-/** How long a poll waits for its reply, which may be delayed by `waitMs`, ms. */
-function pollTimeoutMs(waitMs: number, failedPolls: number): number {
-  const usualMs = Math.max(waitMs + REPLY_TIMEOUT_MS, MIN_POLL_TIMEOUT_MS);
-  return usualMs * 2 ** Math.min(failedPolls, MAX_TIMEOUT_DOUBLINGS);
-}
-
 /** Longest time for which the responder may have had its configuration, ms. */
 function configurationDelayMs(
   {heldMs = 0, heldVersionMs}: WatchReply,
--- a/packages/puffinturn-fleet/src/WatchTiming.ts
+++ b/packages/puffinturn-fleet/src/WatchTiming.ts
@@ -29,6 +29,19 @@
 /** Longest time that requests wait for a renewal that began late, ms: some round trips. */
 const MAX_CATCH_UP_MS = 200;
 
+/** Time allowed for the reply beyond the delay of the control box, ms. */
+const REPLY_TIMEOUT_MS = 500;
+
+/** Minimum timeout of a poll, ms. */
+const MIN_POLL_TIMEOUT_MS = 900;
+
+/**
+ * How often the timeout of polls is doubled, once for each that failed since the last reply.
+ * Where replies take longer than the first timeout, over a full link, none would ever be
+ * waited for.
+ */
+const MAX_TIMEOUT_DOUBLINGS = 2;
+
 /** Times of the polls of a box. */
 export class WatchTiming {
   /** Age of the state from which every control box is asked over new connections, ms. */
@@ -56,4 +69,13 @@
       this.renewalAgeMs - CONFIRMATION_DELAY_MS,
     );
   }
+
+  /**
+   * How long a poll waits for its reply, which the control box may delay by `waitMs`, after
+   * `failedPolls` without a reply, ms.
+   */
+  pollTimeoutMs(waitMs: number, failedPolls: number): number {
+    const usualMs = Math.max(waitMs + REPLY_TIMEOUT_MS, MIN_POLL_TIMEOUT_MS);
+    return usualMs * 2 ** Math.min(failedPolls, MAX_TIMEOUT_DOUBLINGS);
+  }
 }
--- a/packages/puffinturn-fleet/src/__tests__/unit/WatchTiming.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/WatchTiming.test.ts
@@ -28,4 +28,13 @@
       );
     },
   );
+
+  test('waits longer for replies after polls that failed, four times as long at most', () => {
+    const timing = new WatchTiming();
+    const timeouts = [0, 1, 2, 9].map((failed) =>
+      timing.pollTimeoutMs(500, failed),
+    );
+    expect(timeouts).toEqual([1_000, 2_000, 4_000, 4_000]);
+    expect(timing.pollTimeoutMs(0, 0)).toBe(900);
+  });
 });
