A request that got an answer after a counted crash is released, however late the report comes

Cause: a success clears a request only while it is a suspect, that is between its second crash and its third. After that nothing can clear the request, as it is refused.

Why it works: an answer after a counted crash shows that the request was there by chance; order of arrival no longer matters, and boxes tell also what they answered before they heard of it. A request that ends each upstream never gets an answer; one that was answered only before its first crash stays quarantined, as an upstream may have been replaced since.

--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -60,9 +60,9 @@
 /** The crashes and successes that a box observed since its last report. */
 export interface CrashReport {
   readonly crashes: readonly ReportedCrash[];
-  /** Fingerprints of suspects that got a complete response. */
+  /** Fingerprints of requests that got a complete response while they were suspects. */
   readonly answered: readonly string[];
-  /** Suspect or quarantined parts with which an answer has begun. */
+  /** Suspect or quarantined parts and requests that got an answer, and how long ago. */
   readonly answeredParts?: readonly AnsweredPart[] | undefined;
   /** Entries that an operator has released. */
   readonly released?: readonly string[] | undefined;
@@ -107,6 +107,8 @@
   readonly since: number;
   /** Incarnations that crashed; unknown after an import or an older snapshot. */
   readonly lives?: readonly string[] | undefined;
+  /** Time of the first of the counted crashes, Unix ms; only for requests. */
+  readonly firstCrashAt?: number | undefined;
 }
 
 /** The state as stored in a snapshot. */
@@ -175,26 +177,29 @@
   ): boolean {
     this.removeExpired(at);
     for (const fingerprint of answered) {
-      this.suspects.delete(fingerprint);
+      // Boxes report answers to what they suspect, so this one came after a counted crash.
+      this.remove(fingerprint);
     }
     for (const {agoMs, fingerprints, life, parts = []} of crashes) {
       for (const fingerprint of [...fingerprints, ...parts]) {
         this.recordCrash(fingerprint, life, at - agoMs, at);
       }
     }
-    for (const {agoMs, feature} of answeredParts) {
-      this.clearPart(feature, at - agoMs);
+    for (const answer of answeredParts) {
+      this.clear(answer, at);
     }
     for (const fingerprint of released) {
-      this.suspects.delete(fingerprint);
-      this.quarantined.delete(fingerprint);
+      this.remove(fingerprint);
     }
     this.quarantineProvenParts(at);
     return this.publishChanges();
   }
 
-  /** Whether a report of an answer that began with a part would change anything. */
+  /** Whether a report of an answer would change anything. */
   wouldClear({agoMs, feature}: AnsweredPart, at: number): boolean {
+    if (!isPartFeature(feature)) {
+      return this.disprovesCrashes(feature, at - agoMs);
+    }
     const since = this.quarantined.get(feature)?.since ?? Infinity;
     const suspect = this.suspects.get(feature);
     const isFirstAnswer = suspect !== undefined && suspect.wasAnswered !== true;
@@ -219,8 +224,7 @@
 
   /** Removes a request from the suspects and the quarantine. */
   release(fingerprint: string): void {
-    this.suspects.delete(fingerprint);
-    this.quarantined.delete(fingerprint);
+    this.remove(fingerprint);
     this.publishChanges();
   }
 
@@ -296,7 +300,8 @@
     };
     this.suspects.delete(fingerprint);
     if (suspect.moments.length >= CRASHES_TO_QUARANTINE) {
-      this.addToQuarantine(suspect, at);
+      const firstCrashAt = Math.min(...suspect.moments);
+      this.addToQuarantine({...suspect, firstCrashAt}, at);
     } else {
       this.suspects.set(fingerprint, suspect);
       evictOldest(this.suspects, MAX_SUSPECTS);
@@ -333,6 +338,32 @@
     }
   }
 
+  private remove(fingerprint: string): void {
+    this.suspects.delete(fingerprint);
+    this.quarantined.delete(fingerprint);
+  }
+
+  /** Clears a request or a part after an answer. */
+  private clear({agoMs, feature}: AnsweredPart, at: number): void {
+    const answeredAt = at - agoMs;
+    if (isPartFeature(feature)) {
+      this.clearPart(feature, answeredAt);
+    } else if (this.disprovesCrashes(feature, answeredAt)) {
+      this.remove(feature);
+    }
+  }
+
+  /**
+   * Whether a request got a complete response after a crash that counts for it, so that it
+   * was there by chance. One before it says nothing of an upstream that was replaced since.
+   */
+  private disprovesCrashes(fingerprint: string, answeredAt: number): boolean {
+    const entry = this.quarantined.get(fingerprint);
+    const quarantinedAt = entry?.firstCrashAt ?? entry?.since ?? Infinity;
+    const moments = this.suspects.get(fingerprint)?.moments ?? [];
+    return answeredAt > Math.min(quarantinedAt, ...moments);
+  }
+
   /** Clears a part of the crashes before an answer began with it. */
   private clearPart(feature: string, answeredAt: number): void {
     const since = this.quarantined.get(feature)?.since ?? Infinity;
@@ -427,10 +458,15 @@
   }
 
   private addToQuarantine(
-    {fingerprint, lives}: Pick<Suspect, 'fingerprint' | 'lives'>,
+    {firstCrashAt, fingerprint, lives}: Omit<QuarantineEntry, 'since'>,
     since: number,
   ): void {
-    this.quarantined.set(fingerprint, {fingerprint, lives, since});
+    this.quarantined.set(fingerprint, {
+      fingerprint,
+      firstCrashAt,
+      lives,
+      since,
+    });
     evictOldest(this.quarantined, MAX_QUARANTINED);
   }
 
--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -80,7 +80,7 @@
   private crashes: ObservedCrash[] = [];
   /** Fingerprints of unreported successes. */
   private answered: string[] = [];
-  /** Unreported answers with suspect or quarantined parts. */
+  /** Unreported answers to suspect or quarantined requests and parts. */
   private answeredParts: ObservedAnswer[] = [];
 
   constructor(private readonly clock: Clock) {}
@@ -183,8 +183,9 @@
   recordSuccess(fingerprint: string): boolean {
     this.succeededAt.set(fingerprint, this.clock.now());
     const isTrackedLocally = this.localCrashes.isTracked(fingerprint);
-    const isRemoteSuspect = this.remoteSuspects.delete(fingerprint);
-    if (!isTrackedLocally && !isRemoteSuspect) {
+    const wasSuspected = this.remoteSuspects.delete(fingerprint);
+    const wasQuarantined = this.remoteQuarantine.delete(fingerprint);
+    if (!isTrackedLocally && !wasSuspected && !wasQuarantined) {
       return false;
     }
     this.localCrashes.release(fingerprint);
@@ -247,17 +248,20 @@
     this.answeredParts = [...others, answer].slice(-MAX_UNREPORTED);
   }
 
-  /** The last answers that began at this box with some of the parts. */
+  /** The last answers at this box to some of the requests, or that began with the parts. */
   private knownAnswers(features: readonly string[]): AnsweredPart[] {
     const now = this.clock.now();
     return features.flatMap((feature) => {
-      const at = this.partAnsweredAt.peek(feature) ?? -Infinity;
+      const answers = isPartFeature(feature)
+        ? this.partAnsweredAt
+        : this.succeededAt;
+      const at = answers.peek(feature) ?? -Infinity;
       const agoMs = now - at;
       return agoMs < SUSPECT_TTL_MS ? [{agoMs, feature}] : [];
     });
   }
 
-  /** Has parts reported with which answers began at this box not long ago. */
+  /** Has requests and parts reported that got answers at this box not long ago. */
   private addKnownAnswers(listed: readonly string[]): boolean {
     const now = this.clock.now();
     const answers = this.knownAnswers(listed);
--- a/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegistry.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/CrashRegistry.test.ts
@@ -26,6 +26,16 @@
   return registry.applyReport({answered: [], crashes}, at);
 }
 
+/** A registry in which a request is quarantined after crashes at these times, s. */
+function quarantineWithCrashes(...seconds: number[]): CrashRegistry {
+  const registry = new CrashRegistry();
+  for (const second of seconds) {
+    reportCrash(registry, second * SECOND_MS, `incarnation ${second}`, 'f');
+  }
+  expect(registry.isQuarantined('f')).toBe(true);
+  return registry;
+}
+
 /**
  * Guards against quarantining requests that don't cause crashes and against running those
  * that do.
@@ -99,6 +109,30 @@
     expect(registry.quarantine.fingerprints).toEqual([]);
   });
 
+  test('releases a request that succeeded after its first crash, however late the report comes', () => {
+    for (const report of [
+      {answered: ['f'], crashes: []},
+      {
+        answered: [],
+        answeredParts: [{agoMs: 4 * SECOND_MS, feature: 'f'}],
+        crashes: [],
+      },
+    ]) {
+      const registry = quarantineWithCrashes(2, 3, 4);
+      expect(registry.applyReport(report, 6.5 * SECOND_MS)).toBe(true);
+      expect(registry.isTracked('f')).toBe(false);
+    }
+  });
+
+  test('keeps a request quarantined that succeeded only before its first crash', () => {
+    const registry = quarantineWithCrashes(2, 3, 4);
+    const answer = {agoMs: 5 * SECOND_MS, feature: 'f'};
+    const report = {answered: [], answeredParts: [answer], crashes: []};
+    expect(registry.wouldClear(answer, 6.5 * SECOND_MS)).toBe(false);
+    registry.applyReport(report, 6.5 * SECOND_MS);
+    expect(registry.isQuarantined('f')).toBe(true);
+  });
+
   test('drops a suspect without further crashes', () => {
     const registry = new CrashRegistry();
     reportCrash(registry, 0, 'a', 'f');
--- a/packages/puffinturn-quarantine/src/__tests__/unit/LocalQuarantine.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/LocalQuarantine.test.ts
@@ -51,6 +51,20 @@
     expect(localQuarantine.recordSuccess('g')).toBe(false);
   });
 
+  test('reports a success before or after other boxes have quarantined the request', async () => {
+    const quarantined = {fingerprints: ['f', 'g'], suspects: []};
+    localQuarantine.recordSuccess('f');
+    await clock.advance(SECOND_MS);
+    expect(localQuarantine.setRemoteQuarantine(quarantined)).toBe(true);
+    expect(localQuarantine.recordSuccess('g')).toBe(true);
+    const {pendingReport} = localQuarantine;
+    const report = pendingReport && localQuarantine.buildReport(pendingReport);
+    expect(report).toMatchObject({
+      answered: ['g'],
+      answeredParts: [{agoMs: SECOND_MS, feature: 'f'}],
+    });
+  });
+
   test('does not suspect a request that succeeded on this box before several crashes', async () => {
     localQuarantine.recordSuccess('f');
     for (const incarnation of ['a', 'b', 'c', 'd']) {
