--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -14,7 +14,7 @@
 import type {TeamGrantCounts} from 'puffinturn-decisions';
 import {StateMachine} from 'puffinturn-log';
 import type {
-  AnsweredPart,
+  Answer,
   CrashReport,
   CrashSnapshot,
   Quarantine,
@@ -258,9 +258,9 @@
     return this.crashRegistry.entries;
   }
 
-  /** Whether a report that clears a part at this time, Unix ms, would change anything. */
-  wouldClearPart(part: AnsweredPart, unixMs: number): boolean {
-    return this.crashRegistry.wouldClear(part, unixMs);
+  /** Whether a report of an answer at this time, Unix ms, would change anything. */
+  wouldClear(answer: Answer, unixMs: number): boolean {
+    return this.crashRegistry.wouldClear(answer, unixMs);
   }
 
   private applyCrashReport({
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -96,7 +96,7 @@
     }
   }
 
-  /** Whether a report only clears parts that are clear already. */
+  /** Whether a report only tells of answers that would clear nothing. */
   private isNoNews(report: CrashReport): boolean {
     const {answered, answeredParts = [], crashes, released = []} = report;
     const {clock, machine} = this.parts;
@@ -104,7 +104,7 @@
     return (
       answeredParts.length > 0 &&
       answered.length + crashes.length + released.length === 0 &&
-      !answeredParts.some((part) => machine.wouldClearPart(part, now))
+      !answeredParts.some((answer) => machine.wouldClear(answer, now))
     );
   }
 
--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -50,10 +50,11 @@
   readonly agoMs: number;
 }
 
-/** A prompt part with which an answer has begun, as sent in a report. */
-export interface AnsweredPart {
+/** An answer to a request, or one that began with a prompt part, as sent in a report. */
+export interface Answer {
+  /** Fingerprint of the request, or feature of the part. */
   readonly feature: string;
-  /** Time since the first event of the answer, ms. */
+  /** Time since the end of the response, or since the first event of the answer, ms. */
   readonly agoMs: number;
 }
 
@@ -63,7 +64,7 @@
   /** Fingerprints of requests that got a complete response while they were suspects. */
   readonly answered: readonly string[];
   /** Suspect or quarantined parts and requests that got an answer, and how long ago. */
-  readonly answeredParts?: readonly AnsweredPart[] | undefined;
+  readonly answeredParts?: readonly Answer[] | undefined;
   /** Entries that an operator has released. */
   readonly released?: readonly string[] | undefined;
 }
@@ -196,7 +197,7 @@
   }
 
   /** Whether a report of an answer would change anything. */
-  wouldClear({agoMs, feature}: AnsweredPart, at: number): boolean {
+  wouldClear({agoMs, feature}: Answer, at: number): boolean {
     if (!isPartFeature(feature)) {
       return this.disprovesCrashes(feature, at - agoMs);
     }
@@ -344,7 +345,7 @@
   }
 
   /** Clears a request or a part after an answer. */
-  private clear({agoMs, feature}: AnsweredPart, at: number): void {
+  private clear({agoMs, feature}: Answer, at: number): void {
     const answeredAt = at - agoMs;
     if (isPartFeature(feature)) {
       this.clearPart(feature, answeredAt);
--- a/packages/puffinturn-quarantine/src/LocalQuarantine.ts
+++ b/packages/puffinturn-quarantine/src/LocalQuarantine.ts
@@ -14,12 +14,7 @@
 import {LRUCache} from 'lru-cache';
 import type {Clock} from 'shared';
 
-import type {
-  AnsweredPart,
-  Crash,
-  CrashReport,
-  Quarantine,
-} from './CrashRegistry';
+import type {Answer, Crash, CrashReport, Quarantine} from './CrashRegistry';
 import {CrashRegistry, undefinedIfEmpty} from './CrashRegistry';
 import {isPartFeature} from './PartFeatures';
 import {
@@ -249,7 +244,7 @@
   }
 
   /** The last answers at this box to some of the requests, or that began with the parts. */
-  private knownAnswers(features: readonly string[]): AnsweredPart[] {
+  private knownAnswers(features: readonly string[]): Answer[] {
     const now = this.clock.now();
     return features.flatMap((feature) => {
       const answers = isPartFeature(feature)
--- a/packages/puffinturn-quarantine/src/index.ts
+++ b/packages/puffinturn-quarantine/src/index.ts
@@ -12,7 +12,7 @@
 } from './CrashDetector';
 export {CrashDetector} from './CrashDetector';
 export type {
-  AnsweredPart,
+  Answer,
   Crash,
   CrashReport,
   CrashSnapshot,
