The only other edge is asked for a tunnel again though it was overloaded a moment ago

Cause: an edge that refuses a tunnel, as its queue is over 250 ms old for a moment, is not asked again for 500 ms; with no other left each request of that time was refused unasked.

Why it works: with none left, one that was overloaded is asked once more, a call that it can refuse again; those that lost their links or don't reply are left out as before.

--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -346,6 +346,16 @@
     expect(fixture.countAsked('e1')).toBe(askedBefore);
   });
 
+  test('is asked for again at once if the only other edge was overloaded', async () => {
+    await using fixture = await TunnelFixture.open(1, (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${HEADERS}Content-Length: 0\r\n\r\n`);
+    });
+    fixture.refusal = TUNNEL_OUTCOME.overloaded;
+    expect(await fixture.send().outcome).toMatchObject({cause: 'no-helper'});
+    fixture.refusal = undefined;
+    expect(await fixture.send().outcome).toMatchObject({kind: 'answer'});
+  });
+
   test('is refused by an edge that is cut off, without blame of the upstream', async () => {
     await using fixture = await TunnelFixture.open(2, () => undefined);
     fixture.refusal = TUNNEL_OUTCOME.cutOff;
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -63,6 +63,8 @@
   private readonly skippedUntil = new Map<string, number>();
   /** Boxes that did not reply to the last request. */
   private readonly unresponsive = new Set<string>();
+  /** Boxes that carried no further tunnel when they were asked last. */
+  private readonly overloaded = new Set<string>();
 
   constructor(private readonly parts: TunnelClientParts) {}
 
@@ -128,12 +130,18 @@
   private chooseHelper(asked: ReadonlySet<string>): BoxRecord | undefined {
     const {clock, otherEdges, random, regions, self} = this.parts;
     const now = clock.now();
-    const candidates = otherEdges().filter(
+    const others = otherEdges().filter(
       ({box, hall}) =>
-        !asked.has(box) &&
-        regions.areInSameRegion(self.hall, hall) &&
-        now >= (this.skippedUntil.get(box) ?? -Infinity),
+        !asked.has(box) && regions.areInSameRegion(self.hall, hall),
     );
+    const ready = others.filter(
+      ({box}) => now >= (this.skippedUntil.get(box) ?? -Infinity),
+    );
+    // With no other left, one that was overloaded a moment ago may carry it now.
+    const candidates =
+      ready.length > 0 || asked.size > 0
+        ? ready
+        : others.filter(({box}) => this.overloaded.has(box));
     const counts = candidates.map(({box}) => this.openCounts.get(box) ?? 0);
     const fewest = Math.min(...counts);
     return random.pick(
@@ -172,6 +180,11 @@
       this.unresponsive.delete(box);
       this.skip(box, isRefusal(reply) ? HELPER_BACKOFF_MS : 0);
     }
+    if (reply?.outcome === TUNNEL_OUTCOME.overloaded) {
+      this.overloaded.add(box);
+    } else {
+      this.overloaded.delete(box);
+    }
     log.note({
       event: 'tunnel-decided',
       outcome,
