TunnelClient: the last outcome by edge in place of two sets

Whether an edge did not reply and whether it was overloaded follow from how the last request to it ended; so does for how long it is not asked. Behaviour unchanged.

--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -42,6 +42,12 @@
   /** Other edges do not know the upstream, or it has left since it was chosen. */
   | Failure<'upstream-unknown'>;
 
+/** Outcome of a request for a tunnel that had no reply. */
+const NO_REPLY = 'no-reply';
+
+/** How a request for a tunnel ended. */
+type HelperOutcome = TunnelReply['outcome'] | typeof NO_REPLY;
+
 /** Dependencies of TunnelClient. */
 export interface TunnelClientParts {
   readonly self: BoxRecord;
@@ -61,10 +67,8 @@
   private readonly openCounts = new Map<string, number>();
   /** When a box may be asked again, monotonic ms. */
   private readonly skippedUntil = new Map<string, number>();
-  /** Boxes that did not reply to the last request. */
-  private readonly unresponsive = new Set<string>();
-  /** Boxes that carried no further tunnel when they were asked last. */
-  private readonly overloaded = new Set<string>();
+  /** How the last request to a box ended. */
+  private readonly lastOutcomes = new Map<string, HelperOutcome>();
 
   constructor(private readonly parts: TunnelClientParts) {}
 
@@ -141,7 +145,9 @@
     const candidates =
       ready.length > 0 || asked.size > 0
         ? ready
-        : others.filter(({box}) => this.overloaded.has(box));
+        : others.filter(
+            ({box}) => this.lastOutcomes.get(box) === TUNNEL_OUTCOME.overloaded,
+          );
     const counts = candidates.map(({box}) => this.openCounts.get(box) ?? 0);
     const fewest = Math.min(...counts);
     return random.pick(
@@ -156,7 +162,7 @@
   ): Promise<TunnelReply | undefined> {
     const {clock, link, log, metrics} = this.parts;
     const startedAt = clock.now();
-    if (this.unresponsive.has(box)) {
+    if (this.lastOutcomes.get(box) === NO_REPLY) {
       // One request at a time finds out whether it replies again.
       this.skip(box, TUNNEL_OPEN_TIMEOUT_MS);
     }
@@ -172,19 +178,9 @@
       TUNNEL_OPEN_TIMEOUT_MS,
     );
     const reply = result.isOk() ? (result.value as TunnelReply) : undefined;
-    const outcome = reply?.outcome ?? 'no-reply';
-    if (reply === undefined) {
-      this.unresponsive.add(box);
-      this.skip(box, UNRESPONSIVE_HELPER_BACKOFF_MS);
-    } else {
-      this.unresponsive.delete(box);
-      this.skip(box, isRefusal(reply) ? HELPER_BACKOFF_MS : 0);
-    }
-    if (reply?.outcome === TUNNEL_OUTCOME.overloaded) {
-      this.overloaded.add(box);
-    } else {
-      this.overloaded.delete(box);
-    }
+    const outcome = reply?.outcome ?? NO_REPLY;
+    this.lastOutcomes.set(box, outcome);
+    this.skip(box, backoffMs(outcome));
     log.note({
       event: 'tunnel-decided',
       outcome,
@@ -220,14 +216,16 @@
   }
 }
 
-/** Whether an edge refuses tunnels whatever the upstream. */
-function isRefusal({outcome}: TunnelReply): boolean {
+/** How long an edge is not asked again after a request that ended so, ms. */
+function backoffMs(outcome: HelperOutcome): number {
   switch (outcome) {
     case TUNNEL_OUTCOME.open:
     case TUNNEL_OUTCOME.unknownUpstream:
     case TUNNEL_OUTCOME.unreachable:
-      return false;
+      return 0;
+    case NO_REPLY:
+      return UNRESPONSIVE_HELPER_BACKOFF_MS;
     default:
-      return true;
+      return HELPER_BACKOFF_MS;
   }
 }
