StreamOrigins: a round of a lookup says itself whether it is decided

The conditions for a second round stood in two places: half of them where the replies are combined, half in a function of their own. Behaviour unchanged.

--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -15,7 +15,7 @@
 
 import type {ControlReplies} from './ControlCopies';
 import {ControlCopies} from './ControlCopies';
-import type {Lookup, MissedOrigin, OriginLookup, OriginQuery} from './Lookup';
+import type {Lookup, OriginLookup, OriginQuery} from './Lookup';
 import {LOOKUP} from './Lookup';
 import {askForOrigin, serveOriginCalls} from './OriginCalls';
 import type {StoredOrigin} from './OriginTable';
@@ -60,7 +60,7 @@
 /** What boxes that were asked once have replied. */
 interface LookupRound {
   readonly lookup: Lookup;
-  /** Whether the boxes that did not reply could not change the lookup. */
+  /** Whether boxes that were too late can't have what was looked for. */
   readonly isDecided: boolean;
 }
 
@@ -120,9 +120,11 @@
     if (local !== undefined) {
       return this.found(local, this.parts.self.box);
     }
-    const timeoutMs = FIND_TIMEOUT_MS;
-    const first = await this.findElsewhere({...query, timeoutMs});
-    if (!mayBeFoundLater(query, first)) {
+    const first = await this.findElsewhere({
+      ...query,
+      timeoutMs: FIND_TIMEOUT_MS,
+    });
+    if (first.isDecided) {
       return first.lookup;
     }
     const second = await this.findElsewhere({
@@ -313,22 +315,16 @@
     (regions.length > 0 && regions.every((region) => region.isSure));
   const isUnreachable = asked > 0 && replies === 0;
   const missed = isUnreachable ? LOOKUP.unreachable : LOOKUP.unknown;
-  const lookup: MissedOrigin = {
-    kind: isSure && key !== undefined ? LOOKUP.absent : missed,
-    versions: control.versions,
-    versionsRevision: Math.max(...revisions),
+  const kind = isSure && key !== undefined ? LOOKUP.absent : missed;
+  return {
+    // A box that has just started may be too late itself for all replies.
+    isDecided:
+      kind !== LOOKUP.unreachable &&
+      (key === undefined || isSure || replies === asked),
+    lookup: {
+      kind,
+      versions: control.versions,
+      versionsRevision: Math.max(...revisions),
+    },
   };
-  return {isDecided: isSure || replies === asked, lookup};
-}
-
-/**
- * Whether boxes that were too late may have the origin. Those that outlived others may be the
- * only ones, and a box that has just started may be too late itself for all replies.
- */
-function mayBeFoundLater(
-  {key}: OriginQuery,
-  {isDecided, lookup}: LookupRound,
-): boolean {
-  const isNamed = key !== undefined;
-  return (isNamed && !isDecided) || lookup.kind === LOOKUP.unreachable;
 }
