--- a/packages/puffinturn-fleet/src/DepartureControl.ts
+++ b/packages/puffinturn-fleet/src/DepartureControl.ts
@@ -5,17 +5,13 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {Replica} from 'puffinturn-log';
-import type {Link} from 'puffinturn-wire';
-import type {Clock, Condition} from 'shared';
+import type {Condition} from 'shared';
 import {TaskGroup} from 'shared';
 
 import type {DepartureOutcome} from './DepartureRegistry';
-import type {FleetMachine} from './FleetMachine';
 import type {DepartureReply, DepartureRequest} from './FleetMessages';
 import {DEPARTURE_OUTCOME, FLEET_SERVICE} from './FleetMessages';
-import type {LeaderCalls} from './LeaderCalls';
+import type {StateControlParts} from './StateControlParts';
 import type {
   Departure,
   UpstreamIncarnation,
@@ -32,15 +28,9 @@
 const DEPARTURE_TIMEOUT_MS = 800;
 
 /** Dependencies of a DepartureControl. */
-export interface DepartureControlParts {
-  readonly clock: Clock;
-  readonly leader: LeaderCalls;
-  readonly link: Link;
-  readonly log: DecisionLog;
-  readonly machine: FleetMachine;
+export interface DepartureControlParts extends StateControlParts {
   /** Called for every stored departure after any of them has changed. */
   readonly onStored: (departure: Departure) => void;
-  readonly replica: Replica;
   /** Notified on every change of the machine. */
   readonly stateChanged: Condition;
   readonly upstreams: UpstreamTable;
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -5,18 +5,14 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {Replica} from 'puffinturn-log';
 import type {CrashReport, QuarantineEntry} from 'puffinturn-quarantine';
 import {EMPTY_CRASH_REPORT} from 'puffinturn-quarantine';
-import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
 import {Condition, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import type {CrashReportOutcome, FleetMachine} from './FleetMachine';
+import type {CrashReportOutcome} from './FleetMachine';
 import type {CrashReportReply, CrashReportRequest} from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
-import type {LeaderCalls} from './LeaderCalls';
+import type {StateControlParts} from './StateControlParts';
 
 /** Interval between checks for expired quarantines, ms. */
 const EXPIRY_CHECK_INTERVAL_MS = 1_000;
@@ -28,14 +24,8 @@
 const MAX_LOGGED_CRASHES = 16;
 
 /** Dependencies of a QuarantineControl. */
-export interface QuarantineControlParts {
-  readonly clock: Clock;
-  readonly leader: LeaderCalls;
-  readonly link: Link;
-  readonly log: DecisionLog;
+export interface QuarantineControlParts extends StateControlParts {
   readonly self: {readonly box: string};
-  readonly machine: FleetMachine;
-  readonly replica: Replica;
 }
 
 /**
--- a/packages/puffinturn-fleet/src/RolloutControl.ts
+++ b/packages/puffinturn-fleet/src/RolloutControl.ts
@@ -5,15 +5,10 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {Replica} from 'puffinturn-log';
-import type {Link} from 'puffinturn-wire';
-import type {Clock, Condition} from 'shared';
+import type {Condition} from 'shared';
 import {DisposableList, sleepUnlessNotified, TaskGroup} from 'shared';
 
-import type {FleetMachine} from './FleetMachine';
 import {FLEET_SERVICE} from './FleetMessages';
-import type {LeaderCalls} from './LeaderCalls';
 import {RolloutClock} from './RolloutClock';
 import {
   DUPLICATE_ORDER_WINDOW_MS,
@@ -33,20 +28,15 @@
   RolloutReadReply,
 } from './Rollouts';
 import {ROLLOUT_ORDER_OUTCOME} from './Rollouts';
+import type {StateControlParts} from './StateControlParts';
 import type {UpstreamTable} from './UpstreamTable';
 
 /** Dependencies of a RolloutControl. */
-export interface RolloutControlParts {
+export interface RolloutControlParts extends StateControlParts {
   /** Undefined if rollouts are disabled. */
   readonly exposure?: ExposureBound | undefined;
-  readonly clock: Clock;
   /** Notified of every state machine change that is sent to boxes. */
   readonly stateChanged: Condition;
-  readonly leader: LeaderCalls;
-  readonly link: Link;
-  readonly log: DecisionLog;
-  readonly machine: FleetMachine;
-  readonly replica: Replica;
   readonly upstreams: UpstreamTable;
 }
 
--- a/packages/puffinturn-fleet/src/UpstreamControl.ts
+++ b/packages/puffinturn-fleet/src/UpstreamControl.ts
@@ -5,30 +5,20 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {Replica} from 'puffinturn-log';
-import type {Link} from 'puffinturn-wire';
-import type {Clock, Condition} from 'shared';
+import type {Condition} from 'shared';
 
 import type {DepartureAnnouncement} from './DepartureControl';
 import {DepartureControl} from './DepartureControl';
-import type {FleetMachine} from './FleetMachine';
 import type {LimitReportsRequest} from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
-import type {LeaderCalls} from './LeaderCalls';
+import type {StateControlParts} from './StateControlParts';
 import {UpstreamRefusals} from './UpstreamRefusals';
 import type {Departure, UpstreamRecord} from './UpstreamTable';
 import {UPSTREAM_STATE, UpstreamTable} from './UpstreamTable';
 import {VersionControl} from './VersionControl';
 
 /** Dependencies of an UpstreamControl. */
-export interface UpstreamControlParts {
-  readonly clock: Clock;
-  readonly leader: LeaderCalls;
-  readonly link: Link;
-  readonly log: DecisionLog;
-  readonly machine: FleetMachine;
-  readonly replica: Replica;
+export interface UpstreamControlParts extends StateControlParts {
   /** Notified on every change that watching boxes have to receive. */
   readonly stateChanged: Condition;
 }
--- a/packages/puffinturn-fleet/src/VersionControl.ts
+++ b/packages/puffinturn-fleet/src/VersionControl.ts
@@ -9,17 +9,12 @@
  * Keeps the replicated list of versions in step with the upstreams that a control box knows. A
  * version is stored before its upstreams are used, and removed once no stream of it is left.
  */
-import type {DecisionLog} from 'puffinturn-decisions';
-import type {Replica} from 'puffinturn-log';
-import type {Link} from 'puffinturn-wire';
-import type {Clock} from 'shared';
 import {TaskGroup} from 'shared';
 
-import type {FleetMachine} from './FleetMachine';
 import type {AddVersionReply, AddVersionRequest} from './FleetMessages';
 import {FLEET_SERVICE} from './FleetMessages';
-import type {LeaderCalls} from './LeaderCalls';
 import {upstreamVersion} from './ServiceUpstreams';
+import type {StateControlParts} from './StateControlParts';
 import type {UpstreamRecord, UpstreamTable} from './UpstreamTable';
 import {UPSTREAM_STATE} from './UpstreamTable';
 import type {RegisteredVersion} from './VersionRegistry';
@@ -31,13 +26,7 @@
 const STORE_TIMEOUT_MS = 800;
 
 /** Dependencies of a VersionControl. */
-export interface VersionControlParts {
-  readonly clock: Clock;
-  readonly leader: LeaderCalls;
-  readonly link: Link;
-  readonly log: DecisionLog;
-  readonly machine: FleetMachine;
-  readonly replica: Replica;
+export interface VersionControlParts extends StateControlParts {
   readonly upstreams: UpstreamTable;
 }
 
