--- a/packages/puffinturn-fleet/src/VersionControl.ts
+++ b/packages/puffinturn-fleet/src/VersionControl.ts
@@ -134,6 +134,9 @@
         const outcome = await leader.propose({kind: 'version-removed', number});
         const detail = outcome.isOk() ? 'removed' : outcome.error.kind;
         this.logVersion(service, version, detail);
+        if (outcome.isOk()) {
+          this.absentSince.delete(number);
+        }
       }
     }
   }
