--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -27,8 +27,6 @@
   LEADER_LOST_AFTER_ELECTION_TIMEOUTS,
   MAX_VOTER_WAIT_MS,
   REJOIN_AFTER_ELECTION_TIMEOUTS,
-  SNAPSHOT_INTERVAL_ENTRIES,
-  TRAILING_ENTRIES,
 } from './LogConstants';
 import type {LogLink, StateMachine} from './LogLink';
 import type {
@@ -49,17 +47,13 @@
   VoteRequest,
 } from './LogMessages';
 import {boxOf, replicaIdOf} from './LogMessages';
-import type {
-  Snapshot,
-  StorageFailure,
-  StoredBootstrap,
-  StoredLog,
-} from './LogStorage';
+import type {StorageFailure, StoredBootstrap, StoredLog} from './LogStorage';
 import {LogStorage} from './LogStorage';
+import {MemberLists} from './MemberLists';
 import {Membership} from './Membership';
 import {PendingProposals} from './PendingProposals';
 import {Replication} from './Replication';
-import {SnapshotAssembler} from './SnapshotAssembler';
+import {Snapshots} from './Snapshots';
 
 /** Roles of a replica. */
 export const ROLE = {
@@ -119,8 +113,6 @@
   readonly commitIndex: number;
 }
 
-const NO_MEMBERS: Members = {learners: [], voters: []};
-
 /** A replica of the log. Dispose it to stop its tasks. */
 export class Replica implements AsyncDisposable {
   /** The id of this replica. */
@@ -129,10 +121,9 @@
   private term: number;
   private votedFor: ReplicaId | null;
   private readonly log: EntryList;
-  private snapshot: Snapshot | undefined;
-  private members: Members = NO_MEMBERS;
-  private membersIndex = 0;
   private readonly durable: DurableLog;
+  private readonly snapshots: Snapshots;
+  private readonly memberLists: MemberLists;
   private commitIndex: number;
   private appliedIndex: number;
   private leader: ReplicaId | undefined;
@@ -151,7 +142,6 @@
   private readonly commitAdvanced = new Condition();
   /** Notified when a peer acknowledges or the commit or applied index advances. */
   private readonly progressMade = new Condition();
-  private readonly snapshotAssembler = new SnapshotAssembler();
   private readonly tasks = new TaskGroup();
 
   private constructor(
@@ -164,7 +154,6 @@
       stored.state?.replica ?? replicaIdOf(parts.box, parts.incarnationId);
     this.term = stored.state?.term ?? 0;
     this.votedFor = stored.state?.votedFor ?? null;
-    this.snapshot = snapshot;
     const first = entries[0];
     const startsAfterSnapshot =
       first === undefined || first.index === (snapshot?.lastIndex ?? 0) + 1;
@@ -174,16 +163,24 @@
       entries,
     );
     this.durable = new DurableLog(storage, this.log, parts.onDiskChange);
-    this.commitIndex = snapshot?.lastIndex ?? 0;
+    this.snapshots = new Snapshots(
+      {
+        durable: this.durable,
+        intervalEntries: parts.snapshotIntervalEntries,
+        log: this.log,
+        // The flush task repeats the write of the entries.
+        onFailure: () => this.logAppended.notify(),
+        stateMachine: parts.stateMachine,
+      },
+      snapshot,
+    );
+    this.memberLists = new MemberLists(this.log, this.snapshots);
+    this.commitIndex = this.snapshots.lastIndex;
     this.appliedIndex = this.commitIndex;
     this.lastContactAt = parts.clock.now();
     this.bootstrap = this.createBootstrap(stored.bootstrap);
     this.membership = this.createMembership();
     this.replication = this.createReplication();
-    if (snapshot !== undefined) {
-      parts.stateMachine.restore(snapshot.bytes);
-    }
-    this.refreshMembers();
   }
 
   /** Loads the stored log and starts the tasks. */
@@ -356,7 +353,7 @@
     boxes: () => readonly string[],
     mayBootstrap = true,
   ): Promise<void> {
-    while (!this.tasks.isAborted && !this.isMember()) {
+    while (!this.tasks.isAborted && !this.memberLists.isMember(this.id)) {
       await this.bootstrap.tryBootstrapOrJoin(boxes(), mayBootstrap);
       await this.parts.clock.sleep(
         this.parts.timing.electionTimeoutMs,
@@ -404,7 +401,7 @@
         ? undefined
         : this.bootstrap.firstBoxes,
       founded: this.isBootstrapped,
-      firstMembers: this.firstMembers,
+      firstMembers: this.memberLists.first,
       replica: this.id,
       voters: this.members.voters,
     };
@@ -457,7 +454,7 @@
       onConfirmed: () => this.advanceCommit(),
       ownId: this.id,
       progressMade: this.progressMade,
-      snapshot: () => this.snapshot,
+      snapshot: () => this.snapshots.latest,
       tasks: this.tasks,
       timing,
     });
@@ -472,7 +469,7 @@
   /** Whether the group has no record yet, and too few voters have its log. */
   private lacksVoters(): boolean {
     const leaderMs = this.parts.clock.now() - this.leaderSince;
-    if (leaderMs >= MAX_VOTER_WAIT_MS || this.snapshot !== undefined) {
+    if (leaderMs >= MAX_VOTER_WAIT_MS || this.snapshots.latest !== undefined) {
       return false;
     }
     const voters = this.members.voters.filter(
@@ -545,18 +542,6 @@
     return saved.isOk();
   }
 
-  /** Syncs a snapshot and the entries that are kept; wakes the flush task if that fails. */
-  private async compact(
-    snapshot: Snapshot,
-    kept: readonly Entry[],
-  ): Promise<boolean> {
-    const isCompacted = await this.durable.compact(snapshot, kept);
-    if (!isCompacted) {
-      this.logAppended.notify();
-    }
-    return isCompacted;
-  }
-
   private async runFlush(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.durable.isSynced) {
@@ -593,7 +578,7 @@
       if (this.appliedIndex === this.commitIndex) {
         this.progressMade.notify();
       }
-      if (this.isSnapshotDue()) {
+      if (this.snapshots.isDue(this.appliedIndex)) {
         await this.mutex.run(() => this.takeSnapshot());
       }
     }
@@ -608,81 +593,31 @@
     this.pendingProposals.settle(entry, value);
   }
 
-  private isSnapshotDue(): boolean {
-    const interval =
-      this.parts.snapshotIntervalEntries ?? SNAPSHOT_INTERVAL_ENTRIES;
-    return this.appliedIndex - (this.snapshot?.lastIndex ?? 0) >= interval;
-  }
-
-  private async takeSnapshot(): Promise<void> {
-    const lastIndex = this.appliedIndex;
-    const lastTerm = this.log.termAt(lastIndex);
-    if (lastTerm === undefined) {
-      return;
-    }
-    const bytes = this.parts.stateMachine.snapshot();
-    const members = this.membersAt(lastIndex);
-    if (!(await this.durable.flush())) {
-      return;
-    }
-    const snapshot = {bytes, lastIndex, lastTerm, members};
-    const trailingEntries = Math.min(
-      TRAILING_ENTRIES,
-      this.parts.snapshotIntervalEntries ?? TRAILING_ENTRIES,
-    );
-    const compactThrough = Math.max(
-      this.log.compactedIndex,
-      lastIndex - trailingEntries,
-    );
-    const kept = this.log.entriesFrom(compactThrough + 1);
-    if (await this.compact(snapshot, kept)) {
-      this.snapshot = snapshot;
-      this.log.compactThrough(compactThrough);
-    }
+  private takeSnapshot(): Promise<void> {
+    const {appliedIndex} = this;
+    const members = this.memberLists.at(appliedIndex);
+    return this.snapshots.take(appliedIndex, members);
   }
 
   // Membership
 
+  private get members(): Members {
+    return this.memberLists.current;
+  }
+
   private refreshMembers(): void {
-    const latest = this.log.latestMembers();
-    this.members = latest?.members ?? this.snapshot?.members ?? NO_MEMBERS;
-    this.membersIndex = latest?.index ?? this.snapshot?.lastIndex ?? 0;
+    this.memberLists.refresh();
     if (this.isLeader) {
       this.replicateToMembers();
     }
   }
 
   private replicateToMembers(): void {
-    const {learners, voters} = this.members;
-    this.replication.setMembers([...voters, ...learners]);
-  }
-
-  private membersAt(index: number): Members {
-    for (
-      let position = index;
-      position > this.log.compactedIndex;
-      position -= 1
-    ) {
-      const body = this.log.entryAt(position)?.body;
-      if (body?.kind === 'members') {
-        return body.members;
-      }
-    }
-    return this.snapshot?.members ?? NO_MEMBERS;
+    this.replication.setMembers(this.memberLists.all);
   }
 
   private isVoter(): boolean {
-    return this.members.voters.includes(this.id);
-  }
-
-  private isMember(): boolean {
-    return this.isVoter() || this.members.learners.includes(this.id);
-  }
-
-  /** The member list with which the group was bootstrapped, if it is still stored. */
-  private get firstMembers(): Members | undefined {
-    const body = this.log.entryAt(1)?.body;
-    return body?.kind === 'members' ? body.members : undefined;
+    return this.memberLists.isVoter(this.id);
   }
 
   private async handleBootstrap(
@@ -692,7 +627,7 @@
       return {founded: false};
     }
     if (this.isBootstrapped) {
-      const voters = this.firstMembers?.voters.join();
+      const voters = this.memberLists.first?.voters.join();
       const isSame = voters === request.members.voters.join();
       return {founded: isSame && (await this.durable.flush())};
     }
@@ -879,7 +814,7 @@
   }
 
   private stepDownIfRemoved(): void {
-    if (!this.isVoter() && this.commitIndex >= this.membersIndex) {
+    if (!this.isVoter() && this.commitIndex >= this.memberLists.currentIndex) {
       this.becomeFollower(this.term, undefined);
     }
   }
@@ -973,44 +908,17 @@
     if (!(await this.saveState())) {
       return {nextOffset: 0, term: this.term};
     }
-    const nextOffset = this.snapshotAssembler.addChunk(request);
-    if (request.done && nextOffset === request.offset + request.bytes.length) {
-      const isInstalled = await this.installSnapshot(
-        request,
-        this.snapshotAssembler.finish(),
-      );
-      return {nextOffset: isInstalled ? nextOffset : 0, term: this.term};
+    const {nextOffset, restoredThrough} = await this.snapshots.receive(
+      request,
+      this.commitIndex,
+    );
+    if (restoredThrough !== undefined) {
+      this.commitIndex = restoredThrough;
+      this.appliedIndex = restoredThrough;
+      this.refreshMembers();
     }
     return {nextOffset, term: this.term};
   }
-
-  private async installSnapshot(
-    request: SnapshotRequest,
-    bytes: Uint8Array,
-  ): Promise<boolean> {
-    const {lastIndex, lastTerm, members} = request;
-    if (lastIndex <= this.commitIndex) {
-      return true;
-    }
-    const snapshot = {bytes, lastIndex, lastTerm, members};
-    // Entries that follow the snapshot's last one may count towards a quorum.
-    const isInLog = this.log.termAt(lastIndex) === lastTerm;
-    const followingEntries = isInLog ? this.log.entriesFrom(lastIndex + 1) : [];
-    if (!(await this.compact(snapshot, followingEntries))) {
-      return false;
-    }
-    this.parts.stateMachine.restore(bytes);
-    this.snapshot = snapshot;
-    if (isInLog) {
-      this.log.compactThrough(lastIndex);
-    } else {
-      this.log.reset(lastIndex, lastTerm);
-    }
-    this.commitIndex = lastIndex;
-    this.appliedIndex = lastIndex;
-    this.refreshMembers();
-    return true;
-  }
 }
 
 /**
