--- a/packages/puffinturn-log/src/Replica.ts
+++ b/packages/puffinturn-log/src/Replica.ts
@@ -20,7 +20,8 @@
 import type {Disk} from './Disk';
 import type {DiskChange} from './DurableLog';
 import {DurableLog} from './DurableLog';
-import {collectVotes} from './Election';
+import type {Role} from './Elections';
+import {Elections} from './Elections';
 import {EntryList} from './EntryList';
 import type {ReplicaTiming} from './LogConstants';
 import {
@@ -43,8 +44,6 @@
   ReplicaId,
   SnapshotReply,
   SnapshotRequest,
-  VoteReply,
-  VoteRequest,
 } from './LogMessages';
 import {boxOf, replicaIdOf} from './LogMessages';
 import type {StorageFailure, StoredBootstrap, StoredLog} from './LogStorage';
@@ -55,16 +54,6 @@
 import {Replication} from './Replication';
 import {Snapshots} from './Snapshots';
 
-/** Roles of a replica. */
-export const ROLE = {
-  candidate: 'candidate',
-  follower: 'follower',
-  leader: 'leader',
-} as const;
-
-/** One of ROLE. */
-export type Role = (typeof ROLE)[keyof typeof ROLE];
-
 /** Dependencies and options of a replica. */
 export interface ReplicaParts {
   readonly box: string;
@@ -117,21 +106,16 @@
 export class Replica implements AsyncDisposable {
   /** The id of this replica. */
   readonly id: ReplicaId;
-  private role: Role = ROLE.follower;
-  private term: number;
-  private votedFor: ReplicaId | null;
   private readonly log: EntryList;
   private readonly durable: DurableLog;
   private readonly snapshots: Snapshots;
   private readonly memberLists: MemberLists;
   private commitIndex: number;
   private appliedIndex: number;
-  private leader: ReplicaId | undefined;
+  private readonly elections: Elections;
   private readonly bootstrap: Bootstrap;
   /** Time at which this replica became the leader, ms. */
   private leaderSince = -Infinity;
-  /** Last contact from a leader or granted vote; restarts the election timeout. */
-  private lastContactAt: number;
   private readonly replication: Replication;
   private readonly pendingProposals = new PendingProposals();
   private readonly mutex = new Mutex();
@@ -152,8 +136,6 @@
     const {snapshot, entries} = stored;
     this.id =
       stored.state?.replica ?? replicaIdOf(parts.box, parts.incarnationId);
-    this.term = stored.state?.term ?? 0;
-    this.votedFor = stored.state?.votedFor ?? null;
     const first = entries[0];
     const startsAfterSnapshot =
       first === undefined || first.index === (snapshot?.lastIndex ?? 0) + 1;
@@ -177,7 +159,7 @@
     this.memberLists = new MemberLists(this.log, this.snapshots);
     this.commitIndex = this.snapshots.lastIndex;
     this.appliedIndex = this.commitIndex;
-    this.lastContactAt = parts.clock.now();
+    this.elections = this.createElections(stored);
     this.bootstrap = this.createBootstrap(stored.bootstrap);
     this.membership = this.createMembership();
     this.replication = this.createReplication();
@@ -195,13 +177,11 @@
       .andThen((stored) => {
         const replica = new Replica(parts, storage, stored);
         return stored.state === undefined
-          ? new ResultAsync(
-              replica.durable.saveState(replica.storedState()),
-            ).map(() => replica)
+          ? new ResultAsync(replica.elections.save()).map(() => replica)
           : okAsync<Replica, StorageFailure>(replica);
       })
       .map((replica) => {
-        replica.tasks.start((signal) => replica.runElections(signal));
+        replica.tasks.start((signal) => replica.elections.run(signal));
         replica.tasks.start((signal) => replica.runFlush(signal));
         replica.tasks.start((signal) => replica.runApply(signal));
         replica.tasks.start((signal) => replica.membership.run(signal));
@@ -216,12 +196,13 @@
 
   /** Whether this replica considers itself the leader. */
   get isLeader(): boolean {
-    return this.role === ROLE.leader;
+    return this.elections.isLeader;
   }
 
   /** The box of the current leader, if known. */
   get leaderBox(): string | undefined {
-    return this.leader === undefined ? undefined : boxOf(this.leader);
+    const {leader} = this.elections;
+    return leader === undefined ? undefined : boxOf(leader);
   }
 
   /**
@@ -237,11 +218,11 @@
    * Infinity if this replica is the leader.
    */
   get msUntilLeaderLost(): number {
-    const {clock, timing} = this.parts;
-    const lostAt =
-      this.lastContactAt +
-      LEADER_LOST_AFTER_ELECTION_TIMEOUTS * timing.electionTimeoutMs;
-    return this.isLeader ? Infinity : Math.max(0, lostAt - clock.now());
+    const {electionTimeoutMs} = this.parts.timing;
+    const lostAfterMs = LEADER_LOST_AFTER_ELECTION_TIMEOUTS * electionTimeoutMs;
+    return this.isLeader
+      ? Infinity
+      : Math.max(0, lostAfterMs - this.elections.msSinceContact);
   }
 
   /** Index of the last entry applied to the state machine. */
@@ -272,10 +253,10 @@
       commitIndex: this.commitIndex,
       isBootstrapped: this.isBootstrapped,
       lastIndex: this.log.lastIndex,
-      leader: this.leader,
+      leader: this.elections.leader,
       members: this.members,
       replica: this.id,
-      role: this.role,
+      role: this.elections.role,
       term: this.term,
     };
   }
@@ -315,18 +296,14 @@
 
   /** Gives up leadership and delays its own next election. */
   stepDown(): void {
-    if (this.role === ROLE.leader) {
-      this.becomeFollower(this.term, undefined);
-      this.lastContactAt =
-        this.parts.clock.now() + this.parts.timing.electionTimeoutMs;
-    }
+    this.elections.stepDown();
   }
 
   /** Handles a request from another replica and returns the reply. */
   async handle(request: LogRequest): Promise<unknown> {
     switch (request.kind) {
       case 'vote':
-        return this.mutex.run(() => this.handleVote(request));
+        return this.mutex.run(() => this.elections.handleVote(request));
       case 'append':
         return this.mutex.run(() => this.handleAppend(request));
       case 'snapshot':
@@ -384,7 +361,7 @@
     const {clock, timing} = this.parts;
     while (!signal.aborted) {
       await clock.sleep(2 * timing.electionTimeoutMs, signal);
-      const msSinceContact = clock.now() - this.lastContactAt;
+      const {msSinceContact} = this.elections;
       if (
         !this.isLeader &&
         msSinceContact >
@@ -407,6 +384,36 @@
     };
   }
 
+  private get term(): number {
+    return this.elections.term;
+  }
+
+  private createElections({state}: StoredLog): Elections {
+    const {box, breakage, clock, link, onRoleChange, random, timing} =
+      this.parts;
+    return new Elections(
+      {
+        box,
+        clock,
+        durable: this.durable,
+        lastQuorumContactAt: () =>
+          this.replication.lastQuorumContactAt(this.members.voters),
+        link,
+        log: this.log,
+        memberLists: this.memberLists,
+        mutex: this.mutex,
+        onFollower: () => this.becomeFollower(),
+        onLeader: () => this.becomeLeader(),
+        onRoleChange,
+        ownId: this.id,
+        random,
+        timing,
+        votesWithoutLogCheck: breakage?.voteWithoutLogCheck === true,
+      },
+      {term: state?.term ?? 0, votedFor: state?.votedFor ?? null},
+    );
+  }
+
   private createBootstrap(firstStart: StoredBootstrap | undefined): Bootstrap {
     const {box, link, timing} = this.parts;
     return new Bootstrap(
@@ -444,7 +451,7 @@
   private createReplication(): Replication {
     const {clock, link, timing} = this.parts;
     return new Replication({
-      checkReplyTerm: (term) => this.checkReplyTerm(term),
+      checkReplyTerm: (term) => this.elections.checkReplyTerm(term),
       clock,
       commitIndex: () => this.commitIndex,
       leaderTerm: () => (this.isLeader ? this.term : undefined),
@@ -487,7 +494,7 @@
         Promise.resolve(err({kind: 'stopped', message: 'stopped'})),
       );
     }
-    if (this.role !== ROLE.leader) {
+    if (!this.isLeader) {
       return new ResultAsync(Promise.resolve(err(this.notLeaderFailure())));
     }
     return this.pendingProposals.add(this.push(body));
@@ -532,16 +539,6 @@
 
   // Persistence
 
-  private storedState() {
-    return {replica: this.id, term: this.term, votedFor: this.votedFor};
-  }
-
-  /** Syncs term and vote; resolves to whether they are on the disk. */
-  private async saveState(): Promise<boolean> {
-    const saved = await this.durable.saveState(this.storedState());
-    return saved.isOk();
-  }
-
   private async runFlush(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.durable.isSynced) {
@@ -637,164 +634,25 @@
     return {founded: await this.durable.flush()};
   }
 
-  // Elections
-
-  private async runElections(signal: AbortSignal): Promise<void> {
-    const {clock, random, timing} = this.parts;
-    while (!signal.aborted) {
-      if (this.isLeader) {
-        await clock.sleep(timing.heartbeatIntervalMs, signal);
-        this.checkQuorum();
-        continue;
-      }
-      const timeoutMs = random.integer(
-        timing.electionTimeoutMs,
-        2 * timing.electionTimeoutMs,
-      );
-      await clock.sleep(timeoutMs, signal);
-      const hasTimedOut =
-        clock.now() - this.lastContactAt >= timing.electionTimeoutMs;
-      if (!signal.aborted && !this.isLeader && hasTimedOut && this.isVoter()) {
-        await this.startElection();
-      }
-    }
-  }
-
-  /** Steps down if a quorum has not replied for two election timeouts. */
-  private checkQuorum(): void {
-    const msSinceQuorumContact =
-      this.parts.clock.now() -
-      this.replication.lastQuorumContactAt(this.members.voters);
-    if (
-      this.isLeader &&
-      msSinceQuorumContact > 2 * this.parts.timing.electionTimeoutMs
-    ) {
-      this.becomeFollower(this.term, undefined);
-    }
-  }
+  // Roles
 
-  private async startElection(): Promise<void> {
-    const {term} = this;
-    if (!(await this.requestVotes(term + 1, true)) || this.term !== term) {
-      return;
-    }
-    const isCandidate = await this.mutex.run(async () => {
-      if (this.term !== term) {
-        return false;
-      }
-      this.term += 1;
-      this.votedFor = this.id;
-      this.role = ROLE.candidate;
-      this.leader = undefined;
-      return this.saveState();
-    });
-    if (isCandidate && (await this.requestVotes(term + 1, false))) {
-      this.becomeLeader(term + 1);
-    }
-  }
-
-  private requestVotes(term: number, preVote: boolean): Promise<boolean> {
-    return collectVotes({
-      callTimeoutMs: this.parts.timing.callTimeoutMs,
-      link: this.parts.link,
-      onReplyTerm: (replyTerm) => {
-        if (replyTerm > this.term && !preVote) {
-          void this.mutex.run(() => this.adoptTerm(replyTerm));
-        }
-      },
-      request: {
-        from: this.id,
-        kind: 'vote',
-        lastIndex: this.log.lastIndex,
-        lastTerm: this.log.lastTerm,
-        preVote,
-        term,
-      },
-      voters: this.members.voters,
-    });
-  }
-
-  private async handleVote(request: VoteRequest): Promise<VoteReply> {
-    const rejection = {granted: false, term: this.term};
-    if (request.to !== this.id || !this.isBootstrapped) {
-      return rejection;
-    }
-    const {clock, timing} = this.parts;
-    const hasRecentContact =
-      clock.now() - this.lastContactAt < timing.electionTimeoutMs;
-    const hasLeader =
-      this.isLeader || (this.leader !== undefined && hasRecentContact);
-    if (request.term < this.term || hasLeader) {
-      return rejection;
-    }
-    const isLogUpToDate =
-      this.parts.breakage?.voteWithoutLogCheck === true ||
-      request.lastTerm > this.log.lastTerm ||
-      (request.lastTerm === this.log.lastTerm &&
-        request.lastIndex >= this.log.lastIndex);
-    if (request.preVote) {
-      return {granted: isLogUpToDate, term: this.term};
-    }
-    if (request.term > this.term) {
-      await this.adoptTerm(request.term);
-    }
-    const canVote = this.votedFor === null || this.votedFor === request.from;
-    if (!isLogUpToDate || !canVote) {
-      return {granted: false, term: this.term};
-    }
-    this.votedFor = request.from;
-    this.lastContactAt = clock.now();
-    return {granted: await this.saveState(), term: this.term};
-  }
-
-  /** Adopts and syncs a higher term. The caller holds the mutex. */
-  private async adoptTerm(term: number): Promise<void> {
-    if (term > this.term) {
-      this.votedFor = null;
-      this.becomeFollower(term, undefined);
-      await this.saveState();
-    }
-  }
-
-  private becomeLeader(term: number): void {
-    if (this.term !== term || this.role !== ROLE.candidate) {
-      return;
-    }
-    this.role = ROLE.leader;
-    this.leader = this.id;
+  private becomeLeader(): void {
     this.leaderSince = this.parts.clock.now();
     this.replication.stop();
     this.push({kind: 'noop'});
     this.replicateToMembers();
     this.replication.recordContactWithAll();
-    this.parts.onRoleChange?.(ROLE.leader, term, this.parts.box);
   }
 
-  private becomeFollower(term: number, leader: ReplicaId | undefined): void {
-    const hasChanged = this.isLeader || this.leader !== leader;
-    this.term = term;
-    this.role = ROLE.follower;
-    this.leader = leader;
+  private becomeFollower(): void {
     this.replication.stop();
     this.pendingProposals.failAll();
     this.logAppended.notify();
     this.progressMade.notify();
-    if (hasChanged) {
-      this.parts.onRoleChange?.(ROLE.follower, term, this.leaderBox);
-    }
   }
 
   // Progress of the leader
 
-  /** Adopts a higher term from a reply. Resolves to false if terms differ. */
-  private async checkReplyTerm(term: number): Promise<boolean> {
-    if (term > this.term) {
-      await this.mutex.run(() => this.adoptTerm(term));
-      return false;
-    }
-    return term === this.term;
-  }
-
   private advanceCommit(): void {
     if (!this.isLeader) {
       return;
@@ -815,7 +673,7 @@
 
   private stepDownIfRemoved(): void {
     if (!this.isVoter() && this.commitIndex >= this.memberLists.currentIndex) {
-      this.becomeFollower(this.term, undefined);
+      this.elections.resign();
     }
   }
 
@@ -836,8 +694,11 @@
     if (request.to !== this.id || request.term < this.term) {
       return reject();
     }
-    await this.followLeader(request.term, request.from);
-    if (!(await this.saveState()) || !(await this.durable.flush())) {
+    await this.elections.followLeader(request.term, request.from);
+    if (
+      (await this.elections.save()).isErr() ||
+      !(await this.durable.flush())
+    ) {
       return reject();
     }
     const {previousIndex} = request;
@@ -890,22 +751,14 @@
     this.refreshMembers();
   }
 
-  private async followLeader(term: number, leader: ReplicaId): Promise<void> {
-    await this.adoptTerm(term);
-    this.lastContactAt = this.parts.clock.now();
-    if (this.leader !== leader || this.role !== ROLE.follower) {
-      this.becomeFollower(term, leader);
-    }
-  }
-
   private async handleSnapshot(
     request: SnapshotRequest,
   ): Promise<SnapshotReply> {
     if (request.to !== this.id || request.term < this.term) {
       return {nextOffset: 0, term: this.term};
     }
-    await this.followLeader(request.term, request.from);
-    if (!(await this.saveState())) {
+    await this.elections.followLeader(request.term, request.from);
+    if ((await this.elections.save()).isErr()) {
       return {nextOffset: 0, term: this.term};
     }
     const {nextOffset, restoredThrough} = await this.snapshots.receive(
--- a/packages/puffinturn-log/src/index.ts
+++ b/packages/puffinturn-log/src/index.ts
@@ -9,6 +9,8 @@
 export type {DiskFailure, DiskFaults, DiskOperation} from './Disk';
 export {Disk, FolderDisk, MemoryDisk} from './Disk';
 export type {DiskChange} from './DurableLog';
+export type {Role} from './Elections';
+export {ROLE} from './Elections';
 export type {ReplicaTiming} from './LogConstants';
 export {DEFAULT_TIMING} from './LogConstants';
 export type {LogLinkFailure} from './LogLink';
@@ -23,5 +25,5 @@
 export type {CorruptionFailure, StorageFailure} from './LogStorage';
 export {LogStorage} from './LogStorage';
 export {quorumOf, votersToBear} from './MemberChanges';
-export type {Leadership, ReplicaBreakage, ReplicaParts, Role} from './Replica';
-export {Replica, ROLE} from './Replica';
+export type {Leadership, ReplicaBreakage, ReplicaParts} from './Replica';
+export {Replica} from './Replica';
