A drain notice holds for an incarnation that had started before it

Cause: responses don't name their incarnation. The upstream had started again under its id, and the edge heard of that only 3 s later. The notice came in between, so it counted for the previous incarnation; the new one then looked ready. Back-offs and rate limits were carried over already, departures were not.

Fix: an EdgeUpstream keeps its latest notice with the time of day. A later incarnation at the same address whose start lies less than 10 s before the notice must have sent it, as its predecessor had ended; it gets nothing for 10 s from the notice, as after a requested back-off. By then heartbeats or the end of the upstream have told the rest, and its next answer says so again.

The start is told by the clock of another machine, which may be stepped. The safe side is the one with a bound: inheriting wrongly (a clock behind) costs a sound upstream 10 s at the edges that saw the notice, and is ruled out for clocks that are far behind; not inheriting (a clock ahead) leaves what there was before, one request per edge. An upstream that starts again after its notice doesn't inherit it, nor does one at another address.

`upstream-restarted` says with `leaving` whether the new incarnation is unused.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -646,6 +646,8 @@
   readonly upstream: string;
   readonly bornAt: number | undefined;
   readonly former: number | undefined;
+  /** Whether it is not sent to: it is gone, or has probably sent a drain notice already. */
+  readonly leaving: boolean;
   /** This edge's requests in flight at the previous incarnation. */
   readonly open: number;
 }
--- a/packages/puffinturn-edge/src/__tests__/unit/UpstreamIncarnations.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/UpstreamIncarnations.test.ts
@@ -120,6 +120,83 @@
   });
 });
 
+/**
+ * Guards against requests to an upstream that has announced its drain before the edge heard
+ * of its restart, and against a restarted upstream that stays unused for a notice of before.
+ */
+describe('A drain notice that counted for the previous incarnation', () => {
+  /** More than the time for which a notice is inherited, ms. */
+  const LONG_AFTER_MS = 11_000;
+
+  /** A pool that received a notice of an upstream at the start of its clock. */
+  function createNotifiedPool() {
+    const clock = new ManualClock();
+    const noticeAt = clock.wallTime();
+    const pool = new UpstreamPool(clock, new NoopDecisionLog());
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 60_000})], 'c1');
+    pool.find('i-1')?.markDraining();
+    return {clock, noticeAt, pool};
+  }
+
+  function mayBeSentTo(pool: UpstreamPool): boolean | undefined {
+    return pool.find('i-1')?.mayBeSentTo;
+  }
+
+  test('holds for one that had started before it', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(104);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 2_925})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(false);
+    await clock.advance(5_000);
+    pool.merge(
+      [makeUpstream('i-1', {bornAt: noticeAt - 2_925, sequence: 9})],
+      'c1',
+    );
+    pool.find('i-1')?.recordSuccess();
+    expect(mayBeSentTo(pool)).toBe(false);
+  });
+
+  test('does not hold for one that started after it', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(300);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt + 200})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(true);
+  });
+
+  test('does not hold for one at another address', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(100);
+    const bornAt = noticeAt - 2_000;
+    pool.merge([makeUpstream('i-1', {address: '10.0.0.9:1', bornAt})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(true);
+  });
+
+  test('does not hold for one whose clock is far behind', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(300);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 40_000})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(true);
+  });
+
+  test('ends by itself, as start times come from clocks that may be wrong', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(100);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 2_000})], 'c1');
+    await clock.advance(LONG_AFTER_MS);
+    expect(mayBeSentTo(pool)).toBe(true);
+  });
+
+  test('holds for the latest of several that had started before it', async () => {
+    const {clock, noticeAt, pool} = createNotifiedPool();
+    await clock.advance(100);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 9_000})], 'c1');
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt - 2_000})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(false);
+    pool.merge([makeUpstream('i-1', {bornAt: noticeAt + 50})], 'c1');
+    expect(mayBeSentTo(pool)).toBe(true);
+  });
+});
+
 describe('Requests in flight at a previous incarnation', () => {
   test('are retried at another upstream if they may be repeated', async () => {
     await using first = await TestUpstream.start('i-1');
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -30,6 +30,29 @@
 /** Weight of one response in the error rate, from 0 to 1. */
 const ERROR_WEIGHT = 0.08;
 
+/**
+ * Time for which a later incarnation is not sent to after a drain notice that it has
+ * probably sent itself, ms. By its end the drain has been reported by other means. Bounded,
+ * because start times come from the clocks of upstreams, which may be wrong: an upstream
+ * that started after the notice is then out of service for this time only.
+ */
+const INHERITED_DRAIN_MS = 10_000;
+
+/**
+ * Maximum time from the start of an incarnation to a drain notice that it inherits, ms. An
+ * edge has mostly heard of an earlier start, so that the clock of the upstream is likelier to
+ * be wrong.
+ */
+const MAX_UNREPORTED_START_MS = 10_000;
+
+/** A response that announced the drain of an upstream. */
+interface DrainNotice {
+  /** When it was received, Unix ms. */
+  readonly receivedAt: number;
+  /** Until when a later incarnation may count as its sender, monotonic ms. */
+  readonly inheritableUntil: number;
+}
+
 /**
  * The record, load, health and connections of one incarnation of an upstream. A new
  * incarnation gets a new EdgeUpstream, so that no request is sent over a connection to
@@ -61,6 +84,10 @@
   isSuperseded = false;
   private consecutiveFailures = 0;
   private hasAnnouncedDrain = false;
+  /** The latest response that announced the drain of this upstream. */
+  private drainNotice: DrainNotice | undefined;
+  /** A notice of the previous incarnation that this one has probably sent. */
+  private inheritedDrainNotice: DrainNotice | undefined;
   private wasDraining: boolean;
   private deregisteredAt: number | undefined;
   private backoffUntil = -Infinity;
@@ -246,9 +273,14 @@
     );
   }
 
-  /** Remaining back-off that the upstream requested, ms; 0 if there is none. */
+  /**
+   * Remaining time, ms, for which the upstream requested a back-off or an inherited drain
+   * notice holds; 0 if there is none.
+   */
   get remainingBackoffMs(): number {
-    return Math.max(0, this.backoffUntil - this.clock.now());
+    const drainUntil = this.inheritedDrainNotice?.inheritableUntil ?? -Infinity;
+    const until = Math.max(this.backoffUntil, drainUntil);
+    return Math.max(0, until - this.clock.now());
   }
 
   /**
@@ -274,6 +306,10 @@
    */
   markDraining(): boolean {
     const wasServing = !this.isLeaving;
+    this.drainNotice = {
+      inheritableUntil: this.clock.now() + INHERITED_DRAIN_MS,
+      receivedAt: this.clock.wallTime(),
+    };
     if (!this.hasAnnouncedDrain) {
       this.hasAnnouncedDrain = true;
       this.onStopServing();
@@ -286,18 +322,50 @@
     if (previous !== undefined) {
       this.inheritBackoffAndLimitFrom(previous);
       this.hasAnnouncedDrain = previous.hasAnnouncedDrain;
+      this.drainNotice = previous.drainNotice;
+      this.inheritedDrainNotice = previous.inheritedDrainNotice;
     }
   }
 
   /**
-   * Copies the requested back-off and the rate limit, also from a previous incarnation:
-   * responses don't identify the incarnation, so the signals may come from this one.
+   * Copies the response signals that may come from this incarnation, from a previous one:
+   * responses don't identify the incarnation, and this edge may have heard of this one
+   * only after it had responded.
    */
-  inheritBackoffAndLimitFrom(previous: EdgeUpstream): void {
+  inheritSignalsFrom(previous: EdgeUpstream): void {
+    this.inheritBackoffAndLimitFrom(previous);
+    const notice = previous.drainNotice ?? previous.inheritedDrainNotice;
+    if (notice !== undefined && this.mayHaveSent(notice, previous)) {
+      this.inheritedDrainNotice = notice;
+    }
+  }
+
+  /** Whether a drain notice that counted for a previous incarnation holds for this one. */
+  get hasInheritedDrain(): boolean {
+    return this.inheritedDrainNotice !== undefined;
+  }
+
+  private inheritBackoffAndLimitFrom(previous: EdgeUpstream): void {
     this.backoffUntil = previous.backoffUntil;
     this.limits.copyFrom(previous.limits);
   }
 
+  /**
+   * Whether this incarnation had started at the same address shortly before a notice came. It
+   * must then have sent the notice, as its predecessor had ended.
+   */
+  private mayHaveSent(
+    {receivedAt}: DrainNotice,
+    {record: {address}}: EdgeUpstream,
+  ): boolean {
+    const startedMs = receivedAt - (this.record.bornAt ?? -Infinity);
+    return (
+      startedMs >= 0 &&
+      startedMs <= MAX_UNREPORTED_START_MS &&
+      address === this.record.address
+    );
+  }
+
   /**
    * Identifies this incarnation among those of all upstreams; the same at every edge.
    */
--- a/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamPool.ts
@@ -309,19 +309,21 @@
     previous: EdgeUpstream,
     record: UpstreamRecord,
   ): void {
+    const {inFlight} = previous;
+    previous.markSuperseded();
+    this.remove(record.id);
+    this.disposePreviousIncarnations(record);
+    const isGone = record.state === UPSTREAM_STATE.gone;
+    const next = isGone ? undefined : this.add(record);
+    next?.inheritSignalsFrom(previous);
     this.log.note({
       bornAt: record.bornAt,
       event: 'upstream-restarted',
       former: previous.record.bornAt,
-      open: previous.inFlight,
+      leaving: next?.hasInheritedDrain ?? isGone,
+      open: inFlight,
       upstream: record.id,
     });
-    previous.markSuperseded();
-    this.remove(record.id);
-    this.disposePreviousIncarnations(record);
-    if (record.state !== UPSTREAM_STATE.gone) {
-      this.add(record).inheritBackoffAndLimitFrom(previous);
-    }
   }
 
   /**
