A probe of a listener looks for a reply once more when its time-out passes late

The time-out of a probe is a timer. After a delay of the process it fires before sockets are read: a listener whose reply had long arrived was found silent, links to it were taken for lost, and its crash was reported. The time-out now counts after the event loop has polled once.

--- a/packages/puffinturn-quarantine/src/ListenerProbe.ts
+++ b/packages/puffinturn-quarantine/src/ListenerProbe.ts
@@ -25,7 +25,10 @@
 /** Connection timeout, ms; several round trips between regions. */
 const PROBE_TIMEOUT_MS = 500;
 
-/** Connects once and closes the connection. */
+/**
+ * Connects once and closes the connection. A time-out that passed while this process was
+ * delayed counts only after the event loop has looked for a reply.
+ */
 export function probeListener(
   host: string,
   port: number,
@@ -37,7 +40,9 @@
       socket.destroy();
       resolve(state);
     };
-    socket.setTimeout(timeoutMs, () => finish(LISTENER_STATE.unknown));
+    socket.setTimeout(timeoutMs, () =>
+      setImmediate(() => finish(LISTENER_STATE.unknown)),
+    );
     socket.once('connect', () => finish(LISTENER_STATE.listening));
     socket.once('error', (error) => finish(listenerStateOf(error)));
   });
