SilenceDetector does not count time in which the edge itself was delayed

Silence of links was the time between two checks without a read. A check is a timer and runs before sockets are read: once the event loop of an edge stood still for 150 ms, the first check after it found silence, and the links were verified, also by probes that were late. An interval between two checks now counts as 100 ms at most, and the first late check decides nothing, as what has arrived is read after it.

A loop that is always late still finds it.

--- a/packages/puffinturn-edge/src/__tests__/unit/SilenceDetector.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/SilenceDetector.test.ts
@@ -10,6 +10,7 @@
 
 import {SilenceDetector} from '../../tunnels/SilenceDetector';
 import {
+  MAX_SILENCE_STEP_MS,
   MIN_SILENCE_MS,
   SILENCE_CHECK_INTERVAL_MS,
 } from '../../tunnels/TunnelConstants';
@@ -76,6 +77,32 @@
     expect(await watch(2_000, {readEveryMs: 100})).toBeUndefined();
   });
 
+  /** Guards against a delay of this edge that counts as silence of its links. */
+  test.each([200, 1_000, 5_000])(
+    'does not count %i ms in which this edge was delayed',
+    async (delayMs) => {
+      await checkOnce();
+      await clock.advance(delayMs);
+      expect(detector.check({reads, requests: 5, upstreams: 3})).toBe(false);
+      // What arrived meanwhile is read after the delayed check.
+      reads += 1;
+      expect(await checkOnce()).toBe(false);
+      const foundAfterMs = await watch(1_000);
+      expect(foundAfterMs).toBeLessThanOrEqual(
+        2 * (MAX_SILENCE_STEP_MS + SILENCE_CHECK_INTERVAL_MS),
+      );
+    },
+  );
+
+  test('finds silence although each check is delayed', async () => {
+    let hasFound = false;
+    for (let count = 0; count < 10; count += 1) {
+      await clock.advance(3 * SILENCE_CHECK_INTERVAL_MS);
+      hasFound ||= detector.check({reads, requests: 5, upstreams: 3});
+    }
+    expect(hasFound).toBe(true);
+  });
+
   test('waits for twice the usual time between responses', async () => {
     await learnUsualSilence();
     expect(await watch(2_100, {readEveryMs: 300})).toBeUndefined();
--- a/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
+++ b/packages/puffinturn-edge/src/tunnels/SilenceDetector.ts
@@ -15,6 +15,7 @@
 import type {ServiceTraffic} from '../upstreams/UpstreamPool';
 import {
   MAX_SILENCE_MS,
+  MAX_SILENCE_STEP_MS,
   MIN_SILENCE_MS,
   MIN_SILENT_REQUESTS,
   MIN_SILENT_UPSTREAMS,
@@ -30,19 +31,29 @@
   return requests >= MIN_SILENT_REQUESTS && upstreams >= MIN_SILENT_UPSTREAMS;
 }
 
-/** Compares the time without any read with how long such times usually last. */
+/**
+ * Compares the time without any read with how long such times usually last. Time during
+ * which this edge itself was delayed does not count, as it read nothing then.
+ */
 export class SilenceDetector {
   private lastReads = 0;
-  /** Begin of the time without reads, monotonic ms; undefined if too few are waiting. */
-  private silentSince: number | undefined;
+  /** Time without reads so far, ms; undefined if too few requests are waiting. */
+  private currentMs: number | undefined;
   /** Decaying maximum of the past times without reads, ms. */
   private usualSilenceMs = 0;
   private lastCheckAt: number;
+  /** Whether the last check was so late that what has arrived may not have been read. */
+  private wasDelayed = false;
 
   constructor(private readonly clock: Clock) {
     this.lastCheckAt = clock.now();
   }
 
+  /** Time without reads at the last check, ms. */
+  get silenceMs(): number {
+    return this.currentMs ?? 0;
+  }
+
   /**
    * Returns true if the silence is longer than usual. Called at a steady interval for as
    * long as enough requests are waiting, and once after that.
@@ -50,16 +61,25 @@
   check(traffic: ServiceTraffic): boolean {
     const {reads} = traffic;
     const now = this.clock.now();
-    this.decay(now);
+    const elapsedMs = now - this.lastCheckAt;
+    this.lastCheckAt = now;
+    this.decay(elapsedMs);
+    // Between two delayed checks, what has arrived was read.
+    const isDelayed = elapsedMs > MAX_SILENCE_STEP_MS;
+    const isFirstDelay = isDelayed && !this.wasDelayed;
+    this.wasDelayed = isDelayed;
+    if (this.currentMs !== undefined) {
+      this.currentMs += Math.min(elapsedMs, MAX_SILENCE_STEP_MS);
+    }
     const isWaiting = isSilenceTelling(traffic);
     if (reads !== this.lastReads || !isWaiting) {
-      this.endSilence(now);
+      this.usualSilenceMs = Math.max(this.usualSilenceMs, this.silenceMs);
       this.lastReads = reads;
-      this.silentSince = isWaiting ? now : undefined;
+      this.currentMs = isWaiting ? 0 : undefined;
       return false;
     }
-    this.silentSince ??= now;
-    return now - this.silentSince >= this.thresholdMs;
+    this.currentMs ??= 0;
+    return this.currentMs >= this.thresholdMs && !isFirstDelay;
   }
 
   private get thresholdMs(): number {
@@ -67,16 +87,7 @@
     return Math.min(MAX_SILENCE_MS, Math.max(MIN_SILENCE_MS, usualMs));
   }
 
-  private endSilence(now: number): void {
-    if (this.silentSince !== undefined) {
-      const silenceMs = now - this.silentSince;
-      this.usualSilenceMs = Math.max(this.usualSilenceMs, silenceMs);
-    }
-  }
-
-  private decay(now: number): void {
-    const elapsedMs = now - this.lastCheckAt;
-    this.lastCheckAt = now;
+  private decay(elapsedMs: number): void {
     this.usualSilenceMs *= Math.exp(-elapsedMs / USUAL_SILENCE_DECAY_MS);
   }
 }
--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -55,6 +55,12 @@
 /** Interval at which the edge checks whether anything arrives from upstreams, ms. */
 export const SILENCE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Longest time between two checks that counts as silence, ms. A check that is later was
+ * delayed by this edge itself, which read nothing meanwhile.
+ */
+export const MAX_SILENCE_STEP_MS = 2 * SILENCE_CHECK_INTERVAL_MS;
+
 /** Requests in flight, and upstreams that have them, from which silence is suspicious. */
 export const MIN_SILENT_REQUESTS = 3;
 export const MIN_SILENT_UPSTREAMS = 2;
