A response over a link that hangs ends only once another way has proved itself

Callers saw streams of two upstreams cut in the same millisecond at one edge, beside a change of the configuration. Once probes found all links of a service silent, the edge ended every attempt that might be repeated. The links stood still and lost nothing; where other edges stood still too, or none could be asked, or retries were used up, the streams had no way to go on and were cut.

Silence is now a reason to send new requests elsewhere. While links hang and requests wait, one upstream is connected to directly and by another edge at the same time, at most twice a second. Only if the other edge is first do waiting requests leave, and each of them only if it has an attempt left, another upstream is free and the budget has a retry, which is taken before. If the own link replies, it was slow and is used again. A response that has begun and then finds no tunnel, or no upstream, while links are lost tries again until its deadline. An attempt that the edge ended itself is not held against its upstream.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -256,6 +256,26 @@
   readonly known: number;
   /** Number of upstreams that were probed for this decision. */
   readonly probed: number;
+  /** Time for which nothing had arrived from the service, ms. */
+  readonly silentMs: number;
+}
+
+/** This edge looked for a way around links that hang, by other edges. */
+export interface BypassJudged {
+  readonly event: 'bypass-judged';
+  readonly service: string;
+  /** Whether another edge connected to an upstream before this one could. */
+  readonly bypass: boolean;
+  /** Whether this edge could connect to the upstream meanwhile. */
+  readonly reachable: boolean;
+  /** Time since the loss of the links was found, ms. */
+  readonly lostMs: number;
+  /** Time for which nothing had arrived from the service, ms. */
+  readonly silentMs: number;
+  /** Time until other edges had replied, ms. */
+  readonly tookMs: number;
+  /** Number of requests that wait for responses of the service. */
+  readonly waiting: number;
 }
 
 /** A request for a tunnel to an upstream through another edge was answered. */
@@ -771,6 +791,7 @@
   | UpstreamCrashed
   | UpstreamHealthChanged
   | UpstreamLimitChanged
+  | BypassJudged
   | UpstreamLinksChanged
   | UpstreamRestarted
   | UpstreamStatusChanged
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -228,12 +228,23 @@
       pool: this.pool,
       random,
     });
+    const tunnelClient = new TunnelClient({
+      clock,
+      link,
+      log,
+      metrics: this.metrics,
+      otherEdges: () => this.knownBoxes.peers,
+      random,
+      regions,
+      self,
+    });
     this.directLinks = new DirectLinks({
       clock,
       log,
       metrics: this.metrics,
       pool: this.pool,
       probe: probeListener,
+      probeByOthers: (upstream) => tunnelClient.isReachable(upstream),
       random,
     });
     this.quarantine = new RequestQuarantine({
@@ -339,16 +350,7 @@
       clock,
       directLinks: this.directLinks,
       drainMs: parts.drainMs,
-      tunnelClient: new TunnelClient({
-        clock,
-        link,
-        log,
-        metrics: this.metrics,
-        otherEdges: () => this.knownBoxes.peers,
-        random,
-        regions,
-        self,
-      }),
+      tunnelClient,
       linkBudget: new RegionLinkBudget({
         clock,
         countEdges: () => this.knownBoxes.regionEdgeCount,
--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -19,11 +19,14 @@
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {DirectLinks} from '../../tunnels/DirectLinks';
 import {
+  BYPASS_CHECK_INTERVAL_MS,
+  BYPASS_CHECK_TIMEOUT_MS,
   MAX_SILENCE_MS,
   PROBE_INTERVAL_MS,
   SILENCE_CHECK_INTERVAL_MS,
   UNREACHABLE_BACKOFF_MS,
   VERIFICATION_INTERVAL_MS,
+  VERIFICATION_TIMEOUT_MS,
 } from '../../tunnels/TunnelConstants';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {UpstreamPool} from '../../upstreams/UpstreamPool';
@@ -40,6 +43,11 @@
   /** Hosts that can't be reached. */
   readonly unreachable = new Set<string>();
   failedState: ListenerState = LISTENER_STATE.refused;
+  /** Whether other edges can connect to upstreams. */
+  isReachedByOthers = false;
+  /** Time that probes take by the own links, and by other edges, ms. */
+  roundTripMs = 0;
+  roundTripByOthersMs = 0;
   probeCount = 0;
   readonly links: DirectLinks;
 
@@ -54,16 +62,45 @@
       log: this.log,
       metrics: new EdgeMetrics(),
       pool: this.pool,
-      probe: async (host) => {
-        this.probeCount += 1;
-        return this.unreachable.has(host)
-          ? this.failedState
-          : LISTENER_STATE.listening;
-      },
+      probe: (host, _, timeoutMs) => this.probe(host, timeoutMs),
+      probeByOthers: () => this.probeByOthers(),
       random: new Random(1),
     });
   }
 
+  private async probe(
+    host: string,
+    timeoutMs = Infinity,
+  ): Promise<ListenerState> {
+    this.probeCount += 1;
+    if (this.roundTripMs > 0) {
+      await this.clock.sleep(Math.min(timeoutMs, this.roundTripMs));
+    }
+    return this.unreachable.has(host) || this.roundTripMs > timeoutMs
+      ? this.failedState
+      : LISTENER_STATE.listening;
+  }
+
+  private async probeByOthers(): Promise<boolean> {
+    if (this.roundTripByOthersMs > 0) {
+      await this.clock.sleep(this.roundTripByOthersMs);
+    }
+    return this.isReachedByOthers;
+  }
+
+  /** Counts how often requests to a service are told of a way around its links. */
+  countBypasses(service: string): {count: number} & Disposable {
+    const counter = {
+      count: 0,
+      [Symbol.dispose]: () => watch[Symbol.dispose](),
+    };
+    const watch = this.links.watchRequest(service, {
+      onBypass: () => (counter.count += 1),
+      onHang: () => undefined,
+    });
+    return counter;
+  }
+
   upstreams(service: string): readonly EdgeUpstream[] {
     return this.pool.servingUpstreams(service);
   }
@@ -92,12 +129,20 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     const disposed = this.links[Symbol.asyncDispose]();
-    await this.clock.advance(1);
+    await this.clock.advance(BYPASS_CHECK_TIMEOUT_MS);
     await disposed;
     this.pool[Symbol.dispose]();
   }
 }
 
+/** Lets each step be handled before the next one. */
+async function advanceInSteps(clock: ManualClock, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += PROBE_INTERVAL_MS) {
+    await clock.advance(PROBE_INTERVAL_MS);
+    await settleTasks();
+  }
+}
+
 describe('DirectLinks', () => {
   test('uses tunnels to all upstreams once none of a few responds', async () => {
     await using fixture = new LinksFixture();
@@ -179,15 +224,47 @@
       fixture.failedState = state;
       fixture.cut(engines);
       let endedCount = 0;
-      using _listener = fixture.links.watchRequest(
-        'engines',
-        () => (endedCount += 1),
-      );
+      using _listener = fixture.links.watchRequest('engines', {
+        onBypass: () => undefined,
+        onHang: () => (endedCount += 1),
+      });
       await fixture.failConnect(engines[0], cause);
       expect(endedCount).toBe(ended);
     },
   );
 
+  /** Guards against responses that are ended although no other way is better. */
+  test('reports a way around links that hang once another edge has connected', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.failedState = LISTENER_STATE.unknown;
+    fixture.cut(engines);
+    using bypasses = fixture.countBypasses('engines');
+    await fixture.failConnect(engines[0], CONNECT_TIMEOUT);
+    await advanceInSteps(fixture.clock, 5 * BYPASS_CHECK_INTERVAL_MS);
+    expect(fixture.links.areLost('engines')).toBe(true);
+    expect(bypasses.count).toBe(0);
+    fixture.isReachedByOthers = true;
+    await advanceInSteps(fixture.clock, 2 * BYPASS_CHECK_INTERVAL_MS);
+    expect(bypasses.count).toBeGreaterThan(0);
+  });
+
+  test('reports no way around links that are as slow by other edges', async () => {
+    await using fixture = new LinksFixture();
+    const engines = fixture.upstreams('engines');
+    fixture.failedState = LISTENER_STATE.unknown;
+    fixture.isReachedByOthers = true;
+    fixture.roundTripMs = 3 * VERIFICATION_TIMEOUT_MS;
+    fixture.roundTripByOthersMs = fixture.roundTripMs + 1;
+    using bypasses = fixture.countBypasses('engines');
+    await fixture.failConnect(engines[0], CONNECT_TIMEOUT);
+    await fixture.clock.advance(VERIFICATION_TIMEOUT_MS);
+    expect(fixture.links.areLost('engines')).toBe(true);
+    await advanceInSteps(fixture.clock, 2 * fixture.roundTripMs);
+    expect(bypasses.count).toBe(0);
+    expect(fixture.links.areLost('engines')).toBe(false);
+  });
+
   test('goes on with attempts at a single upstream that is silent', async () => {
     await using fixture = new LinksFixture();
     const address = '10.0.1.1:80';
@@ -199,10 +276,10 @@
     fixture.failedState = LISTENER_STATE.unknown;
     fixture.cut(single);
     let endedCount = 0;
-    using _listener = fixture.links.watchRequest(
-      'single',
-      () => (endedCount += 1),
-    );
+    using _listener = fixture.links.watchRequest('single', {
+      onBypass: () => (endedCount += 1),
+      onHang: () => (endedCount += 1),
+    });
     await fixture.failConnect(single[0], CONNECT_TIMEOUT);
     expect(fixture.links.areLost('single')).toBe(true);
     expect(endedCount).toBe(0);
@@ -213,7 +290,10 @@
     const engines = fixture.upstreams('engines');
     await fixture.clock.advance(5_000);
     fixture.cut(engines);
-    using _listener = fixture.links.watchRequest('engines', () => undefined);
+    using _listener = fixture.links.watchRequest('engines', {
+      onBypass: () => undefined,
+      onHang: () => undefined,
+    });
     for (const engine of engines) {
       engine.inFlight = 1;
     }
--- /dev/null
+++ b/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
@@ -0,0 +1,157 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Guards against responses that are ended because links hang, with no better way. */
+import type {ServerResponse} from 'node:http';
+
+import {RETRY_POLICY} from 'puffinturn-fleet';
+
+import {RetryBudgets} from '../../requests/RetryBudgets';
+import type {LinkListener} from '../../tunnels/ServiceLinks';
+import type {CallerResponse} from '../utils/ForwardingFixture';
+import {
+  createRoute,
+  ForwardingFixture,
+  TestUpstream,
+  waitUntil,
+} from '../utils/ForwardingFixture';
+
+const FIRST_EVENT = 'id: 1\ndata: one\n\n';
+const SECOND_EVENT = 'id: 2\ndata: two\n\n';
+const WHOLE_STREAM = FIRST_EVENT + SECOND_EVENT;
+/** Time after which a response that was ended would have ended, ms. */
+const OBSERVATION_MS = 100;
+
+const RETRY_LIMIT = {extra: 10, ratio: 0.2};
+
+const ROUTE = createRoute('stream', {
+  maxAttempts: 2,
+  repetition: RETRY_POLICY.resumable,
+  streams: true,
+});
+
+/** A stream that has begun over a link that hangs. */
+class HangingStream implements AsyncDisposable {
+  /** Responses that have not ended, in the order of their begin. */
+  readonly responses: ServerResponse[] = [];
+  isLost = false;
+  private readonly upstreams: TestUpstream[] = [];
+  private readonly listeners = new Set<LinkListener>();
+  private edge: ForwardingFixture | undefined;
+
+  async start(upstreamCount: number, mayRetry = true): Promise<void> {
+    this.edge = await ForwardingFixture.start([ROUTE], ({directLinks}) => ({
+      directLinks: Object.assign(directLinks, {
+        areLost: () => this.isLost,
+        needsTunnel: () => this.isLost,
+        watchRequest: (_: string, listener: LinkListener) => {
+          this.listeners.add(listener);
+          return {[Symbol.dispose]: () => this.listeners.delete(listener)};
+        },
+      }),
+      retryBudgets: Object.assign(new RetryBudgets(RETRY_LIMIT, () => 1), {
+        tryConsume: () => mayRetry,
+      }),
+    }));
+    for (let index = 0; index < upstreamCount; index += 1) {
+      const upstream = await TestUpstream.start(`u${index}`);
+      this.upstreams.push(upstream);
+      upstream.handler = (incoming, response) => {
+        response.setHeader('Content-Type', 'text/event-stream');
+        const isResumed = incoming.headers['x-last-event'] === '1';
+        response.write(isResumed ? SECOND_EVENT : FIRST_EVENT);
+        this.responses.push(response);
+      };
+    }
+    const records = this.upstreams.map((upstream) => upstream.record());
+    this.edge.pool.merge(records, 'test');
+  }
+
+  async send(): Promise<Promise<CallerResponse>[]> {
+    const {edge} = this;
+    const pending = edge === undefined ? [] : [edge.sendRequest('stream')];
+    await waitUntil(() => this.responses.length === 1);
+    await waitUntil(() => (edge?.receivedBytes ?? 0) > 0);
+    return pending;
+  }
+
+  hang(): void {
+    this.listeners.forEach((listener) => listener.onHang());
+  }
+
+  findBypass(): void {
+    this.listeners.forEach((listener) => listener.onBypass());
+  }
+
+  /** Lets the first response complete as if the link had gone on. */
+  async goOn(): Promise<void> {
+    await delay(OBSERVATION_MS);
+    this.responses[0]?.end(SECOND_EVENT);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.edge?.[Symbol.asyncDispose]();
+    for (const upstream of this.upstreams) {
+      await upstream[Symbol.asyncDispose]();
+    }
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+describe('A response that has begun over a link that hangs', () => {
+  test('goes on when the link does, while no other way is known', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.hang();
+    await stream.goOn();
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect(stream.responses).toHaveLength(1);
+  });
+
+  test('is continued by another upstream once there is another way', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.hang();
+    stream.findBypass();
+    await waitUntil(() => stream.responses.length === 2);
+    stream.responses[1]?.end();
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+  });
+
+  test.each([
+    ['no other upstream', 1, true],
+    ['no retry left', 2, false],
+  ])('goes on if there is %s', async (_, upstreams, mayRetry) => {
+    await using stream = new HangingStream();
+    await stream.start(upstreams, mayRetry);
+    const [response] = await stream.send();
+    stream.findBypass();
+    await stream.goOn();
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect(stream.responses).toHaveLength(1);
+  });
+
+  test('waits for the links if the other way is gone before its next attempt', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.isLost = true;
+    stream.findBypass();
+    await delay(OBSERVATION_MS);
+    stream.isLost = false;
+    await waitUntil(() => stream.responses.length === 2);
+    stream.responses[1]?.end();
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+  });
+});
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -223,6 +223,7 @@
       metrics,
       pool: this.pool,
       probe: probeListener,
+      probeByOthers: async () => false,
       random,
     });
     this.quarantine = new RequestQuarantine({
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -104,19 +104,25 @@
     this.exchange.abort(cause);
   }
 
-  /**
-   * Aborts the attempt because the direct link to the upstream hangs, if the request was
-   * not sent yet or may be sent again.
-   */
-  abandonLink(isRepeatable: boolean): void {
+  /** Whether a direct connection is in use over which the request may have been sent. */
+  get dependsOnLink(): boolean {
+    const {hasConnected, isDirect} = this.exchange;
+    return isDirect && hasConnected;
+  }
+
+  /** Aborts the attempt if its request was not sent yet, as the direct link hangs. */
+  abortConnecting(): void {
     const {hasConnected, isDirect} = this.exchange;
     if (isDirect && !hasConnected) {
       this.exchange.abort(CONNECT_TIMEOUT);
-    } else if (isDirect && isRepeatable) {
-      this.exchange.abort(LINK_LOST);
     }
   }
 
+  /** Aborts the attempt because the direct link hangs and there is another way. */
+  abandonLink(): void {
+    this.exchange.abort(LINK_LOST);
+  }
+
   private recordSent(isFailing: boolean): void {
     const {linkBudget, recoveryProbes, metrics} = this.parts;
     const {body, plan} = this.params;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -113,6 +113,9 @@
 /** Longest host and path in the log, characters. */
 const MAX_LOGGED_TARGET_LENGTH = 80;
 
+/** Time between attempts to continue a response while no way leads to its service, ms. */
+const LOST_LINK_RETRY_INTERVAL_MS = 250;
+
 /** Minimum time before the deadline for one more attempt, ms. */
 const MIN_REMAINING_MS = 10;
 
@@ -136,6 +139,10 @@
   /** Events that were relayed before the current attempt. */
   private eventsBefore = 0;
   private unsentCount = 0;
+  /** Whether this edge ended the last attempt because its link hangs. */
+  private hasLeftLink = false;
+  /** Whether the next attempt was taken from the retry budget before. */
+  private isRetryPaid = false;
   private mayHaveRun = false;
   private readonly stream: RequestStream;
   private readonly identity: RequestIdentity;
@@ -338,15 +345,14 @@
   }
 
   private async forward(plan: RequestPlan): Promise<void> {
-    const {parts, triedUpstreams} = this;
+    const {parts} = this;
     while (!this.requestOutcome.hasEnded && this.passesQuarantine(plan)) {
-      const traits: RequestTraits = {
-        bodyBytes: this.body.length,
-        deniedUpstreams: this.deniedUpstreams,
-        isLeastUrgent: this.table.isLeastUrgent(plan.route),
-        streamVersion: this.stream.version,
-      };
-      const placement = selectUpstream(parts, plan, triedUpstreams, traits);
+      const traits = this.traitsOf(plan);
+      const placement = this.selectPlacement(plan);
+      if (placement === undefined && this.mayAwaitLink(plan)) {
+        await this.awaitLink();
+        continue;
+      }
       if (placement === undefined) {
         const {cause, retryAfterS} = explainNoUpstream(parts, plan, traits);
         this.requestOutcome.fail(cause, this.mayHaveRun, retryAfterS);
@@ -370,15 +376,30 @@
     }
   }
 
+  private traitsOf({route}: RequestPlan): RequestTraits {
+    return {
+      bodyBytes: this.body.length,
+      deniedUpstreams: this.deniedUpstreams,
+      isLeastUrgent: this.table.isLeastUrgent(route),
+      streamVersion: this.stream.version,
+    };
+  }
+
+  /** Selects the upstream of the next attempt; undefined if none is left. */
+  private selectPlacement(plan: RequestPlan): Placement | undefined {
+    const {parts, triedUpstreams} = this;
+    return selectUpstream(parts, plan, triedUpstreams, this.traitsOf(plan));
+  }
+
   /** Makes one attempt. Returns true when the request has ended. */
   private async tryUpstream(
     plan: RequestPlan,
     placement: Placement,
   ): Promise<boolean> {
-    using _linkLost = this.parts.directLinks.watchRequest(
-      plan.service.name,
-      () => this.onLinkLost(plan.route),
-    );
+    using _watch = this.parts.directLinks.watchRequest(plan.service.name, {
+      onBypass: () => this.onBypass(plan),
+      onHang: () => this.currentAttempt?.abortConnecting(),
+    });
     const outcome = await this.startAttempt(plan, placement);
     return await this.handleOutcome(plan, placement.upstream, outcome);
   }
@@ -417,6 +438,9 @@
   /** Takes a retry from the budget of the service, except for the first attempt. */
   private consumeRetryBudget({service}: RequestPlan): boolean {
     const {retryBudgets} = this.parts;
+    if (this.isRetryPaid) {
+      return true;
+    }
     if (this.attemptCount === 0) {
       if (this.unsentCount === 0) {
         retryBudgets.recordRequest(service.name);
@@ -432,6 +456,8 @@
   ): Promise<ExchangeOutcome> {
     const {body, caller, relay, table} = this;
     const {upstream} = placement;
+    this.hasLeftLink = false;
+    this.isRetryPaid = false;
     this.lastUpstream = upstream;
     this.lastRecordAgeMs = upstream.recordAgeMs;
     this.stateAgeMs = this.parts.stateAgeMs();
@@ -486,6 +512,13 @@
       }
       case 'unsent':
         this.attemptCount -= 1;
+        if (this.mayAwaitLink(plan)) {
+          this.logFailedAttempt(plan, upstream, outcome.cause, true, true);
+          this.isRetryPaid = true;
+          this.triedUpstreams.delete(upstream);
+          await this.awaitLink();
+          return this.requestOutcome.hasEnded;
+        }
         this.unsentCount += 1;
         if (outcome.blame === UNSENT_BLAME.noHelper) {
           // Every other upstream would need a tunnel too.
@@ -501,6 +534,21 @@
     }
   }
 
+  /** Whether a response that has begun may go on once the links are back. */
+  private mayAwaitLink({service}: RequestPlan): boolean {
+    return (
+      !this.requestOutcome.hasEnded &&
+      this.relay?.hasStarted === true &&
+      this.parts.directLinks.areLost(service.name)
+    );
+  }
+
+  /** Waits before the next attempt to continue a response. */
+  private async awaitLink(): Promise<void> {
+    this.deniedUpstreams.clear();
+    await this.parts.clock.sleep(LOST_LINK_RETRY_INTERVAL_MS);
+  }
+
   private recordSuccess(plan: RequestPlan, status: number): void {
     if (status < MIN_SERVER_ERROR_STATUS) {
       this.parts.quarantine.recordSuccess(this.getFingerprint(plan));
@@ -513,6 +561,9 @@
     upstream: EdgeUpstream,
     cause: string,
   ): void {
+    if (this.hasLeftLink) {
+      return;
+    }
     if (!this.parts.directLinks.areLost(plan.service.name)) {
       upstream.recordFailure(cause);
     }
@@ -549,20 +600,21 @@
     cause: string,
     wasNotRun: boolean,
   ): boolean {
-    const {route} = plan;
-    const isRepeatable = wasNotRun || route.repetition !== RETRY_POLICY.never;
-    const willRetry =
-      !this.requestOutcome.hasEnded &&
-      isRepeatable &&
-      this.canContinueResponse(route) &&
-      this.attemptCount < route.maxAttempts &&
-      this.unsentCount < MAX_CONNECT_FAILURES &&
-      // If one more crash would quarantine the request, a retry could crash an upstream.
-      // Without such retries, a crashing request ends four of eight upstreams, not five.
-      (wasNotRun ||
-        !this.parts.quarantine.isOneCrashFromQuarantine(
-          this.getFeatures(plan),
-        ));
+    const willRetry = this.mayRetry(plan, wasNotRun);
+    this.logFailedAttempt(plan, upstream, cause, wasNotRun, willRetry);
+    if (!willRetry && !this.requestOutcome.hasEnded) {
+      this.requestOutcome.fail(cause, this.mayHaveRun);
+    }
+    return !willRetry;
+  }
+
+  private logFailedAttempt(
+    plan: RequestPlan,
+    upstream: EdgeUpstream,
+    cause: string,
+    wasNotRun: boolean,
+    willRetry: boolean,
+  ): void {
     this.parts.log.note({
       cause,
       configuration: this.table.version,
@@ -578,10 +630,23 @@
       upstream: upstream.id,
       upstreamAgeMs: this.lastRecordAgeMs,
     });
-    if (!willRetry && !this.requestOutcome.hasEnded) {
-      this.requestOutcome.fail(cause, this.mayHaveRun);
-    }
-    return !willRetry;
+  }
+
+  /** Whether one more attempt is allowed after one that failed. */
+  private mayRetry(plan: RequestPlan, wasNotRun: boolean): boolean {
+    const {route} = plan;
+    const isRepeatable = wasNotRun || route.repetition !== RETRY_POLICY.never;
+    return (
+      !this.requestOutcome.hasEnded &&
+      isRepeatable &&
+      this.canContinueResponse(route) &&
+      this.attemptCount < route.maxAttempts &&
+      this.unsentCount < MAX_CONNECT_FAILURES &&
+      // If one more crash would quarantine the request, a retry could crash an upstream.
+      // Without such retries, a crashing request ends four of eight upstreams, not five.
+      (wasNotRun ||
+        !this.parts.quarantine.isOneCrashFromQuarantine(this.getFeatures(plan)))
+    );
   }
 
   /** Whether another upstream can continue the response that the caller has so far. */
@@ -734,12 +799,21 @@
   }
 
   /**
-   * Ends an attempt over a link that hangs, if the request may be sent again. Any other
-   * one goes on, as the upstream may still respond when the link is back.
+   * Ends an attempt over a link that hangs if the request can be sent on another way at
+   * once. Any other one goes on, as the upstream may still respond when the link is back.
    */
-  private onLinkLost({repetition}: Route): void {
-    const isRepeatable = repetition !== RETRY_POLICY.never;
-    this.currentAttempt?.abandonLink(isRepeatable);
+  private onBypass(plan: RequestPlan): void {
+    const attempt = this.currentAttempt;
+    if (
+      attempt?.dependsOnLink === true &&
+      this.mayRetry(plan, false) &&
+      this.selectPlacement(plan) !== undefined &&
+      this.parts.retryBudgets.tryConsume(plan.service.name)
+    ) {
+      this.hasLeftLink = true;
+      this.isRetryPaid = true;
+      attempt.abandonLink();
+    }
   }
 
   // End of the request
--- a/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/DirectLinks.ts
@@ -16,7 +16,7 @@
 import {CONNECT_TIMEOUT, UNSENT_BLAME} from '../connections/Exchange';
 import type {EdgeMetrics} from '../EdgeMetrics';
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
-import type {ServiceLinksParts} from './ServiceLinks';
+import type {LinkListener, ServiceLinksParts} from './ServiceLinks';
 import {ServiceLinks} from './ServiceLinks';
 import {
   PROBE_INTERVAL_MS,
@@ -106,13 +106,13 @@
   }
 
   /**
-   * Takes note that a request is sent to a service, and calls `listener` when all links to
-   * it are found to hang, unless the result is disposed before. What was sent just before
+   * Takes note that a request is sent to a service, and tells `listener` what becomes of
+   * the links to it, unless the result is disposed before. What was sent just before a hang
    * may never arrive.
    */
-  watchRequest(service: string, listener: () => void): Disposable {
+  watchRequest(service: string, listener: LinkListener): Disposable {
     this.linksUsed.notify();
-    return this.linksOf(service).onHang(listener);
+    return this.linksOf(service).watch(listener);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -161,11 +161,20 @@
         return;
       }
       await this.verifySuspected();
+      this.startBypassChecks();
       await Promise.all(probing.map((links) => links.probeNext()));
       metrics.lostLinks.set(this.lostCount);
     }
   }
 
+  private startBypassChecks(): void {
+    for (const links of this.byService.values()) {
+      if (links.isBypassCheckDue) {
+        this.tasks.start(() => links.checkBypass());
+      }
+    }
+  }
+
   /** Verifies services after a failure; the loss of one makes all others suspect. */
   private async verifySuspected(): Promise<void> {
     const due = [...this.byService.values()].filter(
--- a/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -14,12 +14,13 @@
 import type {ListenerState} from 'puffinturn-quarantine';
 import {LISTENER_STATE} from 'puffinturn-quarantine';
 import type {Clock, Random} from 'shared';
-import {Condition} from 'shared';
 
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {UpstreamPool} from '../upstreams/UpstreamPool';
 import {isSilenceTelling, SilenceDetector} from './SilenceDetector';
 import {
+  BYPASS_CHECK_INTERVAL_MS,
+  BYPASS_CHECK_TIMEOUT_MS,
   VERIFICATION_INTERVAL_MS,
   VERIFICATION_PROBES,
   VERIFICATION_TIMEOUT_MS,
@@ -32,9 +33,24 @@
   timeoutMs?: number,
 ) => Promise<ListenerState>;
 
+/** Lets other edges connect to an upstream; resolves to whether one of them could. */
+export type RemoteProbe = (upstream: EdgeUpstream) => Promise<boolean>;
+
+/** Callbacks of a request that was sent to a service. */
+export interface LinkListener {
+  /** Called when all links are found to hang. They may go on later with all they hold. */
+  onHang(): void;
+  /**
+   * Called when another edge has connected to an upstream of the service faster than this
+   * edge could, while all links hang.
+   */
+  onBypass(): void;
+}
+
 /** Dependencies of ServiceLinks. */
 export interface ServiceLinksParts {
   readonly clock: Clock;
+  readonly probeByOthers: RemoteProbe;
   readonly log: DecisionLog;
   readonly pool: UpstreamPool;
   readonly probe: LinkProbe;
@@ -46,7 +62,12 @@
   /** Upstreams that are reached through other edges until a probe succeeds. */
   private readonly lostUpstreams = new Set<EdgeUpstream>();
   private readonly silenceDetector: SilenceDetector;
-  private readonly hangDetected = new Condition();
+  /** Requests that were sent to the service and have not ended. */
+  private readonly listeners = new Set<LinkListener>();
+  /** Whether the links were lost without any reply, so that open connections may hang. */
+  private isHanging = false;
+  private lastBypassCheckAt = -Infinity;
+  private isCheckingBypass = false;
   /** When the loss of all links was found, monotonic ms; undefined if they are not. */
   private lostSince: number | undefined;
   private lastVerificationAt = -Infinity;
@@ -85,6 +106,18 @@
     return this.isVerificationPending && elapsedMs >= VERIFICATION_INTERVAL_MS;
   }
 
+  /** Whether requests wait on links that hang, and no way around these was looked for. */
+  get isBypassCheckDue(): boolean {
+    const elapsedMs = this.parts.clock.now() - this.lastBypassCheckAt;
+    return (
+      this.areLost &&
+      this.isHanging &&
+      !this.isCheckingBypass &&
+      this.listeners.size > 0 &&
+      elapsedMs >= BYPASS_CHECK_INTERVAL_MS
+    );
+  }
+
   /** Whether an upstream is reached through other edges only. */
   isLost(upstream: EdgeUpstream): boolean {
     return this.areLost || this.lostUpstreams.has(upstream);
@@ -115,9 +148,10 @@
     this.lostUpstreams.delete(upstream);
   }
 
-  /** Calls `listener` when all links are found to hang, unless disposed before. */
-  onHang(listener: () => void): Disposable {
-    return this.hangDetected.onNext(listener);
+  /** Tells `listener` what becomes of the links until the result is disposed. */
+  watch(listener: LinkListener): Disposable {
+    this.listeners.add(listener);
+    return {[Symbol.dispose]: () => void this.listeners.delete(listener)};
   }
 
   /** Probes a few upstreams at once; if none responds, all links are lost. */
@@ -153,6 +187,39 @@
     }
   }
 
+  /**
+   * Compares the way by another edge with the own link, to one upstream and at the same
+   * time. A link that is only slow delays the request for a tunnel just as much, so that
+   * the first reply tells whether another edge is the better way.
+   */
+  async checkBypass(): Promise<void> {
+    const {clock, probe, probeByOthers} = this.parts;
+    const [upstream] = this.lostUpstreams;
+    if (upstream === undefined) {
+      return;
+    }
+    const startedAt = clock.now();
+    this.lastBypassCheckAt = startedAt;
+    this.isCheckingBypass = true;
+    let isReached = false;
+    const {host, port} = upstream;
+    const own = probe(host, port, BYPASS_CHECK_TIMEOUT_MS).then((state) => {
+      isReached = state === LISTENER_STATE.listening;
+    });
+    const isReachedByOthers = await probeByOthers(upstream);
+    const isBypass = isReachedByOthers && !isReached && this.areLost;
+    this.logBypass(isBypass, isReached, startedAt);
+    if (isBypass) {
+      [...this.listeners].forEach((listener) => listener.onBypass());
+    }
+    await own;
+    this.isCheckingBypass = false;
+    if (isReached) {
+      this.lostUpstreams.delete(upstream);
+      this.endLoss();
+    }
+  }
+
   /** Draws a few upstreams at random. */
   private sample(upstreams: readonly EdgeUpstream[]): EdgeUpstream[] {
     const {random} = this.parts;
@@ -181,8 +248,9 @@
     }
     this.logChange(states.length);
     // A single upstream may be silent for a moment and go on with what it has.
-    if (isHang && states.length > 1) {
-      this.hangDetected.notify();
+    this.isHanging = isHang && states.length > 1;
+    if (this.isHanging) {
+      [...this.listeners].forEach((listener) => listener.onHang());
     }
   }
 
@@ -202,6 +270,25 @@
     }
   }
 
+  private logBypass(
+    isBypass: boolean,
+    isReached: boolean,
+    startedAt: number,
+  ): void {
+    const {clock, log} = this.parts;
+    const now = clock.now();
+    log.note({
+      bypass: isBypass,
+      event: 'bypass-judged',
+      lostMs: Math.round(now - (this.lostSince ?? now)),
+      reachable: isReached,
+      service: this.service,
+      silentMs: Math.round(this.silenceDetector.silenceMs),
+      tookMs: Math.round(now - startedAt),
+      waiting: this.listeners.size,
+    });
+  }
+
   private logChange(probed: number, lostMs?: number): void {
     const {log, pool} = this.parts;
     log.note({
@@ -212,6 +299,7 @@
       probed,
       reachable: !this.areLost,
       service: this.service,
+      silentMs: Math.round(this.silenceDetector.silenceMs),
     });
   }
 }
--- a/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelClient.ts
@@ -48,6 +48,9 @@
 /** How a request for a tunnel ended. */
 type HelperOutcome = TunnelReply['outcome'] | typeof NO_REPLY;
 
+/** Stands for the ID of a request where a tunnel is opened for none. */
+const LINK_CHECK = 'link-check';
+
 /** Dependencies of TunnelClient. */
 export interface TunnelClientParts {
   readonly self: BoxRecord;
@@ -130,6 +133,12 @@
       : END_EVIDENCE.unknown;
   }
 
+  /** Whether another edge can connect to an upstream. */
+  async isReachable(upstream: EdgeUpstream): Promise<boolean> {
+    const evidence = await this.probe(upstream, LINK_CHECK);
+    return evidence === END_EVIDENCE.listening;
+  }
+
   /** The edge of this region with the fewest tunnels of this one. */
   private chooseHelper(asked: ReadonlySet<string>): BoxRecord | undefined {
     const {clock, otherEdges, random, regions, self} = this.parts;
--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -52,6 +52,16 @@
  */
 export const VERIFICATION_TIMEOUT_MS = 250;
 
+/** Minimum time between two searches for a way around links that hang, ms. */
+export const BYPASS_CHECK_INTERVAL_MS = 500;
+
+/**
+ * Time for the own link to reply while other edges are asked, ms; as long as all that are
+ * asked may take together.
+ */
+export const BYPASS_CHECK_TIMEOUT_MS =
+  MAX_HELPERS_PER_REQUEST * TUNNEL_OPEN_TIMEOUT_MS;
+
 /** Interval at which the edge checks whether anything arrives from upstreams, ms. */
 export const SILENCE_CHECK_INTERVAL_MS = 50;
 
