--- a/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelConstants.ts
@@ -52,9 +52,25 @@
  */
 export const VERIFICATION_TIMEOUT_MS = 250;
 
+/** Minimum time between two searches for a way around links that hang, ms. */
+export const BYPASS_CHECK_INTERVAL_MS = 500;
+
+/**
+ * Time for the own link to reply while other edges are asked, ms; as long as all that are
+ * asked may take together.
+ */
+export const BYPASS_CHECK_TIMEOUT_MS =
+  MAX_HELPERS_PER_REQUEST * TUNNEL_OPEN_TIMEOUT_MS;
+
 /** Interval at which the edge checks whether anything arrives from upstreams, ms. */
 export const SILENCE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Longest time between two checks that counts as silence, ms. A check that is later was
+ * delayed by this edge itself, which read nothing meanwhile.
+ */
+export const MAX_SILENCE_STEP_MS = 2 * SILENCE_CHECK_INTERVAL_MS;
+
 /** Requests in flight, and upstreams that have them, from which silence is suspicious. */
 export const MIN_SILENT_REQUESTS = 3;
 export const MIN_SILENT_UPSTREAMS = 2;
