Configurations and changes are sent compressed, packed once for all boxes

Callers saw answers cut beside a change of the configuration by some 1,400 routes: the links of edges, and the control box that they prefer, were busy with it for seconds.

Cause: the reply to a watch request held the change as plain CBOR, with all field names: 283 KB for 1,400 routes. The control box encoded it anew for each edge (26 to 32 ms of a core each), and the edges of a hall share one control box: 22 edges took it some 0.7 s of a core.

Change: a requester says that it accepts packed updates; the control box then sends the change, or the whole configuration, deflated, and packs it once per base version. Routes and teams are encoded in parts of 32, and the receiver decodes and hashes one part per iteration of its event loop; the update is applied in one step when it is complete. Requesters and responders of older software versions go on with the plain fields in both directions.

--- a/packages/puffinturn-fleet/src/ConfigurationDigest.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationDigest.ts
@@ -30,7 +30,8 @@
   });
 }
 
-function hashItem(item: object): number {
+/** Hash of a route, team or service, or of the limits; computed once for each object. */
+export function hashItem(item: object): number {
   return hashOnce(item, () => hash32(JSON.stringify(item)));
 }
 
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -97,6 +97,11 @@
    * responder replies without delay. Older software versions omit it.
    */
   readonly hearsLeader?: boolean | undefined;
+  /**
+   * Whether the reply may have `packedUpdate` in place of `configuration` and
+   * `configurationChange`. Older software versions omit it.
+   */
+  readonly acceptsPacked?: boolean | undefined;
 }
 
 /** Updates since the last reply. */
@@ -107,6 +112,8 @@
   readonly configuration: FleetConfiguration | undefined;
   /** The difference between the requester's configuration and a newer one. */
   readonly configurationChange: ConfigurationChange | undefined;
+  /** What `packUpdate` returned; only to requesters that accept it. */
+  readonly packedUpdate?: Uint8Array | undefined;
   /** Evacuations newer than the requester's revision. */
   readonly evacuations: Evacuations | undefined;
   /** Rollouts newer than the requester's revision. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -11,6 +11,7 @@
  * polled; the others are on standby until one of these is unreachable or knows no leader.
  * Unreachable ones are retried, and the state received from them stays valid.
  */
+import {okAsync, ResultAsync} from 'neverthrow';
 import type {DecisionLog} from 'puffinturn-decisions';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
@@ -30,6 +31,8 @@
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE, FLEET_SERVICE} from './FleetMessages';
 import type {FleetUpdateHandler} from './FleetUpdateHandler';
+import type {UnpackFailure} from './PackedUpdate';
+import {unpackUpdate} from './PackedUpdate';
 import {Regions} from './Regions';
 import {roundAge, StateFreshness} from './StateFreshness';
 import {StateRenewal} from './StateRenewal';
@@ -316,10 +319,11 @@
         request,
         this.timing.pollTimeoutMs(request.waitMs, peer.failedPolls),
       )
+      .andThen((reply) => unpackReply(reply as WatchReply))
       .map((reply) => {
         if (number > peer.appliedPoll && !this.tasks.isAborted) {
           peer.appliedPoll = number;
-          this.handleReply(peer, reply as WatchReply, sentAt);
+          this.handleReply(peer, reply, sentAt);
         }
       })
       .match(
@@ -351,6 +355,7 @@
     const {updateHandler, self} = this.parts;
     const brief = this.isBrief(peer);
     return {
+      acceptsPacked: true,
       boxesRevision: peer.boxesRevision,
       brief,
       configurationVersion: brief
@@ -523,6 +528,19 @@
   }
 }
 
+/** Unpacks the configuration of a reply, if it has a packed one. */
+function unpackReply(
+  reply: WatchReply,
+): ResultAsync<WatchReply, UnpackFailure> {
+  const {packedUpdate} = reply;
+  return packedUpdate === undefined || packedUpdate === null
+    ? okAsync(reply)
+    : new ResultAsync(unpackUpdate(packedUpdate)).map((update) => ({
+        ...reply,
+        ...update,
+      }));
+}
+
 /** Longest time for which the responder may have had its configuration, ms. */
 function configurationDelayMs(
   {heldMs = 0, heldVersionMs}: WatchReply,
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -31,6 +31,11 @@
   configurationChange: undefined,
 } as const;
 
+type ConfigurationFields = Pick<
+  WatchReply,
+  'configuration' | 'configurationChange' | 'packedUpdate'
+>;
+
 /** Constructor arguments of WatchReplies. */
 export interface WatchAnswersParts {
   readonly self: BoxRecord;
@@ -165,11 +170,8 @@
         ? this.parts.watchingBoxes
         : this.parts.allBoxes;
     const includesBoxes = !request.brief && boxList.revision > boxesRevision;
-    const configuration = request.brief
-      ? NO_CONFIGURATION_UPDATE
-      : this.configurationFor(request.configurationVersion);
     return {
-      ...configuration,
+      ...this.configurationFor(request),
       boxes: includesBoxes ? boxList.changedSince(boxesRevision) : undefined,
       boxesRevision: request.brief ? boxesRevision : boxList.revision,
       current,
@@ -188,17 +190,20 @@
     };
   }
 
-  private configurationFor(
-    version: number,
-  ): Pick<WatchReply, 'configuration' | 'configurationChange'> {
+  private configurationFor(request: WatchRequest): ConfigurationFields {
     const configuration = this.parts.machine.storedConfiguration?.configuration;
-    if (configuration === undefined || configuration.version <= version) {
+    const {acceptsPacked, brief, configurationVersion} = request;
+    const isNewer =
+      (configuration?.version ?? -Infinity) > configurationVersion;
+    if (brief || configuration === undefined || !isNewer) {
       return NO_CONFIGURATION_UPDATE;
     }
     this.history.add(configuration);
-    const configurationChange = this.history.changeSince(version);
-    return configurationChange === undefined
-      ? {configuration, configurationChange: undefined}
-      : {configuration: undefined, configurationChange};
+    return acceptsPacked === true
+      ? {
+          ...NO_CONFIGURATION_UPDATE,
+          packedUpdate: this.history.packedSince(configurationVersion),
+        }
+      : this.history.updateSince(configurationVersion);
   }
 }
--- a/packages/puffinturn-wire/src/MemoryNetwork.ts
+++ b/packages/puffinturn-wire/src/MemoryNetwork.ts
@@ -29,6 +29,14 @@
   readonly maxMs: number;
 }
 
+/** What a box receives over a link of limited bandwidth. */
+interface NarrowLink {
+  readonly bytesPerMs: number;
+  /** When all that was sent so far has arrived, ms. */
+  busyUntil: number;
+  receivedBytes: number;
+}
+
 /** Connects the links of all boxes in a test. */
 export class MemoryNetwork {
   /** Each message gets a random delay in this range, so messages may be reordered. */
@@ -40,6 +48,8 @@
   private readonly stalledRoutes = new Set<string>();
   /** Additional delay by route, ms. */
   private readonly slowRoutes = new Map<string, number>();
+  /** Links of boxes with a limited bandwidth. */
+  private readonly narrowLinks = new Map<string, NarrowLink>();
   /** Connections by caller and callee. */
   private readonly connections = new Map<string, SimulatedConnection>();
   private readonly healed = new Condition();
@@ -96,6 +106,22 @@
     this.slowRoutes.set(`${other}>${box}`, delayMs);
   }
 
+  /**
+   * Limits the bytes that a box receives from all others together. Messages take their time
+   * one after the other, also those that the box no longer waits for.
+   */
+  limitBandwidth(box: string, bytesPerMs: number): void {
+    this.narrowLinks.set(box, {
+      ...(this.narrowLinks.get(box) ?? {busyUntil: 0, receivedBytes: 0}),
+      bytesPerMs,
+    });
+  }
+
+  /** Bytes of the bodies that were sent to a box since its bandwidth was limited. */
+  receivedBytes(box: string): number {
+    return this.narrowLinks.get(box)?.receivedBytes ?? 0;
+  }
+
   /**
    * Loses all messages on the open connections over which a box calls others, without a
    * reset. New connections work.
@@ -241,14 +267,18 @@
     if (target === undefined) {
       return undefined;
     }
+    await this.transmit(to, bytes.length);
     await target.waitUntilRunning();
     if (this.links.get(to) !== target) {
       return undefined;
     }
     const handling = target.receive(service, decoder.decode(bytes), from);
     const result = await handling.then(
-      (value) =>
-        ok<unknown, LinkFailure>(decoder.decode(encoder.encode(value))),
+      async (value) => {
+        const reply = encoder.encode(value);
+        await this.transmit(from, reply.length);
+        return ok<unknown, LinkFailure>(decoder.decode(reply));
+      },
       (error) =>
         err<unknown, LinkFailure>({
           kind: 'peer-failed',
@@ -265,6 +295,19 @@
     return isDelivered && this.links.get(from) === link ? result : undefined;
   }
 
+  /** Waits until a box has received a message, if its bandwidth is limited. */
+  private async transmit(to: string, bytes: number): Promise<void> {
+    const narrowLink = this.narrowLinks.get(to);
+    if (narrowLink === undefined) {
+      return;
+    }
+    const now = this.clock.now();
+    const startsAt = Math.max(now, narrowLink.busyUntil);
+    narrowLink.busyUntil = startsAt + bytes / narrowLink.bytesPerMs;
+    narrowLink.receivedBytes += bytes;
+    await this.clock.sleep(narrowLink.busyUntil - now);
+  }
+
   private async sleepForDelay(): Promise<void> {
     const {maxMs, minMs} = this.delayRange;
     const fraction = this.random.fraction();
