Bytes of a reply that is still being received show that a connection works

Callers saw links of edges stand still beside a large change of the configuration: replies that take longer than the time-out of a poll were sent again over a new connection, and filled the link for longer.

Cause: TcpLink dates a connection by its last complete frame. While a large reply is being received over a full link, the connection counts as silent: a call that times out closes it, which fails all other calls on it and throws away what has arrived, and a renewal replaces it.

Change: a connection is dated by the last bytes that were received on it.

Evidence: TcpLink.test.ts, a reply of 500 KB over a proxy that forwards 10 KB every 20 ms, with a time-out of 300 ms and another call behind it: before, the other call has no answer, as the connection is closed (1 of 11 fails); after, it is answered over the same connection (11 of 11).

--- a/packages/puffinturn-wire/src/Connection.ts
+++ b/packages/puffinturn-wire/src/Connection.ts
@@ -11,6 +11,7 @@
 
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
+import type {Clock} from 'shared';
 
 import type {FrameFailure} from './Frame';
 import {encodeFrame, FrameReader} from './Frame';
@@ -26,7 +27,14 @@
   /** Authenticated name of the peer; empty before the handshake. */
   peer = '';
 
-  constructor(readonly socket: Socket) {
+  /** Time at which bytes were last received, ms; at first that of its creation. */
+  lastReadAt: number;
+
+  constructor(
+    readonly socket: Socket,
+    private readonly clock: Clock,
+  ) {
+    this.lastReadAt = clock.now();
     socket.setNoDelay(true);
     this.chunks = socket[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
   }
@@ -63,6 +71,7 @@
       if (next.done === true) {
         return undefined;
       }
+      this.lastReadAt = this.clock.now();
       const values = this.frameReader.push(next.value);
       if (values.isErr()) {
         this.socket.destroy();
--- a/packages/puffinturn-wire/src/TcpLink.ts
+++ b/packages/puffinturn-wire/src/TcpLink.ts
@@ -72,8 +72,6 @@
 interface PeerConnection {
   readonly connection: Connection;
   readonly pendingCalls: Map<number, CompleteCall>;
-  /** Time of the last frame, or of the handshake. */
-  lastFrameAt: number;
   /** Whether it is closed as soon as no call is in flight. */
   isRetired: boolean;
 }
@@ -252,22 +250,23 @@
   /**
    * Replaces a connection on which a call had no reply, as TCP may take long to notice that
    * it is dead. It is closed if nothing came since the call, and otherwise, if it has been
-   * quiet since then, left to the calls in flight.
+   * quiet since then, left to the calls in flight. Over a full link, a reply that is still
+   * being received shows that the connection works.
    */
   private replaceIfSilent(
     box: string,
     peerConnection: PeerConnection,
     calledAt: number,
   ): void {
-    if (peerConnection.lastFrameAt <= calledAt) {
+    if (peerConnection.connection.lastReadAt <= calledAt) {
       this.closeConnection(box, peerConnection);
     } else if (this.isQuiet(peerConnection, SUSPECT_AFTER_QUIET_MS)) {
       this.retireConnection(box, peerConnection);
     }
   }
 
-  private isQuiet({lastFrameAt}: PeerConnection, ms: number): boolean {
-    return this.parts.clock.now() - lastFrameAt >= ms;
+  private isQuiet({connection}: PeerConnection, ms: number): boolean {
+    return this.parts.clock.now() - connection.lastReadAt >= ms;
   }
 
   /** Leaves a dial that takes long to the calls that wait for it; the next call dials anew. */
@@ -374,13 +373,12 @@
       connection,
       pendingCalls: new Map(),
       isRetired: false,
-      lastFrameAt: this.parts.clock.now(),
     };
   }
 
   private trackConnection(socket: Socket): Connection {
     this.sockets.add(socket);
-    const connection = new Connection(socket);
+    const connection = new Connection(socket, this.parts.clock);
     this.connections.add(connection);
     socket.on('close', () => {
       this.sockets.delete(socket);
@@ -404,7 +402,6 @@
       if (frame === undefined) {
         break;
       }
-      peerConnection.lastFrameAt = this.parts.clock.now();
       pendingCalls.get(frame.id)?.(frame);
     }
     this.closeConnection(box, peerConnection);
--- a/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
+++ b/packages/puffinturn-wire/src/__tests__/unit/TcpLink.test.ts
@@ -40,10 +40,17 @@
   return opened.value;
 }
 
-/** A TCP proxy that can stop forwarding on its open connections. */
+/** Bytes that a narrow proxy forwards at a time, and the interval, ms. */
+const NARROW_CHUNK_BYTES = 10_000;
+const NARROW_INTERVAL_MS = 20;
+
+/** A TCP proxy that can stop forwarding on its open connections, or forward slowly. */
 class ForwardingProxy implements AsyncDisposable {
   private readonly server = createServer((socket) => this.forward(socket));
   private readonly sockets: Socket[] = [];
+  private readonly timers: NodeJS.Timeout[] = [];
+  /** Whether new connections forward what the target sends slowly. */
+  isNarrow = false;
 
   constructor(private readonly target: Address) {}
 
@@ -68,6 +75,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.timers.forEach((timer) => clearInterval(timer));
     this.sockets.forEach((socket) => socket.destroy());
     this.server.close();
   }
@@ -76,10 +84,23 @@
     const to = connect(this.target.port, this.target.host);
     this.sockets.push(from, to);
     from.on('data', (bytes) => to.write(bytes));
-    to.on('data', (bytes) => from.write(bytes));
+    const sendBack = this.isNarrow
+      ? this.createNarrowSender(from)
+      : (bytes: Buffer) => void from.write(bytes);
+    to.on('data', sendBack);
     from.on('error', () => undefined);
     to.on('error', () => undefined);
   }
+
+  private createNarrowSender(to: Socket): (bytes: Buffer) => void {
+    let queued = Buffer.alloc(0);
+    const sendSome = (): void => {
+      to.write(queued.subarray(0, NARROW_CHUNK_BYTES));
+      queued = queued.subarray(NARROW_CHUNK_BYTES);
+    };
+    this.timers.push(setInterval(sendSome, NARROW_INTERVAL_MS));
+    return (bytes) => void (queued = Buffer.concat([queued, bytes]));
+  }
 }
 
 describe('TcpLink', () => {
@@ -135,6 +156,26 @@
     expect(again._unsafeUnwrap()).toBe(3);
   });
 
+  // The same bytes would be sent again over the next connection, and fill the link for longer.
+  test('keeps a connection while a large reply is being received', async () => {
+    const addresses = new Map<string, Address>();
+    await using b = await openLink('b', addresses);
+    b.register('echo', async (body) => body);
+    b.register('large', async () => 'x'.repeat(50 * NARROW_CHUNK_BYTES));
+    await using proxy = new ForwardingProxy({host: '127.0.0.1', port: b.port});
+    proxy.isNarrow = true;
+    addresses.set('b', await proxy.listen());
+    await using a = await openLink('a', new Map([...addresses]));
+    await a.call('b', 'echo', 1, 10_000);
+    const large = a.call('b', 'large', null, 15 * NARROW_INTERVAL_MS);
+    const behind = a.call('b', 'echo', 2, 10_000);
+    expect((await large)._unsafeUnwrapErr().kind).toBe('no-answer');
+    a.renewConnection('b', 10 * NARROW_INTERVAL_MS);
+    expect((await behind)._unsafeUnwrap()).toBe(2);
+    expect((await a.call('b', 'echo', 3, 10_000))._unsafeUnwrap()).toBe(3);
+    expect(proxy.connectionCount).toBe(1);
+  });
+
   test('uses a new connection after a renewal and keeps the calls in flight', async () => {
     const addresses = new Map<string, Address>();
     await using b = await openLink('b', addresses);
