The list of versions is a lease: a new version begins streams once no list without it counts

Callers that resumed their streams at an edge out of step got the rest of the text from another version: the edge had lost the core a second before, a version appeared, its streams began elsewhere, broke and came to this edge, whose list of one version still looked current.

Cause: StreamVersions took a list that was confirmed within the bound of the deployment (2 s) for current. A confirmation says which versions there were, not which there are. Beyond the bound, replies of any edge confirmed the list of an unnamed stream, and two candidates that missed a named one; both may have lost the core together with this edge.

Now the list is a lease of 1.25 s from the confirmation by a quorum, and streams that callers can resume begin at a version only after it has been listed for 2.5 s: the lease, a suspension of 1 s that isn't seen, and 0.25 s for clocks. The confirmation was given before the version was stored, so its lease ends before the first stream begins. A reply of a control box that withholds a newer list doesn't renew the lease; after a suspension neither do replies to requests sent before it.

Two tests change with the rule, and are as strict: without a lease a reply alone no longer confirms a list (StreamVersions.test.ts), and a lookup without a name tells the share of edges that replied (ControlOrigins.test.ts).

Cost: a release's resumable streams stay at the former version for 2.5 s; where that has left at the same time they are refused so long. stream-matched tells the revision of the list, its age and the share of edges that confirmed it.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -140,7 +140,10 @@
   readonly known: readonly string[];
   /** Those that a control box replied with; undefined if none did. */
   readonly confirmed: readonly string[] | undefined;
-  /** Age of the state of this edge, ms; undefined before it was confirmed. */
+  /** Share of the edges that told their lists of versions; undefined if none was asked. */
+  readonly listShare: number | undefined;
+  /** Revision of the list of versions of this edge, and time since it was confirmed, ms. */
+  readonly revision: number | undefined;
   readonly stateAgeMs: number | undefined;
   readonly tookMs: number;
 }
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -209,15 +209,15 @@
       ...peerParts,
       controlBoxes: () => this.fleetWatch.controlAddresses,
       lifetimeMs: () => this.streamLifetimeMs,
+      hasVersionLease: () => this.streamVersions.hasLease,
       versionsRevision: () => this.pool.versions.revision,
     });
     this.streamVersions = new StreamVersions({
       clock,
       log,
-      maxStateAgeMs: parts.applyBoundMs,
       metrics: this.metrics,
       origins: this.streamOrigins,
-      stateAgeMs: () => this.fleetWatch.freshness.upstreamsAgeMs,
+      stateAgeMs: () => this.fleetWatch.freshness.versionsAgeMs,
       versions: this.pool.versions,
     });
     // Must exist before the fleet watch, which reads the rollout revision at once.
@@ -650,7 +650,7 @@
           evacuations: this.pool.evacuations,
           quarantine: this.quarantine.current,
           rollouts: this.exposureController.rollouts,
-          versions: this.pool.versions.registered,
+          versions: this.pool.versions.handedOver,
           upstreams: this.pool.records(),
         };
   }
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -10,7 +10,7 @@
 
 import {InMemoryDecisionLog, RESUMPTION_OUTCOME} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
-import {RETRY_POLICY, UPSTREAM_STATE} from 'puffinturn-fleet';
+import {RETRY_POLICY, UPSTREAM_STATE, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {KeyedOrigin, Lookup, OriginQuery} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
 import {ManualClock} from 'shared';
@@ -26,7 +26,6 @@
 import {createRoute, TestProtocol} from '../utils/ForwardingFixture';
 
 const LIFETIME_MS = 30_000;
-const MAX_STATE_AGE_MS = 2_000;
 const ROUTE = createRoute('stream', {
   repetition: RETRY_POLICY.resumable,
   streams: true,
@@ -80,7 +79,6 @@
   readonly streams = new StreamVersions({
     clock: this.clock,
     log: this.log,
-    maxStateAgeMs: MAX_STATE_AGE_MS,
     metrics: new EdgeMetrics(),
     origins: {
       find: async (query) => {
@@ -241,18 +239,23 @@
     fixture.register('v1');
     expect(await fixture.resolve(UNNAMED)).toBe('s v1');
     expect(fixture.queries).toEqual([]);
-    fixture.stateAgeMs = MAX_STATE_AGE_MS;
+    fixture.stateAgeMs = VERSION_LEASE_MS;
     fixture.lookup = {kind: LOOKUP.unknown};
-    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+    expect(await fixture.resolve(UNNAMED)).toBe('refused');
     expect(fixture.queries).toHaveLength(1);
+    fixture.lookup = {kind: LOOKUP.unknown, listShare: 1};
+    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
   });
 
   test('goes on by an old list only if enough boxes have run since', async () => {
     const fixture = new Fixture();
     fixture.register('v1');
-    fixture.stateAgeMs = MAX_STATE_AGE_MS;
+    fixture.stateAgeMs = VERSION_LEASE_MS;
+    fixture.lookup = {kind: LOOKUP.absent, listShare: 0.5};
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {kind: LOOKUP.absent, listShare: 0.6};
     expect(await fixture.resolve()).toBe('s v1');
-    expect(fixture.queries.at(-1)?.unsureMs).toBe(MAX_STATE_AGE_MS);
+    expect(fixture.queries.at(-1)?.unsureMs).toBe(VERSION_LEASE_MS);
     fixture.lookup = {kind: LOOKUP.unknown};
     expect(await fixture.resolve()).toBe('refused');
   });
@@ -262,7 +265,7 @@
     async (caller) => {
       const fixture = new Fixture();
       fixture.register('v1');
-      fixture.stateAgeMs = MAX_STATE_AGE_MS;
+      fixture.stateAgeMs = VERSION_LEASE_MS;
       fixture.lookup = {kind: LOOKUP.unreachable};
       expect(await fixture.resolve(caller)).toBe('refused');
       fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 2};
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -303,12 +303,12 @@
       streamVersions: new StreamVersions({
         clock,
         log,
-        maxStateAgeMs: 2_000,
         metrics,
         origins: new StreamOrigins({
           areInSameRegion: () => true,
           clock,
           controlBoxes: () => [],
+          hasVersionLease: () => true,
           lifetimeMs: () => 30_000,
           link: new UnreachableLink(),
           peers: () => NO_PEERS,
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -12,7 +12,7 @@
 import type {DecisionLog, ResumptionOutcome} from 'puffinturn-decisions';
 import {RESUMPTION_OUTCOME} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
-import {RETRY_POLICY, roundAge} from 'puffinturn-fleet';
+import {RETRY_POLICY, roundAge, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {Lookup, MissedOrigin, StreamOrigins} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
 import type {Clock} from 'shared';
@@ -25,6 +25,9 @@
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {VersionHistory} from './VersionHistory';
 
+/** Share of the edges whose lists together don't confirm that a version is the only one. */
+const MAX_UNSURE_LIST_SHARE = 0.5;
+
 /** Dependencies of StreamVersions. */
 export interface StreamVersionsParts {
   readonly clock: Clock;
@@ -37,8 +40,6 @@
   readonly versions: VersionHistory;
   /** Time since the known versions were confirmed, ms; Infinity if they never were. */
   readonly stateAgeMs: () => number;
-  /** Age below which the known versions count as current, ms. */
-  readonly maxStateAgeMs: number;
 }
 
 /** Where a stream that a caller resumes may go on. */
@@ -88,7 +89,9 @@
       event: 'stream-matched',
       known: versions.recentVersions(plan.service.name),
       lastEventId: caller.lastEventId,
+      listShare: missedOrigin(lookup)?.listShare,
       lookup: lookup?.kind,
+      revision: versions.registered?.revision,
       outcome,
       request: caller.id,
       service: resumption?.service ?? plan.service.name,
@@ -156,8 +159,7 @@
       unsureMs: this.unsureMs(plan),
     });
     if (lookup.kind !== LOOKUP.found) {
-      const isAbsent = lookup.kind === LOOKUP.absent;
-      return this.matchWithoutOrigin(plan, lookup, isAbsent);
+      return this.matchUnrecorded(plan, lookup);
     }
     const {service, version} = lookup.origin;
     return servicesOf(plan.route).has(service)
@@ -180,8 +182,8 @@
     if (isSplit(plan.route)) {
       return unknownMatch(undefined);
     }
-    if (this.isFresh) {
-      const sole = versions.soleVersion(service);
+    if (this.hasLease) {
+      const sole = versions.soleRegisteredVersion(service);
       return sole === undefined
         ? unknownMatch(undefined)
         : soleMatch(undefined, service, sole);
@@ -191,8 +193,37 @@
     if (lookup.kind === LOOKUP.found) {
       return unknownMatch(lookup);
     }
-    const hasReply = lookup.kind !== LOOKUP.unreachable;
-    return this.matchWithoutOrigin(plan, lookup, hasReply);
+    const {listShare = 0} = lookup;
+    return this.matchWithoutOrigin(plan, lookup, listShare >= 1);
+  }
+
+  /**
+   * Matches a stream that its caller names and no box has recorded. Where the list here may be
+   * old, other edges confirm it: boxes that are cut off miss the origins of new versions.
+   */
+  private async matchUnrecorded(
+    plan: RequestPlan,
+    lookup: MissedOrigin,
+  ): Promise<Match> {
+    const isAbsent = lookup.kind === LOOKUP.absent;
+    if (!isAbsent || this.hasLease || lookup.versions !== undefined) {
+      return this.matchWithoutOrigin(plan, lookup, isAbsent);
+    }
+    const lists = await this.parts.origins.find({
+      key: undefined,
+      service: plan.service.name,
+      unsureMs: this.unsureMs(plan),
+    });
+    if (lists.kind === LOOKUP.found) {
+      return unknownMatch(lists);
+    }
+    const {listShare = 0} = lists;
+    const isConfirmed = listShare > MAX_UNSURE_LIST_SHARE;
+    return this.matchWithoutOrigin(
+      plan,
+      {...lists, kind: lookup.kind},
+      isConfirmed,
+    );
   }
 
   /**
@@ -215,8 +246,8 @@
     if (this.isOutdated(lookup)) {
       return unknownMatch(lookup);
     }
-    const sole = versions.soleVersion(service);
-    if (sole !== undefined && (isTrusted || this.isFresh)) {
+    const sole = versions.soleRegisteredVersion(service);
+    if (sole !== undefined && (isTrusted || this.hasLease)) {
       return soleMatch(lookup, service, sole);
     }
     // Other edges would have replicated a stream that began after the next version.
@@ -248,16 +279,15 @@
       : unknownMatch(lookup);
   }
 
-  /** Whether the versions known here are confirmed so lately that they count as current. */
-  private get isFresh(): boolean {
-    const {maxStateAgeMs, stateAgeMs} = this.parts;
-    return stateAgeMs() < maxStateAgeMs;
+  /** Whether no version that isn't on the list here can have begun streams yet. */
+  get hasLease(): boolean {
+    return this.parts.stateAgeMs() < VERSION_LEASE_MS;
   }
 
   /** How long ago a stream that is not recorded may have begun at a version unknown here, ms. */
   private unsureMs({service}: RequestPlan): number {
     const {stateAgeMs, versions} = this.parts;
-    return versions.soleVersion(service.name) === undefined
+    return versions.soleRegisteredVersion(service.name) === undefined
       ? Infinity
       : stateAgeMs();
   }
@@ -272,9 +302,11 @@
 function confirmedVersions(
   lookup: Lookup | undefined,
 ): readonly string[] | undefined {
-  return lookup === undefined || lookup.kind === LOOKUP.found
-    ? undefined
-    : lookup.versions;
+  return missedOrigin(lookup)?.versions;
+}
+
+function missedOrigin(lookup: Lookup | undefined): MissedOrigin | undefined {
+  return lookup?.kind === LOOKUP.found ? undefined : lookup;
 }
 
 function soleMatch(
--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -10,7 +10,11 @@
  * knows: those on the replicated list, and those that only its list of upstreams names.
  */
 import type {RegisteredVersions, UpstreamRecord} from 'puffinturn-fleet';
-import {UPSTREAM_STATE, upstreamVersion} from 'puffinturn-fleet';
+import {
+  UPSTREAM_STATE,
+  upstreamVersion,
+  VERSION_HOLD_MS,
+} from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
 /** When a version of a service was among the upstreams, monotonic ms. */
@@ -35,6 +39,8 @@
   private isConfirmed = false;
   /** When this edge learned of a version on the list, by its number, monotonic ms. */
   private readonly learnedAt = new Map<number, number>();
+  /** Until when a version on the list begins no streams, by its number, monotonic ms. */
+  private readonly heldUntil = new Map<number, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -110,12 +116,63 @@
     return span === undefined ? 0 : this.clock.now() - span.firstSeenAt;
   }
 
+  /** Whether other versions of a service are on the list, and this one is not. */
+  isUnregistered(service: string, version: string): boolean {
+    const registered = this.registeredVersions(service);
+    return (
+      registered.length > 0 &&
+      registered.every((known) => known.version !== version)
+    );
+  }
+
+  /**
+   * Time until a version may begin streams, ms: until then, other boxes may take a list
+   * without it for complete. Infinity if only other versions are on the list.
+   */
+  holdLeftMs(service: string, version: string): number {
+    if (this.isUnregistered(service, version)) {
+      return Infinity;
+    }
+    const known = this.registeredVersions(service).find(
+      (registered) => registered.version === version,
+    );
+    const until = known && this.heldUntil.get(known.number);
+    return Math.max(0, (until ?? -Infinity) - this.clock.now());
+  }
+
   /** The only version of a service; undefined if there are others, none, or if unknown. */
   soleVersion(service: string): string | undefined {
     const [version, ...others] = this.recentVersions(service);
     return this.isConfirmed && others.length === 0 ? version : undefined;
   }
 
+  /** The same if it is on the list; otherwise others may hold a list with another one. */
+  soleRegisteredVersion(service: string): string | undefined {
+    const sole = this.soleVersion(service);
+    return this.registeredVersions(service).some(
+      ({version}) => version === sole,
+    )
+      ? sole
+      : undefined;
+  }
+
+  /** The list for another edge, with the ages of its versions. */
+  get handedOver(): RegisteredVersions | undefined {
+    const now = this.clock.now();
+    return (
+      this.list && {
+        ...this.list,
+        versions: this.list.versions.map((version) => {
+          const until = this.heldUntil.get(version.number) ?? now;
+          return {
+            ...version,
+            ageMs: VERSION_HOLD_MS - Math.max(0, until - now),
+          };
+        }),
+      }
+    );
+  }
+
   /**
    * The only version that a service had until another one was listed, if this edge learned
    * of that within the lifetime of a stream; undefined otherwise.
@@ -139,6 +196,7 @@
     // What the first list names may have been listed for any time.
     const now = this.list === undefined ? -Infinity : this.clock.now();
     const former = new Map(this.learnedAt);
+    this.holdNew(update);
     this.list = update;
     this.learnedAt.clear();
     for (const {number, service, version} of update.versions) {
@@ -150,6 +208,23 @@
     }
   }
 
+  /**
+   * Holds versions that are new on the list. The first one of a service needs none: a list
+   * without it names no version of the service, so nobody could take another one for the only.
+   */
+  private holdNew({versions}: RegisteredVersions): void {
+    const former = new Map(this.heldUntil);
+    this.heldUntil.clear();
+    const now = this.clock.now();
+    for (const {ageMs = 0, number, service} of versions) {
+      const isFirst =
+        this.registeredVersions(service).length === 0 &&
+        versions.find((known) => known.service === service)?.number === number;
+      const until = isFirst ? now : now + VERSION_HOLD_MS - ageMs;
+      this.heldUntil.set(number, former.get(number) ?? until);
+    }
+  }
+
   /** Applies a change, and tells which services have several versions since. */
   private notifyOfSeveral(change: () => void): void {
     const hadOne = this.knownServices.filter(
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -21,6 +21,7 @@
 import type {RequestPlan} from '../requests/RequestPlan';
 import type {ExposureController} from '../rollouts/ExposureController';
 import {upstreamsOfVersion} from '../rollouts/VersionRoles';
+import {upstreamsForBeginning} from '../streams/StreamBeginnings';
 import type {EdgeUpstream} from './EdgeUpstream';
 import type {LoadBalancer, Placement, RegionLink} from './LoadBalancer';
 import type {RecoveryProbes} from './RecoveryProbes';
@@ -93,7 +94,16 @@
   const allowed = allowedUpstreams(deps, plan, all);
   const groups =
     request.streamVersion === undefined
-      ? deps.exposureController.candidateGroups(plan, allowed, tried.size === 0)
+      ? deps.exposureController.candidateGroups(
+          plan,
+          upstreamsForBeginning(
+            deps.pool.versions,
+            plan.route,
+            plan.service.name,
+            allowed,
+          ),
+          tried.size === 0,
+        )
       : [upstreamsForStream(deps, plan, allowed, request.streamVersion)];
   for (const group of groups) {
     const placement = selectFrom(deps, plan, tried, request, group);
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -115,6 +115,8 @@
   readonly quarantine?: Quarantine | undefined;
   /** Registered versions newer than the requester's revision; from boxes that are current. */
   readonly versions?: RegisteredVersions | undefined;
+  /** Revision of the responder's registered versions; older software versions omit it. */
+  readonly versionsRevision?: number | undefined;
   readonly upstreams: readonly UpstreamRecord[];
   readonly upstreamsRevision: number;
   /** The configuration version of the responder; -Infinity without one. */
--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -435,11 +435,7 @@
     this.applyBoxChanges(peer, reply.boxes ?? undefined);
     peer.hasCurrentReply ||= reply.current;
     this.lag.recordVersion(reply.heldVersion, peer.box);
-    this.freshness.recordReply(
-      reply,
-      sentAt,
-      updateHandler.configurationVersion,
-    );
+    this.freshness.recordReply(reply, sentAt, updateHandler);
   }
 
   /** Marks a control box as unhealthy if it knows no leader: it may lack a quorum. */
--- a/packages/puffinturn-fleet/src/StateFreshness.ts
+++ b/packages/puffinturn-fleet/src/StateFreshness.ts
@@ -9,6 +9,13 @@
 
 import type {WatchReply} from './FleetMessages';
 
+/** The state that a box holds. */
+export interface HeldState {
+  readonly configurationVersion: number;
+  /** Revision of the registered versions. */
+  readonly versionsRevision: number;
+}
+
 /** An age or delay for the log, ms; undefined if there is none. */
 export function roundAge(ageMs: number): number | undefined {
   return ageMs < Infinity ? Math.round(ageMs) : undefined;
@@ -22,6 +29,9 @@
 export class StateFreshness {
   private configurationConfirmedAt = -Infinity;
   private upstreamsConfirmedAt = -Infinity;
+  private versionsConfirmedAt = -Infinity;
+  /** Replies to earlier requests do not count, monotonic ms. */
+  private validSince = -Infinity;
 
   constructor(private readonly clock: Clock) {}
 
@@ -35,28 +45,47 @@
     return this.clock.now() - this.upstreamsConfirmedAt;
   }
 
-  /** Age of the older one of both, ms. */
+  /**
+   * Age of the last confirmation of the list of registered versions, ms; Infinity if there is
+   * none. A version that is not on the list was not stored before.
+   */
+  get versionsAgeMs(): number {
+    return this.clock.now() - this.versionsConfirmedAt;
+  }
+
+  /** Age of the older one of configuration and upstreams, ms. */
   get ageMs(): number {
     return Math.max(this.configurationAgeMs, this.upstreamsAgeMs);
   }
 
-  /** Forgets all confirmations. */
+  /** Forgets all confirmations, and those to come by replies that are on their way. */
   invalidate(): void {
     this.configurationConfirmedAt = -Infinity;
     this.upstreamsConfirmedAt = -Infinity;
+    this.versionsConfirmedAt = -Infinity;
+    this.validSince = this.clock.now();
   }
 
   /**
-   * Records a reply that has been applied, to a request sent at `sentAt`. `heldVersion` is
-   * the version of the configuration in force here.
+   * Records a reply that has been applied, to a request sent at `sentAt`. `held` is the state
+   * here, with the reply applied.
    */
-  recordReply(reply: WatchReply, sentAt: number, heldVersion: number): void {
+  recordReply(reply: WatchReply, sentAt: number, held: HeldState): void {
+    if (sentAt < this.validSince) {
+      return;
+    }
     const confirmedAt = this.confirmationTime(reply, sentAt);
+    if (held.versionsRevision >= (reply.versionsRevision ?? Infinity)) {
+      this.versionsConfirmedAt = Math.max(
+        this.versionsConfirmedAt,
+        confirmedAt,
+      );
+    }
     this.upstreamsConfirmedAt = Math.max(
       this.upstreamsConfirmedAt,
       confirmedAt,
     );
-    if (heldVersion >= reply.heldVersion) {
+    if (held.configurationVersion >= reply.heldVersion) {
       this.configurationConfirmedAt = Math.max(
         this.configurationConfirmedAt,
         confirmedAt,
--- a/packages/puffinturn-fleet/src/VersionRegistry.ts
+++ b/packages/puffinturn-fleet/src/VersionRegistry.ts
@@ -17,6 +17,11 @@
   readonly version: string;
   /** Increases with each version that is added to any service. */
   readonly number: number;
+  /**
+   * For how long it has been on the list, at the least, ms; only in messages, and omitted by
+   * older software versions.
+   */
+  readonly ageMs?: number | undefined;
 }
 
 /** All registered versions at one revision; those added first come first. */
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -24,6 +24,7 @@
 import type {Rollouts} from './Rollouts';
 import type {StateConfirmation} from './StateConfirmation';
 import type {UpstreamTable} from './UpstreamTable';
+import {VersionAges} from './VersionLease';
 import type {RegisteredVersions} from './VersionRegistry';
 
 const NO_CONFIGURATION_UPDATE = {
@@ -49,11 +50,14 @@
 /** Builds the replies of a control box to watch requests. */
 export class WatchReplies {
   private readonly history = new ConfigurationHistory();
+  private readonly versionAges: VersionAges;
   private notedVersion = -Infinity;
   /** Time at which this box first had the noted version, ms. */
   private versionNotedAt = 0;
 
-  constructor(private readonly parts: WatchAnswersParts) {}
+  constructor(private readonly parts: WatchAnswersParts) {
+    this.versionAges = new VersionAges(parts.clock);
+  }
 
   /**
    * The leader, if this box hears from it and gets its entries, so that its state follows
@@ -82,9 +86,13 @@
     );
   }
 
-  /** Notes when the current version came; called at the start and after each change. */
+  /**
+   * Notes when the current configuration and registered versions came; called at the start
+   * and after each change.
+   */
   noteVersion(): void {
     const {clock, log, machine} = this.parts;
+    this.versionAges.note(machine.versions.registered);
     const configuration = machine.storedConfiguration?.configuration;
     if (
       configuration === undefined ||
@@ -146,7 +154,7 @@
   }: WatchRequest): RegisteredVersions | undefined {
     const {registered} = this.parts.machine.versions;
     return registered.revision > versionsRevision && this.isUpToDate
-      ? {revision: registered.revision, versions: registered.versions}
+      ? this.versionAges.withAges(registered)
       : undefined;
   }
 
@@ -185,6 +193,7 @@
       upstreams: this.parts.upstreams.changedSince(upstreamsRevision),
       upstreamsRevision: this.parts.upstreams.revision,
       versions: this.newerVersions(request),
+      versionsRevision: this.parts.machine.versions.registered.revision,
     };
   }
 
--- a/packages/puffinturn-fleet/src/__tests__/unit/StateFreshness.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/StateFreshness.test.ts
@@ -11,6 +11,8 @@
 import type {WatchReply} from '../../index';
 import {StateFreshness} from '../../index';
 
+const HELD = {configurationVersion: 1, versionsRevision: 3};
+
 function replyWith(fields: Partial<WatchReply>): WatchReply {
   return {
     boxes: undefined,
@@ -36,7 +38,7 @@
     const sentAt = clock.now();
     await clock.advance(1_200);
     const reply = replyWith({heldMs: 900, stateAgeMs: 150});
-    freshness.recordReply(reply, sentAt, 1);
+    freshness.recordReply(reply, sentAt, HELD);
     // 300 ms on the way, in an unknown direction.
     expect(freshness.ageMs).toBe(450);
     await clock.advance(100);
@@ -47,7 +49,7 @@
     const clock = new ManualClock();
     const freshness = new StateFreshness(clock);
     const reply = replyWith({heldMs: 0, heldVersion: 2, stateAgeMs: 0});
-    freshness.recordReply(reply, clock.now(), 1);
+    freshness.recordReply(reply, clock.now(), HELD);
     expect(freshness.upstreamsAgeMs).toBe(0);
     expect(freshness.configurationAgeMs).toBe(Infinity);
   });
@@ -60,18 +62,45 @@
     freshness.recordReply(
       replyWith({heldMs: 0, stateAgeMs: 0}),
       clock.now(),
-      1,
+      HELD,
     );
-    freshness.recordReply(replyWith({heldMs: 0, stateAgeMs: 0}), sentAt, 1);
+    freshness.recordReply(replyWith({heldMs: 0, stateAgeMs: 0}), sentAt, HELD);
     expect(freshness.ageMs).toBe(0);
   });
 
+  test('does not count the registered versions of a reply that withholds newer ones', async () => {
+    const clock = new ManualClock();
+    const freshness = new StateFreshness(clock);
+    const reply = replyWith({heldMs: 0, stateAgeMs: 0});
+    freshness.recordReply(reply, clock.now(), HELD);
+    expect(freshness.versionsAgeMs).toBe(Infinity);
+    freshness.recordReply({...reply, versionsRevision: 3}, clock.now(), HELD);
+    await clock.advance(100);
+    freshness.recordReply({...reply, versionsRevision: 4}, clock.now(), HELD);
+    expect(freshness.upstreamsAgeMs).toBe(0);
+    expect(freshness.versionsAgeMs).toBe(100);
+  });
+
+  test('does not count replies to requests from before a suspension', async () => {
+    const clock = new ManualClock();
+    const freshness = new StateFreshness(clock);
+    const sentAt = clock.now();
+    await clock.advance(10);
+    freshness.invalidate();
+    const reply = replyWith({heldMs: 0, stateAgeMs: 0, versionsRevision: 3});
+    freshness.recordReply(reply, sentAt, HELD);
+    expect(freshness.ageMs).toBe(Infinity);
+    expect(freshness.versionsAgeMs).toBe(Infinity);
+    freshness.recordReply(reply, clock.now(), HELD);
+    expect(freshness.versionsAgeMs).toBe(0);
+  });
+
   test('takes a reply without an age for recent only if its sender knows a leader', () => {
     const clock = new ManualClock();
     const freshness = new StateFreshness(clock);
-    freshness.recordReply(replyWith({leader: undefined}), clock.now(), 1);
+    freshness.recordReply(replyWith({leader: undefined}), clock.now(), HELD);
     expect(freshness.ageMs).toBe(Infinity);
-    freshness.recordReply(replyWith({}), clock.now(), 1);
+    freshness.recordReply(replyWith({}), clock.now(), HELD);
     expect(freshness.ageMs).toBe(0);
   });
 });
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -123,6 +123,7 @@
   UPSTREAM_STATE,
   UpstreamTable,
 } from './UpstreamTable';
+export {VERSION_HOLD_MS, VERSION_LEASE_MS, VersionAges} from './VersionLease';
 export type {RegisteredVersion, RegisteredVersions} from './VersionRegistry';
 export {VersionRegistry} from './VersionRegistry';
 export {DEFAULT_APPLY_BOUND_MS, WatchTiming} from './WatchTiming';
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -41,6 +41,11 @@
   readonly versions?: readonly string[] | undefined;
   /** The newest revision of the registered versions that any edge replied with. */
   readonly versionsRevision?: number | undefined;
+  /**
+   * Share of the known edges, this one included, that replied with their list of versions; 1
+   * if one of them may take its list for complete. Only for streams without a key.
+   */
+  readonly listShare?: number | undefined;
 }
 
 /** The result of the lookup of an origin. */
--- a/packages/puffinturn-streams/src/ReplicaSelector.ts
+++ b/packages/puffinturn-streams/src/ReplicaSelector.ts
@@ -54,6 +54,12 @@
     return this.regions.map((boxes) => selectFrom(boxes, keyHash));
   }
 
+  /** Returns all boxes of all regions. */
+  get all(): readonly string[] {
+    const {peers, self} = this.parts;
+    return [self, ...peers()].map(({box}) => box);
+  }
+
   private refresh(): void {
     const {areInSameRegion, peers, self} = this.parts;
     const current = peers();
--- a/packages/puffinturn-streams/src/StreamMessages.ts
+++ b/packages/puffinturn-streams/src/StreamMessages.ts
@@ -50,6 +50,8 @@
   readonly completeMs?: number | undefined;
   /** Revision of the registered versions that an edge knows; older versions omit it. */
   readonly versionsRevision?: number | undefined;
+  /** Whether an edge may take that list for complete; older versions omit it. */
+  readonly hasVersionLease?: boolean | undefined;
   /** Sent by a control box that follows the quorum. */
   readonly list?: ServiceVersionList | undefined;
 }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -41,8 +41,10 @@
   /** Known control boxes; reachable ones come first. */
   readonly controlBoxes: () => readonly string[];
   readonly link: Link;
-  /** Revision of the registered versions that this box knows. */
+  /** Revision of the registered versions that this box knows; -Infinity without any. */
   readonly versionsRevision: () => number;
+  /** Whether this box may take its list of versions for complete. */
+  readonly hasVersionLease: () => boolean;
   /** How long origins are kept, ms; longer than a stream is served and resumed. */
   readonly lifetimeMs: () => number;
 }
@@ -55,6 +57,8 @@
   readonly isSure: boolean;
   /** The newest revision of the registered versions in a reply. */
   readonly versionsRevision: number;
+  /** Number of replies with a list of versions. */
+  readonly lists: number;
 }
 
 /** What boxes that were asked once have replied. */
@@ -143,9 +147,12 @@
    * decides, or the first control box that follows the quorum and knows a single version.
    */
   private findElsewhere(query: OriginLookup): Promise<LookupRound> {
-    // Without a key, any boxes can tell which list of versions they know.
-    const {key, service} = query;
-    const regions = this.selector.selectByRegion(key ?? service);
+    const {key} = query;
+    // Without a key, any box may have begun the stream, at a version that only it knows.
+    const regions =
+      key === undefined
+        ? [this.selector.all]
+        : this.selector.selectByRegion(key);
     return new Promise((resolve) => {
       const decide = (lookup: Lookup): void =>
         resolve({isDecided: true, lookup});
@@ -164,7 +171,10 @@
     });
   }
 
-  /** Asks the candidates of one region; calls `onFound` if one has the origin. */
+  /**
+   * Asks the candidates of one region; calls `onFound` if one has the origin, or, for a stream
+   * without a key, a list of versions that is a lease.
+   */
   private async askRegion(
     query: OriginLookup,
     boxes: readonly string[],
@@ -174,7 +184,18 @@
     const neededMs = Math.min(query.unsureMs, lifetimeMs());
     const others = boxes.filter((box) => box !== self.box);
     const isCandidate = others.length < boxes.length;
-    const replies = await askForOrigin(link, others, query, onFound);
+    const replies = await askForOrigin(
+      link,
+      others,
+      query,
+      onFound,
+      ({hasVersionLease, versionsRevision}) => {
+        if (query.key === undefined && hasVersionLease === true) {
+          const kind = LOOKUP.unknown;
+          onFound({kind, listShare: 1, versionsRevision});
+        }
+      },
+    );
     const complete = replies.filter((reply) => isCompleteFor(reply, neededMs));
     const isCompleteHere = isCandidate && this.completeMs >= neededMs;
     const completeCount = complete.length + (isCompleteHere ? 1 : 0);
@@ -182,6 +203,7 @@
       asked: others.length,
       // All candidates but one: the box that serves the stream may be one of them.
       isSure: completeCount >= Math.max(1, boxes.length - 1),
+      lists: replies.filter(hasList).length,
       replies: replies.length,
       versionsRevision: Math.max(
         ...replies.map((reply) => reply.versionsRevision ?? -Infinity),
@@ -190,12 +212,13 @@
   }
 
   private reply({key}: FindRequest): FindReply {
-    const {lifetimeMs, versionsRevision} = this.parts;
+    const {hasVersionLease, lifetimeMs, versionsRevision} = this.parts;
     const entry = key === undefined ? undefined : this.findHere(key);
     const {completeMs} = this;
     return {
       ageMs: entry === undefined ? undefined : this.ageMs(entry),
       completeMs,
+      hasVersionLease: hasVersionLease(),
       isComplete: completeMs >= lifetimeMs(),
       origin: entry?.origin,
       versionsRevision: versionsRevision(),
@@ -300,6 +323,18 @@
   return isComplete || (completeMs ?? 0) >= neededMs;
 }
 
+/** Whether an edge knows which versions are registered. */
+function hasList({versionsRevision = -Infinity}: FindReply): boolean {
+  return versionsRevision > -Infinity;
+}
+
+/** Share of all edges, the asking one included, that replied with a list of versions. */
+function listShare(regions: readonly RegionReplies[]): number {
+  const asked = regions.reduce((sum, region) => sum + region.asked, 0);
+  const lists = regions.reduce((sum, region) => sum + region.lists, 0);
+  return (1 + lists) / (1 + asked);
+}
+
 /** A stream without a key is never absent, as nobody can miss it. */
 function combineReplies(
   {key}: OriginQuery,
@@ -323,6 +358,7 @@
       (key === undefined || isSure || replies === asked),
     lookup: {
       kind,
+      listShare: key === undefined ? listShare(regions) : undefined,
       versions: control.versions,
       versionsRevision: Math.max(...revisions),
     },
--- a/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
@@ -65,6 +65,7 @@
           areInSameRegion: () => true,
           clock,
           controlBoxes: () => CONTROLS,
+          hasVersionLease: () => false,
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(self.box),
           peers: () => EDGES.filter((edge) => edge !== self),
@@ -231,6 +232,7 @@
     fleet.kill(...CONTROLS);
     expect(await fleet.findUnnamed('e1')).toEqual({
       kind: LOOKUP.unknown,
+      listShare: 1,
       versions: undefined,
       versionsRevision: 1,
     });
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -58,6 +58,7 @@
           areInSameRegion,
           clock,
           controlBoxes: () => [],
+          hasVersionLease: () => false,
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(box),
           peers: () => peers,
