Edges don't wait for a body after the heads of 304 and 204

Callers whose upstream answered 304 or 204 with a Content-Length, or 304 with a Transfer-Encoding, got 504 at the time-out of their route. The parser skips the body only where its user says so; HttpConnection said it for HEAD alone, so the edge waited for bytes that never follow. The response now knows from the request's method and its own status that no body follows (RFC 9112, section 6.3).

--- a/packages/puffinturn-edge/src/__tests__/unit/ResponseBodyWriter.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ResponseBodyWriter.test.ts
@@ -22,6 +22,7 @@
 function createSource(calls: string[]): UpstreamResponse {
   return new UpstreamResponse(
     {keepAlive: true, rawHeaders: [], statusCode: 200},
+    'GET',
     {
       pause: () => calls.push('pause'),
       resume: () => calls.push('resume'),
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -175,6 +175,8 @@
 export interface CallerResponse {
   readonly status: number;
   readonly body: string;
+  /** Value of `Content-Length`. */
+  readonly contentLength: string | undefined;
   /** Value of `Retry-After`, s; undefined without the header. */
   readonly retryAfterS: number | undefined;
   /** Whether the response was received completely. */
@@ -385,15 +387,26 @@
     return statuses;
   }
 
-  /** Sends one request to a route. */
-  sendRequest(route: string): Promise<CallerResponse> {
+  /** Sends one request to a route, with an ID of its own by default. */
+  sendRequest(
+    route: string,
+    method = 'GET',
+    id = `q-${this.requestCount + 1}`,
+  ): Promise<CallerResponse> {
     const {port} = this;
     this.requestCount += 1;
-    const headers = {'x-request': `q-${this.requestCount}`};
+    const headers = {'x-request': id};
     const {agent} = this;
     const path = `/${route}/${this.requestCount}`;
     return new Promise((resolve, reject) => {
-      const outgoing = request({agent, headers, host: HOST, path, port});
+      const outgoing = request({
+        agent,
+        headers,
+        host: HOST,
+        method,
+        path,
+        port,
+      });
       outgoing.on('error', reject);
       outgoing.on('response', (response) => {
         const chunks: Buffer[] = [];
@@ -405,6 +418,7 @@
         response.on('close', () =>
           resolve({
             body: Buffer.concat(chunks).toString(),
+            contentLength: response.headers['content-length'],
             retryAfterS: secondsOf(response.headers['retry-after']),
             status: response.statusCode ?? 0,
             isComplete: response.complete,
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -173,11 +173,12 @@
     if (this.listener === undefined || this.isComplete) {
       return false;
     }
-    this.response = new UpstreamResponse(head, this);
+    const response = new UpstreamResponse(head, this.method, this);
+    this.response = response;
     this.mustClose ||= !head.keepAlive;
-    this.keepAliveMs = keepAliveTimeoutOf(this.response);
-    this.listener.onResponse(this.response);
-    return this.method === 'HEAD';
+    this.keepAliveMs = keepAliveTimeoutOf(response);
+    this.listener.onResponse(response);
+    return response.isBodiless;
   }
 
   onBody(chunk: Buffer): void {
--- a/packages/puffinturn-edge/src/connections/ResponseParser.ts
+++ b/packages/puffinturn-edge/src/connections/ResponseParser.ts
@@ -26,7 +26,7 @@
 export interface ResponseEvents {
   /** Called at the first byte of a response. */
   onMessageBegin(): void;
-  /** Called for the head of a response. Returns true if no body follows, as for HEAD. */
+  /** Called for the head of a response. Returns true if no body follows. */
   onHeaders(head: ResponseHead): boolean;
   /** Called for each part of the body. The chunk is a copy that the callee may keep. */
   onBody(chunk: Buffer): void;
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -29,6 +29,9 @@
 /** A value of BODY_FRAMING. */
 export type BodyFraming = (typeof BODY_FRAMING)[keyof typeof BODY_FRAMING];
 
+/** Statuses without a body, also if a length is given (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Callbacks for the body of a response. */
 export interface ResponseReader {
   /** Called for each chunk of the body. */
@@ -58,6 +61,8 @@
   readonly rawHeaders: readonly string[];
   /** By lower-case name; repeated values are joined with commas. */
   readonly headers: Readonly<Record<string, string | undefined>>;
+  /** Whether no body follows the head, whatever length it names. */
+  readonly isBodiless: boolean;
   private reader: ResponseReader | undefined;
   private buffered: Buffer[] = [];
   private isComplete: boolean | undefined;
@@ -69,11 +74,15 @@
   private isCheckingEnd = false;
   private evidence: EndEvidence | undefined;
 
+  /** `method` is that of the request. */
   constructor(
     head: ResponseHead,
+    method: string,
     private readonly source: ResponseSource,
   ) {
     this.statusCode = head.statusCode;
+    this.isBodiless =
+      method === 'HEAD' || BODILESS_STATUSES.has(head.statusCode);
     this.rawHeaders = head.rawHeaders;
     this.headers = headersByName(head.rawHeaders);
   }
