Edges state no length of zero for responses without a body

Callers got Content-Length: 0 with each response to HEAD, with 304 and with 204: the buffered relay stated the number of body bytes it had read. For HEAD and 304 that says that the resource is empty, and 204 may have no such header (RFC 9110, section 8.6). The relay now passes on the length that the upstream stated for HEAD and 304, and states none for 204.

--- a/packages/puffinturn-edge/src/__tests__/unit/BodilessResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BodilessResponses.test.ts
@@ -5,7 +5,10 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Guards against waiting for a body that never follows. */
+/**
+ * Guards against waiting for a body that never follows, and against telling callers a
+ * length of zero for it.
+ */
 import {RetryBudgets} from '../../requests/RetryBudgets';
 import {CutUpstream} from '../utils/CutUpstream';
 import {createRoute, ForwardingFixture} from '../utils/ForwardingFixture';
@@ -15,23 +18,24 @@
 const CHUNKED = 'Transfer-Encoding: chunked\r\n';
 
 const HEADS = [
-  {fields: LENGTH, method: 'HEAD', status: '200 OK'},
-  {fields: CHUNKED, method: 'HEAD', status: '200 OK'},
-  {fields: LENGTH, method: 'GET', status: '304 Not Modified'},
+  {fields: LENGTH, length: '14', method: 'HEAD', status: '200 OK'},
+  {fields: CHUNKED, length: undefined, method: 'HEAD', status: '200 OK'},
+  {fields: LENGTH, length: '14', method: 'GET', status: '304 Not Modified'},
   {
     fields: CHUNKED,
+    length: undefined,
     method: 'GET',
     status: '304 Not Modified',
   },
-  {fields: '', method: 'GET', status: '304 Not Modified'},
-  {fields: LENGTH, method: 'GET', status: '204 No Content'},
-  {fields: '', method: 'GET', status: '204 No Content'},
+  {fields: '', length: undefined, method: 'GET', status: '304 Not Modified'},
+  {fields: LENGTH, length: undefined, method: 'GET', status: '204 No Content'},
+  {fields: '', length: undefined, method: 'GET', status: '204 No Content'},
 ];
 
 describe('A response without a body', () => {
   test.each(HEADS)(
     'arrives at once, on a connection that is reused: $method, $status, $fields',
-    async ({fields, method, status}) => {
+    async ({fields, length, method, status}) => {
       let reuseCount = 0;
       await using upstream = await CutUpstream.start('a', ({earlierIds}) => {
         reuseCount += earlierIds.length;
@@ -47,6 +51,7 @@
       for (let count = 0; count < 2; count += 1) {
         expect(await edge.sendRequest('look', method)).toMatchObject({
           body: '',
+          contentLength: length,
           isComplete: true,
           status: Number.parseInt(status, 10),
         });
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -106,8 +106,9 @@
     discard: boolean,
   ): Promise<RelayOutcome> {
     return new Promise((resolve) => {
+      const {bodilessLength, isBodiless} = response;
       const reader = new BufferedBody(response, this.bodyWriter, (length) =>
-        this.writeHead(response, length),
+        this.writeHead(response, isBodiless ? bodilessLength : length),
       );
       response.setReader({
         onEnd: (isComplete) => {
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -29,8 +29,14 @@
 /** A value of BODY_FRAMING. */
 export type BodyFraming = (typeof BODY_FRAMING)[keyof typeof BODY_FRAMING];
 
+const NO_CONTENT_STATUS = 204;
+const NOT_MODIFIED_STATUS = 304;
+
 /** Statuses without a body, also if a length is given (RFC 9112, section 6.3). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([
+  NO_CONTENT_STATUS,
+  NOT_MODIFIED_STATUS,
+]);
 
 /** Callbacks for the body of a response. */
 export interface ResponseReader {
@@ -141,6 +147,17 @@
       : BODY_FRAMING.length;
   }
 
+  /**
+   * The length to state for a response without a body: what the body for GET would have,
+   * if the upstream states it. With 204 none is allowed (RFC 9110, section 8.6).
+   */
+  get bodilessLength(): number | undefined {
+    const length = this.headers['content-length'];
+    return length === undefined || this.statusCode === NO_CONTENT_STATUS
+      ? undefined
+      : Number(length);
+  }
+
   /** Whether the response has ended, complete or not. */
   get hasEnded(): boolean {
     return this.isComplete !== undefined;
