--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -29,6 +29,15 @@
 /** A value of BODY_FRAMING. */
 export type BodyFraming = (typeof BODY_FRAMING)[keyof typeof BODY_FRAMING];
 
+const NO_CONTENT_STATUS = 204;
+const NOT_MODIFIED_STATUS = 304;
+
+/** Statuses without a body, also if a length is given (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([
+  NO_CONTENT_STATUS,
+  NOT_MODIFIED_STATUS,
+]);
+
 /** Callbacks for the body of a response. */
 export interface ResponseReader {
   /** Called for each chunk of the body. */
@@ -58,6 +67,8 @@
   readonly rawHeaders: readonly string[];
   /** By lower-case name; repeated values are joined with commas. */
   readonly headers: Readonly<Record<string, string | undefined>>;
+  /** Whether no body follows the head, whatever length it names. */
+  readonly isBodiless: boolean;
   private reader: ResponseReader | undefined;
   private buffered: Buffer[] = [];
   private isComplete: boolean | undefined;
@@ -69,11 +80,15 @@
   private isCheckingEnd = false;
   private evidence: EndEvidence | undefined;
 
+  /** `method` is that of the request. */
   constructor(
     head: ResponseHead,
+    method: string,
     private readonly source: ResponseSource,
   ) {
     this.statusCode = head.statusCode;
+    this.isBodiless =
+      method === 'HEAD' || BODILESS_STATUSES.has(head.statusCode);
     this.rawHeaders = head.rawHeaders;
     this.headers = headersByName(head.rawHeaders);
   }
@@ -132,6 +147,17 @@
       : BODY_FRAMING.length;
   }
 
+  /**
+   * The length to state for a response without a body: what the body for GET would have,
+   * if the upstream states it. With 204 none is allowed (RFC 9110, section 8.6).
+   */
+  get bodilessLength(): number | undefined {
+    const length = this.headers['content-length'];
+    return length === undefined || this.statusCode === NO_CONTENT_STATUS
+      ? undefined
+      : Number(length);
+  }
+
   /** Whether the response has ended, complete or not. */
   get hasEnded(): boolean {
     return this.isComplete !== undefined;
