A prompt part that was answered before is quarantined at the fifth crash

Cause: three crashes count as proof for any part. A part that most requests share is there at each crash, whatever the cause is, and only answers between the crashes clear it.

Fix: a part with which an edge remembers an answer from before its crashes is quarantined at the fifth in place of the third. Edges tell of such answers as soon as a part has two crashes, so nothing new is sent. A part that crashes each engine which begins an answer was never answered: for it three crashes count as before. One that turns harmful with a new release is found at the fifth. The way weighed before, crashes at which another part followed count half, would take six for a harmful first part, and is dropped: see docs/design/quarantine.md.

Evidence: two new cases of PromptParts fail before (2 of 25) and pass after; the tests that were there are unchanged and pass (67 with those of the fleet and the edge on quarantines).

--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -8,7 +8,8 @@
 /**
  * Tracks what was in flight when upstreams crashed: requests, by their fingerprints, and
  * parts of prompts that no answer had begun with. Quarantines it after three crashes that
- * were not all simultaneous. What is quarantined is not run for some time. A complete
+ * were not all simultaneous, and a part with which an answer had begun before after five.
+ * What is quarantined is not run for some time. A complete
  * response clears a request, so that crashes with another cause don't quarantine requests
  * that succeed. The first event of an answer clears the parts of its prompt, but only of
  * the crashes before it, as a part may turn harmful later.
@@ -19,6 +20,7 @@
 import {isPartFeature, teamFeaturePrefix} from './PartFeatures';
 import {
   CRASHES_TO_QUARANTINE,
+  CRASHES_TO_QUARANTINE_ANSWERED_PART,
   MAX_EVIDENCE,
   MAX_INCARNATIONS_PER_SUSPECT,
   MAX_QUARANTINED,
@@ -418,7 +420,7 @@
       const {fingerprint, listedAt = Infinity} = suspect;
       if (
         at - listedAt >= PART_CONFIRMATION_MS &&
-        this.countUnexplained(suspect) >= CRASHES_TO_QUARANTINE &&
+        this.countUnexplained(suspect) >= crashesToQuarantine(suspect) &&
         this.concernsEnoughTeams(fingerprint)
       ) {
         proven.unshift(suspect);
@@ -528,6 +530,12 @@
   }
 }
 
+function crashesToQuarantine({wasAnswered}: Suspect): number {
+  return wasAnswered === true
+    ? CRASHES_TO_QUARANTINE_ANSWERED_PART
+    : CRASHES_TO_QUARANTINE;
+}
+
 function isForAll({fingerprint}: Suspect): boolean {
   return teamFeaturePrefix(fingerprint) !== undefined;
 }
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -14,6 +14,13 @@
  */
 export const CRASHES_TO_QUARANTINE = 3;
 
+/**
+ * Number of crashes after which a prompt part is quarantined with which an answer had begun
+ * before. It is then rarely the cause: a part that most requests share is there whatever the
+ * cause is, and its quarantine would refuse most requests.
+ */
+export const CRASHES_TO_QUARANTINE_ANSWERED_PART = 5;
+
 /**
  * Crashes within this time count as simultaneous, ms. Upstreams that lose power
  * together stop within milliseconds, and a request that many callers send is in flight
--- a/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
@@ -100,6 +100,13 @@
     registry.applyReport({answered: [], answeredParts, crashes: []}, at);
   }
 
+  /** Reports an answer of before all crashes, which an edge remembers. */
+  function rememberAnswer(at: number, ...parts: string[]): void {
+    const agoMs = at + SECOND_MS;
+    const answeredParts = parts.map((feature) => ({agoMs, feature}));
+    registry.applyReport({answered: [], answeredParts, crashes: []}, at);
+  }
+
   function crashThrice(...parts: string[]): void {
     for (const turn of [0, 1, 2]) {
       crash(turn * SECOND_MS, ...parts);
@@ -154,6 +161,27 @@
     expect(registry.isQuarantined(forTeam('bad', 't'))).toBe(true);
   });
 
+  test('is not quarantined for three of different causes if most requests share it', () => {
+    crash(0, ...partsOf('t', 'common', 'first'));
+    crash(SECOND_MS, ...partsOf('t', 'common', 'second'));
+    rememberAnswer(SECOND_MS + 100, ...partsOf('t', 'common'));
+    crash(2 * SECOND_MS, ...partsOf('t', 'common', 'third'));
+    registry.update(10 * SECOND_MS);
+    expect(registry.quarantine.fingerprints).toEqual([]);
+  });
+
+  test('is quarantined at the fifth one if it was answered before them', () => {
+    const parts = partsOf('t', 'bad');
+    for (const turn of [0, 1, 2, 3, 4]) {
+      registry.update(turn * SECOND_MS);
+      expect(registry.isQuarantined(forTeam('bad', 't'))).toBe(false);
+      crash(turn * SECOND_MS, ...parts);
+      rememberAnswer(turn * SECOND_MS + 100, ...parts);
+    }
+    registry.update(5 * SECOND_MS);
+    expect(registry.isQuarantined(forTeam('bad', 't'))).toBe(true);
+  });
+
   test('stays quarantined for one team if answers begin with it for another one', () => {
     crashThrice(...partsOf('t', 'part'));
     answer(4 * SECOND_MS, ...partsOf('other', 'part'));
