A late report of an answer counts for quarantined parts as for requests

What callers saw: a harmless part of prompts stayed quarantined, and requests with it were refused for ten minutes, if the report of an answer between its crashes came after the third crash and the time in which others may object. For whole requests this is mended by `firstCrashAt`; parts had none.

Cause: a quarantined part kept its incarnations, not when they crashed, so that only an answer after the last crash could release it.

Fix: the entry of a part keeps the times of its crashes. An answer that began after so many of them that fewer than three are left releases it, as it would not have been quarantined had the report come in time; what is left counts on as for a suspect. Answers before the first crash change nothing, and with three crashes after an answer the part stays quarantined.

Tests: "is released by a late report of an answer between its crashes" fails before (1 of 27). One assertion of "is released by an answer that began after the last crash" held the fault: it reported at the end an answer at the moment of the second of three crashes, and wanted the quarantine to stay. In its place an answer before the crashes must leave it, and a new case wants the quarantine to stay where three crashes follow the answer. 70 tests on quarantines in the packages quarantine, fleet and edge, and the gateway's, pass.

--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -112,6 +112,14 @@
   readonly lives?: readonly string[] | undefined;
   /** Time of the first of the counted crashes, Unix ms; only for requests. */
   readonly firstCrashAt?: number | undefined;
+  /** Times of the crashes of `lives`, Unix ms; only for parts. */
+  readonly moments?: readonly number[] | undefined;
+}
+
+/** Crashes that count for a part: incarnations, and the time of each, Unix ms. */
+interface PartCrashes {
+  readonly lives: readonly string[];
+  readonly moments: readonly number[];
 }
 
 /** The state as stored in a snapshot. */
@@ -203,13 +211,13 @@
     if (!isPartFeature(feature)) {
       return this.disprovesCrashes(feature, at - agoMs);
     }
-    const since = this.quarantined.get(feature)?.since ?? Infinity;
+    const entry = this.quarantined.get(feature);
     const suspect = this.suspects.get(feature);
     const isFirstAnswer = suspect !== undefined && suspect.wasAnswered !== true;
     const moments = suspect?.moments ?? [];
     const answeredAt = at - agoMs;
     return (
-      answeredAt > since ||
+      (entry !== undefined && isDisproved(entry, answeredAt)) ||
       isFirstAnswer ||
       moments.some((moment) => moment <= answeredAt)
     );
@@ -278,7 +286,7 @@
   ): void {
     const entry = this.quarantined.get(fingerprint);
     if (entry !== undefined) {
-      this.addEvidence(entry, incarnation);
+      this.addEvidence(entry, incarnation, at);
       return;
     }
     const existing = this.suspects.get(fingerprint);
@@ -333,11 +341,18 @@
   }
 
   /** Adds a crash to what a quarantined entry explains. */
-  private addEvidence(entry: QuarantineEntry, incarnation: string): void {
-    const {fingerprint, lives = []} = entry;
+  private addEvidence(
+    entry: QuarantineEntry,
+    incarnation: string,
+    at: number,
+  ): void {
+    const {fingerprint, lives = [], moments} = entry;
     if (!lives.includes(incarnation)) {
-      const evidence = [...lives, incarnation].slice(-MAX_EVIDENCE);
-      this.quarantined.set(fingerprint, {...entry, lives: evidence});
+      this.quarantined.set(fingerprint, {
+        ...entry,
+        lives: [...lives, incarnation].slice(-MAX_EVIDENCE),
+        moments: moments && [...moments, at].slice(-MAX_EVIDENCE),
+      });
     }
   }
 
@@ -369,27 +384,35 @@
 
   /** Clears a part of the crashes before an answer began with it. */
   private clearPart(feature: string, answeredAt: number): void {
-    const since = this.quarantined.get(feature)?.since ?? Infinity;
-    if (answeredAt > since) {
+    const entry = this.quarantined.get(feature);
+    if (entry !== undefined && isDisproved(entry, answeredAt)) {
       this.quarantined.delete(feature);
+      this.keepAsSuspect(entry, entry.since, answeredAt);
     }
     const suspect = this.suspects.get(feature);
-    if (suspect === undefined) {
-      return;
+    if (suspect !== undefined) {
+      this.keepAsSuspect(suspect, suspect.listedAt, answeredAt);
     }
-    const kept = suspect.moments
-      .map((at, index) => ({at, life: suspect.lives[index] ?? ''}))
-      .filter(({at}) => at > answeredAt);
-    if (kept.length === 0) {
-      this.suspects.delete(feature);
+  }
+
+  /** Keeps a part as a suspect for its crashes after an answer; drops it without any. */
+  private keepAsSuspect(
+    part: Pick<QuarantineEntry, 'fingerprint' | 'lives' | 'moments'>,
+    listedAt: number | undefined,
+    answeredAt: number,
+  ): void {
+    const {fingerprint} = part;
+    const {lives, moments} = crashesAfter(part, answeredAt);
+    if (moments.length === 0) {
+      this.suspects.delete(fingerprint);
       return;
     }
-    const isListed = kept.length >= CRASHES_TO_QUARANTINE - 1;
-    this.suspects.set(feature, {
-      fingerprint: feature,
-      lives: kept.map(({life}) => life),
-      listedAt: isListed ? suspect.listedAt : undefined,
-      moments: kept.map(({at}) => at),
+    const isListed = moments.length >= CRASHES_TO_QUARANTINE - 1;
+    this.suspects.set(fingerprint, {
+      fingerprint,
+      lives,
+      listedAt: isListed ? listedAt : undefined,
+      moments,
       wasAnswered: true,
     });
   }
@@ -461,13 +484,14 @@
   }
 
   private addToQuarantine(
-    {firstCrashAt, fingerprint, lives}: Omit<QuarantineEntry, 'since'>,
+    {firstCrashAt, fingerprint, lives, moments}: Omit<QuarantineEntry, 'since'>,
     since: number,
   ): void {
     this.quarantined.set(fingerprint, {
       fingerprint,
       firstCrashAt,
       lives,
+      moments: isPartFeature(fingerprint) ? moments : undefined,
       since,
     });
     evictOldest(this.quarantined, MAX_QUARANTINED);
@@ -530,6 +554,33 @@
   }
 }
 
+/** The crashes of a part after an answer had begun with it. */
+function crashesAfter(
+  {lives = [], moments = []}: Partial<PartCrashes>,
+  answeredAt: number,
+): PartCrashes {
+  const kept = moments
+    .map((at, index) => ({at, life: lives[index] ?? ''}))
+    .filter(({at}) => at > answeredAt);
+  return {
+    lives: kept.map(({life}) => life),
+    moments: kept.map(({at}) => at),
+  };
+}
+
+/**
+ * Whether a part would not be quarantined had its answer been reported in time: it began
+ * after the quarantine, or after so many of the crashes that too few are left.
+ */
+function isDisproved(
+  {lives = [], moments = [], since}: QuarantineEntry,
+  answeredAt: number,
+): boolean {
+  const kept = crashesAfter({lives, moments}, answeredAt).moments.length;
+  const hasCleared = kept < moments.length;
+  return answeredAt > since || (hasCleared && kept < CRASHES_TO_QUARANTINE);
+}
+
 function crashesToQuarantine({wasAnswered}: Suspect): number {
   return wasAnswered === true
     ? CRASHES_TO_QUARANTINE_ANSWERED_PART
