Log lines about states of upstreams have a rate of their own

What operators saw: while requests failed in floods the limit of 60 lines a second dropped the lines that say which upstreams leave, so that departures could not be traced from the logs of those very seconds.

Fix: the four events that change whether an upstream may be used (departure-decided, upstream-changed, -restarted, -told) may take up to a third of the limit, 20 lines a second, once the shared rate is used up. The whole stays bounded, and other lines lose nothing.

Test: a new case of DecisionLog fails before (0 of 2 departures written after the limit), all 6 cases pass after.

--- a/packages/puffinturn-decisions/src/DecisionLog.ts
+++ b/packages/puffinturn-decisions/src/DecisionLog.ts
@@ -17,7 +17,7 @@
   readonly box: string;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
-  /** Maximum number of lines per second. */
+  /** Maximum number of lines per second, apart from those about states of upstreams. */
   readonly linesPerSecond: number;
   /** Writes one of this many requests that succeeded at the first attempt. */
   readonly successSampleInterval: number;
@@ -28,6 +28,20 @@
 /** Lines are dropped while this many bytes are buffered for standard output. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/**
+ * Lines about states of upstreams that are written after the limit is reached, as a share of
+ * it. They show which upstreams an edge may use while a fault floods the log.
+ */
+const UPSTREAM_LINES_RATIO = 1 / 3;
+
+/** Events that change whether an upstream may be used. */
+const UPSTREAM_STATE_EVENTS: ReadonlySet<Decision['event']> = new Set([
+  'departure-decided',
+  'upstream-changed',
+  'upstream-restarted',
+  'upstream-told',
+]);
+
 /** Records the decisions of a process. */
 export abstract class DecisionLog {
   abstract note(decision: Decision): void;
@@ -47,22 +61,54 @@
   }
 }
 
+/** Limits a rate of lines; up to one second's lines may come at once. */
+class LineBucket {
+  private available: number;
+  private refilledAt: number;
+
+  constructor(
+    private readonly linesPerSecond: number,
+    private readonly now: () => number,
+  ) {
+    this.available = linesPerSecond;
+    this.refilledAt = now();
+  }
+
+  /** Takes one line; returns false if the rate is exceeded. */
+  tryTake(): boolean {
+    const now = this.now();
+    const refill = ((now - this.refilledAt) * this.linesPerSecond) / 1_000;
+    this.available = Math.min(this.linesPerSecond, this.available + refill);
+    this.refilledAt = now;
+    if (this.available < 1) {
+      return false;
+    }
+    this.available -= 1;
+    return true;
+  }
+}
+
 /**
  * Writes decisions as JSON lines. It samples successful requests and limits the rate
- * of lines by a token bucket; `leftOut` in the next line is the number of lines that
- * the limit dropped. Lines are also dropped while standard output is blocked.
+ * of lines by a token bucket, with another one for states of upstreams; `leftOut` in the
+ * next line is the number of lines that the limit dropped. Lines are also dropped while
+ * standard output is blocked.
  */
 export class JsonDecisionLog extends DecisionLog {
   private readonly logger: Logger;
-  private availableLines: number;
-  private refilledAt: number;
+  private readonly lines: LineBucket;
+  private readonly upstreamLines: LineBucket;
   private successCount = 0;
   private droppedLines = 0;
 
   constructor(private readonly parts: DecisionLogParts) {
     super();
-    this.availableLines = parts.linesPerSecond;
-    this.refilledAt = parts.now();
+    const {linesPerSecond, now} = parts;
+    this.lines = new LineBucket(linesPerSecond, now);
+    this.upstreamLines = new LineBucket(
+      linesPerSecond * UPSTREAM_LINES_RATIO,
+      now,
+    );
     const options = {base: {box: parts.box}, level: 'info'};
     this.logger =
       parts.write === undefined
@@ -86,7 +132,7 @@
         return;
       }
     }
-    if (!isRateLimitExempt(decision) && !this.tryConsumeLine()) {
+    if (!isRateLimitExempt(decision) && !this.tryTakeLine(decision)) {
       this.droppedLines += 1;
       return;
     }
@@ -97,20 +143,11 @@
     );
   }
 
-  private tryConsumeLine(): boolean {
-    const now = this.parts.now();
-    const {linesPerSecond} = this.parts;
-    const refill = ((now - this.refilledAt) * linesPerSecond) / 1_000;
-    this.availableLines = Math.min(
-      linesPerSecond,
-      this.availableLines + refill,
+  private tryTakeLine({event}: Decision): boolean {
+    return (
+      this.lines.tryTake() ||
+      (UPSTREAM_STATE_EVENTS.has(event) && this.upstreamLines.tryTake())
     );
-    this.refilledAt = now;
-    if (this.availableLines < 1) {
-      return false;
-    }
-    this.availableLines -= 1;
-    return true;
   }
 }
 
--- a/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
+++ b/packages/puffinturn-decisions/src/__tests__/unit/DecisionLog.test.ts
@@ -76,6 +76,36 @@
     expect(lines.at(-1)).toMatchObject({event: 'backlog-changed', leftOut: 4});
   });
 
+  test('writes a limited rate of departures after the rate limit is reached', () => {
+    const {clock, lines, log} = createLog(6, 1);
+    for (let count = 0; count < 12; count += 1) {
+      log.note(createRequestEnded({cause: 'no-upstream'}));
+    }
+    const departure: Decision = {
+      bornAt: 1,
+      event: 'departure-decided',
+      former: 'ready',
+      formerAgeMs: 1,
+      leader: 'c1',
+      outcome: 'acknowledged',
+      state: 'draining',
+      tookMs: 1,
+      upstream: 'i-1',
+    };
+    const writtenDepartures = (): number =>
+      lines.filter(({event}) => event === 'departure-decided').length;
+    for (let count = 0; count < 5; count += 1) {
+      log.note(departure);
+    }
+    expect(writtenDepartures()).toBe(2);
+    clock.now = 500;
+    for (let count = 0; count < 9; count += 1) {
+      log.note(createRequestEnded({cause: 'no-upstream'}));
+    }
+    log.note(departure);
+    expect(writtenDepartures()).toBe(3);
+  });
+
   test('writes all successful requests if the sampling interval is 1', () => {
     const {lines, log} = createLog(1_000, 1);
     for (let count = 0; count < 10; count += 1) {
