A delayed copy of an evacuation order no longer undoes a newer one

What operators could see: an order forwarded by a control box that waits on the way (a suspended box, a full send buffer) is taken up seconds later. If the hall was evacuated and returned meanwhile by copies of other boxes, the old copy evacuated it again, though nobody had ordered it.

Cause: orders had no number, and the leader stored each copy that reached it.

Fix: the control box that receives an order adds the revision of the evacuations that it knows then. An order that changes nothing is acknowledged as before, so repeats of a taken order are never refused. A box that lags refuses an order at most until it has caught up.

Not covered: an order that a suspended box reads itself only after the newer one, while its sender still waits on the connection; releases and rollouts.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -504,7 +504,10 @@
   readonly hall: string;
   /** Requested state: true to evacuate the hall, false to return it to service. */
   readonly evacuated: boolean;
-  /** `accepted` if a quorum stored it, otherwise the reason for the failure. */
+  /**
+   * `accepted` if a quorum stored it, `outdated` if the hall has changed since a control box
+   * received it, otherwise the reason for the failure.
+   */
   readonly outcome: string;
   readonly revision: number | undefined;
 }
--- a/packages/puffinturn-fleet/src/EvacuationRegistry.ts
+++ b/packages/puffinturn-fleet/src/EvacuationRegistry.ts
@@ -7,6 +7,7 @@
 
 import type {Evacuations} from './Evacuations';
 import {applyEvacuation, NO_EVACUATIONS} from './Evacuations';
+import type {EvacuateRequest} from './FleetMessages';
 
 /** Log record that starts or ends the evacuation of a hall; idempotent. */
 export interface EvacuationRecord {
@@ -24,6 +25,10 @@
 /** Replicated state of evacuated halls. */
 export class EvacuationRegistry {
   private currentEvacuations = NO_EVACUATIONS;
+  /** Revision of the last change of each hall since the last restore. */
+  private readonly changedAt = new Map<string, number>();
+  /** Revision at the last restore; halls may have changed at it. */
+  private restoredRevision = 0;
 
   /** `onChange` is called after every change. */
   constructor(private readonly onChange: () => void) {}
@@ -39,13 +44,27 @@
     const updated = applyEvacuation(this.currentEvacuations, hall, evacuated);
     if (updated !== this.currentEvacuations) {
       this.currentEvacuations = updated;
+      this.changedAt.set(hall, updated.revision);
       this.onChange();
     }
     return {evacuations: this.currentEvacuations, kind: 'evacuation'};
   }
 
+  /**
+   * Whether an order would change a hall that has changed since the order was received, so
+   * that a delayed copy may undo a newer order.
+   */
+  isOutdated({evacuated, hall, knownRevision}: EvacuateRequest): boolean {
+    const {halls} = this.currentEvacuations;
+    const changedAt = this.changedAt.get(hall) ?? this.restoredRevision;
+    const wouldChange = halls.includes(hall) !== evacuated;
+    return wouldChange && changedAt > (knownRevision ?? Infinity);
+  }
+
   /** Restores the evacuated halls from a snapshot. */
   restore(evacuations: Evacuations): void {
     this.currentEvacuations = evacuations;
+    this.changedAt.clear();
+    this.restoredRevision = evacuations.revision;
   }
 }
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -40,6 +40,7 @@
   ConfigurationReadReply,
   EvacuateReply,
   EvacuateRequest,
+  EvacuationOrder,
   WatchReply,
   WatchRequest,
 } from './FleetMessages';
@@ -272,7 +273,9 @@
   }
 
   /** Starts or ends the evacuation of a hall; accepted once a quorum has stored it. */
-  async setEvacuated(request: EvacuateRequest): Promise<EvacuateReply> {
+  async setEvacuated(order: EvacuationOrder): Promise<EvacuateReply> {
+    const knownRevision = this.parts.machine.evacuations.revision;
+    const request: EvacuateRequest = {...order, knownRevision};
     const fallback = {accepted: false};
     return this.leaderCalls.runOnLeader(
       FLEET_SERVICE.evacuate,
@@ -403,24 +406,38 @@
     );
   }
 
-  private async proposeEvacuation({
-    evacuated,
-    hall,
-  }: EvacuateRequest): Promise<EvacuateReply> {
+  /** Stores an order unless the hall has changed since a control box received it. */
+  private async proposeEvacuation(
+    request: EvacuateRequest,
+  ): Promise<EvacuateReply> {
+    const {evacuated, hall} = request;
+    const isCurrent = await this.leaderCalls.passBarrier();
+    const {machine} = this.parts;
+    if (!isCurrent || machine.isEvacuationOutdated(request)) {
+      const outcome = isCurrent ? 'outdated' : 'no-quorum';
+      this.logEvacuation(request, outcome, undefined);
+      return {accepted: false};
+    }
     const outcome = await this.leaderCalls.propose<EvacuationOutcome>({
       evacuated,
       hall,
       kind: 'evacuation',
     });
-    const accepted = outcome.isOk();
-    this.parts.log.note({
-      evacuated,
-      event: 'evacuation-decided',
-      hall,
-      outcome: accepted ? 'accepted' : outcome.error.kind,
-      revision: accepted ? outcome.value.evacuations.revision : undefined,
-    });
-    return {accepted};
+    outcome.match(
+      ({evacuations: {revision}}) =>
+        this.logEvacuation(request, 'accepted', revision),
+      ({kind}) => this.logEvacuation(request, kind, undefined),
+    );
+    return {accepted: outcome.isOk()};
+  }
+
+  private logEvacuation(
+    {evacuated, hall}: EvacuateRequest,
+    outcome: string,
+    revision: number | undefined,
+  ): void {
+    const event = 'evacuation-decided';
+    this.parts.log.note({evacuated, event, hall, outcome, revision});
   }
 
   private logChange(
--- a/packages/puffinturn-fleet/src/FleetMachine.ts
+++ b/packages/puffinturn-fleet/src/FleetMachine.ts
@@ -45,6 +45,7 @@
 import {EvacuationRegistry} from './EvacuationRegistry';
 import type {Evacuations} from './Evacuations';
 import {NO_EVACUATIONS} from './Evacuations';
+import type {EvacuateRequest} from './FleetMessages';
 import {unpackConfiguration} from './PackedConfiguration';
 import type {
   RolloutProgress,
@@ -154,6 +155,11 @@
     return this.evacuationRegistry.evacuations;
   }
 
+  /** Whether an order may be a delayed copy that would undo a newer one. */
+  isEvacuationOutdated(request: EvacuateRequest): boolean {
+    return this.evacuationRegistry.isOutdated(request);
+  }
+
   /** The versions that may serve requests. */
   get rollouts(): Rollouts {
     return this.rolloutRegistry.rollouts;
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -356,12 +356,21 @@
   readonly outcome: string;
 }
 
-/** Requests the leader to evacuate a hall or to return it to service. */
-export interface EvacuateRequest {
+/** An operator's order to evacuate a hall or to return it to service. */
+export interface EvacuationOrder {
   readonly hall: string;
   readonly evacuated: boolean;
 }
 
+/** An order as sent to the leader by the control box that received it. */
+export interface EvacuateRequest extends EvacuationOrder {
+  /**
+   * Revision of the evacuations at that box when it received the order; missing in requests
+   * of earlier software versions.
+   */
+  readonly knownRevision?: number | undefined;
+}
+
 /** Whether a quorum has stored an evacuation. */
 export interface EvacuateReply {
   readonly accepted: boolean;
--- a/packages/puffinturn-fleet/src/__tests__/unit/Evacuations.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/Evacuations.test.ts
@@ -37,6 +37,31 @@
     expect(restored.evacuations).toEqual(NO_EVACUATIONS);
   });
 
+  test('tell orders that would undo a change made since they were received', () => {
+    const machine = new FleetMachine();
+    machine.apply(createRecord('a', true));
+    machine.apply(createRecord('b', true));
+    const isOutdated = (
+      hall: string,
+      evacuated: boolean,
+      knownRevision?: number,
+    ): boolean =>
+      machine.isEvacuationOutdated({evacuated, hall, knownRevision});
+    expect(isOutdated('a', false, 0)).toBe(true);
+    // It knew of the change, changes nothing, or comes from an older software version.
+    expect(isOutdated('a', false, 1)).toBe(false);
+    expect(isOutdated('a', true, 0)).toBe(false);
+    expect(isOutdated('a', false)).toBe(false);
+    // Changes of other halls don't matter.
+    expect(isOutdated('b', false, 2)).toBe(false);
+    expect(isOutdated('c', true, 0)).toBe(false);
+    machine.restore(machine.snapshot());
+    expect(isOutdated('a', false, 0)).toBe(true);
+    // A snapshot doesn't tell when a hall changed.
+    expect(isOutdated('a', false, 1)).toBe(true);
+    expect(isOutdated('a', false, 2)).toBe(false);
+  });
+
   test('call the listener on every change', () => {
     let notifications = 0;
     const machine = new FleetMachine(() => (notifications += 1));
--- a/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/FleetPropagation.test.ts
@@ -157,6 +157,33 @@
     expect(reply.accepted).toBe(false);
   });
 
+  test.each(CONTROLS)(
+    'does not let a delayed copy of an evacuation at %s undo a newer order',
+    async (delayed) => {
+      const {clock, control, network, startWatch} = await startFleet();
+      const {handler} = startWatch('e1:1');
+      await clock.advance(1_500);
+      const others = CONTROLS.filter((box) => box !== delayed);
+      others.forEach((box) => network.holdMessages(delayed, box));
+      const begin = {evacuated: true, hall: 'z'};
+      await advanceUntilSettled(clock, control(delayed).setEvacuated(begin));
+      const [other = ''] = others;
+      for (const order of [begin, {evacuated: false, hall: 'z'}]) {
+        let isAccepted = false;
+        while (!isAccepted) {
+          const reply = control(other).setEvacuated(order);
+          isAccepted = (await advanceUntilSettled(clock, reply)).accepted;
+          await clock.advance(500);
+        }
+      }
+      network.heal();
+      await clock.advance(3_000);
+      expect(handler.evacuationsHeld.halls).toEqual([]);
+      const again = control(delayed).setEvacuated(begin);
+      expect(await advanceUntilSettled(clock, again)).toEqual({accepted: true});
+    },
+  );
+
   test('neither accepts nor reads a configuration without a quorum', async () => {
     const {clock, control, network} = await startFleet();
     const stored = {configuration: configurationOf(7), document: 'seven'};
