A delayed copy of a rollout order no longer undoes a newer one

Fix: the control box that receives an order adds the number of the service's newest rollout that it knows. The leader, which has passed a barrier by then, answers "unavailable" (503) if a newer one is stored and the order would start a rollout; orders that change nothing are acknowledged as before.

--- a/packages/puffinturn-fleet/src/RolloutControl.ts
+++ b/packages/puffinturn-fleet/src/RolloutControl.ts
@@ -25,6 +25,7 @@
   RolloutOrder,
   RolloutOrderOutcome,
   RolloutOrderReply,
+  RolloutOrderRequest,
   RolloutReadReply,
 } from './Rollouts';
 import {ROLLOUT_ORDER_OUTCOME} from './Rollouts';
@@ -71,7 +72,7 @@
       });
     this.handlers.add(
       link.register(FLEET_SERVICE.beginRollout, (body) =>
-        this.beginAsLeader(body as RolloutOrder),
+        this.beginAsLeader(body as RolloutOrderRequest),
       ),
     );
     this.handlers.add(
@@ -92,11 +93,13 @@
 
   /** Orders a rollout. The order is accepted once a quorum has stored it. */
   begin(order: RolloutOrder): Promise<RolloutOrderReply> {
+    const latestKnown = this.latestNumber(order.service);
+    const request: RolloutOrderRequest = {...order, latestKnown};
     return this.parts.leader.runOnLeader(
       FLEET_SERVICE.beginRollout,
-      order,
+      request,
       UNAVAILABLE,
-      () => this.beginAsLeader(order),
+      () => this.beginAsLeader(request),
     );
   }
 
@@ -131,8 +134,16 @@
     return current ? {current, versions} : STALE_READ;
   }
 
-  private async beginAsLeader(order: RolloutOrder): Promise<RolloutOrderReply> {
-    const reply = await this.handleOrder(order);
+  /** Number of the newest rollout of a service; 0 before the first one. */
+  private latestNumber(service: string): number {
+    return this.parts.machine.getVersions(service)?.rollout?.number ?? 0;
+  }
+
+  private async beginAsLeader({
+    latestKnown = Infinity,
+    ...order
+  }: RolloutOrderRequest): Promise<RolloutOrderReply> {
+    const reply = await this.handleOrder(order, latestKnown);
     const {service, targetVersion} = order;
     const rollout = this.parts.machine.getVersions(service)?.rollout;
     this.parts.log.note({
@@ -145,7 +156,11 @@
     return reply;
   }
 
-  private async handleOrder(order: RolloutOrder): Promise<RolloutOrderReply> {
+  /** `latestKnown` is the number of the newest rollout when the order was received. */
+  private async handleOrder(
+    order: RolloutOrder,
+    latestKnown: number,
+  ): Promise<RolloutOrderReply> {
     if (this.rolloutLeader === undefined) {
       return {outcome: ROLLOUT_ORDER_OUTCOME.disabled};
     }
@@ -157,9 +172,13 @@
       return UNAVAILABLE;
     }
     const existing = this.existingOutcome(order);
-    return existing === undefined
-      ? this.proposeOrder(order, rolloutLeader)
-      : this.toReply(order, existing);
+    if (existing !== undefined) {
+      return this.toReply(order, existing);
+    }
+    // A copy that was delayed since before a newer order must not undo it.
+    return this.latestNumber(order.service) > latestKnown
+      ? UNAVAILABLE
+      : this.proposeOrder(order, rolloutLeader);
   }
 
   /** Returns the outcome if the order would change nothing. */
@@ -202,7 +221,7 @@
     const record: RolloutOrderRecord = {
       ...order,
       kind: 'rollout-order',
-      knownNumber: versions?.rollout?.number ?? 0,
+      knownNumber: this.latestNumber(service),
       orderedAt: clock.wallTime(),
       stableVersion,
     };
--- a/packages/puffinturn-fleet/src/Rollouts.ts
+++ b/packages/puffinturn-fleet/src/Rollouts.ts
@@ -129,6 +129,15 @@
   readonly durationMs: number;
 }
 
+/** An order as sent to the leader by the control box that received it. */
+export interface RolloutOrderRequest extends RolloutOrder {
+  /**
+   * Number of the newest rollout of the service that this box knew when it received the order;
+   * missing in requests of earlier software versions.
+   */
+  readonly latestKnown?: number | undefined;
+}
+
 /** Outcomes of an order. */
 export const ROLLOUT_ORDER_OUTCOME = {
   /** A quorum has stored the order, or had already stored an identical one. */
--- a/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/RolloutControl.test.ts
@@ -273,6 +273,28 @@
     expect(fleet.rolloutState()).toBe(ROLLOUT_STATE.rolledBack);
   });
 
+  test('does not undo a newer one if it was delayed on its way to the leader', async () => {
+    const fleet = await RolloutFleet.start();
+    const leader = fleet.leaderBox();
+    const [delayed = '', other] = CONTROL_BOXES.filter((box) => box !== leader);
+    fleet.network.holdMessages(delayed, leader);
+    expect(await fleet.orderRollout('v2', {}, delayed)).toEqual({
+      outcome: 'unavailable',
+    });
+    expect(await fleet.orderRollout('v1', {}, other)).toEqual({
+      outcome: 'accepted',
+    });
+    fleet.network.heal();
+    await fleet.run(1_000);
+    expect(fleet.newestMachine().getVersions('s')?.rollout).toMatchObject({
+      number: 1,
+      targetVersion: 'v1',
+    });
+    expect(await fleet.orderRollout('v2', {}, delayed)).toEqual({
+      outcome: 'accepted',
+    });
+  });
+
   test('is neither accepted nor readable without a quorum', async () => {
     const fleet = await RolloutFleet.start();
     fleet.crash(['c2:1', 'c3:1']);
