--- a/packages/puffinturn-quarantine/src/CrashRegistry.ts
+++ b/packages/puffinturn-quarantine/src/CrashRegistry.ts
@@ -8,7 +8,7 @@
 /**
  * Tracks what was in flight when upstreams crashed: requests, by their fingerprints, and
  * parts of prompts that no answer had begun with. Quarantines it after three crashes that
- * were not all simultaneous, and a part with which an answer had begun before after five.
+ * were not all simultaneous, and a part with which an answer had begun before after four.
  * What is quarantined is not run for some time. A complete
  * response clears a request, so that crashes with another cause don't quarantine requests
  * that succeed. The first event of an answer clears the parts of its prompt, but only of
--- a/packages/puffinturn-quarantine/src/QuarantineConstants.ts
+++ b/packages/puffinturn-quarantine/src/QuarantineConstants.ts
@@ -19,7 +19,7 @@
  * before. It is then rarely the cause: a part that most requests share is there whatever the
  * cause is, and its quarantine would refuse most requests.
  */
-export const CRASHES_TO_QUARANTINE_ANSWERED_PART = 5;
+export const CRASHES_TO_QUARANTINE_ANSWERED_PART = 4;
 
 /**
  * Crashes within this time count as simultaneous, ms. Upstreams that lose power
--- a/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
+++ b/packages/puffinturn-quarantine/src/__tests__/unit/PromptParts.test.ts
@@ -170,15 +170,15 @@
     expect(registry.quarantine.fingerprints).toEqual([]);
   });
 
-  test('is quarantined at the fifth one if it was answered before them', () => {
+  test('is quarantined at the fourth one if it was answered before them', () => {
     const parts = partsOf('t', 'bad');
-    for (const turn of [0, 1, 2, 3, 4]) {
+    for (const turn of [0, 1, 2, 3]) {
       registry.update(turn * SECOND_MS);
       expect(registry.isQuarantined(forTeam('bad', 't'))).toBe(false);
       crash(turn * SECOND_MS, ...parts);
       rememberAnswer(turn * SECOND_MS + 100, ...parts);
     }
-    registry.update(5 * SECOND_MS);
+    registry.update(4 * SECOND_MS);
     expect(registry.isQuarantined(forTeam('bad', 't'))).toBe(true);
   });
 
