Time-outs of connections to upstreams count once sockets were polled

The time-out of a connection for a request (400 ms) and that of a probe at the end of a response (500 ms) are timers. After a delay of the edge they fired before the event loop saw that the connection was established: the request was given up as 'connect-timeout', the upstream paused and the links suspected, or a response whose upstream listened was taken for incomplete. Both now look once more after the loop has polled.

DelayedTimeouts.test.ts, an edge blocked for 800 ms: 2 failed before, 2 passed now; ten files of tests near the change: 109 passed.

--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -90,7 +90,13 @@
     const {socket} = connection;
     let failureState: ListenerState | undefined = LISTENER_STATE.unknown;
     return new Promise((resolve) => {
-      let timer = setTimeout(() => socket.destroy(), PROBE_TIMEOUT_MS);
+      // If this edge was delayed, a connection that is established is seen only now.
+      const onTimeout = (): void => {
+        if (socket.connecting) {
+          socket.destroy();
+        }
+      };
+      let timer = setTimeout(() => setImmediate(onTimeout), PROBE_TIMEOUT_MS);
       const keep = (): void => {
         resolve(LISTENER_STATE.listening);
         if (!this.release(connection, undefined)) {
--- a/packages/puffinturn-edge/src/connections/Exchange.ts
+++ b/packages/puffinturn-edge/src/connections/Exchange.ts
@@ -193,13 +193,20 @@
     this.connection = connection;
     connection.send(request, this);
     if (!this.isConnected) {
+      // If this edge was delayed, a connection that is established is seen only now.
       this.timer = setTimeout(
-        () => this.abort(CONNECT_TIMEOUT),
+        () => setImmediate(() => this.onConnectTimeout()),
         CONNECT_TIMEOUT_MS,
       );
     }
   }
 
+  private onConnectTimeout(): void {
+    if (!this.isConnected) {
+      this.abort(CONNECT_TIMEOUT);
+    }
+  }
+
   private async sendByTunnel(
     {isOnlyWay, open}: TunnelRoute,
     request: OutgoingRequest,
