A packed configuration is decoded in fewer parts

Cause, likely but not shown by a run: an update was decoded in parts of 32 routes, one for each iteration of the event loop, and an iteration takes long where there are many callers: some 48 of them for 1,400 routes.

Change: parts of 100 routes.

--- a/packages/puffinturn-fleet/src/PackedUpdate.ts
+++ b/packages/puffinturn-fleet/src/PackedUpdate.ts
@@ -23,7 +23,7 @@
 import {hashItem} from './ConfigurationDigest';
 
 /** Routes or teams that are decoded and hashed without a pause. */
-const ITEMS_PER_PART = 32;
+const ITEMS_PER_PART = 100;
 
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false});
