Streams begin: held versions are looked up once a version, not once an upstream

Each request asked for the hold of each upstream's version, and each time went through the whole list of versions. Tests of the lists that a lookup without a name asks for: the newest decides, dead boxes and boxes without a list don't count, one that holds a lease suffices.

--- a/packages/puffinturn-edge/src/streams/StreamBeginnings.ts
+++ b/packages/puffinturn-edge/src/streams/StreamBeginnings.ts
@@ -26,18 +26,30 @@
   if (repetition !== RETRY_POLICY.resumable) {
     return upstreams;
   }
-  const held = upstreams.filter(
-    ({version}) => versions.holdLeftMs(service, version) > 0,
+  const known = [...new Set(upstreams.map(({version}) => version))];
+  const held = known.filter(
+    (version) => versions.holdLeftMs(service, version) > 0,
   );
   if (held.length === 0) {
     return upstreams;
   }
-  const ready = upstreams.filter((upstream) => !held.includes(upstream));
-  return ready.length > 0
-    ? ready
-    : held.filter(
-        ({version}) =>
-          versions.isUnregistered(service, version) &&
-          versions.ageMs(service, version) >= VERSION_HOLD_MS,
-      );
+  const allowed =
+    held.length < known.length
+      ? known.filter((version) => !held.includes(version))
+      : held.filter((version) =>
+          isLongUnregistered(versions, service, version),
+        );
+  return upstreams.filter(({version}) => allowed.includes(version));
+}
+
+/** Whether a version was known for the time of the hold, and could not be stored. */
+function isLongUnregistered(
+  versions: VersionHistory,
+  service: string,
+  version: string,
+): boolean {
+  return (
+    versions.isUnregistered(service, version) &&
+    versions.ageMs(service, version) >= VERSION_HOLD_MS
+  );
 }
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -38,6 +38,10 @@
   readonly clock = new ManualClock();
   readonly network = new MemoryNetwork(this.clock, new Random(1));
   readonly origins = new Map<string, StreamOrigins>();
+  /** Revisions of the lists that boxes know if it is not 0. */
+  readonly revisions = new Map<string, number>();
+  /** The box that may take its list for complete. */
+  leaseHolder: string | undefined;
 
   constructor(
     private readonly boxes: readonly ReplicaBox[] = BOXES,
@@ -58,12 +62,12 @@
           areInSameRegion,
           clock,
           controlBoxes: () => [],
-          hasVersionLease: () => false,
+          hasVersionLease: () => this.leaseHolder === box,
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(box),
           peers: () => peers,
           self,
-          versionsRevision: () => 0,
+          versionsRevision: () => this.revisions.get(box) ?? 0,
         }),
       );
     }
@@ -109,6 +113,15 @@
   }
 }
 
+/** Looks up which lists of versions all boxes know, at the first box. */
+async function findLists(fleet: Fleet): Promise<Lookup> {
+  const lookup = fleet
+    .at('a1')
+    .find({key: undefined, service: 's', unsureMs: Infinity});
+  await fleet.clock.advance(LOOKUP_MS);
+  return lookup;
+}
+
 function versionsOf(lookups: readonly Lookup[]): string[] {
   return [
     ...new Set(
@@ -232,3 +245,33 @@
     expect((await fleet.find('a1', 'k'))?.kind).toBe(LOOKUP.unknown);
   });
 });
+
+describe('Lists of versions', () => {
+  test('of all boxes are asked for, the newest one decides', async () => {
+    const fleet = new Fleet();
+    for (const {box} of BOXES.slice(1)) {
+      fleet.revisions.set(box, 2);
+      expect(await findLists(fleet)).toMatchObject({
+        listShare: 1,
+        versionsRevision: 2,
+      });
+      fleet.revisions.clear();
+    }
+  });
+
+  test('do not count if a box is dead, or has none since it started', async () => {
+    const fleet = new Fleet();
+    fleet.revisions.set('b1', -Infinity);
+    expect(await findLists(fleet)).toMatchObject({listShare: 5 / 6});
+    fleet.kill('c1');
+    fleet.kill('c2');
+    expect(await findLists(fleet)).toMatchObject({listShare: 3 / 6});
+  });
+
+  test('are complete if one of them may be taken for complete', async () => {
+    const fleet = new Fleet();
+    fleet.kill('c1');
+    fleet.leaseHolder = 'b2';
+    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+  });
+});
