Lists of versions are asked for again where too few edges replied in time

While no edge reached the core, a busy machine (load 49 on 8 cores) refused streams of a service with one version: edges took longer than 250 ms to tell their lists, and a lookup without a name was not repeated (of 30 resumed in the first second 3 went on; stream-matched: list share 0.5). Where all edges have replied, control boxes that don't are no longer waited for.

--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -25,8 +25,8 @@
 import type {EdgeUpstream} from '../upstreams/EdgeUpstream';
 import type {VersionHistory} from './VersionHistory';
 
-/** Share of the edges whose lists together don't confirm that a version is the only one. */
-const MAX_UNSURE_LIST_SHARE = 0.5;
+/** Share of the edges whose lists confirm the only version of a named stream: most of them. */
+const MIN_LIST_SHARE = 0.501;
 
 /** Dependencies of StreamVersions. */
 export interface StreamVersionsParts {
@@ -211,6 +211,7 @@
     }
     const lists = await this.parts.origins.find({
       key: undefined,
+      neededListShare: MIN_LIST_SHARE,
       service: plan.service.name,
       unsureMs: this.unsureMs(plan),
     });
@@ -218,7 +219,7 @@
       return unknownMatch(lists);
     }
     const {listShare = 0} = lists;
-    const isConfirmed = listShare > MAX_UNSURE_LIST_SHARE;
+    const isConfirmed = listShare >= MIN_LIST_SHARE;
     return this.matchWithoutOrigin(
       plan,
       {...lists, kind: lookup.kind},
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -62,6 +62,11 @@
    * Infinity if none is.
    */
   readonly unsureMs: number;
+  /**
+   * Share of the edges whose lists of versions are needed for a stream without a key, 1 by
+   * default. Fewer replies are asked for again.
+   */
+  readonly neededListShare?: number | undefined;
 }
 
 /** A query to other boxes. */
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -165,6 +165,12 @@
           decide({kind, versions});
         }
       });
+      void Promise.all(asked).then((replies) => {
+        if (key === undefined && listShare(replies) >= 1) {
+          const versionsRevision = newestRevision(replies);
+          decide({kind: LOOKUP.unknown, listShare: 1, versionsRevision});
+        }
+      });
       void Promise.all([controlAsked, ...asked]).then(([control, ...replies]) =>
         resolve(combineReplies(query, control, replies)),
       );
@@ -328,6 +334,10 @@
   return versionsRevision > -Infinity;
 }
 
+function newestRevision(regions: readonly RegionReplies[]): number {
+  return Math.max(...regions.map(({versionsRevision}) => versionsRevision));
+}
+
 /** Share of all edges, the asking one included, that replied with a list of versions. */
 function listShare(regions: readonly RegionReplies[]): number {
   const asked = regions.reduce((sum, region) => sum + region.asked, 0);
@@ -337,14 +347,16 @@
 
 /** A stream without a key is never absent, as nobody can miss it. */
 function combineReplies(
-  {key}: OriginQuery,
+  {key, neededListShare = 1}: OriginQuery,
   control: ControlReplies,
   regions: readonly RegionReplies[],
 ): LookupRound {
   const all = [control, ...regions];
   const asked = all.reduce((sum, group) => sum + group.asked, 0);
   const replies = all.reduce((sum, group) => sum + group.replies, 0);
-  const revisions = regions.map(({versionsRevision}) => versionsRevision);
+  const share = listShare(regions);
+  const isListDecided =
+    share >= neededListShare || control.versions !== undefined;
   const isSure =
     control.isSure ||
     (regions.length > 0 && regions.every((region) => region.isSure));
@@ -355,12 +367,12 @@
     // A box that has just started may be too late itself for all replies.
     isDecided:
       kind !== LOOKUP.unreachable &&
-      (key === undefined || isSure || replies === asked),
+      (key === undefined ? isListDecided : isSure || replies === asked),
     lookup: {
       kind,
-      listShare: key === undefined ? listShare(regions) : undefined,
+      listShare: key === undefined ? share : undefined,
       versions: control.versions,
-      versionsRevision: Math.max(...revisions),
+      versionsRevision: newestRevision(regions),
     },
   };
 }
