--- a/packages/puffinturn-edge/src/__tests__/unit/LeavingUpstreamsInTunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/LeavingUpstreamsInTunnels.test.ts
@@ -11,20 +11,11 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {BoxRecord} from 'puffinturn-fleet';
-import {BOX_ROLE, Regions, RETRY_POLICY} from 'puffinturn-fleet';
-import {MemoryNetwork} from 'puffinturn-wire';
-import {Random, SystemClock} from 'shared';
+import {RETRY_POLICY} from 'puffinturn-fleet';
 
-import {EdgeMetrics} from '../../EdgeMetrics';
-import {TunnelClient} from '../../tunnels/TunnelClient';
-import {TunnelServer} from '../../tunnels/TunnelServer';
-import {UpstreamPool} from '../../upstreams/UpstreamPool';
-import {
-  createRoute,
-  ForwardingFixture,
-  TestUpstream,
-} from '../utils/ForwardingFixture';
+import type {ForwardingFixture} from '../utils/ForwardingFixture';
+import {createRoute, TestUpstream} from '../utils/ForwardingFixture';
+import {TunnelledEdge} from '../utils/TunnelledEdge';
 
 const FIRST_EVENT = 'id: 1\ndata: one\n\n';
 const SECOND_EVENT = 'id: 2\ndata: two\n\n';
@@ -35,25 +26,20 @@
   streams: true,
 });
 
-function edgeRecord(box: string): BoxRecord {
-  return {box, hall: 'a', incarnation: '1', role: BOX_ROLE.edge};
-}
-
 /** Two upstreams, an edge without links to them, and one that carries its tunnels. */
 class TunnelledFleet implements AsyncDisposable {
-  private readonly clock = new SystemClock();
-  private readonly network = new MemoryNetwork(this.clock, new Random(1));
   /** In the order in which they were opened. */
-  private readonly resources: (AsyncDisposable | Disposable)[] = [];
+  private readonly resources: AsyncDisposable[] = [];
 
   /** `handlers` serve the first request and the second. */
   async open(
     ...handlers: readonly TestUpstream['handler'][]
   ): Promise<ForwardingFixture> {
     const upstreams = [
-      this.own(await TestUpstream.start('a')),
-      this.own(await TestUpstream.start('b')),
+      await TestUpstream.start('a'),
+      await TestUpstream.start('b'),
     ];
+    this.resources.push(...upstreams);
     let count = 0;
     for (const upstream of upstreams) {
       upstream.handler = (incoming, response) => {
@@ -62,55 +48,16 @@
       };
     }
     const records = upstreams.map((upstream) => upstream.record());
-    const edge = this.own(
-      await ForwardingFixture.start([ROUTE], ({directLinks, log}) => ({
-        directLinks: Object.assign(directLinks, {needsTunnel: () => true}),
-        tunnelClient: new TunnelClient({
-          clock: this.clock,
-          link: this.network.connect('asking'),
-          log,
-          metrics: new EdgeMetrics(),
-          otherEdges: () => [edgeRecord('carrying')],
-          random: new Random(1),
-          regions: new Regions(),
-          self: edgeRecord('asking'),
-        }),
-      })),
-    );
-    const pool = this.own(new UpstreamPool(this.clock, edge.log));
-    for (const one of [edge.pool, pool]) {
-      one.merge(records, 'test');
-    }
-    const carrier = await TunnelServer.open(
-      {host: '127.0.0.1', port: 0},
-      {
-        clock: this.clock,
-        drainMs: 2_000,
-        link: this.network.connect('carrying'),
-        log: edge.log,
-        metrics: new EdgeMetrics(),
-        pool,
-        refusal: () => undefined,
-      },
-    );
-    this.own(carrier._unsafeUnwrap());
-    return edge;
+    const tunnelled = await TunnelledEdge.start([ROUTE], records);
+    this.resources.push(tunnelled);
+    return tunnelled.edge;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     for (const resource of this.resources.reverse()) {
-      await (Symbol.asyncDispose in resource
-        ? resource[Symbol.asyncDispose]()
-        : resource[Symbol.dispose]());
+      await resource[Symbol.asyncDispose]();
     }
   }
-
-  private own<Resource extends AsyncDisposable | Disposable>(
-    resource: Resource,
-  ): Resource {
-    this.resources.push(resource);
-    return resource;
-  }
 }
 
 /** Sends one event, with further headers, and ends the connection. */
