The gateway takes a reset for no end of a response without a length

Callers of the gateway got a 200 with an empty or short body, framed as whole, when an upstream reset the connection after the head of a response that states neither a length nor chunks. undici takes ECONNRESET, and the end of file that libuv reports for a reset after a partial read, for the end of such a response, as it does for an end in order. Its sockets now come from a connector that notes that a reset is being reported, and a response that undici completes in that moment fails in place of ending; so the request is retried where its policy allows, and fails else. An end in order still completes such responses.

--- a/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
+++ b/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
@@ -15,6 +15,7 @@
 import {Agent} from 'undici';
 
 import {CONNECT_TIMEOUT_MS, IDLE_TIMEOUT_MS} from './GatewayConstants';
+import {ResetDetection} from './ResetDetection';
 import type {
   UpstreamFailure,
   UpstreamRequest,
@@ -56,26 +57,25 @@
 /** Options of pooled and single-use connections. */
 const AGENT_OPTIONS: Agent.Options = {
   bodyTimeout: IDLE_TIMEOUT_MS,
-  connect: {timeout: CONNECT_TIMEOUT_MS},
   headersTimeout: 10 * IDLE_TIMEOUT_MS,
 };
 
 /** An UpstreamClient with pooled and single-use connections. */
 export class HttpUpstreamClient extends UpstreamClient {
-  private readonly pooledAgent = new Agent(AGENT_OPTIONS);
+  private readonly resetDetection = new ResetDetection();
+  private readonly pooledAgent = this.createAgent();
   /** Uses a new connection for each request: pipelining 0 disables keep-alive. */
-  private readonly singleUseAgent = new Agent({
-    ...AGENT_OPTIONS,
-    pipelining: 0,
-  });
+  private readonly singleUseAgent = this.createAgent({pipelining: 0});
+  private readonly pooled = this.resetDetection.wrap(this.pooledAgent);
+  private readonly singleUse = this.resetDetection.wrap(this.singleUseAgent);
 
   override send(
     request: UpstreamRequest,
   ): ResultAsync<UpstreamResponse, UpstreamFailure> {
     const {body, useNewConnection, headers, method, path, signal, url} =
       request;
-    const agent = useNewConnection ? this.singleUseAgent : this.pooledAgent;
-    const responsePromise = agent.request({
+    const dispatcher = useNewConnection ? this.singleUse : this.pooled;
+    const responsePromise = dispatcher.request({
       body: body ?? null,
       headers,
       method: method as Dispatcher.HttpMethod,
@@ -104,4 +104,9 @@
       this.singleUseAgent.destroy(),
     ]);
   }
+
+  private createAgent(options: Agent.Options = {}): Agent {
+    const connect = this.resetDetection.createConnector(CONNECT_TIMEOUT_MS);
+    return new Agent({...AGENT_OPTIONS, connect, ...options});
+  }
 }
