--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -293,6 +293,11 @@
 export interface CrashReportRequest {
   readonly box: string;
   readonly report: CrashReport;
+  /**
+   * Start of the quarantine that an operator's release ends, Unix ms; a later quarantine of
+   * the entry stays. Missing in other reports, and those of earlier software versions.
+   */
+  readonly releasedSince?: number | undefined;
 }
 
 /** Whether a quorum has stored the report; if not, it may be retried. */
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -47,10 +47,13 @@
 
   /** Ends a quarantine by order of an operator; false if no quorum stored it. */
   async release(entry: string): Promise<boolean> {
-    const {self} = this.parts;
+    const {machine, self} = this.parts;
     const report = {...EMPTY_CRASH_REPORT, released: [entry]};
-    const {taken} = await this.reportCrashes({box: self.box, report});
-    return taken;
+    const releasedSince = machine.quarantineEntries.find(
+      ({fingerprint}) => fingerprint === entry,
+    )?.since;
+    const request = {box: self.box, releasedSince, report};
+    return (await this.reportCrashes(request)).taken;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -65,13 +68,34 @@
       FLEET_SERVICE.reportCrashes,
       request,
       {taken: false},
-      async () =>
-        this.isNoNews(request.report)
-          ? {taken: true}
-          : this.recordAsLeader(request),
+      async () => {
+        if (this.isNoNews(request.report)) {
+          return {taken: true};
+        }
+        return (await this.isReleaseOutdated(request))
+          ? {taken: false}
+          : this.recordAsLeader(request);
+      },
     );
   }
 
+  /** Whether a release was delayed until its entry was quarantined anew, or may have been. */
+  private async isReleaseOutdated({
+    releasedSince,
+    report: {released = []},
+  }: CrashReportRequest): Promise<boolean> {
+    const {leader, machine} = this.parts;
+    if (releasedSince === undefined) {
+      return false;
+    }
+    const isCurrent = await leader.passBarrier();
+    const hasNewEntry = machine.quarantineEntries.some(
+      ({fingerprint, since}) =>
+        released.includes(fingerprint) && since > releasedSince,
+    );
+    return !isCurrent || hasNewEntry;
+  }
+
   /** Ends expired quarantines, and begins those of parts that nothing has cleared. */
   private async updateQuarantine(signal: AbortSignal): Promise<void> {
     const {clock, machine, replica, self} = this.parts;
--- a/packages/puffinturn-fleet/src/__tests__/unit/QuarantineControl.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/QuarantineControl.test.ts
@@ -52,6 +52,32 @@
     }
   });
 
+  test('quarantine again, and a delayed copy of an earlier release does not end it', async () => {
+    const leader = fleet.leaderBox();
+    const [delayed = '', other = ''] = CONTROL_BOXES.filter(
+      (box) => box !== leader,
+    );
+    const crashThrice = async (name: string): Promise<void> => {
+      for (const count of [1, 2, 3]) {
+        await report(leader, `${name} ${count}`);
+        await fleet.clock.advance(1_000);
+      }
+    };
+    const release = (box: string): Promise<boolean> =>
+      fleet.waitFor(fleet.getControl(box).releaseQuarantined('f'));
+    await crashThrice('first');
+    fleet.network.holdMessages(delayed, leader);
+    expect(await release(delayed)).toBe(false);
+    expect(await release(other)).toBe(true);
+    expect(await quarantined(leader)).toEqual([]);
+    await crashThrice('second');
+    fleet.network.heal();
+    await fleet.clock.advance(2_000);
+    expect(await quarantined(leader)).toEqual(['f']);
+    expect(await release(delayed)).toBe(true);
+    expect(await quarantined(leader)).toEqual([]);
+  });
+
   test('are dropped once the quarantine has expired', async () => {
     for (const [index, control] of CONTROL_BOXES.entries()) {
       await report(control, `incarnation ${index}`);
