The state that an edge hands to a restarted neighbour is sent compressed

A restarted edge got the whole configuration in plain CBOR, 300 KB and more with 1,400 routes, from two neighbours; over a link with less than that free a second, the call timed out and was repeated in full without end.

The configuration is packed as for polls, if the receiver says that it accepts that; an earlier software version gets it plain. Test: a state of 1,400 routes over a link with 100 KB a second free arrives (with plain bytes it doesn't).

--- a/packages/puffinturn-edge/src/NeighbourRecovery.ts
+++ b/packages/puffinturn-edge/src/NeighbourRecovery.ts
@@ -15,10 +15,11 @@
 import type {
   BoxRecord,
   EdgeState,
+  PackedEdgeState,
   Regions,
   StateNeededReply,
 } from 'puffinturn-fleet';
-import {FLEET_SERVICE} from 'puffinturn-fleet';
+import {FLEET_SERVICE, packUpdate, unpackUpdate} from 'puffinturn-fleet';
 import type {Link} from 'puffinturn-wire';
 import type {Clock} from 'shared';
 import {DisposableList, TaskGroup} from 'shared';
@@ -35,7 +36,7 @@
 /** Timeout for the reply to a probe, ms. */
 const PROBE_TIMEOUT_MS = 150;
 
-/** Timeout for sending the state, ms; it can have hundreds of kilobytes. */
+/** Timeout for sending the state, ms; it can have tens of kilobytes. */
 const HANDOVER_TIMEOUT_MS = 1_000;
 
 /** Number of successors that each edge probes; with two, one may be down. */
@@ -65,11 +66,12 @@
   private readonly handlers = new DisposableList();
 
   constructor(private readonly parts: NeighbourRecoveryParts) {
-    const {link, needsState, applyState} = parts;
+    const {link, needsState} = parts;
     this.handlers.add(
       link.register(
         FLEET_SERVICE.checkStateNeeded,
         async (): Promise<StateNeededReply> => ({
+          acceptsPacked: true,
           needsState: needsState(),
         }),
       ),
@@ -77,7 +79,7 @@
     this.handlers.add(
       link.register(FLEET_SERVICE.sendState, async (body, from) => {
         if (needsState()) {
-          applyState(body as EdgeState, from);
+          await this.receiveState(body as EdgeState | PackedEdgeState, from);
         }
         return null;
       }),
@@ -122,16 +124,29 @@
     if (reply.isErr() || handover === undefined) {
       return;
     }
-    if ((reply.value as StateNeededReply).needsState) {
+    const {acceptsPacked, needsState} = reply.value as StateNeededReply;
+    if (needsState) {
       await link.call(
         box,
         FLEET_SERVICE.sendState,
-        handover,
+        acceptsPacked === true ? packState(handover) : handover,
         HANDOVER_TIMEOUT_MS,
       );
     }
   }
 
+  private async receiveState(
+    received: EdgeState | PackedEdgeState,
+    source: string,
+  ): Promise<void> {
+    const {applyState, needsState} = this.parts;
+    const state = await unpackState(received);
+    // Another edge or a control box may have sent one in the meantime.
+    if (state !== undefined && needsState()) {
+      applyState(state, source);
+    }
+  }
+
   /** Returns the edges that follow this one in the ring. */
   private successors(): readonly string[] {
     const {otherEdges, regions, self} = this.parts;
@@ -150,6 +165,27 @@
   }
 }
 
+function packState({configuration, ...rest}: EdgeState): PackedEdgeState {
+  const configurationChange = undefined;
+  return {
+    ...rest,
+    packedUpdate: packUpdate({configuration, configurationChange}),
+  };
+}
+
+/** Unpacks a state; undefined if it has no configuration that can be decoded. */
+async function unpackState(
+  received: EdgeState | PackedEdgeState,
+): Promise<EdgeState | undefined> {
+  if (!('packedUpdate' in received)) {
+    return received;
+  }
+  const {packedUpdate, ...rest} = received;
+  const update = await unpackUpdate(packedUpdate);
+  const configuration = update.isOk() ? update.value.configuration : undefined;
+  return configuration && {...rest, configuration};
+}
+
 /** Sort key that orders edges by region, hall and box. */
 function ringKey({box, hall}: BoxRecord, regions: Regions): string {
   const region = regions.hasMultipleRegions ? `${regions.regionOf(hall)} ` : '';
--- a/packages/puffinturn-edge/src/__tests__/unit/NeighbourRecovery.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/NeighbourRecovery.test.ts
@@ -6,10 +6,16 @@
  */
 
 /** Guards against edges without state after a restart during a control plane outage. */
-import type {BoxRecord, EdgeState} from 'puffinturn-fleet';
-import {BOX_ROLE, NO_EVACUATIONS, Regions} from 'puffinturn-fleet';
+import type {BoxRecord, EdgeState, Route} from 'puffinturn-fleet';
+import {
+  BOX_ROLE,
+  FLEET_SERVICE,
+  NO_EVACUATIONS,
+  Regions,
+  RETRY_POLICY,
+} from 'puffinturn-fleet';
 import {MemoryNetwork} from 'puffinturn-wire';
-import {ManualClock, Random} from 'shared';
+import {ManualClock, Random, settleTasks} from 'shared';
 
 import {NeighbourRecovery} from '../../NeighbourRecovery';
 import {makeConfiguration} from '../utils/EdgeFixture';
@@ -25,11 +31,44 @@
   upstreams: [],
 };
 
+const ROUTE_COUNT = 1_400;
+
+/** A link of which callers leave 100 KB a second free, bytes per ms. */
+const NARROW_BYTES_PER_MS = 100;
+
+/** More iterations of the event loop than it takes to unpack a large state. */
+const UNPACK_ITERATIONS = 50;
+
+function routeOf(number: number): Route {
+  return {
+    anonymous: false,
+    host: `host-${number}.example`,
+    maxAttempts: 3,
+    name: `route-${number}`,
+    objectiveMs: 800,
+    pathPrefix: `/path-${number}/`,
+    priority: 1,
+    repetition: RETRY_POLICY.repeatable,
+    streams: false,
+    targets: [{service: 'app', weight: 1}],
+    timeoutMs: 10_000,
+  };
+}
+
+const LARGE_STATE: EdgeState = {
+  ...STATE,
+  configuration: makeConfiguration(4, {
+    routes: Array.from({length: ROUTE_COUNT}, (_, number) => routeOf(number)),
+  }),
+};
+
 /** Edges that can't reach the control plane. */
 class SimulatedRing {
   readonly clock = new ManualClock();
   readonly network = new MemoryNetwork(this.clock, new Random(5));
   readonly handovers: string[] = [];
+  /** The states that were handed over. */
+  readonly states: EdgeState[] = [];
 
   start(box: string, state: EdgeState | undefined): void {
     let current = state;
@@ -46,6 +85,7 @@
       applyState: (received, source) => {
         current = received;
         this.handovers.push(`${box} from ${source}`);
+        this.states.push(received);
       },
     });
   }
@@ -79,4 +119,34 @@
     await ring.clock.advance(3_000);
     expect(ring.handovers).toEqual([]);
   });
+
+  test('sends a large state over a link that callers fill', async () => {
+    const ring = new SimulatedRing();
+    ring.network.limitBandwidth('b', NARROW_BYTES_PER_MS);
+    ring.start('b', undefined);
+    ring.start('a', LARGE_STATE);
+    await ring.clock.advance(1_500);
+    // The receiver unpacks it over several iterations of the event loop.
+    for (let iteration = 0; iteration < UNPACK_ITERATIONS; iteration += 1) {
+      await settleTasks();
+    }
+    expect(ring.handovers).toEqual(['b from a']);
+    expect(ring.states).toEqual([LARGE_STATE]);
+  });
+
+  test('sends a plain state to an edge of an earlier software version', async () => {
+    const ring = new SimulatedRing();
+    const received: unknown[] = [];
+    const link = ring.network.connect('b');
+    link.register(FLEET_SERVICE.checkStateNeeded, async () => ({
+      needsState: true,
+    }));
+    link.register(FLEET_SERVICE.sendState, async (body) => {
+      received.push(body);
+      return null;
+    });
+    ring.start('a', STATE);
+    await ring.clock.advance(700);
+    expect(received).toMatchObject([{configuration: STATE.configuration}]);
+  });
 });
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -231,6 +231,8 @@
 export interface StateNeededReply {
   /** Whether it has no configuration and has not reached a control box. */
   readonly needsState: boolean;
+  /** Whether it understands a PackedEdgeState. Older software versions omit it. */
+  readonly acceptsPacked?: boolean | undefined;
 }
 
 /**
@@ -298,6 +300,12 @@
   readonly boxes: readonly BoxRecord[];
 }
 
+/** The state of an edge with a compressed configuration. */
+export interface PackedEdgeState extends Omit<EdgeState, 'configuration'> {
+  /** What `packUpdate` returned for a whole configuration. */
+  readonly packedUpdate: Uint8Array;
+}
+
 /** Reports requests that were in flight at crashes; any control box forwards it to the leader. */
 export interface CrashReportRequest {
   readonly box: string;
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -62,6 +62,7 @@
   LimitReport,
   LimitReportsRequest,
   LoanOutcome,
+  PackedEdgeState,
   StateNeededReply,
   TunnelAddress,
   TunnelReply,
@@ -81,6 +82,7 @@
 export {FleetUpdateHandler} from './FleetUpdateHandler';
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetWatch} from './FleetWatch';
+export {packUpdate, unpackUpdate} from './PackedUpdate';
 export {intersectRegions, Regions} from './Regions';
 export {createReplicaLink} from './ReplicaLink';
 export type {
