Requests leave links that hang one by one, and only while nothing arrives

Callers saw streams cut: once another edge could connect, all requests of a service left their links in one loop, each counting on the same free place. They also left links over which bytes had arrived since the search began, as a dropped SYN is repeated later than what an open connection sent.

Now a request leaves only once the one before has been sent again, waits or has ended; reads since the loss or since the begin of the last search rule a bypass out, which is looked at again before each request; and the search ends with the reply of the other edges.

--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -48,6 +48,8 @@
   /** Time that probes take by the own links, and by other edges, ms. */
   roundTripMs = 0;
   roundTripByOthersMs = 0;
+  /** Whether probes beside those by other edges time out. */
+  areChecksSlow = false;
   probeCount = 0;
   readonly links: DirectLinks;
 
@@ -73,7 +75,9 @@
     timeoutMs = Infinity,
   ): Promise<ListenerState> {
     this.probeCount += 1;
-    if (this.roundTripMs > 0) {
+    if (this.areChecksSlow && timeoutMs === BYPASS_CHECK_TIMEOUT_MS) {
+      await this.clock.sleep(timeoutMs);
+    } else if (this.roundTripMs > 0) {
       await this.clock.sleep(Math.min(timeoutMs, this.roundTripMs));
     }
     return this.unreachable.has(host) || this.roundTripMs > timeoutMs
@@ -95,12 +99,31 @@
       [Symbol.dispose]: () => watch[Symbol.dispose](),
     };
     const watch = this.links.watchRequest(service, {
-      onBypass: () => (counter.count += 1),
+      onBypass: async () => void (counter.count += 1),
       onHang: () => undefined,
     });
     return counter;
   }
 
+  /** Lets the links to a service hang for good while other edges can connect. */
+  async hang(service: string): Promise<void> {
+    const upstreams = this.upstreams(service);
+    this.failedState = LISTENER_STATE.unknown;
+    this.isReachedByOthers = true;
+    this.cut(upstreams);
+    await this.failConnect(upstreams[0], CONNECT_TIMEOUT);
+  }
+
+  /** Counts `reads.count` as the reads from all services. */
+  countReads(): {count: number} {
+    const reads = {count: 0};
+    const traffic = {requests: 0, upstreams: 0};
+    jest
+      .spyOn(this.pool, 'trafficOf')
+      .mockImplementation(() => ({...traffic, reads: reads.count}));
+    return reads;
+  }
+
   upstreams(service: string): readonly EdgeUpstream[] {
     return this.pool.servingUpstreams(service);
   }
@@ -225,7 +248,7 @@
       fixture.cut(engines);
       let endedCount = 0;
       using _listener = fixture.links.watchRequest('engines', {
-        onBypass: () => undefined,
+        onBypass: async () => undefined,
         onHang: () => (endedCount += 1),
       });
       await fixture.failConnect(engines[0], cause);
@@ -265,6 +288,74 @@
     expect(fixture.links.areLost('engines')).toBe(false);
   });
 
+  /** Guards against responses that are ended although what they wait for is arriving. */
+  test('reports no way around links over which bytes arrive', async () => {
+    await using fixture = new LinksFixture();
+    const reads = fixture.countReads();
+    fixture.roundTripByOthersMs = PROBE_INTERVAL_MS;
+    using bypasses = fixture.countBypasses('engines');
+    await fixture.hang('engines');
+    for (let step = 0; step < 20; step += 1) {
+      reads.count += 1;
+      await advanceInSteps(fixture.clock, PROBE_INTERVAL_MS);
+    }
+    expect(bypasses.count).toBe(0);
+    await advanceInSteps(fixture.clock, 3 * BYPASS_CHECK_INTERVAL_MS);
+    expect(bypasses.count).toBeGreaterThan(0);
+  });
+
+  test('lets no further request leave its link once bytes arrive', async () => {
+    await using fixture = new LinksFixture();
+    const reads = fixture.countReads();
+    let leftCount = 0;
+    const listener = {
+      onBypass: async () => {
+        leftCount += 1;
+        reads.count += 1;
+      },
+      onHang: () => undefined,
+    };
+    using _first = fixture.links.watchRequest('engines', {...listener});
+    using _second = fixture.links.watchRequest('engines', {...listener});
+    await fixture.hang('engines');
+    await advanceInSteps(fixture.clock, BYPASS_CHECK_INTERVAL_MS);
+    expect(leftCount).toBe(1);
+  });
+
+  /** Guards against many requests that all leave their links for one free place. */
+  test('lets requests leave their links one after the other', async () => {
+    await using fixture = new LinksFixture();
+    let leavingCount = 0;
+    let leftCount = 0;
+    let mostLeaving = 0;
+    const listener = {
+      onBypass: async () => {
+        leavingCount += 1;
+        mostLeaving = Math.max(mostLeaving, leavingCount);
+        await settleTasks();
+        leavingCount -= 1;
+        leftCount += 1;
+      },
+      onHang: () => undefined,
+    };
+    using _first = fixture.links.watchRequest('engines', {...listener});
+    using _second = fixture.links.watchRequest('engines', {...listener});
+    await fixture.hang('engines');
+    await advanceInSteps(fixture.clock, BYPASS_CHECK_INTERVAL_MS);
+    expect(leftCount).toBeGreaterThan(1);
+    expect(mostLeaving).toBe(1);
+  });
+
+  /** Guards against requests that wait for the next search until a probe has timed out. */
+  test('looks for a way around again while its own probe gets no reply', async () => {
+    await using fixture = new LinksFixture();
+    fixture.areChecksSlow = true;
+    using bypasses = fixture.countBypasses('engines');
+    await fixture.hang('engines');
+    await advanceInSteps(fixture.clock, BYPASS_CHECK_TIMEOUT_MS);
+    expect(bypasses.count).toBeGreaterThan(1);
+  });
+
   test('goes on with attempts at a single upstream that is silent', async () => {
     await using fixture = new LinksFixture();
     const address = '10.0.1.1:80';
@@ -277,7 +368,7 @@
     fixture.cut(single);
     let endedCount = 0;
     using _listener = fixture.links.watchRequest('single', {
-      onBypass: () => (endedCount += 1),
+      onBypass: async () => void (endedCount += 1),
       onHang: () => (endedCount += 1),
     });
     await fixture.failConnect(single[0], CONNECT_TIMEOUT);
@@ -291,7 +382,7 @@
     await fixture.clock.advance(5_000);
     fixture.cut(engines);
     using _listener = fixture.links.watchRequest('engines', {
-      onBypass: () => undefined,
+      onBypass: async () => undefined,
       onHang: () => undefined,
     });
     for (const engine of engines) {
--- a/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
@@ -84,7 +84,7 @@
   }
 
   findBypass(): void {
-    this.listeners.forEach((listener) => listener.onBypass());
+    this.listeners.forEach((listener) => void listener.onBypass());
   }
 
   /** Lets the first response complete as if the link had gone on. */
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -13,6 +13,7 @@
 import type {TokenState} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {RETRY_POLICY} from 'puffinturn-fleet';
+import {Condition} from 'shared';
 
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {PartialEvents} from '../callers/PartialEvents';
@@ -141,6 +142,8 @@
   private unsentCount = 0;
   /** Whether this edge ended the last attempt because its link hangs. */
   private hasLeftLink = false;
+  /** Notified when a request that has left its link is sent again, waits or has ended. */
+  private readonly linkLeft = new Condition();
   /** Whether the next attempt was taken from the retry budget before. */
   private isRetryPaid = false;
   private mayHaveRun = false;
@@ -190,6 +193,7 @@
       }
     } finally {
       clearTimeout(timer);
+      this.linkLeft.notify();
       const charged = tokens.settle({
         events: this.relay?.eventCount ?? 0,
         hasStarted: this.relay?.hasStarted ?? false,
@@ -470,6 +474,7 @@
       this.attemptCount + this.unsentCount,
       relay?.lastEventId,
     );
+    this.linkLeft.notify();
     this.currentAttempt = new Attempt(this.parts, {
       body,
       caller,
@@ -546,6 +551,7 @@
   /** Waits before the next attempt to continue a response. */
   private async awaitLink(): Promise<void> {
     this.deniedUpstreams.clear();
+    this.linkLeft.notify();
     await this.parts.clock.sleep(LOST_LINK_RETRY_INTERVAL_MS);
   }
 
@@ -802,7 +808,7 @@
    * Ends an attempt over a link that hangs if the request can be sent on another way at
    * once. Any other one goes on, as the upstream may still respond when the link is back.
    */
-  private onBypass(plan: RequestPlan): void {
+  private async onBypass(plan: RequestPlan): Promise<void> {
     const attempt = this.currentAttempt;
     if (
       attempt?.dependsOnLink === true &&
@@ -813,6 +819,7 @@
       this.hasLeftLink = true;
       this.isRetryPaid = true;
       attempt.abandonLink();
+      await this.linkLeft.wait();
     }
   }
 
--- a/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -42,9 +42,10 @@
   onHang(): void;
   /**
    * Called when another edge has connected to an upstream of the service faster than this
-   * edge could, while all links hang.
+   * edge could, while all links hang. Resolves when the request has a place elsewhere or
+   * stays, so that the next one finds what is left.
    */
-  onBypass(): void;
+  onBypass(): Promise<void>;
 }
 
 /** Dependencies of ServiceLinks. */
@@ -66,6 +67,8 @@
   private readonly listeners = new Set<LinkListener>();
   /** Whether the links were lost without any reply, so that open connections may hang. */
   private isHanging = false;
+  /** Reads from the service when the loss, or the last search for a bypass, began. */
+  private silentReads = 0;
   private lastBypassCheckAt = -Infinity;
   private isCheckingBypass = false;
   /** When the loss of all links was found, monotonic ms; undefined if they are not. */
@@ -188,38 +191,77 @@
   }
 
   /**
-   * Compares the way by another edge with the own link, to one upstream and at the same
-   * time. A link that is only slow delays the request for a tunnel just as much, so that
-   * the first reply tells whether another edge is the better way.
+   * Looks for a way around links that hang. If there is one, requests leave their links one
+   * after the other, for as long as nothing arrives over these.
    */
   async checkBypass(): Promise<void> {
-    const {clock, probe, probeByOthers} = this.parts;
     const [upstream] = this.lostUpstreams;
     if (upstream === undefined) {
       return;
     }
-    const startedAt = clock.now();
-    this.lastBypassCheckAt = startedAt;
+    this.lastBypassCheckAt = this.parts.clock.now();
     this.isCheckingBypass = true;
-    let isReached = false;
-    const {host, port} = upstream;
-    const own = probe(host, port, BYPASS_CHECK_TIMEOUT_MS).then((state) => {
-      isReached = state === LISTENER_STATE.listening;
-    });
-    const isReachedByOthers = await probeByOthers(upstream);
-    const isBypass = isReachedByOthers && !isReached && this.areLost;
-    this.logBypass(isBypass, isReached, startedAt);
-    if (isBypass) {
-      [...this.listeners].forEach((listener) => listener.onBypass());
+    try {
+      if (await this.isBypassBetter(upstream)) {
+        await this.offerBypass();
+      }
+    } finally {
+      this.isCheckingBypass = false;
     }
-    await own;
-    this.isCheckingBypass = false;
-    if (isReached) {
+  }
+
+  /**
+   * Compares the way by another edge with the own link, to one upstream and at the same
+   * time. A link that is only slow delays the request for a tunnel just as much, so that
+   * the first reply tells whether another edge is the better way. What is sent again on an
+   * open connection may arrive long before a connection is made.
+   */
+  private async isBypassBetter(upstream: EdgeUpstream): Promise<boolean> {
+    const startedAt = this.parts.clock.now();
+    const hasBeenSilent = this.isSilent;
+    this.silentReads = this.readCount;
+    void this.probeOwnLink(upstream);
+    const isReachedByOthers = await this.parts.probeByOthers(upstream);
+    const isReached = !this.isLost(upstream);
+    const isBetter = isReachedByOthers && hasBeenSilent && this.isHangingStill;
+    this.logBypass(isBetter, isReached, startedAt);
+    return isBetter;
+  }
+
+  /** Ends the loss if an upstream responds. */
+  private async probeOwnLink(upstream: EdgeUpstream): Promise<void> {
+    const {host, port} = upstream;
+    const state = await this.parts.probe(host, port, BYPASS_CHECK_TIMEOUT_MS);
+    if (state === LISTENER_STATE.listening) {
       this.lostUpstreams.delete(upstream);
       this.endLoss();
     }
   }
 
+  private async offerBypass(): Promise<void> {
+    for (const listener of [...this.listeners]) {
+      if (!this.isHangingStill) {
+        return;
+      }
+      if (this.listeners.has(listener)) {
+        await listener.onBypass();
+      }
+    }
+  }
+
+  private get isHangingStill(): boolean {
+    return this.areLost && this.isSilent;
+  }
+
+  /** Whether nothing has arrived since the loss or the begin of the last check. */
+  private get isSilent(): boolean {
+    return this.readCount === this.silentReads;
+  }
+
+  private get readCount(): number {
+    return this.parts.pool.trafficOf(this.service).reads;
+  }
+
   /** Draws a few upstreams at random. */
   private sample(upstreams: readonly EdgeUpstream[]): EdgeUpstream[] {
     const {random} = this.parts;
@@ -237,6 +279,7 @@
     states: readonly ListenerState[],
   ): void {
     this.lostSince = this.parts.clock.now();
+    this.silentReads = this.readCount;
     // Without any reply, open connections hang too; else they may live on.
     const isHang = states.includes(LISTENER_STATE.unknown);
     for (const upstream of serving) {
