A response that has left its link waits when its new place is taken

Callers saw a stream cut although this edge itself had ended the attempt: between the check for another way and the next attempt the place was taken, and once the links counted as back the request failed for lack of an upstream. Now such a response waits and tries again until its deadline.

--- a/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
@@ -12,6 +12,7 @@
 
 import {RetryBudgets} from '../../requests/RetryBudgets';
 import type {LinkListener} from '../../tunnels/ServiceLinks';
+import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import type {CallerResponse} from '../utils/ForwardingFixture';
 import {
   createRoute,
@@ -39,24 +40,38 @@
   /** Responses that have not ended, in the order of their begin. */
   readonly responses: ServerResponse[] = [];
   isLost = false;
+  /** Whether no upstream has a place, and whether that begins once a request leaves. */
+  isFull = false;
+  fillsOnLeaving = false;
   private readonly upstreams: TestUpstream[] = [];
   private readonly listeners = new Set<LinkListener>();
   private edge: ForwardingFixture | undefined;
 
   async start(upstreamCount: number, mayRetry = true): Promise<void> {
-    this.edge = await ForwardingFixture.start([ROUTE], ({directLinks}) => ({
-      directLinks: Object.assign(directLinks, {
-        areLost: () => this.isLost,
-        needsTunnel: () => this.isLost,
-        watchRequest: (_: string, listener: LinkListener) => {
-          this.listeners.add(listener);
-          return {[Symbol.dispose]: () => this.listeners.delete(listener)};
-        },
+    this.edge = await ForwardingFixture.start(
+      [ROUTE],
+      ({directLinks, exposureController}) => ({
+        exposureController: Object.assign(exposureController, {
+          mayResume: () => !this.isFull,
+          candidateGroups: (_: unknown, serving: readonly EdgeUpstream[]) =>
+            this.isFull ? [] : [serving],
+        }),
+        directLinks: Object.assign(directLinks, {
+          areLost: () => this.isLost,
+          needsTunnel: () => this.isLost,
+          watchRequest: (_: string, listener: LinkListener) => {
+            this.listeners.add(listener);
+            return {[Symbol.dispose]: () => this.listeners.delete(listener)};
+          },
+        }),
+        retryBudgets: Object.assign(new RetryBudgets(RETRY_LIMIT, () => 1), {
+          tryConsume: () => {
+            this.isFull ||= this.fillsOnLeaving;
+            return mayRetry;
+          },
+        }),
       }),
-      retryBudgets: Object.assign(new RetryBudgets(RETRY_LIMIT, () => 1), {
-        tryConsume: () => mayRetry,
-      }),
-    }));
+    );
     for (let index = 0; index < upstreamCount; index += 1) {
       const upstream = await TestUpstream.start(`u${index}`);
       this.upstreams.push(upstream);
@@ -142,6 +157,20 @@
     expect(stream.responses).toHaveLength(1);
   });
 
+  test('waits if the place for it is taken before its next attempt', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.fillsOnLeaving = true;
+    stream.findBypass();
+    await delay(OBSERVATION_MS);
+    const {isFull} = stream;
+    stream.isFull = false;
+    setTimeout(() => stream.responses[1]?.end(), 5 * OBSERVATION_MS);
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect(isFull).toBe(true);
+  });
+
   test('waits for the links if the other way is gone before its next attempt', async () => {
     await using stream = new HangingStream();
     await stream.start(2);
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -539,12 +539,12 @@
     }
   }
 
-  /** Whether a response that has begun may go on once the links are back. */
+  /** Whether a response that has begun may go on once the links are back, or a place is free. */
   private mayAwaitLink({service}: RequestPlan): boolean {
     return (
       !this.requestOutcome.hasEnded &&
       this.relay?.hasStarted === true &&
-      this.parts.directLinks.areLost(service.name)
+      (this.hasLeftLink || this.parts.directLinks.areLost(service.name))
     );
   }
 
