A response that looks for another way doesn't count as an arrival of a rollout

Whether a stream at a version under test may go on elsewhere was asked by counting an arrival and spending credit: once to see whether to leave a link, again for the attempt, and every 250 ms while it waited. So it could leave and then find no credit, and the rollout saw requests that never came. A response that goes on is exposed already; now only what is left is looked at, and the attempt counts when it is sent. Found by review; HangingLinks fails if a continued response is asked to resume.

--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -384,6 +384,7 @@
     return {
       bodyBytes: this.body.length,
       deniedUpstreams: this.deniedUpstreams,
+      isContinuation: this.relay?.hasStarted === true,
       isLeastUrgent: this.table.isLeastUrgent(route),
       streamVersion: this.stream.version,
     };
--- a/packages/puffinturn-edge/src/rollouts/ExposureController.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureController.ts
@@ -202,6 +202,25 @@
     );
   }
 
+  /**
+   * Whether a response that a version began may be continued there. The response counts as
+   * exposed already; this doesn't change the state, so it can be asked at any time.
+   */
+  mayContinue({service}: RequestPlan, version: string): boolean {
+    const state = this.services.get(service.name);
+    const primary = state?.roles.primary;
+    if (state === undefined || primary === undefined) {
+      return true;
+    }
+    const {roles, tracker} = state;
+    return (
+      version === primary ||
+      version === roles.fallback ||
+      isUnordered(state, version) ||
+      (version === roles.canary && (tracker?.remaining ?? 0) >= 1)
+    );
+  }
+
   /** Counts a sent request and returns the observer of its outcome. */
   recordSent(
     {route, service}: RequestPlan,
--- a/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
+++ b/packages/puffinturn-edge/src/upstreams/UpstreamSelection.ts
@@ -61,6 +61,8 @@
   readonly deniedUpstreams: ReadonlySet<EdgeUpstream>;
   /** Version that began the stream which the request continues, if it does. */
   readonly streamVersion?: string | undefined;
+  /** Whether its caller has a part of the response already. */
+  readonly isContinuation?: boolean | undefined;
 }
 
 /** Why no upstream was found for a request, and when to retry. */
@@ -104,7 +106,15 @@
           ),
           tried.size === 0,
         )
-      : [upstreamsForStream(deps, plan, allowed, request.streamVersion)];
+      : [
+          upstreamsForStream(
+            deps,
+            plan,
+            allowed,
+            request.streamVersion,
+            request.isContinuation === true,
+          ),
+        ];
   for (const group of groups) {
     const placement = selectFrom(deps, plan, tried, request, group);
     if (placement !== undefined) {
@@ -120,10 +130,12 @@
   plan: RequestPlan,
   allowed: readonly EdgeUpstream[],
   version: string,
+  isContinuation: boolean,
 ): readonly EdgeUpstream[] {
-  return exposureController.mayResume(plan, version)
-    ? upstreamsOfVersion(allowed, version)
-    : [];
+  const isAllowed = isContinuation
+    ? exposureController.mayContinue(plan, version)
+    : exposureController.mayResume(plan, version);
+  return isAllowed ? upstreamsOfVersion(allowed, version) : [];
 }
 
 function selectFrom(
