A response that left its link ends if its version has left, and may go back to its former upstream

It waited until its deadline though no upstream of its version was left, or all that serve were marked as tried, while its caller could have resumed at another edge. HangingLinks: two new cases, of which the one with the version that left waits for its time-out without the change.

--- a/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
@@ -33,6 +33,8 @@
   maxAttempts: 2,
   repetition: RETRY_POLICY.resumable,
   streams: true,
+  // Longer than a test may take: a response that waits until then fails it.
+  timeoutMs: 400_000,
 });
 
 /** A stream that has begun over a link that hangs. */
@@ -46,13 +48,17 @@
   private readonly upstreams: TestUpstream[] = [];
   private readonly listeners = new Set<LinkListener>();
   private edge: ForwardingFixture | undefined;
+  private first: TestUpstream | undefined;
 
   async start(upstreamCount: number, mayRetry = true): Promise<void> {
     this.edge = await ForwardingFixture.start(
       [ROUTE],
       ({directLinks, exposureController}) => ({
         exposureController: Object.assign(exposureController, {
-          mayResume: () => !this.isFull,
+          mayContinue: () => !this.isFull,
+          mayResume: () => {
+            throw new Error('a continued response must not count as resumed');
+          },
           candidateGroups: (_: unknown, serving: readonly EdgeUpstream[]) =>
             this.isFull ? [] : [serving],
         }),
@@ -79,6 +85,7 @@
         response.setHeader('Content-Type', 'text/event-stream');
         const isResumed = incoming.headers['x-last-event'] === '1';
         response.write(isResumed ? SECOND_EVENT : FIRST_EVENT);
+        this.first ??= upstream;
         this.responses.push(response);
       };
     }
@@ -102,6 +109,21 @@
     this.listeners.forEach((listener) => void listener.onBypass());
   }
 
+  /** All upstreams leave. */
+  leave(): void {
+    this.upstreams.forEach((upstream) => this.drain(upstream));
+  }
+
+  /** All upstreams leave but the one that began the stream. */
+  leaveAtOther(): void {
+    const others = this.upstreams.filter((upstream) => upstream !== this.first);
+    others.forEach((upstream) => this.drain(upstream));
+  }
+
+  private drain(upstream: TestUpstream): void {
+    this.edge?.pool.find(upstream.record().id)?.markDraining();
+  }
+
   /** Lets the first response complete as if the link had gone on. */
   async goOn(): Promise<void> {
     await delay(OBSERVATION_MS);
@@ -171,6 +193,32 @@
     expect(isFull).toBe(true);
   });
 
+  test('ends if all upstreams of its version leave while it waits', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.fillsOnLeaving = true;
+    stream.findBypass();
+    await delay(OBSERVATION_MS);
+    stream.leave();
+    const {body, isComplete} = (await response) ?? {};
+    expect({body, isComplete}).toEqual({body: FIRST_EVENT, isComplete: false});
+  });
+
+  test('goes on at its former upstream if the other one has left', async () => {
+    await using stream = new HangingStream();
+    await stream.start(2);
+    const [response] = await stream.send();
+    stream.fillsOnLeaving = true;
+    stream.findBypass();
+    await delay(OBSERVATION_MS);
+    stream.leaveAtOther();
+    stream.isFull = false;
+    await waitUntil(() => stream.responses.length === 2);
+    stream.responses[1]?.end();
+    expect((await response)?.body).toBe(WHOLE_STREAM);
+  });
+
   test('waits for the links if the other way is gone before its next attempt', async () => {
     await using stream = new HangingStream();
     await stream.start(2);
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -545,13 +545,23 @@
     return (
       !this.requestOutcome.hasEnded &&
       this.relay?.hasStarted === true &&
-      (this.hasLeftLink || this.parts.directLinks.areLost(service.name))
+      (this.hasLeftLink || this.parts.directLinks.areLost(service.name)) &&
+      this.isVersionServing(service.name)
     );
   }
 
+  /** Whether an upstream is left that could continue the response. */
+  private isVersionServing(service: string): boolean {
+    const {version} = this.stream;
+    const serving = this.parts.pool.servingUpstreams(service);
+    return serving.some((upstream) => upstream.version === version);
+  }
+
   /** Waits before the next attempt to continue a response. */
   private async awaitLink(): Promise<void> {
     this.deniedUpstreams.clear();
+    // Its former upstream may be the only one that can go on once the links are back.
+    this.triedUpstreams.clear();
     this.linkLeft.notify();
     await this.parts.clock.sleep(LOST_LINK_RETRY_INTERVAL_MS);
   }
