Streams: an edge back from a suspension takes no lease from before it

The clock stands still in a suspension, so the lease of the list of versions looked valid afterwards until the detector's next look, up to 1 s later: the edge resumed unnamed streams by a list that lacked a version, and told other edges that its list was complete.

The detector is now asked wherever the age of the list is read, for the edge's own resumptions and in replies to others.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -218,6 +218,7 @@
       metrics: this.metrics,
       origins: this.streamOrigins,
       stateAgeMs: () => this.fleetWatch.freshness.versionsAgeMs,
+      suspension: {check: () => this.wakeRefresh.check()},
       versions: this.pool.versions,
     });
     // Must exist before the fleet watch, which reads the rollout revision at once.
--- a/packages/puffinturn-edge/src/WakeRefresh.ts
+++ b/packages/puffinturn-edge/src/WakeRefresh.ts
@@ -46,9 +46,14 @@
     );
   }
 
+  /** Voids state from before a suspension; called before its age is relied on. */
+  check(): void {
+    this.suspensionWatch.check();
+  }
+
   /** Resolves when the refresh in progress ends; undefined if there is none. */
   get pending(): Promise<void> | undefined {
-    this.suspensionWatch.check();
+    this.check();
     if (this.refreshing === undefined && this.parts.watch.isCatchingUp) {
       this.refreshing = this.waitUntilCaughtUp().finally(
         () => (this.refreshing = undefined),
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -13,7 +13,7 @@
 import {RETRY_POLICY, UPSTREAM_STATE, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {KeyedOrigin, Lookup, OriginQuery} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
-import {ManualClock} from 'shared';
+import {ManualClock, SuspensionDetector} from 'shared';
 
 import {CallerRequest} from '../../callers/CallerRequest';
 import {EdgeMetrics} from '../../EdgeMetrics';
@@ -90,6 +90,10 @@
       replicateService: (service) => this.replicatedServices.push(service),
     },
     stateAgeMs: () => this.stateAgeMs,
+    suspension: new SuspensionDetector(
+      this.clock,
+      () => (this.stateAgeMs = Infinity),
+    ),
     versions: this.versions,
   });
   private revision = 0;
@@ -247,6 +251,19 @@
     expect(await fixture.resolve(UNNAMED)).toBe('s v1');
   });
 
+  // The clock had not counted the time, and the detector looks only once a second by itself.
+  test('is not taken for one of the only version by a lease from before a suspension', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    expect(fixture.streams.hasLease).toBe(true);
+    fixture.clock.suspend(5_000);
+    expect(fixture.streams.hasLease).toBe(false);
+    fixture.stateAgeMs = 0;
+    fixture.clock.suspend(5_000);
+    fixture.lookup = {kind: LOOKUP.unknown};
+    expect(await fixture.resolve(UNNAMED)).toBe('refused');
+  });
+
   test('goes on by an old list only if enough boxes have run since', async () => {
     const fixture = new Fixture();
     fixture.register('v1');
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -319,6 +319,7 @@
           versionsRevision: () => this.pool.versions.revision,
         }),
         stateAgeMs: () => 0,
+        suspension: {check: () => undefined},
         versions: this.pool.versions,
       }),
       ...getOverrides(this),
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -15,7 +15,7 @@
 import {RETRY_POLICY, roundAge, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {Lookup, MissedOrigin, StreamOrigins} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
-import type {Clock} from 'shared';
+import type {Clock, SuspensionDetector} from 'shared';
 
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {EdgeMetrics} from '../EdgeMetrics';
@@ -40,6 +40,8 @@
   readonly versions: VersionHistory;
   /** Time since the known versions were confirmed, ms; Infinity if they never were. */
   readonly stateAgeMs: () => number;
+  /** Voids that time after a suspension, which the clock has not counted. */
+  readonly suspension: Pick<SuspensionDetector, 'check'>;
 }
 
 /** Where a stream that a caller resumes may go on. */
@@ -76,7 +78,7 @@
     plan: RequestPlan,
     table: RouteTable,
   ): Promise<Resumption | undefined> {
-    const {clock, log, metrics, stateAgeMs, versions} = this.parts;
+    const {clock, log, metrics, versions} = this.parts;
     const startedAt = clock.now();
     const match = await this.match(caller, plan);
     const {lookup, outcome, resumption} = match;
@@ -96,7 +98,7 @@
       request: caller.id,
       service: resumption?.service ?? plan.service.name,
       source: found?.source,
-      stateAgeMs: roundAge(stateAgeMs()),
+      stateAgeMs: roundAge(this.stateAgeMs),
       stream: caller.resumedRequest,
       tookMs: Math.round(clock.now() - startedAt),
       version: found?.origin.version ?? resumption?.version,
@@ -282,15 +284,22 @@
 
   /** Whether no version that isn't on the list here can have begun streams yet. */
   get hasLease(): boolean {
-    return this.parts.stateAgeMs() < VERSION_LEASE_MS;
+    return this.stateAgeMs < VERSION_LEASE_MS;
+  }
+
+  /** Time since the known versions were confirmed, suspensions included, ms. */
+  private get stateAgeMs(): number {
+    const {stateAgeMs, suspension} = this.parts;
+    suspension.check();
+    return stateAgeMs();
   }
 
   /** How long ago a stream that is not recorded may have begun at a version unknown here, ms. */
   private unsureMs({service}: RequestPlan): number {
-    const {stateAgeMs, versions} = this.parts;
+    const {versions} = this.parts;
     return versions.soleRegisteredVersion(service.name) === undefined
       ? Infinity
-      : stateAgeMs();
+      : this.stateAgeMs;
   }
 
   /** Whether another edge knows of versions that this one does not know. */
