Streams: resumptions without a lease share their questions to other edges

Without a lease on the list of versions, each unnamed resumption asked every edge of every region, twice if one did not reply: edges times resumptions in a loss of the core.

The replies do not depend on the stream. At most one lookup of a service now starts in 250 ms at an edge, for all resumptions that arrived before it starts; it asks the edges of its own region first, and all only if no list there is complete. A result does not serve resumptions that arrive later, since it does not cover streams that have begun since.

Unit tests: 40 unnamed resumptions at one of six edges got 200 replies, now at most 10. Three tests, failed before.

--- a/packages/puffinturn-streams/src/ReplicaSelector.ts
+++ b/packages/puffinturn-streams/src/ReplicaSelector.ts
@@ -54,6 +54,12 @@
     return this.regions.map((boxes) => selectFrom(boxes, keyHash));
   }
 
+  /** Returns all boxes of the own region. */
+  get ownRegion(): readonly string[] {
+    this.refresh();
+    return (this.regions[0] ?? []).map(({box}) => box);
+  }
+
   /** Returns all boxes of all regions. */
   get all(): readonly string[] {
     const {peers, self} = this.parts;
--- a/packages/puffinturn-streams/src/StreamConstants.ts
+++ b/packages/puffinturn-streams/src/StreamConstants.ts
@@ -25,6 +25,9 @@
 /** Timeout for a second lookup, ms; boxes that were too late once get more time. */
 export const SECOND_FIND_TIMEOUT_MS = 500;
 
+/** Minimum time between the starts of two lookups that are shared, ms. */
+export const SHARED_LOOKUP_INTERVAL_MS = 250;
+
 /** Maximum number of origins that an edge keeps; the oldest are dropped first. */
 export const MAX_ORIGINS = 20_000;
 
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -22,6 +22,7 @@
 import {OriginTable} from './OriginTable';
 import type {ReplicaSelectorParts} from './ReplicaSelector';
 import {ReplicaSelector} from './ReplicaSelector';
+import {SharedLookups} from './SharedLookups';
 import {
   CONTROL_COPIES,
   FIND_TIMEOUT_MS,
@@ -61,6 +62,9 @@
   readonly lists: number;
 }
 
+/** Edges that are asked at once, by region. */
+type BoxGroups = readonly (readonly string[])[];
+
 /** What boxes that were asked once have replied. */
 interface LookupRound {
   readonly lookup: Lookup;
@@ -76,6 +80,8 @@
   private readonly replicated: OriginTable;
   private readonly selector: ReplicaSelector;
   private readonly controlCopies: ControlCopies;
+  /** Lookups of lists of versions, for streams without a key. */
+  private readonly listLookups: SharedLookups;
   /** Origins to be sent, by box. */
   private readonly outboxes = new Map<string, KeyedOrigin[]>();
   private readonly registration: Disposable;
@@ -86,6 +92,7 @@
     this.replicated = new OriginTable(clock, lifetimeMs, MAX_ORIGINS);
     this.selector = new ReplicaSelector(parts);
     this.controlCopies = new ControlCopies(parts);
+    this.listLookups = new SharedLookups(clock);
     this.registration = serveOriginCalls(link, {
       reply: (request) => this.reply(request),
       store: (origin) => this.replicated.store(origin),
@@ -117,48 +124,71 @@
     return origins.length;
   }
 
-  /** Looks an origin up at this box, then at the boxes that may hold it. */
-  async find(query: OriginQuery): Promise<Lookup> {
-    const {key} = query;
-    const local = key === undefined ? undefined : this.findHere(key);
-    if (local !== undefined) {
-      return this.found(local, this.parts.self.box);
-    }
-    const first = await this.findElsewhere({
-      ...query,
-      timeoutMs: FIND_TIMEOUT_MS,
-    });
-    if (first.isDecided) {
-      return first.lookup;
+  /**
+   * Looks an origin up at this box, then at the boxes that may hold it. Without a key, looks up
+   * which lists of versions other edges have, once for all that ask at a time.
+   */
+  find(query: OriginQuery): Promise<Lookup> {
+    const {key, neededListShare = 1, service} = query;
+    if (key === undefined) {
+      const subject = `${neededListShare} ${service}`;
+      return this.listLookups.find(subject, () => this.findLists(query));
     }
-    const second = await this.findElsewhere({
-      ...query,
-      timeoutMs: SECOND_FIND_TIMEOUT_MS,
-    });
-    return second.lookup;
+    return this.findOrigin(query, key);
   }
 
   [Symbol.dispose](): void {
     this.registration[Symbol.dispose]();
   }
 
+  private async findOrigin(query: OriginQuery, key: string): Promise<Lookup> {
+    const local = this.findHere(key);
+    if (local !== undefined) {
+      return this.found(local, this.parts.self.box);
+    }
+    const regions = this.selector.selectByRegion(key);
+    return this.findInRounds(query, regions, regions);
+  }
+
+  /** Any edge may have begun the stream; those of the own region are asked first. */
+  private findLists(query: OriginQuery): Promise<Lookup> {
+    const {all, ownRegion} = this.selector;
+    return this.findInRounds(query, [ownRegion], [all]);
+  }
+
+  /** Asks some boxes; if these don't decide, asks others or the same with more time. */
+  private async findInRounds(
+    query: OriginQuery,
+    first: BoxGroups,
+    second: BoxGroups,
+  ): Promise<Lookup> {
+    const timeoutMs = FIND_TIMEOUT_MS;
+    const round = await this.findElsewhere({...query, timeoutMs}, first);
+    if (round.isDecided) {
+      return round.lookup;
+    }
+    const longerMs = SECOND_FIND_TIMEOUT_MS;
+    const repeated = await this.findElsewhere(
+      {...query, timeoutMs: longerMs},
+      second,
+    );
+    return repeated.lookup;
+  }
+
   /**
-   * Asks the candidates of all regions and the control boxes at once. The first origin
-   * decides, or the first control box that follows the quorum and knows a single version.
+   * Asks groups of edges and the control boxes at once. The first origin decides, or the first
+   * control box that follows the quorum and knows a single version.
    */
-  private findElsewhere(query: OriginLookup): Promise<LookupRound> {
+  private findElsewhere(
+    query: OriginLookup,
+    groups: BoxGroups,
+  ): Promise<LookupRound> {
     const {key} = query;
-    // Without a key, any box may have begun the stream, at a version that only it knows.
-    const regions =
-      key === undefined
-        ? [this.selector.all]
-        : this.selector.selectByRegion(key);
+    const edges = this.selector.all.length;
     return new Promise((resolve) => {
       const decide = (lookup: Lookup): void =>
         resolve({isDecided: true, lookup});
-      const asked = regions.map((boxes) =>
-        this.askRegion(query, boxes, decide),
-      );
+      const asked = groups.map((boxes) => this.askRegion(query, boxes, decide));
       const controlAsked = this.controlCopies.ask(query, decide, (versions) => {
         if (versions.length === 1) {
           const kind = key === undefined ? LOOKUP.unknown : LOOKUP.absent;
@@ -166,13 +196,13 @@
         }
       });
       void Promise.all(asked).then((replies) => {
-        if (key === undefined && listShare(replies) >= 1) {
+        if (key === undefined && listShare(replies, edges) >= 1) {
           const versionsRevision = newestRevision(replies);
           decide({kind: LOOKUP.unknown, listShare: 1, versionsRevision});
         }
       });
       void Promise.all([controlAsked, ...asked]).then(([control, ...replies]) =>
-        resolve(combineReplies(query, control, replies)),
+        resolve(combineReplies(query, control, replies, edges)),
       );
     });
   }
@@ -339,10 +369,9 @@
 }
 
 /** Share of all edges, the asking one included, that replied with a list of versions. */
-function listShare(regions: readonly RegionReplies[]): number {
-  const asked = regions.reduce((sum, region) => sum + region.asked, 0);
+function listShare(regions: readonly RegionReplies[], edges: number): number {
   const lists = regions.reduce((sum, region) => sum + region.lists, 0);
-  return (1 + lists) / (1 + asked);
+  return (1 + lists) / edges;
 }
 
 /** A stream without a key is never absent, as nobody can miss it. */
@@ -350,11 +379,12 @@
   {key, neededListShare = 1}: OriginQuery,
   control: ControlReplies,
   regions: readonly RegionReplies[],
+  edges: number,
 ): LookupRound {
   const all = [control, ...regions];
   const asked = all.reduce((sum, group) => sum + group.asked, 0);
   const replies = all.reduce((sum, group) => sum + group.replies, 0);
-  const share = listShare(regions);
+  const share = listShare(regions, edges);
   const isListDecided =
     share >= neededListShare || control.versions !== undefined;
   const isSure =
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -16,6 +16,7 @@
   FIND_TIMEOUT_MS,
   MAX_ORIGINS,
   SECOND_FIND_TIMEOUT_MS,
+  SHARED_LOOKUP_INTERVAL_MS,
 } from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
 import {StreamOrigins} from '../../StreamOrigins';
@@ -42,6 +43,8 @@
   readonly revisions = new Map<string, number>();
   /** The box that may take its list for complete. */
   leaseHolder: string | undefined;
+  /** The boxes that replied to a question. */
+  readonly asked: string[] = [];
 
   constructor(
     private readonly boxes: readonly ReplicaBox[] = BOXES,
@@ -62,7 +65,10 @@
           areInSameRegion,
           clock,
           controlBoxes: () => [],
-          hasVersionLease: () => this.leaseHolder === box,
+          hasVersionLease: () => {
+            this.asked.push(box);
+            return this.leaseHolder === box;
+          },
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(box),
           peers: () => peers,
@@ -113,11 +119,11 @@
   }
 }
 
+const UNNAMED = {key: undefined, service: 's', unsureMs: Infinity};
+
 /** Looks up which lists of versions all boxes know, at the first box. */
 async function findLists(fleet: Fleet): Promise<Lookup> {
-  const lookup = fleet
-    .at('a1')
-    .find({key: undefined, service: 's', unsureMs: Infinity});
+  const lookup = fleet.at('a1').find(UNNAMED);
   await fleet.clock.advance(LOOKUP_MS);
   return lookup;
 }
@@ -274,4 +280,45 @@
     fleet.leaseHolder = 'b2';
     expect(await findLists(fleet)).toMatchObject({listShare: 1});
   });
+
+  // Each resumption asked every edge, so a fleet that lost the core was flooded with questions.
+  test('are asked for once for all resumptions of some time', async () => {
+    const fleet = new Fleet();
+    const lookups = STREAMS.map(async () => findLists(fleet));
+    expect(await Promise.all(lookups)).toHaveLength(STREAMS.length);
+    await fleet.clock.advance(SHARED_LOOKUP_INTERVAL_MS);
+    const others = BOXES.length - 1;
+    expect(fleet.asked.length).toBeLessThanOrEqual(2 * others);
+  });
+
+  test('are not taken from replies to questions from before a resumption', async () => {
+    const fleet = new Fleet();
+    fleet.leaseHolder = 'b1';
+    const first = fleet.at('a1').find(UNNAMED);
+    const second = fleet.at('a1').find(UNNAMED);
+    await fleet.clock.advance(LOOKUP_MS / 10);
+    expect(await first).toMatchObject({listShare: 1});
+    fleet.leaseHolder = undefined;
+    fleet.kill('c1');
+    await fleet.clock.advance(LOOKUP_MS + SHARED_LOOKUP_INTERVAL_MS);
+    expect(await second).toMatchObject({listShare: 5 / 6});
+  });
+
+  test('of other regions are asked for only if none of the own one is complete', async () => {
+    const isFar = (hall: string): boolean => hall === 'c';
+    const fleet = new Fleet(
+      BOXES,
+      ((hall: string, other: string) =>
+        isFar(hall) === isFar(other)) as () => boolean,
+    );
+    fleet.leaseHolder = 'b1';
+    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    expect(fleet.asked).not.toContain('c1');
+    fleet.leaseHolder = 'c1';
+    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    fleet.leaseHolder = undefined;
+    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    fleet.kill('c2');
+    expect(await findLists(fleet)).toMatchObject({listShare: 5 / 6});
+  });
 });
