Streams: a newer list that the first lookup told of is not forgotten

A named, unrecorded stream is looked up twice without a lease: at the candidates of its key, then at all edges. The replies to the second replaced the newest revision named in the first, so a stream went on at the version here although a candidate knew of another one.

The newer one of both counts, and nothing is asked after a newer list was named. Unit test: failed before (went on at v1), passes after.

--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -76,6 +76,8 @@
   /** Time since the versions were confirmed, ms. */
   stateAgeMs = 0;
   lookup: Lookup = {kind: LOOKUP.absent};
+  /** The result of a lookup without a key if it differs. */
+  listLookup: Lookup | undefined;
   readonly streams = new StreamVersions({
     clock: this.clock,
     log: this.log,
@@ -83,7 +85,9 @@
     origins: {
       find: async (query) => {
         this.queries.push(query);
-        return this.lookup;
+        return query.key === undefined
+          ? (this.listLookup ?? this.lookup)
+          : this.lookup;
       },
       remember: () => undefined,
       replicate: ({version}: KeyedOrigin) => void this.replicated.push(version),
@@ -290,6 +294,21 @@
     },
   );
 
+  // The second lookup hid what the first had told.
+  test('is refused if a box with a newer list replied only to the first question', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.stateAgeMs = VERSION_LEASE_MS;
+    fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 2};
+    fixture.listLookup = {kind: LOOKUP.unknown, listShare: 0.6};
+    expect(await fixture.resolve()).toBe('refused');
+    expect(fixture.queries).toHaveLength(1);
+    fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 1};
+    expect(await fixture.resolve()).toBe('s v1');
+    fixture.listLookup = {...fixture.listLookup, versionsRevision: 2};
+    expect(await fixture.resolve()).toBe('refused');
+  });
+
   test('goes on by the list that a control box replies with', async () => {
     const fixture = new Fixture();
     fixture.register('v1');
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -208,7 +208,12 @@
     lookup: MissedOrigin,
   ): Promise<Match> {
     const isAbsent = lookup.kind === LOOKUP.absent;
-    if (!isAbsent || this.hasLease || lookup.versions !== undefined) {
+    if (
+      !isAbsent ||
+      this.hasLease ||
+      this.isOutdated(lookup) ||
+      lookup.versions !== undefined
+    ) {
       return this.matchWithoutOrigin(plan, lookup, isAbsent);
     }
     const lists = await this.parts.origins.find({
@@ -222,11 +227,12 @@
     }
     const {listShare = 0} = lists;
     const isConfirmed = listShare >= MIN_LIST_SHARE;
-    return this.matchWithoutOrigin(
-      plan,
-      {...lists, kind: lookup.kind},
-      isConfirmed,
-    );
+    const replies = {
+      ...lists,
+      kind: lookup.kind,
+      versionsRevision: newestRevision(lookup, lists),
+    };
+    return this.matchWithoutOrigin(plan, replies, isConfirmed);
   }
 
   /**
@@ -319,6 +325,13 @@
   return lookup?.kind === LOOKUP.found ? undefined : lookup;
 }
 
+/** The newest revision of the registered versions that the replies to lookups name. */
+function newestRevision(...lookups: readonly MissedOrigin[]): number {
+  return Math.max(
+    ...lookups.map(({versionsRevision = -Infinity}) => versionsRevision),
+  );
+}
+
 function soleMatch(
   lookup: Lookup | undefined,
   service: string,
