Streams: edges hand versions over with no more than their true age

An edge told another one that the first version of a service had been listed for the time of the hold, though it had just been listed. Where the other edge has an older list with another version, it began streams there while leases on lists without it still ran.

Since when a version is listed and whether it is held are now kept apart, and the age that is handed over is the time since then. Unit tests: three failed before (2500 ms told in place of 0, 300 and 2900), pass after.

--- a/packages/puffinturn-edge/src/__tests__/unit/StreamBeginnings.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamBeginnings.test.ts
@@ -158,4 +158,31 @@
     await fixture.clock.advance(100);
     expect(fixture.begun(['v1', 'v2'], started)).toEqual(['v1', 'v2']);
   });
+
+  // The first version of a service was handed over as if it had been listed for the time of the
+  // hold, and may be the second one of an edge that has an older list.
+  test.each([0, 300])(
+    'at a first version that is handed over with its age, after %i ms',
+    async (waitedMs) => {
+      const fixture = new Fixture();
+      fixture.store('v1');
+      fixture.sendList();
+      await fixture.clock.advance(waitedMs);
+      const ages = fixture.history.handedOver?.versions.map(({ageMs}) => ageMs);
+      expect(ages).toEqual([waitedMs]);
+      expect(fixture.begun(['v1'])).toEqual(['v1']);
+    },
+  );
+
+  test('at versions that are handed over with ages that add up', async () => {
+    const fixture = new Fixture();
+    fixture.store('v1');
+    fixture.sendList();
+    fixture.store('v2');
+    await fixture.clock.advance(400);
+    fixture.sendList();
+    await fixture.clock.advance(VERSION_HOLD_MS);
+    const ages = fixture.history.handedOver?.versions.map(({ageMs}) => ageMs);
+    expect(ages).toEqual([VERSION_HOLD_MS + 400, VERSION_HOLD_MS + 400]);
+  });
 });
--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -39,8 +39,10 @@
   private isConfirmed = false;
   /** When this edge learned of a version on the list, by its number, monotonic ms. */
   private readonly learnedAt = new Map<number, number>();
-  /** Until when a version on the list begins no streams, by its number, monotonic ms. */
-  private readonly heldUntil = new Map<number, number>();
+  /** Since when a version was on the list at the latest, by its number, monotonic ms. */
+  private readonly listedSince = new Map<number, number>();
+  /** Numbers of versions that were the first of their service, which begin streams at once. */
+  private readonly notHeld = new Set<number>();
 
   constructor(
     private readonly clock: Clock,
@@ -136,8 +138,9 @@
     const known = this.registeredVersions(service).find(
       (registered) => registered.version === version,
     );
-    const until = known && this.heldUntil.get(known.number);
-    return Math.max(0, (until ?? -Infinity) - this.clock.now());
+    return known === undefined || this.notHeld.has(known.number)
+      ? 0
+      : Math.max(0, VERSION_HOLD_MS - this.listedMs(known.number));
   }
 
   /** The only version of a service; undefined if there are others, none, or if unknown. */
@@ -158,17 +161,13 @@
 
   /** The list for another edge, with the ages of its versions. */
   get handedOver(): RegisteredVersions | undefined {
-    const now = this.clock.now();
     return (
       this.list && {
         ...this.list,
-        versions: this.list.versions.map((version) => {
-          const until = this.heldUntil.get(version.number) ?? now;
-          return {
-            ...version,
-            ageMs: VERSION_HOLD_MS - Math.max(0, until - now),
-          };
-        }),
+        versions: this.list.versions.map((version) => ({
+          ...version,
+          ageMs: this.listedMs(version.number),
+        })),
       }
     );
   }
@@ -208,20 +207,30 @@
     }
   }
 
+  /** Time for which a version has been on the list at the least, ms. */
+  private listedMs(number: number): number {
+    const now = this.clock.now();
+    return now - (this.listedSince.get(number) ?? now);
+  }
+
   /**
    * Holds versions that are new on the list. The first one of a service needs none: a list
    * without it names no version of the service, so nobody could take another one for the only.
    */
   private holdNew({versions}: RegisteredVersions): void {
-    const former = new Map(this.heldUntil);
-    this.heldUntil.clear();
+    const former = new Map(this.listedSince);
+    const formerNotHeld = new Set(this.notHeld);
+    this.listedSince.clear();
+    this.notHeld.clear();
     const now = this.clock.now();
     for (const {ageMs = 0, number, service} of versions) {
       const isFirst =
         this.registeredVersions(service).length === 0 &&
         versions.find((known) => known.service === service)?.number === number;
-      const until = isFirst ? now : now + VERSION_HOLD_MS - ageMs;
-      this.heldUntil.set(number, former.get(number) ?? until);
+      if (isFirst || formerNotHeld.has(number)) {
+        this.notHeld.add(number);
+      }
+      this.listedSince.set(number, former.get(number) ?? now - ageMs);
     }
   }
 
