Streams: boxes that missed copies do not tell that a stream was never recorded

A candidate that was cut off from the edge that serves a stream misses its copies, but told that it had all if it had run for the lifetime of records. Two such candidates were enough for an edge that has the new list again after the fault: the stream counts as never recorded, and goes on at the former version.

Edges tell for how long their lease on the list of versions has not run out. A stream goes on at the former version only if control boxes miss it, or enough edges without such a gap for the lifetime of records. In a loss of the core by all edges while several versions are listed, unrecorded streams are refused.

--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -210,6 +210,10 @@
       controlBoxes: () => this.fleetWatch.controlAddresses,
       lifetimeMs: () => this.streamLifetimeMs,
       hasVersionLease: () => this.streamVersions.hasLease,
+      versionLeaseMs: () =>
+        this.streamVersions.hasLease
+          ? this.fleetWatch.freshness.versionLeaseMs
+          : 0,
       versionsRevision: () => this.pool.versions.revision,
     });
     this.streamVersions = new StreamVersions({
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -315,6 +315,8 @@
     fixture.lookup = {kind: LOOKUP.unknown, versions: ['v1', 'v2']};
     expect(await fixture.resolve()).toBe('refused');
     fixture.lookup = {kind: LOOKUP.absent, versions: ['v1', 'v2']};
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {...fixture.lookup, hasNoGap: true};
     expect(await fixture.resolve()).toBe('s v1');
     fixture.stateAgeMs = Infinity;
     fixture.lookup = {kind: LOOKUP.unknown, versions: ['v2']};
@@ -334,10 +336,12 @@
     fixture.register('v1');
     await fixture.clock.advance(10);
     fixture.register('v1', 'v2');
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {hasNoGap: true, kind: LOOKUP.absent};
     expect(await fixture.resolve()).toBe('s v1');
     fixture.lookup = {kind: LOOKUP.unknown};
     expect(await fixture.resolve()).toBe('refused');
-    fixture.lookup = {kind: LOOKUP.absent};
+    fixture.lookup = {hasNoGap: true, kind: LOOKUP.absent};
     await fixture.clock.advance(LIFETIME_MS);
     expect(await fixture.resolve()).toBe('refused');
   });
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -316,6 +316,7 @@
           link: new UnreachableLink(),
           peers: () => NO_PEERS,
           self: SELF,
+          versionLeaseMs: () => 30_000,
           versionsRevision: () => this.pool.versions.revision,
         }),
         stateAgeMs: () => 0,
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -229,6 +229,7 @@
     const isConfirmed = listShare >= MIN_LIST_SHARE;
     const replies = {
       ...lists,
+      hasNoGap: lookup.hasNoGap,
       kind: lookup.kind,
       versionsRevision: newestRevision(lookup, lists),
     };
@@ -261,7 +262,7 @@
     }
     // Other edges would have replicated a stream that began after the next version.
     const former =
-      lookup.kind === LOOKUP.absent
+      lookup.hasNoGap === true
         ? versions.formerSoleVersion(service)
         : undefined;
     return former === undefined
@@ -283,7 +284,7 @@
     if (others.length === 0) {
       return soleMatch(lookup, service, oldest);
     }
-    return lookup.kind === LOOKUP.absent
+    return lookup.hasNoGap === true
       ? formerMatch(lookup, service, oldest)
       : unknownMatch(lookup);
   }
--- a/packages/puffinturn-fleet/src/StateFreshness.ts
+++ b/packages/puffinturn-fleet/src/StateFreshness.ts
@@ -8,6 +8,7 @@
 import type {Clock} from 'shared';
 
 import type {WatchReply} from './FleetMessages';
+import {VERSION_LEASE_MS} from './VersionLease';
 
 /** The state that a box holds. */
 export interface HeldState {
@@ -30,6 +31,8 @@
   private configurationConfirmedAt = -Infinity;
   private upstreamsConfirmedAt = -Infinity;
   private versionsConfirmedAt = -Infinity;
+  /** When the list of versions was confirmed after its lease had run out, monotonic ms. */
+  private versionLeaseSince = -Infinity;
   /** Replies to earlier requests do not count, monotonic ms. */
   private validSince = -Infinity;
 
@@ -53,6 +56,13 @@
     return this.clock.now() - this.versionsConfirmedAt;
   }
 
+  /** Time for which the lease on the list has not run out, ms; 0 if it has. */
+  get versionLeaseMs(): number {
+    return this.versionsAgeMs < VERSION_LEASE_MS
+      ? this.clock.now() - this.versionLeaseSince
+      : 0;
+  }
+
   /** Age of the older one of configuration and upstreams, ms. */
   get ageMs(): number {
     return Math.max(this.configurationAgeMs, this.upstreamsAgeMs);
@@ -76,10 +86,7 @@
     }
     const confirmedAt = this.confirmationTime(reply, sentAt);
     if (held.versionsRevision >= (reply.versionsRevision ?? Infinity)) {
-      this.versionsConfirmedAt = Math.max(
-        this.versionsConfirmedAt,
-        confirmedAt,
-      );
+      this.confirmVersions(confirmedAt);
     }
     this.upstreamsConfirmedAt = Math.max(
       this.upstreamsConfirmedAt,
@@ -93,6 +100,13 @@
     }
   }
 
+  private confirmVersions(confirmedAt: number): void {
+    if (this.versionsAgeMs >= VERSION_LEASE_MS) {
+      this.versionLeaseSince = this.clock.now();
+    }
+    this.versionsConfirmedAt = Math.max(this.versionsConfirmedAt, confirmedAt);
+  }
+
   /**
    * When a quorum confirmed what a reply says, on the clock of this box. Replies of older
    * software versions do not tell; they count if their sender knows a leader.
--- a/packages/puffinturn-fleet/src/__tests__/unit/StateFreshness.test.ts
+++ b/packages/puffinturn-fleet/src/__tests__/unit/StateFreshness.test.ts
@@ -9,7 +9,7 @@
 import {ManualClock} from 'shared';
 
 import type {WatchReply} from '../../index';
-import {StateFreshness} from '../../index';
+import {StateFreshness, VERSION_LEASE_MS} from '../../index';
 
 const HELD = {configurationVersion: 1, versionsRevision: 3};
 
@@ -103,4 +103,28 @@
     freshness.recordReply(replyWith({}), clock.now(), HELD);
     expect(freshness.ageMs).toBe(0);
   });
+
+  test('counts the lease on the list of versions from the end of the last gap', async () => {
+    const clock = new ManualClock();
+    const freshness = new StateFreshness(clock);
+    const confirm = () => {
+      const reply = replyWith({heldMs: 0, stateAgeMs: 0, versionsRevision: 3});
+      freshness.recordReply(reply, clock.now(), HELD);
+    };
+    expect(freshness.versionLeaseMs).toBe(0);
+    confirm();
+    await clock.advance(VERSION_LEASE_MS - 1);
+    confirm();
+    await clock.advance(1_000);
+    expect(freshness.versionLeaseMs).toBe(VERSION_LEASE_MS + 999);
+    await clock.advance(VERSION_LEASE_MS);
+    expect(freshness.versionLeaseMs).toBe(0);
+    confirm();
+    expect(freshness.versionLeaseMs).toBe(0);
+    await clock.advance(100);
+    expect(freshness.versionLeaseMs).toBe(100);
+    freshness.invalidate();
+    confirm();
+    expect(freshness.versionLeaseMs).toBe(0);
+  });
 });
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -34,6 +34,11 @@
     (typeof LOOKUP)[keyof typeof LOOKUP],
     typeof LOOKUP.found
   >;
+  /**
+   * Whether enough of the boxes that miss it have missed no copies: control boxes, or edges whose
+   * lease on the list of versions has not run out for the lifetime of origins.
+   */
+  readonly hasNoGap?: boolean | undefined;
   /**
    * The versions at which the stream can have begun, the oldest first, as a control box that
    * follows the quorum has replied; undefined if none did.
--- a/packages/puffinturn-streams/src/StreamMessages.ts
+++ b/packages/puffinturn-streams/src/StreamMessages.ts
@@ -52,6 +52,8 @@
   readonly versionsRevision?: number | undefined;
   /** Whether an edge may take that list for complete; older versions omit it. */
   readonly hasVersionLease?: boolean | undefined;
+  /** Time for which it could without a gap, ms; older versions omit it. */
+  readonly versionLeaseMs?: number | undefined;
   /** Sent by a control box that follows the quorum. */
   readonly list?: ServiceVersionList | undefined;
 }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -46,6 +46,8 @@
   readonly versionsRevision: () => number;
   /** Whether this box may take its list of versions for complete. */
   readonly hasVersionLease: () => boolean;
+  /** Time for which it could without a gap, ms; others may not reach a box in a gap. */
+  readonly versionLeaseMs: () => number;
   /** How long origins are kept, ms; longer than a stream is served and resumed. */
   readonly lifetimeMs: () => number;
 }
@@ -56,6 +58,8 @@
   readonly replies: number;
   /** Whether a replica of the origin would have been among them. */
   readonly isSure: boolean;
+  /** The same, if boxes that may have missed copies don't count. */
+  readonly hasNoGap: boolean;
   /** The newest revision of the registered versions in a reply. */
   readonly versionsRevision: number;
   /** Number of replies with a list of versions. */
@@ -216,7 +220,7 @@
     boxes: readonly string[],
     onFound: (lookup: Lookup) => void,
   ): Promise<RegionReplies> {
-    const {lifetimeMs, link, self} = this.parts;
+    const {lifetimeMs, link, self, versionLeaseMs} = this.parts;
     const neededMs = Math.min(query.unsureMs, lifetimeMs());
     const others = boxes.filter((box) => box !== self.box);
     const isCandidate = others.length < boxes.length;
@@ -234,11 +238,16 @@
     );
     const complete = replies.filter((reply) => isCompleteFor(reply, neededMs));
     const isCompleteHere = isCandidate && this.completeMs >= neededMs;
-    const completeCount = complete.length + (isCompleteHere ? 1 : 0);
+    const leases = [
+      ...complete.map((reply) => reply.versionLeaseMs ?? Infinity),
+      ...(isCompleteHere ? [versionLeaseMs()] : []),
+    ];
+    // All candidates but one: the box that serves the stream may be one of them.
+    const needed = Math.max(1, boxes.length - 1);
     return {
       asked: others.length,
-      // All candidates but one: the box that serves the stream may be one of them.
-      isSure: completeCount >= Math.max(1, boxes.length - 1),
+      hasNoGap: leases.filter((ms) => ms >= lifetimeMs()).length >= needed,
+      isSure: leases.length >= needed,
       lists: replies.filter(hasList).length,
       replies: replies.length,
       versionsRevision: Math.max(
@@ -248,7 +257,8 @@
   }
 
   private reply({key}: FindRequest): FindReply {
-    const {hasVersionLease, lifetimeMs, versionsRevision} = this.parts;
+    const {hasVersionLease, lifetimeMs, versionLeaseMs, versionsRevision} =
+      this.parts;
     const entry = key === undefined ? undefined : this.findHere(key);
     const {completeMs} = this;
     return {
@@ -257,6 +267,7 @@
       hasVersionLease: hasVersionLease(),
       isComplete: completeMs >= lifetimeMs(),
       origin: entry?.origin,
+      versionLeaseMs: versionLeaseMs(),
       versionsRevision: versionsRevision(),
     };
   }
@@ -399,6 +410,9 @@
       kind !== LOOKUP.unreachable &&
       (key === undefined ? isListDecided : isSure || replies === asked),
     lookup: {
+      hasNoGap:
+        kind === LOOKUP.absent &&
+        (control.isSure || regions.every((region) => region.hasNoGap)),
       kind,
       listShare: key === undefined ? share : undefined,
       versions: control.versions,
--- a/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/ControlOrigins.test.ts
@@ -66,6 +66,7 @@
           clock,
           controlBoxes: () => CONTROLS,
           hasVersionLease: () => false,
+          versionLeaseMs: () => 0,
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(self.box),
           peers: () => EDGES.filter((edge) => edge !== self),
@@ -181,6 +182,7 @@
   test('that do not exist are absent if enough boxes have seen the second version', async () => {
     const fleet = new Fleet();
     expect(await fleet.find('e1')).toEqual({
+      hasNoGap: true,
       kind: LOOKUP.absent,
       versions: ['v1', 'v2'],
       versionsRevision: 1,
@@ -208,6 +210,7 @@
     await fleet.clock.advance(LIFETIME_MS);
     fleet.known = undefined;
     expect(await fleet.find('e1')).toEqual({
+      hasNoGap: true,
       kind: LOOKUP.absent,
       versions: undefined,
       versionsRevision: 1,
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -41,6 +41,8 @@
   readonly origins = new Map<string, StreamOrigins>();
   /** Revisions of the lists that boxes know if it is not 0. */
   readonly revisions = new Map<string, number>();
+  /** For how long boxes had a lease without a gap if it is not 0, ms. */
+  readonly leases = new Map<string, number>();
   /** The box that may take its list for complete. */
   leaseHolder: string | undefined;
   /** The boxes that replied to a question. */
@@ -73,6 +75,7 @@
           link: this.network.connect(box),
           peers: () => peers,
           self,
+          versionLeaseMs: () => this.leases.get(box) ?? 0,
           versionsRevision: () => this.revisions.get(box) ?? 0,
         }),
       );
@@ -231,6 +234,25 @@
     expect((await fleet.find('b1', key))?.kind).toBe(LOOKUP.absent);
   });
 
+  // Two candidates that were cut off together missed all copies, and told that there were none.
+  test('does not rely on boxes that may have missed copies while they had no lease', async () => {
+    const fleet = new Fleet();
+    await fleet.clock.advance(LIFETIME_MS);
+    const absent = {kind: LOOKUP.absent};
+    for (const {box} of BOXES) {
+      fleet.leases.set(box, LIFETIME_MS - 1);
+    }
+    for (const lookup of await fleet.findAll('b1')) {
+      expect(lookup).toMatchObject({...absent, hasNoGap: false});
+    }
+    for (const {box} of BOXES) {
+      fleet.leases.set(box, LIFETIME_MS);
+    }
+    for (const lookup of await fleet.findAll('b1')) {
+      expect(lookup).toMatchObject({...absent, hasNoGap: true});
+    }
+  });
+
   test('is not sure after the boxes that may have had it were restarted', async () => {
     const fleet = new Fleet();
     await fleet.clock.advance(LIFETIME_MS);
