Streams: a reply from an edge with a lease has a field of its own

A lease was reported as a share of 1 of the lists of versions, in code and in the decision log (stream-matched), as if all edges had replied. Decisions now say leaseReplied; listShare is only ever the share that replied.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -140,6 +140,8 @@
   readonly known: readonly string[];
   /** Those that a control box replied with; undefined if none did. */
   readonly confirmed: readonly string[] | undefined;
+  /** Whether another edge replied that its list of versions is complete. */
+  readonly leaseReplied: boolean | undefined;
   /** Share of the edges that told their lists of versions; undefined if none was asked. */
   readonly listShare: number | undefined;
   /** Revision of the list of versions of this edge, and time since it was confirmed, ms. */
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -253,6 +253,10 @@
     expect(fixture.queries).toHaveLength(1);
     fixture.lookup = {kind: LOOKUP.unknown, listShare: 1};
     expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+    fixture.lookup = {kind: LOOKUP.unknown, listShare: 0.9};
+    expect(await fixture.resolve(UNNAMED)).toBe('refused');
+    fixture.lookup = {hasLease: true, kind: LOOKUP.unknown};
+    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
   });
 
   // The clock had not counted the time, and the detector looks only once a second by itself.
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -91,6 +91,7 @@
       event: 'stream-matched',
       known: versions.recentVersions(plan.service.name),
       lastEventId: caller.lastEventId,
+      leaseReplied: missedOrigin(lookup)?.hasLease,
       listShare: missedOrigin(lookup)?.listShare,
       lookup: lookup?.kind,
       revision: versions.registered?.revision,
@@ -195,8 +196,7 @@
     if (lookup.kind === LOOKUP.found) {
       return unknownMatch(lookup);
     }
-    const {listShare = 0} = lookup;
-    return this.matchWithoutOrigin(plan, lookup, listShare >= 1);
+    return this.matchWithoutOrigin(plan, lookup, isConfirmed(lookup, 1));
   }
 
   /**
@@ -225,15 +225,17 @@
     if (lists.kind === LOOKUP.found) {
       return unknownMatch(lists);
     }
-    const {listShare = 0} = lists;
-    const isConfirmed = listShare >= MIN_LIST_SHARE;
     const replies = {
       ...lists,
       hasNoGap: lookup.hasNoGap,
       kind: lookup.kind,
       versionsRevision: newestRevision(lookup, lists),
     };
-    return this.matchWithoutOrigin(plan, replies, isConfirmed);
+    return this.matchWithoutOrigin(
+      plan,
+      replies,
+      isConfirmed(lists, MIN_LIST_SHARE),
+    );
   }
 
   /**
@@ -326,6 +328,14 @@
   return lookup?.kind === LOOKUP.found ? undefined : lookup;
 }
 
+/** Whether an edge with a lease, or a share of all edges, replied with a list of versions. */
+function isConfirmed(
+  {hasLease = false, listShare = 0}: MissedOrigin,
+  neededShare: number,
+): boolean {
+  return hasLease || listShare >= neededShare;
+}
+
 /** The newest revision of the registered versions that the replies to lookups name. */
 function newestRevision(...lookups: readonly MissedOrigin[]): number {
   return Math.max(
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -46,9 +46,11 @@
   readonly versions?: readonly string[] | undefined;
   /** The newest revision of the registered versions that any edge replied with. */
   readonly versionsRevision?: number | undefined;
+  /** Whether an edge replied that may take its list of versions for complete. */
+  readonly hasLease?: boolean | undefined;
   /**
-   * Share of the known edges, this one included, that replied with their list of versions; 1
-   * if one of them may take its list for complete. Only for streams without a key.
+   * Share of the known edges, this one included, that replied with their list of versions.
+   * Only for streams without a key.
    */
   readonly listShare?: number | undefined;
 }
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -232,7 +232,7 @@
       ({hasVersionLease, versionsRevision}) => {
         if (query.key === undefined && hasVersionLease === true) {
           const kind = LOOKUP.unknown;
-          onFound({kind, listShare: 1, versionsRevision});
+          onFound({hasLease: true, kind, versionsRevision});
         }
       },
     );
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -300,7 +300,7 @@
     const fleet = new Fleet();
     fleet.kill('c1');
     fleet.leaseHolder = 'b2';
-    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
   });
 
   // Each resumption asked every edge, so a fleet that lost the core was flooded with questions.
@@ -319,7 +319,7 @@
     const first = fleet.at('a1').find(UNNAMED);
     const second = fleet.at('a1').find(UNNAMED);
     await fleet.clock.advance(LOOKUP_MS / 10);
-    expect(await first).toMatchObject({listShare: 1});
+    expect(await first).toMatchObject({hasLease: true});
     fleet.leaseHolder = undefined;
     fleet.kill('c1');
     await fleet.clock.advance(LOOKUP_MS + SHARED_LOOKUP_INTERVAL_MS);
@@ -334,10 +334,10 @@
         isFar(hall) === isFar(other)) as () => boolean,
     );
     fleet.leaseHolder = 'b1';
-    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
     expect(fleet.asked).not.toContain('c1');
     fleet.leaseHolder = 'c1';
-    expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
     fleet.leaseHolder = undefined;
     expect(await findLists(fleet)).toMatchObject({listShare: 1});
     fleet.kill('c2');
