--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -210,6 +210,10 @@
       controlBoxes: () => this.fleetWatch.controlAddresses,
       lifetimeMs: () => this.streamLifetimeMs,
       hasVersionLease: () => this.streamVersions.hasLease,
+      versionLeaseMs: () =>
+        this.streamVersions.hasLease
+          ? this.fleetWatch.freshness.versionLeaseMs
+          : 0,
       versionsRevision: () => this.pool.versions.revision,
     });
     this.streamVersions = new StreamVersions({
@@ -218,6 +222,7 @@
       metrics: this.metrics,
       origins: this.streamOrigins,
       stateAgeMs: () => this.fleetWatch.freshness.versionsAgeMs,
+      suspension: {check: () => this.wakeRefresh.check()},
       versions: this.pool.versions,
     });
     // Must exist before the fleet watch, which reads the rollout revision at once.
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -13,7 +13,7 @@
 import {RETRY_POLICY, UPSTREAM_STATE, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {KeyedOrigin, Lookup, OriginQuery} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
-import {ManualClock} from 'shared';
+import {ManualClock, SuspensionDetector} from 'shared';
 
 import {CallerRequest} from '../../callers/CallerRequest';
 import {EdgeMetrics} from '../../EdgeMetrics';
@@ -76,6 +76,8 @@
   /** Time since the versions were confirmed, ms. */
   stateAgeMs = 0;
   lookup: Lookup = {kind: LOOKUP.absent};
+  /** The result of a lookup without a key if it differs. */
+  listLookup: Lookup | undefined;
   readonly streams = new StreamVersions({
     clock: this.clock,
     log: this.log,
@@ -83,13 +85,19 @@
     origins: {
       find: async (query) => {
         this.queries.push(query);
-        return this.lookup;
+        return query.key === undefined
+          ? (this.listLookup ?? this.lookup)
+          : this.lookup;
       },
       remember: () => undefined,
       replicate: ({version}: KeyedOrigin) => void this.replicated.push(version),
       replicateService: (service) => this.replicatedServices.push(service),
     },
     stateAgeMs: () => this.stateAgeMs,
+    suspension: new SuspensionDetector(
+      this.clock,
+      () => (this.stateAgeMs = Infinity),
+    ),
     versions: this.versions,
   });
   private revision = 0;
@@ -245,6 +253,23 @@
     expect(fixture.queries).toHaveLength(1);
     fixture.lookup = {kind: LOOKUP.unknown, listShare: 1};
     expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+    fixture.lookup = {kind: LOOKUP.unknown, listShare: 0.9};
+    expect(await fixture.resolve(UNNAMED)).toBe('refused');
+    fixture.lookup = {hasLease: true, kind: LOOKUP.unknown};
+    expect(await fixture.resolve(UNNAMED)).toBe('s v1');
+  });
+
+  // The clock had not counted the time, and the detector looks only once a second by itself.
+  test('is not taken for one of the only version by a lease from before a suspension', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    expect(fixture.streams.hasLease).toBe(true);
+    fixture.clock.suspend(5_000);
+    expect(fixture.streams.hasLease).toBe(false);
+    fixture.stateAgeMs = 0;
+    fixture.clock.suspend(5_000);
+    fixture.lookup = {kind: LOOKUP.unknown};
+    expect(await fixture.resolve(UNNAMED)).toBe('refused');
   });
 
   test('goes on by an old list only if enough boxes have run since', async () => {
@@ -273,12 +298,29 @@
     },
   );
 
+  // The second lookup hid what the first had told.
+  test('is refused if a box with a newer list replied only to the first question', async () => {
+    const fixture = new Fixture();
+    fixture.register('v1');
+    fixture.stateAgeMs = VERSION_LEASE_MS;
+    fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 2};
+    fixture.listLookup = {kind: LOOKUP.unknown, listShare: 0.6};
+    expect(await fixture.resolve()).toBe('refused');
+    expect(fixture.queries).toHaveLength(1);
+    fixture.lookup = {kind: LOOKUP.absent, versionsRevision: 1};
+    expect(await fixture.resolve()).toBe('s v1');
+    fixture.listLookup = {...fixture.listLookup, versionsRevision: 2};
+    expect(await fixture.resolve()).toBe('refused');
+  });
+
   test('goes on by the list that a control box replies with', async () => {
     const fixture = new Fixture();
     fixture.register('v1');
     fixture.lookup = {kind: LOOKUP.unknown, versions: ['v1', 'v2']};
     expect(await fixture.resolve()).toBe('refused');
     fixture.lookup = {kind: LOOKUP.absent, versions: ['v1', 'v2']};
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {...fixture.lookup, hasNoGap: true};
     expect(await fixture.resolve()).toBe('s v1');
     fixture.stateAgeMs = Infinity;
     fixture.lookup = {kind: LOOKUP.unknown, versions: ['v2']};
@@ -298,10 +340,12 @@
     fixture.register('v1');
     await fixture.clock.advance(10);
     fixture.register('v1', 'v2');
+    expect(await fixture.resolve()).toBe('refused');
+    fixture.lookup = {hasNoGap: true, kind: LOOKUP.absent};
     expect(await fixture.resolve()).toBe('s v1');
     fixture.lookup = {kind: LOOKUP.unknown};
     expect(await fixture.resolve()).toBe('refused');
-    fixture.lookup = {kind: LOOKUP.absent};
+    fixture.lookup = {hasNoGap: true, kind: LOOKUP.absent};
     await fixture.clock.advance(LIFETIME_MS);
     expect(await fixture.resolve()).toBe('refused');
   });
--- a/packages/puffinturn-edge/src/streams/StreamVersions.ts
+++ b/packages/puffinturn-edge/src/streams/StreamVersions.ts
@@ -15,7 +15,7 @@
 import {RETRY_POLICY, roundAge, VERSION_LEASE_MS} from 'puffinturn-fleet';
 import type {Lookup, MissedOrigin, StreamOrigins} from 'puffinturn-streams';
 import {LOOKUP, streamKey} from 'puffinturn-streams';
-import type {Clock} from 'shared';
+import type {Clock, SuspensionDetector} from 'shared';
 
 import type {CallerRequest} from '../callers/CallerRequest';
 import type {EdgeMetrics} from '../EdgeMetrics';
@@ -40,6 +40,8 @@
   readonly versions: VersionHistory;
   /** Time since the known versions were confirmed, ms; Infinity if they never were. */
   readonly stateAgeMs: () => number;
+  /** Voids that time after a suspension, which the clock has not counted. */
+  readonly suspension: Pick<SuspensionDetector, 'check'>;
 }
 
 /** Where a stream that a caller resumes may go on. */
@@ -76,7 +78,7 @@
     plan: RequestPlan,
     table: RouteTable,
   ): Promise<Resumption | undefined> {
-    const {clock, log, metrics, stateAgeMs, versions} = this.parts;
+    const {clock, log, metrics, versions} = this.parts;
     const startedAt = clock.now();
     const match = await this.match(caller, plan);
     const {lookup, outcome, resumption} = match;
@@ -89,6 +91,7 @@
       event: 'stream-matched',
       known: versions.recentVersions(plan.service.name),
       lastEventId: caller.lastEventId,
+      leaseReplied: missedOrigin(lookup)?.hasLease,
       listShare: missedOrigin(lookup)?.listShare,
       lookup: lookup?.kind,
       revision: versions.registered?.revision,
@@ -96,7 +99,7 @@
       request: caller.id,
       service: resumption?.service ?? plan.service.name,
       source: found?.source,
-      stateAgeMs: roundAge(stateAgeMs()),
+      stateAgeMs: roundAge(this.stateAgeMs),
       stream: caller.resumedRequest,
       tookMs: Math.round(clock.now() - startedAt),
       version: found?.origin.version ?? resumption?.version,
@@ -193,8 +196,7 @@
     if (lookup.kind === LOOKUP.found) {
       return unknownMatch(lookup);
     }
-    const {listShare = 0} = lookup;
-    return this.matchWithoutOrigin(plan, lookup, listShare >= 1);
+    return this.matchWithoutOrigin(plan, lookup, isConfirmed(lookup, 1));
   }
 
   /**
@@ -206,7 +208,12 @@
     lookup: MissedOrigin,
   ): Promise<Match> {
     const isAbsent = lookup.kind === LOOKUP.absent;
-    if (!isAbsent || this.hasLease || lookup.versions !== undefined) {
+    if (
+      !isAbsent ||
+      this.hasLease ||
+      this.isOutdated(lookup) ||
+      lookup.versions !== undefined
+    ) {
       return this.matchWithoutOrigin(plan, lookup, isAbsent);
     }
     const lists = await this.parts.origins.find({
@@ -218,12 +225,16 @@
     if (lists.kind === LOOKUP.found) {
       return unknownMatch(lists);
     }
-    const {listShare = 0} = lists;
-    const isConfirmed = listShare >= MIN_LIST_SHARE;
+    const replies = {
+      ...lists,
+      hasNoGap: lookup.hasNoGap,
+      kind: lookup.kind,
+      versionsRevision: newestRevision(lookup, lists),
+    };
     return this.matchWithoutOrigin(
       plan,
-      {...lists, kind: lookup.kind},
-      isConfirmed,
+      replies,
+      isConfirmed(lists, MIN_LIST_SHARE),
     );
   }
 
@@ -253,7 +264,7 @@
     }
     // Other edges would have replicated a stream that began after the next version.
     const former =
-      lookup.kind === LOOKUP.absent
+      lookup.hasNoGap === true
         ? versions.formerSoleVersion(service)
         : undefined;
     return former === undefined
@@ -275,22 +286,29 @@
     if (others.length === 0) {
       return soleMatch(lookup, service, oldest);
     }
-    return lookup.kind === LOOKUP.absent
+    return lookup.hasNoGap === true
       ? formerMatch(lookup, service, oldest)
       : unknownMatch(lookup);
   }
 
   /** Whether no version that isn't on the list here can have begun streams yet. */
   get hasLease(): boolean {
-    return this.parts.stateAgeMs() < VERSION_LEASE_MS;
+    return this.stateAgeMs < VERSION_LEASE_MS;
+  }
+
+  /** Time since the known versions were confirmed, suspensions included, ms. */
+  private get stateAgeMs(): number {
+    const {stateAgeMs, suspension} = this.parts;
+    suspension.check();
+    return stateAgeMs();
   }
 
   /** How long ago a stream that is not recorded may have begun at a version unknown here, ms. */
   private unsureMs({service}: RequestPlan): number {
-    const {stateAgeMs, versions} = this.parts;
+    const {versions} = this.parts;
     return versions.soleRegisteredVersion(service.name) === undefined
       ? Infinity
-      : stateAgeMs();
+      : this.stateAgeMs;
   }
 
   /** Whether another edge knows of versions that this one does not know. */
@@ -310,6 +328,21 @@
   return lookup?.kind === LOOKUP.found ? undefined : lookup;
 }
 
+/** Whether an edge with a lease, or a share of all edges, replied with a list of versions. */
+function isConfirmed(
+  {hasLease = false, listShare = 0}: MissedOrigin,
+  neededShare: number,
+): boolean {
+  return hasLease || listShare >= neededShare;
+}
+
+/** The newest revision of the registered versions that the replies to lookups name. */
+function newestRevision(...lookups: readonly MissedOrigin[]): number {
+  return Math.max(
+    ...lookups.map(({versionsRevision = -Infinity}) => versionsRevision),
+  );
+}
+
 function soleMatch(
   lookup: Lookup | undefined,
   service: string,
--- a/packages/puffinturn-streams/src/Lookup.ts
+++ b/packages/puffinturn-streams/src/Lookup.ts
@@ -34,6 +34,11 @@
     (typeof LOOKUP)[keyof typeof LOOKUP],
     typeof LOOKUP.found
   >;
+  /**
+   * Whether enough of the boxes that miss it have missed no copies: control boxes, or edges whose
+   * lease on the list of versions has not run out for the lifetime of origins.
+   */
+  readonly hasNoGap?: boolean | undefined;
   /**
    * The versions at which the stream can have begun, the oldest first, as a control box that
    * follows the quorum has replied; undefined if none did.
@@ -41,9 +46,11 @@
   readonly versions?: readonly string[] | undefined;
   /** The newest revision of the registered versions that any edge replied with. */
   readonly versionsRevision?: number | undefined;
+  /** Whether an edge replied that may take its list of versions for complete. */
+  readonly hasLease?: boolean | undefined;
   /**
-   * Share of the known edges, this one included, that replied with their list of versions; 1
-   * if one of them may take its list for complete. Only for streams without a key.
+   * Share of the known edges, this one included, that replied with their list of versions.
+   * Only for streams without a key.
    */
   readonly listShare?: number | undefined;
 }
--- a/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/puffinturn-streams/src/__tests__/unit/StreamOrigins.test.ts
@@ -16,6 +16,7 @@
   FIND_TIMEOUT_MS,
   MAX_ORIGINS,
   SECOND_FIND_TIMEOUT_MS,
+  SHARED_LOOKUP_INTERVAL_MS,
 } from '../../StreamConstants';
 import {streamKey} from '../../StreamOrigin';
 import {StreamOrigins} from '../../StreamOrigins';
@@ -40,8 +41,12 @@
   readonly origins = new Map<string, StreamOrigins>();
   /** Revisions of the lists that boxes know if it is not 0. */
   readonly revisions = new Map<string, number>();
+  /** For how long boxes had a lease without a gap if it is not 0, ms. */
+  readonly leases = new Map<string, number>();
   /** The box that may take its list for complete. */
   leaseHolder: string | undefined;
+  /** The boxes that replied to a question. */
+  readonly asked: string[] = [];
 
   constructor(
     private readonly boxes: readonly ReplicaBox[] = BOXES,
@@ -62,11 +67,15 @@
           areInSameRegion,
           clock,
           controlBoxes: () => [],
-          hasVersionLease: () => this.leaseHolder === box,
+          hasVersionLease: () => {
+            this.asked.push(box);
+            return this.leaseHolder === box;
+          },
           lifetimeMs: () => LIFETIME_MS,
           link: this.network.connect(box),
           peers: () => peers,
           self,
+          versionLeaseMs: () => this.leases.get(box) ?? 0,
           versionsRevision: () => this.revisions.get(box) ?? 0,
         }),
       );
@@ -113,11 +122,11 @@
   }
 }
 
+const UNNAMED = {key: undefined, service: 's', unsureMs: Infinity};
+
 /** Looks up which lists of versions all boxes know, at the first box. */
 async function findLists(fleet: Fleet): Promise<Lookup> {
-  const lookup = fleet
-    .at('a1')
-    .find({key: undefined, service: 's', unsureMs: Infinity});
+  const lookup = fleet.at('a1').find(UNNAMED);
   await fleet.clock.advance(LOOKUP_MS);
   return lookup;
 }
@@ -225,6 +234,25 @@
     expect((await fleet.find('b1', key))?.kind).toBe(LOOKUP.absent);
   });
 
+  // Two candidates that were cut off together missed all copies, and told that there were none.
+  test('does not rely on boxes that may have missed copies while they had no lease', async () => {
+    const fleet = new Fleet();
+    await fleet.clock.advance(LIFETIME_MS);
+    const absent = {kind: LOOKUP.absent};
+    for (const {box} of BOXES) {
+      fleet.leases.set(box, LIFETIME_MS - 1);
+    }
+    for (const lookup of await fleet.findAll('b1')) {
+      expect(lookup).toMatchObject({...absent, hasNoGap: false});
+    }
+    for (const {box} of BOXES) {
+      fleet.leases.set(box, LIFETIME_MS);
+    }
+    for (const lookup of await fleet.findAll('b1')) {
+      expect(lookup).toMatchObject({...absent, hasNoGap: true});
+    }
+  });
+
   test('is not sure after the boxes that may have had it were restarted', async () => {
     const fleet = new Fleet();
     await fleet.clock.advance(LIFETIME_MS);
@@ -272,6 +300,47 @@
     const fleet = new Fleet();
     fleet.kill('c1');
     fleet.leaseHolder = 'b2';
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
+  });
+
+  // Each resumption asked every edge, so a fleet that lost the core was flooded with questions.
+  test('are asked for once for all resumptions of some time', async () => {
+    const fleet = new Fleet();
+    const lookups = STREAMS.map(async () => findLists(fleet));
+    expect(await Promise.all(lookups)).toHaveLength(STREAMS.length);
+    await fleet.clock.advance(SHARED_LOOKUP_INTERVAL_MS);
+    const others = BOXES.length - 1;
+    expect(fleet.asked.length).toBeLessThanOrEqual(2 * others);
+  });
+
+  test('are not taken from replies to questions from before a resumption', async () => {
+    const fleet = new Fleet();
+    fleet.leaseHolder = 'b1';
+    const first = fleet.at('a1').find(UNNAMED);
+    const second = fleet.at('a1').find(UNNAMED);
+    await fleet.clock.advance(LOOKUP_MS / 10);
+    expect(await first).toMatchObject({hasLease: true});
+    fleet.leaseHolder = undefined;
+    fleet.kill('c1');
+    await fleet.clock.advance(LOOKUP_MS + SHARED_LOOKUP_INTERVAL_MS);
+    expect(await second).toMatchObject({listShare: 5 / 6});
+  });
+
+  test('of other regions are asked for only if none of the own one is complete', async () => {
+    const isFar = (hall: string): boolean => hall === 'c';
+    const fleet = new Fleet(
+      BOXES,
+      ((hall: string, other: string) =>
+        isFar(hall) === isFar(other)) as () => boolean,
+    );
+    fleet.leaseHolder = 'b1';
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
+    expect(fleet.asked).not.toContain('c1');
+    fleet.leaseHolder = 'c1';
+    expect(await findLists(fleet)).toMatchObject({hasLease: true});
+    fleet.leaseHolder = undefined;
     expect(await findLists(fleet)).toMatchObject({listShare: 1});
+    fleet.kill('c2');
+    expect(await findLists(fleet)).toMatchObject({listShare: 5 / 6});
   });
 });
