--- a/packages/puffinturn-edge/src/rollouts/ExposureController.ts
+++ b/packages/puffinturn-edge/src/rollouts/ExposureController.ts
@@ -187,18 +187,9 @@
    * Whether a stream that a version began may be resumed there. At a new version that
    * counts as exposure; a version that was withdrawn gets no more requests.
    */
-  mayResume({route, service}: RequestPlan, version: string): boolean {
-    const state = this.services.get(service.name);
-    const primary = state?.roles.primary;
-    if (state === undefined || primary === undefined) {
-      return true;
-    }
-    const {roles, tracker} = state;
-    return (
-      version === primary ||
-      version === roles.fallback ||
-      isUnordered(state, version) ||
-      (version === roles.canary && tracker?.tryExpose(route.name) === true)
+  mayResume(plan: RequestPlan, version: string): boolean {
+    return this.mayUse(plan, version, (tracker) =>
+      tracker.tryExpose(plan.route.name),
     );
   }
 
@@ -206,19 +197,8 @@
    * Whether a response that a version began may be continued there. The response counts as
    * exposed already; this doesn't change the state, so it can be asked at any time.
    */
-  mayContinue({service}: RequestPlan, version: string): boolean {
-    const state = this.services.get(service.name);
-    const primary = state?.roles.primary;
-    if (state === undefined || primary === undefined) {
-      return true;
-    }
-    const {roles, tracker} = state;
-    return (
-      version === primary ||
-      version === roles.fallback ||
-      isUnordered(state, version) ||
-      (version === roles.canary && (tracker?.remaining ?? 0) >= 1)
-    );
+  mayContinue(plan: RequestPlan, version: string): boolean {
+    return this.mayUse(plan, version, ({remaining}) => remaining >= 1);
   }
 
   /** Counts a sent request and returns the observer of its outcome. */
@@ -332,6 +312,26 @@
       : new LatencyBaselines();
   }
 
+  /** Whether a version may be used; `mayExpose` decides for one that is being tried. */
+  private mayUse(
+    {service}: RequestPlan,
+    version: string,
+    mayExpose: (tracker: ExposureTracker) => boolean,
+  ): boolean {
+    const state = this.services.get(service.name);
+    const primary = state?.roles.primary;
+    if (state === undefined || primary === undefined) {
+      return true;
+    }
+    const {roles, tracker} = state;
+    return (
+      version === primary ||
+      version === roles.fallback ||
+      isUnordered(state, version) ||
+      (version === roles.canary && tracker !== undefined && mayExpose(tracker))
+    );
+  }
+
   private logStop(service: string, tracker: ExposureTracker): void {
     this.parts.log.note({
       cause: tracker.lastStopCause,
