--- a/packages/puffinturn-fleet/src/PackedConfiguration.ts
+++ b/packages/puffinturn-fleet/src/PackedConfiguration.ts
@@ -9,22 +9,15 @@
  * Compression of configurations for the replicated log. A configuration with a thousand
  * routes takes hundreds of kilobytes uncompressed.
  */
-import {deflateRawSync, inflateRawSync} from 'node:zlib';
-
-import {Decoder, Encoder} from 'cbor-x';
-
+import {compress, decompress} from './Compression';
 import type {StoredConfiguration} from './ConfigurationRegistry';
 
-const encoder = new Encoder({useRecords: false});
-const decoder = new Decoder({useRecords: false});
-
 /** Encodes and compresses a configuration with its document. */
 export function packConfiguration(stored: StoredConfiguration): Uint8Array {
-  return deflateRawSync(encoder.encode(stored));
+  return compress(stored);
 }
 
 /** Decompresses and decodes the output of `packConfiguration`. */
 export function unpackConfiguration(packed: Uint8Array): StoredConfiguration {
-  const bytes = inflateRawSync(packed);
-  return decoder.decode(bytes) as StoredConfiguration;
+  return decompress(packed) as StoredConfiguration;
 }
--- a/packages/puffinturn-fleet/src/PackedUpdate.ts
+++ b/packages/puffinturn-fleet/src/PackedUpdate.ts
@@ -10,14 +10,12 @@
  * alike and compress well. Routes and teams are encoded in parts, and the event loop of the
  * receiver runs between two parts.
  */
-import {deflateRawSync, inflateRawSync} from 'node:zlib';
-
-import {Decoder, Encoder} from 'cbor-x';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Failure} from 'shared';
 import {describeError, settleTasks} from 'shared';
 
+import {compress, decode, decompress, encode} from './Compression';
 import type {FleetConfiguration, Route, Team} from './Configuration';
 import type {ConfigurationChange} from './ConfigurationChange';
 import {hashItem} from './ConfigurationDigest';
@@ -25,9 +23,6 @@
 /** Routes or teams that are decoded and hashed without a pause. */
 const ITEMS_PER_PART = 100;
 
-const encoder = new Encoder({useRecords: false});
-const decoder = new Decoder({useRecords: false});
-
 /** A newer configuration for a box: whole, or as the difference from the one that it has. */
 export interface ConfigurationUpdate {
   readonly configuration: FleetConfiguration | undefined;
@@ -58,7 +53,7 @@
     routes: encodeParts(routes),
     teams: teams && encodeParts(teams),
   };
-  return deflateRawSync(encoder.encode(parts));
+  return compress(parts);
 }
 
 /** Decompresses and decodes the output of `packUpdate`. */
@@ -66,8 +61,7 @@
   packed: Uint8Array,
 ): Promise<Result<ConfigurationUpdate, UnpackFailure>> {
   try {
-    const bytes = inflateRawSync(packed);
-    return ok(await joinParts(decoder.decode(bytes) as UpdateParts));
+    return ok(await joinParts(decompress(packed) as UpdateParts));
   } catch (error) {
     return err({kind: 'bad-update', message: describeError(error)});
   }
@@ -101,7 +95,7 @@
 function encodeParts(items: readonly object[]): Uint8Array[] {
   const parts: Uint8Array[] = [];
   for (let start = 0; start < items.length; start += ITEMS_PER_PART) {
-    parts.push(encoder.encode(items.slice(start, start + ITEMS_PER_PART)));
+    parts.push(encode(items.slice(start, start + ITEMS_PER_PART)));
   }
   return parts;
 }
@@ -115,7 +109,7 @@
     if (index > 0) {
       await settleTasks();
     }
-    const decoded = decoder.decode(part) as Item[];
+    const decoded = decode(part) as Item[];
     decoded.forEach(hashItem);
     items.push(...decoded);
   }
