--- a/packages/puffinturn-fleet/src/ConfigurationHistory.ts
+++ b/packages/puffinturn-fleet/src/ConfigurationHistory.ts
@@ -9,14 +9,10 @@
 import type {ConfigurationChange} from './ConfigurationChange';
 import {diffConfigurations} from './ConfigurationChange';
 import type {ConfigurationUpdate} from './PackedUpdate';
-import {packUpdate} from './PackedUpdate';
 
 /** Maximum number of previous versions kept. */
 const MAX_PREVIOUS_VERSIONS = 12;
 
-/** Key of the whole configuration, which has no base version. */
-const WHOLE_KEY = -Infinity;
-
 /**
  * Keeps recent configurations, so that a box with one of them can be sent the change
  * since then instead of the whole configuration.
@@ -26,8 +22,6 @@
   private previous: FleetConfiguration[] = [];
   /** Changes to the latest version, by base version. */
   private readonly cachedChanges = new Map<number, ConfigurationChange>();
-  /** Packed changes by base version; the whole configuration under `WHOLE_KEY`. */
-  private readonly cachedPackages = new Map<number, Uint8Array>();
 
   /** Adds the active configuration. */
   add(configuration: FleetConfiguration): void {
@@ -42,7 +36,6 @@
     }
     this.latest = configuration;
     this.cachedChanges.clear();
-    this.cachedPackages.clear();
   }
 
   /** Returns the change from a version to the latest, or the latest as a whole. */
@@ -53,19 +46,6 @@
       : {configuration: undefined, configurationChange};
   }
 
-  /** Returns `updateSince` in packed form. It is packed once for all boxes with a version. */
-  packedSince(version: number): Uint8Array {
-    const update = this.updateSince(version);
-    const key = update.configurationChange?.base ?? WHOLE_KEY;
-    const cached = this.cachedPackages.get(key);
-    if (cached !== undefined) {
-      return cached;
-    }
-    const packed = packUpdate(update);
-    this.cachedPackages.set(key, packed);
-    return packed;
-  }
-
   /** The change from a version to the latest; undefined if the version is unknown. */
   changeSince(version: number): ConfigurationChange | undefined {
     const cached = this.cachedChanges.get(version);
--- a/packages/puffinturn-fleet/src/PackedUpdate.ts
+++ b/packages/puffinturn-fleet/src/PackedUpdate.ts
@@ -42,9 +42,25 @@
   readonly teams: readonly Uint8Array[] | undefined;
 }
 
-/** Encodes and compresses an update. */
+/** Packed configurations and changes; each is packed once for all boxes that need it. */
+const packedContents = new WeakMap<object, Uint8Array>();
+
+/** Encodes and compresses an update, once for each configuration or change. */
 export function packUpdate(update: ConfigurationUpdate): Uint8Array {
-  const {configuration, configurationChange} = update;
+  const content = update.configuration ?? update.configurationChange ?? update;
+  const known = packedContents.get(content);
+  if (known !== undefined) {
+    return known;
+  }
+  const packed = pack(update);
+  packedContents.set(content, packed);
+  return packed;
+}
+
+function pack({
+  configuration,
+  configurationChange,
+}: ConfigurationUpdate): Uint8Array {
   const {routes = [], teams} = configuration ?? configurationChange ?? {};
   const parts: UpdateParts = {
     configuration: configuration && withoutItems(configuration),
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -21,6 +21,7 @@
 import type {FleetMachine} from './FleetMachine';
 import type {BoxRecord, WatchReply, WatchRequest} from './FleetMessages';
 import {BOX_ROLE} from './FleetMessages';
+import {packUpdate} from './PackedUpdate';
 import type {Rollouts} from './Rollouts';
 import type {StateConfirmation} from './StateConfirmation';
 import type {UpstreamTable} from './UpstreamTable';
@@ -208,11 +209,9 @@
       return NO_CONFIGURATION_UPDATE;
     }
     this.history.add(configuration);
+    const update = this.history.updateSince(configurationVersion);
     return acceptsPacked === true
-      ? {
-          ...NO_CONFIGURATION_UPDATE,
-          packedUpdate: this.history.packedSince(configurationVersion),
-        }
-      : this.history.updateSince(configurationVersion);
+      ? {...NO_CONFIGURATION_UPDATE, packedUpdate: packUpdate(update)}
+      : update;
   }
 }
