Edges and control boxes keep the ages of versions in the same way

VersionHistory had a map, an age and a list with ages of its own beside those of VersionAges, which control boxes use. Ages that a list tells are taken over by VersionAges now.

--- a/packages/puffinturn-edge/src/streams/VersionHistory.ts
+++ b/packages/puffinturn-edge/src/streams/VersionHistory.ts
@@ -14,6 +14,7 @@
   UPSTREAM_STATE,
   upstreamVersion,
   VERSION_HOLD_MS,
+  VersionAges,
 } from 'puffinturn-fleet';
 import type {Clock} from 'shared';
 
@@ -39,8 +40,7 @@
   private isConfirmed = false;
   /** When this edge learned of a version on the list, by its number, monotonic ms. */
   private readonly learnedAt = new Map<number, number>();
-  /** Since when a version was on the list at the latest, by its number, monotonic ms. */
-  private readonly listedSince = new Map<number, number>();
+  private readonly ages: VersionAges;
   /** Numbers of versions that were the first of their service, which begin streams at once. */
   private readonly notHeld = new Set<number>();
 
@@ -50,7 +50,9 @@
     private readonly lifetimeMs: () => number,
     /** Called when a service that had one version gets another one. */
     private readonly onSeveral: (service: string) => void = () => undefined,
-  ) {}
+  ) {
+    this.ages = new VersionAges(clock);
+  }
 
   /** The replicated list; undefined before the first one. */
   get registered(): RegisteredVersions | undefined {
@@ -140,7 +142,7 @@
     );
     return known === undefined || this.notHeld.has(known.number)
       ? 0
-      : Math.max(0, VERSION_HOLD_MS - this.listedMs(known.number));
+      : Math.max(0, VERSION_HOLD_MS - this.ages.ageMs(known.number));
   }
 
   /** The only version of a service; undefined if there are others, none, or if unknown. */
@@ -161,15 +163,7 @@
 
   /** The list for another edge, with the ages of its versions. */
   get handedOver(): RegisteredVersions | undefined {
-    return (
-      this.list && {
-        ...this.list,
-        versions: this.list.versions.map((version) => ({
-          ...version,
-          ageMs: this.listedMs(version.number),
-        })),
-      }
-    );
+    return this.list && this.ages.withAges(this.list);
   }
 
   /**
@@ -207,30 +201,22 @@
     }
   }
 
-  /** Time for which a version has been on the list at the least, ms. */
-  private listedMs(number: number): number {
-    const now = this.clock.now();
-    return now - (this.listedSince.get(number) ?? now);
-  }
-
   /**
    * Holds versions that are new on the list. The first one of a service needs none: a list
    * without it names no version of the service, so nobody could take another one for the only.
    */
-  private holdNew({versions}: RegisteredVersions): void {
-    const former = new Map(this.listedSince);
+  private holdNew(update: RegisteredVersions): void {
+    const {versions} = update;
     const formerNotHeld = new Set(this.notHeld);
-    this.listedSince.clear();
+    this.ages.note(update);
     this.notHeld.clear();
-    const now = this.clock.now();
-    for (const {ageMs = 0, number, service} of versions) {
+    for (const {number, service} of versions) {
       const isFirst =
         this.registeredVersions(service).length === 0 &&
         versions.find((known) => known.service === service)?.number === number;
       if (isFirst || formerNotHeld.has(number)) {
         this.notHeld.add(number);
       }
-      this.listedSince.set(number, former.get(number) ?? now - ageMs);
     }
   }
 
--- a/packages/puffinturn-fleet/src/VersionLease.ts
+++ b/packages/puffinturn-fleet/src/VersionLease.ts
@@ -25,33 +25,34 @@
 
 /** Knows for how long versions have been on the list, at the least. */
 export class VersionAges {
-  /** When this box first saw a version on the list, by its number, monotonic ms. */
-  private readonly seenAt = new Map<number, number>();
+  /** Since when a version was on the list at the latest, by its number, monotonic ms. */
+  private readonly listedSince = new Map<number, number>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** Notes new versions; called after each change of the list. */
+  /** Notes new versions, with their ages if the list has them; called after each change. */
   note({versions}: RegisteredVersions): void {
-    const listed = new Set(versions.map(({number}) => number));
-    for (const number of this.seenAt.keys()) {
-      if (!listed.has(number)) {
-        this.seenAt.delete(number);
-      }
-    }
-    for (const number of listed) {
-      this.seenAt.set(number, this.seenAt.get(number) ?? this.clock.now());
+    const former = new Map(this.listedSince);
+    const now = this.clock.now();
+    this.listedSince.clear();
+    for (const {ageMs = 0, number} of versions) {
+      this.listedSince.set(number, former.get(number) ?? now - ageMs);
     }
   }
 
-  /** The list with the ages of its versions. */
-  withAges(list: RegisteredVersions): RegisteredVersions {
-    this.note(list);
+  /** Time for which a version has been on the list at the least, ms; 0 if it is not noted. */
+  ageMs(number: number): number {
     const now = this.clock.now();
+    return now - (this.listedSince.get(number) ?? now);
+  }
+
+  /** The list with the ages of its versions. */
+  withAges({revision, versions}: RegisteredVersions): RegisteredVersions {
     return {
-      revision: list.revision,
-      versions: list.versions.map((version) => ({
+      revision,
+      versions: versions.map((version) => ({
         ...version,
-        ageMs: now - (this.seenAt.get(version.number) ?? now),
+        ageMs: this.ageMs(version.number),
       })),
     };
   }
--- a/packages/puffinturn-fleet/src/WatchReplies.ts
+++ b/packages/puffinturn-fleet/src/WatchReplies.ts
@@ -159,9 +159,11 @@
     versionsRevision = Infinity,
   }: WatchRequest): RegisteredVersions | undefined {
     const {registered} = this.parts.machine.versions;
-    return registered.revision > versionsRevision && this.isUpToDate
-      ? this.versionAges.withAges(registered)
-      : undefined;
+    if (registered.revision <= versionsRevision || !this.isUpToDate) {
+      return undefined;
+    }
+    this.versionAges.note(registered);
+    return this.versionAges.withAges(registered);
   }
 
   /**
