--- a/packages/puffinturn-streams/src/ReplicaSelector.ts
+++ b/packages/puffinturn-streams/src/ReplicaSelector.ts
@@ -54,6 +54,11 @@
     return this.regions.map((boxes) => selectFrom(boxes, keyHash));
   }
 
+  /** Number of boxes of all regions. */
+  get count(): number {
+    return this.parts.peers().length + 1;
+  }
+
   /** Returns all boxes of the own region. */
   get ownRegion(): readonly string[] {
     this.refresh();
--- a/packages/puffinturn-streams/src/StreamOrigins.ts
+++ b/packages/puffinturn-streams/src/StreamOrigins.ts
@@ -188,7 +188,7 @@
     groups: BoxGroups,
   ): Promise<LookupRound> {
     const {key} = query;
-    const edges = this.selector.all.length;
+    const edges = this.selector.count;
     return new Promise((resolve) => {
       const decide = (lookup: Lookup): void =>
         resolve({isDecided: true, lookup});
