RequestForwarder: the traits of a request are made once for a choice

They were made again inside the choice, for each attempt of each request. And the upstream of an attempt that wasn't sent needs no removal from the tried ones, as awaiting the link clears them all. Behaviour unchanged.

--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -352,7 +352,7 @@
     const {parts} = this;
     while (!this.requestOutcome.hasEnded && this.passesQuarantine(plan)) {
       const traits = this.traitsOf(plan);
-      const placement = this.selectPlacement(plan);
+      const placement = this.selectPlacement(plan, traits);
       if (placement === undefined && this.mayAwaitLink(plan)) {
         await this.awaitLink();
         continue;
@@ -391,9 +391,11 @@
   }
 
   /** Selects the upstream of the next attempt; undefined if none is left. */
-  private selectPlacement(plan: RequestPlan): Placement | undefined {
-    const {parts, triedUpstreams} = this;
-    return selectUpstream(parts, plan, triedUpstreams, this.traitsOf(plan));
+  private selectPlacement(
+    plan: RequestPlan,
+    traits: RequestTraits,
+  ): Placement | undefined {
+    return selectUpstream(this.parts, plan, this.triedUpstreams, traits);
   }
 
   /** Makes one attempt. Returns true when the request has ended. */
@@ -521,7 +523,6 @@
         if (this.mayAwaitLink(plan)) {
           this.logFailedAttempt(plan, upstream, outcome.cause, true, true);
           this.isRetryPaid = true;
-          this.triedUpstreams.delete(upstream);
           await this.awaitLink();
           return this.requestOutcome.hasEnded;
         }
@@ -824,7 +825,7 @@
     if (
       attempt?.dependsOnLink === true &&
       this.mayRetry(plan, false) &&
-      this.selectPlacement(plan) !== undefined &&
+      this.selectPlacement(plan, this.traitsOf(plan)) !== undefined &&
       this.parts.retryBudgets.tryConsume(plan.service.name)
     ) {
       this.hasLeftLink = true;
