FleetWatch: a reply is marked as being unpacked where it is unpacked

The mark was set and cleared in three places of a poll, also for replies with nothing to unpack; a poll that failed cleared it for another one of the same control box that was still being unpacked.

--- a/packages/puffinturn-fleet/src/FleetWatch.ts
+++ b/packages/puffinturn-fleet/src/FleetWatch.ts
@@ -325,12 +325,8 @@
         request,
         this.timing.pollTimeoutMs(request.waitMs, peer.failedPolls),
       )
-      .andThen((reply) => {
-        peer.isUnpacking = true;
-        return unpackReply(reply as WatchReply);
-      })
+      .andThen((reply) => unpackReply(peer, reply as WatchReply))
       .map((reply) => {
-        peer.isUnpacking = false;
         if (this.tasks.isAborted) {
           return;
         }
@@ -344,7 +340,6 @@
       .match(
         (): PollOutcome => POLL_OUTCOME.answered,
         (): PollOutcome => {
-          peer.isUnpacking = false;
           this.handleFailure(peer, sentAt);
           return POLL_OUTCOME.failed;
         },
@@ -567,15 +562,18 @@
 
 /** Unpacks the configuration of a reply, if it has a packed one. */
 function unpackReply(
+  peer: ControlPeer,
   reply: WatchReply,
 ): ResultAsync<WatchReply, UnpackFailure> {
   const {packedUpdate} = reply;
-  return packedUpdate === undefined || packedUpdate === null
-    ? okAsync(reply)
-    : new ResultAsync(unpackUpdate(packedUpdate)).map((update) => ({
-        ...reply,
-        ...update,
-      }));
+  if (packedUpdate === undefined || packedUpdate === null) {
+    return okAsync(reply);
+  }
+  peer.isUnpacking = true;
+  const unpacked = unpackUpdate(packedUpdate).finally(
+    () => (peer.isUnpacking = false),
+  );
+  return new ResultAsync(unpacked).map((update) => ({...reply, ...update}));
 }
 
 /** Longest time for which the responder may have had its configuration, ms. */
