Tests of the edge: one place for a hanging stream's begin, an exchange, routes and a list of versions

Eight cases of HangingLinks began in the same three lines, two files made the same exchange, two the same four routes, and StreamBeginnings stored and sent each version in pairs.

--- a/packages/puffinturn-edge/src/__tests__/unit/BrokenOffHeads.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BrokenOffHeads.test.ts
@@ -9,7 +9,6 @@
  * Guards against responses that break off after any of their bytes, most of them in the
  * head, and reach the caller as complete.
  */
-import {RETRY_POLICY} from 'puffinturn-fleet';
 
 import {RetryBudgets} from '../../requests/RetryBudgets';
 import type {
@@ -20,7 +19,10 @@
 } from '../utils/CutUpstream';
 import {BREAK, CutUpstream} from '../utils/CutUpstream';
 import type {CallerResponse} from '../utils/ForwardingFixture';
-import {createRoute, ForwardingFixture} from '../utils/ForwardingFixture';
+import {
+  ForwardingFixture,
+  TWO_ATTEMPT_ROUTES,
+} from '../utils/ForwardingFixture';
 import {TunnelledEdge} from '../utils/TunnelledEdge';
 
 /** Requests in flight at a time. */
@@ -154,21 +156,6 @@
   },
 ];
 
-const ROUTES = [
-  createRoute('look', {maxAttempts: 2}),
-  createRoute('order', {maxAttempts: 2, repetition: RETRY_POLICY.never}),
-  createRoute('stream', {
-    maxAttempts: 2,
-    repetition: RETRY_POLICY.resumable,
-    streams: true,
-  }),
-  createRoute('fixed', {
-    maxAttempts: 2,
-    repetition: RETRY_POLICY.never,
-    streams: true,
-  }),
-];
-
 /** Routes to the same service whose requests may not be repeated. */
 const UNREPEATABLE_ROUTES: Readonly<Record<string, string>> = {
   look: 'order',
@@ -189,10 +176,10 @@
   const tunnelled =
     way === 'directly'
       ? undefined
-      : await TunnelledEdge.start(ROUTES, records, {retryBudgets});
+      : await TunnelledEdge.start(TWO_ATTEMPT_ROUTES, records, {retryBudgets});
   const edge =
     tunnelled?.edge ??
-    (await ForwardingFixture.start(ROUTES, () => ({retryBudgets})));
+    (await ForwardingFixture.start(TWO_ATTEMPT_ROUTES, () => ({retryBudgets})));
   edge.pool.merge(records, 'test');
   return {
     edge,
--- a/packages/puffinturn-edge/src/__tests__/unit/BrokenOffResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BrokenOffResponses.test.ts
@@ -9,13 +9,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 
-import {RETRY_POLICY} from 'puffinturn-fleet';
-
 import {MAX_BUFFERED_RESPONSE_BYTES} from '../../EdgeConstants';
 import {
-  createRoute,
   ForwardingFixture,
   TestUpstream,
+  TWO_ATTEMPT_ROUTES,
   waitUntil,
 } from '../utils/ForwardingFixture';
 
@@ -34,21 +32,6 @@
   ': a comment\n',
 ];
 
-const ROUTES = [
-  createRoute('stream', {
-    maxAttempts: 2,
-    repetition: RETRY_POLICY.resumable,
-    streams: true,
-  }),
-  createRoute('fixed', {
-    maxAttempts: 2,
-    repetition: RETRY_POLICY.never,
-    streams: true,
-  }),
-  createRoute('look', {maxAttempts: 2}),
-  createRoute('order', {maxAttempts: 2, repetition: RETRY_POLICY.never}),
-];
-
 /** Sends a body with neither a length nor chunks and ends the connection. */
 function endWithConnection(body: string, type = STREAM): Handler {
   return (incoming) => {
@@ -119,7 +102,7 @@
     await TestUpstream.start('a'),
     await TestUpstream.start('b'),
   ];
-  const edge = await ForwardingFixture.start(ROUTES);
+  const edge = await ForwardingFixture.start(TWO_ATTEMPT_ROUTES);
   let count = 0;
   for (const upstream of upstreams) {
     upstream.handler = (incoming, response) => {
--- a/packages/puffinturn-edge/src/__tests__/unit/DelayedTimeouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DelayedTimeouts.test.ts
@@ -13,12 +13,11 @@
 import {LISTENER_STATE} from 'puffinturn-quarantine';
 import {SystemClock} from 'shared';
 
-import {Exchange} from '../../connections/Exchange';
 import {CONNECT_TIMEOUT_MS} from '../../EdgeConstants';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {UpstreamPool} from '../../upstreams/UpstreamPool';
+import {createExchange} from '../utils/createExchange';
 import {makeUpstream} from '../utils/EdgeFixture';
-import {TestProtocol} from '../utils/ForwardingFixture';
 
 const HOST = '127.0.0.1';
 const RESPONSE =
@@ -59,16 +58,7 @@
   });
 
   test('the attempt to connect for a request goes on', async () => {
-    const exchange = new Exchange({
-      body: Buffer.alloc(0),
-      headerNames: new TestProtocol().headers,
-      headers: [],
-      method: 'GET',
-      path: '/',
-      requestId: 'r-1',
-      tunnel: undefined,
-      upstream,
-    });
+    const exchange = createExchange(upstream);
     block(DELAY_MS);
     expect(await exchange.outcome).toMatchObject({kind: 'answer'});
   });
--- a/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/HangingLinks.test.ts
@@ -7,6 +7,7 @@
 
 /** Guards against responses that are ended because links hang, with no better way. */
 import type {ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 
 import {RETRY_POLICY} from 'puffinturn-fleet';
 
@@ -49,8 +50,25 @@
   private readonly listeners = new Set<LinkListener>();
   private edge: ForwardingFixture | undefined;
   private first: TestUpstream | undefined;
+  private pending: Promise<CallerResponse> | undefined;
+
+  /** Starts an edge and upstreams, and a stream whose caller has its first event. */
+  static async begin(
+    upstreamCount = 2,
+    mayRetry = true,
+  ): Promise<HangingStream> {
+    const stream = new HangingStream();
+    await stream.start(upstreamCount, mayRetry);
+    await stream.send();
+    return stream;
+  }
+
+  /** What the caller has got when its stream has ended. */
+  get response(): Promise<CallerResponse | undefined> {
+    return Promise.resolve(this.pending);
+  }
 
-  async start(upstreamCount: number, mayRetry = true): Promise<void> {
+  private async start(upstreamCount: number, mayRetry: boolean): Promise<void> {
     this.edge = await ForwardingFixture.start(
       [ROUTE],
       ({directLinks, exposureController}) => ({
@@ -93,12 +111,11 @@
     this.edge.pool.merge(records, 'test');
   }
 
-  async send(): Promise<Promise<CallerResponse>[]> {
+  private async send(): Promise<void> {
     const {edge} = this;
-    const pending = edge === undefined ? [] : [edge.sendRequest('stream')];
+    this.pending = edge?.sendRequest('stream');
     await waitUntil(() => this.responses.length === 1);
     await waitUntil(() => (edge?.receivedBytes ?? 0) > 0);
-    return pending;
   }
 
   hang(): void {
@@ -138,77 +155,59 @@
   }
 }
 
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 describe('A response that has begun over a link that hangs', () => {
   test('goes on when the link does, while no other way is known', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.hang();
     await stream.goOn();
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
     expect(stream.responses).toHaveLength(1);
   });
 
   test('is continued by another upstream once there is another way', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.hang();
     stream.findBypass();
     await waitUntil(() => stream.responses.length === 2);
     stream.responses[1]?.end();
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
   });
 
   test.each([
     ['no other upstream', 1, true],
     ['no retry left', 2, false],
   ])('goes on if there is %s', async (_, upstreams, mayRetry) => {
-    await using stream = new HangingStream();
-    await stream.start(upstreams, mayRetry);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin(upstreams, mayRetry);
     stream.findBypass();
     await stream.goOn();
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
     expect(stream.responses).toHaveLength(1);
   });
 
   test('waits if the place for it is taken before its next attempt', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.fillsOnLeaving = true;
     stream.findBypass();
     await delay(OBSERVATION_MS);
     const {isFull} = stream;
     stream.isFull = false;
     setTimeout(() => stream.responses[1]?.end(), 5 * OBSERVATION_MS);
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
     expect(isFull).toBe(true);
   });
 
   test('ends if all upstreams of its version leave while it waits', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.fillsOnLeaving = true;
     stream.findBypass();
     await delay(OBSERVATION_MS);
     stream.leave();
-    const {body, isComplete} = (await response) ?? {};
+    const {body, isComplete} = (await stream.response) ?? {};
     expect({body, isComplete}).toEqual({body: FIRST_EVENT, isComplete: false});
   });
 
   test('goes on at its former upstream if the other one has left', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.fillsOnLeaving = true;
     stream.findBypass();
     await delay(OBSERVATION_MS);
@@ -216,19 +215,17 @@
     stream.isFull = false;
     await waitUntil(() => stream.responses.length === 2);
     stream.responses[1]?.end();
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
   });
 
   test('waits for the links if the other way is gone before its next attempt', async () => {
-    await using stream = new HangingStream();
-    await stream.start(2);
-    const [response] = await stream.send();
+    await using stream = await HangingStream.begin();
     stream.isLost = true;
     stream.findBypass();
     await delay(OBSERVATION_MS);
     stream.isLost = false;
     await waitUntil(() => stream.responses.length === 2);
     stream.responses[1]?.end();
-    expect((await response)?.body).toBe(WHOLE_STREAM);
+    expect((await stream.response)?.body).toBe(WHOLE_STREAM);
   });
 });
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamBeginnings.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamBeginnings.test.ts
@@ -43,6 +43,14 @@
     this.ages.note({revision: this.revision, versions: this.control});
   }
 
+  /** A control box stores versions, and the edge gets the list after each. */
+  list(...versions: string[]): void {
+    for (const version of versions) {
+      this.store(version);
+      this.sendList();
+    }
+  }
+
   /** An edge gets the list of the control box. */
   sendList(history = this.history): void {
     const list = {revision: this.revision, versions: [...this.control]};
@@ -68,8 +76,7 @@
 describe('Streams begin', () => {
   test('at a new version only once no list without it counts as complete', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
+    fixture.list('v1');
     await fixture.clock.advance(1_000);
     fixture.store('v2');
     // A list without v2 was confirmed no later than this.
@@ -88,13 +95,9 @@
 
   test('at each of two versions in a row after a time of its own', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
-    fixture.store('v2');
-    fixture.sendList();
+    fixture.list('v1', 'v2');
     await fixture.clock.advance(VERSION_HOLD_MS - 100);
-    fixture.store('v3');
-    fixture.sendList();
+    fixture.list('v3');
     await fixture.clock.advance(100);
     expect(fixture.begun(['v1', 'v2', 'v3'])).toEqual(['v1', 'v2']);
     await fixture.clock.advance(VERSION_HOLD_MS - 100);
@@ -103,8 +106,7 @@
 
   test('at once at the first version, and after a start at versions long listed', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
+    fixture.list('v1');
     expect(fixture.begun(['v1'])).toEqual(['v1']);
     fixture.store('v2');
     await fixture.clock.advance(VERSION_HOLD_MS);
@@ -119,8 +121,7 @@
 
   test('at a version that could not be stored only where no other serves', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
+    fixture.list('v1');
     fixture.addUpstreams('v1', 'v2');
     expect(fixture.begun(['v2'])).toEqual([]);
     await fixture.clock.advance(VERSION_HOLD_MS);
@@ -130,10 +131,7 @@
 
   test('that callers can not resume at any version at once', () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
-    fixture.store('v2');
-    fixture.sendList();
+    fixture.list('v1', 'v2');
     const route = createRoute('look');
     expect(fixture.begun(['v1', 'v2'], fixture.history, route)).toEqual([
       'v1',
@@ -143,10 +141,7 @@
 
   test('at an edge that was handed the list no sooner than at the other one', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
-    fixture.store('v2');
-    fixture.sendList();
+    fixture.list('v1', 'v2');
     await fixture.clock.advance(VERSION_HOLD_MS - 100);
     const started = new VersionHistory(fixture.clock, () => LIFETIME_MS);
     const list = fixture.history.handedOver;
@@ -176,8 +171,7 @@
 
   test('at versions that are handed over with ages that add up', async () => {
     const fixture = new Fixture();
-    fixture.store('v1');
-    fixture.sendList();
+    fixture.list('v1');
     fixture.store('v2');
     await fixture.clock.advance(400);
     fixture.sendList();
--- a/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/Tunnels.test.ts
@@ -24,8 +24,8 @@
 import {MemoryNetwork} from 'puffinturn-wire';
 import {Random, SystemClock} from 'shared';
 
-import type {ExchangeOutcome} from '../../connections/Exchange';
-import {Exchange, UNSENT_BLAME} from '../../connections/Exchange';
+import type {Exchange, ExchangeOutcome} from '../../connections/Exchange';
+import {UNSENT_BLAME} from '../../connections/Exchange';
 import {EdgeMetrics} from '../../EdgeMetrics';
 import {TunnelClient} from '../../tunnels/TunnelClient';
 import {TICKET_LIFETIME_MS} from '../../tunnels/TunnelConstants';
@@ -38,8 +38,8 @@
 import {TunnelServer} from '../../tunnels/TunnelServer';
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {UpstreamPool} from '../../upstreams/UpstreamPool';
+import {createExchange} from '../utils/createExchange';
 import {makeUpstream} from '../utils/EdgeFixture';
-import {TestProtocol} from '../utils/ForwardingFixture';
 
 const HOST = '127.0.0.1';
 const HEADERS = 'x-request: r-1\r\nx-seal: s\r\n';
@@ -91,16 +91,8 @@
     const upstream = this.createUpstream(address);
     this.client ??= this.createClient();
     const {client} = this;
-    return new Exchange({
-      body: Buffer.alloc(0),
-      headerNames: new TestProtocol().headers,
-      headers: [],
-      method: 'GET',
-      path: '/',
-      requestId: 'r-1',
-      tunnel: {isOnlyWay: true, open: () => client.open(upstream, 'r-1')},
-      upstream,
-    });
+    const open = () => client.open(upstream, 'r-1');
+    return createExchange(upstream, {isOnlyWay: true, open});
   }
 
   async askHelper(address: string): Promise<TunnelReply> {
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -112,6 +112,22 @@
   };
 }
 
+/** Routes with two attempts: plain ones and streams, that may be repeated or not. */
+export const TWO_ATTEMPT_ROUTES: readonly Route[] = [
+  createRoute('look', {maxAttempts: 2}),
+  createRoute('order', {maxAttempts: 2, repetition: RETRY_POLICY.never}),
+  createRoute('stream', {
+    maxAttempts: 2,
+    repetition: RETRY_POLICY.resumable,
+    streams: true,
+  }),
+  createRoute('fixed', {
+    maxAttempts: 2,
+    repetition: RETRY_POLICY.never,
+    streams: true,
+  }),
+];
+
 /** An HTTP server that acts as an upstream. */
 export class TestUpstream implements AsyncDisposable {
   /** Paths of the received requests. */
