--- a/packages/puffinturn-daemon/src/__tests__/utils/DaemonFixture.ts
+++ b/packages/puffinturn-daemon/src/__tests__/utils/DaemonFixture.ts
@@ -36,7 +36,8 @@
   stepPerRequestMs: 0,
 };
 
-async function findFreePort(): Promise<number> {
+/** Finds a port that no server listens on. */
+export async function findFreePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) =>
     server.listen(0, '127.0.0.1', () => resolve()),
@@ -46,6 +47,118 @@
   return typeof address === 'object' ? (address?.port ?? 0) : 0;
 }
 
+/** Ports of a daemon; 0 for any that is free. */
+export interface DaemonPorts {
+  readonly callers: number;
+  readonly link: number;
+  readonly operators: number;
+}
+
+function keyFileIn(folder: string): string {
+  return join(folder, 'fleet.key');
+}
+
+/** Writes the fleet key that the settings name. */
+export function writeFleetKey(folder: string): Promise<void> {
+  return writeFile(keyFileIn(folder), 'k'.repeat(40), {mode: 0o600});
+}
+
+/** Builds the settings of a daemon of one control box. */
+export function buildSettings(
+  folder: string,
+  {callers, link, operators}: DaemonPorts,
+  limits: object = {bodyBytes: 4_096},
+) {
+  const host = '127.0.0.1';
+  return {
+    box: 'box-1',
+    callers: {host, port: callers},
+    dataFolder: join(folder, 'data'),
+    fleet: {
+      boxes: [
+        {
+          control: true,
+          hall: 'hall-1',
+          host,
+          name: 'box-1',
+          port: link,
+          region: 'local',
+        },
+      ],
+      keyFile: keyFileIn(folder),
+      primaryRegion: 'local',
+    },
+    limits: {drainNoticeMs: 0, ...limits},
+    logs: {level: 'error'},
+    operators: {
+      host,
+      keys: [{name: 'tester', sha256: digestBytes(OPERATOR_KEY)}],
+      port: operators,
+    },
+  };
+}
+
+/** Builds the declarations of a team, its budget, a pool, a service and a policy. */
+export function buildDeclarations(
+  limit: number,
+  engineUrl: string,
+  serviceUrl: string,
+) {
+  const upstream = (name: string, url: string) => [
+    {hall: 'hall-1', name, slots: 8, url},
+  ];
+  return [
+    {
+      kind: 'team',
+      name: 'team-1',
+      spec: {keys: [{name: 'k', sha256: digestBytes(TEAM_KEY)}]},
+    },
+    {
+      kind: 'budget',
+      name: 'budget-1',
+      spec: {home: 'local', limit, team: 'team-1'},
+    },
+    {
+      kind: 'pool',
+      name: 'models',
+      spec: {
+        models: ['model-1'],
+        price: {completion: 2, prompt: 1},
+        upstreams: upstream('engine-1', engineUrl),
+      },
+    },
+    {
+      kind: 'service',
+      name: 'orders',
+      spec: {callPrice: 10, upstreams: upstream('s-1', serviceUrl)},
+    },
+    {
+      kind: 'policy',
+      name: 'all',
+      spec: {
+        rules: [
+          {
+            action: 'allow',
+            budget: "'budget-1'",
+            key: 'request.body.order',
+            name: 'orders',
+            pool: 'orders',
+            repeat: 'never',
+            when: "request.service == 'orders'",
+          },
+          {
+            action: 'allow',
+            budget: "'budget-1'",
+            name: 'models',
+            pool: 'models',
+            when: "request.model == 'model-1'",
+          },
+        ],
+      },
+    },
+  ];
+}
+
 /** A response whose body has been read. */
 export interface TextResponse {
   readonly status: number;
@@ -68,38 +181,16 @@
     upstreamUrl?: string,
   ): Promise<DaemonFixture> {
     const folder = await mkdtemp(join(tmpdir(), 'box-'));
-    const keyFile = join(folder, 'fleet.key');
-    await writeFile(keyFile, 'k'.repeat(40), {mode: 0o600});
+    await writeFleetKey(folder);
     const engine = await new Engine(FAST_ENGINE).listen();
     const service = await new PlainService(0).listen();
     const settings = validateValue(
       SettingsSchema,
-      {
-        box: 'box-1',
-        callers: {host: '127.0.0.1', port: 0},
-        dataFolder: join(folder, 'data'),
-        fleet: {
-          boxes: [
-            {
-              control: true,
-              hall: 'hall-1',
-              host: '127.0.0.1',
-              name: 'box-1',
-              port: await findFreePort(),
-              region: 'local',
-            },
-          ],
-          keyFile,
-          primaryRegion: 'local',
-        },
-        limits: {bodyBytes: 4_096, drainNoticeMs: 0},
-        logs: {level: 'error'},
-        operators: {
-          host: '127.0.0.1',
-          keys: [{name: 'tester', sha256: digestBytes(OPERATOR_KEY)}],
-          port: 0,
-        },
-      },
+      buildSettings(folder, {
+        callers: 0,
+        link: await findFreePort(),
+        operators: 0,
+      }),
       'settings',
     );
     invariant(settings.isOk(), 'the settings must be valid');
@@ -182,59 +273,11 @@
   }
 
   private async declareAll(limit: number, upstreamUrl?: string): Promise<void> {
-    const upstream = (name: string, url: string) => [
-      {hall: 'hall-1', name, slots: 8, url: upstreamUrl ?? url},
-    ];
-    const declarations = [
-      {
-        kind: 'team',
-        name: 'team-1',
-        spec: {keys: [{name: 'k', sha256: digestBytes(TEAM_KEY)}]},
-      },
-      {
-        kind: 'budget',
-        name: 'budget-1',
-        spec: {home: 'local', limit, team: 'team-1'},
-      },
-      {
-        kind: 'pool',
-        name: 'models',
-        spec: {
-          models: ['model-1'],
-          price: {completion: 2, prompt: 1},
-          upstreams: upstream('engine-1', this.engine.url),
-        },
-      },
-      {
-        kind: 'service',
-        name: 'orders',
-        spec: {callPrice: 10, upstreams: upstream('s-1', this.service.url)},
-      },
-      {
-        kind: 'policy',
-        name: 'all',
-        spec: {
-          rules: [
-            {
-              action: 'allow',
-              budget: "'budget-1'",
-              key: 'request.body.order',
-              name: 'orders',
-              pool: 'orders',
-              repeat: 'never',
-              when: "request.service == 'orders'",
-            },
-            {
-              action: 'allow',
-              budget: "'budget-1'",
-              name: 'models',
-              pool: 'models',
-              when: "request.model == 'model-1'",
-            },
-          ],
-        },
-      },
-    ];
+    const declarations = buildDeclarations(
+      limit,
+      upstreamUrl ?? this.engine.url,
+      upstreamUrl ?? this.service.url,
+    );
     for (const value of declarations) {
       const declaration = validateValue(
         DeclarationSchema,
--- a/packages/puffinturn-stand-in/src/index.ts
+++ b/packages/puffinturn-stand-in/src/index.ts
@@ -6,6 +6,10 @@
  */
 
 /** Small fake servers: model engines, plain services and the platform's member list. */
+export type {CrowdScript, CrowdTarget} from './Crowd';
+export {Crowd, encodeChunk} from './Crowd';
+export type {CrowdOutcome, CrowdTrialParts} from './CrowdTrial';
+export {runCrowdTrial} from './CrowdTrial';
 export type {EngineProfile} from './Engine';
 export {DEFAULT_PROFILE, Engine} from './Engine';
 export type {Faults} from './Faults';
