--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -25,6 +25,11 @@
   RETRY_POLICY,
   UPSTREAM_STATE,
 } from 'puffinturn-fleet';
+import {
+  ClientLimitsSchema,
+  deriveServerLimits,
+  FORWARDING_SHARES,
+} from 'puffinturn-server';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, Random, SystemClock, SystemMachineClock} from 'shared';
 
@@ -85,6 +90,9 @@
 export const TOKENS_HEADER = 'x-tokens';
 
 const HOST = '127.0.0.1';
+
+/** The machine that the edge believes to have. */
+const MACHINE = {memoryMb: 350};
 const HALL = 'hall-1';
 const SLOTS_PER_UPSTREAM = 200;
 const MAX_LOG_LINES_PER_SECOND = 60;
@@ -131,6 +139,11 @@
   const edge = await Edge.open({
     applyBoundMs: 2_000,
     callerAddress: {host: HOST, port: settings.callerPort},
+    callerLimits: deriveServerLimits(
+      MACHINE,
+      FORWARDING_SHARES,
+      ClientLimitsSchema.parse({}),
+    ),
     clock,
     drainMs: 2_000,
     coldTolerance: {extra: 1, overage: 1},
--- a/packages/puffinturn-daemon/src/Daemon.ts
+++ b/packages/puffinturn-daemon/src/Daemon.ts
@@ -17,6 +17,8 @@
 } from 'puffinturn-gateway';
 import {FolderDisk} from 'puffinturn-log';
 import {HttpEngineClient} from 'puffinturn-orders';
+import type {BoundedServerParts} from 'puffinturn-server';
+import {deriveServerLimits, FORWARDING_SHARES} from 'puffinturn-server';
 import type {Settings} from 'puffinturn-settings';
 import {readFleetKey} from 'puffinturn-settings';
 import {TcpLink} from 'puffinturn-wire';
@@ -176,6 +178,19 @@
     resources.push(platformList.poller);
   }
   const health = {isPassing: true};
+  const serverLimits = deriveServerLimits(
+    {memoryMb: limits.memoryMb},
+    FORWARDING_SHARES,
+    limits.clients,
+  );
+  const serverParts = (address: string): BoundedServerParts => ({
+    clock,
+    limits: serverLimits,
+    observer: {
+      onLimit: (limit) => metrics.clientLimits.inc({address, limit}),
+      onReport: (report) => log.warn('clients limited', {address, ...report}),
+    },
+  });
   const callers = yield* HttpServer.open(
     createCallerApp({
       maxBodyBytes: limits.bodyBytes,
@@ -186,16 +201,25 @@
       metrics,
     }),
     settings.callers,
+    serverParts('callers'),
   );
+  const servers = new Map([['callers', callers]]);
   const operators = yield* HttpServer.open(
     createOperatorApp({
       api: new OperatorApi(box, topology, link, clock),
       keys: settings.operators.keys,
       metrics,
-      refreshMetrics: () => box.gateway.refreshMetrics(),
+      refreshMetrics: () => {
+        box.gateway.refreshMetrics();
+        for (const [address, {usage}] of servers) {
+          metrics.setClientUsage(address, usage);
+        }
+      },
     }),
     settings.operators,
+    serverParts('operators'),
   );
+  servers.set('operators', operators);
   log.info('started', {
     box: settings.box,
     callers: callers.port,
--- a/packages/puffinturn-daemon/src/HttpServer.ts
+++ b/packages/puffinturn-daemon/src/HttpServer.ts
@@ -17,6 +17,8 @@
 import type {ResultAsync} from 'neverthrow';
 import {errAsync, ResultAsync as Async} from 'neverthrow';
 import {CALLER_TIMEOUT_MS} from 'puffinturn-gateway';
+import type {BoundedServerParts, ServerUsage} from 'puffinturn-server';
+import {BOUNDED_SERVER_OPTIONS, BoundedServer} from 'puffinturn-server';
 import type {TlsSettings} from 'puffinturn-settings';
 import {readSecret} from 'puffinturn-settings';
 import type {Failure} from 'shared';
@@ -68,7 +70,10 @@
 export class HttpServer implements AsyncDisposable {
   private openCount = 0;
 
-  private constructor(private readonly server: Server) {
+  private constructor(
+    private readonly server: Server,
+    private readonly boundedServer: BoundedServer,
+  ) {
     server.on('request', (_, response: ServerResponse) => {
       this.openCount += 1;
       response.once('close', () => (this.openCount -= 1));
@@ -80,17 +85,33 @@
     return this.openCount;
   }
 
+  /** What the clients hold now. */
+  get usage(): ServerUsage {
+    return this.boundedServer.usage;
+  }
+
   /** Starts listening. */
   static open<Environment extends Env & {Bindings: HttpBindings}>(
     app: Hono<Environment>,
     address: ListenAddress,
+    parts: BoundedServerParts,
   ): ResultAsync<HttpServer, ServeFailure> {
     const {tls} = address;
-    const listener = getRequestListener((request, bindings) =>
-      app.fetch(request, bindings),
+    const listener = getRequestListener(
+      (request, bindings) => app.fetch(request, bindings),
+      // The bounded server drops bodies that are not read.
+      {autoCleanupIncoming: false},
     );
+    const listen = (server: Server) => {
+      const boundedServer = new BoundedServer(
+        server,
+        (request, response) => void listener(request, response),
+        parts,
+      );
+      return HttpServer.listen(server, boundedServer, address);
+    };
     if (tls === undefined) {
-      return HttpServer.listen(createServer(serverOptions, listener), address);
+      return listen(createServer(serverOptions));
     }
     return readTls(tls).andThen((material) => {
       const usesMutualTls = material.ca !== undefined;
@@ -101,8 +122,7 @@
         requestCert: usesMutualTls,
       };
       try {
-        const server = createTlsServer(options, listener);
-        return HttpServer.listen(server, address);
+        return listen(createTlsServer(options));
       } catch (error) {
         return errAsync(toServeFailure(error));
       }
@@ -116,6 +136,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.boundedServer[Symbol.dispose]();
     const closed = new Promise((resolve) => this.server.close(resolve));
     this.server.closeAllConnections();
     await closed;
@@ -123,17 +144,21 @@
 
   private static listen(
     server: Server,
+    boundedServer: BoundedServer,
     {host, port}: ListenAddress,
   ): ResultAsync<HttpServer, ServeFailure> {
     const listening = new Promise<HttpServer>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, host, () => resolve(new HttpServer(server)));
+      server.listen(port, host, () =>
+        resolve(new HttpServer(server, boundedServer)),
+      );
     });
     return Async.fromPromise(listening, toServeFailure);
   }
 }
 
 const serverOptions = {
+  ...BOUNDED_SERVER_OPTIONS,
   headersTimeout: CALLER_TIMEOUT_MS,
   keepAliveTimeout: KEEP_ALIVE_MS,
   maxHeaderSize: MAX_HEADER_BYTES,
--- a/packages/puffinturn-daemon/src/OperatorApp.ts
+++ b/packages/puffinturn-daemon/src/OperatorApp.ts
@@ -9,8 +9,10 @@
 import type {HttpBindings} from '@hono/node-server';
 import type {Context, Next} from 'hono';
 import {Hono} from 'hono';
-import {bodyLimit} from 'hono/body-limit';
+import {Result} from 'neverthrow';
 import type {GatewayMetrics} from 'puffinturn-gateway';
+import type {BodyFailure} from 'puffinturn-server';
+import {BODY_REFUSALS, readBody} from 'puffinturn-server';
 import type {HashedApiKey} from 'puffinturn-settings';
 import {
   DeclarationSchema,
@@ -67,16 +69,7 @@
       (failure) => respondWithFailure(context, failure),
     );
   });
-  const declarationLimit = bodyLimit({
-    maxSize: MAX_BODY_BYTES,
-    onError: (context) => {
-      const message = `at most ${MAX_BODY_BYTES} bytes are taken`;
-      return context.json({error: {kind: 'too-large', message}}, 413);
-    },
-  });
-  app.post('/v1/declarations', declarationLimit, (context) =>
-    declare(parts, context),
-  );
+  app.post('/v1/declarations', (context) => declare(parts, context));
   app.get('/v1/timeline', async (context) => {
     const {box, budget, request, since} = context.req.query();
     const sinceMs = since === undefined ? undefined : Number(since);
@@ -106,7 +99,11 @@
   {api}: OperatorAppParts,
   context: Context<Environment>,
 ): Promise<Response> {
-  const body: unknown = await context.req.json().catch(() => undefined);
+  const bytes = await readBody(context, MAX_BODY_BYTES);
+  if (bytes.isErr()) {
+    return rejectBody(context, bytes.error);
+  }
+  const body = parseJson(new TextDecoder().decode(bytes.value));
   const checked = validateValue(DeclarationSchema, body, 'request');
   if (checked.isErr()) {
     return respondWithFailure(context, checked.error);
@@ -118,6 +115,32 @@
   );
 }
 
+/** Returns the value of a JSON text; undefined if it is malformed. */
+const parseJson = (text: string): unknown =>
+  Result.fromThrowable((json: string): unknown => JSON.parse(json))(
+    text,
+  ).unwrapOr(undefined);
+
+function rejectBody(
+  context: Context<Environment>,
+  {kind, message}: BodyFailure,
+): Response {
+  switch (kind) {
+    case 'body-broken':
+      return context.json({error: {kind: 'incomplete', message}}, 400);
+    case 'body-too-large': {
+      const limit = `at most ${MAX_BODY_BYTES} bytes are taken`;
+      return context.json({error: {kind: 'too-large', message: limit}}, 413);
+    }
+    case 'body-no-room':
+    case 'body-stalled': {
+      const {retryAfterS, status} = BODY_REFUSALS[kind];
+      const headers = {'retry-after': String(retryAfterS)};
+      return context.json({error: {kind, message}}, status, headers);
+    }
+  }
+}
+
 function outcomeStatusCode(kind: string): 200 | 409 | 422 {
   switch (kind) {
     case 'accepted':
--- a/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
+++ b/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
@@ -151,6 +151,7 @@
     });
     const chunks = [...text].map((character) => `1\r\n${character}\r\n`);
     const outcome = await expose(daemon.ports.callers, {
+      awaitsResponse: true,
       clients: 1,
       head: chunkedHead(COMPLETIONS, TEAM_KEY),
       tail: `${chunks.join('')}0\r\n\r\n`,
--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -734,6 +734,19 @@
   readonly open: number;
 }
 
+/** Clients met limits of a server since the last such line. */
+export interface ClientsLimited {
+  readonly event: 'clients-limited';
+  /** `callers`, `readiness`, `metrics` or `control`. */
+  readonly address: string;
+  /** How often, by limit. */
+  readonly counts: Readonly<Record<string, number>>;
+  /** Connections that are open now. */
+  readonly connections: number;
+  /** Memory of request bodies that is in use now. */
+  readonly bodyBytes: number;
+}
+
 /** An overloaded edge withdrew from load balancing, was refused, or rejoined. */
 export interface OverloadWithdrawalDecided {
   readonly event: 'step-aside-decided';
@@ -760,6 +773,7 @@
   | ResponseTotals
   | AttemptFailed
   | BacklogChanged
+  | ClientsLimited
   | ConfigurationChangeDecided
   | ConfigurationAdopted
   | ConfigurationApplied
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -39,6 +39,12 @@
 import type {ColdTolerance} from 'puffinturn-permits';
 import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
+import type {
+  BoundedServerParts,
+  RequestBody,
+  ServerLimits,
+} from 'puffinturn-server';
+import {CHECK_LIMITS} from 'puffinturn-server';
 import {StreamOrigins} from 'puffinturn-streams';
 import type {Link} from 'puffinturn-wire';
 import type {Clock, MachineClock, Random} from 'shared';
@@ -46,7 +52,6 @@
 import {BacklogLogger} from './callers/BacklogLogger';
 import type {BacklogMonitor} from './callers/BacklogMonitor';
 import type {CallerProtocol} from './callers/CallerProtocol';
-import type {RequestTimes} from './callers/CallerRequest';
 import {CallerRequest} from './callers/CallerRequest';
 import {ConnectionShedding} from './callers/ConnectionShedding';
 import type {HttpAddress, HttpListenFailure} from './callers/HttpListener';
@@ -109,6 +114,8 @@
   /** Time for which upstreams serve after they announced their shutdown, ms. */
   readonly drainMs: number;
   readonly callerAddress: HttpAddress;
+  /** What callers may take up. */
+  readonly callerLimits: ServerLimits;
   readonly readinessAddress: HttpAddress & {readonly path: string};
   readonly metricsAddress: HttpAddress & {readonly path: string};
   /** Where this edge accepts tunnels of other edges. */
@@ -144,6 +151,15 @@
 /** Time in which the last responses are written before the process ends, ms. */
 const RESPONSE_FLUSH_MS = 50;
 
+/** The addresses of an edge on which clients connect, as logs and metrics name them. */
+const CLIENT_ADDRESS = {
+  callers: 'callers',
+  metrics: 'metrics',
+  readiness: 'readiness',
+} as const;
+
+type ClientAddress = (typeof CLIENT_ADDRESS)[keyof typeof CLIENT_ADDRESS];
+
 /** Serves requests, and follows the state of the fleet. */
 export class Edge implements AsyncDisposable {
   readonly metrics = new EdgeMetrics();
@@ -167,7 +183,7 @@
   /** Undefined until all servers listen. */
   private tunnelServer: TunnelServer | undefined;
   private readonly forwarderParts: RequestForwarderParts;
-  private readonly listeners: HttpListener[] = [];
+  private readonly listeners = new Map<ClientAddress, HttpListener>();
   /** Undefined until all servers listen. */
   private backlogMonitor: BacklogMonitor | undefined;
   /** Time of the start or of the last wake-up, monotonic ms. */
@@ -407,15 +423,29 @@
   static open(parts: EdgeParts): ResultAsync<Edge, HttpListenFailure> {
     const edge = new Edge(parts);
     return safeTry(async function* () {
-      edge.listeners.push(
-        yield* HttpListener.open(parts.callerAddress, (request, response) =>
-          edge.handleRequest(request, response),
+      edge.listeners.set(
+        CLIENT_ADDRESS.callers,
+        yield* HttpListener.open(
+          parts.callerAddress,
+          (request, response, body) =>
+            edge.handleRequest(request, response, body),
+          edge.listenerParts(CLIENT_ADDRESS.callers, parts.callerLimits),
         ),
-        yield* HttpListener.open(parts.readinessAddress, (request, response) =>
-          edge.answerReady(request, response),
+      );
+      edge.listeners.set(
+        CLIENT_ADDRESS.readiness,
+        yield* HttpListener.open(
+          parts.readinessAddress,
+          (request, response) => edge.answerReady(request, response),
+          edge.listenerParts(CLIENT_ADDRESS.readiness, CHECK_LIMITS),
         ),
-        yield* HttpListener.open(parts.metricsAddress, (request, response) =>
-          edge.answerMetrics(request, response),
+      );
+      edge.listeners.set(
+        CLIENT_ADDRESS.metrics,
+        yield* HttpListener.open(
+          parts.metricsAddress,
+          (request, response) => edge.answerMetrics(request, response),
+          edge.listenerParts(CLIENT_ADDRESS.metrics, CHECK_LIMITS),
         ),
       );
       edge.tunnelServer = yield* TunnelServer.open(parts.tunnelAddress, {
@@ -428,7 +458,7 @@
         refusal: (service) => edge.refuseTunnel(service),
       });
       const backlogLogger = new BacklogLogger(parts.log);
-      edge.backlogMonitor = edge.listeners[0]?.monitorBacklog(
+      edge.backlogMonitor = edge.callerListener?.monitorBacklog(
         parts.clock,
         (queueAgeMs) => backlogLogger.update(queueAgeMs, edge.openRequests),
         new ConnectionShedding(() => edge.metrics.closedUnread.inc()),
@@ -483,7 +513,7 @@
     this.needsFullConfiguration = false;
     this.streamVersions.applyRoutes(previousTable, this.routeTable);
     this.allowances.configure(configuration.teams ?? []);
-    this.listeners[0]?.applyLimits(configuration.limits);
+    this.callerListener?.applyLimits(configuration.limits);
     this.metrics.configurationVersion.set(configuration.version);
     this.parts.log.note({
       event: 'configuration-adopted',
@@ -574,7 +604,7 @@
     log.note({detail, event: 'process-changed', phase: 'draining'});
     await clock.sleep(Math.min(DRAIN_NOTICE_MS, graceMs / 2));
     this.rejectsRequests = true;
-    this.listeners[0]?.closeIdle();
+    this.callerListener?.closeIdle();
     const allowancesReturned = this.allowances.close();
     while (clock.now() < deadline) {
       const isIdle = clock.now() - this.lastRequestAt >= DRAIN_IDLE_MS;
@@ -601,7 +631,9 @@
     this.backlogMonitor?.[Symbol.dispose]();
     await this.wakeRefresh[Symbol.asyncDispose]();
     await Promise.all(
-      this.listeners.map((listener) => listener[Symbol.asyncDispose]()),
+      [...this.listeners.values()].map((listener) =>
+        listener[Symbol.asyncDispose](),
+      ),
     );
     await this.tunnelServer?.[Symbol.asyncDispose]();
     await this.directLinks[Symbol.asyncDispose]();
@@ -707,9 +739,30 @@
         ];
   }
 
+  private get callerListener(): HttpListener | undefined {
+    return this.listeners.get(CLIENT_ADDRESS.callers);
+  }
+
+  private listenerParts(
+    address: ClientAddress,
+    limits: ServerLimits,
+  ): BoundedServerParts {
+    const {clock, log} = this.parts;
+    return {
+      clock,
+      limits,
+      observer: {
+        onLimit: (limit) => this.metrics.clientLimits.inc({address, limit}),
+        onReport: (report) =>
+          log.note({...report, address, event: 'clients-limited'}),
+      },
+    };
+  }
+
   private handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    body: RequestBody,
   ): void {
     const readAt = this.parts.clock.now();
     this.lastRequestAt = readAt;
@@ -717,24 +770,22 @@
       this.backlogMonitor?.estimateArrival(request.socket) ?? readAt;
     const times = {arrivedAt, readAt};
     const {pending} = this.wakeRefresh;
-    if (pending === undefined) {
-      this.serveRequest(request, response, times);
-    } else {
-      void pending.then(() => this.serveRequest(request, response, times));
-    }
-  }
-
-  private serveRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-    times: RequestTimes,
-  ): void {
     const caller = new CallerRequest(
       request,
       response,
       this.parts.protocol.headers,
       times,
+      body,
     );
+    if (pending === undefined) {
+      this.serveRequest(caller);
+    } else {
+      void pending.then(() => this.serveRequest(caller));
+    }
+  }
+
+  private serveRequest(caller: CallerRequest): void {
+    const {incoming: request, response} = caller;
     caller.closesConnection = this.isStopping;
     request.on('error', () => undefined);
     response.on('error', () => undefined);
@@ -782,7 +833,6 @@
     cause: string,
     retryAfterS?: number,
   ): void {
-    caller.incoming.resume();
     caller.sendError(status, cause, retryAfterS);
     this.responseTotals.recordResponse(status, cause);
   }
@@ -793,7 +843,7 @@
   ): void {
     const {log, readinessAddress} = this.parts;
     if (request.url !== readinessAddress.path) {
-      response.writeHead(404).end();
+      sendStatus(response, 404);
       return;
     }
     if (this.ready !== this.lastReportedReady) {
@@ -802,7 +852,7 @@
       const detail = `configuration ${this.configurationVersion}`;
       log.note({detail, event: 'process-changed', phase});
     }
-    response.writeHead(this.ready ? 200 : 503).end();
+    sendStatus(response, this.ready ? 200 : 503);
   }
 
   private answerMetrics(
@@ -813,6 +863,8 @@
       allowance,
       backlogAge,
       charged,
+      clientBodyBytes,
+      clientConnections,
       controlReachable,
       crossRegionCallBytes,
       limitedUpstreams,
@@ -823,7 +875,7 @@
       streamReplicas,
     } = this.metrics;
     if (request.url !== this.parts.metricsAddress.path) {
-      response.writeHead(404).end();
+      sendStatus(response, 404);
       return;
     }
     openRequests.set(this.openRequests);
@@ -831,6 +883,10 @@
     streamReplicas.set(this.streamOrigins.replicaCount);
     crossRegionCallBytes.set(this.knownBoxes.crossRegionBytes);
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
+    for (const [address, {usage}] of this.listeners) {
+      clientBodyBytes.set({address}, usage.bodyBytes);
+      clientConnections.set({address}, usage.connections);
+    }
     backlogAge.set((this.backlogMonitor?.queueAgeMs ?? 0) / 1_000);
     controlReachable.set(this.fleetWatch.isConnected ? 1 : 0);
     stateAge.set(this.fleetWatch.freshness.ageMs / 1_000);
@@ -847,6 +903,12 @@
   }
 }
 
+/** Sends a response without a body. */
+function sendStatus(response: ServerResponse, status: number): void {
+  response.statusCode = status;
+  response.end();
+}
+
 /** Services with several versions, and these, for the log. */
 function servicesWithSeveral({
   versions,
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -44,6 +44,24 @@
     name: 'puffinturn_edge_connections_closed_unread_total',
     registers: [this.registry],
   });
+  readonly clientLimits = new Counter({
+    help: 'Limits that clients met, by address and limit',
+    labelNames: ['address', 'limit'],
+    name: 'puffinturn_edge_client_limits_total',
+    registers: [this.registry],
+  });
+  readonly clientConnections = new Gauge({
+    help: 'Open connections of clients, by address',
+    labelNames: ['address'],
+    name: 'puffinturn_edge_client_connections',
+    registers: [this.registry],
+  });
+  readonly clientBodyBytes = new Gauge({
+    help: 'Memory of request bodies that are held, by address',
+    labelNames: ['address'],
+    name: 'puffinturn_edge_client_body_bytes',
+    registers: [this.registry],
+  });
   readonly quarantined = new Gauge({
     help: 'Requests refused for crashing upstreams, as the core told last',
     name: 'puffinturn_edge_quarantined_requests',
--- a/packages/puffinturn-edge/src/__tests__/unit/BacklogMonitor.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BacklogMonitor.test.ts
@@ -17,6 +17,7 @@
 import type {BacklogMonitor} from '../../callers/BacklogMonitor';
 import {waitForLoopIterations} from '../../callers/EventLoopIterations';
 import {HttpListener} from '../../callers/HttpListener';
+import {makeServerParts} from '../utils/serverParts';
 
 const HOST = '127.0.0.1';
 
@@ -58,6 +59,7 @@
         this.arrivedAt.set(request.url ?? '', arrivedAt);
         response.end();
       },
+      makeServerParts(clock),
     );
     this.listener = opened._unsafeUnwrap();
     this.monitor = this.listener.monitorBacklog(clock);
--- a/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/CallerRequest.test.ts
@@ -13,6 +13,7 @@
 import {connect} from 'node:net';
 
 import {CallerRequest} from '../../callers/CallerRequest';
+import {collectBody} from '../utils/serverParts';
 
 const HEADER_NAMES = {
   deadline: 'x-deadline',
@@ -47,7 +48,13 @@
   const server = createServer((incoming, response) => {
     incoming.on('error', () => undefined);
     const times = {arrivedAt: 0, readAt: 0};
-    const caller = new CallerRequest(incoming, response, HEADER_NAMES, times);
+    const caller = new CallerRequest(
+      incoming,
+      response,
+      HEADER_NAMES,
+      times,
+      collectBody(incoming),
+    );
     void caller.readBody(MAX_BYTES).then((body) => {
       const outcome = body.isOk() ? `body ${body.value}` : body.error.kind;
       resolveRead(outcome);
--- a/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EdgeRollouts.test.ts
@@ -19,6 +19,7 @@
 import {Edge} from '../../Edge';
 import {makeConfiguration} from '../utils/EdgeFixture';
 import {TestProtocol} from '../utils/ForwardingFixture';
+import {makeServerParts} from '../utils/serverParts';
 
 const ROLLOUTS: Rollouts = {
   revision: 4,
@@ -75,6 +76,7 @@
   const edge = await Edge.open({
     applyBoundMs: 2_000,
     callerAddress: address,
+    callerLimits: makeServerParts(clock).limits,
     clock,
     drainMs: 2_000,
     coldTolerance: {extra: 0, overage: 1},
--- a/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/StreamVersions.test.ts
@@ -24,6 +24,7 @@
 import type {EdgeUpstream} from '../../upstreams/EdgeUpstream';
 import {makeConfiguration} from '../utils/EdgeFixture';
 import {createRoute, TestProtocol} from '../utils/ForwardingFixture';
+import {collectBody} from '../utils/serverParts';
 
 const LIFETIME_MS = 30_000;
 const ROUTE = createRoute('stream', {
@@ -50,11 +51,14 @@
 }
 
 function callerWith(headers: Record<string, string>): CallerRequest {
+  const incoming = {headers, method: 'POST', url: '/stream/1'};
+  const request = incoming as unknown as IncomingMessage;
   return new CallerRequest(
-    {headers, method: 'POST', url: '/stream/1'} as unknown as IncomingMessage,
+    request,
     {} as ServerResponse,
     new TestProtocol().headers,
     {arrivedAt: 0, readAt: 0},
+    collectBody(request),
   );
 }
 
--- a/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/ForwardingFixture.ts
@@ -47,6 +47,7 @@
 import {PermitAdmission} from '../../upstreams/UpstreamAdmission';
 import {UpstreamPool} from '../../upstreams/UpstreamPool';
 import {makeConfiguration, makeUpstream} from './EdgeFixture';
+import {collectBody} from './serverParts';
 import {UnreachableLink} from './TestEdge';
 
 const HOST = '127.0.0.1';
@@ -346,7 +347,8 @@
       const names = parts.protocol.headers;
       const now = this.clock.now();
       const times = {arrivedAt: now, readAt: now};
-      const caller = new CallerRequest(incoming, response, names, times);
+      const body = collectBody(incoming);
+      const caller = new CallerRequest(incoming, response, names, times, body);
       void new RequestForwarder(parts, table, caller).run();
     });
   }
--- a/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/TestEdge.ts
@@ -23,6 +23,7 @@
 import {makeConfiguration, makeUpstream} from './EdgeFixture';
 import {PlainProtocol} from './PlainProtocol';
 import {REGION_BY_HALL} from './RegionEdge';
+import {makeServerParts} from './serverParts';
 
 const LOOPBACK = '127.0.0.1';
 
@@ -114,6 +115,7 @@
     const edge = await Edge.open({
       applyBoundMs: 2_000,
       callerAddress: {host, port: callers},
+      callerLimits: makeServerParts(clock).limits,
       clock,
       drainMs: 2_000,
       coldTolerance: {extra: 0, overage: 1},
--- a/packages/puffinturn-edge/src/callers/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/callers/CallerRequest.ts
@@ -9,15 +9,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {Result} from 'neverthrow';
-import {err, ok} from 'neverthrow';
-import type {Failure} from 'shared';
+import type {BodyFailure, RequestBody} from 'puffinturn-server';
 
 import type {HeaderNames} from './CallerProtocol';
 import {waitForLoopIterations} from './EventLoopIterations';
 
-/** The request body is incomplete or too large. */
-export type BodyFailure = Failure<'body-broken'> | Failure<'body-too-large'>;
-
 /**
  * Event loop iterations after which a close that was sent right after the request has
  * been read: the iteration that reads the request, and the next one.
@@ -62,8 +58,6 @@
   readonly readAt: number;
 }
 
-const EMPTY_BODY = Buffer.alloc(0);
-
 /** Gives access to a request's headers and body, and sends error responses. */
 export class CallerRequest {
   readonly id: string;
@@ -78,6 +72,7 @@
     readonly response: ServerResponse,
     private readonly headerNames: HeaderNames,
     readonly times: RequestTimes,
+    private readonly body: RequestBody,
   ) {
     this.method = incoming.method ?? 'GET';
     this.path = incoming.url ?? '/';
@@ -122,41 +117,8 @@
   }
 
   /** Reads the whole body, or fails if it is longer than `maxBytes`. */
-  async readBody(maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
-    const {headers} = this.incoming;
-    const contentLength = Number(headers['content-length'] ?? 0);
-    if (contentLength > maxBytes) {
-      return err(bodyTooLarge(maxBytes));
-    }
-    const hasBody =
-      contentLength > 0 || headers['transfer-encoding'] !== undefined;
-    return hasBody ? this.collectBody(maxBytes) : ok(EMPTY_BODY);
-  }
-
-  // Uses event handlers because async iteration over a stream is slower.
-  private collectBody(maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
-    const {incoming} = this;
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    return new Promise((resolve) => {
-      incoming.on('data', (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > maxBytes) {
-          resolve(err(bodyTooLarge(maxBytes)));
-        } else {
-          chunks.push(chunk);
-        }
-      });
-      incoming.once('end', () => resolve(ok(concatChunks(chunks))));
-      incoming.once('close', () =>
-        resolve(
-          err({
-            kind: 'body-broken',
-            message: 'connection closed before the end of the request body',
-          }),
-        ),
-      );
-    });
+  readBody(maxBytes: number): Promise<Result<Buffer, BodyFailure>> {
+    return this.body.read(maxBytes);
   }
 
   /**
@@ -200,10 +162,3 @@
   const [first] = chunks;
   return chunks.length === 1 && first ? first : Buffer.concat(chunks);
 }
-
-function bodyTooLarge(maxBytes: number): BodyFailure {
-  return {
-    kind: 'body-too-large',
-    message: `request body exceeds the limit of ${maxBytes} bytes`,
-  };
-}
--- a/packages/puffinturn-edge/src/callers/HttpListener.ts
+++ b/packages/puffinturn-edge/src/callers/HttpListener.ts
@@ -6,12 +6,18 @@
  */
 
 /** HTTP servers of an edge: for callers, readiness checks and metrics. */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
 import {createServer} from 'node:http';
 
 import type {ResultAsync} from 'neverthrow';
 import {ResultAsync as Async} from 'neverthrow';
 import type {CallerLimits} from 'puffinturn-fleet';
+import type {
+  BoundedServerParts,
+  RequestHandler,
+  ServerUsage,
+} from 'puffinturn-server';
+import {BOUNDED_SERVER_OPTIONS, BoundedServer} from 'puffinturn-server';
 import type {Clock, Failure} from 'shared';
 import {describeError} from 'shared';
 
@@ -38,25 +44,28 @@
 
 /** A listening HTTP server. Disposing it closes all of its connections. */
 export class HttpListener implements AsyncDisposable {
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    private readonly boundedServer: BoundedServer,
+  ) {}
 
   /** Starts listening; `onRequest` is called for each request. */
   static open(
     {host, port}: HttpAddress,
-    onRequest: (request: IncomingMessage, response: ServerResponse) => void,
+    onRequest: RequestHandler,
+    parts: BoundedServerParts,
   ): ResultAsync<HttpListener, HttpListenFailure> {
-    const server = createServer(
-      {
-        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-        maxHeaderSize: MAX_HEADER_BYTES,
-        noDelay: true,
-      },
-      onRequest,
-    );
+    const server = createServer({
+      ...BOUNDED_SERVER_OPTIONS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+    });
+    const boundedServer = new BoundedServer(server, onRequest, parts);
     const listening = new Promise<HttpListener>((resolve, reject) => {
       server.once('error', reject);
       server.listen({backlog: LISTEN_BACKLOG, host, port}, () =>
-        resolve(new HttpListener(server)),
+        resolve(new HttpListener(server, boundedServer)),
       );
     });
     return Async.fromPromise(listening, (error) => ({
@@ -71,6 +80,11 @@
     return typeof address === 'object' && address !== null ? address.port : 0;
   }
 
+  /** What the clients hold now. */
+  get usage(): ServerUsage {
+    return this.boundedServer.usage;
+  }
+
   /** Applies the timeouts of a configuration. */
   applyLimits({headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
     this.server.headersTimeout = headerTimeoutMs;
@@ -97,6 +111,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.boundedServer[Symbol.dispose]();
     const closed = new Promise((resolve) => this.server.close(resolve));
     this.server.closeAllConnections();
     await closed;
--- a/packages/puffinturn-edge/src/requests/RequestForwarder.ts
+++ b/packages/puffinturn-edge/src/requests/RequestForwarder.ts
@@ -13,6 +13,8 @@
 import type {TokenState} from 'puffinturn-decisions';
 import type {Route} from 'puffinturn-fleet';
 import {RETRY_POLICY} from 'puffinturn-fleet';
+import type {BodyFailure} from 'puffinturn-server';
+import {BODY_REFUSALS} from 'puffinturn-server';
 import {Condition} from 'shared';
 
 import type {CallerRequest} from '../callers/CallerRequest';
@@ -172,7 +174,6 @@
   async run(): Promise<void> {
     const plan = this.createPlan();
     if (plan === undefined) {
-      this.caller.incoming.resume();
       this.recordEnd();
       return;
     }
@@ -275,17 +276,25 @@
   private async readBody(): Promise<boolean> {
     const {maxBodyBytes} = this.table.configuration.limits;
     const body = await this.caller.readBody(maxBodyBytes);
+    if (this.requestOutcome.hasEnded) {
+      return false;
+    }
     if (body.isErr()) {
-      if (body.error.kind === 'body-too-large') {
-        this.requestOutcome.reject(413, body.error.kind);
-      } else {
-        this.requestOutcome.end(body.error.kind);
-        this.caller.response.destroy();
-      }
+      this.endWithoutBody(body.error);
       return false;
     }
     this.body = body.value;
-    return !this.requestOutcome.hasEnded;
+    return true;
+  }
+
+  private endWithoutBody({kind}: BodyFailure): void {
+    if (kind === 'body-broken') {
+      this.requestOutcome.end(kind);
+      this.caller.response.destroy();
+      return;
+    }
+    const {retryAfterS, status} = BODY_REFUSALS[kind];
+    this.requestOutcome.reject(status, kind, retryAfterS);
   }
 
   private async isCallerConnected(): Promise<boolean> {
--- a/packages/puffinturn-gateway/src/CallerHttp.ts
+++ b/packages/puffinturn-gateway/src/CallerHttp.ts
@@ -12,6 +12,8 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {BoxMember, Team} from 'puffinturn-membership';
+import type {BodyFailure} from 'puffinturn-server';
+import {BODY_REFUSALS, readBody} from 'puffinturn-server';
 
 import type {
   BufferedResponse,
@@ -64,6 +66,8 @@
 
 const JSON_CONTENT_TYPE = 'application/json';
 
+const MS_PER_S = 1_000;
+
 /** Creates the Hono application. */
 export function createCallerApp(
   parts: CallerHttpParts,
@@ -157,29 +161,34 @@
   );
 }
 
-async function readBody(
+async function readCallerBody(
   context: HttpContext,
   limit: number,
 ): Promise<Result<Uint8Array, GatewayFailure>> {
-  const tooLarge = (): Result<Uint8Array, GatewayFailure> =>
-    err(createFailure('body_too_large', `at most ${limit} bytes are taken`));
-  if (Number(context.req.header('content-length') ?? 0) > limit) {
-    return tooLarge();
-  }
-  const chunks: Uint8Array[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of context.env.incoming) {
-      length += chunk.length;
-      if (length > limit) {
-        return tooLarge();
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    return err(createFailure('bad_request', 'the body broke off'));
+  const body = await readBody(context, limit);
+  return body.mapErr((failure) => describeUnreadBody(failure, limit));
+}
+
+function describeUnreadBody(
+  {kind, message}: BodyFailure,
+  limit: number,
+): GatewayFailure {
+  switch (kind) {
+    case 'body-broken':
+      return createFailure('bad_request', 'the body broke off');
+    case 'body-too-large':
+      return createFailure(
+        'body_too_large',
+        `at most ${limit} bytes are taken`,
+      );
+    case 'body-stalled':
+    case 'body-no-room':
+      return createFailure(
+        kind === 'body-stalled' ? 'body_stalled' : 'overloaded',
+        message,
+        BODY_REFUSALS[kind].retryAfterS * MS_PER_S,
+      );
   }
-  return ok(Buffer.concat(chunks));
 }
 
 function parseBody(body: Uint8Array): Result<unknown, GatewayFailure> {
@@ -219,7 +228,7 @@
   if (team.isErr()) {
     return createErrorResponse(team.error);
   }
-  const body = await readBody(context, parts.maxBodyBytes);
+  const body = await readCallerBody(context, parts.maxBodyBytes);
   const request = body.andThen((bytes) =>
     parseBody(bytes).andThen((json) =>
       validateCompletion(json, kind).andThen((checked) =>
@@ -251,7 +260,7 @@
     return createErrorResponse(team.error);
   }
   const name = context.req.param('service') ?? '';
-  const body = await readBody(context, parts.maxBodyBytes);
+  const body = await readCallerBody(context, parts.maxBodyBytes);
   const request = body.andThen((bytes) =>
     readIdempotencyKey(context).map((key): CallerRequest => {
       const isJson = context.req
--- a/packages/puffinturn-gateway/src/GatewayFailure.ts
+++ b/packages/puffinturn-gateway/src/GatewayFailure.ts
@@ -29,6 +29,7 @@
 export const FAILURE = {
   answer_gone: {outcome: OUTCOME.ran, status: 410},
   bad_request: {outcome: OUTCOME.notRun, status: 400},
+  body_stalled: {outcome: OUTCOME.notRun, status: 408},
   body_too_large: {outcome: OUTCOME.notRun, status: 413},
   budget_exhausted: {outcome: OUTCOME.notRun, status: 402},
   caller_gone: {outcome: OUTCOME.notRun, status: 499},
--- a/packages/puffinturn-gateway/src/GatewayMetrics.ts
+++ b/packages/puffinturn-gateway/src/GatewayMetrics.ts
@@ -13,6 +13,7 @@
   Histogram,
   Registry,
 } from 'prom-client';
+import type {ServerUsage} from 'puffinturn-server';
 
 const FIRST_TOKEN_BUCKETS_S = [
   0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.1, 1.5, 2.5, 5, 10, 30,
@@ -29,6 +30,25 @@
     name: 'puffinturn_requests_total',
     registers: [this.registry],
   });
+  /** Limits that clients met. */
+  readonly clientLimits = new Counter({
+    help: 'Limits that clients met, by address and limit',
+    labelNames: ['address', 'limit'],
+    name: 'puffinturn_client_limits_total',
+    registers: [this.registry],
+  });
+  private readonly clientConnections = new Gauge({
+    help: 'Open connections of clients, by address',
+    labelNames: ['address'],
+    name: 'puffinturn_client_connections',
+    registers: [this.registry],
+  });
+  private readonly clientBodyBytes = new Gauge({
+    help: 'Memory of request bodies that are held, by address',
+    labelNames: ['address'],
+    name: 'puffinturn_client_body_bytes',
+    registers: [this.registry],
+  });
   /** Budget units billed by this box. */
   readonly billedUnits = new Counter({
     help: 'Budget units billed, by budget',
@@ -110,6 +130,12 @@
     registers: [this.registry],
   });
 
+  /** Sets what the clients of an address hold. */
+  setClientUsage(address: string, {bodyBytes, connections}: ServerUsage): void {
+    this.clientBodyBytes.set({address}, bodyBytes);
+    this.clientConnections.set({address}, connections);
+  }
+
   /** Adds the default metrics of the process. */
   collectProcessMetrics(): void {
     collectDefaultMetrics({register: this.registry});
--- /dev/null
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -0,0 +1,98 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Bounds what the clients of an HTTP server may take up: connections, requests that don't
+ * wait for responses, memory of bodies, responses that are not read. What a client holds
+ * without use goes first; a request that is being served is not ended by a limit.
+ */
+import type {RequestListener, Server} from 'node:http';
+import type {Server as HttpsServer} from 'node:https';
+import type {Socket} from 'node:net';
+
+import type {Clock} from 'shared';
+
+import type {BodyEviction} from './BodyBudget';
+import {BODY_EVICTION, BodyBudget} from './BodyBudget';
+import {EarlyResponse} from './EarlyResponse';
+import type {LimitObserver, ServerUsage} from './LimitCounter';
+import {CLIENT_LIMIT, LimitCounter} from './LimitCounter';
+import type {RequestHandler} from './RequestBody';
+import {RequestBody} from './RequestBody';
+import type {ServerLimits} from './ServerLimits';
+
+/** Options with which a server has to be created that is given to BoundedServer. */
+export const BOUNDED_SERVER_OPTIONS = {ServerResponse: EarlyResponse};
+
+/** Interval of reports and of checks for what stands still, ms. */
+const CHECK_INTERVAL_MS = 1_000;
+
+const LIMIT_BY_EVICTION = {
+  [BODY_EVICTION.noRoom]: CLIENT_LIMIT.bodyMemory,
+  [BODY_EVICTION.stalled]: CLIENT_LIMIT.bodyPause,
+} as const;
+
+/** Dependencies of a bounded server. */
+export interface BoundedServerParts {
+  readonly clock: Clock;
+  readonly limits: ServerLimits;
+  readonly observer: LimitObserver;
+}
+
+/** Applies limits to a server. Disposing it ends the checks; connections stay open. */
+export class BoundedServer implements Disposable {
+  private readonly budget: BodyBudget;
+  private readonly counter: LimitCounter;
+  private connections = 0;
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    server: Server | HttpsServer,
+    private readonly onRequest: RequestHandler,
+    private readonly parts: BoundedServerParts,
+  ) {
+    this.budget = new BodyBudget(parts.clock, parts.limits.maxHeldBytes);
+    this.counter = new LimitCounter(parts.observer);
+    server.on('connection', (socket: Socket) => {
+      this.connections += 1;
+      socket.once('close', () => (this.connections -= 1));
+    });
+    server.on('request', this.receive);
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  /** What the clients hold now. */
+  get usage(): ServerUsage {
+    return {
+      bodyBytes: this.budget.usedBytes,
+      connections: this.connections,
+    };
+  }
+
+  [Symbol.dispose](): void {
+    clearInterval(this.timer);
+  }
+
+  private readonly receive: RequestListener = (incoming, response) => {
+    const body = RequestBody.collect(incoming, {
+      budget: this.budget,
+      clock: this.parts.clock,
+      onEvicted: (reason: BodyEviction) =>
+        this.counter.record(LIMIT_BY_EVICTION[reason]),
+    });
+    response.on('error', () => undefined);
+    response.once('close', () => body.release());
+    this.onRequest(incoming, response, body);
+  };
+
+  private check(): void {
+    const {limits} = this.parts;
+    this.budget.evictStalled(limits.maxBodyPauseMs);
+    this.counter.report(this.usage);
+  }
+}
--- /dev/null
+++ b/packages/puffinturn-server/src/ServerLimits.ts
@@ -0,0 +1,79 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Limits of HTTP servers on what their clients may take up of a machine. */
+import * as z from 'zod';
+
+/** Limits of one HTTP server. */
+export interface ServerLimits {
+  /** Memory for the bodies of all requests together, bytes. */
+  readonly maxHeldBytes: number;
+  /** Time without a byte after which an unfinished body is refused, ms. */
+  readonly maxBodyPauseMs: number;
+}
+
+/** What a process may use of its machine. */
+export interface MachineLimits {
+  readonly memoryMb: number;
+}
+
+/** Parts of a machine that one HTTP server may use for its clients. */
+export interface ServerShares {
+  /** Part of the memory that the process leaves, for bodies. */
+  readonly bodyMemory: number;
+}
+
+/** Shares of a server that forwards requests. */
+export const FORWARDING_SHARES: ServerShares = {
+  bodyMemory: 0.25,
+};
+
+/** Shares of a server whose requests carry whole documents. */
+export const DOCUMENT_SHARES: ServerShares = {
+  bodyMemory: 0.35,
+};
+
+/** Schema of the limits as settings; those that are not set depend on the machine. */
+export const ClientLimitsSchema = z.object({
+  maxBodyPauseMs: z.int().min(1_000).default(30_000),
+  maxHeldBytes: z.int().min(1_024).optional(),
+});
+
+/** Limits of clients, as settings. */
+export type ClientLimits = z.output<typeof ClientLimitsSchema>;
+
+/** Limits of a server that answers checks: its requests have no bodies. */
+export const CHECK_LIMITS: ServerLimits = {
+  ...ClientLimitsSchema.parse({}),
+  maxHeldBytes: 0,
+};
+
+/**
+ * Memory of the process without clients, and of buffers that were dropped but not collected
+ * yet: the runtime lets them grow to half of its heap's limit.
+ */
+const PROCESS_MB = 150;
+
+/** Least part of the memory that is shared out, on small machines. */
+const MIN_SHARED_PART = 0.2;
+
+const BYTES_PER_MB = 1_024 * 1_024;
+
+/** Derives the limits of a server from its machine, but for those that are set. */
+export function deriveServerLimits(
+  {memoryMb}: MachineLimits,
+  shares: ServerShares,
+  clientLimits: ClientLimits,
+): ServerLimits {
+  const sharedMb = Math.max(memoryMb - PROCESS_MB, MIN_SHARED_PART * memoryMb);
+  const memoryBytes = sharedMb * BYTES_PER_MB;
+  return {
+    ...clientLimits,
+    maxHeldBytes:
+      clientLimits.maxHeldBytes ?? Math.floor(shares.bodyMemory * memoryBytes),
+  };
+}
--- /dev/null
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -0,0 +1,207 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Guards against clients of a server that keep others out, lose their refusals, or begin
+ * more requests than they wait for.
+ */
+import type {Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
+
+import {SystemClock} from 'shared';
+
+import {BOUNDED_SERVER_OPTIONS, BoundedServer} from '../../BoundedServer';
+import type {ClientLimit} from '../../LimitCounter';
+import {CLIENT_LIMIT} from '../../LimitCounter';
+import type {RequestHandler} from '../../RequestBody';
+import {BODY_REFUSALS} from '../../RequestBody';
+import type {ServerLimits} from '../../ServerLimits';
+
+const LIMITS: ServerLimits = {
+  maxBodyPauseMs: 60_000,
+  maxHeldBytes: 100_000,
+};
+const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+const MAX_BODY_BYTES = 50_000;
+
+function post(length: number, body = ''): string {
+  return `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${length}\r\n\r\n${body}`;
+}
+
+/** A client that collects what it receives. */
+class TestClient {
+  received = '';
+  isClosed = false;
+  readonly socket: Socket;
+
+  constructor(port: number) {
+    this.socket = connect({allowHalfOpen: true, host: '127.0.0.1', port});
+    this.socket.on('data', (chunk: Buffer) => {
+      this.received += chunk.toString('latin1');
+    });
+    this.socket.on('error', () => undefined);
+    this.socket.on('close', () => (this.isClosed = true));
+    this.socket.on('end', () => (this.isClosed = true));
+  }
+
+  send(text: string): this {
+    this.socket.write(text);
+    return this;
+  }
+
+  get statuses(): string[] {
+    return [...this.received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(
+      ([, status]) => status ?? '',
+    );
+  }
+}
+
+/** A bounded server that reads bodies and answers when it is told to, or at once. */
+class Fixture implements AsyncDisposable {
+  readonly limitsMet: ClientLimit[] = [];
+  readonly bodies: string[] = [];
+  /** Responses that were not sent yet. */
+  readonly held: ServerResponse[] = [];
+  holds = false;
+  private readonly clients: TestClient[] = [];
+  private readonly server: Server;
+  private readonly bounded: BoundedServer;
+
+  constructor(limits: Partial<ServerLimits> = {}, onRequest?: RequestHandler) {
+    this.server = createServer(BOUNDED_SERVER_OPTIONS);
+    this.bounded = new BoundedServer(
+      this.server,
+      onRequest ?? ((...request) => void this.handle(...request)),
+      {
+        clock: new SystemClock(),
+        limits: {...LIMITS, ...limits},
+        observer: {
+          onLimit: (limit) => this.limitsMet.push(limit),
+          onReport: () => undefined,
+        },
+      },
+    );
+  }
+
+  async open(): Promise<this> {
+    await new Promise<void>((resolve) =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    return this;
+  }
+
+  get usage() {
+    return this.bounded.usage;
+  }
+
+  connect(): TestClient {
+    const {port} = this.server.address() as AddressInfo;
+    const client = new TestClient(port);
+    this.clients.push(client);
+    return client;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const {socket} of this.clients) {
+      socket.destroy();
+    }
+    this.bounded[Symbol.dispose]();
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  private async handle(
+    ...[, response, body]: Parameters<RequestHandler>
+  ): Promise<void> {
+    const read = await body.read(MAX_BODY_BYTES);
+    if (read.isErr()) {
+      const {kind} = read.error;
+      if (kind !== 'body-broken') {
+        response.statusCode = BODY_REFUSALS[kind].status;
+        response.end(kind);
+      }
+    } else if (this.holds) {
+      this.held.push(response);
+    } else {
+      this.bodies.push(read.value.toString());
+      response.end('ok');
+    }
+  }
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+describe('BoundedServer', () => {
+  test('refuses the largest body when memory runs out, and serves small ones', async () => {
+    await using fixture = await new Fixture().open();
+    const bodies = [40_000, 45_000].map((length) =>
+      fixture.connect().send(post(50_000, 'x'.repeat(length))),
+    );
+    await until(() => fixture.usage.bodyBytes > 85_000);
+    const small = fixture.connect().send(post(16_000, 'y'.repeat(16_000)));
+    await until(() => small.statuses.length === 1);
+    await until(() => bodies[1]?.isClosed === true);
+    expect(small.statuses).toEqual(['200']);
+    expect(bodies.map(({statuses}) => statuses)).toEqual([[], ['503']]);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.bodyMemory]);
+  });
+
+  test('lets a client read its refusal while it sends on', async () => {
+    await using fixture = await new Fixture().open();
+    const client = fixture.connect().send(post(60_000, 'x'.repeat(30_000)));
+    await until(() => client.statuses.length === 1);
+    expect(client.statuses).toEqual(['413']);
+    expect(client.received).toContain('Connection: close');
+    client.send('x'.repeat(30_000));
+    await until(() => client.isClosed);
+    expect(fixture.usage.bodyBytes).toBe(0);
+  });
+
+  test('closes the connection of a client that never ends its refused request', async () => {
+    await using fixture = await new Fixture().open();
+    const client = fixture.connect().send(post(60_000, 'x'));
+    await until(() => client.isClosed);
+    await until(() => fixture.usage.connections === 0);
+    expect(client.statuses).toEqual(['413']);
+  });
+
+  test('keeps a connection open whose early response came with its whole request', async () => {
+    await using fixture = await new Fixture({}, (_, response) => {
+      response.end('early');
+    }).open();
+    const client = fixture.connect().send(GET);
+    await until(() => client.statuses.length === 1);
+    client.send(GET);
+    await until(() => client.statuses.length === 2);
+    expect(client.isClosed).toBe(false);
+  });
+
+  test('refuses a body that stands still though there is room', async () => {
+    await using fixture = await new Fixture({maxBodyPauseMs: 100}).open();
+    const client = fixture.connect().send(post(10, 'x'));
+    await until(() => client.isClosed);
+    expect(client.statuses).toEqual(['408']);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.bodyPause]);
+  });
+
+  test('gives the memory of bodies back after the response', async () => {
+    await using fixture = await new Fixture().open();
+    fixture.holds = true;
+    const client = fixture.connect().send(post(5, 'abcde'));
+    await until(() => fixture.held.length === 1);
+    expect(fixture.usage.bodyBytes).toBe(5);
+    fixture.held[0]?.end('ok');
+    await until(() => client.statuses.length === 1);
+    await until(() => fixture.usage.bodyBytes === 0);
+  });
+});
--- /dev/null
+++ b/packages/puffinturn-server/src/index.ts
@@ -0,0 +1,35 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/** Limits on what clients of HTTP servers may take up, the same for every server. */
+export type {BodyEviction} from './BodyBudget';
+export {BodyBudget} from './BodyBudget';
+export type {BoundedServerParts} from './BoundedServer';
+export {BOUNDED_SERVER_OPTIONS, BoundedServer} from './BoundedServer';
+export type {
+  ClientLimit,
+  LimitObserver,
+  LimitReport,
+  ServerUsage,
+} from './LimitCounter';
+export {CLIENT_LIMIT} from './LimitCounter';
+export {readBody} from './readBody';
+export type {BodyFailure, BodyRefusal, RequestHandler} from './RequestBody';
+export {BODY_REFUSALS, RequestBody} from './RequestBody';
+export type {
+  ClientLimits,
+  MachineLimits,
+  ServerLimits,
+  ServerShares,
+} from './ServerLimits';
+export {
+  CHECK_LIMITS,
+  ClientLimitsSchema,
+  deriveServerLimits,
+  DOCUMENT_SHARES,
+  FORWARDING_SHARES,
+} from './ServerLimits';
--- a/packages/puffinturn-settings/src/SettingsSchema.ts
+++ b/packages/puffinturn-settings/src/SettingsSchema.ts
@@ -6,6 +6,7 @@
  */
 
 /** Schema of the settings file of a box. */
+import {ClientLimitsSchema} from 'puffinturn-server';
 import {z} from 'zod';
 
 import {HashedApiKeySchema, NameSchema} from './DeclarationSchema';
@@ -57,12 +58,16 @@
           .int()
           .min(1_024)
           .default(4 * 1024 * 1024),
+        /** What clients may take up; what is not set depends on the machine. */
+        clients: ClientLimitsSchema.strict().prefault({}),
         /** Time for the load balancer to notice a failing health check before a stop. */
         drainNoticeMs: z.int().min(0).default(3_000),
         /** How long responses are kept for retries by the caller. */
         keepAnswerMs: z.int().min(1_000).default(600_000),
         /** How long the keys of requests that must not be repeated are kept. */
         keepMarkedMs: z.int().min(1_000).default(604_800_000),
+        /** Memory that the process may use, MB. */
+        memoryMb: z.int().min(64).default(350),
         /** Maximum time for requests in flight to finish during a graceful shutdown. */
         stopMs: z.int().min(1_000).default(120_000),
       })
--- a/packages/puffinturn-stand-in/src/Crowd.ts
+++ b/packages/puffinturn-stand-in/src/Crowd.ts
@@ -29,6 +29,8 @@
   readonly tail?: string | undefined;
   /** Whether the clients read what they are sent. */
   readonly reads?: boolean | undefined;
+  /** Whether a client has settled only with a response. */
+  readonly awaitsResponse?: boolean | undefined;
 }
 
 /** Address of the server that a crowd connects to. */
@@ -39,7 +41,7 @@
 
 /** One client: writes as fast as its peer reads, until all is sent or it is closed. */
 class CrowdClient {
-  /** Resolves when all bytes are handed to the kernel, or the connection has closed. */
+  /** Resolves when all bytes are sent, and the response is there if it is awaited. */
   readonly settled: Promise<void>;
   private readonly socket: Socket;
   private received = '';
@@ -55,7 +57,12 @@
     const closed = new Promise<void>((resolve) =>
       this.socket.once('close', () => resolve()),
     );
-    this.settled = Promise.race([this.write(script), closed]);
+    const responded = new Promise<void>((resolve) =>
+      this.socket.once('data', () => resolve()),
+    );
+    const sent = this.write(script);
+    const done = script.awaitsResponse === true ? responded : sent;
+    this.settled = Promise.race([done, closed]);
   }
 
   get isOpen(): boolean {
--- a/packages/puffinturn-stand-in/src/CrowdTrial.ts
+++ b/packages/puffinturn-stand-in/src/CrowdTrial.ts
@@ -17,7 +17,7 @@
 /** For how long a crowd presses if it does not settle earlier, ms. */
 const PRESSURE_MS = 6_000;
 
-/** How long to wait for an ordinary request to be answered, ms; guards against hanging. */
+/** How long to wait for a request to be answered, ms; guards against hanging. */
 const ANSWER_TIMEOUT_MS = 45_000;
 
 /** Interval at which the ordinary request is sent again, ms. */
@@ -59,7 +59,9 @@
   const usage = new ProcessUsage(pid);
   const timer = setInterval(() => usage.sample(), SAMPLE_INTERVAL_MS);
   try {
-    await waitAtMost(PRESSURE_MS, crowd.awaitSettled());
+    const pressureMs =
+      script.awaitsResponse === true ? ANSWER_TIMEOUT_MS : PRESSURE_MS;
+    await waitAtMost(pressureMs, crowd.awaitSettled());
     const answered = await isAnswered(usage, sendOrdinary);
     usage.sample();
     return {
