Requests of one connection are handled one after the other

What callers saw: 20 connections, each with many small requests that don't wait for responses, took an edge to 3,223 descriptors, near the 4,100 of a machine.

Cause: every request was begun as soon as its head was read, and each one that is begun may open a connection to an upstream.

Now a connection has one request at work; up to 8 wait (a setting). With more it is closed: at once if all came in one read, as then none was sent on; otherwise after the response of the one at work. Responses go out in this order anyway, so nobody who waits is served later.

--- a/packages/puffinturn-server/src/BoundedServer.ts
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -13,15 +13,17 @@
 import type {RequestListener, Server} from 'node:http';
 import type {Server as HttpsServer} from 'node:https';
 import type {Socket} from 'node:net';
+import {Server as TlsServer} from 'node:tls';
 
 import type {Clock} from 'shared';
 
 import type {BodyEviction} from './BodyBudget';
 import {BODY_EVICTION, BodyBudget} from './BodyBudget';
+import type {RequestHandler} from './ClientConnection';
+import {ClientConnection} from './ClientConnection';
 import {EarlyResponse} from './EarlyResponse';
 import type {LimitObserver, ServerUsage} from './LimitCounter';
 import {CLIENT_LIMIT, LimitCounter} from './LimitCounter';
-import type {RequestHandler} from './RequestBody';
 import {RequestBody} from './RequestBody';
 import type {ServerLimits} from './ServerLimits';
 
@@ -36,6 +38,15 @@
   [BODY_EVICTION.stalled]: CLIENT_LIMIT.bodyPause,
 } as const;
 
+/** A socket, or the address of its peer. */
+type ConnectionKey = Socket | string;
+
+/** An open connection; with TLS, `socket` is the one below. */
+interface OpenConnection {
+  readonly client: ClientConnection;
+  readonly socket: Socket;
+}
+
 /** Dependencies of a bounded server. */
 export interface BoundedServerParts {
   readonly clock: Clock;
@@ -47,20 +58,17 @@
 export class BoundedServer implements Disposable {
   private readonly budget: BodyBudget;
   private readonly counter: LimitCounter;
-  private connections = 0;
+  private readonly connections = new Map<ConnectionKey, OpenConnection>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
-    server: Server | HttpsServer,
+    private readonly server: Server | HttpsServer,
     private readonly onRequest: RequestHandler,
     private readonly parts: BoundedServerParts,
   ) {
     this.budget = new BodyBudget(parts.clock, parts.limits.maxHeldBytes);
     this.counter = new LimitCounter(parts.observer);
-    server.on('connection', (socket: Socket) => {
-      this.connections += 1;
-      socket.once('close', () => (this.connections -= 1));
-    });
+    server.on('connection', (socket: Socket) => this.accept(socket));
     server.on('request', this.receive);
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
@@ -70,7 +78,7 @@
   get usage(): ServerUsage {
     return {
       bodyBytes: this.budget.usedBytes,
-      connections: this.connections,
+      connections: this.connections.size,
     };
   }
 
@@ -78,6 +86,24 @@
     clearInterval(this.timer);
   }
 
+  private accept(socket: Socket): void {
+    const key = this.keyOf(socket);
+    const client = new ClientConnection({
+      maxPipelinedRequests: this.parts.limits.maxPipelinedRequests,
+      onOverrun: () => this.counter.record(CLIENT_LIMIT.pipelinedRequests),
+      onRequest: this.onRequest,
+    });
+    this.connections.set(key, {client, socket});
+    socket.once('close', () => this.remove(key));
+  }
+
+  /** Identifies the connection of a socket, and of the TLS socket that wraps it. */
+  private keyOf(socket: Socket): ConnectionKey {
+    return this.server instanceof TlsServer
+      ? `${socket.remoteAddress} ${socket.remotePort}`
+      : socket;
+  }
+
   private readonly receive: RequestListener = (incoming, response) => {
     const body = RequestBody.collect(incoming, {
       budget: this.budget,
@@ -85,11 +111,15 @@
       onEvicted: (reason: BodyEviction) =>
         this.counter.record(LIMIT_BY_EVICTION[reason]),
     });
-    response.on('error', () => undefined);
-    response.once('close', () => body.release());
-    this.onRequest(incoming, response, body);
+    const connection = this.connections.get(this.keyOf(incoming.socket));
+    connection?.client.receive({body, incoming, response});
   };
 
+  private remove(key: ConnectionKey): void {
+    this.connections.get(key)?.client.close();
+    this.connections.delete(key);
+  }
+
   private check(): void {
     const {limits} = this.parts;
     this.budget.evictStalled(limits.maxBodyPauseMs);
--- a/packages/puffinturn-server/src/LimitCounter.ts
+++ b/packages/puffinturn-server/src/LimitCounter.ts
@@ -13,6 +13,8 @@
   bodyMemory: 'body-no-room',
   /** A request was refused because its body stood still. */
   bodyPause: 'body-stalled',
+  /** A connection was closed because of requests that did not wait for responses. */
+  pipelinedRequests: 'pipelined-too-many',
 } as const;
 
 /** One of CLIENT_LIMIT. */
--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -6,7 +6,7 @@
  */
 
 /** The body of one request, held within the limits of its server. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -241,13 +241,6 @@
   }
 }
 
-/** Handles a request; the response may end at any time. */
-export type RequestHandler = (
-  incoming: IncomingMessage,
-  response: ServerResponse,
-  body: RequestBody,
-) => void;
-
 const BROKEN: BodyFailure = {
   kind: 'body-broken',
   message: 'connection closed before the end of the request body',
--- a/packages/puffinturn-server/src/ServerLimits.ts
+++ b/packages/puffinturn-server/src/ServerLimits.ts
@@ -12,6 +12,8 @@
 export interface ServerLimits {
   /** Memory for the bodies of all requests together, bytes. */
   readonly maxHeldBytes: number;
+  /** Requests of one connection that wait for the response to an earlier one. */
+  readonly maxPipelinedRequests: number;
   /** Time without a byte after which an unfinished body is refused, ms. */
   readonly maxBodyPauseMs: number;
 }
@@ -41,6 +43,7 @@
 export const ClientLimitsSchema = z.object({
   maxBodyPauseMs: z.int().min(1_000).default(30_000),
   maxHeldBytes: z.int().min(1_024).optional(),
+  maxPipelinedRequests: z.int().min(0).default(8),
 });
 
 /** Limits of clients, as settings. */
--- a/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -17,15 +17,16 @@
 import {SystemClock} from 'shared';
 
 import {BOUNDED_SERVER_OPTIONS, BoundedServer} from '../../BoundedServer';
+import type {RequestHandler} from '../../ClientConnection';
 import type {ClientLimit} from '../../LimitCounter';
 import {CLIENT_LIMIT} from '../../LimitCounter';
-import type {RequestHandler} from '../../RequestBody';
 import {BODY_REFUSALS} from '../../RequestBody';
 import type {ServerLimits} from '../../ServerLimits';
 
 const LIMITS: ServerLimits = {
   maxBodyPauseMs: 60_000,
   maxHeldBytes: 100_000,
+  maxPipelinedRequests: 3,
 };
 const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 const MAX_BODY_BYTES = 50_000;
@@ -142,6 +143,41 @@
 }
 
 describe('BoundedServer', () => {
+  test('serves requests that came at once one after the other', async () => {
+    await using fixture = await new Fixture().open();
+    fixture.holds = true;
+    const client = fixture.connect().send(GET.repeat(3));
+    for (let served = 1; served <= 3; served += 1) {
+      await until(() => fixture.held.length === 1);
+      fixture.held.pop()?.end('ok');
+      await until(() => client.statuses.length === served);
+    }
+    expect(fixture.limitsMet).toEqual([]);
+    expect(client.isClosed).toBe(false);
+  });
+
+  test('closes a connection with too many requests at once', async () => {
+    await using fixture = await new Fixture().open();
+    fixture.holds = true;
+    const client = fixture.connect().send(GET.repeat(100));
+    await until(() => client.isClosed);
+    expect(fixture.held.length).toBeLessThanOrEqual(1);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.pipelinedRequests]);
+  });
+
+  test('serves the request that was begun before too many others came', async () => {
+    await using fixture = await new Fixture().open();
+    fixture.holds = true;
+    const client = fixture.connect().send(GET);
+    await until(() => fixture.held.length === 1);
+    client.send(GET.repeat(100));
+    await until(() => fixture.limitsMet.length === 1);
+    fixture.held[0]?.end('ok');
+    await until(() => client.isClosed);
+    expect(client.statuses).toEqual(['200']);
+    expect(fixture.held).toHaveLength(1);
+  });
+
   test('refuses the largest body when memory runs out, and serves small ones', async () => {
     await using fixture = await new Fixture().open();
     const bodies = [40_000, 45_000].map((length) =>
--- a/packages/puffinturn-server/src/index.ts
+++ b/packages/puffinturn-server/src/index.ts
@@ -10,6 +10,7 @@
 export {BodyBudget} from './BodyBudget';
 export type {BoundedServerParts} from './BoundedServer';
 export {BOUNDED_SERVER_OPTIONS, BoundedServer} from './BoundedServer';
+export type {RequestHandler} from './ClientConnection';
 export type {
   ClientLimit,
   LimitObserver,
@@ -18,7 +19,7 @@
 } from './LimitCounter';
 export {CLIENT_LIMIT} from './LimitCounter';
 export {readBody} from './readBody';
-export type {BodyFailure, BodyRefusal, RequestHandler} from './RequestBody';
+export type {BodyFailure, BodyRefusal} from './RequestBody';
 export {BODY_REFUSALS, RequestBody} from './RequestBody';
 export type {
   ClientLimits,
