Connections of a server are bounded by its machine, and idle ones give way

What callers saw: some thousand connections that send nothing, a head that does not end or a byte of a body took up the descriptors of a machine; then nobody else is taken.

Cause: no server had a limit, on any of its addresses.

Now each server takes as many as its part of the descriptors and of the memory allows (settings of the machine; 64 for readiness and metrics). At the limit a new connection takes the place of the one that has had no request for longest; if all have one, of the body that has stood still for longest or has taken longest; a request that is served is not ended. So a limit met on purpose keeps nobody out.

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -92,7 +92,7 @@
 const HOST = '127.0.0.1';
 
 /** The machine that the edge believes to have. */
-const MACHINE = {memoryMb: 350};
+const MACHINE = {descriptors: 4_096, memoryMb: 350};
 const HALL = 'hall-1';
 const SLOTS_PER_UPSTREAM = 200;
 const MAX_LOG_LINES_PER_SECOND = 60;
--- a/packages/puffinturn-daemon/src/Daemon.ts
+++ b/packages/puffinturn-daemon/src/Daemon.ts
@@ -179,7 +179,7 @@
   }
   const health = {isPassing: true};
   const serverLimits = deriveServerLimits(
-    {memoryMb: limits.memoryMb},
+    {descriptors: limits.descriptors, memoryMb: limits.memoryMb},
     FORWARDING_SHARES,
     limits.clients,
   );
--- a/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
@@ -24,7 +24,7 @@
   return {
     clock,
     limits: deriveServerLimits(
-      {memoryMb: 350},
+      {descriptors: 4_096, memoryMb: 350},
       FORWARDING_SHARES,
       ClientLimitsSchema.parse({}),
     ),
--- a/packages/puffinturn-server/src/BodyBudget.ts
+++ b/packages/puffinturn-server/src/BodyBudget.ts
@@ -31,6 +31,8 @@
 export abstract class UnfinishedBody {
   /** Memory in use, bytes. */
   abstract readonly memoryBytes: number;
+  /** Monotonic ms. */
+  abstract readonly startedAt: number;
   /** When the last bytes arrived, monotonic ms. */
   abstract readonly lastBytesAt: number;
 
@@ -88,6 +90,30 @@
     }
   }
 
+  /**
+   * Evicts the body that has stood still for longest, or else the one that has taken
+   * longest so far; none that arrived just now. Returns whether there was one.
+   */
+  evictSlowest(): boolean {
+    const now = this.clock.now();
+    const slow = [...this.unfinished].filter(
+      ({startedAt}) => now - startedAt >= STANDSTILL_MS,
+    );
+    const [oldest] = slow;
+    if (oldest === undefined) {
+      return false;
+    }
+    const stillest = slow.reduce((found, body) =>
+      body.lastBytesAt < found.lastBytesAt ? body : found,
+    );
+    if (this.hasStoodStill(stillest)) {
+      stillest.evict(BODY_EVICTION.stalled);
+    } else {
+      oldest.evict(BODY_EVICTION.noRoom);
+    }
+    return true;
+  }
+
   private selectVictim(): UnfinishedBody | undefined {
     let victim: UnfinishedBody | undefined;
     let isVictimStill = false;
--- a/packages/puffinturn-server/src/BoundedServer.ts
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -33,6 +33,9 @@
 /** Interval of reports and of checks for what stands still, ms. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/** Connections above the limit while those that were refused for others end. */
+const MAX_ENDING_CONNECTIONS = 16;
+
 const LIMIT_BY_EVICTION = {
   [BODY_EVICTION.noRoom]: CLIENT_LIMIT.bodyMemory,
   [BODY_EVICTION.stalled]: CLIENT_LIMIT.bodyPause,
@@ -59,6 +62,8 @@
   private readonly budget: BodyBudget;
   private readonly counter: LimitCounter;
   private readonly connections = new Map<ConnectionKey, OpenConnection>();
+  /** Connections without a request that is being served; longest first. */
+  private readonly idle = new Set<ConnectionKey>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -87,13 +92,20 @@
   }
 
   private accept(socket: Socket): void {
+    if (!this.makeRoom()) {
+      this.counter.record(CLIENT_LIMIT.newConnections);
+      socket.destroy();
+      return;
+    }
     const key = this.keyOf(socket);
     const client = new ClientConnection({
       maxPipelinedRequests: this.parts.limits.maxPipelinedRequests,
+      onBusyChange: (isBusy) => this.setBusy(key, isBusy),
       onOverrun: () => this.counter.record(CLIENT_LIMIT.pipelinedRequests),
       onRequest: this.onRequest,
     });
     this.connections.set(key, {client, socket});
+    this.idle.add(key);
     socket.once('close', () => this.remove(key));
   }
 
@@ -104,6 +116,25 @@
       : socket;
   }
 
+  /** Whether there is room for one more connection, if need be in place of another one. */
+  private makeRoom(): boolean {
+    const {maxConnections} = this.parts.limits;
+    if (this.connections.size < maxConnections) {
+      return true;
+    }
+    const [longestIdle] = this.idle;
+    if (longestIdle !== undefined) {
+      this.counter.record(CLIENT_LIMIT.idleConnections);
+      const socket = this.connections.get(longestIdle)?.socket;
+      this.remove(longestIdle);
+      socket?.destroy();
+      return true;
+    }
+    const mayExceed =
+      this.connections.size < maxConnections + MAX_ENDING_CONNECTIONS;
+    return mayExceed && this.budget.evictSlowest();
+  }
+
   private readonly receive: RequestListener = (incoming, response) => {
     const body = RequestBody.collect(incoming, {
       budget: this.budget,
@@ -115,9 +146,18 @@
     connection?.client.receive({body, incoming, response});
   };
 
+  private setBusy(key: ConnectionKey, isBusy: boolean): void {
+    if (isBusy) {
+      this.idle.delete(key);
+    } else if (this.connections.has(key)) {
+      this.idle.add(key);
+    }
+  }
+
   private remove(key: ConnectionKey): void {
     this.connections.get(key)?.client.close();
     this.connections.delete(key);
+    this.idle.delete(key);
   }
 
   private check(): void {
--- a/packages/puffinturn-server/src/ClientConnection.ts
+++ b/packages/puffinturn-server/src/ClientConnection.ts
@@ -12,6 +12,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+import {EarlyResponse} from './EarlyResponse';
 import type {RequestBody} from './RequestBody';
 
 /** A request whose body is being collected. */
@@ -32,6 +33,8 @@
 export interface ClientConnectionParts {
   readonly maxPipelinedRequests: number;
   readonly onRequest: RequestHandler;
+  /** Called when a request begins, and when it has its response. */
+  readonly onBusyChange: (isBusy: boolean) => void;
   /** Called once if the client has sent more requests than may wait. */
   readonly onOverrun: () => void;
 }
@@ -69,8 +72,12 @@
     const {body, incoming, response} = request;
     this.current = request;
     this.readAtBegin = incoming.socket.bytesRead;
+    this.parts.onBusyChange(true);
     response.on('error', () => undefined);
     response.once('close', () => this.endCurrent());
+    if (response instanceof EarlyResponse) {
+      response.onEarlyEnd = () => this.parts.onBusyChange(false);
+    }
     this.parts.onRequest(incoming, response, body);
   }
 
@@ -87,6 +94,8 @@
       this.begin(next);
     } else if (this.hasOverrun) {
       socket.destroySoon();
+    } else {
+      this.parts.onBusyChange(false);
     }
   }
 
--- a/packages/puffinturn-server/src/EarlyResponse.ts
+++ b/packages/puffinturn-server/src/EarlyResponse.ts
@@ -28,6 +28,8 @@
 export class EarlyResponse<
   Request extends IncomingMessage = IncomingMessage,
 > extends ServerResponse<Request> {
+  /** Called when the response was sent, and waits for the rest of its request. */
+  onEarlyEnd: () => void = () => undefined;
   private isEnding = false;
 
   override writeHead(...args: unknown[]): this {
@@ -54,6 +56,7 @@
     } else {
       this.flushHeaders();
     }
+    this.onEarlyEnd();
     void this.endAfter(body);
     return this;
   }
--- a/packages/puffinturn-server/src/LimitCounter.ts
+++ b/packages/puffinturn-server/src/LimitCounter.ts
@@ -13,6 +13,10 @@
   bodyMemory: 'body-no-room',
   /** A request was refused because its body stood still. */
   bodyPause: 'body-stalled',
+  /** A connection without a request was closed to make room for another one. */
+  idleConnections: 'idle-closed',
+  /** A connection was closed unread because there was no room for it. */
+  newConnections: 'connection-refused',
   /** A connection was closed because of requests that did not wait for responses. */
   pipelinedRequests: 'pipelined-too-many',
 } as const;
--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -70,6 +70,7 @@
 /** Collects the body from the arrival of the request, so that small chunks don't pile up. */
 export class RequestBody extends UnfinishedBody {
   private static readonly bodies = new WeakMap<IncomingMessage, RequestBody>();
+  readonly startedAt: number;
   lastBytesAt: number;
   private readonly chunks = new ChunkCollector();
   /** Memory that the budget counts for this body, bytes. */
@@ -88,7 +89,8 @@
     private readonly parts: RequestBodyParts,
   ) {
     super();
-    this.lastBytesAt = parts.clock.now();
+    this.startedAt = parts.clock.now();
+    this.lastBytesAt = this.startedAt;
   }
 
   /** Starts to collect the body of a request, if it has one. */
--- a/packages/puffinturn-server/src/ServerLimits.ts
+++ b/packages/puffinturn-server/src/ServerLimits.ts
@@ -10,6 +10,8 @@
 
 /** Limits of one HTTP server. */
 export interface ServerLimits {
+  /** Connections that are open at the same time. */
+  readonly maxConnections: number;
   /** Memory for the bodies of all requests together, bytes. */
   readonly maxHeldBytes: number;
   /** Requests of one connection that wait for the response to an earlier one. */
@@ -21,27 +23,40 @@
 /** What a process may use of its machine. */
 export interface MachineLimits {
   readonly memoryMb: number;
+  readonly descriptors: number;
 }
 
 /** Parts of a machine that one HTTP server may use for its clients. */
 export interface ServerShares {
   /** Part of the memory that the process leaves, for bodies. */
   readonly bodyMemory: number;
+  /** Part of the same for connections and the heads of their requests. */
+  readonly connectionMemory: number;
+  /** Part of the descriptors for connections. */
+  readonly descriptors: number;
 }
 
-/** Shares of a server that forwards requests. */
+/**
+ * Shares of a server that forwards requests: each of its connections may need another one
+ * to an upstream.
+ */
 export const FORWARDING_SHARES: ServerShares = {
   bodyMemory: 0.25,
+  connectionMemory: 0.25,
+  descriptors: 0.4,
 };
 
 /** Shares of a server whose requests carry whole documents. */
 export const DOCUMENT_SHARES: ServerShares = {
   bodyMemory: 0.35,
+  connectionMemory: 0.25,
+  descriptors: 0.4,
 };
 
 /** Schema of the limits as settings; those that are not set depend on the machine. */
 export const ClientLimitsSchema = z.object({
   maxBodyPauseMs: z.int().min(1_000).default(30_000),
+  maxConnections: z.int().min(1).optional(),
   maxHeldBytes: z.int().min(1_024).optional(),
   maxPipelinedRequests: z.int().min(0).default(8),
 });
@@ -52,9 +67,13 @@
 /** Limits of a server that answers checks: its requests have no bodies. */
 export const CHECK_LIMITS: ServerLimits = {
   ...ClientLimitsSchema.parse({}),
+  maxConnections: 64,
   maxHeldBytes: 0,
 };
 
+/** Memory of a connection whose head is as long as the server reads, bytes. */
+const CONNECTION_BYTES = 80 * 1_024;
+
 /**
  * Memory of the process without clients, and of buffers that were dropped but not collected
  * yet: the runtime lets them grow to half of its heap's limit.
@@ -68,14 +87,21 @@
 
 /** Derives the limits of a server from its machine, but for those that are set. */
 export function deriveServerLimits(
-  {memoryMb}: MachineLimits,
+  {descriptors, memoryMb}: MachineLimits,
   shares: ServerShares,
   clientLimits: ClientLimits,
 ): ServerLimits {
   const sharedMb = Math.max(memoryMb - PROCESS_MB, MIN_SHARED_PART * memoryMb);
   const memoryBytes = sharedMb * BYTES_PER_MB;
+  const connectionBytes = shares.connectionMemory * memoryBytes;
+  const derivedConnections = Math.min(
+    shares.descriptors * descriptors,
+    connectionBytes / CONNECTION_BYTES,
+  );
   return {
     ...clientLimits,
+    maxConnections:
+      clientLimits.maxConnections ?? Math.floor(derivedConnections),
     maxHeldBytes:
       clientLimits.maxHeldBytes ?? Math.floor(shares.bodyMemory * memoryBytes),
   };
--- a/packages/puffinturn-server/src/__tests__/unit/BodyBudget.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BodyBudget.test.ts
@@ -18,6 +18,7 @@
 class TestBody extends UnfinishedBody {
   memoryBytes = 0;
   eviction: BodyEviction | undefined;
+  readonly startedAt: number;
   lastBytesAt: number;
 
   constructor(
@@ -25,7 +26,8 @@
     private readonly clock: ManualClock,
   ) {
     super();
-    this.lastBytesAt = clock.now();
+    this.startedAt = clock.now();
+    this.lastBytesAt = this.startedAt;
     budget.add(this);
   }
 
@@ -100,4 +102,18 @@
     budget.evictStalled(LONG_PAUSE_MS);
     expect([still.eviction, moving.eviction]).toEqual([stalled, undefined]);
   });
+
+  test('gives up the stillest body, else the oldest, and none that is new', async () => {
+    const older = createBody().grow(1);
+    expect(budget.evictSlowest()).toBe(false);
+    await clock.advance(LONG_PAUSE_MS);
+    const newer = createBody().grow(1);
+    older.grow(1);
+    await clock.advance(LONG_PAUSE_MS);
+    older.grow(1);
+    expect(budget.evictSlowest()).toBe(true);
+    expect([older.eviction, newer.eviction]).toEqual([undefined, stalled]);
+    expect(budget.evictSlowest()).toBe(true);
+    expect(older.eviction).toBe(noRoom);
+  });
 });
--- a/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -25,6 +25,7 @@
 
 const LIMITS: ServerLimits = {
   maxBodyPauseMs: 60_000,
+  maxConnections: 50,
   maxHeldBytes: 100_000,
   maxPipelinedRequests: 3,
 };
@@ -178,6 +179,44 @@
     expect(fixture.held).toHaveLength(1);
   });
 
+  test('closes the connection that has been idle for longest for a new one', async () => {
+    await using fixture = await new Fixture({maxConnections: 2}).open();
+    const first = fixture.connect().send(GET);
+    await until(() => first.statuses.length === 1);
+    const second = fixture.connect().send(GET);
+    await until(() => second.statuses.length === 1);
+    const third = fixture.connect().send(GET);
+    await until(() => third.statuses.length === 1 && first.isClosed);
+    expect(second.isClosed).toBe(false);
+    expect(fixture.usage.connections).toBe(2);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.idleConnections]);
+  });
+
+  test('keeps connections that are served, and refuses new ones', async () => {
+    await using fixture = await new Fixture({maxConnections: 1}).open();
+    fixture.holds = true;
+    const served = fixture.connect().send(GET);
+    await until(() => fixture.held.length === 1);
+    const refused = fixture.connect().send(GET);
+    await until(() => refused.isClosed);
+    expect(refused.received).toBe('');
+    fixture.held[0]?.end('ok');
+    await until(() => served.statuses.length === 1);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.newConnections]);
+  });
+
+  test('refuses the slowest body for a new connection', async () => {
+    await using fixture = await new Fixture({maxConnections: 1}).open();
+    const slow = fixture.connect().send(post(10, 'x'));
+    await until(() => fixture.usage.bodyBytes > 0);
+    await new Promise((resolve) => setTimeout(resolve, 1_100));
+    const client = fixture.connect().send(GET);
+    await until(() => client.statuses.length === 1);
+    await until(() => slow.isClosed);
+    expect(slow.statuses).toEqual(['408']);
+    expect(client.statuses).toEqual(['200']);
+  });
+
   test('refuses the largest body when memory runs out, and serves small ones', async () => {
     await using fixture = await new Fixture().open();
     const bodies = [40_000, 45_000].map((length) =>
--- a/packages/puffinturn-settings/src/SettingsSchema.ts
+++ b/packages/puffinturn-settings/src/SettingsSchema.ts
@@ -60,6 +60,8 @@
           .default(4 * 1024 * 1024),
         /** What clients may take up; what is not set depends on the machine. */
         clients: ClientLimitsSchema.strict().prefault({}),
+        /** Descriptors that the process may open. */
+        descriptors: z.int().min(64).default(4_096),
         /** Time for the load balancer to notice a failing health check before a stop. */
         drainNoticeMs: z.int().min(0).default(3_000),
         /** How long responses are kept for retries by the caller. */
