Responses that their clients don't read don't hold a connection for good

What callers saw: a client that asks and does not read keeps its connection, and its place among those of the server, for as long as it likes; seen in reading the code, not in a crowd.

Cause: nothing follows a response after it was written.

Now a complete response without progress for 120 s (a setting) closes its connection, and from 5 s on where connections run short.

Shown: 'closes the connection of a client that does not read' in the package's tests.

--- a/packages/puffinturn-server/src/BoundedServer.ts
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -36,6 +36,9 @@
 /** Connections above the limit while those that were refused for others end. */
 const MAX_ENDING_CONNECTIONS = 16;
 
+/** Time without progress after which an unread response gives way to new connections, ms. */
+const MIN_UNREAD_MS = 5_000;
+
 const LIMIT_BY_EVICTION = {
   [BODY_EVICTION.noRoom]: CLIENT_LIMIT.bodyMemory,
   [BODY_EVICTION.stalled]: CLIENT_LIMIT.bodyPause,
@@ -132,7 +135,24 @@
     }
     const mayExceed =
       this.connections.size < maxConnections + MAX_ENDING_CONNECTIONS;
-    return mayExceed && this.budget.evictSlowest();
+    return (
+      (mayExceed && this.budget.evictSlowest()) || this.cutUnread(MIN_UNREAD_MS)
+    );
+  }
+
+  /** Closes connections whose clients have not read a response for this time. */
+  private cutUnread(unreadMs: number): boolean {
+    const now = this.parts.clock.now();
+    let hasCut = false;
+    for (const [key, {client, socket}] of this.connections) {
+      if (client.unreadMs(now) >= unreadMs) {
+        this.counter.record(CLIENT_LIMIT.unreadResponse);
+        this.remove(key);
+        socket.destroy();
+        hasCut = true;
+      }
+    }
+    return hasCut;
   }
 
   private readonly receive: RequestListener = (incoming, response) => {
@@ -163,6 +183,7 @@
   private check(): void {
     const {limits} = this.parts;
     this.budget.evictStalled(limits.maxBodyPauseMs);
+    this.cutUnread(limits.maxUnreadMs);
     this.counter.report(this.usage);
   }
 }
--- a/packages/puffinturn-server/src/ClientConnection.ts
+++ b/packages/puffinturn-server/src/ClientConnection.ts
@@ -46,6 +46,9 @@
   private readAtBegin = 0;
   private readonly waiting: ReceivedRequest[] = [];
   private hasOverrun = false;
+  /** Unsent bytes of a complete response at the last check, and since when. */
+  private unsentBytes = 0;
+  private unsentSince = Infinity;
 
   constructor(private readonly parts: ClientConnectionParts) {}
 
@@ -62,6 +65,20 @@
     }
   }
 
+  /** How long a complete response has not been read by its client, ms. */
+  unreadMs(now: number): number {
+    const {current} = this;
+    const unsentBytes =
+      current?.response.writableEnded === true
+        ? current.incoming.socket.writableLength
+        : 0;
+    if (unsentBytes === 0 || unsentBytes !== this.unsentBytes) {
+      this.unsentBytes = unsentBytes;
+      this.unsentSince = unsentBytes === 0 ? Infinity : now;
+    }
+    return Math.max(0, now - this.unsentSince);
+  }
+
   /** Drops all requests; their connection has closed. */
   close(): void {
     this.current?.body.release();
--- a/packages/puffinturn-server/src/LimitCounter.ts
+++ b/packages/puffinturn-server/src/LimitCounter.ts
@@ -19,6 +19,8 @@
   newConnections: 'connection-refused',
   /** A connection was closed because of requests that did not wait for responses. */
   pipelinedRequests: 'pipelined-too-many',
+  /** A connection was closed because its client did not read a response. */
+  unreadResponse: 'response-unread',
 } as const;
 
 /** One of CLIENT_LIMIT. */
--- a/packages/puffinturn-server/src/ServerLimits.ts
+++ b/packages/puffinturn-server/src/ServerLimits.ts
@@ -18,6 +18,8 @@
   readonly maxPipelinedRequests: number;
   /** Time without a byte after which an unfinished body is refused, ms. */
   readonly maxBodyPauseMs: number;
+  /** Time without progress after which a response that its client doesn't read is cut, ms. */
+  readonly maxUnreadMs: number;
 }
 
 /** What a process may use of its machine. */
@@ -59,6 +61,7 @@
   maxConnections: z.int().min(1).optional(),
   maxHeldBytes: z.int().min(1_024).optional(),
   maxPipelinedRequests: z.int().min(0).default(8),
+  maxUnreadMs: z.int().min(1_000).default(120_000),
 });
 
 /** Limits of clients, as settings. */
--- a/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -28,6 +28,7 @@
   maxConnections: 50,
   maxHeldBytes: 100_000,
   maxPipelinedRequests: 3,
+  maxUnreadMs: 60_000,
 };
 const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 const MAX_BODY_BYTES = 50_000;
@@ -269,6 +270,22 @@
     expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.bodyPause]);
   });
 
+  test('closes the connection of a client that does not read', async () => {
+    const large = Buffer.alloc(16 * 1_024 * 1_024);
+    await using fixture = await new Fixture(
+      {maxUnreadMs: 100},
+      (_, response) => {
+        response.end(large);
+      },
+    ).open();
+    const client = fixture.connect();
+    client.socket.pause();
+    client.send(GET);
+    await until(() => fixture.limitsMet.length === 1);
+    expect(fixture.limitsMet).toEqual([CLIENT_LIMIT.unreadResponse]);
+    await until(() => fixture.usage.connections === 0);
+  });
+
   test('gives the memory of bodies back after the response', async () => {
     await using fixture = await new Fixture().open();
     fixture.holds = true;
