A body that was whole before it was read is held to its limit too

What callers saw: a body over the limit of its route was taken where the request waited before its body was read (a key being checked at the daemon, for example).

Cause: bodies are collected from the arrival of a request, and one that was whole already was handed out whatever its length.

Shown: the test added here got 'whole' twice before.

--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -129,6 +129,7 @@
     const length = Number(this.incoming.headers['content-length'] ?? 0);
     if (Math.max(length, this.receivedBytes) > this.maxBytes) {
       this.giveUp(this.tooLarge());
+      return Promise.resolve(err(this.tooLarge()));
     }
     const {result} = this;
     if (result !== undefined) {
--- a/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -286,6 +286,26 @@
     await until(() => fixture.usage.connections === 0);
   });
 
+  test('refuses a body that is too long and was whole before it was read', async () => {
+    const kinds: string[] = [];
+    await using fixture = await new Fixture({}, (_, response, body) => {
+      setTimeout(() => {
+        void body.read(10).then((read) => {
+          kinds.push(read.isOk() ? 'whole' : read.error.kind);
+          response.end();
+        });
+      }, 50);
+    }).open();
+    const client = fixture.connect().send(post(20, 'x'.repeat(20)));
+    await until(() => client.statuses.length === 1);
+    const chunks = '14\r\nxxxxxxxxxxxxxxxxxxxx\r\n0\r\n\r\n';
+    client.send(
+      `POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}`,
+    );
+    await until(() => client.statuses.length === 2);
+    expect(kinds).toEqual(['body-too-large', 'body-too-large']);
+  });
+
   test('gives the memory of bodies back after the response', async () => {
     await using fixture = await new Fixture().open();
     fixture.holds = true;
