--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -39,11 +39,7 @@
 import type {ColdTolerance} from 'puffinturn-permits';
 import {PermitClient, SlotClient} from 'puffinturn-permits';
 import {EMPTY_QUARANTINE, probeListener} from 'puffinturn-quarantine';
-import type {
-  BoundedServerParts,
-  RequestBody,
-  ServerLimits,
-} from 'puffinturn-server';
+import type {RequestBody, ServerLimits} from 'puffinturn-server';
 import {CHECK_LIMITS} from 'puffinturn-server';
 import {StreamOrigins} from 'puffinturn-streams';
 import type {Link} from 'puffinturn-wire';
@@ -53,9 +49,10 @@
 import type {BacklogMonitor} from './callers/BacklogMonitor';
 import type {CallerProtocol} from './callers/CallerProtocol';
 import {CallerRequest} from './callers/CallerRequest';
+import {ClientListeners} from './callers/ClientListeners';
 import {ConnectionShedding} from './callers/ConnectionShedding';
 import type {HttpAddress, HttpListenFailure} from './callers/HttpListener';
-import {headerBytes, HttpListener} from './callers/HttpListener';
+import {headerBytes} from './callers/HttpListener';
 import {OverloadWithdrawal} from './callers/OverloadWithdrawal';
 import {PartialEvents} from './callers/PartialEvents';
 import {
@@ -151,15 +148,6 @@
 /** Time in which the last responses are written before the process ends, ms. */
 const RESPONSE_FLUSH_MS = 50;
 
-/** The addresses of an edge on which clients connect, as logs and metrics name them. */
-const CLIENT_ADDRESS = {
-  callers: 'callers',
-  metrics: 'metrics',
-  readiness: 'readiness',
-} as const;
-
-type ClientAddress = (typeof CLIENT_ADDRESS)[keyof typeof CLIENT_ADDRESS];
-
 /** Serves requests, and follows the state of the fleet. */
 export class Edge implements AsyncDisposable {
   readonly metrics = new EdgeMetrics();
@@ -183,7 +171,8 @@
   /** Undefined until all servers listen. */
   private tunnelServer: TunnelServer | undefined;
   private readonly forwarderParts: RequestForwarderParts;
-  private readonly listeners = new Map<ClientAddress, HttpListener>();
+  /** Undefined until all servers listen. */
+  private listeners: ClientListeners | undefined;
   /** Undefined until all servers listen. */
   private backlogMonitor: BacklogMonitor | undefined;
   /** Time of the start or of the last wake-up, monotonic ms. */
@@ -423,31 +412,31 @@
   static open(parts: EdgeParts): ResultAsync<Edge, HttpListenFailure> {
     const edge = new Edge(parts);
     return safeTry(async function* () {
-      edge.listeners.set(
-        CLIENT_ADDRESS.callers,
-        yield* HttpListener.open(
-          parts.callerAddress,
-          (request, response, body) =>
-            edge.handleRequest(request, response, body),
-          edge.listenerParts(CLIENT_ADDRESS.callers, parts.callerLimits),
-        ),
-      );
-      edge.listeners.set(
-        CLIENT_ADDRESS.readiness,
-        yield* HttpListener.open(
-          parts.readinessAddress,
-          (request, response) => edge.answerReady(request, response),
-          edge.listenerParts(CLIENT_ADDRESS.readiness, CHECK_LIMITS),
-        ),
-      );
-      edge.listeners.set(
-        CLIENT_ADDRESS.metrics,
-        yield* HttpListener.open(
-          parts.metricsAddress,
-          (request, response) => edge.answerMetrics(request, response),
-          edge.listenerParts(CLIENT_ADDRESS.metrics, CHECK_LIMITS),
-        ),
-      );
+      edge.listeners = yield* ClientListeners.open({
+        clock: parts.clock,
+        listeners: {
+          callers: {
+            address: parts.callerAddress,
+            limits: parts.callerLimits,
+            onRequest: (...request) => edge.handleRequest(...request),
+          },
+          metrics: {
+            address: parts.metricsAddress,
+            limits: CHECK_LIMITS,
+            onRequest: (request, response) =>
+              edge.answerMetrics(request, response),
+          },
+          readiness: {
+            address: parts.readinessAddress,
+            limits: CHECK_LIMITS,
+            onRequest: (request, response) =>
+              edge.answerReady(request, response),
+          },
+        },
+        log: parts.log,
+        metrics: edge.metrics,
+      });
+      edge.applyTimeouts();
       edge.tunnelServer = yield* TunnelServer.open(parts.tunnelAddress, {
         clock: parts.clock,
         drainMs: parts.drainMs,
@@ -458,7 +447,7 @@
         refusal: (service) => edge.refuseTunnel(service),
       });
       const backlogLogger = new BacklogLogger(parts.log);
-      edge.backlogMonitor = edge.callerListener?.monitorBacklog(
+      edge.backlogMonitor = edge.listeners.callers.monitorBacklog(
         parts.clock,
         (queueAgeMs) => backlogLogger.update(queueAgeMs, edge.openRequests),
         new ConnectionShedding(() => edge.metrics.closedUnread.inc()),
@@ -513,7 +502,7 @@
     this.needsFullConfiguration = false;
     this.streamVersions.applyRoutes(previousTable, this.routeTable);
     this.allowances.configure(configuration.teams ?? []);
-    this.callerListener?.applyLimits(configuration.limits);
+    this.applyTimeouts();
     this.metrics.configurationVersion.set(configuration.version);
     this.parts.log.note({
       event: 'configuration-adopted',
@@ -528,6 +517,13 @@
     }
   }
 
+  /** Applies the timeouts of the configuration, which may come before the listeners open. */
+  private applyTimeouts(): void {
+    if (this.routeTable !== undefined) {
+      this.listeners?.callers.applyLimits(this.routeTable.configuration.limits);
+    }
+  }
+
   /** Applies a configuration change if its base is the current version. */
   applyConfigurationChange(
     change: ConfigurationChange,
@@ -604,7 +600,7 @@
     log.note({detail, event: 'process-changed', phase: 'draining'});
     await clock.sleep(Math.min(DRAIN_NOTICE_MS, graceMs / 2));
     this.rejectsRequests = true;
-    this.callerListener?.closeIdle();
+    this.listeners?.callers.closeIdle();
     const allowancesReturned = this.allowances.close();
     while (clock.now() < deadline) {
       const isIdle = clock.now() - this.lastRequestAt >= DRAIN_IDLE_MS;
@@ -630,11 +626,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.backlogMonitor?.[Symbol.dispose]();
     await this.wakeRefresh[Symbol.asyncDispose]();
-    await Promise.all(
-      [...this.listeners.values()].map((listener) =>
-        listener[Symbol.asyncDispose](),
-      ),
-    );
+    await this.listeners?.[Symbol.asyncDispose]();
     await this.tunnelServer?.[Symbol.asyncDispose]();
     await this.directLinks[Symbol.asyncDispose]();
     await this.responseTotals[Symbol.asyncDispose]();
@@ -739,26 +731,6 @@
         ];
   }
 
-  private get callerListener(): HttpListener | undefined {
-    return this.listeners.get(CLIENT_ADDRESS.callers);
-  }
-
-  private listenerParts(
-    address: ClientAddress,
-    limits: ServerLimits,
-  ): BoundedServerParts {
-    const {clock, log} = this.parts;
-    return {
-      clock,
-      limits,
-      observer: {
-        onLimit: (limit) => this.metrics.clientLimits.inc({address, limit}),
-        onReport: (report) =>
-          log.note({...report, address, event: 'clients-limited'}),
-      },
-    };
-  }
-
   private handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -863,8 +835,6 @@
       allowance,
       backlogAge,
       charged,
-      clientBodyBytes,
-      clientConnections,
       controlReachable,
       crossRegionCallBytes,
       limitedUpstreams,
@@ -883,10 +853,7 @@
     streamReplicas.set(this.streamOrigins.replicaCount);
     crossRegionCallBytes.set(this.knownBoxes.crossRegionBytes);
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
-    for (const [address, {usage}] of this.listeners) {
-      clientBodyBytes.set({address}, usage.bodyBytes);
-      clientConnections.set({address}, usage.connections);
-    }
+    this.listeners?.updateMetrics();
     backlogAge.set((this.backlogMonitor?.queueAgeMs ?? 0) / 1_000);
     controlReachable.set(this.fleetWatch.isConnected ? 1 : 0);
     stateAge.set(this.fleetWatch.freshness.ageMs / 1_000);
