--- a/packages/puffinturn-stand-in/src/CrowdTrial.ts
+++ b/packages/puffinturn-stand-in/src/CrowdTrial.ts
@@ -18,7 +18,7 @@
 const PRESSURE_MS = 6_000;
 
 /** How long to wait for a request to be answered, ms; guards against hanging. */
-const ANSWER_TIMEOUT_MS = 45_000;
+const ANSWER_TIMEOUT_MS = 90_000;
 
 /** Interval at which the ordinary request is sent again, ms. */
 const RETRY_INTERVAL_MS = 100;
