--- a/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
+++ b/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
@@ -24,6 +24,9 @@
 const LARGE_CHUNK = encodeChunk(CHUNK_BYTES);
 const SMALL_CHUNK = encodeChunk(1);
 
+/** Length of bodies that are sent in chunks of a byte. */
+const BYTES_IN_SINGLE_CHUNKS = 900_000;
+
 const COMPLETIONS = '/v1/chat/completions';
 const DECLARATIONS = '/v1/declarations';
 
@@ -52,7 +55,7 @@
       clients: 10,
       head: chunkedHead(COMPLETIONS, TEAM_KEY),
       piece: SMALL_CHUNK,
-      times: 900_000,
+      times: BYTES_IN_SINGLE_CHUNKS,
     },
   ],
   [
@@ -144,11 +147,12 @@
   }
 
   test('a whole body in chunks of a byte, which it serves', async () => {
+    // Blanks don't count as a prompt, which would be too long for the context.
     const text = JSON.stringify({
       max_tokens: 2,
-      messages: [{content: 'x'.repeat(900_000), role: 'user'}],
+      messages: [{content: 'hello', role: 'user'}],
       model: 'model-1',
-    });
+    }).padEnd(BYTES_IN_SINGLE_CHUNKS);
     const chunks = [...text].map((character) => `1\r\n${character}\r\n`);
     const outcome = await expose(daemon.ports.callers, {
       awaitsResponse: true,
@@ -157,7 +161,7 @@
       tail: `${chunks.join('')}0\r\n\r\n`,
     });
     expectWithstood(outcome);
-    expect(outcome.statuses).toHaveLength(1);
+    expect(outcome.statuses).toEqual([200]);
   });
 
   test.each(CALLER_CROWDS)('callers: %s', async (_, script) => {
