Limits on clients: one copy of each piece, and less work for each request

Found in reading the whole change again; behaviour is as it was.

- the operators' application parses JSON by the settings' parseJson, which it had written again
- concatChunks, the failure of a body that is too long, the connection of a Hono application to its server, and the reading of a process's peak memory stood twice; waits with a time-out use resolveWithin
- a limit closes a connection in one place; the default limits of clients have one name
- the parts of bodies are made once for a server and no longer for each request; an eviction reads the clock once, not for each body
- the package exports what others use

--- a/packages/puffinturn-bench/src/EdgeProcess.ts
+++ b/packages/puffinturn-bench/src/EdgeProcess.ts
@@ -25,11 +25,7 @@
   RETRY_POLICY,
   UPSTREAM_STATE,
 } from 'puffinturn-fleet';
-import {
-  ClientLimitsSchema,
-  deriveServerLimits,
-  FORWARDING_SHARES,
-} from 'puffinturn-server';
+import {deriveServerLimits, FORWARDING_SHARES} from 'puffinturn-server';
 import {MemoryNetwork} from 'puffinturn-wire';
 import {invariant, Random, SystemClock, SystemMachineClock} from 'shared';
 
@@ -139,11 +135,7 @@
   const edge = await Edge.open({
     applyBoundMs: 2_000,
     callerAddress: {host: HOST, port: settings.callerPort},
-    callerLimits: deriveServerLimits(
-      MACHINE,
-      FORWARDING_SHARES,
-      ClientLimitsSchema.parse({}),
-    ),
+    callerLimits: deriveServerLimits(MACHINE, FORWARDING_SHARES),
     clock,
     drainMs: 2_000,
     coldTolerance: {extra: 1, overage: 1},
--- a/packages/puffinturn-daemon/src/Daemon.ts
+++ b/packages/puffinturn-daemon/src/Daemon.ts
@@ -179,7 +179,7 @@
   }
   const health = {isPassing: true};
   const serverLimits = deriveServerLimits(
-    {descriptors: limits.descriptors, memoryMb: limits.memoryMb},
+    limits,
     FORWARDING_SHARES,
     limits.clients,
   );
--- a/packages/puffinturn-daemon/src/HttpServer.ts
+++ b/packages/puffinturn-daemon/src/HttpServer.ts
@@ -12,13 +12,16 @@
 import {createServer as createTlsServer} from 'node:https';
 
 import type {HttpBindings} from '@hono/node-server';
-import {getRequestListener} from '@hono/node-server';
 import type {Env, Hono} from 'hono';
 import type {ResultAsync} from 'neverthrow';
 import {errAsync, ResultAsync as Async} from 'neverthrow';
 import {CALLER_TIMEOUT_MS} from 'puffinturn-gateway';
 import type {BoundedServerParts, ServerUsage} from 'puffinturn-server';
-import {BOUNDED_SERVER_OPTIONS, BoundedServer} from 'puffinturn-server';
+import {
+  BOUNDED_SERVER_OPTIONS,
+  BoundedServer,
+  createHonoHandler,
+} from 'puffinturn-server';
 import type {TlsSettings} from 'puffinturn-settings';
 import {readSecret} from 'puffinturn-settings';
 import type {Failure} from 'shared';
@@ -97,17 +100,11 @@
     parts: BoundedServerParts,
   ): ResultAsync<HttpServer, ServeFailure> {
     const {tls} = address;
-    const listener = getRequestListener(
-      (request, bindings) => app.fetch(request, bindings),
-      // The bounded server drops bodies that are not read.
-      {autoCleanupIncoming: false},
+    const handler = createHonoHandler((request, bindings) =>
+      app.fetch(request, bindings),
     );
     const listen = (server: Server) => {
-      const boundedServer = new BoundedServer(
-        server,
-        (request, response) => void listener(request, response),
-        parts,
-      );
+      const boundedServer = new BoundedServer(server, handler, parts);
       return HttpServer.listen(server, boundedServer, address);
     };
     if (tls === undefined) {
--- a/packages/puffinturn-daemon/src/OperatorApp.ts
+++ b/packages/puffinturn-daemon/src/OperatorApp.ts
@@ -9,7 +9,6 @@
 import type {HttpBindings} from '@hono/node-server';
 import type {Context, Next} from 'hono';
 import {Hono} from 'hono';
-import {Result} from 'neverthrow';
 import type {GatewayMetrics} from 'puffinturn-gateway';
 import type {BodyFailure} from 'puffinturn-server';
 import {BODY_REFUSALS, readBody} from 'puffinturn-server';
@@ -17,6 +16,7 @@
 import {
   DeclarationSchema,
   findApiKey,
+  parseJson,
   validateValue,
 } from 'puffinturn-settings';
 
@@ -103,7 +103,8 @@
   if (bytes.isErr()) {
     return rejectBody(context, bytes.error);
   }
-  const body = parseJson(new TextDecoder().decode(bytes.value));
+  const text = new TextDecoder().decode(bytes.value);
+  const body = parseJson(text, 'request').unwrapOr(undefined);
   const checked = validateValue(DeclarationSchema, body, 'request');
   if (checked.isErr()) {
     return respondWithFailure(context, checked.error);
@@ -115,12 +116,6 @@
   );
 }
 
-/** Returns the value of a JSON text; undefined if it is malformed. */
-const parseJson = (text: string): unknown =>
-  Result.fromThrowable((json: string): unknown => JSON.parse(json))(
-    text,
-  ).unwrapOr(undefined);
-
 function rejectBody(
   context: Context<Environment>,
   {kind, message}: BodyFailure,
--- a/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
@@ -11,7 +11,6 @@
 import type {BoundedServerParts} from 'puffinturn-server';
 import {
   BodyBudget,
-  ClientLimitsSchema,
   deriveServerLimits,
   FORWARDING_SHARES,
   RequestBody,
@@ -26,7 +25,6 @@
     limits: deriveServerLimits(
       {descriptors: 4_096, memoryMb: 350},
       FORWARDING_SHARES,
-      ClientLimitsSchema.parse({}),
     ),
     observer: {onLimit: () => undefined, onReport: () => undefined},
   };
--- a/packages/puffinturn-edge/src/callers/CallerRequest.ts
+++ b/packages/puffinturn-edge/src/callers/CallerRequest.ts
@@ -156,9 +156,3 @@
     response.end(body);
   }
 }
-
-/** Concatenates chunks; a single chunk is not copied. */
-export function concatChunks(chunks: readonly Buffer[]): Buffer {
-  const [first] = chunks;
-  return chunks.length === 1 && first ? first : Buffer.concat(chunks);
-}
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -10,11 +10,13 @@
  * Event streams are relayed event by event, and may continue with the response of
  * another upstream after a failure.
  */
+import {concatChunks} from 'puffinturn-server';
+
 import {EventStreamSplitter} from '../connections/EventStreamSplitter';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
 import {MAX_BUFFERED_RESPONSE_BYTES} from '../EdgeConstants';
 import type {CallerRequest} from './CallerRequest';
-import {concatChunks, isEndToEndHeader} from './CallerRequest';
+import {isEndToEndHeader} from './CallerRequest';
 import type {PartialEvents} from './PartialEvents';
 import {ResponseBodyWriter} from './ResponseBodyWriter';
 
--- a/packages/puffinturn-server/src/BodyBudget.ts
+++ b/packages/puffinturn-server/src/BodyBudget.ts
@@ -69,22 +69,20 @@
   change(bytes: number): void {
     this.used += bytes;
     while (bytes > 0 && this.used > this.maxHeldBytes) {
-      const victim = this.selectVictim();
+      const now = this.clock.now();
+      const victim = this.selectVictim(now);
       if (victim === undefined) {
         return;
       }
-      victim.evict(
-        this.hasStoodStill(victim)
-          ? BODY_EVICTION.stalled
-          : BODY_EVICTION.noRoom,
-      );
+      victim.evict(evictionOf(victim, now));
     }
   }
 
   /** Evicts bodies without a byte for this time. */
   evictStalled(maxPauseMs: number): void {
+    const now = this.clock.now();
     for (const body of this.unfinished) {
-      if (this.pauseMs(body) >= maxPauseMs) {
+      if (now - body.lastBytesAt >= maxPauseMs) {
         body.evict(BODY_EVICTION.stalled);
       }
     }
@@ -106,19 +104,16 @@
     const stillest = slow.reduce((found, body) =>
       body.lastBytesAt < found.lastBytesAt ? body : found,
     );
-    if (this.hasStoodStill(stillest)) {
-      stillest.evict(BODY_EVICTION.stalled);
-    } else {
-      oldest.evict(BODY_EVICTION.noRoom);
-    }
+    const victim = hasStoodStill(stillest, now) ? stillest : oldest;
+    victim.evict(evictionOf(victim, now));
     return true;
   }
 
-  private selectVictim(): UnfinishedBody | undefined {
+  private selectVictim(now: number): UnfinishedBody | undefined {
     let victim: UnfinishedBody | undefined;
     let isVictimStill = false;
     for (const body of this.unfinished) {
-      const isStill = this.hasStoodStill(body);
+      const isStill = hasStoodStill(body, now);
       const isLarger = body.memoryBytes > (victim?.memoryBytes ?? -1);
       if (isStill === isVictimStill ? isLarger : isStill) {
         victim = body;
@@ -127,12 +122,14 @@
     }
     return victim;
   }
+}
 
-  private hasStoodStill(body: UnfinishedBody): boolean {
-    return this.pauseMs(body) >= STANDSTILL_MS;
-  }
+function hasStoodStill({lastBytesAt}: UnfinishedBody, now: number): boolean {
+  return now - lastBytesAt >= STANDSTILL_MS;
+}
 
-  private pauseMs({lastBytesAt}: UnfinishedBody): number {
-    return this.clock.now() - lastBytesAt;
-  }
+function evictionOf(body: UnfinishedBody, now: number): BodyEviction {
+  return hasStoodStill(body, now)
+    ? BODY_EVICTION.stalled
+    : BODY_EVICTION.noRoom;
 }
--- a/packages/puffinturn-server/src/BoundedServer.ts
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -17,13 +17,13 @@
 
 import type {Clock} from 'shared';
 
-import type {BodyEviction} from './BodyBudget';
 import {BODY_EVICTION, BodyBudget} from './BodyBudget';
 import type {RequestHandler} from './ClientConnection';
 import {ClientConnection} from './ClientConnection';
 import {EarlyResponse} from './EarlyResponse';
-import type {LimitObserver, ServerUsage} from './LimitCounter';
+import type {ClientLimit, LimitObserver, ServerUsage} from './LimitCounter';
 import {CLIENT_LIMIT, LimitCounter} from './LimitCounter';
+import type {RequestBodyParts} from './RequestBody';
 import {RequestBody} from './RequestBody';
 import type {ServerLimits} from './ServerLimits';
 
@@ -63,6 +63,7 @@
 /** Applies limits to a server. Disposing it ends the checks; connections stay open. */
 export class BoundedServer implements Disposable {
   private readonly budget: BodyBudget;
+  private readonly bodyParts: RequestBodyParts;
   private readonly counter: LimitCounter;
   private readonly connections = new Map<ConnectionKey, OpenConnection>();
   /** Connections without a request that is being served; longest first. */
@@ -76,6 +77,11 @@
   ) {
     this.budget = new BodyBudget(parts.clock, parts.limits.maxHeldBytes);
     this.counter = new LimitCounter(parts.observer);
+    this.bodyParts = {
+      budget: this.budget,
+      clock: parts.clock,
+      onEvicted: (reason) => this.counter.record(LIMIT_BY_EVICTION[reason]),
+    };
     server.on('connection', (socket: Socket) => this.accept(socket));
     server.on('request', this.receive);
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
@@ -127,10 +133,7 @@
     }
     const [longestIdle] = this.idle;
     if (longestIdle !== undefined) {
-      this.counter.record(CLIENT_LIMIT.idleConnections);
-      const socket = this.connections.get(longestIdle)?.socket;
-      this.remove(longestIdle);
-      socket?.destroy();
+      this.cut(longestIdle, CLIENT_LIMIT.idleConnections);
       return true;
     }
     const mayExceed =
@@ -144,24 +147,25 @@
   private cutUnread(unreadMs: number): boolean {
     const now = this.parts.clock.now();
     let hasCut = false;
-    for (const [key, {client, socket}] of this.connections) {
+    for (const [key, {client}] of this.connections) {
       if (client.unreadMs(now) >= unreadMs) {
-        this.counter.record(CLIENT_LIMIT.unreadResponse);
-        this.remove(key);
-        socket.destroy();
+        this.cut(key, CLIENT_LIMIT.unreadResponse);
         hasCut = true;
       }
     }
     return hasCut;
   }
 
+  /** Closes a connection because of a limit. */
+  private cut(key: ConnectionKey, limit: ClientLimit): void {
+    const socket = this.connections.get(key)?.socket;
+    this.counter.record(limit);
+    this.remove(key);
+    socket?.destroy();
+  }
+
   private readonly receive: RequestListener = (incoming, response) => {
-    const body = RequestBody.collect(incoming, {
-      budget: this.budget,
-      clock: this.parts.clock,
-      onEvicted: (reason: BodyEviction) =>
-        this.counter.record(LIMIT_BY_EVICTION[reason]),
-    });
+    const body = RequestBody.collect(incoming, this.bodyParts);
     const connection = this.connections.get(this.keyOf(incoming.socket));
     connection?.client.receive({body, incoming, response});
   };
--- a/packages/puffinturn-server/src/ChunkCollector.ts
+++ b/packages/puffinturn-server/src/ChunkCollector.ts
@@ -22,6 +22,12 @@
 
 const EMPTY = Buffer.alloc(0);
 
+/** Concatenates chunks; a single chunk is not copied. */
+export function concatChunks(chunks: readonly Buffer[]): Buffer {
+  const [first] = chunks;
+  return chunks.length === 1 && first ? first : Buffer.concat(chunks);
+}
+
 /** Chunks of one body, in order. */
 export class ChunkCollector {
   private pieces: Buffer[] = [];
@@ -53,12 +59,10 @@
     this.copyToBlock(chunk);
   }
 
-  /** Returns all bytes and drops the chunks; a single chunk is not copied. */
+  /** Returns all bytes and drops the chunks. */
   take(): Buffer {
     this.endBlock();
-    const [first] = this.pieces;
-    const isSingle = this.pieces.length === 1 && first !== undefined;
-    const body = isSingle ? first : Buffer.concat(this.pieces);
+    const body = concatChunks(this.pieces);
     this.clear();
     return body;
   }
--- a/packages/puffinturn-server/src/EarlyResponse.ts
+++ b/packages/puffinturn-server/src/EarlyResponse.ts
@@ -13,11 +13,16 @@
 import type {IncomingMessage} from 'node:http';
 import {ServerResponse} from 'node:http';
 
+import {resolveWithin, SystemClock} from 'shared';
+
 import {RequestBody} from './RequestBody';
 
 /** Time in which a client reads an early response and ends its request, ms. */
 const CLOSE_DELAY_MS = 1_000;
 
+/** Node.js creates responses, so that they get no clock from elsewhere. */
+const clock = new SystemClock();
+
 type EndArguments = [
   chunk?: unknown,
   encoding?: BufferEncoding | (() => void) | undefined,
@@ -68,12 +73,7 @@
 
   private async endAfter(body: RequestBody): Promise<void> {
     const {socket} = this;
-    let timer: NodeJS.Timeout | undefined;
-    const timedOut = new Promise<void>((resolve) => {
-      timer = setTimeout(resolve, CLOSE_DELAY_MS);
-    });
-    await Promise.race([body.awaitArrival(), timedOut]);
-    clearTimeout(timer);
+    await resolveWithin(clock, body.awaitArrival(), CLOSE_DELAY_MS);
     super.end();
     if (!body.isComplete) {
       // Its client has had time to read the response; one that doesn't is not waited for.
--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -40,7 +40,7 @@
   BodyRefusal
 >;
 
-/** Dependencies of a body. */
+/** Dependencies of a body; the same for all bodies of a server. */
 export interface RequestBodyParts {
   readonly budget: BodyBudget;
   readonly clock: Clock;
@@ -54,7 +54,7 @@
  */
 const MAX_DROPPED_BYTES = 1_024 * 1_024;
 
-const EMPTY_BODY = Buffer.alloc(0);
+const NO_BODY: Result<Buffer, BodyFailure> = ok(Buffer.alloc(0));
 
 const EVICTION_FAILURE: Readonly<Record<BodyEviction, BodyFailure>> = {
   [BODY_EVICTION.noRoom]: {
@@ -104,7 +104,7 @@
       body.start();
     } else {
       body.hasArrived = true;
-      body.result = ok(EMPTY_BODY);
+      body.result = NO_BODY;
     }
     return body;
   }
@@ -128,8 +128,9 @@
     this.maxBytes = Math.min(maxBytes, this.parts.budget.maxHeldBytes);
     const length = Number(this.incoming.headers['content-length'] ?? 0);
     if (Math.max(length, this.receivedBytes) > this.maxBytes) {
-      this.giveUp(this.tooLarge());
-      return Promise.resolve(err(this.tooLarge()));
+      const failure = bodyTooLarge(this.maxBytes);
+      this.giveUp(failure);
+      return Promise.resolve(err(failure));
     }
     const {result} = this;
     if (result !== undefined) {
@@ -186,7 +187,7 @@
       return;
     }
     if (this.receivedBytes > this.maxBytes) {
-      this.giveUp(this.tooLarge());
+      this.giveUp(bodyTooLarge(this.maxBytes));
       return;
     }
     this.lastBytesAt = this.parts.clock.now();
@@ -235,13 +236,14 @@
     this.countedBytes = bytes;
     this.parts.budget.change(change);
   }
+}
 
-  private tooLarge(): BodyFailure {
-    return {
-      kind: 'body-too-large',
-      message: `request body exceeds the limit of ${this.maxBytes} bytes`,
-    };
-  }
+/** Describes a body that is longer than it may be. */
+export function bodyTooLarge(maxBytes: number): BodyFailure {
+  return {
+    kind: 'body-too-large',
+    message: `request body exceeds the limit of ${maxBytes} bytes`,
+  };
 }
 
 const BROKEN: BodyFailure = {
--- a/packages/puffinturn-server/src/ServerLimits.ts
+++ b/packages/puffinturn-server/src/ServerLimits.ts
@@ -67,9 +67,12 @@
 /** Limits of clients, as settings. */
 export type ClientLimits = z.output<typeof ClientLimitsSchema>;
 
+/** Limits of clients where no setting replaces what depends on the machine. */
+const DEFAULT_CLIENT_LIMITS: ClientLimits = ClientLimitsSchema.parse({});
+
 /** Limits of a server that answers checks: its requests have no bodies. */
 export const CHECK_LIMITS: ServerLimits = {
-  ...ClientLimitsSchema.parse({}),
+  ...DEFAULT_CLIENT_LIMITS,
   maxConnections: 64,
   maxHeldBytes: 0,
 };
@@ -92,7 +95,7 @@
 export function deriveServerLimits(
   {descriptors, memoryMb}: MachineLimits,
   shares: ServerShares,
-  clientLimits: ClientLimits,
+  clientLimits = DEFAULT_CLIENT_LIMITS,
 ): ServerLimits {
   const sharedMb = Math.max(memoryMb - PROCESS_MB, MIN_SHARED_PART * memoryMb);
   const memoryBytes = sharedMb * BYTES_PER_MB;
--- a/packages/puffinturn-server/src/index.ts
+++ b/packages/puffinturn-server/src/index.ts
@@ -6,27 +6,17 @@
  */
 
 /** Limits on what clients of HTTP servers may take up, the same for every server. */
-export type {BodyEviction} from './BodyBudget';
 export {BodyBudget} from './BodyBudget';
 export type {BoundedServerParts} from './BoundedServer';
 export {BOUNDED_SERVER_OPTIONS, BoundedServer} from './BoundedServer';
+export {concatChunks} from './ChunkCollector';
 export type {RequestHandler} from './ClientConnection';
-export type {
-  ClientLimit,
-  LimitObserver,
-  LimitReport,
-  ServerUsage,
-} from './LimitCounter';
-export {CLIENT_LIMIT} from './LimitCounter';
+export {createHonoHandler} from './honoHandler';
+export type {ServerUsage} from './LimitCounter';
 export {readBody} from './readBody';
-export type {BodyFailure, BodyRefusal} from './RequestBody';
+export type {BodyFailure} from './RequestBody';
 export {BODY_REFUSALS, RequestBody} from './RequestBody';
-export type {
-  ClientLimits,
-  MachineLimits,
-  ServerLimits,
-  ServerShares,
-} from './ServerLimits';
+export type {ServerLimits, ServerShares} from './ServerLimits';
 export {
   CHECK_LIMITS,
   ClientLimitsSchema,
--- a/packages/puffinturn-server/src/readBody.ts
+++ b/packages/puffinturn-server/src/readBody.ts
@@ -13,7 +13,7 @@
 
 import {ChunkCollector} from './ChunkCollector';
 import type {BodyFailure} from './RequestBody';
-import {RequestBody} from './RequestBody';
+import {bodyTooLarge, RequestBody} from './RequestBody';
 
 /** Bindings of an application; without a connection in tests of the application alone. */
 interface BodyEnvironment {
@@ -42,8 +42,7 @@
   for await (const chunk of stream ?? []) {
     length += chunk.length;
     if (length > maxBytes) {
-      const message = `request body exceeds the limit of ${maxBytes} bytes`;
-      return err({kind: 'body-too-large', message});
+      return err(bodyTooLarge(maxBytes));
     }
     chunks.append(Buffer.from(chunk));
   }
--- a/packages/puffinturn-stand-in/src/CrowdTrial.ts
+++ b/packages/puffinturn-stand-in/src/CrowdTrial.ts
@@ -8,6 +8,8 @@
 /** Exposes a process to a crowd of clients, and measures what the process uses meanwhile. */
 import {readdirSync, readFileSync} from 'node:fs';
 
+import {resolveWithin, SystemClock} from 'shared';
+
 import type {CrowdScript, CrowdTarget} from './Crowd';
 import {Crowd} from './Crowd';
 
@@ -23,6 +25,8 @@
 /** Interval at which the ordinary request is sent again, ms. */
 const RETRY_INTERVAL_MS = 100;
 
+const clock = new SystemClock();
+
 /** What a process used beside a crowd. */
 export interface CrowdOutcome {
   /** Whether the process still runs. */
@@ -39,7 +43,7 @@
   readonly statuses: readonly number[];
 }
 
-/** The parts of a trial. */
+/** The process, the crowd, and the request that has to be answered beside it. */
 export interface CrowdTrialParts {
   readonly pid: number;
   readonly target: CrowdTarget;
@@ -61,7 +65,7 @@
   try {
     const pressureMs =
       script.awaitsResponse === true ? ANSWER_TIMEOUT_MS : PRESSURE_MS;
-    await waitAtMost(pressureMs, crowd.awaitSettled());
+    await resolveWithin(clock, crowd.awaitSettled(), pressureMs);
     const answered = await isAnswered(usage, sendOrdinary);
     usage.sample();
     return {
@@ -81,27 +85,27 @@
   usage: ProcessUsage,
   sendOrdinary: () => Promise<boolean>,
 ): Promise<boolean> {
-  const deadline = Date.now() + ANSWER_TIMEOUT_MS;
-  while (usage.isRunning && Date.now() < deadline) {
+  const deadline = clock.now() + ANSWER_TIMEOUT_MS;
+  while (usage.isRunning && clock.now() < deadline) {
     const answer = sendOrdinary().catch(() => false);
-    if ((await waitAtMost(deadline - Date.now(), answer)) === true) {
+    const remainingMs = deadline - clock.now();
+    if ((await resolveWithin(clock, answer, remainingMs)) === true) {
       return true;
     }
-    await new Promise((resolve) => setTimeout(resolve, RETRY_INTERVAL_MS));
+    await clock.sleep(RETRY_INTERVAL_MS);
   }
   return false;
 }
 
-/** Resolves with the value, or with undefined after `ms`. */
-async function waitAtMost<Value>(
-  ms: number,
-  value: Promise<Value>,
-): Promise<Value | undefined> {
-  let timer: NodeJS.Timeout | undefined;
-  const timedOut = new Promise<undefined>((resolve) => {
-    timer = setTimeout(() => resolve(undefined), ms);
-  });
-  return Promise.race([value, timedOut]).finally(() => clearTimeout(timer));
+/** Returns the highest resident memory of a process, MB; undefined if it has ended. */
+export function readPeakMemoryMb(pid: number): number | undefined {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    const kilobytes = /^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1];
+    return kilobytes === undefined ? undefined : Number(kilobytes) / 1_024;
+  } catch {
+    return undefined;
+  }
 }
 
 /** Reads memory and descriptors of a process from the kernel. */
@@ -113,28 +117,18 @@
 
   /** False also for a process that has ended and is not reaped yet. */
   get isRunning(): boolean {
-    return this.readMemoryMb() !== undefined;
+    return readPeakMemoryMb(this.pid) !== undefined;
   }
 
   sample(): void {
-    this.peakMemoryMb = Math.max(this.peakMemoryMb, this.readMemoryMb() ?? 0);
+    const memoryMb = readPeakMemoryMb(this.pid) ?? 0;
+    this.peakMemoryMb = Math.max(this.peakMemoryMb, memoryMb);
     this.peakDescriptors = Math.max(
       this.peakDescriptors,
       this.countDescriptors(),
     );
   }
 
-  /** Undefined if the process has ended. */
-  private readMemoryMb(): number | undefined {
-    try {
-      const status = readFileSync(`/proc/${this.pid}/status`, 'utf8');
-      const kilobytes = /^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1];
-      return kilobytes === undefined ? undefined : Number(kilobytes) / 1_024;
-    } catch {
-      return undefined;
-    }
-  }
-
   private countDescriptors(): number {
     try {
       return readdirSync(`/proc/${this.pid}/fd`).length;
--- a/packages/puffinturn-stand-in/src/index.ts
+++ b/packages/puffinturn-stand-in/src/index.ts
@@ -9,7 +9,7 @@
 export type {CrowdScript, CrowdTarget} from './Crowd';
 export {Crowd, encodeChunk} from './Crowd';
 export type {CrowdOutcome, CrowdTrialParts} from './CrowdTrial';
-export {runCrowdTrial} from './CrowdTrial';
+export {readPeakMemoryMb, runCrowdTrial} from './CrowdTrial';
 export type {EngineProfile} from './Engine';
 export {DEFAULT_PROFILE, Engine} from './Engine';
 export type {Faults} from './Faults';
