--- a/review/lib-2/parties.mjs
+++ b/review/lib-2/parties.mjs
@@ -58,7 +58,7 @@
   async apply(document) {
     const body = JSON.stringify(document);
     await until(`version ${document.version} acknowledged`, async () => {
-      const answer = await this.#callNext({
+      const answer = await this.callNext({
         body,
         headers: {'Content-Type': 'application/json'},
         method: 'POST',
@@ -70,7 +70,8 @@
     this.record.note(`version ${document.version} acknowledged`);
   }
 
-  #callNext(options) {
+  /** Calls the next control machine; undefined without an answer. */
+  callNext(options) {
     const {controls} = this.deployment;
     const {ip} = controls[this.#next % controls.length];
     this.#next += 1;
