--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -16,6 +16,7 @@
   answerStream,
   CONFIGURATION,
   HOST,
+  Ingress,
   keptConnections,
   KEY,
   listResults,
@@ -29,13 +30,13 @@
 
 const EDGES = 2;
 /** Rates of the sheet for all edges together. */
-const PLAIN_PER_S = 26;
+const PLAIN_PER_S = 19;
 const STREAMS_PER_S = 19;
 /** Clients give a stream up after a gap of four times its objective. */
 const MAX_GAP_MS = 3_200;
 const PLAIN_TIMEOUT_MS = 2_000;
 const CALM_MS = 6_000;
-const TROUBLE_MS = 20_000;
+const TROUBLE_MS = 12_000;
 /** CONFIG: no answer half a second after the time-out, to eight or more and over a half. */
 const LATE_MS = 500;
 const MIN_LATE = 8;
@@ -132,19 +133,19 @@
     });
   }
   const agents = deployment.edges.map(keptConnections);
+  const ingress = new Ingress(deployment.edges, agents);
   const plain = [];
   const streams = [];
   const load = Promise.all([
     sendSteadily({
       create: (index) => {
-        const at = index % EDGES;
-        const isSafe = index % 7 < 2;
+        const at = ingress.place(index % EDGES);
         return send(deployment.edges[at].ip, agents[at], {
           attempt: `order${index}`,
-          body: isSafe ? undefined : '{}',
+          body: '{}',
           headers: {'Deadline-Ms': String(PLAIN_DEADLINE_MS)},
-          method: isSafe ? 'GET' : 'POST',
-          path: `/${isSafe ? 'lab-handoff' : 'order-status'}/${index}`,
+          method: 'POST',
+          path: `/order-status/${index}`,
           timeoutMs: PLAIN_DEADLINE_MS,
         });
       },
@@ -154,7 +155,7 @@
     }),
     sendSteadily({
       create: (index) => {
-        const at = index % EDGES;
+        const at = ingress.place(index % EDGES);
         return send(deployment.edges[at].ip, agents[at], {
           attempt: `review${index}`,
           body: '{}',
@@ -185,6 +186,7 @@
   await sleep(TROUBLE_MS);
   isOver = true;
   await load;
+  ingress.stop();
   const unanswered = plain.filter(({tookMs}) => tookMs > PLAIN_TIMEOUT_MS);
   const late = unanswered.filter(
     ({tookMs}) => tookMs > PLAIN_TIMEOUT_MS + LATE_MS,
--- a/review/lib-2/load.mjs
+++ b/review/lib-2/load.mjs
@@ -8,7 +8,8 @@
 /** Clients with kept connections, the configuration they use, and answers of runners. */
 import {Agent, request} from 'node:http';
 
-import {FRONTEND_PORT, sleep} from './deployment.mjs';
+import {FRONTEND_PORT, READY_PORT, sleep} from './deployment.mjs';
+import {call} from './parties.mjs';
 
 export const HOST = 'clinic.example';
 export const KEY = 'n2ctnfzs989anu6wsjnb';
@@ -208,3 +209,44 @@
   }
   response.end();
 }
+
+/** Misses in a row after which a machine gets no new connections. */
+const MAX_MISSES = 2;
+const READINESS_INTERVAL_MS = 1_000;
+
+/** The platform's ingress: asks the machines each second, and places new connections. */
+export class Ingress {
+  #misses;
+  #isOver = false;
+
+  constructor(edges, agents) {
+    this.edges = edges;
+    this.agents = agents;
+    this.#misses = edges.map(() => 0);
+    edges.forEach((_, at) => void this.#watch(at));
+  }
+
+  stop() {
+    this.#isOver = true;
+  }
+
+  /** Where a request goes: its kept connection stays, a new one needs a machine that is in. */
+  place(preferred) {
+    const isIn = (at) => this.#misses[at] < MAX_MISSES;
+    const hasKept = Object.keys(this.agents[preferred].freeSockets).length > 0;
+    const other = this.edges.findIndex((_, at) => isIn(at));
+    return hasKept || isIn(preferred) || other < 0 ? preferred : other;
+  }
+
+  async #watch(at) {
+    while (!this.#isOver) {
+      const next = sleep(READINESS_INTERVAL_MS);
+      const answer = await call(this.edges[at].ip, READY_PORT, {
+        path: '/api/readyz',
+        timeoutMs: READINESS_INTERVAL_MS,
+      }).catch(() => undefined);
+      this.#misses[at] = answer?.status === 200 ? 0 : this.#misses[at] + 1;
+      await next;
+    }
+  }
+}
