Collector of chunks: one copy for all packages

A move of ChunkCollector from puffinturn-server to shared, without any change: upstreams' bytes are to be collected by it too. No behaviour changes.

--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -10,7 +10,7 @@
  * Event streams are relayed event by event, and may continue with the response of
  * another upstream after a failure.
  */
-import {concatChunks} from 'puffinturn-server';
+import {concatChunks} from 'shared';
 
 import {EventStreamSplitter} from '../connections/EventStreamSplitter';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -11,10 +11,10 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Clock, Failure} from 'shared';
+import {ChunkCollector} from 'shared';
 
 import type {BodyBudget, BodyEviction} from './BodyBudget';
 import {BODY_EVICTION, UnfinishedBody} from './BodyBudget';
-import {ChunkCollector} from './ChunkCollector';
 
 /** Why a body could not be read as a whole. */
 export type BodyFailure =
--- a/packages/puffinturn-server/src/index.ts
+++ b/packages/puffinturn-server/src/index.ts
@@ -9,7 +9,6 @@
 export {BodyBudget} from './BodyBudget';
 export type {BoundedServerParts} from './BoundedServer';
 export {BOUNDED_SERVER_OPTIONS, BoundedServer} from './BoundedServer';
-export {concatChunks} from './ChunkCollector';
 export type {RequestHandler} from './ClientConnection';
 export {createHonoHandler} from './honoHandler';
 export type {ServerUsage} from './LimitCounter';
--- a/packages/puffinturn-server/src/readBody.ts
+++ b/packages/puffinturn-server/src/readBody.ts
@@ -10,8 +10,8 @@
 import type {Context} from 'hono';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
+import {ChunkCollector} from 'shared';
 
-import {ChunkCollector} from './ChunkCollector';
 import type {BodyFailure} from './RequestBody';
 import {bodyTooLarge, RequestBody} from './RequestBody';
 
