Edge: which upstream's bytes keep the event loop, and for how long

When plain requests get no answer for seconds, neither log nor metrics told why: an edge in that state looks like one that lacks processor time, has lost its links or waits for its runners. A gauge tells the longest delay of the event loop since the metrics were read. No decision changes.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -238,6 +238,22 @@
   readonly failures: number;
 }
 
+/** The bytes of an upstream kept the event loop from other work since the last such line. */
+export interface CostlyReads {
+  readonly event: 'costly-reads';
+  readonly upstream: string;
+  /** Iterations of the event loop in which a connection kept it for long. */
+  readonly iterations: number;
+  readonly reads: number;
+  readonly bytes: number;
+  /** Chunks of bodies, frames and responses, which were handled one by one. */
+  readonly pieces: number;
+  /** Time for which these reads kept the event loop. */
+  readonly tookMs: number;
+  /** The longest time in one iteration. */
+  readonly maxTookMs: number;
+}
+
 /** The upstreams of a service announced that they crash under rejections, or no longer. */
 export interface ServiceBrittlenessChanged {
   readonly event: 'service-brittle';
@@ -779,6 +795,7 @@
   | ConfigurationApplied
   | ConfigurationMismatch
   | ConfigurationOverdue
+  | CostlyReads
   | CrashesReported
   | CrossRegionRoutingChanged
   | DepartureDecided
--- a/packages/puffinturn-decisions/src/index.ts
+++ b/packages/puffinturn-decisions/src/index.ts
@@ -7,6 +7,7 @@
 
 /** Structured log lines that record the decisions of a process. */
 export type {
+  CostlyReads,
   Decision,
   EndedTokens,
   ResponseCount,
--- a/packages/puffinturn-edge/src/Edge.ts
+++ b/packages/puffinturn-edge/src/Edge.ts
@@ -854,6 +854,7 @@
     crossRegionCallBytes.set(this.knownBoxes.crossRegionBytes);
     limitedUpstreams.set(this.pool.limitedUpstreamCount);
     this.listeners?.updateMetrics();
+    this.metrics.updateEventLoopDelay();
     backlogAge.set((this.backlogMonitor?.queueAgeMs ?? 0) / 1_000);
     controlReachable.set(this.fleetWatch.isConnected ? 1 : 0);
     stateAge.set(this.fleetWatch.freshness.ageMs / 1_000);
--- a/packages/puffinturn-edge/src/EdgeMetrics.ts
+++ b/packages/puffinturn-edge/src/EdgeMetrics.ts
@@ -6,6 +6,8 @@
  */
 
 /** Prometheus metrics of an edge. */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the latency histogram buckets, s. */
@@ -18,9 +20,17 @@
   0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 2.5, 3, 5, 10,
 ];
 
+/** Interval of the samples of the event loop delay, ms. */
+const LOOP_DELAY_RESOLUTION_MS = 50;
+
+const NANOSECONDS_PER_SECOND = 1e9;
+
 /** The metrics of one edge and their registry. */
 export class EdgeMetrics {
   readonly registry = new Registry();
+  private readonly loopDelays = monitorEventLoopDelay({
+    resolution: LOOP_DELAY_RESOLUTION_MS,
+  });
   readonly responses = new Counter({
     help: 'Answers to callers by route, status and cause',
     labelNames: ['route', 'status', 'cause'],
@@ -179,9 +189,25 @@
     name: 'puffinturn_edge_configuration_delay_seconds',
     registers: [this.registry],
   });
+  readonly eventLoopDelay = new Gauge({
+    help: 'Longest time between two timers due every 50 ms since the last read of the metrics, s',
+    name: 'puffinturn_edge_event_loop_delay_seconds',
+    registers: [this.registry],
+  });
   readonly controlReachable = new Gauge({
     help: '1 while some control box answers',
     name: 'puffinturn_edge_in_touch',
     registers: [this.registry],
   });
+
+  constructor() {
+    this.loopDelays.enable();
+  }
+
+  /** Sets the gauge of the event loop delay, and starts to measure it anew. */
+  updateEventLoopDelay(): void {
+    const {loopDelays} = this;
+    this.eventLoopDelay.set(loopDelays.max / NANOSECONDS_PER_SECOND);
+    loopDelays.reset();
+  }
 }
--- a/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ConnectionPool.test.ts
@@ -90,6 +90,7 @@
     clock,
     host: '127.0.0.1',
     maxIdle: MAX_IDLE,
+    onCostlyReads: () => undefined,
     port,
   });
 }
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -12,7 +12,7 @@
 import type {TunnelAddress} from 'puffinturn-fleet';
 import type {ListenerState} from 'puffinturn-quarantine';
 import {LISTENER_STATE, listenerStateOf} from 'puffinturn-quarantine';
-import type {Clock} from 'shared';
+import type {Clock, ReadLoad} from 'shared';
 
 import {IDLE_CONNECTION_TIMEOUT_MS} from '../EdgeConstants';
 import type {ConnectionOwner, ConnectionRoute} from './HttpConnection';
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   /** Maximum number of idle connections. */
   readonly maxIdle: number;
+  /** Called when the bytes of a connection kept the event loop for long. */
+  readonly onCostlyReads: (load: ReadLoad) => void;
 }
 
 /** A connection without an open request. */
@@ -164,6 +166,10 @@
     this.reads += 1;
   }
 
+  recordCostlyReads(load: ReadLoad): void {
+    this.parts.onCostlyReads(load);
+  }
+
   remove(connection: HttpConnection): void {
     this.connections.delete(connection);
     const index = this.idle.findIndex(
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -12,6 +12,10 @@
  */
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
+import {performance} from 'node:perf_hooks';
+
+import type {ReadLoad, ReadSource} from 'shared';
+import {readScheduler} from 'shared';
 
 import {TunnelFrameReader} from '../tunnels/TunnelFrames';
 import type {ConnectionState} from './ConnectionState';
@@ -59,6 +63,8 @@
   release(connection: HttpConnection, keepAliveMs: number | undefined): boolean;
   /** Called when bytes arrive over a direct connection. */
   recordRead(): void;
+  /** Called when the bytes of a connection kept the event loop for long. */
+  recordCostlyReads(load: ReadLoad): void;
   /** Called when the connection is closed. */
   remove(connection: HttpConnection): void;
 }
@@ -74,7 +80,7 @@
 
 /** A reusable connection. Disposing it closes the socket immediately. */
 export class HttpConnection
-  implements ResponseEvents, ResponseSource, Disposable
+  implements ReadSource, ResponseEvents, ResponseSource, Disposable
 {
   readonly socket: Socket;
   private readonly connectionState: ConnectionState;
@@ -91,6 +97,8 @@
   /** Whether the upstream has ended the connection. */
   private hasInputEnded = false;
   private failureCause = 'closed';
+  /** Parts of the current read that were handled by themselves. */
+  private pieces = 0;
   /** Undefined for a direct connection. */
   private readonly tunnelReader: TunnelFrameReader | undefined;
 
@@ -105,7 +113,7 @@
       onread: {
         buffer: readBuffer,
         callback: (length) => {
-          this.handleData(readBuffer.subarray(0, length));
+          this.handleRead(readBuffer.subarray(0, length));
           return true;
         },
       },
@@ -165,6 +173,10 @@
     this.socket.destroy();
   }
 
+  onCostlyReads(load: ReadLoad): void {
+    this.owner.recordCostlyReads(load);
+  }
+
   onMessageBegin(): void {
     this.mustClose ||= this.listener === undefined || this.isComplete;
   }
@@ -182,6 +194,7 @@
   }
 
   onBody(chunk: Buffer): void {
+    this.pieces += 1;
     if (!this.isComplete) {
       this.response?.push(chunk);
     }
@@ -204,6 +217,17 @@
     this.listener?.onConnected();
   }
 
+  private handleRead(bytes: Buffer): void {
+    const startedAt = performance.now();
+    this.pieces = 0;
+    this.handleData(bytes);
+    readScheduler.record(this, {
+      bytes: bytes.length,
+      pieces: this.pieces,
+      tookMs: performance.now() - startedAt,
+    });
+  }
+
   private handleData(bytes: Buffer): void {
     if (this.tunnelReader === undefined) {
       this.handleBytes(bytes);
@@ -236,6 +260,7 @@
       socket.destroy();
       return;
     }
+    this.pieces += 1;
     if (!this.parser.parse(bytes)) {
       this.mustClose = true;
       this.failureCause = this.parser.hasTooManyInterim
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -14,6 +14,7 @@
 import {hash32} from 'shared';
 
 import {ConnectionPool} from '../connections/ConnectionPool';
+import {CostlyReadLog} from '../connections/CostlyReadLog';
 import {
   FAILURES_BEFORE_BACKOFF,
   INITIAL_BACKOFF_MS,
@@ -118,10 +119,12 @@
     const separator = record.address.lastIndexOf(':');
     this.host = record.address.slice(0, separator);
     this.port = Number(record.address.slice(separator + 1));
+    const costlyReads = new CostlyReadLog(record.id, clock, log);
     this.connections = new ConnectionPool({
       clock,
       host: this.host,
       maxIdle: record.slots,
+      onCostlyReads: (load) => costlyReads.record(load),
       port: this.port,
     });
   }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -30,6 +30,8 @@
   SystemMachineClock,
 } from './MachineClock';
 export {Random, selectByWeight} from './Random';
+export type {ReadCost, ReadLoad, ReadSource} from './ReadScheduler';
+export {addLoads, ReadScheduler, readScheduler} from './ReadScheduler';
 export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {
   isFinalStatus,
