Edge: an event in small chunks is searched and copied once, not once a chunk

First cause: EventStreamSplitter joined each chunk to all that it held of the event, and searched all of it for line feeds again: an event of 256 KiB cost 262,144 copies of up to 256 KiB.

The splitter now keeps the complete lines and the incomplete line of an event apart, in the collector that bodies of callers have; a chunk is searched once, and a line joined once, when its end comes. A collector keeps its first chunk as it is, so that a chunk of whole events is still passed on without a copy.

--- a/packages/puffinturn-edge/src/__tests__/unit/EventStreamSplitter.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EventStreamSplitter.test.ts
@@ -6,6 +6,7 @@
  */
 
 /** Guards against lost bytes and against resuming a stream after an incomplete event. */
+import {jest} from '@jest/globals';
 import fc from 'fast-check';
 
 import {EventStreamSplitter} from '../../index';
@@ -58,6 +59,31 @@
     expect(splitter.lastEventId).toBe('1');
   });
 
+  // Guards against one upstream that keeps an edge for seconds: each chunk had all that was
+  // held of an event copied and searched again.
+  test.each([
+    ['an event without end', 'data'],
+    ['an event of very many lines', ':\n'],
+    ['an event with a long ID', 'id: x'],
+  ])('copies each byte a few times at most: %s', (_, piece) => {
+    const splitter = new EventStreamSplitter();
+    const concat = jest.spyOn(Buffer, 'concat');
+    const copy = jest.spyOn(Buffer.prototype, 'copy');
+    const search = jest.spyOn(Buffer.prototype, 'indexOf');
+    const pieces = Buffer.from(piece.repeat(4_096));
+    for (let at = 0; at < pieces.length; at += 1) {
+      splitter.push(pieces.subarray(at, at + 1));
+    }
+    const joined = concat.mock.results.map(({value}) => value as Buffer);
+    const copied = copy.mock.contexts as Buffer[];
+    const searched = search.mock.contexts as unknown as Buffer[];
+    const touched = [...joined, ...copied, ...searched];
+    const bytes = touched.reduce((sum, {length}) => sum + length, 0);
+    jest.restoreAllMocks();
+    expect(bytes).toBeLessThan(8 * pieces.length);
+    expect(splitter.heldBytes).toBe(pieces.length);
+  });
+
   test('accepts CRLF line endings', () => {
     const splitter = new EventStreamSplitter();
     expect(
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -12,7 +12,10 @@
  */
 import {concatChunks} from 'shared';
 
-import {EventStreamSplitter} from '../connections/EventStreamSplitter';
+import {
+  EventStreamSplitter,
+  partialEventLength,
+} from '../connections/EventStreamSplitter';
 import type {UpstreamResponse} from '../connections/UpstreamResponse';
 import {MAX_BUFFERED_RESPONSE_BYTES} from '../EdgeConstants';
 import type {CallerRequest} from './CallerRequest';
@@ -261,12 +264,13 @@
     if (this.isCancelled) {
       return RELAY_OUTCOME.cancelled;
     }
-    this.partialEventBytes = this.eventSplitter.partialEventBytes;
+    const remainder = this.eventSplitter.takeRemainder();
+    this.partialEventBytes = partialEventLength(remainder);
     if (!isComplete || this.partialEventBytes > 0) {
       return RELAY_OUTCOME.incomplete;
     }
     this.sendHead(response);
-    this.bodyWriter.end(this.eventSplitter.takeRemainder());
+    this.bodyWriter.end(remainder);
     return RELAY_OUTCOME.complete;
   }
 
--- a/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
+++ b/packages/puffinturn-edge/src/connections/EventStreamSplitter.ts
@@ -10,6 +10,8 @@
  * be resumed at another upstream. Bytes are not modified.
  */
 
+import {ChunkCollector} from 'shared';
+
 const LINE_FEED = 0x0a;
 const ID_FIELD = Buffer.from('id:');
 const EMPTY = Buffer.alloc(0);
@@ -23,19 +25,43 @@
   readonly eventCount: number;
 }
 
-/** Splits one stream into complete events. */
+const NO_EVENTS: EventBatch = {bytes: EMPTY, eventCount: 0};
+
+/**
+ * Splits one stream into complete events. Each byte is searched and copied a few times at
+ * most, however the stream is cut into chunks.
+ */
 export class EventStreamSplitter {
   /** ID of the last complete event; undefined before the first event with an ID. */
   lastEventId: string | undefined;
-  private remainder: Buffer = EMPTY;
+  /** Complete lines of the incomplete event. */
+  private readonly lines = new ChunkCollector();
+  /** The incomplete line at the end. */
+  private readonly partialLine = new ChunkCollector();
   private pendingEventId: string | undefined;
 
-  /** Adds bytes and returns the events that they complete. */
+  /** Adds bytes, which are kept, and returns the events that they complete. */
   push(chunk: Buffer): EventBatch {
-    const buffer =
-      this.remainder.length === 0
-        ? chunk
-        : Buffer.concat([this.remainder, chunk]);
+    this.partialLine.append(chunk);
+    return chunk.includes(LINE_FEED)
+      ? this.splitLines(this.partialLine.take())
+      : NO_EVENTS;
+  }
+
+  /** Bytes that are held after the last complete event. */
+  get heldBytes(): number {
+    return this.lines.byteLength + this.partialLine.byteLength;
+  }
+
+  /** Removes and returns the bytes after the last complete event. */
+  takeRemainder(): Buffer {
+    this.lines.append(this.partialLine.take());
+    this.pendingEventId = this.lastEventId;
+    return this.lines.take();
+  }
+
+  /** Splits bytes that begin with a line. */
+  private splitLines(buffer: Buffer): EventBatch {
     let batchEnd = 0;
     let eventCount = 0;
     let lineStart = 0;
@@ -56,29 +82,19 @@
       }
       lineStart = lineEnd + 1;
     }
-    this.remainder =
-      batchEnd === buffer.length ? EMPTY : buffer.subarray(batchEnd);
-    const bytes =
-      batchEnd === buffer.length ? buffer : buffer.subarray(0, batchEnd);
+    const bytes = this.takeEvents(buffer.subarray(0, batchEnd));
+    this.lines.append(buffer.subarray(batchEnd, lineStart));
+    this.partialLine.append(buffer.subarray(lineStart));
     return {bytes, eventCount};
   }
 
-  /** Bytes that are held after the last complete event. */
-  get heldBytes(): number {
-    return this.remainder.length;
-  }
-
-  /** Size of the incomplete event at the end of the bytes so far. */
-  get partialEventBytes(): number {
-    return endsWithBlankLine(this.remainder) ? 0 : this.remainder.length;
-  }
-
-  /** Removes and returns the bytes after the last complete event. */
-  takeRemainder(): Buffer {
-    const {remainder} = this;
-    this.remainder = EMPTY;
-    this.pendingEventId = this.lastEventId;
-    return remainder;
+  /** Returns the complete events, of which `end` are the last bytes. */
+  private takeEvents(end: Buffer): Buffer {
+    if (end.length === 0) {
+      return EMPTY;
+    }
+    this.lines.append(end);
+    return this.lines.take();
   }
 
   private parseIdField(buffer: Buffer, start: number, end: number): void {
@@ -96,9 +112,13 @@
   }
 }
 
-/** Whether bytes in which no line feed ends an event end with a blank line. */
-function endsWithBlankLine(bytes: Buffer): boolean {
-  return bytes
+/**
+ * Size of the incomplete event that a stream ended with, bytes. `remainder` is what follows
+ * the last line feed that ended an event.
+ */
+export function partialEventLength(remainder: Buffer): number {
+  const endsWithBlankLine = remainder
     .subarray(-BLANK_LINE_AFTER_CR.length)
     .equals(BLANK_LINE_AFTER_CR);
+  return endsWithBlankLine ? 0 : remainder.length;
 }
--- a/packages/shared/src/ChunkCollector.ts
+++ b/packages/shared/src/ChunkCollector.ts
@@ -6,8 +6,8 @@
  */
 
 /**
- * Collects the chunks of a body. Small chunks are copied into blocks, so that the memory of
- * a body is a small multiple of its length, however it is cut.
+ * Collects the chunks of a body. Small chunks after the first one are copied into blocks, so
+ * that the memory of a body is a small multiple of its length, however it is cut.
  */
 
 /** Chunks from this size are kept as they are, bytes. */
@@ -36,21 +36,36 @@
   private blockLength = 0;
   private nextBlockBytes = FIRST_BLOCK_BYTES;
   private memory = 0;
+  private length = 0;
 
   /** Memory in use, bytes. */
   get memoryBytes(): number {
     return this.memory;
   }
 
+  /** Bytes collected. */
+  get byteLength(): number {
+    return this.length;
+  }
+
+  /** Adds a chunk, which may be kept as it is. */
   append(chunk: Buffer): void {
+    if (chunk.length === 0) {
+      return;
+    }
+    const isFirst = this.length === 0;
+    this.length += chunk.length;
+    if (isFirst) {
+      this.keep(chunk);
+      return;
+    }
     if (this.blockLength + chunk.length <= this.block.length) {
       this.copyToBlock(chunk);
       return;
     }
     this.endBlock();
     if (chunk.length >= LARGE_CHUNK_BYTES) {
-      this.pieces.push(chunk);
-      this.memory += chunk.length + OVERHEAD_BYTES;
+      this.keep(chunk);
       return;
     }
     this.block = Buffer.allocUnsafeSlow(this.nextBlockBytes);
@@ -73,6 +88,12 @@
     this.block = EMPTY;
     this.blockLength = 0;
     this.memory = 0;
+    this.length = 0;
+  }
+
+  private keep(chunk: Buffer): void {
+    this.pieces.push(chunk);
+    this.memory += chunk.length + OVERHEAD_BYTES;
   }
 
   private copyToBlock(chunk: Buffer): void {
