Edge: upstreams that send tiny chunks fast are read by turns, a read as a whole

Cause: a socket is read up to 32 times in a row while its reads fill their buffer, and 64 KiB of such chunks are 10,922 callbacks, each with a buffer and a pass through all layers.

ReadScheduler bounds it for all connections of a process: one that brings over 512 pieces in an iteration is left unread, and one such connection is read in each iteration. A read is 16 KiB, and the bytes of a body in it are passed on together: one pass through the layers and one write to the caller in place of one a chunk, also for whole tiny events.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -238,11 +238,11 @@
   readonly failures: number;
 }
 
-/** The bytes of an upstream kept the event loop from other work since the last such line. */
+/** The bytes of an upstream cost much work; what was read since the last such line. */
 export interface CostlyReads {
   readonly event: 'costly-reads';
   readonly upstream: string;
-  /** Iterations of the event loop in which a connection kept it for long. */
+  /** Iterations of the event loop in which a connection brought too many pieces or took long. */
   readonly iterations: number;
   readonly reads: number;
   readonly bytes: number;
--- a/packages/puffinturn-edge/src/connections/ConnectionPool.ts
+++ b/packages/puffinturn-edge/src/connections/ConnectionPool.ts
@@ -25,7 +25,7 @@
   readonly clock: Clock;
   /** Maximum number of idle connections. */
   readonly maxIdle: number;
-  /** Called when the bytes of a connection kept the event loop for long. */
+  /** Called when the bytes of a connection cost too much work. */
   readonly onCostlyReads: (load: ReadLoad) => void;
 }
 
--- a/packages/puffinturn-edge/src/connections/CostlyReadLog.ts
+++ b/packages/puffinturn-edge/src/connections/CostlyReadLog.ts
@@ -5,7 +5,7 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** Logs that the bytes of an upstream kept the event loop from other work. */
+/** Logs that the bytes of an upstream cost much work. */
 import type {CostlyReads, DecisionLog} from 'puffinturn-decisions';
 import type {Clock, ReadLoad} from 'shared';
 import {addLoads} from 'shared';
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -15,7 +15,7 @@
 import {performance} from 'node:perf_hooks';
 
 import type {ReadLoad, ReadSource} from 'shared';
-import {readScheduler} from 'shared';
+import {ChunkCollector, readScheduler} from 'shared';
 
 import {TunnelFrameReader} from '../tunnels/TunnelFrames';
 import type {ConnectionState} from './ConnectionState';
@@ -63,14 +63,14 @@
   release(connection: HttpConnection, keepAliveMs: number | undefined): boolean;
   /** Called when bytes arrive over a direct connection. */
   recordRead(): void;
-  /** Called when the bytes of a connection kept the event loop for long. */
+  /** Called when the bytes of a connection cost too much work. */
   recordCostlyReads(load: ReadLoad): void;
   /** Called when the connection is closed. */
   remove(connection: HttpConnection): void;
 }
 
-/** Maximum number of bytes per read. */
-const READ_BUFFER_BYTES = 64 * 1024;
+/** Maximum number of bytes per read; they may hold a piece every 6 bytes. */
+const READ_BUFFER_BYTES = 16 * 1024;
 
 /**
  * Read buffer of all connections, to avoid an allocation per read. Each read is parsed
@@ -99,6 +99,12 @@
   private failureCause = 'closed';
   /** Parts of the current read that were handled by themselves. */
   private pieces = 0;
+  /** Bytes of the body in the current read, which are passed on together. */
+  private readonly bodyChunks = new ChunkCollector();
+  /** Whether the reader of the response has paused it. */
+  private isPaused = false;
+  /** Whether the connection waits until it is read again after costly reads. */
+  private isSuspended = false;
   /** Undefined for a direct connection. */
   private readonly tunnelReader: TunnelFrameReader | undefined;
 
@@ -161,11 +167,23 @@
   }
 
   pause(): void {
+    this.isPaused = true;
     this.socket.pause();
   }
 
   resume(): void {
-    this.socket.resume();
+    this.isPaused = false;
+    this.readUnlessStopped();
+  }
+
+  suspendReading(): void {
+    this.isSuspended = true;
+    this.socket.pause();
+  }
+
+  resumeReading(): void {
+    this.isSuspended = false;
+    this.readUnlessStopped();
   }
 
   [Symbol.dispose](): void {
@@ -196,12 +214,13 @@
   onBody(chunk: Buffer): void {
     this.pieces += 1;
     if (!this.isComplete) {
-      this.response?.push(chunk);
+      this.bodyChunks.append(chunk);
     }
   }
 
   onMessageComplete(): void {
     if (this.response !== undefined && !this.isComplete) {
+      this.passBodyOn();
       this.isComplete = true;
       const isIntact = !this.connectionState.hasFailed;
       if (isIntact && this.hasInputEnded) {
@@ -261,7 +280,9 @@
       return;
     }
     this.pieces += 1;
-    if (!this.parser.parse(bytes)) {
+    const isValid = this.parser.parse(bytes);
+    this.passBodyOn();
+    if (!isValid) {
       this.mustClose = true;
       this.failureCause = this.parser.hasTooManyInterim
         ? 'too-many-interim-responses'
@@ -275,6 +296,21 @@
     }
   }
 
+  /** Passes on the bytes of the body that were parsed so far. */
+  private passBodyOn(): void {
+    if (this.bodyChunks.byteLength > 0) {
+      const bytes = this.bodyChunks.take();
+      this.response?.push(bytes);
+    }
+  }
+
+  private readUnlessStopped(): void {
+    const {socket} = this;
+    if (!this.isPaused && !this.isSuspended && !socket.destroyed) {
+      socket.resume();
+    }
+  }
+
   /** Handles the end of input, which completes a response without a length. */
   private handleEnd(): void {
     this.mustClose = true;
@@ -291,7 +327,9 @@
     this.response = undefined;
     // An early response may arrive while the request is still being sent.
     const isSent = socket.writableLength === 0;
-    // The reader of the response may have paused the socket.
+    this.isPaused = false;
+    this.isSuspended = false;
+    readScheduler.remove(this);
     if (socket.isPaused()) {
       socket.resume();
     }
@@ -306,6 +344,7 @@
     this.listener = undefined;
     this.response = undefined;
     this.owner.remove(this);
+    readScheduler.remove(this);
     this.parser[Symbol.dispose]();
     if (response === undefined) {
       listener?.onFailure(failureCause);
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -40,7 +40,7 @@
 
 /** Callbacks for the body of a response. */
 export interface ResponseReader {
-  /** Called for each chunk of the body. */
+  /** Called for the bytes of the body, once for each read of the connection. */
   onData(chunk: Buffer): void;
   /** Called at the end; `isComplete` is false if the connection failed before it. */
   onEnd(isComplete: boolean): void;
--- a/packages/shared/src/ChunkCollector.ts
+++ b/packages/shared/src/ChunkCollector.ts
@@ -87,6 +87,7 @@
     this.pieces = [];
     this.block = EMPTY;
     this.blockLength = 0;
+    this.nextBlockBytes = FIRST_BLOCK_BYTES;
     this.memory = 0;
     this.length = 0;
   }
--- a/packages/shared/src/ReadScheduler.ts
+++ b/packages/shared/src/ReadScheduler.ts
@@ -6,9 +6,12 @@
  */
 
 /**
- * Measures how long connections keep the event loop. A socket is read many times in a row
+ * Bounds how long one connection keeps the event loop. A socket is read many times in a row
  * while its peer sends fast, before any other socket or timer has its turn, and a read may
- * bring thousands of pieces that are each handled by themselves.
+ * bring thousands of pieces that are each handled by themselves. A connection that brings
+ * too many of them is left unread, until it is the next of all such connections: one of
+ * them is read in each iteration, so that the others of the process go on whatever their
+ * number.
  */
 
 /** What one connection read in one iteration of the event loop. */
@@ -23,15 +26,21 @@
 /** One read of a connection. */
 export type ReadCost = Omit<ReadLoad, 'reads'>;
 
-/** A connection whose reads are measured. */
+/** A connection whose reads are recorded. */
 export interface ReadSource {
-  /** Called after an iteration in which the connection kept the event loop for long. */
+  /** Stops reading until `resumeReading`. */
+  suspendReading(): void;
+  resumeReading(): void;
+  /** Called after an iteration that brought too many pieces or took long. */
   onCostlyReads(load: ReadLoad): void;
 }
 
 /** Time in one iteration from which the reads of a connection are reported, ms. */
 const COSTLY_READS_MS = 20;
 
+/** Pieces in one iteration after which a connection is left unread. */
+export const MAX_PIECES_PER_ITERATION = 512;
+
 const NO_LOAD: ReadLoad = {bytes: 0, pieces: 0, reads: 0, tookMs: 0};
 
 /** Adds up what a connection read. */
@@ -44,29 +53,68 @@
   };
 }
 
-/** Adds up the reads of each connection until the iteration ends. */
+/** Decides which connections are read in an iteration of the event loop. */
 export class ReadScheduler {
+  /** What each connection has read in this iteration. */
   private loads = new Map<ReadSource, ReadLoad>();
+  /** Connections that are left unread; the next one first. */
+  private readonly suspended = new Set<ReadSource>();
+  private isEndScheduled = false;
 
-  /** Records a read of a connection. */
+  /** Records a read of a connection, and may suspend its reading. */
   record(source: ReadSource, cost: ReadCost): void {
-    if (this.loads.size === 0) {
+    const load = addLoads(this.loads.get(source) ?? NO_LOAD, {
+      ...cost,
+      reads: 1,
+    });
+    this.loads.set(source, load);
+    this.scheduleEnd();
+    if (hasTooManyPieces(load) && !this.suspended.has(source)) {
+      this.suspended.add(source);
+      source.suspendReading();
+    }
+  }
+
+  /** Forgets a connection; its reading stays as it is. */
+  remove(source: ReadSource): void {
+    this.loads.delete(source);
+    this.suspended.delete(source);
+  }
+
+  private scheduleEnd(): void {
+    if (!this.isEndScheduled) {
+      this.isEndScheduled = true;
       setImmediate(() => this.endIteration());
     }
-    const load = this.loads.get(source) ?? NO_LOAD;
-    this.loads.set(source, addLoads(load, {...cost, reads: 1}));
   }
 
   private endIteration(): void {
+    this.isEndScheduled = false;
     const {loads} = this;
     this.loads = new Map();
     for (const [source, load] of loads) {
-      if (load.tookMs >= COSTLY_READS_MS) {
+      if (hasTooManyPieces(load) || load.tookMs >= COSTLY_READS_MS) {
         source.onCostlyReads(load);
       }
     }
+    this.resumeNext();
+    if (this.suspended.size > 0) {
+      this.scheduleEnd();
+    }
+  }
+
+  private resumeNext(): void {
+    const [next] = this.suspended;
+    if (next !== undefined) {
+      this.suspended.delete(next);
+      next.resumeReading();
+    }
   }
 }
 
+function hasTooManyPieces({pieces}: ReadLoad): boolean {
+  return pieces > MAX_PIECES_PER_ITERATION;
+}
+
 /** Reads of all connections of the process, which share its event loop. */
 export const readScheduler = new ReadScheduler();
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -31,7 +31,12 @@
 } from './MachineClock';
 export {Random, selectByWeight} from './Random';
 export type {ReadCost, ReadLoad, ReadSource} from './ReadScheduler';
-export {addLoads, ReadScheduler, readScheduler} from './ReadScheduler';
+export {
+  addLoads,
+  MAX_PIECES_PER_ITERATION,
+  ReadScheduler,
+  readScheduler,
+} from './ReadScheduler';
 export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {
   isFinalStatus,
