Edge: bodies in pieces are held in little more than their length, unwanted ones not at all

BufferedRelay failed before: 67,148,008 and 67,121,192 bytes held of 64 MiB that nobody gets (bound 8 MiB), 43,678,504 for 200,000 chunks of a byte.

--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -10,7 +10,7 @@
  * Event streams are relayed event by event, and may continue with the response of
  * another upstream after a failure.
  */
-import {concatChunks} from 'shared';
+import {ChunkCollector} from 'shared';
 
 import {
   EventStreamSplitter,
@@ -126,7 +126,12 @@
             resolve(RELAY_OUTCOME.complete);
           }
         },
-        onData: (chunk) => reader.append(chunk, !discard && !this.isCancelled),
+        onData: (chunk) => {
+          // Nobody gets a response that is discarded, or whose request has ended.
+          if (!discard && !this.isCancelled) {
+            reader.append(chunk);
+          }
+        },
       });
     });
   }
@@ -134,8 +139,7 @@
 
 /** A response body, buffered up to a size limit and streamed beyond it. */
 class BufferedBody {
-  private chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly chunks = new ChunkCollector();
   private isStreaming = false;
 
   constructor(
@@ -144,26 +148,24 @@
     private readonly sendHead: (length?: number) => void,
   ) {}
 
-  append(chunk: Buffer, mayStream: boolean): void {
+  append(chunk: Buffer): void {
     if (this.isStreaming) {
       this.bodyWriter.write(chunk, this.response);
       return;
     }
-    this.bufferedBytes += chunk.length;
-    this.chunks.push(chunk);
-    if (this.bufferedBytes > MAX_BUFFERED_RESPONSE_BYTES && mayStream) {
+    this.chunks.append(chunk);
+    if (this.chunks.byteLength > MAX_BUFFERED_RESPONSE_BYTES) {
       this.isStreaming = true;
       this.sendHead();
-      this.bodyWriter.write(Buffer.concat(this.chunks), this.response);
-      this.chunks = [];
+      this.bodyWriter.write(this.chunks.take(), this.response);
     }
   }
 
   finish(): void {
     if (!this.isStreaming) {
-      this.sendHead(this.bufferedBytes);
+      this.sendHead(this.chunks.byteLength);
     }
-    this.bodyWriter.end(concatChunks(this.chunks));
+    this.bodyWriter.end(this.chunks.take());
   }
 }
 
