Edge: the pieces of one event are bounded, not its bytes alone

An event may come in 16,384 pieces now, so that one of 16 KiB may still come byte by byte; then its stream goes on at another upstream.

'limits the pieces of one event' fails without the bound.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndlessResponses.test.ts
@@ -58,6 +58,14 @@
   part: 'x',
 };
 
+const ENDLESS_EVENT_IN_TINY_CHUNKS: EndlessResponse = {
+  head: `HTTP/1.1 200 OK\r\n${HEADERS}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`,
+  part: '1\r\nx\r\n',
+};
+
+/** Size of an event that may come byte by byte. */
+const SOUND_EVENT_BYTES = 16_000;
+
 const ENDLESS_BODY: EndlessResponse = {
   head: `HTTP/1.1 200 OK\r\n${HEADERS}\r\n`,
   part: 'x',
@@ -95,12 +103,15 @@
     },
   );
 
-  test('of one event: the stream is served by another upstream', async () => {
-    await using fixture = await startServing(ENDLESS_EVENT);
+  test.each([
+    ['of one event', ENDLESS_EVENT],
+    ['of one event in chunks of a byte', ENDLESS_EVENT_IN_TINY_CHUNKS],
+  ])('%s: the stream is served by another upstream', async (_, response) => {
+    await using fixture = await startServing(response);
     const {edge, endless, sound} = fixture;
-    sound.handler = (_, response) => {
-      response.writeHead(200, {'content-type': 'text/event-stream'});
-      response.end('id: 1\ndata: whole\n\n');
+    sound.handler = (_request, answer) => {
+      answer.writeHead(200, {'content-type': 'text/event-stream'});
+      answer.end('id: 1\ndata: whole\n\n');
     };
     for (let count = 0; count < 10; count += 1) {
       const answer = await edge.sendRequest('stream');
@@ -114,6 +125,20 @@
     expect(edge.partialEvents.totalBytes).toBe(0);
   });
 
+  test('are not mistaken for a sound event in chunks of a byte', async () => {
+    await using sound = await TestUpstream.start('b');
+    await using edge = await ForwardingFixture.start([STREAM_ROUTE]);
+    edge.pool.merge([sound.record()], 'c1');
+    const event = `data: ${'x'.repeat(SOUND_EVENT_BYTES)}\n\n`;
+    sound.handler = (_, response) => {
+      response.writeHead(200, {'content-type': 'text/event-stream'});
+      [...event].forEach((byte) => response.write(byte));
+      response.end();
+    };
+    const answer = await edge.sendRequest('stream');
+    expect(answer).toMatchObject({body: event, isComplete: true, status: 200});
+  });
+
   test('of a body: it is broken off at the time-out and its upstream avoided', async () => {
     await using fixture = await startServing(ENDLESS_BODY);
     const {edge, endless} = fixture;
--- a/packages/puffinturn-edge/src/__tests__/unit/PartialEvents.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/PartialEvents.test.ts
@@ -13,8 +13,16 @@
 describe('PartialEvents', () => {
   test('limits one event', () => {
     const events = new PartialEvents();
-    expect(events.isTooLong(256 * KIB)).toBe(false);
-    expect(events.isTooLong(256 * KIB + 1)).toBe(true);
+    expect(events.isTooLong(256 * KIB, 1)).toBe(false);
+    expect(events.isTooLong(256 * KIB + 1, 1)).toBe(true);
+  });
+
+  // Guards against callers that wait for seconds while an edge reads an event without end in
+  // chunks of a byte, of which it bounded the bytes alone.
+  test('limits the pieces of one event', () => {
+    const events = new PartialEvents();
+    expect(events.isTooLong(16 * KIB, 16 * KIB)).toBe(false);
+    expect(events.isTooLong(16 * KIB + 1, 16 * KIB + 1)).toBe(true);
   });
 
   test('limits long events while all streams together hold too much', () => {
@@ -22,14 +30,14 @@
     for (let count = 0; count < 160; count += 1) {
       events.recordSize(0, 100 * KIB);
     }
-    expect(events.isTooLong(100 * KIB)).toBe(false);
+    expect(events.isTooLong(100 * KIB, 1)).toBe(false);
     for (let count = 0; count < 10; count += 1) {
       events.recordSize(0, 100 * KIB);
     }
-    expect(events.isTooLong(100 * KIB)).toBe(true);
-    expect(events.isTooLong(16 * KIB)).toBe(false);
+    expect(events.isTooLong(100 * KIB, 1)).toBe(true);
+    expect(events.isTooLong(16 * KIB, 1)).toBe(false);
     events.recordSize(100 * KIB * 10, 0);
-    expect(events.isTooLong(100 * KIB)).toBe(false);
+    expect(events.isTooLong(100 * KIB, 1)).toBe(false);
     expect(events.totalBytes).toBe(160 * 100 * KIB);
   });
 });
--- a/packages/puffinturn-edge/src/callers/PartialEvents.ts
+++ b/packages/puffinturn-edge/src/callers/PartialEvents.ts
@@ -16,6 +16,12 @@
 /** Size up to which an event may grow while all streams together hold too much, bytes. */
 const MIN_EVENT_BYTES = 16 * 1024;
 
+/**
+ * Maximum number of pieces of one event, so that even an event of MIN_EVENT_BYTES may come
+ * byte by byte.
+ */
+const MAX_EVENT_PIECES = 16 * 1024;
+
 /** Counts the bytes of the incomplete events of all streams of an edge. */
 export class PartialEvents {
   private total = 0;
@@ -30,10 +36,14 @@
     this.total += bytes - formerBytes;
   }
 
-  /** Whether an incomplete event of this size must not grow further. */
-  isTooLong(bytes: number): boolean {
+  /**
+   * Whether an incomplete event must not grow further, given its size and the number of
+   * pieces that it came in.
+   */
+  isTooLong(bytes: number, pieces: number): boolean {
     return (
       bytes > MAX_EVENT_BYTES ||
+      pieces > MAX_EVENT_PIECES ||
       (this.total > MAX_TOTAL_BYTES && bytes > MIN_EVENT_BYTES)
     );
   }
--- a/packages/puffinturn-edge/src/callers/ResponseRelay.ts
+++ b/packages/puffinturn-edge/src/callers/ResponseRelay.ts
@@ -180,6 +180,8 @@
   private hasEvents = false;
   /** Bytes held of the incomplete event, as counted in `partialEvents`. */
   private heldBytes = 0;
+  /** Pieces of the current response until its last complete event. */
+  private piecesAtLastEvent = 0;
 
   constructor(
     caller: CallerRequest,
@@ -202,6 +204,7 @@
     this.eventSplitter.takeRemainder();
     this.countHeldBytes();
     this.hasEvents = false;
+    this.piecesAtLastEvent = 0;
     const isStream =
       response.statusCode === 200 &&
       response.headers['content-type']?.startsWith('text/event-stream') ===
@@ -225,9 +228,11 @@
     const {bytes, eventCount} = this.eventSplitter.push(chunk);
     this.countHeldBytes();
     if (bytes.length > 0) {
+      this.piecesAtLastEvent = response.pieceCount;
       this.sendEvents(response, bytes, eventCount);
     }
-    if (this.partialEvents.isTooLong(this.heldBytes)) {
+    const pieces = response.pieceCount - this.piecesAtLastEvent;
+    if (this.partialEvents.isTooLong(this.heldBytes, pieces)) {
       this.onEventTooLong();
     }
   }
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -213,7 +213,8 @@
 
   onBody(chunk: Buffer): void {
     this.pieces += 1;
-    if (!this.isComplete) {
+    if (this.response !== undefined && !this.isComplete) {
+      this.response.pieceCount += 1;
       this.bodyChunks.append(chunk);
     }
   }
--- a/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
+++ b/packages/puffinturn-edge/src/connections/UpstreamResponse.ts
@@ -71,6 +71,8 @@
   readonly headers: Readonly<Record<string, string | undefined>>;
   /** Whether no body follows the head, whatever length it names. */
   readonly isBodiless: boolean;
+  /** Parts in which the body has arrived, such as chunks. */
+  pieceCount = 0;
   private reader: ResponseReader | undefined;
   private buffered: Buffer[] = [];
   private isComplete: boolean | undefined;
