Servers: bodies in tiny chunks are read by turns

The scheduler of upstreams' connections now holds for them too: a request that brings over 512 pieces in an iteration of the event loop is left unread until its turn. Pausing the request would not do, as Node.js goes on reading until its buffer is full; so the request itself asks for no more bytes meanwhile. 'body-pieces' in clients-limited tells how often.

--- a/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
+++ b/packages/puffinturn-edge/src/__tests__/utils/serverParts.ts
@@ -37,5 +37,6 @@
     budget: new BodyBudget(clock, Infinity),
     clock,
     onEvicted: () => undefined,
+    onSuspended: () => undefined,
   });
 }
--- a/packages/puffinturn-server/src/BoundedServer.ts
+++ b/packages/puffinturn-server/src/BoundedServer.ts
@@ -23,12 +23,16 @@
 import {EarlyResponse} from './EarlyResponse';
 import type {ClientLimit, LimitObserver, ServerUsage} from './LimitCounter';
 import {CLIENT_LIMIT, LimitCounter} from './LimitCounter';
+import {PacedRequest} from './PacedRequest';
 import type {RequestBodyParts} from './RequestBody';
 import {RequestBody} from './RequestBody';
 import type {ServerLimits} from './ServerLimits';
 
 /** Options with which a server has to be created that is given to BoundedServer. */
-export const BOUNDED_SERVER_OPTIONS = {ServerResponse: EarlyResponse};
+export const BOUNDED_SERVER_OPTIONS = {
+  IncomingMessage: PacedRequest,
+  ServerResponse: EarlyResponse,
+};
 
 /** Interval of reports and of checks for what stands still, ms. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -81,6 +85,7 @@
       budget: this.budget,
       clock: parts.clock,
       onEvicted: (reason) => this.counter.record(LIMIT_BY_EVICTION[reason]),
+      onSuspended: () => this.counter.record(CLIENT_LIMIT.bodyPieces),
     };
     server.on('connection', (socket: Socket) => this.accept(socket));
     server.on('request', this.receive);
--- a/packages/puffinturn-server/src/LimitCounter.ts
+++ b/packages/puffinturn-server/src/LimitCounter.ts
@@ -11,6 +11,8 @@
 export const CLIENT_LIMIT = {
   /** A request was refused because there was no memory for its body. */
   bodyMemory: 'body-no-room',
+  /** A body came in too many small pieces at once, and was left unread for a while. */
+  bodyPieces: 'body-pieces',
   /** A request was refused because its body stood still. */
   bodyPause: 'body-stalled',
   /** A connection without a request was closed to make room for another one. */
--- a/packages/puffinturn-server/src/RequestBody.ts
+++ b/packages/puffinturn-server/src/RequestBody.ts
@@ -10,11 +10,12 @@
 
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
-import type {Clock, Failure} from 'shared';
-import {ChunkCollector} from 'shared';
+import type {Clock, Failure, ReadSource} from 'shared';
+import {ChunkCollector, readScheduler} from 'shared';
 
 import type {BodyBudget, BodyEviction} from './BodyBudget';
 import {BODY_EVICTION, UnfinishedBody} from './BodyBudget';
+import {PacedRequest} from './PacedRequest';
 
 /** Why a body could not be read as a whole. */
 export type BodyFailure =
@@ -46,6 +47,8 @@
   readonly clock: Clock;
   /** Called once if the server gives the body up for lack of memory or progress. */
   readonly onEvicted: (reason: BodyEviction) => void;
+  /** Called when a body came in too many pieces at once. */
+  readonly onSuspended: () => void;
 }
 
 /**
@@ -68,7 +71,7 @@
 };
 
 /** Collects the body from the arrival of the request, so that small chunks don't pile up. */
-export class RequestBody extends UnfinishedBody {
+export class RequestBody extends UnfinishedBody implements ReadSource {
   private static readonly bodies = new WeakMap<IncomingMessage, RequestBody>();
   readonly startedAt: number;
   lastBytesAt: number;
@@ -148,6 +151,22 @@
     }
   }
 
+  suspendReading(): void {
+    if (this.incoming instanceof PacedRequest) {
+      this.incoming.suspendReading();
+    }
+  }
+
+  resumeReading(): void {
+    if (this.incoming instanceof PacedRequest) {
+      this.incoming.resumeReading();
+    }
+  }
+
+  onCostlyReads(): void {
+    this.parts.onSuspended();
+  }
+
   evict(reason: BodyEviction): void {
     this.giveUp(EVICTION_FAILURE[reason]);
     this.parts.onEvicted(reason);
@@ -181,6 +200,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    readScheduler.record(this, {bytes: chunk.length, pieces: 1, tookMs: 0});
     this.receivedBytes += chunk.length;
     if (this.result !== undefined) {
       this.drop(chunk);
--- a/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
+++ b/packages/puffinturn-server/src/__tests__/unit/BoundedServer.test.ts
@@ -144,7 +144,54 @@
   }
 }
 
+/** Pieces of a body in chunks of a byte, and the bytes that carry one. */
+const TINY_CHUNK = '1\r\nx\r\n';
+const TINY_CHUNKS = 40_000;
+
+/** The buffer that Node.js reads connections with, bytes. */
+const READ_BUFFER_BYTES = 64 * 1_024;
+
 describe('BoundedServer', () => {
+  // Guards against a few clients that keep a server from all others: their bodies in chunks
+  // of a byte were read as long as they were sent.
+  test('reads bodies in tiny chunks in parts, between which others have their turn', async () => {
+    const sockets = new Set<Socket>();
+    const limits = {maxHeldBytes: 1_000_000};
+    await using fixture = await new Fixture(
+      limits,
+      (incoming, response, body) => {
+        sockets.add(incoming.socket);
+        void body.read(MAX_BODY_BYTES).then((read) => {
+          response.end(String(read.map(({length}) => length).unwrapOr(-1)));
+        });
+      },
+    ).open();
+    const request = `POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${TINY_CHUNK.repeat(TINY_CHUNKS)}0\r\n\r\n`;
+    const clients = [1, 2, 3].map(() => fixture.connect().send(request));
+    let readBefore = 0;
+    let mostBytes = 0;
+    const isOver = (): boolean =>
+      clients.every(({received}) => received.endsWith(String(TINY_CHUNKS)));
+    for (let iteration = 0; !isOver() && iteration < 100_000; iteration += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+      const read = [...sockets].reduce(
+        (sum, {bytesRead}) => sum + bytesRead,
+        0,
+      );
+      const firstReads = sockets.size * READ_BUFFER_BYTES;
+      if (readBefore > firstReads) {
+        mostBytes = Math.max(mostBytes, read - readBefore);
+      }
+      readBefore = read;
+    }
+    expect(isOver()).toBe(true);
+    expect(mostBytes).toBeLessThanOrEqual(2 * READ_BUFFER_BYTES);
+    expect(fixture.limitsMet).toContain(CLIENT_LIMIT.bodyPieces);
+    // The connections are read again after their bodies.
+    clients.forEach((client) => client.send(GET));
+    await until(() => clients.every(({statuses}) => statuses.length === 2));
+  });
+
   test('serves requests that came at once one after the other', async () => {
     await using fixture = await new Fixture().open();
     fixture.holds = true;
