--- a/packages/shared/src/JsonBody.ts
+++ b/packages/shared/src/JsonBody.ts
@@ -10,6 +10,7 @@
 
 import {ResultAsync} from 'neverthrow';
 
+import {ChunkCollector} from './ChunkCollector';
 import type {Failure} from './Failure';
 import {describeError} from './Failure';
 
@@ -33,14 +34,12 @@
 }
 
 async function parseBody(body: Readable, maxBytes: number): Promise<unknown> {
-  const chunks: Uint8Array[] = [];
-  let length = 0;
-  for await (const chunk of body as AsyncIterable<Uint8Array>) {
-    chunks.push(chunk);
-    length += chunk.length;
-    if (length > maxBytes) {
+  const chunks = new ChunkCollector();
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    chunks.append(chunk);
+    if (chunks.byteLength > maxBytes) {
       throw new RangeError(`the body exceeds ${maxBytes} bytes`);
     }
   }
-  return JSON.parse(Buffer.concat(chunks).toString());
+  return JSON.parse(chunks.take().toString());
 }
