--- a/packages/shared/src/__tests__/unit/JsonBody.test.ts
+++ b/packages/shared/src/__tests__/unit/JsonBody.test.ts
@@ -9,7 +9,9 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
+import {Readable} from 'node:stream';
 
+import {jest} from '@jest/globals';
 import {request} from 'undici';
 
 import {readJsonBody} from '../../index';
@@ -55,6 +57,18 @@
 }
 
 describe('A JSON body', () => {
+  // Guards against readers whose memory runs out at a body in chunks of a byte.
+  test('is not kept as one buffer for each of its chunks', async () => {
+    const text = JSON.stringify('x'.repeat(MAX_BYTES / 2));
+    const chunks = [...text].map((byte) => Buffer.from(byte));
+    const concat = jest.spyOn(Buffer, 'concat');
+    const result = await readJsonBody(Readable.from(chunks), MAX_BYTES);
+    const kept = concat.mock.calls.map(([list]) => list.length);
+    concat.mockRestore();
+    expect(result.isOk()).toBe(true);
+    expect(Math.max(0, ...kept)).toBeLessThan(20);
+  });
+
   test('is read', async () => {
     const length = 'Content-Length: 7\r\n';
     expect(await read(`${HEAD}${length}\r\n{"a":1}`)).toEqual({a: 1});
