--- a/packages/puffinturn-edge/src/__tests__/unit/TinyChunks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/TinyChunks.test.ts
@@ -19,6 +19,7 @@
 } from '../../connections/HttpConnection';
 import {HttpConnection} from '../../connections/HttpConnection';
 import type {UpstreamResponse} from '../../connections/UpstreamResponse';
+import {END_FRAME, framePrefix} from '../../tunnels/TunnelFrames';
 
 const HOST = '127.0.0.1';
 const HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
@@ -39,17 +40,29 @@
   remove: () => undefined,
 };
 
-/** Sends the chunks to each client and waits until its links hold what they bear. */
+const RESPONSE = HEAD + CHUNK.repeat(CHUNKS) + LAST_CHUNK;
+
+/** The response over a tunnel, each chunk in a frame. */
+function tunnelledResponse(): Buffer {
+  const parts = [HEAD, ...Array<string>(CHUNKS).fill(CHUNK), LAST_CHUNK];
+  const frames = parts.flatMap((part) => [
+    framePrefix(part.length),
+    Buffer.from(part),
+  ]);
+  return Buffer.concat([...frames, END_FRAME]);
+}
+
+/** Sends the response to each client. */
 class ChunkServer implements AsyncDisposable {
   private readonly sockets: Socket[] = [];
   private readonly server = createServer((socket) => {
     this.sockets.push(socket);
     socket.on('error', () => undefined);
-    socket.once('data', () =>
-      socket.write(HEAD + CHUNK.repeat(CHUNKS) + LAST_CHUNK),
-    );
+    socket.once('data', () => socket.write(this.response));
   });
 
+  constructor(private readonly response: Buffer | string = RESPONSE) {}
+
   async start(): Promise<ConnectionRoute> {
     this.server.listen(0, HOST);
     await once(this.server, 'listening');
@@ -155,9 +168,12 @@
     }
   });
 
-  test('are passed on once for each read, not once for each chunk', async () => {
-    await using server = new ChunkServer();
-    const client = new Client(await server.start());
+  test.each([
+    ['directly', RESPONSE, undefined],
+    ['in frames of a tunnel', tunnelledResponse(), Buffer.alloc(1)],
+  ])('are passed on once for each read: %s', async (_, response, ticket) => {
+    await using server = new ChunkServer(response);
+    const client = new Client({...(await server.start()), ticket});
     const iterations = await receive([client]);
     const reads = iterations.flat().filter((bytes) => bytes > 0).length;
     expect(client.passedOn.length).toBeLessThanOrEqual(2 * reads);
--- a/packages/puffinturn-edge/src/connections/HttpConnection.ts
+++ b/packages/puffinturn-edge/src/connections/HttpConnection.ts
@@ -241,6 +241,7 @@
     const startedAt = performance.now();
     this.pieces = 0;
     this.handleData(bytes);
+    this.passBodyOn();
     readScheduler.record(this, {
       bytes: bytes.length,
       pieces: this.pieces,
@@ -281,9 +282,7 @@
       return;
     }
     this.pieces += 1;
-    const isValid = this.parser.parse(bytes);
-    this.passBodyOn();
-    if (!isValid) {
+    if (!this.parser.parse(bytes)) {
       this.mustClose = true;
       this.failureCause = this.parser.hasTooManyInterim
         ? 'too-many-interim-responses'
