Edge: responses with malformed fields are broken on every processor

Node's parser rejects such names on x86-64, where they were tested so far, and takes them here; the head of the response to the caller then throws ERR_INVALID_HTTP_TOKEN, which nobody catches (output of the edge).

--- a/packages/puffinturn-edge/src/connections/ResponseParser.ts
+++ b/packages/puffinturn-edge/src/connections/ResponseParser.ts
@@ -13,7 +13,7 @@
 // @ts-expect-error no types exist
 import {HTTPParser} from 'node:_http_common';
 
-import {isReasonPhrase} from 'shared';
+import {isField, isReasonPhrase} from 'shared';
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -77,6 +77,7 @@
   private isInterimResponse = false;
   /** Interim responses since the last final one. */
   private interimCount = 0;
+  private hasInvalidFields = false;
   private isClosed = false;
   /** Whether no byte has come yet, or none after the last final response. */
   private isAtStart = true;
@@ -118,14 +119,17 @@
     return this.interimCount > MAX_INTERIM_RESPONSES;
   }
 
-  /** Parses bytes; false if they are not valid HTTP, or too many interim responses. */
+  /**
+   * Parses bytes; false if they are not valid HTTP, or too many interim responses. Node's
+   * parser takes malformed field names on some processors, so fields are checked here.
+   */
   parse(bytes: Buffer): boolean {
     if (this.isAtStart && bytes[0] !== FIRST_BYTE) {
       return false;
     }
     this.isAtStart = false;
     const isValid = typeof this.parser.execute(bytes) === 'number';
-    return isValid && !this.hasTooManyInterim;
+    return isValid && !this.hasInvalidFields && !this.hasTooManyInterim;
   }
 
   /** Signals the end of input, which completes a response without a length. */
@@ -144,6 +148,7 @@
   /** Called for headers beyond the first 32, and for trailers. */
   private addHeaders(headers: string[]): void {
     this.headers.push(...headers);
+    this.hasInvalidFields ||= !areFields(headers);
   }
 
   private handleHeaders(
@@ -152,6 +157,10 @@
   ): number {
     const rawHeaders = headers ?? this.headers;
     this.headers = [];
+    this.hasInvalidFields ||= !areFields(rawHeaders);
+    if (this.hasInvalidFields) {
+      return SKIP_BODY;
+    }
     this.isInterimResponse = isInterim(head.statusCode);
     if (this.isInterimResponse) {
       this.interimCount += 1;
@@ -164,9 +173,16 @@
 
   private handleMessageComplete(): void {
     this.headers = [];
-    if (!this.isInterimResponse) {
+    if (!this.isInterimResponse && !this.hasInvalidFields) {
       this.isAtStart = true;
       this.handler.onMessageComplete();
     }
   }
 }
+
+/** Whether alternating names and values are all well-formed. */
+function areFields(fields: readonly string[]): boolean {
+  return fields.every(
+    (name, index) => index % 2 === 1 || isField(name, fields[index + 1] ?? ''),
+  );
+}
--- a/packages/shared/src/ResponseSyntax.ts
+++ b/packages/shared/src/ResponseSyntax.ts
@@ -34,3 +34,14 @@
 export function isKnownTransferCoding(coding: string | undefined): boolean {
   return coding === undefined || coding.toLowerCase() === CHUNKED_CODING;
 }
+
+/** Characters of a field name (RFC 9110, section 5.1). */
+const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+
+/** A character that no field value may hold (RFC 9110, section 5.5), in Latin-1. */
+const INVALID_VALUE_CHARACTER = /[^\t\x20-\x7e\x80-\xff]/;
+
+/** Whether a header or trailer field is well-formed; some parsers take others too. */
+export function isField(name: string, value: string): boolean {
+  return FIELD_NAME.test(name) && !INVALID_VALUE_CHARACTER.test(value);
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -39,6 +39,7 @@
 } from './ReadScheduler';
 export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {
+  isField,
   isFinalStatus,
   isKnownTransferCoding,
   isReasonPhrase,
