--- a/packages/puffinturn-edge/src/connections/ResponseParser.ts
+++ b/packages/puffinturn-edge/src/connections/ResponseParser.ts
@@ -120,8 +120,8 @@
   }
 
   /**
-   * Parses bytes; false if they are not valid HTTP, or too many interim responses. Node's
-   * parser takes malformed field names on some processors, so fields are checked here.
+   * Parses bytes; false if they are not valid HTTP, or too many interim responses. The
+   * parser of some versions of Node takes malformed field names, so fields are checked here.
    */
   parse(bytes: Buffer): boolean {
     if (this.isAtStart && bytes[0] !== FIRST_BYTE) {
