ReadScheduler: a load grows in place

A body in chunks of a byte is recorded chunk by chunk, and each record made three objects. The load of an iteration is one object now; adding up loads is left where it is needed alone, in the log. Behaviour is as before; ReadScheduler, CostlyReadLog, TinyChunks and BoundedServer pass. What it saves wasn't measured.

--- a/packages/puffinturn-edge/src/connections/CostlyReadLog.ts
+++ b/packages/puffinturn-edge/src/connections/CostlyReadLog.ts
@@ -8,7 +8,6 @@
 /** Logs that the bytes of an upstream cost much work. */
 import type {CostlyReads, DecisionLog} from 'puffinturn-decisions';
 import type {Clock, ReadLoad} from 'shared';
-import {addLoads} from 'shared';
 
 /** Minimum time between two lines about one upstream, ms. */
 const LOG_INTERVAL_MS = 1_000;
@@ -53,3 +52,12 @@
     this.maxTookMs = 0;
   }
 }
+
+function addLoads(one: ReadLoad, other: ReadLoad): ReadLoad {
+  return {
+    bytes: one.bytes + other.bytes,
+    pieces: one.pieces + other.pieces,
+    reads: one.reads + other.reads,
+    tookMs: one.tookMs + other.tookMs,
+  };
+}
--- a/packages/shared/src/ReadScheduler.ts
+++ b/packages/shared/src/ReadScheduler.ts
@@ -41,33 +41,24 @@
 /** Pieces in one iteration after which a connection is left unread. */
 export const MAX_PIECES_PER_ITERATION = 512;
 
-const NO_LOAD: ReadLoad = {bytes: 0, pieces: 0, reads: 0, tookMs: 0};
-
-/** Adds up what a connection read. */
-export function addLoads(one: ReadLoad, other: ReadLoad): ReadLoad {
-  return {
-    bytes: one.bytes + other.bytes,
-    pieces: one.pieces + other.pieces,
-    reads: one.reads + other.reads,
-    tookMs: one.tookMs + other.tookMs,
-  };
-}
+/** A load that grows in place, as each piece of a body may be recorded by itself. */
+type GrowingLoad = {-readonly [Key in keyof ReadLoad]: ReadLoad[Key]};
 
 /** Decides which connections are read in an iteration of the event loop. */
 export class ReadScheduler {
   /** What each connection has read in this iteration. */
-  private loads = new Map<ReadSource, ReadLoad>();
+  private loads = new Map<ReadSource, GrowingLoad>();
   /** Connections that are left unread; the next one first. */
   private readonly suspended = new Set<ReadSource>();
   private isEndScheduled = false;
 
   /** Records a read of a connection, and may suspend its reading. */
-  record(source: ReadSource, cost: ReadCost): void {
-    const load = addLoads(this.loads.get(source) ?? NO_LOAD, {
-      ...cost,
-      reads: 1,
-    });
-    this.loads.set(source, load);
+  record(source: ReadSource, {bytes, pieces, tookMs}: ReadCost): void {
+    const load = this.loadOf(source);
+    load.reads += 1;
+    load.bytes += bytes;
+    load.pieces += pieces;
+    load.tookMs += tookMs;
     this.scheduleEnd();
     if (hasTooManyPieces(load) && !this.suspended.has(source)) {
       this.suspended.add(source);
@@ -81,6 +72,15 @@
     this.suspended.delete(source);
   }
 
+  private loadOf(source: ReadSource): GrowingLoad {
+    let load = this.loads.get(source);
+    if (load === undefined) {
+      load = {bytes: 0, pieces: 0, reads: 0, tookMs: 0};
+      this.loads.set(source, load);
+    }
+    return load;
+  }
+
   private scheduleEnd(): void {
     if (!this.isEndScheduled) {
       this.isEndScheduled = true;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -32,7 +32,6 @@
 export {Random, selectByWeight} from './Random';
 export type {ReadCost, ReadLoad, ReadSource} from './ReadScheduler';
 export {
-  addLoads,
   MAX_PIECES_PER_ITERATION,
   ReadScheduler,
   readScheduler,
