--- a/packages/puffinturn-edge/src/__tests__/unit/BufferedRelay.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/BufferedRelay.test.ts
@@ -10,13 +10,13 @@
  * that come in very many pieces.
  */
 import {ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 
 import type {CallerRequest} from '../../callers/CallerRequest';
 import {BufferedRelay, RELAY_OUTCOME} from '../../callers/ResponseRelay';
-import {UpstreamResponse} from '../../connections/UpstreamResponse';
+import type {UpstreamResponse} from '../../connections/UpstreamResponse';
+import {createUpstreamResponse} from '../utils/createUpstreamResponse';
 
 const MEBIBYTE = 1_024 * 1_024;
 const MAX_GROWTH_BYTES = 8 * MEBIBYTE;
@@ -25,19 +25,6 @@
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
 
-function createResponse(): UpstreamResponse {
-  return new UpstreamResponse(
-    {
-      hasValidStatusLine: true,
-      keepAlive: true,
-      rawHeaders: [],
-      statusCode: 200,
-    },
-    'GET',
-    {pause: () => undefined, resume: () => undefined, socket: new Socket()},
-  );
-}
-
 function createRelay(): BufferedRelay {
   const response = new ServerResponse({method: 'GET'} as never);
   const caller = {
@@ -79,7 +66,7 @@
     ['a response whose request has ended', false],
   ])('keeps nothing of %s', async (_, discard) => {
     const relay = createRelay();
-    const response = createResponse();
+    const response = createUpstreamResponse();
     const outcome = relay.relay(response, discard);
     if (!discard) {
       relay.cancel();
@@ -95,7 +82,7 @@
 
   test('keeps a body in chunks of a byte in little more than its length', async () => {
     const relay = createRelay();
-    const response = createResponse();
+    const response = createUpstreamResponse();
     void relay.relay(response, false);
     const before = await retainedBytes();
     pushChunks(response, 200_000, 1);
--- a/packages/puffinturn-edge/src/__tests__/unit/ResponseBodyWriter.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/ResponseBodyWriter.test.ts
@@ -10,32 +10,14 @@
  */
 import type {ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {connect, Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
 
 import {ResponseBodyWriter} from '../../callers/ResponseBodyWriter';
-import {UpstreamResponse} from '../../connections/UpstreamResponse';
+import {createUpstreamResponse} from '../utils/createUpstreamResponse';
 
 const EVENTS = ['id: 1\ndata: one\n\n', `id: 2\ndata: ${'x'.repeat(300)}\n\n`];
 
-/** An upstream response that records calls of pause and resume. */
-function createSource(calls: string[]): UpstreamResponse {
-  return new UpstreamResponse(
-    {
-      hasValidStatusLine: true,
-      keepAlive: true,
-      rawHeaders: [],
-      statusCode: 200,
-    },
-    'GET',
-    {
-      pause: () => calls.push('pause'),
-      resume: () => calls.push('resume'),
-      socket: new Socket(),
-    },
-  );
-}
-
 /** Sends a request head to a server and returns all bytes of its response. */
 async function receiveResponse(
   requestHead: string,
@@ -62,7 +44,7 @@
   const body = new ResponseBodyWriter(response);
   body.writeHead(200, ['X-A', 'b']);
   for (const event of EVENTS) {
-    body.write(Buffer.from(event), createSource([]));
+    body.write(Buffer.from(event), createUpstreamResponse([]));
   }
   body.end(Buffer.from(rest));
 }
@@ -116,7 +98,7 @@
     const bytes = await receiveResponse(requestHead, (response) => {
       const body = new ResponseBodyWriter(response);
       body.writeHead(200, []);
-      body.write(Buffer.from(EVENTS[0] ?? ''), createSource([]));
+      body.write(Buffer.from(EVENTS[0] ?? ''), createUpstreamResponse([]));
       setTimeout(() => response.destroy(), 20);
     });
     expect(bytes.endsWith(`\r\n\r\n11\r\n${EVENTS[0]}\r\n`)).toBe(true);
@@ -130,7 +112,7 @@
       'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n',
       (response) => {
         const body = new ResponseBodyWriter(response);
-        const source = createSource(calls);
+        const source = createUpstreamResponse(calls);
         body.writeHead(200, []);
         for (let written = 0; written < 16; written += 1) {
           body.write(part, source);
