--- a/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
+++ b/packages/puffinturn-daemon/src/__tests__/crowds/daemonCrowds.test.ts
@@ -102,6 +102,24 @@
       times: Infinity,
     },
   ],
+  [
+    '100 declarations that are announced with a gigabyte',
+    {
+      clients: 100,
+      head: buildHead(DECLARATIONS, OPERATOR_KEY, 'Content-Length: 1000000000'),
+      piece: LARGE_CHUNK,
+      times: Infinity,
+    },
+  ],
+  [
+    '10 declarations in chunks of a byte that do not end',
+    {
+      clients: 10,
+      head: chunkedHead(DECLARATIONS, OPERATOR_KEY),
+      piece: SMALL_CHUNK,
+      times: BYTES_IN_SINGLE_CHUNKS,
+    },
+  ],
   [
     '100 declarations without end with a wrong key',
     {
