Fields: one pattern of the characters that a field may hold

The check of upstreams' fields had written again the pattern with which request heads are checked against header injection. Both call hasOnlyFieldCharacters now; the pattern and the outcome are the same.

--- a/packages/puffinturn-edge/src/callers/RequestHead.ts
+++ b/packages/puffinturn-edge/src/callers/RequestHead.ts
@@ -7,12 +7,11 @@
 
 /** Formats the head of an HTTP request: request line and headers. */
 
-/** Matches characters that are not allowed in a header, to prevent header injection. */
-const INVALID_HEADER_CHARACTER = /[^\t\x20-\x7e\x80-\xff]/;
+import {hasOnlyFieldCharacters} from 'shared';
 
 /**
  * Formats a request head in Latin-1; `headers` alternates names and values. Returns
- * undefined if a header contains an invalid character.
+ * undefined if a header contains an invalid character, to prevent header injection.
  */
 export function formatRequestHead(
   method: string,
@@ -22,7 +21,7 @@
   let head = `${method} ${path} HTTP/1.1\r\n`;
   for (let index = 0; index + 1 < headers.length; index += 2) {
     const line = `${headers[index]}: ${headers[index + 1]}`;
-    if (INVALID_HEADER_CHARACTER.test(line)) {
+    if (!hasOnlyFieldCharacters(line)) {
       return undefined;
     }
     head += `${line}\r\n`;
--- a/packages/shared/src/ResponseSyntax.ts
+++ b/packages/shared/src/ResponseSyntax.ts
@@ -5,7 +5,10 @@
  * LICENSE file in the root directory of this source tree.
  */
 
-/** What makes the head of an HTTP response one that can be passed on. */
+/**
+ * What makes the head of an HTTP response one that can be passed on. Its fields may hold the
+ * same characters as those of a request.
+ */
 
 /** Statuses of final responses (RFC 9110, section 15). */
 const MIN_FINAL_STATUS = 200;
@@ -38,10 +41,15 @@
 /** Characters of a field name (RFC 9110, section 5.1). */
 const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 
-/** A character that no field value may hold (RFC 9110, section 5.5), in Latin-1. */
-const INVALID_VALUE_CHARACTER = /[^\t\x20-\x7e\x80-\xff]/;
+/** A character that no field may hold (RFC 9110, section 5.5), in Latin-1. */
+const INVALID_FIELD_CHARACTER = /[^\t\x20-\x7e\x80-\xff]/;
+
+/** Whether a text holds only characters that a field may hold; its line has no end in it. */
+export function hasOnlyFieldCharacters(text: string): boolean {
+  return !INVALID_FIELD_CHARACTER.test(text);
+}
 
 /** Whether a header or trailer field is well-formed; some parsers take others too. */
 export function isField(name: string, value: string): boolean {
-  return FIELD_NAME.test(name) && !INVALID_VALUE_CHARACTER.test(value);
+  return FIELD_NAME.test(name) && hasOnlyFieldCharacters(value);
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -38,6 +38,7 @@
 } from './ReadScheduler';
 export {rankByRendezvous, rendezvousWeight} from './Rendezvous';
 export {
+  hasOnlyFieldCharacters,
   isField,
   isFinalStatus,
   isKnownTransferCoding,
