Gateway: a body that comes byte by byte is held in little more than its length

Cause: the gateway kept a buffer for each part of a body, so that its memory grew with the number of parts, and only bytes were bounded. readBody collects them in blocks, as edges do.

--- a/packages/puffinturn-gateway/src/AttemptRunner.ts
+++ b/packages/puffinturn-gateway/src/AttemptRunner.ts
@@ -48,6 +48,7 @@
 import {
   callUpstream,
   MIN_SERVER_ERROR_STATUS,
+  readBody,
   readChunks,
 } from './UpstreamCall';
 import type {UpstreamClient} from './UpstreamClient';
@@ -388,21 +389,10 @@
 
   /** Reads the complete body, bills it, then delivers it. */
   private async deliverBody(call: StartedCall): Promise<boolean> {
-    const chunks: Uint8Array[] = [];
-    let length = 0;
-    try {
-      for await (const bytes of readChunks(call)) {
-        chunks.push(bytes);
-        length += bytes.length;
-        if (length > MAX_RESPONSE_BYTES) {
-          call.abort();
-          return false;
-        }
-      }
-    } catch {
+    const body = await readBody(call, MAX_RESPONSE_BYTES);
+    if (body === undefined) {
       return false;
     }
-    const body = Buffer.concat(chunks);
     const {status} = call.response;
     const contentType =
       call.response.headers['content-type'] ?? JSON_CONTENT_TYPE;
--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -8,7 +8,7 @@
 /** Sends a request to one upstream and waits for the first bytes. */
 import type {Upstream, UpstreamSlot} from 'puffinturn-routing';
 import type {Clock} from 'shared';
-import {unavailableRetryAfterMs} from 'shared';
+import {ChunkCollector, unavailableRetryAfterMs} from 'shared';
 
 import {
   LEAVING_HEADER,
@@ -180,3 +180,26 @@
     yield result.value;
   }
 }
+
+/**
+ * Reads the complete body of a response. Returns undefined if the connection is lost, or if
+ * the body is longer than `maxBytes`, which cancels the call.
+ */
+export async function readBody(
+  call: StartedCall,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  const body = new ChunkCollector();
+  try {
+    for await (const {buffer, byteLength, byteOffset} of readChunks(call)) {
+      body.append(Buffer.from(buffer, byteOffset, byteLength));
+      if (body.byteLength > maxBytes) {
+        call.abort();
+        return undefined;
+      }
+    }
+  } catch {
+    return undefined;
+  }
+  return body.take();
+}
