Gateway: unread events of a response are counted once

Cause: with each event that a response got, the lengths of all events that its caller had not read were added up again, so that the work grew with the square of their number.

--- a/packages/puffinturn-gateway/src/BufferedResponse.ts
+++ b/packages/puffinturn-gateway/src/BufferedResponse.ts
@@ -43,6 +43,8 @@
   private readonly changed = new Condition();
   private readonly consumed = new Condition();
   private releasedCount = 0;
+  /** Size of the chunks that are not released, bytes. */
+  private unreadBytes = 0;
   /** Total size of the chunks, bytes. */
   byteLength = 0;
   /** Billed units; undefined until known. */
@@ -69,6 +71,7 @@
   async append(chunk: Uint8Array): Promise<void> {
     this.chunks.push(chunk);
     this.byteLength += chunk.length;
+    this.unreadBytes += chunk.length;
     this.changed.notify();
     while (!this.isRetained && this.isAboveHighWaterMark() && !this.isAborted) {
       await this.consumed.wait();
@@ -110,6 +113,7 @@
         ...[...this.readers].map(({position}) => position),
       );
       while (this.releasedCount < Math.min(minPosition, this.chunks.length)) {
+        this.unreadBytes -= this.chunks[this.releasedCount]?.length ?? 0;
         this.chunks[this.releasedCount] = undefined;
         this.releasedCount += 1;
       }
@@ -122,15 +126,7 @@
   }
 
   private isAboveHighWaterMark(): boolean {
-    let unreadBytes = 0;
-    for (
-      let index = this.releasedCount;
-      index < this.chunks.length;
-      index += 1
-    ) {
-      unreadBytes += this.chunks[index]?.length ?? 0;
-    }
-    return unreadBytes > RESPONSE_HIGH_WATER_MARK_BYTES;
+    return this.unreadBytes > RESPONSE_HIGH_WATER_MARK_BYTES;
   }
 
   private removeReader(reader: ResponseReader): void {
