--- a/packages/puffinturn-gateway/src/AttemptRunner.ts
+++ b/packages/puffinturn-gateway/src/AttemptRunner.ts
@@ -11,7 +11,6 @@
  * closes the attempt.
  */
 import type {ControlClient} from 'puffinturn-ledger';
-import {MAX_STORED_RESPONSE_BYTES} from 'puffinturn-ledger';
 import type {UpstreamSlot} from 'puffinturn-routing';
 import {backoffDelayMs, hashPromptBlocks} from 'puffinturn-routing';
 import type {Timeline} from 'puffinturn-timeline';
@@ -24,12 +23,10 @@
 import {toAttemptId} from './AttemptSettler';
 import type {BufferedResponse} from './BufferedResponse';
 import {formatContinuationBody, formatUpstreamBody} from './CompletionBody';
-import type {Usage} from './CompletionStreamParser';
-import {CompletionStreamParser} from './CompletionStreamParser';
 import {
   ADMIT_TIMEOUT_MS,
+  JSON_CONTENT_TYPE,
   MAX_PERMIT_REFUSALS,
-  MAX_RESPONSE_BYTES,
   MAX_UPSTREAM_TRIES,
   SETTLE_WAIT_MS,
 } from './GatewayConstants';
@@ -38,6 +35,7 @@
 import type {GatewayMetrics} from './GatewayMetrics';
 import type {Pool, PoolRegistry} from './PoolRegistry';
 import type {RequestQuarantine} from './RequestQuarantine';
+import {ResponseDelivery} from './ResponseDelivery';
 import type {
   CallParts,
   CallRequest,
@@ -45,12 +43,7 @@
   StartedCall,
   UpstreamCall,
 } from './UpstreamCall';
-import {
-  callUpstream,
-  MIN_SERVER_ERROR_STATUS,
-  readBody,
-  readChunks,
-} from './UpstreamCall';
+import {callUpstream, MIN_SERVER_ERROR_STATUS} from './UpstreamCall';
 import type {UpstreamClient} from './UpstreamClient';
 import type {UpstreamPermits} from './UpstreamPermits';
 import {UsageMeter} from './UsageMeter';
@@ -69,10 +62,6 @@
   readonly timeline: Timeline;
 }
 
-const JSON_CONTENT_TYPE = 'application/json';
-const EVENT_STREAM_CONTENT_TYPE = 'text/event-stream';
-const encoder = new TextEncoder();
-
 interface NoSlot {
   readonly kind: 'no-slot';
   readonly failure: GatewayFailure;
@@ -93,8 +82,7 @@
   /** Whether an upstream may have run the request. */
   private mayHaveRun = false;
   private isDispatchCommitted = false;
-  /** Bytes of event streams received so far, from all upstreams that were tried. */
-  private streamedBytes = 0;
+  private readonly delivery: ResponseDelivery;
   private readonly usage: UsageMeter;
 
   constructor(
@@ -104,6 +92,12 @@
   ) {
     this.pool = parts.pools.getPool(attempt.plan.target);
     this.usage = new UsageMeter(attempt.plan, this.pool.promptTokenBound);
+    this.delivery = new ResponseDelivery(
+      parts.settler,
+      attempt,
+      response,
+      this.usage,
+    );
     this.callParts = {
       client: parts.client,
       clock: parts.clock,
@@ -361,12 +355,7 @@
         call.firstByteMs / 1_000,
       );
     }
-    const isStream =
-      completion?.stream === true && call.response.status === 200;
-    const isComplete = isStream
-      ? await this.deliverStream(call)
-      : await this.deliverBody(call);
-    if (isComplete) {
+    if (await this.delivery.deliver(call)) {
       this.recordSuccess(call);
       return false;
     }
@@ -387,101 +376,12 @@
     return true;
   }
 
-  /** Reads the complete body, bills it, then delivers it. */
-  private async deliverBody(call: StartedCall): Promise<boolean> {
-    const body = await readBody(call, MAX_RESPONSE_BYTES);
-    if (body === undefined) {
-      return false;
-    }
-    const {status} = call.response;
-    const contentType =
-      call.response.headers['content-type'] ?? JSON_CONTENT_TYPE;
-    const isRetained = body.length <= MAX_STORED_RESPONSE_BYTES;
-    const billed = await this.parts.settler.settle(
-      this.attempt,
-      'settled',
-      this.usage.computeBodyCharge(status, body),
-      isRetained ? {body, contentType, status} : undefined,
-    );
-    this.response.billed = billed;
-    const head = {billed, contentType, outcome: OUTCOME.ran, status};
-    this.response.setHead(head);
-    void this.response.append(body);
-    this.response.finish({kind: 'whole'});
-    return true;
-  }
-
-  /** Relays events as they arrive; the end of the stream follows the billing. */
-  private async deliverStream(call: StartedCall): Promise<boolean> {
-    const parser = new CompletionStreamParser();
-    let isDone = false;
-    try {
-      for await (const bytes of readChunks(call)) {
-        let output = '';
-        for (const event of parser.push(bytes)) {
-          if (event.kind === 'text') {
-            this.usage.addText(event.text);
-            output += `data: ${event.data}\n\n`;
-          } else if (event.kind === 'usage') {
-            this.usage.addUsage(event.usage);
-          } else {
-            isDone = true;
-          }
-        }
-        if (output !== '') {
-          this.startStream();
-          await this.response.append(encoder.encode(output));
-        }
-        this.streamedBytes += bytes.length;
-        if (parser.hasTooLongEvent || this.streamedBytes > MAX_RESPONSE_BYTES) {
-          call.abort();
-          return false;
-        }
-      }
-    } catch {
-      isDone = false;
-    }
-    if (!isDone || this.response.abortController.signal.aborted) {
-      return false;
-    }
-    await this.endStream();
-    return true;
-  }
-
   private recordSuccess({response}: StartedCall): void {
     if (response.status < MIN_SERVER_ERROR_STATUS) {
       this.parts.requestQuarantine.recordSuccess(this.attempt.plan.request);
     }
   }
 
-  private startStream(): void {
-    this.response.setHead({
-      billed: undefined,
-      contentType: EVENT_STREAM_CONTENT_TYPE,
-      outcome: OUTCOME.ran,
-      status: 200,
-    });
-  }
-
-  private async endStream(): Promise<void> {
-    const {completion} = this.attempt.plan.request;
-    const usage = this.usage.currentUsage();
-    const charge = this.usage.computeCharge();
-    const billed = await this.parts.settler.settleWithTimeout(
-      this.attempt,
-      charge,
-    );
-    this.response.billed = billed;
-    this.startStream();
-    let output = '';
-    if (completion?.includeUsage === true) {
-      output += `data: ${formatUsageChunk(completion.model, usage)}\n\n`;
-    }
-    output += `: billed ${billed ?? 'later'}\n\ndata: [DONE]\n\n`;
-    void this.response.append(encoder.encode(output));
-    this.response.finish({kind: 'whole'});
-  }
-
   /** Records a failed call; returns whether a retry is safe. */
   private recordFailure(call: FailedCall): boolean {
     this.mayHaveRun ||= call.mayHaveRun;
@@ -599,17 +499,3 @@
   }
   call.slot[Symbol.dispose]();
 }
-
-function formatUsageChunk(model: string, usage: Usage): string {
-  const {completionTokens, promptTokens} = usage;
-  return JSON.stringify({
-    choices: [],
-    model,
-    object: 'chat.completion.chunk',
-    usage: {
-      completion_tokens: completionTokens,
-      prompt_tokens: promptTokens,
-      total_tokens: completionTokens + promptTokens,
-    },
-  });
-}
--- a/packages/puffinturn-gateway/src/CallerHttp.ts
+++ b/packages/puffinturn-gateway/src/CallerHttp.ts
@@ -22,7 +22,7 @@
 } from './BufferedResponse';
 import {validateCompletion} from './CompletionBody';
 import type {CallerResponse, Gateway} from './Gateway';
-import {MAX_KEY_LENGTH} from './GatewayConstants';
+import {JSON_CONTENT_TYPE, MAX_KEY_LENGTH} from './GatewayConstants';
 import type {GatewayFailure} from './GatewayFailure';
 import {createFailure, formatErrorBody, OUTCOME} from './GatewayFailure';
 import type {GatewayMetrics} from './GatewayMetrics';
@@ -64,8 +64,6 @@
   'upgrade',
 ]);
 
-const JSON_CONTENT_TYPE = 'application/json';
-
 const MS_PER_S = 1_000;
 
 /** Creates the Hono application. */
--- a/packages/puffinturn-gateway/src/GatewayConstants.ts
+++ b/packages/puffinturn-gateway/src/GatewayConstants.ts
@@ -7,6 +7,8 @@
 
 /** Constants of the gateway. */
 
+export const JSON_CONTENT_TYPE = 'application/json';
+
 /** Unread bytes of a response above which its writer waits. */
 export const RESPONSE_HIGH_WATER_MARK_BYTES = 256 * 1024;
 
