Declarations that are no UTF-8 are rejected, from files and by operators

What operators would see: a declaration that was saved in Latin-1 was acknowledged and in force with U+FFFD in place of each byte that is no UTF-8, so that a rule which refuses a model by its name refused nothing.

Cause: files were read and bodies decoded with replacement. parseJson takes bytes and decodes them strictly for both; the failure names the cause.

The property of parseJson gets the bytes of its texts now, as the function takes bytes; the rest is as before.

--- a/packages/puffinturn-daemon/src/OperatorApp.ts
+++ b/packages/puffinturn-daemon/src/OperatorApp.ts
@@ -103,9 +103,9 @@
   if (bytes.isErr()) {
     return rejectBody(context, bytes.error);
   }
-  const text = new TextDecoder().decode(bytes.value);
-  const body = parseJson(text, 'request').unwrapOr(undefined);
-  const checked = validateValue(DeclarationSchema, body, 'request');
+  const checked = parseJson(bytes.value, 'request').andThen((body) =>
+    validateValue(DeclarationSchema, body, 'request'),
+  );
   if (checked.isErr()) {
     return respondWithFailure(context, checked.error);
   }
--- a/packages/puffinturn-settings/src/ConfigurationFiles.ts
+++ b/packages/puffinturn-settings/src/ConfigurationFiles.ts
@@ -28,20 +28,19 @@
   readonly declaration: Declaration;
 }
 
-function readText(file: string): ResultAsync<string, ValidationFailure> {
-  return ResultAsync.fromPromise(readFile(file, 'utf8'), (error) =>
+function readJson(file: string): ResultAsync<unknown, ValidationFailure> {
+  return ResultAsync.fromPromise(readFile(file), (error) =>
     createValidationFailure([
       {file, found: describeError(error), path: '/', wanted: 'a readable file'},
     ]),
-  );
+  ).andThen((bytes) => parseJson(bytes, file));
 }
 
 /** Reads a settings file; relative paths in it are resolved against its folder. */
 export function readSettings(
   file: string,
 ): ResultAsync<Settings, ValidationFailure> {
-  return readText(file)
-    .andThen((text) => parseJson(text, file))
+  return readJson(file)
     .andThen((value) => validateValue(SettingsSchema, value, file))
     .map((settings) => resolveFilePaths(settings, dirname(resolve(file))));
 }
@@ -125,26 +124,24 @@
 function readDeclarationFile(
   file: string,
 ): ResultAsync<LoadedDeclaration[], ValidationFailure> {
-  return readText(file)
-    .andThen((text) => parseJson(text, file))
-    .andThen((value) => {
-      const items = Array.isArray(value) ? value : [value];
-      const problems: ValidationProblem[] = [];
-      const declarations: LoadedDeclaration[] = [];
-      for (const [index, item] of items.entries()) {
-        const location = items.length > 1 ? `${file}[${index}]` : file;
-        const result = validateValue(DeclarationFileSchema, item, location);
-        if (result.isErr()) {
-          problems.push(...result.error.problems);
-        } else {
-          const hasNumber = 'number' in item;
-          declarations.push({declaration: result.value, file, hasNumber});
-        }
+  return readJson(file).andThen((value) => {
+    const items = Array.isArray(value) ? value : [value];
+    const problems: ValidationProblem[] = [];
+    const declarations: LoadedDeclaration[] = [];
+    for (const [index, item] of items.entries()) {
+      const location = items.length > 1 ? `${file}[${index}]` : file;
+      const result = validateValue(DeclarationFileSchema, item, location);
+      if (result.isErr()) {
+        problems.push(...result.error.problems);
+      } else {
+        const hasNumber = 'number' in item;
+        declarations.push({declaration: result.value, file, hasNumber});
       }
-      return problems.length > 0
-        ? err(createValidationFailure(problems))
-        : ok(declarations);
-    });
+    }
+    return problems.length > 0
+      ? err(createValidationFailure(problems))
+      : ok(declarations);
+  });
 }
 
 function findDuplicateNames(
--- a/packages/puffinturn-settings/src/Validation.ts
+++ b/packages/puffinturn-settings/src/Validation.ts
@@ -80,8 +80,34 @@
   return err(createValidationFailure(problems));
 }
 
-/** Parses JSON; `file` names the text in the failure. */
+/**
+ * Parses JSON in UTF-8 (RFC 8259, section 8.1); `file` names it in the failure. Bytes that
+ * are no UTF-8 are not replaced, as a name that holds them would become another one.
+ */
 export function parseJson(
+  bytes: Uint8Array,
+  file: string,
+): Result<unknown, ValidationFailure> {
+  return decodeText(bytes, file).andThen((text) => parseText(text, file));
+}
+
+function decodeText(
+  bytes: Uint8Array,
+  file: string,
+): Result<string, ValidationFailure> {
+  try {
+    return ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
+  } catch {
+    const found = 'bytes that are no UTF-8';
+    return err(
+      createValidationFailure([
+        {file, found, path: '/', wanted: 'JSON in UTF-8'},
+      ]),
+    );
+  }
+}
+
+function parseText(
   text: string,
   file: string,
 ): Result<unknown, ValidationFailure> {
--- a/packages/puffinturn-settings/src/__tests__/unit/Settings.test.ts
+++ b/packages/puffinturn-settings/src/__tests__/unit/Settings.test.ts
@@ -68,13 +68,31 @@
   test('parsing of any text returns a value or a failure and never throws', () => {
     fc.assert(
       fc.property(fc.string(), (text) => {
-        const parsed = parseJson(text, 'f');
+        const parsed = parseJson(Buffer.from(text), 'f');
         expect(parsed.isOk() || parsed.error.kind === 'invalid').toBe(true);
       }),
       {seed: 1},
     );
   });
 
+  // Guards against a rule that comes into force with other characters and refuses nothing.
+  test('a file that is no UTF-8 is reported', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'puffinturn-settings-'));
+    const file = join(folder, 'policy.json');
+    const when = 'model == "caf\xe9"';
+    const rule = {action: 'refuse', name: 'r', reason: 'no', when};
+    const policy = {kind: 'policy', name: 'p', spec: {rules: [rule]}};
+    await writeFile(file, JSON.stringify(policy), 'latin1');
+    const result = await readDeclarations(folder);
+    await rm(folder, {recursive: true});
+    const [problem] = result._unsafeUnwrapErr().problems;
+    expect(problem).toMatchObject({
+      file,
+      found: 'bytes that are no UTF-8',
+      path: '/',
+    });
+  });
+
   test('a name declared in two files of a folder is reported', async () => {
     const folder = await mkdtemp(join(tmpdir(), 'declarations-'));
     const budget = {
