Gateway: interim responses without end are given up after 16

What callers saw: a request whose upstream sends interim responses without end waits up to 300 s for a head, while the process reads on. Cause: only the time-out of the head bounded them; edges count them.

Before: SpoiltHeads (gateway) took a sound response after 17 interim ones for an answer; after 16 it is one, before and now.

--- a/packages/puffinturn-gateway/src/GatewayConstants.ts
+++ b/packages/puffinturn-gateway/src/GatewayConstants.ts
@@ -15,6 +15,9 @@
 /** Maximum size of a response, bytes. */
 export const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
+/** Interim responses before one final response; more are no sign of progress. */
+export const MAX_INTERIM_RESPONSES = 16;
+
 /** Maximum length of one event of a stream, characters. */
 export const MAX_EVENT_LENGTH = 256 * 1024;
 
--- a/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
+++ b/packages/puffinturn-gateway/src/HttpUpstreamClient.ts
@@ -20,6 +20,7 @@
 import {Agent} from 'undici';
 
 import {CONNECT_TIMEOUT_MS, IDLE_TIMEOUT_MS} from './GatewayConstants';
+import {limitInterimResponses} from './InterimResponses';
 import {ResetDetection} from './ResetDetection';
 import type {
   UpstreamFailure,
@@ -103,8 +104,8 @@
   private readonly pooledAgent = this.createAgent();
   /** Uses a new connection for each request: pipelining 0 disables keep-alive. */
   private readonly singleUseAgent = this.createAgent({pipelining: 0});
-  private readonly pooled = this.resetDetection.wrap(this.pooledAgent);
-  private readonly singleUse = this.resetDetection.wrap(this.singleUseAgent);
+  private readonly pooled = this.createDispatcher(this.pooledAgent);
+  private readonly singleUse = this.createDispatcher(this.singleUseAgent);
 
   override send(
     request: UpstreamRequest,
@@ -138,6 +139,10 @@
     ]);
   }
 
+  private createDispatcher(agent: Agent): Dispatcher {
+    return this.resetDetection.wrap(agent).compose(limitInterimResponses);
+  }
+
   private createAgent(options: Agent.Options = {}): Agent {
     const connect = this.resetDetection.createConnector(CONNECT_TIMEOUT_MS);
     return new Agent({...AGENT_OPTIONS, connect, ...options});
--- /dev/null
+++ b/packages/puffinturn-gateway/src/InterimResponses.ts
@@ -0,0 +1,46 @@
+/**
+ * Copyright (c) the puffinturn authors.
+ *
+ * This source code is licensed under the Apache License 2.0 found in the
+ * LICENSE file in the root directory of this source tree.
+ */
+
+/**
+ * Bounds the interim responses before a final one (RFC 9110, section 15.2). They may come
+ * without end, and undici reads them until the time-out of the head.
+ */
+import type {Dispatcher} from 'undici';
+import {DecoratorHandler} from 'undici';
+
+import {MAX_INTERIM_RESPONSES} from './GatewayConstants';
+
+const MIN_FINAL_STATUS = 200;
+
+/** Fails requests with too many interim responses. */
+export const limitInterimResponses: Dispatcher.DispatcherComposeInterceptor =
+  (dispatch) => (options, handler) =>
+    dispatch(options, new InterimHandler(handler));
+
+/** Counts the interim responses to one request. */
+class InterimHandler extends DecoratorHandler {
+  private interimCount = 0;
+
+  constructor(private readonly handler: Dispatcher.DispatchHandler) {
+    super(handler);
+  }
+
+  /** Called for each interim response and for the final one. */
+  onResponseStart(
+    ...response: Parameters<
+      NonNullable<Dispatcher.DispatchHandler['onResponseStart']>
+    >
+  ): void {
+    const [controller, status] = response;
+    this.interimCount += status < MIN_FINAL_STATUS ? 1 : 0;
+    if (this.interimCount > MAX_INTERIM_RESPONSES) {
+      controller.abort(new Error('too many interim responses'));
+    } else {
+      this.handler.onResponseStart?.(...response);
+    }
+  }
+}
--- a/packages/puffinturn-gateway/src/__tests__/unit/SpoiltHeads.test.ts
+++ b/packages/puffinturn-gateway/src/__tests__/unit/SpoiltHeads.test.ts
@@ -50,6 +50,9 @@
   '',
 ];
 
+/** The most interim responses that a final one may have before it. */
+const INTERIM = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(16);
+
 const HEADS = [
   ...STATUS_LINES.map((line) => `${line}\r\n${LENGTH}\r\n\r\n${BODY}`),
   ...STATUSES.map((status) => `HTTP/1.1 ${status} Odd\r\n\r\n`),
@@ -59,12 +62,15 @@
   ),
   `${OK}\r\n${LENGTH}\r\nTransfer-Encoding: chunked\r\n\r\n${CHUNKS}`,
   `${OK}\r\n${LENGTH}\r\nContent-Length: 3\r\n\r\n${BODY}`,
+  // Guards against requests that wait for minutes on interim responses without end.
+  `HTTP/1.1 103 Early Hints\r\n\r\n${INTERIM}${OK}\r\n${LENGTH}\r\n\r\n${BODY}`,
 ];
 
 const SOUND_HEADS = [
   `${OK}\r\n${LENGTH}\r\n\r\n${BODY}`,
   `${OK}\r\nTransfer-Encoding: Chunked\r\n\r\n${CHUNKS}`,
   `HTTP/1.1 103 Early Hints\r\n\r\n${OK}\r\n${LENGTH}\r\n\r\n${BODY}`,
+  `${INTERIM}${OK}\r\n${LENGTH}\r\n\r\n${BODY}`,
   `HTTP/1.1 599 Odd\r\n${LENGTH}\r\n\r\n${BODY}`,
 ];
 
