Bodies are collected up to a limit in one place

The gateway's readBody had written again the loop of readJsonBody: collect chunks, give up past a limit. Both call collectChunks now. Run: types, lint, format, shared's JsonBody and ChunkCollector, gateway, daemon and orders; not the whole script.

--- a/packages/puffinturn-gateway/src/UpstreamCall.ts
+++ b/packages/puffinturn-gateway/src/UpstreamCall.ts
@@ -8,7 +8,7 @@
 /** Sends a request to one upstream and waits for the first bytes. */
 import type {Upstream, UpstreamSlot} from 'puffinturn-routing';
 import type {Clock} from 'shared';
-import {ChunkCollector, unavailableRetryAfterMs} from 'shared';
+import {collectChunks, unavailableRetryAfterMs} from 'shared';
 
 import {
   LEAVING_HEADER,
@@ -189,17 +189,13 @@
   call: StartedCall,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
-  const body = new ChunkCollector();
   try {
-    for await (const {buffer, byteLength, byteOffset} of readChunks(call)) {
-      body.append(Buffer.from(buffer, byteOffset, byteLength));
-      if (body.byteLength > maxBytes) {
-        call.abort();
-        return undefined;
-      }
+    const body = await collectChunks(readChunks(call), maxBytes);
+    if (body === undefined) {
+      call.abort();
     }
+    return body;
   } catch {
     return undefined;
   }
-  return body.take();
 }
--- a/packages/shared/src/ChunkCollector.ts
+++ b/packages/shared/src/ChunkCollector.ts
@@ -110,3 +110,21 @@
     this.blockLength = 0;
   }
 }
+
+/**
+ * Collects a body whole. Returns undefined if it is longer than `maxBytes`, and throws if it
+ * breaks off.
+ */
+export async function collectChunks(
+  chunks: AsyncIterable<Uint8Array>,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  const body = new ChunkCollector();
+  for await (const {buffer, byteLength, byteOffset} of chunks) {
+    body.append(Buffer.from(buffer, byteOffset, byteLength));
+    if (body.byteLength > maxBytes) {
+      return undefined;
+    }
+  }
+  return body.take();
+}
--- a/packages/shared/src/JsonBody.ts
+++ b/packages/shared/src/JsonBody.ts
@@ -10,7 +10,7 @@
 
 import {ResultAsync} from 'neverthrow';
 
-import {ChunkCollector} from './ChunkCollector';
+import {collectChunks} from './ChunkCollector';
 import type {Failure} from './Failure';
 import {describeError} from './Failure';
 
@@ -34,12 +34,9 @@
 }
 
 async function parseBody(body: Readable, maxBytes: number): Promise<unknown> {
-  const chunks = new ChunkCollector();
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    chunks.append(chunk);
-    if (chunks.byteLength > maxBytes) {
-      throw new RangeError(`the body exceeds ${maxBytes} bytes`);
-    }
+  const bytes = await collectChunks(body, maxBytes);
+  if (bytes === undefined) {
+    throw new RangeError(`the body exceeds ${maxBytes} bytes`);
   }
-  return JSON.parse(chunks.take().toString());
+  return JSON.parse(bytes.toString());
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -6,7 +6,7 @@
  */
 
 /** Utilities shared by all packages. */
-export {ChunkCollector, concatChunks} from './ChunkCollector';
+export {ChunkCollector, collectChunks, concatChunks} from './ChunkCollector';
 export {
   Clock,
   ManualClock,
