Gateway: both handlers of responses pass interim responses on in one place

InterimHandler had written again what ResettableHandler does so that undici's DecoratorHandler, which takes one call of onResponseStart, lets interim responses through. ResponseHandler does it for both. Behaviour as before.

--- a/packages/puffinturn-gateway/src/InterimResponses.ts
+++ b/packages/puffinturn-gateway/src/InterimResponses.ts
@@ -10,9 +10,9 @@
  * without end, and undici reads them until the time-out of the head.
  */
 import type {Dispatcher} from 'undici';
-import {DecoratorHandler} from 'undici';
 
 import {MAX_INTERIM_RESPONSES} from './GatewayConstants';
+import {ResponseHandler} from './ResponseHandler';
 
 const MIN_FINAL_STATUS = 200;
 
@@ -22,25 +22,18 @@
     dispatch(options, new InterimHandler(handler));
 
 /** Counts the interim responses to one request. */
-class InterimHandler extends DecoratorHandler {
+class InterimHandler extends ResponseHandler {
   private interimCount = 0;
 
-  constructor(private readonly handler: Dispatcher.DispatchHandler) {
-    super(handler);
-  }
-
-  /** Called for each interim response and for the final one. */
-  onResponseStart(
-    ...response: Parameters<
-      NonNullable<Dispatcher.DispatchHandler['onResponseStart']>
-    >
+  override onResponseStart(
+    ...response: Parameters<ResponseHandler['onResponseStart']>
   ): void {
     const [controller, status] = response;
     this.interimCount += status < MIN_FINAL_STATUS ? 1 : 0;
     if (this.interimCount > MAX_INTERIM_RESPONSES) {
       controller.abort(new Error('too many interim responses'));
     } else {
-      this.handler.onResponseStart?.(...response);
+      super.onResponseStart(...response);
     }
   }
 }
--- a/packages/puffinturn-gateway/src/ResetDetection.ts
+++ b/packages/puffinturn-gateway/src/ResetDetection.ts
@@ -12,7 +12,9 @@
 import type {Socket} from 'node:net';
 
 import type {Agent, Dispatcher} from 'undici';
-import {buildConnector, DecoratorHandler} from 'undici';
+import {buildConnector} from 'undici';
+
+import {ResponseHandler} from './ResponseHandler';
 
 /**
  * Fails responses that undici completes because of a reset. It does so while the socket
@@ -64,23 +66,14 @@
 }
 
 /** Reports the end of a response as an error while a reset is reported. */
-class ResettableHandler extends DecoratorHandler {
+class ResettableHandler extends ResponseHandler {
   constructor(
-    private readonly handler: Dispatcher.DispatchHandler,
+    handler: Dispatcher.DispatchHandler,
     private readonly isReset: () => boolean,
   ) {
     super(handler);
   }
 
-  /** May be called several times, as interim responses come before the final one. */
-  onResponseStart(
-    ...response: Parameters<
-      NonNullable<Dispatcher.DispatchHandler['onResponseStart']>
-    >
-  ): void {
-    this.handler.onResponseStart?.(...response);
-  }
-
   onResponseEnd(
     controller: Dispatcher.DispatchController,
     trailers: Parameters<
