Edge: a listener is no proof of a process that this edge saw crash since

Cause: a response that ends with its connection counted as whole if another edge then reached the address of its engine; that look took 451 ms, in which the engine had crashed and its successor listened. The fix asks for it: a crash that this edge found since the request was sent (for tunnels: since the connection was made) wins over any listener. One found earlier says nothing of the request.

Before (the new module without the new condition): 'shows a crash if this edge found one before another edge saw a listener' fails, expected crashed, received listens.

--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -24,6 +24,9 @@
 
 const TIMING = {clock: new SystemClock(), drainMs: 2_000};
 
+/** When the requests of these tests were sent, monotonic ms. */
+const SENT_AT = TIMING.clock.now();
+
 /** An upstream whose process has ended. */
 async function startStopped(): Promise<EdgeUpstream> {
   await using server = await TestUpstream.start('i-1');
@@ -37,7 +40,12 @@
 describe('The end of a connection', () => {
   test('shows a crash if the upstream refuses connections', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    const evidence = await findEndEvidence(
+      upstream,
+      SENT_AT,
+      TIMING,
+      () => false,
+    );
     expect(evidence).toBe(END_EVIDENCE.crashed);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
@@ -58,7 +66,12 @@
       new SystemClock(),
       new NoopDecisionLog(),
     );
-    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    const evidence = await findEndEvidence(
+      upstream,
+      SENT_AT,
+      TIMING,
+      () => false,
+    );
     expect(evidence).toBe(END_EVIDENCE.crashed);
   });
 
@@ -69,11 +82,11 @@
       new SystemClock(),
       new NoopDecisionLog(),
     );
-    expect(await findEndEvidence(upstream, TIMING, () => false)).toBe(
+    expect(await findEndEvidence(upstream, SENT_AT, TIMING, () => false)).toBe(
       END_EVIDENCE.listening,
     );
     upstream.markSuperseded();
-    expect(await findEndEvidence(upstream, TIMING, () => false)).toBe(
+    expect(await findEndEvidence(upstream, SENT_AT, TIMING, () => false)).toBe(
       END_EVIDENCE.crashed,
     );
   });
@@ -81,7 +94,12 @@
   test('shows a crash if an upstream that drains has not deregistered', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
-    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    const evidence = await findEndEvidence(
+      upstream,
+      SENT_AT,
+      TIMING,
+      () => false,
+    );
     expect(evidence).toBe(END_EVIDENCE.crashed);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
@@ -89,7 +107,7 @@
   test('completes a response of an upstream that drained and deregistered only if it cannot be repeated', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
-    const pending = findEndEvidence(upstream, TIMING, () => false);
+    const pending = findEndEvidence(upstream, SENT_AT, TIMING, () => false);
     setTimeout(() => upstream.markDeregistered(), 50);
     const evidence = await pending;
     expect(evidence).toBe(END_EVIDENCE.leaving);
@@ -107,9 +125,9 @@
       upstream.markDeregistered();
       upstream.markGone();
       const timing = {...TIMING, drainMs};
-      expect(await findEndEvidence(upstream, timing, () => false)).toBe(
-        expected,
-      );
+      expect(
+        await findEndEvidence(upstream, SENT_AT, timing, () => false),
+      ).toBe(expected);
     },
   );
 
@@ -121,7 +139,12 @@
       new NoopDecisionLog(),
     );
     upstream.markDraining();
-    const evidence = await findEndEvidence(upstream, TIMING, () => false);
+    const evidence = await findEndEvidence(
+      upstream,
+      SENT_AT,
+      TIMING,
+      () => false,
+    );
     expect(isCompleteEnd(evidence, true)).toBe(false);
     expect(isCompleteEnd(evidence, false)).toBe(true);
   });
@@ -131,23 +154,52 @@
     const found: EndEvidence[] = [];
     for (const answer of [END_EVIDENCE.listening, END_EVIDENCE.crashed]) {
       const askOther = async () => answer;
-      found.push(await findEndEvidence(upstream, TIMING, () => true, askOther));
+      found.push(
+        await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
+      );
     }
     expect(found).toEqual([END_EVIDENCE.listening, END_EVIDENCE.crashed]);
   });
 
+  /** Guards against parts of answers that look complete, as a successor listens. */
+  test('shows a crash if this edge found one before another edge saw a listener', async () => {
+    using upstream = await startStopped();
+    const askOther = async () => {
+      upstream.markCrashed();
+      return END_EVIDENCE.listening;
+    };
+    expect(
+      await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
+    ).toBe(END_EVIDENCE.crashed);
+  });
+
+  test('shows no crash that was found before the request was sent', async () => {
+    using upstream = await startStopped();
+    upstream.markCrashed();
+    const sentAt = TIMING.clock.now() + 1;
+    const askOther = async () => END_EVIDENCE.listening;
+    expect(
+      await findEndEvidence(upstream, sentAt, TIMING, () => true, askOther),
+    ).toBe(END_EVIDENCE.listening);
+  });
+
   test('shows a departure if another edge saw a listener in place of one that leaves', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
     const askOther = async () => END_EVIDENCE.listening;
-    expect(await findEndEvidence(upstream, TIMING, () => true, askOther)).toBe(
-      END_EVIDENCE.leaving,
-    );
+    expect(
+      await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
+    ).toBe(END_EVIDENCE.leaving);
   });
 
   test('completes no response if no edge can tell', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(upstream, TIMING, () => true);
+    const evidence = await findEndEvidence(
+      upstream,
+      SENT_AT,
+      TIMING,
+      () => true,
+    );
     expect(evidence).toBe(END_EVIDENCE.unknown);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
--- a/packages/puffinturn-edge/src/__tests__/unit/QuarantinedRequests.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/QuarantinedRequests.test.ts
@@ -84,7 +84,10 @@
 
   test('does not retry a request that is one crash from quarantine', async () => {
     const fingerprints = [firstFingerprint(fixture.address)];
-    const crashedUpstream = {record: makeUpstream('i-8')};
+    const crashedUpstream = {
+      markCrashed: () => undefined,
+      record: makeUpstream('i-8'),
+    };
     fixture.quarantine.recordCrash(
       {fingerprints, life: 'i-8'},
       crashedUpstream,
--- a/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/RequestQuarantine.test.ts
@@ -45,8 +45,10 @@
   let link: ReportLink;
   let log: InMemoryDecisionLog;
   let quarantine: RequestQuarantine;
+  let crashedCount: number;
 
   beforeEach(() => {
+    crashedCount = 0;
     link = new ReportLink();
     log = new InMemoryDecisionLog();
     quarantine = new RequestQuarantine({
@@ -63,7 +65,9 @@
   afterEach(() => quarantine[Symbol.asyncDispose]());
 
   function recordCrash(life: string, ...fingerprints: string[]): void {
-    quarantine.recordCrash({fingerprints, life}, {record: makeUpstream(life)});
+    const markCrashed = (): void => void (crashedCount += 1);
+    const record = makeUpstream(life);
+    quarantine.recordCrash({fingerprints, life}, {markCrashed, record});
   }
 
   async function advance(ms: number): Promise<void> {
@@ -84,6 +88,7 @@
         },
       },
     ]);
+    expect(crashedCount).toBe(1);
   });
 
   test('reports crashes with their age after the control boxes were unreachable', async () => {
--- a/packages/puffinturn-edge/src/connections/EndEvidence.ts
+++ b/packages/puffinturn-edge/src/connections/EndEvidence.ts
@@ -66,21 +66,31 @@
 
 /**
  * What is known of an upstream that listens, here or as another edge has seen: a successor
- * may listen in its place.
+ * may listen in its place. `sentAt` is when the request was sent, monotonic ms.
  */
-export function evidenceOfListener(upstream: EdgeUpstream): EndEvidence {
-  if (upstream.isSuperseded) {
+export function evidenceOfListener(
+  upstream: EdgeUpstream,
+  sentAt: number,
+): EndEvidence {
+  if (hasCrashed(upstream, sentAt)) {
     return END_EVIDENCE.crashed;
   }
   return upstream.isLeaving ? END_EVIDENCE.leaving : END_EVIDENCE.listening;
 }
 
+/** Whether the process that a request was sent to has crashed since, as this edge knows. */
+function hasCrashed(upstream: EdgeUpstream, sentAt: number): boolean {
+  return upstream.isSuperseded || upstream.hasCrashedSince(sentAt);
+}
+
 /**
- * Checks an upstream that has just ended a connection. `askOther` lets another edge check
- * it, if this one can't tell.
+ * Checks an upstream that has just ended the connection of a request sent at `sentAt`,
+ * monotonic ms. `askOther` lets another edge check it, if this one can't tell; until that has
+ * answered, the process may have crashed and another one may listen.
  */
 export async function findEndEvidence(
   upstream: EdgeUpstream,
+  sentAt: number,
   timing: ShutdownTiming,
   areLinksLost: () => boolean,
   askOther: () => Promise<EndEvidence> = async () => END_EVIDENCE.unknown,
@@ -88,16 +98,16 @@
   const state = areLinksLost()
     ? LISTENER_STATE.unknown
     : await upstream.connections.probe();
-  if (upstream.isSuperseded) {
+  if (hasCrashed(upstream, sentAt)) {
     return END_EVIDENCE.crashed;
   }
   if (state === LISTENER_STATE.listening) {
-    return evidenceOfListener(upstream);
+    return evidenceOfListener(upstream, sentAt);
   }
   if (state !== LISTENER_STATE.refused || areLinksLost()) {
     const seen = await askOther();
     return seen === END_EVIDENCE.listening
-      ? evidenceOfListener(upstream)
+      ? evidenceOfListener(upstream, sentAt)
       : seen;
   }
   return (await hasShutDown(upstream, timing))
--- a/packages/puffinturn-edge/src/requests/Attempt.ts
+++ b/packages/puffinturn-edge/src/requests/Attempt.ts
@@ -203,11 +203,12 @@
     const {upstream} = this;
     if (this.exchange.usedTunnel) {
       // The edge that carries the tunnel has seen the upstream listen, but not its headers.
-      return evidenceOfListener(upstream);
+      return evidenceOfListener(upstream, this.sentAt);
     }
     const {service} = upstream.record;
     return findEndEvidence(
       upstream,
+      this.sentAt,
       this.parts,
       () => directLinks.areLost(service),
       () => tunnelClient.probe(upstream, this.params.caller.id),
--- a/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
+++ b/packages/puffinturn-edge/src/requests/RequestQuarantine.ts
@@ -139,8 +139,13 @@
   }
 
   /** Records a crash and the requests of this edge that were in flight. */
-  recordCrash(crash: Crash, {record}: Pick<EdgeUpstream, 'record'>): void {
+  recordCrash(
+    crash: Crash,
+    upstream: Pick<EdgeUpstream, 'markCrashed' | 'record'>,
+  ): void {
     const {log, metrics} = this.parts;
+    const {record} = upstream;
+    upstream.markCrashed();
     log.note({
       bornAt: record.bornAt,
       count: crash.fingerprints.length,
--- a/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
+++ b/packages/puffinturn-edge/src/tunnels/TunnelServer.ts
@@ -164,17 +164,23 @@
       socket.destroy();
       return {outcome: TUNNEL_OUTCOME.unknownUpstream};
     }
+    const connectedAt = this.parts.clock.now();
     const tunnel = this.reserve({
-      findEndEvidence: () => this.findEndEvidence(upstream),
+      findEndEvidence: () => this.findEndEvidence(upstream, connectedAt),
       upstream: socket,
     });
     return {outcome: TUNNEL_OUTCOME.open, tunnel};
   }
 
-  private findEndEvidence(upstream: EdgeUpstream): Promise<EndEvidence> {
+  /** Checks the end of a connection that was made at `connectedAt`, monotonic ms. */
+  private findEndEvidence(
+    upstream: EdgeUpstream,
+    connectedAt: number,
+  ): Promise<EndEvidence> {
     const {service} = upstream.record;
     return findEndEvidence(
       upstream,
+      connectedAt,
       this.parts,
       () => this.parts.refusal(service) === TUNNEL_OUTCOME.cutOff,
     );
--- a/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
+++ b/packages/puffinturn-edge/src/upstreams/EdgeUpstream.ts
@@ -91,6 +91,8 @@
   private inheritedDrainNotice: DrainNotice | undefined;
   private wasDraining: boolean;
   private deregisteredAt: number | undefined;
+  /** When this edge last found that the process had crashed, monotonic ms. */
+  private crashedAt = -Infinity;
   private backoffUntil = -Infinity;
   private coldUntil = -Infinity;
   private pausedUntil = -Infinity;
@@ -164,6 +166,16 @@
     return this.deregisteredAt !== undefined;
   }
 
+  /** Records that the process of this incarnation was found to have crashed. */
+  markCrashed(): void {
+    this.crashedAt = this.clock.now();
+  }
+
+  /** Whether a crash was found at or after `since`, monotonic ms. */
+  hasCrashedSince(since: number): boolean {
+    return this.crashedAt >= since;
+  }
+
   /**
    * Whether the upstream may have ended in order. One that announced a drain deregisters
    * at its end; any other one serves for `drainMs` after it deregistered.
