Control: only the leader tells that nothing is quarantined under a name

Cause: a control box judged by its own state, which after a start lags behind the log until it has applied it.

Now the order goes to the leader in any case. Without the entry here it is never stored, as nobody could tell an older copy of the order from a new one; the leader answers after a barrier of the log: 404 if there is no such entry, else 503 until this box has it. Each order leaves a line, quarantine-release.

Before (own state decides, types as now): 'quarantine until a release at a box that was started a moment ago' fails, expected released, received unknown; 'are released at no box that can not tell whether there are any' fails, expected unavailable, received unknown.

--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -497,6 +497,16 @@
   readonly crashes: readonly string[] | undefined;
 }
 
+/** A control box answered an operator's order to end a quarantine. */
+export interface QuarantineRelease {
+  readonly event: 'quarantine-release';
+  /** As in the order; shortened. */
+  readonly entry: string;
+  /** Whether this box listed the entry before it had passed a barrier of the log. */
+  readonly listed: boolean;
+  readonly outcome: 'released' | 'unavailable' | 'unknown';
+}
+
 /** The replicated list of versions was changed, or not, by this leader. */
 export interface VersionDecided {
   readonly event: 'version-decided';
@@ -814,6 +824,7 @@
   | VersionDecided
   | VersionsAdopted
   | QuarantineChanged
+  | QuarantineRelease
   | RequestEnded
   | ResponseEnded
   | RoleChanged
--- a/packages/puffinturn-fleet/src/FleetControl.ts
+++ b/packages/puffinturn-fleet/src/FleetControl.ts
@@ -49,6 +49,7 @@
 import {FleetWatch} from './FleetWatch';
 import {LeaderCalls} from './LeaderCalls';
 import {packConfiguration} from './PackedConfiguration';
+import type {ReleaseOutcome} from './QuarantineControl';
 import {QuarantineControl} from './QuarantineControl';
 import {RolloutControl} from './RolloutControl';
 import type {
@@ -267,8 +268,8 @@
     return this.parts.machine.quarantineEntries;
   }
 
-  /** Ends a quarantine by order of an operator; false if no quorum stored it. */
-  releaseQuarantined(entry: string): Promise<boolean> {
+  /** Ends a quarantine by order of an operator. */
+  releaseQuarantined(entry: string): Promise<ReleaseOutcome> {
     return this.quarantineControl.release(entry);
   }
 
--- a/packages/puffinturn-fleet/src/FleetMessages.ts
+++ b/packages/puffinturn-fleet/src/FleetMessages.ts
@@ -320,6 +320,8 @@
 /** Whether a quorum has stored the report; if not, it may be retried. */
 export interface CrashReportReply {
   readonly taken: boolean;
+  /** Whether a release names nothing that is quarantined; then it is not stored. */
+  readonly isUnknown?: boolean | undefined;
 }
 
 /** A limit that an incarnation of an upstream reported in responses to an edge. */
--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -23,6 +23,22 @@
 /** Maximum number of crashed incarnations listed in one log line. */
 const MAX_LOGGED_CRASHES = 16;
 
+/** Maximum number of characters of an entry in an order that are logged. */
+const MAX_LOGGED_ENTRY_LENGTH = 256;
+
+/** Outcomes of an order to end a quarantine. */
+export const RELEASE_OUTCOME = {
+  released: 'released',
+  /** No quorum stored it, or none could tell whether there is such an entry. */
+  unavailable: 'unavailable',
+  /** Nothing of this name is quarantined. */
+  unknown: 'unknown',
+} as const;
+
+/** A value of RELEASE_OUTCOME. */
+export type ReleaseOutcome =
+  (typeof RELEASE_OUTCOME)[keyof typeof RELEASE_OUTCOME];
+
 /** Dependencies of a QuarantineControl. */
 export interface QuarantineControlParts extends StateControlParts {
   readonly self: {readonly box: string};
@@ -45,15 +61,27 @@
     this.tasks.start((signal) => this.updateQuarantine(signal));
   }
 
-  /** Ends a quarantine by order of an operator; false if no quorum stored it. */
-  async release(entry: string): Promise<boolean> {
-    const {machine, self} = this.parts;
-    const report = {...EMPTY_CRASH_REPORT, released: [entry]};
-    const releasedSince = machine.quarantineEntries.find(
-      ({fingerprint}) => fingerprint === entry,
-    )?.since;
-    const request = {box: self.box, releasedSince, report};
-    return (await this.reportCrashes(request)).taken;
+  /** Ends a quarantine by order of an operator. */
+  async release(fingerprint: string): Promise<ReleaseOutcome> {
+    const {log, self} = this.parts;
+    const releasedSince = this.findEntry(fingerprint)?.since;
+    const {isUnknown = false, taken} = await this.reportCrashes({
+      box: self.box,
+      releasedSince,
+      report: {...EMPTY_CRASH_REPORT, released: [fingerprint]},
+    });
+    const outcome = taken
+      ? RELEASE_OUTCOME.released
+      : isUnknown
+        ? RELEASE_OUTCOME.unknown
+        : RELEASE_OUTCOME.unavailable;
+    log.note({
+      entry: fingerprint.slice(0, MAX_LOGGED_ENTRY_LENGTH),
+      event: 'quarantine-release',
+      listed: releasedSince !== undefined,
+      outcome,
+    });
+    return outcome;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -61,6 +89,12 @@
     await this.tasks[Symbol.asyncDispose]();
   }
 
+  private findEntry(fingerprint: string): QuarantineEntry | undefined {
+    return this.parts.machine.quarantineEntries.find(
+      (entry) => entry.fingerprint === fingerprint,
+    );
+  }
+
   private reportCrashes(
     request: CrashReportRequest,
   ): Promise<CrashReportReply> {
@@ -72,28 +106,35 @@
         if (this.isNoNews(request.report)) {
           return {taken: true};
         }
-        return (await this.isReleaseOutdated(request))
-          ? {taken: false}
-          : this.recordAsLeader(request);
+        return (
+          (await this.findRefusal(request)) ?? this.recordAsLeader(request)
+        );
       },
     );
   }
 
-  /** Whether a release was delayed until its entry was quarantined anew, or may have been. */
-  private async isReleaseOutdated({
-    releasedSince,
+  /**
+   * Why a release is not stored: it was delayed until its entry was quarantined anew, or may
+   * have been; or the box that received it has no such entry. This may be because that box
+   * has not applied the log in whole, as after its start; so only the leader can tell whether
+   * there is none.
+   */
+  private async findRefusal({
+    releasedSince = -Infinity,
     report: {released = []},
-  }: CrashReportRequest): Promise<boolean> {
-    const {leader, machine} = this.parts;
-    if (releasedSince === undefined) {
-      return false;
+  }: CrashReportRequest): Promise<CrashReportReply | undefined> {
+    const [fingerprint] = released;
+    if (fingerprint === undefined) {
+      return undefined;
     }
-    const isCurrent = await leader.passBarrier();
-    const hasNewEntry = machine.quarantineEntries.some(
-      ({fingerprint, since}) =>
-        released.includes(fingerprint) && since > releasedSince,
-    );
-    return !isCurrent || hasNewEntry;
+    const isCurrent = await this.parts.leader.passBarrier();
+    const since = this.findEntry(fingerprint)?.since ?? -Infinity;
+    if (!isCurrent || since > releasedSince) {
+      return {taken: false};
+    }
+    return releasedSince === -Infinity
+      ? {isUnknown: true, taken: false}
+      : undefined;
   }
 
   /** Ends expired quarantines, and begins those of parts that nothing has cleared. */
--- a/packages/puffinturn-fleet/src/index.ts
+++ b/packages/puffinturn-fleet/src/index.ts
@@ -83,6 +83,8 @@
 export type {FleetWatchParts} from './FleetWatch';
 export {FleetWatch} from './FleetWatch';
 export {packUpdate, unpackUpdate} from './PackedUpdate';
+export type {ReleaseOutcome} from './QuarantineControl';
+export {RELEASE_OUTCOME} from './QuarantineControl';
 export {intersectRegions, Regions} from './Regions';
 export {createReplicaLink} from './ReplicaLink';
 export type {
