--- a/packages/puffinturn-gateway/src/CallerHttp.ts
+++ b/packages/puffinturn-gateway/src/CallerHttp.ts
@@ -14,6 +14,7 @@
 import type {BoxMember, Team} from 'puffinturn-membership';
 import type {BodyFailure} from 'puffinturn-server';
 import {BODY_REFUSALS, readBody} from 'puffinturn-server';
+import {parseUtf8Json} from 'shared';
 
 import type {
   BufferedResponse,
@@ -190,12 +191,9 @@
 }
 
 function parseBody(body: Uint8Array): Result<unknown, GatewayFailure> {
-  try {
-    const text = new TextDecoder('utf-8', {fatal: true}).decode(body);
-    return ok(JSON.parse(text));
-  } catch {
-    return err(createFailure('bad_request', 'the body is not JSON in UTF-8'));
-  }
+  return parseUtf8Json(body).mapErr(() =>
+    createFailure('bad_request', 'the body is not JSON in UTF-8'),
+  );
 }
 
 function readIdempotencyKey(
--- a/packages/puffinturn-settings/src/Validation.ts
+++ b/packages/puffinturn-settings/src/Validation.ts
@@ -10,7 +10,7 @@
 import {err, ok} from 'neverthrow';
 import stringify from 'safe-stable-stringify';
 import type {Failure} from 'shared';
-import {describeError} from 'shared';
+import {decodeUtf8, describeError} from 'shared';
 import type {z} from 'zod';
 
 /** Longer values are truncated in messages, characters. */
@@ -95,16 +95,16 @@
   bytes: Uint8Array,
   file: string,
 ): Result<string, ValidationFailure> {
-  try {
-    return ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
-  } catch {
-    const found = 'bytes that are no UTF-8';
-    return err(
-      createValidationFailure([
-        {file, found, path: '/', wanted: 'JSON in UTF-8'},
-      ]),
-    );
-  }
+  return decodeUtf8(bytes).mapErr(() =>
+    createValidationFailure([
+      {
+        file,
+        found: 'bytes that are no UTF-8',
+        path: '/',
+        wanted: 'JSON in UTF-8',
+      },
+    ]),
+  );
 }
 
 function parseText(
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -55,3 +55,5 @@
   TaskGroup,
   waitWhile,
 } from './Task';
+export type {JsonFailure, Utf8Failure} from './Utf8';
+export {decodeUtf8, parseUtf8Json} from './Utf8';
