Edge: upstreams that register while all links of a service are lost are probed

Cause: the loss of the links ends only when an upstream responds that served as it began; those that register later were never probed, and count as lost all the same.

Now an upstream that registers in a loss is probed first; if it responds, the loss ends, and the others go on to be probed one after the other as before.

Before: 'ends the loss of a service at an upstream that replaces those lost for good' fails (areLost true, false wanted). After: it passes.

--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -13,7 +13,7 @@
 import {InMemoryDecisionLog} from 'puffinturn-decisions';
 import type {ListenerState} from 'puffinturn-quarantine';
 import {LISTENER_STATE} from 'puffinturn-quarantine';
-import {ManualClock, Random, settleTasks} from 'shared';
+import {invariant, ManualClock, Random, settleTasks} from 'shared';
 
 import {CONNECT_TIMEOUT} from '../../connections/Exchange';
 import {EdgeMetrics} from '../../EdgeMetrics';
@@ -124,6 +124,16 @@
     return reads;
   }
 
+  /** Registers one more upstream. */
+  addUpstream(host: string, service: string): EdgeUpstream {
+    const id = `i-${host}`;
+    const record = makeUpstream(id, {address: `${host}:80`, service});
+    this.pool.merge([record], 'test');
+    const upstream = this.pool.find(id);
+    invariant(upstream !== undefined, 'the new upstream is missing');
+    return upstream;
+  }
+
   upstreams(service: string): readonly EdgeUpstream[] {
     return this.pool.servingUpstreams(service);
   }
@@ -216,6 +226,38 @@
     expect(fixture.links.areLost('engines')).toBe(false);
   });
 
+  /** Guards against runners that replace lost ones and never get a request. */
+  test('ends the loss of a service at an upstream that replaces those lost for good', async () => {
+    await using fixture = new LinksFixture();
+    const lost = fixture.upstreams('engines');
+    fixture.cut(lost);
+    await fixture.failConnect(lost[0]);
+    const replacing = fixture.addUpstream('10.0.1.1', 'engines');
+    expect(fixture.links.needsTunnel(replacing)).toBe(true);
+    await fixture.clock.advance(PROBE_INTERVAL_MS);
+    await settleTasks();
+    expect(fixture.links.areLost('engines')).toBe(false);
+    expect(fixture.links.needsTunnel(replacing)).toBe(false);
+    expect(fixture.countTunnels('engines')).toBe(ENGINES);
+  });
+
+  test('goes on with the lost upstreams if one that registers does not respond', async () => {
+    await using fixture = new LinksFixture();
+    const lost = fixture.upstreams('engines');
+    fixture.cut(lost);
+    await fixture.failConnect(lost[0]);
+    fixture.addUpstream('10.0.1.1', 'engines');
+    fixture.unreachable.add('10.0.1.1');
+    await fixture.clock.advance(PROBE_INTERVAL_MS);
+    await settleTasks();
+    fixture.unreachable.delete(lost[0]?.host ?? '');
+    for (let step = 0; step < ENGINES; step += 1) {
+      await fixture.clock.advance(PROBE_INTERVAL_MS);
+      await settleTasks();
+    }
+    expect(fixture.links.areLost('engines')).toBe(false);
+  });
+
   test('asks for no tunnel for a while if other edges fail too', async () => {
     await using fixture = new LinksFixture();
     const engines = fixture.upstreams('engines');
--- a/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
+++ b/packages/puffinturn-edge/src/tunnels/ServiceLinks.ts
@@ -62,6 +62,8 @@
 export class ServiceLinks {
   /** Upstreams that are reached through other edges until a probe succeeds. */
   private readonly lostUpstreams = new Set<EdgeUpstream>();
+  /** Upstreams that were serving when the loss began, or were probed since. */
+  private knownUpstreams = new WeakSet<EdgeUpstream>();
   private readonly silenceDetector: SilenceDetector;
   /** Requests that were sent to the service and have not ended. */
   private readonly listeners = new Set<LinkListener>();
@@ -173,14 +175,19 @@
     }
   }
 
-  /** Probes the upstream that was probed the longest ago. */
+  /**
+   * Probes an upstream that has registered since the loss began, else the one that was probed
+   * the longest ago. Those that are gone for good may never leave, and others replace them.
+   */
   async probeNext(): Promise<void> {
     this.forgetLeaving();
-    const [upstream] = this.lostUpstreams;
+    const [oldest] = this.lostUpstreams;
+    const upstream = this.findNewUpstream() ?? oldest;
     if (upstream === undefined) {
       this.endLoss();
       return;
     }
+    this.knownUpstreams.add(upstream);
     const state = await this.parts.probe(upstream.host, upstream.port);
     this.lostUpstreams.delete(upstream);
     if (state === LISTENER_STATE.listening) {
@@ -282,6 +289,7 @@
     this.silentReads = this.readCount;
     // Without any reply, open connections hang too; else they may live on.
     const isHang = states.includes(LISTENER_STATE.unknown);
+    this.knownUpstreams = new WeakSet(serving);
     for (const upstream of serving) {
       this.lostUpstreams.add(upstream);
       upstream.endPause();
@@ -305,6 +313,15 @@
     }
   }
 
+  /** An upstream that has registered since all links were lost and was not probed yet. */
+  private findNewUpstream(): EdgeUpstream | undefined {
+    return this.areLost
+      ? this.parts.pool
+          .servingUpstreams(this.service)
+          .find((upstream) => !this.knownUpstreams.has(upstream))
+      : undefined;
+  }
+
   private forgetLeaving(): void {
     for (const upstream of this.lostUpstreams) {
       if (!upstream.isServing) {
