--- a/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/EndEvidence.test.ts
@@ -10,9 +10,10 @@
 import {createServer} from 'node:net';
 
 import {NoopDecisionLog} from 'puffinturn-decisions';
+import type {UpstreamRecord} from 'puffinturn-fleet';
 import {SystemClock} from 'shared';
 
-import type {EndEvidence} from '../../connections/EndEvidence';
+import type {EndEvidence, ShutdownTiming} from '../../connections/EndEvidence';
 import {
   END_EVIDENCE,
   findEndEvidence,
@@ -27,25 +28,47 @@
 /** When the requests of these tests were sent, monotonic ms. */
 const SENT_AT = TIMING.clock.now();
 
+/** What the edge knows when a connection has ended. */
+interface EdgeView {
+  readonly areLinksLost?: boolean;
+  readonly askOther?: () => Promise<EndEvidence>;
+  readonly sentAt?: number;
+  readonly timing?: ShutdownTiming;
+}
+
+function makeEdgeUpstream(record: UpstreamRecord): EdgeUpstream {
+  return new EdgeUpstream(record, new SystemClock(), new NoopDecisionLog());
+}
+
 /** An upstream whose process has ended. */
 async function startStopped(): Promise<EdgeUpstream> {
   await using server = await TestUpstream.start('i-1');
-  return new EdgeUpstream(
-    server.record(),
-    new SystemClock(),
-    new NoopDecisionLog(),
+  return makeEdgeUpstream(server.record());
+}
+
+/** Checks the end of a connection to an upstream. */
+function checkEnd(
+  upstream: EdgeUpstream,
+  {
+    areLinksLost = false,
+    askOther,
+    sentAt = SENT_AT,
+    timing = TIMING,
+  }: EdgeView = {},
+): Promise<EndEvidence> {
+  return findEndEvidence(
+    upstream,
+    sentAt,
+    timing,
+    () => areLinksLost,
+    askOther,
   );
 }
 
 describe('The end of a connection', () => {
   test('shows a crash if the upstream refuses connections', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(
-      upstream,
-      SENT_AT,
-      TIMING,
-      () => false,
-    );
+    const evidence = await checkEnd(upstream);
     expect(evidence).toBe(END_EVIDENCE.crashed);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
@@ -61,45 +84,23 @@
     );
     const {port} = server.address() as AddressInfo;
     const record = makeUpstream('i-1', {address: `127.0.0.1:${port}`});
-    using upstream = new EdgeUpstream(
-      record,
-      new SystemClock(),
-      new NoopDecisionLog(),
-    );
-    const evidence = await findEndEvidence(
-      upstream,
-      SENT_AT,
-      TIMING,
-      () => false,
-    );
+    using upstream = makeEdgeUpstream(record);
+    const evidence = await checkEnd(upstream);
     expect(evidence).toBe(END_EVIDENCE.crashed);
   });
 
   test('shows a crash if another incarnation listens', async () => {
     await using server = await TestUpstream.start('i-1');
-    using upstream = new EdgeUpstream(
-      server.record(),
-      new SystemClock(),
-      new NoopDecisionLog(),
-    );
-    expect(await findEndEvidence(upstream, SENT_AT, TIMING, () => false)).toBe(
-      END_EVIDENCE.listening,
-    );
+    using upstream = makeEdgeUpstream(server.record());
+    expect(await checkEnd(upstream)).toBe(END_EVIDENCE.listening);
     upstream.markSuperseded();
-    expect(await findEndEvidence(upstream, SENT_AT, TIMING, () => false)).toBe(
-      END_EVIDENCE.crashed,
-    );
+    expect(await checkEnd(upstream)).toBe(END_EVIDENCE.crashed);
   });
 
   test('shows a crash if an upstream that drains has not deregistered', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
-    const evidence = await findEndEvidence(
-      upstream,
-      SENT_AT,
-      TIMING,
-      () => false,
-    );
+    const evidence = await checkEnd(upstream);
     expect(evidence).toBe(END_EVIDENCE.crashed);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
@@ -107,7 +108,7 @@
   test('completes a response of an upstream that drained and deregistered only if it cannot be repeated', async () => {
     using upstream = await startStopped();
     upstream.markDraining();
-    const pending = findEndEvidence(upstream, SENT_AT, TIMING, () => false);
+    const pending = checkEnd(upstream);
     setTimeout(() => upstream.markDeregistered(), 50);
     const evidence = await pending;
     expect(evidence).toBe(END_EVIDENCE.leaving);
@@ -125,26 +126,15 @@
       upstream.markDeregistered();
       upstream.markGone();
       const timing = {...TIMING, drainMs};
-      expect(
-        await findEndEvidence(upstream, SENT_AT, timing, () => false),
-      ).toBe(expected);
+      expect(await checkEnd(upstream, {timing})).toBe(expected);
     },
   );
 
   test('does not complete a response if a successor may listen in place of an upstream that shuts down', async () => {
     await using server = await TestUpstream.start('i-1');
-    using upstream = new EdgeUpstream(
-      server.record(),
-      new SystemClock(),
-      new NoopDecisionLog(),
-    );
+    using upstream = makeEdgeUpstream(server.record());
     upstream.markDraining();
-    const evidence = await findEndEvidence(
-      upstream,
-      SENT_AT,
-      TIMING,
-      () => false,
-    );
+    const evidence = await checkEnd(upstream);
     expect(isCompleteEnd(evidence, true)).toBe(false);
     expect(isCompleteEnd(evidence, false)).toBe(true);
   });
@@ -154,9 +144,7 @@
     const found: EndEvidence[] = [];
     for (const answer of [END_EVIDENCE.listening, END_EVIDENCE.crashed]) {
       const askOther = async () => answer;
-      found.push(
-        await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
-      );
+      found.push(await checkEnd(upstream, {areLinksLost: true, askOther}));
     }
     expect(found).toEqual([END_EVIDENCE.listening, END_EVIDENCE.crashed]);
   });
@@ -168,9 +156,9 @@
       upstream.markCrashed();
       return END_EVIDENCE.listening;
     };
-    expect(
-      await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
-    ).toBe(END_EVIDENCE.crashed);
+    expect(await checkEnd(upstream, {areLinksLost: true, askOther})).toBe(
+      END_EVIDENCE.crashed,
+    );
   });
 
   test('shows no crash that was found before the request was sent', async () => {
@@ -179,7 +167,7 @@
     const sentAt = TIMING.clock.now() + 1;
     const askOther = async () => END_EVIDENCE.listening;
     expect(
-      await findEndEvidence(upstream, sentAt, TIMING, () => true, askOther),
+      await checkEnd(upstream, {areLinksLost: true, askOther, sentAt}),
     ).toBe(END_EVIDENCE.listening);
   });
 
@@ -187,19 +175,14 @@
     using upstream = await startStopped();
     upstream.markDraining();
     const askOther = async () => END_EVIDENCE.listening;
-    expect(
-      await findEndEvidence(upstream, SENT_AT, TIMING, () => true, askOther),
-    ).toBe(END_EVIDENCE.leaving);
+    expect(await checkEnd(upstream, {areLinksLost: true, askOther})).toBe(
+      END_EVIDENCE.leaving,
+    );
   });
 
   test('completes no response if no edge can tell', async () => {
     using upstream = await startStopped();
-    const evidence = await findEndEvidence(
-      upstream,
-      SENT_AT,
-      TIMING,
-      () => true,
-    );
+    const evidence = await checkEnd(upstream, {areLinksLost: true});
     expect(evidence).toBe(END_EVIDENCE.unknown);
     expect(isCompleteEnd(evidence, false)).toBe(false);
   });
