--- a/packages/puffinturn-decisions/src/Decision.ts
+++ b/packages/puffinturn-decisions/src/Decision.ts
@@ -502,7 +502,7 @@
   readonly event: 'quarantine-release';
   /** As in the order; shortened. */
   readonly entry: string;
-  /** Whether this box listed the entry before it had passed a barrier of the log. */
+  /** Whether this box listed the entry when the order came. */
   readonly listed: boolean;
   readonly outcome: 'released' | 'unavailable' | 'unknown';
 }
