--- a/packages/puffinturn-fleet/src/QuarantineControl.ts
+++ b/packages/puffinturn-fleet/src/QuarantineControl.ts
@@ -29,7 +29,7 @@
 /** Outcomes of an order to end a quarantine. */
 export const RELEASE_OUTCOME = {
   released: 'released',
-  /** No quorum stored it: none replied, or this box does not list the entry yet. */
+  /** No quorum stored it, or none could tell whether there is such an entry. */
   unavailable: 'unavailable',
   /** Nothing of this name is quarantined. */
   unknown: 'unknown',
