Read once more: interim responses ask isFinalStatus; tests of links lose a service in one way

The gateway had a constant of its own for the first final status, beside isFinalStatus of shared, which the same client asks of each head. A status above 599 counts as interim now: its head is refused as before, and if it comes after 16 interim responses, as too many of them in place of as an invalid status; a failure either way. In the tests of DirectLinks the same three steps stood in six places.

--- a/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
+++ b/packages/puffinturn-edge/src/__tests__/unit/DirectLinks.test.ts
@@ -107,11 +107,9 @@
 
   /** Lets the links to a service hang for good while other edges can connect. */
   async hang(service: string): Promise<void> {
-    const upstreams = this.upstreams(service);
     this.failedState = LISTENER_STATE.unknown;
     this.isReachedByOthers = true;
-    this.cut(upstreams);
-    await this.failConnect(upstreams[0], CONNECT_TIMEOUT);
+    await this.lose(service, CONNECT_TIMEOUT);
   }
 
   /** Counts `reads.count` as the reads from all services. */
@@ -134,6 +132,17 @@
     return upstream;
   }
 
+  /** Cuts off all upstreams of a service; returns them once the loss is found. */
+  async lose(
+    service: string,
+    cause?: string,
+  ): Promise<readonly EdgeUpstream[]> {
+    const upstreams = this.upstreams(service);
+    this.cut(upstreams);
+    await this.failConnect(upstreams[0], cause);
+    return upstreams;
+  }
+
   upstreams(service: string): readonly EdgeUpstream[] {
     return this.pool.servingUpstreams(service);
   }
@@ -202,9 +211,7 @@
 
   test('loses one service and keeps the other', async () => {
     await using fixture = new LinksFixture();
-    const engines = fixture.upstreams('engines');
-    fixture.cut(engines);
-    await fixture.failConnect(engines[0]);
+    await fixture.lose('engines');
     expect(fixture.links.areLost('engines')).toBe(true);
     expect(fixture.links.areLost('plain')).toBe(false);
     expect(fixture.links.areAllLost).toBe(false);
@@ -212,9 +219,7 @@
 
   test('returns to one upstream after the other', async () => {
     await using fixture = new LinksFixture();
-    const engines = fixture.upstreams('engines');
-    fixture.cut(engines);
-    await fixture.failConnect(engines[0]);
+    await fixture.lose('engines');
     fixture.unreachable.clear();
     const counts: number[] = [];
     for (let step = 0; step < ENGINES; step += 1) {
@@ -229,9 +234,7 @@
   /** Guards against runners that replace lost ones and never get a request. */
   test('ends the loss of a service at an upstream that replaces those lost for good', async () => {
     await using fixture = new LinksFixture();
-    const lost = fixture.upstreams('engines');
-    fixture.cut(lost);
-    await fixture.failConnect(lost[0]);
+    await fixture.lose('engines');
     const replacing = fixture.addUpstream('10.0.1.1', 'engines');
     expect(fixture.links.needsTunnel(replacing)).toBe(true);
     await fixture.clock.advance(PROBE_INTERVAL_MS);
@@ -243,14 +246,12 @@
 
   test('goes on with the lost upstreams if one that registers does not respond', async () => {
     await using fixture = new LinksFixture();
-    const lost = fixture.upstreams('engines');
-    fixture.cut(lost);
-    await fixture.failConnect(lost[0]);
+    const [first] = await fixture.lose('engines');
     fixture.addUpstream('10.0.1.1', 'engines');
     fixture.unreachable.add('10.0.1.1');
     await fixture.clock.advance(PROBE_INTERVAL_MS);
     await settleTasks();
-    fixture.unreachable.delete(lost[0]?.host ?? '');
+    fixture.unreachable.delete(first?.host ?? '');
     for (let step = 0; step < ENGINES; step += 1) {
       await fixture.clock.advance(PROBE_INTERVAL_MS);
       await settleTasks();
@@ -260,10 +261,7 @@
 
   test('asks for no tunnel for a while if other edges fail too', async () => {
     await using fixture = new LinksFixture();
-    const engines = fixture.upstreams('engines');
-    fixture.cut(engines);
-    await fixture.failConnect(engines[0]);
-    const [gone] = engines;
+    const [gone] = await fixture.lose('engines');
     if (gone !== undefined) {
       const cause = 'upstream-unreachable';
       fixture.links.recordUnsent(gone, {
--- a/packages/puffinturn-gateway/src/InterimResponses.ts
+++ b/packages/puffinturn-gateway/src/InterimResponses.ts
@@ -9,13 +9,12 @@
  * Bounds the interim responses before a final one (RFC 9110, section 15.2). They may come
  * without end, and undici reads them until the time-out of the head.
  */
+import {isFinalStatus} from 'shared';
 import type {Dispatcher} from 'undici';
 
 import {MAX_INTERIM_RESPONSES} from './GatewayConstants';
 import {ResponseHandler} from './ResponseHandler';
 
-const MIN_FINAL_STATUS = 200;
-
 /** Fails requests with too many interim responses. */
 export const limitInterimResponses: Dispatcher.DispatcherComposeInterceptor =
   (dispatch) => (options, handler) =>
@@ -29,7 +28,7 @@
     ...response: Parameters<ResponseHandler['onResponseStart']>
   ): void {
     const [controller, status] = response;
-    this.interimCount += status < MIN_FINAL_STATUS ? 1 : 0;
+    this.interimCount += isFinalStatus(status) ? 0 : 1;
     if (this.interimCount > MAX_INTERIM_RESPONSES) {
       controller.abort(new Error('too many interim responses'));
     } else {
